--- /dev/null
+++ b/crates/survey/src/boot.rs
@@ -0,0 +1,85 @@
+//! The surveyor's boot settings.
+
+use crate::core::CoreTiming;
+use crate::desk::DeskTiming;
+use std::path::PathBuf;
+use std::time::Duration;
+use waymark::frames::Place;
+use waymark::identity::Locality;
+use waymark::readers::{BootFault, BootSource, PathReader, read_place, read_places};
+
+/// What a surveyor needs to know before it starts.
+#[derive(Clone, Debug)]
+pub struct SurveyorBoot {
+    /// Where the settings came from, for fault messages.
+    pub source: String,
+    /// Where other processes reach it.
+    pub place: Place,
+    /// Where operators reach it.
+    pub operators: Place,
+    /// Its locality.
+    pub locality: Locality,
+    /// The three surveyors' places.
+    pub seeds: Vec<Place>,
+    /// The data folder.
+    pub data: PathBuf,
+    /// The platform.
+    pub platform: Place,
+    /// The core's times.
+    pub core_timing: CoreTiming,
+    /// The desk's times.
+    pub desk_timing: DeskTiming,
+}
+
+fn read_millis(reader: &PathReader<'_>, default_span: Duration) -> Duration {
+    Duration::from_millis(reader.number_or(1..=60_000, default_span.as_millis() as u64))
+}
+
+impl SurveyorBoot {
+    /// Reads and checks the settings.
+    pub fn read(boot_source: &BootSource) -> Result<Self, BootFault> {
+        boot_source.read(|root| {
+            root.only(&["place", "operators", "locality", "seeds", "data", "platform", "timing"]);
+            let timing = root.field("timing");
+            timing.only(&[
+                "round_ms",
+                "election_shortest_ms",
+                "election_longest_ms",
+                "grant_ms",
+                "drift_ms",
+                "strike_ms",
+            ]);
+            let core_default = CoreTiming::builder().build();
+            let desk_default = DeskTiming::builder().build();
+            let place = read_place(&root.field("place"));
+            let operators = read_place(&root.field("operators"));
+            let locality = root.field("locality").text();
+            let seeds = read_places(&root.field("seeds"), 3);
+            let data = root.field("data").text();
+            let platform = read_place(&root.field("platform"));
+            let shortest =
+                read_millis(&timing.field("election_shortest_ms"), core_default.election_shortest);
+            let longest =
+                read_millis(&timing.field("election_longest_ms"), core_default.election_longest);
+            Some(Self {
+                source: boot_source.name().to_owned(),
+                place: place?,
+                operators: operators?,
+                locality: Locality::from(locality?),
+                seeds: seeds?,
+                data: PathBuf::from(data?),
+                platform: platform?,
+                core_timing: CoreTiming::builder()
+                    .round_every(read_millis(&timing.field("round_ms"), core_default.round_every))
+                    .election_shortest(shortest)
+                    .election_longest(longest.max(shortest))
+                    .build(),
+                desk_timing: DeskTiming::builder()
+                    .grant_length(read_millis(&timing.field("grant_ms"), desk_default.grant_length))
+                    .drift_margin(read_millis(&timing.field("drift_ms"), desk_default.drift_margin))
+                    .strike_after(read_millis(&timing.field("strike_ms"), desk_default.strike_after))
+                    .build(),
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/survey/src/core/election.rs
@@ -0,0 +1,290 @@
+use super::{Address, Core, CoreOutput, Role, Rounds, Writing};
+use std::collections::BTreeSet;
+use waymark::clock::Moment;
+use waymark::frames::{CoreBody, Flag, Many, Place};
+use waymark::identity::{Stamp, SurveyorId, Term};
+
+impl Core {
+    pub(super) fn arm_election(&mut self, now: Moment) {
+        let wait_span =
+            self.chance.within(self.timing.election_shortest, self.timing.election_longest);
+        self.election_at = now + wait_span;
+    }
+
+    pub(super) fn is_majority(&self, given: &BTreeSet<SurveyorId>) -> bool {
+        let Some(document) = &self.accepted else { return false };
+        let given_count = document.core.iter().filter(|voter| given.contains(&voter.id)).count();
+        given_count * 2 > document.core.len()
+    }
+
+    fn may_vote(&self) -> bool {
+        self.accepted_stamp() >= self.distrusted
+    }
+
+    fn newest_stamp(&self) -> Stamp {
+        let written_stamps = self.writings.values().filter_map(|since| match &since.writing {
+            Writing::Version(document) => Some(document.stamp),
+            Writing::Vote { .. } => None,
+        });
+        written_stamps.max().unwrap_or_default().max(self.accepted_stamp())
+    }
+
+    pub(super) fn start_trial(&mut self, now: Moment) {
+        self.arm_election(now);
+        self.leader = None;
+        if !self.is_voter(self.id) || !self.may_vote() || !self.writings.is_empty() {
+            return;
+        }
+        self.role = Role::Trial { given: BTreeSet::from([self.id]) };
+        self.ask_votes(self.term.next(), true);
+        self.count_trial(now);
+    }
+
+    fn ask_votes(&mut self, term: Term, trial: bool) {
+        let accepted = self.accepted_stamp();
+        let voter_places: Vec<Place> = self
+            .accepted
+            .iter()
+            .flat_map(|document| &document.core)
+            .filter(|voter| voter.id != self.id)
+            .map(|voter| voter.place)
+            .collect();
+        for voter_place in voter_places {
+            self.send(voter_place, CoreBody::VoteAsk { term, accepted, trial: Flag(trial) });
+        }
+    }
+
+    fn count_trial(&mut self, now: Moment) {
+        let Role::Trial { given } = &self.role else { return };
+        if self.is_majority(given) {
+            self.term = self.term.next();
+            self.inherited_members = self.members.clone();
+            self.inherited_whole = self.members_whole;
+            self.role = Role::Candidate { given: BTreeSet::new(), vote_written: false };
+            self.arm_election(now);
+            self.outputs.push(CoreOutput::Campaigning { term: self.term });
+            self.order_write(now, Writing::Vote { term: self.term, candidate: self.id });
+        }
+    }
+
+    pub(super) fn vote_written(&mut self, now: Moment, term: Term, candidate: SurveyorId) {
+        if self.voted.is_none_or(|(voted_term, _)| voted_term < term) {
+            self.voted = Some((term, candidate));
+        }
+        if candidate != self.id {
+            if term == self.term
+                && let Some(candidate_place) = self.place_of(candidate)
+            {
+                self.reply_vote(candidate_place, term, false, true);
+            }
+            return;
+        }
+        let own_id = self.id;
+        if term != self.term {
+            return;
+        }
+        if let Role::Candidate { given, vote_written } = &mut self.role {
+            given.insert(own_id);
+            *vote_written = true;
+            self.ask_votes(term, false);
+            self.count_votes(now);
+        }
+    }
+
+    fn place_of(&self, id: SurveyorId) -> Option<Place> {
+        self.others.values().find(|other| other.id == id).map(|other| other.address.place)
+    }
+
+    fn reply_vote(&mut self, to: Place, asked: Term, trial: bool, given: bool) {
+        let members = Many(self.members.iter().cloned().collect());
+        let reply = CoreBody::VoteReply {
+            term: self.term,
+            asked,
+            trial: Flag(trial),
+            given: Flag(given),
+            members,
+            whole: Flag(self.members_whole),
+        };
+        self.send(to, reply);
+    }
+
+    fn is_leader_live(&self, now: Moment) -> bool {
+        match &self.role {
+            Role::Leader(rounds) => {
+                now.since(rounds.quorum_moment()) < self.timing.election_shortest
+            }
+            _ => now.since(self.leader_heard_at) < self.timing.election_shortest,
+        }
+    }
+
+    pub(super) fn hear_vote_ask(
+        &mut self,
+        now: Moment,
+        from: SurveyorId,
+        address: Address,
+        term: Term,
+        accepted: Stamp,
+        trial: bool,
+    ) {
+        let is_fit = accepted >= self.newest_stamp() && self.may_vote();
+        if self.is_leader_live(now) || term < self.term || (trial && term == self.term) {
+            self.reply_vote(address.place, term, trial, false);
+            return;
+        }
+        if trial {
+            self.reply_vote(address.place, term, true, is_fit);
+            return;
+        }
+        if term > self.term {
+            self.step_down(now, term);
+        }
+        let vote_pending = self.writings.values().any(
+            |since| matches!(since.writing, Writing::Vote { term: writing_term, .. } if writing_term >= term),
+        );
+        match self.voted {
+            Some((voted_term, voted_id)) if voted_term == term && voted_id == from => {
+                self.reply_vote(address.place, term, false, true);
+            }
+            Some((voted_term, _)) if voted_term >= term => {
+                self.reply_vote(address.place, term, false, false);
+            }
+            _ if !is_fit || vote_pending => {
+                self.reply_vote(address.place, term, false, false);
+            }
+            _ => {
+                self.arm_election(now);
+                self.order_write(now, Writing::Vote { term, candidate: from });
+            }
+        }
+    }
+
+    pub(super) fn hear_vote_reply(&mut self, now: Moment, from: SurveyorId, body: CoreBody) {
+        let CoreBody::VoteReply { term, asked, trial, given, members, whole } = body else {
+            return;
+        };
+        if term > self.term {
+            self.step_down(now, term);
+            return;
+        }
+        if !given.0 {
+            return;
+        }
+        match &mut self.role {
+            Role::Trial { given: given_set } if trial.0 && asked == self.term.next() => {
+                given_set.insert(from);
+                self.count_trial(now);
+            }
+            Role::Candidate { given: given_set, .. } if !trial.0 && asked == self.term => {
+                given_set.insert(from);
+                self.inherited_members.extend(members.0);
+                self.inherited_whole &= whole.0;
+                self.count_votes(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn count_votes(&mut self, now: Moment) {
+        let Role::Candidate { given, vote_written: true } = &self.role else { return };
+        if !self.is_majority(given) {
+            return;
+        }
+        self.role = Role::Leader(Box::new(Rounds::new(now)));
+        self.leader = Some((self.id, self.address));
+        self.leader_heard_at = now;
+        self.members = self.inherited_members.clone();
+        self.members_whole = self.inherited_whole;
+        let members = self.inherited_members.clone();
+        let whole = self.inherited_whole;
+        self.outputs.push(CoreOutput::Elected { term: self.term, members, whole });
+        self.lead(now);
+        if let Some(mut document) = self.accepted.clone() {
+            document.stamp.term = self.term;
+            self.put_forward(now, document);
+        }
+    }
+
+    pub(super) fn step_down(&mut self, now: Moment, term: Term) {
+        if matches!(self.role, Role::Leader(_)) {
+            self.outputs.push(CoreOutput::SteppedDown);
+        }
+        if term > self.term || !matches!(self.role, Role::Follower) {
+            self.leader = None;
+        }
+        self.term = self.term.max(term);
+        self.role = Role::Follower;
+        self.proposed = None;
+        self.arm_election(now);
+    }
+
+    pub(super) fn hear_leader(
+        &mut self,
+        now: Moment,
+        from: SurveyorId,
+        address: Address,
+        term: Term,
+    ) -> bool {
+        if term < self.term {
+            return false;
+        }
+        if term > self.term || !matches!(self.role, Role::Follower) {
+            self.step_down(now, term);
+        }
+        self.leader = Some((from, address));
+        self.leader_heard_at = now;
+        self.arm_election(now);
+        true
+    }
+
+    pub(super) fn reply_round(&mut self, to: Place, round: u64) {
+        let reply =
+            CoreBody::RoundReply { term: self.term, round, accepted: self.accepted_stamp() };
+        self.send(to, reply);
+    }
+
+    pub(super) fn lead(&mut self, now: Moment) {
+        if self.is_disk_stalled(now) {
+            self.outputs.push(CoreOutput::DiskStalled);
+            self.step_down(now, self.term);
+            return;
+        }
+        let Role::Leader(rounds) = &mut self.role else { return };
+        let proven_at = rounds.quorum_moment().max(self.leader_heard_at);
+        if now.since(proven_at) > self.timing.election_longest {
+            self.step_down(now, self.term);
+            return;
+        }
+        if now < rounds.next_at() {
+            return;
+        }
+        let members = self.members.clone();
+        let next_at = now + self.timing.round_every;
+        let round = rounds.start(now, next_at, self.id, members.clone());
+        let body = CoreBody::Round {
+            term: self.term,
+            round,
+            accepted: self.accepted_stamp(),
+            committed: self.committed,
+            members: Many(members.into_iter().collect()),
+            whole: Flag(self.members_whole),
+        };
+        for known_place in self.known_places() {
+            self.send(known_place, body.clone());
+        }
+        self.count_round(now, round, self.id);
+    }
+
+    pub(super) fn count_round(&mut self, _now: Moment, round: u64, from: SurveyorId) {
+        let voters: Vec<SurveyorId> = self
+            .accepted
+            .iter()
+            .flat_map(|document| &document.core)
+            .map(|voter| voter.id)
+            .collect();
+        if let Role::Leader(rounds) = &mut self.role {
+            rounds.answered(round, from, |answered| {
+                voters.iter().filter(|id| answered.contains(id)).count() * 2 > voters.len()
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/survey/src/core/mod.rs
@@ -0,0 +1,336 @@
+//! The core: election, and the one replicated document. No I/O; time and frames come in, orders go out.
+
+mod election;
+mod output;
+mod register;
+mod rounds;
+mod timing;
+
+pub use register::{FoundFault, ProposeFault};
+pub use output::{CoreOutput, Recalled, WriteJob, WriteResult};
+pub use timing::CoreTiming;
+
+use rounds::Rounds;
+use std::collections::{BTreeMap, BTreeSet};
+use waymark::chance::Chance;
+use waymark::clock::Moment;
+use waymark::frames::{CoreBody, CoreFrame, KnownMember, Place};
+use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
+use waymark::spec::Document;
+
+/// Where other surveyors and operators reach one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Address {
+    /// For processes.
+    pub place: Place,
+    /// For operators.
+    pub operators: Place,
+}
+
+/// Another surveyor as this one knows it.
+struct Other {
+    id: SurveyorId,
+    address: Address,
+    accepted: Stamp,
+    heard_at: Moment,
+    document_sent_at: Moment,
+}
+
+enum Role {
+    Follower,
+    Trial { given: BTreeSet<SurveyorId> },
+    Candidate { given: BTreeSet<SurveyorId>, vote_written: bool },
+    Leader(Box<Rounds>),
+}
+
+enum Writing {
+    Vote { term: Term, candidate: SurveyorId },
+    Version(Document),
+}
+
+struct WritingSince {
+    started_at: Moment,
+    writing: Writing,
+}
+
+/// One surveyor's part in the core.
+pub struct Core {
+    timing: CoreTiming,
+    id: SurveyorId,
+    address: Address,
+    seeds: Vec<Place>,
+    chance: Chance,
+    term: Term,
+    voted: Option<(Term, SurveyorId)>,
+    distrusted: Stamp,
+    accepted: Option<Document>,
+    committed: Stamp,
+    role: Role,
+    leader: Option<(SurveyorId, Address)>,
+    leader_heard_at: Moment,
+    election_at: Moment,
+    hello_at: Moment,
+    others: BTreeMap<Place, Other>,
+    members: BTreeSet<KnownMember>,
+    members_whole: bool,
+    inherited_members: BTreeSet<KnownMember>,
+    inherited_whole: bool,
+    writings: BTreeMap<Ticket, WritingSince>,
+    last_ticket: Ticket,
+    proposed: Option<Document>,
+    outputs: Vec<CoreOutput>,
+}
+
+impl Core {
+    /// A core member with what its disk remembers.
+    pub fn new(
+        now: Moment,
+        timing: CoreTiming,
+        recalled: Recalled,
+        address: Address,
+        seeds: Vec<Place>,
+        chance: Chance,
+    ) -> Self {
+        let accepted_term = recalled.accepted.as_ref().map_or(Term(0), |held| held.stamp.term);
+        let voted_term = recalled.voted.map_or(Term(0), |(term, _)| term);
+        let mut core = Self {
+            timing,
+            id: recalled.id,
+            address,
+            seeds,
+            chance,
+            term: accepted_term.max(voted_term),
+            voted: recalled.voted,
+            distrusted: recalled.distrusted,
+            accepted: recalled.accepted,
+            committed: Stamp::default(),
+            role: Role::Follower,
+            leader: None,
+            leader_heard_at: now,
+            election_at: now,
+            hello_at: now,
+            others: BTreeMap::new(),
+            members: BTreeSet::new(),
+            members_whole: false,
+            inherited_members: BTreeSet::new(),
+            inherited_whole: false,
+            writings: BTreeMap::new(),
+            last_ticket: Ticket(0),
+            proposed: None,
+            outputs: Vec::new(),
+        };
+        core.arm_election(now);
+        core
+    }
+
+    /// This surveyor's identity.
+    pub fn id(&self) -> SurveyorId {
+        self.id
+    }
+
+    /// The present term.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Whether this surveyor leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Whether it leads and has committed its newest version under its own term.
+    pub fn is_ready(&self) -> bool {
+        self.is_leader() && self.committed.term == self.term
+    }
+
+    /// The leader, as far as is known.
+    pub fn leader(&self) -> Option<Address> {
+        self.leader.map(|(_, address)| address)
+    }
+
+    /// The newest version on this disk.
+    pub fn accepted(&self) -> Option<&Document> {
+        self.accepted.as_ref()
+    }
+
+    /// The newest version known to be committed.
+    pub fn committed(&self) -> Stamp {
+        self.committed
+    }
+
+    /// Whether a change is in flight.
+    pub fn is_proposing(&self) -> bool {
+        self.proposed.is_some()
+    }
+
+    /// When the newest round was sent that a majority answered.
+    pub fn quorum_moment(&self) -> Moment {
+        match &self.role {
+            Role::Leader(rounds) => rounds.quorum_moment(),
+            _ => Moment::ZERO,
+        }
+    }
+
+    /// Whether a majority knows that this daemon may hold grants.
+    pub fn is_confirmed(&self, member: &KnownMember) -> bool {
+        matches!(&self.role, Role::Leader(rounds) if rounds.confirmed_members().contains(member))
+    }
+
+    /// The leader names the daemons that may hold grants, and says whether there are no others.
+    pub fn set_members(&mut self, members: BTreeSet<KnownMember>, whole: bool) {
+        self.members = members;
+        self.members_whole = whole;
+    }
+
+    /// The other surveyors heard lately, and whether each is a member of the core.
+    pub fn others(&self, now: Moment) -> Vec<(SurveyorId, Address, Stamp, bool, u64)> {
+        self.others
+            .values()
+            .map(|other| {
+                let silent_ms = now.since(other.heard_at).as_millis() as u64;
+                (other.id, other.address, other.accepted, self.is_voter(other.id), silent_ms)
+            })
+            .collect()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment) -> Vec<CoreOutput> {
+        if now >= self.hello_at {
+            self.hello_at = now + self.timing.hello_every;
+            self.greet_all();
+        }
+        if matches!(self.role, Role::Leader(_)) {
+            self.lead(now);
+        } else if now >= self.election_at {
+            self.start_trial(now);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Takes a frame from another surveyor.
+    pub fn heard(&mut self, now: Moment, frame: CoreFrame) -> Vec<CoreOutput> {
+        let sender_address = Address { place: frame.place, operators: frame.operators };
+        if frame.from == self.id {
+            return Vec::new();
+        }
+        self.note_other(now, frame.from, sender_address);
+        match frame.body {
+            CoreBody::Hello { accepted, term } => {
+                if term <= self.term || !self.is_leader() {
+                    self.hear_hello(now, frame.from, sender_address, accepted);
+                }
+            }
+            CoreBody::Found { document } => self.hear_found(now, &document.0),
+            CoreBody::VoteAsk { term, accepted, trial } => {
+                self.hear_vote_ask(now, frame.from, sender_address, term, accepted, trial.0);
+            }
+            CoreBody::VoteReply { .. } => self.hear_vote_reply(now, frame.from, frame.body),
+            CoreBody::Round { term, round, accepted: _, committed, members, whole } => {
+                if self.hear_leader(now, frame.from, sender_address, term) {
+                    self.members = members.0.into_iter().collect();
+                    self.members_whole = whole.0;
+                    self.committed = self.committed.max(committed);
+                }
+                self.reply_round(sender_address.place, round);
+            }
+            CoreBody::RoundReply { term, round, accepted } => {
+                self.hear_round_reply(now, frame.from, sender_address.place, term, round, accepted);
+            }
+            CoreBody::Accept { term, stamp, document } => {
+                self.hear_accept(now, frame.from, sender_address, term, stamp, &document.0);
+            }
+            CoreBody::Accepted { term, stamp } => {
+                self.hear_accepted(now, sender_address.place, term, stamp);
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Hears that a write has ended.
+    pub fn written(&mut self, now: Moment, ticket: Ticket, result: WriteResult) -> Vec<CoreOutput> {
+        if let Some(ended) = self.writings.remove(&ticket) {
+            match (ended.writing, result) {
+                (Writing::Vote { term, candidate }, WriteResult::Synced) => {
+                    self.vote_written(now, term, candidate);
+                }
+                (Writing::Version(document), WriteResult::Synced) => {
+                    self.version_written(now, document);
+                }
+                (_, WriteResult::Failed) => {
+                    self.step_down(now, self.term);
+                    self.election_at = now + self.timing.election_longest * 2;
+                }
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn is_voter(&self, id: SurveyorId) -> bool {
+        self.accepted
+            .as_ref()
+            .is_some_and(|document| document.core.iter().any(|voter| voter.id == id))
+    }
+
+    fn accepted_stamp(&self) -> Stamp {
+        self.accepted.as_ref().map_or(Stamp::default(), |document| document.stamp)
+    }
+
+    fn note_other(&mut self, now: Moment, id: SurveyorId, address: Address) {
+        let other = self.others.entry(address.place).or_insert(Other {
+            id,
+            address,
+            accepted: Stamp::default(),
+            heard_at: now,
+            document_sent_at: Moment::ZERO,
+        });
+        if other.id != id {
+            other.accepted = Stamp::default();
+        }
+        other.id = id;
+        other.address = address;
+        other.heard_at = now;
+    }
+
+    fn send(&mut self, to: Place, body: CoreBody) {
+        let frame = CoreFrame {
+            from: self.id,
+            place: self.address.place,
+            operators: self.address.operators,
+            body,
+        };
+        self.outputs.push(CoreOutput::Send { to, frame });
+    }
+
+    fn known_places(&self) -> BTreeSet<Place> {
+        let core_places = self.accepted.iter().flat_map(|document| &document.core);
+        let mut known_places: BTreeSet<Place> = core_places.map(|voter| voter.place).collect();
+        known_places.extend(self.seeds.iter().copied());
+        known_places.extend(self.others.keys().copied());
+        known_places.remove(&self.address.place);
+        known_places
+    }
+
+    fn greet_all(&mut self) {
+        let hello = CoreBody::Hello { accepted: self.accepted_stamp(), term: self.term };
+        for known_place in self.known_places() {
+            self.send(known_place, hello.clone());
+        }
+    }
+
+    fn order_write(&mut self, now: Moment, writing: Writing) {
+        self.last_ticket = self.last_ticket.next();
+        let job = match &writing {
+            Writing::Vote { term, candidate } => {
+                WriteJob::Vote { term: *term, candidate: *candidate }
+            }
+            Writing::Version(document) => WriteJob::Version(document.clone()),
+        };
+        self.writings.insert(self.last_ticket, WritingSince { started_at: now, writing });
+        self.outputs.push(CoreOutput::Write { ticket: self.last_ticket, job });
+    }
+
+    fn is_disk_stalled(&self, now: Moment) -> bool {
+        let oldest_start = self.writings.values().map(|writing| writing.started_at).min();
+        oldest_start.is_some_and(|started_at| now.since(started_at) > self.timing.election_shortest)
+    }
+}
--- /dev/null
+++ b/crates/survey/src/core/output.rs
@@ -0,0 +1,79 @@
+use std::collections::BTreeSet;
+use waymark::frames::{CoreFrame, KnownMember, Place};
+use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
+use waymark::spec::Document;
+
+/// What a core member's disk remembers.
+#[derive(Clone, Debug)]
+pub struct Recalled {
+    /// The member's identity, made when the disk was empty.
+    pub id: SurveyorId,
+    /// The last vote.
+    pub voted: Option<(Term, SurveyorId)>,
+    /// The newest whole version.
+    pub accepted: Option<Document>,
+    /// A version that was written here and can no longer be read; zero when there is none.
+    pub distrusted: Stamp,
+}
+
+/// What the disk is told to write.
+#[derive(Clone, Debug)]
+pub enum WriteJob {
+    /// A vote.
+    Vote {
+        /// The term voted in.
+        term: Term,
+        /// Who got the vote.
+        candidate: SurveyorId,
+    },
+    /// A version of the document.
+    Version(Document),
+}
+
+/// How a write ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum WriteResult {
+    /// It is on disk, synced.
+    Synced,
+    /// It may or may not be on disk.
+    Failed,
+}
+
+/// What the core orders.
+#[derive(Clone, Debug)]
+pub enum CoreOutput {
+    /// Send a frame.
+    Send {
+        /// Where to.
+        to: Place,
+        /// The frame.
+        frame: CoreFrame,
+    },
+    /// Write to disk.
+    Write {
+        /// Names the write when it has ended.
+        ticket: Ticket,
+        /// What to write.
+        job: WriteJob,
+    },
+    /// This surveyor asks for votes.
+    Campaigning {
+        /// In this term.
+        term: Term,
+    },
+    /// This surveyor leads.
+    Elected {
+        /// In this term.
+        term: Term,
+        /// The daemons that may hold grants of earlier leaders.
+        members: BTreeSet<KnownMember>,
+        /// Whether there are surely no others.
+        whole: bool,
+    },
+    /// This surveyor leads no longer; a change in flight is unknown.
+    SteppedDown,
+    /// A version is committed.
+    Committed(Document),
+    /// The leader's disk did not end a write within an election timeout.
+    DiskStalled,
+}
--- /dev/null
+++ b/crates/survey/src/core/register.rs
@@ -0,0 +1,263 @@
+use super::{Address, Core, CoreOutput, Role, Writing};
+use std::collections::BTreeSet;
+use std::fmt;
+use waymark::clock::Moment;
+use waymark::frames::{Blob, CoreBody, Place};
+use waymark::identity::{Stamp, SurveyorId, Term};
+use waymark::spec::{CoreMember, Document};
+
+/// Why a change cannot be put forward.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ProposeFault {
+    /// This surveyor does not lead, or has not yet committed under its term.
+    NotReady,
+    /// Another change is in flight.
+    Busy,
+}
+
+impl fmt::Display for ProposeFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::NotReady => "no ready leader here",
+            Self::Busy => "another change is in flight",
+        })
+    }
+}
+
+impl std::error::Error for ProposeFault {}
+
+/// Why a core cannot be founded.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum FoundFault {
+    /// There is a document here already.
+    Founded,
+    /// Not every seed has been heard with an empty disk.
+    SeedsMissing,
+}
+
+impl fmt::Display for FoundFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::Founded => "the core is founded already",
+            Self::SeedsMissing => "not every seed has been heard with an empty disk",
+        })
+    }
+}
+
+impl std::error::Error for FoundFault {}
+
+impl Core {
+    /// Founds the core with the surveyors at the seed addresses, all of them empty.
+    pub fn found(&mut self, now: Moment) -> Result<Vec<CoreOutput>, FoundFault> {
+        if self.accepted.is_some() || !self.writings.is_empty() {
+            return Err(FoundFault::Founded);
+        }
+        let mut founders = vec![CoreMember { id: self.id, place: self.address.place }];
+        for seed in &self.seeds {
+            if *seed == self.address.place {
+                continue;
+            }
+            let heard_lately = self
+                .others
+                .get(seed)
+                .filter(|other| now.since(other.heard_at) < self.timing.hello_every * 4);
+            let Some(other) = heard_lately else { return Err(FoundFault::SeedsMissing) };
+            if other.accepted != Stamp::default() {
+                return Err(FoundFault::Founded);
+            }
+            founders.push(CoreMember { id: other.id, place: *seed });
+        }
+        self.order_write(now, Writing::Version(Document::founding(founders)));
+        Ok(std::mem::take(&mut self.outputs))
+    }
+
+    /// Puts the next version forward; from here on its outcome is accepted or unknown.
+    pub fn propose(
+        &mut self,
+        now: Moment,
+        mut document: Document,
+    ) -> Result<Vec<CoreOutput>, ProposeFault> {
+        if !self.is_ready() {
+            return Err(ProposeFault::NotReady);
+        }
+        if self.proposed.is_some() {
+            return Err(ProposeFault::Busy);
+        }
+        document.stamp.term = self.term;
+        self.put_forward(now, document);
+        Ok(std::mem::take(&mut self.outputs))
+    }
+
+    pub(super) fn put_forward(&mut self, now: Moment, document: Document) {
+        self.proposed = Some(document.clone());
+        self.order_write(now, Writing::Version(document.clone()));
+        let document_bytes = Blob::from(document.to_bytes());
+        let voter_places: BTreeSet<Place> = self.known_places();
+        for known_place in voter_places {
+            if let Some(other) = self.others.get_mut(&known_place) {
+                other.document_sent_at = now;
+            }
+            let body = CoreBody::Accept {
+                term: self.term,
+                stamp: document.stamp,
+                document: document_bytes.clone(),
+            };
+            self.send(known_place, body);
+        }
+    }
+
+    pub(super) fn hear_hello(
+        &mut self,
+        now: Moment,
+        from: SurveyorId,
+        address: Address,
+        accepted: Stamp,
+    ) {
+        if let Some(other) = self.others.get_mut(&address.place) {
+            other.accepted = accepted;
+        }
+        let is_first_copy = self.accepted_stamp() == Stamp { term: Term(1), serial: 1.into() };
+        if accepted == Stamp::default() && is_first_copy && self.is_voter(from) {
+            let document_bytes = self.accepted.as_ref().map(Document::to_bytes).unwrap_or_default();
+            self.send(address.place, CoreBody::Found { document: document_bytes.into() });
+        }
+        if self.is_leader() {
+            self.bring_level(now, address.place);
+        }
+    }
+
+    pub(super) fn hear_found(&mut self, now: Moment, document_bytes: &[u8]) {
+        if self.accepted.is_some() || !self.writings.is_empty() {
+            return;
+        }
+        let Ok(document) = Document::from_bytes(document_bytes) else { return };
+        if document.core.iter().any(|voter| voter.id == self.id) {
+            self.order_write(now, Writing::Version(document));
+        }
+    }
+
+    pub(super) fn hear_accept(
+        &mut self,
+        now: Moment,
+        from: SurveyorId,
+        address: Address,
+        term: Term,
+        stamp: Stamp,
+        document_bytes: &[u8],
+    ) {
+        if !self.hear_leader(now, from, address, term) {
+            self.say_accepted(address.place);
+            return;
+        }
+        if stamp <= self.accepted_stamp() {
+            self.say_accepted(address.place);
+            return;
+        }
+        let is_being_written = self.writings.values().any(
+            |since| matches!(&since.writing, Writing::Version(document) if document.stamp >= stamp),
+        );
+        if is_being_written {
+            return;
+        }
+        match Document::from_bytes(document_bytes) {
+            Ok(document) if document.stamp == stamp => {
+                self.order_write(now, Writing::Version(document));
+            }
+            _ => {}
+        }
+    }
+
+    fn say_accepted(&mut self, to: Place) {
+        let body = CoreBody::Accepted { term: self.term, stamp: self.accepted_stamp() };
+        self.send(to, body);
+    }
+
+    pub(super) fn version_written(&mut self, now: Moment, document: Document) {
+        let written_stamp = document.stamp;
+        if written_stamp > self.accepted_stamp() {
+            self.accepted = Some(document);
+        }
+        if self.is_leader() {
+            self.count_accepted(now);
+        } else if let Some((_, address)) = self.leader {
+            self.say_accepted(address.place);
+        }
+    }
+
+    pub(super) fn hear_accepted(&mut self, now: Moment, from: Place, term: Term, stamp: Stamp) {
+        if term > self.term {
+            self.step_down(now, term);
+            return;
+        }
+        if let Some(other) = self.others.get_mut(&from) {
+            other.accepted = stamp;
+        }
+        self.count_accepted(now);
+    }
+
+    pub(super) fn hear_round_reply(
+        &mut self,
+        now: Moment,
+        from: SurveyorId,
+        place: Place,
+        term: Term,
+        round: u64,
+        accepted: Stamp,
+    ) {
+        if term > self.term {
+            self.step_down(now, term);
+            return;
+        }
+        if term < self.term || !self.is_leader() {
+            return;
+        }
+        if let Some(other) = self.others.get_mut(&place) {
+            other.accepted = accepted;
+        }
+        self.count_round(now, round, from);
+        self.count_accepted(now);
+        self.bring_level(now, place);
+    }
+
+    fn bring_level(&mut self, now: Moment, place: Place) {
+        let newest_document = self.proposed.as_ref().or(self.accepted.as_ref());
+        let Some(document) = newest_document.filter(|held| held.stamp.term == self.term) else {
+            return;
+        };
+        let body = CoreBody::Accept {
+            term: self.term,
+            stamp: document.stamp,
+            document: document.to_bytes().into(),
+        };
+        let newest_stamp = document.stamp;
+        let Some(other) = self.others.get_mut(&place) else { return };
+        if other.accepted < newest_stamp
+            && now.since(other.document_sent_at) >= self.timing.resend_after
+        {
+            other.document_sent_at = now;
+            self.send(place, body);
+        }
+    }
+
+    fn count_accepted(&mut self, _now: Moment) {
+        if !matches!(self.role, Role::Leader(_)) {
+            return;
+        }
+        let Some(document) = &self.proposed else { return };
+        let has_version = |voter: &&CoreMember| {
+            if voter.id == self.id {
+                return self.accepted_stamp() == document.stamp;
+            }
+            let is_level = |other: &&super::Other| other.id == voter.id;
+            let found_other = self.others.values().find(is_level);
+            found_other.is_some_and(|other| other.accepted == document.stamp)
+        };
+        let written_count = document.core.iter().filter(has_version).count();
+        if written_count * 2 > document.core.len() && self.accepted_stamp() == document.stamp {
+            self.committed = document.stamp;
+            let committed_document = document.clone();
+            self.proposed = None;
+            self.outputs.push(CoreOutput::Committed(committed_document));
+        }
+    }
+}
--- /dev/null
+++ b/crates/survey/src/core/timing.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+use typed_builder::TypedBuilder;
+
+/// The core's times.
+#[derive(Clone, Debug, TypedBuilder)]
+pub struct CoreTiming {
+    /// From one round of the leader to the next.
+    #[builder(default = Duration::from_millis(100))]
+    pub round_every: Duration,
+    /// The shortest election timeout.
+    #[builder(default = Duration::from_millis(500))]
+    pub election_shortest: Duration,
+    /// The longest election timeout.
+    #[builder(default = Duration::from_millis(900))]
+    pub election_longest: Duration,
+    /// From one greeting of the other surveyors to the next.
+    #[builder(default = Duration::from_millis(500))]
+    pub hello_every: Duration,
+    /// Before a version is sent again to a member that did not say it has it.
+    #[builder(default = Duration::from_millis(400))]
+    pub resend_after: Duration,
+}
--- /dev/null
+++ b/crates/survey/src/desk/delivery.rs
@@ -0,0 +1,159 @@
+use super::{Desk, StreamId};
+use serde_json::json;
+use waymark::clock::Moment;
+use waymark::events;
+use waymark::frames::{Blob, Flag, StreamDown};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial};
+use waymark::spec::{Document, Table, View};
+
+const KEPT_VIEWS: usize = 8;
+
+impl Desk {
+    /// Takes a committed document and pushes it to every daemon.
+    pub fn committed(&mut self, document: Document) {
+        let view = document.view();
+        match Table::build(&view) {
+            Ok(table) => self.table = table,
+            Err(fault) => {
+                let detail = json!({"serial": view.serial.0, "fault": fault.to_string()});
+                self.tell(events::SPEC_FAILED, detail);
+            }
+        }
+        if let Ok(checked_spec) = view.checked() {
+            self.longest_budget = self.longest_budget.max(checked_spec.longest_budget());
+        }
+        self.document = Some(document);
+        if self.views.back().is_none_or(|newest_view| newest_view.serial < view.serial) {
+            self.views.push_back(view);
+        }
+        if self.views.len() > KEPT_VIEWS {
+            self.views.pop_front();
+        }
+        for record in self.members.values_mut() {
+            let eligible =
+                Flag(record.is_welcome && !self.table.is_evacuated(&record.host.locality));
+            if record.host.eligible != eligible {
+                record.host.eligible = eligible;
+                self.hosts_changed = true;
+            }
+        }
+        let open_streams: Vec<StreamId> = self.streams.keys().copied().collect();
+        for open_stream in open_streams {
+            self.push_newest(open_stream);
+        }
+        self.hand_over_evacuated();
+    }
+
+    pub(super) fn push_newest(&mut self, stream: StreamId) {
+        let Some(newest_view) = self.views.back() else { return };
+        let Some(known_member) = self.streams.get(&stream) else { return };
+        let Some(record) = self.members.get_mut(known_member) else { return };
+        if record.pushed >= newest_view.serial {
+            return;
+        }
+        let base_view = self.views.iter().find(|view| view.serial == record.pushed);
+        let frame = match base_view {
+            Some(base_view) => StreamDown::Change {
+                base: base_view.serial,
+                serial: newest_view.serial,
+                patch: base_view.patch_to(newest_view).into(),
+                digest: newest_view.digest().to_vec().into(),
+            },
+            None => whole_frame(newest_view),
+        };
+        record.pushed = newest_view.serial;
+        self.down(stream, frame);
+    }
+
+    pub(super) fn push_whole(&mut self, stream: StreamId) {
+        if let Some(newest_view) = self.views.back() {
+            let frame = whole_frame(newest_view);
+            self.down(stream, frame);
+        }
+    }
+
+    pub(super) fn note_in_force(&mut self, now: Moment) {
+        let Some(serial) = self.document.as_ref().map(|document| document.stamp.serial) else {
+            return;
+        };
+        if self.in_force >= serial {
+            return;
+        }
+        let is_past_doubt =
+            self.all_claimed || now >= self.elected_at + self.timing.full_wait();
+        let is_everywhere = self
+            .members
+            .values()
+            .all(|record| record.installed >= serial || now >= record.grant_bound);
+        if is_past_doubt && is_everywhere {
+            self.in_force = serial;
+            self.tell(events::IN_FORCE, json!({"serial": serial.0}));
+        }
+    }
+
+    /// Asks holders in evacuated localities for their functions, and drains runners there.
+    fn hand_over_evacuated(&mut self) {
+        let table = &self.table;
+        let evacuated_entries: Vec<(FunctionKey, StreamId, GrantSerial)> = self
+            .entries
+            .iter_mut()
+            .filter(|(_, entry)| !entry.handing_over && entry.fencing_since.is_none())
+            .filter_map(|(function, entry)| {
+                let record = self.members.get(&entry.holder)?;
+                let stream = record.stream?;
+                table.is_evacuated(&record.host.locality).then(|| {
+                    entry.handing_over = true;
+                    (function.clone(), stream, entry.grant)
+                })
+            })
+            .collect();
+        for (function, stream, grant) in evacuated_entries {
+            self.down(stream, StreamDown::HandOver { function, grant });
+        }
+        self.drain_unfit();
+    }
+
+    /// Tells holders to drain runners whose worker is draining, gone or evacuated.
+    pub(super) fn drain_unfit(&mut self) {
+        let unfit_runners: Vec<(FunctionKey, RunnerId)> = self
+            .reservations
+            .iter()
+            .filter(|(_, reservation)| {
+                !reservation.draining && !self.is_worker_fit(&reservation.worker)
+            })
+            .map(|(runner, reservation)| (reservation.function.clone(), *runner))
+            .collect();
+        for (function, runner) in unfit_runners {
+            let Some(entry) = self.entries.get(&function) else { continue };
+            if entry.grant != runner.grant {
+                continue;
+            }
+            let holder_record = self.members.get(&entry.holder);
+            let Some(stream) = holder_record.and_then(|record| record.stream) else { continue };
+            if let Some(reservation) = self.reservations.get_mut(&runner) {
+                reservation.draining = true;
+            }
+            self.down(stream, StreamDown::Drain { function, runner });
+        }
+    }
+
+    /// The committed document.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// Whether a daemon has said that it installed a serial, by name.
+    pub fn installed_by_member(&self) -> Vec<(String, Serial)> {
+        self.members
+            .iter()
+            .map(|(known_member, record)| (known_member.member.to_string(), record.installed))
+            .collect()
+    }
+}
+
+fn whole_frame(view: &View) -> StreamDown {
+    StreamDown::Spec {
+        serial: view.serial,
+        document: Blob::from(view.to_value().to_string().into_bytes()),
+    }
+}
--- /dev/null
+++ b/crates/survey/src/desk/functions.rs
@@ -0,0 +1,155 @@
+use super::{Desk, GrantEntry, StreamId, WaitingAcquire};
+use serde_json::json;
+use waymark::clock::Moment;
+use waymark::events;
+use waymark::frames::{AcquireResult, HopReason, RunnerNews, StreamDown};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId};
+
+impl Desk {
+    /// Answers each acquisition that can be answered: grants to the asker when nobody holds.
+    pub(super) fn answer_acquires(&mut self, now: Moment) {
+        if !self.opened {
+            return;
+        }
+        for acquire in std::mem::take(&mut self.acquires) {
+            let Some(result) = self.decide_acquire(now, &acquire) else {
+                if now.since(acquire.asked_at).as_secs() < 6 {
+                    self.acquires.push(acquire);
+                }
+                continue;
+            };
+            let WaitingAcquire { stream, correlation, function, .. } = acquire;
+            self.down(stream, StreamDown::Acquired { correlation, function, result });
+        }
+    }
+
+    fn decide_acquire(&mut self, now: Moment, acquire: &WaitingAcquire) -> Option<AcquireResult> {
+        let asker = self.streams.get(&acquire.stream).cloned()?;
+        if let Some(entry) = self.entries.get(&acquire.function) {
+            if entry.fencing_since.is_some() || entry.handing_over {
+                return None;
+            }
+            let holder_record = self.members.get(&entry.holder)?;
+            if entry.holder == asker {
+                return Some(AcquireResult::Granted { grant: entry.grant, once_wait_ms: 0 });
+            }
+            let is_answerable = now < holder_record.grant_bound && holder_record.is_welcome;
+            return is_answerable
+                .then(|| AcquireResult::Owner { host: holder_record.host.clone() });
+        }
+        if self.table.function_of(&acquire.function).is_none() {
+            let installed = self.members.get(&asker).map(|record| record.installed);
+            let newest = self.document.as_ref().map(|document| document.stamp.serial);
+            return (installed <= newest).then_some(AcquireResult::Shed);
+        }
+        if !self.members.get(&asker).is_some_and(|record| record.host.eligible.0) {
+            return Some(AcquireResult::Shed);
+        }
+        if !self.is_serving(&asker, now) {
+            return None;
+        }
+        let grant = self.next_number();
+        let once_from = self.once_from.get(&acquire.function).copied().unwrap_or_default();
+        let once_wait = once_from.max(self.once_boundary()).since(now);
+        self.tell(
+            events::GRANTED,
+            json!({
+                "function": acquire.function.to_string(),
+                "member": asker.member.as_str(),
+                "grant": grant.0,
+                "once_wait_ms": once_wait.as_millis() as u64,
+            }),
+        );
+        let entry =
+            GrantEntry { holder: asker, grant, fencing_since: None, handing_over: false };
+        self.entries.insert(acquire.function.clone(), entry);
+        Some(AcquireResult::Granted { grant, once_wait_ms: once_wait.as_millis() as u32 })
+    }
+
+    pub(super) fn hear_release(
+        &mut self,
+        now: Moment,
+        stream: StreamId,
+        function: &FunctionKey,
+        grant: GrantSerial,
+    ) {
+        let Some(releaser) = self.streams.get(&stream).cloned() else { return };
+        let is_holder = self
+            .entries
+            .get(function)
+            .is_some_and(|entry| entry.holder == releaser && entry.grant == grant);
+        if !is_holder {
+            return;
+        }
+        let has_runners = self
+            .reservations
+            .iter()
+            .any(|(runner, held)| held.function == *function && runner.grant == grant);
+        if has_runners {
+            if let Some(entry) = self.entries.get_mut(function) {
+                entry.fencing_since.get_or_insert(now);
+            }
+        } else {
+            self.end_entry(now, function, now);
+        }
+        self.tell(
+            events::RELEASED,
+            json!({
+                "function": function.to_string(),
+                "member": releaser.member.as_str(),
+                "grant": grant.0,
+            }),
+        );
+    }
+
+    pub(super) fn end_entry(&mut self, now: Moment, function: &FunctionKey, grant_end: Moment) {
+        self.entries.remove(function);
+        let once_from = grant_end + self.longest_budget;
+        self.once_from.insert(function.clone(), once_from);
+        self.once_from.retain(|_, kept_until| *kept_until > now);
+    }
+
+    pub(super) fn hear_runner_news(
+        &mut self,
+        function: &FunctionKey,
+        runner: RunnerId,
+        news: &RunnerNews,
+    ) {
+        let Some(reservation) = self.reservations.get_mut(&runner) else { return };
+        if reservation.function != *function {
+            return;
+        }
+        match news {
+            RunnerNews::Ready => {
+                reservation.ready = true;
+                let worker = reservation.worker.to_string();
+                self.tell(
+                    events::RUNNER_READY,
+                    json!({
+                        "function": function.to_string(),
+                        "runner": runner.to_string(),
+                        "worker": worker,
+                    }),
+                );
+            }
+            RunnerNews::Gone => self.runner_stopped(runner),
+        }
+    }
+
+    pub(super) fn hear_sheds(
+        &mut self,
+        stream: StreamId,
+        function: FunctionKey,
+        count: u32,
+        reason: HopReason,
+    ) {
+        let Some(known_member) = self.streams.get(&stream) else { return };
+        let detail = json!({
+            "function": function.to_string(),
+            "member": known_member.member.as_str(),
+            "count": count,
+            "reason": reason.as_str(),
+        });
+        self.tell(events::SHEDS, detail);
+    }
+}
--- /dev/null
+++ b/crates/survey/src/desk/members.rs
@@ -0,0 +1,239 @@
+use super::{Desk, Proof, StreamId};
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use waymark::clock::Moment;
+use waymark::events;
+use waymark::frames::{Flag, Host, KnownMember, Many, Place, StreamDown};
+use waymark::identity::{CorrelationId, Serial};
+
+pub(super) struct MemberRecord {
+    pub host: Host,
+    pub door: Place,
+    pub stream: Option<StreamId>,
+    pub is_welcome: bool,
+    pub grant_end: Moment,
+    pub grant_bound: Moment,
+    pub installed: Serial,
+    pub pushed: Serial,
+    pub claimed: bool,
+    pub heard_at: Moment,
+}
+
+pub(super) struct WaitingRenewal {
+    pub stream: StreamId,
+    pub correlation: CorrelationId,
+    pub asked_at: Moment,
+}
+
+impl Desk {
+    pub(super) fn hear_hello(
+        &mut self,
+        now: Moment,
+        stream: StreamId,
+        host: Host,
+        door: Place,
+        serial: Serial,
+    ) {
+        let known_member =
+            KnownMember { member: host.member.clone(), incarnation: host.incarnation };
+        let earlier_stream = self.members.get(&known_member).and_then(|record| record.stream);
+        if let Some(earlier_stream) = earlier_stream {
+            self.streams.remove(&earlier_stream);
+        }
+        self.streams.insert(stream, known_member.clone());
+        self.current.insert(host.member.clone(), known_member.clone());
+        let is_welcome = host.eligible.0;
+        let eligible = Flag(is_welcome && !self.table.is_evacuated(&host.locality));
+        let record = self.members.entry(known_member).or_insert(MemberRecord {
+            host: host.clone(),
+            door,
+            stream: None,
+            is_welcome,
+            grant_end: Moment::ZERO,
+            grant_bound: Moment::ZERO,
+            installed: serial,
+            pushed: serial,
+            claimed: false,
+            heard_at: now,
+        });
+        record.stream = Some(stream);
+        record.is_welcome = is_welcome;
+        record.host = Host { eligible, ..host.clone() };
+        record.door = door;
+        record.installed = serial;
+        record.pushed = serial;
+        record.heard_at = now;
+        self.hosts_changed = true;
+        self.down(stream, StreamDown::Welcome { term: self.term });
+        self.push_newest(stream);
+        self.tell(
+            events::MEMBER_JOINED,
+            json!({
+                "member": host.member.as_str(),
+                "incarnation": host.incarnation.0,
+                "locality": host.locality.as_str(),
+            }),
+        );
+    }
+
+    pub(super) fn hear_renew(
+        &mut self,
+        now: Moment,
+        stream: StreamId,
+        correlation: CorrelationId,
+        serial: Serial,
+    ) {
+        self.hear_installed(stream, serial);
+        self.renewals.retain(|renewal| renewal.stream != stream);
+        self.renewals.push(WaitingRenewal { stream, correlation, asked_at: now });
+    }
+
+    pub(super) fn hear_installed(&mut self, stream: StreamId, serial: Serial) {
+        if let Some(known_member) = self.streams.get(&stream)
+            && let Some(record) = self.members.get_mut(known_member)
+        {
+            record.installed = record.installed.max(serial);
+        }
+    }
+
+    pub(super) fn hear_leaving(&mut self, now: Moment, stream: StreamId) {
+        let Some(known_member) = self.streams.get(&stream).cloned() else { return };
+        if let Some(record) = self.members.get_mut(&known_member) {
+            record.is_welcome = false;
+            record.host.eligible = Flag(false);
+            record.grant_end = now;
+            record.grant_bound = now;
+            self.hosts_changed = true;
+        }
+        self.renewals.retain(|renewal| renewal.stream != stream);
+    }
+
+    pub(super) fn answer_renewals(&mut self, now: Moment, proof: &Proof<'_>) {
+        let Some(committed_serial) = self.document.as_ref().map(|held| held.stamp.serial) else {
+            return;
+        };
+        let grant_end = proof.quorum_moment + self.timing.grant_length;
+        let grant_bound = proof.quorum_moment + self.timing.full_wait();
+        if !proof.ready || grant_end <= now {
+            return;
+        }
+        for renewal in std::mem::take(&mut self.renewals) {
+            let Some(known_member) = self.streams.get(&renewal.stream).cloned() else { continue };
+            let Some(record) = self.members.get_mut(&known_member) else { continue };
+            let may_renew = record.claimed
+                && record.installed >= committed_serial
+                && (proof.confirmed)(&known_member);
+            if !may_renew {
+                self.renewals.push(renewal);
+                continue;
+            }
+            record.grant_end = record.grant_end.max(grant_end);
+            record.grant_bound = record.grant_bound.max(grant_bound);
+            record.heard_at = now;
+            let length_ms = grant_end.since(renewal.asked_at).as_millis() as u32;
+            let correlation = renewal.correlation;
+            self.down(
+                renewal.stream,
+                StreamDown::Renewed { correlation, length_ms, serial: committed_serial },
+            );
+        }
+    }
+
+    pub(super) fn expire_members(&mut self, now: Moment) {
+        let forget_after = self.timing.forget_after;
+        let held_members: BTreeSet<&KnownMember> =
+            self.entries.values().map(|entry| &entry.holder).collect();
+        let gone_members: Vec<KnownMember> = self
+            .members
+            .iter()
+            .filter(|(known_member, record)| {
+                record.stream.is_none()
+                    && now >= record.grant_bound
+                    && now.since(record.heard_at) > forget_after
+                    && !held_members.contains(known_member)
+            })
+            .map(|(known_member, _)| known_member.clone())
+            .collect();
+        for gone_member in gone_members {
+            self.members.remove(&gone_member);
+            if self.current.get(&gone_member.member) == Some(&gone_member) {
+                self.current.remove(&gone_member.member);
+            }
+            self.hosts_changed = true;
+        }
+    }
+
+    pub(super) fn open_if_due(&mut self, now: Moment, proof: &Proof<'_>) {
+        if self.opened || !proof.ready || self.document.is_none() {
+            return;
+        }
+        if now.since(self.elected_at) > self.timing.strike_after {
+            let current = &self.current;
+            let (kept, struck): (BTreeSet<KnownMember>, BTreeSet<KnownMember>) =
+                std::mem::take(&mut self.last_known)
+                    .into_iter()
+                    .partition(|known_member| current.contains_key(&known_member.member));
+            self.last_known = kept;
+            for struck_member in struck {
+                self.tell(
+                    events::STRUCK_OFF,
+                    json!({"member": struck_member.member.as_str()}),
+                );
+            }
+        }
+        let has_claimed = |known_member: &KnownMember| {
+            self.members.get(known_member).is_some_and(|record| record.claimed)
+        };
+        let has_name_claimed = |known_member: &KnownMember| {
+            self.current.get(&known_member.member).is_some_and(&has_claimed)
+        };
+        let claimed_count = self.last_known.iter().filter(|known| has_name_claimed(known)).count();
+        let has_majority =
+            self.last_known.is_empty() || claimed_count * 2 > self.last_known.len();
+        let all_claimed = self.last_known_whole
+            && !self.last_known.is_empty()
+            && self.last_known.iter().all(has_claimed);
+        let full_wait_end = self.elected_at + self.timing.full_wait();
+        let has_waited = now >= full_wait_end && self.runners_listed_at >= full_wait_end;
+        if has_majority && (all_claimed || has_waited) {
+            self.opened = true;
+            self.all_claimed = all_claimed;
+            let waited_ms = now.since(self.elected_at).as_millis() as u64;
+            self.tell(
+                events::CLAIMS_QUORUM,
+                json!({
+                    "last_known": self.last_known.len(),
+                    "claimed": claimed_count,
+                    "all_claimed": all_claimed,
+                    "waited_ms": waited_ms,
+                    "functions": self.entries.len(),
+                }),
+            );
+        }
+    }
+
+    /// When transactions of a function never granted by this leader may run only once.
+    pub(super) fn once_boundary(&self) -> Moment {
+        let unclaimed_wait =
+            if self.all_claimed { Duration::ZERO } else { self.timing.full_wait() };
+        self.elected_at + unclaimed_wait + self.longest_budget
+    }
+
+    pub(super) fn push_hosts(&mut self) {
+        if !std::mem::take(&mut self.hosts_changed) {
+            return;
+        }
+        let hosts: Many<Host> = Many(
+            self.current
+                .values()
+                .filter_map(|known_member| self.members.get(known_member))
+                .map(|record| record.host.clone())
+                .collect(),
+        );
+        let open_streams: Vec<StreamId> = self.streams.keys().copied().collect();
+        for open_stream in open_streams {
+            self.down(open_stream, StreamDown::Hosts { hosts: hosts.clone() });
+        }
+    }
+}
--- /dev/null
+++ b/crates/survey/src/desk/mod.rs
@@ -0,0 +1,213 @@
+//! The leader's desk: members and their grants, function grants, workers. All of it in memory.
+
+mod claims;
+mod delivery;
+mod fence;
+mod functions;
+mod members;
+mod output;
+mod report;
+mod timing;
+mod workers;
+
+pub use output::{DeskOutput, StreamId, Told};
+pub use timing::DeskTiming;
+pub use workers::{ListedRunner, ListedWorker};
+
+use members::{MemberRecord, WaitingRenewal};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+use waymark::clock::Moment;
+use waymark::frames::{KnownMember, StreamDown, StreamUp};
+use waymark::identity::{
+    CorrelationId, FunctionKey, GrantSerial, MemberName, RunnerId, Serial, Term, WorkerName,
+};
+use waymark::spec::{Document, Table, View};
+use workers::{Reservation, WorkerRecord};
+
+/// What the core proves to the desk at one moment.
+pub struct Proof<'a> {
+    /// Whether the leader has committed under its own term.
+    pub ready: bool,
+    /// When the newest round was sent that a majority answered.
+    pub quorum_moment: Moment,
+    /// Whether a majority knows a daemon.
+    pub confirmed: &'a dyn Fn(&KnownMember) -> bool,
+}
+
+struct GrantEntry {
+    holder: KnownMember,
+    grant: GrantSerial,
+    fencing_since: Option<Moment>,
+    handing_over: bool,
+}
+
+struct WaitingAcquire {
+    stream: StreamId,
+    correlation: CorrelationId,
+    function: FunctionKey,
+    asked_at: Moment,
+}
+
+/// The leader's desk for one reign.
+pub struct Desk {
+    timing: DeskTiming,
+    term: Term,
+    elected_at: Moment,
+    last_known: BTreeSet<KnownMember>,
+    last_known_whole: bool,
+    document: Option<Document>,
+    table: Table,
+    views: VecDeque<View>,
+    longest_budget: Duration,
+    in_force: Serial,
+    streams: BTreeMap<StreamId, KnownMember>,
+    members: BTreeMap<KnownMember, MemberRecord>,
+    current: BTreeMap<MemberName, KnownMember>,
+    entries: BTreeMap<FunctionKey, GrantEntry>,
+    reservations: BTreeMap<RunnerId, Reservation>,
+    workers: BTreeMap<WorkerName, WorkerRecord>,
+    once_from: BTreeMap<FunctionKey, Moment>,
+    acquires: Vec<WaitingAcquire>,
+    renewals: Vec<WaitingRenewal>,
+    runners_listed_at: Moment,
+    all_claimed: bool,
+    opened: bool,
+    given_count: u64,
+    hosts_changed: bool,
+    outputs: Vec<DeskOutput>,
+}
+
+impl Desk {
+    /// An empty desk for a new leader.
+    pub fn new(
+        timing: DeskTiming,
+        term: Term,
+        elected_at: Moment,
+        last_known: BTreeSet<KnownMember>,
+        last_known_whole: bool,
+    ) -> Self {
+        Self {
+            timing,
+            term,
+            elected_at,
+            last_known,
+            last_known_whole,
+            document: None,
+            table: Table::empty(),
+            views: VecDeque::new(),
+            longest_budget: Duration::ZERO,
+            in_force: Serial(0),
+            streams: BTreeMap::new(),
+            members: BTreeMap::new(),
+            current: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            once_from: BTreeMap::new(),
+            acquires: Vec::new(),
+            renewals: Vec::new(),
+            runners_listed_at: Moment::ZERO,
+            all_claimed: false,
+            opened: false,
+            given_count: 0,
+            hosts_changed: false,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Whether the claims quorum stands and grants are given.
+    pub fn is_open(&self) -> bool {
+        self.opened
+    }
+
+    /// The daemons that may hold grants, and whether there are surely no others.
+    pub fn known_members(&self) -> (BTreeSet<KnownMember>, bool) {
+        let mut known_members: BTreeSet<KnownMember> = self.members.keys().cloned().collect();
+        if !self.opened {
+            known_members.extend(self.last_known.iter().cloned());
+        }
+        (known_members, self.last_known_whole || self.opened)
+    }
+
+    /// The newest serial that is in force everywhere.
+    pub fn in_force(&self) -> Serial {
+        self.in_force
+    }
+
+    /// Takes what a daemon says on its stream.
+    pub fn heard(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
+        match frame {
+            StreamUp::Hello { host, door, serial } => {
+                self.hear_hello(now, stream, host, door, serial);
+            }
+            StreamUp::Claims { claims } => self.hear_claims(now, stream, claims.0),
+            StreamUp::Renew { correlation, serial } => {
+                self.hear_renew(now, stream, correlation, serial);
+            }
+            StreamUp::Installed { serial } => self.hear_installed(stream, serial),
+            StreamUp::Whole => self.push_whole(stream),
+            StreamUp::Acquire { correlation, function } => {
+                self.acquires.push(WaitingAcquire { stream, correlation, function, asked_at: now });
+            }
+            StreamUp::Release { function, grant } => {
+                self.hear_release(now, stream, &function, grant);
+            }
+            StreamUp::Reserve { correlation, function, grant } => {
+                self.hear_reserve(now, stream, correlation, function, grant);
+            }
+            StreamUp::Runner { function, runner, news } => {
+                self.hear_runner_news(&function, runner, &news);
+            }
+            StreamUp::Sheds { function, count, reason } => self.hear_sheds(stream, function, count, reason),
+            StreamUp::Leaving => self.hear_leaving(now, stream),
+        }
+    }
+
+    /// A stream has ended.
+    pub fn stream_lost(&mut self, stream: StreamId) {
+        let Some(known_member) = self.streams.remove(&stream) else { return };
+        self.acquires.retain(|acquire| acquire.stream != stream);
+        self.renewals.retain(|renewal| renewal.stream != stream);
+        if let Some(record) = self.members.get_mut(&known_member)
+            && record.stream == Some(stream)
+        {
+            record.stream = None;
+            self.tell(
+                waymark::events::MEMBER_LOST,
+                serde_json::json!({"member": known_member.member.as_str()}),
+            );
+        }
+    }
+
+    /// Does all that is due, and returns what has been ordered.
+    pub fn progress(&mut self, now: Moment, proof: &Proof<'_>) -> Vec<DeskOutput> {
+        self.expire_members(now);
+        self.open_if_due(now, proof);
+        self.fence(now);
+        self.answer_renewals(now, proof);
+        self.answer_acquires(now);
+        self.note_in_force(now);
+        self.push_hosts();
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn down(&mut self, stream: StreamId, frame: StreamDown) {
+        self.outputs.push(DeskOutput::Down { stream, frame });
+    }
+
+    fn tell(&mut self, event: waymark::events::Event, detail: serde_json::Value) {
+        self.outputs.push(DeskOutput::Told(Told { event, detail }));
+    }
+
+    fn is_serving(&self, known_member: &KnownMember, now: Moment) -> bool {
+        self.members.get(known_member).is_some_and(|record| {
+            record.stream.is_some() && record.grant_end > now && record.host.eligible.0
+        })
+    }
+
+    fn next_number(&mut self) -> GrantSerial {
+        self.given_count += 1;
+        GrantSerial::of(self.term, self.given_count)
+    }
+}
--- /dev/null
+++ b/crates/survey/src/desk/output.rs
@@ -0,0 +1,39 @@
+use serde_json::Value;
+use waymark::events::Event;
+use waymark::frames::StreamDown;
+use waymark::identity::RunnerId;
+
+/// Names one daemon's stream in this process.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct StreamId(pub u64);
+
+/// Something operators are told.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The kind.
+    pub event: Event,
+    /// The particulars.
+    pub detail: Value,
+}
+
+impl PartialEq for Told {
+    fn eq(&self, other: &Self) -> bool {
+        self.event == other.event && self.detail == other.detail
+    }
+}
+
+/// What the desk orders.
+#[derive(Clone, Debug)]
+pub enum DeskOutput {
+    /// Say something on a daemon's stream.
+    Down {
+        /// The stream.
+        stream: StreamId,
+        /// What to say.
+        frame: StreamDown,
+    },
+    /// Have the platform stop a runner.
+    StopRunner(RunnerId),
+    /// Tell operators.
+    Told(Told),
+}
--- /dev/null
+++ b/crates/survey/src/desk/report.rs
@@ -0,0 +1,112 @@
+use super::Desk;
+use serde_json::{Value, json};
+use waymark::clock::Moment;
+
+impl Desk {
+    /// The daemons, for operators.
+    pub fn report_members(&self, now: Moment) -> Value {
+        let rows: Vec<Value> = self
+            .members
+            .iter()
+            .map(|(known_member, record)| {
+                json!({
+                    "member": known_member.member.as_str(),
+                    "incarnation": known_member.incarnation.0,
+                    "locality": record.host.locality.as_str(),
+                    "place": record.host.place.to_string(),
+                    "door": record.door.to_string(),
+                    "connected": record.stream.is_some(),
+                    "eligible": record.host.eligible.0,
+                    "granted": record.grant_end > now,
+                    "grant_left_ms": record.grant_end.since(now).as_millis() as u64,
+                    "installed": record.installed.0,
+                    "claimed": record.claimed,
+                })
+            })
+            .collect();
+        json!({"members": rows, "open": self.opened})
+    }
+
+    /// The holders, for operators.
+    pub fn report_holders(&self) -> Value {
+        let rows: Vec<Value> = self
+            .entries
+            .iter()
+            .map(|(function, entry)| {
+                let runners: Vec<String> = self
+                    .reservations
+                    .iter()
+                    .filter(|(_, held)| held.function == *function)
+                    .map(|(runner, _)| runner.to_string())
+                    .collect();
+                json!({
+                    "function": function.to_string(),
+                    "member": entry.holder.member.as_str(),
+                    "grant": entry.grant.0,
+                    "fencing": entry.fencing_since.is_some(),
+                    "handing_over": entry.handing_over,
+                    "runners": runners,
+                })
+            })
+            .collect();
+        json!({"holders": rows})
+    }
+
+    /// The workers, for operators.
+    pub fn report_workers(&self) -> Value {
+        let reserved_sums = self.reserved_mb();
+        let rows: Vec<Value> = self
+            .workers
+            .values()
+            .map(|record| {
+                let worker = &record.listed.worker;
+                json!({
+                    "worker": worker.as_str(),
+                    "locality": record.listed.locality.as_str(),
+                    "memory_mb": record.listed.memory_mb,
+                    "reserved_mb": reserved_sums.get(worker).copied().unwrap_or(0),
+                    "draining": record.listed.draining,
+                })
+            })
+            .collect();
+        json!({"workers": rows})
+    }
+
+    /// The runners, for operators.
+    pub fn report_runners(&self) -> Value {
+        let rows: Vec<Value> = self
+            .reservations
+            .iter()
+            .map(|(runner, held)| {
+                json!({
+                    "runner": runner.to_string(),
+                    "function": held.function.to_string(),
+                    "worker": held.worker.as_str(),
+                    "memory_mb": held.memory_mb,
+                    "ready": held.ready,
+                    "draining": held.draining,
+                })
+            })
+            .collect();
+        json!({"runners": rows})
+    }
+
+    /// Counts for the metrics page: members, entries, runners, workers in use.
+    pub fn counts(&self) -> [(&'static str, u64); 4] {
+        [
+            ("members", self.streams.len() as u64),
+            ("holders", self.entries.len() as u64),
+            ("runners", self.reservations.len() as u64),
+            ("workers_used", self.reserved_mb().len() as u64),
+        ]
+    }
+}
+
+impl Desk {
+    /// Every locality that a daemon or worker stands in.
+    pub fn known_localities(&self) -> std::collections::BTreeSet<waymark::identity::Locality> {
+        let member_localities = self.members.values().map(|record| record.host.locality.clone());
+        let worker_localities = self.workers.values().map(|record| record.listed.locality.clone());
+        member_localities.chain(worker_localities).collect()
+    }
+}
--- /dev/null
+++ b/crates/survey/src/desk/timing.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+use typed_builder::TypedBuilder;
+
+/// The desk's times.
+#[derive(Clone, Debug, TypedBuilder)]
+pub struct DeskTiming {
+    /// How long a member grant runs.
+    #[builder(default = Duration::from_millis(2400))]
+    pub grant_length: Duration,
+    /// What is added before a grant counts as ended, for clocks that drift.
+    #[builder(default = Duration::from_millis(240))]
+    pub drift_margin: Duration,
+    /// When a last-known daemon that never came back stops counting for the quorum.
+    #[builder(default = Duration::from_secs(10))]
+    pub strike_after: Duration,
+    /// Before a runner that did not stop is told again.
+    #[builder(default = Duration::from_millis(700))]
+    pub stop_again_after: Duration,
+    /// How long a daemon without stream and grant is remembered.
+    #[builder(default = Duration::from_secs(5))]
+    pub forget_after: Duration,
+}
+
+impl DeskTiming {
+    /// How long after its proof a member grant may still be used anywhere.
+    pub fn full_wait(&self) -> Duration {
+        self.grant_length + self.drift_margin
+    }
+}
--- /dev/null
+++ b/crates/survey/src/disk/mod.rs
@@ -0,0 +1,228 @@
+//! The surveyor's data folder: one file a version, written aside, synced, renamed, its folder synced.
+
+use crate::core::{Recalled, WriteJob};
+use std::fmt;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use waymark::identity::{Serial, Stamp, SurveyorId, Term};
+use waymark::seal::{digest, hex};
+use waymark::spec::{Document, DocumentFault};
+
+const KEPT_VERSIONS: usize = 8;
+const KEPT_VOTES: usize = 2;
+
+/// Why the data folder could not be used.
+#[derive(Debug)]
+pub enum ShelfFault {
+    /// The operating system failed a step on a file.
+    File(PathBuf, io::Error),
+    /// A written version could not be made sense of.
+    Document(DocumentFault),
+}
+
+impl fmt::Display for ShelfFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File(file, fault) => write!(out, "{}: {fault}", file.display()),
+            Self::Document(fault) => write!(out, "{fault}"),
+        }
+    }
+}
+
+impl std::error::Error for ShelfFault {}
+
+impl From<DocumentFault> for ShelfFault {
+    fn from(fault: DocumentFault) -> Self {
+        Self::Document(fault)
+    }
+}
+
+/// The data folder of one surveyor.
+pub struct Shelf {
+    folder: PathBuf,
+}
+
+enum Kept {
+    Vote(Term),
+    Version(Stamp),
+}
+
+fn vote_name(term: Term) -> String {
+    format!("vote-{:016x}", term.0)
+}
+
+fn version_name(stamp: Stamp) -> String {
+    format!("spec-{:016x}-{:016x}", stamp.term.0, stamp.serial.0)
+}
+
+fn kept_of(file_name: &str) -> Option<Kept> {
+    let hex_number = |text: &str| (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok())?;
+    if let Some(term_text) = file_name.strip_prefix("vote-") {
+        return Some(Kept::Vote(Term(hex_number(term_text)?)));
+    }
+    let (term_text, serial_text) = file_name.strip_prefix("spec-")?.split_once('-')?;
+    let stamp = Stamp { term: Term(hex_number(term_text)?), serial: Serial(hex_number(serial_text)?) };
+    Some(Kept::Version(stamp))
+}
+
+impl Shelf {
+    /// Opens the folder, making it if need be, and proves that it can be written.
+    pub fn open(folder: &Path) -> Result<Self, ShelfFault> {
+        let at = |fault| ShelfFault::File(folder.to_owned(), fault);
+        fs::create_dir_all(folder).map_err(at)?;
+        let shelf = Self { folder: folder.to_owned() };
+        shelf.write_file("writable", b"yes")?;
+        Ok(shelf)
+    }
+
+    fn write_file(&self, file_name: &str, payload: &[u8]) -> Result<(), ShelfFault> {
+        let final_path = self.folder.join(file_name);
+        let aside_path = self.folder.join(format!("{file_name}.aside"));
+        let at = |path: &Path| {
+            let failed_path = path.to_owned();
+            move |fault| ShelfFault::File(failed_path, fault)
+        };
+        let mut aside_file = OpenOptions::new()
+            .create(true)
+            .write(true)
+            .truncate(true)
+            .open(&aside_path)
+            .map_err(at(&aside_path))?;
+        let mut file_bytes = hex(&digest(payload)).into_bytes();
+        file_bytes.push(b'\n');
+        file_bytes.extend_from_slice(payload);
+        aside_file.write_all(&file_bytes).map_err(at(&aside_path))?;
+        aside_file.sync_all().map_err(at(&aside_path))?;
+        drop(aside_file);
+        fs::rename(&aside_path, &final_path).map_err(at(&final_path))?;
+        let folder_file = File::open(&self.folder).map_err(at(&self.folder))?;
+        folder_file.sync_all().map_err(at(&self.folder))
+    }
+
+    fn read_file(&self, file_name: &str) -> Option<Vec<u8>> {
+        let file_bytes = fs::read(self.folder.join(file_name)).ok()?;
+        let line_end = file_bytes.iter().position(|byte| *byte == b'\n')?;
+        let payload = &file_bytes[line_end + 1..];
+        (hex(&digest(payload)).as_bytes() == &file_bytes[..line_end]).then(|| payload.to_vec())
+    }
+
+    fn file_names(&self) -> Result<Vec<String>, ShelfFault> {
+        let at = |fault| ShelfFault::File(self.folder.clone(), fault);
+        let mut file_names = Vec::new();
+        for listed in fs::read_dir(&self.folder).map_err(at)? {
+            if let Ok(file_name) = listed.map_err(at)?.file_name().into_string() {
+                file_names.push(file_name);
+            }
+        }
+        file_names.sort();
+        Ok(file_names)
+    }
+
+    /// Does one write; only when it returns is the job on disk.
+    pub fn write(&self, job: &WriteJob) -> Result<(), ShelfFault> {
+        match job {
+            WriteJob::Vote { term, candidate } => {
+                self.write_file(&vote_name(*term), format!("{:x}", candidate.0).as_bytes())?;
+            }
+            WriteJob::Version(document) => {
+                self.write_file(&version_name(document.stamp), &document.to_bytes())?;
+            }
+        }
+        self.prune()
+    }
+
+    fn prune(&self) -> Result<(), ShelfFault> {
+        let file_names = self.file_names()?;
+        let is_vote = |name: &&String| matches!(kept_of(name), Some(Kept::Vote(_)));
+        let is_version = |name: &&String| matches!(kept_of(name), Some(Kept::Version(_)));
+        let old_votes = file_names.iter().filter(is_vote).rev().skip(KEPT_VOTES);
+        let old_versions = file_names.iter().filter(is_version).rev().skip(KEPT_VERSIONS);
+        for old_name in old_votes.chain(old_versions) {
+            let _ = fs::remove_file(self.folder.join(old_name));
+        }
+        Ok(())
+    }
+
+    /// Reads what the disk remembers; damaged files are set aside and named.
+    pub fn recall(&self, fresh_id: SurveyorId) -> Result<(Recalled, Vec<String>), ShelfFault> {
+        let mut set_aside = Vec::new();
+        let kept_id = self
+            .read_file("identity")
+            .and_then(|payload| u64::from_str_radix(std::str::from_utf8(&payload).ok()?, 16).ok());
+        let mut recalled = Recalled {
+            id: kept_id.map_or(fresh_id, SurveyorId),
+            voted: None,
+            accepted: None,
+            distrusted: Stamp::default(),
+        };
+        for file_name in self.file_names()? {
+            match kept_of(&file_name) {
+                Some(Kept::Vote(term)) => {
+                    let candidate = self.read_file(&file_name).and_then(|payload| {
+                        u64::from_str_radix(std::str::from_utf8(&payload).ok()?, 16).ok()
+                    });
+                    if candidate.is_none() {
+                        set_aside.push(file_name);
+                    }
+                    recalled.voted = Some((term, SurveyorId(candidate.unwrap_or(0))));
+                }
+                Some(Kept::Version(stamp)) => {
+                    let document = self
+                        .read_file(&file_name)
+                        .and_then(|payload| Document::from_bytes(&payload).ok())
+                        .filter(|document| document.stamp == stamp);
+                    match document {
+                        Some(document) => recalled.accepted = Some(document),
+                        None => {
+                            set_aside.push(file_name);
+                            recalled.distrusted = recalled.distrusted.max(stamp);
+                        }
+                    }
+                }
+                None => {}
+            }
+        }
+        for damaged_name in &set_aside {
+            let damaged_path = self.folder.join(damaged_name);
+            let aside_path = self.folder.join(format!("damaged-{damaged_name}"));
+            fs::rename(&damaged_path, &aside_path)
+                .map_err(|fault| ShelfFault::File(damaged_path, fault))?;
+        }
+        let accepted_stamp = recalled.accepted.as_ref().map_or(Stamp::default(), |held| held.stamp);
+        if recalled.distrusted > accepted_stamp {
+            self.write_file("distrusted", recalled.distrusted.to_string().as_bytes())?;
+        } else if let Some(kept_stamp) = self.kept_distrust() {
+            recalled.distrusted = recalled.distrusted.max(kept_stamp);
+        }
+        if kept_id.is_none() {
+            if recalled.accepted.is_some() || recalled.voted.is_some() {
+                recalled.voted = None;
+                recalled.accepted = None;
+                self.set_all_aside()?;
+            }
+            self.write_file("identity", format!("{:x}", recalled.id.0).as_bytes())?;
+        }
+        Ok((recalled, set_aside))
+    }
+
+    fn kept_distrust(&self) -> Option<Stamp> {
+        let payload = self.read_file("distrusted")?;
+        let (term_text, serial_text) = std::str::from_utf8(&payload).ok()?.split_once('/')?;
+        Some(Stamp {
+            term: Term(term_text.parse().ok()?),
+            serial: Serial(serial_text.parse().ok()?),
+        })
+    }
+
+    fn set_all_aside(&self) -> Result<(), ShelfFault> {
+        for file_name in self.file_names()? {
+            if kept_of(&file_name).is_some() {
+                let kept_path = self.folder.join(&file_name);
+                fs::rename(&kept_path, self.folder.join(format!("foreign-{file_name}")))
+                    .map_err(|fault| ShelfFault::File(kept_path, fault))?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/survey/src/drivers/disk.rs
@@ -0,0 +1,40 @@
+use crate::core::{WriteJob, WriteResult};
+use crate::disk::Shelf;
+use crate::plane::PlaneInput;
+use std::sync::mpsc as blocking;
+use tokio::sync::mpsc;
+use waymark::events;
+use waymark::identity::Ticket;
+use waymark::note;
+
+/// Writes in a thread of its own, in order.
+pub struct DiskDriver {
+    jobs: blocking::Sender<(Ticket, WriteJob)>,
+}
+
+impl DiskDriver {
+    /// Starts the thread.
+    pub fn start(shelf: Shelf, inputs: mpsc::Sender<PlaneInput>) -> Self {
+        let (jobs, job_inbox) = blocking::channel::<(Ticket, WriteJob)>();
+        std::thread::spawn(move || {
+            for (ticket, job) in job_inbox {
+                let result = match shelf.write(&job) {
+                    Ok(()) => WriteResult::Synced,
+                    Err(fault) => {
+                        note!(Error, events::DISK_FAILED, "{fault}");
+                        WriteResult::Failed
+                    }
+                };
+                if inputs.blocking_send(PlaneInput::Written(ticket, result)).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { jobs }
+    }
+
+    /// Orders a write.
+    pub fn write(&self, ticket: Ticket, job: WriteJob) {
+        let _ = self.jobs.send((ticket, job));
+    }
+}
--- /dev/null
+++ b/crates/survey/src/drivers/streams.rs
@@ -0,0 +1,89 @@
+use super::engine::Shared;
+use crate::desk::StreamId;
+use crate::plane::PlaneInput;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::BufReader;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use waymark::events;
+use waymark::frames::{
+    Channel, CoreFrame, FrameFault, StreamUp, read_channel, read_frame, write_frame,
+};
+use waymark::note;
+
+/// Accepts connections of other processes.
+pub async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let connection_shared = shared.clone();
+                tokio::spawn(async move {
+                    if let Err(fault) = serve(stream, &connection_shared).await {
+                        let is_plain_end = matches!(fault, FrameFault::Connection(_));
+                        if !is_plain_end {
+                            note!(Warn, events::FRAME_REJECTED, "from {from}: {fault}");
+                            connection_shared.gauges.count_rejected();
+                        }
+                    }
+                });
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: &Arc<Shared>) -> Result<(), FrameFault> {
+    stream.set_nodelay(true)?;
+    let channel = tokio::time::timeout(Duration::from_secs(3), read_channel(&mut stream))
+        .await
+        .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
+    match channel {
+        Channel::Core => {
+            let mut reader = BufReader::new(stream);
+            loop {
+                let frame: CoreFrame = read_frame(&mut reader).await?;
+                if shared.inputs.send(PlaneInput::Core(frame)).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+        Channel::Stream => serve_stream(stream, shared).await,
+        Channel::Hop => Err(FrameFault::WrongChannel(3)),
+    }
+}
+
+async fn serve_stream(stream: TcpStream, shared: &Arc<Shared>) -> Result<(), FrameFault> {
+    let stream_id = StreamId(shared.number());
+    let (sender, mut frames) = mpsc::channel(4096);
+    if let Ok(mut open_streams) = shared.streams.lock() {
+        open_streams.insert(stream_id, sender);
+    }
+    let (reading_half, mut writing_half) = stream.into_split();
+    let mut reader = BufReader::new(reading_half);
+    let reading = async {
+        loop {
+            let frame: StreamUp = read_frame(&mut reader).await?;
+            if shared.inputs.send(PlaneInput::Stream(stream_id, frame)).await.is_err() {
+                return Ok::<(), FrameFault>(());
+            }
+        }
+    };
+    let writing = async {
+        while let Some(frame) = frames.recv().await {
+            tokio::time::timeout(Duration::from_secs(3), write_frame(&mut writing_half, &frame))
+                .await
+                .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
+        }
+        Ok::<(), FrameFault>(())
+    };
+    let ended = tokio::select! {
+        ended = reading => ended,
+        ended = writing => ended,
+    };
+    if let Ok(mut open_streams) = shared.streams.lock() {
+        open_streams.remove(&stream_id);
+    }
+    let _ = shared.inputs.send(PlaneInput::StreamLost(stream_id)).await;
+    ended
+}
--- /dev/null
+++ b/crates/survey/src/plane/mod.rs
@@ -0,0 +1,252 @@
+//! A whole surveyor without I/O: the core, the desk while it leads, and operators' changes.
+
+mod changes;
+mod history;
+mod operation;
+
+pub use history::{History, Numbered};
+pub use operation::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
+
+use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
+use crate::desk::{Desk, DeskOutput, DeskTiming, ListedRunner, ListedWorker, Proof, StreamId, Told};
+use changes::Changes;
+use serde_json::json;
+use std::collections::BTreeSet;
+use waymark::clock::Moment;
+use waymark::events;
+use waymark::frames::{CoreFrame, Place, StreamDown, StreamUp};
+use waymark::identity::{RunnerId, Ticket};
+
+/// What reaches a surveyor.
+#[derive(Debug)]
+pub enum PlaneInput {
+    /// Time passes.
+    Tick,
+    /// Another surveyor's frame.
+    Core(CoreFrame),
+    /// A write has ended.
+    Written(Ticket, WriteResult),
+    /// A daemon's frame.
+    Stream(StreamId, StreamUp),
+    /// A daemon's stream has ended.
+    StreamLost(StreamId),
+    /// The platform's workers.
+    Workers(Vec<ListedWorker>),
+    /// The platform's runners as they stood at a moment.
+    Runners(Moment, Vec<ListedRunner>),
+    /// The platform confirmed a stop.
+    RunnerStopped(RunnerId),
+    /// An operator's wish.
+    Operate(OperationTicket, Operation),
+}
+
+/// What a surveyor orders.
+#[derive(Debug)]
+pub enum PlaneOutput {
+    /// Send a frame to another surveyor.
+    Send(Place, CoreFrame),
+    /// Write to disk.
+    Write(Ticket, WriteJob),
+    /// Say something on a daemon's stream.
+    Down(StreamId, StreamDown),
+    /// End a daemon's stream.
+    Close(StreamId),
+    /// Have the platform stop a runner.
+    StopRunner(RunnerId),
+    /// Answer an operator.
+    Operated(OperationTicket, OperationReply),
+    /// An event was noted.
+    Told(Numbered),
+}
+
+/// A whole surveyor without I/O.
+pub struct Plane {
+    core: Core,
+    desk: Option<Desk>,
+    desk_timing: DeskTiming,
+    fresh_span: std::time::Duration,
+    streams: BTreeSet<StreamId>,
+    history: History,
+    changes: Changes,
+    outputs: Vec<PlaneOutput>,
+}
+
+impl Plane {
+    /// A surveyor around a core member.
+    pub fn new(core: Core, desk_timing: DeskTiming, fresh_span: std::time::Duration) -> Self {
+        Self {
+            core,
+            desk: None,
+            desk_timing,
+            fresh_span,
+            streams: BTreeSet::new(),
+            history: History::default(),
+            changes: Changes::default(),
+            outputs: Vec::new(),
+        }
+    }
+
+    /// The core member.
+    pub fn core(&self) -> &Core {
+        &self.core
+    }
+
+    /// The desk, while this surveyor leads.
+    pub fn desk(&self) -> Option<&Desk> {
+        self.desk.as_ref()
+    }
+
+    /// The number of the newest event.
+    pub fn newest_event(&self) -> u64 {
+        self.history.newest()
+    }
+
+    /// Takes one input and returns what is ordered.
+    pub fn take(&mut self, now: Moment, input: PlaneInput) -> Vec<PlaneOutput> {
+        match input {
+            PlaneInput::Tick => {
+                let orders = self.core.tick(now);
+                self.obey(now, orders);
+            }
+            PlaneInput::Core(frame) => {
+                let orders = self.core.heard(now, frame);
+                self.obey(now, orders);
+            }
+            PlaneInput::Written(ticket, result) => {
+                if result == WriteResult::Failed {
+                    self.tell(Told { event: events::DISK_FAILED, detail: json!({}) });
+                }
+                let orders = self.core.written(now, ticket, result);
+                self.obey(now, orders);
+            }
+            PlaneInput::Stream(stream, frame) => self.hear_stream(now, stream, frame),
+            PlaneInput::StreamLost(stream) => {
+                self.streams.remove(&stream);
+                if let Some(desk) = &mut self.desk {
+                    desk.stream_lost(stream);
+                }
+            }
+            PlaneInput::Workers(listed_workers) => {
+                if let Some(desk) = &mut self.desk {
+                    desk.workers_listed(listed_workers);
+                }
+            }
+            PlaneInput::Runners(content_moment, listed_runners) => {
+                if let Some(desk) = &mut self.desk {
+                    desk.runners_listed(content_moment, &listed_runners);
+                }
+            }
+            PlaneInput::RunnerStopped(runner) => {
+                if let Some(desk) = &mut self.desk {
+                    desk.runner_stopped(runner);
+                }
+            }
+            PlaneInput::Operate(ticket, operation) => self.operate(now, ticket, operation),
+        }
+        self.progress(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn hear_stream(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
+        self.streams.insert(stream);
+        match &mut self.desk {
+            Some(desk) => desk.heard(now, stream, frame),
+            None => {
+                let leader = self.core.leader().map_or(Place::NOWHERE, |address| address.place);
+                self.outputs.push(PlaneOutput::Down(stream, StreamDown::Elsewhere { leader }));
+                self.outputs.push(PlaneOutput::Close(stream));
+                self.streams.remove(&stream);
+            }
+        }
+    }
+
+    fn progress(&mut self, now: Moment) {
+        self.progress_changes(now);
+        let Some(desk) = &mut self.desk else { return };
+        let (known_members, whole) = desk.known_members();
+        self.core.set_members(known_members, whole);
+        let core = &self.core;
+        let proof = Proof {
+            ready: core.is_ready(),
+            quorum_moment: core.quorum_moment(),
+            confirmed: &|known_member| core.is_confirmed(known_member),
+        };
+        for order in desk.progress(now, &proof) {
+            match order {
+                DeskOutput::Down { stream, frame } => {
+                    self.outputs.push(PlaneOutput::Down(stream, frame));
+                }
+                DeskOutput::StopRunner(runner) => {
+                    self.outputs.push(PlaneOutput::StopRunner(runner));
+                }
+                DeskOutput::Told(told) => self.tell(told),
+            }
+        }
+        self.progress_waits();
+    }
+
+    fn tell(&mut self, told: Told) {
+        let numbered = self.history.add(told);
+        self.outputs.push(PlaneOutput::Told(numbered));
+    }
+
+    fn obey(&mut self, now: Moment, orders: Vec<CoreOutput>) {
+        for order in orders {
+            match order {
+                CoreOutput::Send { to, frame } => self.outputs.push(PlaneOutput::Send(to, frame)),
+                CoreOutput::Write { ticket, job } => {
+                    self.outputs.push(PlaneOutput::Write(ticket, job));
+                }
+                CoreOutput::Campaigning { term } => {
+                    let detail = json!({"term": term.0});
+                    self.tell(Told { event: events::CAMPAIGN, detail });
+                }
+                CoreOutput::Elected { term, members, whole } => {
+                    self.history.restart(term);
+                    let detail = json!({
+                        "term": term.0,
+                        "surveyor": format!("{:x}", self.core.id().0),
+                        "last_known": members.len(),
+                        "whole": whole,
+                    });
+                    self.tell(Told { event: events::ELECTED, detail });
+                    let desk_timing = self.desk_timing.clone();
+                    self.desk = Some(Desk::new(desk_timing, term, now, members, whole));
+                }
+                CoreOutput::SteppedDown => self.stepped_down(),
+                CoreOutput::Committed(document) => {
+                    let stamp = document.stamp;
+                    let detail = json!({"term": stamp.term.0, "serial": stamp.serial.0});
+                    self.tell(Told { event: events::COMMITTED, detail });
+                    if let Some(desk) = &mut self.desk {
+                        desk.committed(document);
+                    }
+                    self.change_committed(stamp.serial);
+                }
+                CoreOutput::DiskStalled => {
+                    self.tell(Told { event: events::DISK_STALLED, detail: json!({}) });
+                }
+            }
+        }
+    }
+
+    fn stepped_down(&mut self) {
+        let detail = json!({"term": self.core.term().0});
+        self.tell(Told { event: events::STEPPED_DOWN, detail });
+        self.desk = None;
+        self.drop_changes();
+        let leader = self.core.leader().map_or(Place::NOWHERE, |address| address.place);
+        for stream in std::mem::take(&mut self.streams) {
+            self.outputs.push(PlaneOutput::Down(stream, StreamDown::Elsewhere { leader }));
+            self.outputs.push(PlaneOutput::Close(stream));
+        }
+    }
+
+    fn leader_elsewhere(&self) -> Option<Address> {
+        if self.core.is_leader() { None } else { self.core.leader() }
+    }
+
+    fn is_fresh(&self, now: Moment) -> bool {
+        self.core.is_ready() && now.since(self.core.quorum_moment()) < self.fresh_span
+    }
+}
--- /dev/null
+++ b/crates/waymark/src/clock/mod.rs
@@ -0,0 +1,77 @@
+//! Time as processes count it: since boot, suspended time included, never the wall clock.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// A moment on this machine's boot clock, in nanoseconds.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Default)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// The earliest moment.
+    pub const ZERO: Moment = Moment(0);
+
+    /// The present moment on CLOCK_BOOTTIME.
+    pub fn now() -> Self {
+        let read_time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Self(read_time.tv_sec as u64 * 1_000_000_000 + read_time.tv_nsec as u64)
+    }
+
+    /// The time from an earlier moment to this one; nothing if that is later.
+    pub fn since(self, earlier_moment: Moment) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier_moment.0))
+    }
+
+    /// Whole milliseconds on this clock.
+    pub fn millis(self) -> u64 {
+        self.0 / 1_000_000
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+    fn add(self, added_span: Duration) -> Moment {
+        Moment(self.0.saturating_add(added_span.as_nanos() as u64))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Moment;
+    fn sub(self, taken_span: Duration) -> Moment {
+        Moment(self.0.saturating_sub(taken_span.as_nanos() as u64))
+    }
+}
+
+impl fmt::Display for Moment {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}.{:03}s", self.0 / 1_000_000_000, self.0 / 1_000_000 % 1000)
+    }
+}
+
+/// A moment that many threads read and one writes.
+pub struct SharedMoment(AtomicU64);
+
+impl SharedMoment {
+    /// Starts at the earliest moment.
+    pub const fn new() -> Self {
+        Self(AtomicU64::new(0))
+    }
+
+    /// Reads the moment.
+    pub fn get(&self) -> Moment {
+        Moment(self.0.load(Ordering::Acquire))
+    }
+
+    /// Replaces the moment.
+    pub fn set(&self, new_moment: Moment) {
+        self.0.store(new_moment.0, Ordering::Release);
+    }
+}
+
+impl Default for SharedMoment {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/waymark/src/events/mod.rs
@@ -0,0 +1,120 @@
+//! Numbered log events; each is described in `docs/events.md`.
+
+use std::fmt;
+
+/// One kind of event.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Event {
+    /// Its number.
+    pub number: u16,
+    /// Its short name.
+    pub name: &'static str,
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "[E{:04}] {}", self.number, self.name)
+    }
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $constant:ident = $number:literal, $name:literal;)+) => {
+        $($(#[$doc])* pub const $constant: Event = Event { number: $number, name: $name };)+
+        /// Every event there is.
+        pub const ALL: &[Event] = &[$($constant),+];
+    };
+}
+
+events! {
+    /// A process has started.
+    STARTED = 1001, "started";
+    /// A process is stopping in an orderly way.
+    STOPPING = 1002, "stopping";
+    /// A process has stopped.
+    STOPPED = 1003, "stopped";
+    /// A connection was closed for what it sent.
+    FRAME_REJECTED = 1101, "frame rejected";
+    /// A heartbeat was not understood or came from a stranger.
+    HEARTBEAT_IGNORED = 1102, "heartbeat ignored";
+    /// A link to another process was lost.
+    LINK_LOST = 1103, "link lost";
+    /// A surveyor asks for votes.
+    CAMPAIGN = 2001, "campaign";
+    /// A surveyor leads.
+    ELECTED = 2002, "elected";
+    /// A surveyor no longer leads.
+    STEPPED_DOWN = 2003, "stepped down";
+    /// A version of the document is committed.
+    COMMITTED = 2004, "committed";
+    /// A version is in force at every daemon that serves.
+    IN_FORCE = 2005, "in force";
+    /// The disk failed a write.
+    DISK_FAILED = 2006, "disk failed";
+    /// A file on disk was damaged and set aside.
+    FILE_SET_ASIDE = 2007, "file set aside";
+    /// The core was founded.
+    FOUNDED = 2008, "founded";
+    /// A disk write takes longer than an election timeout.
+    DISK_STALLED = 2009, "disk stalled";
+    /// A daemon opened its stream.
+    MEMBER_JOINED = 2101, "member joined";
+    /// A daemon's stream was lost.
+    MEMBER_LOST = 2102, "member lost";
+    /// The claims quorum stands; grants are given.
+    CLAIMS_QUORUM = 2103, "claims quorum";
+    /// A function was granted.
+    GRANTED = 2104, "granted";
+    /// A function was given back.
+    RELEASED = 2105, "released";
+    /// A lost holder's runners are being stopped through the platform.
+    FENCING = 2106, "fencing";
+    /// A lost holder's runners are stopped; the function may be granted again.
+    FENCED = 2107, "fenced";
+    /// A claim was rejected.
+    CLAIM_REJECTED = 2108, "claim rejected";
+    /// A runner without a holder was found and is being stopped.
+    ORPHAN = 2109, "orphan";
+    /// The platform did not answer.
+    PLATFORM_SILENT = 2110, "platform silent";
+    /// A last-known daemon never came back and no longer counts for the quorum.
+    STRUCK_OFF = 2111, "struck off";
+    /// No worker has room for a runner.
+    NO_ROOM = 2112, "no room";
+    /// A daemon refused transactions.
+    SHEDS = 2114, "sheds";
+    /// An evacuation leaves little capacity.
+    CAPACITY_LOW = 2113, "capacity low";
+    /// The daemon's member grant runs.
+    SERVING = 3001, "serving";
+    /// The daemon's member grant ended; its runners are stopped.
+    GRANT_ENDED = 3002, "grant ended";
+    /// A spec was installed.
+    SPEC_INSTALLED = 3003, "spec installed";
+    /// A spec could not be installed.
+    SPEC_FAILED = 3004, "spec failed";
+    /// The stream to the leader is open.
+    STREAM_OPEN = 3005, "stream open";
+    /// The stream to the leader is lost.
+    STREAM_LOST = 3006, "stream lost";
+    /// A runner is ready.
+    RUNNER_READY = 3101, "runner ready";
+    /// A runner did not start or died.
+    RUNNER_FAILED = 3102, "runner failed";
+    /// A runner's answer was wrong, short or another's.
+    ANSWER_REJECTED = 3103, "answer rejected";
+    /// A runner is stopped.
+    RUNNER_STOPPED = 3104, "runner stopped";
+    /// A function is being handed over.
+    HANDING_OVER = 3105, "handing over";
+}
+
+/// Writes a numbered event to the log.
+#[macro_export]
+macro_rules! note {
+    ($level:ident, $event:expr) => {
+        log::log!(log::Level::$level, "{}", $event)
+    };
+    ($level:ident, $event:expr, $($detail:tt)+) => {
+        log::log!(log::Level::$level, "{}: {}", $event, format_args!($($detail)+))
+    };
+}
--- /dev/null
+++ b/crates/waymark/src/frames/core.rs
@@ -0,0 +1,120 @@
+use super::{Blob, Flag, Many, Place};
+use crate::identity::{Incarnation, MemberName, Stamp, SurveyorId, Term};
+use binrw::binrw;
+
+/// A daemon as the core remembers it over a change of leader.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct KnownMember {
+    /// Its name.
+    pub member: MemberName,
+    /// The life that was last granted to.
+    pub incarnation: Incarnation,
+}
+
+/// What one core member sends another.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug)]
+pub struct CoreFrame {
+    /// Who sends.
+    pub from: SurveyorId,
+    /// Where answers reach the sender.
+    pub place: Place,
+    /// Where operators reach the sender.
+    pub operators: Place,
+    /// What is said.
+    pub body: CoreBody,
+}
+
+/// The parts of the core's talk.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug)]
+pub enum CoreBody {
+    /// Says who is here and how far its disk is.
+    #[brw(magic = 1u8)]
+    Hello {
+        /// The newest accepted version, zero when the disk is empty.
+        accepted: Stamp,
+        /// The sender's term.
+        term: Term,
+    },
+    /// The first document, for a member it names whose disk holds none.
+    #[brw(magic = 2u8)]
+    Found {
+        /// The document.
+        document: Blob,
+    },
+    /// Asks for a vote.
+    #[brw(magic = 3u8)]
+    VoteAsk {
+        /// The term asked for.
+        term: Term,
+        /// The candidate's newest accepted version.
+        accepted: Stamp,
+        /// Whether the candidate only asks if it would be given.
+        trial: Flag,
+    },
+    /// Answers a vote asked for; a yes is on disk before it is sent.
+    #[brw(magic = 4u8)]
+    VoteReply {
+        /// The voter's term.
+        term: Term,
+        /// The term asked for.
+        asked: Term,
+        /// Whether it answers a trial.
+        trial: Flag,
+        /// Whether the vote is given.
+        given: Flag,
+        /// The daemons the voter last heard of.
+        members: Many<KnownMember>,
+        /// Whether the voter heard of them in this life, from a leader that knew all.
+        whole: Flag,
+    },
+    /// One round of the leader.
+    #[brw(magic = 5u8)]
+    Round {
+        /// The leader's term.
+        term: Term,
+        /// The round's number.
+        round: u64,
+        /// The leader's newest accepted version.
+        accepted: Stamp,
+        /// The newest committed version.
+        committed: Stamp,
+        /// The daemons that may hold grants.
+        members: Many<KnownMember>,
+        /// Whether the leader knows that there are no others.
+        whole: Flag,
+    },
+    /// Answers a round.
+    #[brw(magic = 6u8)]
+    RoundReply {
+        /// The answering member's term.
+        term: Term,
+        /// The round answered.
+        round: u64,
+        /// The newest version on the member's disk.
+        accepted: Stamp,
+    },
+    /// A whole version to be written.
+    #[brw(magic = 7u8)]
+    Accept {
+        /// The leader's term.
+        term: Term,
+        /// Where the version stands.
+        stamp: Stamp,
+        /// The document.
+        document: Blob,
+    },
+    /// Says what is on disk, synced.
+    #[brw(magic = 8u8)]
+    Accepted {
+        /// The member's term.
+        term: Term,
+        /// The newest version on the member's disk.
+        stamp: Stamp,
+    },
+}
--- /dev/null
+++ b/crates/waymark/src/frames/mod.rs
@@ -0,0 +1,20 @@
+//! The frames that rudderstream's processes exchange.
+
+mod core;
+mod heartbeat;
+mod hop;
+mod parts;
+mod stream;
+mod wire;
+
+pub use self::core::{CoreBody, CoreFrame, KnownMember};
+pub use heartbeat::{Heartbeat, View};
+pub use hop::{HopFrame, HopOutcome, HopReason};
+pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
+pub use stream::{
+    AcquireResult, Claim, ClaimRunner, Host, ReserveResult, RunnerNews, StreamDown, StreamUp,
+};
+pub use wire::{
+    Channel, FrameFault, decode, decode_heartbeat, encode, encode_heartbeat, read_channel,
+    read_frame, write_channel, write_frame,
+};
--- /dev/null
+++ b/crates/waymark/src/frames/parts.rs
@@ -0,0 +1,196 @@
+use binrw::{BinRead, BinResult, BinWrite, Endian};
+use bytes::Bytes;
+use std::fmt;
+use std::io::{Read, Seek, Write};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+/// Reads a short text: its length in two bytes, then UTF-8.
+pub fn read_text<R: Read + Seek>(reader: &mut R, endian: Endian) -> BinResult<String> {
+    let text_length = u16::read_options(reader, endian, ())?;
+    let mut read_bytes = vec![0; text_length as usize];
+    let text_place = reader.stream_position()?;
+    reader.read_exact(&mut read_bytes)?;
+    String::from_utf8(read_bytes)
+        .map_err(|fault| binrw::Error::Custom { pos: text_place, err: Box::new(fault) })
+}
+
+/// Writes a short text, cut at what two bytes of length can say.
+pub fn write_text<W: Write + Seek>(text: &str, writer: &mut W, endian: Endian) -> BinResult<()> {
+    let mut text_end = text.len().min(u16::MAX as usize);
+    while !text.is_char_boundary(text_end) {
+        text_end -= 1;
+    }
+    (text_end as u16).write_options(writer, endian, ())?;
+    writer.write_all(&text.as_bytes()[..text_end])?;
+    Ok(())
+}
+
+/// Many of one kind: a count, then each.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Many<T>(pub Vec<T>);
+
+impl<T> From<Vec<T>> for Many<T> {
+    fn from(given_items: Vec<T>) -> Self {
+        Self(given_items)
+    }
+}
+
+impl<T> BinRead for Many<T>
+where
+    T: for<'a> BinRead<Args<'a> = ()>,
+{
+    type Args<'a> = ();
+    fn read_options<R: Read + Seek>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Self> {
+        let item_count = u32::read_options(reader, endian, ())?;
+        let mut read_items = Vec::new();
+        for _ in 0..item_count {
+            read_items.push(T::read_options(reader, endian, ())?);
+        }
+        Ok(Self(read_items))
+    }
+}
+
+impl<T> BinWrite for Many<T>
+where
+    T: for<'a> BinWrite<Args<'a> = ()>,
+{
+    type Args<'a> = ();
+    fn write_options<W: Write + Seek>(
+        &self,
+        writer: &mut W,
+        endian: Endian,
+        _: (),
+    ) -> BinResult<()> {
+        (self.0.len() as u32).write_options(writer, endian, ())?;
+        for written_item in &self.0 {
+            written_item.write_options(writer, endian, ())?;
+        }
+        Ok(())
+    }
+}
+
+/// A long run of bytes.
+#[derive(Clone, PartialEq, Eq, Default)]
+pub struct Blob(pub Bytes);
+
+impl fmt::Debug for Blob {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{} bytes", self.0.len())
+    }
+}
+
+impl From<Bytes> for Blob {
+    fn from(given_bytes: Bytes) -> Self {
+        Self(given_bytes)
+    }
+}
+
+impl From<Vec<u8>> for Blob {
+    fn from(given_bytes: Vec<u8>) -> Self {
+        Self(given_bytes.into())
+    }
+}
+
+impl BinRead for Blob {
+    type Args<'a> = ();
+    fn read_options<R: Read + Seek>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Self> {
+        let blob_length = u32::read_options(reader, endian, ())?;
+        let mut read_bytes = Vec::new();
+        let taken_length = reader.take(blob_length as u64).read_to_end(&mut read_bytes)?;
+        if taken_length != blob_length as usize {
+            return Err(binrw::Error::Io(std::io::ErrorKind::UnexpectedEof.into()));
+        }
+        Ok(Self(read_bytes.into()))
+    }
+}
+
+impl BinWrite for Blob {
+    type Args<'a> = ();
+    fn write_options<W: Write + Seek>(
+        &self,
+        writer: &mut W,
+        endian: Endian,
+        _: (),
+    ) -> BinResult<()> {
+        (self.0.len() as u32).write_options(writer, endian, ())?;
+        writer.write_all(&self.0)?;
+        Ok(())
+    }
+}
+
+/// Yes or no in one byte.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Flag(pub bool);
+
+impl BinRead for Flag {
+    type Args<'a> = ();
+    fn read_options<R: Read + Seek>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Self> {
+        u8::read_options(reader, endian, ()).map(|read_byte| Self(read_byte != 0))
+    }
+}
+
+impl BinWrite for Flag {
+    type Args<'a> = ();
+    fn write_options<W: Write + Seek>(
+        &self,
+        writer: &mut W,
+        endian: Endian,
+        _: (),
+    ) -> BinResult<()> {
+        u8::from(self.0).write_options(writer, endian, ())
+    }
+}
+
+/// Where a process listens: an IP number and a port.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Place(pub SocketAddrV4);
+
+impl Place {
+    /// A place that is nowhere.
+    pub const NOWHERE: Place = Place(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+
+    /// The address as the operating system takes it.
+    pub fn address(self) -> SocketAddr {
+        SocketAddr::V4(self.0)
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}", self.0)
+    }
+}
+
+impl fmt::Debug for Place {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}", self.0)
+    }
+}
+
+impl From<SocketAddrV4> for Place {
+    fn from(given_address: SocketAddrV4) -> Self {
+        Self(given_address)
+    }
+}
+
+impl BinRead for Place {
+    type Args<'a> = ();
+    fn read_options<R: Read + Seek>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Self> {
+        let ip_bits = u32::read_options(reader, endian, ())?;
+        let port = u16::read_options(reader, endian, ())?;
+        Ok(Self(SocketAddrV4::new(Ipv4Addr::from_bits(ip_bits), port)))
+    }
+}
+
+impl BinWrite for Place {
+    type Args<'a> = ();
+    fn write_options<W: Write + Seek>(
+        &self,
+        writer: &mut W,
+        endian: Endian,
+        _: (),
+    ) -> BinResult<()> {
+        self.0.ip().to_bits().write_options(writer, endian, ())?;
+        self.0.port().write_options(writer, endian, ())
+    }
+}
--- /dev/null
+++ b/crates/waymark/src/frames/stream.rs
@@ -0,0 +1,294 @@
+use super::{Blob, Flag, Many, Place};
+use crate::identity::{
+    CorrelationId, FunctionKey, GrantSerial, Incarnation, Locality, MemberName, RunnerId, Serial,
+    Term, WorkerName,
+};
+use binrw::binrw;
+
+/// A daemon as others may reach it.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Host {
+    /// Its name.
+    pub member: MemberName,
+    /// Which life of it.
+    pub incarnation: Incarnation,
+    /// Its locality.
+    pub locality: Locality,
+    /// Where other processes reach it.
+    pub place: Place,
+    /// Whether it may be given functions.
+    pub eligible: Flag,
+}
+
+/// One runner in a claim.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ClaimRunner {
+    /// The runner.
+    pub runner: RunnerId,
+    /// Where it runs.
+    pub worker: WorkerName,
+    /// The memory it needs.
+    pub memory_mb: u32,
+}
+
+/// One function that a daemon holds.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Claim {
+    /// The function.
+    pub function: FunctionKey,
+    /// The grant it is held under.
+    pub grant: GrantSerial,
+    /// Its runners.
+    pub runners: Many<ClaimRunner>,
+}
+
+/// The leader's answer to an acquisition.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum AcquireResult {
+    /// The asking daemon now holds the function.
+    #[brw(magic = 1u8)]
+    Granted {
+        /// Under this grant.
+        grant: GrantSerial,
+        /// Once-transactions may be admitted after this many milliseconds.
+        once_wait_ms: u32,
+    },
+    /// Another daemon holds it.
+    #[brw(magic = 2u8)]
+    Owner {
+        /// That daemon.
+        host: Host,
+    },
+    /// The asking daemon may not hold it: no such function, or no valid member grant.
+    #[brw(magic = 3u8)]
+    Shed,
+}
+
+/// The leader's answer to a wish for a runner.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum ReserveResult {
+    /// The memory is set aside.
+    #[brw(magic = 1u8)]
+    Reserved {
+        /// The runner's name.
+        runner: RunnerId,
+        /// Where it is to start.
+        worker: WorkerName,
+        /// The memory set aside.
+        memory_mb: u32,
+    },
+    /// No worker has room, or the grant is not the asking daemon's.
+    #[brw(magic = 2u8)]
+    Shed,
+}
+
+/// What became of a runner.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum RunnerNews {
+    /// It is ready.
+    #[brw(magic = 1u8)]
+    Ready,
+    /// The platform confirmed that it is stopped, or never started it.
+    #[brw(magic = 2u8)]
+    Gone,
+}
+
+/// What a daemon says on its stream.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug)]
+pub enum StreamUp {
+    /// Opens the stream.
+    #[brw(magic = 1u8)]
+    Hello {
+        /// Who opens it; `eligible` is false while it is leaving.
+        host: Host,
+        /// Where callers reach it.
+        door: Place,
+        /// The newest spec it has installed.
+        serial: Serial,
+    },
+    /// Every function held, sent after each Hello.
+    #[brw(magic = 2u8)]
+    Claims {
+        /// All of them.
+        claims: Many<Claim>,
+    },
+    /// Asks for the member grant to go on.
+    #[brw(magic = 3u8)]
+    Renew {
+        /// Ties the answer to the moment of sending.
+        correlation: CorrelationId,
+        /// The newest spec installed.
+        serial: Serial,
+    },
+    /// Says that a spec is installed.
+    #[brw(magic = 4u8)]
+    Installed {
+        /// That spec.
+        serial: Serial,
+    },
+    /// Asks for the whole spec, as the change did not fit.
+    #[brw(magic = 5u8)]
+    Whole,
+    /// The hash owner asks who holds a function, or for it to be granted.
+    #[brw(magic = 6u8)]
+    Acquire {
+        /// Ties the answer to it.
+        correlation: CorrelationId,
+        /// The function.
+        function: FunctionKey,
+    },
+    /// Gives a function back; its runners are stopped.
+    #[brw(magic = 7u8)]
+    Release {
+        /// The function.
+        function: FunctionKey,
+        /// The grant given back.
+        grant: GrantSerial,
+    },
+    /// Asks for memory for one more runner.
+    #[brw(magic = 8u8)]
+    Reserve {
+        /// Ties the answer to it.
+        correlation: CorrelationId,
+        /// The function.
+        function: FunctionKey,
+        /// The grant it is held under.
+        grant: GrantSerial,
+    },
+    /// Tells what became of a runner.
+    #[brw(magic = 9u8)]
+    Runner {
+        /// The function.
+        function: FunctionKey,
+        /// The runner.
+        runner: RunnerId,
+        /// What became of it.
+        news: RunnerNews,
+    },
+    /// Counts what the daemon refused since it last said so.
+    #[brw(magic = 10u8)]
+    Sheds {
+        /// The function.
+        function: FunctionKey,
+        /// How many.
+        count: u32,
+        /// The last reason.
+        reason: super::HopReason,
+    },
+    /// The daemon is leaving; it has no more use for its grant.
+    #[brw(magic = 11u8)]
+    Leaving,
+}
+
+/// What the leader says on a daemon's stream.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug)]
+pub enum StreamDown {
+    /// This surveyor does not lead; the leader may be there.
+    #[brw(magic = 1u8)]
+    Elsewhere {
+        /// The leader's place, or nowhere.
+        leader: Place,
+    },
+    /// This surveyor leads.
+    #[brw(magic = 2u8)]
+    Welcome {
+        /// Its term.
+        term: Term,
+    },
+    /// The member grant goes on.
+    #[brw(magic = 3u8)]
+    Renewed {
+        /// The renewal answered.
+        correlation: CorrelationId,
+        /// How long the grant runs, from the moment the renewal was sent.
+        length_ms: u32,
+        /// The newest committed spec.
+        serial: Serial,
+    },
+    /// A whole spec.
+    #[brw(magic = 4u8)]
+    Spec {
+        /// Its serial.
+        serial: Serial,
+        /// The document.
+        document: Blob,
+    },
+    /// A change of the spec.
+    #[brw(magic = 5u8)]
+    Change {
+        /// The serial it changes.
+        base: Serial,
+        /// The serial that results.
+        serial: Serial,
+        /// The changes, as a JSON patch.
+        patch: Blob,
+        /// The digest of the resulting document.
+        digest: Blob,
+    },
+    /// The daemons there are.
+    #[brw(magic = 6u8)]
+    Hosts {
+        /// All of them.
+        hosts: Many<Host>,
+    },
+    /// Answers an acquisition.
+    #[brw(magic = 7u8)]
+    Acquired {
+        /// The question answered.
+        correlation: CorrelationId,
+        /// The function.
+        function: FunctionKey,
+        /// The answer.
+        result: AcquireResult,
+    },
+    /// Answers a wish for a runner.
+    #[brw(magic = 8u8)]
+    Reserved {
+        /// The question answered.
+        correlation: CorrelationId,
+        /// The function.
+        function: FunctionKey,
+        /// The answer.
+        result: ReserveResult,
+    },
+    /// A claim does not stand: stop its runners and forget it.
+    #[brw(magic = 9u8)]
+    Revoke {
+        /// The function.
+        function: FunctionKey,
+        /// The grant that does not stand.
+        grant: GrantSerial,
+    },
+    /// Let this runner finish, then stop it.
+    #[brw(magic = 10u8)]
+    Drain {
+        /// The function.
+        function: FunctionKey,
+        /// The runner.
+        runner: RunnerId,
+    },
+    /// Hand this function over: finish, stop, release.
+    #[brw(magic = 11u8)]
+    HandOver {
+        /// The function.
+        function: FunctionKey,
+        /// The grant to be released.
+        grant: GrantSerial,
+    },
+}
--- /dev/null
+++ b/crates/waymark/src/identity/mod.rs
@@ -0,0 +1,13 @@
+//! Newtypes for everything that has a name or a number.
+
+mod function;
+mod names;
+mod numbers;
+mod runner;
+
+pub use function::{FunctionIndex, FunctionKey};
+pub use names::{ChangeId, FunctionName, Locality, MemberName, TransactionId, WorkerName};
+pub use numbers::{
+    CorrelationId, GrantSerial, Incarnation, Serial, Stamp, SurveyorId, Term, Ticket,
+};
+pub use runner::{RunnerId, RunnerIdFault};
--- /dev/null
+++ b/crates/waymark/src/lib.rs
@@ -0,0 +1,12 @@
+//! What both planes of rudderstream share: newtypes, frames, clock, readers, the member ring and the spec.
+
+pub mod chance;
+pub mod clock;
+pub mod events;
+pub mod frames;
+pub mod http;
+pub mod identity;
+pub mod readers;
+pub mod ring;
+pub mod seal;
+pub mod spec;
--- /dev/null
+++ b/crates/waymark/src/readers/mod.rs
@@ -0,0 +1,7 @@
+//! Readers of JSON that name the path of every fault.
+
+mod boot;
+mod path;
+
+pub use boot::{BootFault, BootSource, read_place, read_places};
+pub use path::{FaultList, FaultReason, PathFault, PathReader};
--- /dev/null
+++ b/crates/waymark/src/spec/document.rs
@@ -0,0 +1,306 @@
+use super::{Spec, read_spec};
+use crate::frames::Place;
+use crate::identity::{ChangeId, FunctionName, Locality, Serial, Stamp, SurveyorId, Term};
+use crate::readers::{FaultList, FaultReason, PathFault, PathReader, read_place};
+use serde_json::{Map, Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+const KEPT_CHANGES: usize = 512;
+
+/// A member of the core as the document names it.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct CoreMember {
+    /// Its identity, kept on its disk.
+    pub id: SurveyorId,
+    /// Where other processes reach it.
+    pub place: Place,
+}
+
+/// What became of one change.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ChangeNote {
+    /// The operator's name for it.
+    pub id: ChangeId,
+    /// The serial it made.
+    pub serial: Serial,
+}
+
+/// The one document that the core keeps.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Document {
+    /// Where it stands.
+    pub stamp: Stamp,
+    /// The operators' spec, as they wrote it.
+    pub spec: Value,
+    /// The serial at which each function entered the catalogue.
+    pub generations: BTreeMap<FunctionName, Serial>,
+    /// The evacuated localities.
+    pub evacuated: BTreeSet<Locality>,
+    /// The members of the core.
+    pub core: Vec<CoreMember>,
+    /// The last changes, oldest first.
+    pub changes: Vec<ChangeNote>,
+}
+
+/// Why bytes are no document.
+#[derive(Debug)]
+pub enum DocumentFault {
+    /// They are not JSON.
+    NotJson(serde_json::Error),
+    /// A path is wrong.
+    Path(PathFault),
+    /// A patch does not fit.
+    Patch(json_patch::PatchError),
+    /// The result has another digest than its sender's.
+    Digest,
+}
+
+impl fmt::Display for DocumentFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotJson(fault) => write!(out, "not JSON: {fault}"),
+            Self::Path(fault) => write!(out, "{fault}"),
+            Self::Patch(fault) => write!(out, "the change does not fit: {fault}"),
+            Self::Digest => write!(out, "the changed document has another digest"),
+        }
+    }
+}
+
+impl std::error::Error for DocumentFault {}
+
+impl From<serde_json::Error> for DocumentFault {
+    fn from(fault: serde_json::Error) -> Self {
+        Self::NotJson(fault)
+    }
+}
+
+impl From<json_patch::PatchError> for DocumentFault {
+    fn from(fault: json_patch::PatchError) -> Self {
+        Self::Patch(fault)
+    }
+}
+
+fn read_all<T>(
+    value: &Value,
+    read_parts: impl FnOnce(&PathReader<'_>) -> Option<T>,
+) -> Result<T, DocumentFault> {
+    let faults = FaultList::default();
+    let read_value = read_parts(&PathReader::new(value, &faults));
+    let missing = PathFault { path: String::new(), reason: FaultReason::Missing };
+    match (faults.into_inner().into_iter().next(), read_value) {
+        (None, Some(value)) => Ok(value),
+        (fault, _) => Err(DocumentFault::Path(fault.unwrap_or(missing))),
+    }
+}
+
+fn read_generations(reader: &PathReader<'_>) -> BTreeMap<FunctionName, Serial> {
+    let generation_fields = reader.fields().into_iter();
+    generation_fields
+        .filter_map(|(name, field)| Some((name.into(), Serial(field.number(0..=u64::MAX)?))))
+        .collect()
+}
+
+fn read_evacuated(reader: &PathReader<'_>) -> BTreeSet<Locality> {
+    reader.items().iter().filter_map(|item| item.text().map(Locality::from)).collect()
+}
+
+fn generations_json(generations: &BTreeMap<FunctionName, Serial>) -> Value {
+    let pairs = generations.iter().map(|(name, serial)| (name.to_string(), json!(serial.0)));
+    Value::Object(pairs.collect::<Map<_, _>>())
+}
+
+fn evacuated_json(evacuated: &BTreeSet<Locality>) -> Value {
+    Value::Array(evacuated.iter().map(|locality| json!(locality.as_str())).collect())
+}
+
+impl Document {
+    /// The first document, naming the core's founders.
+    pub fn founding(core: Vec<CoreMember>) -> Self {
+        Self {
+            stamp: Stamp { term: Term(1), serial: Serial(1) },
+            spec: json!({"functions": {}, "routes": {}}),
+            generations: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            core,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Reads a document from its bytes.
+    pub fn from_bytes(document_bytes: &[u8]) -> Result<Self, DocumentFault> {
+        let value: Value = serde_json::from_slice(document_bytes)?;
+        read_all(&value, |root| {
+            let core_members = root.field("core").items();
+            let noted_changes = root.field("changes").items();
+            Some(Self {
+                stamp: Stamp {
+                    term: Term(root.field("term").number(0..=u64::MAX)?),
+                    serial: Serial(root.field("serial").number(0..=u64::MAX)?),
+                },
+                spec: root.field("spec").value()?.clone(),
+                generations: read_generations(&root.field("generations")),
+                evacuated: read_evacuated(&root.field("evacuated")),
+                core: core_members
+                    .iter()
+                    .filter_map(|item| {
+                        let id_reader = item.field("id");
+                        let id = u64::from_str_radix(id_reader.text()?, 16).ok()?;
+                        Some(CoreMember { id: SurveyorId(id), place: read_place(&item.field("place"))? })
+                    })
+                    .collect(),
+                changes: noted_changes
+                    .iter()
+                    .filter_map(|item| {
+                        Some(ChangeNote {
+                            id: item.field("id").text()?.into(),
+                            serial: Serial(item.field("serial").number(0..=u64::MAX)?),
+                        })
+                    })
+                    .collect(),
+            })
+        })
+    }
+
+    /// The document as bytes.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let core_members: Vec<Value> = self
+            .core
+            .iter()
+            .map(|core_member| {
+                json!({"id": format!("{:x}", core_member.id.0), "place": core_member.place.to_string()})
+            })
+            .collect();
+        let noted_changes: Vec<Value> = self
+            .changes
+            .iter()
+            .map(|change| json!({"id": change.id.as_str(), "serial": change.serial.0}))
+            .collect();
+        json!({
+            "term": self.stamp.term.0,
+            "serial": self.stamp.serial.0,
+            "spec": self.spec,
+            "generations": generations_json(&self.generations),
+            "evacuated": evacuated_json(&self.evacuated),
+            "core": core_members,
+            "changes": noted_changes,
+        })
+        .to_string()
+        .into_bytes()
+    }
+
+    /// The next version, with another spec; functions keep their generation while they stay.
+    pub fn with_spec(&self, new_spec: Value, checked_spec: &Spec, change: ChangeId) -> Self {
+        let new_serial = self.stamp.serial.next();
+        let generations = checked_spec
+            .functions
+            .keys()
+            .map(|name| (name.clone(), self.generations.get(name).copied().unwrap_or(new_serial)))
+            .collect();
+        Self { spec: new_spec, generations, ..self.noting(change) }
+    }
+
+    /// The next version, with a locality evacuated or restored.
+    pub fn with_locality(&self, locality: Locality, evacuate: bool, change: ChangeId) -> Self {
+        let mut next_document = self.noting(change);
+        if evacuate {
+            next_document.evacuated.insert(locality);
+        } else {
+            next_document.evacuated.remove(&locality);
+        }
+        next_document
+    }
+
+    /// The next version, with one member of the core in another's place.
+    pub fn with_core(&self, core: Vec<CoreMember>, change: ChangeId) -> Self {
+        Self { core, ..self.noting(change) }
+    }
+
+    fn noting(&self, change: ChangeId) -> Self {
+        let mut next_document = self.clone();
+        next_document.stamp.serial = self.stamp.serial.next();
+        next_document
+            .changes
+            .push(ChangeNote { id: change, serial: next_document.stamp.serial });
+        let extra_count = next_document.changes.len().saturating_sub(KEPT_CHANGES);
+        next_document.changes.drain(..extra_count);
+        next_document
+    }
+
+    /// The part that daemons need.
+    pub fn view(&self) -> View {
+        View {
+            serial: self.stamp.serial,
+            spec: self.spec.clone(),
+            generations: self.generations.clone(),
+            evacuated: self.evacuated.clone(),
+        }
+    }
+}
+
+/// The part of the document that daemons need.
+#[derive(Clone, PartialEq, Debug)]
+pub struct View {
+    /// Its serial.
+    pub serial: Serial,
+    /// The operators' spec.
+    pub spec: Value,
+    /// The serial at which each function entered the catalogue.
+    pub generations: BTreeMap<FunctionName, Serial>,
+    /// The evacuated localities.
+    pub evacuated: BTreeSet<Locality>,
+}
+
+impl View {
+    /// The view as JSON.
+    pub fn to_value(&self) -> Value {
+        json!({
+            "serial": self.serial.0,
+            "spec": self.spec,
+            "generations": generations_json(&self.generations),
+            "evacuated": evacuated_json(&self.evacuated),
+        })
+    }
+
+    /// Reads a view.
+    pub fn from_value(value: &Value) -> Result<Self, DocumentFault> {
+        read_all(value, |root| {
+            Some(Self {
+                serial: Serial(root.field("serial").number(0..=u64::MAX)?),
+                spec: root.field("spec").value()?.clone(),
+                generations: read_generations(&root.field("generations")),
+                evacuated: read_evacuated(&root.field("evacuated")),
+            })
+        })
+    }
+
+    /// The digest of the view's JSON.
+    pub fn digest(&self) -> [u8; 32] {
+        crate::seal::digest(self.to_value().to_string().as_bytes())
+    }
+
+    /// The change that leads from this view to a newer one.
+    pub fn patch_to(&self, newer_view: &View) -> Vec<u8> {
+        json_patch::diff(&self.to_value(), &newer_view.to_value()).to_string().into_bytes()
+    }
+
+    /// Applies a change, and believes the result only if its digest is the sender's.
+    pub fn patched(&self, patch_bytes: &[u8], digest: &[u8]) -> Result<View, DocumentFault> {
+        let patch: json_patch::Patch = serde_json::from_slice(patch_bytes)?;
+        let mut changed_value = self.to_value();
+        json_patch::patch(&mut changed_value, &patch)?;
+        let changed_view = View::from_value(&changed_value)?;
+        if changed_view.digest() != digest {
+            return Err(DocumentFault::Digest);
+        }
+        Ok(changed_view)
+    }
+
+    /// The checked spec.
+    pub fn checked(&self) -> Result<Spec, DocumentFault> {
+        read_spec(&self.spec).map_err(|faults| {
+            let missing = PathFault { path: String::new(), reason: FaultReason::Missing };
+            DocumentFault::Path(faults.into_iter().next().unwrap_or(missing))
+        })
+    }
+}
--- /dev/null
+++ b/crates/waymark/src/spec/mod.rs
@@ -0,0 +1,9 @@
+//! The spec that operators write: a catalogue of functions, and routes to them.
+
+mod document;
+mod reader;
+mod table;
+
+pub use document::{ChangeNote, CoreMember, Document, DocumentFault, View};
+pub use reader::{FunctionSpec, RouteSpec, Spec, read_spec};
+pub use table::{FunctionEntry, RouteEntry, Table};
--- /dev/null
+++ b/programs/surveyor/src/main.rs
@@ -0,0 +1,94 @@
+//! A surveyor: one member of the core.
+
+use eyre::eyre;
+use gumdrop::Options;
+use serde_json::{Value, json};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use survey::boot::SurveyorBoot;
+use survey::drivers::{Surveyor, SurveyorFault};
+use tokio::sync::watch;
+use waymark::events;
+use waymark::note;
+use waymark::readers::{BootFault, BootSource};
+
+/// A member of rudderstream's core: elects a leader, keeps the spec, grants functions.
+#[derive(Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(help = "settings file (JSON)", meta = "FILE")]
+    boot: Option<PathBuf>,
+    #[options(no_short, help = "IP:PORT for other processes", meta = "PLACE")]
+    place: Option<String>,
+    #[options(no_short, help = "IP:PORT for operators", meta = "PLACE")]
+    operators: Option<String>,
+    #[options(no_short, help = "this machine's locality", meta = "NAME")]
+    locality: Option<String>,
+    #[options(no_short, help = "the three surveyors' places, with commas", meta = "PLACES")]
+    seeds: Option<String>,
+    #[options(no_short, help = "data folder", meta = "FOLDER")]
+    data: Option<String>,
+    #[options(no_short, help = "the platform's IP:PORT", meta = "PLACE")]
+    platform: Option<String>,
+}
+
+fn read_boot(flags: &Flags) -> Result<SurveyorBoot, BootFault> {
+    let text = |given: &Option<String>| given.clone().map(Value::String);
+    let mut boot_source = BootSource::open(flags.boot.as_deref())?;
+    boot_source.set("place", text(&flags.place));
+    boot_source.set("operators", text(&flags.operators));
+    boot_source.set("locality", text(&flags.locality));
+    boot_source.set("data", text(&flags.data));
+    boot_source.set("platform", text(&flags.platform));
+    boot_source.set("seeds", flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())));
+    SurveyorBoot::read(&boot_source)
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    if flags.version {
+        println!("surveyor {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let boot = match read_boot(&flags) {
+        Ok(boot) => boot,
+        Err(fault) => {
+            eprintln!("surveyor: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(&boot) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("surveyor: {report}");
+            ExitCode::from(if report.is::<SurveyorFault>() { 2 } else { 1 })
+        }
+    }
+}
+
+fn run(boot: &SurveyorBoot) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    runtime.block_on(async {
+        let surveyor = Surveyor::open(boot).await?;
+        note!(Info, events::STARTED, "surveyor at {}, operators at {}", boot.place, boot.operators);
+        let (stop_sender, stop) = watch::channel(false);
+        let mut terminating =
+            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+                .map_err(|fault| eyre!("signals: {fault}"))?;
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminating.recv() => {}
+                _ = tokio::signal::ctrl_c() => {}
+            }
+            note!(Info, events::STOPPING);
+            stop_sender.send_replace(true);
+        });
+        surveyor.run(stop).await;
+        note!(Info, events::STOPPED);
+        Ok(())
+    })
+}
