--- /dev/null
+++ b/crates/trail/src/drivers/hops.rs
@@ -0,0 +1,187 @@
+use super::State;
+use crate::chain::{Ask, resolve};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use waymark::clock::Moment;
+use waymark::frames::{
+    Channel, FrameFault, HopFrame, HopOutcome, Host, Many, Place, read_frame, write_channel,
+    write_frame,
+};
+use waymark::identity::CorrelationId;
+
+/// How a passed-on transaction came back.
+pub enum AskEnd {
+    /// With an outcome, and the holder if it is known there.
+    Done(HopOutcome, Option<Host>),
+    /// Surely nothing was sent.
+    Unsent,
+    /// Sent, and nothing came back.
+    Lost,
+}
+
+struct Asking {
+    frame: HopFrame,
+    correlation: CorrelationId,
+    end: oneshot::Sender<AskEnd>,
+}
+
+/// Links to the other daemons, one each, kept open.
+pub struct HopLinks {
+    senders: Mutex<HashMap<Place, mpsc::Sender<Asking>>>,
+    next_correlation: AtomicU64,
+}
+
+impl HopLinks {
+    /// No links yet.
+    pub fn new() -> Self {
+        Self { senders: Mutex::new(HashMap::new()), next_correlation: AtomicU64::new(1) }
+    }
+
+    /// A number for a question.
+    pub fn correlation(&self) -> CorrelationId {
+        CorrelationId(self.next_correlation.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Passes a transaction on and waits for its outcome.
+    pub async fn ask(&self, place: Place, frame: HopFrame, wait_until: Moment) -> AskEnd {
+        let HopFrame::Ask { correlation, .. } = &frame else { return AskEnd::Unsent };
+        let correlation = *correlation;
+        let (end_sender, end) = oneshot::channel();
+        let asking = Asking { frame, correlation, end: end_sender };
+        let sender = {
+            let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+            let known_sender = senders.get(&place).filter(|sender| !sender.is_closed());
+            match known_sender {
+                Some(sender) => sender.clone(),
+                None => {
+                    let (sender, askings) = mpsc::channel(1024);
+                    tokio::spawn(keep_link(place, askings));
+                    senders.insert(place, sender.clone());
+                    sender
+                }
+            }
+        };
+        if sender.try_send(asking).is_err() {
+            return AskEnd::Unsent;
+        }
+        let wait_span = wait_until.since(Moment::now());
+        match tokio::time::timeout(wait_span, end).await {
+            Ok(Ok(ask_end)) => ask_end,
+            Ok(Err(_)) | Err(_) => AskEnd::Lost,
+        }
+    }
+}
+
+impl Default for HopLinks {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+type Pending = Arc<Mutex<HashMap<CorrelationId, oneshot::Sender<AskEnd>>>>;
+
+async fn keep_link(place: Place, mut askings: mpsc::Receiver<Asking>) {
+    let connecting = TcpStream::connect(place.address());
+    let connected = tokio::time::timeout(Duration::from_millis(400), connecting).await;
+    let opened = match connected {
+        Ok(Ok(mut stream)) => {
+            let _ = stream.set_nodelay(true);
+            write_channel(&mut stream, Channel::Hop).await.ok().map(|()| stream)
+        }
+        _ => None,
+    };
+    let Some(stream) = opened else {
+        askings.close();
+        while let Some(asking) = askings.recv().await {
+            let _ = asking.end.send(AskEnd::Unsent);
+        }
+        return;
+    };
+    let pending: Pending = Arc::new(Mutex::new(HashMap::new()));
+    let (reading_half, mut writing_half) = stream.into_split();
+    let reading_pending = pending.clone();
+    let reading = async move {
+        let mut reader = BufReader::new(reading_half);
+        while let Ok(HopFrame::Done { correlation, outcome, holder }) =
+            read_frame::<_, HopFrame>(&mut reader).await
+        {
+            let mut open_asks = reading_pending.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(end) = open_asks.remove(&correlation) {
+                let _ = end.send(AskEnd::Done(outcome, holder.0.into_iter().next()));
+            }
+        }
+    };
+    let writing = async {
+        while let Some(asking) = askings.recv().await {
+            pending
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .insert(asking.correlation, asking.end);
+            if write_frame(&mut writing_half, &asking.frame).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = reading => {}
+        () = writing => {}
+    }
+    askings.close();
+    while let Ok(asking) = askings.try_recv() {
+        let _ = asking.end.send(AskEnd::Unsent);
+    }
+    pending.lock().unwrap_or_else(PoisonError::into_inner).clear();
+}
+
+/// Serves another daemon's link.
+pub async fn serve(state: Arc<State>, stream: TcpStream) -> Result<(), FrameFault> {
+    let (reading_half, mut writing_half) = stream.into_split();
+    let mut reader = BufReader::new(reading_half);
+    let (done_sender, mut done_frames) = mpsc::channel::<HopFrame>(1024);
+    tokio::spawn(async move {
+        while let Some(frame) = done_frames.recv().await {
+            if write_frame(&mut writing_half, &frame).await.is_err() {
+                return;
+            }
+        }
+    });
+    loop {
+        let frame: HopFrame = read_frame(&mut reader).await?;
+        let HopFrame::Ask {
+            correlation,
+            transaction,
+            function,
+            route,
+            serial,
+            budget_ms,
+            hops,
+            repeat,
+            body,
+        } = frame
+        else {
+            continue;
+        };
+        let ask_state = state.clone();
+        let ask_done = done_sender.clone();
+        tokio::spawn(async move {
+            let ask = Ask {
+                transaction,
+                function,
+                route: route.to_string(),
+                serial,
+                budget_end: Moment::now() + Duration::from_millis(u64::from(budget_ms)),
+                hops,
+                repeat: repeat.0,
+                body: body.0,
+            };
+            let (outcome, holder) = resolve(&ask_state, ask).await;
+            let holder = Many(holder.into_iter().collect());
+            let _ = ask_done.send(HopFrame::Done { correlation, outcome, holder }).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/trail/src/drivers/mod.rs
@@ -0,0 +1,18 @@
+//! Thin drivers: the shared state, the control task, hops between daemons, calls to runners.
+
+mod control;
+mod door;
+mod gauges;
+mod holding;
+mod hops;
+mod platform;
+mod runners;
+mod state;
+mod trailhead;
+
+pub use door::serve_door;
+pub use gauges::Gauges;
+pub use holding::{Holding, Task};
+pub use hops::{AskEnd, HopLinks};
+pub use state::State;
+pub use trailhead::Trailhead;
--- /dev/null
+++ b/crates/trail/src/drivers/trailhead.rs
@@ -0,0 +1,117 @@
+use super::control::{Control, ControlInput, own_host};
+use super::{State, hops, serve_door};
+use crate::boot::TrailheadBoot;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use waymark::chance::Chance;
+use waymark::clock::Moment;
+use waymark::events;
+use waymark::frames::{Channel, FrameFault, Place, StreamUp, decode_heartbeat, read_channel};
+use waymark::note;
+use waymark::readers::BootFault;
+
+/// A running trailhead.
+pub struct Trailhead {
+    state: Arc<State>,
+    inbox: mpsc::UnboundedReceiver<ControlInput>,
+    process_listener: TcpListener,
+    door_listener: TcpListener,
+    beats: Arc<UdpSocket>,
+}
+
+impl Trailhead {
+    /// Opens the listeners.
+    pub async fn open(boot: TrailheadBoot) -> Result<Self, BootFault> {
+        let fault_at = |key: &'static str, place: Place| {
+            let source = boot.source.clone();
+            move |fault| BootFault::Listen(source, key, place, fault)
+        };
+        let process_listener =
+            TcpListener::bind(boot.place.address()).await.map_err(fault_at("place", boot.place))?;
+        let door_listener =
+            TcpListener::bind(boot.door.address()).await.map_err(fault_at("door", boot.door))?;
+        let beats =
+            UdpSocket::bind(boot.place.address()).await.map_err(fault_at("place", boot.place))?;
+        let (control, inbox) = mpsc::unbounded_channel();
+        let host = own_host(&boot, Chance::from_os().number() | 1);
+        let state = Arc::new(State::new(boot, host, control));
+        Ok(Self { state, inbox, process_listener, door_listener, beats: Arc::new(beats) })
+    }
+
+    /// Serves until told to stop, then leaves in an orderly way.
+    pub async fn run(self, mut stop: watch::Receiver<bool>) {
+        let Self { state, inbox, process_listener, door_listener, beats } = self;
+        tokio::spawn(Control::new(state.clone(), beats.clone()).run(inbox));
+        tokio::spawn(hear_beats(state.clone(), beats));
+        tokio::spawn(accept(process_listener, state.clone()));
+        let (door_stop_sender, door_stop) = watch::channel(false);
+        let door = tokio::spawn(serve_door(state.clone(), door_listener, door_stop));
+        let _ = stop.wait_for(|stopping| *stopping).await;
+        let leave_by = Moment::now() + state.boot.grace;
+        state.leaving.store(true, Ordering::Release);
+        let _ = state.control.send(ControlInput::Leave);
+        door_stop_sender.send_replace(true);
+        let finishing = async {
+            let _ = door.await;
+            while !state.holdings.load().is_empty() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let _ = tokio::time::timeout(leave_by.since(Moment::now()), finishing).await;
+        let _ = state.control.send(ControlInput::Say(StreamUp::Leaving));
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+}
+
+async fn hear_beats(state: Arc<State>, beats: Arc<UdpSocket>) {
+    let mut datagram = vec![0; 64 << 10];
+    loop {
+        let Ok((length, from)) = beats.recv_from(&mut datagram).await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        match decode_heartbeat(&datagram[..length]) {
+            Ok(heartbeat) => {
+                let _ = state.control.send(ControlInput::Beat(heartbeat));
+            }
+            Err(fault) => {
+                state.gauges.rejected_frames.inc();
+                note!(Debug, events::HEARTBEAT_IGNORED, "from {from}: {fault}");
+            }
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, state: Arc<State>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let connection_state = state.clone();
+                tokio::spawn(async move {
+                    if let Err(fault) = serve(connection_state.clone(), stream).await
+                        && !matches!(fault, FrameFault::Connection(_))
+                    {
+                        connection_state.gauges.rejected_frames.inc();
+                        note!(Warn, events::FRAME_REJECTED, "from {from}: {fault}");
+                    }
+                });
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn serve(state: Arc<State>, mut stream: TcpStream) -> Result<(), FrameFault> {
+    stream.set_nodelay(true)?;
+    let channel = tokio::time::timeout(Duration::from_secs(3), read_channel(&mut stream))
+        .await
+        .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
+    match channel {
+        Channel::Hop => hops::serve(state, stream).await,
+        Channel::Core => Err(FrameFault::WrongChannel(1)),
+        Channel::Stream => Err(FrameFault::WrongChannel(2)),
+    }
+}
--- /dev/null
+++ b/crates/trail/src/holder/inbox.rs
@@ -0,0 +1,121 @@
+use super::runners::Phase;
+use super::{Entry, Holder, HolderOutput, Sent, Waiting, not_run};
+use std::time::Duration;
+use waymark::clock::Moment;
+use waymark::frames::{HopOutcome, HopReason};
+use waymark::identity::RunnerId;
+
+const SMALLEST_INBOX: usize = 32;
+
+impl Holder {
+    fn ready_limit(&self) -> u32 {
+        let ready_runners = self.runners.values().filter(|record| record.phase == Phase::Ready);
+        ready_runners.map(|record| record.limit).sum()
+    }
+
+    fn inbox_bound(&self) -> usize {
+        SMALLEST_INBOX.max((self.spec.slots * self.spec.max_runners) as usize * 2)
+    }
+
+    /// When a transaction behind so many others would be sent to a runner.
+    fn expected_start(&self, now: Moment, before_count: usize) -> Moment {
+        let ready_limit = self.ready_limit();
+        if ready_limit > 0 {
+            let busy_count = self.sent.len() as u32;
+            let has_free_slot = busy_count < ready_limit;
+            let own_wait = if has_free_slot { Duration::ZERO } else { self.service / 2 };
+            let turns = before_count as u32 / ready_limit;
+            return now + own_wait + self.service * turns;
+        }
+        let booting_runners = self
+            .runners
+            .values()
+            .filter(|record| matches!(record.phase, Phase::Starting | Phase::Booting));
+        let earliest_ready =
+            booting_runners.map(|record| record.started_at + self.spec.boot).min();
+        earliest_ready.unwrap_or(now + self.spec.boot).max(now)
+    }
+
+    pub(super) fn reason_to_shed(
+        &mut self,
+        now: Moment,
+        entry: &Entry,
+    ) -> Option<(HopReason, Duration)> {
+        if entry.once && now < self.once_from {
+            return Some((HopReason::OnceWait, self.once_from.since(now)));
+        }
+        if entry.repeat && !self.tries.may_spend(now) {
+            return Some((HopReason::TriesSpent, Duration::from_secs(2)));
+        }
+        if self.inbox.len() >= self.inbox_bound() {
+            return Some((HopReason::InboxFull, Duration::from_secs(1)));
+        }
+        let start_at = self.expected_start(now, self.inbox.len());
+        let patience_end = now + entry.patience;
+        if start_at + self.service > entry.budget_end || start_at > patience_end {
+            let wait_span = start_at.since(now) + Duration::from_millis(100);
+            return Some((HopReason::BudgetTooShort, wait_span));
+        }
+        None
+    }
+
+    pub(super) fn give_up(
+        &mut self,
+        now: Moment,
+        waiting: Waiting,
+        reason: HopReason,
+        retry_span: Duration,
+    ) {
+        let outcome = if waiting.may_have_run {
+            HopOutcome::Unknown { reason: HopReason::AnswerLost }
+        } else {
+            self.shed_reason = reason;
+            not_run(reason, retry_span.as_millis() as u32)
+        };
+        self.end(now, waiting.entry, outcome);
+    }
+
+    /// Refuses at once what can no longer be finished; it leaves the inbox before it is refused.
+    pub(super) fn shed_late(&mut self, now: Moment) {
+        let mut kept_waiting = std::collections::VecDeque::new();
+        for waiting in std::mem::take(&mut self.inbox) {
+            let start_at = self.expected_start(now, kept_waiting.len());
+            let is_late = now >= waiting.give_up_at
+                || now + self.service / 2 > waiting.entry.budget_end
+                || (self.ready_limit() == 0 && start_at > waiting.give_up_at);
+            if is_late {
+                let has_runner = !self.runners.is_empty();
+                let reason =
+                    if has_runner { HopReason::BudgetTooShort } else { HopReason::NoRunner };
+                let retry_span = start_at.since(now) + Duration::from_millis(100);
+                self.give_up(now, waiting, reason, retry_span);
+            } else {
+                kept_waiting.push_back(waiting);
+            }
+        }
+        self.inbox = kept_waiting;
+    }
+
+    /// Sends what waits to runners with a free slot, first come first served.
+    pub(super) fn dispatch(&mut self, now: Moment) {
+        while !self.inbox.is_empty() && !self.closed {
+            let Some(runner) = self.free_runner() else { return };
+            let Some(waiting) = self.inbox.pop_front() else { return };
+            let Some(record) = self.runners.get_mut(&runner) else { return };
+            let Some(place) = record.place else { return };
+            record.begin_send(now, waiting.entry.transaction.clone());
+            let ticket = waiting.entry.ticket;
+            let attempt = waiting.attempt;
+            self.sent.insert(ticket, Sent { waiting, runner, sent_at: now });
+            self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
+        }
+    }
+
+    fn free_runner(&self) -> Option<RunnerId> {
+        self.runners
+            .iter()
+            .filter(|(_, record)| record.has_free_slot())
+            .min_by_key(|(_, record)| record.busy_count())
+            .map(|(runner, _)| *runner)
+    }
+}
--- /dev/null
+++ b/crates/trail/src/holder/mod.rs
@@ -0,0 +1,423 @@
+//! A held function: inbox, runners with their slots, ledger of identities, extra tries. No I/O.
+
+mod inbox;
+mod ledger;
+mod output;
+mod runners;
+mod scaling;
+mod tries;
+
+pub use output::{HolderOutput, SendEnd};
+
+use ledger::Ledger;
+use runners::{Phase, RunnerRecord};
+use scaling::Scaling;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use tries::TryWindow;
+use waymark::clock::Moment;
+use waymark::frames::{
+    Claim, ClaimRunner, HopOutcome, HopReason, Many, Place, ReserveResult, RunnerNews,
+};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
+use waymark::spec::FunctionSpec;
+
+/// A transaction as it reaches its holder.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Names it in this process.
+    pub ticket: Ticket,
+    /// The try's identity.
+    pub transaction: TransactionId,
+    /// Whether it may be sent to a runner only once.
+    pub once: bool,
+    /// Whether the caller marked it a repeat.
+    pub repeat: bool,
+    /// When its budget ends.
+    pub budget_end: Moment,
+    /// How long it may wait in the inbox.
+    pub patience: Duration,
+}
+
+struct Waiting {
+    entry: Entry,
+    give_up_at: Moment,
+    attempt: u32,
+    may_have_run: bool,
+}
+
+struct Sent {
+    waiting: Waiting,
+    runner: RunnerId,
+    sent_at: Moment,
+}
+
+/// One held function.
+pub struct Holder {
+    function: FunctionKey,
+    grant: GrantSerial,
+    spec: FunctionSpec,
+    once_from: Moment,
+    runners: BTreeMap<RunnerId, RunnerRecord>,
+    inbox: VecDeque<Waiting>,
+    sent: BTreeMap<Ticket, Sent>,
+    ledger: Ledger,
+    tries: TryWindow,
+    scaling: Scaling,
+    service: Duration,
+    last_called_at: Moment,
+    shed_count: u32,
+    shed_reason: HopReason,
+    leaving: bool,
+    closed: bool,
+    released: bool,
+    outputs: Vec<HolderOutput>,
+}
+
+impl Holder {
+    /// A function that has just been granted.
+    pub fn new(
+        now: Moment,
+        function: FunctionKey,
+        grant: GrantSerial,
+        spec: FunctionSpec,
+        once_wait: Duration,
+    ) -> Self {
+        Self {
+            function,
+            grant,
+            spec,
+            once_from: now + once_wait,
+            runners: BTreeMap::new(),
+            inbox: VecDeque::new(),
+            sent: BTreeMap::new(),
+            ledger: Ledger::default(),
+            tries: TryWindow::new(now),
+            scaling: Scaling::new(now),
+            service: Duration::from_millis(40),
+            last_called_at: now,
+            shed_count: 0,
+            shed_reason: HopReason::InboxFull,
+            leaving: false,
+            closed: false,
+            released: false,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// The function.
+    pub fn function(&self) -> &FunctionKey {
+        &self.function
+    }
+
+    /// The grant it is held under.
+    pub fn grant(&self) -> GrantSerial {
+        self.grant
+    }
+
+    /// Whether it admits nothing any more.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.closed
+    }
+
+    /// Whether nothing is left to be done for it.
+    pub fn is_over(&self) -> bool {
+        self.released || (self.closed && self.runners.is_empty() && self.sent.is_empty())
+    }
+
+    /// The transactions waiting and running.
+    pub fn busyness(&self) -> (usize, usize) {
+        (self.inbox.len(), self.sent.len())
+    }
+
+    /// The runners that can take transactions, and all there are.
+    pub fn runner_counts(&self) -> (usize, usize) {
+        let ready_count =
+            self.runners.values().filter(|record| record.phase == Phase::Ready).count();
+        (ready_count, self.runners.len())
+    }
+
+    /// What is claimed for it after a reconnection.
+    pub fn claim(&self) -> Claim {
+        let runners = self
+            .runners
+            .iter()
+            .map(|(runner, record)| ClaimRunner {
+                runner: *runner,
+                worker: record.worker.clone(),
+                memory_mb: record.memory_mb,
+            })
+            .collect();
+        Claim { function: self.function.clone(), grant: self.grant, runners: Many(runners) }
+    }
+
+    /// Whether it may be claimed: it is held, and not given up.
+    pub fn is_claimable(&self) -> bool {
+        !self.closed && !self.released
+    }
+
+    /// Takes a transaction in; an outcome at once, or none while it waits.
+    pub fn grant_entry(&mut self, now: Moment, entry: Entry) -> (Option<HopOutcome>, Vec<HolderOutput>) {
+        if self.is_leaving() {
+            return (Some(not_run(HopReason::NotHolder, 50)), Vec::new());
+        }
+        self.last_called_at = now;
+        self.tries.first_or_repeat(now, entry.repeat);
+        if let Some(known_outcome) = self.ledger.known(now, &entry.transaction) {
+            return (Some(known_outcome), Vec::new());
+        }
+        if let Some((reason, retry_span)) = self.reason_to_shed(now, &entry) {
+            self.note_shed(now, &entry, reason);
+            let outcome = not_run(reason, retry_span.as_millis().max(1) as u32);
+            self.scale(now);
+            return (Some(outcome), std::mem::take(&mut self.outputs));
+        }
+        if entry.repeat {
+            self.tries.spend(now);
+        }
+        self.ledger.begin(entry.transaction.clone(), entry.budget_end);
+        let give_up_at = entry.budget_end.min(now + entry.patience);
+        self.inbox.push_back(Waiting { entry, give_up_at, attempt: 1, may_have_run: false });
+        self.dispatch(now);
+        self.scale(now);
+        (None, std::mem::take(&mut self.outputs))
+    }
+
+    fn note_shed(&mut self, now: Moment, entry: &Entry, reason: HopReason) {
+        self.shed_count += 1;
+        self.shed_reason = reason;
+        let outcome = not_run(HopReason::ShedBefore, 0);
+        self.ledger.end(now, &entry.transaction, entry.budget_end, outcome);
+    }
+
+    /// How many transactions were refused since last asked.
+    pub fn take_sheds(&mut self) -> Option<(u32, HopReason)> {
+        let shed_count = std::mem::take(&mut self.shed_count);
+        (shed_count > 0).then_some((shed_count, self.shed_reason))
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment) -> Vec<HolderOutput> {
+        self.ledger.expire(now);
+        self.shed_late(now);
+        self.watch_runners(now);
+        self.dispatch(now);
+        self.scale(now);
+        self.finish_leaving(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// A send to a runner has ended.
+    pub fn sent_ended(&mut self, now: Moment, ticket: Ticket, end: SendEnd) -> Vec<HolderOutput> {
+        let Some(sent) = self.sent.remove(&ticket) else { return Vec::new() };
+        let is_settled = !matches!(end, SendEnd::Lost);
+        if let Some(record) = self.runners.get_mut(&sent.runner) {
+            record.send_ended(now, &sent.waiting.entry.transaction, is_settled);
+        }
+        match end {
+            SendEnd::Answered(outcome) => {
+                let taken_span = now.since(sent.sent_at);
+                self.service = (self.service * 9 + taken_span) / 10;
+                if let Some(record) = self.runners.get_mut(&sent.runner) {
+                    record.answered(self.spec.slots);
+                }
+                self.end(now, sent.waiting.entry, outcome);
+            }
+            SendEnd::ShedByRunner => {
+                let outcome = if sent.waiting.may_have_run {
+                    HopOutcome::Unknown { reason: HopReason::AnswerLost }
+                } else {
+                    not_run(HopReason::RunnerShed, 200)
+                };
+                self.end(now, sent.waiting.entry, outcome);
+            }
+            SendEnd::Barred(reason) => {
+                let outcome = if sent.waiting.may_have_run {
+                    HopOutcome::Unknown { reason }
+                } else {
+                    not_run(reason, 500)
+                };
+                self.end(now, sent.waiting.entry, outcome);
+            }
+            SendEnd::Unsent => {
+                self.runner_failed(now, sent.runner);
+                self.put_back(now, sent.waiting);
+            }
+            SendEnd::Lost => self.lost(now, sent.waiting),
+        }
+        self.dispatch(now);
+        self.scale(now);
+        self.finish_leaving(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn lost(&mut self, now: Moment, mut waiting: Waiting) {
+        waiting.may_have_run = true;
+        let has_time = now + self.service * 2 < waiting.entry.budget_end;
+        let may_repeat = !waiting.entry.once && has_time && !self.closed;
+        if may_repeat && self.tries.may_spend(now) {
+            self.tries.spend(now);
+            waiting.attempt += 1;
+            waiting.give_up_at = waiting.entry.budget_end;
+            self.inbox.push_front(waiting);
+        } else {
+            let outcome = HopOutcome::Unknown { reason: HopReason::AnswerLost };
+            self.end(now, waiting.entry, outcome);
+        }
+    }
+
+    fn put_back(&mut self, now: Moment, waiting: Waiting) {
+        if self.closed {
+            self.give_up(now, waiting, HopReason::NotServing, Duration::from_millis(500));
+        } else {
+            self.inbox.push_front(waiting);
+        }
+    }
+
+    fn end(&mut self, now: Moment, entry: Entry, outcome: HopOutcome) {
+        let kept_outcome = match &outcome {
+            HopOutcome::NotRun { .. } => {
+                self.shed_count += 1;
+                not_run(HopReason::ShedBefore, 0)
+            }
+            other => other.clone(),
+        };
+        self.ledger.end(now, &entry.transaction, entry.budget_end, kept_outcome);
+        self.outputs.push(HolderOutput::End { ticket: entry.ticket, outcome });
+    }
+
+    /// The leader answered a wish for a runner.
+    pub fn reserved(&mut self, now: Moment, result: &ReserveResult) -> Vec<HolderOutput> {
+        self.scaling.reserve_ended(now, matches!(result, ReserveResult::Reserved { .. }));
+        if let ReserveResult::Reserved { runner, worker, memory_mb } = result {
+            if self.is_leaving() || runner.grant != self.grant {
+                self.outputs.push(HolderOutput::News { runner: *runner, news: RunnerNews::Gone });
+                return std::mem::take(&mut self.outputs);
+            }
+            let record = RunnerRecord::starting(now, worker.clone(), *memory_mb);
+            self.runners.insert(*runner, record);
+            self.outputs.push(HolderOutput::Start { runner: *runner, worker: worker.clone() });
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The wish for a runner got no answer.
+    pub fn reserve_lost(&mut self, now: Moment) {
+        self.scaling.reserve_ended(now, false);
+    }
+
+    /// The platform answered a start: where the runner listens, or nothing.
+    pub fn started(
+        &mut self,
+        now: Moment,
+        runner: RunnerId,
+        place: Option<Place>,
+    ) -> Vec<HolderOutput> {
+        match (self.runners.get_mut(&runner), place) {
+            (Some(record), Some(place)) if record.phase == Phase::Starting => {
+                record.place = Some(place);
+                record.phase = Phase::Booting;
+            }
+            (Some(_), None) => self.runner_failed(now, runner),
+            _ => {}
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// A booting runner was asked whether it is ready.
+    pub fn probed(&mut self, now: Moment, runner: RunnerId, is_ready: bool) -> Vec<HolderOutput> {
+        if let Some(record) = self.runners.get_mut(&runner) {
+            record.probe_pending = false;
+            if is_ready && record.phase == Phase::Booting {
+                record.phase = Phase::Ready;
+                record.since = now;
+                record.used_at = now;
+                self.outputs.push(HolderOutput::News { runner, news: RunnerNews::Ready });
+            }
+        }
+        self.dispatch(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// A runner said what it is running, or could not be reached.
+    pub fn settled(
+        &mut self,
+        now: Moment,
+        runner: RunnerId,
+        running: Option<Vec<TransactionId>>,
+    ) -> Vec<HolderOutput> {
+        match (self.runners.get_mut(&runner), running) {
+            (Some(record), Some(running)) => record.settle(now, &running),
+            (Some(_), None) => self.runner_failed(now, runner),
+            (None, _) => {}
+        }
+        self.dispatch(now);
+        self.finish_leaving(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The platform confirmed that a runner is stopped.
+    pub fn stopped(&mut self, now: Moment, runner: RunnerId) -> Vec<HolderOutput> {
+        if self.runners.remove(&runner).is_some() {
+            self.outputs.push(HolderOutput::News { runner, news: RunnerNews::Gone });
+        }
+        self.scale(now);
+        self.finish_leaving(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The leader wants a runner drained.
+    pub fn drain(&mut self, now: Moment, runner: RunnerId) -> Vec<HolderOutput> {
+        if let Some(record) = self.runners.get_mut(&runner) {
+            record.unfit_since.get_or_insert(now);
+        }
+        self.scale(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The function is to be handed over: admit nothing, finish, stop, release.
+    pub fn hand_over(&mut self, now: Moment) -> Vec<HolderOutput> {
+        self.leaving = true;
+        self.finish_leaving(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The grant is gone: refuse what waits, stop every runner at once.
+    pub fn close(&mut self, now: Moment) -> Vec<HolderOutput> {
+        self.closed = true;
+        for waiting in std::mem::take(&mut self.inbox) {
+            self.give_up(now, waiting, HopReason::NotServing, Duration::from_millis(500));
+        }
+        let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
+        for runner in all_runners {
+            self.stop_runner(now, runner);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// A newer spec of the same function.
+    pub fn respec(&mut self, spec: FunctionSpec) {
+        self.spec = spec;
+    }
+
+    fn finish_leaving(&mut self, now: Moment) {
+        if !self.leaving || self.closed || self.released {
+            return;
+        }
+        if self.inbox.is_empty() && self.sent.is_empty() {
+            let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
+            for runner in all_runners {
+                self.stop_runner(now, runner);
+            }
+            if self.runners.is_empty() {
+                self.released = true;
+                self.outputs.push(HolderOutput::Released);
+            }
+        }
+    }
+}
+
+/// A refusal.
+pub fn not_run(reason: HopReason, retry_ms: u32) -> HopOutcome {
+    HopOutcome::NotRun { reason, retry_ms }
+}
--- /dev/null
+++ b/crates/trail/src/holder/output.rs
@@ -0,0 +1,77 @@
+use waymark::frames::{HopOutcome, HopReason, Place, RunnerNews};
+use waymark::identity::{RunnerId, Ticket, WorkerName};
+
+/// What a holder orders.
+#[derive(Clone, Debug)]
+pub enum HolderOutput {
+    /// Send a transaction to a runner, after a last look at grant and spec.
+    Send {
+        /// Which transaction.
+        ticket: Ticket,
+        /// Which runner.
+        runner: RunnerId,
+        /// Where it listens.
+        place: Place,
+        /// The number of this send.
+        attempt: u32,
+    },
+    /// A transaction has ended.
+    End {
+        /// Which transaction.
+        ticket: Ticket,
+        /// How.
+        outcome: HopOutcome,
+    },
+    /// Ask the leader for one more runner.
+    Reserve,
+    /// Have the platform start a runner.
+    Start {
+        /// Which one.
+        runner: RunnerId,
+        /// Where.
+        worker: WorkerName,
+    },
+    /// Ask a booting runner whether it is ready.
+    Probe {
+        /// Which one.
+        runner: RunnerId,
+        /// Where it listens.
+        place: Place,
+    },
+    /// Ask a runner what it is running.
+    Settle {
+        /// Which one.
+        runner: RunnerId,
+        /// Where it listens.
+        place: Place,
+    },
+    /// Have the platform stop a runner.
+    Stop {
+        /// Which one.
+        runner: RunnerId,
+    },
+    /// Tell the leader what became of a runner.
+    News {
+        /// Which one.
+        runner: RunnerId,
+        /// What became of it.
+        news: RunnerNews,
+    },
+    /// Everything is finished and stopped: give the grant back.
+    Released,
+}
+
+/// How a send to a runner ended.
+#[derive(Clone, Debug)]
+pub enum SendEnd {
+    /// The runner's whole sealed body.
+    Answered(HopOutcome),
+    /// The runner refused, under seal.
+    ShedByRunner,
+    /// Nothing was sent: the member grant has ended, or the spec no longer allows it.
+    Barred(HopReason),
+    /// Surely nothing was sent: the runner could not be reached.
+    Unsent,
+    /// Something was sent, and no good answer came.
+    Lost,
+}
--- /dev/null
+++ b/crates/trail/src/holder/runners.rs
@@ -0,0 +1,186 @@
+use super::{Holder, HolderOutput};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use waymark::clock::Moment;
+use waymark::frames::Place;
+use waymark::identity::{RunnerId, TransactionId, WorkerName};
+
+const PROBE_EVERY: Duration = Duration::from_millis(50);
+const SETTLE_EVERY: Duration = Duration::from_millis(250);
+const STOP_AGAIN_AFTER: Duration = Duration::from_millis(600);
+const START_PATIENCE: Duration = Duration::from_secs(3);
+const HUNG_PATIENCE: Duration = Duration::from_secs(6);
+const MOST_LOST: u32 = 5;
+
+/// Where a runner is in its life.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    /// The platform was asked to start it.
+    Starting,
+    /// It is started, and not yet ready.
+    Booting,
+    /// It takes transactions.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// The platform was asked to stop it.
+    Stopping,
+}
+
+/// One runner.
+pub struct RunnerRecord {
+    /// Where it runs.
+    pub worker: WorkerName,
+    /// The memory set aside for it.
+    pub memory_mb: u32,
+    /// Where it is in its life.
+    pub phase: Phase,
+    /// Where it listens.
+    pub place: Option<Place>,
+    /// When it was asked for.
+    pub started_at: Moment,
+    /// Since when it is in its phase.
+    pub since: Moment,
+    /// When a transaction last ended on it.
+    pub used_at: Moment,
+    /// How many transactions it may have at once for now.
+    pub limit: u32,
+    /// Whether a probe is out.
+    pub probe_pending: bool,
+    /// Since when it is to be drained as soon as another can take over.
+    pub unfit_since: Option<Moment>,
+    running: BTreeSet<TransactionId>,
+    hung: BTreeMap<TransactionId, Moment>,
+    lost_in_row: u32,
+    next_look_at: Moment,
+}
+
+impl RunnerRecord {
+    /// A runner that the platform is asked to start.
+    pub fn starting(now: Moment, worker: WorkerName, memory_mb: u32) -> Self {
+        Self {
+            worker,
+            memory_mb,
+            phase: Phase::Starting,
+            place: None,
+            started_at: now,
+            since: now,
+            used_at: now,
+            limit: 1,
+            probe_pending: false,
+            unfit_since: None,
+            running: BTreeSet::new(),
+            hung: BTreeMap::new(),
+            lost_in_row: 0,
+            next_look_at: now,
+        }
+    }
+
+    /// Slots in use, those of lost answers included.
+    pub fn busy_count(&self) -> usize {
+        self.running.len() + self.hung.len()
+    }
+
+    /// Whether it is ready and stays so.
+    pub fn is_fit(&self) -> bool {
+        self.phase == Phase::Ready && self.unfit_since.is_none()
+    }
+
+    /// Whether one more transaction fits.
+    pub fn has_free_slot(&self) -> bool {
+        self.phase == Phase::Ready && self.busy_count() < self.limit as usize
+    }
+
+    /// Takes a slot.
+    pub fn begin_send(&mut self, now: Moment, transaction: TransactionId) {
+        self.used_at = now;
+        self.running.insert(transaction);
+    }
+
+    /// Frees a slot, or keeps it while it is not known whether the runner is done.
+    pub fn send_ended(&mut self, now: Moment, transaction: &TransactionId, is_settled: bool) {
+        self.used_at = now;
+        self.running.remove(transaction);
+        if is_settled {
+            self.lost_in_row = 0;
+        } else {
+            self.lost_in_row += 1;
+            self.hung.insert(transaction.clone(), now);
+            self.next_look_at = now + SETTLE_EVERY;
+        }
+    }
+
+    /// An answered transaction widens the ramp by one.
+    pub fn answered(&mut self, slots: u32) {
+        self.limit = (self.limit + 1).min(slots);
+    }
+
+    /// Frees the slots of transactions that the runner is no longer running.
+    pub fn settle(&mut self, now: Moment, running: &[TransactionId]) {
+        self.probe_pending = false;
+        self.hung.retain(|transaction, since| {
+            running.contains(transaction) || now.since(*since) < SETTLE_EVERY
+        });
+    }
+}
+
+impl Holder {
+    pub(super) fn stop_runner(&mut self, now: Moment, runner: RunnerId) {
+        let Some(record) = self.runners.get_mut(&runner) else { return };
+        if record.phase != Phase::Stopping {
+            record.phase = Phase::Stopping;
+            record.since = now;
+            record.next_look_at = now + STOP_AGAIN_AFTER;
+            self.outputs.push(HolderOutput::Stop { runner });
+        }
+    }
+
+    pub(super) fn runner_failed(&mut self, now: Moment, runner: RunnerId) {
+        self.stop_runner(now, runner);
+    }
+
+    /// Probes what boots, settles what hangs, stops what is done or will not be.
+    pub(super) fn watch_runners(&mut self, now: Moment) {
+        let boot_patience = self.spec.boot * 3 + START_PATIENCE;
+        let mut stopped_runners: Vec<RunnerId> = Vec::new();
+        for (runner, record) in &mut self.runners {
+            match record.phase {
+                Phase::Starting if now.since(record.started_at) > START_PATIENCE => {
+                    stopped_runners.push(*runner);
+                }
+                Phase::Booting if now.since(record.started_at) > boot_patience => {
+                    stopped_runners.push(*runner);
+                }
+                Phase::Booting if now >= record.next_look_at && !record.probe_pending => {
+                    record.next_look_at = now + PROBE_EVERY;
+                    record.probe_pending = true;
+                    if let Some(place) = record.place {
+                        self.outputs.push(HolderOutput::Probe { runner: *runner, place });
+                    }
+                }
+                Phase::Draining if record.busy_count() == 0 => stopped_runners.push(*runner),
+                Phase::Stopping if now >= record.next_look_at => {
+                    record.next_look_at = now + STOP_AGAIN_AFTER;
+                    self.outputs.push(HolderOutput::Stop { runner: *runner });
+                }
+                Phase::Ready | Phase::Draining => {
+                    let oldest_hung = record.hung.values().min().copied();
+                    let is_stuck =
+                        oldest_hung.is_some_and(|since| now.since(since) > HUNG_PATIENCE);
+                    if is_stuck || record.lost_in_row >= MOST_LOST {
+                        stopped_runners.push(*runner);
+                    } else if oldest_hung.is_some() && now >= record.next_look_at {
+                        record.next_look_at = now + SETTLE_EVERY;
+                        if let Some(place) = record.place {
+                            self.outputs.push(HolderOutput::Settle { runner: *runner, place });
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        for runner in stopped_runners {
+            self.stop_runner(now, runner);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trail/src/liaison/mod.rs
@@ -0,0 +1,268 @@
+//! A daemon's stream to the leader and its member grant. No I/O; orders go out.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use typed_builder::TypedBuilder;
+use waymark::chance::Chance;
+use waymark::clock::Moment;
+use waymark::frames::{Claim, Host, Many, Place, StreamDown, StreamUp};
+use waymark::identity::{CorrelationId, Serial, Term};
+
+/// The liaison's times.
+#[derive(Clone, Debug, TypedBuilder)]
+pub struct LiaisonTiming {
+    /// From one renewal to the next.
+    #[builder(default = Duration::from_millis(300))]
+    pub renew_every: Duration,
+    /// How long a connection may take to come about and be welcomed.
+    #[builder(default = Duration::from_millis(700))]
+    pub welcome_within: Duration,
+    /// How long a welcomed stream may bring no renewal before another leader is sought.
+    #[builder(default = Duration::from_millis(1300))]
+    pub silence_within: Duration,
+    /// The shortest wait before the next seed is tried.
+    #[builder(default = Duration::from_millis(30))]
+    pub retry_shortest: Duration,
+    /// The longest wait before the next seed is tried.
+    #[builder(default = Duration::from_millis(150))]
+    pub retry_longest: Duration,
+}
+
+/// What the liaison orders.
+#[derive(Clone, Debug)]
+pub enum LiaisonOutput {
+    /// Open a stream there.
+    Dial(Place),
+    /// End the stream.
+    Hangup,
+    /// Say something on the stream.
+    Say(StreamUp),
+    /// The stream is open and the leader answers; claims follow.
+    Welcomed,
+    /// The stream is lost; questions on it get no answer.
+    Lost,
+    /// The member grant runs until then.
+    GrantedUntil(Moment),
+    /// The member grant has ended: stop every runner, forget every function and owner.
+    GrantEnded,
+    /// Something that is not the liaison's own.
+    Pass(StreamDown),
+}
+
+enum StreamState {
+    Idle { dial_at: Moment },
+    Dialing { give_up_at: Moment },
+    Open { give_up_at: Moment },
+    Welcomed { heard_at: Moment, renew_at: Moment },
+}
+
+/// A daemon's side of the stream.
+pub struct Liaison {
+    timing: LiaisonTiming,
+    host: Host,
+    door: Place,
+    seeds: Vec<Place>,
+    next_seed: usize,
+    hinted_leader: Option<Place>,
+    state: StreamState,
+    term: Term,
+    grant_end: Moment,
+    granted: bool,
+    serial: Serial,
+    renewals: BTreeMap<CorrelationId, Moment>,
+    last_correlation: CorrelationId,
+    chance: Chance,
+    leaving: bool,
+}
+
+impl Liaison {
+    /// A liaison that will seek the leader at once.
+    pub fn new(
+        now: Moment,
+        timing: LiaisonTiming,
+        host: Host,
+        door: Place,
+        seeds: Vec<Place>,
+        mut chance: Chance,
+    ) -> Self {
+        let next_seed = chance.below(seeds.len().max(1) as u64) as usize;
+        Self {
+            timing,
+            host,
+            door,
+            seeds,
+            next_seed,
+            hinted_leader: None,
+            state: StreamState::Idle { dial_at: now },
+            term: Term(0),
+            grant_end: Moment::ZERO,
+            granted: false,
+            serial: Serial(0),
+            renewals: BTreeMap::new(),
+            last_correlation: CorrelationId(0),
+            chance,
+            leaving: false,
+        }
+    }
+
+    /// When the member grant ends.
+    pub fn grant_end(&self) -> Moment {
+        self.grant_end
+    }
+
+    /// Whether the leader has welcomed the stream.
+    pub fn is_welcomed(&self) -> bool {
+        matches!(self.state, StreamState::Welcomed { .. })
+    }
+
+    /// The term of the leader last heard.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// A number for a question.
+    pub fn correlation(&mut self) -> CorrelationId {
+        self.last_correlation = self.last_correlation.next();
+        self.last_correlation
+    }
+
+    /// The data plane has installed a spec.
+    pub fn installed(&mut self, serial: Serial) -> Vec<LiaisonOutput> {
+        self.serial = serial;
+        if self.is_welcomed() {
+            vec![LiaisonOutput::Say(StreamUp::Installed { serial })]
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// The daemon is leaving: it takes on no function any more.
+    pub fn leave(&mut self) -> Vec<LiaisonOutput> {
+        self.leaving = true;
+        self.host.eligible.0 = false;
+        if self.is_welcomed() { vec![LiaisonOutput::Say(self.hello())] } else { Vec::new() }
+    }
+
+    fn hello(&self) -> StreamUp {
+        StreamUp::Hello { host: self.host.clone(), door: self.door, serial: self.serial }
+    }
+
+    fn idle(&mut self, now: Moment) {
+        let wait_span = self.chance.within(self.timing.retry_shortest, self.timing.retry_longest);
+        self.state = StreamState::Idle { dial_at: now + wait_span };
+        self.renewals.clear();
+    }
+
+    fn hang_up(&mut self, now: Moment, outputs: &mut Vec<LiaisonOutput>) {
+        let was_welcomed = self.is_welcomed();
+        self.idle(now);
+        outputs.push(LiaisonOutput::Hangup);
+        if was_welcomed {
+            outputs.push(LiaisonOutput::Lost);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment) -> Vec<LiaisonOutput> {
+        let mut outputs = Vec::new();
+        self.end_grant_if_due(now, &mut outputs);
+        match self.state {
+            StreamState::Idle { dial_at } if now >= dial_at => {
+                let dialed_place = self.hinted_leader.take().unwrap_or_else(|| {
+                    self.next_seed = (self.next_seed + 1) % self.seeds.len().max(1);
+                    self.seeds[self.next_seed]
+                });
+                self.state = StreamState::Dialing { give_up_at: now + self.timing.welcome_within };
+                outputs.push(LiaisonOutput::Dial(dialed_place));
+            }
+            StreamState::Dialing { give_up_at } | StreamState::Open { give_up_at }
+                if now >= give_up_at =>
+            {
+                self.hang_up(now, &mut outputs);
+            }
+            StreamState::Welcomed { heard_at, .. }
+                if now.since(heard_at) > self.timing.silence_within =>
+            {
+                self.hang_up(now, &mut outputs);
+            }
+            StreamState::Welcomed { heard_at, renew_at } if now >= renew_at && !self.leaving => {
+                self.state =
+                    StreamState::Welcomed { heard_at, renew_at: now + self.timing.renew_every };
+                let correlation = self.correlation();
+                self.renewals.insert(correlation, now);
+                while self.renewals.len() > 16 {
+                    self.renewals.pop_first();
+                }
+                let serial = self.serial;
+                outputs.push(LiaisonOutput::Say(StreamUp::Renew { correlation, serial }));
+            }
+            _ => {}
+        }
+        outputs
+    }
+
+    fn end_grant_if_due(&mut self, now: Moment, outputs: &mut Vec<LiaisonOutput>) {
+        if self.granted && now >= self.grant_end {
+            self.granted = false;
+            outputs.push(LiaisonOutput::GrantEnded);
+        }
+    }
+
+    /// The dialed connection is open.
+    pub fn connected(&mut self, now: Moment) -> Vec<LiaisonOutput> {
+        if let StreamState::Dialing { .. } = self.state {
+            self.state = StreamState::Open { give_up_at: now + self.timing.welcome_within };
+            return vec![LiaisonOutput::Say(self.hello())];
+        }
+        Vec::new()
+    }
+
+    /// The connection failed or ended.
+    pub fn disconnected(&mut self, now: Moment) -> Vec<LiaisonOutput> {
+        let was_welcomed = self.is_welcomed();
+        self.idle(now);
+        if was_welcomed { vec![LiaisonOutput::Lost] } else { Vec::new() }
+    }
+
+    /// The claims to send once welcomed.
+    pub fn claims(&self, claims: Vec<Claim>) -> StreamUp {
+        StreamUp::Claims { claims: Many(claims) }
+    }
+
+    /// Takes what the leader says.
+    pub fn heard(&mut self, now: Moment, frame: StreamDown) -> Vec<LiaisonOutput> {
+        let mut outputs = Vec::new();
+        self.end_grant_if_due(now, &mut outputs);
+        match frame {
+            StreamDown::Elsewhere { leader } => {
+                self.hinted_leader = (leader != Place::NOWHERE).then_some(leader);
+                self.hang_up(now, &mut outputs);
+            }
+            StreamDown::Welcome { term } => {
+                if !self.is_welcomed() {
+                    self.term = term;
+                    self.state = StreamState::Welcomed { heard_at: now, renew_at: now };
+                    outputs.push(LiaisonOutput::Welcomed);
+                }
+            }
+            StreamDown::Renewed { correlation, length_ms, serial } => {
+                let StreamState::Welcomed { renew_at, .. } = self.state else { return outputs };
+                self.state = StreamState::Welcomed { heard_at: now, renew_at };
+                let Some(sent_at) = self.renewals.remove(&correlation) else { return outputs };
+                let new_end = sent_at + Duration::from_millis(u64::from(length_ms));
+                if new_end > self.grant_end && new_end > now && serial <= self.serial {
+                    self.grant_end = new_end;
+                    self.granted = true;
+                    outputs.push(LiaisonOutput::GrantedUntil(new_end));
+                }
+            }
+            other => {
+                if let StreamState::Welcomed { renew_at, .. } = self.state {
+                    self.state = StreamState::Welcomed { heard_at: now, renew_at };
+                }
+                outputs.push(LiaisonOutput::Pass(other));
+            }
+        }
+        outputs
+    }
+}
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -0,0 +1,9 @@
+//! rudderstream's data plane: routes transactions, finds holders, runs functions it holds.
+
+pub mod boot;
+pub mod chain;
+pub mod drivers;
+pub mod holder;
+pub mod liaison;
+pub mod owners;
+pub mod watch;
--- /dev/null
+++ b/crates/trail/src/owners/mod.rs
@@ -0,0 +1,67 @@
+//! The source's ordinary path: cache, then hash owner, and only the hash owner asks the leader.
+
+use waymark::frames::Host;
+use waymark::identity::{FunctionKey, MemberName};
+use waymark::ring;
+
+/// The most daemons a transaction passes through after its caller's.
+pub const MOST_HOPS: u8 = 2;
+
+/// What to do next with a transaction.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Step {
+    /// This daemon holds the function.
+    Serve,
+    /// Pass it to that daemon.
+    Forward(Host),
+    /// This daemon is the hash owner, and asks the leader.
+    Acquire,
+    /// This daemon is neither holder nor hash owner, and the transaction has come far enough.
+    NotHolder,
+    /// Nobody is eligible.
+    Nobody,
+}
+
+/// What a step is decided from.
+pub struct Sight<'a> {
+    /// The function.
+    pub function: &'a FunctionKey,
+    /// This daemon.
+    pub own_member: &'a MemberName,
+    /// Whether this daemon holds the function.
+    pub holds: bool,
+    /// The cached owner.
+    pub cached_owner: Option<&'a Host>,
+    /// The daemons alive.
+    pub hosts: &'a [Host],
+    /// How many hops the transaction has made.
+    pub hops: u8,
+}
+
+/// Whether a cached owner still stands in the host list, in the same life.
+pub fn is_valid(cached_owner: &Host, hosts: &[Host]) -> bool {
+    hosts.iter().any(|host| {
+        host.member == cached_owner.member && host.incarnation == cached_owner.incarnation
+    })
+}
+
+/// Decides the next step; a cached owner that is no longer valid counts as a miss.
+pub fn next_step(sight: &Sight<'_>) -> Step {
+    if sight.holds {
+        return Step::Serve;
+    }
+    let valid_owner = sight.cached_owner.filter(|owner| {
+        owner.member != *sight.own_member && is_valid(owner, sight.hosts)
+    });
+    if let Some(owner) = valid_owner
+        && sight.hops < MOST_HOPS
+    {
+        return Step::Forward(owner.clone());
+    }
+    match ring::hash_owner(sight.function, sight.hosts.iter()) {
+        None => Step::Nobody,
+        Some(hash_owner) if hash_owner.member == *sight.own_member => Step::Acquire,
+        Some(hash_owner) if sight.hops == 0 => Step::Forward(hash_owner.clone()),
+        Some(_) => Step::NotHolder,
+    }
+}
--- a/programs/trailhead/src/main.rs
+++ b/programs/trailhead/src/main.rs
@@ -1,1 +1,98 @@
-fn main() {}
+//! A trailhead: takes callers' transactions and runs the functions it holds.
+
+use eyre::eyre;
+use gumdrop::Options;
+use serde_json::{Value, json};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::sync::watch;
+use trail::boot::TrailheadBoot;
+use trail::drivers::Trailhead;
+use waymark::events;
+use waymark::note;
+use waymark::readers::{BootFault, BootSource};
+
+/// A daemon of rudderstream: takes callers' transactions and runs the functions it holds.
+#[derive(Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(help = "settings file (JSON)", meta = "FILE")]
+    boot: Option<PathBuf>,
+    #[options(no_short, help = "this daemon's name", meta = "NAME")]
+    member: Option<String>,
+    #[options(no_short, help = "this machine's locality", meta = "NAME")]
+    locality: Option<String>,
+    #[options(no_short, help = "IP:PORT for other processes, TCP and UDP", meta = "PLACE")]
+    place: Option<String>,
+    #[options(no_short, help = "IP:PORT for callers", meta = "PLACE")]
+    door: Option<String>,
+    #[options(no_short, help = "the three surveyors' places, with commas", meta = "PLACES")]
+    seeds: Option<String>,
+    #[options(no_short, help = "the platform's IP:PORT", meta = "PLACE")]
+    platform: Option<String>,
+}
+
+fn read_boot(flags: &Flags) -> Result<TrailheadBoot, BootFault> {
+    let text = |given: &Option<String>| given.clone().map(Value::String);
+    let mut boot_source = BootSource::open(flags.boot.as_deref())?;
+    boot_source.set("member", text(&flags.member));
+    boot_source.set("locality", text(&flags.locality));
+    boot_source.set("place", text(&flags.place));
+    boot_source.set("door", text(&flags.door));
+    boot_source.set("platform", text(&flags.platform));
+    boot_source.set("seeds", flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())));
+    TrailheadBoot::read(&boot_source)
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    if flags.version {
+        println!("trailhead {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let boot = match read_boot(&flags) {
+        Ok(boot) => boot,
+        Err(fault) => {
+            eprintln!("trailhead: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(boot) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("trailhead: {report}");
+            ExitCode::from(if report.is::<BootFault>() { 2 } else { 1 })
+        }
+    }
+}
+
+fn run(boot: TrailheadBoot) -> eyre::Result<()> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if boot.threads > 0 {
+        builder.worker_threads(boot.threads);
+    }
+    builder.enable_all().build()?.block_on(async {
+        let started_note = format!("{} at {}, door at {}", boot.member, boot.place, boot.door);
+        let trailhead = Trailhead::open(boot).await?;
+        note!(Info, events::STARTED, "{started_note}");
+        let (stop_sender, stop) = watch::channel(false);
+        let mut terminating =
+            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+                .map_err(|fault| eyre!("signals: {fault}"))?;
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminating.recv() => {}
+                _ = tokio::signal::ctrl_c() => {}
+            }
+            note!(Info, events::STOPPING);
+            stop_sender.send_replace(true);
+        });
+        trailhead.run(stop).await;
+        note!(Info, events::STOPPED);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/proving/hiker/src/lib.rs
@@ -0,0 +1,7 @@
+//! Seeded stand-in callers: hikers' phones, club editors, and counters that retry at once.
+
+mod caller;
+mod plan;
+
+pub use caller::{Summary, walk};
+pub use plan::{Burst, Impatience, Plan, PlanFault, PlannedRoute};
--- a/proving/hiker/src/main.rs
+++ b/proving/hiker/src/main.rs
@@ -1,1 +1,52 @@
-fn main() {}
+//! Stand-in callers as a process.
+
+use eyre::WrapErr;
+use gumdrop::Options;
+use hiker::{Plan, walk};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use waymark::readers::BootSource;
+
+/// Seeded stand-in callers.
+#[derive(Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(help = "plan file (JSON)", meta = "FILE")]
+    plan: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    if flags.version {
+        println!("hiker {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let read_plan =
+        BootSource::open(flags.plan.as_deref()).map_err(hiker::PlanFault::from).and_then(|source| Plan::read(&source));
+    let plan = match read_plan {
+        Ok(plan) => plan,
+        Err(fault) => {
+            eprintln!("hiker: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    let ended = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .and_then(|runtime| runtime.block_on(walk(plan)))
+        .wrap_err("calling");
+    match ended {
+        Ok(summary) => {
+            println!("{}", summary.to_value());
+            ExitCode::SUCCESS
+        }
+        Err(report) => {
+            eprintln!("hiker: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/proving/hut/src/lib.rs
@@ -0,0 +1,5 @@
+//! The proving stand-in for a platform: workers of limited memory, and runners that record every run.
+
+pub mod platform;
+pub mod records;
+pub mod runner;
--- a/proving/hut/src/main.rs
+++ b/proving/hut/src/main.rs
@@ -1,1 +1,94 @@
-fn main() {}
+//! The stand-in platform as a process.
+
+use eyre::{WrapErr, eyre};
+use gumdrop::Options;
+use hut::platform::{Platform, Worker};
+use hut::records::Records;
+use hut::runner::{Mischief, Yard};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use waymark::chance::Chance;
+use waymark::frames::Place;
+
+/// A stand-in platform: workers of limited memory, and runners that record every run.
+#[derive(Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(no_short, help = "IP:PORT to listen on", default = "127.0.0.1:7000")]
+    place: String,
+    #[options(no_short, help = "how many workers", default = "12")]
+    workers: usize,
+    #[options(no_short, help = "memory of one worker in megabytes", default = "9000")]
+    memory: u64,
+    #[options(no_short, help = "how many localities the workers stand in", default = "3")]
+    localities: usize,
+    #[options(no_short, help = "how late the lists are, in milliseconds", default = "1000")]
+    lag: u64,
+    #[options(no_short, help = "shortest run in milliseconds", default = "10")]
+    work_shortest: u64,
+    #[options(no_short, help = "longest run in milliseconds", default = "40")]
+    work_longest: u64,
+    #[options(no_short, help = "daemons' doors to probe, with commas", default = "")]
+    doors: String,
+    #[options(no_short, help = "give the addresses of stopped runners to new ones")]
+    reuse: bool,
+    #[options(no_short, help = "seed of chance", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "file of records", default = "hut.jsonl")]
+    records: PathBuf,
+}
+
+fn main() -> eyre::Result<()> {
+    let flags = Flags::parse_args_default_or_exit();
+    if flags.version {
+        println!("hut {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let doors = flags
+        .doors
+        .split(',')
+        .filter(|door| !door.is_empty())
+        .map(|door| door.parse().map(Place).wrap_err_with(|| format!("--doors: {door}")))
+        .collect::<eyre::Result<Vec<Place>>>()?;
+    let workers = (0..flags.workers)
+        .map(|place| Worker {
+            name: format!("worker-{place:02}"),
+            locality: format!("locality-{}", place % flags.localities.max(1) + 1),
+            memory_mb: flags.memory,
+            draining: false,
+            crashed: false,
+        })
+        .collect();
+    let work = (Duration::from_millis(flags.work_shortest), Duration::from_millis(flags.work_longest));
+    let yard = Arc::new(Yard {
+        records: Records::create(&flags.records).wrap_err("--records")?,
+        mischief: Mutex::new(Mischief::default()),
+        chance: Mutex::new(Chance::seeded(flags.seed)),
+        work,
+    });
+    let platform = Platform::new(yard, workers, Duration::from_millis(flags.lag), doors, flags.reuse);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    runtime.block_on(async {
+        let listener = TcpListener::bind(&flags.place).await.wrap_err("--place")?;
+        let (stop_sender, stop) = watch::channel(false);
+        let mut terminating =
+            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+                .map_err(|fault| eyre!("signals: {fault}"))?;
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminating.recv() => {}
+                _ = tokio::signal::ctrl_c() => {}
+            }
+            stop_sender.send_replace(true);
+        });
+        platform.serve(listener, stop).await;
+        Ok(())
+    })
+}
