legend, and the founding version no longer shares its term with the first reign

Cause: a surveyor that wrote the founding document kept term 0, so its first election reused term 1, the document's own. Ruled out: a second founder. The term now rises to that of any version written.

--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -77,7 +77,10 @@
                 desk_timing: DeskTiming::builder()
                     .grant_length(read_millis(&timing.field("grant_ms"), desk_default.grant_length))
                     .drift_margin(read_millis(&timing.field("drift_ms"), desk_default.drift_margin))
-                    .strike_after(read_millis(&timing.field("strike_ms"), desk_default.strike_after))
+                    .strike_after(read_millis(
+                        &timing.field("strike_ms"),
+                        desk_default.strike_after,
+                    ))
                     .build(),
             })
         })
--- a/crates/survey/src/core/mod.rs
+++ b/crates/survey/src/core/mod.rs
@@ -6,8 +6,8 @@
 mod rounds;
 mod timing;
 
-pub use register::{FoundFault, ProposeFault};
 pub use output::{CoreOutput, Recalled, WriteJob, WriteResult};
+pub use register::{FoundFault, ProposeFault};
 pub use timing::CoreTiming;
 
 use rounds::Rounds;
--- a/crates/survey/src/core/register.rs
+++ b/crates/survey/src/core/register.rs
@@ -174,6 +174,7 @@
 
     pub(super) fn version_written(&mut self, now: Moment, document: Document) {
         let written_stamp = document.stamp;
+        self.term = self.term.max(written_stamp.term);
         if written_stamp > self.accepted_stamp() {
             self.accepted = Some(document);
         }
--- a/crates/survey/src/desk/claims.rs
+++ b/crates/survey/src/desk/claims.rs
@@ -48,9 +48,7 @@
     ) {
         let standing = self.entries.get(&claim.function);
         let is_same = standing.is_some_and(|entry| {
-            entry.holder == *claimant
-                && entry.grant == claim.grant
-                && entry.fencing_since.is_none()
+            entry.holder == *claimant && entry.grant == claim.grant && entry.fencing_since.is_none()
         });
         let is_free = standing.is_none() && !self.opened;
         let is_older = standing.is_some_and(|entry| entry.grant < claim.grant) && !self.opened;
--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -79,8 +79,7 @@
         if self.in_force >= serial {
             return;
         }
-        let is_past_doubt =
-            self.all_claimed || now >= self.elected_at + self.timing.full_wait();
+        let is_past_doubt = self.all_claimed || now >= self.elected_at + self.timing.full_wait();
         let is_everywhere = self
             .members
             .values()
--- a/crates/survey/src/desk/fence.rs
+++ b/crates/survey/src/desk/fence.rs
@@ -50,10 +50,9 @@
             .iter()
             .filter(|(function, entry)| {
                 entry.fencing_since.is_some()
-                    && !self
-                        .reservations
-                        .iter()
-                        .any(|(runner, held)| held.function == **function && runner.grant == entry.grant)
+                    && !self.reservations.iter().any(|(runner, held)| {
+                        held.function == **function && runner.grant == entry.grant
+                    })
             })
             .map(|(function, entry)| (function.clone(), entry.fencing_since.unwrap_or(now)))
             .collect();
--- a/crates/survey/src/desk/functions.rs
+++ b/crates/survey/src/desk/functions.rs
@@ -60,8 +60,7 @@
                 "once_wait_ms": once_wait.as_millis() as u64,
             }),
         );
-        let entry =
-            GrantEntry { holder: asker, grant, fencing_since: None, handing_over: false };
+        let entry = GrantEntry { holder: asker, grant, fencing_since: None, handing_over: false };
         self.entries.insert(acquire.function.clone(), entry);
         Some(AcquireResult::Granted { grant, once_wait_ms: once_wait.as_millis() as u32 })
     }
--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -176,10 +176,7 @@
                     .partition(|known_member| current.contains_key(&known_member.member));
             self.last_known = kept;
             for struck_member in struck {
-                self.tell(
-                    events::STRUCK_OFF,
-                    json!({"member": struck_member.member.as_str()}),
-                );
+                self.tell(events::STRUCK_OFF, json!({"member": struck_member.member.as_str()}));
             }
         }
         let has_claimed = |known_member: &KnownMember| {
@@ -189,8 +186,7 @@
             self.current.get(&known_member.member).is_some_and(&has_claimed)
         };
         let claimed_count = self.last_known.iter().filter(|known| has_name_claimed(known)).count();
-        let has_majority =
-            self.last_known.is_empty() || claimed_count * 2 > self.last_known.len();
+        let has_majority = self.last_known.is_empty() || claimed_count * 2 > self.last_known.len();
         let all_claimed = self.last_known_whole
             && !self.last_known.is_empty()
             && self.last_known.iter().all(has_claimed);
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -159,7 +159,9 @@
             StreamUp::Runner { function, runner, news } => {
                 self.hear_runner_news(&function, runner, &news);
             }
-            StreamUp::Sheds { function, count, reason } => self.hear_sheds(stream, function, count, reason),
+            StreamUp::Sheds { function, count, reason } => {
+                self.hear_sheds(stream, function, count, reason)
+            }
             StreamUp::Leaving => self.hear_leaving(now, stream),
         }
     }
--- a/crates/survey/src/disk/mod.rs
+++ b/crates/survey/src/disk/mod.rs
@@ -62,7 +62,8 @@
         return Some(Kept::Vote(Term(hex_number(term_text)?)));
     }
     let (term_text, serial_text) = file_name.strip_prefix("spec-")?.split_once('-')?;
-    let stamp = Stamp { term: Term(hex_number(term_text)?), serial: Serial(hex_number(serial_text)?) };
+    let stamp =
+        Stamp { term: Term(hex_number(term_text)?), serial: Serial(hex_number(serial_text)?) };
     Some(Kept::Version(stamp))
 }
 
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -94,7 +94,11 @@
     operators_listener: TcpListener,
 }
 
-async fn listen(boot: &SurveyorBoot, key: &'static str, place: Place) -> Result<TcpListener, BootFault> {
+async fn listen(
+    boot: &SurveyorBoot,
+    key: &'static str,
+    place: Place,
+) -> Result<TcpListener, BootFault> {
     let fault_of = |fault| BootFault::Listen(boot.source.clone(), key, place, fault);
     TcpListener::bind(place.address()).await.map_err(fault_of)
 }
@@ -104,11 +108,9 @@
     pub async fn open(boot: &SurveyorBoot) -> Result<Self, SurveyorFault> {
         let mut chance = Chance::from_os();
         let shelf = Shelf::open(&boot.data).map_err(|fault| match fault {
-            ShelfFault::File(path, io_fault) => SurveyorFault::Boot(BootFault::Folder(
-                boot.source.clone(),
-                path,
-                io_fault,
-            )),
+            ShelfFault::File(path, io_fault) => {
+                SurveyorFault::Boot(BootFault::Folder(boot.source.clone(), path, io_fault))
+            }
             other => SurveyorFault::Shelf(other),
         })?;
         let (recalled, set_aside) = shelf.recall(SurveyorId(chance.number() | 1))?;
@@ -151,8 +153,15 @@
 
     /// Runs until told to stop.
     pub async fn run(self, stop: watch::Receiver<bool>) {
-        let Self { mut plane, mut inbox, shared, mut links, disk, process_listener, operators_listener } =
-            self;
+        let Self {
+            mut plane,
+            mut inbox,
+            shared,
+            mut links,
+            disk,
+            process_listener,
+            operators_listener,
+        } = self;
         tokio::spawn(streams::accept(process_listener, shared.clone()));
         tokio::spawn(platform::poll(shared.clone()));
         let operators_task =
--- a/crates/survey/src/drivers/gauges.rs
+++ b/crates/survey/src/drivers/gauges.rs
@@ -27,19 +27,29 @@
     /// All at zero.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let rejected = IntCounter::new("rudder_frames_rejected_total", "connections closed for what they sent")
-            .expect("a constant name is valid");
+        let rejected = IntCounter::new(
+            "rudder_frames_rejected_total",
+            "connections closed for what they sent",
+        )
+        .expect("a constant name is valid");
         let _ = registry.register(Box::new(rejected.clone()));
         Self {
             leads: gauge(&registry, "rudder_core_leads", "1 while this surveyor leads"),
             term: gauge(&registry, "rudder_core_term", "the present term"),
             serial: gauge(&registry, "rudder_core_committed_serial", "the newest committed serial"),
-            in_force: gauge(&registry, "rudder_core_in_force_serial", "the newest serial in force everywhere"),
+            in_force: gauge(
+                &registry,
+                "rudder_core_in_force_serial",
+                "the newest serial in force everywhere",
+            ),
             desk: vec![
                 ("members", gauge(&registry, "rudder_desk_members", "daemons with a stream here")),
                 ("holders", gauge(&registry, "rudder_desk_holders", "functions held")),
                 ("runners", gauge(&registry, "rudder_desk_runners", "runners placed")),
-                ("workers_used", gauge(&registry, "rudder_desk_workers_used", "workers with a runner")),
+                (
+                    "workers_used",
+                    gauge(&registry, "rudder_desk_workers_used", "workers with a runner"),
+                ),
             ],
             rejected,
             registry,
--- a/crates/survey/src/drivers/operators.rs
+++ b/crates/survey/src/drivers/operators.rs
@@ -99,12 +99,12 @@
 ) -> Result<Operation, Refusal> {
     match (method, path_parts) {
         (&Method::GET, ["v1", "spec"]) => Ok(Operation::ReadSpec),
-        (&Method::PUT, ["v1", "spec"]) => read_change(body, |root| {
-            Some(ChangeKind::Whole(needed_value(root, "spec")?))
-        }),
-        (&Method::PATCH, ["v1", "spec"]) => read_change(body, |root| {
-            Some(ChangeKind::Patch(needed_value(root, "patch")?))
-        }),
+        (&Method::PUT, ["v1", "spec"]) => {
+            read_change(body, |root| Some(ChangeKind::Whole(needed_value(root, "spec")?)))
+        }
+        (&Method::PATCH, ["v1", "spec"]) => {
+            read_change(body, |root| Some(ChangeKind::Patch(needed_value(root, "patch")?)))
+        }
         (&Method::GET, ["v1", "changes", change]) => {
             Ok(Operation::AskChange(ChangeId::from(*change)))
         }
@@ -153,8 +153,7 @@
     root.only(&["base_serial", "change_id", "spec", "patch", "wait", "force"]);
     let base_reader = root.field("base_serial");
     let kind = read_kind(&root);
-    let is_spec_change =
-        matches!(kind, Some(ChangeKind::Whole(_) | ChangeKind::Patch(_)) | None);
+    let is_spec_change = matches!(kind, Some(ChangeKind::Whole(_) | ChangeKind::Patch(_)) | None);
     let base = if base_reader.is_there() || is_spec_change {
         base_reader.number(0..=u64::MAX).map(Serial)
     } else {
@@ -183,8 +182,7 @@
                 .iter()
                 .map(|fault| json!({"path": fault.path, "reason": fault.reason.to_string()}))
                 .collect();
-            let body =
-                json!({"error": "invalid", "state": "not_accepted", "faults": fault_rows});
+            let body = json!({"error": "invalid", "state": "not_accepted", "faults": fault_rows});
             Err((422, body))
         }
     }
@@ -244,9 +242,8 @@
         }
     });
     let mut response = Response::new(stream_body(chunks));
-    response.headers_mut().insert(
-        CONTENT_TYPE,
-        hyper::header::HeaderValue::from_static("application/x-ndjson"),
-    );
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/x-ndjson"));
     response
 }
--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -25,7 +25,8 @@
         if !shared.leads.load(Ordering::Relaxed) {
             continue;
         }
-        let (workers_read, runners_read) = tokio::join!(read_workers(&shared), read_runners(&shared));
+        let (workers_read, runners_read) =
+            tokio::join!(read_workers(&shared), read_runners(&shared));
         let is_silent = workers_read.is_none() || runners_read.is_none();
         if is_silent && !was_silent {
             note!(Warn, events::PLATFORM_SILENT, "{}", shared.platform);
@@ -36,7 +37,8 @@
 
 async fn read_workers(shared: &Shared) -> Option<()> {
     let patience = Duration::from_secs(2);
-    let called = call_json(shared.platform, Method::GET, "/v1/workers", None, patience).await.ok()?;
+    let called =
+        call_json(shared.platform, Method::GET, "/v1/workers", None, patience).await.ok()?;
     let body = called.json();
     let faults = FaultList::default();
     let root = PathReader::new(&body, &faults);
@@ -62,7 +64,8 @@
 async fn read_runners(shared: &Shared) -> Option<()> {
     let patience = Duration::from_secs(2);
     let sent_at = Moment::now();
-    let called = call_json(shared.platform, Method::GET, "/v1/runners", None, patience).await.ok()?;
+    let called =
+        call_json(shared.platform, Method::GET, "/v1/runners", None, patience).await.ok()?;
     let body = called.json();
     let faults = FaultList::default();
     let root = PathReader::new(&body, &faults);
--- a/crates/survey/src/plane/changes.rs
+++ b/crates/survey/src/plane/changes.rs
@@ -45,7 +45,10 @@
         .iter()
         .map(|fault| json!({"path": fault.path, "reason": fault.reason.to_string()}))
         .collect();
-    OperationReply::Said(422, json!({"error": "invalid", "state": "not_accepted", "faults": fault_rows}))
+    OperationReply::Said(
+        422,
+        json!({"error": "invalid", "state": "not_accepted", "faults": fault_rows}),
+    )
 }
 
 impl Plane {
@@ -75,9 +78,10 @@
         }
         let attached_changes: BTreeSet<ChangeId> =
             self.changes.in_flight.iter().map(|waiter| waiter.change.clone()).collect();
-        let (attached, others): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.changes.inbox)
-            .into_iter()
-            .partition(|queued| attached_changes.contains(&queued.change));
+        let (attached, others): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.changes.inbox)
+                .into_iter()
+                .partition(|queued| attached_changes.contains(&queued.change));
         self.changes.inbox = others;
         for queued in attached {
             let Some(serial) = self
@@ -218,7 +222,9 @@
                 }
                 let left_count = known_localities
                     .iter()
-                    .filter(|known| *known != locality && !current_document.evacuated.contains(*known))
+                    .filter(|known| {
+                        *known != locality && !current_document.evacuated.contains(*known)
+                    })
                     .count();
                 if left_count == 0 && !force {
                     let body = json!({
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -8,7 +8,9 @@
 pub use operation::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
 
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
-use crate::desk::{Desk, DeskOutput, DeskTiming, ListedRunner, ListedWorker, Proof, StreamId, Told};
+use crate::desk::{
+    Desk, DeskOutput, DeskTiming, ListedRunner, ListedWorker, Proof, StreamId, Told,
+};
 use changes::Changes;
 use serde_json::json;
 use std::collections::BTreeSet;
--- a/crates/survey/src/plane/operation.rs
+++ b/crates/survey/src/plane/operation.rs
@@ -98,8 +98,7 @@
                         self.queue_change(now, ticket, base, change, kind, wait);
                         return;
                     }
-                    let body =
-                        json!({"error": "no_leader", "state": "not_accepted", "change_id": change.as_str()});
+                    let body = json!({"error": "no_leader", "state": "not_accepted", "change_id": change.as_str()});
                     OperationReply::Said(503, body)
                 } else {
                     self.report(now, other)
--- a/crates/trail/src/chain/mod.rs
+++ b/crates/trail/src/chain/mod.rs
@@ -36,7 +36,8 @@
 
     let table = state.table.load_full();
     let Some(route) = table.route(&head.method, head.uri.path()) else {
-        let said = if state.is_serving() { Said::NoRoute } else { Said::refused(HopReason::NotServing) };
+        let said =
+            if state.is_serving() { Said::NoRoute } else { Said::refused(HopReason::NotServing) };
         return say(state, Some(&transaction), said);
     };
 
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -399,7 +399,9 @@
                 let holding = grant.and_then(|grant| self.holding(&function, grant));
                 match (holding, &result) {
                     (Some(holding), _) => {
-                        holding.apply(&self.state.clone(), |holder, now| holder.reserved(now, &result));
+                        holding.apply(&self.state.clone(), |holder, now| {
+                            holder.reserved(now, &result)
+                        });
                     }
                     (None, ReserveResult::Reserved { runner, .. }) => {
                         let news = waymark::frames::RunnerNews::Gone;
@@ -464,7 +466,12 @@
         self.obey(orders);
     }
 
-    fn acquired(&mut self, correlation: CorrelationId, function: &FunctionKey, result: AcquireResult) {
+    fn acquired(
+        &mut self,
+        correlation: CorrelationId,
+        function: &FunctionKey,
+        result: AcquireResult,
+    ) {
         let Some(asked) = self.acquires.remove(&correlation) else {
             if let AcquireResult::Granted { grant, .. } = result
                 && self.holding(function, grant).is_none()
@@ -528,8 +535,9 @@
 async fn use_stream(state: &Arc<State>, number: u64, place: Place) -> Result<(), FrameFault> {
     let connecting = TcpStream::connect(place.address());
     let timed_out = || FrameFault::Connection(std::io::ErrorKind::TimedOut.into());
-    let mut stream =
-        tokio::time::timeout(Duration::from_millis(600), connecting).await.map_err(|_| timed_out())??;
+    let mut stream = tokio::time::timeout(Duration::from_millis(600), connecting)
+        .await
+        .map_err(|_| timed_out())??;
     stream.set_nodelay(true)?;
     write_channel(&mut stream, Channel::Stream).await?;
     let (sender, mut frames) = mpsc::channel::<StreamUp>(8192);
--- a/crates/trail/src/drivers/gauges.rs
+++ b/crates/trail/src/drivers/gauges.rs
@@ -1,4 +1,7 @@
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 /// The trailhead's metrics.
 pub struct Gauges {
@@ -59,14 +62,14 @@
     /// All at zero.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let seconds_options =
-            HistogramOpts::new("rudder_acquire_seconds", "round trip of an acquisition to the leader")
-                .buckets(vec![0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 3.0]);
+        let seconds_options = HistogramOpts::new(
+            "rudder_acquire_seconds",
+            "round trip of an acquisition to the leader",
+        )
+        .buckets(vec![0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 3.0]);
         let acquire_seconds =
             Histogram::with_opts(seconds_options).expect("a constant name is valid");
-        registry
-            .register(Box::new(acquire_seconds.clone()))
-            .expect("names are registered once");
+        registry.register(Box::new(acquire_seconds.clone())).expect("names are registered once");
         Self {
             outcomes: counters(
                 &registry,
@@ -80,20 +83,40 @@
                 "owner look-ups by where the owner was found",
                 &["found"],
             ),
-            acquires: counter(&registry, "rudder_acquires_total", "acquisitions asked of the leader"),
+            acquires: counter(
+                &registry,
+                "rudder_acquires_total",
+                "acquisitions asked of the leader",
+            ),
             acquire_seconds,
             sends: counter(&registry, "rudder_sends_total", "transactions sent to runners"),
             extra_sends: counter(&registry, "rudder_extra_sends_total", "sends beyond the first"),
-            rejected_answers: counter(&registry, "rudder_answers_rejected_total", "answers not believed"),
-            rejected_frames: counter(&registry, "rudder_frames_rejected_total", "connections closed for what they sent"),
+            rejected_answers: counter(
+                &registry,
+                "rudder_answers_rejected_total",
+                "answers not believed",
+            ),
+            rejected_frames: counter(
+                &registry,
+                "rudder_frames_rejected_total",
+                "connections closed for what they sent",
+            ),
             held: gauge(&registry, "rudder_functions_held", "functions held"),
             ready_runners: gauge(&registry, "rudder_runners_ready", "runners ready"),
             waiting: gauge(&registry, "rudder_transactions_waiting", "transactions in inboxes"),
             running: gauge(&registry, "rudder_transactions_running", "transactions on runners"),
             serving: gauge(&registry, "rudder_serving", "1 while the member grant runs"),
             serial: gauge(&registry, "rudder_spec_serial", "the serial installed"),
-            grants_ended: counter(&registry, "rudder_member_grants_ended_total", "member grants that ended"),
-            idle_stop_skipped: gauge(&registry, "rudder_idle_stop_skipped", "functions whose last idle runner is kept"),
+            grants_ended: counter(
+                &registry,
+                "rudder_member_grants_ended_total",
+                "member grants that ended",
+            ),
+            idle_stop_skipped: gauge(
+                &registry,
+                "rudder_idle_stop_skipped",
+                "functions whose last idle runner is kept",
+            ),
             registry,
         }
     }
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -98,7 +98,8 @@
                 HolderOutput::Send { ticket, runner, place, attempt } => {
                     tokio::spawn(async move {
                         let end =
-                            runners::send(&task_state, &holding, ticket, runner, place, attempt).await;
+                            runners::send(&task_state, &holding, ticket, runner, place, attempt)
+                                .await;
                         holding.sent_ended(&task_state, ticket, end);
                     });
                 }
@@ -115,19 +116,22 @@
                 HolderOutput::Start { runner, worker } => {
                     tokio::spawn(async move {
                         let place = platform::start(&task_state, &holding, runner, &worker).await;
-                        holding.apply(&task_state, |holder, now| holder.started(now, runner, place));
+                        holding
+                            .apply(&task_state, |holder, now| holder.started(now, runner, place));
                     });
                 }
                 HolderOutput::Probe { runner, place } => {
                     tokio::spawn(async move {
                         let is_ready = runners::is_ready(runner, place).await;
-                        holding.apply(&task_state, |holder, now| holder.probed(now, runner, is_ready));
+                        holding
+                            .apply(&task_state, |holder, now| holder.probed(now, runner, is_ready));
                     });
                 }
                 HolderOutput::Settle { runner, place } => {
                     tokio::spawn(async move {
                         let running = runners::running(runner, place).await;
-                        holding.apply(&task_state, |holder, now| holder.settled(now, runner, running));
+                        holding
+                            .apply(&task_state, |holder, now| holder.settled(now, runner, running));
                     });
                 }
                 HolderOutput::Stop { runner } => {
--- a/crates/trail/src/drivers/platform.rs
+++ b/crates/trail/src/drivers/platform.rs
@@ -30,8 +30,9 @@
         return None;
     }
     let patience = Duration::from_secs(2);
-    let called =
-        call_json(state.boot.platform, Method::POST, "/v1/runners", Some(&body), patience).await.ok()?;
+    let called = call_json(state.boot.platform, Method::POST, "/v1/runners", Some(&body), patience)
+        .await
+        .ok()?;
     if called.status != StatusCode::CREATED {
         return None;
     }
--- a/crates/trail/src/holder/inbox.rs
+++ b/crates/trail/src/holder/inbox.rs
@@ -31,8 +31,7 @@
             .runners
             .values()
             .filter(|record| matches!(record.phase, Phase::Starting | Phase::Booting));
-        let earliest_ready =
-            booting_runners.map(|record| record.started_at + self.spec.boot).min();
+        let earliest_ready = booting_runners.map(|record| record.started_at + self.spec.boot).min();
         earliest_ready.unwrap_or(now + self.spec.boot).max(now)
     }
 
--- a/crates/trail/src/holder/ledger.rs
+++ b/crates/trail/src/holder/ledger.rs
@@ -23,10 +23,7 @@
     /// The outcome for a repeated identity; none for a new one.
     pub fn known(&self, _now: Moment, transaction: &TransactionId) -> Option<HopOutcome> {
         self.noted.get(transaction).map(|noted| {
-            noted
-                .outcome
-                .clone()
-                .unwrap_or(HopOutcome::Unknown { reason: HopReason::UnderWay })
+            noted.outcome.clone().unwrap_or(HopOutcome::Unknown { reason: HopReason::UnderWay })
         })
     }
 
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -157,7 +157,11 @@
     }
 
     /// Takes a transaction in; an outcome at once, or none while it waits.
-    pub fn grant_entry(&mut self, now: Moment, entry: Entry) -> (Option<HopOutcome>, Vec<HolderOutput>) {
+    pub fn grant_entry(
+        &mut self,
+        now: Moment,
+        entry: Entry,
+    ) -> (Option<HopOutcome>, Vec<HolderOutput>) {
         if self.is_leaving() {
             return (Some(not_run(HopReason::NotHolder, 50)), Vec::new());
         }
--- a/crates/trail/src/holder/scaling.rs
+++ b/crates/trail/src/holder/scaling.rs
@@ -107,9 +107,7 @@
                 record.since = now;
             }
         }
-        if ready_runners.len() > wanted_count.max(1)
-            && now >= self.scaling.next_drain_at
-        {
+        if ready_runners.len() > wanted_count.max(1) && now >= self.scaling.next_drain_at {
             self.scaling.next_drain_at = now + DRAIN_EVERY;
             let least_busy =
                 ready_runners.into_iter().min_by_key(|runner| self.runners[runner].busy_count());
--- a/crates/trail/src/owners/mod.rs
+++ b/crates/trail/src/owners/mod.rs
@@ -50,9 +50,9 @@
     if sight.holds {
         return Step::Serve;
     }
-    let valid_owner = sight.cached_owner.filter(|owner| {
-        owner.member != *sight.own_member && is_valid(owner, sight.hosts)
-    });
+    let valid_owner = sight
+        .cached_owner
+        .filter(|owner| owner.member != *sight.own_member && is_valid(owner, sight.hosts));
     if let Some(owner) = valid_owner
         && sight.hops < MOST_HOPS
     {
--- a/crates/trail/src/watch/mod.rs
+++ b/crates/trail/src/watch/mod.rs
@@ -118,8 +118,7 @@
     /// The daemons that count as alive, this one always among them.
     pub fn alive(&self, now: Moment) -> Vec<Host> {
         let is_alive = |sighting: &&Sighting| {
-            sighting.host.member == self.own_host.member
-                || now.since(sighting.seen_at) < GONE_AFTER
+            sighting.host.member == self.own_host.member || now.since(sighting.seen_at) < GONE_AFTER
         };
         self.sightings.values().filter(is_alive).map(|sighting| sighting.host.clone()).collect()
     }
--- a/crates/waymark/src/http/mod.rs
+++ b/crates/waymark/src/http/mod.rs
@@ -1,7 +1,11 @@
 //! The little that every program needs around hyper: serving, calling, JSON.
 
 mod call;
+mod lines;
 mod serve;
 
 pub use call::{CallFault, Called, call, call_json};
-pub use serve::{Body, Served, full, json_response, read_body, serve, BodyFault, stream_body, text_response};
+pub use lines::{LinesEnd, follow_lines};
+pub use serve::{
+    Body, BodyFault, Served, full, json_response, read_body, serve, stream_body, text_response,
+};
--- a/crates/waymark/src/http/serve.rs
+++ b/crates/waymark/src/http/serve.rs
@@ -97,7 +97,9 @@
     match tokio::time::timeout(patience, Limited::new(body, largest_body).collect()).await {
         Err(_) => Err(BodyFault::Slow),
         Ok(Ok(collected_body)) => Ok(collected_body.to_bytes()),
-        Ok(Err(fault)) if fault.is::<http_body_util::LengthLimitError>() => Err(BodyFault::TooLarge),
+        Ok(Err(fault)) if fault.is::<http_body_util::LengthLimitError>() => {
+            Err(BodyFault::TooLarge)
+        }
         Ok(Err(_)) => Err(BodyFault::Broken),
     }
 }
--- a/crates/waymark/src/readers/boot.rs
+++ b/crates/waymark/src/readers/boot.rs
@@ -103,7 +103,8 @@
     match place_text.parse::<SocketAddrV4>() {
         Ok(address) => Some(Place(address)),
         Err(_) => {
-            reader.fault(FaultReason::Form(format!("is not an IP number with port: {place_text:?}")));
+            reader
+                .fault(FaultReason::Form(format!("is not an IP number with port: {place_text:?}")));
             None
         }
     }
--- a/crates/waymark/src/readers/path.rs
+++ b/crates/waymark/src/readers/path.rs
@@ -47,7 +47,12 @@
 
 impl fmt::Display for PathFault {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{} {}", if self.path.is_empty() { "document" } else { &self.path }, self.reason)
+        write!(
+            out,
+            "{} {}",
+            if self.path.is_empty() { "document" } else { &self.path },
+            self.reason
+        )
     }
 }
 
@@ -211,11 +216,7 @@
 
     /// A whole number within bounds, with a default.
     pub fn number_or(&self, bounds: RangeInclusive<u64>, default_number: u64) -> u64 {
-        if self.is_there() {
-            self.number(bounds).unwrap_or(default_number)
-        } else {
-            default_number
-        }
+        if self.is_there() { self.number(bounds).unwrap_or(default_number) } else { default_number }
     }
 
     /// Whatever stands here.
@@ -229,5 +230,3 @@
         write!(out, "{} = {:?}", self.path, self.value)
     }
 }
-
-
--- a/crates/waymark/src/spec/document.rs
+++ b/crates/waymark/src/spec/document.rs
@@ -146,7 +146,10 @@
                     .filter_map(|item| {
                         let id_reader = item.field("id");
                         let id = u64::from_str_radix(id_reader.text()?, 16).ok()?;
-                        Some(CoreMember { id: SurveyorId(id), place: read_place(&item.field("place"))? })
+                        Some(CoreMember {
+                            id: SurveyorId(id),
+                            place: read_place(&item.field("place"))?,
+                        })
                     })
                     .collect(),
                 changes: noted_changes
@@ -219,9 +222,7 @@
     fn noting(&self, change: ChangeId) -> Self {
         let mut next_document = self.clone();
         next_document.stamp.serial = self.stamp.serial.next();
-        next_document
-            .changes
-            .push(ChangeNote { id: change, serial: next_document.stamp.serial });
+        next_document.changes.push(ChangeNote { id: change, serial: next_document.stamp.serial });
         let extra_count = next_document.changes.len().saturating_sub(KEPT_CHANGES);
         next_document.changes.drain(..extra_count);
         next_document
--- a/crates/waymark/src/spec/reader.rs
+++ b/crates/waymark/src/spec/reader.rs
@@ -132,14 +132,8 @@
     reader.only(&["method", "path", "function", "budget_ms", "patience_ms", "kind"]);
     let method_reader = reader.field("method");
     let method = method_reader.text().and_then(|method_text| {
-        let known_methods = [
-            Method::GET,
-            Method::POST,
-            Method::PUT,
-            Method::PATCH,
-            Method::DELETE,
-            Method::HEAD,
-        ];
+        let known_methods =
+            [Method::GET, Method::POST, Method::PUT, Method::PATCH, Method::DELETE, Method::HEAD];
         let found_method = known_methods.into_iter().find(|method| method.as_str() == method_text);
         if found_method.is_none() {
             method_reader.fault(FaultReason::Form(format!("is not a method: {method_text:?}")));
--- a/crates/waymark/src/spec/table.rs
+++ b/crates/waymark/src/spec/table.rs
@@ -47,7 +47,8 @@
     /// A table from a view; fails when the view's spec does not check.
     pub fn build(view: &View) -> Result<Self, DocumentFault> {
         let checked_spec = view.checked()?;
-        let mut table = Table { serial: view.serial, evacuated: view.evacuated.clone(), ..Self::empty() };
+        let mut table =
+            Table { serial: view.serial, evacuated: view.evacuated.clone(), ..Self::empty() };
         for (function_name, function_spec) in checked_spec.functions {
             let generation = view.generations.get(&function_name).copied().unwrap_or(view.serial);
             let key = FunctionKey { name: function_name, generation };
--- /dev/null
+++ b/programs/legend/src/desk.rs
@@ -0,0 +1,209 @@
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use std::fmt;
+use std::io::Write;
+use std::ops::ControlFlow;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use waymark::chance::Chance;
+use waymark::frames::Place;
+use waymark::http::{CallFault, Called, LinesEnd, call_json, follow_lines};
+
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Why a command did not come to an answer.
+#[derive(Debug)]
+pub enum DeskFault {
+    /// A place is no IP number with port.
+    Place(String),
+    /// A file could not be read.
+    File(PathBuf, std::io::Error),
+    /// A file is not JSON.
+    NotJson(PathBuf, serde_json::Error),
+    /// No surveyor was reached.
+    Unreachable(CallFault),
+    /// The answer was lost; for a change, its outcome is unknown.
+    Lost(String, CallFault),
+}
+
+impl DeskFault {
+    /// What the process exits with.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Place(_) | Self::File(..) | Self::NotJson(..) => 2,
+            Self::Unreachable(_) | Self::Lost(..) => 4,
+        }
+    }
+}
+
+impl fmt::Display for DeskFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Place(text) => write!(out, "--at: not an IP number with port: {text:?}"),
+            Self::File(file, fault) => write!(out, "{}: {fault}", file.display()),
+            Self::NotJson(file, fault) => write!(out, "{}: not JSON: {fault}", file.display()),
+            Self::Unreachable(fault) => write!(out, "no surveyor reached: {fault}"),
+            Self::Lost(change, fault) if change.is_empty() => write!(out, "answer lost: {fault}"),
+            Self::Lost(change, fault) => {
+                write!(out, "answer lost: {fault}; ask: legend change {change}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for DeskFault {}
+
+/// Speaks to whichever surveyor answers.
+pub struct Desk {
+    places: Vec<Place>,
+}
+
+fn exit_code(status: StatusCode) -> ExitCode {
+    match status.as_u16() {
+        200..=299 => ExitCode::SUCCESS,
+        400..=499 => ExitCode::from(3),
+        _ => ExitCode::from(4),
+    }
+}
+
+fn print(called: &Called) -> ExitCode {
+    let body = called.json();
+    let text = serde_json::to_string_pretty(&body).unwrap_or_default();
+    let _ = writeln!(std::io::stdout(), "{text}");
+    exit_code(called.status)
+}
+
+fn made_up_id() -> String {
+    format!("legend-{:x}", Chance::from_os().number())
+}
+
+impl Desk {
+    /// A desk for these surveyors.
+    pub fn new(at: &str) -> Result<Self, DeskFault> {
+        let places = at
+            .split(',')
+            .map(|text| text.parse().map(Place).map_err(|_| DeskFault::Place(text.to_owned())))
+            .collect::<Result<Vec<Place>, DeskFault>>()?;
+        Ok(Self { places })
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Called, DeskFault> {
+        let mut last_fault = CallFault::ConnectTimeout;
+        for place in &self.places {
+            match call_json(*place, method.clone(), path, body, PATIENCE).await {
+                Ok(called) => return Ok(called),
+                Err(fault) if fault.is_surely_unsent() || method == Method::GET => {
+                    last_fault = fault;
+                }
+                Err(fault) => {
+                    let change = body.and_then(|body| body["change_id"].as_str()).unwrap_or("");
+                    return Err(DeskFault::Lost(change.to_owned(), fault));
+                }
+            }
+        }
+        Err(DeskFault::Unreachable(last_fault))
+    }
+
+    /// Reads something and prints it.
+    pub async fn get(&self, path: &str) -> Result<ExitCode, DeskFault> {
+        self.call(Method::GET, path, None).await.map(|called| print(&called))
+    }
+
+    /// Asks for something without a body.
+    pub async fn post(&self, path: &str) -> Result<ExitCode, DeskFault> {
+        self.call(Method::POST, path, Some(&json!({}))).await.map(|called| print(&called))
+    }
+
+    /// Sends a change of the spec.
+    pub async fn change(
+        &self,
+        method: &str,
+        field: &str,
+        file: &Path,
+        base: Option<u64>,
+        change_id: Option<String>,
+        wait: bool,
+    ) -> Result<ExitCode, DeskFault> {
+        let file_text = std::fs::read_to_string(file)
+            .map_err(|fault| DeskFault::File(file.to_owned(), fault))?;
+        let value: Value = serde_json::from_str(&file_text)
+            .map_err(|fault| DeskFault::NotJson(file.to_owned(), fault))?;
+        let base_serial = match base {
+            Some(base) => json!(base),
+            None => self.call(Method::GET, "/v1/spec", None).await?.json()["serial"].clone(),
+        };
+        let body = json!({
+            "base_serial": base_serial,
+            "change_id": change_id.unwrap_or_else(made_up_id),
+            "wait": if wait { "in_force" } else { "accepted" },
+            field: value,
+        });
+        let method = if method == "PUT" { Method::PUT } else { Method::PATCH };
+        self.call(method, "/v1/spec", Some(&body)).await.map(|called| print(&called))
+    }
+
+    /// Evacuates or restores a locality.
+    pub async fn turn(
+        &self,
+        deed: &str,
+        locality: &str,
+        change_id: Option<String>,
+        wait: bool,
+        force: bool,
+    ) -> Result<ExitCode, DeskFault> {
+        let body = json!({
+            "change_id": change_id.unwrap_or_else(made_up_id),
+            "wait": if wait { "in_force" } else { "accepted" },
+            "force": force,
+        });
+        let path = format!("/v1/localities/{locality}/{deed}");
+        self.call(Method::POST, &path, Some(&body)).await.map(|called| print(&called))
+    }
+
+    /// Prints events, and goes on over changes of leader if asked to.
+    pub async fn events(&self, from: u64, follow: bool) -> Result<ExitCode, DeskFault> {
+        let mut next_number = from;
+        let mut place_turn = 0;
+        let mut hinted_place = None;
+        let mut failed_count = 0;
+        loop {
+            let place = hinted_place.take().unwrap_or(self.places[place_turn % self.places.len()]);
+            let path = format!("/v1/events?from={next_number}&follow={follow}");
+            let ended = follow_lines(place, &path, |line| {
+                let event: Value = serde_json::from_str(line).unwrap_or(Value::Null);
+                if let Some(number) = event["number"].as_u64() {
+                    next_number = next_number.max(number + 1);
+                }
+                match writeln!(std::io::stdout(), "{line}") {
+                    Ok(()) => ControlFlow::Continue(()),
+                    Err(_) => ControlFlow::Break(()),
+                }
+            })
+            .await;
+            match ended {
+                Ok(LinesEnd::Elsewhere(leader)) => hinted_place = Some(leader),
+                Ok(LinesEnd::Enough) => return Ok(ExitCode::SUCCESS),
+                Ok(LinesEnd::Ended) if !follow => return Ok(ExitCode::SUCCESS),
+                Ok(LinesEnd::Ended) => {}
+                Ok(LinesEnd::Status(status)) if !follow => return Ok(exit_code(status)),
+                Ok(LinesEnd::Status(_)) => place_turn += 1,
+                Err(fault) => {
+                    place_turn += 1;
+                    failed_count += 1;
+                    if !follow && failed_count >= self.places.len() {
+                        return Err(DeskFault::Unreachable(fault));
+                    }
+                }
+            }
+            if hinted_place.is_none() {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+        }
+    }
+}
--- a/programs/legend/src/main.rs
+++ b/programs/legend/src/main.rs
@@ -1,1 +1,162 @@
-fn main() {}
+//! The operators' command line.
+
+mod desk;
+
+use desk::{Desk, DeskFault};
+use gumdrop::Options;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Drives rudderstream from an operator's desk.
+#[derive(Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(
+        help = "operators' places of surveyors, with commas; the first that answers is used",
+        default = "127.0.0.1:7111",
+        meta = "PLACES"
+    )]
+    at: String,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Options)]
+enum Command {
+    #[options(help = "found the core on three empty surveyors, once")]
+    Found(Plain),
+    #[options(help = "show the core as one surveyor sees it")]
+    Core(Plain),
+    #[options(help = "read the spec with its serial")]
+    Spec(Plain),
+    #[options(help = "send a whole spec from a file")]
+    Put(Change),
+    #[options(help = "send a JSON merge patch from a file")]
+    Patch(Change),
+    #[options(help = "ask what became of a change")]
+    Change(Named),
+    #[options(help = "empty a locality")]
+    Evacuate(Turn),
+    #[options(help = "bring a locality back")]
+    Restore(Turn),
+    #[options(help = "list the daemons")]
+    Members(Plain),
+    #[options(help = "list the functions held, and by whom")]
+    Holders(Plain),
+    #[options(help = "list the workers")]
+    Workers(Plain),
+    #[options(help = "list the runners")]
+    Runners(Plain),
+    #[options(help = "print events, a line of JSON each")]
+    Events(Events),
+}
+
+#[derive(Options)]
+struct Plain {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+#[derive(Options)]
+struct Named {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the change's id")]
+    id: String,
+}
+
+#[derive(Options)]
+struct Change {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "file with the JSON")]
+    file: PathBuf,
+    #[options(help = "serial it is built on; read beforehand if not given", meta = "SERIAL")]
+    base: Option<u64>,
+    #[options(no_short, help = "the change's id; made up if not given", meta = "ID")]
+    change_id: Option<String>,
+    #[options(help = "wait until it is in force everywhere")]
+    wait: bool,
+}
+
+#[derive(Options)]
+struct Turn {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the locality")]
+    locality: String,
+    #[options(no_short, help = "the change's id; made up if not given", meta = "ID")]
+    change_id: Option<String>,
+    #[options(help = "wait until it is in force everywhere")]
+    wait: bool,
+    #[options(help = "even if no locality is left")]
+    force: bool,
+}
+
+#[derive(Options)]
+struct Events {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "the first number wanted; 0 for all that are kept", default = "0")]
+    from: u64,
+    #[options(help = "go on as events happen, over changes of leader")]
+    follow: bool,
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    if flags.version {
+        println!("legend {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(command) = flags.command else {
+        eprintln!("legend: no command; try --help");
+        return ExitCode::from(2);
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(fault) => {
+            eprintln!("legend: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(obey(&flags.at, command)) {
+        Ok(exit_code) => exit_code,
+        Err(fault) => {
+            eprintln!("legend: {fault}");
+            ExitCode::from(fault.exit_code())
+        }
+    }
+}
+
+async fn obey(at: &str, command: Command) -> Result<ExitCode, DeskFault> {
+    let desk = Desk::new(at)?;
+    match command {
+        Command::Found(_) => desk.post("/v1/core/found").await,
+        Command::Core(_) => desk.get("/v1/core").await,
+        Command::Spec(_) => desk.get("/v1/spec").await,
+        Command::Members(_) => desk.get("/v1/members").await,
+        Command::Holders(_) => desk.get("/v1/holders").await,
+        Command::Workers(_) => desk.get("/v1/workers").await,
+        Command::Runners(_) => desk.get("/v1/runners").await,
+        Command::Change(named) => desk.get(&format!("/v1/changes/{}", named.id)).await,
+        Command::Put(change) => {
+            desk.change("PUT", "spec", &change.file, change.base, change.change_id, change.wait)
+                .await
+        }
+        Command::Patch(change) => {
+            desk.change("PATCH", "patch", &change.file, change.base, change.change_id, change.wait)
+                .await
+        }
+        Command::Evacuate(turn) => {
+            desk.turn("evacuate", &turn.locality, turn.change_id, turn.wait, turn.force).await
+        }
+        Command::Restore(turn) => {
+            desk.turn("restore", &turn.locality, turn.change_id, turn.wait, turn.force).await
+        }
+        Command::Events(events) => desk.events(events.from, events.follow).await,
+    }
+}
--- a/programs/surveyor/src/main.rs
+++ b/programs/surveyor/src/main.rs
@@ -43,7 +43,10 @@
     boot_source.set("locality", text(&flags.locality));
     boot_source.set("data", text(&flags.data));
     boot_source.set("platform", text(&flags.platform));
-    boot_source.set("seeds", flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())));
+    boot_source.set(
+        "seeds",
+        flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())),
+    );
     SurveyorBoot::read(&boot_source)
 }
 
@@ -71,7 +74,8 @@
 }
 
 fn run(boot: &SurveyorBoot) -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     runtime.block_on(async {
         let surveyor = Surveyor::open(boot).await?;
         note!(Info, events::STARTED, "surveyor at {}, operators at {}", boot.place, boot.operators);
--- a/programs/trailhead/src/main.rs
+++ b/programs/trailhead/src/main.rs
@@ -43,7 +43,10 @@
     boot_source.set("place", text(&flags.place));
     boot_source.set("door", text(&flags.door));
     boot_source.set("platform", text(&flags.platform));
-    boot_source.set("seeds", flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())));
+    boot_source.set(
+        "seeds",
+        flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())),
+    );
     TrailheadBoot::read(&boot_source)
 }
 
--- a/proving/hiker/src/caller.rs
+++ b/proving/hiker/src/caller.rs
@@ -1,9 +1,9 @@
 use crate::plan::{Plan, PlannedRoute};
 use bytes::Bytes;
 use http_body_util::Full;
+use hut::records::Records;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
 use hyper::{Method, Request};
-use hut::records::Records;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -48,7 +48,8 @@
 pub async fn walk(plan: Plan) -> std::io::Result<Summary> {
     let records = Records::create(&plan.records)?;
     let ready_doors = Mutex::new(plan.doors.clone());
-    let camp = Arc::new(Camp { plan, records, ready_doors, summary: Mutex::new(Summary::default()) });
+    let camp =
+        Arc::new(Camp { plan, records, ready_doors, summary: Mutex::new(Summary::default()) });
     let asking = tokio::spawn(ask_platform(camp.clone()));
     let mut open_errands = JoinSet::new();
     let started_at = Instant::now();
@@ -106,10 +107,8 @@
         if let Ok(called) = call_json(platform, Method::GET, "/v1/daemons", None, patience).await {
             let body = called.json();
             let listed = body.get("ready").and_then(Value::as_array).cloned().unwrap_or_default();
-            let places: Vec<Place> = listed
-                .iter()
-                .filter_map(|item| item.as_str()?.parse().ok().map(Place))
-                .collect();
+            let places: Vec<Place> =
+                listed.iter().filter_map(|item| item.as_str()?.parse().ok().map(Place)).collect();
             if !places.is_empty() {
                 *camp.ready_doors.lock().unwrap_or_else(PoisonError::into_inner) = places;
             }
--- a/proving/hiker/src/main.rs
+++ b/proving/hiker/src/main.rs
@@ -24,8 +24,9 @@
         println!("hiker {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let read_plan =
-        BootSource::open(flags.plan.as_deref()).map_err(hiker::PlanFault::from).and_then(|source| Plan::read(&source));
+    let read_plan = BootSource::open(flags.plan.as_deref())
+        .map_err(hiker::PlanFault::from)
+        .and_then(|source| Plan::read(&source));
     let plan = match read_plan {
         Ok(plan) => plan,
         Err(fault) => {
--- a/proving/hiker/src/plan.rs
+++ b/proving/hiker/src/plan.rs
@@ -118,7 +118,14 @@
     pub fn read(source: &BootSource) -> Result<Self, PlanFault> {
         let plan = source.read(|root| {
             root.only(&[
-                "seed", "lasts_ms", "rate", "doors", "platform", "routes", "impatience", "bursts",
+                "seed",
+                "lasts_ms",
+                "rate",
+                "doors",
+                "platform",
+                "routes",
+                "impatience",
+                "bursts",
                 "records",
             ]);
             let rate_reader = root.field("rate");
--- a/proving/hut/src/main.rs
+++ b/proving/hut/src/main.rs
@@ -66,15 +66,18 @@
             crashed: false,
         })
         .collect();
-    let work = (Duration::from_millis(flags.work_shortest), Duration::from_millis(flags.work_longest));
+    let work =
+        (Duration::from_millis(flags.work_shortest), Duration::from_millis(flags.work_longest));
     let yard = Arc::new(Yard {
         records: Records::create(&flags.records).wrap_err("--records")?,
         mischief: Mutex::new(Mischief::default()),
         chance: Mutex::new(Chance::seeded(flags.seed)),
         work,
     });
-    let platform = Platform::new(yard, workers, Duration::from_millis(flags.lag), doors, flags.reuse);
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    let platform =
+        Platform::new(yard, workers, Duration::from_millis(flags.lag), doors, flags.reuse);
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
     runtime.block_on(async {
         let listener = TcpListener::bind(&flags.place).await.wrap_err("--place")?;
         let (stop_sender, stop) = watch::channel(false);
--- a/proving/hut/src/platform/mod.rs
+++ b/proving/hut/src/platform/mod.rs
@@ -117,11 +117,8 @@
                     let is_ready = called.is_ok_and(|called| called.status == StatusCode::OK);
                     let mut ready_doors =
                         platform.ready_doors.lock().unwrap_or_else(PoisonError::into_inner);
-                    let has_changed = if is_ready {
-                        ready_doors.insert(door)
-                    } else {
-                        ready_doors.remove(&door)
-                    };
+                    let has_changed =
+                        if is_ready { ready_doors.insert(door) } else { ready_doors.remove(&door) };
                     if has_changed {
                         let detail = json!({"door": door.to_string(), "ready": is_ready});
                         platform.yard.records.add("probe", detail);
@@ -133,9 +130,7 @@
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Served {
         let (head, incoming_body) = request.into_parts();
-        let Ok(body_bytes) =
-            read_body(incoming_body, 1 << 20, Duration::from_secs(5)).await
-        else {
+        let Ok(body_bytes) = read_body(incoming_body, 1 << 20, Duration::from_secs(5)).await else {
             return json_response(StatusCode::BAD_REQUEST, &json!({}));
         };
         let body: Value = serde_json::from_slice(&body_bytes).unwrap_or(Value::Null);
@@ -218,10 +213,9 @@
             !worker.crashed && !worker.draining && used_mb + memory_mb <= worker.memory_mb
         });
         if !has_room {
-            self.yard.records.add(
-                "start_refused",
-                json!({"runner": runner.to_string(), "worker": worker_name}),
-            );
+            self.yard
+                .records
+                .add("start_refused", json!({"runner": runner.to_string(), "worker": worker_name}));
             return json_response(StatusCode::INSUFFICIENT_STORAGE, &json!({"error": "no_room"}));
         }
         let detail = json!({
--- a/proving/hut/src/runner/mod.rs
+++ b/proving/hut/src/runner/mod.rs
@@ -172,8 +172,7 @@
     pub fn stop(&self) {
         if !self.stopped.swap(true, Ordering::SeqCst) {
             self.stop.send_replace(true);
-            let running_count =
-                self.running.lock().unwrap_or_else(PoisonError::into_inner).len();
+            let running_count = self.running.lock().unwrap_or_else(PoisonError::into_inner).len();
             let detail = json!({
                 "runner": self.runner.to_string(),
                 "function": self.function.to_string(),
@@ -266,7 +265,8 @@
         let (deed, work_span) = self.yard.choose();
         match deed {
             Deed::Refuse => {
-                let detail = json!({"runner": self.runner.to_string(), "transaction": transaction.as_str()});
+                let detail =
+                    json!({"runner": self.runner.to_string(), "transaction": transaction.as_str()});
                 self.yard.records.add("refused", detail);
                 let refusal = Bytes::from_static(b"{\"refused\":true}");
                 let mut response =
@@ -275,7 +275,8 @@
                 return response;
             }
             Deed::BreakOff => {
-                let detail = json!({"runner": self.runner.to_string(), "transaction": transaction.as_str()});
+                let detail =
+                    json!({"runner": self.runner.to_string(), "transaction": transaction.as_str()});
                 self.yard.records.add("broke_off", detail);
                 cut.send_replace(true);
                 return std::future::pending().await;
