--- a/crates/trail/src/drivers/door.rs
+++ b/crates/trail/src/drivers/door.rs
@@ -14,7 +14,8 @@
         async move {
             match (request.method(), request.uri().path()) {
                 (&Method::GET, "/ready") => {
-                    let is_ready = state.is_serving() && !state.is_leaving();
+                    let is_evacuated = state.table.load().is_evacuated(&state.boot.locality);
+                    let is_ready = state.is_serving() && !state.is_leaving() && !is_evacuated;
                     let status =
                         if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                     let serial = state.table.load().serial().0;
--- /dev/null
+++ b/proving/expedition/src/days/fault.rs
@@ -0,0 +1,359 @@
+use super::Deployment;
+use crate::fleet::{Fleet, FleetFault};
+use serde_json::{Value, json};
+use std::fmt;
+use std::time::Duration;
+use waymark::chance::Chance;
+
+macro_rules! faults {
+    ($($(#[$doc:meta])* $variant:ident = $name:literal,)+) => {
+        /// A fault of the catalogue.
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+        pub enum FaultName {
+            $($(#[$doc])* $variant,)+
+        }
+
+        impl FaultName {
+            /// Every fault there is.
+            pub const ALL: &[FaultName] = &[$(FaultName::$variant),+];
+
+            /// The name on the command line.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)+
+                }
+            }
+        }
+    };
+}
+
+faults! {
+    /// Turns the canary's route to the other function.
+    SpecChange = "spec-change",
+    /// Two changes on one version, at the same time.
+    SpecRace = "spec-race",
+    /// A change that does not check, and one on a stale version.
+    SpecInvalid = "spec-invalid",
+    /// Ten changes as fast as they are accepted.
+    SpecStorm = "spec-storm",
+    /// A change that adds a thousand routes.
+    SpecGrow = "spec-grow",
+    /// A daemon is killed and returns.
+    KillOne = "kill-one",
+    /// A third of the daemons are killed at once and return.
+    KillHerd = "kill-herd",
+    /// The leading surveyor is killed and returns.
+    KillLeader = "kill-leader",
+    /// The leader is killed right after it accepted a change.
+    KillAfterAck = "kill-after-ack",
+    /// A following surveyor is killed, loses its disk and returns.
+    LoseDisk = "lose-disk",
+    /// The daemon that holds most is frozen for six seconds.
+    FreezeHolder = "freeze-holder",
+    /// The leading surveyor is frozen for four seconds.
+    FreezeLeader = "freeze-leader",
+    /// A daemon is warned, given its grace, and returns.
+    StopOne = "stop-one",
+    /// Every daemon and surveyor is killed and returns.
+    RestartAll = "restart-all",
+    /// A worker is emptied.
+    DrainWorker = "drain-worker",
+    /// A worker crashes with its runners and returns.
+    CrashWorker = "crash-worker",
+    /// A locality is evacuated and brought back.
+    Evacuate = "evacuate",
+    /// Runners lose one answer in twenty.
+    LostAnswers = "lost-answers",
+    /// Runners send wrong, short and foreign bodies.
+    WrongBytes = "wrong-bytes",
+    /// Runners refuse and break off.
+    Refusals = "refusals",
+    /// A crowd on one busy function.
+    Crowd = "crowd",
+    /// All rare functions are called at once.
+    RareCrowd = "rare-crowd",
+}
+
+impl fmt::Display for FaultName {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(self.as_str())
+    }
+}
+
+/// A fault that is about to be caused, and what it needs to know.
+pub struct Fault<'a> {
+    /// Which one.
+    pub name: FaultName,
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Chance.
+    pub chance: &'a mut Chance,
+}
+
+fn is_heavy(name: FaultName) -> bool {
+    matches!(
+        name,
+        FaultName::KillOne
+            | FaultName::KillHerd
+            | FaultName::KillLeader
+            | FaultName::KillAfterAck
+            | FaultName::LoseDisk
+            | FaultName::FreezeHolder
+            | FaultName::FreezeLeader
+            | FaultName::RestartAll
+            | FaultName::CrashWorker
+    )
+}
+
+async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+impl Fault<'_> {
+    /// Causes it, and undoes it where it is meant to pass.
+    pub async fn cause(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        fleet.note("fault", json!({"fault": self.name.as_str(), "heavy": is_heavy(self.name)}));
+        self.hurt(fleet).await?;
+        fleet.note("returned", json!({"fault": self.name.as_str(), "heavy": is_heavy(self.name)}));
+        Ok(())
+    }
+
+    fn one_of(&mut self, names: &[String]) -> Option<String> {
+        let place = self.chance.below(names.len() as u64) as usize;
+        names.get(place).cloned()
+    }
+
+    async fn turn_canary(&self, fleet: &mut Fleet, wait: &str) -> Result<(), FleetFault> {
+        let (serial, mut spec) = fleet.spec().await?;
+        let is_a = spec["routes"]["canary"]["function"] == json!("canary-a");
+        spec["routes"]["canary"]["function"] = json!(if is_a { "canary-b" } else { "canary-a" });
+        let change_id = fleet.change_id();
+        fleet.put_spec(serial, &change_id, &spec, wait).await?;
+        Ok(())
+    }
+
+    async fn hurt(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        match self.name {
+            FaultName::SpecChange => self.turn_canary(fleet, "accepted").await,
+            FaultName::SpecStorm => {
+                for _ in 0..10 {
+                    self.turn_canary(fleet, "accepted").await?;
+                }
+                Ok(())
+            }
+            FaultName::SpecRace => self.race(fleet).await,
+            FaultName::SpecInvalid => self.send_invalid(fleet).await,
+            FaultName::SpecGrow => self.grow(fleet).await,
+            FaultName::KillOne => {
+                let names = fleet.running("trailhead");
+                let Some(name) = self.one_of(&names) else { return Ok(()) };
+                fleet.kill(&name);
+                pause(3000).await;
+                fleet.launch(&name)
+            }
+            FaultName::KillHerd => {
+                let names = fleet.running("trailhead");
+                let herd: Vec<String> = names.iter().step_by(3).cloned().collect();
+                herd.iter().for_each(|name| fleet.kill(name));
+                pause(3000).await;
+                herd.iter().try_for_each(|name| fleet.launch(name))
+            }
+            FaultName::KillLeader => {
+                let Some(name) = fleet.leader().await else { return Ok(()) };
+                fleet.kill(&name);
+                pause(3000).await;
+                fleet.launch(&name)
+            }
+            FaultName::KillAfterAck => {
+                self.turn_canary(fleet, "accepted").await?;
+                let Some(name) = fleet.leader().await else { return Ok(()) };
+                fleet.kill(&name);
+                pause(3000).await;
+                fleet.launch(&name)
+            }
+            FaultName::LoseDisk => {
+                let leader = fleet.leader().await;
+                let followers: Vec<String> = fleet
+                    .running("surveyor")
+                    .into_iter()
+                    .filter(|name| Some(name) != leader.as_ref())
+                    .collect();
+                let Some(name) = self.one_of(&followers) else { return Ok(()) };
+                fleet.kill(&name);
+                fleet.lose_disk(&name);
+                pause(1000).await;
+                fleet.launch(&name)
+            }
+            FaultName::FreezeHolder => {
+                let Some(name) = fleet.busiest_holder().await else { return Ok(()) };
+                fleet.freeze(&name);
+                pause(6000).await;
+                fleet.wake(&name);
+                Ok(())
+            }
+            FaultName::FreezeLeader => {
+                let Some(name) = fleet.leader().await else { return Ok(()) };
+                fleet.freeze(&name);
+                pause(4000).await;
+                fleet.wake(&name);
+                Ok(())
+            }
+            FaultName::StopOne => {
+                let names = fleet.running("trailhead");
+                let Some(name) = self.one_of(&names) else { return Ok(()) };
+                fleet.stop(&name, Duration::from_secs(6)).await;
+                pause(1000).await;
+                fleet.launch(&name)
+            }
+            FaultName::RestartAll => {
+                let names: Vec<String> =
+                    [fleet.running("trailhead"), fleet.running("surveyor")].concat();
+                names.iter().for_each(|name| fleet.kill(name));
+                pause(1000).await;
+                names.iter().try_for_each(|name| fleet.launch(name))
+            }
+            FaultName::DrainWorker => {
+                let worker = self.some_worker(fleet).await;
+                fleet.platform(&format!("/v1/workers/{worker}/drain"), &json!({})).await?;
+                pause(6000).await;
+                fleet.platform(&format!("/v1/workers/{worker}/restore"), &json!({})).await
+            }
+            FaultName::CrashWorker => {
+                let worker = self.some_worker(fleet).await;
+                fleet.platform(&format!("/v1/workers/{worker}/crash"), &json!({})).await?;
+                pause(3000).await;
+                fleet.platform(&format!("/v1/workers/{worker}/restore"), &json!({})).await
+            }
+            FaultName::Evacuate => self.evacuate(fleet).await,
+            FaultName::LostAnswers => self.mischief(fleet, json!({"lose": 0.05})).await,
+            FaultName::WrongBytes => {
+                self.mischief(fleet, json!({"wrong": 0.02, "short": 0.02, "foreign": 0.02})).await
+            }
+            FaultName::Refusals => {
+                self.mischief(fleet, json!({"refuse": 0.05, "break_off": 0.05})).await
+            }
+            FaultName::Crowd | FaultName::RareCrowd => self.crowd(fleet).await,
+        }
+    }
+
+    async fn some_worker(&mut self, fleet: &Fleet) -> String {
+        let used_workers: Vec<String> =
+            match fleet.ask(hyper::Method::GET, "/v1/workers", None).await {
+                Ok((_, body)) => body["workers"]
+                    .as_array()
+                    .into_iter()
+                    .flatten()
+                    .filter(|row| row["reserved_mb"].as_u64() > Some(0))
+                    .filter_map(|row| row["worker"].as_str().map(str::to_owned))
+                    .collect(),
+                Err(_) => Vec::new(),
+            };
+        self.one_of(&used_workers).unwrap_or_else(|| "worker-00".to_owned())
+    }
+
+    async fn mischief(&self, fleet: &Fleet, shares: Value) -> Result<(), FleetFault> {
+        fleet.platform("/v1/mischief", &shares).await?;
+        pause(10_000).await;
+        fleet.platform("/v1/mischief", &json!({})).await
+    }
+
+    async fn race(&self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        let (serial, spec) = fleet.spec().await?;
+        let with_canary = |function: &str, extra: &str| {
+            let mut changed_spec = spec.clone();
+            changed_spec["routes"]["canary"]["function"] = json!(function);
+            changed_spec["functions"][extra] = json!({"memory_mb": 64, "boot_ms": 100, "slots": 1});
+            changed_spec
+        };
+        let first_spec = with_canary("canary-a", "racer-a");
+        let second_spec = with_canary("canary-b", "racer-b");
+        let (first_id, second_id) = (fleet.change_id(), fleet.change_id());
+        let (first_said, second_said) = tokio::join!(
+            fleet.put_spec(serial, &first_id, &first_spec, "accepted"),
+            fleet.put_spec(serial, &second_id, &second_spec, "accepted"),
+        );
+        first_said?;
+        second_said?;
+        Ok(())
+    }
+
+    async fn send_invalid(&self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        let (serial, spec) = fleet.spec().await?;
+        let mut invalid_spec = spec.clone();
+        invalid_spec["functions"]["never"] = json!({"memory_mb": 0, "boot_ms": 100, "slots": 1});
+        invalid_spec["routes"]["canary"]["function"] = json!("never");
+        let change_id = fleet.change_id();
+        fleet.put_spec(serial, &change_id, &invalid_spec, "accepted").await?;
+        let mut stale_spec = spec.clone();
+        stale_spec["functions"]["never"] = json!({"memory_mb": 64, "boot_ms": 100, "slots": 1});
+        stale_spec["routes"]["canary"]["function"] = json!("never");
+        let change_id = fleet.change_id();
+        fleet.put_spec(serial.saturating_sub(1), &change_id, &stale_spec, "accepted").await?;
+        Ok(())
+    }
+
+    async fn grow(&self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        let (serial, mut spec) = fleet.spec().await?;
+        for number in 0..1000 {
+            spec["routes"][format!("grown-{serial}-{number}")] = json!({
+                "method": "GET",
+                "path": format!("/grown/{serial}/{number}/{{part}}"),
+                "function": "canary-a",
+                "budget_ms": 2000,
+                "kind": "repeatable",
+            });
+        }
+        let change_id = fleet.change_id();
+        fleet.put_spec(serial, &change_id, &spec, "in_force").await?;
+        Ok(())
+    }
+
+    async fn evacuate(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        let localities = fleet.layout.machines.values().map(|machine| machine.locality.clone());
+        let named_localities: std::collections::BTreeSet<String> =
+            localities.filter(|name| !name.is_empty()).collect();
+        let names: Vec<String> = named_localities.into_iter().collect();
+        let Some(locality) = self.one_of(&names) else { return Ok(()) };
+        for deed in ["evacuate", "restore"] {
+            let body = json!({"change_id": fleet.change_id()});
+            let path = format!("/v1/localities/{locality}/{deed}");
+            let said = fleet.ask(hyper::Method::POST, &path, Some(&body)).await;
+            let status = said.as_ref().map_or(0, |(status, _)| *status);
+            fleet.note("locality", json!({"locality": locality, "deed": deed, "status": status}));
+            if deed == "evacuate" {
+                pause(9000).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn crowd(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        let caller_routes = self.deployment.caller_routes();
+        let busy_count =
+            caller_routes.iter().filter(|route| route["weight"] == json!(1000)).count();
+        let is_rare = self.name == FaultName::RareCrowd;
+        let rare_count = caller_routes.len() - busy_count - 1;
+        let burst = if is_rare {
+            json!({"at_ms": 0, "lasts_ms": 500, "count": rare_count, "first_route": busy_count, "route_count": rare_count})
+        } else {
+            json!({"at_ms": 0, "lasts_ms": 3000, "count": 3000, "first_route": 0})
+        };
+        let number = self.chance.below(1 << 30);
+        let records = fleet.folder().join(format!("callers-crowd-{number}.jsonl"));
+        let plan = json!({
+            "seed": number,
+            "lasts_ms": 4000,
+            "rate": 0.0,
+            "doors": fleet.layout.doors().iter().map(ToString::to_string).collect::<Vec<_>>(),
+            "platform": fleet.layout.platform.to_string(),
+            "routes": caller_routes,
+            "bursts": [burst],
+            "records": records.display().to_string(),
+        });
+        let source = waymark::readers::BootSource::from_value("crowd", plan);
+        if let Ok(plan) = hiker::Plan::read(&source) {
+            let _ = hiker::walk(plan).await;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/proving/expedition/src/days/mod.rs
@@ -0,0 +1,9 @@
+//! Days of the fleet: a deployment's load, a list of faults, and the judge's verdict.
+
+mod deployment;
+mod fault;
+mod run;
+
+pub use deployment::Deployment;
+pub use fault::{Fault, FaultName};
+pub use run::{Day, DayEnd, run_day};
--- /dev/null
+++ b/proving/expedition/src/fleet/process.rs
@@ -0,0 +1,77 @@
+use super::{FleetFault, Machine};
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::OpenOptions;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// One process of the fleet.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a machine's program; its log is appended to a file of its name.
+    pub fn start(machine: &Machine, folder: &Path) -> Result<Self, FleetFault> {
+        let log_path = folder.join(format!("{}.log", machine.name));
+        let at = |fault| FleetFault::Machine(log_path.clone(), fault);
+        let log_file = OpenOptions::new().create(true).append(true).open(&log_path).map_err(at)?;
+        let error_file = log_file.try_clone().map_err(at)?;
+        let program_path = machine.binary.clone();
+        let child = Command::new(&program_path)
+            .args(&machine.arguments)
+            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned()))
+            .stdin(Stdio::null())
+            .stdout(log_file)
+            .stderr(error_file)
+            .spawn()
+            .map_err(|fault| FleetFault::Machine(program_path, fault))?;
+        Ok(Self { child })
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// SIGTERM.
+    pub fn warn(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// SIGSTOP.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// SIGCONT.
+    pub fn wake(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits for the end; false when it does not come in time.
+    pub async fn wait(&mut self, patience: Duration) -> bool {
+        let wait_until = Instant::now() + patience;
+        while Instant::now() < wait_until {
+            if let Ok(Some(_)) = self.child.try_wait() {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/proving/expedition/src/judge/evidence.rs
@@ -0,0 +1,258 @@
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::path::Path;
+use waymark::identity::{GrantSerial, RunnerId};
+
+/// One transaction as its caller saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// The try's identity.
+    pub id: String,
+    /// When it was sent, in nanoseconds.
+    pub at: u64,
+    /// When it ended.
+    pub end: u64,
+    /// The path.
+    pub path: String,
+    /// The function it should reach.
+    pub function: String,
+    /// Whether it may run only once.
+    pub once: bool,
+    /// Whether it was marked a repeat.
+    pub repeat: bool,
+    /// How it ended: answer, not_run, unknown, lost or no_door.
+    pub outcome: String,
+    /// The reason given.
+    pub reason: String,
+    /// Whether the answer was sealed and its own.
+    pub sealed: bool,
+    /// The runner that answered.
+    pub runner: String,
+    /// The door it went through.
+    pub door: String,
+}
+
+/// One run as its runner saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Run {
+    /// When it began.
+    pub at: u64,
+    /// When it ended; the largest number if it never did.
+    pub end: u64,
+    /// The runner.
+    pub runner: String,
+    /// The function, with its generation.
+    pub function: String,
+    /// The try's identity.
+    pub transaction: String,
+    /// The number of the send, from one.
+    pub attempt: u64,
+    /// How many ran at once on that runner, this one included.
+    pub at_once: u64,
+    /// Whether the runner was ready.
+    pub ready: bool,
+}
+
+/// One runner's life as the platform saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Life {
+    /// The runner.
+    pub runner: String,
+    /// The grant it ran under.
+    pub grant: GrantSerial,
+    /// The function, with its generation.
+    pub function: String,
+    /// The worker.
+    pub worker: String,
+    /// How many it may run at once.
+    pub slots: u64,
+    /// How long it boots, in nanoseconds.
+    pub boot: u64,
+    /// When it was started.
+    pub start: u64,
+    /// When it was stopped; the largest number if it never was.
+    pub stop: u64,
+}
+
+/// Something done to the fleet, or told to operators.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The kind.
+    pub kind: String,
+    /// When.
+    pub at: u64,
+    /// The particulars.
+    pub detail: Value,
+}
+
+/// All that the judge decides from.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    /// The callers' transactions.
+    pub calls: Vec<Call>,
+    /// The runs.
+    pub runs: Vec<Run>,
+    /// The runners' lives.
+    pub lives: Vec<Life>,
+    /// The journal, and the platform's own deeds.
+    pub journal: Vec<Told>,
+}
+
+fn text(record: &Value, name: &str) -> String {
+    record[name].as_str().unwrap_or("").to_owned()
+}
+
+fn number(record: &Value, name: &str) -> u64 {
+    record[name].as_u64().unwrap_or(0)
+}
+
+fn read_lines(path: &Path) -> std::io::Result<Vec<Value>> {
+    let file_text = std::fs::read_to_string(path)?;
+    Ok(file_text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect())
+}
+
+impl Evidence {
+    /// Reads a day's folder.
+    pub fn read(folder: &Path) -> std::io::Result<Self> {
+        let mut caller_records = Vec::new();
+        for listed in std::fs::read_dir(folder)? {
+            let path = listed?.path();
+            let file_name =
+                path.file_name().and_then(|name| name.to_str()).unwrap_or("").to_owned();
+            if file_name.starts_with("callers") && file_name.ends_with(".jsonl") {
+                caller_records.extend(read_lines(&path)?);
+            }
+        }
+        let hut_records = read_lines(&folder.join("hut.jsonl"))?;
+        let journal_records = read_lines(&folder.join("journal.jsonl"))?;
+        Ok(Self::from_records(&caller_records, &hut_records, &journal_records))
+    }
+
+    /// Takes records as they are.
+    pub fn from_records(callers: &[Value], hut: &[Value], journal: &[Value]) -> Self {
+        let mut evidence = Self::default();
+        evidence.calls = callers.iter().map(read_call).collect();
+        evidence.calls.sort_by_key(|call| call.at);
+        let mut open_runs: HashMap<(String, u64), usize> = HashMap::new();
+        let mut open_lives: HashMap<String, usize> = HashMap::new();
+        for record in hut {
+            let runner = text(record, "runner");
+            let run_number = number(record, "run");
+            match record["kind"].as_str().unwrap_or("") {
+                "run_begin" => {
+                    open_runs.insert((runner, run_number), evidence.runs.len());
+                    evidence.runs.push(read_run(record));
+                }
+                "run_end" | "run_abort" => {
+                    if let Some(place) = open_runs.remove(&(runner, run_number)) {
+                        evidence.runs[place].end = number(record, "at");
+                    }
+                }
+                "runner_start" => {
+                    open_lives.insert(runner, evidence.lives.len());
+                    evidence.lives.push(read_life(record));
+                }
+                "runner_stop" => {
+                    if let Some(place) = open_lives.remove(&runner) {
+                        evidence.lives[place].stop = number(record, "at");
+                    }
+                }
+                kind => evidence.journal.push(read_told(kind, record)),
+            }
+        }
+        for record in journal {
+            evidence.journal.push(read_told(record["kind"].as_str().unwrap_or(""), record));
+        }
+        evidence.runs.sort_by_key(|run| run.at);
+        evidence.journal.sort_by_key(|told| told.at);
+        evidence
+    }
+
+    /// The journal's entries of a kind.
+    pub fn told<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = &'a Told> {
+        self.journal.iter().filter(move |told| told.kind == kind)
+    }
+
+    /// The calls by identity.
+    pub fn calls_by_id(&self) -> HashMap<&str, &Call> {
+        self.calls.iter().map(|call| (call.id.as_str(), call)).collect()
+    }
+
+    /// The runners' lives by name.
+    pub fn lives_by_runner(&self) -> HashMap<&str, &Life> {
+        self.lives.iter().map(|life| (life.runner.as_str(), life)).collect()
+    }
+
+    /// The most workers that had a runner at once.
+    pub fn most_workers_used(&self) -> usize {
+        let mut turns: Vec<(u64, bool, &str)> = Vec::new();
+        for life in &self.lives {
+            turns.push((life.start, true, &life.worker));
+            turns.push((life.stop, false, &life.worker));
+        }
+        turns.sort_unstable();
+        let mut runner_counts: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut most_count = 0;
+        for (_, is_start, worker) in turns {
+            let runner_count = runner_counts.entry(worker).or_default();
+            *runner_count =
+                if is_start { *runner_count + 1 } else { runner_count.saturating_sub(1) };
+            let used: BTreeSet<&str> = runner_counts
+                .iter()
+                .filter(|(_, count)| **count > 0)
+                .map(|(name, _)| *name)
+                .collect();
+            most_count = most_count.max(used.len());
+        }
+        most_count
+    }
+}
+
+fn read_call(record: &Value) -> Call {
+    Call {
+        id: text(record, "id"),
+        at: number(record, "at"),
+        end: number(record, "end"),
+        path: text(record, "path"),
+        function: text(record, "function"),
+        once: record["once"].as_bool().unwrap_or(false),
+        repeat: record["repeat_of"].is_string(),
+        outcome: text(record, "outcome"),
+        reason: text(record, "reason"),
+        sealed: record["sealed"].as_bool().unwrap_or(false),
+        runner: text(record, "runner"),
+        door: text(record, "door"),
+    }
+}
+
+fn read_run(record: &Value) -> Run {
+    Run {
+        at: number(record, "at"),
+        end: u64::MAX,
+        runner: text(record, "runner"),
+        function: text(record, "function"),
+        transaction: text(record, "transaction"),
+        attempt: number(record, "attempt"),
+        at_once: number(record, "at_once"),
+        ready: record["ready"].as_bool().unwrap_or(true),
+    }
+}
+
+fn read_life(record: &Value) -> Life {
+    let runner = text(record, "runner");
+    let grant = runner.parse::<RunnerId>().map(|parsed| parsed.grant).unwrap_or_default();
+    Life {
+        grant,
+        runner,
+        function: text(record, "function"),
+        worker: text(record, "worker"),
+        slots: number(record, "slots"),
+        boot: number(record, "boot_ms") * 1_000_000,
+        start: number(record, "at"),
+        stop: u64::MAX,
+    }
+}
+
+fn read_told(kind: &str, record: &Value) -> Told {
+    Told { kind: kind.to_owned(), at: number(record, "at"), detail: record.clone() }
+}
--- /dev/null
+++ b/proving/expedition/src/lib.rs
@@ -0,0 +1,5 @@
+//! The whole fleet on one machine: settings, processes, load, faults, and the judge.
+
+pub mod days;
+pub mod fleet;
+pub mod judge;
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -1,1 +1,153 @@
-fn main() {}
+//! The proving tool: whole days of the fleet, judged.
+
+use expedition::days::{Day, Deployment, FaultName, run_day};
+use expedition::judge::{Evidence, Verdict, judge};
+use eyre::{WrapErr, eyre};
+use gumdrop::Options;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Runs rudderstream's whole fleet on this machine, hurts it, and judges what callers and runners saw.
+#[derive(Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Options)]
+enum Command {
+    #[options(help = "run a day and judge it")]
+    Run(Run),
+    #[options(help = "judge a folder of records again")]
+    Judge(Judge),
+    #[options(help = "list deployments and faults")]
+    List(Plain),
+}
+
+#[derive(Options)]
+struct Plain {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+#[derive(Options)]
+struct Judge {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the day's folder")]
+    folder: PathBuf,
+}
+
+#[derive(Options)]
+struct Run {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "stezka, tintwell or small", default = "small")]
+    deployment: String,
+    #[options(help = "faults in their order, with commas", default = "")]
+    faults: String,
+    #[options(help = "seed", default = "1")]
+    seed: u64,
+    #[options(help = "least length in seconds", default = "20")]
+    lasts: u64,
+    #[options(help = "seconds from one fault to the next", default = "10")]
+    gap: u64,
+    #[options(help = "transactions a second, if not the deployment's")]
+    rate: Option<f64>,
+    #[options(
+        no_short,
+        help = "folder for settings, logs and records",
+        default = "expedition-day"
+    )]
+    folder: PathBuf,
+}
+
+fn read_day(run: &Run) -> Result<Day, String> {
+    let deployment = Deployment::named(&run.deployment).ok_or_else(|| {
+        format!("unknown deployment {:?}; there are: stezka, tintwell, small", run.deployment)
+    })?;
+    let fault_names = || {
+        let names: Vec<&str> = FaultName::ALL.iter().map(|fault| fault.as_str()).collect();
+        names.join(", ")
+    };
+    let faults = run
+        .faults
+        .split(',')
+        .filter(|name| !name.is_empty())
+        .map(|name| {
+            FaultName::ALL
+                .iter()
+                .copied()
+                .find(|fault| fault.as_str() == name)
+                .ok_or_else(|| format!("unknown fault {name:?}; there are: {}", fault_names()))
+        })
+        .collect::<Result<Vec<FaultName>, String>>()?;
+    let own_path = std::env::current_exe().map_err(|fault| fault.to_string())?;
+    let programs = own_path.parent().map(Path::to_owned).unwrap_or_default();
+    let folder = std::path::absolute(&run.folder).map_err(|fault| fault.to_string())?;
+    Ok(Day {
+        deployment,
+        seed: run.seed,
+        faults,
+        gap: Duration::from_secs(run.gap),
+        lasts: Duration::from_secs(run.lasts),
+        folder,
+        programs,
+        rate: run.rate,
+    })
+}
+
+fn conclude(verdict: &Verdict) -> ExitCode {
+    print!("{verdict}");
+    let violation_count = verdict.violation_count();
+    println!("violations: {violation_count}");
+    if violation_count == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    if flags.version {
+        println!("expedition {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let ended = match flags.command {
+        None => {
+            eprintln!("expedition: no command; try --help");
+            return ExitCode::from(2);
+        }
+        Some(Command::List(_)) => {
+            println!("deployments: stezka, tintwell, small");
+            FaultName::ALL.iter().for_each(|fault| println!("{fault}"));
+            return ExitCode::SUCCESS;
+        }
+        Some(Command::Judge(chosen)) => Evidence::read(&chosen.folder)
+            .wrap_err("records")
+            .map(|evidence| conclude(&judge(&evidence))),
+        Some(Command::Run(run)) => match read_day(&run) {
+            Ok(day) => run_whole(&day),
+            Err(reason) => {
+                eprintln!("expedition: {reason}");
+                return ExitCode::from(2);
+            }
+        },
+    };
+    ended.unwrap_or_else(|report| {
+        eprintln!("expedition: {report:#}");
+        ExitCode::from(4)
+    })
+}
+
+fn run_whole(day: &Day) -> eyre::Result<ExitCode> {
+    if day.folder.join("journal.jsonl").exists() {
+        std::fs::remove_dir_all(&day.folder).wrap_err("old folder")?;
+    }
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    let day_end = runtime.block_on(run_day(day)).map_err(|fault| eyre!("{fault}"))?;
+    Ok(conclude(&day_end.verdict))
+}
--- a/proving/hiker/src/caller.rs
+++ b/proving/hiker/src/caller.rs
@@ -215,7 +215,7 @@
                 let transaction = TransactionId::from(identity);
                 let right_seal = seal::seal(&transaction, &key, runner, false, &called.body);
                 right_seal == header(&called.headers, seal::SEAL)
-                    && key.name.as_str() == route.function
+                    && key.name.as_str().starts_with(&route.function)
             }
             _ => false,
         };
