--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -61,6 +61,10 @@
                 read_millis(&timing.field("election_shortest_ms"), core_default.election_shortest);
             let longest =
                 read_millis(&timing.field("election_longest_ms"), core_default.election_longest);
+            let grant_length =
+                read_millis(&timing.field("grant_ms"), desk_default.grant_length);
+            let drift_margin =
+                read_millis(&timing.field("drift_ms"), desk_default.drift_margin);
             Some(Self {
                 source: boot_source.name().to_owned(),
                 place: place?,
@@ -75,8 +79,9 @@
                     .election_longest(longest.max(shortest))
                     .build(),
                 desk_timing: DeskTiming::builder()
-                    .grant_length(read_millis(&timing.field("grant_ms"), desk_default.grant_length))
-                    .drift_margin(read_millis(&timing.field("drift_ms"), desk_default.drift_margin))
+                    .grant_length(grant_length)
+                    .drift_margin(drift_margin)
+                    .claims_wait(grant_length + drift_margin)
                     .strike_after(read_millis(
                         &timing.field("strike_ms"),
                         desk_default.strike_after,
--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -190,7 +190,7 @@
         let all_claimed = self.last_known_whole
             && !self.last_known.is_empty()
             && self.last_known.iter().all(has_claimed);
-        let full_wait_end = self.elected_at + self.timing.full_wait();
+        let full_wait_end = self.elected_at + self.timing.claims_wait;
         let has_waited = now >= full_wait_end && self.runners_listed_at >= full_wait_end;
         if has_majority && (all_claimed || has_waited) {
             self.opened = true;
--- a/crates/survey/src/desk/timing.rs
+++ b/crates/survey/src/desk/timing.rs
@@ -10,6 +10,10 @@
     /// What is added before a grant counts as ended, for clocks that drift.
     #[builder(default = Duration::from_millis(240))]
     pub drift_margin: Duration,
+    /// How long a new leader waits for claims that do not come; never less than a member grant
+    /// with its drift margin.
+    #[builder(default = Duration::from_millis(2640))]
+    pub claims_wait: Duration,
     /// When a last-known daemon that never came back stops counting for the quorum.
     #[builder(default = Duration::from_secs(10))]
     pub strike_after: Duration,
--- /dev/null
+++ b/crates/trail/src/keeper/mod.rs
@@ -0,0 +1,362 @@
+//! What a daemon knows of the world: leader, spec, hosts, grants. No I/O; orders go out.
+
+use crate::liaison::{Liaison, LiaisonOutput};
+use crate::watch::Watch;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use waymark::clock::Moment;
+use waymark::frames::{
+    AcquireResult, Claim, Heartbeat, Host, Place, ReserveResult, RunnerNews, StreamDown, StreamUp,
+};
+use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term};
+use waymark::spec::{DocumentFault, FunctionSpec, Table, View};
+
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(2);
+
+/// What the keeper orders.
+pub enum KeeperOrder {
+    /// Open a stream there.
+    Dial(Place),
+    /// End the stream.
+    Hangup,
+    /// Say something on the stream.
+    Say(StreamUp),
+    /// Send a heartbeat to these places.
+    Beat(Heartbeat, Vec<Place>),
+    /// The leader of this term has welcomed the stream: gather the claims, and send them.
+    Welcomed(Term),
+    /// The stream is lost: nobody's acquisition will be answered, nor these wishes for runners.
+    StreamLost(Vec<(FunctionKey, GrantSerial)>),
+    /// The member grant runs until then.
+    ServeUntil(Moment),
+    /// The member grant has ended: close every held function, forget every owner, send claims.
+    GiveUpAll,
+    /// A spec is installed.
+    Install(Arc<Table>),
+    /// A spec could not be installed.
+    InstallFailed(Serial, DocumentFault),
+    /// The daemons alive have changed.
+    Hosts(Vec<Host>),
+    /// A function is granted.
+    Grant {
+        /// Which one.
+        function: FunctionKey,
+        /// The grant.
+        grant: GrantSerial,
+        /// What it needs.
+        spec: FunctionSpec,
+        /// How long once-transactions are refused.
+        once_wait: Duration,
+    },
+    /// An acquisition is answered; none when it must be tried again.
+    Acquired {
+        /// The function.
+        function: FunctionKey,
+        /// The answer.
+        result: Option<AcquireResult>,
+        /// How long the answer took.
+        round_trip: Duration,
+    },
+    /// A wish for a runner is answered.
+    Reserved {
+        /// The function.
+        function: FunctionKey,
+        /// The grant it was asked under.
+        grant: GrantSerial,
+        /// The answer.
+        result: ReserveResult,
+    },
+    /// A claim does not stand: close the function.
+    Revoke(FunctionKey, GrantSerial),
+    /// Drain a runner.
+    Drain(FunctionKey, RunnerId),
+    /// Hand a function over.
+    HandOver(FunctionKey, GrantSerial),
+}
+
+struct Asked {
+    function: FunctionKey,
+    asked_at: Moment,
+}
+
+/// The keeper of one daemon.
+pub struct Keeper {
+    liaison: Liaison,
+    watch: Watch,
+    view: Option<View>,
+    table: Arc<Table>,
+    alive_hosts: Vec<Host>,
+    acquires: BTreeMap<CorrelationId, Asked>,
+    reserves: BTreeMap<CorrelationId, (FunctionKey, GrantSerial)>,
+    leaving: bool,
+    orders: Vec<KeeperOrder>,
+}
+
+impl Keeper {
+    /// Knows nothing yet.
+    pub fn new(liaison: Liaison, own_host: Host) -> Self {
+        Self {
+            liaison,
+            watch: Watch::new(own_host),
+            view: None,
+            table: Arc::new(Table::empty()),
+            alive_hosts: Vec::new(),
+            acquires: BTreeMap::new(),
+            reserves: BTreeMap::new(),
+            leaving: false,
+            orders: Vec::new(),
+        }
+    }
+
+    /// When the member grant ends.
+    pub fn grant_end(&self) -> Moment {
+        self.liaison.grant_end()
+    }
+
+    /// The serial installed.
+    pub fn serial(&self) -> Serial {
+        self.table.serial()
+    }
+
+    /// Whether the leader has welcomed the stream.
+    pub fn is_welcomed(&self) -> bool {
+        self.liaison.is_welcomed()
+    }
+
+    fn done(&mut self) -> Vec<KeeperOrder> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment) -> Vec<KeeperOrder> {
+        let outputs = self.liaison.tick(now);
+        self.obey(now, outputs);
+        if let Some((heartbeat, places)) = self.watch.tick(now) {
+            self.orders.push(KeeperOrder::Beat(heartbeat, places));
+        }
+        self.look_at_hosts(now);
+        let late_correlations: Vec<CorrelationId> = self
+            .acquires
+            .iter()
+            .filter(|(_, asked)| now.since(asked.asked_at) > ASK_AGAIN_AFTER)
+            .map(|(correlation, _)| *correlation)
+            .collect();
+        for late_correlation in late_correlations {
+            if let Some(asked) = self.acquires.remove(&late_correlation) {
+                self.orders.push(KeeperOrder::Acquired {
+                    function: asked.function,
+                    result: None,
+                    round_trip: now.since(asked.asked_at),
+                });
+            }
+        }
+        self.done()
+    }
+
+    fn look_at_hosts(&mut self, now: Moment) {
+        let alive_hosts = self.watch.alive(now);
+        if alive_hosts != self.alive_hosts {
+            self.alive_hosts = alive_hosts;
+            self.orders.push(KeeperOrder::Hosts(self.alive_hosts.clone()));
+        }
+    }
+
+    /// The dialed stream is open.
+    pub fn connected(&mut self, now: Moment) -> Vec<KeeperOrder> {
+        let outputs = self.liaison.connected(now);
+        self.obey(now, outputs);
+        self.done()
+    }
+
+    /// The stream failed or ended.
+    pub fn disconnected(&mut self, now: Moment) -> Vec<KeeperOrder> {
+        let outputs = self.liaison.disconnected(now);
+        self.obey(now, outputs);
+        self.done()
+    }
+
+    /// The leader says something.
+    pub fn heard(&mut self, now: Moment, frame: StreamDown) -> Vec<KeeperOrder> {
+        let outputs = self.liaison.heard(now, frame);
+        self.obey(now, outputs);
+        self.done()
+    }
+
+    /// A heartbeat came in; false when it is a stranger's.
+    pub fn beat(&mut self, now: Moment, heartbeat: &Heartbeat) -> bool {
+        self.watch.heard(now, heartbeat)
+    }
+
+    /// The daemon is leaving: it takes on nothing any more.
+    pub fn leave(&mut self, now: Moment) -> Vec<KeeperOrder> {
+        self.leaving = true;
+        let outputs = self.liaison.leave();
+        self.obey(now, outputs);
+        self.done()
+    }
+
+    /// Asks the leader for a function.
+    pub fn acquire(&mut self, now: Moment, function: FunctionKey) -> Vec<KeeperOrder> {
+        if self.liaison.is_welcomed() {
+            let correlation = self.liaison.correlation();
+            let asked = Asked { function: function.clone(), asked_at: now };
+            self.acquires.insert(correlation, asked);
+            self.orders.push(KeeperOrder::Say(StreamUp::Acquire { correlation, function }));
+        } else {
+            let round_trip = Duration::ZERO;
+            self.orders.push(KeeperOrder::Acquired { function, result: None, round_trip });
+        }
+        self.done()
+    }
+
+    /// Asks the leader for one more runner.
+    pub fn reserve(&mut self, function: FunctionKey, grant: GrantSerial) -> Vec<KeeperOrder> {
+        if self.liaison.is_welcomed() {
+            let correlation = self.liaison.correlation();
+            self.reserves.insert(correlation, (function.clone(), grant));
+            let frame = StreamUp::Reserve { correlation, function, grant };
+            self.orders.push(KeeperOrder::Say(frame));
+        } else {
+            let result = ReserveResult::Shed;
+            self.orders.push(KeeperOrder::Reserved { function, grant, result });
+        }
+        self.done()
+    }
+
+    /// Sends the claims that were gathered.
+    pub fn claims(&mut self, claims: Vec<Claim>) -> Vec<KeeperOrder> {
+        if self.liaison.is_welcomed() {
+            let frame = self.liaison.claims(claims);
+            self.orders.push(KeeperOrder::Say(frame));
+        }
+        self.done()
+    }
+
+    fn obey(&mut self, now: Moment, outputs: Vec<LiaisonOutput>) {
+        for output in outputs {
+            match output {
+                LiaisonOutput::Dial(place) => self.orders.push(KeeperOrder::Dial(place)),
+                LiaisonOutput::Hangup => self.orders.push(KeeperOrder::Hangup),
+                LiaisonOutput::Say(frame) => self.orders.push(KeeperOrder::Say(frame)),
+                LiaisonOutput::Welcomed => {
+                    self.orders.push(KeeperOrder::Welcomed(self.liaison.term()));
+                }
+                LiaisonOutput::Lost => {
+                    self.acquires.clear();
+                    let lost_reserves = std::mem::take(&mut self.reserves).into_values().collect();
+                    self.orders.push(KeeperOrder::StreamLost(lost_reserves));
+                }
+                LiaisonOutput::GrantedUntil(grant_end) => {
+                    self.orders.push(KeeperOrder::ServeUntil(grant_end));
+                }
+                LiaisonOutput::GrantEnded => self.orders.push(KeeperOrder::GiveUpAll),
+                LiaisonOutput::Pass(frame) => self.hear(now, frame),
+            }
+        }
+    }
+
+    fn hear(&mut self, now: Moment, frame: StreamDown) {
+        match frame {
+            StreamDown::Spec { serial, document } => {
+                let read_view = serde_json::from_slice(&document.0)
+                    .map_err(DocumentFault::from)
+                    .and_then(|value| View::from_value(&value));
+                self.install(now, serial, read_view);
+            }
+            StreamDown::Change { base, serial, patch, digest } => match &self.view {
+                Some(view) if view.serial == base => match view.patched(&patch.0, &digest.0) {
+                    Ok(changed_view) => self.install(now, serial, Ok(changed_view)),
+                    Err(_) => self.orders.push(KeeperOrder::Say(StreamUp::Whole)),
+                },
+                Some(view) if view.serial >= serial => {}
+                _ => self.orders.push(KeeperOrder::Say(StreamUp::Whole)),
+            },
+            StreamDown::Hosts { hosts } => {
+                self.watch.listed(now, hosts.0);
+                self.look_at_hosts(now);
+            }
+            StreamDown::Acquired { correlation, function, result } => {
+                self.acquired(now, correlation, function, result);
+            }
+            StreamDown::Reserved { correlation, function, result } => {
+                self.reserved(correlation, function, result);
+            }
+            StreamDown::Revoke { function, grant } => {
+                self.orders.push(KeeperOrder::Revoke(function, grant));
+            }
+            StreamDown::Drain { function, runner } => {
+                self.orders.push(KeeperOrder::Drain(function, runner));
+            }
+            StreamDown::HandOver { function, grant } => {
+                self.orders.push(KeeperOrder::HandOver(function, grant));
+            }
+            StreamDown::Elsewhere { .. }
+            | StreamDown::Welcome { .. }
+            | StreamDown::Renewed { .. } => {}
+        }
+    }
+
+    fn install(&mut self, now: Moment, serial: Serial, read_view: Result<View, DocumentFault>) {
+        if self.view.as_ref().is_some_and(|view| view.serial >= serial) {
+            return;
+        }
+        match read_view.and_then(|view| Table::build(&view).map(|table| (view, table))) {
+            Ok((view, table)) => {
+                self.table = Arc::new(table);
+                self.view = Some(view);
+                self.orders.push(KeeperOrder::Install(self.table.clone()));
+                let outputs = self.liaison.installed(serial);
+                self.obey(now, outputs);
+            }
+            Err(fault) => self.orders.push(KeeperOrder::InstallFailed(serial, fault)),
+        }
+    }
+
+    fn acquired(
+        &mut self,
+        now: Moment,
+        correlation: CorrelationId,
+        function: FunctionKey,
+        result: AcquireResult,
+    ) {
+        let round_trip =
+            self.acquires.remove(&correlation).map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
+        if let AcquireResult::Granted { grant, once_wait_ms } = &result {
+            let spec = self.table.function_of(&function).map(|entry| entry.spec.clone());
+            let may_hold = now < self.liaison.grant_end() && !self.leaving;
+            match spec.filter(|_| may_hold) {
+                Some(spec) => self.orders.push(KeeperOrder::Grant {
+                    function: function.clone(),
+                    grant: *grant,
+                    spec,
+                    once_wait: Duration::from_millis(u64::from(*once_wait_ms)),
+                }),
+                None => {
+                    let frame = StreamUp::Release { function: function.clone(), grant: *grant };
+                    self.orders.push(KeeperOrder::Say(frame));
+                }
+            }
+        }
+        self.orders.push(KeeperOrder::Acquired { function, result: Some(result), round_trip });
+    }
+
+    fn reserved(
+        &mut self,
+        correlation: CorrelationId,
+        function: FunctionKey,
+        result: ReserveResult,
+    ) {
+        match (self.reserves.remove(&correlation), &result) {
+            (Some((_, grant)), _) => {
+                self.orders.push(KeeperOrder::Reserved { function, grant, result });
+            }
+            (None, ReserveResult::Reserved { runner, .. }) => {
+                let news = RunnerNews::Gone;
+                let frame = StreamUp::Runner { function, runner: *runner, news };
+                self.orders.push(KeeperOrder::Say(frame));
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod chain;
 pub mod drivers;
 pub mod holder;
+pub mod keeper;
 pub mod liaison;
 pub mod owners;
 pub mod watch;
--- a/proving/expedition/src/lib.rs
+++ b/proving/expedition/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod days;
 pub mod fleet;
 pub mod judge;
+pub mod sim;
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -2,6 +2,7 @@
 
 use expedition::days::{Day, Deployment, FaultName, run_day};
 use expedition::judge::{Evidence, Verdict, judge};
+use expedition::sim::{Flaw, SimPlan, World};
 use eyre::{WrapErr, eyre};
 use gumdrop::Options;
 use std::path::{Path, PathBuf};
@@ -25,6 +26,8 @@
     Run(Run),
     #[options(help = "judge a folder of records again")]
     Judge(Judge),
+    #[options(help = "run simulated days over many seeds")]
+    Sim(Sim),
     #[options(help = "list deployments and faults")]
     List(Plain),
 }
@@ -43,6 +46,22 @@
     folder: PathBuf,
 }
 
+#[derive(Options)]
+struct Sim {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", default = "1")]
+    count: u64,
+    #[options(help = "seconds of faults in each day", default = "30")]
+    lasts: u64,
+    #[options(help = "a rule to break on purpose", default = "none")]
+    flaw: String,
+    #[options(no_short, help = "print what happens")]
+    trace: bool,
+}
+
 #[derive(Options)]
 struct Run {
     #[options(help = "print this help")]
@@ -128,6 +147,7 @@
         Some(Command::Judge(chosen)) => Evidence::read(&chosen.folder)
             .wrap_err("records")
             .map(|evidence| conclude(&judge(&evidence))),
+        Some(Command::Sim(sim)) => return simulate(&sim),
         Some(Command::Run(run)) => match read_day(&run) {
             Ok(day) => run_whole(&day),
             Err(reason) => {
@@ -142,6 +162,38 @@
     })
 }
 
+fn simulate(sim: &Sim) -> ExitCode {
+    let Some(flaw) = Flaw::ALL.iter().copied().find(|flaw| flaw.to_string() == sim.flaw) else {
+        let names: Vec<String> = Flaw::ALL.iter().map(Flaw::to_string).collect();
+        eprintln!("expedition: unknown flaw {:?}; there are: {}", sim.flaw, names.join(", "));
+        return ExitCode::from(2);
+    };
+    let mut bad_seeds = Vec::new();
+    let mut weak_seeds = Vec::new();
+    for seed in sim.seed..sim.seed + sim.count {
+        let plan =
+            SimPlan { flaw, lasts: Duration::from_secs(sim.lasts), ..SimPlan::seeded(seed) };
+        let sim_end = World::new(plan, sim.trace).run();
+        sim_end.trace.iter().for_each(|line| println!("{line}"));
+        println!("seed {seed}: {sim_end}");
+        for breach in sim_end.breaches.iter().take(5) {
+            println!("    {breach}");
+        }
+        if !sim_end.breaches.is_empty() {
+            bad_seeds.push(seed);
+        } else if sim_end.share_after < 0.5 {
+            weak_seeds.push(seed);
+        }
+    }
+    println!(
+        "{} seeds: {} with breaches {bad_seeds:?}, {} not back in service {weak_seeds:?}",
+        sim.count,
+        bad_seeds.len(),
+        weak_seeds.len()
+    );
+    if bad_seeds.is_empty() && weak_seeds.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
 fn run_whole(day: &Day) -> eyre::Result<ExitCode> {
     if day.folder.join("journal.jsonl").exists() {
         std::fs::remove_dir_all(&day.folder).wrap_err("old folder")?;
--- /dev/null
+++ b/proving/expedition/src/sim/mod.rs
@@ -0,0 +1,15 @@
+//! The real state machines of both planes under virtual time, with a virtual network, disk and platform.
+
+mod checks;
+mod daemon;
+mod faults;
+mod flaw;
+mod network;
+mod operator;
+mod platform;
+mod surveyor;
+mod world;
+
+pub use checks::{Breach, Checks};
+pub use flaw::Flaw;
+pub use world::{SimEnd, SimPlan, World};
--- /dev/null
+++ b/proving/expedition/src/sim/network.rs
@@ -0,0 +1,42 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+use waymark::chance::Chance;
+
+/// Names a node: surveyors first, then daemons, the platform last.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct Node(pub usize);
+
+/// The platform's node.
+pub const PLATFORM: Node = Node(1000);
+
+/// Who cannot reach whom, and how long messages take.
+#[derive(Default)]
+pub struct Network {
+    cuts: BTreeSet<(Node, Node)>,
+}
+
+impl Network {
+    /// Cuts one direction.
+    pub fn cut(&mut self, from: Node, to: Node) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Mends everything.
+    pub fn mend(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Whether a message gets through.
+    pub fn reaches(&self, from: Node, to: Node) -> bool {
+        !self.cuts.contains(&(from, to))
+    }
+
+    /// How long a message takes: mostly short, now and then long.
+    pub fn delay(&self, chance: &mut Chance) -> Duration {
+        if chance.happens(0.01) {
+            chance.within(Duration::from_millis(5), Duration::from_millis(150))
+        } else {
+            chance.within(Duration::from_micros(100), Duration::from_millis(3))
+        }
+    }
+}
--- /dev/null
+++ b/proving/expedition/src/sim/operator.rs
@@ -0,0 +1,124 @@
+use super::world::{Event, World};
+use serde_json::{Value, json};
+use std::time::Duration;
+use survey::plane::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
+use waymark::identity::{ChangeId, Serial};
+
+/// One operator's change that is on its way.
+pub struct SimChange {
+    change: ChangeId,
+    base: Serial,
+    kind: ChangeKind,
+    tries: u32,
+}
+
+/// The routes and functions of the virtual deployment.
+pub fn spec(turn: u64) -> Value {
+    let mut functions = serde_json::Map::new();
+    let mut routes = serde_json::Map::new();
+    for number in 0..6 {
+        let name = format!("f{number}");
+        functions.insert(
+            name.clone(),
+            json!({"memory_mb": 300, "boot_ms": 200 + 100 * number, "slots": 3, "runners": {"max": 5}}),
+        );
+        routes.insert(
+            name.clone(),
+            json!({
+                "method": "POST",
+                "path": format!("/{name}"),
+                "function": name,
+                "budget_ms": 3000,
+                "kind": if number % 2 == 0 { "once" } else { "repeatable" },
+            }),
+        );
+    }
+    routes.insert(
+        "canary".to_owned(),
+        json!({
+            "method": "POST",
+            "path": "/canary",
+            "function": format!("f{}", turn % 6),
+            "budget_ms": 3000,
+            "kind": "repeatable",
+        }),
+    );
+    json!({"functions": functions, "routes": routes})
+}
+
+impl World {
+    /// An operator sends a change, built on the newest serial or on one just before.
+    pub(super) fn send_change(&mut self) {
+        let newest_serial = self.checks.newest_serial();
+        let count = if self.chance.happens(0.3) { 2 } else { 1 };
+        for _ in 0..count {
+            self.next_number += 1;
+            let number = self.next_number;
+            let is_valid = !self.chance.happens(0.1);
+            let mut new_spec = spec(self.chance.below(6));
+            if !is_valid {
+                new_spec["routes"]["canary"]["function"] = json!("nowhere");
+            }
+            let change = SimChange {
+                change: ChangeId::from(format!("change-{number}")),
+                base: newest_serial,
+                kind: ChangeKind::Whole(new_spec),
+                tries: 0,
+            };
+            let target = self.chance.below(3) as usize;
+            self.operate(target, change);
+        }
+    }
+
+    fn operate(&mut self, target: usize, mut change: SimChange) {
+        change.tries += 1;
+        self.next_number += 1;
+        let ticket = OperationTicket(self.next_number);
+        let operation = Operation::Change {
+            base: Some(change.base),
+            change: change.change.clone(),
+            kind: change.kind.clone(),
+            wait: Wait::Accepted,
+        };
+        self.changes.insert(ticket, change);
+        let node = self.surveyors[target].node;
+        let delay = self.network.delay(&mut self.chance);
+        self.push(delay, Event::Operate(node, ticket, operation));
+    }
+
+    pub(super) fn hear_operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
+        let Some(change) = self.changes.remove(&ticket) else { return };
+        match reply {
+            OperationReply::Elsewhere(leader) => {
+                let target = self.node_at(leader).map(|node| node.0);
+                if let Some(target) = target.filter(|_| change.tries < 3) {
+                    self.operate(target, change);
+                }
+            }
+            OperationReply::Said(status, body) => {
+                let state = body["state"].as_str().unwrap_or("");
+                if status == 200 && matches!(state, "accepted" | "in_force") {
+                    let serial = Serial(body["serial"].as_u64().unwrap_or(0));
+                    self.checks.accepts(self.now, &change.change, change.base, serial);
+                } else if state == "not_accepted" && change.tries == 1 {
+                    self.refused_changes.push(change.change.clone());
+                    self.checks.refuses(self.now, &change.change);
+                }
+                self.counted(if status == 200 { "change accepted" } else { "change refused" });
+            }
+        }
+    }
+
+    /// Refused changes must not be committed later either.
+    pub(super) fn check_refused(&mut self) {
+        for change in std::mem::take(&mut self.refused_changes) {
+            self.checks.refuses(self.now, &change);
+        }
+    }
+
+    pub(super) fn schedule_change(&mut self) {
+        let wait_span =
+            self.chance.within(Duration::from_millis(300), Duration::from_millis(3000));
+        self.push(wait_span, Event::Change);
+    }
+}
--- /dev/null
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -0,0 +1,257 @@
+use super::flaw::Flaw;
+use super::network::{Node, PLATFORM};
+use super::platform::Asker;
+use super::world::{Event, World};
+use std::time::Duration;
+use survey::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
+use survey::desk::{DeskTiming, StreamId};
+use survey::plane::{OperationReply, OperationTicket, Plane, PlaneInput, PlaneOutput};
+use waymark::chance::Chance;
+use waymark::clock::Moment;
+use waymark::events;
+use waymark::frames::StreamDown;
+use waymark::identity::{Stamp, SurveyorId, Ticket};
+
+/// A virtual disk.
+pub struct SimDisk {
+    /// What survives a crash.
+    pub durable: Recalled,
+    /// Until when writes hang.
+    pub stalled_until: Moment,
+    /// Until when writes fail.
+    pub failing_until: Moment,
+}
+
+/// One virtual surveyor.
+pub struct SimSurveyor {
+    /// Its node.
+    pub node: Node,
+    /// Counts its lives.
+    pub life: u64,
+    /// Its machine's clock, ahead of virtual time.
+    pub clock_ahead: Duration,
+    /// The surveyor itself, while it is alive.
+    pub plane: Option<Plane>,
+    /// Its disk.
+    pub disk: SimDisk,
+}
+
+pub(super) fn timing() -> CoreTiming {
+    CoreTiming::builder().build()
+}
+
+impl World {
+    pub(super) fn surveyor_now(&self, place: usize) -> Moment {
+        self.now + self.surveyors[place].clock_ahead
+    }
+
+    /// Starts a surveyor with what its disk remembers.
+    pub(super) fn start_surveyor(&mut self, place: usize) {
+        let local_now = self.surveyor_now(place);
+        let seed = self.chance.number();
+        let seeds = self.surveyor_places();
+        let own_place = seeds[place];
+        let flaw = self.plan.flaw;
+        let surveyor = &mut self.surveyors[place];
+        surveyor.life += 1;
+        let address = Address { place: own_place, operators: own_place };
+        let core = Core::new(
+            local_now,
+            timing(),
+            surveyor.disk.durable.clone(),
+            address,
+            seeds,
+            Chance::seeded(seed),
+        );
+        let mut desk_timing = DeskTiming::builder().build();
+        if flaw == Flaw::ClaimsWaitSkipped {
+            desk_timing.claims_wait = Duration::ZERO;
+        }
+        surveyor.plane = Some(Plane::new(core, desk_timing, timing().election_shortest));
+        let node = surveyor.node;
+        self.push(Duration::from_millis(1), Event::Tick(node, self.surveyors[place].life));
+        self.push(Duration::from_millis(50), Event::Poll(node, self.surveyors[place].life));
+    }
+
+    /// Kills a surveyor; a write under way may or may not have reached the disk.
+    pub(super) fn kill_surveyor(&mut self, place: usize) {
+        self.surveyors[place].plane = None;
+        self.surveyors[place].life += 1;
+        let node = self.surveyors[place].node;
+        self.break_links(node);
+        let unsynced = std::mem::take(&mut self.unsynced);
+        for (owner, job) in unsynced {
+            let is_lucky = self.chance.happens(0.5) && self.plan.flaw != Flaw::SyncSkipped;
+            if owner == place && is_lucky {
+                self.surveyors[place].disk.keep(&job);
+            } else if owner != place {
+                self.unsynced.push((owner, job));
+            }
+        }
+    }
+
+    /// A surveyor's disk is replaced by an empty one.
+    pub(super) fn lose_disk(&mut self, place: usize) {
+        let fresh_id = SurveyorId(self.chance.number() | 1);
+        self.surveyors[place].disk.durable = Recalled {
+            id: fresh_id,
+            voted: None,
+            accepted: None,
+            distrusted: Stamp::default(),
+        };
+    }
+
+    pub(super) fn feed_surveyor(&mut self, place: usize, input: PlaneInput) {
+        let local_now = self.surveyor_now(place);
+        let Some(plane) = &mut self.surveyors[place].plane else { return };
+        let orders = plane.take(local_now, input);
+        for order in orders {
+            self.obey_surveyor(place, order);
+        }
+    }
+
+    fn obey_surveyor(&mut self, place: usize, order: PlaneOutput) {
+        let node = self.surveyors[place].node;
+        let life = self.surveyors[place].life;
+        match order {
+            PlaneOutput::Send(to, frame) => {
+                let Some(to_node) = self.node_at(to) else { return };
+                if self.network.reaches(node, to_node) && !self.chance.happens(0.001) {
+                    let key = (node, to_node);
+                    let delay = self.network.delay(&mut self.chance);
+                    self.push_in_order(key, delay, Event::CoreFrame(to_node, frame));
+                }
+            }
+            PlaneOutput::Write(ticket, job) => self.write(place, ticket, job),
+            PlaneOutput::Down(stream, frame) => self.send_down(stream, frame),
+            PlaneOutput::Close(stream) => self.close_link(stream.0),
+            PlaneOutput::StopRunner(runner) => {
+                let asker = Asker { node, life };
+                if self.network.reaches(node, PLATFORM) {
+                    let delay = self.network.delay(&mut self.chance);
+                    self.push(delay, Event::LeaderStop(asker, runner));
+                }
+            }
+            PlaneOutput::Operated(ticket, reply) => self.operated(ticket, reply),
+            PlaneOutput::Told(numbered) => {
+                if numbered.told.event == events::COMMITTED {
+                    self.check_commit(place);
+                }
+                if self.is_tracing {
+                    let line = format!("{} surveyor {place} {} {}", self.now, numbered.told.event, numbered.told.detail);
+                    self.trace.push(line);
+                }
+            }
+        }
+    }
+
+    fn check_commit(&mut self, place: usize) {
+        let committed_document = self.surveyors[place]
+            .plane
+            .as_ref()
+            .and_then(|plane| plane.core().accepted().cloned());
+        if let Some(document) = committed_document {
+            self.checks.commits(self.now, &document);
+        }
+    }
+
+    fn write(&mut self, place: usize, ticket: Ticket, job: WriteJob) {
+        let life = self.surveyors[place].life;
+        let node = self.surveyors[place].node;
+        let disk = &self.surveyors[place].disk;
+        let own_delay =
+            self.chance.within(Duration::from_micros(300), Duration::from_millis(12));
+        let ends_at = (self.now + own_delay).max(disk.stalled_until);
+        let is_failing = disk.failing_until > self.now;
+        self.unsynced.push((place, job.clone()));
+        let skips_sync = self.plan.flaw == Flaw::SyncSkipped;
+        if skips_sync {
+            self.push(Duration::from_micros(100), Event::Written(node, life, ticket, WriteResult::Synced));
+            let late = ends_at.since(self.now) + Duration::from_secs(20);
+            self.push(late, Event::Durable(node, life, job));
+        } else if is_failing {
+            let delay = ends_at.since(self.now);
+            self.push(delay, Event::Written(node, life, ticket, WriteResult::Failed));
+        } else {
+            let delay = ends_at.since(self.now);
+            self.push(delay, Event::Durable(node, life, job));
+            self.push(
+                delay + Duration::from_nanos(1),
+                Event::Written(node, life, ticket, WriteResult::Synced),
+            );
+        }
+    }
+
+    pub(super) fn durable(&mut self, place: usize, job: &WriteJob) {
+        self.surveyors[place].disk.keep(job);
+        self.unsynced.retain(|(owner, kept)| *owner != place || !is_same(kept, job));
+    }
+
+    fn send_down(&mut self, stream: StreamId, frame: StreamDown) {
+        let Some(link) = self.links.get(&stream.0) else { return };
+        let (from, to) = (link.surveyor, link.daemon);
+        if !self.network.reaches(from, to) {
+            self.doom_link(stream.0);
+            return;
+        }
+        let delay = self.network.delay(&mut self.chance);
+        let key = (Node(2_000_000 + stream.0 as usize), to);
+        self.push_in_order(key, delay, Event::LinkDown(stream.0, frame));
+    }
+
+    pub(super) fn poll_platform(&mut self, place: usize) {
+        let node = self.surveyors[place].node;
+        let life = self.surveyors[place].life;
+        self.push(Duration::from_millis(400), Event::Poll(node, life));
+        let leads =
+            self.surveyors[place].plane.as_ref().is_some_and(|plane| plane.core().is_leader());
+        if !leads || !self.network.reaches(node, PLATFORM) {
+            return;
+        }
+        let sent_at = self.surveyor_now(place);
+        let (age, listed_runners) = self.platform.late_list(self.now);
+        let workers = self.platform.workers.clone();
+        let delay = self.network.delay(&mut self.chance);
+        self.push(
+            delay,
+            Event::Lists(node, life, workers, sent_at - age, listed_runners),
+        );
+    }
+
+    fn operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
+        let delay = self.network.delay(&mut self.chance);
+        self.push(delay, Event::Operated(ticket, reply));
+    }
+}
+
+fn is_same(left: &WriteJob, right: &WriteJob) -> bool {
+    match (left, right) {
+        (WriteJob::Vote { term: left_term, .. }, WriteJob::Vote { term: right_term, .. }) => {
+            left_term == right_term
+        }
+        (WriteJob::Version(left_document), WriteJob::Version(right_document)) => {
+            left_document.stamp == right_document.stamp
+        }
+        _ => false,
+    }
+}
+
+impl SimDisk {
+    /// Makes a write durable.
+    pub fn keep(&mut self, job: &WriteJob) {
+        match job {
+            WriteJob::Vote { term, candidate } => {
+                if self.durable.voted.is_none_or(|(voted, _)| voted < *term) {
+                    self.durable.voted = Some((*term, *candidate));
+                }
+            }
+            WriteJob::Version(document) => {
+                let is_newer =
+                    self.durable.accepted.as_ref().is_none_or(|held| held.stamp < document.stamp);
+                if is_newer {
+                    self.durable.accepted = Some(document.clone());
+                }
+            }
+        }
+    }
+}
