Grants wait until every known runner of the function is stopped

Cause: a new leader found the runners of a holder that did not claim, ordered their stop and granted at once, so old and new runners overlapped for some milliseconds. Ruled out: late starts (the runners were old). Orphans, and runners of functions given up but not yet stopped, now count as reservations that bar the grant; claims name them.

--- a/crates/survey/src/desk/claims.rs
+++ b/crates/survey/src/desk/claims.rs
@@ -10,12 +10,17 @@
 impl Desk {
     pub(super) fn hear_claims(&mut self, now: Moment, stream: StreamId, claims: Vec<Claim>) {
         let Some(claimant) = self.streams.get(&stream).cloned() else { return };
+        let (ending_claims, claims): (Vec<Claim>, Vec<Claim>) =
+            claims.into_iter().partition(|claim| claim.ending.0);
         let claimed_functions: BTreeSet<FunctionKey> =
             claims.iter().map(|claim| claim.function.clone()).collect();
         let claimed_runners: BTreeSet<RunnerId> = claims
             .iter()
             .flat_map(|claim| claim.runners.0.iter().map(|listed| listed.runner))
             .collect();
+        for claim in ending_claims {
+            self.take_ending(claim);
+        }
         for claim in claims {
             self.take_claim(now, stream, &claimant, claim);
         }
@@ -39,6 +44,22 @@
         }
     }
 
+    /// Runners of a function given up stand in the way of its next grant until they are stopped.
+    fn take_ending(&mut self, claim: Claim) {
+        for listed in claim.runners.0 {
+            let reservation = self.reservations.entry(listed.runner).or_insert(Reservation {
+                function: claim.function.clone(),
+                worker: listed.worker,
+                memory_mb: listed.memory_mb,
+                ready: true,
+                draining: true,
+                stop_wanted: true,
+                stop_asked_at: None,
+            });
+            reservation.stop_wanted = true;
+        }
+    }
+
     fn take_claim(
         &mut self,
         now: Moment,
--- a/crates/survey/src/desk/fence.rs
+++ b/crates/survey/src/desk/fence.rs
@@ -4,6 +4,8 @@
 use waymark::events;
 use waymark::identity::{FunctionKey, RunnerId};
 
+const KEPT_ENDED: usize = 8192;
+
 impl Desk {
     /// Has the runners of lost holders stopped through the platform, and frees what is stopped.
     pub(super) fn fence(&mut self, now: Moment) {
@@ -64,6 +66,10 @@
 
     /// The platform has confirmed that a runner is stopped and will never start.
     pub fn runner_stopped(&mut self, runner: RunnerId) {
+        self.ended.insert(runner);
+        if self.ended.len() > KEPT_ENDED {
+            self.ended.pop_first();
+        }
         if let Some(reservation) = self.reservations.remove(&runner) {
             self.tell(
                 events::RUNNER_STOPPED,
--- a/crates/survey/src/desk/functions.rs
+++ b/crates/survey/src/desk/functions.rs
@@ -37,6 +37,9 @@
             return is_answerable
                 .then(|| AcquireResult::Owner { host: holder_record.host.clone() });
         }
+        if self.reservations.values().any(|held| held.function == acquire.function) {
+            return None;
+        }
         if self.table.function_of(&acquire.function).is_none() {
             let installed = self.members.get(&asker).map(|record| record.installed);
             let newest = self.document.as_ref().map(|document| document.stamp.serial);
--- a/crates/survey/src/desk/timing.rs
+++ b/crates/survey/src/desk/timing.rs
@@ -14,6 +14,9 @@
     /// with its drift margin.
     #[builder(default = Duration::from_millis(2640))]
     pub claims_wait: Duration,
+    /// How long a runner's start may be on its way to the platform after its holder's grant.
+    #[builder(default = Duration::from_millis(400))]
+    pub start_settle: Duration,
     /// When a last-known daemon that never came back stops counting for the quorum.
     #[builder(default = Duration::from_secs(10))]
     pub strike_after: Duration,
--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -1,4 +1,4 @@
-use super::{Desk, DeskOutput, StreamId};
+use super::{Desk, StreamId};
 use serde_json::json;
 use std::collections::BTreeMap;
 use waymark::clock::Moment;
@@ -24,6 +24,8 @@
 pub struct ListedRunner {
     /// The runner.
     pub runner: RunnerId,
+    /// Its function.
+    pub function: FunctionKey,
     /// Where it runs.
     pub worker: WorkerName,
 }
@@ -55,12 +57,23 @@
     /// Takes the platform's list of runners, which shows how things stood at a moment.
     pub fn runners_listed(&mut self, content_moment: Moment, listed_runners: &[ListedRunner]) {
         self.runners_listed_at = self.runners_listed_at.max(content_moment);
-        if !self.opened && content_moment < self.elected_at + self.timing.full_wait() {
+        if !self.opened && content_moment < self.elected_at + self.timing.claims_wait {
             return;
         }
         for listed in listed_runners {
-            if !self.reservations.contains_key(&listed.runner) {
-                self.outputs.push(DeskOutput::StopRunner(listed.runner));
+            let is_known = self.reservations.contains_key(&listed.runner)
+                || self.ended.contains(&listed.runner);
+            if !is_known {
+                let orphan = Reservation {
+                    function: listed.function.clone(),
+                    worker: listed.worker.clone(),
+                    memory_mb: 0,
+                    ready: true,
+                    draining: true,
+                    stop_wanted: true,
+                    stop_asked_at: None,
+                };
+                self.reservations.insert(listed.runner, orphan);
                 self.tell(
                     events::ORPHAN,
                     json!({"runner": listed.runner.to_string(), "worker": listed.worker.as_str()}),
--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -77,6 +77,7 @@
         .filter_map(|item| {
             Some(ListedRunner {
                 runner: item.field("runner").text()?.parse().ok()?,
+                function: item.field("function").text()?.parse().ok()?,
                 worker: item.field("worker").text()?.into(),
             })
         })
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -207,11 +207,12 @@
 
     fn send_claims(&mut self) {
         let holdings = self.state.holdings.load_full();
+        let closing: Vec<Arc<Holding>> =
+            self.state.closing.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let claims = holdings
             .values()
-            .filter_map(|holding| {
-                holding.with(|holder| holder.is_claimable().then(|| holder.claim()))
-            })
+            .chain(&closing)
+            .map(|holding| holding.with(|holder| holder.claim()))
             .collect();
         let orders = self.keeper.claims(claims);
         self.obey(orders);
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -17,7 +17,7 @@
 use tries::TryWindow;
 use waymark::clock::Moment;
 use waymark::frames::{
-    Claim, ClaimRunner, HopOutcome, HopReason, Many, Place, ReserveResult, RunnerNews,
+    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Many, Place, ReserveResult, RunnerNews,
 };
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use waymark::spec::FunctionSpec;
@@ -148,7 +148,12 @@
                 memory_mb: record.memory_mb,
             })
             .collect();
-        Claim { function: self.function.clone(), grant: self.grant, runners: Many(runners) }
+        Claim {
+            function: self.function.clone(),
+            grant: self.grant,
+            runners: Many(runners),
+            ending: Flag(!self.is_claimable()),
+        }
     }
 
     /// Whether it may be claimed: it is held, and not given up.
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/waymark/src/frames/stream.rs
@@ -46,6 +46,8 @@
     pub grant: GrantSerial,
     /// Its runners.
     pub runners: Many<ClaimRunner>,
+    /// Whether it is given up, and these runners are still being stopped.
+    pub ending: Flag,
 }
 
 /// The leader's answer to an acquisition.
--- a/crates/waymark/src/identity/mod.rs
+++ b/crates/waymark/src/identity/mod.rs
@@ -5,7 +5,7 @@
 mod numbers;
 mod runner;
 
-pub use function::{FunctionIndex, FunctionKey};
+pub use function::{FunctionIndex, FunctionKey, FunctionKeyFault};
 pub use names::{ChangeId, FunctionName, Locality, MemberName, TransactionId, WorkerName};
 pub use numbers::{
     CorrelationId, GrantSerial, Incarnation, Serial, Stamp, SurveyorId, Term, Ticket,
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -14,7 +14,7 @@
 use waymark::frames::{
     AcquireResult, Flag, HopOutcome, HopReason, Host, ReserveResult, RunnerNews, StreamUp,
 };
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket, TransactionId};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use waymark::spec::Table;
 
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
@@ -31,8 +31,6 @@
     pub route: String,
     /// Whether it may run only once.
     pub once: bool,
-    /// The spec it was matched with.
-    pub serial: Serial,
     /// What is left of its budget.
     pub budget: Duration,
     /// How many hops it has made.
@@ -50,6 +48,7 @@
     back: Back,
     budget_end: Moment,
     give_up_at: Moment,
+    is_looking: bool,
 }
 
 struct SimTask {
@@ -305,7 +304,7 @@
         let claims = body
             .holdings
             .values()
-            .filter(|held| held.holder.is_claimable())
+            .chain(&body.closing)
             .map(|held| held.holder.claim())
             .collect();
         let orders = body.keeper.claims(claims);
@@ -587,7 +586,6 @@
             function: table.function(route.function).key.clone(),
             route: route_name.to_owned(),
             once: route.spec.once,
-            serial: table.serial(),
             budget: budget.min(route.spec.budget),
             hops: 0,
         };
@@ -608,7 +606,7 @@
             .filter(|route| body.table.function(route.function).key == ask.function)
             .map(|route| route.spec.patience);
         let give_up_at = budget_end.min(local_now + patience.unwrap_or(LOOK_AGAIN).max(LOOK_AGAIN));
-        body.pendings.insert(number, Pending { ask, back, budget_end, give_up_at });
+        body.pendings.insert(number, Pending { ask, back, budget_end, give_up_at, is_looking: true });
         if patience.is_none() {
             self.end(place, number, not_run(HopReason::NotAllowed, 500), None);
         } else {
@@ -622,7 +620,9 @@
         let node = self.daemons[place].node;
         let life = self.daemons[place].life;
         let Some(body) = &mut self.daemons[place].body else { return };
-        let Some(pending) = body.pendings.get(&number) else { return };
+        let Some(pending) = body.pendings.get(&number).filter(|pending| pending.is_looking) else {
+            return;
+        };
         if local_now >= pending.give_up_at {
             self.end(place, number, not_run(HopReason::NoOwner, 1000), None);
             return;
@@ -637,6 +637,10 @@
             hosts: &body.hosts,
             hops: ask.hops,
         });
+        let is_passed_on = matches!(step, Step::Serve | Step::Forward(_));
+        if let Some(pending) = body.pendings.get_mut(&number) {
+            pending.is_looking = !is_passed_on;
+        }
         match step {
             Step::Serve => self.serve(place, number, ask, budget_end),
             Step::Forward(host) => {
@@ -701,10 +705,11 @@
         let life = self.daemons[place].life;
         let Some(body) = &mut self.daemons[place].body else { return };
         let own_host = body.host.clone();
-        let Some(pending) = body.pendings.get(&number) else { return };
+        let Some(pending) = body.pendings.get_mut(&number) else { return };
         let is_leaving =
             matches!(outcome, HopOutcome::NotRun { reason: HopReason::NotHolder, .. });
         if is_leaving && pending.ask.hops == 0 {
+            pending.is_looking = true;
             self.push(LOOK_AGAIN, Event::Look(node, life, number));
             return;
         }
@@ -746,7 +751,11 @@
         let node = self.daemons[place].node;
         let life = self.daemons[place].life;
         let Some(body) = &mut self.daemons[place].body else { return };
-        let Some(pending) = body.pendings.get(&number) else { return };
+        let Some(pending) = body.pendings.get_mut(&number) else { return };
+        if pending.is_looking {
+            return;
+        }
+        pending.is_looking = !is_lost;
         let function = pending.ask.function.clone();
         body.owners.remove(&function);
         if is_lost {
@@ -767,13 +776,14 @@
         let node = self.daemons[place].node;
         let life = self.daemons[place].life;
         let Some(body) = &mut self.daemons[place].body else { return };
-        let Some(pending) = body.pendings.get(&number) else { return };
+        let Some(pending) = body.pendings.get_mut(&number) else { return };
         let function = pending.ask.function.clone();
         if matches!(outcome, HopOutcome::NotRun { reason: HopReason::NotHolder, .. }) {
             body.owners.remove(&function);
             if pending.ask.hops > 0 {
                 self.end(place, number, outcome, None);
             } else {
+                pending.is_looking = true;
                 self.push(LOOK_AGAIN, Event::Look(node, life, number));
             }
             return;
--- a/proving/expedition/src/sim/platform.rs
+++ b/proving/expedition/src/sim/platform.rs
@@ -58,7 +58,11 @@
         let listed = self
             .runners
             .iter()
-            .map(|(runner, held)| ListedRunner { runner: *runner, worker: held.worker.clone() })
+            .map(|(runner, held)| ListedRunner {
+                runner: *runner,
+                function: held.function.clone(),
+                worker: held.worker.clone(),
+            })
             .collect();
         self.taken_lists.push_back((now, listed));
         while self.taken_lists.len() > 1 && now.since(self.taken_lists[1].0) >= self.lag {
--- a/proving/hiker/src/caller.rs
+++ b/proving/hiker/src/caller.rs
@@ -14,7 +14,7 @@
 use waymark::clock::Moment;
 use waymark::frames::Place;
 use waymark::http::{Called, call, call_json};
-use waymark::identity::{FunctionKey, Serial, TransactionId};
+use waymark::identity::{FunctionKey, TransactionId};
 use waymark::seal;
 
 /// How many transactions ended how.
@@ -207,11 +207,8 @@
     if outcome == "answer" {
         let function_text = header(&called.headers, seal::FUNCTION);
         let runner_text = header(&called.headers, seal::RUNNER);
-        let key = function_text.rsplit_once('@').and_then(|(name, generation)| {
-            Some(FunctionKey::new(name, Serial(generation.parse().ok()?)))
-        });
-        let is_sealed = match (key, runner_text.parse()) {
-            (Some(key), Ok(runner)) => {
+        let is_sealed = match (function_text.parse::<FunctionKey>(), runner_text.parse()) {
+            (Ok(key), Ok(runner)) => {
                 let transaction = TransactionId::from(identity);
                 let right_seal = seal::seal(&transaction, &key, runner, false, &called.body);
                 right_seal == header(&called.headers, seal::SEAL)
--- a/proving/hut/src/platform/mod.rs
+++ b/proving/hut/src/platform/mod.rs
@@ -16,7 +16,7 @@
 use waymark::clock::Moment;
 use waymark::frames::Place;
 use waymark::http::{self, Served, call_json, json_response, read_body};
-use waymark::identity::{FunctionKey, RunnerId, Serial};
+use waymark::identity::{FunctionKey, RunnerId};
 
 /// One worker.
 #[derive(Clone, Debug)]
@@ -170,11 +170,8 @@
         let text = |name: &str| body.get(name).and_then(Value::as_str).unwrap_or("").to_owned();
         let number = |name: &str| body.get(name).and_then(Value::as_u64);
         let function = text("function");
-        let key = function.rsplit_once('@').and_then(|(name, generation)| {
-            Some(FunctionKey::new(name, Serial(generation.parse().ok()?)))
-        });
-        let (Ok(runner), Some(key), Some(memory_mb), Some(boot_ms)) =
-            (text("runner").parse::<RunnerId>(), key, number("memory_mb"), number("boot_ms"))
+        let (Ok(runner), Ok(key), Some(memory_mb), Some(boot_ms)) =
+            (text("runner").parse::<RunnerId>(), function.parse::<FunctionKey>(), number("memory_mb"), number("boot_ms"))
         else {
             return json_response(StatusCode::BAD_REQUEST, &json!({"error": "bad_start"}));
         };
