--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -61,10 +61,8 @@
                 read_millis(&timing.field("election_shortest_ms"), core_default.election_shortest);
             let longest =
                 read_millis(&timing.field("election_longest_ms"), core_default.election_longest);
-            let grant_length =
-                read_millis(&timing.field("grant_ms"), desk_default.grant_length);
-            let drift_margin =
-                read_millis(&timing.field("drift_ms"), desk_default.drift_margin);
+            let grant_length = read_millis(&timing.field("grant_ms"), desk_default.grant_length);
+            let drift_margin = read_millis(&timing.field("drift_ms"), desk_default.drift_margin);
             Some(Self {
                 source: boot_source.name().to_owned(),
                 place: place?,
--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -191,7 +191,8 @@
             && !self.last_known.is_empty()
             && self.last_known.iter().all(has_claimed);
         let full_wait_end = self.elected_at + self.timing.claims_wait;
-        let has_waited = now >= full_wait_end && self.runners_listed_at >= full_wait_end + self.timing.start_settle;
+        let has_waited = now >= full_wait_end
+            && self.runners_listed_at >= full_wait_end + self.timing.start_settle;
         if has_majority && (all_claimed || has_waited) {
             self.opened = true;
             self.all_claimed = all_claimed;
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -254,7 +254,13 @@
         let state = self.state.clone();
         state.gauges.serial.set(table.serial().0 as i64);
         state.table.store(table.clone());
-        note!(Info, events::SPEC_INSTALLED, "serial {}, {} routes", table.serial(), table.route_count());
+        note!(
+            Info,
+            events::SPEC_INSTALLED,
+            "serial {}, {} routes",
+            table.serial(),
+            table.route_count()
+        );
         for holding in state.holdings.load_full().values() {
             match table.function_of(&holding.function) {
                 Some(entry) => {
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -320,8 +320,10 @@
         function: FunctionKey,
         result: AcquireResult,
     ) {
-        let round_trip =
-            self.acquires.remove(&correlation).map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
+        let round_trip = self
+            .acquires
+            .remove(&correlation)
+            .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
         if let AcquireResult::Granted { grant, once_wait_ms } = &result {
             let spec = self.table.function_of(&function).map(|entry| entry.spec.clone());
             let may_hold = now < self.liaison.grant_end() && !self.leaving;
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -171,8 +171,7 @@
     let mut bad_seeds = Vec::new();
     let mut weak_seeds = Vec::new();
     for seed in sim.seed..sim.seed + sim.count {
-        let plan =
-            SimPlan { flaw, lasts: Duration::from_secs(sim.lasts), ..SimPlan::seeded(seed) };
+        let plan = SimPlan { flaw, lasts: Duration::from_secs(sim.lasts), ..SimPlan::seeded(seed) };
         let sim_end = World::new(plan, sim.trace).run();
         sim_end.trace.iter().for_each(|line| println!("{line}"));
         println!("seed {seed}: {sim_end}");
@@ -191,7 +190,11 @@
         bad_seeds.len(),
         weak_seeds.len()
     );
-    if bad_seeds.is_empty() && weak_seeds.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+    if bad_seeds.is_empty() && weak_seeds.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    }
 }
 
 fn run_whole(day: &Day) -> eyre::Result<ExitCode> {
--- a/proving/expedition/src/sim/checks.rs
+++ b/proving/expedition/src/sim/checks.rs
@@ -70,7 +70,8 @@
         if let Some((newest_serial, _)) = self.committed.last_key_value()
             && serial < *newest_serial
         {
-            let what = format!("serial {serial} committed after {newest_serial}: a commit was lost");
+            let what =
+                format!("serial {serial} committed after {newest_serial}: a commit was lost");
             self.breach(at, what);
         }
         if let Some(known) = self.committed.get(&serial) {
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -89,15 +89,15 @@
 
 impl Body {
     fn held(&mut self, function: &FunctionKey, grant: GrantSerial) -> Option<&mut Held> {
-        let is_it = |held: &&mut Held| {
-            held.holder.function() == function && held.holder.grant() == grant
-        };
+        let is_it =
+            |held: &&mut Held| held.holder.function() == function && held.holder.grant() == grant;
         let in_use = self.holdings.get_mut(function).filter(is_it);
         match in_use {
             Some(held) => Some(held),
-            None => self.closing.iter_mut().find(|held| {
-                held.holder.function() == function && held.holder.grant() == grant
-            }),
+            None => self
+                .closing
+                .iter_mut()
+                .find(|held| held.holder.function() == function && held.holder.grant() == grant),
         }
     }
 }
@@ -301,12 +301,8 @@
 
     fn send_claims(&mut self, place: usize) {
         let Some(body) = &mut self.daemons[place].body else { return };
-        let claims = body
-            .holdings
-            .values()
-            .chain(&body.closing)
-            .map(|held| held.holder.claim())
-            .collect();
+        let claims =
+            body.holdings.values().chain(&body.closing).map(|held| held.holder.claim()).collect();
         let orders = body.keeper.claims(claims);
         self.obey_keeper(place, orders);
     }
@@ -368,6 +364,7 @@
         let local_now = self.daemon_now(place);
         let alive = self.platform.runners.iter().map(|(runner, held)| (runner, &held.function));
         self.checks.holds_alone(self.now, &function, grant, alive);
+        self.check_other_holders(place, &function);
         let Some(body) = &mut self.daemons[place].body else { return };
         let is_known =
             body.holdings.get(&function).is_some_and(|held| held.holder.grant() == grant);
@@ -379,6 +376,20 @@
         body.holdings.insert(function, Held { holder, tasks: BTreeMap::new() });
     }
 
+    fn check_other_holders(&mut self, place: usize, function: &FunctionKey) {
+        for other in (0..self.daemons.len()).filter(|other| *other != place) {
+            let is_serving = self.is_daemon_serving(other);
+            let holds = self.daemons[other].body.as_ref().is_some_and(|body| {
+                body.holdings.get(function).is_some_and(|held| held.holder.is_claimable())
+            });
+            if is_serving && holds {
+                let what =
+                    format!("daemon {place} is granted {function}, which daemon {other} holds");
+                self.checks.breach(self.now, what);
+            }
+        }
+    }
+
     fn acquired(&mut self, place: usize, function: &FunctionKey, result: Option<AcquireResult>) {
         let node = self.daemons[place].node;
         let life = self.daemons[place].life;
@@ -401,7 +412,8 @@
             if far_waiters.contains(&number) {
                 self.end(place, number, not_run(HopReason::NotHolder, 50), None);
             } else {
-                let wait_span = if result.is_some() { Duration::from_micros(10) } else { LOOK_AGAIN };
+                let wait_span =
+                    if result.is_some() { Duration::from_micros(10) } else { LOOK_AGAIN };
                 self.push(wait_span, Event::Look(node, life, number));
             }
         }
@@ -414,10 +426,9 @@
         grant: GrantSerial,
         result: &ReserveResult,
     ) {
-        let is_held = self.daemons[place]
-            .body
-            .as_mut()
-            .is_some_and(|body| body.holdings.get(&function).is_some_and(|held| held.holder.grant() == grant));
+        let is_held = self.daemons[place].body.as_mut().is_some_and(|body| {
+            body.holdings.get(&function).is_some_and(|held| held.holder.grant() == grant)
+        });
         if is_held {
             self.apply(place, &function, grant, |holder, now| holder.reserved(now, result));
         } else if let ReserveResult::Reserved { runner, .. } = result {
@@ -468,8 +479,8 @@
             HolderOutput::Start { runner, worker } => {
                 let Some(body) = &self.daemons[place].body else { return };
                 let spec = body.table.function_of(&function).map(|entry| entry.spec.clone());
-                let may_start = self.is_daemon_serving(place)
-                    || self.plan.flaw == Flaw::GrantIgnored;
+                let may_start =
+                    self.is_daemon_serving(place) || self.plan.flaw == Flaw::GrantIgnored;
                 match spec {
                     Some(spec) if may_start && self.network.reaches(asker.node, PLATFORM) => {
                         let delay = self.long_delay();
@@ -535,8 +546,7 @@
         runner: RunnerId,
     ) {
         let asker = Asker { node: self.daemons[place].node, life: self.daemons[place].life };
-        let may_serve =
-            self.is_daemon_serving(place) || self.plan.flaw == Flaw::GrantIgnored;
+        let may_serve = self.is_daemon_serving(place) || self.plan.flaw == Flaw::GrantIgnored;
         let Some(body) = &mut self.daemons[place].body else { return };
         let table = body.table.clone();
         let ask = body
@@ -560,6 +570,13 @@
         };
         match (barred, ask) {
             (None, Some(ask)) => {
+                if !self.is_daemon_serving(place) {
+                    let what = format!(
+                        "daemon {place} sends {} outside its member grant",
+                        ask.transaction
+                    );
+                    self.checks.breach(self.now, what);
+                }
                 let delay = self.long_delay();
                 self.push(delay, Event::Run(asker, function.clone(), ticket, runner, ask));
             }
@@ -572,7 +589,13 @@
     }
 
     /// A caller's transaction reaches a daemon's door.
-    pub(super) fn call(&mut self, place: usize, transaction: TransactionId, route_name: &str, budget: Duration) {
+    pub(super) fn call(
+        &mut self,
+        place: usize,
+        transaction: TransactionId,
+        route_name: &str,
+        budget: Duration,
+    ) {
         let is_serving = self.is_daemon_serving(place);
         let Some(body) = &self.daemons[place].body else { return };
         let table = body.table.clone();
@@ -606,7 +629,8 @@
             .filter(|route| body.table.function(route.function).key == ask.function)
             .map(|route| route.spec.patience);
         let give_up_at = budget_end.min(local_now + patience.unwrap_or(LOOK_AGAIN).max(LOOK_AGAIN));
-        body.pendings.insert(number, Pending { ask, back, budget_end, give_up_at, is_looking: true });
+        body.pendings
+            .insert(number, Pending { ask, back, budget_end, give_up_at, is_looking: true });
         if patience.is_none() {
             self.end(place, number, not_run(HopReason::NotAllowed, 500), None);
         } else {
@@ -706,8 +730,7 @@
         let Some(body) = &mut self.daemons[place].body else { return };
         let own_host = body.host.clone();
         let Some(pending) = body.pendings.get_mut(&number) else { return };
-        let is_leaving =
-            matches!(outcome, HopOutcome::NotRun { reason: HopReason::NotHolder, .. });
+        let is_leaving = matches!(outcome, HopOutcome::NotRun { reason: HopReason::NotHolder, .. });
         if is_leaving && pending.ask.hops == 0 {
             pending.is_looking = true;
             self.push(LOOK_AGAIN, Event::Look(node, life, number));
@@ -717,14 +740,7 @@
         self.end(place, number, outcome, holder);
     }
 
-    fn forward(
-        &mut self,
-        place: usize,
-        number: u64,
-        host: &Host,
-        ask: SimAsk,
-        budget_end: Moment,
-    ) {
+    fn forward(&mut self, place: usize, number: u64, host: &Host, ask: SimAsk, budget_end: Moment) {
         let node = self.daemons[place].node;
         let life = self.daemons[place].life;
         let local_now = self.daemon_now(place);
--- a/proving/expedition/src/sim/faults.rs
+++ b/proving/expedition/src/sim/faults.rs
@@ -17,8 +17,7 @@
     }
 
     pub(super) fn schedule_fault(&mut self) {
-        let wait_span =
-            self.chance.within(Duration::from_millis(300), Duration::from_millis(3500));
+        let wait_span = self.chance.within(Duration::from_millis(300), Duration::from_millis(3500));
         self.push(wait_span, Event::Fault);
     }
 
@@ -77,8 +76,10 @@
                 self.push(lasts, Event::Mend);
             }
             9 => {
-                let (left, right): (Vec<Node>, Vec<Node>) =
-                    self.all_nodes().into_iter().partition(|node| (node.0 * 7 + lasts.subsec_nanos() as usize) % 3 == 0);
+                let (left, right): (Vec<Node>, Vec<Node>) = self
+                    .all_nodes()
+                    .into_iter()
+                    .partition(|node| (node.0 * 7 + lasts.subsec_nanos() as usize) % 3 == 0);
                 for left_node in &left {
                     for right_node in &right {
                         self.network.cut(*left_node, *right_node);
--- a/proving/expedition/src/sim/operator.rs
+++ b/proving/expedition/src/sim/operator.rs
@@ -117,8 +117,7 @@
     }
 
     pub(super) fn schedule_change(&mut self) {
-        let wait_span =
-            self.chance.within(Duration::from_millis(300), Duration::from_millis(3000));
+        let wait_span = self.chance.within(Duration::from_millis(300), Duration::from_millis(3000));
         self.push(wait_span, Event::Change);
     }
 }
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -9,8 +9,8 @@
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::frames::StreamDown;
-use waymark::identity::{Stamp, SurveyorId, Ticket};
+use waymark::frames::{CoreBody, CoreFrame, Flag, Many, StreamDown};
+use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
 
 /// A virtual disk.
 pub struct SimDisk {
@@ -93,12 +93,8 @@
     /// A surveyor's disk is replaced by an empty one.
     pub(super) fn lose_disk(&mut self, place: usize) {
         let fresh_id = SurveyorId(self.chance.number() | 1);
-        self.surveyors[place].disk.durable = Recalled {
-            id: fresh_id,
-            voted: None,
-            accepted: None,
-            distrusted: Stamp::default(),
-        };
+        self.surveyors[place].disk.durable =
+            Recalled { id: fresh_id, voted: None, accepted: None, distrusted: Stamp::default() };
     }
 
     pub(super) fn feed_surveyor(&mut self, place: usize, input: PlaneInput) {
@@ -116,6 +112,9 @@
         match order {
             PlaneOutput::Send(to, frame) => {
                 let Some(to_node) = self.node_at(to) else { return };
+                if self.plan.flaw == Flaw::QuorumOfOne {
+                    self.forge_yes(place, to_node, &frame);
+                }
                 if self.network.reaches(node, to_node) && !self.chance.happens(0.001) {
                     let key = (node, to_node);
                     let delay = self.network.delay(&mut self.chance);
@@ -138,18 +137,49 @@
                     self.check_commit(place);
                 }
                 if self.is_tracing {
-                    let line = format!("{} surveyor {place} {} {}", self.now, numbered.told.event, numbered.told.detail);
+                    let line = format!(
+                        "{} surveyor {place} {} {}",
+                        self.now, numbered.told.event, numbered.told.detail
+                    );
                     self.trace.push(line);
                 }
             }
         }
     }
 
+    /// Makes a surveyor believe that another said yes to whatever it asked.
+    fn forge_yes(&mut self, place: usize, to_node: Node, frame: &CoreFrame) {
+        let body = match &frame.body {
+            CoreBody::VoteAsk { term, trial, .. } => CoreBody::VoteReply {
+                term: if trial.0 { Term(term.0 - 1) } else { *term },
+                asked: *term,
+                trial: *trial,
+                given: Flag(true),
+                members: Many(Vec::new()),
+                whole: Flag(true),
+            },
+            CoreBody::Round { term, round, accepted, .. } => {
+                CoreBody::RoundReply { term: *term, round: *round, accepted: *accepted }
+            }
+            CoreBody::Accept { term, stamp, .. } => {
+                CoreBody::Accepted { term: *term, stamp: *stamp }
+            }
+            _ => return,
+        };
+        let other_place = self.surveyor_places()[to_node.0];
+        let forged_frame = CoreFrame {
+            from: self.surveyors[to_node.0].disk.durable.id,
+            place: other_place,
+            operators: other_place,
+            body,
+        };
+        let node = self.surveyors[place].node;
+        self.push(Duration::from_micros(50), Event::CoreFrame(node, forged_frame));
+    }
+
     fn check_commit(&mut self, place: usize) {
-        let committed_document = self.surveyors[place]
-            .plane
-            .as_ref()
-            .and_then(|plane| plane.core().accepted().cloned());
+        let committed_document =
+            self.surveyors[place].plane.as_ref().and_then(|plane| plane.core().accepted().cloned());
         if let Some(document) = committed_document {
             self.checks.commits(self.now, &document);
         }
@@ -159,14 +189,16 @@
         let life = self.surveyors[place].life;
         let node = self.surveyors[place].node;
         let disk = &self.surveyors[place].disk;
-        let own_delay =
-            self.chance.within(Duration::from_micros(300), Duration::from_millis(12));
+        let own_delay = self.chance.within(Duration::from_micros(300), Duration::from_millis(12));
         let ends_at = (self.now + own_delay).max(disk.stalled_until);
         let is_failing = disk.failing_until > self.now;
         self.unsynced.push((place, job.clone()));
         let skips_sync = self.plan.flaw == Flaw::SyncSkipped;
         if skips_sync {
-            self.push(Duration::from_micros(100), Event::Written(node, life, ticket, WriteResult::Synced));
+            self.push(
+                Duration::from_micros(100),
+                Event::Written(node, life, ticket, WriteResult::Synced),
+            );
             let late = ends_at.since(self.now) + Duration::from_secs(20);
             self.push(late, Event::Durable(node, life, job));
         } else if is_failing {
@@ -212,10 +244,7 @@
         let (age, listed_runners) = self.platform.late_list(self.now);
         let workers = self.platform.workers.clone();
         let delay = self.network.delay(&mut self.chance);
-        self.push(
-            delay,
-            Event::Lists(node, life, workers, sent_at - age, listed_runners),
-        );
+        self.push(delay, Event::Lists(node, life, workers, sent_at - age, listed_runners));
     }
 
     fn operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -244,11 +244,9 @@
     fn found(&mut self, ids: &[SurveyorId]) {
         let places = self.surveyor_places();
         for (number, id) in ids.iter().enumerate() {
-            let is_alone = self.plan.flaw == Flaw::QuorumOfOne;
             let core = ids
                 .iter()
                 .zip(&places)
-                .filter(|(other, _)| !is_alone || *other == id)
                 .map(|(other, place)| CoreMember { id: *other, place: *place })
                 .collect();
             let first_spec = spec(0);
@@ -270,11 +268,7 @@
                 life: 0,
                 clock_ahead: Duration::from_secs(self.chance.below(100_000)),
                 plane: None,
-                disk: SimDisk {
-                    durable,
-                    stalled_until: Moment::ZERO,
-                    failing_until: Moment::ZERO,
-                },
+                disk: SimDisk { durable, stalled_until: Moment::ZERO, failing_until: Moment::ZERO },
             });
             self.start_surveyor(number);
         }
@@ -292,7 +286,9 @@
         let [_, _, group, last] = place.0.ip().octets();
         match group {
             0 if (1..=3).contains(&last) => Some(Node(last as usize - 1)),
-            1 if last >= 1 && (last as usize) <= self.daemons.len() => Some(Node(last as usize + 2)),
+            1 if last >= 1 && (last as usize) <= self.daemons.len() => {
+                Some(Node(last as usize + 2))
+            }
             _ => None,
         }
     }
@@ -458,12 +454,16 @@
                 }
             }
             Event::LinkUp(number, frame) => {
-                let Some(link) = self.links.get(&number).filter(|link| !link.doomed) else { return };
+                let Some(link) = self.links.get(&number).filter(|link| !link.doomed) else {
+                    return;
+                };
                 let place = link.surveyor.0;
                 self.feed_surveyor(place, PlaneInput::Stream(StreamId(number), frame));
             }
             Event::LinkDown(number, frame) => {
-                let Some(link) = self.links.get(&number).filter(|link| !link.doomed) else { return };
+                let Some(link) = self.links.get(&number).filter(|link| !link.doomed) else {
+                    return;
+                };
                 let place = link.daemon.0 - 3;
                 if self.is_current_link(place, number) {
                     self.with_keeper(place, |keeper, now| keeper.heard(now, frame));
@@ -493,7 +493,9 @@
             }
             Event::SendEnded(asker, function, ticket, grant, end) => {
                 let place = asker.node.0 - 3;
-                self.apply(place, &function, grant, |holder, now| holder.sent_ended(now, ticket, end));
+                self.apply(place, &function, grant, |holder, now| {
+                    holder.sent_ended(now, ticket, end)
+                });
             }
             other => self.happen_outside(other),
         }
@@ -531,7 +533,9 @@
             }
             Event::Stopped(asker, function, runner) => {
                 let place = asker.node.0 - 3;
-                self.apply(place, &function, runner.grant, |holder, now| holder.stopped(now, runner));
+                self.apply(place, &function, runner.grant, |holder, now| {
+                    holder.stopped(now, runner)
+                });
             }
             Event::LeaderStop(asker, runner) => {
                 if self.plan.flaw != Flaw::FenceDropped {
--- a/proving/hut/src/platform/mod.rs
+++ b/proving/hut/src/platform/mod.rs
@@ -170,9 +170,12 @@
         let text = |name: &str| body.get(name).and_then(Value::as_str).unwrap_or("").to_owned();
         let number = |name: &str| body.get(name).and_then(Value::as_u64);
         let function = text("function");
-        let (Ok(runner), Ok(key), Some(memory_mb), Some(boot_ms)) =
-            (text("runner").parse::<RunnerId>(), function.parse::<FunctionKey>(), number("memory_mb"), number("boot_ms"))
-        else {
+        let (Ok(runner), Ok(key), Some(memory_mb), Some(boot_ms)) = (
+            text("runner").parse::<RunnerId>(),
+            function.parse::<FunctionKey>(),
+            number("memory_mb"),
+            number("boot_ms"),
+        ) else {
             return json_response(StatusCode::BAD_REQUEST, &json!({"error": "bad_start"}));
         };
         let reused_port = {
