--- /dev/null
+++ b/crates/survey/tests/disk.rs
@@ -0,0 +1,128 @@
+//! What the data folder gives back after crashes and damage.
+
+use googletest::prelude::*;
+use std::fs;
+use std::path::PathBuf;
+use survey::core::WriteJob;
+use survey::disk::Shelf;
+use waymark::frames::Place;
+use waymark::identity::{ChangeId, Locality, Stamp, SurveyorId, Term};
+use waymark::spec::{CoreMember, Document};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("rudder-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        Self(path)
+    }
+
+    fn newest(&self, prefix: &str) -> PathBuf {
+        let mut names: Vec<PathBuf> = fs::read_dir(&self.0)
+            .expect("a folder")
+            .map(|listed| listed.expect("an entry").path())
+            .filter(|path| {
+                path.file_name()
+                    .and_then(|name| name.to_str())
+                    .is_some_and(|name| name.starts_with(prefix))
+            })
+            .collect();
+        names.sort();
+        names.pop().expect("a file")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn versions(count: u64) -> Vec<Document> {
+    let member = CoreMember { id: SurveyorId(7), place: Place::NOWHERE };
+    let mut kept = vec![Document::founding(vec![member])];
+    for number in 1..count {
+        let last = kept.last().expect("one");
+        let locality = Locality::from(format!("l{number}"));
+        kept.push(last.with_locality(locality, true, ChangeId::from(format!("c{number}"))));
+    }
+    kept
+}
+
+fn fill(folder: &Folder, count: u64) -> Vec<Document> {
+    let shelf = Shelf::open(&folder.0).expect("a shelf");
+    shelf.recall(SurveyorId(7)).expect("recalled");
+    let kept = versions(count);
+    for document in &kept {
+        shelf.write(&WriteJob::Version(document.clone())).expect("written");
+    }
+    shelf.write(&WriteJob::Vote { term: Term(4), candidate: SurveyorId(9) }).expect("written");
+    kept
+}
+
+#[gtest]
+fn the_newest_version_and_vote_come_back_and_old_ones_go() -> Result<()> {
+    let folder = Folder::new("newest");
+    let kept = fill(&folder, 30);
+    let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+    verify_that!(recalled.id, eq(SurveyorId(7)))?;
+    verify_that!(recalled.voted, some(eq((Term(4), SurveyorId(9)))))?;
+    verify_that!(recalled.accepted.as_ref() == kept.last(), eq(true))?;
+    verify_that!(set_aside.is_empty(), eq(true))?;
+    let file_count = fs::read_dir(&folder.0)?.count();
+    verify_that!(file_count, le(8 + 2 + 3))
+}
+
+#[gtest]
+fn a_write_cut_at_any_byte_leaves_the_version_before() -> Result<()> {
+    let folder = Folder::new("cut");
+    let kept = fill(&folder, 3);
+    let whole_bytes = fs::read(folder.newest("spec-"))?;
+    let aside_path = folder.0.join(format!("spec-{:016x}-{:016x}.aside", 9, 9));
+    for cut in (0..whole_bytes.len()).step_by(37) {
+        fs::write(&aside_path, &whole_bytes[..cut])?;
+        let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+        verify_that!(recalled.accepted.as_ref() == kept.last(), eq(true))?;
+        verify_that!(set_aside.is_empty(), eq(true))?;
+        verify_that!(recalled.distrusted, eq(Stamp::default()))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_damaged_version_is_set_aside_and_the_loss_is_remembered() -> Result<()> {
+    let folder = Folder::new("damaged");
+    let kept = fill(&folder, 4);
+    let damaged_path = folder.newest("spec-");
+    let mut damaged_bytes = fs::read(&damaged_path)?;
+    let middle = damaged_bytes.len() / 2;
+    damaged_bytes[middle] ^= 1;
+    fs::write(&damaged_path, damaged_bytes)?;
+    for _ in 0..2 {
+        let (recalled, _) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+        verify_that!(recalled.accepted.as_ref() == kept.get(2), eq(true))?;
+        verify_that!(recalled.distrusted, eq(kept[3].stamp))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_damaged_vote_still_counts_as_one_given() -> Result<()> {
+    let folder = Folder::new("vote");
+    fill(&folder, 2);
+    fs::write(folder.newest("vote-"), "")?;
+    let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+    verify_that!(set_aside.len(), eq(1))?;
+    verify_that!(recalled.voted, some(eq((Term(4), SurveyorId(0)))))
+}
+
+#[gtest]
+fn an_empty_folder_is_a_new_identity() -> Result<()> {
+    let folder = Folder::new("empty");
+    let (recalled, _) = Shelf::open(&folder.0)?.recall(SurveyorId(42))?;
+    verify_that!(recalled.id, eq(SurveyorId(42)))?;
+    verify_that!(recalled.accepted.is_none(), eq(true))?;
+    let (again, _) = Shelf::open(&folder.0)?.recall(SurveyorId(43))?;
+    verify_that!(again.id, eq(SurveyorId(42)))
+}
--- /dev/null
+++ b/crates/trail/tests/holder.rs
@@ -0,0 +1,295 @@
+//! A held function: slots, ramps, identities, extra tries, refusals.
+
+use googletest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use trail::holder::{Entry, Holder, HolderOutput, SendEnd};
+use waymark::chance::Chance;
+use waymark::clock::Moment;
+use waymark::frames::{HopOutcome, HopReason, Place, ReserveResult};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
+use waymark::spec::FunctionSpec;
+
+const START: Moment = Moment(50_000_000_000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+struct Bench {
+    holder: Holder,
+    now: Moment,
+    sent: Vec<(Ticket, RunnerId, u32)>,
+    ended: BTreeMap<Ticket, HopOutcome>,
+    next_ticket: u64,
+    next_runner: u64,
+}
+
+impl Bench {
+    fn new(slots: u32, once_wait: Duration) -> Self {
+        let spec =
+            FunctionSpec { memory_mb: 100, boot: ms(100), slots, min_runners: 0, max_runners: 4 };
+        let function = FunctionKey::new("f", Serial(2));
+        Self {
+            holder: Holder::new(START, function, GrantSerial(1), spec, once_wait),
+            now: START,
+            sent: Vec::new(),
+            ended: BTreeMap::new(),
+            next_ticket: 0,
+            next_runner: 0,
+        }
+    }
+
+    fn take(&mut self, outputs: Vec<HolderOutput>) {
+        for output in outputs {
+            match output {
+                HolderOutput::Send { ticket, runner, attempt, .. } => {
+                    self.sent.push((ticket, runner, attempt));
+                }
+                HolderOutput::End { ticket, outcome } => {
+                    self.ended.insert(ticket, outcome);
+                }
+                HolderOutput::Reserve => {
+                    self.next_runner += 1;
+                    let runner = RunnerId { grant: GrantSerial(1), ordinal: self.next_runner };
+                    let result =
+                        ReserveResult::Reserved { runner, worker: "w".into(), memory_mb: 100 };
+                    let outputs = self.holder.reserved(self.now, &result);
+                    self.take(outputs);
+                }
+                HolderOutput::Start { runner, .. } => {
+                    let outputs = self.holder.started(self.now, runner, Some(Place::NOWHERE));
+                    self.take(outputs);
+                }
+                HolderOutput::Probe { runner, .. } => {
+                    let outputs = self.holder.probed(self.now, runner, true);
+                    self.take(outputs);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn enter(&mut self, name: &str, once: bool, repeat: bool) -> (Ticket, Option<HopOutcome>) {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        let entry = Entry {
+            ticket,
+            transaction: name.into(),
+            once,
+            repeat,
+            budget_end: self.now + ms(3000),
+            patience: ms(3000),
+        };
+        let (at_once, outputs) = self.holder.grant_entry(self.now, entry);
+        self.take(outputs);
+        (ticket, at_once)
+    }
+
+    fn pass(&mut self, span: Duration) {
+        self.now = self.now + span;
+        let outputs = self.holder.tick(self.now);
+        self.take(outputs);
+    }
+
+    fn end(&mut self, ticket: Ticket, end: SendEnd) {
+        let outputs = self.holder.sent_ended(self.now, ticket, end);
+        self.take(outputs);
+    }
+
+    fn answer(&mut self, ticket: Ticket, runner: RunnerId) {
+        let outcome = HopOutcome::Answer {
+            status: 200,
+            seal: Vec::new().into(),
+            runner,
+            body: b"done".to_vec().into(),
+        };
+        self.end(ticket, SendEnd::Answered(outcome));
+    }
+
+    fn warm(&mut self) {
+        self.enter("warm", false, false);
+        self.pass(ms(60));
+        self.pass(ms(60));
+        let (ticket, runner, _) = self.sent.pop().expect("sent");
+        self.answer(ticket, runner);
+    }
+}
+
+fn reason(outcome: &Option<HopOutcome>) -> Option<HopReason> {
+    match outcome {
+        Some(HopOutcome::NotRun { reason, .. } | HopOutcome::Unknown { reason }) => Some(*reason),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn a_fresh_runner_gets_one_and_its_ramp_widens_by_answers() -> Result<()> {
+    let mut bench = Bench::new(4, Duration::ZERO);
+    for number in 0..6 {
+        bench.enter(&format!("t{number}"), false, false);
+    }
+    bench.pass(ms(120));
+    let runners: std::collections::BTreeSet<RunnerId> =
+        bench.sent.iter().map(|(_, runner, _)| *runner).collect();
+    verify_that!(bench.sent.len(), eq(runners.len()))?;
+    let (ticket, runner, _) = bench.sent.remove(0);
+    let sent_before = bench.sent.len();
+    bench.answer(ticket, runner);
+    let newly_sent = bench.sent.len() - sent_before;
+    verify_that!(newly_sent, eq(2))
+}
+
+#[gtest]
+fn a_lost_answer_keeps_its_slot_until_the_runner_is_done() -> Result<()> {
+    let mut bench = Bench::new(1, Duration::ZERO);
+    bench.warm();
+    let (first, _) = bench.enter("a", true, false);
+    let (_, runner, _) = *bench.sent.last().expect("sent");
+    bench.end(first, SendEnd::Lost);
+    verify_that!(
+        bench.ended.get(&first),
+        some(eq(&HopOutcome::Unknown { reason: HopReason::AnswerLost }))
+    )?;
+    let sent_before = bench.sent.len();
+    bench.enter("b", true, false);
+    verify_that!(bench.sent.len(), eq(sent_before))?;
+    let still_running = bench.holder.settled(bench.now + ms(300), runner, Some(vec!["a".into()]));
+    bench.take(still_running);
+    verify_that!(bench.sent.len(), eq(sent_before))?;
+    let done = bench.holder.settled(bench.now + ms(300), runner, Some(Vec::new()));
+    bench.take(done);
+    verify_that!(bench.sent.len(), eq(sent_before + 1))
+}
+
+#[gtest]
+fn a_once_transaction_is_sent_once_and_its_identity_never_again() -> Result<()> {
+    let mut bench = Bench::new(2, Duration::ZERO);
+    bench.warm();
+    let (ticket, at_once) = bench.enter("only", true, false);
+    verify_that!(at_once.is_none(), eq(true))?;
+    verify_that!(reason(&bench.enter("only", true, false).1), some(eq(HopReason::UnderWay)))?;
+    bench.end(ticket, SendEnd::Lost);
+    for _ in 0..50 {
+        bench.pass(ms(100));
+    }
+    let again = bench.enter("only", true, false).1;
+    verify_that!(again, some(eq(&HopOutcome::Unknown { reason: HopReason::AnswerLost })))?;
+    let sends = bench.sent.iter().filter(|(sent, _, _)| *sent == ticket).count();
+    verify_that!(sends, eq(1))
+}
+
+#[gtest]
+fn a_refused_identity_stays_refused() -> Result<()> {
+    let mut bench = Bench::new(2, ms(1000));
+    verify_that!(reason(&bench.enter("early", true, false).1), some(eq(HopReason::OnceWait)))?;
+    bench.pass(ms(1500));
+    verify_that!(reason(&bench.enter("early", true, false).1), some(eq(HopReason::ShedBefore)))?;
+    verify_that!(bench.enter("later", true, false).1.is_none(), eq(true))
+}
+
+#[gtest]
+fn a_refusal_after_a_lost_try_is_unknown_and_never_not_run() -> Result<()> {
+    let mut bench = Bench::new(2, Duration::ZERO);
+    bench.warm();
+    bench.pass(ms(10_100));
+    for number in 0..20 {
+        let (ticket, _) = bench.enter(&format!("fill{number}"), false, false);
+        let runner = bench.sent.last().expect("sent").1;
+        bench.answer(ticket, runner);
+    }
+    let (ticket, _) = bench.enter("risky", false, false);
+    bench.end(ticket, SendEnd::Lost);
+    verify_that!(bench.sent.last().map(|sent| sent.2), some(eq(2)))?;
+    bench.end(ticket, SendEnd::ShedByRunner);
+    verify_that!(
+        bench.ended.get(&ticket),
+        some(eq(&HopOutcome::Unknown { reason: HopReason::AnswerLost }))
+    )
+}
+
+#[gtest]
+fn a_closed_holder_refuses_what_waits_and_sends_nothing_more() -> Result<()> {
+    let mut bench = Bench::new(1, Duration::ZERO);
+    bench.warm();
+    let (running, _) = bench.enter("running", false, false);
+    let (waiting, _) = bench.enter("waiting", false, false);
+    let outputs = bench.holder.close(bench.now);
+    let stops = outputs.iter().filter(|output| matches!(output, HolderOutput::Stop { .. })).count();
+    bench.take(outputs);
+    verify_that!(stops, ge(1))?;
+    verify_that!(reason(&bench.ended.get(&waiting).cloned()), some(eq(HopReason::NotServing)))?;
+    let sent_before = bench.sent.len();
+    bench.end(running, SendEnd::Lost);
+    verify_that!(bench.sent.len(), eq(sent_before))?;
+    verify_that!(
+        bench.ended.get(&running),
+        some(eq(&HopOutcome::Unknown { reason: HopReason::AnswerLost }))
+    )?;
+    verify_that!(reason(&bench.enter("late", false, false).1), some(eq(HopReason::NotHolder)))
+}
+
+#[gtest]
+fn extra_tries_stay_below_what_a_plain_count_allows() -> Result<()> {
+    let mut bench = Bench::new(4, Duration::ZERO);
+    bench.warm();
+    let mut chance = Chance::seeded(5);
+    let mut firsts: Vec<Moment> = Vec::new();
+    let mut extras: Vec<Moment> = Vec::new();
+    for number in 0..4000 {
+        bench.pass(ms(chance.below(40)));
+        let repeat = chance.happens(0.5);
+        let sent_before = bench.sent.len();
+        let (ticket, at_once) = bench.enter(&format!("t{number}"), false, repeat);
+        if !repeat {
+            firsts.push(bench.now);
+        } else if at_once.is_none() {
+            extras.push(bench.now);
+        }
+        let outcome_is_lost = chance.happens(0.3);
+        if bench.sent.len() > sent_before {
+            let (sent_ticket, runner, _) = *bench.sent.last().expect("sent");
+            if outcome_is_lost && sent_ticket == ticket {
+                bench.end(sent_ticket, SendEnd::Lost);
+                let again =
+                    bench.sent.last().filter(|last| last.0 == ticket && last.2 > 1).copied();
+                if let Some((again_ticket, again_runner, _)) = again {
+                    extras.push(bench.now);
+                    bench.answer(again_ticket, again_runner);
+                }
+            } else {
+                bench.answer(sent_ticket, runner);
+            }
+        }
+        let settled_runners: Vec<RunnerId> =
+            bench.sent.iter().map(|(_, runner, _)| *runner).collect();
+        for runner in settled_runners.into_iter().rev().take(3) {
+            let outputs = bench.holder.settled(bench.now + ms(300), runner, Some(Vec::new()));
+            bench.take(outputs);
+        }
+    }
+    verify_that!(extras.len(), ge(100))?;
+    for (place, extra) in extras.iter().enumerate() {
+        let in_window =
+            |moment: &&Moment| extra.since(**moment) <= ms(10_000) && **moment <= *extra;
+        let extra_count = extras[..=place].iter().filter(in_window).count();
+        let first_count = firsts.iter().filter(in_window).count();
+        verify_that!(extra_count as f64, le(first_count as f64 / 5.0 + 4.0))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn what_cannot_be_finished_is_refused_at_once_with_a_time_to_return() -> Result<()> {
+    let mut bench = Bench::new(1, Duration::ZERO);
+    bench.warm();
+    let mut refused = None;
+    for number in 0..400 {
+        let outcome = bench.enter(&format!("t{number}"), false, false).1;
+        if let Some(HopOutcome::NotRun { retry_ms, .. }) = outcome {
+            refused = Some(retry_ms);
+            break;
+        }
+    }
+    verify_that!(refused, some(gt(0)))
+}
--- a/crates/waymark/src/lib.rs
+++ b/crates/waymark/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod chance;
 pub mod clock;
+pub mod command_line;
 pub mod events;
 pub mod frames;
 pub mod http;
--- /dev/null
+++ b/crates/waymark/tests/frames.rs
@@ -0,0 +1,107 @@
+//! Frames come back as they were sent, and broken ones are told apart.
+
+use googletest::prelude::*;
+use waymark::chance::Chance;
+use waymark::frames::{
+    Channel, FrameFault, Heartbeat, HopFrame, HopOutcome, HopReason, Many, StreamDown, View,
+    decode, decode_heartbeat, encode, encode_heartbeat, read_channel, read_frame, write_channel,
+    write_frame,
+};
+use waymark::identity::{CorrelationId, MemberName, Serial};
+
+fn sample() -> StreamDown {
+    StreamDown::Change {
+        base: Serial(7),
+        serial: Serial(8),
+        patch: b"[]".to_vec().into(),
+        digest: vec![1; 32].into(),
+    }
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        member: "th-1".into(),
+        incarnation: 9.into(),
+        count: 3,
+        views: Many(vec![View { member: "th-2".into(), incarnation: 4.into(), age_ms: 120 }]),
+    }
+}
+
+#[gtest]
+fn any_cut_or_flipped_frame_is_an_error_or_another_frame_but_never_a_panic() -> Result<()> {
+    let frame_bytes = encode(&sample())?;
+    let mut chance = Chance::seeded(11);
+    for cut in 0..frame_bytes.len() {
+        verify_that!(decode::<StreamDown>(&frame_bytes[..cut]).is_err(), eq(true))?;
+    }
+    for _ in 0..5000 {
+        let mut broken_bytes = frame_bytes.clone();
+        let place = chance.below(broken_bytes.len() as u64) as usize;
+        broken_bytes[place] = chance.number() as u8;
+        let _ = decode::<StreamDown>(&broken_bytes);
+        let _ = decode::<HopFrame>(&broken_bytes);
+    }
+    Ok(())
+}
+
+#[gtest]
+fn outcomes_survive_the_way() -> Result<()> {
+    let frame = HopFrame::Done {
+        correlation: CorrelationId(5),
+        outcome: HopOutcome::NotRun { reason: HopReason::TriesSpent, retry_ms: 2000 },
+        holder: Many(Vec::new()),
+    };
+    match decode::<HopFrame>(&encode(&frame)?)? {
+        HopFrame::Done { correlation, outcome, .. } => {
+            verify_that!(correlation, eq(CorrelationId(5)))?;
+            verify_that!(
+                outcome,
+                eq(&HopOutcome::NotRun { reason: HopReason::TriesSpent, retry_ms: 2000 })
+            )
+        }
+        HopFrame::Ask { .. } => fail!("another frame came back"),
+    }
+}
+
+#[gtest]
+fn bytes_left_over_are_a_fault() -> Result<()> {
+    let mut frame_bytes = encode(&sample())?;
+    frame_bytes.push(0);
+    verify_that!(
+        matches!(decode::<StreamDown>(&frame_bytes), Err(FrameFault::Trailing(1))),
+        eq(true)
+    )
+}
+
+#[tokio::test]
+async fn wrong_marks_versions_channels_and_sizes_are_named() {
+    let mut good_bytes = Vec::new();
+    write_channel(&mut good_bytes, Channel::Hop).await.unwrap();
+    assert_eq!(read_channel(&mut good_bytes.as_slice()).await.unwrap(), Channel::Hop);
+    let read = async |given: [u8; 4]| read_channel(&mut given.as_slice()).await;
+    assert!(matches!(read(*b"GET ").await, Err(FrameFault::WrongMark)));
+    let newer = [good_bytes[0], good_bytes[1], 99, good_bytes[3]];
+    assert!(matches!(read(newer).await, Err(FrameFault::WrongVersion(99))));
+    let odd = [good_bytes[0], good_bytes[1], good_bytes[2], 77];
+    assert!(matches!(read(odd).await, Err(FrameFault::WrongChannel(77))));
+    let huge = u32::MAX.to_be_bytes();
+    let too_large = read_frame::<_, StreamDown>(&mut huge.as_slice()).await;
+    assert!(matches!(too_large, Err(FrameFault::Oversized(u32::MAX))));
+    let mut framed = Vec::new();
+    write_frame(&mut framed, &sample()).await.unwrap();
+    assert!(read_frame::<_, StreamDown>(&mut framed.as_slice()).await.is_ok());
+    let half = framed.len() / 2;
+    let cut = read_frame::<_, StreamDown>(&mut &framed[..half]).await;
+    assert!(matches!(cut, Err(FrameFault::Connection(_))));
+}
+
+#[gtest]
+fn heartbeats_of_another_version_are_not_read() -> Result<()> {
+    let datagram = encode_heartbeat(&heartbeat())?.to_vec();
+    verify_that!(decode_heartbeat(&datagram)?, eq(&heartbeat()))?;
+    let mut newer_datagram = datagram.clone();
+    newer_datagram[2] += 1;
+    verify_that!(decode_heartbeat(&newer_datagram).is_err(), eq(true))?;
+    verify_that!(decode_heartbeat(b"hello").is_err(), eq(true))?;
+    verify_that!(MemberName::from("th-1").as_str(), eq("th-1"))
+}
--- /dev/null
+++ b/crates/waymark/tests/ring.rs
@@ -0,0 +1,61 @@
+//! The ring moves little when a daemon goes, and watchers stand in other localities.
+
+use googletest::prelude::*;
+use waymark::frames::{Flag, Host, Place};
+use waymark::identity::{FunctionKey, Serial};
+use waymark::ring::{hash_owner, watchers};
+
+fn hosts(count: usize) -> Vec<Host> {
+    (0..count)
+        .map(|number| Host {
+            member: format!("th-{number}").into(),
+            incarnation: 1.into(),
+            locality: format!("locality-{}", number % 3).into(),
+            place: Place::NOWHERE,
+            eligible: Flag(true),
+        })
+        .collect()
+}
+
+#[gtest]
+fn only_the_functions_of_a_daemon_that_goes_move() -> Result<()> {
+    let all_hosts = hosts(10);
+    let left_hosts: Vec<Host> = all_hosts.iter().skip(1).cloned().collect();
+    let mut owned_by_first = 0;
+    for number in 0..1000 {
+        let function = FunctionKey::new(format!("f{number}"), Serial(2));
+        let before = hash_owner(&function, all_hosts.iter()).expect("an owner");
+        let after = hash_owner(&function, left_hosts.iter()).expect("an owner");
+        if before.member == all_hosts[0].member {
+            owned_by_first += 1;
+        } else {
+            verify_that!(&after.member, eq(&before.member))?;
+        }
+    }
+    verify_that!(owned_by_first, all![ge(60), le(140)])
+}
+
+#[gtest]
+fn a_daemon_that_may_hold_nothing_owns_nothing() -> Result<()> {
+    let mut all_hosts = hosts(3);
+    all_hosts[1].eligible = Flag(false);
+    for number in 0..100 {
+        let function = FunctionKey::new(format!("f{number}"), Serial(2));
+        let owner = hash_owner(&function, all_hosts.iter()).expect("an owner");
+        verify_that!(owner.member == all_hosts[1].member, eq(false))?;
+    }
+    verify_that!(hash_owner(&FunctionKey::new("f", Serial(1)), [].iter()).is_none(), eq(true))
+}
+
+#[gtest]
+fn watchers_are_others_and_stand_elsewhere() -> Result<()> {
+    let all_hosts = hosts(10);
+    for host in &all_hosts {
+        let chosen_watchers = watchers(host, &all_hosts, 3);
+        verify_that!(chosen_watchers.len(), eq(3))?;
+        for watcher in chosen_watchers {
+            verify_that!(watcher.locality == host.locality, eq(false))?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/waymark/tests/spec.rs
@@ -0,0 +1,165 @@
+//! The spec's reader names every fault; its table agrees with a slow plain search; changes fit or fail.
+
+use googletest::prelude::*;
+use hyper::Method;
+use serde_json::{Value, json};
+use waymark::chance::Chance;
+use waymark::frames::Place;
+use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
+use waymark::readers::{BootSource, read_places};
+use waymark::spec::{CoreMember, Document, Table, View, read_spec};
+
+fn function() -> Value {
+    json!({"memory_mb": 100, "boot_ms": 10, "slots": 2})
+}
+
+fn route(path: &str, name: &str) -> Value {
+    json!({"method": "POST", "path": path, "function": name, "budget_ms": 1000, "kind": "once"})
+}
+
+fn document() -> Document {
+    let member = CoreMember {
+        id: SurveyorId(0xabc),
+        place: Place("127.0.0.1:1".parse().expect("an address")),
+    };
+    Document::founding(vec![member])
+}
+
+fn changed(document: &Document, spec: Value, change: &str) -> Document {
+    let checked_spec = read_spec(&spec).expect("a good spec");
+    document.with_spec(spec, &checked_spec, ChangeId::from(change))
+}
+
+#[gtest]
+fn every_bad_path_is_named() -> Result<()> {
+    let mut bad_function = function();
+    bad_function["memory_mb"] = json!(0);
+    bad_function["colour"] = json!("red");
+    let spec = json!({
+        "functions": {"a": function(), "b": bad_function},
+        "routes": {
+            "one": route("/x/{id}", "a"),
+            "same": route("/x/{other}", "a"),
+            "lost": route("/y", "nowhere"),
+            "odd": {"method": "FETCH", "path": "y", "function": "a", "budget_ms": 0, "kind": "twice"},
+        },
+        "extra": 1,
+    });
+    let faults = read_spec(&spec).expect_err("faults");
+    let paths: Vec<String> = faults.iter().map(|fault| fault.path.clone()).collect();
+    verify_that!(
+        paths,
+        unordered_elements_are![
+            eq("extra"),
+            eq("functions.b.memory_mb"),
+            eq("functions.b.colour"),
+            eq("routes.same.path"),
+            eq("routes.lost.function"),
+            eq("routes.odd.method"),
+            eq("routes.odd.path"),
+            eq("routes.odd.kind"),
+            eq("routes.odd.budget_ms"),
+        ]
+    )
+}
+
+fn plain_match<'a>(routes: &'a [(String, String)], path: &str) -> Option<&'a str> {
+    let fits = |pattern: &str| {
+        let pattern_parts: Vec<&str> = pattern.split('/').collect();
+        let path_parts: Vec<&str> = path.split('/').collect();
+        pattern_parts.len() == path_parts.len()
+            && pattern_parts.iter().zip(&path_parts).all(|(pattern_part, path_part)| {
+                pattern_part == path_part
+                    || (pattern_part.starts_with('{') && !path_part.is_empty())
+            })
+    };
+    let literal_count =
+        |pattern: &str| pattern.split('/').filter(|part| !part.starts_with('{')).count();
+    routes
+        .iter()
+        .filter(|(_, pattern)| fits(pattern))
+        .max_by_key(|(_, pattern)| literal_count(pattern))
+        .map(|(name, _)| name.as_str())
+}
+
+#[gtest]
+fn thousands_of_routes_match_as_a_plain_search_does() -> Result<()> {
+    let mut routes = serde_json::Map::new();
+    let mut listed = Vec::new();
+    for number in 0..3000 {
+        let pattern = match number % 3 {
+            0 => format!("/area/{number}/tile"),
+            1 => format!("/area/{number}/{{tile}}"),
+            _ => format!("/{{any}}/list-{number}"),
+        };
+        let name = format!("r{number}");
+        routes.insert(name.clone(), route(&pattern, "a"));
+        listed.push((name, pattern));
+    }
+    let spec = json!({"functions": {"a": function()}, "routes": routes});
+    let view = changed(&document(), spec, "c").view();
+    let table = Table::build(&view)?;
+    let mut chance = Chance::seeded(3);
+    for _ in 0..300 {
+        let number = chance.below(3300);
+        let path = match chance.below(3) {
+            0 => format!("/area/{number}/tile"),
+            1 => format!("/area/{number}/other"),
+            _ => format!("/w/list-{number}"),
+        };
+        let found = table.route(&Method::POST, &path).map(|entry| entry.spec.name.as_str());
+        verify_that!(found, eq(plain_match(&listed, &path)))?;
+    }
+    verify_that!(table.route(&Method::GET, "/area/0/tile").is_none(), eq(true))
+}
+
+#[gtest]
+fn a_function_made_again_is_another_one() -> Result<()> {
+    let with_a = json!({"functions": {"a": function()}, "routes": {}});
+    let without = json!({"functions": {}, "routes": {}});
+    let first = changed(&document(), with_a.clone(), "1");
+    let kept = changed(&first, with_a.clone(), "2");
+    let again = changed(&changed(&kept, without, "3"), with_a, "4");
+    let key_of = |held: &Document| {
+        Table::build(&held.view()).map(|table| table.functions()[0].key.to_string())
+    };
+    verify_that!(key_of(&first)?, eq("a@2"))?;
+    verify_that!(key_of(&kept)?, eq("a@2"))?;
+    verify_that!(key_of(&again)?, eq("a@5"))
+}
+
+#[gtest]
+fn changes_lead_to_the_same_view_or_are_not_believed() -> Result<()> {
+    let old_document = document();
+    let spec = json!({"functions": {"a": function()}, "routes": {"r": route("/r", "a")}});
+    let new_document = changed(&old_document, spec, "c1").with_locality(
+        Locality::from("north"),
+        true,
+        ChangeId::from("c2"),
+    );
+    let (old_view, new_view) = (old_document.view(), new_document.view());
+    let patch = old_view.patch_to(&new_view);
+    verify_that!(old_view.patched(&patch, &new_view.digest())? == new_view, eq(true))?;
+    verify_that!(old_view.patched(&patch, &[0; 32]).is_err(), eq(true))?;
+    verify_that!(new_view.patched(&patch, &new_view.digest()).is_err(), eq(true))?;
+    let read_again = View::from_value(&new_view.to_value())?;
+    verify_that!(read_again == new_view, eq(true))?;
+    verify_that!(Document::from_bytes(&new_document.to_bytes())? == new_document, eq(true))?;
+    verify_that!(new_view.serial, eq(Serial(3)))
+}
+
+#[gtest]
+fn boot_faults_name_source_key_and_reason() -> Result<()> {
+    let source = BootSource::from_value(
+        "file.json",
+        json!({"seeds": ["127.0.0.1:1", "nowhere:2", "127.0.0.1:3"]}),
+    );
+    let fault = source.read(|root| read_places(&root.field("seeds"), 3)).expect_err("a fault");
+    verify_that!(
+        fault.to_string(),
+        eq("file.json: seeds.1 is not an IP number with port: \"nowhere:2\"")
+    )?;
+    let short = BootSource::from_value("file.json", json!({"seeds": ["127.0.0.1:1"]}));
+    let fault = short.read(|root| read_places(&root.field("seeds"), 3)).expect_err("a fault");
+    verify_that!(fault.to_string(), eq("file.json: seeds needs 3 addresses"))
+}
--- a/programs/legend/src/main.rs
+++ b/programs/legend/src/main.rs
@@ -107,7 +107,7 @@
 }
 
 fn main() -> ExitCode {
-    let flags = Flags::parse_args_default_or_exit();
+    let flags = waymark::command_line::read::<Flags>("legend");
     if flags.version {
         println!("legend {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
--- a/programs/surveyor/src/main.rs
+++ b/programs/surveyor/src/main.rs
@@ -51,7 +51,7 @@
 }
 
 fn main() -> ExitCode {
-    let flags = Flags::parse_args_default_or_exit();
+    let flags = waymark::command_line::read::<Flags>("surveyor");
     if flags.version {
         println!("surveyor {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
--- a/programs/trailhead/src/main.rs
+++ b/programs/trailhead/src/main.rs
@@ -51,7 +51,7 @@
 }
 
 fn main() -> ExitCode {
-    let flags = Flags::parse_args_default_or_exit();
+    let flags = waymark::command_line::read::<Flags>("trailhead");
     if flags.version {
         println!("trailhead {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
--- a/proving/expedition/src/judge/evidence.rs
+++ b/proving/expedition/src/judge/evidence.rs
@@ -130,8 +130,8 @@
 
     /// Takes records as they are.
     pub fn from_records(callers: &[Value], hut: &[Value], journal: &[Value]) -> Self {
-        let mut evidence = Self::default();
-        evidence.calls = callers.iter().map(read_call).collect();
+        let mut evidence =
+            Self { calls: callers.iter().map(read_call).collect(), ..Self::default() };
         evidence.calls.sort_by_key(|call| call.at);
         let mut open_runs: HashMap<(String, u64), usize> = HashMap::new();
         let mut open_lives: HashMap<String, usize> = HashMap::new();
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -129,7 +129,7 @@
 }
 
 fn main() -> ExitCode {
-    let flags = Flags::parse_args_default_or_exit();
+    let flags = waymark::command_line::read::<Flags>("expedition");
     if flags.version {
         println!("expedition {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
--- a/proving/expedition/src/sim/faults.rs
+++ b/proving/expedition/src/sim/faults.rs
@@ -76,10 +76,10 @@
                 self.push(lasts, Event::Mend);
             }
             9 => {
-                let (left, right): (Vec<Node>, Vec<Node>) = self
-                    .all_nodes()
-                    .into_iter()
-                    .partition(|node| (node.0 * 7 + lasts.subsec_nanos() as usize) % 3 == 0);
+                let (left, right): (Vec<Node>, Vec<Node>) =
+                    self.all_nodes().into_iter().partition(|node| {
+                        (node.0 * 7 + lasts.subsec_nanos() as usize).is_multiple_of(3)
+                    });
                 for left_node in &left {
                     for right_node in &right {
                         self.network.cut(*left_node, *right_node);
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -50,7 +50,7 @@
             daemons: 5,
             rate: 40.0,
             has_faults: true,
-            loses_disk: seed % 3 == 0,
+            loses_disk: seed.is_multiple_of(3),
             flaw: Flaw::None,
         }
     }
@@ -574,11 +574,9 @@
                     self.schedule_change();
                 }
             }
-            Event::Fault => {
-                if !self.is_healed {
-                    self.cause_fault();
-                    self.schedule_fault();
-                }
+            Event::Fault if !self.is_healed => {
+                self.cause_fault();
+                self.schedule_fault();
             }
             Event::Return(node) => self.bring_back(node),
             Event::Mend => self.network.mend(),
--- /dev/null
+++ b/proving/expedition/tests/judge.rs
@@ -0,0 +1,217 @@
+//! The judge finds each planted violation, and none in a clean day.
+
+use expedition::judge::{Evidence, judge};
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+const S: u64 = 1_000_000_000;
+
+struct Day {
+    callers: Vec<Value>,
+    hut: Vec<Value>,
+    journal: Vec<Value>,
+}
+
+fn change(at: u64, base: u64, id: &str, state: &str, function: &str) -> Value {
+    json!({
+        "kind": "change", "at": at, "sent_at": at - S / 10, "base": base, "change_id": id,
+        "status": if state == "accepted" { 200 } else { 409 }, "state": state,
+        "serial": base + 1, "paths": {"/a": function},
+    })
+}
+
+fn call(id: &str, at: u64, outcome: &str) -> Value {
+    json!({
+        "id": id, "at": at, "end": at + S / 20, "path": "/a", "function": "f", "once": true,
+        "outcome": outcome, "reason": "", "sealed": true, "runner": "r-1-1", "door": "d1",
+    })
+}
+
+fn run(id: &str, at: u64, runner: &str, number: u64) -> Vec<Value> {
+    vec![
+        json!({"kind": "run_begin", "at": at, "runner": runner, "function": "f@2", "transaction": id,
+               "attempt": 1, "run": number, "at_once": 1, "ready": true}),
+        json!({"kind": "run_end", "at": at + S / 100, "runner": runner, "run": number}),
+    ]
+}
+
+fn start(runner: &str, at: u64, worker: &str) -> Value {
+    json!({"kind": "runner_start", "at": at, "runner": runner, "function": "f@2", "worker": worker,
+           "memory_mb": 100, "boot_ms": 100, "slots": 2, "place": "p"})
+}
+
+fn clean_day() -> Day {
+    let mut day = Day {
+        callers: Vec::new(),
+        hut: vec![start("r-1-1", 2 * S, "worker-00")],
+        journal: vec![change(S, 1, "c1", "accepted", "f")],
+    };
+    for number in 0..100 {
+        let at = 4 * S + number * S / 10;
+        day.callers.push(call(&format!("t{number}"), at, "answer"));
+        day.hut.extend(run(&format!("t{number}"), at + 1000, "r-1-1", number));
+    }
+    day
+}
+
+fn violated(day: &Day) -> Vec<String> {
+    let evidence = Evidence::from_records(&day.callers, &day.hut, &day.journal);
+    let verdict = judge(&evidence);
+    verdict
+        .lines
+        .iter()
+        .filter(|line| !line.violations.is_empty())
+        .map(|line| line.name.to_owned())
+        .collect()
+}
+
+#[gtest]
+fn a_clean_day_has_no_violation() -> Result<()> {
+    verify_that!(violated(&clean_day()), is_empty())
+}
+
+#[gtest]
+fn a_second_run_of_a_once_transaction_is_found() -> Result<()> {
+    let mut day = clean_day();
+    day.hut.extend(run("t5", 30 * S, "r-1-1", 900));
+    verify_that!(violated(&day), elements_are![eq("a once-transaction runs twice")])
+}
+
+#[gtest]
+fn a_refused_transaction_that_ran_is_found() -> Result<()> {
+    let mut day = clean_day();
+    day.callers[7]["outcome"] = json!("not_run");
+    verify_that!(violated(&day), elements_are![eq("refused as not run, and runs")])
+}
+
+#[gtest]
+fn unsealed_and_foreign_answers_are_found() -> Result<()> {
+    let name = "a success without its runner's own sealed body";
+    let mut unsealed = clean_day();
+    unsealed.callers[3]["sealed"] = json!(false);
+    verify_that!(violated(&unsealed), elements_are![eq(name)])?;
+    let mut foreign = clean_day();
+    foreign.callers[3]["runner"] = json!("r-1-9");
+    verify_that!(violated(&foreign), elements_are![eq(name)])
+}
+
+#[gtest]
+fn a_run_on_another_function_is_found() -> Result<()> {
+    let mut day = clean_day();
+    day.hut[1]["function"] = json!("g@2");
+    verify_that!(
+        violated(&day),
+        elements_are![
+            eq("a run on a function its path was never given"),
+            eq("an accepted spec not in force after 3 s, or undone"),
+        ]
+    )
+}
+
+#[gtest]
+fn an_old_spec_in_use_after_three_seconds_is_found() -> Result<()> {
+    let name = "an accepted spec not in force after 3 s, or undone";
+    let mut late = clean_day();
+    late.journal.push(change(8 * S, 2, "c2", "accepted", "g"));
+    verify_that!(violated(&late), elements_are![eq(name)])?;
+    let mut in_time = clean_day();
+    in_time.journal.push(change(12 * S, 2, "c2", "accepted", "g"));
+    verify_that!(violated(&in_time), is_empty())?;
+    let mut refused = clean_day();
+    refused.journal.push(change(3 * S, 1, "c2", "not_accepted", "g"));
+    refused.hut[5]["function"] = json!("g@2");
+    verify_that!(violated(&refused), contains(eq(name)))
+}
+
+#[gtest]
+fn two_changes_accepted_on_one_version_are_found() -> Result<()> {
+    let mut day = clean_day();
+    day.journal.push(change(2 * S, 1, "c2", "accepted", "f"));
+    verify_that!(violated(&day), elements_are![eq("two changes on one version accepted")])
+}
+
+#[gtest]
+fn drained_workers_and_evacuated_localities_still_used_are_found() -> Result<()> {
+    let mut drained = clean_day();
+    drained
+        .hut
+        .push(json!({"kind": "worker", "at": 8 * S, "worker": "worker-00", "deed": "drain"}));
+    verify_that!(violated(&drained), elements_are![eq("a draining worker used after 3 s")])?;
+    let mut evacuated = clean_day();
+    evacuated.journal.push(json!({
+        "kind": "locality", "at": 5 * S, "locality": "locality-1", "deed": "evacuate", "status": 200,
+    }));
+    verify_that!(violated(&evacuated), elements_are![eq("an evacuated locality used after 5 s")])?;
+    let mut elsewhere = clean_day();
+    elsewhere.journal.push(json!({
+        "kind": "locality", "at": 5 * S, "locality": "locality-2", "deed": "evacuate", "status": 200,
+    }));
+    verify_that!(violated(&elsewhere), is_empty())
+}
+
+#[gtest]
+fn an_answer_dropped_by_an_orderly_stop_is_found() -> Result<()> {
+    let name = "an orderly stop drops answers in hand";
+    let mut day = clean_day();
+    day.callers[20]["outcome"] = json!("lost");
+    let at = day.callers[20]["at"].as_u64().unwrap_or(0) + 1000;
+    day.journal.push(json!({"kind": "stop", "at": at, "machine": "th-1", "door": "d1"}));
+    verify_that!(violated(&day), elements_are![eq(name)])?;
+    let mut slow = clean_day();
+    slow.journal.push(json!({"kind": "stopped", "at": 9 * S, "machine": "th-1", "in_time": false}));
+    verify_that!(violated(&slow), elements_are![eq(name)])
+}
+
+#[gtest]
+fn too_many_extra_tries_are_found() -> Result<()> {
+    let mut day = clean_day();
+    for number in 0..100 {
+        day.callers[number as usize]["once"] = json!(false);
+        if number % 2 == 0 {
+            let mut again =
+                run(&format!("t{number}"), 4 * S + number * S / 10 + 5000, "r-1-1", 500 + number);
+            again[0]["attempt"] = json!(2);
+            day.hut.extend(again);
+        }
+    }
+    verify_that!(violated(&day), elements_are![eq("extra tries above a fifth in 10 s")])
+}
+
+#[gtest]
+fn floods_of_cold_and_full_runners_are_found() -> Result<()> {
+    let name = "a cold runner flooded, or slots exceeded";
+    let mut full = clean_day();
+    full.hut[101]["at_once"] = json!(3);
+    verify_that!(violated(&full), elements_are![eq(name)])?;
+    let mut cold = clean_day();
+    cold.hut[1]["ready"] = json!(false);
+    verify_that!(violated(&cold), elements_are![eq(name)])?;
+    let mut fresh = clean_day();
+    fresh.hut[0]["at"] = json!(4 * S - S / 5);
+    fresh.hut[1]["at_once"] = json!(2);
+    verify_that!(violated(&fresh), elements_are![eq(name)])
+}
+
+#[gtest]
+fn two_holders_at_once_are_found() -> Result<()> {
+    let mut day = clean_day();
+    day.hut.push(start("r-2-1", 6 * S, "worker-01"));
+    verify_that!(violated(&day), elements_are![eq("two holders of one function at once")])?;
+    let mut after = clean_day();
+    after.hut.push(json!({"kind": "runner_stop", "at": 20 * S, "runner": "r-1-1"}));
+    after.hut.push(start("r-2-1", 21 * S, "worker-01"));
+    verify_that!(violated(&after), is_empty())
+}
+
+#[gtest]
+fn service_that_does_not_come_back_is_found() -> Result<()> {
+    let mut day = clean_day();
+    day.journal.push(json!({"kind": "fault", "at": 2 * S, "fault": "kill-herd", "heavy": true}));
+    day.journal.push(json!({"kind": "returned", "at": 3 * S, "fault": "kill-herd", "heavy": true}));
+    for number in 0..50 {
+        let mut late = call(&format!("late{number}"), 16 * S + number * S / 50, "unknown");
+        late["once"] = json!(false);
+        day.callers.push(late);
+    }
+    verify_that!(violated(&day), elements_are![eq("mostly down 12 s after machines return")])
+}
--- /dev/null
+++ b/proving/expedition/tests/simulator.rs
@@ -0,0 +1,66 @@
+//! Both planes under seeded faults, and the flaws that the checks must find.
+
+use expedition::sim::{Flaw, SimPlan, World};
+use googletest::prelude::*;
+
+fn breaches(seed: u64, flaw: Flaw) -> Vec<String> {
+    let plan = SimPlan { flaw, ..SimPlan::seeded(seed) };
+    World::new(plan, false).run().breaches.iter().map(ToString::to_string).collect()
+}
+
+#[gtest]
+fn no_seed_breaks_a_rule_and_service_comes_back() -> Result<()> {
+    for seed in 1..=24 {
+        let sim_end = World::new(SimPlan::seeded(seed), false).run();
+        let broken: Vec<String> = sim_end.breaches.iter().map(ToString::to_string).collect();
+        verify_that!(broken, is_empty())?;
+        verify_that!(sim_end.share_after, ge(0.5))?;
+        verify_that!(sim_end.looked.get("run"), some(ge(&100)))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn the_same_seed_is_the_same_day() -> Result<()> {
+    let counts = || World::new(SimPlan::seeded(7), true).run().trace;
+    let first_trace = counts();
+    verify_that!(first_trace.len(), ge(20))?;
+    verify_that!(counts() == first_trace, eq(true))
+}
+
+#[gtest]
+fn runners_of_an_unclaimed_holder_are_stopped_before_the_next_grant() -> Result<()> {
+    for seed in [2, 8, 17, 43] {
+        verify_that!(breaches(seed, Flaw::None), is_empty())?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_dropped_fence_is_found() -> Result<()> {
+    verify_that!(breaches(1, Flaw::FenceDropped), not(is_empty()))
+}
+
+#[gtest]
+fn a_skipped_sync_is_found() -> Result<()> {
+    let found = (1..=60).any(|seed| !breaches(seed, Flaw::SyncSkipped).is_empty());
+    verify_that!(found, eq(true))
+}
+
+#[gtest]
+fn a_quorum_of_one_is_found() -> Result<()> {
+    let found = (1..=40).any(|seed| !breaches(seed, Flaw::QuorumOfOne).is_empty());
+    verify_that!(found, eq(true))
+}
+
+#[gtest]
+fn a_skipped_wait_for_claims_is_found() -> Result<()> {
+    let found = (1..=120).any(|seed| !breaches(seed, Flaw::ClaimsWaitSkipped).is_empty());
+    verify_that!(found, eq(true))
+}
+
+#[gtest]
+fn an_ignored_member_grant_is_found() -> Result<()> {
+    let found = (1..=120).any(|seed| !breaches(seed, Flaw::GrantIgnored).is_empty());
+    verify_that!(found, eq(true))
+}
--- /dev/null
+++ b/proving/expedition/tests/smoke.rs
@@ -0,0 +1,141 @@
+//! Real processes, waited on by what they show: founding, a spec, answers, a killed holder, bad input.
+
+use expedition::days::Deployment;
+use expedition::fleet::{Fleet, FleetFault, Layout, Sizes};
+use expedition::judge::{Evidence, judge};
+use hiker::{Plan, walk};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use waymark::frames::Place;
+use waymark::http::call_json;
+use waymark::readers::BootSource;
+
+fn programs() -> PathBuf {
+    let own_path = std::env::current_exe().expect("a path");
+    let folder = own_path.parent().and_then(Path::parent).expect("a folder").to_owned();
+    assert!(
+        folder.join("trailhead").exists(),
+        "build the workspace first: cargo build --workspace"
+    );
+    folder
+}
+
+async fn call_until_answered(fleet: &Fleet, seed: u64, door: Option<Place>) -> Value {
+    let mut total = json!({});
+    for round in 0..200 {
+        let records = fleet.folder().join(format!("callers-{seed}-{round}.jsonl"));
+        let doors: Vec<String> = match door {
+            Some(door) => vec![door.to_string()],
+            None => fleet.layout.doors().iter().map(ToString::to_string).collect(),
+        };
+        let plan = json!({
+            "seed": seed * 1000 + round, "lasts_ms": 0, "rate": 0.0, "doors": doors,
+            "routes": Deployment::Small.caller_routes(),
+            "bursts": [{"at_ms": 0, "lasts_ms": 100, "count": 14, "route_count": 14}],
+            "records": records.display().to_string(),
+        });
+        let plan = Plan::read(&BootSource::from_value("plan", plan)).expect("a plan");
+        let summary = walk(plan).await.expect("calls").to_value();
+        total = summary.clone();
+        if summary["answer"] == json!(14) {
+            return summary;
+        }
+    }
+    panic!("never answered in full: {total}");
+}
+
+async fn day(fleet: &mut Fleet) -> Result<(), FleetFault> {
+    fleet.found().await?;
+    let spec = Deployment::Small.spec("canary-a");
+    let (status, _) = fleet.put_spec(1, "first", &spec, "in_force").await?;
+    assert_eq!(status, 200);
+    fleet.await_ready(3).await?;
+    call_until_answered(fleet, 1, None).await;
+
+    let (status, stale) = fleet.put_spec(1, "stale", &spec, "accepted").await?;
+    assert_eq!((status, &stale["serial"]), (409, &json!(2)));
+    let mut bad_spec = spec.clone();
+    bad_spec["routes"]["canary"]["function"] = json!("nowhere");
+    let (status, invalid) = fleet.put_spec(2, "bad", &bad_spec, "accepted").await?;
+    assert_eq!((status, &invalid["faults"][0]["path"]), (422, &json!("routes.canary.function")));
+    let (status, again) = fleet.put_spec(1, "first", &spec, "accepted").await?;
+    assert_eq!((status, &again["serial"]), (200, &json!(2)));
+    let (_, asked) = fleet.ask(Method::GET, "/v1/changes/stale", None).await?;
+    assert_eq!(asked["state"], json!("not_accepted"));
+
+    bad_calls(fleet).await;
+    garbage(fleet).await;
+
+    let holder = fleet.busiest_holder().await.expect("a holder");
+    fleet.kill(&holder);
+    let other = fleet.running("trailhead").into_iter().find(|name| *name != holder);
+    let other_door = other.and_then(|name| fleet.door_of(&name));
+    call_until_answered(fleet, 2, other_door).await;
+    fleet.launch(&holder)?;
+    fleet.await_ready(3).await?;
+
+    let leader = fleet.leader().await.expect("a leader");
+    fleet.kill(&leader);
+    fleet.await_leader().await?;
+    call_until_answered(fleet, 3, None).await;
+    let (serial, kept_spec) = fleet.spec().await?;
+    assert_eq!((serial, kept_spec), (2, spec));
+
+    let stopped = fleet.running("trailhead").remove(0);
+    fleet.stop(&stopped, Duration::from_secs(30)).await;
+    Ok(())
+}
+
+async fn bad_calls(fleet: &Fleet) {
+    let door = fleet.layout.doors()[0];
+    let patience = Duration::from_secs(5);
+    let no_header = call_json(door, Method::POST, "/segment-check", None, patience).await;
+    let no_header = no_header.expect("an answer");
+    assert_eq!((no_header.status.as_u16(), &no_header.json()["outcome"]), (400, &json!("not_run")));
+    assert_eq!(no_header.headers["rudder-outcome"], "not_run");
+}
+
+async fn garbage(fleet: &Fleet) {
+    for (name, machine) in &fleet.layout.machines {
+        let Some(boot_file) = machine.arguments.get(1).filter(|_| name != "hut") else { continue };
+        let text = std::fs::read_to_string(boot_file).expect("settings");
+        let settings: Value = serde_json::from_str(&text).expect("JSON");
+        let place: std::net::SocketAddr =
+            settings["place"].as_str().and_then(|text| text.parse().ok()).expect("a place");
+        for sent_bytes in [
+            &b"GET / HTTP/1.1\r\n\r\n"[..],
+            b"RU\x01\x02\xff\xff\xff\xff",
+            b"RU\x09\x01",
+            b"RU\x01\x01\x00\x00\x00\x02zz",
+        ] {
+            if let Ok(mut stream) = tokio::net::TcpStream::connect(place).await {
+                let _ = stream.write_all(sent_bytes).await;
+                let mut rest = Vec::new();
+                let reading = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut rest);
+                let _ = tokio::time::timeout(Duration::from_secs(30), reading).await;
+                assert!(rest.is_empty());
+            }
+        }
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+        let _ = socket.send_to(b"RU\x01nonsense", place).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_small_fleet_serves_through_a_killed_holder_and_a_killed_leader() {
+    let folder = std::env::temp_dir().join(format!("rudder-smoke-{}", std::process::id()));
+    let sizes = Sizes { daemons: 3, localities: 3, workers: 4, worker_mb: 6000 };
+    let layout = Layout::new(&folder, &programs(), &sizes, 1, true).expect("a layout");
+    let mut fleet = Fleet::start(layout).expect("a fleet");
+    let ended = day(&mut fleet).await;
+    fleet.end().await;
+    let verdict = judge(&Evidence::read(&folder).expect("records"));
+    if let Err(fault) = ended {
+        panic!("{fault}; logs are in {}", folder.display());
+    }
+    assert_eq!(verdict.violation_count(), 0, "{verdict}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/proving/hiker/src/main.rs
+++ b/proving/hiker/src/main.rs
@@ -19,7 +19,7 @@
 }
 
 fn main() -> ExitCode {
-    let flags = Flags::parse_args_default_or_exit();
+    let flags = waymark::command_line::read::<Flags>("hiker");
     if flags.version {
         println!("hiker {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
--- a/proving/hut/src/main.rs
+++ b/proving/hut/src/main.rs
@@ -45,7 +45,7 @@
 }
 
 fn main() -> eyre::Result<()> {
-    let flags = Flags::parse_args_default_or_exit();
+    let flags = waymark::command_line::read::<Flags>("hut");
     if flags.version {
         println!("hut {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
--- /dev/null
+++ b/proving/hut/tests/command_line.rs
@@ -0,0 +1,10 @@
+//! The stand-in platform starts by its own name and says its version.
+
+use std::process::Command;
+
+#[test]
+fn it_says_its_version() {
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_hut")).arg("--version").output().expect("it runs");
+    assert!(String::from_utf8_lossy(&output.stdout).starts_with("hut "));
+}
