--- a/crates/trail/src/holder/tries.rs
+++ b/crates/trail/src/holder/tries.rs
@@ -48,7 +48,9 @@
     pub fn may_spend(&mut self, now: Moment) -> bool {
         let index = self.bucket(now).index;
         let half_index = index.saturating_sub(WINDOW.as_millis() as u64 / BUCKET_MS / 2);
-        let all_firsts: u64 = self.buckets.iter().map(|bucket| bucket.firsts).sum();
+        let oldest_index = index.saturating_sub(WINDOW.as_millis() as u64 / BUCKET_MS);
+        let whole_buckets = self.buckets.iter().filter(|bucket| bucket.index > oldest_index);
+        let all_firsts: u64 = whole_buckets.map(|bucket| bucket.firsts).sum();
         let late_buckets = self.buckets.iter().filter(|bucket| bucket.index >= half_index);
         let late_firsts: u64 = late_buckets.map(|bucket| bucket.firsts).sum();
         let extras: u64 = self.buckets.iter().map(|bucket| bucket.extras).sum();
--- a/crates/waymark/src/readers/boot.rs
+++ b/crates/waymark/src/readers/boot.rs
@@ -74,7 +74,7 @@
         &self.name
     }
 
-    /// Reads everything, and stops at the first fault.
+    /// Reads everything, and reports one fault: what is wrong before what is missing.
     pub fn read<T>(
         &self,
         read_settings: impl FnOnce(&PathReader<'_>) -> Option<T>,
@@ -85,7 +85,9 @@
             root_reader.fault(FaultReason::NotA("an object"));
         }
         let read_value = read_settings(&root_reader);
-        let first_fault = faults.into_inner().into_iter().next();
+        let mut found_faults = faults.into_inner();
+        found_faults.sort_by_key(|fault| fault.reason == FaultReason::Missing);
+        let first_fault = found_faults.into_iter().next();
         match (first_fault, read_value) {
             (Some(fault), _) => Err(BootFault::Key(self.name.clone(), fault)),
             (None, Some(value)) => Ok(value),
