--- a/crates/waymark/tests/spec.rs
+++ b/crates/waymark/tests/spec.rs
@@ -141,7 +141,9 @@
     let patch = old_view.patch_to(&new_view);
     verify_that!(old_view.patched(&patch, &new_view.digest())? == new_view, eq(true))?;
     verify_that!(old_view.patched(&patch, &[0; 32]).is_err(), eq(true))?;
-    verify_that!(new_view.patched(&patch, &new_view.digest()).is_err(), eq(true))?;
+    let other_base =
+        old_document.with_locality(Locality::from("south"), true, ChangeId::from("c3")).view();
+    verify_that!(other_base.patched(&patch, &new_view.digest()).is_err(), eq(true))?;
     let read_again = View::from_value(&new_view.to_value())?;
     verify_that!(read_again == new_view, eq(true))?;
     verify_that!(Document::from_bytes(&new_document.to_bytes())? == new_document, eq(true))?;
