--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -1,9 +1,9 @@
-use super::{Desk, StreamId};
+use super::{Desk, DeskOutput, StreamId, TraceStep};
 use serde_json::json;
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{Blob, Flag, StreamDown};
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial};
+use waymark::identity::{FunctionKey, GrantSerial, MemberName, RunnerId, Serial};
 use waymark::spec::{Document, Table, View};
 
 const KEPT_VIEWS: usize = 8;
@@ -62,6 +62,9 @@
             None => whole_frame(newest_view),
         };
         record.pushed = newest_view.serial;
+        let serial = newest_view.serial;
+        let member = known_member.member.clone();
+        self.outputs.push(DeskOutput::Step { serial, member, step: TraceStep::Pushed });
         self.down(stream, frame);
     }
 
@@ -141,11 +144,21 @@
         self.document.as_ref()
     }
 
-    /// Whether a daemon has said that it installed a serial, by name.
-    pub fn installed_by_member(&self) -> Vec<(String, Serial)> {
+    /// The daemons that have not installed a serial, and why as far as can be seen from here.
+    pub fn laggards(&self, now: Moment, serial: Serial) -> Vec<(MemberName, &'static str)> {
         self.members
             .iter()
-            .map(|(known_member, record)| (known_member.member.to_string(), record.installed))
+            .filter(|(_, record)| record.installed < serial)
+            .map(|(known_member, record)| {
+                let reason = if now >= record.grant_bound {
+                    "grant ended"
+                } else if record.stream.is_none() {
+                    "cut off"
+                } else {
+                    "not acknowledged"
+                };
+                (known_member.member.clone(), reason)
+            })
             .collect()
     }
 }
--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -1,4 +1,4 @@
-use super::{Desk, Proof, StreamId};
+use super::{Desk, DeskOutput, Proof, StreamId, TraceStep};
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -93,7 +93,12 @@
         if let Some(known_member) = self.streams.get(&stream)
             && let Some(record) = self.members.get_mut(known_member)
         {
+            let is_news = record.installed < serial;
             record.installed = record.installed.max(serial);
+            if is_news {
+                let member = known_member.member.clone();
+                self.outputs.push(DeskOutput::Step { serial, member, step: TraceStep::Installed });
+            }
         }
     }
 
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -10,7 +10,7 @@
 mod timing;
 mod workers;
 
-pub use output::{DeskOutput, StreamId, Told};
+pub use output::{DeskOutput, StreamId, Told, TraceStep};
 pub use timing::DeskTiming;
 pub use workers::{ListedRunner, ListedWorker};
 
--- a/crates/survey/src/desk/output.rs
+++ b/crates/survey/src/desk/output.rs
@@ -1,7 +1,7 @@
 use serde_json::Value;
 use waymark::events::Event;
 use waymark::frames::StreamDown;
-use waymark::identity::RunnerId;
+use waymark::identity::{MemberName, RunnerId, Serial};
 
 /// Names one daemon's stream in this process.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -36,4 +36,22 @@
     StopRunner(RunnerId),
     /// Tell operators.
     Told(Told),
+    /// A version came one step further at one daemon.
+    Step {
+        /// The version.
+        serial: Serial,
+        /// The daemon.
+        member: MemberName,
+        /// The step.
+        step: TraceStep,
+    },
+}
+
+/// A step of a version at one daemon.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum TraceStep {
+    /// It was pushed down the daemon's stream.
+    Pushed,
+    /// The daemon said that it installed it.
+    Installed,
 }
--- a/crates/survey/src/drivers/operators.rs
+++ b/crates/survey/src/drivers/operators.rs
@@ -121,6 +121,10 @@
         (&Method::GET, ["v1", "runners"]) => Ok(Operation::Runners),
         (&Method::GET, ["v1", "core"]) => Ok(Operation::ShowCore),
         (&Method::POST, ["v1", "core", "found"]) => Ok(Operation::Found),
+        (&Method::GET, ["v1", "traces", serial]) => match serial.parse() {
+            Ok(serial) => Ok(Operation::Trace(Serial(serial))),
+            Err(_) => Err((400, json!({"error": "not_a_serial"}))),
+        },
         (&Method::GET, ["v1", "events"]) => {
             let pairs = query.unwrap_or("").split('&').filter_map(|pair| pair.split_once('='));
             let from_text = pairs.into_iter().find(|(name, _)| *name == "from");
--- a/crates/survey/src/plane/changes.rs
+++ b/crates/survey/src/plane/changes.rs
@@ -179,6 +179,7 @@
             }
         };
         let serial = next_document.stamp.serial;
+        self.traces.put_forward(now, self.core.term(), serial);
         match self.core.propose(now, next_document) {
             Ok(orders) => {
                 self.changes.in_flight.push(Waiter {
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod history;
 mod operation;
+mod traces;
 
 pub use history::{History, Numbered};
 pub use operation::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
@@ -14,10 +15,11 @@
 use changes::Changes;
 use serde_json::json;
 use std::collections::BTreeSet;
+use traces::Traces;
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{CoreFrame, Place, StreamDown, StreamUp};
-use waymark::identity::{RunnerId, Ticket};
+use waymark::identity::{RunnerId, Serial, Ticket};
 
 /// What reaches a surveyor.
 #[derive(Debug)]
@@ -70,6 +72,7 @@
     streams: BTreeSet<StreamId>,
     history: History,
     changes: Changes,
+    traces: Traces,
     outputs: Vec<PlaneOutput>,
 }
 
@@ -84,6 +87,7 @@
             streams: BTreeSet::new(),
             history: History::default(),
             changes: Changes::default(),
+            traces: Traces::default(),
             outputs: Vec::new(),
         }
     }
@@ -181,7 +185,17 @@
                 DeskOutput::StopRunner(runner) => {
                     self.outputs.push(PlaneOutput::StopRunner(runner));
                 }
-                DeskOutput::Told(told) => self.tell(told),
+                DeskOutput::Told(told) => {
+                    if told.event == events::IN_FORCE
+                        && let Some(serial) = told.detail["serial"].as_u64()
+                    {
+                        self.traces.in_force(now, Serial(serial));
+                    }
+                    self.tell(told);
+                }
+                DeskOutput::Step { serial, member, step } => {
+                    self.traces.step(now, serial, member, step);
+                }
             }
         }
         self.progress_waits();
@@ -220,6 +234,7 @@
                     let stamp = document.stamp;
                     let detail = json!({"term": stamp.term.0, "serial": stamp.serial.0});
                     self.tell(Told { event: events::COMMITTED, detail });
+                    self.traces.committed(now, stamp);
                     if let Some(desk) = &mut self.desk {
                         desk.committed(document);
                     }
--- a/crates/survey/src/plane/operation.rs
+++ b/crates/survey/src/plane/operation.rs
@@ -70,6 +70,8 @@
     Found,
     /// Read events from a number on.
     Events(u64),
+    /// Show what this surveyor knows of one version's way; zero for the newest.
+    Trace(Serial),
 }
 
 /// The answer to an operator.
@@ -86,6 +88,7 @@
         let reply = match operation {
             Operation::Found => self.found(now),
             Operation::ShowCore => OperationReply::Said(200, self.show_core(now)),
+            Operation::Trace(serial) => self.trace(now, serial),
             Operation::Events(first_number) if self.desk.is_some() => {
                 let listed_events = self.history.from(first_number, 1000);
                 OperationReply::Said(200, Value::Array(listed_events))
