--- a/crates/survey/src/desk/claims.rs
+++ b/crates/survey/src/desk/claims.rs
@@ -100,6 +100,8 @@
                 grant: claim.grant,
                 fencing_since: None,
                 handing_over: false,
+                steward: claim.steward.0.first().cloned(),
+                whole: claim.whole.0,
             };
             self.entries.insert(claim.function.clone(), entry);
         }
--- a/crates/survey/src/desk/functions.rs
+++ b/crates/survey/src/desk/functions.rs
@@ -2,7 +2,7 @@
 use serde_json::json;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::frames::{AcquireResult, HopReason, RunnerNews, StreamDown};
+use waymark::frames::{AcquireResult, HopReason, Many, Prior, RunnerNews, StreamDown};
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId};
 
 impl Desk {
@@ -31,7 +31,12 @@
             }
             let holder_record = self.members.get(&entry.holder)?;
             if entry.holder == asker {
-                return Some(AcquireResult::Granted { grant: entry.grant, once_wait_ms: 0 });
+                return Some(AcquireResult::Granted {
+                    grant: entry.grant,
+                    once_wait_ms: 0,
+                    steward: Many(entry.steward.iter().cloned().collect()),
+                    prior: Many(Vec::new()),
+                });
             }
             let is_answerable = now < holder_record.grant_bound && holder_record.is_welcome;
             return is_answerable
@@ -63,9 +68,23 @@
                 "once_wait_ms": once_wait.as_millis() as u64,
             }),
         );
-        let entry = GrantEntry { holder: asker, grant, fencing_since: None, handing_over: false };
+        let steward = self.choose_steward(now, &acquire.function, &asker, None);
+        let prior = self.priors.get(&acquire.function).filter(|_| !once_wait.is_zero()).cloned();
+        let entry = GrantEntry {
+            holder: asker,
+            grant,
+            fencing_since: None,
+            handing_over: false,
+            steward: steward.clone(),
+            whole: once_wait.is_zero(),
+        };
         self.entries.insert(acquire.function.clone(), entry);
-        Some(AcquireResult::Granted { grant, once_wait_ms: once_wait.as_millis() as u32 })
+        Some(AcquireResult::Granted {
+            grant,
+            once_wait_ms: once_wait.as_millis() as u32,
+            steward: Many(steward.into_iter().collect()),
+            prior: Many(prior.into_iter().collect()),
+        })
     }
 
     pub(super) fn hear_release(
@@ -105,10 +124,20 @@
     }
 
     pub(super) fn end_entry(&mut self, now: Moment, function: &FunctionKey, grant_end: Moment) {
-        self.entries.remove(function);
-        let once_from = grant_end + self.longest_budget;
+        let ended_entry = self.entries.remove(function);
+        let prior = ended_entry.filter(|entry| entry.whole).and_then(|entry| {
+            let grant = entry.grant;
+            entry.steward.map(|steward| Prior { steward, grant })
+        });
+        match prior {
+            Some(prior) => self.priors.insert(function.clone(), prior),
+            None => self.priors.remove(function),
+        };
+        let once_from = grant_end + self.longest_delay();
         self.once_from.insert(function.clone(), once_from);
         self.once_from.retain(|_, kept_until| *kept_until > now);
+        let once_from = &self.once_from;
+        self.priors.retain(|kept, _| once_from.contains_key(kept));
     }
 
     pub(super) fn hear_runner_news(
--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -1,7 +1,6 @@
 use super::{Desk, DeskOutput, Proof, StreamId, TraceStep};
 use serde_json::json;
 use std::collections::BTreeSet;
-use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{Flag, Host, KnownMember, Many, Place, StreamDown};
@@ -200,6 +199,7 @@
             && self.runners_listed_at >= full_wait_end + self.timing.start_settle;
         if has_majority && (all_claimed || has_waited) {
             self.opened = true;
+            self.opened_at = now;
             self.all_claimed = all_claimed;
             let waited_ms = now.since(self.elected_at).as_millis() as u64;
             self.tell(
@@ -215,11 +215,16 @@
         }
     }
 
-    /// When transactions of a function never granted by this leader may run only once.
+    /// From when on transactions that may run only once are safe with a function never granted by
+    /// this leader: whoever held it had stopped when the claims quorum stood.
     pub(super) fn once_boundary(&self) -> Moment {
-        let unclaimed_wait =
-            if self.all_claimed { Duration::ZERO } else { self.timing.full_wait() };
-        self.elected_at + unclaimed_wait + self.longest_budget
+        self.opened_at + self.longest_delay()
+    }
+
+    /// How long a transaction may be under way: its budget, and a member grant for which a daemon
+    /// on its way may have been frozen without losing the right to pass it on.
+    pub(super) fn longest_delay(&self) -> std::time::Duration {
+        self.longest_budget + self.timing.grant_length
     }
 
     pub(super) fn push_hosts(&mut self) {
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -7,6 +7,7 @@
 mod members;
 mod output;
 mod report;
+mod stewards;
 mod timing;
 mod workers;
 
@@ -18,7 +19,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::{KnownMember, StreamDown, StreamUp};
+use waymark::frames::{Host, KnownMember, Prior, StreamDown, StreamUp};
 use waymark::identity::{
     CorrelationId, FunctionKey, GrantSerial, MemberName, RunnerId, Serial, Term, WorkerName,
 };
@@ -40,6 +41,8 @@
     grant: GrantSerial,
     fencing_since: Option<Moment>,
     handing_over: bool,
+    steward: Option<Host>,
+    whole: bool,
 }
 
 struct WaitingAcquire {
@@ -68,12 +71,14 @@
     reservations: BTreeMap<RunnerId, Reservation>,
     workers: BTreeMap<WorkerName, WorkerRecord>,
     once_from: BTreeMap<FunctionKey, Moment>,
+    priors: BTreeMap<FunctionKey, Prior>,
     ended: BTreeSet<RunnerId>,
     acquires: Vec<WaitingAcquire>,
     renewals: Vec<WaitingRenewal>,
     runners_listed_at: Moment,
     all_claimed: bool,
     opened: bool,
+    opened_at: Moment,
     given_count: u64,
     hosts_changed: bool,
     outputs: Vec<DeskOutput>,
@@ -106,12 +111,14 @@
             reservations: BTreeMap::new(),
             workers: BTreeMap::new(),
             once_from: BTreeMap::new(),
+            priors: BTreeMap::new(),
             ended: BTreeSet::new(),
             acquires: Vec::new(),
             renewals: Vec::new(),
             runners_listed_at: Moment::ZERO,
             all_claimed: false,
             opened: false,
+            opened_at: elected_at,
             given_count: 0,
             hosts_changed: false,
             outputs: Vec::new(),
@@ -164,6 +171,12 @@
             StreamUp::Sheds { function, count, reason } => {
                 self.hear_sheds(stream, function, count, reason)
             }
+            StreamUp::StewardLost { function, grant, lost } => {
+                self.hear_steward_lost(now, stream, function, grant, &lost);
+            }
+            StreamUp::StewardWhole { function, grant, steward } => {
+                self.hear_steward_whole(stream, &function, grant, &steward);
+            }
             StreamUp::Leaving => self.hear_leaving(now, stream),
         }
     }
--- a/crates/trail/src/chain/resolve.rs
+++ b/crates/trail/src/chain/resolve.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::{AcquireResult, Blob, Flag, HopFrame, HopOutcome, HopReason, Host};
+use waymark::frames::{AcquireResult, Blob, Flag, HopBody, HopOutcome, HopReason, Host};
 use waymark::identity::{FunctionKey, Serial, TransactionId};
 
 const HOP_COST: Duration = Duration::from_millis(10);
@@ -33,7 +33,12 @@
 }
 
 /// Brings a transaction to its holder: here, by the cache, by the hash owner, or by asking the leader.
+/// A daemon without a member grant refuses at once, so that what lay in its sockets while it was
+/// frozen goes no further.
 pub async fn resolve(state: &Arc<State>, ask: Ask) -> (HopOutcome, Option<Host>) {
+    if !state.is_serving() {
+        return (not_run(HopReason::NotServing, 1000), None);
+    }
     let spec_by = Moment::now() + SPEC_PATIENCE;
     let (once, patience) = loop {
         if let Some(found_terms) = terms(state, &ask) {
@@ -87,23 +92,27 @@
                 let is_cached = state.owners.load().contains_key(&ask.function);
                 let found = if is_cached { "cached" } else { "hash_owner" };
                 state.gauges.lookups.with_label_values(&[found]).inc();
-                let frame = forward_frame(state, &ask);
+                let body = forward_body(&ask);
                 let wait_until = ask.budget_end + HOP_COST;
-                match state.links.ask(host.place, frame, wait_until).await {
-                    AskEnd::Done(HopOutcome::NotRun { reason: HopReason::NotHolder, .. }, _) => {
+                match state.links.ask(host.place, body, wait_until).await {
+                    AskEnd::Reply(HopBody::Done {
+                        outcome: HopOutcome::NotRun { reason: HopReason::NotHolder, .. },
+                        ..
+                    }) => {
                         state.forget_owner(&ask.function);
                         if ask.hops > 0 {
                             return (not_run(HopReason::NotHolder, 50), None);
                         }
                     }
-                    AskEnd::Done(outcome, holder) => {
+                    AskEnd::Reply(HopBody::Done { outcome, holder }) => {
+                        let holder = holder.0.into_iter().next();
                         if let Some(holder) = &holder {
                             state.learn_owner(&ask.function, holder);
                         }
                         return (outcome, holder);
                     }
                     AskEnd::Unsent => state.forget_owner(&ask.function),
-                    AskEnd::Lost => {
+                    AskEnd::Reply(_) | AskEnd::Lost => {
                         state.forget_owner(&ask.function);
                         return (HopOutcome::Unknown { reason: HopReason::HolderSilent }, None);
                     }
@@ -147,10 +156,9 @@
     Some((route.spec.once, route.spec.patience))
 }
 
-fn forward_frame(state: &State, ask: &Ask) -> HopFrame {
+fn forward_body(ask: &Ask) -> HopBody {
     let budget_left = ask.budget_end.since(Moment::now()).saturating_sub(HOP_COST);
-    HopFrame::Ask {
-        correlation: state.links.correlation(),
+    HopBody::Ask {
         transaction: ask.transaction.clone(),
         function: ask.function.clone(),
         route: TransactionId::from(ask.route.as_str()),
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -1,6 +1,6 @@
 use super::state::AcquireWaiters;
 use super::{Holding, State};
-use crate::holder::Holder;
+use crate::holder::{GrantTerms, Holder};
 use crate::keeper::{Keeper, KeeperOrder};
 use crate::liaison::{Liaison, LiaisonTiming};
 use std::collections::HashMap;
@@ -18,7 +18,7 @@
 };
 use waymark::identity::{FunctionKey, GrantSerial};
 use waymark::note;
-use waymark::spec::{FunctionSpec, Table};
+use waymark::spec::Table;
 
 /// What reaches the control task.
 pub enum ControlInput {
@@ -160,8 +160,12 @@
                     note!(Error, events::SPEC_FAILED, "serial {serial}: {fault}");
                 }
                 KeeperOrder::Hosts(alive_hosts) => self.state.hosts.store(Arc::new(alive_hosts)),
-                KeeperOrder::Grant { function, grant, spec, once_wait } => {
-                    self.granted(&function, grant, spec, once_wait);
+                KeeperOrder::Grant(terms) => self.granted(terms),
+                KeeperOrder::Steward(function, grant, steward) => {
+                    if let Some(holding) = self.holding(&function, grant) {
+                        holding
+                            .apply(&self.state, |holder, now| holder.steward_named(now, steward));
+                    }
                 }
                 KeeperOrder::Acquired { function, result, round_trip } => {
                     self.acquired(&function, result, round_trip);
@@ -296,25 +300,20 @@
         }
     }
 
-    fn granted(
-        &self,
-        function: &FunctionKey,
-        grant: GrantSerial,
-        spec: FunctionSpec,
-        once_wait: Duration,
-    ) {
-        if self.holding(function, grant).is_some() {
+    fn granted(&self, terms: GrantTerms) {
+        let (function, grant) = (terms.function.clone(), terms.grant);
+        if self.holding(&function, grant).is_some() {
             return;
         }
-        let holder = Holder::new(Moment::now(), function.clone(), grant, spec, once_wait);
-        let holding = Arc::new(Holding::new(holder));
+        let holding = Arc::new(Holding::new(Holder::new(Moment::now(), terms)));
         self.state.holdings.rcu(|holdings| {
             let mut changed_holdings = HashMap::clone(holdings);
             changed_holdings.insert(function.clone(), holding.clone());
             changed_holdings
         });
-        self.state.learn_owner(function, &self.state.own_host);
+        self.state.learn_owner(&function, &self.state.own_host);
         note!(Info, events::GRANTED, "{function} under {grant}");
+        holding.apply(&self.state, |holder, now| holder.begin(now));
     }
 
     fn reserved(&mut self, function: FunctionKey, grant: GrantSerial, result: &ReserveResult) {
@@ -377,6 +376,9 @@
         }
         if says_sheds {
             self.sheds_at = now;
+            let mut keepsake = state.keepsake.lock().unwrap_or_else(PoisonError::into_inner);
+            keepsake.expire(now);
+            state.gauges.ledger_lines.set(keepsake.line_count() as i64);
         }
         {
             let mut closing = state.closing.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/trail/src/drivers/gauges.rs
+++ b/crates/trail/src/drivers/gauges.rs
@@ -36,6 +36,10 @@
     pub serial: IntGauge,
     /// Member grants that ended.
     pub grants_ended: IntCounter,
+    /// Lines kept for other daemons' ledgers.
+    pub ledger_lines: IntGauge,
+    /// How long a steward took to note a once-transaction.
+    pub note_seconds: Histogram,
     /// Functions whose last runner was kept although idle.
     pub idle_stop_skipped: IntGauge,
 }
@@ -70,6 +74,11 @@
         let acquire_seconds =
             Histogram::with_opts(seconds_options).expect("a constant name is valid");
         registry.register(Box::new(acquire_seconds.clone())).expect("names are registered once");
+        let note_options =
+            HistogramOpts::new("rudder_note_seconds", "round trip of a note to a steward")
+                .buckets(vec![0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3]);
+        let note_seconds = Histogram::with_opts(note_options).expect("a constant name is valid");
+        registry.register(Box::new(note_seconds.clone())).expect("names are registered once");
         Self {
             outcomes: counters(
                 &registry,
@@ -112,6 +121,12 @@
                 "rudder_member_grants_ended_total",
                 "member grants that ended",
             ),
+            ledger_lines: gauge(
+                &registry,
+                "rudder_ledger_lines",
+                "lines kept for other daemons' ledgers",
+            ),
+            note_seconds,
             idle_stop_skipped: gauge(
                 &registry,
                 "rudder_idle_stop_skipped",
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -1,5 +1,5 @@
 use super::control::ControlInput;
-use super::{State, platform, runners};
+use super::{State, platform, runners, stewards};
 use crate::holder::{Entry, Holder, HolderOutput, SendEnd};
 use bytes::Bytes;
 use std::collections::HashMap;
@@ -146,6 +146,35 @@
                     let frame = StreamUp::Runner { function, runner, news };
                     let _ = state.control.send(ControlInput::Say(frame));
                 }
+                HolderOutput::Collect { prior } => {
+                    tokio::spawn(async move {
+                        let notes = stewards::collect(&task_state, &holding.function, prior).await;
+                        holding.apply(&task_state, |holder, now| holder.collected(now, notes));
+                    });
+                }
+                HolderOutput::Note { round, steward, notes } => {
+                    tokio::spawn(async move {
+                        let is_kept = stewards::note(&task_state, &holding, steward, notes).await;
+                        holding.apply(&task_state, |holder, now| holder.noted(now, round, is_kept));
+                    });
+                }
+                HolderOutput::Compare { steward, digests } => {
+                    tokio::spawn(async move {
+                        let ranges =
+                            stewards::compare(&task_state, &holding, steward, digests).await;
+                        holding.apply(&task_state, |holder, now| holder.compared(now, &ranges));
+                    });
+                }
+                HolderOutput::StewardLost { lost } => {
+                    let function = self.function.clone();
+                    let frame = StreamUp::StewardLost { function, grant: self.grant, lost };
+                    let _ = state.control.send(ControlInput::Say(frame));
+                }
+                HolderOutput::StewardWhole { steward } => {
+                    let function = self.function.clone();
+                    let frame = StreamUp::StewardWhole { function, grant: self.grant, steward };
+                    let _ = state.control.send(ControlInput::Say(frame));
+                }
                 HolderOutput::Released => {
                     let function = self.function.clone();
                     let _ = state.control.send(ControlInput::Released(function, self.grant));
--- a/crates/trail/src/drivers/hops.rs
+++ b/crates/trail/src/drivers/hops.rs
@@ -9,15 +9,15 @@
 use tokio::sync::{mpsc, oneshot};
 use waymark::clock::Moment;
 use waymark::frames::{
-    Channel, FrameFault, HopFrame, HopOutcome, Host, Many, Place, read_frame, write_channel,
+    Channel, Flag, FrameFault, HopBody, HopFrame, Many, Place, read_frame, write_channel,
     write_frame,
 };
 use waymark::identity::CorrelationId;
 
 /// How a passed-on transaction came back.
 pub enum AskEnd {
-    /// With an outcome, and the holder if it is known there.
-    Done(HopOutcome, Option<Host>),
+    /// With an answer.
+    Reply(HopBody),
     /// Surely nothing was sent.
     Unsent,
     /// Sent, and nothing came back.
@@ -26,7 +26,6 @@
 
 struct Asking {
     frame: HopFrame,
-    correlation: CorrelationId,
     end: oneshot::Sender<AskEnd>,
 }
 
@@ -42,17 +41,11 @@
         Self { senders: Mutex::new(HashMap::new()), next_correlation: AtomicU64::new(1) }
     }
 
-    /// A number for a question.
-    pub fn correlation(&self) -> CorrelationId {
-        CorrelationId(self.next_correlation.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Passes a transaction on and waits for its outcome.
-    pub async fn ask(&self, place: Place, frame: HopFrame, wait_until: Moment) -> AskEnd {
-        let HopFrame::Ask { correlation, .. } = &frame else { return AskEnd::Unsent };
-        let correlation = *correlation;
+    /// Asks another daemon and waits for its answer.
+    pub async fn ask(&self, place: Place, body: HopBody, wait_until: Moment) -> AskEnd {
+        let correlation = CorrelationId(self.next_correlation.fetch_add(1, Ordering::Relaxed));
         let (end_sender, end) = oneshot::channel();
-        let asking = Asking { frame, correlation, end: end_sender };
+        let asking = Asking { frame: HopFrame { correlation, body }, end: end_sender };
         let sender = {
             let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
             let known_sender = senders.get(&place).filter(|sender| !sender.is_closed());
@@ -107,12 +100,11 @@
     let reading_pending = pending.clone();
     let reading = async move {
         let mut reader = BufReader::new(reading_half);
-        while let Ok(HopFrame::Done { correlation, outcome, holder }) =
-            read_frame::<_, HopFrame>(&mut reader).await
+        while let Ok(HopFrame { correlation, body }) = read_frame::<_, HopFrame>(&mut reader).await
         {
             let mut open_asks = reading_pending.lock().unwrap_or_else(PoisonError::into_inner);
             if let Some(end) = open_asks.remove(&correlation) {
-                let _ = end.send(AskEnd::Done(outcome, holder.0.into_iter().next()));
+                let _ = end.send(AskEnd::Reply(body));
             }
         }
     };
@@ -121,7 +113,7 @@
             pending
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
-                .insert(asking.correlation, asking.end);
+                .insert(asking.frame.correlation, asking.end);
             if write_frame(&mut writing_half, &asking.frame).await.is_err() {
                 return;
             }
@@ -151,24 +143,21 @@
         }
     });
     loop {
-        let frame: HopFrame = read_frame(&mut reader).await?;
-        let HopFrame::Ask {
-            correlation,
-            transaction,
-            function,
-            route,
-            serial,
-            budget_ms,
-            hops,
-            repeat,
-            body,
-        } = frame
-        else {
-            continue;
-        };
+        let HopFrame { correlation, body } = read_frame(&mut reader).await?;
         let ask_state = state.clone();
         let ask_done = done_sender.clone();
         tokio::spawn(async move {
+            if let Some(body) = answer(&ask_state, body).await {
+                let _ = ask_done.send(HopFrame { correlation, body }).await;
+            }
+        });
+    }
+}
+
+async fn answer(state: &Arc<State>, body: HopBody) -> Option<HopBody> {
+    let keepsake = || state.keepsake.lock().unwrap_or_else(PoisonError::into_inner);
+    match body {
+        HopBody::Ask { transaction, function, route, serial, budget_ms, hops, repeat, body } => {
             let ask = Ask {
                 transaction,
                 function,
@@ -179,9 +168,26 @@
                 repeat: repeat.0,
                 body: body.0,
             };
-            let (outcome, holder) = resolve(&ask_state, ask).await;
-            let holder = Many(holder.into_iter().collect());
-            let _ = ask_done.send(HopFrame::Done { correlation, outcome, holder }).await;
-        });
+            let (outcome, holder) = resolve(state, ask).await;
+            Some(HopBody::Done { outcome, holder: Many(holder.into_iter().collect()) })
+        }
+        HopBody::Note { function, grant, incarnation, notes } => {
+            let kept = keepsake().note(Moment::now(), &function, grant, incarnation, &notes.0);
+            Some(HopBody::Noted { kept: Flag(kept) })
+        }
+        HopBody::Collect { function, grant, incarnation } => {
+            let copy = keepsake().collect(Moment::now(), &function, grant, incarnation);
+            let whole = Flag(copy.is_some());
+            Some(HopBody::Collected { whole, notes: Many(copy.unwrap_or_default()) })
+        }
+        HopBody::Compare { function, grant, incarnation, digests } => {
+            let ranges =
+                keepsake().compare(Moment::now(), &function, grant, incarnation, &digests.0);
+            Some(HopBody::Differs { ranges: Many(ranges) })
+        }
+        HopBody::Done { .. }
+        | HopBody::Noted { .. }
+        | HopBody::Collected { .. }
+        | HopBody::Differs { .. } => None,
     }
 }
--- a/crates/trail/src/drivers/mod.rs
+++ b/crates/trail/src/drivers/mod.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod runners;
 mod state;
+mod stewards;
 mod trailhead;
 
 pub use door::serve_door;
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -1,6 +1,7 @@
 use super::control::ControlInput;
 use super::{Gauges, Holding, HopLinks};
 use crate::boot::TrailheadBoot;
+use crate::ledger::Keepsake;
 use arc_swap::ArcSwap;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -35,6 +36,8 @@
     pub links: HopLinks,
     /// The metrics.
     pub gauges: Gauges,
+    /// The copies kept of other daemons' ledgers.
+    pub keepsake: Mutex<Keepsake>,
     pub(super) closing: Mutex<Vec<Arc<Holding>>>,
     pub(super) acquires: Mutex<AcquireWaiters>,
     pub(super) control: mpsc::UnboundedSender<ControlInput>,
@@ -47,6 +50,7 @@
         own_host: Host,
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
+        let own_incarnation = own_host.incarnation;
         Self {
             boot,
             own_host,
@@ -58,6 +62,7 @@
             leaving: AtomicBool::new(false),
             links: HopLinks::new(),
             gauges: Gauges::new(),
+            keepsake: Mutex::new(Keepsake::new(own_incarnation)),
             closing: Mutex::new(Vec::new()),
             acquires: Mutex::new(HashMap::new()),
             control,
--- a/crates/trail/src/holder/inbox.rs
+++ b/crates/trail/src/holder/inbox.rs
@@ -40,7 +40,7 @@
         now: Moment,
         entry: &Entry,
     ) -> Option<(HopReason, Duration)> {
-        if entry.once && now < self.once_from {
+        if entry.once && !self.custody.is_collecting() && now < self.once_from {
             return Some((HopReason::OnceWait, self.once_from.since(now)));
         }
         if entry.repeat && !self.tries.may_spend(now) {
@@ -97,16 +97,24 @@
 
     /// Sends what waits to runners with a free slot, first come first served.
     pub(super) fn dispatch(&mut self, now: Moment) {
-        while !self.inbox.is_empty() && !self.closed {
+        let mut waiting_place = 0;
+        while waiting_place < self.inbox.len() && !self.closed {
+            let is_once = self.inbox[waiting_place].entry.once;
+            if is_once && !self.custody.is_able() {
+                waiting_place += 1;
+                continue;
+            }
             let Some(runner) = self.free_runner() else { return };
-            let Some(waiting) = self.inbox.pop_front() else { return };
+            let Some(waiting) = self.inbox.remove(waiting_place) else { return };
             let Some(record) = self.runners.get_mut(&runner) else { return };
             let Some(place) = record.place else { return };
             record.begin_send(now, waiting.entry.transaction.clone());
             let ticket = waiting.entry.ticket;
             let attempt = waiting.attempt;
             self.sent.insert(ticket, Sent { waiting, runner, sent_at: now });
-            self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
+            if !is_once || !self.note_first(now, ticket) {
+                self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
+            }
         }
     }
 
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -1,7 +1,7 @@
 //! A held function: inbox, runners with their slots, ledger of identities, extra tries. No I/O.
 
+mod custody;
 mod inbox;
-mod ledger;
 mod output;
 mod runners;
 mod scaling;
@@ -9,7 +9,8 @@
 
 pub use output::{HolderOutput, SendEnd};
 
-use ledger::Ledger;
+use crate::ledger::Book;
+use custody::Custody;
 use runners::{Phase, RunnerRecord};
 use scaling::Scaling;
 use std::collections::{BTreeMap, VecDeque};
@@ -17,7 +18,8 @@
 use tries::TryWindow;
 use waymark::clock::Moment;
 use waymark::frames::{
-    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Many, Place, ReserveResult, RunnerNews,
+    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Host, Many, Place, Prior, ReserveResult,
+    RunnerNews,
 };
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use waymark::spec::FunctionSpec;
@@ -52,6 +54,23 @@
     sent_at: Moment,
 }
 
+/// What the leader granted.
+#[derive(Clone, Debug)]
+pub struct GrantTerms {
+    /// The function.
+    pub function: FunctionKey,
+    /// The grant.
+    pub grant: GrantSerial,
+    /// What the function needs.
+    pub spec: FunctionSpec,
+    /// How long once-transactions are refused if no earlier ledger can be collected.
+    pub once_wait: Duration,
+    /// Who keeps a copy of the ledger.
+    pub steward: Option<Host>,
+    /// Where an earlier ledger may be collected.
+    pub prior: Option<Prior>,
+}
+
 /// One held function.
 pub struct Holder {
     function: FunctionKey,
@@ -61,7 +80,8 @@
     runners: BTreeMap<RunnerId, RunnerRecord>,
     inbox: VecDeque<Waiting>,
     sent: BTreeMap<Ticket, Sent>,
-    ledger: Ledger,
+    book: Book,
+    custody: Custody,
     tries: TryWindow,
     scaling: Scaling,
     service: Duration,
@@ -76,22 +96,18 @@
 
 impl Holder {
     /// A function that has just been granted.
-    pub fn new(
-        now: Moment,
-        function: FunctionKey,
-        grant: GrantSerial,
-        spec: FunctionSpec,
-        once_wait: Duration,
-    ) -> Self {
+    pub fn new(now: Moment, terms: GrantTerms) -> Self {
+        let is_whole = terms.once_wait.is_zero();
         Self {
-            function,
-            grant,
-            spec,
-            once_from: now + once_wait,
+            function: terms.function,
+            grant: terms.grant,
+            spec: terms.spec,
+            once_from: now + terms.once_wait,
+            custody: Custody::new(now, terms.steward, terms.prior, is_whole),
             runners: BTreeMap::new(),
             inbox: VecDeque::new(),
             sent: BTreeMap::new(),
-            ledger: Ledger::default(),
+            book: Book::default(),
             tries: TryWindow::new(now),
             scaling: Scaling::new(now),
             service: Duration::from_millis(40),
@@ -153,6 +169,8 @@
             grant: self.grant,
             runners: Many(runners),
             ending: Flag(!self.is_claimable()),
+            steward: Many(self.custody.steward.iter().cloned().collect()),
+            whole: Flag(self.custody.whole),
         }
     }
 
@@ -172,7 +190,7 @@
         }
         self.last_called_at = now;
         self.tries.first_or_repeat(now, entry.repeat);
-        if let Some(known_outcome) = self.ledger.known(now, &entry.transaction) {
+        if let Some(known_outcome) = self.book.known(&entry.transaction) {
             return (Some(known_outcome), Vec::new());
         }
         if let Some((reason, retry_span)) = self.reason_to_shed(now, &entry) {
@@ -184,7 +202,7 @@
         if entry.repeat {
             self.tries.spend(now);
         }
-        self.ledger.begin(entry.transaction.clone(), entry.budget_end);
+        self.book.begin(entry.transaction.clone(), entry.once, entry.budget_end);
         let give_up_at = entry.budget_end.min(now + entry.patience);
         self.inbox.push_back(Waiting { entry, give_up_at, attempt: 1, may_have_run: false });
         self.dispatch(now);
@@ -196,7 +214,7 @@
         self.shed_count += 1;
         self.shed_reason = reason;
         let outcome = not_run(HopReason::ShedBefore, 0);
-        self.ledger.end(now, &entry.transaction, entry.budget_end, outcome);
+        self.book.end(now, &entry.transaction, entry.once, entry.budget_end, outcome);
     }
 
     /// How many transactions were refused since last asked.
@@ -207,7 +225,8 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Moment) -> Vec<HolderOutput> {
-        self.ledger.expire(now);
+        self.book.expire(now);
+        self.keep_custody(now);
         self.shed_late(now);
         self.watch_runners(now);
         self.dispatch(now);
@@ -291,7 +310,7 @@
             }
             other => other.clone(),
         };
-        self.ledger.end(now, &entry.transaction, entry.budget_end, kept_outcome);
+        self.book.end(now, &entry.transaction, entry.once, entry.budget_end, kept_outcome);
         self.outputs.push(HolderOutput::End { ticket: entry.ticket, outcome });
     }
 
--- a/crates/trail/src/holder/output.rs
+++ b/crates/trail/src/holder/output.rs
@@ -1,5 +1,5 @@
-use waymark::frames::{HopOutcome, HopReason, Place, RunnerNews};
-use waymark::identity::{RunnerId, Ticket, WorkerName};
+use waymark::frames::{HopOutcome, HopReason, Host, LedgerNote, Place, Prior, RunnerNews};
+use waymark::identity::{MemberName, RunnerId, Ticket, WorkerName};
 
 /// What a holder orders.
 #[derive(Clone, Debug)]
@@ -57,6 +57,37 @@
         /// What became of it.
         news: RunnerNews,
     },
+    /// Collect an earlier holder's ledger.
+    Collect {
+        /// Where.
+        prior: Prior,
+    },
+    /// Have the steward note lines, and say whether it did.
+    Note {
+        /// Names the round.
+        round: u64,
+        /// The steward.
+        steward: Host,
+        /// The lines.
+        notes: Vec<LedgerNote>,
+    },
+    /// Compare the ledger with the steward's copy.
+    Compare {
+        /// The steward.
+        steward: Host,
+        /// A digest for each range.
+        digests: Vec<u64>,
+    },
+    /// Ask the leader for another steward.
+    StewardLost {
+        /// The one that does not answer.
+        lost: MemberName,
+    },
+    /// Tell the leader that the steward's copy is whole.
+    StewardWhole {
+        /// The steward.
+        steward: MemberName,
+    },
     /// Everything is finished and stopped: give the grant back.
     Released,
 }
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -1,5 +1,6 @@
 //! What a daemon knows of the world: leader, spec, hosts, grants. No I/O; orders go out.
 
+use crate::holder::GrantTerms;
 use crate::liaison::{Liaison, LiaisonOutput};
 use crate::watch::Watch;
 use std::collections::BTreeMap;
@@ -10,7 +11,7 @@
     AcquireResult, Claim, Heartbeat, Host, Place, ReserveResult, RunnerNews, StreamDown, StreamUp,
 };
 use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term};
-use waymark::spec::{DocumentFault, FunctionSpec, Table, View};
+use waymark::spec::{DocumentFault, Table, View};
 
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(2);
 
@@ -39,16 +40,9 @@
     /// The daemons alive have changed.
     Hosts(Vec<Host>),
     /// A function is granted.
-    Grant {
-        /// Which one.
-        function: FunctionKey,
-        /// The grant.
-        grant: GrantSerial,
-        /// What it needs.
-        spec: FunctionSpec,
-        /// How long once-transactions are refused.
-        once_wait: Duration,
-    },
+    Grant(GrantTerms),
+    /// Another daemon is to keep the copy of a function's ledger, or nobody.
+    Steward(FunctionKey, GrantSerial, Option<Host>),
     /// An acquisition is answered; none when it must be tried again.
     Acquired {
         /// The function.
@@ -291,6 +285,10 @@
             StreamDown::HandOver { function, grant } => {
                 self.orders.push(KeeperOrder::HandOver(function, grant));
             }
+            StreamDown::Steward { function, grant, steward } => {
+                let named = steward.0.into_iter().next();
+                self.orders.push(KeeperOrder::Steward(function, grant, named));
+            }
             StreamDown::Elsewhere { .. }
             | StreamDown::Welcome { .. }
             | StreamDown::Renewed { .. } => {}
@@ -324,16 +322,18 @@
             .acquires
             .remove(&correlation)
             .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
-        if let AcquireResult::Granted { grant, once_wait_ms } = &result {
+        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior } = &result {
             let spec = self.table.function_of(&function).map(|entry| entry.spec.clone());
             let may_hold = now < self.liaison.grant_end() && !self.leaving;
             match spec.filter(|_| may_hold) {
-                Some(spec) => self.orders.push(KeeperOrder::Grant {
+                Some(spec) => self.orders.push(KeeperOrder::Grant(GrantTerms {
                     function: function.clone(),
                     grant: *grant,
                     spec,
                     once_wait: Duration::from_millis(u64::from(*once_wait_ms)),
-                }),
+                    steward: steward.0.first().cloned(),
+                    prior: prior.0.first().cloned(),
+                })),
                 None => {
                     let frame = StreamUp::Release { function: function.clone(), grant: *grant };
                     self.orders.push(KeeperOrder::Say(frame));
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod drivers;
 pub mod holder;
 pub mod keeper;
+pub mod ledger;
 pub mod liaison;
 pub mod owners;
 pub mod watch;
--- a/crates/trail/tests/holder.rs
+++ b/crates/trail/tests/holder.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use trail::holder::{Entry, Holder, HolderOutput, SendEnd};
+use trail::holder::{Entry, GrantTerms, Holder, HolderOutput, SendEnd};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{HopOutcome, HopReason, Place, ReserveResult};
@@ -29,9 +29,16 @@
     fn new(slots: u32, max_runners: u32, once_wait: Duration) -> Self {
         let spec =
             FunctionSpec { memory_mb: 100, boot: ms(100), slots, min_runners: 0, max_runners };
-        let function = FunctionKey::new("f", Serial(2));
+        let terms = GrantTerms {
+            function: FunctionKey::new("f", Serial(2)),
+            grant: GrantSerial(1),
+            spec,
+            once_wait,
+            steward: None,
+            prior: None,
+        };
         Self {
-            holder: Holder::new(START, function, GrantSerial(1), spec, once_wait),
+            holder: Holder::new(START, terms),
             now: START,
             sent: Vec::new(),
             ended: BTreeMap::new(),
--- a/crates/waymark/src/frames/hop.rs
+++ b/crates/waymark/src/frames/hop.rs
@@ -1,5 +1,7 @@
 use super::{Blob, Flag, Host, Many};
-use crate::identity::{CorrelationId, FunctionKey, Serial, TransactionId};
+use crate::identity::{
+    CorrelationId, FunctionKey, GrantSerial, Incarnation, Serial, TransactionId,
+};
 use binrw::binrw;
 use std::fmt;
 
@@ -39,6 +41,8 @@
     OnceWait = 14,
     /// The same identity ran before and its answer is not kept.
     RanBefore = 15,
+    /// Nobody could be had to note a transaction that may run only once.
+    LedgerSilent = 16,
 }
 
 impl HopReason {
@@ -60,6 +64,7 @@
             Self::NoOwner => "no_owner",
             Self::OnceWait => "once_wait",
             Self::RanBefore => "ran_before",
+            Self::LedgerSilent => "ledger_silent",
         }
     }
 }
@@ -103,21 +108,59 @@
     },
 }
 
-/// What daemons say to each other about transactions.
+/// What is known of a once-transaction in a ledger.
+#[binrw]
+#[brw(big)]
+#[brw(repr = u8)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum NoteState {
+    /// It may be sent to a runner from now on.
+    Noted = 1,
+    /// It ran, and was answered.
+    Answered = 2,
+    /// It may have run.
+    Unknown = 3,
+    /// It was refused, and must never run.
+    Refused = 4,
+}
+
+/// One line of a ledger.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct LedgerNote {
+    /// The try's identity.
+    pub transaction: TransactionId,
+    /// What is known of it.
+    pub state: NoteState,
+    /// How long it is worth keeping, in milliseconds.
+    pub left_ms: u32,
+}
+
+/// What daemons say to each other: a question or its answer, tied by a number.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug)]
-pub enum HopFrame {
+pub struct HopFrame {
+    /// Ties an answer to its question.
+    pub correlation: CorrelationId,
+    /// What is said.
+    pub body: HopBody,
+}
+
+/// The parts of the daemons' talk.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug)]
+pub enum HopBody {
     /// Passes a transaction on.
     #[brw(magic = 1u8)]
     Ask {
-        /// Ties the answer to it.
-        correlation: CorrelationId,
         /// The try's identity.
         transaction: TransactionId,
         /// The function.
         function: FunctionKey,
-        /// The route's dense number is not stable between daemons, so its name travels.
+        /// The route's name; dense numbers are not the same in every process.
         route: TransactionId,
         /// The spec the sender matched it with.
         serial: Serial,
@@ -133,11 +176,63 @@
     /// Brings the outcome back.
     #[brw(magic = 2u8)]
     Done {
-        /// The question it answers.
-        correlation: CorrelationId,
         /// How it ended.
         outcome: HopOutcome,
         /// The function's holder, when the answering daemon knows it.
         holder: Many<Host>,
     },
+    /// A holder has its steward note once-transactions.
+    #[brw(magic = 3u8)]
+    Note {
+        /// The function.
+        function: FunctionKey,
+        /// The grant it is held under.
+        grant: GrantSerial,
+        /// The steward's life that is meant.
+        incarnation: Incarnation,
+        /// The lines.
+        notes: Many<LedgerNote>,
+    },
+    /// Whether the lines are noted.
+    #[brw(magic = 4u8)]
+    Noted {
+        /// Yes, or no: another life, or a successor has collected.
+        kept: Flag,
+    },
+    /// A successor collects what a steward noted for an earlier grant.
+    #[brw(magic = 5u8)]
+    Collect {
+        /// The function.
+        function: FunctionKey,
+        /// The earlier grant.
+        grant: GrantSerial,
+        /// The steward's life that is meant.
+        incarnation: Incarnation,
+    },
+    /// The steward's whole copy.
+    #[brw(magic = 6u8)]
+    Collected {
+        /// Whether it is whole: the steward is in the life that is meant.
+        whole: Flag,
+        /// The lines.
+        notes: Many<LedgerNote>,
+    },
+    /// A holder compares its ledger with its steward's copy.
+    #[brw(magic = 7u8)]
+    Compare {
+        /// The function.
+        function: FunctionKey,
+        /// The grant it is held under.
+        grant: GrantSerial,
+        /// The steward's life that is meant.
+        incarnation: Incarnation,
+        /// A digest for each range of identities.
+        digests: Many<u64>,
+    },
+    /// The ranges that differ.
+    #[brw(magic = 8u8)]
+    Differs {
+        /// Their numbers.
+        ranges: Many<u8>,
+    },
 }
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -9,10 +9,10 @@
 
 pub use self::core::{CoreBody, CoreFrame, KnownMember};
 pub use heartbeat::{Heartbeat, View};
-pub use hop::{HopFrame, HopOutcome, HopReason};
+pub use hop::{HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState};
 pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
 pub use stream::{
-    AcquireResult, Claim, ClaimRunner, Host, ReserveResult, RunnerNews, StreamDown, StreamUp,
+    AcquireResult, Claim, ClaimRunner, Host, Prior, ReserveResult, RunnerNews, StreamDown, StreamUp,
 };
 pub use wire::{
     Channel, FrameFault, decode, decode_heartbeat, encode, encode_heartbeat, read_channel,
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/waymark/src/frames/stream.rs
@@ -48,6 +48,21 @@
     pub runners: Many<ClaimRunner>,
     /// Whether it is given up, and these runners are still being stopped.
     pub ending: Flag,
+    /// Who keeps the copy of its ledger.
+    pub steward: Many<Host>,
+    /// Whether that copy is whole.
+    pub whole: Flag,
+}
+
+/// Where the ledger of an earlier grant may be collected.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Prior {
+    /// The steward.
+    pub steward: Host,
+    /// The earlier grant.
+    pub grant: GrantSerial,
 }
 
 /// The leader's answer to an acquisition.
@@ -60,8 +75,12 @@
     Granted {
         /// Under this grant.
         grant: GrantSerial,
-        /// Once-transactions may be admitted after this many milliseconds.
+        /// Without an earlier ledger, once-transactions may be admitted after so many milliseconds.
         once_wait_ms: u32,
+        /// Who is to keep a copy of the ledger; nobody when there is no other daemon.
+        steward: Many<Host>,
+        /// Where an earlier ledger may be collected.
+        prior: Many<Prior>,
     },
     /// Another daemon holds it.
     #[brw(magic = 2u8)]
@@ -194,6 +213,26 @@
     /// The daemon is leaving; it has no more use for its grant.
     #[brw(magic = 11u8)]
     Leaving,
+    /// The steward does not answer; the holder asks for another.
+    #[brw(magic = 12u8)]
+    StewardLost {
+        /// The function.
+        function: FunctionKey,
+        /// The grant it is held under.
+        grant: GrantSerial,
+        /// The steward that is lost.
+        lost: MemberName,
+    },
+    /// The steward's copy is whole.
+    #[brw(magic = 13u8)]
+    StewardWhole {
+        /// The function.
+        function: FunctionKey,
+        /// The grant it is held under.
+        grant: GrantSerial,
+        /// The steward.
+        steward: MemberName,
+    },
 }
 
 /// What the leader says on a daemon's stream.
@@ -293,4 +332,14 @@
         /// The grant to be released.
         grant: GrantSerial,
     },
+    /// Another daemon is to keep the copy of a function's ledger.
+    #[brw(magic = 12u8)]
+    Steward {
+        /// The function.
+        function: FunctionKey,
+        /// The grant it is held under.
+        grant: GrantSerial,
+        /// That daemon; nobody when there is no other.
+        steward: Many<Host>,
+    },
 }
--- a/crates/waymark/tests/frames.rs
+++ b/crates/waymark/tests/frames.rs
@@ -3,9 +3,9 @@
 use googletest::prelude::*;
 use waymark::chance::Chance;
 use waymark::frames::{
-    Channel, FrameFault, Heartbeat, HopFrame, HopOutcome, HopReason, Many, StreamDown, View,
-    decode, decode_heartbeat, encode, encode_heartbeat, read_channel, read_frame, write_channel,
-    write_frame,
+    Channel, FrameFault, Heartbeat, HopBody, HopFrame, HopOutcome, HopReason, Many, StreamDown,
+    View, decode, decode_heartbeat, encode, encode_heartbeat, read_channel, read_frame,
+    write_channel, write_frame,
 };
 use waymark::identity::{CorrelationId, MemberName, Serial};
 
@@ -46,20 +46,14 @@
 
 #[gtest]
 fn outcomes_survive_the_way() -> Result<()> {
-    let frame = HopFrame::Done {
-        correlation: CorrelationId(5),
-        outcome: HopOutcome::NotRun { reason: HopReason::TriesSpent, retry_ms: 2000 },
-        holder: Many(Vec::new()),
-    };
-    match decode::<HopFrame>(&encode(&frame)?)? {
-        HopFrame::Done { correlation, outcome, .. } => {
-            verify_that!(correlation, eq(CorrelationId(5)))?;
-            verify_that!(
-                outcome,
-                eq(&HopOutcome::NotRun { reason: HopReason::TriesSpent, retry_ms: 2000 })
-            )
-        }
-        HopFrame::Ask { .. } => fail!("another frame came back"),
+    let outcome = HopOutcome::NotRun { reason: HopReason::TriesSpent, retry_ms: 2000 };
+    let body = HopBody::Done { outcome: outcome.clone(), holder: Many(Vec::new()) };
+    let frame = HopFrame { correlation: CorrelationId(5), body };
+    let read = decode::<HopFrame>(&encode(&frame)?)?;
+    verify_that!(read.correlation, eq(CorrelationId(5)))?;
+    match read.body {
+        HopBody::Done { outcome: read_outcome, .. } => verify_that!(read_outcome, eq(&outcome)),
+        _ => fail!("another frame came back"),
     }
 }
 
--- a/proving/expedition/src/sim/checks.rs
+++ b/proving/expedition/src/sim/checks.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::identity::{
-    ChangeId, FunctionKey, FunctionName, GrantSerial, RunnerId, Serial, TransactionId,
+    ChangeId, FunctionKey, FunctionName, GrantSerial, RunnerId, Serial, Term, TransactionId,
 };
 use waymark::spec::{Document, Table};
 
@@ -40,6 +40,7 @@
     /// How often each kind of thing was looked at.
     pub looked: BTreeMap<&'static str, u64>,
     committed: BTreeMap<Serial, CommittedVersion>,
+    reigns: BTreeMap<Term, (Serial, Serial)>,
     accepted_on: BTreeMap<Serial, ChangeId>,
     runs: HashMap<TransactionId, u32>,
     refused: BTreeSet<TransactionId>,
@@ -48,7 +49,7 @@
 
 fn content_of(document: &Document) -> Value {
     let mut plain_document = document.clone();
-    plain_document.stamp.term = waymark::identity::Term(0);
+    plain_document.stamp.term = Term(0);
     serde_json::from_slice(&plain_document.to_bytes()).unwrap_or(Value::Null)
 }
 
@@ -67,13 +68,21 @@
         self.look("commit");
         let serial = document.stamp.serial;
         let content = content_of(document);
-        if let Some((newest_serial, _)) = self.committed.last_key_value()
-            && serial < *newest_serial
-        {
-            let what =
-                format!("serial {serial} committed after {newest_serial}: a commit was lost");
-            self.breach(at, what);
+        let term = document.stamp.term;
+        let reigns = self.reigns.clone();
+        for (other_term, (first_serial, last_serial)) in reigns {
+            let is_lost = (other_term < term && last_serial > serial)
+                || (other_term > term && first_serial < serial);
+            if is_lost {
+                let what = format!(
+                    "serial {serial} committed in term {term}, and {first_serial} to {last_serial} \
+                     in term {other_term}: a commit was lost"
+                );
+                self.breach(at, what);
+            }
         }
+        let reign = self.reigns.entry(term).or_insert((serial, serial));
+        *reign = (reign.0.min(serial), reign.1.max(serial));
         if let Some(known) = self.committed.get(&serial) {
             if known.content != content {
                 self.breach(at, format!("serial {serial} was committed twice, with other content"));
@@ -183,9 +192,13 @@
         }
     }
 
-    /// A caller was told that its transaction was not run.
+    /// A caller was told that its transaction was not run. An identity that is sent twice may be
+    /// refused at one door and run by another; only its runs count.
     pub fn not_run(&mut self, at: Moment, transaction: &TransactionId) {
         self.look("not run");
+        if transaction.as_str().starts_with("again-") {
+            return;
+        }
         self.refused.insert(transaction.clone());
         if self.runs.contains_key(transaction) {
             self.breach(at, format!("{transaction} was refused as not run, and had run"));
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -5,16 +5,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
-use trail::holder::{Entry, Holder, HolderOutput, SendEnd, not_run};
+use trail::holder::{Entry, GrantTerms, Holder, HolderOutput, SendEnd, not_run};
 use trail::keeper::{Keeper, KeeperOrder};
+use trail::ledger::Keepsake;
 use trail::liaison::{Liaison, LiaisonTiming};
 use trail::owners::{MOST_HOPS, Sight, Step, next_step};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Flag, HopOutcome, HopReason, Host, ReserveResult, RunnerNews, StreamUp,
+    AcquireResult, Flag, HopOutcome, HopReason, Host, LedgerNote, ReserveResult, RunnerNews,
+    StreamUp,
 };
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
+use waymark::identity::{FunctionKey, GrantSerial, Incarnation, RunnerId, Ticket, TransactionId};
 use waymark::spec::Table;
 
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
@@ -43,6 +45,20 @@
     Hop { node: Node, life: u64, number: u64 },
 }
 
+/// What a holder asks a steward.
+pub(super) enum Question {
+    Collect(GrantSerial),
+    Note(u64, Vec<LedgerNote>),
+    Compare(Vec<u64>),
+}
+
+/// What a steward says, or silence.
+pub(super) enum Reply {
+    Collected(Option<Vec<LedgerNote>>),
+    Noted(u64, bool),
+    Differs(Vec<u8>),
+}
+
 struct Pending {
     ask: SimAsk,
     back: Back,
@@ -84,6 +100,7 @@
     hosts: Vec<Host>,
     pendings: BTreeMap<u64, Pending>,
     waiters: BTreeMap<FunctionKey, Vec<u64>>,
+    keepsake: Keepsake,
     link: Option<u64>,
 }
 
@@ -132,6 +149,7 @@
         daemon.life += 1;
         daemon.body = Some(Box::new(Body {
             keeper: Keeper::new(liaison, host.clone()),
+            keepsake: Keepsake::new(host.incarnation),
             host,
             holdings: BTreeMap::new(),
             closing: Vec::new(),
@@ -176,6 +194,7 @@
         }
         if let Some(body) = &mut self.daemons[place].body {
             body.closing.retain(|held| !held.holder.is_over());
+            body.keepsake.expire(local_now);
         }
     }
 
@@ -266,8 +285,11 @@
                     body.hosts = hosts;
                 }
             }
-            KeeperOrder::Grant { function, grant, spec, once_wait } => {
-                self.granted(place, function, grant, spec, once_wait);
+            KeeperOrder::Grant(terms) => self.granted(place, terms),
+            KeeperOrder::Steward(function, grant, steward) => {
+                self.apply(place, &function, grant, |holder, now| {
+                    holder.steward_named(now, steward)
+                });
             }
             KeeperOrder::Acquired { function, result, .. } => {
                 self.acquired(place, &function, result);
@@ -353,15 +375,9 @@
         }
     }
 
-    fn granted(
-        &mut self,
-        place: usize,
-        function: FunctionKey,
-        grant: GrantSerial,
-        spec: waymark::spec::FunctionSpec,
-        once_wait: Duration,
-    ) {
+    fn granted(&mut self, place: usize, terms: GrantTerms) {
         let local_now = self.daemon_now(place);
+        let (function, grant) = (terms.function.clone(), terms.grant);
         let alive = self.platform.runners.iter().map(|(runner, held)| (runner, &held.function));
         self.checks.holds_alone(self.now, &function, grant, alive);
         self.check_other_holders(place, &function);
@@ -371,9 +387,10 @@
         if is_known {
             return;
         }
-        let holder = Holder::new(local_now, function.clone(), grant, spec, once_wait);
+        let holder = Holder::new(local_now, terms);
         body.owners.insert(function.clone(), body.host.clone());
-        body.holdings.insert(function, Held { holder, tasks: BTreeMap::new() });
+        body.holdings.insert(function.clone(), Held { holder, tasks: BTreeMap::new() });
+        self.apply(place, &function, grant, |holder, now| holder.begin(now));
     }
 
     fn check_other_holders(&mut self, place: usize, function: &FunctionKey) {
@@ -519,6 +536,24 @@
             HolderOutput::News { runner, news } => {
                 self.say(place, StreamUp::Runner { function, runner, news });
             }
+            HolderOutput::Collect { prior } => {
+                let question = Question::Collect(prior.grant);
+                self.ask_steward(place, &prior.steward, asker, function, grant, question);
+            }
+            HolderOutput::Note { round, steward, notes } => {
+                let question = Question::Note(round, notes);
+                self.ask_steward(place, &steward, asker, function, grant, question);
+            }
+            HolderOutput::Compare { steward, digests } => {
+                let question = Question::Compare(digests);
+                self.ask_steward(place, &steward, asker, function, grant, question);
+            }
+            HolderOutput::StewardLost { lost } => {
+                self.say(place, StreamUp::StewardLost { function, grant, lost });
+            }
+            HolderOutput::StewardWhole { steward } => {
+                self.say(place, StreamUp::StewardWhole { function, grant, steward });
+            }
             HolderOutput::Released => {
                 let Some(body) = &mut self.daemons[place].body else { return };
                 if body.holdings.get(&function).is_some_and(|held| held.holder.grant() == grant) {
@@ -529,6 +564,78 @@
         }
     }
 
+    fn ask_steward(
+        &mut self,
+        place: usize,
+        steward: &Host,
+        asker: Asker,
+        function: FunctionKey,
+        grant: GrantSerial,
+        question: Question,
+    ) {
+        let node = self.daemons[place].node;
+        let Some(to_node) = self.node_at(steward.place) else { return };
+        let lost = match &question {
+            Question::Collect(_) => Reply::Collected(None),
+            Question::Note(round, _) => Reply::Noted(*round, false),
+            Question::Compare(_) => Reply::Differs(Vec::new()),
+        };
+        let patience = Duration::from_millis(300);
+        self.push(patience, Event::StewardSaid(asker, function.clone(), grant, lost));
+        if self.network.reaches(node, to_node) {
+            let delay = self.network.delay(&mut self.chance);
+            let incarnation = steward.incarnation;
+            self.push(
+                delay,
+                Event::StewardAsked(to_node, asker, function, grant, incarnation, question),
+            );
+        }
+    }
+
+    pub(super) fn steward_asked(
+        &mut self,
+        place: usize,
+        asker: Asker,
+        function: FunctionKey,
+        grant: GrantSerial,
+        incarnation: Incarnation,
+        question: Question,
+    ) {
+        let local_now = self.daemon_now(place);
+        let node = self.daemons[place].node;
+        let Some(body) = &mut self.daemons[place].body else { return };
+        let keepsake = &mut body.keepsake;
+        let reply = match question {
+            Question::Collect(prior_grant) => {
+                Reply::Collected(keepsake.collect(local_now, &function, prior_grant, incarnation))
+            }
+            Question::Note(round, notes) => {
+                Reply::Noted(round, keepsake.note(local_now, &function, grant, incarnation, &notes))
+            }
+            Question::Compare(digests) => {
+                Reply::Differs(keepsake.compare(local_now, &function, grant, incarnation, &digests))
+            }
+        };
+        if self.network.reaches(node, asker.node) {
+            let delay = self.network.delay(&mut self.chance);
+            self.push(delay, Event::StewardSaid(asker, function, grant, reply));
+        }
+    }
+
+    pub(super) fn steward_said(
+        &mut self,
+        place: usize,
+        function: &FunctionKey,
+        grant: GrantSerial,
+        reply: Reply,
+    ) {
+        self.apply(place, function, grant, |holder, now| match reply {
+            Reply::Collected(notes) => holder.collected(now, notes),
+            Reply::Noted(round, is_kept) => holder.noted(now, round, is_kept),
+            Reply::Differs(ranges) => holder.compared(now, &ranges),
+        });
+    }
+
     fn long_delay(&mut self) -> Duration {
         if self.chance.happens(0.02) {
             self.chance.within(Duration::from_millis(10), Duration::from_millis(400))
@@ -617,6 +724,7 @@
 
     pub(super) fn take_ask(&mut self, place: usize, ask: SimAsk, back: Back) {
         let local_now = self.daemon_now(place);
+        let is_serving = self.is_daemon_serving(place);
         self.next_number += 1;
         let number = self.next_number;
         let node = self.daemons[place].node;
@@ -631,7 +739,9 @@
         let give_up_at = budget_end.min(local_now + patience.unwrap_or(LOOK_AGAIN).max(LOOK_AGAIN));
         body.pendings
             .insert(number, Pending { ask, back, budget_end, give_up_at, is_looking: true });
-        if patience.is_none() {
+        if !is_serving {
+            self.end(place, number, not_run(HopReason::NotServing, 1000), None);
+        } else if patience.is_none() {
             self.end(place, number, not_run(HopReason::NotAllowed, 500), None);
         } else {
             self.push(Duration::from_micros(1), Event::Look(node, life, number));
@@ -856,6 +966,15 @@
             self.push(delay, Event::SendEnded(asker, function, ticket, grant, SendEnd::Unsent));
             return;
         };
+        if self.is_tracing {
+            let line = format!(
+                "{} run {} on {runner} for daemon {}",
+                self.now,
+                ask.transaction,
+                asker.node.0 - 3
+            );
+            self.trace.push(line);
+        }
         held.running.insert(ask.transaction.clone());
         let running_count = held.running.len();
         if running_count > held.slots as usize || self.now < held.ready_at {
--- a/proving/expedition/src/sim/flaw.rs
+++ b/proving/expedition/src/sim/flaw.rs
@@ -13,6 +13,8 @@
     QuorumOfOne,
     /// A new leader waits neither for claims nor for old grants to end.
     ClaimsWaitSkipped,
+    /// Stewards say that they noted a once-transaction, and did not.
+    LedgerForgotten,
     /// Daemons keep their runners when their member grant ends.
     GrantIgnored,
 }
@@ -25,6 +27,7 @@
         Flaw::SyncSkipped,
         Flaw::QuorumOfOne,
         Flaw::ClaimsWaitSkipped,
+        Flaw::LedgerForgotten,
         Flaw::GrantIgnored,
     ];
 }
@@ -37,6 +40,7 @@
             Self::SyncSkipped => "sync-skipped",
             Self::QuorumOfOne => "quorum-of-one",
             Self::ClaimsWaitSkipped => "claims-wait-skipped",
+            Self::LedgerForgotten => "ledger-forgotten",
             Self::GrantIgnored => "grant-ignored",
         })
     }
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -1,5 +1,5 @@
 use super::checks::{Breach, Checks};
-use super::daemon::{Back, SimAsk, SimDaemon};
+use super::daemon::{Back, Question, Reply, SimAsk, SimDaemon};
 use super::flaw::Flaw;
 use super::network::{Network, Node, PLATFORM};
 use super::operator::{SimChange, spec};
@@ -17,8 +17,8 @@
 use waymark::clock::Moment;
 use waymark::frames::{CoreFrame, Heartbeat, HopOutcome, Host, Place, StreamDown, StreamUp};
 use waymark::identity::{
-    ChangeId, FunctionKey, GrantSerial, RunnerId, Serial, Stamp, SurveyorId, Term, Ticket,
-    TransactionId, WorkerName,
+    ChangeId, FunctionKey, GrantSerial, Incarnation, RunnerId, Serial, Stamp, SurveyorId, Term,
+    Ticket, TransactionId, WorkerName,
 };
 use waymark::spec::{CoreMember, Document, FunctionSpec, read_spec};
 
@@ -122,10 +122,13 @@
     Run(Asker, FunctionKey, Ticket, RunnerId, SimAsk),
     RunDone(RunnerId, TransactionId, Asker, FunctionKey, Ticket),
     SendEnded(Asker, FunctionKey, Ticket, GrantSerial, SendEnd),
+    StewardAsked(Node, Asker, FunctionKey, GrantSerial, Incarnation, Question),
+    StewardSaid(Asker, FunctionKey, GrantSerial, Reply),
     Operate(Node, OperationTicket, Operation),
     Operated(OperationTicket, OperationReply),
     ListTick,
     Call,
+    CallAgain(TransactionId, &'static str),
     Change,
     Fault,
     Return(Node),
@@ -151,10 +154,12 @@
             | Self::LeaderStopped(asker, _)
             | Self::Probed(asker, ..)
             | Self::Settled(asker, ..)
+            | Self::StewardSaid(asker, ..)
             | Self::SendEnded(asker, ..) => Some((asker.node, Some(asker.life))),
-            Self::CoreFrame(node, _) | Self::Beat(node, _) | Self::Operate(node, ..) => {
-                Some((*node, None))
-            }
+            Self::CoreFrame(node, _)
+            | Self::Beat(node, _)
+            | Self::StewardAsked(node, ..)
+            | Self::Operate(node, ..) => Some((*node, None)),
             _ => None,
         }
     }
@@ -497,6 +502,13 @@
                     holder.sent_ended(now, ticket, end)
                 });
             }
+            Event::StewardAsked(node, asker, function, grant, incarnation, question) => {
+                let place = node.0 - 3;
+                self.steward_asked(place, asker, function, grant, incarnation, question);
+            }
+            Event::StewardSaid(asker, function, grant, reply) => {
+                self.steward_said(asker.node.0 - 3, &function, grant, reply);
+            }
             other => self.happen_outside(other),
         }
     }
@@ -568,6 +580,7 @@
                 self.push(Duration::from_millis(100), Event::ListTick);
             }
             Event::Call => self.call_some(),
+            Event::CallAgain(transaction, route_name) => self.call_again(transaction, route_name),
             Event::Change => {
                 self.send_change();
                 if !self.is_healed {
@@ -608,6 +621,27 @@
             self.calls_after += 1;
             self.late_calls.insert(transaction.clone());
         }
+        if self.chance.happens(0.2) {
+            let wait_span = self.chance.within(Duration::ZERO, Duration::from_millis(2900));
+            self.late_calls.remove(&transaction);
+            let transaction = TransactionId::from(format!("again-{}", self.next_number));
+            if self.now >= heal_end {
+                self.late_calls.insert(transaction.clone());
+            }
+            self.push(wait_span, Event::CallAgain(transaction.clone(), route_name));
+            self.call(place, transaction, route_name, budget);
+            return;
+        }
         self.call(place, transaction, route_name, budget);
     }
+
+    /// The same identity comes again, by another door: it may be refused, and must not run twice.
+    fn call_again(&mut self, transaction: TransactionId, route_name: &'static str) {
+        let place = self.chance.below(self.daemons.len() as u64) as usize;
+        let is_frozen =
+            self.frozen.get(&self.daemons[place].node).is_some_and(|until| *until > self.now);
+        if !is_frozen {
+            self.call(place, transaction, route_name, Duration::from_millis(3000));
+        }
+    }
 }
