--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -605,10 +605,12 @@
         let node = self.daemons[place].node;
         let Some(body) = &mut self.daemons[place].body else { return };
         let keepsake = &mut body.keepsake;
+        let forgets = self.plan.flaw == Flaw::LedgerForgotten;
         let reply = match question {
             Question::Collect(prior_grant) => {
                 Reply::Collected(keepsake.collect(local_now, &function, prior_grant, incarnation))
             }
+            Question::Note(round, _) if forgets => Reply::Noted(round, true),
             Question::Note(round, notes) => {
                 Reply::Noted(round, keepsake.note(local_now, &function, grant, incarnation, &notes))
             }
--- a/proving/expedition/tests/simulator.rs
+++ b/proving/expedition/tests/simulator.rs
@@ -64,3 +64,17 @@
     let found = (1..=120).any(|seed| !breaches(seed, Flaw::GrantIgnored).is_empty());
     verify_that!(found, eq(true))
 }
+
+#[gtest]
+fn a_steward_that_forgets_is_found() -> Result<()> {
+    let found = (1..=60).any(|seed| !breaches(seed, Flaw::LedgerForgotten).is_empty());
+    verify_that!(found, eq(true))
+}
+
+#[gtest]
+fn repeats_of_a_once_transaction_do_not_run_again_at_a_successor() -> Result<()> {
+    for seed in [7, 57, 67] {
+        verify_that!(breaches(seed, Flaw::None), is_empty())?;
+    }
+    Ok(())
+}
