--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -48,6 +48,7 @@
                 "grant_ms",
                 "drift_ms",
                 "strike_ms",
+                "replace_ms",
             ]);
             let core_default = CoreTiming::builder().build();
             let desk_default = DeskTiming::builder().build();
@@ -75,6 +76,10 @@
                     .round_every(read_millis(&timing.field("round_ms"), core_default.round_every))
                     .election_shortest(shortest)
                     .election_longest(longest.max(shortest))
+                    .replace_after(read_millis(
+                        &timing.field("replace_ms"),
+                        core_default.replace_after,
+                    ))
                     .build(),
                 desk_timing: DeskTiming::builder()
                     .grant_length(grant_length)
--- a/crates/survey/src/core/election.rs
+++ b/crates/survey/src/core/election.rs
@@ -3,6 +3,7 @@
 use waymark::clock::Moment;
 use waymark::frames::{CoreBody, Flag, Many, Place};
 use waymark::identity::{Stamp, SurveyorId, Term};
+use waymark::spec::Document;
 
 impl Core {
     pub(super) fn arm_election(&mut self, now: Moment) {
@@ -12,9 +13,7 @@
     }
 
     pub(super) fn is_majority(&self, given: &BTreeSet<SurveyorId>) -> bool {
-        let Some(document) = &self.accepted else { return false };
-        let given_count = document.core.iter().filter(|voter| given.contains(&voter.id)).count();
-        given_count * 2 > document.core.len()
+        self.accepted.as_ref().is_some_and(|document| Self::is_majority_of(document, given))
     }
 
     fn may_vote(&self) -> bool {
@@ -45,7 +44,7 @@
         let voter_places: Vec<Place> = self
             .accepted
             .iter()
-            .flat_map(|document| &document.core)
+            .flat_map(|document| document.core.iter().chain(&document.former))
             .filter(|voter| voter.id != self.id)
             .map(|voter| voter.place)
             .collect();
@@ -275,15 +274,16 @@
     }
 
     pub(super) fn count_round(&mut self, _now: Moment, round: u64, from: SurveyorId) {
-        let voters: Vec<SurveyorId> = self
-            .accepted
-            .iter()
-            .flat_map(|document| &document.core)
-            .map(|voter| voter.id)
-            .collect();
+        let present_document = self.accepted.clone();
+        let coming_document = self.proposed.clone();
         if let Role::Leader(rounds) = &mut self.role {
             rounds.answered(round, from, |answered| {
-                voters.iter().filter(|id| answered.contains(id)).count() * 2 > voters.len()
+                let is_fine = |held: &Option<Document>| {
+                    held.as_ref().is_none_or(|document| Self::is_majority_of(document, answered))
+                };
+                present_document.is_some()
+                    && is_fine(&present_document)
+                    && is_fine(&coming_document)
             });
         }
     }
--- a/crates/survey/src/core/mod.rs
+++ b/crates/survey/src/core/mod.rs
@@ -4,10 +4,12 @@
 mod output;
 mod register;
 mod rounds;
+mod succession;
 mod timing;
 
 pub use output::{CoreOutput, Recalled, WriteJob, WriteResult};
 pub use register::{FoundFault, ProposeFault};
+pub use succession::{SuccessionFault, left_alone};
 pub use timing::CoreTiming;
 
 use rounds::Rounds;
@@ -15,7 +17,7 @@
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{CoreBody, CoreFrame, KnownMember, Place};
-use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
+use waymark::identity::{Locality, Stamp, SurveyorId, Term, Ticket};
 use waymark::spec::Document;
 
 /// Where other surveyors and operators reach one.
@@ -31,6 +33,7 @@
 struct Other {
     id: SurveyorId,
     address: Address,
+    locality: Locality,
     accepted: Stamp,
     heard_at: Moment,
     document_sent_at: Moment,
@@ -58,6 +61,7 @@
     timing: CoreTiming,
     id: SurveyorId,
     address: Address,
+    locality: Locality,
     seeds: Vec<Place>,
     chance: Chance,
     term: Term,
@@ -71,6 +75,7 @@
     election_at: Moment,
     hello_at: Moment,
     others: BTreeMap<Place, Other>,
+    heard: BTreeMap<SurveyorId, Moment>,
     members: BTreeSet<KnownMember>,
     members_whole: bool,
     inherited_members: BTreeSet<KnownMember>,
@@ -88,6 +93,7 @@
         timing: CoreTiming,
         recalled: Recalled,
         address: Address,
+        locality: Locality,
         seeds: Vec<Place>,
         chance: Chance,
     ) -> Self {
@@ -97,6 +103,7 @@
             timing,
             id: recalled.id,
             address,
+            locality,
             seeds,
             chance,
             term: accepted_term.max(voted_term),
@@ -110,6 +117,7 @@
             election_at: now,
             hello_at: now,
             others: BTreeMap::new(),
+            heard: BTreeMap::new(),
             members: BTreeSet::new(),
             members_whole: false,
             inherited_members: BTreeSet::new(),
@@ -201,6 +209,7 @@
         }
         if matches!(self.role, Role::Leader(_)) {
             self.lead(now);
+            self.progress_succession(now);
         } else if now >= self.election_at {
             self.start_trial(now);
         }
@@ -213,7 +222,7 @@
         if frame.from == self.id {
             return Vec::new();
         }
-        self.note_other(now, frame.from, sender_address);
+        self.note_other(now, frame.from, sender_address, frame.locality);
         match frame.body {
             CoreBody::Hello { accepted, term } => {
                 if term <= self.term || !self.is_leader() {
@@ -275,10 +284,15 @@
         self.accepted.as_ref().map_or(Stamp::default(), |document| document.stamp)
     }
 
-    fn note_other(&mut self, now: Moment, id: SurveyorId, address: Address) {
+    fn note_other(&mut self, now: Moment, id: SurveyorId, address: Address, locality: Locality) {
+        self.heard.insert(id, now);
+        while self.heard.len() > 64 {
+            self.heard.pop_first();
+        }
         let other = self.others.entry(address.place).or_insert(Other {
             id,
             address,
+            locality: locality.clone(),
             accepted: Stamp::default(),
             heard_at: now,
             document_sent_at: Moment::ZERO,
@@ -288,6 +302,7 @@
         }
         other.id = id;
         other.address = address;
+        other.locality = locality;
         other.heard_at = now;
     }
 
@@ -296,6 +311,7 @@
             from: self.id,
             place: self.address.place,
             operators: self.address.operators,
+            locality: self.locality.clone(),
             body,
         };
         self.outputs.push(CoreOutput::Send { to, frame });
--- a/crates/survey/src/core/output.rs
+++ b/crates/survey/src/core/output.rs
@@ -74,6 +74,13 @@
     SteppedDown,
     /// A version is committed.
     Committed(Document),
+    /// The core's members are about to change.
+    Succession {
+        /// Where the members will stand.
+        places: Vec<Place>,
+        /// Whether this ends the change.
+        settled: bool,
+    },
     /// The leader's disk did not end a write within an election timeout.
     DiskStalled,
 }
--- a/crates/survey/src/core/register.rs
+++ b/crates/survey/src/core/register.rs
@@ -52,7 +52,11 @@
         if self.accepted.is_some() || !self.writings.is_empty() {
             return Err(FoundFault::Founded);
         }
-        let mut founders = vec![CoreMember { id: self.id, place: self.address.place }];
+        let mut founders = vec![CoreMember {
+            id: self.id,
+            place: self.address.place,
+            locality: self.locality.clone(),
+        }];
         for seed in &self.seeds {
             if *seed == self.address.place {
                 continue;
@@ -65,7 +69,8 @@
             if other.accepted != Stamp::default() {
                 return Err(FoundFault::Founded);
             }
-            founders.push(CoreMember { id: other.id, place: *seed });
+            let locality = other.locality.clone();
+            founders.push(CoreMember { id: other.id, place: *seed, locality });
         }
         self.order_write(now, Writing::Version(Document::founding(founders)));
         Ok(std::mem::take(&mut self.outputs))
@@ -245,16 +250,17 @@
             return;
         }
         let Some(document) = &self.proposed else { return };
-        let has_version = |voter: &&CoreMember| {
-            if voter.id == self.id {
-                return self.accepted_stamp() == document.stamp;
-            }
-            let is_level = |other: &&super::Other| other.id == voter.id;
-            let found_other = self.others.values().find(is_level);
-            found_other.is_some_and(|other| other.accepted == document.stamp)
-        };
-        let written_count = document.core.iter().filter(has_version).count();
-        if written_count * 2 > document.core.len() && self.accepted_stamp() == document.stamp {
+        let mut written: BTreeSet<SurveyorId> = self
+            .others
+            .values()
+            .filter(|other| other.accepted == document.stamp)
+            .map(|other| other.id)
+            .collect();
+        if self.accepted_stamp() != document.stamp {
+            return;
+        }
+        written.insert(self.id);
+        if Self::is_majority_of(document, &written) {
             self.committed = document.stamp;
             let committed_document = document.clone();
             self.proposed = None;
--- a/crates/survey/src/core/rounds.rs
+++ b/crates/survey/src/core/rounds.rs
@@ -15,6 +15,7 @@
     open_rounds: VecDeque<Round>,
     last_number: u64,
     next_at: Moment,
+    elected_at: Moment,
     quorum_moment: Moment,
     confirmed_members: BTreeSet<KnownMember>,
 }
@@ -26,11 +27,17 @@
             open_rounds: VecDeque::new(),
             last_number: 0,
             next_at: elected_at,
+            elected_at,
             quorum_moment: Moment::ZERO,
             confirmed_members: BTreeSet::new(),
         }
     }
 
+    /// When this reign began.
+    pub fn elected_at(&self) -> Moment {
+        self.elected_at
+    }
+
     /// When the next round is due.
     pub fn next_at(&self) -> Moment {
         self.next_at
--- a/crates/survey/src/core/timing.rs
+++ b/crates/survey/src/core/timing.rs
@@ -16,6 +16,9 @@
     /// From one greeting of the other surveyors to the next.
     #[builder(default = Duration::from_millis(500))]
     pub hello_every: Duration,
+    /// How long a member is silent before another surveyor takes its place.
+    #[builder(default = Duration::from_secs(8))]
+    pub replace_after: Duration,
     /// Before a version is sent again to a member that did not say it has it.
     #[builder(default = Duration::from_millis(400))]
     pub resend_after: Duration,
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -126,6 +126,7 @@
             boot.core_timing.clone(),
             recalled,
             address,
+            boot.locality.clone(),
             boot.seeds.clone(),
             chance,
         );
--- a/crates/survey/src/drivers/operators.rs
+++ b/crates/survey/src/drivers/operators.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use waymark::frames::Place;
 use waymark::http::{self, Served, json_response, read_body, stream_body, text_response};
-use waymark::identity::{ChangeId, Locality, Serial};
+use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
 use waymark::readers::{FaultList, PathReader};
 
 const PASSED_ON: &str = "rudder-passed-on";
@@ -121,6 +121,13 @@
         (&Method::GET, ["v1", "runners"]) => Ok(Operation::Runners),
         (&Method::GET, ["v1", "core"]) => Ok(Operation::ShowCore),
         (&Method::POST, ["v1", "core", "found"]) => Ok(Operation::Found),
+        (&Method::POST, ["v1", "core", "replace", missing, successor]) => {
+            let id = |text: &str| u64::from_str_radix(text, 16).map(SurveyorId);
+            match (id(missing), id(successor)) {
+                (Ok(missing), Ok(successor)) => Ok(Operation::Replace(missing, successor)),
+                _ => Err((400, json!({"error": "not_a_surveyor"}))),
+            }
+        }
         (&Method::GET, ["v1", "traces", serial]) => match serial.parse() {
             Ok(serial) => Ok(Operation::Trace(Serial(serial))),
             Err(_) => Err((400, json!({"error": "not_a_serial"}))),
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -240,6 +240,11 @@
                     }
                     self.change_committed(stamp.serial);
                 }
+                CoreOutput::Succession { places, settled } => {
+                    let places: Vec<String> = places.iter().map(Place::to_string).collect();
+                    let detail = json!({"core": places, "settled": settled});
+                    self.tell(Told { event: events::SUCCESSION, detail });
+                }
                 CoreOutput::DiskStalled => {
                     self.tell(Told { event: events::DISK_STALLED, detail: json!({}) });
                 }
--- a/crates/survey/src/plane/operation.rs
+++ b/crates/survey/src/plane/operation.rs
@@ -2,7 +2,7 @@
 use serde_json::{Value, json};
 use waymark::clock::Moment;
 use waymark::frames::Place;
-use waymark::identity::{ChangeId, Locality, Serial};
+use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
 
 /// Names one operator's wish in this process.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -68,6 +68,8 @@
     ShowCore,
     /// Found the core.
     Found,
+    /// Replace a member of the core by another surveyor.
+    Replace(SurveyorId, SurveyorId),
     /// Read events from a number on.
     Events(u64),
     /// Show what this surveyor knows of one version's way; zero for the newest.
@@ -96,6 +98,8 @@
             other => {
                 if let Some(address) = self.leader_elsewhere() {
                     OperationReply::Elsewhere(address.operators)
+                } else if let Operation::Replace(missing, successor) = other {
+                    self.replace(now, missing, successor)
                 } else if let Operation::Change { base, change, kind, wait } = other {
                     if self.desk.is_some() {
                         self.queue_change(now, ticket, base, change, kind, wait);
@@ -146,6 +150,21 @@
         }
     }
 
+    fn replace(
+        &mut self,
+        now: Moment,
+        missing: SurveyorId,
+        successor: SurveyorId,
+    ) -> OperationReply {
+        match self.core.replace(now, missing, successor) {
+            Ok((serial, orders)) => {
+                self.obey(now, orders);
+                OperationReply::Said(202, json!({"state": "replacing", "serial": serial.0}))
+            }
+            Err(fault) => OperationReply::Said(409, json!({"error": fault.to_string()})),
+        }
+    }
+
     fn show_core(&self, now: Moment) -> Value {
         let core = &self.core;
         let other_rows: Vec<Value> = core
--- a/crates/survey/tests/disk.rs
+++ b/crates/survey/tests/disk.rs
@@ -40,7 +40,7 @@
 }
 
 fn versions(count: u64) -> Vec<Document> {
-    let member = CoreMember { id: SurveyorId(7), place: Place::NOWHERE };
+    let member = CoreMember { id: SurveyorId(7), place: Place::NOWHERE, locality: "here".into() };
     let mut kept = vec![Document::founding(vec![member])];
     for number in 1..count {
         let last = kept.last().expect("one");
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -302,9 +302,10 @@
         match read_view.and_then(|view| Table::build(&view).map(|table| (view, table))) {
             Ok((view, table)) => {
                 self.table = Arc::new(table);
+                let core = view.core.clone();
                 self.view = Some(view);
                 self.orders.push(KeeperOrder::Install(self.table.clone()));
-                let outputs = self.liaison.installed(serial);
+                let outputs = self.liaison.installed(serial, &core);
                 self.obey(now, outputs);
             }
             Err(fault) => self.orders.push(KeeperOrder::InstallFailed(serial, fault)),
--- a/crates/trail/src/liaison/mod.rs
+++ b/crates/trail/src/liaison/mod.rs
@@ -15,11 +15,14 @@
     #[builder(default = Duration::from_millis(300))]
     pub renew_every: Duration,
     /// How long a connection may take to come about and be welcomed.
-    #[builder(default = Duration::from_millis(700))]
+    #[builder(default = Duration::from_millis(400))]
     pub welcome_within: Duration,
     /// How long a welcomed stream may bring no renewal before another leader is sought.
-    #[builder(default = Duration::from_millis(1300))]
+    #[builder(default = Duration::from_millis(900))]
     pub silence_within: Duration,
+    /// How long a surveyor that fell silent is left alone.
+    #[builder(default = Duration::from_millis(1500))]
+    pub shun_for: Duration,
     /// The shortest wait before the next seed is tried.
     #[builder(default = Duration::from_millis(30))]
     pub retry_shortest: Duration,
@@ -62,8 +65,11 @@
     host: Host,
     door: Place,
     seeds: Vec<Place>,
+    places: Vec<Place>,
     next_seed: usize,
     hinted_leader: Option<Place>,
+    dialed: Place,
+    shunned: Option<(Place, Moment)>,
     state: StreamState,
     term: Term,
     grant_end: Moment,
@@ -90,9 +96,12 @@
             timing,
             host,
             door,
+            places: seeds.clone(),
             seeds,
             next_seed,
             hinted_leader: None,
+            dialed: Place::NOWHERE,
+            shunned: None,
             state: StreamState::Idle { dial_at: now },
             term: Term(0),
             grant_end: Moment::ZERO,
@@ -126,9 +135,12 @@
         self.last_correlation
     }
 
-    /// The data plane has installed a spec.
-    pub fn installed(&mut self, serial: Serial) -> Vec<LiaisonOutput> {
+    /// The data plane has installed a spec, which names where the core's members stand.
+    pub fn installed(&mut self, serial: Serial, core: &[Place]) -> Vec<LiaisonOutput> {
         self.serial = serial;
+        self.places = core.to_vec();
+        let new_seeds = self.seeds.iter().filter(|seed| !core.contains(seed));
+        self.places.extend(new_seeds);
         if self.is_welcomed() {
             vec![LiaisonOutput::Say(StreamUp::Installed { serial })]
         } else {
@@ -168,21 +180,21 @@
         self.end_grant_if_due(now, &mut outputs);
         match self.state {
             StreamState::Idle { dial_at } if now >= dial_at => {
-                let dialed_place = self.hinted_leader.take().unwrap_or_else(|| {
-                    self.next_seed = (self.next_seed + 1) % self.seeds.len().max(1);
-                    self.seeds[self.next_seed]
-                });
+                let dialed_place = self.next_place(now);
+                self.dialed = dialed_place;
                 self.state = StreamState::Dialing { give_up_at: now + self.timing.welcome_within };
                 outputs.push(LiaisonOutput::Dial(dialed_place));
             }
             StreamState::Dialing { give_up_at } | StreamState::Open { give_up_at }
                 if now >= give_up_at =>
             {
+                self.shunned = Some((self.dialed, now + self.timing.shun_for));
                 self.hang_up(now, &mut outputs);
             }
             StreamState::Welcomed { heard_at, .. }
                 if now.since(heard_at) > self.timing.silence_within =>
             {
+                self.shunned = Some((self.dialed, now + self.timing.shun_for));
                 self.hang_up(now, &mut outputs);
             }
             StreamState::Welcomed { heard_at, renew_at } if now >= renew_at && !self.leaving => {
@@ -201,6 +213,24 @@
         outputs
     }
 
+    /// A hinted leader first, else the surveyors in turn; one that fell silent is left alone for a while.
+    fn next_place(&mut self, now: Moment) -> Place {
+        let shunned_place =
+            self.shunned.filter(|(_, until)| *until > now).map(|(shunned_place, _)| shunned_place);
+        if let Some(hinted_place) = self.hinted_leader.take()
+            && Some(hinted_place) != shunned_place
+        {
+            return hinted_place;
+        }
+        for _ in 0..self.places.len() {
+            self.next_seed = (self.next_seed + 1) % self.places.len();
+            if Some(self.places[self.next_seed]) != shunned_place {
+                break;
+            }
+        }
+        self.places[self.next_seed]
+    }
+
     fn end_grant_if_due(&mut self, now: Moment, outputs: &mut Vec<LiaisonOutput>) {
         if self.granted && now >= self.grant_end {
             self.granted = false;
--- a/crates/waymark/src/events/mod.rs
+++ b/crates/waymark/src/events/mod.rs
@@ -54,6 +54,8 @@
     FILE_SET_ASIDE = 2007, "file set aside";
     /// The core was founded.
     FOUNDED = 2008, "founded";
+    /// The members of the core are changing.
+    SUCCESSION = 2010, "succession";
     /// A disk write takes longer than an election timeout.
     DISK_STALLED = 2009, "disk stalled";
     /// A daemon opened its stream.
--- a/crates/waymark/src/frames/core.rs
+++ b/crates/waymark/src/frames/core.rs
@@ -1,5 +1,5 @@
 use super::{Blob, Flag, Many, Place};
-use crate::identity::{Incarnation, MemberName, Stamp, SurveyorId, Term};
+use crate::identity::{Incarnation, Locality, MemberName, Stamp, SurveyorId, Term};
 use binrw::binrw;
 
 /// A daemon as the core remembers it over a change of leader.
@@ -24,6 +24,8 @@
     pub place: Place,
     /// Where operators reach the sender.
     pub operators: Place,
+    /// The sender's locality.
+    pub locality: Locality,
     /// What is said.
     pub body: CoreBody,
 }
--- a/crates/waymark/src/spec/document.rs
+++ b/crates/waymark/src/spec/document.rs
@@ -15,6 +15,8 @@
     pub id: SurveyorId,
     /// Where other processes reach it.
     pub place: Place,
+    /// Its locality.
+    pub locality: Locality,
 }
 
 /// What became of one change.
@@ -39,6 +41,8 @@
     pub evacuated: BTreeSet<Locality>,
     /// The members of the core.
     pub core: Vec<CoreMember>,
+    /// The members before, while a change of the core is not settled; else nobody.
+    pub former: Vec<CoreMember>,
     /// The last changes, oldest first.
     pub changes: Vec<ChangeNote>,
 }
@@ -114,6 +118,31 @@
     Value::Array(evacuated.iter().map(|locality| json!(locality.as_str())).collect())
 }
 
+fn read_core(reader: &PathReader<'_>) -> Vec<CoreMember> {
+    let member_items = reader.items();
+    member_items
+        .iter()
+        .filter_map(|item| {
+            Some(CoreMember {
+                id: SurveyorId(u64::from_str_radix(item.field("id").text()?, 16).ok()?),
+                place: read_place(&item.field("place"))?,
+                locality: item.field("locality").text()?.into(),
+            })
+        })
+        .collect()
+}
+
+fn core_json(members: &[CoreMember]) -> Value {
+    let rows = members.iter().map(|member| {
+        json!({
+            "id": format!("{:x}", member.id.0),
+            "place": member.place.to_string(),
+            "locality": member.locality.as_str(),
+        })
+    });
+    Value::Array(rows.collect())
+}
+
 impl Document {
     /// The first document, naming the core's founders.
     pub fn founding(core: Vec<CoreMember>) -> Self {
@@ -123,6 +152,7 @@
             generations: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             core,
+            former: Vec::new(),
             changes: Vec::new(),
         }
     }
@@ -131,7 +161,6 @@
     pub fn from_bytes(document_bytes: &[u8]) -> Result<Self, DocumentFault> {
         let value: Value = serde_json::from_slice(document_bytes)?;
         read_all(&value, |root| {
-            let core_members = root.field("core").items();
             let noted_changes = root.field("changes").items();
             Some(Self {
                 stamp: Stamp {
@@ -141,17 +170,8 @@
                 spec: root.field("spec").value()?.clone(),
                 generations: read_generations(&root.field("generations")),
                 evacuated: read_evacuated(&root.field("evacuated")),
-                core: core_members
-                    .iter()
-                    .filter_map(|item| {
-                        let id_reader = item.field("id");
-                        let id = u64::from_str_radix(id_reader.text()?, 16).ok()?;
-                        Some(CoreMember {
-                            id: SurveyorId(id),
-                            place: read_place(&item.field("place"))?,
-                        })
-                    })
-                    .collect(),
+                core: read_core(&root.field("core")),
+                former: read_core(&root.field("former")),
                 changes: noted_changes
                     .iter()
                     .filter_map(|item| {
@@ -167,13 +187,6 @@
 
     /// The document as bytes.
     pub fn to_bytes(&self) -> Vec<u8> {
-        let core_members: Vec<Value> = self
-            .core
-            .iter()
-            .map(|core_member| {
-                json!({"id": format!("{:x}", core_member.id.0), "place": core_member.place.to_string()})
-            })
-            .collect();
         let noted_changes: Vec<Value> = self
             .changes
             .iter()
@@ -185,7 +198,8 @@
             "spec": self.spec,
             "generations": generations_json(&self.generations),
             "evacuated": evacuated_json(&self.evacuated),
-            "core": core_members,
+            "core": core_json(&self.core),
+            "former": core_json(&self.former),
             "changes": noted_changes,
         })
         .to_string()
@@ -235,6 +249,7 @@
             spec: self.spec.clone(),
             generations: self.generations.clone(),
             evacuated: self.evacuated.clone(),
+            core: self.core.iter().map(|member| member.place).collect(),
         }
     }
 }
@@ -250,6 +265,8 @@
     pub generations: BTreeMap<FunctionName, Serial>,
     /// The evacuated localities.
     pub evacuated: BTreeSet<Locality>,
+    /// Where the members of the core stand.
+    pub core: Vec<Place>,
 }
 
 impl View {
@@ -260,6 +277,7 @@
             "spec": self.spec,
             "generations": generations_json(&self.generations),
             "evacuated": evacuated_json(&self.evacuated),
+            "core": self.core.iter().map(Place::to_string).collect::<Vec<_>>(),
         })
     }
 
@@ -271,6 +289,7 @@
                 spec: root.field("spec").value()?.clone(),
                 generations: read_generations(&root.field("generations")),
                 evacuated: read_evacuated(&root.field("evacuated")),
+                core: root.field("core").items().iter().filter_map(read_place).collect(),
             })
         })
     }
--- a/crates/waymark/tests/spec.rs
+++ b/crates/waymark/tests/spec.rs
@@ -21,6 +21,7 @@
     let member = CoreMember {
         id: SurveyorId(0xabc),
         place: Place("127.0.0.1:1".parse().expect("an address")),
+        locality: "here".into(),
     };
     Document::founding(vec![member])
 }
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -60,6 +60,7 @@
             timing(),
             surveyor.disk.durable.clone(),
             address,
+            format!("locality-{}", place + 1).into(),
             seeds,
             Chance::seeded(seed),
         );
@@ -171,6 +172,7 @@
             from: self.surveyors[to_node.0].disk.durable.id,
             place: other_place,
             operators: other_place,
+            locality: "here".into(),
             body,
         };
         let node = self.surveyors[place].node;
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -252,7 +252,11 @@
             let core = ids
                 .iter()
                 .zip(&places)
-                .map(|(other, place)| CoreMember { id: *other, place: *place })
+                .map(|(other, place)| CoreMember {
+                    id: *other,
+                    place: *place,
+                    locality: format!("locality-{}", place.0.ip().octets()[3]).into(),
+                })
                 .collect();
             let first_spec = spec(0);
             let checked_spec = read_spec(&first_spec).unwrap_or_default();
