--- a/proving/expedition/src/sim/faults.rs
+++ b/proving/expedition/src/sim/faults.rs
@@ -24,7 +24,7 @@
     /// Causes one fault by chance; each is undone some time later.
     pub(super) fn cause_fault(&mut self) {
         let lasts = self.chance.within(Duration::from_millis(300), Duration::from_millis(6000));
-        let kind = self.chance.below(14);
+        let kind = self.chance.below(15);
         if self.is_tracing {
             let line = format!("{} fault {kind} for {lasts:?}", self.now);
             self.trace.push(line);
@@ -101,21 +101,37 @@
                 let worker = self.platform.workers[worker_place].worker.clone();
                 self.platform.crash(&worker);
             }
-            _ => {
-                if self.plan.loses_disk && !self.has_lost_disk {
-                    self.has_lost_disk = true;
+            13 => {
+                if self.may_lose_disk() {
+                    self.counted("disk lost");
                     let place = self.some_surveyor();
                     self.kill_surveyor(place);
                     self.lose_disk(place);
                     self.push(lasts, Event::Return(self.surveyors[place].node));
-                } else {
-                    self.mischief = 0.1;
-                    self.push(lasts, Event::Behave);
                 }
             }
+            _ => {
+                self.mischief = 0.1;
+                self.push(lasts, Event::Behave);
+            }
         }
     }
 
+    /// Only when every member of the core is alive, on the disk it is known by, and nothing is
+    /// unsettled, may one more disk be lost: the deployments bear one loss at a time.
+    fn may_lose_disk(&self) -> bool {
+        let planes = self.surveyors.iter().filter_map(|surveyor| surveyor.plane.as_ref());
+        let ready_plane = planes.into_iter().find(|plane| plane.core().is_ready());
+        let Some(document) = ready_plane.and_then(|plane| plane.core().accepted()) else {
+            return false;
+        };
+        let is_known = |surveyor: &super::surveyor::SimSurveyor| {
+            let id = surveyor.disk.durable.id;
+            surveyor.plane.is_some() && document.core.iter().any(|member| member.id == id)
+        };
+        document.former.is_empty() && self.surveyors.iter().all(is_known)
+    }
+
     fn all_nodes(&self) -> Vec<Node> {
         (0..3 + self.daemons.len()).map(Node).chain([PLATFORM]).collect()
     }
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -37,7 +37,7 @@
 }
 
 pub(super) fn timing() -> CoreTiming {
-    CoreTiming::builder().build()
+    CoreTiming::builder().replace_after(Duration::from_secs(3)).build()
 }
 
 impl World {
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -35,8 +35,6 @@
     pub rate: f64,
     /// Whether faults are caused at all.
     pub has_faults: bool,
-    /// Whether one surveyor may lose its disk.
-    pub loses_disk: bool,
     /// The rule broken on purpose.
     pub flaw: Flaw,
 }
@@ -50,7 +48,6 @@
             daemons: 5,
             rate: 40.0,
             has_faults: true,
-            loses_disk: seed.is_multiple_of(3),
             flaw: Flaw::None,
         }
     }
@@ -182,7 +179,6 @@
     pub(super) refused_changes: Vec<ChangeId>,
     pub(super) next_number: u64,
     pub(super) mischief: f64,
-    pub(super) has_lost_disk: bool,
     pub(super) is_tracing: bool,
     pub(super) trace: Vec<String>,
     counts: BTreeMap<String, u64>,
@@ -215,7 +211,6 @@
             refused_changes: Vec::new(),
             next_number: 0,
             mischief: 0.0,
-            has_lost_disk: false,
             is_tracing,
             trace: Vec::new(),
             counts: BTreeMap::new(),
