--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -2,10 +2,12 @@
 
 mod claims;
 mod delivery;
+mod emptying;
 mod fence;
 mod functions;
 mod members;
 mod output;
+mod pressure;
 mod report;
 mod stewards;
 mod timing;
@@ -15,6 +17,7 @@
 pub use timing::DeskTiming;
 pub use workers::{ListedRunner, ListedWorker};
 
+use emptying::Emptying;
 use members::{MemberRecord, WaitingRenewal};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -73,6 +76,10 @@
     once_from: BTreeMap<FunctionKey, Moment>,
     priors: BTreeMap<FunctionKey, Prior>,
     ended: BTreeSet<RunnerId>,
+    idle_since: BTreeMap<FunctionKey, Moment>,
+    gave_way_at: BTreeMap<FunctionKey, Moment>,
+    emptying: Option<Emptying>,
+    next_emptying_at: Moment,
     acquires: Vec<WaitingAcquire>,
     renewals: Vec<WaitingRenewal>,
     runners_listed_at: Moment,
@@ -113,6 +120,10 @@
             once_from: BTreeMap::new(),
             priors: BTreeMap::new(),
             ended: BTreeSet::new(),
+            idle_since: BTreeMap::new(),
+            gave_way_at: BTreeMap::new(),
+            emptying: None,
+            next_emptying_at: elected_at + Duration::from_secs(15),
             acquires: Vec::new(),
             renewals: Vec::new(),
             runners_listed_at: Moment::ZERO,
@@ -177,6 +188,7 @@
             StreamUp::StewardWhole { function, grant, steward } => {
                 self.hear_steward_whole(stream, &function, grant, &steward);
             }
+            StreamUp::Idle { functions } => self.hear_idle(now, stream, functions.0),
             StreamUp::Leaving => self.hear_leaving(now, stream),
         }
     }
@@ -205,6 +217,7 @@
         self.answer_renewals(now, proof);
         self.answer_acquires(now);
         self.note_in_force(now);
+        self.empty_workers(now);
         self.push_hosts();
         std::mem::take(&mut self.outputs)
     }
--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -83,9 +83,11 @@
     }
 
     pub(super) fn is_worker_fit(&self, worker: &WorkerName) -> bool {
-        self.workers.get(worker).is_some_and(|record| {
-            !record.listed.draining && !self.table.is_evacuated(&record.listed.locality)
-        })
+        let is_emptied = self.emptying.as_ref().is_some_and(|emptying| emptying.worker == *worker);
+        !is_emptied
+            && self.workers.get(worker).is_some_and(|record| {
+                !record.listed.draining && !self.table.is_evacuated(&record.listed.locality)
+            })
     }
 
     pub(super) fn reserved_mb(&self) -> BTreeMap<WorkerName, u64> {
@@ -151,6 +153,8 @@
         let Some(worker) = chosen_worker else {
             let detail = json!({"function": function.to_string(), "memory_mb": needed_mb});
             self.tell(events::NO_ROOM, detail);
+            self.emptying = None;
+            self.make_room(now, function, needed_mb);
             return ReserveResult::Shed;
         };
         let runner = RunnerId { grant, ordinal: self.next_number().0 };
--- a/crates/survey/src/disk/mod.rs
+++ b/crates/survey/src/disk/mod.rs
@@ -19,6 +19,8 @@
     File(PathBuf, io::Error),
     /// A written version could not be made sense of.
     Document(DocumentFault),
+    /// There is no version on this disk that names its member.
+    NothingToRecover,
 }
 
 impl fmt::Display for ShelfFault {
@@ -26,6 +28,9 @@
         match self {
             Self::File(file, fault) => write!(out, "{}: {fault}", file.display()),
             Self::Document(fault) => write!(out, "{fault}"),
+            Self::NothingToRecover => {
+                write!(out, "no version on this disk names its member; recover from another disk")
+            }
         }
     }
 }
@@ -43,6 +48,22 @@
     folder: PathBuf,
 }
 
+/// Writes a version in which only this disk's member is left of the core; says which stamp it has.
+pub fn leave_alone(folder: &Path) -> Result<Stamp, ShelfFault> {
+    if !folder.join("identity").exists() {
+        return Err(ShelfFault::NothingToRecover);
+    }
+    let shelf = Shelf::open(folder)?;
+    let (recalled, _) = shelf.recall(SurveyorId(0))?;
+    let alone = recalled
+        .accepted
+        .as_ref()
+        .and_then(|document| crate::core::left_alone(document, recalled.id))
+        .ok_or(ShelfFault::NothingToRecover)?;
+    shelf.write(&WriteJob::Version(alone.clone()))?;
+    Ok(alone.stamp)
+}
+
 enum Kept {
     Vote(Term),
     Version(Stamp),
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -13,13 +13,15 @@
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{
-    Channel, FrameFault, Heartbeat, Host, Place, ReserveResult, RunnerNews, StreamDown, StreamUp,
-    encode_heartbeat, read_frame, write_channel, write_frame,
+    Channel, FrameFault, Heartbeat, Host, IdleFunction, Many, Place, ReserveResult, RunnerNews,
+    StreamDown, StreamUp, encode_heartbeat, read_frame, write_channel, write_frame,
 };
 use waymark::identity::{FunctionKey, GrantSerial};
 use waymark::note;
 use waymark::spec::Table;
 
+const IDLE_FROM: Duration = Duration::from_secs(3);
+
 /// What reaches the control task.
 pub enum ControlInput {
     /// The dialed stream is open.
@@ -161,6 +163,11 @@
                 }
                 KeeperOrder::Hosts(alive_hosts) => self.state.hosts.store(Arc::new(alive_hosts)),
                 KeeperOrder::Grant(terms) => self.granted(terms),
+                KeeperOrder::GiveWay(function, grant) => {
+                    if let Some(holding) = self.holding(&function, grant) {
+                        holding.apply(&self.state, |holder, now| holder.give_way(now));
+                    }
+                }
                 KeeperOrder::Steward(function, grant, steward) => {
                     if let Some(holding) = self.holding(&function, grant) {
                         holding
@@ -359,6 +366,7 @@
         let holdings = state.holdings.load_full();
         let (mut waiting_sum, mut running_sum, mut ready_sum, mut kept_sum) = (0, 0, 0, 0);
         let says_sheds = now.since(self.sheds_at) > Duration::from_secs(1);
+        let mut idle_functions = Vec::new();
         for holding in holdings.values() {
             holding.apply(&state, |holder, now| holder.tick(now));
             let ((waiting, running), (ready, all), sheds) = holding.with(|holder| {
@@ -369,12 +377,19 @@
             running_sum += running;
             ready_sum += ready;
             kept_sum += usize::from(all == 1 && waiting + running == 0);
+            let idle_span = holding.with(|holder| holder.idle(now));
+            if let Some(idle_span) = idle_span.filter(|span| *span > IDLE_FROM) {
+                let function = holding.function.clone();
+                let idle_ms = idle_span.as_millis().min(u128::from(u32::MAX)) as u32;
+                idle_functions.push(IdleFunction { function, idle_ms });
+            }
             if let Some((count, reason)) = sheds {
                 let function = holding.function.clone();
                 self.say(StreamUp::Sheds { function, count, reason });
             }
         }
         if says_sheds {
+            self.say(StreamUp::Idle { functions: Many(idle_functions) });
             self.sheds_at = now;
             let mut keepsake = state.keepsake.lock().unwrap_or_else(PoisonError::into_inner);
             keepsake.expire(now);
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -88,6 +88,7 @@
     last_called_at: Moment,
     shed_count: u32,
     shed_reason: HopReason,
+    resting: bool,
     leaving: bool,
     closed: bool,
     released: bool,
@@ -114,6 +115,7 @@
             last_called_at: now,
             shed_count: 0,
             shed_reason: HopReason::InboxFull,
+            resting: false,
             leaving: false,
             closed: false,
             released: false,
@@ -189,6 +191,7 @@
             return (Some(not_run(HopReason::NotHolder, 50)), Vec::new());
         }
         self.last_called_at = now;
+        self.resting = false;
         self.tries.first_or_repeat(now, entry.repeat);
         if let Some(known_outcome) = self.book.known(&entry.transaction) {
             return (Some(known_outcome), Vec::new());
@@ -423,6 +426,24 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// How long it has not been called, while it has nothing to do.
+    pub fn idle(&self, now: Moment) -> Option<Duration> {
+        let is_idle = self.inbox.is_empty() && self.sent.is_empty() && !self.runners.is_empty();
+        is_idle.then(|| now.since(self.last_called_at))
+    }
+
+    /// Memory is short: an idle function stops its last runner, and starts one when it is called.
+    pub fn give_way(&mut self, now: Moment) -> Vec<HolderOutput> {
+        if self.inbox.is_empty() && self.sent.is_empty() {
+            self.resting = true;
+            let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
+            for runner in all_runners {
+                self.stop_runner(now, runner);
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
     /// A newer spec of the same function.
     pub fn respec(&mut self, spec: FunctionSpec) {
         self.spec = spec;
--- a/crates/trail/src/holder/scaling.rs
+++ b/crates/trail/src/holder/scaling.rs
@@ -60,7 +60,8 @@
         let busy_count = (self.inbox.len() + self.sent.len()) as f64;
         let wanted = busy_count / (f64::from(self.spec.slots) * TARGET_SHARE);
         let smoothed = self.scaling.smooth(now, wanted);
-        let floor = self.spec.min_runners.max(1).min(self.spec.max_runners);
+        let least = u32::from(!self.resting);
+        let floor = self.spec.min_runners.max(least).min(self.spec.max_runners);
         let wanted_count =
             (smoothed.ceil() as u32).clamp(floor, self.spec.max_runners.max(1)) as usize;
         let fit_count = self
@@ -107,7 +108,10 @@
                 record.since = now;
             }
         }
-        if ready_runners.len() > wanted_count.max(1) && now >= self.scaling.next_drain_at {
+        if !self.resting
+            && ready_runners.len() > wanted_count.max(1)
+            && now >= self.scaling.next_drain_at
+        {
             self.scaling.next_drain_at = now + DRAIN_EVERY;
             let least_busy =
                 ready_runners.into_iter().min_by_key(|runner| self.runners[runner].busy_count());
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -41,6 +41,8 @@
     Hosts(Vec<Host>),
     /// A function is granted.
     Grant(GrantTerms),
+    /// Memory is short: stop an idle function's runners.
+    GiveWay(FunctionKey, GrantSerial),
     /// Another daemon is to keep the copy of a function's ledger, or nobody.
     Steward(FunctionKey, GrantSerial, Option<Host>),
     /// An acquisition is answered; none when it must be tried again.
@@ -285,6 +287,9 @@
             StreamDown::HandOver { function, grant } => {
                 self.orders.push(KeeperOrder::HandOver(function, grant));
             }
+            StreamDown::GiveWay { function, grant } => {
+                self.orders.push(KeeperOrder::GiveWay(function, grant));
+            }
             StreamDown::Steward { function, grant, steward } => {
                 let named = steward.0.into_iter().next();
                 self.orders.push(KeeperOrder::Steward(function, grant, named));
--- a/crates/waymark/src/events/mod.rs
+++ b/crates/waymark/src/events/mod.rs
@@ -82,6 +82,12 @@
     STRUCK_OFF = 2111, "struck off";
     /// No worker has room for a runner.
     NO_ROOM = 2112, "no room";
+    /// An idle function gave up its runners because memory is short.
+    GAVE_WAY = 2115, "gave way";
+    /// A lightly used worker is being emptied.
+    WORKER_EMPTYING = 2116, "worker emptying";
+    /// A worker is empty and can be switched off.
+    WORKER_EMPTY = 2117, "worker empty";
     /// A daemon refused transactions.
     SHEDS = 2114, "sheds";
     /// An evacuation leaves little capacity.
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -12,7 +12,8 @@
 pub use hop::{HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState};
 pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
 pub use stream::{
-    AcquireResult, Claim, ClaimRunner, Host, Prior, ReserveResult, RunnerNews, StreamDown, StreamUp,
+    AcquireResult, Claim, ClaimRunner, Host, IdleFunction, Prior, ReserveResult, RunnerNews,
+    StreamDown, StreamUp,
 };
 pub use wire::{
     Channel, FrameFault, decode, decode_heartbeat, encode, encode_heartbeat, read_channel,
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/waymark/src/frames/stream.rs
@@ -54,6 +54,17 @@
     pub whole: Flag,
 }
 
+/// How long a function has not been called.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct IdleFunction {
+    /// The function.
+    pub function: FunctionKey,
+    /// For so many milliseconds.
+    pub idle_ms: u32,
+}
+
 /// Where the ledger of an earlier grant may be collected.
 #[binrw]
 #[brw(big)]
@@ -223,6 +234,12 @@
         /// The steward that is lost.
         lost: MemberName,
     },
+    /// How long held functions have not been called.
+    #[brw(magic = 14u8)]
+    Idle {
+        /// Those idle for some seconds.
+        functions: Many<IdleFunction>,
+    },
     /// The steward's copy is whole.
     #[brw(magic = 13u8)]
     StewardWhole {
@@ -332,6 +349,14 @@
         /// The grant to be released.
         grant: GrantSerial,
     },
+    /// Memory is short: stop the last runner if it is idle, and keep the function.
+    #[brw(magic = 13u8)]
+    GiveWay {
+        /// The function.
+        function: FunctionKey,
+        /// The grant it is held under.
+        grant: GrantSerial,
+    },
     /// Another daemon is to keep the copy of a function's ledger.
     #[brw(magic = 12u8)]
     Steward {
--- a/programs/legend/src/main.rs
+++ b/programs/legend/src/main.rs
@@ -30,6 +30,8 @@
     Found(Plain),
     #[options(help = "show the core as one surveyor sees it")]
     Core(Plain),
+    #[options(help = "have another surveyor take a core member's place at once")]
+    Replace(Replace),
     #[options(help = "read the spec with its serial")]
     Spec(Plain),
     #[options(help = "send a whole spec from a file")]
@@ -60,6 +62,16 @@
     help: bool,
 }
 
+#[derive(Options)]
+struct Replace {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the member's identity, from `legend core`")]
+    missing: String,
+    #[options(free, required, help = "the identity of the one to take its place")]
+    successor: String,
+}
+
 #[derive(Options)]
 struct Named {
     #[options(help = "print this help")]
@@ -136,6 +148,9 @@
     let desk = Desk::new(at)?;
     match command {
         Command::Found(_) => desk.post("/v1/core/found").await,
+        Command::Replace(replace) => {
+            desk.post(&format!("/v1/core/replace/{}/{}", replace.missing, replace.successor)).await
+        }
         Command::Core(_) => desk.get("/v1/core").await,
         Command::Spec(_) => desk.get("/v1/spec").await,
         Command::Members(_) => desk.get("/v1/members").await,
--- a/programs/surveyor/src/main.rs
+++ b/programs/surveyor/src/main.rs
@@ -33,6 +33,12 @@
     data: Option<String>,
     #[options(no_short, help = "the platform's IP:PORT", meta = "PLACE")]
     platform: Option<String>,
+    #[options(
+        no_short,
+        help = "the majority is lost for good: lead alone from this disk. Whatever was accepted without reaching this disk is lost. PHRASE must be: i-accept-the-loss",
+        meta = "PHRASE"
+    )]
+    recover: Option<String>,
 }
 
 fn read_boot(flags: &Flags) -> Result<SurveyorBoot, BootFault> {
@@ -64,6 +70,16 @@
             return ExitCode::from(2);
         }
     };
+    if let Some(phrase) = &flags.recover {
+        if phrase != "i-accept-the-loss" {
+            eprintln!("surveyor: --recover needs the phrase i-accept-the-loss; see --help");
+            return ExitCode::from(2);
+        }
+        if let Err(fault) = survey::disk::leave_alone(&boot.data) {
+            eprintln!("surveyor: --recover: {fault}");
+            return ExitCode::from(1);
+        }
+    }
     match run(&boot) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -13,8 +13,8 @@
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Flag, HopOutcome, HopReason, Host, LedgerNote, ReserveResult, RunnerNews,
-    StreamUp,
+    AcquireResult, Flag, HopOutcome, HopReason, Host, IdleFunction, LedgerNote, Many,
+    ReserveResult, RunnerNews, StreamUp,
 };
 use waymark::identity::{FunctionKey, GrantSerial, Incarnation, RunnerId, Ticket, TransactionId};
 use waymark::spec::Table;
@@ -101,6 +101,7 @@
     pendings: BTreeMap<u64, Pending>,
     waiters: BTreeMap<FunctionKey, Vec<u64>>,
     keepsake: Keepsake,
+    idle_said_at: Moment,
     link: Option<u64>,
 }
 
@@ -150,6 +151,7 @@
         daemon.body = Some(Box::new(Body {
             keeper: Keeper::new(liaison, host.clone()),
             keepsake: Keepsake::new(host.incarnation),
+            idle_said_at: local_now,
             host,
             holdings: BTreeMap::new(),
             closing: Vec::new(),
@@ -192,12 +194,31 @@
         for (function, grant) in all_held {
             self.apply(place, &function, grant, |holder, now| holder.tick(now));
         }
+        self.say_idle(place);
         if let Some(body) = &mut self.daemons[place].body {
             body.closing.retain(|held| !held.holder.is_over());
             body.keepsake.expire(local_now);
         }
     }
 
+    fn say_idle(&mut self, place: usize) {
+        let local_now = self.daemon_now(place);
+        let Some(body) = &mut self.daemons[place].body else { return };
+        if local_now < body.idle_said_at + Duration::from_secs(1) || !body.keeper.is_welcomed() {
+            return;
+        }
+        body.idle_said_at = local_now;
+        let functions = body
+            .holdings
+            .iter()
+            .filter_map(|(function, held)| {
+                let idle_ms = held.holder.idle(local_now)?.as_millis() as u32;
+                (idle_ms > 500).then(|| IdleFunction { function: function.clone(), idle_ms })
+            })
+            .collect();
+        self.say(place, StreamUp::Idle { functions: Many(functions) });
+    }
+
     pub(super) fn with_keeper(
         &mut self,
         place: usize,
@@ -286,6 +307,9 @@
                 }
             }
             KeeperOrder::Grant(terms) => self.granted(place, terms),
+            KeeperOrder::GiveWay(function, grant) => {
+                self.apply(place, &function, grant, |holder, now| holder.give_way(now));
+            }
             KeeperOrder::Steward(function, grant, steward) => {
                 self.apply(place, &function, grant, |holder, now| {
                     holder.steward_named(now, steward)
