--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -1,6 +1,7 @@
 use super::{Desk, StreamId};
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{ReserveResult, StreamDown};
@@ -152,7 +153,10 @@
             .map(|(_, _, worker)| worker.clone());
         let Some(worker) = chosen_worker else {
             let detail = json!({"function": function.to_string(), "memory_mb": needed_mb});
-            self.tell(events::NO_ROOM, detail);
+            if now.since(self.no_room_told_at) > Duration::from_secs(1) {
+                self.no_room_told_at = now;
+                self.tell(events::NO_ROOM, detail);
+            }
             self.emptying = None;
             self.make_room(now, function, needed_mb);
             return ReserveResult::Shed;
--- a/proving/expedition/src/days/fault.rs
+++ b/proving/expedition/src/days/fault.rs
@@ -48,6 +48,8 @@
     KillAfterAck = "kill-after-ack",
     /// A following surveyor is killed, loses its disk and returns.
     LoseDisk = "lose-disk",
+    /// A following surveyor is lost for good, and an empty one at a new address takes its place.
+    ReplaceCore = "replace-core",
     /// The daemon that holds most is frozen for six seconds.
     FreezeHolder = "freeze-holder",
     /// The leading surveyor is frozen for four seconds.
@@ -98,6 +100,7 @@
             | FaultName::KillLeader
             | FaultName::KillAfterAck
             | FaultName::LoseDisk
+            | FaultName::ReplaceCore
             | FaultName::FreezeHolder
             | FaultName::FreezeLeader
             | FaultName::RestartAll
@@ -172,18 +175,23 @@
                 fleet.launch(&name)
             }
             FaultName::LoseDisk => {
-                let leader = fleet.leader().await;
-                let followers: Vec<String> = fleet
-                    .running("surveyor")
-                    .into_iter()
-                    .filter(|name| Some(name) != leader.as_ref())
-                    .collect();
-                let Some(name) = self.one_of(&followers) else { return Ok(()) };
+                let Some(name) = self.some_follower(fleet).await else { return Ok(()) };
                 fleet.kill(&name);
                 fleet.lose_disk(&name);
                 pause(1000).await;
                 fleet.launch(&name)
             }
+            FaultName::ReplaceCore => {
+                let Some(name) = self.some_follower(fleet).await else { return Ok(()) };
+                let locality = fleet.layout.machines[&name].locality.clone();
+                fleet.kill(&name);
+                fleet.layout.machines.remove(&name);
+                let spare_name = format!("spare-{}", self.chance.below(1 << 20));
+                fleet.layout.add_surveyor(&spare_name, &locality)?;
+                fleet.launch(&spare_name)?;
+                pause(14_000).await;
+                Ok(())
+            }
             FaultName::FreezeHolder => {
                 let Some(name) = fleet.busiest_holder().await else { return Ok(()) };
                 fleet.freeze(&name);
@@ -236,6 +244,16 @@
         }
     }
 
+    async fn some_follower(&mut self, fleet: &Fleet) -> Option<String> {
+        let leader = fleet.leader().await;
+        let followers: Vec<String> = fleet
+            .running("surveyor")
+            .into_iter()
+            .filter(|name| Some(name) != leader.as_ref())
+            .collect();
+        self.one_of(&followers)
+    }
+
     async fn some_worker(&mut self, fleet: &Fleet) -> String {
         let used_workers: Vec<String> =
             match fleet.ask(hyper::Method::GET, "/v1/workers", None).await {
--- a/proving/expedition/src/fleet/layout.rs
+++ b/proving/expedition/src/fleet/layout.rs
@@ -48,6 +48,8 @@
     pub platform: Place,
     /// The folder of the programs.
     pub programs: PathBuf,
+    /// The three seed addresses.
+    pub seeds: Vec<String>,
 }
 
 fn free_places(count: usize) -> std::io::Result<Vec<Place>> {
@@ -82,6 +84,7 @@
             machines: BTreeMap::new(),
             platform,
             programs: programs.to_owned(),
+            seeds: seeds.clone(),
         };
         for number in 0..3 {
             let name = format!("surveyor-{}", number + 1);
@@ -168,6 +171,21 @@
         Ok(())
     }
 
+    /// One more surveyor at an address of its own, with an empty disk, in another's locality.
+    pub fn add_surveyor(&mut self, name: &str, locality: &str) -> Result<(), FleetFault> {
+        let at = |fault| FleetFault::Machine(self.folder.clone(), fault);
+        let places = free_places(2).map_err(at)?;
+        let settings = json!({
+            "place": places[0].to_string(),
+            "operators": places[1].to_string(),
+            "locality": locality,
+            "seeds": self.seeds,
+            "data": self.folder.join(format!("{name}.data")).display().to_string(),
+            "platform": self.platform.to_string(),
+        });
+        self.add(name, "surveyor", &settings, None, Some(places[1]), locality.to_owned())
+    }
+
     /// Where operators reach the surveyors.
     pub fn operators(&self) -> Vec<Place> {
         self.machines.values().filter_map(|machine| machine.operators).collect()
