--- a/crates/survey/src/core/election.rs
+++ b/crates/survey/src/core/election.rs
@@ -20,10 +20,14 @@
         self.accepted_stamp() >= self.distrusted
     }
 
+    fn has_vital_writing(&self) -> bool {
+        self.writings.values().any(|since| !matches!(since.writing, Writing::Scrub))
+    }
+
     fn newest_stamp(&self) -> Stamp {
         let written_stamps = self.writings.values().filter_map(|since| match &since.writing {
             Writing::Version(document) => Some(document.stamp),
-            Writing::Vote { .. } => None,
+            Writing::Vote { .. } | Writing::Scrub => None,
         });
         written_stamps.max().unwrap_or_default().max(self.accepted_stamp())
     }
@@ -31,7 +35,7 @@
     pub(super) fn start_trial(&mut self, now: Moment) {
         self.arm_election(now);
         self.leader = None;
-        if !self.is_voter(self.id) || !self.may_vote() || !self.writings.is_empty() {
+        if !self.is_voter(self.id) || !self.may_vote() || self.has_vital_writing() {
             return;
         }
         self.role = Role::Trial { given: BTreeSet::from([self.id]) };
--- a/crates/survey/src/core/mod.rs
+++ b/crates/survey/src/core/mod.rs
@@ -47,6 +47,7 @@
 }
 
 enum Writing {
+    Scrub,
     Vote { term: Term, candidate: SurveyorId },
     Version(Document),
 }
@@ -74,6 +75,7 @@
     leader_heard_at: Moment,
     election_at: Moment,
     hello_at: Moment,
+    scrub_at: Moment,
     others: BTreeMap<Place, Other>,
     heard: BTreeMap<SurveyorId, Moment>,
     members: BTreeSet<KnownMember>,
@@ -99,6 +101,7 @@
     ) -> Self {
         let accepted_term = recalled.accepted.as_ref().map_or(Term(0), |held| held.stamp.term);
         let voted_term = recalled.voted.map_or(Term(0), |(term, _)| term);
+        let scrub_first = timing.scrub_every;
         let mut core = Self {
             timing,
             id: recalled.id,
@@ -116,6 +119,7 @@
             leader_heard_at: now,
             election_at: now,
             hello_at: now,
+            scrub_at: now + scrub_first,
             others: BTreeMap::new(),
             heard: BTreeMap::new(),
             members: BTreeSet::new(),
@@ -203,6 +207,10 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Moment) -> Vec<CoreOutput> {
+        if now >= self.scrub_at && self.writings.is_empty() {
+            self.scrub_at = now + self.timing.scrub_every;
+            self.order_write(now, Writing::Scrub);
+        }
         if now >= self.hello_at {
             self.hello_at = now + self.timing.hello_every;
             self.greet_all();
@@ -265,6 +273,7 @@
                 (Writing::Version(document), WriteResult::Synced) => {
                     self.version_written(now, document);
                 }
+                (Writing::Scrub, WriteResult::Synced) => {}
                 (_, WriteResult::Failed) => {
                     self.step_down(now, self.term);
                     self.election_at = now + self.timing.election_longest * 2;
@@ -340,13 +349,16 @@
                 WriteJob::Vote { term: *term, candidate: *candidate }
             }
             Writing::Version(document) => WriteJob::Version(document.clone()),
+            Writing::Scrub => WriteJob::Scrub(self.accepted.clone()),
         };
         self.writings.insert(self.last_ticket, WritingSince { started_at: now, writing });
         self.outputs.push(CoreOutput::Write { ticket: self.last_ticket, job });
     }
 
     fn is_disk_stalled(&self, now: Moment) -> bool {
-        let oldest_start = self.writings.values().map(|writing| writing.started_at).min();
+        let is_vital = |since: &&WritingSince| !matches!(since.writing, Writing::Scrub);
+        let vital_writings = self.writings.values().filter(is_vital);
+        let oldest_start = vital_writings.map(|since| since.started_at).min();
         oldest_start.is_some_and(|started_at| now.since(started_at) > self.timing.election_shortest)
     }
 }
--- a/crates/survey/src/core/output.rs
+++ b/crates/survey/src/core/output.rs
@@ -28,6 +28,8 @@
     },
     /// A version of the document.
     Version(Document),
+    /// Read every kept file again; a damaged newest version is written anew from memory.
+    Scrub(Option<Document>),
 }
 
 /// How a write ended.
--- a/crates/survey/src/core/timing.rs
+++ b/crates/survey/src/core/timing.rs
@@ -19,6 +19,9 @@
     /// How long a member is silent before another surveyor takes its place.
     #[builder(default = Duration::from_secs(8))]
     pub replace_after: Duration,
+    /// From one reading of all kept files to the next.
+    #[builder(default = Duration::from_secs(20))]
+    pub scrub_every: Duration,
     /// Before a version is sent again to a member that did not say it has it.
     #[builder(default = Duration::from_millis(400))]
     pub resend_after: Duration,
--- a/crates/survey/src/disk/mod.rs
+++ b/crates/survey/src/disk/mod.rs
@@ -150,10 +150,43 @@
             WriteJob::Version(document) => {
                 self.write_file(&version_name(document.stamp), &document.to_bytes())?;
             }
+            WriteJob::Scrub(document) => {
+                self.scrub(document.as_ref())?;
+                return Ok(());
+            }
         }
         self.prune()
     }
 
+    /// Reads every kept file; a damaged one is set aside and named, and the newest version mended
+    /// from memory before that.
+    pub fn scrub(&self, newest: Option<&Document>) -> Result<Vec<String>, ShelfFault> {
+        let mut damaged_names = Vec::new();
+        for file_name in self.file_names()? {
+            if kept_of(&file_name).is_none() || self.read_file(&file_name).is_some() {
+                continue;
+            }
+            let kept_path = self.folder.join(&file_name);
+            let aside_path = self.folder.join(format!("damaged-{file_name}"));
+            let at = |fault| ShelfFault::File(aside_path.clone(), fault);
+            let newest_document =
+                newest.filter(|document| version_name(document.stamp) == file_name);
+            match newest_document {
+                Some(document) => {
+                    fs::copy(&kept_path, &aside_path).map_err(at)?;
+                    self.write_file(&file_name, &document.to_bytes())?;
+                }
+                None if matches!(kept_of(&file_name), Some(Kept::Version(_))) => {
+                    fs::rename(&kept_path, &aside_path).map_err(at)?;
+                }
+                None => {}
+            }
+            waymark::note!(Warn, waymark::events::FILE_SET_ASIDE, "{file_name}");
+            damaged_names.push(file_name);
+        }
+        Ok(damaged_names)
+    }
+
     fn prune(&self) -> Result<(), ShelfFault> {
         let file_names = self.file_names()?;
         let is_vote = |name: &&String| matches!(kept_of(name), Some(Kept::Vote(_)));
--- a/crates/survey/src/drivers/gauges.rs
+++ b/crates/survey/src/drivers/gauges.rs
@@ -10,6 +10,12 @@
     in_force: IntGauge,
     desk: Vec<(&'static str, IntGauge)>,
     rejected: IntCounter,
+    /// Frames from daemons.
+    pub frames_up: IntCounter,
+    /// Frames to daemons.
+    pub frames_down: IntCounter,
+    /// Bytes of specs and changes pushed to daemons.
+    pub pushed_bytes: IntCounter,
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
@@ -18,6 +24,12 @@
     new_gauge
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let made = IntCounter::new(name, help).expect("a constant name is valid");
+    let _ = registry.register(Box::new(made.clone()));
+    made
+}
+
 fn unreachable_gauge() -> IntGauge {
     IntGauge::with_opts(prometheus::Opts::new("rudder_unnamed", "unnamed"))
         .expect("a constant name is valid")
@@ -33,7 +45,15 @@
         )
         .expect("a constant name is valid");
         let _ = registry.register(Box::new(rejected.clone()));
+        let frames_up = counter(&registry, "rudder_stream_frames_up_total", "frames from daemons");
+        let frames_down =
+            counter(&registry, "rudder_stream_frames_down_total", "frames to daemons");
+        let pushed_bytes =
+            counter(&registry, "rudder_pushed_bytes_total", "bytes of specs and changes pushed");
         Self {
+            frames_up,
+            frames_down,
+            pushed_bytes,
             leads: gauge(&registry, "rudder_core_leads", "1 while this surveyor leads"),
             term: gauge(&registry, "rudder_core_term", "the present term"),
             serial: gauge(&registry, "rudder_core_committed_serial", "the newest committed serial"),
--- a/crates/survey/src/drivers/streams.rs
+++ b/crates/survey/src/drivers/streams.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use waymark::events;
 use waymark::frames::{
-    Channel, CoreFrame, FrameFault, StreamUp, read_channel, read_frame, write_frame,
+    Channel, CoreFrame, FrameFault, StreamDown, StreamUp, read_channel, read_frame, write_frame,
 };
 use waymark::note;
 
@@ -64,6 +64,7 @@
     let reading = async {
         loop {
             let frame: StreamUp = read_frame(&mut reader).await?;
+            shared.gauges.frames_up.inc();
             if shared.inputs.send(PlaneInput::Stream(stream_id, frame)).await.is_err() {
                 return Ok::<(), FrameFault>(());
             }
@@ -71,6 +72,12 @@
     };
     let writing = async {
         while let Some(frame) = frames.recv().await {
+            shared.gauges.frames_down.inc();
+            if let StreamDown::Spec { document: blob, .. }
+            | StreamDown::Change { patch: blob, .. } = &frame
+            {
+                shared.gauges.pushed_bytes.inc_by(blob.0.len() as u64);
+            }
             tokio::time::timeout(Duration::from_secs(3), write_frame(&mut writing_half, &frame))
                 .await
                 .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
--- a/crates/survey/tests/disk.rs
+++ b/crates/survey/tests/disk.rs
@@ -126,3 +126,31 @@
     let (again, _) = Shelf::open(&folder.0)?.recall(SurveyorId(43))?;
     verify_that!(again.id, eq(SurveyorId(42)))
 }
+
+#[gtest]
+fn a_damaged_newest_version_is_mended_from_memory_while_running() -> Result<()> {
+    let folder = Folder::new("scrub");
+    let kept = fill(&folder, 4);
+    let shelf = Shelf::open(&folder.0)?;
+    verify_that!(shelf.scrub(kept.last())?, is_empty())?;
+    fs::write(folder.newest("spec-"), "rot")?;
+    verify_that!(shelf.scrub(kept.last())?.len(), eq(1))?;
+    let (recalled, set_aside) = shelf.recall(SurveyorId(1))?;
+    verify_that!(recalled.accepted.as_ref() == kept.last(), eq(true))?;
+    verify_that!(recalled.distrusted, eq(Stamp::default()))?;
+    verify_that!(set_aside, is_empty())
+}
+
+#[gtest]
+fn recovery_alone_needs_a_disk_that_was_a_member() -> Result<()> {
+    let empty = Folder::new("recover-empty");
+    verify_that!(survey::disk::leave_alone(&empty.0).is_err(), eq(true))?;
+    let folder = Folder::new("recover");
+    let kept = fill(&folder, 3);
+    let stamp = survey::disk::leave_alone(&folder.0)?;
+    verify_that!(stamp > kept[2].stamp, eq(true))?;
+    let (recalled, _) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+    let alone = recalled.accepted.expect("a version");
+    verify_that!(alone.core.len(), eq(1))?;
+    verify_that!(&alone.evacuated, eq(&kept[2].evacuated))
+}
--- a/proving/expedition/src/days/run.rs
+++ b/proving/expedition/src/days/run.rs
@@ -25,6 +25,8 @@
     pub folder: PathBuf,
     /// The folder of the programs.
     pub programs: PathBuf,
+    /// Daemon machines, if not the deployment's.
+    pub daemons: Option<usize>,
     /// Transactions a second, if not the deployment's.
     pub rate: Option<f64>,
 }
@@ -39,7 +41,8 @@
 
 /// Runs a day and has it judged.
 pub async fn run_day(day: &Day) -> Result<DayEnd, FleetFault> {
-    let sizes = day.deployment.sizes();
+    let mut sizes = day.deployment.sizes();
+    sizes.daemons = day.daemons.unwrap_or(sizes.daemons);
     let layout = Layout::new(&day.folder, &day.programs, &sizes, day.seed, true)?;
     let doors = layout.doors();
     let mut fleet = Fleet::start(layout)?;
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -78,6 +78,8 @@
     gap: u64,
     #[options(help = "transactions a second, if not the deployment's")]
     rate: Option<f64>,
+    #[options(no_short, help = "daemon machines, if not the deployment's")]
+    daemons: Option<usize>,
     #[options(
         no_short,
         help = "folder for settings, logs and records",
@@ -118,6 +120,7 @@
         folder,
         programs,
         rate: run.rate,
+        daemons: run.daemons,
     })
 }
 
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -263,6 +263,7 @@
         (WriteJob::Version(left_document), WriteJob::Version(right_document)) => {
             left_document.stamp == right_document.stamp
         }
+        (WriteJob::Scrub(_), WriteJob::Scrub(_)) => true,
         _ => false,
     }
 }
@@ -276,6 +277,7 @@
                     self.durable.voted = Some((*term, *candidate));
                 }
             }
+            WriteJob::Scrub(_) => {}
             WriteJob::Version(document) => {
                 let is_newer =
                     self.durable.accepted.as_ref().is_none_or(|held| held.stamp < document.stamp);
--- a/proving/expedition/tests/smoke.rs
+++ b/proving/expedition/tests/smoke.rs
@@ -66,6 +66,7 @@
     let (_, asked) = fleet.ask(Method::GET, "/v1/changes/stale", None).await?;
     assert_eq!(asked["state"], json!("not_accepted"));
 
+    blaze(fleet);
     bad_calls(fleet).await;
     garbage(fleet).await;
 
@@ -89,6 +90,25 @@
     Ok(())
 }
 
+fn blaze(fleet: &Fleet) {
+    let operators: Vec<String> = fleet.layout.operators().iter().map(ToString::to_string).collect();
+    let run = |arguments: &[&str]| {
+        std::process::Command::new(programs().join("blaze"))
+            .args(["--at", &operators.join(",")])
+            .args(arguments)
+            .output()
+            .expect("it runs")
+    };
+    let traced = run(&["--json", "2"]);
+    assert_eq!(traced.status.code(), Some(0));
+    let way: Value = serde_json::from_slice(&traced.stdout).expect("JSON");
+    assert_eq!(way["in_force"], json!(true), "{way}");
+    let members = way["parts"][0]["members"].as_object().expect("members");
+    assert_eq!(members.len(), 3);
+    assert!(members.values().all(|row| row["acknowledged_ms"].is_number()), "{way}");
+    assert_eq!(run(&["77"]).status.code(), Some(3));
+}
+
 async fn bad_calls(fleet: &Fleet) {
     let door = fleet.layout.doors()[0];
     let patience = Duration::from_secs(5);
