--- a/crates/trail/src/drivers/gauges.rs
+++ b/crates/trail/src/drivers/gauges.rs
@@ -1,11 +1,9 @@
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use waymark::metrics::Page;
 
 /// The trailhead's metrics.
 pub struct Gauges {
-    registry: Registry,
+    page: Page,
     /// Transactions of callers by outcome and reason.
     pub outcomes: IntCounterVec,
     /// Look-ups of owners by where they were found.
@@ -44,103 +42,49 @@
     pub idle_stop_skipped: IntGauge,
 }
 
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
-    let made = IntCounter::new(name, help).expect("a constant name is valid");
-    registry.register(Box::new(made.clone())).expect("names are registered once");
-    made
-}
-
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let made = IntCounterVec::new(Opts::new(name, help), labels).expect("a constant name is valid");
-    registry.register(Box::new(made.clone())).expect("names are registered once");
-    made
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let made = IntGauge::new(name, help).expect("a constant name is valid");
-    registry.register(Box::new(made.clone())).expect("names are registered once");
-    made
-}
-
 impl Gauges {
     /// All at zero.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let seconds_options = HistogramOpts::new(
-            "rudder_acquire_seconds",
-            "round trip of an acquisition to the leader",
-        )
-        .buckets(vec![0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 3.0]);
-        let acquire_seconds =
-            Histogram::with_opts(seconds_options).expect("a constant name is valid");
-        registry.register(Box::new(acquire_seconds.clone())).expect("names are registered once");
-        let note_options =
-            HistogramOpts::new("rudder_note_seconds", "round trip of a note to a steward")
-                .buckets(vec![0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3]);
-        let note_seconds = Histogram::with_opts(note_options).expect("a constant name is valid");
-        registry.register(Box::new(note_seconds.clone())).expect("names are registered once");
+        let page = Page::new();
         Self {
-            outcomes: counters(
-                &registry,
+            outcomes: page.counters(
                 "rudder_transactions_total",
                 "callers' transactions by outcome and reason",
                 &["outcome", "reason"],
             ),
-            lookups: counters(
-                &registry,
+            lookups: page.counters(
                 "rudder_owner_lookups_total",
                 "owner look-ups by where the owner was found",
                 &["found"],
             ),
-            acquires: counter(
-                &registry,
-                "rudder_acquires_total",
-                "acquisitions asked of the leader",
-            ),
-            acquire_seconds,
-            sends: counter(&registry, "rudder_sends_total", "transactions sent to runners"),
-            extra_sends: counter(&registry, "rudder_extra_sends_total", "sends beyond the first"),
-            rejected_answers: counter(
-                &registry,
-                "rudder_answers_rejected_total",
-                "answers not believed",
-            ),
-            rejected_frames: counter(
-                &registry,
-                "rudder_frames_rejected_total",
-                "connections closed for what they sent",
-            ),
-            held: gauge(&registry, "rudder_functions_held", "functions held"),
-            ready_runners: gauge(&registry, "rudder_runners_ready", "runners ready"),
-            waiting: gauge(&registry, "rudder_transactions_waiting", "transactions in inboxes"),
-            running: gauge(&registry, "rudder_transactions_running", "transactions on runners"),
-            serving: gauge(&registry, "rudder_serving", "1 while the member grant runs"),
-            serial: gauge(&registry, "rudder_spec_serial", "the serial installed"),
-            grants_ended: counter(
-                &registry,
-                "rudder_member_grants_ended_total",
-                "member grants that ended",
-            ),
-            ledger_lines: gauge(
-                &registry,
-                "rudder_ledger_lines",
-                "lines kept for other daemons' ledgers",
-            ),
-            note_seconds,
-            idle_stop_skipped: gauge(
-                &registry,
-                "rudder_idle_stop_skipped",
-                "functions whose last idle runner is kept",
-            ),
-            registry,
+            acquires: page.counter("rudder_acquires_total", "acquisitions asked of the leader"),
+            acquire_seconds: page
+                .seconds("rudder_acquire_seconds", "round trip of an acquisition to the leader"),
+            sends: page.counter("rudder_sends_total", "transactions sent to runners"),
+            extra_sends: page.counter("rudder_extra_sends_total", "sends beyond the first"),
+            rejected_answers: page.counter("rudder_answers_rejected_total", "answers not believed"),
+            rejected_frames: page
+                .counter("rudder_frames_rejected_total", "connections closed for what they sent"),
+            held: page.gauge("rudder_functions_held", "functions held"),
+            ready_runners: page.gauge("rudder_runners_ready", "runners ready"),
+            waiting: page.gauge("rudder_transactions_waiting", "transactions in inboxes"),
+            running: page.gauge("rudder_transactions_running", "transactions on runners"),
+            serving: page.gauge("rudder_serving", "1 while the member grant runs"),
+            serial: page.gauge("rudder_spec_serial", "the serial installed"),
+            grants_ended: page
+                .counter("rudder_member_grants_ended_total", "member grants that ended"),
+            ledger_lines: page
+                .gauge("rudder_ledger_lines", "lines kept for other daemons' ledgers"),
+            note_seconds: page.seconds("rudder_note_seconds", "round trip of a note to a steward"),
+            idle_stop_skipped: page
+                .gauge("rudder_idle_stop_skipped", "functions whose last idle runner is kept"),
+            page,
         }
     }
 
     /// The metrics page.
     pub fn page(&self) -> Vec<u8> {
-        let mut page_bytes = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut page_bytes);
-        page_bytes
+        self.page.text()
     }
 }
 
--- a/crates/waymark/src/command_line.rs
+++ b/crates/waymark/src/command_line.rs
@@ -1,6 +1,10 @@
-//! Reading a program's flags: help on standard output, faults on standard error with exit code 2.
+//! What every program does around its work: flags, the log, and the signal to stop.
 
+use crate::events;
+use crate::note;
 use gumdrop::{Options, ParsingStyle};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 /// Reads the flags, or ends the process with help or a fault.
 pub fn read<T: Options>(program: &str) -> T {
@@ -35,3 +39,23 @@
     }
     text
 }
+
+/// Becomes true when the process is told to stop, by SIGTERM or from the terminal.
+pub fn told_to_stop() -> std::io::Result<watch::Receiver<bool>> {
+    let (stop_sender, stop) = watch::channel(false);
+    let mut terminating = signal(SignalKind::terminate())?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminating.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+        note!(Info, events::STOPPING);
+        stop_sender.send_replace(true);
+    });
+    Ok(stop)
+}
+
+/// Starts the log at the level that `RUST_LOG` names, or `info`.
+pub fn start_log() {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+}
--- a/crates/waymark/src/frames/parts.rs
+++ b/crates/waymark/src/frames/parts.rs
@@ -1,4 +1,4 @@
-use binrw::{BinRead, BinResult, BinWrite, Endian};
+use binrw::{BinRead, BinResult, BinWrite, Endian, binrw};
 use bytes::Bytes;
 use std::fmt;
 use std::io::{Read, Seek, Write};
@@ -119,29 +119,20 @@
 }
 
 /// Yes or no in one byte.
+#[binrw]
+#[brw(big)]
+#[br(map = |read_byte: u8| Flag(read_byte != 0))]
+#[bw(map = |flag: &Flag| u8::from(flag.0))]
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct Flag(pub bool);
 
-impl BinRead for Flag {
-    type Args<'a> = ();
-    fn read_options<R: Read + Seek>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Self> {
-        u8::read_options(reader, endian, ()).map(|read_byte| Self(read_byte != 0))
-    }
-}
-
-impl BinWrite for Flag {
-    type Args<'a> = ();
-    fn write_options<W: Write + Seek>(
-        &self,
-        writer: &mut W,
-        endian: Endian,
-        _: (),
-    ) -> BinResult<()> {
-        u8::from(self.0).write_options(writer, endian, ())
-    }
-}
-
 /// Where a process listens: an IP number and a port.
+#[binrw]
+#[brw(big)]
+#[br(map = |(ip_bits, port): (u32, u16)| {
+    Place(SocketAddrV4::new(Ipv4Addr::from_bits(ip_bits), port))
+})]
+#[bw(map = |place: &Place| (place.0.ip().to_bits(), place.0.port()))]
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Place(pub SocketAddrV4);
 
@@ -172,25 +163,3 @@
         Self(given_address)
     }
 }
-
-impl BinRead for Place {
-    type Args<'a> = ();
-    fn read_options<R: Read + Seek>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Self> {
-        let ip_bits = u32::read_options(reader, endian, ())?;
-        let port = u16::read_options(reader, endian, ())?;
-        Ok(Self(SocketAddrV4::new(Ipv4Addr::from_bits(ip_bits), port)))
-    }
-}
-
-impl BinWrite for Place {
-    type Args<'a> = ();
-    fn write_options<W: Write + Seek>(
-        &self,
-        writer: &mut W,
-        endian: Endian,
-        _: (),
-    ) -> BinResult<()> {
-        self.0.ip().to_bits().write_options(writer, endian, ())?;
-        self.0.port().write_options(writer, endian, ())
-    }
-}
--- a/crates/waymark/src/identity/numbers.rs
+++ b/crates/waymark/src/identity/numbers.rs
@@ -1,4 +1,4 @@
-use binrw::{BinRead, BinResult, BinWrite, Endian};
+use binrw::{BinRead, BinResult, BinWrite, Endian, binrw};
 use std::fmt;
 use std::io::{Read, Seek, Write};
 
@@ -83,6 +83,8 @@
 }
 
 /// Where a version stands: the term first, then the serial.
+#[binrw]
+#[brw(big)]
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Debug)]
 pub struct Stamp {
     /// The term under which it was last written.
@@ -96,26 +98,3 @@
         write!(out, "{}/{}", self.term, self.serial)
     }
 }
-
-impl BinRead for Stamp {
-    type Args<'a> = ();
-    fn read_options<R: Read + Seek>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Self> {
-        Ok(Self {
-            term: Term::read_options(reader, endian, ())?,
-            serial: Serial::read_options(reader, endian, ())?,
-        })
-    }
-}
-
-impl BinWrite for Stamp {
-    type Args<'a> = ();
-    fn write_options<W: Write + Seek>(
-        &self,
-        writer: &mut W,
-        endian: Endian,
-        _: (),
-    ) -> BinResult<()> {
-        self.term.write_options(writer, endian, ())?;
-        self.serial.write_options(writer, endian, ())
-    }
-}
--- a/crates/waymark/src/lib.rs
+++ b/crates/waymark/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod frames;
 pub mod http;
 pub mod identity;
+pub mod metrics;
 pub mod readers;
 pub mod ring;
 pub mod seal;
--- /dev/null
+++ b/crates/waymark/src/metrics.rs
@@ -0,0 +1,63 @@
+//! A page of metrics in Prometheus text format; all names are constants of the program.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+const VALID: &str = "a constant name is valid and registered once";
+
+/// The metrics of one process.
+pub struct Page {
+    registry: Registry,
+}
+
+impl Page {
+    /// An empty page.
+    pub fn new() -> Self {
+        Self { registry: Registry::new() }
+    }
+
+    /// A new counter.
+    pub fn counter(&self, name: &str, help: &str) -> IntCounter {
+        let made = IntCounter::new(name, help).expect(VALID);
+        self.registry.register(Box::new(made.clone())).expect(VALID);
+        made
+    }
+
+    /// New counters, one for each value of the labels.
+    pub fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        let made = IntCounterVec::new(Opts::new(name, help), labels).expect(VALID);
+        self.registry.register(Box::new(made.clone())).expect(VALID);
+        made
+    }
+
+    /// A new gauge.
+    pub fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        let made = IntGauge::new(name, help).expect(VALID);
+        self.registry.register(Box::new(made.clone())).expect(VALID);
+        made
+    }
+
+    /// A new histogram of seconds.
+    pub fn seconds(&self, name: &str, help: &str) -> Histogram {
+        let buckets = vec![0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 3.0];
+        let made =
+            Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets)).expect(VALID);
+        self.registry.register(Box::new(made.clone())).expect(VALID);
+        made
+    }
+
+    /// The page's text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut page_bytes = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut page_bytes);
+        page_bytes
+    }
+}
+
+impl Default for Page {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/programs/surveyor/src/main.rs
+++ b/programs/surveyor/src/main.rs
@@ -1,13 +1,11 @@
 //! A surveyor: one member of the core.
 
-use eyre::eyre;
 use gumdrop::Options;
 use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use survey::boot::SurveyorBoot;
 use survey::drivers::{Surveyor, SurveyorFault};
-use tokio::sync::watch;
 use waymark::events;
 use waymark::note;
 use waymark::readers::{BootFault, BootSource};
@@ -62,7 +60,7 @@
         println!("surveyor {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    waymark::command_line::start_log();
     let boot = match read_boot(&flags) {
         Ok(boot) => boot,
         Err(fault) => {
@@ -95,18 +93,7 @@
     runtime.block_on(async {
         let surveyor = Surveyor::open(boot).await?;
         note!(Info, events::STARTED, "surveyor at {}, operators at {}", boot.place, boot.operators);
-        let (stop_sender, stop) = watch::channel(false);
-        let mut terminating =
-            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-                .map_err(|fault| eyre!("signals: {fault}"))?;
-        tokio::spawn(async move {
-            tokio::select! {
-                _ = terminating.recv() => {}
-                _ = tokio::signal::ctrl_c() => {}
-            }
-            note!(Info, events::STOPPING);
-            stop_sender.send_replace(true);
-        });
+        let stop = waymark::command_line::told_to_stop()?;
         surveyor.run(stop).await;
         note!(Info, events::STOPPED);
         Ok(())
--- a/programs/trailhead/src/main.rs
+++ b/programs/trailhead/src/main.rs
@@ -1,11 +1,9 @@
 //! A trailhead: takes callers' transactions and runs the functions it holds.
 
-use eyre::eyre;
 use gumdrop::Options;
 use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tokio::sync::watch;
 use trail::boot::TrailheadBoot;
 use trail::drivers::Trailhead;
 use waymark::events;
@@ -56,7 +54,7 @@
         println!("trailhead {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    waymark::command_line::start_log();
     let boot = match read_boot(&flags) {
         Ok(boot) => boot,
         Err(fault) => {
@@ -82,18 +80,7 @@
         let started_note = format!("{} at {}, door at {}", boot.member, boot.place, boot.door);
         let trailhead = Trailhead::open(boot).await?;
         note!(Info, events::STARTED, "{started_note}");
-        let (stop_sender, stop) = watch::channel(false);
-        let mut terminating =
-            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-                .map_err(|fault| eyre!("signals: {fault}"))?;
-        tokio::spawn(async move {
-            tokio::select! {
-                _ = terminating.recv() => {}
-                _ = tokio::signal::ctrl_c() => {}
-            }
-            note!(Info, events::STOPPING);
-            stop_sender.send_replace(true);
-        });
+        let stop = waymark::command_line::told_to_stop()?;
         trailhead.run(stop).await;
         note!(Info, events::STOPPED);
         Ok(())
--- a/proving/hut/src/main.rs
+++ b/proving/hut/src/main.rs
@@ -1,6 +1,6 @@
 //! The stand-in platform as a process.
 
-use eyre::{WrapErr, eyre};
+use eyre::WrapErr;
 use gumdrop::Options;
 use hut::platform::{Platform, Worker};
 use hut::records::Records;
@@ -9,7 +9,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use waymark::chance::Chance;
 use waymark::frames::Place;
 
@@ -50,7 +49,7 @@
         println!("hut {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    waymark::command_line::start_log();
     let doors = flags
         .doors
         .split(',')
@@ -80,17 +79,7 @@
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
     runtime.block_on(async {
         let listener = TcpListener::bind(&flags.place).await.wrap_err("--place")?;
-        let (stop_sender, stop) = watch::channel(false);
-        let mut terminating =
-            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-                .map_err(|fault| eyre!("signals: {fault}"))?;
-        tokio::spawn(async move {
-            tokio::select! {
-                _ = terminating.recv() => {}
-                _ = tokio::signal::ctrl_c() => {}
-            }
-            stop_sender.send_replace(true);
-        });
+        let stop = waymark::command_line::told_to_stop()?;
         platform.serve(listener, stop).await;
         Ok(())
     })
