--- a/crates/survey/src/core/succession.rs
+++ b/crates/survey/src/core/succession.rs
@@ -2,7 +2,7 @@
 use std::collections::BTreeSet;
 use std::fmt;
 use waymark::clock::Moment;
-use waymark::frames::{KnownMember, Place};
+use waymark::frames::Place;
 use waymark::identity::{ChangeId, Serial, Stamp, SurveyorId, Term};
 use waymark::spec::{CoreMember, Document};
 
@@ -177,11 +177,6 @@
             self.put_forward(now, document);
         }
     }
-
-    /// The daemons that may hold grants, as this member knows them.
-    pub fn known_members(&self) -> &BTreeSet<KnownMember> {
-        &self.members
-    }
 }
 
 fn succession_id(document: &Document) -> ChangeId {
--- a/proving/expedition/src/judge/figures.rs
+++ b/proving/expedition/src/judge/figures.rs
@@ -17,6 +17,12 @@
     pub down_ms: u64,
     /// The same, counted from the machines' return.
     pub after_return_ms: u64,
+    /// The transactions of the fault's time.
+    pub calls: usize,
+    /// The share refused as not run.
+    pub not_run: f64,
+    /// The share unknown, or lost with its connection.
+    pub unknown: f64,
 }
 
 /// How a day went.
@@ -99,6 +105,9 @@
                     "worst_share": recovery.worst_share,
                     "down_ms": recovery.down_ms,
                     "after_return_ms": recovery.after_return_ms,
+                    "calls": recovery.calls,
+                    "not_run": recovery.not_run,
+                    "unknown": recovery.unknown,
                 })
             })
             .collect();
@@ -125,10 +134,14 @@
     for (place, fault) in faults.iter().enumerate() {
         let until = faults.get(place + 1).map_or(last_call, |next| next.at - 2 * SECOND);
         let mut bins: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+        let (mut call_count, mut not_run_count, mut unknown_count) = (0, 0, 0);
         for call in first_calls.iter().filter(|call| (fault.at..until).contains(&call.at)) {
             let bin = bins.entry((call.at - fault.at) / HALF).or_default();
             bin.0 += usize::from(call.outcome == "answer");
             bin.1 += 1;
+            call_count += 1;
+            not_run_count += usize::from(call.outcome == "not_run");
+            unknown_count += usize::from(matches!(call.outcome.as_str(), "unknown" | "lost"));
         }
         let shares = bins.iter().filter(|(_, (_, all))| *all >= 5);
         let share_of = |answered: usize, all: usize| answered as f64 / all as f64;
@@ -146,6 +159,9 @@
         recoveries.push(Recovery {
             fault: fault.detail["fault"].as_str().unwrap_or("").to_owned(),
             worst_share,
+            calls: call_count,
+            not_run: share_of(not_run_count, call_count.max(1)),
+            unknown: share_of(unknown_count, call_count.max(1)),
             down_ms: down / 1_000_000,
             after_return_ms: (fault.at + down).saturating_sub(returned_at) / 1_000_000,
         });
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -1,10 +1,11 @@
 //! The proving tool: whole days of the fleet, judged.
 
 use expedition::days::{Day, Deployment, FaultName, run_day};
-use expedition::judge::{Evidence, Verdict, judge};
+use expedition::judge::{Evidence, Recovery, Verdict, judge};
 use expedition::sim::{Flaw, SimPlan, World};
 use eyre::{WrapErr, eyre};
 use gumdrop::Options;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -26,6 +27,8 @@
     Run(Run),
     #[options(help = "judge a folder of records again")]
     Judge(Judge),
+    #[options(help = "a table of every fault over several days' folders")]
+    Table(Table),
     #[options(help = "run simulated days over many seeds")]
     Sim(Sim),
     #[options(help = "list deployments and faults")]
@@ -46,6 +49,14 @@
     folder: PathBuf,
 }
 
+#[derive(Options)]
+struct Table {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "the days' folders")]
+    folders: Vec<PathBuf>,
+}
+
 #[derive(Options)]
 struct Sim {
     #[options(help = "print this help")]
@@ -150,6 +161,7 @@
         Some(Command::Judge(chosen)) => Evidence::read(&chosen.folder)
             .wrap_err("records")
             .map(|evidence| conclude(&judge(&evidence))),
+        Some(Command::Table(table)) => tabulate(&table.folders).wrap_err("records"),
         Some(Command::Sim(sim)) => return simulate(&sim),
         Some(Command::Run(run)) => match read_day(&run) {
             Ok(day) => run_whole(&day),
@@ -165,6 +177,44 @@
     })
 }
 
+/// Prints a table in Markdown: for each fault its runs, shares, and times to recovery.
+fn tabulate(folders: &[PathBuf]) -> std::io::Result<ExitCode> {
+    let mut by_fault: BTreeMap<String, Vec<Recovery>> = BTreeMap::new();
+    let mut violation_count = 0;
+    for folder in folders {
+        let verdict = judge(&Evidence::read(folder)?);
+        violation_count += verdict.violation_count();
+        for recovery in verdict.figures.recoveries {
+            by_fault.entry(recovery.fault.clone()).or_default().push(recovery);
+        }
+    }
+    println!(
+        "| fault | runs | not run | unknown | worst half second | down, median | down, worst | after return, worst |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for (fault, runs) in by_fault {
+        let calls: usize = runs.iter().map(|run| run.calls).sum();
+        let share = |part: fn(&Recovery) -> f64| {
+            let weighed: f64 = runs.iter().map(|run| part(run) * run.calls as f64).sum();
+            weighed / calls.max(1) as f64 * 100.0
+        };
+        let mut down: Vec<u64> = runs.iter().map(|run| run.down_ms).collect();
+        down.sort_unstable();
+        let worst_share = runs.iter().map(|run| run.worst_share).fold(1.0, f64::min) * 100.0;
+        let after_return = runs.iter().map(|run| run.after_return_ms).max().unwrap_or(0);
+        println!(
+            "| {fault} | {} | {:.2} % | {:.2} % | {worst_share:.0} % | {} ms | {} ms | {after_return} ms |",
+            runs.len(),
+            share(|run| run.not_run),
+            share(|run| run.unknown),
+            down[down.len() / 2],
+            down[down.len() - 1],
+        );
+    }
+    println!("\nviolations in {} days: {violation_count}", folders.len());
+    Ok(if violation_count == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
 fn simulate(sim: &Sim) -> ExitCode {
     let Some(flaw) = Flaw::ALL.iter().copied().find(|flaw| flaw.to_string() == sim.flaw) else {
         let names: Vec<String> = Flaw::ALL.iter().map(Flaw::to_string).collect();
