--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -6,6 +6,8 @@
 use waymark::frames::{Flag, Host, KnownMember, Many, Place, StreamDown};
 use waymark::identity::{CorrelationId, FunctionKey, Serial};
 
+const HOSTS_EVERY: std::time::Duration = std::time::Duration::from_millis(100);
+
 pub(super) struct MemberRecord {
     pub host: Host,
     pub door: Place,
@@ -231,10 +233,14 @@
         self.longest_budget + self.timing.grant_length
     }
 
-    pub(super) fn push_hosts(&mut self) {
-        if !std::mem::take(&mut self.hosts_changed) {
+    /// Tells every daemon who there is, changes of a tenth of a second at once: told one by one, the
+    /// joining of many would grow with the cube of their number.
+    pub(super) fn push_hosts(&mut self, now: Moment) {
+        if !self.hosts_changed || now.since(self.hosts_pushed_at) < HOSTS_EVERY {
             return;
         }
+        self.hosts_changed = false;
+        self.hosts_pushed_at = now;
         let hosts: Many<Host> = Many(
             self.current
                 .values()
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -91,6 +91,7 @@
     inherited_nothing: bool,
     given_count: u64,
     hosts_changed: bool,
+    hosts_pushed_at: Moment,
     outputs: Vec<DeskOutput>,
 }
 
@@ -138,6 +139,7 @@
             inherited_nothing: false,
             given_count: 0,
             hosts_changed: false,
+            hosts_pushed_at: Moment::ZERO,
             outputs: Vec::new(),
         }
     }
@@ -224,7 +226,7 @@
         self.answer_acquires(now);
         self.note_in_force(now);
         self.empty_workers(now);
-        self.push_hosts();
+        self.push_hosts(now);
         std::mem::take(&mut self.outputs)
     }
 
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -67,6 +67,10 @@
     count: u64,
     #[options(help = "seconds of faults in each day", default = "30")]
     lasts: u64,
+    #[options(no_short, help = "daemons in each day", default = "5")]
+    daemons: usize,
+    #[options(no_short, help = "cause no faults, only changes")]
+    calm: bool,
     #[options(help = "a rule to break on purpose", default = "none")]
     flaw: String,
     #[options(no_short, help = "print what happens")]
@@ -224,7 +228,13 @@
     let mut bad_seeds = Vec::new();
     let mut weak_seeds = Vec::new();
     for seed in sim.seed..sim.seed + sim.count {
-        let plan = SimPlan { flaw, lasts: Duration::from_secs(sim.lasts), ..SimPlan::seeded(seed) };
+        let plan = SimPlan {
+            flaw,
+            lasts: Duration::from_secs(sim.lasts),
+            daemons: sim.daemons,
+            has_faults: !sim.calm,
+            ..SimPlan::seeded(seed)
+        };
         let sim_end = World::new(plan, sim.trace).run();
         sim_end.trace.iter().for_each(|line| println!("{line}"));
         println!("seed {seed}: {sim_end}");
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -278,6 +278,7 @@
             KeeperOrder::Beat(heartbeat, to_places) => {
                 for to in to_places {
                     let Some(to_node) = self.node_at(to) else { continue };
+                    self.counted("heartbeats");
                     if self.network.reaches(node, to_node) && !self.chance.happens(0.01) {
                         let delay = self.network.delay(&mut self.chance);
                         self.push(delay, Event::Beat(to_node, heartbeat.clone()));
@@ -340,6 +341,7 @@
             self.doom_link(link);
             return;
         }
+        self.counted("frames up");
         let delay = self.network.delay(&mut self.chance);
         let key = (Node(1_000_000 + link as usize), to);
         self.push_in_order(key, delay, Event::LinkUp(link, frame));
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -228,6 +228,14 @@
             self.doom_link(stream.0);
             return;
         }
+        self.counted("frames down");
+        match &frame {
+            StreamDown::Hosts { hosts } => self.counted_by("hosts told", hosts.0.len()),
+            StreamDown::Spec { document: blob, .. } | StreamDown::Change { patch: blob, .. } => {
+                self.counted_by("spec bytes", blob.0.len());
+            }
+            _ => {}
+        }
         let delay = self.network.delay(&mut self.chance);
         let key = (Node(2_000_000 + stream.0 as usize), to);
         self.push_in_order(key, delay, Event::LinkDown(stream.0, frame));
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -310,7 +310,11 @@
     }
 
     pub(super) fn counted(&mut self, label: &str) {
-        *self.counts.entry(label.to_owned()).or_default() += 1;
+        self.counted_by(label, 1);
+    }
+
+    pub(super) fn counted_by(&mut self, label: &str, count: usize) {
+        *self.counts.entry(label.to_owned()).or_default() += count as u64;
     }
 
     pub(super) fn dial(&mut self, daemon: Node, daemon_life: u64, to: Place) -> u64 {
