--- a/proving/expedition/tests/smoke.rs
+++ b/proving/expedition/tests/smoke.rs
@@ -116,6 +116,34 @@
     let no_header = no_header.expect("an answer");
     assert_eq!((no_header.status.as_u16(), &no_header.json()["outcome"]), (400, &json!("not_run")));
     assert_eq!(no_header.headers["rudder-outcome"], "not_run");
+    let identity = "rudder-transaction: odd-1\r\nrudder-budget-ms: 1000\r\nhost: here\r\n";
+    let half_sent =
+        format!("POST /segment-check HTTP/1.1\r\n{identity}content-length: 10\r\n\r\nabc");
+    let too_large =
+        format!("POST /segment-check HTTP/1.1\r\n{identity}content-length: 99999999\r\n\r\n");
+    let no_route = format!("POST /nowhere HTTP/1.1\r\n{identity}content-length: 0\r\n\r\n");
+    let no_budget = "POST /segment-check HTTP/1.1\r\nhost: here\r\nrudder-transaction: odd-2\r\nrudder-budget-ms: soon\r\ncontent-length: 0\r\n\r\n";
+    for (sent, status, reason) in [
+        (half_sent.as_str(), "400", "bad_body"),
+        (&too_large, "413", "body_too_large"),
+        (&no_route, "404", "no_route"),
+        (no_budget, "400", "bad_header"),
+    ] {
+        let answer = raw_call(door, sent).await;
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+        assert!(answer.contains("\"outcome\":\"not_run\""), "{answer}");
+        assert!(answer.contains(reason), "{answer}");
+    }
+}
+
+async fn raw_call(door: Place, sent: &str) -> String {
+    let mut stream = tokio::net::TcpStream::connect(door.address()).await.expect("a connection");
+    stream.write_all(sent.as_bytes()).await.expect("sent");
+    stream.shutdown().await.expect("half closed");
+    let mut answer = String::new();
+    let reading = tokio::io::AsyncReadExt::read_to_string(&mut stream, &mut answer);
+    let _ = tokio::time::timeout(Duration::from_secs(30), reading).await;
+    answer
 }
 
 async fn garbage(fleet: &Fleet) {
