--- a/programs/legend/src/desk.rs
+++ b/programs/legend/src/desk.rs
@@ -11,6 +11,8 @@
 use waymark::http::{CallFault, Called, LinesEnd, call_json, follow_lines};
 
 const PATIENCE: Duration = Duration::from_secs(15);
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+const MOST_LOOKS: usize = 40;
 
 /// Why a command did not come to an answer.
 #[derive(Debug)]
@@ -120,6 +122,38 @@
         self.call(Method::POST, path, Some(&json!({}))).await.map(|called| print(&called))
     }
 
+    /// Founds the core; waits a little for the surveyors to meet, and for the first leader.
+    pub async fn found(&self) -> Result<ExitCode, DeskFault> {
+        let mut called = self.call(Method::POST, "/v1/core/found", Some(&json!({}))).await?;
+        for _ in 0..MOST_LOOKS {
+            let is_waiting =
+                called.json()["error"].as_str().is_some_and(|text| text.contains("seed"));
+            if !is_waiting {
+                break;
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+            called = self.call(Method::POST, "/v1/core/found", Some(&json!({}))).await?;
+        }
+        if called.status.is_success() {
+            self.newest_serial().await?;
+        }
+        Ok(print(&called))
+    }
+
+    /// The newest serial, as soon as there is a leader that can tell it.
+    async fn newest_serial(&self) -> Result<Value, DeskFault> {
+        let mut serial = Value::Null;
+        for _ in 0..MOST_LOOKS {
+            let called = self.call(Method::GET, "/v1/spec", None).await?;
+            serial = called.json()["serial"].clone();
+            if serial.is_number() {
+                break;
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+        Ok(serial)
+    }
+
     /// Sends a change of the spec.
     pub async fn change(
         &self,
@@ -136,7 +170,7 @@
             .map_err(|fault| DeskFault::NotJson(file.to_owned(), fault))?;
         let base_serial = match base {
             Some(base) => json!(base),
-            None => self.call(Method::GET, "/v1/spec", None).await?.json()["serial"].clone(),
+            None => self.newest_serial().await?,
         };
         let body = json!({
             "base_serial": base_serial,
--- a/programs/legend/src/main.rs
+++ b/programs/legend/src/main.rs
@@ -147,7 +147,7 @@
 async fn obey(at: &str, command: Command) -> Result<ExitCode, DeskFault> {
     let desk = Desk::new(at)?;
     match command {
-        Command::Found(_) => desk.post("/v1/core/found").await,
+        Command::Found(_) => desk.found().await,
         Command::Replace(replace) => {
             desk.post(&format!("/v1/core/replace/{}/{}", replace.missing, replace.successor)).await
         }
