--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -11,6 +11,9 @@
 impl Desk {
     /// Takes a committed document and pushes it to every daemon.
     pub fn committed(&mut self, document: Document) {
+        let earlier_evacuated = self.document.as_ref().map(|held| held.evacuated.clone());
+        let is_evacuation =
+            earlier_evacuated.is_some_and(|earlier| !document.evacuated.is_subset(&earlier));
         if self.document.is_none() {
             self.inherited_serial = document.stamp.serial;
             self.inherited_nothing = document.generations.is_empty();
@@ -45,9 +48,27 @@
         for open_stream in open_streams {
             self.push_newest(open_stream);
         }
+        if is_evacuation {
+            self.warn_of_low_capacity();
+        }
         self.hand_over_evacuated();
     }
 
+    /// Says loudly that what is placed now will hardly fit on the workers that are left.
+    fn warn_of_low_capacity(&mut self) {
+        let needed_mb: u64 = self.reserved_mb().values().sum();
+        let left_mb: u64 = self
+            .workers
+            .iter()
+            .filter(|(worker, _)| self.is_worker_fit(worker))
+            .map(|(_, record)| u64::from(record.listed.memory_mb))
+            .sum();
+        if needed_mb * 10 > left_mb * 9 {
+            let detail = json!({"needed_mb": needed_mb, "left_mb": left_mb});
+            self.tell(events::CAPACITY_LOW, detail);
+        }
+    }
+
     pub(super) fn push_newest(&mut self, stream: StreamId) {
         let Some(newest_view) = self.views.back() else { return };
         let Some(known_member) = self.streams.get(&stream) else { return };
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -6,6 +6,7 @@
 use eyre::{WrapErr, eyre};
 use gumdrop::Options;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -103,14 +104,31 @@
     folder: PathBuf,
 }
 
-fn read_day(run: &Run) -> Result<Day, String> {
-    let deployment = Deployment::named(&run.deployment).ok_or_else(|| {
-        format!("unknown deployment {:?}; there are: stezka, tintwell, small", run.deployment)
-    })?;
-    let fault_names = || {
-        let names: Vec<&str> = FaultName::ALL.iter().map(|fault| fault.as_str()).collect();
-        names.join(", ")
-    };
+/// Why no day can be run.
+enum DayFault {
+    Deployment(String),
+    Fault(String),
+    Folder(std::io::Error),
+}
+
+impl fmt::Display for DayFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Deployment(name) => {
+                write!(out, "unknown deployment {name:?}; there are: stezka, tintwell, small")
+            }
+            Self::Fault(name) => {
+                let names: Vec<&str> = FaultName::ALL.iter().map(|fault| fault.as_str()).collect();
+                write!(out, "unknown fault {name:?}; there are: {}", names.join(", "))
+            }
+            Self::Folder(fault) => write!(out, "{fault}"),
+        }
+    }
+}
+
+fn read_day(run: &Run) -> Result<Day, DayFault> {
+    let deployment = Deployment::named(&run.deployment)
+        .ok_or_else(|| DayFault::Deployment(run.deployment.clone()))?;
     let faults = run
         .faults
         .split(',')
@@ -120,12 +138,12 @@
                 .iter()
                 .copied()
                 .find(|fault| fault.as_str() == name)
-                .ok_or_else(|| format!("unknown fault {name:?}; there are: {}", fault_names()))
+                .ok_or_else(|| DayFault::Fault(name.to_owned()))
         })
-        .collect::<Result<Vec<FaultName>, String>>()?;
-    let own_path = std::env::current_exe().map_err(|fault| fault.to_string())?;
+        .collect::<Result<Vec<FaultName>, DayFault>>()?;
+    let own_path = std::env::current_exe().map_err(DayFault::Folder)?;
     let programs = own_path.parent().map(Path::to_owned).unwrap_or_default();
-    let folder = std::path::absolute(&run.folder).map_err(|fault| fault.to_string())?;
+    let folder = std::path::absolute(&run.folder).map_err(DayFault::Folder)?;
     Ok(Day {
         deployment,
         seed: run.seed,
@@ -169,8 +187,8 @@
         Some(Command::Sim(sim)) => return simulate(&sim),
         Some(Command::Run(run)) => match read_day(&run) {
             Ok(day) => run_whole(&day),
-            Err(reason) => {
-                eprintln!("expedition: {reason}");
+            Err(fault) => {
+                eprintln!("expedition: {fault}");
                 return ExitCode::from(2);
             }
         },
