--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -218,13 +218,15 @@
     }
 
     /// From when on transactions that may run only once are safe with a function never granted by
-    /// this leader: whoever held it had stopped when the claims quorum stood. A function that is
+    /// this leader: whoever held it had stopped when the claims quorum stood, or when every grant of
+    /// an earlier leader had ended. A function that is
     /// younger than this reign was held by nobody.
     pub(super) fn once_boundary(&self, function: &FunctionKey) -> Moment {
         if function.generation > self.inherited_serial {
             return Moment::ZERO;
         }
-        self.opened_at + self.longest_delay()
+        let stopped_at = self.opened_at.min(self.elected_at + self.timing.full_wait());
+        stopped_at + self.longest_delay()
     }
 
     /// How long a transaction may be under way: its budget, and a member grant for which a daemon
