One change frame for all daemons with the same base; documents are written out only for members that lag

Cause: the difference was computed for each daemon, and the whole document was serialised at each round's reply.

--- a/crates/survey/src/core/register.rs
+++ b/crates/survey/src/core/register.rs
@@ -230,17 +230,14 @@
         let Some(document) = newest_document.filter(|held| held.stamp.term == self.term) else {
             return;
         };
-        let body = CoreBody::Accept {
-            term: self.term,
-            stamp: document.stamp,
-            document: document.to_bytes().into(),
-        };
-        let newest_stamp = document.stamp;
+        let stamp = document.stamp;
         let Some(other) = self.others.get_mut(&place) else { return };
-        if other.accepted < newest_stamp
-            && now.since(other.document_sent_at) >= self.timing.resend_after
-        {
+        let is_due =
+            other.accepted < stamp && now.since(other.document_sent_at) >= self.timing.resend_after;
+        if is_due {
             other.document_sent_at = now;
+            let body =
+                CoreBody::Accept { term: self.term, stamp, document: document.to_bytes().into() };
             self.send(place, body);
         }
     }
--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -32,6 +32,7 @@
         self.document = Some(document);
         if self.views.back().is_none_or(|newest_view| newest_view.serial < view.serial) {
             self.views.push_back(view);
+            self.made_frames.clear();
         }
         if self.views.len() > KEPT_VIEWS {
             self.views.pop_front();
@@ -76,16 +77,13 @@
         if record.pushed >= newest_view.serial {
             return;
         }
-        let base_view = self.views.iter().find(|view| view.serial == record.pushed);
-        let frame = match base_view {
-            Some(base_view) => StreamDown::Change {
-                base: base_view.serial,
-                serial: newest_view.serial,
-                patch: base_view.patch_to(newest_view).into(),
-                digest: newest_view.digest().to_vec().into(),
-            },
-            None => whole_frame(newest_view),
-        };
+        let base_serial = record.pushed;
+        let frame = self.made_frames.entry(base_serial).or_insert_with(|| {
+            let base_view = self.views.iter().find(|view| view.serial == base_serial);
+            base_view
+                .map_or_else(|| whole_frame(newest_view), |base| change_frame(base, newest_view))
+        });
+        let frame = frame.clone();
         record.pushed = newest_view.serial;
         let serial = newest_view.serial;
         let member = known_member.member.clone();
@@ -188,6 +186,15 @@
     }
 }
 
+fn change_frame(base_view: &View, newest_view: &View) -> StreamDown {
+    StreamDown::Change {
+        base: base_view.serial,
+        serial: newest_view.serial,
+        patch: base_view.patch_to(newest_view).into(),
+        digest: newest_view.digest().to_vec().into(),
+    }
+}
+
 fn whole_frame(view: &View) -> StreamDown {
     StreamDown::Spec {
         serial: view.serial,
