--- a/crates/trail/tests/holder.rs
+++ b/crates/trail/tests/holder.rs
@@ -6,7 +6,9 @@
 use trail::holder::{Entry, GrantTerms, Holder, HolderOutput, SendEnd};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason, Place, ReserveResult};
+use waymark::frames::{
+    Flag, HopOutcome, HopReason, Host, LedgerNote, NoteState, Place, Prior, ReserveResult,
+};
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
 use waymark::spec::FunctionSpec;
 
@@ -21,12 +23,32 @@
     now: Moment,
     sent: Vec<(Ticket, RunnerId, u32)>,
     ended: BTreeMap<Ticket, HopOutcome>,
+    orders: Vec<HolderOutput>,
     next_ticket: u64,
     next_runner: u64,
 }
 
 impl Bench {
     fn new(slots: u32, max_runners: u32, once_wait: Duration) -> Self {
+        Self::of(slots, max_runners, once_wait, None, None)
+    }
+
+    fn with_steward(
+        slots: u32,
+        once_wait: Duration,
+        steward: Option<Host>,
+        prior: Option<Prior>,
+    ) -> Self {
+        Self::of(slots, 4, once_wait, steward, prior)
+    }
+
+    fn of(
+        slots: u32,
+        max_runners: u32,
+        once_wait: Duration,
+        steward: Option<Host>,
+        prior: Option<Prior>,
+    ) -> Self {
         let spec =
             FunctionSpec { memory_mb: 100, boot: ms(100), slots, min_runners: 0, max_runners };
         let terms = GrantTerms {
@@ -34,14 +56,15 @@
             grant: GrantSerial(1),
             spec,
             once_wait,
-            steward: None,
-            prior: None,
+            steward,
+            prior,
         };
         Self {
             holder: Holder::new(START, terms),
             now: START,
             sent: Vec::new(),
             ended: BTreeMap::new(),
+            orders: Vec::new(),
             next_ticket: 0,
             next_runner: 0,
         }
@@ -49,6 +72,7 @@
 
     fn take(&mut self, outputs: Vec<HolderOutput>) {
         for output in outputs {
+            self.orders.push(output.clone());
             match output {
                 HolderOutput::Send { ticket, runner, attempt, .. } => {
                     self.sent.push((ticket, runner, attempt));
@@ -300,3 +324,99 @@
     }
     verify_that!(refused, some(gt(0)))
 }
+
+fn steward(name: &str) -> Host {
+    Host {
+        member: name.into(),
+        incarnation: 1.into(),
+        locality: "elsewhere".into(),
+        place: Place::NOWHERE,
+        eligible: Flag(true),
+    }
+}
+
+fn notes(outputs: &[HolderOutput]) -> Vec<u64> {
+    outputs
+        .iter()
+        .filter_map(|output| match output {
+            HolderOutput::Note { round, .. } => Some(*round),
+            _ => None,
+        })
+        .collect()
+}
+
+#[gtest]
+fn a_once_transaction_is_sent_only_after_its_steward_has_noted_it() -> Result<()> {
+    let mut bench = Bench::with_steward(2, Duration::ZERO, Some(steward("s")), None);
+    bench.warm();
+    bench.orders.clear();
+    let (ticket, _) = bench.enter("only", true, false);
+    let rounds = notes(&bench.orders);
+    verify_that!(rounds.len(), eq(1))?;
+    verify_that!(bench.sent.len(), eq(0))?;
+    let outputs = bench.holder.noted(bench.now, rounds[0], true);
+    bench.take(outputs);
+    verify_that!(bench.sent.first().map(|sent| sent.0), some(eq(ticket)))
+}
+
+#[gtest]
+fn a_silent_steward_is_replaced_and_nothing_is_sent_meanwhile() -> Result<()> {
+    let mut bench = Bench::with_steward(2, Duration::ZERO, Some(steward("s")), None);
+    bench.warm();
+    bench.orders.clear();
+    bench.enter("only", true, false);
+    let round = notes(&bench.orders)[0];
+    let outputs = bench.holder.noted(bench.now, round, false);
+    let asks_for_another =
+        outputs.iter().any(|output| matches!(output, HolderOutput::StewardLost { .. }));
+    bench.take(outputs);
+    verify_that!(asks_for_another, eq(true))?;
+    bench.pass(ms(40));
+    verify_that!(bench.sent.len(), eq(0))?;
+    bench.orders.clear();
+    let outputs = bench.holder.steward_named(bench.now, Some(steward("t")));
+    bench.take(outputs);
+    let rounds = notes(&bench.orders);
+    verify_that!(rounds.is_empty(), eq(false))?;
+    for round in rounds {
+        let outputs = bench.holder.noted(bench.now, round, true);
+        bench.take(outputs);
+    }
+    verify_that!(bench.sent.len(), eq(1))?;
+    let said_whole =
+        bench.orders.iter().any(|output| matches!(output, HolderOutput::StewardWhole { .. }));
+    verify_that!(said_whole, eq(true))
+}
+
+#[gtest]
+fn a_successor_admits_at_once_with_the_collected_ledger_and_runs_nothing_in_it() -> Result<()> {
+    let prior = Prior { steward: steward("s"), grant: GrantSerial(0) };
+    let mut bench = Bench::with_steward(2, ms(5000), None, Some(prior));
+    bench.warm();
+    let (known, _) = bench.enter("ran", true, false);
+    let (fresh, _) = bench.enter("fresh", true, false);
+    verify_that!(bench.sent.len(), eq(0))?;
+    let line = LedgerNote { transaction: "ran".into(), state: NoteState::Noted, left_ms: 9000 };
+    let refused = LedgerNote { transaction: "no".into(), state: NoteState::Refused, left_ms: 9000 };
+    let outputs = bench.holder.collected(bench.now, Some(vec![line, refused]));
+    bench.take(outputs);
+    verify_that!(
+        bench.ended.get(&known),
+        some(eq(&HopOutcome::Unknown { reason: HopReason::RanBefore }))
+    )?;
+    verify_that!(bench.sent.iter().any(|sent| sent.0 == fresh), eq(true))?;
+    verify_that!(reason(&bench.enter("no", true, false).1), some(eq(HopReason::ShedBefore)))
+}
+
+#[gtest]
+fn a_successor_that_cannot_collect_refuses_until_the_wait_is_over() -> Result<()> {
+    let prior = Prior { steward: steward("s"), grant: GrantSerial(0) };
+    let mut bench = Bench::with_steward(2, ms(2000), None, Some(prior));
+    bench.warm();
+    let (early, _) = bench.enter("early", true, false);
+    let outputs = bench.holder.collected(bench.now, None);
+    bench.take(outputs);
+    verify_that!(reason(&bench.ended.get(&early).cloned()), some(eq(HopReason::OnceWait)))?;
+    bench.pass(ms(2100));
+    verify_that!(bench.enter("late", true, false).1.is_none(), eq(true))
+}
