--- a/crates/survey/src/desk/emptying.rs
+++ b/crates/survey/src/desk/emptying.rs
@@ -6,7 +6,7 @@
 use waymark::events;
 use waymark::identity::WorkerName;
 
-const BETWEEN: Duration = Duration::from_secs(4);
+const BETWEEN: Duration = Duration::from_secs(8);
 const AFTER_FAILURE: Duration = Duration::from_secs(30);
 const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 const HEADROOM_PERCENT: u64 = 10;
--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -112,7 +112,8 @@
         self.down(stream, StreamDown::Reserved { correlation, function, result });
     }
 
-    /// Picks the fullest worker that fits, in the locality where the function has fewest runners.
+    /// Picks a worker in use before an empty one, then the locality where the function has fewest
+    /// runners that stay, then the fullest worker that fits.
     fn reserve(
         &mut self,
         now: Moment,
@@ -133,7 +134,8 @@
         };
         let reserved_sums = self.reserved_mb();
         let mut locality_counts: BTreeMap<&Locality, usize> = BTreeMap::new();
-        for reservation in self.reservations.values().filter(|held| held.function == *function) {
+        let staying = |held: &&Reservation| held.function == *function && !held.draining;
+        for reservation in self.reservations.values().filter(staying) {
             if let Some(record) = self.workers.get(&reservation.worker) {
                 *locality_counts.entry(&record.listed.locality).or_default() += 1;
             }
@@ -147,10 +149,15 @@
                 let free_mb = u64::from(record.listed.memory_mb).checked_sub(used_mb)?;
                 let locality_count =
                     locality_counts.get(&record.listed.locality).copied().unwrap_or(0);
-                (free_mb >= u64::from(needed_mb)).then_some((locality_count, free_mb, worker))
+                (free_mb >= u64::from(needed_mb)).then_some((
+                    used_mb == 0,
+                    locality_count,
+                    free_mb,
+                    worker,
+                ))
             })
             .min()
-            .map(|(_, _, worker)| worker.clone());
+            .map(|(_, _, _, worker)| worker.clone());
         let Some(worker) = chosen_worker else {
             let detail = json!({"function": function.to_string(), "memory_mb": needed_mb});
             if now.since(self.no_room_told_at) > Duration::from_secs(1) {
