What a holder refuses is held against it; every refusal and unknown carries a time

Cause: the simulator excused each identity sent twice; a refusal could come without a time to come back, and an unknown never had one.

Change: the checks hold a holder's refusal against every later run under its grant, through whatever door the identity comes again; a refusal without a time is a breach; unknown says when to come back (3 s for a silent holder, whose grant must end, else 1 s). Tests for every reason of refusal, and for a spec that gives a function more slots than its runners were started for (fails with the former ramp: 3 at once on a runner of 2).

--- a/crates/trail/src/chain/answer.rs
+++ b/crates/trail/src/chain/answer.rs
@@ -53,14 +53,27 @@
     let mut response = json_response(status, &body);
     put(&mut response, seal::OUTCOME, "not_run");
     if let Some(retry_ms) = retry_ms {
-        let seconds = retry_ms.div_ceil(1000).max(1).to_string();
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
-            response.headers_mut().insert(RETRY_AFTER, value);
-        }
+        put_retry(&mut response, retry_ms);
     }
     response
 }
 
+fn put_retry(response: &mut Served, retry_ms: u32) {
+    let seconds = retry_ms.div_ceil(1000).max(1).to_string();
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+}
+
+/// When it makes sense to ask what became of a transaction, with its own identity, or to try another:
+/// a silent holder is replaced when its grant has ended.
+fn come_back_after(reason: HopReason) -> u32 {
+    match reason {
+        HopReason::HolderSilent => 3000,
+        _ => 1000,
+    }
+}
+
 fn refusal_status(reason: HopReason) -> StatusCode {
     match reason {
         HopReason::TriesSpent => StatusCode::TOO_MANY_REQUESTS,
@@ -100,9 +113,12 @@
             not_run(refusal_status(reason), reason.as_str(), Some(retry_ms))
         }
         Said::Outcome(_, HopOutcome::Unknown { reason }) => {
-            let body = json!({"outcome": "unknown", "reason": reason.as_str()});
+            let retry_ms = come_back_after(reason);
+            let mut body = json!({"outcome": "unknown", "reason": reason.as_str()});
+            body["retry_after_ms"] = json!(retry_ms);
             let mut response = json_response(StatusCode::GATEWAY_TIMEOUT, &body);
             put(&mut response, seal::OUTCOME, "unknown");
+            put_retry(&mut response, retry_ms);
             response
         }
         Said::Outcome(function, HopOutcome::Answer { status, seal: body_seal, runner, body }) => {
--- a/crates/trail/tests/holder.rs
+++ b/crates/trail/tests/holder.rs
@@ -325,6 +325,73 @@
     verify_that!(refused, some(gt(0)))
 }
 
+fn retry_of(outcome: &Option<HopOutcome>) -> Option<(HopReason, u32)> {
+    match outcome {
+        Some(HopOutcome::NotRun { reason, retry_ms }) => Some((*reason, *retry_ms)),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn every_reason_to_refuse_is_told_as_soon_as_it_is_certain_with_a_time() -> Result<()> {
+    let mut waiting_for_ledger = Bench::new(1, 1, ms(3000));
+    waiting_for_ledger.warm();
+    let once = retry_of(&waiting_for_ledger.enter("o", true, false).1);
+    verify_that!(once, some((eq(HopReason::OnceWait), all![ge(100), le(3000)])))?;
+    let again = retry_of(&waiting_for_ledger.enter("o", true, false).1);
+    verify_that!(again, some((eq(HopReason::ShedBefore), ge(100))))?;
+    let repeat = retry_of(&waiting_for_ledger.enter("r", false, true).1);
+    verify_that!(repeat, some((eq(HopReason::TriesSpent), eq(2000))))?;
+
+    let mut busy = Bench::new(1, 1, Duration::ZERO);
+    busy.warm();
+    let (running, _) = busy.enter("running", false, false);
+    let runner = busy.sent[0].1;
+    let outputs = busy.holder.sent_ended(busy.now, running, SendEnd::ShedByRunner);
+    busy.take(outputs);
+    let shed = retry_of(&busy.ended.get(&running).cloned());
+    verify_that!(shed, some((eq(HopReason::RunnerShed), ge(100))))?;
+    let mut at_once = Vec::new();
+    for number in 0..200 {
+        at_once.push(retry_of(&busy.enter(&format!("t{number}"), false, false).1));
+    }
+    let told: Vec<(HopReason, u32)> = at_once.into_iter().flatten().collect();
+    verify_that!(told.len(), ge(1))?;
+    for (reason, retry_ms) in told {
+        let is_crowd = matches!(reason, HopReason::InboxFull | HopReason::BudgetTooShort);
+        verify_that!(is_crowd && retry_ms >= 100, eq(true))?;
+    }
+
+    let mut barred = Bench::new(1, 1, Duration::ZERO);
+    barred.warm();
+    let (ticket, _) = barred.enter("b", false, false);
+    let end = SendEnd::Barred(HopReason::NotAllowed);
+    let outputs = barred.holder.sent_ended(barred.now, ticket, end);
+    barred.take(outputs);
+    let told = retry_of(&barred.ended.get(&ticket).cloned());
+    verify_that!(told, some((eq(HopReason::NotAllowed), ge(100))))?;
+    verify_that!(runner.ordinal, gt(0))
+}
+
+#[gtest]
+fn a_runner_never_gets_more_than_it_was_started_for_when_the_spec_changes() -> Result<()> {
+    let mut bench = Bench::new(2, 1, Duration::ZERO);
+    bench.warm();
+    let wider =
+        FunctionSpec { memory_mb: 100, boot: ms(100), slots: 8, min_runners: 0, max_runners: 1 };
+    bench.holder.respec(wider);
+    for number in 0..40 {
+        bench.enter(&format!("t{number}"), false, false);
+        if number % 2 == 0
+            && let Some((ticket, runner, _)) = bench.sent.first().copied()
+        {
+            bench.answer(ticket, runner);
+        }
+        verify_that!(bench.holder.busyness().1, le(2))?;
+    }
+    Ok(())
+}
+
 fn steward(name: &str) -> Host {
     Host {
         member: name.into(),
--- a/proving/expedition/src/sim/checks.rs
+++ b/proving/expedition/src/sim/checks.rs
@@ -1,9 +1,9 @@
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::Blob;
+use waymark::frames::{Blob, HopOutcome, HopReason};
 use waymark::identity::{
     ChangeId, FunctionKey, FunctionName, GrantSerial, Locality, RunnerId, Serial, Term,
     TransactionId, WorkerName,
@@ -81,6 +81,7 @@
     evacuated_since: BTreeMap<Locality, Moment>,
     control_doubt_at: Moment,
     served_late: BTreeSet<(usize, Serial)>,
+    refused_under: HashSet<(GrantSerial, TransactionId)>,
 }
 
 fn content_of(document: &Document) -> Value {
@@ -239,8 +240,12 @@
         transaction: &TransactionId,
         attempt: u32,
         function: &FunctionKey,
+        grant: GrantSerial,
     ) {
         self.look("run");
+        if self.refused_under.contains(&(grant, transaction.clone())) {
+            self.breach(at, format!("{transaction} runs under {grant}, whose holder refused it"));
+        }
         let seen = self.seen.entry(transaction.clone()).or_default();
         seen.runs += 1;
         let (run_count, once, refused) = (seen.runs, seen.once, seen.refused);
@@ -387,8 +392,25 @@
         }
     }
 
+    /// A holder has ended a transaction. What it refused must never run under its grant, whoever sends
+    /// the identity again and through whatever door.
+    pub fn holder_says(
+        &mut self,
+        grant: GrantSerial,
+        transaction: &TransactionId,
+        outcome: &HopOutcome,
+    ) {
+        if let HopOutcome::NotRun { reason, .. } = outcome
+            && *reason != HopReason::NotHolder
+        {
+            self.look("refusal by a holder");
+            self.refused_under.insert((grant, transaction.clone()));
+        }
+    }
+
     /// A caller was told that its transaction was not run. An identity that is sent twice may be
-    /// refused at one door and run by another; only its runs count.
+    /// refused by a door that is no holder and run through another; what holders refuse is held
+    /// against them all the same.
     pub fn not_run(&mut self, at: Moment, transaction: &TransactionId) {
         self.look("not run");
         let seen = self.seen.entry(transaction.clone()).or_default();
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -393,6 +393,9 @@
                 self.send_to_runner(place, held, ticket, runner, runner_place, attempt);
             }
             HolderOutput::End { ticket, outcome } => {
+                if let Some(task) = held.task(ticket) {
+                    self.checks.holder_says(held.grant, &task.transaction, &outcome);
+                }
                 if let Some(number) = held.leave(ticket) {
                     self.step(place, number, Awaits::Outcome, |way, lodge, now| {
                         way.served(lodge, now, outcome)
@@ -635,7 +638,11 @@
     fn serve(&mut self, place: usize, number: u64, held: &Arc<Held<u64>>, task: Task) {
         let local_now = self.daemon_now(place);
         let Some(lodge) = self.lodge(place) else { return };
+        let transaction = task.transaction.clone();
         let (at_once, outputs) = held.enter(local_now, lodge.ticket(), task, number);
+        if let Some((_, outcome)) = &at_once {
+            self.checks.holder_says(held.grant, &transaction, outcome);
+        }
         self.drive(place, held, outputs);
         if let Some((number, outcome)) = at_once {
             self.step(place, number, Awaits::Outcome, |way, lodge, now| {
@@ -724,7 +731,11 @@
             HopOutcome::NotRun { reason, retry_ms } => {
                 self.checks.not_run(self.now, transaction);
                 self.counted(reason.as_str());
-                self.refused(ask, *retry_ms);
+                if *retry_ms == 0 {
+                    let what = format!("{transaction} is refused without a time to come back");
+                    self.checks.breach(self.now, what);
+                }
+                self.refused(ask);
             }
             HopOutcome::Unknown { .. } => self.counted("unknown"),
         }
--- a/proving/expedition/src/sim/runners.rs
+++ b/proving/expedition/src/sim/runners.rs
@@ -101,7 +101,7 @@
         for locality in worker_locality.into_iter().chain([daemon_locality]) {
             self.checks.not_evacuated(self.now, &locality);
         }
-        self.checks.runs(self.now, &transaction, run.call.attempt, &function);
+        self.checks.runs(self.now, &transaction, run.call.attempt, &function, runner.grant);
         let mishap = self.mishap();
         if mishap == Mishap::BrokenEarly {
             self.end_send(&run, SendEnd::Lost);
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -738,10 +738,7 @@
     }
 
     /// A refused caller: an impatient one repeats at once, by another door, and says so.
-    pub(super) fn refused(&mut self, ask: &Ask, retry_ms: u32) {
-        if retry_ms == 0 {
-            self.counted("refused without a time");
-        }
+    pub(super) fn refused(&mut self, ask: &Ask) {
         if self.now < self.impatient_until && self.chance.happens(0.7) {
             let wait_span = self.chance.within(Duration::ZERO, Duration::from_millis(40));
             self.push(wait_span, Event::Repeat(ask.route.clone()));
