A relay between the processes: cuts of the core, of a holder, one way, of a locality, and delay

Change: each process may listen on another port than its place (setting listen, same IP number) and dials other processes from its own IP number. In expedition each machine has a loopback address of its own and a relay before it, which cuts any direction between any two machines or delays everything. New faults: cut-core, cut-holder, cut-one-way, cut-locality, slow-network. Also mends a test that did not compile since runners can leave.

Ruled out: a relay for each pair (addresses travel in host lists); packet filters (no such tools).

--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use waymark::frames::Place;
 use waymark::identity::Locality;
-use waymark::readers::{BootFault, BootSource, PathReader, read_place, read_places};
+use waymark::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
 
 /// What a surveyor needs to know before it starts.
 #[derive(Clone, Debug)]
@@ -15,6 +15,8 @@
     pub source: String,
     /// Where other processes reach it.
     pub place: Place,
+    /// Where it listens for them, if that is another port.
+    pub listen: Place,
     /// Where operators reach it.
     pub operators: Place,
     /// Its locality.
@@ -39,7 +41,16 @@
     /// Reads and checks the settings.
     pub fn read(boot_source: &BootSource) -> Result<Self, BootFault> {
         boot_source.read(|root| {
-            root.only(&["place", "operators", "locality", "seeds", "data", "platform", "timing"]);
+            root.only(&[
+                "place",
+                "listen",
+                "operators",
+                "locality",
+                "seeds",
+                "data",
+                "platform",
+                "timing",
+            ]);
             let timing = root.field("timing");
             timing.only(&[
                 "round_ms",
@@ -53,6 +64,7 @@
             let core_default = CoreTiming::builder().build();
             let desk_default = DeskTiming::builder().build();
             let place = read_place(&root.field("place"));
+            let listen = read_listen(root, place);
             let operators = read_place(&root.field("operators"));
             let locality = root.field("locality").text();
             let seeds = read_places(&root.field("seeds"), 3);
@@ -67,6 +79,7 @@
             Some(Self {
                 source: boot_source.name().to_owned(),
                 place: place?,
+                listen: listen?,
                 operators: operators?,
                 locality: Locality::from(locality?),
                 seeds: seeds?,
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -117,7 +117,7 @@
         for damaged_name in set_aside {
             note!(Warn, events::FILE_SET_ASIDE, "{damaged_name}");
         }
-        let process_listener = listen(boot, "place", boot.place).await?;
+        let process_listener = listen(boot, "listen", boot.listen).await?;
         let operators_listener = listen(boot, "operators", boot.operators).await?;
         let (input_sender, inbox) = mpsc::channel(16_384);
         let address = Address { place: boot.place, operators: boot.operators };
@@ -145,7 +145,7 @@
             plane: Plane::new(core, boot.desk_timing.clone(), boot.core_timing.election_shortest),
             inbox,
             shared,
-            links: Links::new(),
+            links: Links::new(*boot.place.0.ip()),
             disk: DiskDriver::start(shelf, input_sender),
             process_listener,
             operators_listener,
--- a/crates/survey/tests/desk.rs
+++ b/crates/survey/tests/desk.rs
@@ -142,7 +142,12 @@
     bench.join(2, "b", vec![]);
     bench.acquire(1);
     bench.pass(ms(2500));
-    let listed = [ListedRunner { runner: old_runner(), function: function(), worker: "w".into() }];
+    let listed = [ListedRunner {
+        runner: old_runner(),
+        function: function(),
+        worker: "w".into(),
+        leaving: false,
+    }];
     bench.desk.runners_listed(bench.now, &listed);
     bench.pass(ms(700));
     verify_that!(bench.desk.is_open(), eq(false))?;
--- a/crates/trail/src/boot/mod.rs
+++ b/crates/trail/src/boot/mod.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use waymark::frames::Place;
 use waymark::identity::{Locality, MemberName};
-use waymark::readers::{BootFault, BootSource, read_place, read_places};
+use waymark::readers::{BootFault, BootSource, read_listen, read_place, read_places};
 
 /// What a trailhead needs to know before it starts.
 #[derive(Clone, Debug)]
@@ -16,6 +16,8 @@
     pub locality: Locality,
     /// Where other processes reach it, over TCP and UDP.
     pub place: Place,
+    /// Where it listens for them, if that is another port.
+    pub listen: Place,
     /// Where callers reach it.
     pub door: Place,
     /// The three surveyors' places.
@@ -38,6 +40,7 @@
                 "member",
                 "locality",
                 "place",
+                "listen",
                 "door",
                 "seeds",
                 "platform",
@@ -48,6 +51,7 @@
             let member = root.field("member").text();
             let locality = root.field("locality").text();
             let place = read_place(&root.field("place"));
+            let listen = read_listen(root, place);
             let door = read_place(&root.field("door"));
             let seeds = read_places(&root.field("seeds"), 3);
             let platform = read_place(&root.field("platform"));
@@ -59,6 +63,7 @@
                 member: MemberName::from(member?),
                 locality: Locality::from(locality?),
                 place: place?,
+                listen: listen?,
                 door: door?,
                 seeds: seeds?,
                 platform: platform?,
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -6,14 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::BufReader;
-use tokio::net::{TcpStream, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::events::{self, Event};
 use waymark::frames::{
-    AcquireResult, Channel, FrameFault, Heartbeat, HopOutcome, Place, StreamDown, StreamUp,
-    encode_heartbeat, read_frame, write_channel, write_frame,
+    AcquireResult, Channel, FrameFault, Heartbeat, HopOutcome, Place, StreamDown, StreamUp, dial,
+    encode_heartbeat, read_frame, write_frame,
 };
 use waymark::identity::{FunctionKey, GrantSerial};
 use waymark::note;
@@ -207,13 +207,9 @@
 }
 
 async fn use_stream(state: &Arc<State>, number: u64, place: Place) -> Result<(), FrameFault> {
-    let connecting = TcpStream::connect(place.address());
+    let own_ip = *state.boot.place.0.ip();
     let timed_out = || FrameFault::Connection(std::io::ErrorKind::TimedOut.into());
-    let mut stream = tokio::time::timeout(Duration::from_millis(600), connecting)
-        .await
-        .map_err(|_| timed_out())??;
-    stream.set_nodelay(true)?;
-    write_channel(&mut stream, Channel::Stream).await?;
+    let stream = dial(own_ip, place, Channel::Stream, Duration::from_millis(600)).await?;
     let (sender, mut frames) = mpsc::channel::<StreamUp>(8192);
     let _ = state.control.send(ControlInput::Connected(number, sender));
     let (reading_half, mut writing_half) = stream.into_split();
--- a/crates/trail/src/drivers/hops.rs
+++ b/crates/trail/src/drivers/hops.rs
@@ -2,6 +2,7 @@
 use crate::chain::resolve;
 use crate::lodge::Ask;
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use waymark::clock::Moment;
 use waymark::frames::{
-    Channel, FrameFault, HopBody, HopFrame, Many, Place, read_frame, write_channel, write_frame,
+    Channel, FrameFault, HopBody, HopFrame, Many, Place, dial, read_frame, write_frame,
 };
 use waymark::identity::CorrelationId;
 
@@ -31,14 +32,15 @@
 
 /// Links to the other daemons, one each, kept open.
 pub struct HopLinks {
+    own_ip: Ipv4Addr,
     senders: Mutex<HashMap<Place, mpsc::Sender<Asking>>>,
     next_correlation: AtomicU64,
 }
 
 impl HopLinks {
     /// No links yet.
-    pub fn new() -> Self {
-        Self { senders: Mutex::new(HashMap::new()), next_correlation: AtomicU64::new(1) }
+    pub fn new(own_ip: Ipv4Addr) -> Self {
+        Self { own_ip, senders: Mutex::new(HashMap::new()), next_correlation: AtomicU64::new(1) }
     }
 
     /// Asks another daemon and waits for its answer.
@@ -53,7 +55,7 @@
                 Some(sender) => sender.clone(),
                 None => {
                     let (sender, askings) = mpsc::channel(1024);
-                    tokio::spawn(keep_link(place, askings));
+                    tokio::spawn(keep_link(self.own_ip, place, askings));
                     senders.insert(place, sender.clone());
                     sender
                 }
@@ -70,24 +72,10 @@
     }
 }
 
-impl Default for HopLinks {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 type Pending = Arc<Mutex<HashMap<CorrelationId, oneshot::Sender<AskEnd>>>>;
 
-async fn keep_link(place: Place, mut askings: mpsc::Receiver<Asking>) {
-    let connecting = TcpStream::connect(place.address());
-    let connected = tokio::time::timeout(Duration::from_millis(400), connecting).await;
-    let opened = match connected {
-        Ok(Ok(mut stream)) => {
-            let _ = stream.set_nodelay(true);
-            write_channel(&mut stream, Channel::Hop).await.ok().map(|()| stream)
-        }
-        _ => None,
-    };
+async fn keep_link(own_ip: Ipv4Addr, place: Place, mut askings: mpsc::Receiver<Asking>) {
+    let opened = dial(own_ip, place, Channel::Hop, Duration::from_millis(400)).await.ok();
     let Some(stream) = opened else {
         askings.close();
         while let Some(asking) = askings.recv().await {
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -33,9 +33,9 @@
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
         Self {
+            links: HopLinks::new(*boot.place.0.ip()),
             boot,
             lodge: Lodge::new(own_host, Rules::KEPT),
-            links: HopLinks::new(),
             gauges: Gauges::new(),
             changes: watch::Sender::new(0),
             control,
--- a/crates/trail/src/drivers/trailhead.rs
+++ b/crates/trail/src/drivers/trailhead.rs
@@ -28,12 +28,14 @@
             let source = boot.source.clone();
             move |fault| BootFault::Listen(source, key, place, fault)
         };
-        let process_listener =
-            TcpListener::bind(boot.place.address()).await.map_err(fault_at("place", boot.place))?;
+        let process_listener = TcpListener::bind(boot.listen.address())
+            .await
+            .map_err(fault_at("listen", boot.listen))?;
         let door_listener =
             TcpListener::bind(boot.door.address()).await.map_err(fault_at("door", boot.door))?;
-        let beats =
-            UdpSocket::bind(boot.place.address()).await.map_err(fault_at("place", boot.place))?;
+        let beats = UdpSocket::bind(boot.listen.address())
+            .await
+            .map_err(fault_at("listen", boot.listen))?;
         let (control, inbox) = mpsc::unbounded_channel();
         let host = Host {
             member: boot.member.clone(),
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -1,6 +1,7 @@
 //! The frames that rudderstream's processes exchange.
 
 mod core;
+mod dial;
 mod heartbeat;
 mod hop;
 mod parts;
@@ -8,6 +9,7 @@
 mod wire;
 
 pub use self::core::{CoreBody, CoreFrame, KnownMember};
+pub use dial::dial;
 pub use heartbeat::{Heartbeat, View};
 pub use hop::{HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState};
 pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
--- a/crates/waymark/src/readers/boot.rs
+++ b/crates/waymark/src/readers/boot.rs
@@ -112,6 +112,20 @@
     }
 }
 
+/// Reads where a process listens: its place, if nothing else is said. Both are on one IP number.
+pub fn read_listen(root: &PathReader<'_>, place: Option<Place>) -> Option<Place> {
+    let reader = root.field("listen");
+    if !reader.is_there() {
+        return place;
+    }
+    let listen = read_place(&reader)?;
+    if place.is_some_and(|place| place.0.ip() != listen.0.ip()) {
+        reader.fault(FaultReason::Form("is not on the IP number of place".to_owned()));
+        return None;
+    }
+    Some(listen)
+}
+
 /// Reads the three seed addresses.
 pub fn read_places(reader: &PathReader<'_>, needed_count: usize) -> Option<Vec<Place>> {
     if !reader.is_there() {
--- a/crates/waymark/src/readers/mod.rs
+++ b/crates/waymark/src/readers/mod.rs
@@ -3,5 +3,5 @@
 mod boot;
 mod path;
 
-pub use boot::{BootFault, BootSource, read_place, read_places};
+pub use boot::{BootFault, BootSource, read_listen, read_place, read_places};
 pub use path::{FaultList, FaultReason, PathFault, PathReader};
--- a/proving/expedition/src/days/fault.rs
+++ b/proving/expedition/src/days/fault.rs
@@ -86,6 +86,16 @@
     FreezeHerd = "freeze-herd",
     /// The daemon that holds most is warned, given its grace, and returns.
     StopHolder = "stop-holder",
+    /// The leader is cut off from the other surveyors, with half of the daemons on its side.
+    CutCore = "cut-core",
+    /// The daemon that holds most is cut off from all other processes.
+    CutHolder = "cut-holder",
+    /// A daemon is heard by nobody, or hears nobody.
+    CutOneWay = "cut-one-way",
+    /// A locality is cut off from the others.
+    CutLocality = "cut-locality",
+    /// Everything between the processes takes a fifth of a second longer.
+    SlowNetwork = "slow-network",
     /// Runners say that they leave, and stop six seconds later.
     RunnerLeaves = "runner-leaves",
     /// A crowd on one busy function.
@@ -125,6 +135,9 @@
             | FaultName::HerdLosesDisk
             | FaultName::LoseLocality
             | FaultName::FreezeHerd
+            | FaultName::CutCore
+            | FaultName::CutHolder
+            | FaultName::CutLocality
             | FaultName::CrashWorker
     )
 }
@@ -149,6 +162,10 @@
             Self::FreezeHolder | Self::FreezeHerd => {
                 &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN]
             }
+            Self::CutCore | Self::CutHolder | Self::CutLocality => {
+                &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN]
+            }
+            Self::CutOneWay | Self::SlowNetwork => &[lines::TWICE, lines::TWO_HOLDERS],
             Self::StopOne | Self::StopHolder => &[lines::DROPPED],
             Self::RestartAll => &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN],
             Self::DrainWorker | Self::CrashWorker | Self::RunnerLeaves => &[lines::DRAINING],
@@ -241,6 +258,7 @@
                 fleet.layout.machines.remove(&name);
                 let spare_name = format!("spare-{}", self.chance.below(1 << 20));
                 fleet.layout.add_surveyor(&spare_name, &locality)?;
+                fleet.relay_for(&spare_name).await?;
                 fleet.launch(&spare_name)?;
                 pause(14_000).await;
                 Ok(())
@@ -298,6 +316,47 @@
                 pause(1000).await;
                 fleet.launch(&name)
             }
+            FaultName::CutCore => {
+                let Some(leader) = fleet.leader().await else { return Ok(()) };
+                let daemons = fleet.running("trailhead");
+                let mut side: Vec<String> = daemons.iter().step_by(2).cloned().collect();
+                side.push(leader);
+                self.cut_off(fleet, &side).await
+            }
+            FaultName::CutHolder => {
+                let Some(name) = fleet.busiest_holder().await else { return Ok(()) };
+                self.cut_off(fleet, &[name]).await
+            }
+            FaultName::CutLocality => {
+                let locality = format!("locality-{}", 1 + self.chance.below(3));
+                let machines = fleet.layout.machines.values();
+                let side: Vec<String> = machines
+                    .filter(|machine| machine.locality == locality)
+                    .map(|machine| machine.name.clone())
+                    .collect();
+                self.cut_off(fleet, &side).await
+            }
+            FaultName::CutOneWay => {
+                let names = fleet.running("trailhead");
+                let Some(name) = self.one_of(&names) else { return Ok(()) };
+                let Some(own_ip) = fleet.ip_of(&name) else { return Ok(()) };
+                let is_heard = self.chance.happens(0.5);
+                for other_ip in fleet.other_ips(&[name]) {
+                    match is_heard {
+                        true => fleet.relay.cut(other_ip, own_ip),
+                        false => fleet.relay.cut(own_ip, other_ip),
+                    }
+                }
+                pause(6000).await;
+                fleet.relay.mend();
+                Ok(())
+            }
+            FaultName::SlowNetwork => {
+                fleet.relay.slow_down(Duration::from_millis(200));
+                pause(8000).await;
+                fleet.relay.mend();
+                Ok(())
+            }
             FaultName::RunnerLeaves => {
                 let (_, body) = fleet.ask(hyper::Method::GET, "/v1/runners", None).await?;
                 let rows = body["runners"].as_array().cloned().unwrap_or_default();
@@ -433,6 +492,14 @@
         Ok(())
     }
 
+    async fn cut_off(&self, fleet: &Fleet, side: &[String]) -> Result<(), FleetFault> {
+        let side_ips: Vec<_> = side.iter().filter_map(|name| fleet.ip_of(name)).collect();
+        fleet.relay.cut_apart(&side_ips, &fleet.other_ips(side));
+        pause(6000).await;
+        fleet.relay.mend();
+        Ok(())
+    }
+
     async fn lose_locality(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
         let locality = format!("locality-{}", 1 + self.chance.below(3));
         let lost: Vec<String> = fleet
--- a/proving/expedition/src/days/run.rs
+++ b/proving/expedition/src/days/run.rs
@@ -45,7 +45,7 @@
     sizes.daemons = day.daemons.unwrap_or(sizes.daemons);
     let layout = Layout::new(&day.folder, &day.programs, &sizes, day.seed, true)?;
     let doors = layout.doors();
-    let mut fleet = Fleet::start(layout)?;
+    let mut fleet = Fleet::start(layout).await?;
     fleet.found().await?;
     let spec = day.deployment.spec("canary-a");
     let change_id = fleet.change_id();
--- a/proving/expedition/src/fleet/layout.rs
+++ b/proving/expedition/src/fleet/layout.rs
@@ -22,6 +22,8 @@
     pub operators: Option<Place>,
     /// Its locality.
     pub locality: String,
+    /// Where other processes reach it, and where it listens behind its relay.
+    pub ways: Option<(Place, Place)>,
 }
 
 /// The fleet's sizes.
@@ -50,6 +52,7 @@
     pub programs: PathBuf,
     /// The three seed addresses.
     pub seeds: Vec<String>,
+    machine_count: usize,
 }
 
 fn free_places(count: usize) -> std::io::Result<Vec<Place>> {
@@ -65,6 +68,17 @@
         .collect()
 }
 
+/// Two free ports on a loopback address of a machine's own.
+fn machine_places(number: usize) -> std::io::Result<(Place, Place)> {
+    let ip = Ipv4Addr::new(127, 0, 1 + (number / 250) as u8, 1 + (number % 250) as u8);
+    let first = TcpListener::bind((ip, 0))?;
+    let second = TcpListener::bind((ip, 0))?;
+    let place_of = |listener: &TcpListener| {
+        listener.local_addr().map(|address| Place(SocketAddrV4::new(ip, address.port())))
+    };
+    Ok((place_of(&first)?, place_of(&second)?))
+}
+
 impl Layout {
     /// Lays out a fleet in a folder, which is made.
     pub fn new(
@@ -76,38 +90,54 @@
     ) -> Result<Self, FleetFault> {
         let at = |fault| FleetFault::Machine(folder.to_owned(), fault);
         std::fs::create_dir_all(folder).map_err(at)?;
-        let places = free_places(1 + 6 + sizes.daemons * 2).map_err(at)?;
+        let places = free_places(4 + sizes.daemons).map_err(at)?;
         let platform = places[0];
-        let seeds: Vec<String> = places[1..4].iter().map(Place::to_string).collect();
+        let ways = (0..3 + sizes.daemons)
+            .map(machine_places)
+            .collect::<std::io::Result<Vec<(Place, Place)>>>()
+            .map_err(at)?;
+        let seeds: Vec<String> = ways[..3].iter().map(|(place, _)| place.to_string()).collect();
         let mut layout = Self {
             folder: folder.to_owned(),
             machines: BTreeMap::new(),
             platform,
             programs: programs.to_owned(),
             seeds: seeds.clone(),
+            machine_count: 3 + sizes.daemons,
         };
         for number in 0..3 {
             let name = format!("surveyor-{}", number + 1);
             let locality = format!("locality-{}", number % sizes.localities + 1);
-            let operators = places[4 + number];
+            let operators = places[1 + number];
             let settings = json!({
                 "place": seeds[number],
+                "listen": ways[number].1.to_string(),
                 "operators": operators.to_string(),
                 "locality": locality,
                 "seeds": seeds,
                 "data": folder.join(format!("{name}.data")).display().to_string(),
                 "platform": platform.to_string(),
             });
-            layout.add(&name, "surveyor", &settings, None, Some(operators), locality)?;
+            layout.add(
+                &name,
+                "surveyor",
+                &settings,
+                None,
+                Some(operators),
+                locality,
+                ways[number],
+            )?;
         }
         let mut doors = Vec::new();
         for number in 0..sizes.daemons {
             let name = format!("trailhead-{:02}", number + 1);
             let locality = format!("locality-{}", number % sizes.localities + 1);
-            let door = places[7 + number * 2 + 1];
+            let door = places[4 + number];
+            let (place, listen) = ways[3 + number];
             let settings = json!({
                 "member": name,
-                "place": places[7 + number * 2].to_string(),
+                "place": place.to_string(),
+                "listen": listen.to_string(),
                 "door": door.to_string(),
                 "locality": locality,
                 "seeds": seeds,
@@ -115,7 +145,8 @@
                 "threads": 2,
             });
             doors.push(door.to_string());
-            layout.add(&name, "trailhead", &settings, Some(door), None, locality)?;
+            let own_ways = (place, listen);
+            layout.add(&name, "trailhead", &settings, Some(door), None, locality, own_ways)?;
         }
         let mut hut_arguments: Vec<String> = [
             ("--place", platform.to_string()),
@@ -140,11 +171,13 @@
             door: None,
             operators: None,
             locality: String::new(),
+            ways: None,
         };
         layout.machines.insert("hut".to_owned(), hut);
         Ok(layout)
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn add(
         &mut self,
         name: &str,
@@ -153,6 +186,7 @@
         door: Option<Place>,
         operators: Option<Place>,
         locality: String,
+        ways: (Place, Place),
     ) -> Result<(), FleetFault> {
         let boot_path = self.folder.join(format!("{name}.json"));
         let text = serde_json::to_string_pretty(settings).unwrap_or_default();
@@ -166,6 +200,7 @@
             door,
             operators,
             locality,
+            ways: Some(ways),
         };
         self.machines.insert(name.to_owned(), machine);
         Ok(())
@@ -174,16 +209,19 @@
     /// One more surveyor at an address of its own, with an empty disk, in another's locality.
     pub fn add_surveyor(&mut self, name: &str, locality: &str) -> Result<(), FleetFault> {
         let at = |fault| FleetFault::Machine(self.folder.clone(), fault);
-        let places = free_places(2).map_err(at)?;
+        let operators = free_places(1).map_err(at)?[0];
+        let ways = machine_places(self.machine_count).map_err(at)?;
+        self.machine_count += 1;
         let settings = json!({
-            "place": places[0].to_string(),
-            "operators": places[1].to_string(),
+            "place": ways.0.to_string(),
+            "listen": ways.1.to_string(),
+            "operators": operators.to_string(),
             "locality": locality,
             "seeds": self.seeds,
             "data": self.folder.join(format!("{name}.data")).display().to_string(),
             "platform": self.platform.to_string(),
         });
-        self.add(name, "surveyor", &settings, None, Some(places[1]), locality.to_owned())
+        self.add(name, "surveyor", &settings, None, Some(operators), locality.to_owned(), ways)
     }
 
     /// Where operators reach the surveyors.
--- a/proving/expedition/src/fleet/mod.rs
+++ b/proving/expedition/src/fleet/mod.rs
@@ -2,9 +2,11 @@
 
 mod layout;
 mod process;
+mod relay;
 
 pub use layout::{Layout, Machine, Sizes};
 pub use process::Process;
+pub use relay::Relay;
 
 use crate::judge::EvidenceFault;
 use hut::records::Records;
@@ -66,17 +68,24 @@
     pub layout: Layout,
     /// What was done to the fleet, and what operators were told.
     pub journal: Records,
+    /// The network between the processes.
+    pub relay: Relay,
     processes: BTreeMap<String, Process>,
     next_change: u64,
 }
 
 impl Fleet {
     /// Lays out the folder and starts every process, the platform first.
-    pub fn start(layout: Layout) -> Result<Self, FleetFault> {
+    pub async fn start(layout: Layout) -> Result<Self, FleetFault> {
         let journal_path = layout.folder.join("journal.jsonl");
         let journal = Records::create(&journal_path)
             .map_err(|fault| FleetFault::Machine(journal_path, fault))?;
-        let mut fleet = Self { layout, journal, processes: BTreeMap::new(), next_change: 1 };
+        let processes = BTreeMap::new();
+        let relay = Relay::new();
+        let mut fleet = Self { layout, journal, relay, processes, next_change: 1 };
+        for name in fleet.layout.machines.keys() {
+            fleet.relay_for(name).await?;
+        }
         let names: Vec<String> = fleet.layout.machines.keys().cloned().collect();
         fleet.launch("hut")?;
         for name in names.iter().filter(|name| *name != "hut") {
@@ -85,6 +94,29 @@
         Ok(fleet)
     }
 
+    /// Puts a machine's relay up.
+    pub async fn relay_for(&self, name: &str) -> Result<(), FleetFault> {
+        if let Some((place, listen)) = self.layout.machines[name].ways {
+            self.relay
+                .stand_before(place, listen)
+                .await
+                .map_err(|fault| FleetFault::Machine(PathBuf::from(name), fault))?;
+        }
+        Ok(())
+    }
+
+    /// The IP number of a machine.
+    pub fn ip_of(&self, name: &str) -> Option<std::net::Ipv4Addr> {
+        let ways = self.layout.machines.get(name)?.ways;
+        ways.map(|(place, _)| *place.0.ip())
+    }
+
+    /// The IP numbers of all machines but some.
+    pub fn other_ips(&self, names: &[String]) -> Vec<std::net::Ipv4Addr> {
+        let others = self.layout.machines.keys().filter(|name| !names.contains(name));
+        others.filter_map(|name| self.ip_of(name)).collect()
+    }
+
     /// Starts one process.
     pub fn launch(&mut self, name: &str) -> Result<(), FleetFault> {
         let machine = &self.layout.machines[name];
