Drains and hand-overs are told again on a new stream; frozen machines keep their order

Change: with each claims frame the leader forgets what it told that holder and tells what stands again, once workers have been listed. In the simulator what reaches a frozen machine is kept and taken in order. A daemon never takes an older grant of a function over a newer one.

Ruled out: acknowledging each order (claims already say what the holder has).

--- a/crates/survey/src/desk/claims.rs
+++ b/crates/survey/src/desk/claims.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::frames::{Claim, StreamDown};
+use waymark::frames::{Claim, KnownMember, StreamDown};
 use waymark::identity::{FunctionKey, RunnerId};
 
 impl Desk {
@@ -42,6 +42,25 @@
         if let Some(record) = self.members.get_mut(&claimant) {
             record.claimed = true;
         }
+        self.tell_again(&claimant);
+    }
+
+    /// What a holder was told on an earlier stream may be lost with it: drains and hand-overs that
+    /// stand are told again.
+    fn tell_again(&mut self, claimant: &KnownMember) {
+        for entry in self.entries.values_mut().filter(|entry| entry.holder == *claimant) {
+            entry.handing_over = false;
+        }
+        let entries = &self.entries;
+        for (runner, reservation) in &mut self.reservations {
+            let is_claimants = entries
+                .get(&reservation.function)
+                .is_some_and(|entry| entry.holder == *claimant && entry.grant == runner.grant);
+            if is_claimants {
+                reservation.draining = false;
+            }
+        }
+        self.hand_over_evacuated();
     }
 
     /// Runners of a function given up stand in the way of its next grant until they are stopped.
@@ -60,13 +79,7 @@
         }
     }
 
-    fn take_claim(
-        &mut self,
-        now: Moment,
-        stream: StreamId,
-        claimant: &waymark::frames::KnownMember,
-        claim: Claim,
-    ) {
+    fn take_claim(&mut self, now: Moment, stream: StreamId, claimant: &KnownMember, claim: Claim) {
         let standing = self.entries.get(&claim.function);
         let is_same = standing.is_some_and(|entry| {
             entry.holder == *claimant && entry.grant == claim.grant && entry.fencing_since.is_none()
--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -117,8 +117,9 @@
     }
 
     /// Asks holders in evacuated localities for their functions, and drains runners there.
-    fn hand_over_evacuated(&mut self) {
+    pub(super) fn hand_over_evacuated(&mut self) {
         let table = &self.table;
+        let heeds_evacuation = self.rules.keep(Rule::EvacuationObeyed);
         let evacuated_entries: Vec<(FunctionKey, StreamId, GrantSerial)> = self
             .entries
             .iter_mut()
@@ -126,7 +127,8 @@
             .filter_map(|(function, entry)| {
                 let record = self.members.get(&entry.holder)?;
                 let stream = record.stream?;
-                table.is_evacuated(&record.host.locality).then(|| {
+                let is_evacuated = table.is_evacuated(&record.host.locality);
+                (is_evacuated && heeds_evacuation).then(|| {
                     entry.handing_over = true;
                     (function.clone(), stream, entry.grant)
                 })
@@ -140,6 +142,9 @@
 
     /// Tells holders to drain runners whose worker is draining, gone or evacuated.
     pub(super) fn drain_unfit(&mut self) {
+        if !self.workers_listed {
+            return;
+        }
         let unfit_runners: Vec<(FunctionKey, RunnerId)> = self
             .reservations
             .iter()
--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -51,6 +51,7 @@
 impl Desk {
     /// Takes the platform's list of workers.
     pub fn workers_listed(&mut self, listed_workers: Vec<ListedWorker>) {
+        self.workers_listed = true;
         self.workers = listed_workers
             .into_iter()
             .map(|listed| (listed.worker.clone(), WorkerRecord { listed }))
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -373,7 +373,8 @@
 
     fn granted(&mut self, lodge: &Lodge<W>, now: Moment, terms: GrantTerms) {
         let (function, grant) = (terms.function.clone(), terms.grant);
-        if lodge.held(&function, grant).is_some() {
+        let held_grant = lodge.holdings.load().get(&function).map(|held| held.grant);
+        if held_grant >= Some(grant) {
             return;
         }
         let holder = Holder::new(now, terms).with_rules(lodge.rules);
--- a/proving/expedition/src/sim/faults.rs
+++ b/proving/expedition/src/sim/faults.rs
@@ -417,6 +417,8 @@
         let until = self.now + lasts;
         let frozen_until = self.frozen.entry(node).or_insert(until);
         *frozen_until = (*frozen_until).max(until);
+        let wakes_at = *frozen_until;
+        self.push(wakes_at.since(self.now), Event::Wake(node));
     }
 
     fn lose_locality(&mut self, lasts: Duration) {
@@ -512,7 +514,7 @@
     /// Everything returns and is mended.
     pub(super) fn heal(&mut self) {
         self.network.mend();
-        self.frozen.clear();
+        self.wake_all();
         self.mischief = 0.0;
         self.platform.lag = Duration::from_millis(1000);
         self.platform.restore();
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -151,6 +151,7 @@
     Fault,
     Return(Node),
     Mend,
+    Wake(Node),
     Behave,
     RestoreWorkers,
     RunnerLeft(RunnerId),
@@ -200,6 +201,7 @@
     pub(super) network: Network,
     pub(super) links: HashMap<u64, Link>,
     pub(super) frozen: BTreeMap<Node, Moment>,
+    deferred: BTreeMap<Node, Vec<Event>>,
     pub(super) checks: Checks,
     pub(super) unsynced: Vec<(usize, WriteJob)>,
     pub(super) changes: HashMap<OperationTicket, SimChange>,
@@ -234,6 +236,7 @@
             network: Network::default(),
             links: HashMap::new(),
             frozen: BTreeMap::new(),
+            deferred: BTreeMap::new(),
             checks: Checks::default(),
             unsynced: Vec::new(),
             changes: HashMap::new(),
@@ -431,19 +434,16 @@
     /// Runs the day to its end.
     pub fn run(mut self) -> SimEnd {
         let end_at = self.now + self.plan.lasts + Duration::from_secs(20);
-        while let Some(((due_at, number), event)) = self.queue.pop_first() {
+        while let Some(((due_at, _), event)) = self.queue.pop_first() {
             if due_at > end_at || self.checks.breaches.len() > 20 {
                 break;
             }
             self.now = self.now.max(due_at);
             let target = event.target().or_else(|| self.link_target(&event));
             if let Some((node, life)) = target {
-                if let Some(frozen_until) = self.frozen.get(&node).copied() {
-                    if frozen_until > self.now {
-                        self.queue.insert((frozen_until, number), event);
-                        continue;
-                    }
-                    self.frozen.remove(&node);
+                if self.is_frozen(node) {
+                    self.deferred.entry(node).or_default().push(event);
+                    continue;
                 }
                 if !self.is_living(node, life) {
                     continue;
@@ -474,6 +474,28 @@
         (answers as f64 / calls.max(1) as f64, back_after)
     }
 
+    pub(super) fn is_frozen(&self, node: Node) -> bool {
+        self.frozen.get(&node).is_some_and(|until| *until > self.now)
+    }
+
+    /// A frozen machine wakes: what came meanwhile is taken in the order in which it came.
+    fn wake_machine(&mut self, node: Node) {
+        if !self.is_frozen(node) {
+            self.frozen.remove(&node);
+            for event in self.deferred.remove(&node).unwrap_or_default() {
+                self.push(Duration::ZERO, event);
+            }
+        }
+    }
+
+    /// Every frozen machine wakes.
+    pub(super) fn wake_all(&mut self) {
+        let frozen_nodes: Vec<Node> = std::mem::take(&mut self.frozen).into_keys().collect();
+        for node in frozen_nodes {
+            self.wake_machine(node);
+        }
+    }
+
     fn link_target(&self, event: &Event) -> Option<(Node, Option<u64>)> {
         match event {
             Event::Dialed(number) | Event::LinkDown(number, _) => {
@@ -677,6 +699,7 @@
             }
             Event::Return(node) => self.bring_back(node),
             Event::Mend => self.network.mend(),
+            Event::Wake(node) => self.wake_machine(node),
             Event::Behave => {
                 self.mischief = 0.0;
                 self.platform.lag = Duration::from_millis(1000);
@@ -747,8 +770,7 @@
 
     fn some_door(&mut self) -> Option<usize> {
         let place = self.chance.below(self.daemons.len() as u64) as usize;
-        let node = self.daemons[place].node;
-        let is_frozen = self.frozen.get(&node).is_some_and(|until| *until > self.now);
+        let is_frozen = self.is_frozen(self.daemons[place].node);
         let is_open = self.daemons[place].body.is_some() && !self.is_leaving(place);
         (is_open && !is_frozen).then_some(place)
     }
--- a/proving/expedition/tests/simulator.rs
+++ b/proving/expedition/tests/simulator.rs
@@ -1,7 +1,8 @@
 //! Both planes under seeded faults, and the flaws that the checks must find.
 
-use expedition::sim::{Flaw, PROOFS, SimPlan, World};
+use expedition::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
 use googletest::prelude::*;
+use std::time::Duration;
 
 fn breaches(seed: u64, flaw: Flaw) -> Vec<String> {
     let plan = SimPlan { flaw, ..SimPlan::seeded(seed) };
@@ -66,3 +67,22 @@
     }
     Ok(())
 }
+
+/// What a holder was told on a stream that broke is told again: each seed failed before that was so.
+#[gtest]
+fn drains_and_evacuations_survive_the_loss_of_the_stream_they_were_told_on() -> Result<()> {
+    use SimFault::{CutInTwo, CutOff, DrainWorker, RunnerLeaves};
+    let cases = [
+        (11974, Vec::new(), 3500),
+        (141, vec![DrainWorker, CutOff], 2000),
+        (149, vec![RunnerLeaves, CutInTwo], 2000),
+    ];
+    for (seed, focus, gap_ms) in cases {
+        let gap = Duration::from_millis(gap_ms);
+        let plan = SimPlan { focus, gap, ..SimPlan::seeded(seed) };
+        let sim_end = World::new(plan, false).run();
+        let broken: Vec<String> = sim_end.breaches.iter().map(ToString::to_string).collect();
+        verify_that!(broken, is_empty())?;
+    }
+    Ok(())
+}
