Rolling restart and seeded combinations; a cut in the smoke; frames carry their serial

Cause: a restart of each program in turn under load, and faults drawn by a seed, could not be caused on processes; the smoke of real processes cut nothing; the frames' format had changed without its number.

A port that is taken is named by the key that the user set.

--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -117,7 +117,8 @@
         for damaged_name in set_aside {
             note!(Warn, events::FILE_SET_ASIDE, "{damaged_name}");
         }
-        let process_listener = listen(boot, "listen", boot.listen).await?;
+        let listen_key = if boot.listen == boot.place { "place" } else { "listen" };
+        let process_listener = listen(boot, listen_key, boot.listen).await?;
         let operators_listener = listen(boot, "operators", boot.operators).await?;
         let (input_sender, inbox) = mpsc::channel(16_384);
         let address = Address { place: boot.place, operators: boot.operators };
--- a/crates/trail/src/drivers/trailhead.rs
+++ b/crates/trail/src/drivers/trailhead.rs
@@ -28,14 +28,15 @@
             let source = boot.source.clone();
             move |fault| BootFault::Listen(source, key, place, fault)
         };
+        let listen_key = if boot.listen == boot.place { "place" } else { "listen" };
         let process_listener = TcpListener::bind(boot.listen.address())
             .await
-            .map_err(fault_at("listen", boot.listen))?;
+            .map_err(fault_at(listen_key, boot.listen))?;
         let door_listener =
             TcpListener::bind(boot.door.address()).await.map_err(fault_at("door", boot.door))?;
         let beats = UdpSocket::bind(boot.listen.address())
             .await
-            .map_err(fault_at("listen", boot.listen))?;
+            .map_err(fault_at(listen_key, boot.listen))?;
         let (control, inbox) = mpsc::unbounded_channel();
         let host = Host {
             member: boot.member.clone(),
--- a/crates/waymark/src/frames/wire.rs
+++ b/crates/waymark/src/frames/wire.rs
@@ -7,7 +7,8 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 const MARK: [u8; 2] = *b"RU";
-const WIRE_VERSION: u8 = 1;
+/// The serial of the frames' format; it goes up whenever a frame changes.
+const WIRE_SERIAL: u8 = 2;
 const LARGEST_FRAME: u32 = 16 << 20;
 
 /// What a connection is for; its first four bytes say so.
@@ -38,8 +39,8 @@
     Connection(std::io::Error),
     /// The first bytes are not ours.
     WrongMark,
-    /// The other side speaks another version.
-    WrongVersion(u8),
+    /// The other side speaks frames of another serial.
+    WrongSerial(u8),
     /// No such channel here.
     WrongChannel(u8),
     /// The frame is larger than any should be.
@@ -55,7 +56,9 @@
         match self {
             Self::Connection(fault) => write!(out, "connection: {fault}"),
             Self::WrongMark => write!(out, "not a rudderstream connection"),
-            Self::WrongVersion(seen) => write!(out, "wire version {seen}, ours is {WIRE_VERSION}"),
+            Self::WrongSerial(seen) => {
+                write!(out, "frames of serial {seen}, ours are of {WIRE_SERIAL}")
+            }
             Self::WrongChannel(seen) => write!(out, "channel {seen} is not served here"),
             Self::Oversized(length) => write!(out, "frame of {length} bytes"),
             Self::Malformed(fault) => write!(out, "malformed frame: {fault}"),
@@ -107,7 +110,7 @@
     writer: &mut W,
     channel: Channel,
 ) -> Result<(), FrameFault> {
-    writer.write_all(&[MARK[0], MARK[1], WIRE_VERSION, channel.code()]).await?;
+    writer.write_all(&[MARK[0], MARK[1], WIRE_SERIAL, channel.code()]).await?;
     Ok(())
 }
 
@@ -118,8 +121,8 @@
     if first_bytes[..2] != MARK {
         return Err(FrameFault::WrongMark);
     }
-    if first_bytes[2] != WIRE_VERSION {
-        return Err(FrameFault::WrongVersion(first_bytes[2]));
+    if first_bytes[2] != WIRE_SERIAL {
+        return Err(FrameFault::WrongSerial(first_bytes[2]));
     }
     [Channel::Core, Channel::Stream, Channel::Hop]
         .into_iter()
@@ -164,7 +167,7 @@
 
 /// A heartbeat as one datagram.
 pub fn encode_heartbeat(heartbeat: &Heartbeat) -> Result<Bytes, FrameFault> {
-    let mut sent_bytes = vec![MARK[0], MARK[1], WIRE_VERSION];
+    let mut sent_bytes = vec![MARK[0], MARK[1], WIRE_SERIAL];
     sent_bytes.extend(encode(heartbeat)?);
     Ok(sent_bytes.into())
 }
@@ -174,8 +177,8 @@
     if datagram.len() < 3 || datagram[..2] != MARK {
         return Err(FrameFault::WrongMark);
     }
-    if datagram[2] != WIRE_VERSION {
-        return Err(FrameFault::WrongVersion(datagram[2]));
+    if datagram[2] != WIRE_SERIAL {
+        return Err(FrameFault::WrongSerial(datagram[2]));
     }
     decode(&datagram[3..])
 }
--- a/crates/waymark/tests/frames.rs
+++ b/crates/waymark/tests/frames.rs
@@ -75,7 +75,7 @@
     let read = async |given: [u8; 4]| read_channel(&mut given.as_slice()).await;
     assert!(matches!(read(*b"GET ").await, Err(FrameFault::WrongMark)));
     let newer = [good_bytes[0], good_bytes[1], 99, good_bytes[3]];
-    assert!(matches!(read(newer).await, Err(FrameFault::WrongVersion(99))));
+    assert!(matches!(read(newer).await, Err(FrameFault::WrongSerial(99))));
     let odd = [good_bytes[0], good_bytes[1], good_bytes[2], 77];
     assert!(matches!(read(odd).await, Err(FrameFault::WrongChannel(77))));
     let huge = u32::MAX.to_be_bytes();
--- a/proving/expedition/src/days/fault.rs
+++ b/proving/expedition/src/days/fault.rs
@@ -96,6 +96,8 @@
     CutLocality = "cut-locality",
     /// Everything between the processes takes a fifth of a second longer.
     SlowNetwork = "slow-network",
+    /// Every daemon and surveyor is stopped in order and started again, one after the other.
+    RollingRestart = "rolling-restart",
     /// Runners say that they leave, and stop six seconds later.
     RunnerLeaves = "runner-leaves",
     /// A crowd on one busy function.
@@ -143,6 +145,19 @@
 }
 
 impl FaultName {
+    /// A seeded combination: some faults by chance, the last one heavy.
+    pub fn by_chance(seed: u64) -> Vec<FaultName> {
+        let mut chance = Chance::seeded(seed ^ 0xc0b1);
+        let one_of = |faults: &[FaultName], chance: &mut Chance| {
+            faults[chance.below(faults.len() as u64) as usize]
+        };
+        let heavy: Vec<FaultName> =
+            Self::ALL.iter().copied().filter(|fault| is_heavy(*fault)).collect();
+        let mut chosen: Vec<FaultName> = (0..6).map(|_| one_of(Self::ALL, &mut chance)).collect();
+        chosen.push(one_of(&heavy, &mut chance));
+        chosen
+    }
+
     /// The lines of the judge that this fault is meant to try; a day in which one of them looked at
     /// no case has not proved what it was run for.
     pub fn tries(self) -> &'static [&'static str] {
@@ -166,7 +181,7 @@
                 &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN]
             }
             Self::CutOneWay | Self::SlowNetwork => &[lines::TWICE, lines::TWO_HOLDERS],
-            Self::StopOne | Self::StopHolder => &[lines::DROPPED],
+            Self::StopOne | Self::StopHolder | Self::RollingRestart => &[lines::DROPPED],
             Self::RestartAll => &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN],
             Self::DrainWorker | Self::CrashWorker | Self::RunnerLeaves => &[lines::DRAINING],
             Self::Evacuate => &[lines::EVACUATED],
@@ -357,6 +372,15 @@
                 fleet.relay.mend();
                 Ok(())
             }
+            FaultName::RollingRestart => {
+                let names = [fleet.running("trailhead"), fleet.running("surveyor")].concat();
+                for name in names {
+                    fleet.stop(&name, Duration::from_secs(6)).await;
+                    fleet.launch(&name)?;
+                    pause(2500).await;
+                }
+                Ok(())
+            }
             FaultName::RunnerLeaves => {
                 let (_, body) = fleet.ask(hyper::Method::GET, "/v1/runners", None).await?;
                 let rows = body["runners"].as_array().cloned().unwrap_or_default();
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -98,7 +98,10 @@
     help: bool,
     #[options(help = "stezka, tintwell or small", default = "small")]
     deployment: String,
-    #[options(help = "faults in their order, with commas", default = "")]
+    #[options(
+        help = "faults in their order, with commas; random for seven by the seed",
+        default = ""
+    )]
     faults: String,
     #[options(help = "seed", default = "1")]
     seed: u64,
@@ -133,7 +136,7 @@
             }
             Self::Fault(name) => {
                 let names: Vec<&str> = FaultName::ALL.iter().map(|fault| fault.as_str()).collect();
-                write!(out, "unknown fault {name:?}; there are: {}", names.join(", "))
+                write!(out, "unknown fault {name:?}; there are: random, {}", names.join(", "))
             }
             Self::Folder(fault) => write!(out, "{fault}"),
         }
@@ -143,18 +146,15 @@
 fn read_day(run: &Run) -> Result<Day, DayFault> {
     let deployment = Deployment::named(&run.deployment)
         .ok_or_else(|| DayFault::Deployment(run.deployment.clone()))?;
-    let faults = run
-        .faults
-        .split(',')
-        .filter(|name| !name.is_empty())
-        .map(|name| {
-            FaultName::ALL
-                .iter()
-                .copied()
-                .find(|fault| fault.as_str() == name)
-                .ok_or_else(|| DayFault::Fault(name.to_owned()))
-        })
-        .collect::<Result<Vec<FaultName>, DayFault>>()?;
+    let mut faults = Vec::new();
+    for name in run.faults.split(',').filter(|name| !name.is_empty()) {
+        if name == "random" {
+            faults.extend(FaultName::by_chance(run.seed));
+        } else {
+            let fault = FaultName::named(name);
+            faults.push(fault.ok_or_else(|| DayFault::Fault(name.to_owned()))?);
+        }
+    }
     let own_path = std::env::current_exe().map_err(DayFault::Folder)?;
     let programs = own_path.parent().map(Path::to_owned).unwrap_or_default();
     let folder = std::path::absolute(&run.folder).map_err(DayFault::Folder)?;
--- a/proving/expedition/tests/smoke.rs
+++ b/proving/expedition/tests/smoke.rs
@@ -85,6 +85,15 @@
     let (serial, kept_spec) = fleet.spec().await?;
     assert_eq!((serial, kept_spec), (2, spec));
 
+    let holder = fleet.busiest_holder().await.expect("a holder");
+    let holder_ip = fleet.ip_of(&holder).expect("an address");
+    fleet.relay.cut_apart(&[holder_ip], &fleet.other_ips(std::slice::from_ref(&holder)));
+    let other = fleet.running("trailhead").into_iter().find(|name| *name != holder);
+    let other_door = other.and_then(|name| fleet.door_of(&name));
+    call_until_answered(fleet, 4, other_door).await;
+    fleet.relay.mend();
+    fleet.await_ready(3).await?;
+
     let stopped = fleet.running("trailhead").remove(0);
     fleet.stop(&stopped, Duration::from_secs(30)).await;
     Ok(())
