--- /dev/null
+++ b/crates/waymark/tests/clocks.rs
@@ -0,0 +1,36 @@
+//! No deployed code reads a wall clock, nor sleeps on anything but tokio's timer.
+
+use googletest::prelude::*;
+use std::path::{Path, PathBuf};
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for listed in std::fs::read_dir(folder).expect("a folder") {
+        let path = listed.expect("an entry").path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+#[gtest]
+fn deployed_code_reads_no_wall_clock() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut found = Vec::new();
+    let packages = ["crates/waymark", "crates/trail", "crates/survey"];
+    let programs = ["programs/trailhead", "programs/surveyor", "programs/legend", "programs/blaze"];
+    for package in packages.iter().chain(&programs) {
+        sources(&root.join(package).join("src"), &mut found);
+    }
+    verify_that!(found.len(), ge(80))?;
+    let barred = ["SystemTime", "UNIX_EPOCH", "Instant::now", "ClockId::Realtime", "thread::sleep"];
+    for path in &found {
+        let text = std::fs::read_to_string(path).expect("a source");
+        for word in barred {
+            verify_that!(text.contains(word), eq(false))
+                .with_failure_message(|| format!("{word} in {}", path.display()))?;
+        }
+    }
+    Ok(())
+}
--- a/programs/blaze/src/main.rs
+++ b/programs/blaze/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use way::{Way, WayFault};
+use waymark::clock::Moment;
 use waymark::frames::Place;
 
 /// Traces one version of the spec from its acceptance to every daemon.
@@ -67,11 +68,11 @@
 }
 
 async fn trace(flags: &Flags, places: &[Place]) -> Result<Way, WayFault> {
-    let follow_until = tokio::time::Instant::now() + Duration::from_secs(flags.patience);
+    let follow_until = Moment::now() + Duration::from_secs(flags.patience);
     let mut serial = flags.serial.unwrap_or(0);
     loop {
         let read = Way::read(places, serial).await;
-        let is_late = tokio::time::Instant::now() >= follow_until;
+        let is_late = Moment::now() >= follow_until;
         match read {
             Ok(way) if !flags.follow || way.is_in_force() || is_late => return Ok(way),
             Ok(way) => serial = way.serial(),
