Disks of real surveyors can be full, failing or stalled; the smoke's odd callers do not hang up

The smoke half-closed its raw calls, and a server may drop a call whose caller has hung up before it answers: seen twice in ten runs under load.

Change: a seam before each file that survey::disk writes, empty in deployed programs; ailing-surveyor, a proving program around the same library, reads from a file how its disk ails; faults disk-full, disk-stalls, disk-fails. Raw calls of the smoke end with connection: close and hang up only where that is what is tried.

--- a/crates/survey/src/disk/mod.rs
+++ b/crates/survey/src/disk/mod.rs
@@ -43,9 +43,25 @@
     }
 }
 
+/// A seam at which the proving tools make a disk full, failing or slow; deployed programs leave it empty.
+pub trait Seam: Send + Sync {
+    /// Comes before each file is written.
+    fn before_write(&self) -> io::Result<()>;
+}
+
+/// The empty seam.
+pub struct Sound;
+
+impl Seam for Sound {
+    fn before_write(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// The data folder of one surveyor.
 pub struct Shelf {
     folder: PathBuf,
+    seam: Box<dyn Seam>,
 }
 
 /// Writes a version in which only this disk's member is left of the core; says which stamp it has.
@@ -91,9 +107,14 @@
 impl Shelf {
     /// Opens the folder, making it if need be, and proves that it can be written.
     pub fn open(folder: &Path) -> Result<Self, ShelfFault> {
+        Self::open_with(folder, Box::new(Sound))
+    }
+
+    /// The same behind a seam.
+    pub fn open_with(folder: &Path, seam: Box<dyn Seam>) -> Result<Self, ShelfFault> {
         let at = |fault| ShelfFault::File(folder.to_owned(), fault);
         fs::create_dir_all(folder).map_err(at)?;
-        let shelf = Self { folder: folder.to_owned() };
+        let shelf = Self { folder: folder.to_owned(), seam };
         shelf.write_file("writable", b"yes")?;
         Ok(shelf)
     }
@@ -105,6 +126,7 @@
             let failed_path = path.to_owned();
             move |fault| ShelfFault::File(failed_path, fault)
         };
+        self.seam.before_write().map_err(at(&final_path))?;
         let mut aside_file = OpenOptions::new()
             .create(true)
             .write(true)
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -5,7 +5,7 @@
 use crate::boot::SurveyorBoot;
 use crate::core::{Address, Core};
 use crate::desk::StreamId;
-use crate::disk::{Shelf, ShelfFault};
+use crate::disk::{Seam, Shelf, ShelfFault, Sound};
 use crate::plane::{Operation, OperationReply, OperationTicket, Plane, PlaneInput, PlaneOutput};
 use std::collections::HashMap;
 use std::fmt;
@@ -106,8 +106,16 @@
 impl Surveyor {
     /// Opens the data folder and the listeners.
     pub async fn open(boot: &SurveyorBoot) -> Result<Self, SurveyorFault> {
+        Self::open_with(boot, Box::new(Sound)).await
+    }
+
+    /// The same with a seam at its disk.
+    pub async fn open_with(
+        boot: &SurveyorBoot,
+        seam: Box<dyn Seam>,
+    ) -> Result<Self, SurveyorFault> {
         let mut chance = Chance::from_os();
-        let shelf = Shelf::open(&boot.data).map_err(|fault| match fault {
+        let shelf = Shelf::open_with(&boot.data, seam).map_err(|fault| match fault {
             ShelfFault::File(path, io_fault) => {
                 SurveyorFault::Boot(BootFault::Folder(boot.source.clone(), path, io_fault))
             }
--- /dev/null
+++ b/proving/expedition/src/ailing.rs
@@ -0,0 +1,69 @@
+//! A surveyor whose disk does what a file beside its settings says: nothing, full, failing or stalled.
+
+use eyre::{WrapErr, eyre};
+use gumdrop::Options;
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+use survey::boot::SurveyorBoot;
+use survey::disk::Seam;
+use survey::drivers::Surveyor;
+use waymark::readers::BootSource;
+
+/// A surveyor for proving, with a disk that can be made to ail.
+#[derive(Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(
+        required,
+        help = "settings file (JSON); FILE.disk says how the disk ails",
+        meta = "FILE"
+    )]
+    boot: PathBuf,
+}
+
+struct Ailing {
+    said_in: PathBuf,
+}
+
+impl Ailing {
+    fn ails_with(&self) -> String {
+        std::fs::read_to_string(&self.said_in).unwrap_or_default().trim().to_owned()
+    }
+}
+
+impl Seam for Ailing {
+    fn before_write(&self) -> io::Result<()> {
+        loop {
+            match self.ails_with().as_str() {
+                "full" => return Err(io::ErrorKind::StorageFull.into()),
+                "failing" => return Err(io::Error::other("input/output error")),
+                "stalled" => std::thread::sleep(Duration::from_millis(20)),
+                _ => return Ok(()),
+            }
+        }
+    }
+}
+
+fn main() -> eyre::Result<()> {
+    let flags = waymark::command_line::read::<Flags>("ailing-surveyor");
+    if flags.version {
+        println!("ailing-surveyor {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    waymark::command_line::start_log();
+    let boot_source = BootSource::open(Some(&flags.boot)).map_err(|fault| eyre!("{fault}"))?;
+    let boot = SurveyorBoot::read(&boot_source).map_err(|fault| eyre!("{fault}"))?;
+    let seam = Ailing { said_in: flags.boot.with_extension("json.disk") };
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    runtime.block_on(async {
+        let surveyor = Surveyor::open_with(&boot, Box::new(seam)).await.wrap_err("opening")?;
+        let stop = waymark::command_line::told_to_stop()?;
+        surveyor.run(stop).await;
+        Ok(())
+    })
+}
--- a/proving/expedition/src/days/fault.rs
+++ b/proving/expedition/src/days/fault.rs
@@ -96,6 +96,12 @@
     CutLocality = "cut-locality",
     /// Everything between the processes takes a fifth of a second longer.
     SlowNetwork = "slow-network",
+    /// The leader's disk is full for six seconds, while changes are sent.
+    DiskFull = "disk-full",
+    /// The leader's disk stalls for six seconds, while changes are sent.
+    DiskStalls = "disk-stalls",
+    /// A follower's disk fails every write for six seconds, while changes are sent.
+    DiskFails = "disk-fails",
     /// Every daemon and surveyor is stopped in order and started again, one after the other.
     RollingRestart = "rolling-restart",
     /// Runners say that they leave, and stop six seconds later.
@@ -145,6 +151,11 @@
 }
 
 impl FaultName {
+    /// Whether it needs surveyors whose disks can be made to ail.
+    pub fn is_of_disk(self) -> bool {
+        matches!(self, Self::DiskFull | Self::DiskStalls | Self::DiskFails)
+    }
+
     /// A seeded combination: some faults by chance, the last one heavy.
     pub fn by_chance(seed: u64) -> Vec<FaultName> {
         let mut chance = Chance::seeded(seed ^ 0xc0b1);
@@ -181,6 +192,7 @@
                 &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN]
             }
             Self::CutOneWay | Self::SlowNetwork => &[lines::TWICE, lines::TWO_HOLDERS],
+            Self::DiskFull | Self::DiskStalls | Self::DiskFails => &[lines::FORCE, lines::LOSING],
             Self::StopOne | Self::StopHolder | Self::RollingRestart => &[lines::DROPPED],
             Self::RestartAll => &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN],
             Self::DrainWorker | Self::CrashWorker | Self::RunnerLeaves => &[lines::DRAINING],
@@ -372,6 +384,15 @@
                 fleet.relay.mend();
                 Ok(())
             }
+            FaultName::DiskFull | FaultName::DiskStalls => {
+                let Some(leader) = fleet.leader().await else { return Ok(()) };
+                let ail = if self.name == FaultName::DiskFull { "full" } else { "stalled" };
+                self.ail(fleet, &leader, ail).await
+            }
+            FaultName::DiskFails => {
+                let Some(follower) = self.some_follower(fleet).await else { return Ok(()) };
+                self.ail(fleet, &follower, "failing").await
+            }
             FaultName::RollingRestart => {
                 let names = [fleet.running("trailhead"), fleet.running("surveyor")].concat();
                 for name in names {
@@ -516,6 +537,20 @@
         Ok(())
     }
 
+    /// A disk ails while changes go on being sent; what is not accepted then may be unknown.
+    async fn ail(&self, fleet: &mut Fleet, name: &str, ail: &str) -> Result<(), FleetFault> {
+        let said_in = fleet.layout.disk_file(name);
+        let at = |fault| FleetFault::Machine(said_in.clone(), fault);
+        std::fs::write(&said_in, ail).map_err(at)?;
+        for _ in 0..4 {
+            pause(1500).await;
+            if let Err(fault) = self.turn_canary(fleet, "accepted").await {
+                fleet.note("change_failed", json!({"why": fault.to_string()}));
+            }
+        }
+        std::fs::remove_file(&said_in).map_err(at)
+    }
+
     async fn cut_off(&self, fleet: &Fleet, side: &[String]) -> Result<(), FleetFault> {
         let side_ips: Vec<_> = side.iter().filter_map(|name| fleet.ip_of(name)).collect();
         fleet.relay.cut_apart(&side_ips, &fleet.other_ips(side));
--- a/proving/expedition/src/days/run.rs
+++ b/proving/expedition/src/days/run.rs
@@ -43,6 +43,7 @@
 pub async fn run_day(day: &Day) -> Result<DayEnd, FleetFault> {
     let mut sizes = day.deployment.sizes();
     sizes.daemons = day.daemons.unwrap_or(sizes.daemons);
+    sizes.disks_ail = day.faults.iter().any(|fault| fault.is_of_disk());
     let layout = Layout::new(&day.folder, &day.programs, &sizes, day.seed, true)?;
     let doors = layout.doors();
     let mut fleet = Fleet::start(layout).await?;
--- a/proving/expedition/src/fleet/layout.rs
+++ b/proving/expedition/src/fleet/layout.rs
@@ -37,6 +37,8 @@
     pub workers: usize,
     /// Memory of one worker in megabytes.
     pub worker_mb: u64,
+    /// Whether the surveyors' disks can be made to ail.
+    pub disks_ail: bool,
 }
 
 /// Who stands where.
@@ -52,6 +54,7 @@
     pub programs: PathBuf,
     /// The three seed addresses.
     pub seeds: Vec<String>,
+    disks_ail: bool,
     machine_count: usize,
 }
 
@@ -103,6 +106,7 @@
             platform,
             programs: programs.to_owned(),
             seeds: seeds.clone(),
+            disks_ail: sizes.disks_ail,
             machine_count: 3 + sizes.daemons,
         };
         for number in 0..3 {
@@ -195,7 +199,7 @@
         let machine = Machine {
             name: name.to_owned(),
             program,
-            binary: self.programs.join(program),
+            binary: self.programs.join(self.binary_of(program)),
             arguments: vec!["--boot".to_owned(), boot_path.display().to_string()],
             door,
             operators,
@@ -206,6 +210,17 @@
         Ok(())
     }
 
+    /// The surveyors of a fleet whose disks can be made to ail come from a program of the proving tools
+    /// around the same library.
+    fn binary_of(&self, program: &'static str) -> &'static str {
+        if program == "surveyor" && self.disks_ail { "ailing-surveyor" } else { program }
+    }
+
+    /// The file that says how a surveyor's disk ails.
+    pub fn disk_file(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.json.disk"))
+    }
+
     /// One more surveyor at an address of its own, with an empty disk, in another's locality.
     pub fn add_surveyor(&mut self, name: &str, locality: &str) -> Result<(), FleetFault> {
         let at = |fault| FleetFault::Machine(self.folder.clone(), fault);
--- a/proving/expedition/tests/smoke.rs
+++ b/proving/expedition/tests/smoke.rs
@@ -125,20 +125,21 @@
     let no_header = no_header.expect("an answer");
     assert_eq!((no_header.status.as_u16(), &no_header.json()["outcome"]), (400, &json!("not_run")));
     assert_eq!(no_header.headers["rudder-outcome"], "not_run");
-    let identity = "rudder-transaction: odd-1\r\nrudder-budget-ms: 1000\r\nhost: here\r\n";
+    let identity = "rudder-transaction: odd-1\r\nrudder-budget-ms: 1000\r\nhost: here\r\n\
+                    connection: close\r\n";
     let half_sent =
         format!("POST /segment-check HTTP/1.1\r\n{identity}content-length: 10\r\n\r\nabc");
     let too_large =
         format!("POST /segment-check HTTP/1.1\r\n{identity}content-length: 99999999\r\n\r\n");
     let no_route = format!("POST /nowhere HTTP/1.1\r\n{identity}content-length: 0\r\n\r\n");
-    let no_budget = "POST /segment-check HTTP/1.1\r\nhost: here\r\nrudder-transaction: odd-2\r\nrudder-budget-ms: soon\r\ncontent-length: 0\r\n\r\n";
+    let no_budget = "POST /segment-check HTTP/1.1\r\nhost: here\r\nconnection: close\r\nrudder-transaction: odd-2\r\nrudder-budget-ms: soon\r\ncontent-length: 0\r\n\r\n";
     breaks_off(door, &half_sent).await;
     for (sent, status, reason) in [
         (too_large.as_str(), "413", "body_too_large"),
         (&no_route, "404", "no_route"),
         (no_budget, "400", "bad_header"),
     ] {
-        let answer = raw_call(door, sent).await;
+        let answer = raw_call(door, sent, false).await;
         assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
         assert!(answer.contains("\"outcome\":\"not_run\""), "{answer}");
         assert!(answer.contains(reason), "{answer}");
@@ -147,14 +148,16 @@
 
 /// A caller that breaks off in its body is refused, or finds its connection closed, as it comes.
 async fn breaks_off(door: Place, half_sent: &str) {
-    let answer = raw_call(door, half_sent).await;
+    let answer = raw_call(door, half_sent, true).await;
     assert!(answer.is_empty() || answer.contains("bad_body"), "{answer}");
 }
 
-async fn raw_call(door: Place, sent: &str) -> String {
+async fn raw_call(door: Place, sent: &str, breaks_off: bool) -> String {
     let mut stream = tokio::net::TcpStream::connect(door.address()).await.expect("a connection");
     stream.write_all(sent.as_bytes()).await.expect("sent");
-    stream.shutdown().await.expect("half closed");
+    if breaks_off {
+        stream.shutdown().await.expect("half closed");
+    }
     let mut answer = String::new();
     let reading = tokio::io::AsyncReadExt::read_to_string(&mut stream, &mut answer);
     let _ = tokio::time::timeout(Duration::from_secs(30), reading).await;
@@ -190,7 +193,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_small_fleet_serves_through_a_killed_holder_and_a_killed_leader() {
     let folder = std::env::temp_dir().join(format!("rudder-smoke-{}", std::process::id()));
-    let sizes = Sizes { daemons: 3, localities: 3, workers: 4, worker_mb: 6000 };
+    let sizes = Sizes { daemons: 3, localities: 3, workers: 4, worker_mb: 6000, disks_ail: false };
     let layout = Layout::new(&folder, &programs(), &sizes, 1, true).expect("a layout");
     let mut fleet = Fleet::start(layout).await.expect("a fleet");
     let ended = day(&mut fleet).await;
