--- a/programs/legend/src/desk.rs
+++ b/programs/legend/src/desk.rs
@@ -122,18 +122,25 @@
         self.call(Method::POST, path, Some(&json!({}))).await.map(|called| print(&called))
     }
 
-    /// Founds the core; waits a little for the surveyors to meet, and for the first leader.
+    /// Founds the core; waits a little for the surveyors to start and to meet, and for the first
+    /// leader. What reached nobody, or was refused since they have not met, does no harm when repeated.
     pub async fn found(&self) -> Result<ExitCode, DeskFault> {
-        let mut called = self.call(Method::POST, "/v1/core/found", Some(&json!({}))).await?;
-        for _ in 0..MOST_LOOKS {
-            let is_waiting =
-                called.json()["error"].as_str().is_some_and(|text| text.contains("seed"));
-            if !is_waiting {
-                break;
+        let mut look_count = 0;
+        let called = loop {
+            let asked = self.call(Method::POST, "/v1/core/found", Some(&json!({}))).await;
+            let is_early = match &asked {
+                Ok(called) => {
+                    called.json()["error"].as_str().is_some_and(|text| text.contains("seed"))
+                }
+                Err(DeskFault::Unreachable(_)) => true,
+                Err(_) => false,
+            };
+            look_count += 1;
+            if !is_early || look_count > MOST_LOOKS {
+                break asked?;
             }
             tokio::time::sleep(LOOK_AGAIN).await;
-            called = self.call(Method::POST, "/v1/core/found", Some(&json!({}))).await?;
-        }
+        };
         if called.status.is_success() {
             self.newest_serial().await?;
         }
