A caller that hangs up leaves nothing in hand

Cause: what a daemon has in hand was counted up and down around the way of a transaction. A caller that hangs up drops that way in the middle, and the count stayed: an orderly stop then lasted its whole grace.

Change: a guard counts down when it is dropped, with the outcome or without. The simulator holds the same guard with each transaction it carries.

Ruled out: counting at the door only (what a daemon passes on for others counts too).

--- a/crates/trail/src/chain/resolve.rs
+++ b/crates/trail/src/chain/resolve.rs
@@ -7,14 +7,8 @@
 
 /// Brings a transaction to its holder, and comes back with its outcome and the holder if it is known.
 pub async fn resolve(state: &Arc<State>, ask: Ask) -> (HopOutcome, Option<Host>) {
-    state.lodge.take_in_hand();
-    let end = find_and_serve(state, ask).await;
-    state.lodge.hand_out();
-    end
-}
-
-async fn find_and_serve(state: &Arc<State>, ask: Ask) -> (HopOutcome, Option<Host>) {
     let lodge = &state.lodge;
+    let _in_hand = lodge.take_in_hand();
     let mut changes = state.changes();
     let mut way = Way::new(Moment::now(), ask);
     let mut step = way.look(lodge, Moment::now());
--- a/crates/trail/src/lodge/mod.rs
+++ b/crates/trail/src/lodge/mod.rs
@@ -24,6 +24,15 @@
 use waymark::rules::{Rule, Rules};
 use waymark::spec::Table;
 
+/// One transaction in a daemon's hands.
+pub struct InHand(Arc<AtomicUsize>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// What a daemon's parts share; tables are snapshots that are swapped whole. `W` is what waits for a
 /// transaction's outcome.
 pub struct Lodge<W> {
@@ -46,7 +55,7 @@
     /// The copies kept of other daemons' ledgers.
     pub keepsake: Mutex<Keepsake>,
     leaving: AtomicBool,
-    in_hand: AtomicUsize,
+    in_hand: Arc<AtomicUsize>,
     next_ticket: AtomicU64,
 }
 
@@ -65,7 +74,7 @@
             serving_until: SharedMoment::new(),
             keepsake: Mutex::new(Keepsake::new(own_incarnation)),
             leaving: AtomicBool::new(false),
-            in_hand: AtomicUsize::new(0),
+            in_hand: Arc::new(AtomicUsize::new(0)),
             next_ticket: AtomicU64::new(1),
         }
     }
@@ -97,14 +106,11 @@
         self.is_serving(now) && !self.is_leaving() && !is_evacuated
     }
 
-    /// A transaction is in this daemon's hands, as the caller's daemon or on the way.
-    pub fn take_in_hand(&self) {
+    /// A transaction is in this daemon's hands, as the caller's daemon or on the way, until what is
+    /// given back is dropped: with its outcome, or when its caller hangs up.
+    pub fn take_in_hand(&self) -> InHand {
         self.in_hand.fetch_add(1, Ordering::AcqRel);
-    }
-
-    /// A transaction has left this daemon's hands.
-    pub fn hand_out(&self) {
-        self.in_hand.fetch_sub(1, Ordering::AcqRel);
+        InHand(self.in_hand.clone())
     }
 
     /// Whether nothing is left that a daemon that leaves would drop.
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -282,6 +282,18 @@
     verify_that!(judged(unnamed, foreign.0, foreign.1, &foreign.2, &foreign.3), eq(true))
 }
 
+#[gtest]
+fn a_caller_that_hangs_up_leaves_nothing_in_hand() -> Result<()> {
+    let lodge: Lodge<u64> = Lodge::new(host(), Rules::KEPT);
+    let held = lodge.take_in_hand();
+    let hung_up = lodge.take_in_hand();
+    verify_that!(lodge.is_empty_handed(), eq(false))?;
+    drop(hung_up);
+    verify_that!(lodge.is_empty_handed(), eq(false))?;
+    drop(held);
+    verify_that!(lodge.is_empty_handed(), eq(true))
+}
+
 #[gtest]
 fn an_empty_lodge_routes_nothing() -> Result<()> {
     let lodge: Arc<Lodge<u64>> = Arc::new(Lodge::new(host(), Rules::KEPT));
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -7,7 +7,7 @@
 use trail::holder::{Holder, HolderOutput};
 use trail::liaison::LiaisonTiming;
 use trail::lodge::{
-    Ask, Controller, DaemonOrder, Held, Lodge, PassEnd, Question, Task, Topic, Way, WayStep,
+    Ask, Controller, DaemonOrder, Held, InHand, Lodge, PassEnd, Question, Task, Topic, Way, WayStep,
 };
 use waymark::chance::Chance;
 use waymark::clock::Moment;
@@ -29,6 +29,7 @@
     back: Back,
     awaits: Awaits,
     wakes: u64,
+    _in_hand: InHand,
 }
 
 /// What a transaction in a daemon's hands waits for.
@@ -558,9 +559,10 @@
         self.next_number += 1;
         let number = self.next_number;
         let Some(body) = &mut self.daemons[place].body else { return };
-        body.lodge.take_in_hand();
+        let in_hand = body.lodge.take_in_hand();
         let way = Way::new(local_now, ask);
-        body.pendings.insert(number, Pending { way, back, awaits: Awaits::Look, wakes: 0 });
+        let pending = Pending { way, back, awaits: Awaits::Look, wakes: 0, _in_hand: in_hand };
+        body.pendings.insert(number, pending);
         self.look(place, number);
     }
 
@@ -704,7 +706,6 @@
         let node = self.daemons[place].node;
         let Some(body) = &mut self.daemons[place].body else { return };
         let Some(pending) = body.pendings.remove(&number) else { return };
-        body.lodge.hand_out();
         match pending.back {
             Back::Caller => self.tell_caller(pending.way.ask(), &outcome),
             Back::Hop { node: back_node, life, number } => {
