A relay steps aside when its process is gone

The relay went on taking connections for a killed process and dropped them, so that what was sent to it counted as sent: on a real machine the dial is refused, nothing is sent, and the transaction looks for another way.

Change: a kill or a stop takes the relay down with the process, a launch puts it up again.

--- a/proving/expedition/src/days/fault.rs
+++ b/proving/expedition/src/days/fault.rs
@@ -247,46 +247,45 @@
             FaultName::KillOne => {
                 let names = fleet.running("trailhead");
                 let Some(name) = self.one_of(&names) else { return Ok(()) };
-                fleet.kill(&name);
+                fleet.kill(&name).await;
                 pause(3000).await;
-                fleet.launch(&name)
+                fleet.launch(&name).await
             }
             FaultName::KillHerd => {
                 let names = fleet.running("trailhead");
                 let herd: Vec<String> = names.iter().step_by(3).cloned().collect();
-                herd.iter().for_each(|name| fleet.kill(name));
+                fleet.kill_all(&herd).await;
                 pause(3000).await;
-                herd.iter().try_for_each(|name| fleet.launch(name))
+                fleet.launch_all(&herd).await
             }
             FaultName::KillLeader => {
                 let Some(name) = fleet.leader().await else { return Ok(()) };
-                fleet.kill(&name);
+                fleet.kill(&name).await;
                 pause(3000).await;
-                fleet.launch(&name)
+                fleet.launch(&name).await
             }
             FaultName::KillAfterAck => {
                 self.turn_canary(fleet, "accepted").await?;
                 let Some(name) = fleet.leader().await else { return Ok(()) };
-                fleet.kill(&name);
+                fleet.kill(&name).await;
                 pause(3000).await;
-                fleet.launch(&name)
+                fleet.launch(&name).await
             }
             FaultName::LoseDisk => {
                 let Some(name) = self.some_follower(fleet).await else { return Ok(()) };
-                fleet.kill(&name);
+                fleet.kill(&name).await;
                 fleet.lose_disk(&name);
                 pause(1000).await;
-                fleet.launch(&name)
+                fleet.launch(&name).await
             }
             FaultName::ReplaceCore => {
                 let Some(name) = self.some_follower(fleet).await else { return Ok(()) };
                 let locality = fleet.layout.machines[&name].locality.clone();
-                fleet.kill(&name);
+                fleet.kill(&name).await;
                 fleet.layout.machines.remove(&name);
                 let spare_name = format!("spare-{}", self.chance.below(1 << 20));
                 fleet.layout.add_surveyor(&spare_name, &locality)?;
-                fleet.relay_for(&spare_name).await?;
-                fleet.launch(&spare_name)?;
+                fleet.launch(&spare_name).await?;
                 pause(14_000).await;
                 Ok(())
             }
@@ -309,24 +308,26 @@
                 let Some(name) = self.one_of(&names) else { return Ok(()) };
                 fleet.stop(&name, Duration::from_secs(6)).await;
                 pause(1000).await;
-                fleet.launch(&name)
+                fleet.launch(&name).await
             }
             FaultName::RestartAll => {
                 let names: Vec<String> =
                     [fleet.running("trailhead"), fleet.running("surveyor")].concat();
-                names.iter().for_each(|name| fleet.kill(name));
+                fleet.kill_all(&names).await;
                 pause(1000).await;
-                names.iter().try_for_each(|name| fleet.launch(name))
+                fleet.launch_all(&names).await
             }
             FaultName::SpecRoutes => self.turn_routes(fleet).await,
             FaultName::HerdLosesDisk => {
                 let names = fleet.running("trailhead");
                 let herd: Vec<String> = names.iter().step_by(3).cloned().collect();
                 let Some(follower) = self.some_follower(fleet).await else { return Ok(()) };
-                herd.iter().chain([&follower]).for_each(|name| fleet.kill(name));
+                fleet.kill_all(&herd).await;
+                fleet.kill(&follower).await;
                 fleet.lose_disk(&follower);
                 pause(3000).await;
-                herd.iter().chain([&follower]).try_for_each(|name| fleet.launch(name))
+                fleet.launch_all(&herd).await?;
+                fleet.launch(&follower).await
             }
             FaultName::LoseLocality => self.lose_locality(fleet).await,
             FaultName::FreezeHerd => {
@@ -341,7 +342,7 @@
                 let Some(name) = fleet.busiest_holder().await else { return Ok(()) };
                 fleet.stop(&name, Duration::from_secs(6)).await;
                 pause(1000).await;
-                fleet.launch(&name)
+                fleet.launch(&name).await
             }
             FaultName::CutCore => {
                 let Some(leader) = fleet.leader().await else { return Ok(()) };
@@ -397,7 +398,7 @@
                 let names = [fleet.running("trailhead"), fleet.running("surveyor")].concat();
                 for name in names {
                     fleet.stop(&name, Duration::from_secs(6)).await;
-                    fleet.launch(&name)?;
+                    fleet.launch(&name).await?;
                     pause(2500).await;
                 }
                 Ok(())
@@ -569,7 +570,7 @@
             .map(|machine| machine.name.clone())
             .collect();
         let workers = fleet.workers_of(&locality).await;
-        lost.iter().for_each(|name| fleet.kill(name));
+        fleet.kill_all(&lost).await;
         for worker in &workers {
             fleet.platform(&format!("/v1/workers/{worker}/crash"), &json!({})).await?;
         }
@@ -577,7 +578,7 @@
         for worker in &workers {
             fleet.platform(&format!("/v1/workers/{worker}/restore"), &json!({})).await?;
         }
-        lost.iter().try_for_each(|name| fleet.launch(name))
+        fleet.launch_all(&lost).await
     }
 
     /// A route of its own: added, turned to another function, removed; each time every door is called
--- a/proving/expedition/src/fleet/mod.rs
+++ b/proving/expedition/src/fleet/mod.rs
@@ -83,19 +83,17 @@
         let processes = BTreeMap::new();
         let relay = Relay::new();
         let mut fleet = Self { layout, journal, relay, processes, next_change: 1 };
-        for name in fleet.layout.machines.keys() {
-            fleet.relay_for(name).await?;
-        }
+
         let names: Vec<String> = fleet.layout.machines.keys().cloned().collect();
-        fleet.launch("hut")?;
+        fleet.launch("hut").await?;
         for name in names.iter().filter(|name| *name != "hut") {
-            fleet.launch(name)?;
+            fleet.launch(name).await?;
         }
         Ok(fleet)
     }
 
     /// Puts a machine's relay up.
-    pub async fn relay_for(&self, name: &str) -> Result<(), FleetFault> {
+    async fn relay_for(&self, name: &str) -> Result<(), FleetFault> {
         if let Some((place, listen)) = self.layout.machines[name].ways {
             self.relay
                 .stand_before(place, listen)
@@ -118,7 +116,8 @@
     }
 
     /// Starts one process.
-    pub fn launch(&mut self, name: &str) -> Result<(), FleetFault> {
+    pub async fn launch(&mut self, name: &str) -> Result<(), FleetFault> {
+        self.relay_for(name).await?;
         let machine = &self.layout.machines[name];
         let process = Process::start(machine, &self.layout.folder)?;
         self.processes.insert(name.to_owned(), process);
@@ -137,11 +136,33 @@
     }
 
     /// Kills a process without warning.
-    pub fn kill(&mut self, name: &str) {
+    pub async fn kill(&mut self, name: &str) {
         self.note("kill", json!({"machine": name, "door": self.door(name)}));
         if let Some(mut process) = self.processes.remove(name) {
             process.kill();
         }
+        self.step_aside(name).await;
+    }
+
+    /// Kills some at once.
+    pub async fn kill_all(&mut self, names: &[String]) {
+        for name in names {
+            self.kill(name).await;
+        }
+    }
+
+    /// Starts some.
+    pub async fn launch_all(&mut self, names: &[String]) -> Result<(), FleetFault> {
+        for name in names {
+            self.launch(name).await?;
+        }
+        Ok(())
+    }
+
+    async fn step_aside(&self, name: &str) {
+        if let Some((place, _)) = self.layout.machines.get(name).and_then(|machine| machine.ways) {
+            self.relay.step_aside(place).await;
+        }
     }
 
     /// Warns a process, and kills it when its grace is over; says how long it took.
@@ -155,6 +176,7 @@
             if !is_gone {
                 process.kill();
             }
+            self.step_aside(name).await;
             self.note(
                 "stopped",
                 json!({"machine": name, "in_time": is_gone, "taken_ms": taken_ms}),
--- a/proving/expedition/src/fleet/relay.rs
+++ b/proving/expedition/src/fleet/relay.rs
@@ -1,11 +1,12 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use waymark::frames::Place;
 
 /// What the network between the processes does now; machines are known by their IP numbers.
@@ -22,23 +23,44 @@
 #[derive(Clone)]
 pub struct Relay {
     weather: Arc<watch::Sender<Weather>>,
+    standing: Arc<Mutex<BTreeMap<Place, Vec<JoinHandle<()>>>>>,
 }
 
 impl Relay {
     /// A network in which everything gets through.
     pub fn new() -> Self {
-        Self { weather: Arc::new(watch::Sender::new(Weather::default())) }
+        Self {
+            weather: Arc::new(watch::Sender::new(Weather::default())),
+            standing: Arc::new(Mutex::new(BTreeMap::new())),
+        }
     }
 
     /// Stands before one process: what reaches its place is passed on to where it listens.
     pub async fn stand_before(&self, place: Place, listen: Place) -> std::io::Result<()> {
         let listener = TcpListener::bind(place.address()).await?;
         let datagrams = UdpSocket::bind(place.address()).await?;
-        tokio::spawn(accept(listener, listen, self.weather.clone()));
-        tokio::spawn(pass_datagrams(datagrams, listen, self.weather.clone()));
+        let standing_tasks = vec![
+            tokio::spawn(accept(listener, listen, self.weather.clone())),
+            tokio::spawn(pass_datagrams(datagrams, listen, self.weather.clone())),
+        ];
+        let mut standing = self.standing.lock().unwrap_or_else(PoisonError::into_inner);
+        standing.insert(place, standing_tasks);
         Ok(())
     }
 
+    /// No longer stands before a process that is gone: whoever dials it is refused, as by a machine on
+    /// which nobody listens.
+    pub async fn step_aside(&self, place: Place) {
+        let standing_tasks = {
+            let mut standing = self.standing.lock().unwrap_or_else(PoisonError::into_inner);
+            standing.remove(&place).unwrap_or_default()
+        };
+        for task in standing_tasks {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+
     /// Cuts what goes from one machine to another.
     pub fn cut(&self, from: Ipv4Addr, to: Ipv4Addr) {
         self.weather.send_modify(|weather| {
--- a/proving/expedition/tests/smoke.rs
+++ b/proving/expedition/tests/smoke.rs
@@ -71,15 +71,15 @@
     garbage(fleet).await;
 
     let holder = fleet.busiest_holder().await.expect("a holder");
-    fleet.kill(&holder);
+    fleet.kill(&holder).await;
     let other = fleet.running("trailhead").into_iter().find(|name| *name != holder);
     let other_door = other.and_then(|name| fleet.door_of(&name));
     call_until_answered(fleet, 2, other_door).await;
-    fleet.launch(&holder)?;
+    fleet.launch(&holder).await?;
     fleet.await_ready(3).await?;
 
     let leader = fleet.leader().await.expect("a leader");
-    fleet.kill(&leader);
+    fleet.kill(&leader).await;
     fleet.await_leader().await?;
     call_until_answered(fleet, 3, None).await;
     let (serial, kept_spec) = fleet.spec().await?;
