--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -30,12 +30,13 @@
     pub(super) fn new(
         boot: TrailheadBoot,
         own_host: Host,
+        rules: Rules,
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
         Self {
             links: HopLinks::new(*boot.place.0.ip()),
             boot,
-            lodge: Lodge::new(own_host, Rules::KEPT),
+            lodge: Lodge::new(own_host, rules),
             gauges: Gauges::new(),
             changes: watch::Sender::new(0),
             control,
--- a/crates/trail/src/drivers/trailhead.rs
+++ b/crates/trail/src/drivers/trailhead.rs
@@ -11,6 +11,7 @@
 use waymark::frames::{Channel, Flag, FrameFault, Host, Place, decode_heartbeat, read_channel};
 use waymark::note;
 use waymark::readers::BootFault;
+use waymark::rules::Rules;
 
 /// A running trailhead.
 pub struct Trailhead {
@@ -24,6 +25,11 @@
 impl Trailhead {
     /// Opens the listeners.
     pub async fn open(boot: TrailheadBoot) -> Result<Self, BootFault> {
+        Self::open_under(boot, Rules::KEPT).await
+    }
+
+    /// The same with a rule taken away for proving.
+    pub async fn open_under(boot: TrailheadBoot, rules: Rules) -> Result<Self, BootFault> {
         let fault_at = |key: &'static str, place: Place| {
             let source = boot.source.clone();
             move |fault| BootFault::Listen(source, key, place, fault)
@@ -45,7 +51,7 @@
             place: boot.place,
             eligible: Flag(true),
         };
-        let state = Arc::new(State::new(boot, host, control));
+        let state = Arc::new(State::new(boot, host, rules, control));
         Ok(Self { state, inbox, process_listener, door_listener, beats: Arc::new(beats) })
     }
 
--- a/crates/waymark/src/rules.rs
+++ b/crates/waymark/src/rules.rs
@@ -80,6 +80,11 @@
         Rule::InvalidRefused,
         Rule::CoreInTwoSteps,
     ];
+
+    /// The rule of a name.
+    pub fn named(given_name: &str) -> Option<Rule> {
+        Self::ALL.iter().copied().find(|rule| rule.to_string() == given_name)
+    }
 }
 
 impl fmt::Display for Rule {
--- a/proving/expedition/src/days/deployment.rs
+++ b/proving/expedition/src/days/deployment.rs
@@ -43,15 +43,30 @@
     /// The fleet's sizes.
     pub fn sizes(self) -> Sizes {
         match self {
-            Self::Stezka => {
-                Sizes { daemons: 10, localities: 3, workers: 12, worker_mb: 9000, disks_ail: false }
-            }
-            Self::Tintwell => {
-                Sizes { daemons: 9, localities: 3, workers: 12, worker_mb: 7000, disks_ail: false }
-            }
-            Self::Small => {
-                Sizes { daemons: 4, localities: 3, workers: 4, worker_mb: 4000, disks_ail: false }
-            }
+            Self::Stezka => Sizes {
+                daemons: 10,
+                localities: 3,
+                workers: 12,
+                worker_mb: 9000,
+                disks_ail: false,
+                without: None,
+            },
+            Self::Tintwell => Sizes {
+                daemons: 9,
+                localities: 3,
+                workers: 12,
+                worker_mb: 7000,
+                disks_ail: false,
+                without: None,
+            },
+            Self::Small => Sizes {
+                daemons: 4,
+                localities: 3,
+                workers: 4,
+                worker_mb: 4000,
+                disks_ail: false,
+                without: None,
+            },
         }
     }
 
--- a/proving/expedition/src/days/run.rs
+++ b/proving/expedition/src/days/run.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use waymark::chance::Chance;
 use waymark::readers::BootSource;
+use waymark::rules::Rule;
 
 /// One day of the fleet.
 #[derive(Clone, Debug)]
@@ -29,6 +30,8 @@
     pub daemons: Option<usize>,
     /// Transactions a second, if not the deployment's.
     pub rate: Option<f64>,
+    /// The rule that the daemons lack, if any.
+    pub without: Option<Rule>,
 }
 
 /// How a day ended.
@@ -43,6 +46,7 @@
 pub async fn run_day(day: &Day) -> Result<DayEnd, FleetFault> {
     let mut sizes = day.deployment.sizes();
     sizes.daemons = day.daemons.unwrap_or(sizes.daemons);
+    sizes.without = day.without;
     sizes.disks_ail = day.faults.iter().any(|fault| fault.is_of_disk());
     let layout = Layout::new(&day.folder, &day.programs, &sizes, day.seed, true)?;
     let doors = layout.doors();
--- a/proving/expedition/src/fleet/layout.rs
+++ b/proving/expedition/src/fleet/layout.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
 use waymark::frames::Place;
+use waymark::rules::Rule;
 
 /// One process and how it is started.
 #[derive(Clone, Debug)]
@@ -39,6 +40,8 @@
     pub worker_mb: u64,
     /// Whether the surveyors' disks can be made to ail.
     pub disks_ail: bool,
+    /// The rule that the daemons lack, if any.
+    pub without: Option<Rule>,
 }
 
 /// Who stands where.
@@ -55,6 +58,7 @@
     /// The three seed addresses.
     pub seeds: Vec<String>,
     disks_ail: bool,
+    without: Option<Rule>,
     machine_count: usize,
 }
 
@@ -107,6 +111,7 @@
             programs: programs.to_owned(),
             seeds: seeds.clone(),
             disks_ail: sizes.disks_ail,
+            without: sizes.without,
             machine_count: 3 + sizes.daemons,
         };
         for number in 0..3 {
@@ -196,11 +201,15 @@
         let text = serde_json::to_string_pretty(settings).unwrap_or_default();
         std::fs::write(&boot_path, text)
             .map_err(|fault| FleetFault::Machine(boot_path.clone(), fault))?;
+        let mut arguments = vec!["--boot".to_owned(), boot_path.display().to_string()];
+        if let Some(rule) = self.without.filter(|_| program == "trailhead") {
+            arguments.extend(["--without".to_owned(), rule.to_string()]);
+        }
         let machine = Machine {
             name: name.to_owned(),
             program,
             binary: self.programs.join(self.binary_of(program)),
-            arguments: vec!["--boot".to_owned(), boot_path.display().to_string()],
+            arguments,
             door,
             operators,
             locality,
@@ -210,10 +219,14 @@
         Ok(())
     }
 
-    /// The surveyors of a fleet whose disks can be made to ail come from a program of the proving tools
-    /// around the same library.
+    /// Surveyors whose disks can be made to ail, and daemons that lack a rule, come from programs of the
+    /// proving tools around the same libraries.
     fn binary_of(&self, program: &'static str) -> &'static str {
-        if program == "surveyor" && self.disks_ail { "ailing-surveyor" } else { program }
+        match program {
+            "surveyor" if self.disks_ail => "ailing-surveyor",
+            "trailhead" if self.without.is_some() => "flawed-trailhead",
+            _ => program,
+        }
     }
 
     /// The file that says how a surveyor's disk ails.
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -10,6 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
+use waymark::rules::Rule;
 
 /// Runs rudderstream's whole fleet on this machine, hurts it, and judges what callers and runners saw.
 #[derive(Options)]
@@ -113,6 +114,8 @@
     rate: Option<f64>,
     #[options(no_short, help = "daemon machines, if not the deployment's")]
     daemons: Option<usize>,
+    #[options(no_short, help = "a safety rule that the daemons lack", meta = "RULE")]
+    without: Option<String>,
     #[options(
         no_short,
         help = "folder for settings, logs and records",
@@ -125,6 +128,7 @@
 enum DayFault {
     Deployment(String),
     Fault(String),
+    Rule(String),
     Folder(std::io::Error),
 }
 
@@ -138,6 +142,10 @@
                 let names: Vec<&str> = FaultName::ALL.iter().map(|fault| fault.as_str()).collect();
                 write!(out, "unknown fault {name:?}; there are: random, {}", names.join(", "))
             }
+            Self::Rule(name) => {
+                let names: Vec<String> = Rule::ALL.iter().map(Rule::to_string).collect();
+                write!(out, "unknown rule {name:?}; there are: {}", names.join(", "))
+            }
             Self::Folder(fault) => write!(out, "{fault}"),
         }
     }
@@ -155,6 +163,10 @@
             faults.push(fault.ok_or_else(|| DayFault::Fault(name.to_owned()))?);
         }
     }
+    let without = match &run.without {
+        Some(name) => Some(Rule::named(name).ok_or_else(|| DayFault::Rule(name.to_owned()))?),
+        None => None,
+    };
     let own_path = std::env::current_exe().map_err(DayFault::Folder)?;
     let programs = own_path.parent().map(Path::to_owned).unwrap_or_default();
     let folder = std::path::absolute(&run.folder).map_err(DayFault::Folder)?;
@@ -167,6 +179,7 @@
         folder,
         programs,
         rate: run.rate,
+        without,
         daemons: run.daemons,
     })
 }
--- a/proving/expedition/tests/smoke.rs
+++ b/proving/expedition/tests/smoke.rs
@@ -193,7 +193,14 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_small_fleet_serves_through_a_killed_holder_and_a_killed_leader() {
     let folder = std::env::temp_dir().join(format!("rudder-smoke-{}", std::process::id()));
-    let sizes = Sizes { daemons: 3, localities: 3, workers: 4, worker_mb: 6000, disks_ail: false };
+    let sizes = Sizes {
+        daemons: 3,
+        localities: 3,
+        workers: 4,
+        worker_mb: 6000,
+        disks_ail: false,
+        without: None,
+    };
     let layout = Layout::new(&folder, &programs(), &sizes, 1, true).expect("a layout");
     let mut fleet = Fleet::start(layout).await.expect("a fleet");
     let ended = day(&mut fleet).await;
