--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -63,6 +63,7 @@
     acquires: BTreeMap<FunctionKey, Vec<u64>>,
     link: Option<u64>,
     stops_by: Option<Moment>,
+    pub(super) is_disturbed: bool,
 }
 
 /// The moment on a clock that is ahead and runs fast or slow by some thousandths.
@@ -132,6 +133,7 @@
             acquires: BTreeMap::new(),
             link: None,
             stops_by: None,
+            is_disturbed: false,
         }));
         let tick = Event::Tick(self.daemons[place].node, self.daemons[place].life);
         self.push(Duration::from_millis(1), tick);
@@ -147,11 +149,13 @@
     /// Warns a daemon that it is to stop.
     pub(super) fn warn_daemon(&mut self, place: usize) {
         let local_now = self.daemon_now(place);
+        let is_frozen = self.is_frozen(self.daemons[place].node);
         let Some(body) = &mut self.daemons[place].body else { return };
         if body.stops_by.is_some() {
             return;
         }
         body.stops_by = Some(local_now + GRACE);
+        body.is_disturbed = is_frozen;
         self.with_controller(place, |controller, lodge, now| controller.leave(lodge, now));
     }
 
@@ -169,8 +173,7 @@
         }
         let in_hand: Vec<TransactionId> =
             body.pendings.values().map(|pending| pending.way.ask().transaction.clone()).collect();
-        let is_undisturbed = local_now < stops_by + Duration::from_millis(200);
-        if is_undisturbed {
+        if !body.is_disturbed {
             self.checks.stops_in_order(self.now, place, &in_hand);
         }
         self.with_controller(place, |controller, lodge, _| controller.left(lodge));
--- a/proving/expedition/src/sim/faults.rs
+++ b/proving/expedition/src/sim/faults.rs
@@ -418,6 +418,11 @@
         let frozen_until = self.frozen.entry(node).or_insert(until);
         *frozen_until = (*frozen_until).max(until);
         let wakes_at = *frozen_until;
+        if (3..3 + self.daemons.len()).contains(&node.0)
+            && let Some(body) = &mut self.daemons[node.0 - 3].body
+        {
+            body.is_disturbed = true;
+        }
         self.push(wakes_at.since(self.now), Event::Wake(node));
     }
 
