Seams for callers, runners and platform; routes by host and prefix, weights, limits

Cause: the users' new machines speak other words, their routes match by host and longest prefix, and runners have lives that the platform names. Ruled out: a second program beside the product, which would decide twice. Change: waymark::tongue holds the seams, frames carry parcels, lives and left runners, the spec reads host and prefix, weights, target, rank, tries, identities and callers' limits.

--- a/crates/survey/src/desk/functions.rs
+++ b/crates/survey/src/desk/functions.rs
@@ -92,6 +92,7 @@
                     once_wait_ms: 0,
                     steward: Many(entry.steward.iter().cloned().collect()),
                     prior: Many(Vec::new()),
+                    adopted: Many(Vec::new()),
                 });
             }
             let is_answerable = holder_record.stream.is_some()
@@ -147,6 +148,7 @@
             once_wait_ms: once_wait.as_millis() as u32,
             steward: Many(steward.into_iter().collect()),
             prior: Many(prior.into_iter().collect()),
+            adopted: Many(Vec::new()),
         })
     }
 
@@ -227,6 +229,7 @@
                 );
             }
             RunnerNews::Gone => self.runner_stopped(runner),
+            RunnerNews::Begun { .. } => {}
         }
     }
 
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -208,7 +208,7 @@
                 };
                 self.acquires.push(asked);
             }
-            StreamUp::Release { function, grant } => {
+            StreamUp::Release { function, grant, .. } => {
                 self.hear_release(now, stream, &function, grant);
             }
             StreamUp::Reserve { correlation, function, grant } => {
--- a/crates/survey/tests/desk.rs
+++ b/crates/survey/tests/desk.rs
@@ -113,7 +113,13 @@
 }
 
 fn claim(ending: bool) -> Claim {
-    let runner = ClaimRunner { runner: old_runner(), worker: "w".into(), memory_mb: 100 };
+    let runner = ClaimRunner {
+        runner: old_runner(),
+        worker: "w".into(),
+        memory_mb: 100,
+        life: Many(Vec::new()),
+        fit: Flag(false),
+    };
     Claim {
         function: function(),
         grant: GrantSerial(7),
--- a/crates/trail/src/chain/answer.rs
+++ b/crates/trail/src/chain/answer.rs
@@ -121,7 +121,10 @@
             put_retry(&mut response, retry_ms);
             response
         }
-        Said::Outcome(function, HopOutcome::Answer { status, seal: body_seal, runner, body }) => {
+        Said::Outcome(
+            function,
+            HopOutcome::Answer { status, seal: body_seal, runner, body, .. },
+        ) => {
             let mut response = Response::new(full(body.0));
             *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
             response
--- a/crates/trail/src/chain/mod.rs
+++ b/crates/trail/src/chain/mod.rs
@@ -36,7 +36,9 @@
     };
 
     let table = state.lodge.table.load_full();
-    let Some(route) = table.route(&head.method, head.uri.path()) else {
+    let host = head.headers.get(hyper::header::HOST).and_then(|value| value.to_str().ok());
+    let found = table.route(&head.method, host.unwrap_or(""), head.uri.path(), &transaction);
+    let Some(found) = found else {
         let said = if state.lodge.is_serving(Moment::now()) {
             Said::NoRoute
         } else {
@@ -59,10 +61,10 @@
 
     let ask = Ask {
         transaction: transaction.clone(),
-        function: table.function(route.function).key.clone(),
-        route: route.spec.name.clone(),
+        function: found.function.key.clone(),
+        route: found.route.spec.name.clone(),
         serial: table.serial(),
-        budget_end: Moment::now() + asked_budget.min(route.spec.budget),
+        budget_end: Moment::now() + asked_budget.min(found.route.spec.budget),
         hops: 0,
         repeat: head.headers.contains_key(seal::REPEAT_OF),
         body,
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -177,6 +177,8 @@
                 runner: *runner,
                 worker: record.worker.clone(),
                 memory_mb: record.memory_mb,
+                life: Many(Vec::new()),
+                fit: Flag(false),
             })
             .collect();
         Claim {
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Claim, Heartbeat, Host, Place, ReserveResult, RunnerNews, StreamDown, StreamUp,
+    AcquireResult, Claim, Heartbeat, Host, Many, Place, ReserveResult, RunnerNews, StreamDown,
+    StreamUp,
 };
 use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term};
 use waymark::rules::{Rule, Rules};
@@ -361,7 +362,7 @@
             .acquires
             .remove(&correlation)
             .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
-        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior } = &result {
+        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior, .. } = &result {
             let spec = self.table.function_of(&function).map(|entry| entry.spec.clone());
             let may_hold = now < self.liaison.grant_end() && !self.leaving;
             match spec.filter(|_| may_hold) {
@@ -374,7 +375,11 @@
                     prior: prior.0.first().cloned(),
                 })),
                 None => {
-                    let frame = StreamUp::Release { function: function.clone(), grant: *grant };
+                    let frame = StreamUp::Release {
+                        function: function.clone(),
+                        grant: *grant,
+                        runners: Many(Vec::new()),
+                    };
                     self.orders.push(KeeperOrder::Say(frame));
                 }
             }
--- a/crates/trail/src/lodge/answer.rs
+++ b/crates/trail/src/lodge/answer.rs
@@ -61,6 +61,7 @@
         status: answer.status,
         seal: answer.seal.as_bytes().to_vec().into(),
         runner,
+        lines: waymark::frames::Many(Vec::new()),
         body: answer.body.into(),
     })
 }
@@ -94,9 +95,7 @@
         attempt: u32,
     ) -> Result<RunnerCall, HopReason> {
         let table = self.table.load();
-        let is_allowed = table
-            .route_named(&task.route)
-            .is_some_and(|route| table.function(route.function).key == held.function);
+        let is_allowed = table.allows(&task.route, &held.function);
         if !is_allowed && self.rules.keep(Rule::SpecBeforeSend) {
             return Err(HopReason::NotAllowed);
         }
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -181,7 +181,7 @@
             HolderWord::Released => {
                 if lodge.held(&function, grant).is_some() {
                     self.remove(lodge, &function);
-                    self.say(StreamUp::Release { function, grant });
+                    self.say(StreamUp::Release { function, grant, runners: Many(Vec::new()) });
                 }
             }
         }
--- a/crates/trail/src/lodge/way.rs
+++ b/crates/trail/src/lodge/way.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::{AcquireResult, Blob, Flag, HopBody, HopOutcome, HopReason, Host};
+use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Parcel};
 use waymark::identity::{FunctionKey, Serial, TransactionId};
 
 /// What is kept back of the budget for each hop, there and back, so that a refusal at the last moment
@@ -47,7 +47,7 @@
                 budget_ms,
                 hops,
                 repeat,
-                body,
+                parcel,
             } => Ok(Self {
                 transaction,
                 function,
@@ -56,7 +56,7 @@
                 budget_end: now + Duration::from_millis(u64::from(budget_ms)),
                 hops,
                 repeat: repeat.0,
-                body: body.0,
+                body: parcel.body.0,
             }),
             other => Err(other),
         }
@@ -135,7 +135,7 @@
         let table = lodge.table.load();
         let Some(route) = table
             .route_named(&self.ask.route)
-            .filter(|route| table.function(route.function).key == self.ask.function)
+            .filter(|_| table.allows(&self.ask.route, &self.ask.function))
         else {
             let is_behind = table.serial() < self.ask.serial && now < self.spec_by;
             return if is_behind {
@@ -211,7 +211,7 @@
             budget_ms: budget_left.as_millis() as u32,
             hops: self.ask.hops + 1,
             repeat: Flag(self.ask.repeat),
-            body: Blob(self.ask.body.clone()),
+            parcel: Parcel::of_body(self.ask.body.clone()),
         }
     }
 
--- a/crates/trail/tests/holder.rs
+++ b/crates/trail/tests/holder.rs
@@ -49,8 +49,14 @@
         steward: Option<Host>,
         prior: Option<Prior>,
     ) -> Self {
-        let spec =
-            FunctionSpec { memory_mb: 100, boot: ms(100), slots, min_runners: 0, max_runners };
+        let spec = FunctionSpec {
+            connections: 100,
+            memory_mb: 100,
+            boot: ms(100),
+            slots,
+            min_runners: 0,
+            max_runners,
+        };
         let terms = GrantTerms {
             function: FunctionKey::new("f", Serial(2)),
             grant: GrantSerial(1),
@@ -130,6 +136,7 @@
 
     fn answer(&mut self, ticket: Ticket, runner: RunnerId) {
         let outcome = HopOutcome::Answer {
+            lines: waymark::frames::Many(Vec::new()),
             status: 200,
             seal: Vec::new().into(),
             runner,
@@ -377,8 +384,14 @@
 fn a_runner_never_gets_more_than_it_was_started_for_when_the_spec_changes() -> Result<()> {
     let mut bench = Bench::new(2, 1, Duration::ZERO);
     bench.warm();
-    let wider =
-        FunctionSpec { memory_mb: 100, boot: ms(100), slots: 8, min_runners: 0, max_runners: 1 };
+    let wider = FunctionSpec {
+        connections: 100,
+        memory_mb: 100,
+        boot: ms(100),
+        slots: 8,
+        min_runners: 0,
+        max_runners: 1,
+    };
     bench.holder.respec(wider);
     for number in 0..40 {
         bench.enter(&format!("t{number}"), false, false);
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -134,8 +134,14 @@
     bench.hear(spec_frame(3, "f"));
     bench.renew(3);
     let function = bench.key("f");
-    let spec =
-        FunctionSpec { memory_mb: 100, boot: ms(200), slots: 2, min_runners: 0, max_runners: 2 };
+    let spec = FunctionSpec {
+        connections: 100,
+        memory_mb: 100,
+        boot: ms(200),
+        slots: 2,
+        min_runners: 0,
+        max_runners: 2,
+    };
     let grant = GrantSerial(4);
     let once_wait = Duration::ZERO;
     let terms = GrantTerms { function, grant, spec, once_wait, steward: None, prior: None };
--- a/crates/waymark/src/frames/hop.rs
+++ b/crates/waymark/src/frames/hop.rs
@@ -1,6 +1,6 @@
 use super::{Blob, Flag, Host, Many};
 use crate::identity::{
-    CorrelationId, FunctionKey, GrantSerial, Incarnation, Serial, TransactionId,
+    CorrelationId, FunctionKey, GrantSerial, Incarnation, Serial, TransactionId, Wording,
 };
 use binrw::binrw;
 use std::fmt;
@@ -75,6 +75,44 @@
     }
 }
 
+/// One header line that is passed on as it came.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct HeadLine {
+    /// Its name.
+    pub name: Wording,
+    /// Its value.
+    pub value: Blob,
+}
+
+/// What a caller sent, as a runner is to get it.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Parcel {
+    /// The method.
+    pub method: Wording,
+    /// Path and query, untouched.
+    pub target: Wording,
+    /// The header lines that are passed on, `host` among them.
+    pub lines: Many<HeadLine>,
+    /// The body.
+    pub body: Blob,
+}
+
+impl Parcel {
+    /// A parcel that is nothing but a body.
+    pub fn of_body(body: bytes::Bytes) -> Self {
+        Self {
+            method: Wording::from("POST"),
+            target: Wording::from("/"),
+            lines: Many(Vec::new()),
+            body: Blob(body),
+        }
+    }
+}
+
 /// How a transaction ended.
 #[binrw]
 #[brw(big)]
@@ -89,6 +127,8 @@
         seal: Blob,
         /// The runner's name.
         runner: crate::identity::RunnerId,
+        /// Header lines that go on to the caller.
+        lines: Many<HeadLine>,
         /// The body.
         body: Blob,
     },
@@ -170,8 +210,8 @@
         hops: u8,
         /// Whether the caller marked it a repeat.
         repeat: Flag,
-        /// The caller's body.
-        body: Blob,
+        /// What the caller sent.
+        parcel: Parcel,
     },
     /// Brings the outcome back.
     #[brw(magic = 2u8)]
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -11,10 +11,10 @@
 pub use self::core::{CoreBody, CoreFrame, KnownMember};
 pub use dial::dial;
 pub use heartbeat::{Heartbeat, View};
-pub use hop::{HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState};
+pub use hop::{HeadLine, HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState, Parcel};
 pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
 pub use stream::{
-    AcquireResult, Claim, ClaimRunner, Host, IdleFunction, Prior, ReserveResult, RunnerNews,
+    AcquireResult, Claim, ClaimRunner, Host, IdleFunction, Life, Prior, ReserveResult, RunnerNews,
     StreamDown, StreamUp,
 };
 pub use wire::{
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/waymark/src/frames/stream.rs
@@ -1,7 +1,7 @@
 use super::{Blob, Flag, Many, Place};
 use crate::identity::{
-    CorrelationId, FunctionKey, GrantSerial, Incarnation, Locality, MemberName, RunnerId, Serial,
-    Term, WorkerName,
+    CorrelationId, FunctionKey, GrantSerial, Incarnation, LifeName, Locality, MemberName, RunnerId,
+    Serial, Term, WorkerName,
 };
 use binrw::binrw;
 
@@ -22,6 +22,17 @@
     pub eligible: Flag,
 }
 
+/// One life of a runner, as the platform names it.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Life {
+    /// Its name.
+    pub name: LifeName,
+    /// Where it listens.
+    pub place: Place,
+}
+
 /// One runner in a claim.
 #[binrw]
 #[brw(big)]
@@ -33,6 +44,10 @@
     pub worker: WorkerName,
     /// The memory it needs.
     pub memory_mb: u32,
+    /// Its life; none while the platform has not told it.
+    pub life: Many<Life>,
+    /// Whether it is ready and may be taken over by the next holder as it stands.
+    pub fit: Flag,
 }
 
 /// One function that a daemon holds.
@@ -92,6 +107,8 @@
         steward: Many<Host>,
         /// Where an earlier ledger may be collected.
         prior: Many<Prior>,
+        /// Runners left by an earlier holder, renamed under this grant, to be taken over as they stand.
+        adopted: Many<ClaimRunner>,
     },
     /// Another daemon holds it.
     #[brw(magic = 2u8)]
@@ -141,6 +158,12 @@
     /// The platform confirmed that it is stopped, or never started it.
     #[brw(magic = 2u8)]
     Gone,
+    /// The platform told its life; it boots.
+    #[brw(magic = 3u8)]
+    Begun {
+        /// Its life.
+        life: Life,
+    },
 }
 
 /// What a daemon says on its stream.
@@ -196,6 +219,8 @@
         function: FunctionKey,
         /// The grant given back.
         grant: GrantSerial,
+        /// Runners that are left as they stand for the next holder.
+        runners: Many<ClaimRunner>,
     },
     /// Asks for memory for one more runner.
     #[brw(magic = 8u8)]
--- a/crates/waymark/src/identity/mod.rs
+++ b/crates/waymark/src/identity/mod.rs
@@ -6,7 +6,9 @@
 mod runner;
 
 pub use function::{FunctionIndex, FunctionKey, FunctionKeyFault};
-pub use names::{ChangeId, FunctionName, Locality, MemberName, TransactionId, WorkerName};
+pub use names::{
+    ChangeId, FunctionName, LifeName, Locality, MemberName, TransactionId, Wording, WorkerName,
+};
 pub use numbers::{
     CorrelationId, GrantSerial, Incarnation, Serial, Stamp, SurveyorId, Term, Ticket,
 };
--- a/crates/waymark/src/identity/names.rs
+++ b/crates/waymark/src/identity/names.rs
@@ -84,4 +84,8 @@
     TransactionId,
     /// An operator's name for one change of the spec.
     ChangeId,
+    /// The platform's own name of a runner's life; every start has another one.
+    LifeName,
+    /// A short text as it stands on the wire: a method, a target, the name of a header line.
+    Wording,
 }
--- a/crates/waymark/src/lib.rs
+++ b/crates/waymark/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod rules;
 pub mod seal;
 pub mod spec;
+pub mod tongue;
--- a/crates/waymark/src/spec/mod.rs
+++ b/crates/waymark/src/spec/mod.rs
@@ -5,5 +5,5 @@
 mod table;
 
 pub use document::{ChangeNote, CoreMember, Document, DocumentFault, View};
-pub use reader::{FunctionSpec, RouteSpec, Spec, read_spec};
-pub use table::{FunctionEntry, RouteEntry, Table};
+pub use reader::{CallerLimits, FunctionSpec, RouteMatch, RouteSpec, Spec, read_spec};
+pub use table::{Found, FunctionEntry, RouteEntry, Table};
--- a/crates/waymark/src/spec/reader.rs
+++ b/crates/waymark/src/spec/reader.rs
@@ -18,6 +18,8 @@
     pub min_runners: u32,
     /// The most runners.
     pub max_runners: u32,
+    /// The most connections one runner takes.
+    pub connections: u32,
 }
 
 /// Which transactions go to which function, and how patiently.
@@ -25,18 +27,60 @@
 pub struct RouteSpec {
     /// The route's name.
     pub name: String,
-    /// The method matched.
-    pub method: Method,
-    /// The path matched; `{name}` stands for one part, `{*name}` for the rest.
-    pub path: String,
-    /// The function.
+    /// What is matched.
+    pub matching: RouteMatch,
+    /// The function, or the first of several.
     pub function: FunctionName,
+    /// Several functions with their weights; empty when all goes to one.
+    pub shares: Vec<(FunctionName, u32)>,
     /// The longest budget a caller may name.
     pub budget: Duration,
     /// How long a transaction may wait in the inbox.
     pub patience: Duration,
+    /// The time within which an answer is worth its full value.
+    pub target: Duration,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+    /// The most runners one try may go to.
+    pub tries: u32,
     /// Whether a transaction may be sent to a runner only once.
     pub once: bool,
+    /// Whether callers may send the same identity again, so that a once-transaction is noted elsewhere
+    /// before it is sent.
+    pub noted: bool,
+}
+
+/// What a route matches.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum RouteMatch {
+    /// A method and a path; `{name}` stands for one part, `{*name}` for the rest.
+    Pattern(Method, String),
+    /// A host, and how the path begins; the longest prefix of a host wins. The prefix ends with a slash.
+    Prefix(String, String),
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct CallerLimits {
+    /// The largest head of a call, in bytes.
+    pub header_bytes: usize,
+    /// The largest body, in bytes.
+    pub body_bytes: usize,
+    /// How long a head may take.
+    pub header: Duration,
+    /// How long a connection may be idle.
+    pub idle: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 64 << 10,
+            body_bytes: 1 << 20,
+            header: Duration::from_secs(10),
+            idle: Duration::from_secs(60),
+        }
+    }
 }
 
 /// A checked spec.
@@ -46,6 +90,8 @@
     pub functions: BTreeMap<FunctionName, FunctionSpec>,
     /// The routes by name.
     pub routes: Vec<RouteSpec>,
+    /// The callers' limits.
+    pub limits: CallerLimits,
 }
 
 /// Reads a spec; on failure every fault with its path.
@@ -55,7 +101,8 @@
     if !value.is_object() {
         root_reader.fault(FaultReason::NotA("an object"));
     }
-    root_reader.only(&["functions", "routes"]);
+    root_reader.only(&["functions", "routes", "limits", "labels"]);
+    let limits = read_limits(&root_reader.field("limits"));
     let functions: BTreeMap<FunctionName, FunctionSpec> = root_reader
         .field("functions")
         .fields()
@@ -68,16 +115,32 @@
     let function_readers = root_reader.field("functions");
     let mut routes = Vec::new();
     let mut matchers: BTreeMap<String, matchit::Router<String>> = BTreeMap::new();
+    let mut prefixes: BTreeMap<(String, String), String> = BTreeMap::new();
     for (route_name, reader) in root_reader.field("routes").fields() {
         let Some(route) = read_route(route_name, &reader) else { continue };
-        if !function_readers.field(route.function.as_str()).is_there() {
-            reader
-                .field("function")
-                .fault(FaultReason::NoSuch("function", route.function.to_string()));
+        let named = route.shares.iter().map(|(name, _)| name).chain([&route.function]);
+        let unknown =
+            named.into_iter().find(|name| !function_readers.field(name.as_str()).is_there());
+        if let Some(unknown_name) = unknown {
+            let key = if route.shares.is_empty() { "function" } else { "functions" };
+            reader.field(key).fault(FaultReason::NoSuch("function", unknown_name.to_string()));
             continue;
         }
-        let matcher = matchers.entry(route.method.to_string()).or_default();
-        match matcher.insert(route.path.clone(), route_name.to_owned()) {
+        let (method, path) = match &route.matching {
+            RouteMatch::Pattern(method, path) => (method.clone(), path.clone()),
+            RouteMatch::Prefix(host, prefix) => {
+                let place = (host.clone(), prefix.clone());
+                match prefixes.insert(place, route_name.to_owned()) {
+                    Some(other_name) => {
+                        reader.field("prefix").fault(FaultReason::Duplicate(other_name));
+                    }
+                    None => routes.push(route),
+                }
+                continue;
+            }
+        };
+        let matcher = matchers.entry(method.to_string()).or_default();
+        match matcher.insert(path, route_name.to_owned()) {
             Ok(()) => routes.push(route),
             Err(matchit::InsertError::Conflict { with }) => {
                 let other_name = matcher.at(&with).map(|found| found.value.clone());
@@ -87,7 +150,7 @@
         }
     }
     let found_faults = faults.into_inner();
-    if found_faults.is_empty() { Ok(Spec { functions, routes }) } else { Err(found_faults) }
+    if found_faults.is_empty() { Ok(Spec { functions, routes, limits }) } else { Err(found_faults) }
 }
 
 fn check_name(given_name: &str, reader: &PathReader<'_>) {
@@ -99,8 +162,26 @@
     }
 }
 
+fn read_limits(reader: &PathReader<'_>) -> CallerLimits {
+    reader.only(&["header_bytes", "body_bytes", "header_ms", "idle_ms"]);
+    let default = CallerLimits::default();
+    let span = |key: &str, default_span: Duration| {
+        let millis = reader.field(key).number_or(1..=600_000, default_span.as_millis() as u64);
+        Duration::from_millis(millis)
+    };
+    let bytes = |key: &str, default_bytes: usize| {
+        reader.field(key).number_or(1..=64 << 20, default_bytes as u64) as usize
+    };
+    CallerLimits {
+        header_bytes: bytes("header_bytes", default.header_bytes),
+        body_bytes: bytes("body_bytes", default.body_bytes),
+        header: span("header_ms", default.header),
+        idle: span("idle_ms", default.idle),
+    }
+}
+
 fn read_function(reader: &PathReader<'_>) -> Option<FunctionSpec> {
-    reader.only(&["memory_mb", "boot_ms", "slots", "runners"]);
+    reader.only(&["memory_mb", "boot_ms", "slots", "runners", "connections", "labels"]);
     let runners_reader = reader.field("runners");
     runners_reader.only(&["min", "max"]);
     let min_runners = runners_reader.field("min").number_or(0..=1000, 0) as u32;
@@ -111,7 +192,9 @@
     let memory_mb = reader.field("memory_mb").number(1..=1_000_000);
     let boot_ms = reader.field("boot_ms").number(0..=600_000);
     let slots = reader.field("slots").number(1..=10_000);
+    let connections = reader.field("connections").number_or(1..=100_000, 1024) as u32;
     Some(FunctionSpec {
+        connections,
         memory_mb: memory_mb? as u32,
         boot: Duration::from_millis(boot_ms?),
         slots: slots? as u32,
@@ -120,9 +203,7 @@
     })
 }
 
-fn read_route(route_name: &str, reader: &PathReader<'_>) -> Option<RouteSpec> {
-    check_name(route_name, reader);
-    reader.only(&["method", "path", "function", "budget_ms", "patience_ms", "kind"]);
+fn read_pattern(reader: &PathReader<'_>) -> Option<RouteMatch> {
     let method_reader = reader.field("method");
     let method = method_reader.text().and_then(|method_text| {
         let known_methods =
@@ -140,7 +221,68 @@
         }
         path_text.starts_with('/')
     });
-    let function = reader.field("function").text();
+    Some(RouteMatch::Pattern(method?, path?.to_owned()))
+}
+
+fn read_prefix(reader: &PathReader<'_>) -> Option<RouteMatch> {
+    let host = reader.field("host").text().map(str::to_ascii_lowercase);
+    let prefix_reader = reader.field("prefix");
+    let prefix = prefix_reader.text().filter(|prefix_text| {
+        let is_fit = prefix_text.starts_with('/') && prefix_text.ends_with('/');
+        if !is_fit {
+            let reason = "does not begin and end with /".to_owned();
+            prefix_reader.fault(FaultReason::Form(reason));
+        }
+        is_fit
+    });
+    for pattern_key in ["method", "path"] {
+        if reader.field(pattern_key).is_there() {
+            let reason = "does not go with a prefix".to_owned();
+            reader.field(pattern_key).fault(FaultReason::Form(reason));
+        }
+    }
+    Some(RouteMatch::Prefix(host?, prefix?.to_owned()))
+}
+
+fn read_shares(reader: &PathReader<'_>) -> Vec<(FunctionName, u32)> {
+    let shares: Vec<(FunctionName, u32)> = reader
+        .fields()
+        .into_iter()
+        .filter_map(|(name, share)| {
+            Some((FunctionName::from(name), share.number(0..=1_000_000)? as u32))
+        })
+        .collect();
+    if reader.is_there() && shares.iter().all(|(_, weight)| *weight == 0) {
+        reader.fault(FaultReason::Form("has weights that sum to 0".to_owned()));
+    }
+    shares
+}
+
+fn read_route(route_name: &str, reader: &PathReader<'_>) -> Option<RouteSpec> {
+    check_name(route_name, reader);
+    reader.only(&[
+        "method",
+        "path",
+        "host",
+        "prefix",
+        "function",
+        "functions",
+        "budget_ms",
+        "patience_ms",
+        "target_ms",
+        "rank",
+        "tries",
+        "kind",
+        "identities",
+        "labels",
+    ]);
+    let by_prefix = reader.field("prefix").is_there() || reader.field("host").is_there();
+    let matching = if by_prefix { read_prefix(reader) } else { read_pattern(reader) };
+    let shares = read_shares(&reader.field("functions"));
+    let function = match shares.first() {
+        Some((first_name, _)) => Some(first_name.clone()),
+        None => reader.field("function").text().map(FunctionName::from),
+    };
     let kind_reader = reader.field("kind");
     let once = match kind_reader.text() {
         Some("once") => Some(true),
@@ -151,15 +293,35 @@
         }
         None => None,
     };
+    let identities_reader = reader.field("identities");
+    let noted = match identities_reader.value().and_then(Value::as_str) {
+        Some("fresh") => false,
+        Some("may_come_again") => true,
+        _ => {
+            if identities_reader.is_there() {
+                let reason = "is neither fresh nor may_come_again".to_owned();
+                identities_reader.fault(FaultReason::Form(reason));
+            }
+            true
+        }
+    };
     let budget_ms = reader.field("budget_ms").number(1..=60_000);
-    let patience_ms = reader.field("patience_ms").number_or(0..=60_000, budget_ms.unwrap_or(1000));
+    let budget_or = budget_ms.unwrap_or(1000);
+    let patience_ms = reader.field("patience_ms").number_or(0..=60_000, budget_or);
+    let target_ms = reader.field("target_ms").number_or(1..=60_000, budget_or);
+    let rank = reader.field("rank").number_or(0..=255, 0) as u8;
+    let tries = reader.field("tries").number_or(1..=100, 3) as u32;
     Some(RouteSpec {
         name: route_name.to_owned(),
-        method: method?,
-        path: path?.to_owned(),
-        function: FunctionName::from(function?),
+        matching: matching?,
+        function: function?,
+        shares,
         budget: Duration::from_millis(budget_ms?),
         patience: Duration::from_millis(patience_ms),
+        target: Duration::from_millis(target_ms),
+        rank,
+        tries,
         once: once?,
+        noted,
     })
 }
--- a/crates/waymark/src/spec/table.rs
+++ b/crates/waymark/src/spec/table.rs
@@ -1,7 +1,9 @@
-use super::{DocumentFault, FunctionSpec, RouteSpec, View};
-use crate::identity::{FunctionIndex, FunctionKey, Locality, Serial};
+use super::{CallerLimits, DocumentFault, FunctionSpec, RouteMatch, RouteSpec, View};
+use crate::identity::{FunctionIndex, FunctionKey, Locality, Serial, TransactionId};
 use hyper::Method;
+use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap};
+use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 /// One function of a snapshot.
@@ -16,8 +18,46 @@
 pub struct RouteEntry {
     /// The route.
     pub spec: RouteSpec,
-    /// Its function's dense number.
+    /// Its function's dense number, or the first one's.
     pub function: FunctionIndex,
+    /// Several functions with their weights; empty when all goes to one.
+    pub shares: Vec<(FunctionIndex, u32)>,
+}
+
+impl RouteEntry {
+    /// The function of one transaction; the same identity always leads to the same one.
+    pub fn choose(&self, transaction: &TransactionId) -> FunctionIndex {
+        let weight_sum: u64 = self.shares.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        if weight_sum == 0 {
+            return self.function;
+        }
+        let mut identity_hasher = DefaultHasher::new();
+        transaction.hash(&mut identity_hasher);
+        let mut left = identity_hasher.finish() % weight_sum;
+        for (function, weight) in &self.shares {
+            if left < u64::from(*weight) {
+                return *function;
+            }
+            left -= u64::from(*weight);
+        }
+        self.function
+    }
+
+    /// Whether the route may lead to a function.
+    pub fn leads_to(&self, function: FunctionIndex) -> bool {
+        if self.shares.is_empty() {
+            return self.function == function;
+        }
+        self.shares.iter().any(|(shared, weight)| *shared == function && *weight > 0)
+    }
+}
+
+/// What a look-up found.
+pub struct Found<'a> {
+    /// The route.
+    pub route: &'a RouteEntry,
+    /// The transaction's function.
+    pub function: &'a FunctionEntry,
 }
 
 /// An immutable snapshot of a spec, made for look-ups.
@@ -26,6 +66,8 @@
     functions: Vec<FunctionEntry>,
     routes: Vec<RouteEntry>,
     matchers: HashMap<Method, matchit::Router<usize>>,
+    prefixes: HashMap<String, HashMap<String, usize>>,
+    limits: CallerLimits,
     by_route: HashMap<String, usize>,
     by_key: HashMap<FunctionKey, FunctionIndex>,
     evacuated: BTreeSet<Locality>,
@@ -39,6 +81,8 @@
             functions: Vec::new(),
             routes: Vec::new(),
             matchers: HashMap::new(),
+            prefixes: HashMap::new(),
+            limits: CallerLimits::default(),
             by_route: HashMap::new(),
             by_key: HashMap::new(),
             evacuated: BTreeSet::new(),
@@ -56,6 +100,7 @@
             table.by_key.insert(key.clone(), FunctionIndex(table.functions.len()));
             table.functions.push(FunctionEntry { key, spec: function_spec });
         }
+        table.limits = checked_spec.limits;
         let by_name: HashMap<_, _> = table
             .functions
             .iter()
@@ -65,12 +110,25 @@
         for route_spec in checked_spec.routes {
             let Some(function) = by_name.get(&route_spec.function).copied() else { continue };
             let route_place = table.routes.len();
-            let matcher = table.matchers.entry(route_spec.method.clone()).or_default();
-            if matcher.insert(route_spec.path.clone(), route_place).is_err() {
-                continue;
+            match &route_spec.matching {
+                RouteMatch::Pattern(method, path) => {
+                    let matcher = table.matchers.entry(method.clone()).or_default();
+                    if matcher.insert(path.clone(), route_place).is_err() {
+                        continue;
+                    }
+                }
+                RouteMatch::Prefix(host, prefix) => {
+                    let host_prefixes = table.prefixes.entry(host.clone()).or_default();
+                    host_prefixes.insert(prefix.clone(), route_place);
+                }
             }
+            let shares = route_spec
+                .shares
+                .iter()
+                .filter_map(|(name, weight)| Some((*by_name.get(name)?, *weight)))
+                .collect();
             table.by_route.insert(route_spec.name.clone(), route_place);
-            table.routes.push(RouteEntry { spec: route_spec, function });
+            table.routes.push(RouteEntry { spec: route_spec, function, shares });
         }
         Ok(table)
     }
@@ -80,10 +138,58 @@
         self.serial
     }
 
-    /// The route for a method and path.
-    pub fn route(&self, method: &Method, path: &str) -> Option<&RouteEntry> {
-        let found_match = self.matchers.get(method)?.at(path).ok()?;
-        self.routes.get(*found_match.value)
+    /// The route that a call leads to, and its function: by host and longest prefix, else by method and
+    /// path.
+    pub fn route(
+        &self,
+        method: &Method,
+        host: &str,
+        path: &str,
+        transaction: &TransactionId,
+    ) -> Option<Found<'_>> {
+        let place = self.prefixed(host, path).or_else(|| {
+            let found_match = self.matchers.get(method)?.at(path).ok()?;
+            Some(*found_match.value)
+        })?;
+        let route = self.routes.get(place)?;
+        Some(Found { route, function: self.function(route.choose(transaction)) })
+    }
+
+    fn prefixed(&self, host: &str, path: &str) -> Option<usize> {
+        let plain_host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let lower_host;
+        let asked_host = if plain_host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+            lower_host = plain_host.to_ascii_lowercase();
+            &lower_host
+        } else {
+            plain_host
+        };
+        let host_prefixes = self.prefixes.get(asked_host)?;
+        let mut rest = path;
+        while let Some(slash) = rest.rfind('/') {
+            if let Some(place) = host_prefixes.get(&rest[..=slash]) {
+                return Some(*place);
+            }
+            rest = &rest[..slash];
+        }
+        None
+    }
+
+    /// Whether a route, by its name, may lead to a function.
+    pub fn allows(&self, route_name: &str, key: &FunctionKey) -> bool {
+        let function = self.by_key.get(key);
+        let route = self.route_named(route_name);
+        route.zip(function).is_some_and(|(route, function)| route.leads_to(*function))
+    }
+
+    /// The callers' limits.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// The routes.
+    pub fn routes(&self) -> &[RouteEntry] {
+        &self.routes
     }
 
     /// The route of a name.
--- /dev/null
+++ b/crates/waymark/src/tongue/platform.rs
@@ -0,0 +1,113 @@
+use crate::frames::Life;
+use crate::identity::{
+    FunctionKey, FunctionName, LifeName, Locality, MemberName, RunnerId, WorkerName,
+};
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// A call under way.
+pub type Calling<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// A runner to be started; the same order again finds the same runner.
+#[derive(Clone, Debug)]
+pub struct BeginOrder {
+    /// The runner's own name with us, the start's key.
+    pub runner: RunnerId,
+    /// Its function.
+    pub function: FunctionKey,
+    /// Where it is to run.
+    pub worker: WorkerName,
+    /// The memory it needs.
+    pub memory_mb: u32,
+    /// How long it boots on average.
+    pub boot: Duration,
+    /// How many transactions it may run at once.
+    pub slots: u32,
+    /// Who orders it.
+    pub member: MemberName,
+}
+
+/// How an order to start ended.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum BeginEnd {
+    /// It boots, or has booted.
+    Begun(Life),
+    /// The worker has no room, or is gone, draining or unknown.
+    NoRoom,
+    /// The platform has too many calls; come back.
+    Busy,
+    /// There is no such function, or the order was wrong.
+    Refused,
+    /// No answer; it may have been carried out.
+    Lost,
+}
+
+/// A runner to be stopped.
+#[derive(Clone, Debug)]
+pub struct StopOrder {
+    /// The runner's own name with us.
+    pub runner: RunnerId,
+    /// Its function.
+    pub function: FunctionKey,
+    /// Where it runs.
+    pub worker: WorkerName,
+    /// Its life; without one the start is repeated to learn it, and then stopped.
+    pub life: Option<LifeName>,
+    /// Who orders it.
+    pub member: MemberName,
+}
+
+/// A worker as the platform lists it.
+#[derive(Clone, Debug)]
+pub struct ListedWorker {
+    /// Its name.
+    pub worker: WorkerName,
+    /// Its locality.
+    pub locality: Locality,
+    /// Its whole memory.
+    pub memory_mb: u32,
+    /// Whether it is being emptied.
+    pub draining: bool,
+}
+
+/// A runner as the platform lists it.
+#[derive(Clone, Debug)]
+pub struct ListedRunner {
+    /// Its life.
+    pub life: Life,
+    /// Our own name for it, where the platform keeps that.
+    pub runner: Option<RunnerId>,
+    /// Its function's name.
+    pub function: FunctionName,
+    /// Its function with generation, where the platform keeps that.
+    pub key: Option<FunctionKey>,
+    /// Where it runs.
+    pub worker: WorkerName,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+}
+
+/// The platform's list of runners.
+#[derive(Clone, Debug)]
+pub struct RunnerList {
+    /// How old its content is at most.
+    pub age: Duration,
+    /// The runners.
+    pub runners: Vec<ListedRunner>,
+}
+
+/// How the platform's HTTP is spoken.
+pub trait PlatformTongue: Send + Sync {
+    /// Orders a start.
+    fn begin(&self, order: BeginOrder) -> Calling<'_, BeginEnd>;
+
+    /// Orders a stop; true when the runner has surely ended and its name never starts again.
+    fn stop(&self, order: StopOrder) -> Calling<'_, bool>;
+
+    /// Lists the workers; none when it cannot be read now.
+    fn workers(&self) -> Calling<'_, Option<Vec<ListedWorker>>>;
+
+    /// Lists all runners, page by page; none when it cannot be read whole now.
+    fn runners(&self) -> Calling<'_, Option<RunnerList>>;
+}
--- a/crates/waymark/tests/frames.rs
+++ b/crates/waymark/tests/frames.rs
@@ -4,9 +4,9 @@
 use waymark::chance::Chance;
 use waymark::frames::{
     AcquireResult, Channel, CoreBody, CoreFrame, Flag, FrameFault, Heartbeat, HopBody, HopFrame,
-    HopOutcome, HopReason, Host, LedgerNote, Many, NoteState, Place, StreamDown, StreamUp, View,
-    decode, decode_heartbeat, encode, encode_heartbeat, read_channel, read_frame, write_channel,
-    write_frame,
+    HopOutcome, HopReason, Host, LedgerNote, Many, NoteState, Parcel, Place, StreamDown, StreamUp,
+    View, decode, decode_heartbeat, encode, encode_heartbeat, read_channel, read_frame,
+    write_channel, write_frame,
 };
 use waymark::identity::{
     CorrelationId, FunctionKey, GrantSerial, MemberName, Serial, Stamp, SurveyorId, Term,
@@ -67,7 +67,7 @@
             budget_ms: 900,
             hops: 1,
             repeat: Flag(false),
-            body: b"{}".to_vec().into(),
+            parcel: Parcel::of_body(b"{}".to_vec().into()),
         },
         HopBody::Note {
             function: function.clone(),
@@ -86,7 +86,11 @@
     let ups = [
         StreamUp::Hello { host: host.clone(), door: Place::NOWHERE, serial: Serial(3) },
         StreamUp::Acquire { correlation: CorrelationId(8), function: function.clone() },
-        StreamUp::Release { function: function.clone(), grant: GrantSerial(4) },
+        StreamUp::Release {
+            function: function.clone(),
+            grant: GrantSerial(4),
+            runners: Many(Vec::new()),
+        },
     ];
     let downs = [
         sample(),
--- a/crates/waymark/tests/spec.rs
+++ b/crates/waymark/tests/spec.rs
@@ -108,10 +108,11 @@
             1 => format!("/area/{number}/other"),
             _ => format!("/w/list-{number}"),
         };
-        let found = table.route(&Method::POST, &path).map(|entry| entry.spec.name.as_str());
+        let found = table.route(&Method::POST, "", &path, &"t".into());
+        let found = found.map(|found| found.route.spec.name.as_str());
         verify_that!(found, eq(plain_match(&listed, &path)))?;
     }
-    verify_that!(table.route(&Method::GET, "/area/0/tile").is_none(), eq(true))
+    verify_that!(table.route(&Method::GET, "", "/area/0/tile", &"t".into()).is_none(), eq(true))
 }
 
 #[gtest]
