A daemon speaks through three tongues; the whole call travels to its runner and back

Cause: callers, runners and platform of other installations have words of their own. Ruled out: a second chain beside the first (two places that decide), and tongues as type parameters (every driver would carry them). Change: Trailhead::open_with takes TrailTongues; the product's own words are trail::tongue and waymark::tongue::OwnPlatform. Ask, Task and RunnerCall carry a Parcel; answer lines come back. judge knows seals that only the caller can check, a runner that is another one, and a runner's own failure. A holder's disagreement is no 404 any more: only the door's table says that no route fits. Boot settings for readiness' own place, heartbeats, extra tries, idle stop, warm functions; SIGHUP rereads the seeds. Gauges are refreshed when the page is read.

--- a/crates/trail/src/boot/mod.rs
+++ b/crates/trail/src/boot/mod.rs
@@ -1,9 +1,10 @@
 //! The trailhead's boot settings.
 
+use crate::holder::Tuning;
 use std::time::Duration;
 use waymark::frames::Place;
 use waymark::identity::{Locality, MemberName};
-use waymark::readers::{BootFault, BootSource, read_listen, read_place, read_places};
+use waymark::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
 
 /// What a trailhead needs to know before it starts.
 #[derive(Clone, Debug)]
@@ -28,8 +29,16 @@
     pub largest_body: usize,
     /// How long a daemon may take to leave.
     pub grace: Duration,
-    /// Worker threads; zero lets the machine decide.
+    /// Worker threads; zero lets the machine decide, and one does without any beside the first.
     pub threads: usize,
+    /// Where readiness and metrics are asked, if not at the door.
+    pub ready: Option<Place>,
+    /// From one heartbeat to the next.
+    pub beat_every: Duration,
+    /// Whether functions that boot longer than their callers gladly wait are acquired before a call.
+    pub warm: bool,
+    /// How the held functions are run.
+    pub tuning: Tuning,
 }
 
 impl TrailheadBoot {
@@ -47,6 +56,15 @@
                 "largest_body",
                 "grace_ms",
                 "threads",
+                "ready",
+                "beat_ms",
+                "warm",
+                "tries_percent",
+                "tries_allowance",
+                "tries_allowance_at_once",
+                "idle_boots",
+                "fall_ms",
+                "drain_every_ms",
             ]);
             let member = root.field("member").text();
             let locality = root.field("locality").text();
@@ -58,6 +76,12 @@
             let largest_body = root.field("largest_body").number_or(1..=64 << 20, 1 << 20);
             let grace_ms = root.field("grace_ms").number_or(500..=60_000, 5_600);
             let threads = root.field("threads").number_or(0..=256, 0);
+            let ready_reader = root.field("ready");
+            let ready =
+                if ready_reader.is_there() { Some(read_place(&ready_reader)?) } else { None };
+            let beat_ms = root.field("beat_ms").number_or(20..=10_000, 100);
+            let warm = root.field("warm").flag_or(false);
+            let tuning = read_tuning(root);
             Some(Self {
                 source: boot_source.name().to_owned(),
                 member: MemberName::from(member?),
@@ -70,7 +94,30 @@
                 largest_body: largest_body as usize,
                 grace: Duration::from_millis(grace_ms),
                 threads: threads as usize,
+                ready,
+                beat_every: Duration::from_millis(beat_ms),
+                warm,
+                tuning,
             })
         })
     }
 }
+
+fn read_tuning(root: &PathReader<'_>) -> Tuning {
+    let default = Tuning::default();
+    let span = |key: &str, default_span: Duration| {
+        let millis = root.field(key).number_or(1..=600_000, default_span.as_millis() as u64);
+        Duration::from_millis(millis)
+    };
+    let count = |key: &str, most: u64, default_count: u64| {
+        root.field(key).number_or(0..=most, default_count)
+    };
+    Tuning {
+        tries_percent: count("tries_percent", 1000, default.tries_percent),
+        tries_allowance: count("tries_allowance", 1_000_000, default.tries_allowance),
+        tries_allowance_at_once: root.field("tries_allowance_at_once").flag_or(false),
+        idle_boots: count("idle_boots", 1_000_000, u64::from(default.idle_boots)) as u32,
+        fall: span("fall_ms", default.fall),
+        drain_every: span("drain_every_ms", default.drain_every),
+    }
+}
--- a/crates/trail/src/chain/mod.rs
+++ b/crates/trail/src/chain/mod.rs
@@ -8,31 +8,34 @@
 
 use crate::drivers::State;
 use crate::lodge::Ask;
-use answer::{Said, say};
+use answer::{ended, refused, refused_for_good, say, unread};
 use filters::{budget, identity, largest};
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use std::sync::Arc;
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::HopReason;
+use waymark::frames::{HopReason, Many, Parcel};
 use waymark::http::{Served, read_body};
-use waymark::seal;
+use waymark::identity::Wording;
+use waymark::tongue::{DoorTongue, NotRunKind};
 
 const BODY_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Takes one caller's transaction from its first byte to its answer.
 pub async fn transact(state: &Arc<State>, request: Request<Incoming>) -> Served {
     let (head, incoming_body) = request.into_parts();
+    let door = state.tongues.door.as_ref();
 
-    let transaction = match identity(&head.headers) {
+    let transaction = match identity(door, &head.headers) {
         Ok(transaction) => transaction,
-        Err(said) => return say(state, None, said),
+        Err(unfit) => return say(state, None, unfit.into()),
     };
 
-    let asked_budget = match budget(&head.headers) {
+    let asked_budget = match budget(door, &head.headers) {
         Ok(asked_budget) => asked_budget,
-        Err(said) => return say(state, Some(&transaction), said),
+        Err(unfit) => return say(state, Some(&transaction), unfit.into()),
     };
 
     let table = state.lodge.table.load_full();
@@ -40,23 +43,24 @@
     let found = table.route(&head.method, host.unwrap_or(""), head.uri.path(), &transaction);
     let Some(found) = found else {
         let said = if state.lodge.is_serving(Moment::now()) {
-            Said::NoRoute
+            refused_for_good(NotRunKind::NoRoute, "no_route")
         } else {
-            Said::refused(HopReason::NotServing)
+            refused(HopReason::NotServing)
         };
         return say(state, Some(&transaction), said);
     };
 
-    if let Err(said) = largest(&head.headers, state.boot.largest_body) {
-        return say(state, Some(&transaction), said);
+    let largest_body = state.largest_call(table.limits());
+    if let Err(unfit) = largest(&head.headers, largest_body) {
+        return say(state, Some(&transaction), unfit.into());
     }
-    let body = match read_body(incoming_body, state.boot.largest_body, BODY_PATIENCE).await {
+    let body = match read_body(incoming_body, largest_body, BODY_PATIENCE).await {
         Ok(body) => body,
-        Err(fault) => return say(state, Some(&transaction), Said::from(fault)),
+        Err(fault) => return say(state, Some(&transaction), unread(&fault)),
     };
 
     if state.lodge.is_leaving() || !state.lodge.is_serving(Moment::now()) {
-        return say(state, Some(&transaction), Said::refused(HopReason::NotServing));
+        return say(state, Some(&transaction), refused(HopReason::NotServing));
     }
 
     let ask = Ask {
@@ -66,11 +70,21 @@
         serial: table.serial(),
         budget_end: Moment::now() + asked_budget.min(found.route.spec.budget),
         hops: 0,
-        repeat: head.headers.contains_key(seal::REPEAT_OF),
-        body,
+        repeat: door.is_repeat(&head.headers),
+        parcel: Arc::new(parcel(door, &head, body)),
     };
     let function = ask.function.clone();
     let (outcome, _) = resolve(state, ask).await;
 
-    say(state, Some(&transaction), Said::Outcome(function, outcome))
+    say(state, Some(&transaction), ended(function, outcome))
+}
+
+fn parcel(door: &dyn DoorTongue, head: &Parts, body: bytes::Bytes) -> Parcel {
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    Parcel {
+        method: Wording::from(head.method.as_str()),
+        target: Wording::from(target),
+        lines: Many(door.passed_lines(&head.headers)),
+        body: body.into(),
+    }
 }
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -32,6 +32,8 @@
     Acquire(FunctionKey, oneshot::Sender<AcquireResult>),
     /// A holder has something for the leader.
     Word(FunctionKey, GrantSerial, HolderWord),
+    /// The seeds have changed.
+    Seeds(Vec<Place>),
     /// The daemon is leaving.
     Leave,
     /// The daemon has left.
@@ -72,7 +74,6 @@
                 _ = ticking.tick() => {
                     let orders = self.controller.tick(&self.state.lodge, Moment::now());
                     self.obey(orders);
-                    self.state.gauge();
                 }
                 input = inbox.recv() => match input {
                     Some(input) => self.take(input),
@@ -119,6 +120,10 @@
             ControlInput::Word(function, grant, word) => {
                 self.controller.told(lodge, now, function, grant, word)
             }
+            ControlInput::Seeds(seeds) => {
+                self.controller.set_seeds(seeds);
+                return;
+            }
             ControlInput::Leave => self.controller.leave(lodge, now),
             ControlInput::Left => self.controller.left(lodge),
         };
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -48,25 +48,30 @@
         }
         HolderOutput::Start { runner, worker, spec } => {
             tokio::spawn(async move {
-                let place = platform::start(&state, &held, runner, &worker, &spec).await;
+                let life = platform::start(&state, &held, runner, &worker, &spec).await;
+                let place = life.as_ref().map(|life| life.place);
+                if let Some(life) = life {
+                    held.learn_life(runner, life);
+                }
                 apply(&held, &state, |holder, now| holder.started(now, runner, place));
             });
         }
         HolderOutput::Probe { runner, place } => {
             tokio::spawn(async move {
-                let is_ready = runners::is_ready(runner, place).await;
+                let is_ready = runners::is_ready(&state, runner, place).await;
                 apply(&held, &state, |holder, now| holder.probed(now, runner, is_ready));
             });
         }
         HolderOutput::Settle { runner, place } => {
             tokio::spawn(async move {
-                let running = runners::running(runner, place).await;
+                let running = runners::running(&state, runner, place).await;
                 apply(&held, &state, |holder, now| holder.settled(now, runner, running));
             });
         }
-        HolderOutput::Stop { runner } => {
+        HolderOutput::Stop { runner, worker } => {
             tokio::spawn(async move {
-                if platform::stop(&state, runner).await {
+                if platform::stop(&state, &held, runner, &worker).await {
+                    held.forget_life(runner);
                     apply(&held, &state, |holder, now| holder.stopped(now, runner));
                 }
             });
--- a/crates/trail/src/drivers/hops.rs
+++ b/crates/trail/src/drivers/hops.rs
@@ -148,6 +148,6 @@
             let (outcome, holder) = resolve(state, ask).await;
             Some(HopBody::Done { outcome, holder: Many(holder.into_iter().collect()) })
         }
-        Err(question) => state.lodge.answer_as_steward(Moment::now(), question),
+        Err(question) => state.lodge.answer_as_steward(Moment::now(), *question),
     }
 }
--- a/crates/trail/src/drivers/runners.rs
+++ b/crates/trail/src/drivers/runners.rs
@@ -1,10 +1,8 @@
 use super::{HeldHere, State};
 use crate::holder::SendEnd;
-use crate::lodge::{RunnerAnswer, RunnerCall, judge};
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
-use hyper::{Method, Request, StatusCode};
+use crate::lodge::judge;
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 use waymark::clock::Moment;
@@ -14,6 +12,7 @@
 use waymark::identity::{RunnerId, Ticket, TransactionId};
 use waymark::note;
 use waymark::seal;
+use waymark::tongue::{ReadyBy, RunnerWords};
 
 /// Sends one transaction to a runner. The last look at the member grant and the newest spec comes
 /// when the connection is open, so that nothing is left between it and the send.
@@ -37,7 +36,17 @@
         Err(reason) => return SendEnd::Barred(reason),
     };
     let budget_left = call.budget_left;
-    let Ok(request) = request_of(place, call) else {
+    let life = held.life_of(runner);
+    let words = RunnerWords {
+        transaction: &call.transaction,
+        function: &call.function,
+        runner: call.runner,
+        life: call.runner.and(life.as_ref().map(|life| &life.name)),
+        attempt,
+        budget_left,
+        parcel: &call.parcel,
+    };
+    let Ok(request) = state.tongues.runner.request(place, &words) else {
         return SendEnd::Barred(HopReason::NotAllowed);
     };
     state.gauges.sends.inc();
@@ -46,16 +55,8 @@
     }
     match exchange(connection, request, budget_left, state.boot.largest_body).await {
         Ok(called) => {
-            let answer = RunnerAnswer {
-                status: called.status.as_u16(),
-                transaction: header(&called.headers, seal::TRANSACTION),
-                function: header(&called.headers, seal::FUNCTION),
-                runner: header(&called.headers, seal::RUNNER),
-                seal: header(&called.headers, seal::SEAL),
-                is_shed: called.headers.contains_key(seal::SHED),
-                body: called.body.clone(),
-            };
-            let end = judge(state.lodge.rules, &task.transaction, &held.function, runner, answer);
+            let said = state.tongues.runner.read(called.status, &called.headers, called.body);
+            let end = judge(state.lodge.rules, &task.transaction, &held.function, runner, said);
             if matches!(end, SendEnd::Lost) {
                 state.gauges.rejected_answers.inc();
                 note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: seal", task.transaction);
@@ -69,40 +70,30 @@
     }
 }
 
-fn request_of(place: Place, call: RunnerCall) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    let mut request = Request::builder()
-        .method(Method::POST)
-        .uri("/run")
-        .header(HOST, place.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .header(seal::TRANSACTION, call.transaction.as_str())
-        .header(seal::FUNCTION, call.function.to_string())
-        .header(seal::ATTEMPT, call.attempt.to_string())
-        .header(seal::BUDGET, call.budget_left.as_millis().to_string());
-    if let Some(runner) = call.runner {
-        request = request.header(seal::RUNNER, runner.to_string());
-    }
-    request.body(Full::new(call.body))
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
 }
 
 /// Whether a booting runner is ready, and is the one it should be.
-pub async fn is_ready(runner: RunnerId, place: Place) -> bool {
+pub async fn is_ready(state: &State, runner: RunnerId, place: Place) -> bool {
     let patience = Duration::from_millis(800);
-    let called = call_json(place, Method::GET, "/ready", None, patience).await;
-    called.is_ok_and(|called| {
-        called.status == StatusCode::OK
-            && header(&called.headers, seal::RUNNER) == runner.to_string()
-    })
+    match state.tongues.runner.ready_by() {
+        ReadyBy::Asking(path, name_header) => {
+            let called = call_json(place, Method::GET, path, None, patience).await;
+            called.is_ok_and(|called| {
+                called.status == StatusCode::OK
+                    && header(&called.headers, name_header) == runner.to_string()
+            })
+        }
+        ReadyBy::Connecting => connect(place, patience).await.is_ok(),
+    }
 }
 
 /// What a runner is running; none when it is gone, or another runner answers at its address.
-pub async fn running(runner: RunnerId, place: Place) -> Option<Vec<TransactionId>> {
+pub async fn running(state: &State, runner: RunnerId, place: Place) -> Option<Vec<TransactionId>> {
     let patience = Duration::from_millis(800);
-    match call_json(place, Method::GET, "/running", None, patience).await {
+    let path = state.tongues.runner.running_path()?;
+    match call_json(place, Method::GET, path, None, patience).await {
         Ok(called) => {
             if header(&called.headers, seal::RUNNER) != runner.to_string() {
                 return None;
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -2,12 +2,14 @@
 use super::{Gauges, HopLinks};
 use crate::boot::TrailheadBoot;
 use crate::lodge::{Held, Lodge};
+use crate::tongue::TrailTongues;
 use std::sync::{Arc, PoisonError};
 use tokio::sync::{mpsc, oneshot, watch};
 use waymark::clock::Moment;
 use waymark::frames::{AcquireResult, HopOutcome, Host};
 use waymark::identity::FunctionKey;
 use waymark::rules::Rules;
+use waymark::spec::CallerLimits;
 
 /// A held function whose transactions wait on this process's tasks.
 pub type HeldHere = Arc<Held<oneshot::Sender<HopOutcome>>>;
@@ -16,6 +18,8 @@
 pub struct State {
     /// The boot settings.
     pub boot: TrailheadBoot,
+    /// How callers, runners and platform are spoken with.
+    pub tongues: TrailTongues,
     /// The daemon itself.
     pub lodge: Lodge<oneshot::Sender<HopOutcome>>,
     /// Links to the other daemons.
@@ -31,11 +35,13 @@
         boot: TrailheadBoot,
         own_host: Host,
         rules: Rules,
+        tongues: TrailTongues,
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
         Self {
             links: HopLinks::new(*boot.place.0.ip()),
             boot,
+            tongues,
             lodge: Lodge::new(own_host, rules),
             gauges: Gauges::new(),
             changes: watch::Sender::new(0),
@@ -48,6 +54,15 @@
         self.changes.subscribe()
     }
 
+    /// The largest body taken from a caller: what the spec says, or else the boot settings.
+    pub fn largest_call(&self, limits: CallerLimits) -> usize {
+        if limits.body_bytes == CallerLimits::default().body_bytes {
+            self.boot.largest_body
+        } else {
+            limits.body_bytes
+        }
+    }
+
     /// Asks the leader for a function, together with all who ask for it now; none if the stream is lost.
     pub async fn acquire(&self, function: &FunctionKey) -> Option<AcquireResult> {
         let (result_sender, result) = oneshot::channel();
--- a/crates/trail/src/drivers/trailhead.rs
+++ b/crates/trail/src/drivers/trailhead.rs
@@ -1,6 +1,8 @@
 use super::control::{Control, ControlInput};
-use super::{State, hops, serve_door};
+use super::door::{serve_door, serve_ready};
+use super::{State, hops};
 use crate::boot::TrailheadBoot;
+use crate::tongue::TrailTongues;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -13,12 +15,26 @@
 use waymark::readers::BootFault;
 use waymark::rules::Rules;
 
+/// Tells a running trailhead something.
+#[derive(Clone)]
+pub struct TrailheadHandle {
+    state: Arc<State>,
+}
+
+impl TrailheadHandle {
+    /// The seeds have changed; those known are replaced.
+    pub fn reseed(&self, seeds: Vec<Place>) {
+        let _ = self.state.control.send(ControlInput::Seeds(seeds));
+    }
+}
+
 /// A running trailhead.
 pub struct Trailhead {
     state: Arc<State>,
     inbox: mpsc::UnboundedReceiver<ControlInput>,
     process_listener: TcpListener,
     door_listener: TcpListener,
+    ready_listener: Option<TcpListener>,
     beats: Arc<UdpSocket>,
 }
 
@@ -30,6 +46,16 @@
 
     /// The same with a rule taken away for proving.
     pub async fn open_under(boot: TrailheadBoot, rules: Rules) -> Result<Self, BootFault> {
+        let tongues = TrailTongues::own(boot.platform);
+        Self::open_with(boot, rules, tongues).await
+    }
+
+    /// The same with other tongues than the product's own.
+    pub async fn open_with(
+        boot: TrailheadBoot,
+        rules: Rules,
+        tongues: TrailTongues,
+    ) -> Result<Self, BootFault> {
         let fault_at = |key: &'static str, place: Place| {
             let source = boot.source.clone();
             move |fault| BootFault::Listen(source, key, place, fault)
@@ -40,6 +66,13 @@
             .map_err(fault_at(listen_key, boot.listen))?;
         let door_listener =
             TcpListener::bind(boot.door.address()).await.map_err(fault_at("door", boot.door))?;
+        let ready_listener = match boot.ready {
+            Some(ready) => {
+                let listener = TcpListener::bind(ready.address()).await;
+                Some(listener.map_err(fault_at("ready", ready))?)
+            }
+            None => None,
+        };
         let beats = UdpSocket::bind(boot.listen.address())
             .await
             .map_err(fault_at(listen_key, boot.listen))?;
@@ -51,16 +84,26 @@
             place: boot.place,
             eligible: Flag(true),
         };
-        let state = Arc::new(State::new(boot, host, rules, control));
-        Ok(Self { state, inbox, process_listener, door_listener, beats: Arc::new(beats) })
+        let state = Arc::new(State::new(boot, host, rules, tongues, control));
+        let beats = Arc::new(beats);
+        Ok(Self { state, inbox, process_listener, door_listener, ready_listener, beats })
+    }
+
+    /// What can be told to it while it runs.
+    pub fn handle(&self) -> TrailheadHandle {
+        TrailheadHandle { state: self.state.clone() }
     }
 
     /// Serves until told to stop, then leaves in an orderly way.
     pub async fn run(self, mut stop: watch::Receiver<bool>) {
-        let Self { state, inbox, process_listener, door_listener, beats } = self;
+        let Self { state, inbox, process_listener, door_listener, ready_listener, beats } = self;
         tokio::spawn(Control::new(state.clone(), beats.clone()).run(inbox));
         tokio::spawn(hear_beats(state.clone(), beats));
         tokio::spawn(accept(process_listener, state.clone()));
+        let (_ready_stop_sender, ready_stop) = watch::channel(false);
+        if let Some(ready_listener) = ready_listener {
+            tokio::spawn(serve_ready(state.clone(), ready_listener, ready_stop));
+        }
         let (door_stop_sender, door_stop) = watch::channel(false);
         let door = tokio::spawn(serve_door(state.clone(), door_listener, door_stop));
         let _ = stop.wait_for(|stopping| *stopping).await;
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -6,8 +6,10 @@
 mod runners;
 mod scaling;
 mod tries;
+mod tuning;
 
 pub use output::{HolderOutput, HolderWord, SendEnd};
+pub use tuning::Tuning;
 
 use crate::ledger::Book;
 use custody::Custody;
@@ -292,7 +294,8 @@
                 };
                 self.end(now, sent.waiting.entry, outcome);
             }
-            SendEnd::Unsent => {
+            SendEnd::Failed(outcome) => self.failed(now, sent.waiting, outcome),
+            SendEnd::Unsent | SendEnd::OtherRunner => {
                 self.runner_failed(now, sent.runner);
                 self.put_back(now, sent.waiting);
             }
@@ -304,21 +307,38 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// A runner's own failure: a repeatable transaction may go to another runner, else it is passed on.
+    fn failed(&mut self, now: Moment, waiting: Waiting, outcome: HopOutcome) {
+        if self.may_repeat(now, &waiting) {
+            self.repeat(now, waiting);
+        } else {
+            self.end(now, waiting.entry, outcome);
+        }
+    }
+
     fn lost(&mut self, now: Moment, mut waiting: Waiting) {
         waiting.may_have_run = true;
-        let has_time = now + self.service * 2 < waiting.entry.budget_end;
-        let may_repeat = !waiting.entry.once && has_time && !self.closed;
-        if may_repeat && self.may_spend(now) {
-            self.tries.spend(now);
-            waiting.attempt += 1;
-            waiting.give_up_at = waiting.entry.budget_end;
-            self.inbox.push_front(waiting);
+        if self.may_repeat(now, &waiting) {
+            self.repeat(now, waiting);
         } else {
             let outcome = HopOutcome::Unknown { reason: HopReason::AnswerLost };
             self.end(now, waiting.entry, outcome);
         }
     }
 
+    fn may_repeat(&mut self, now: Moment, waiting: &Waiting) -> bool {
+        let has_time = now + self.service * 2 < waiting.entry.budget_end;
+        !waiting.entry.once && has_time && !self.closed && self.may_spend(now)
+    }
+
+    fn repeat(&mut self, now: Moment, mut waiting: Waiting) {
+        self.tries.spend(now);
+        waiting.may_have_run = true;
+        waiting.attempt += 1;
+        waiting.give_up_at = waiting.entry.budget_end;
+        self.inbox.push_front(waiting);
+    }
+
     fn may_spend(&mut self, now: Moment) -> bool {
         !self.rules.keep(Rule::TriesCounted) || self.tries.may_spend(now)
     }
--- a/crates/trail/src/holder/output.rs
+++ b/crates/trail/src/holder/output.rs
@@ -50,6 +50,8 @@
     Stop {
         /// Which one.
         runner: RunnerId,
+        /// Where it runs.
+        worker: WorkerName,
     },
     /// Collect an earlier holder's ledger.
     Collect {
@@ -107,8 +109,12 @@
 pub enum SendEnd {
     /// The runner's whole sealed body.
     Answered(HopOutcome),
-    /// The runner refused, under seal.
+    /// The runner's own failure, after it ran.
+    Failed(HopOutcome),
+    /// The runner refused, and did not run it.
     ShedByRunner,
+    /// Another runner is at the address, and did not run it.
+    OtherRunner,
     /// Nothing was sent: the member grant has ended, or the spec no longer allows it.
     Barred(HopReason),
     /// Surely nothing was sent: the runner could not be reached.
--- a/crates/trail/src/holder/runners.rs
+++ b/crates/trail/src/holder/runners.rs
@@ -135,7 +135,8 @@
             record.phase = Phase::Stopping;
             record.since = now;
             record.next_look_at = now + STOP_AGAIN_AFTER;
-            self.outputs.push(HolderOutput::Stop { runner });
+            let worker = record.worker.clone();
+            self.outputs.push(HolderOutput::Stop { runner, worker });
         }
     }
 
@@ -165,7 +166,8 @@
                 Phase::Draining if record.busy_count() == 0 => stopped_runners.push(*runner),
                 Phase::Stopping if now >= record.next_look_at => {
                     record.next_look_at = now + STOP_AGAIN_AFTER;
-                    self.outputs.push(HolderOutput::Stop { runner: *runner });
+                    let worker = record.worker.clone();
+                    self.outputs.push(HolderOutput::Stop { runner: *runner, worker });
                 }
                 Phase::Ready | Phase::Draining => {
                     let oldest_hung = record.hung.values().min().copied();
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -116,6 +116,11 @@
         self
     }
 
+    /// The seeds have changed.
+    pub fn set_seeds(&mut self, seeds: Vec<Place>) {
+        self.liaison.set_seeds(seeds);
+    }
+
     /// When the member grant ends.
     pub fn grant_end(&self) -> Moment {
         self.liaison.grant_end()
--- a/crates/trail/src/liaison/mod.rs
+++ b/crates/trail/src/liaison/mod.rs
@@ -123,6 +123,18 @@
         self
     }
 
+    /// The seeds have changed; surveyors known from the spec stay known.
+    pub fn set_seeds(&mut self, seeds: Vec<Place>) {
+        if seeds.is_empty() {
+            return;
+        }
+        self.places.retain(|place| !self.seeds.contains(place) || seeds.contains(place));
+        let new_places: Vec<Place> =
+            seeds.iter().copied().filter(|seed| !self.places.contains(seed)).collect();
+        self.places.extend(new_places);
+        self.seeds = seeds;
+    }
+
     /// When the member grant ends.
     pub fn grant_end(&self) -> Moment {
         self.grant_end
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod liaison;
 pub mod lodge;
 pub mod owners;
+pub mod tongue;
 pub mod watch;
--- a/crates/trail/src/lodge/answer.rs
+++ b/crates/trail/src/lodge/answer.rs
@@ -1,69 +1,94 @@
 use super::{Held, Lodge, Task};
 use crate::holder::SendEnd;
-use bytes::Bytes;
+use std::sync::Arc;
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason};
+use waymark::frames::{HopOutcome, HopReason, Many, Parcel};
 use waymark::identity::{FunctionKey, RunnerId, TransactionId};
 use waymark::rules::{Rule, Rules};
 use waymark::seal;
+use waymark::tongue::{RunnerSaid, SealKind};
 
-/// What a runner sent back, as it came.
-pub struct RunnerAnswer<'a> {
-    /// The status.
-    pub status: u16,
-    /// The transaction it names.
-    pub transaction: &'a str,
-    /// The function it names.
-    pub function: &'a str,
-    /// The runner it names.
-    pub runner: &'a str,
-    /// The seal.
-    pub seal: &'a str,
-    /// Whether it says that it refused and did not run.
-    pub is_shed: bool,
-    /// The body.
-    pub body: Bytes,
+/// Decides what an answer is worth: only one that names what was asked, whole and sealed, is believed.
+pub fn judge(
+    rules: Rules,
+    transaction: &TransactionId,
+    function: &FunctionKey,
+    runner: RunnerId,
+    said: RunnerSaid,
+) -> SendEnd {
+    match said.seal_kind {
+        SealKind::Digest => judge_digest(rules, transaction, function, runner, said),
+        SealKind::Carried => judge_carried(rules, transaction, function, runner, said),
+    }
 }
 
-/// Decides what an answer is worth: only a whole body whose seal names what was asked is believed.
-pub fn judge(
+fn judge_digest(
     rules: Rules,
     transaction: &TransactionId,
     function: &FunctionKey,
     runner: RunnerId,
-    answer: RunnerAnswer<'_>,
+    said: RunnerSaid,
 ) -> SendEnd {
-    let names_asked = answer.transaction == transaction.as_str()
-        && answer.function == function.to_string()
-        && answer.runner == runner.to_string();
+    let said_function = said.function.as_deref().unwrap_or("");
+    let said_runner = said.runner.as_deref().unwrap_or("");
+    let names_asked = said.transaction == transaction.as_str()
+        && said_function == function.to_string()
+        && said_runner == runner.to_string();
+    let is_shed = said.did_not_run;
     let right_seal = if rules.keep(Rule::SealNamesAsked) {
-        seal::seal(transaction, function, runner, answer.is_shed, &answer.body)
+        seal::seal(transaction, function, runner, is_shed, &said.body)
     } else {
-        seal::seal_of_names(
-            answer.transaction,
-            answer.function,
-            answer.runner,
-            answer.is_shed,
-            &answer.body,
-        )
+        seal::seal_of_names(&said.transaction, said_function, said_runner, is_shed, &said.body)
     };
-    let is_believed = answer.seal == right_seal
-        && (names_asked || !rules.keep(Rule::SealNamesAsked))
+    let is_believed = said.seal == right_seal && (names_asked || !rules.keep(Rule::SealNamesAsked))
         || !rules.keep(Rule::SealChecked);
     if !is_believed {
         return SendEnd::Lost;
     }
-    if answer.is_shed {
+    if is_shed {
+        return SendEnd::ShedByRunner;
+    }
+    SendEnd::Answered(outcome_of(runner, said))
+}
+
+fn judge_carried(
+    rules: Rules,
+    transaction: &TransactionId,
+    function: &FunctionKey,
+    runner: RunnerId,
+    said: RunnerSaid,
+) -> SendEnd {
+    let names_another = said.transaction != transaction.as_str()
+        || said.function.as_ref().is_some_and(|named| *named != function.to_string())
+        || said.runner.as_ref().is_some_and(|named| *named != runner.to_string());
+    if said.is_other && said.transaction == transaction.as_str() {
+        return SendEnd::OtherRunner;
+    }
+    if names_another && rules.keep(Rule::SealNamesAsked) {
+        return SendEnd::Lost;
+    }
+    if said.did_not_run {
         return SendEnd::ShedByRunner;
     }
-    SendEnd::Answered(HopOutcome::Answer {
-        status: answer.status,
-        seal: answer.seal.as_bytes().to_vec().into(),
+    let is_good = (200..300).contains(&said.status);
+    if is_good && (said.seal.is_empty() || said.is_doubtful) && rules.keep(Rule::SealChecked) {
+        return SendEnd::Lost;
+    }
+    if said.status >= 500 {
+        return SendEnd::Failed(outcome_of(runner, said));
+    }
+    SendEnd::Answered(outcome_of(runner, said))
+}
+
+fn outcome_of(runner: RunnerId, said: RunnerSaid) -> HopOutcome {
+    HopOutcome::Answer {
+        status: said.status,
+        seal: said.seal.into_bytes().into(),
         runner,
-        lines: waymark::frames::Many(Vec::new()),
-        body: answer.body.into(),
-    })
+        lines: Many(said.lines),
+        body: said.body.into(),
+    }
 }
 
 /// One send to a runner, as it goes out.
@@ -79,8 +104,8 @@
     pub attempt: u32,
     /// What is left of the budget.
     pub budget_left: Duration,
-    /// The caller's body.
-    pub body: Bytes,
+    /// What the caller sent.
+    pub parcel: Arc<Parcel>,
 }
 
 impl<W> Lodge<W> {
@@ -108,7 +133,7 @@
             runner: self.rules.keep(Rule::RunnerNamed).then_some(runner),
             attempt,
             budget_left: task.budget_end.since(now),
-            body: task.body.clone(),
+            parcel: task.parcel.clone(),
         })
     }
 }
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -69,6 +69,11 @@
         Self { keeper, say_at: now, orders: Vec::new() }
     }
 
+    /// The seeds have changed.
+    pub fn set_seeds(&mut self, seeds: Vec<Place>) {
+        self.keeper.set_seeds(seeds);
+    }
+
     fn done(&mut self) -> Vec<DaemonOrder<W>> {
         std::mem::take(&mut self.orders)
     }
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/trail/src/lodge/held.rs
@@ -1,11 +1,10 @@
 use crate::holder::{Entry, Holder, HolderOutput};
-use bytes::Bytes;
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::HopOutcome;
-use waymark::identity::{FunctionKey, GrantSerial, Ticket, TransactionId};
+use waymark::frames::{HopOutcome, Life, Parcel};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 
 /// A transaction on its way to a runner.
 #[derive(Clone)]
@@ -22,8 +21,8 @@
     pub repeat: bool,
     /// How long it may wait in the inbox.
     pub patience: Duration,
-    /// The caller's body.
-    pub body: Bytes,
+    /// What the caller sent.
+    pub parcel: Arc<Parcel>,
 }
 
 struct Waiting<W> {
@@ -39,6 +38,7 @@
     pub grant: GrantSerial,
     holder: Mutex<Holder>,
     waiting: Mutex<BTreeMap<Ticket, Waiting<W>>>,
+    lives: Mutex<BTreeMap<RunnerId, Life>>,
 }
 
 impl<W> Held<W> {
@@ -49,6 +49,7 @@
             grant: holder.grant(),
             holder: Mutex::new(holder),
             waiting: Mutex::new(BTreeMap::new()),
+            lives: Mutex::new(BTreeMap::new()),
         }
     }
 
@@ -57,6 +58,21 @@
         look(&mut self.holder.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// The platform has told a runner's life.
+    pub fn learn_life(&self, runner: RunnerId, life: Life) {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner).insert(runner, life);
+    }
+
+    /// A runner has ended.
+    pub fn forget_life(&self, runner: RunnerId) {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner).remove(&runner);
+    }
+
+    /// A runner's life, once the platform has told it.
+    pub fn life_of(&self, runner: RunnerId) -> Option<Life> {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner).get(&runner).cloned()
+    }
+
     /// What a ticket stands for, while somebody waits for it.
     pub fn task(&self, ticket: Ticket) -> Option<Task> {
         let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/trail/src/lodge/mod.rs
+++ b/crates/trail/src/lodge/mod.rs
@@ -7,7 +7,7 @@
 mod stewards;
 mod way;
 
-pub use answer::{RunnerAnswer, RunnerCall, judge};
+pub use answer::{RunnerCall, judge};
 pub use controller::{Controller, DaemonOrder};
 pub use held::{Held, Task};
 pub use stewards::{Question, Topic};
--- a/crates/trail/src/lodge/way.rs
+++ b/crates/trail/src/lodge/way.rs
@@ -1,7 +1,6 @@
 use super::{Held, Lodge, Task};
 use crate::holder::not_run;
 use crate::owners::{MOST_HOPS, Sight, Step, is_valid, next_step};
-use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 use waymark::clock::Moment;
@@ -31,13 +30,13 @@
     pub hops: u8,
     /// Whether the caller marked it a repeat.
     pub repeat: bool,
-    /// The caller's body.
-    pub body: Bytes,
+    /// What the caller sent.
+    pub parcel: Arc<Parcel>,
 }
 
 impl Ask {
     /// An ask as another daemon passed it on; none when the frame is something else.
-    pub fn passed_on(now: Moment, frame: HopBody) -> Result<Self, HopBody> {
+    pub fn passed_on(now: Moment, frame: HopBody) -> Result<Self, Box<HopBody>> {
         match frame {
             HopBody::Ask {
                 transaction,
@@ -56,9 +55,9 @@
                 budget_end: now + Duration::from_millis(u64::from(budget_ms)),
                 hops,
                 repeat: repeat.0,
-                body: parcel.body.0,
+                parcel: Arc::new(parcel),
             }),
-            other => Err(other),
+            other => Err(Box::new(other)),
         }
     }
 }
@@ -173,7 +172,7 @@
                         once: route.spec.once,
                         repeat: self.ask.repeat,
                         patience,
-                        body: self.ask.body.clone(),
+                        parcel: self.ask.parcel.clone(),
                     };
                     WayStep::Serve(held, task)
                 }
@@ -211,7 +210,7 @@
             budget_ms: budget_left.as_millis() as u32,
             hops: self.ask.hops + 1,
             repeat: Flag(self.ask.repeat),
-            parcel: Parcel::of_body(self.ask.body.clone()),
+            parcel: Parcel::clone(&self.ask.parcel),
         }
     }
 
--- /dev/null
+++ b/crates/trail/src/tongue/mod.rs
@@ -0,0 +1,34 @@
+//! The product's own way of speaking with callers and runners, and the three tongues that a daemon uses.
+
+mod door;
+mod runner;
+
+pub use door::OwnDoor;
+pub use runner::OwnRunner;
+pub use waymark::tongue::OwnPlatform;
+
+use std::sync::Arc;
+use waymark::frames::Place;
+use waymark::tongue::{DoorTongue, PlatformTongue, RunnerTongue};
+
+/// The tongues of one daemon.
+#[derive(Clone)]
+pub struct TrailTongues {
+    /// Towards callers.
+    pub door: Arc<dyn DoorTongue>,
+    /// Towards runners.
+    pub runner: Arc<dyn RunnerTongue>,
+    /// Towards the platform.
+    pub platform: Arc<dyn PlatformTongue>,
+}
+
+impl TrailTongues {
+    /// The product's own, with the platform at a place.
+    pub fn own(platform: Place) -> Self {
+        Self {
+            door: Arc::new(OwnDoor),
+            runner: Arc::new(OwnRunner),
+            platform: Arc::new(OwnPlatform::new(platform)),
+        }
+    }
+}
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -6,18 +6,17 @@
 use std::time::Duration;
 use trail::holder::{GrantTerms, Holder, SendEnd};
 use trail::liaison::LiaisonTiming;
-use trail::lodge::{
-    Ask, Controller, DaemonOrder, Held, Lodge, RunnerAnswer, Task, Way, WayStep, judge,
-};
+use trail::lodge::{Ask, Controller, DaemonOrder, Held, Lodge, Task, Way, WayStep, judge};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Flag, HopOutcome, HopReason, Host, Many, Place, StreamDown, StreamUp,
+    AcquireResult, Flag, HopOutcome, HopReason, Host, Many, Parcel, Place, StreamDown, StreamUp,
 };
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId};
 use waymark::rules::{Rule, Rules};
 use waymark::seal;
 use waymark::spec::{Document, FunctionSpec, Table, read_spec};
+use waymark::tongue::{RunnerSaid, SealKind};
 
 const START: Moment = Moment(10_000_000_000);
 
@@ -117,7 +116,7 @@
             budget_end: self.now + ms(2000),
             hops: 0,
             repeat: false,
-            body: Vec::new().into(),
+            parcel: Arc::new(Parcel::of_body(Vec::new().into())),
         }
     }
 }
@@ -153,7 +152,7 @@
         once: false,
         repeat: false,
         patience: ms(1000),
-        body: Vec::new().into(),
+        parcel: Arc::new(Parcel::of_body(Vec::new().into())),
     };
     let runner = RunnerId { grant: GrantSerial(4), ordinal: 5 };
     let now = bench.now;
@@ -256,16 +255,21 @@
         seal::seal(named, &function, by, is_shed, &body)
     };
     let judged = |rules: Rules, named: &TransactionId, by: RunnerId, given: &str, bytes: &[u8]| {
-        let answer = RunnerAnswer {
+        let said = RunnerSaid {
             status: 200,
-            transaction: named.as_str(),
-            function: &function.to_string(),
-            runner: &by.to_string(),
-            seal: given,
-            is_shed: false,
+            transaction: named.to_string(),
+            function: Some(function.to_string()),
+            runner: Some(by.to_string()),
+            seal: given.to_owned(),
+            seal_kind: SealKind::Digest,
+            did_not_run: false,
+            is_other: false,
+            is_doubtful: false,
+            closes: false,
+            lines: Vec::new(),
             body: bytes.to_vec().into(),
         };
-        matches!(judge(rules, &transaction, &function, runner, answer), SendEnd::Answered(_))
+        matches!(judge(rules, &transaction, &function, runner, said), SendEnd::Answered(_))
     };
     let other = TransactionId::from("other");
     let right_seal = sealed(&transaction, runner, false);
--- a/crates/waymark/src/command_line.rs
+++ b/crates/waymark/src/command_line.rs
@@ -55,6 +55,18 @@
     Ok(stop)
 }
 
+/// Counts how often the process was told by SIGHUP that its settings have changed; it never dies of that.
+pub fn told_to_reread() -> std::io::Result<watch::Receiver<u64>> {
+    let (reread_sender, reread) = watch::channel(0);
+    let mut hanging_up = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hanging_up.recv().await.is_some() {
+            reread_sender.send_modify(|count| *count += 1);
+        }
+    });
+    Ok(reread)
+}
+
 /// Starts the log at the level that `RUST_LOG` names, or `info`.
 pub fn start_log() {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
--- a/crates/waymark/src/http/mod.rs
+++ b/crates/waymark/src/http/mod.rs
@@ -1,11 +1,14 @@
 //! The little that every program needs around hyper: serving, calling, JSON.
 
 mod call;
+mod keeping;
 mod lines;
 mod serve;
 
 pub use call::{CallFault, Called, call, call_json, connect, exchange};
+pub use keeping::{closes, kept_for};
 pub use lines::{LinesEnd, follow_lines};
 pub use serve::{
-    Body, BodyFault, Served, full, json_response, read_body, serve, stream_body, text_response,
+    Body, BodyFault, CallerTimes, Served, full, json_response, read_body, serve, serve_callers,
+    stream_body, text_response,
 };
--- a/crates/waymark/src/http/serve.rs
+++ b/crates/waymark/src/http/serve.rs
@@ -104,11 +104,38 @@
     }
 }
 
+/// What a caller's connection may take.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct CallerTimes {
+    /// The largest head, in bytes.
+    pub header_bytes: usize,
+    /// How long the next head may take, the silence before it included.
+    pub idle: Duration,
+}
+
+const SMALLEST_HEAD: usize = 8 << 10;
+const LARGEST_HEAD: usize = 400 << 10;
+const IDLE: Duration = Duration::from_secs(10);
+
 /// Serves HTTP/1.1 until told to stop, then lets open transactions end.
-pub async fn serve<H, F>(listener: TcpListener, handler: H, mut stop: watch::Receiver<bool>)
+pub async fn serve<H, F>(listener: TcpListener, handler: H, stop: watch::Receiver<bool>)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Served> + Send + 'static,
+{
+    let times = || CallerTimes { header_bytes: LARGEST_HEAD, idle: IDLE };
+    serve_callers(listener, handler, times, stop).await;
+}
+
+/// The same, with limits that are looked up for each connection.
+pub async fn serve_callers<H, F>(
+    listener: TcpListener,
+    handler: H,
+    times: impl Fn() -> CallerTimes,
+    mut stop: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Served> + Send + 'static,
 {
     let (open_token, mut all_closed) = mpsc::channel::<()>(1);
     loop {
@@ -124,6 +151,7 @@
         let connection_handler = handler.clone();
         let mut connection_stop = stop.clone();
         let connection_token = open_token.clone();
+        let connection_times = times();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let answering = connection_handler(request);
@@ -131,7 +159,8 @@
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_secs(10))
+                .header_read_timeout(connection_times.idle)
+                .max_buf_size(connection_times.header_bytes.max(SMALLEST_HEAD))
                 .serve_connection(TokioIo::new(accepted_stream), service);
             tokio::pin!(connection);
             let ended = tokio::select! {
--- a/crates/waymark/src/tongue/platform.rs
+++ b/crates/waymark/src/tongue/platform.rs
@@ -91,7 +91,7 @@
 /// The platform's list of runners.
 #[derive(Clone, Debug)]
 pub struct RunnerList {
-    /// How old its content is at most.
+    /// How old its content was at most when the platform was asked for it.
     pub age: Duration,
     /// The runners.
     pub runners: Vec<ListedRunner>,
--- a/programs/trailhead/src/main.rs
+++ b/programs/trailhead/src/main.rs
@@ -4,8 +4,9 @@
 use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::sync::watch;
 use trail::boot::TrailheadBoot;
-use trail::drivers::Trailhead;
+use trail::drivers::{Trailhead, TrailheadHandle};
 use waymark::events;
 use waymark::note;
 use waymark::readers::{BootFault, BootSource};
@@ -62,7 +63,7 @@
             return ExitCode::from(2);
         }
     };
-    match run(boot) {
+    match run(boot, flags.boot.as_ref()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("trailhead: {report}");
@@ -71,16 +72,30 @@
     }
 }
 
-fn run(boot: TrailheadBoot) -> eyre::Result<()> {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    if boot.threads > 0 {
-        builder.worker_threads(boot.threads);
+/// Takes the file's seeds whenever the process is told that its settings have changed.
+async fn reseed(
+    trailhead: TrailheadHandle,
+    boot_file: Option<PathBuf>,
+    mut reread: watch::Receiver<u64>,
+) {
+    while reread.changed().await.is_ok() {
+        let read_boot = BootSource::open(boot_file.as_deref())
+            .and_then(|boot_source| TrailheadBoot::read(&boot_source));
+        if let Ok(boot) = read_boot {
+            trailhead.reseed(boot.seeds);
+        }
     }
-    builder.enable_all().build()?.block_on(async {
+}
+
+fn run(boot: TrailheadBoot, boot_file: Option<&PathBuf>) -> eyre::Result<()> {
+    let boot_file = boot_file.cloned();
+    trail::drivers::runtime(boot.threads)?.block_on(async {
         let started_note = format!("{} at {}, door at {}", boot.member, boot.place, boot.door);
         let trailhead = Trailhead::open(boot).await?;
         note!(Info, events::STARTED, "{started_note}");
         let stop = waymark::command_line::told_to_stop()?;
+        let reread = waymark::command_line::told_to_reread()?;
+        tokio::spawn(reseed(trailhead.handle(), boot_file, reread));
         trailhead.run(stop).await;
         note!(Info, events::STOPPED);
         Ok(())
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -11,7 +11,7 @@
 };
 use waymark::chance::Chance;
 use waymark::clock::Moment;
-use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, Host, Many, StreamUp};
+use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, Host, Many, Parcel, StreamUp};
 use waymark::identity::{FunctionKey, GrantSerial, Locality, Serial, TransactionId};
 
 /// How long an orderly stop may take, and what the platform waits before it kills.
@@ -434,7 +434,7 @@
                 let delay = self.network.delay(&mut self.chance);
                 self.push(delay, Event::Settled(asker, function, runner, running));
             }
-            HolderOutput::Stop { runner } => {
+            HolderOutput::Stop { runner, .. } => {
                 if self.network.reaches(asker.node, PLATFORM) {
                     let delay = self.network.delay(&mut self.chance);
                     self.push(delay, Event::Stop(asker, function, runner));
@@ -545,7 +545,7 @@
             budget_end: local_now + budget.min(route.spec.budget),
             hops: 0,
             repeat,
-            body: Vec::new().into(),
+            parcel: Arc::new(Parcel::of_body(Vec::new().into())),
         };
         self.take_ask(place, ask, Back::Caller);
     }
--- a/proving/expedition/src/sim/runners.rs
+++ b/proving/expedition/src/sim/runners.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trail::holder::SendEnd;
-use trail::lodge::{Held, RunnerAnswer, RunnerCall, judge};
+use trail::lodge::{Held, RunnerCall, judge};
 use waymark::frames::Place;
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use waymark::seal;
+use waymark::tongue::{RunnerSaid, SealKind};
 
 /// One transaction on a runner, and where its end goes back to.
 #[derive(Clone)]
@@ -204,18 +205,23 @@
             .runners
             .get(&runner)
             .map_or(run.function.to_string(), |held| held.function.to_string());
-        let answer = RunnerAnswer {
+        let said = RunnerSaid {
             status: 200,
-            transaction: sealed_name.as_str(),
-            function: &function,
-            runner: &runner.to_string(),
-            seal: &answer_seal,
-            is_shed,
+            transaction: sealed_name.to_string(),
+            function: Some(function),
+            runner: Some(runner.to_string()),
+            seal: answer_seal,
+            seal_kind: SealKind::Digest,
+            did_not_run: is_shed,
+            is_other: false,
+            is_doubtful: false,
+            closes: false,
+            lines: Vec::new(),
             body: body.into(),
         };
         let rules = self.plan.rules();
         let asked = &run.call.transaction;
-        let end = judge(rules, asked, &run.function, run.asked_runner, answer);
+        let end = judge(rules, asked, &run.function, run.asked_runner, said);
         self.end_send(run, end);
     }
 
