--- a/crates/waymark/src/spec/reader.rs
+++ b/crates/waymark/src/spec/reader.rs
@@ -163,7 +163,7 @@
 }
 
 fn read_limits(reader: &PathReader<'_>) -> CallerLimits {
-    reader.only(&["header_bytes", "body_bytes", "header_ms", "idle_ms"]);
+    reader.only(&["header_bytes", "body_bytes", "header_ms", "idle_ms", "labels"]);
     let default = CallerLimits::default();
     let span = |key: &str, default_span: Duration| {
         let millis = reader.field(key).number_or(1..=600_000, default_span.as_millis() as u64);
