Kept connections to runners, one transaction at a time on each

Cause: a new connection for each send costs the runner a slot and the fleet a price. Ruled out: hyper-util's pooling client, which decides by itself what is sent again. Change: trail::pool decides without I/O which connection is drawn, kept or dropped; drivers::links does the I/O. A kept connection that was gone before anything was written is replaced at once and is no other try; anything later is lost. Conclusion: answers that are not believed, say close, or outlive their budget cost the connection.

--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -58,7 +58,7 @@
         }
         HolderOutput::Probe { runner, place } => {
             tokio::spawn(async move {
-                let is_ready = runners::is_ready(&state, runner, place).await;
+                let is_ready = runners::is_ready(&state, &held, runner, place).await;
                 apply(&held, &state, |holder, now| holder.probed(now, runner, is_ready));
             });
         }
@@ -69,6 +69,7 @@
             });
         }
         HolderOutput::Stop { runner, worker } => {
+            state.runner_links.forget(runner);
             tokio::spawn(async move {
                 if platform::stop(&state, &held, runner, &worker).await {
                     held.forget_life(runner);
--- a/crates/trail/src/drivers/mod.rs
+++ b/crates/trail/src/drivers/mod.rs
@@ -5,6 +5,7 @@
 mod gauges;
 pub mod holding;
 mod hops;
+mod links;
 mod platform;
 mod runners;
 mod runtime;
--- a/crates/trail/src/drivers/runners.rs
+++ b/crates/trail/src/drivers/runners.rs
@@ -1,3 +1,4 @@
+use super::links::{Exchanged, LinkFault};
 use super::{HeldHere, State};
 use crate::holder::SendEnd;
 use crate::lodge::judge;
@@ -8,14 +9,18 @@
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{HopReason, Place};
-use waymark::http::{call_json, connect, exchange};
+use waymark::http::{call_json, closes, kept_for};
 use waymark::identity::{RunnerId, Ticket, TransactionId};
 use waymark::note;
 use waymark::seal;
 use waymark::tongue::{ReadyBy, RunnerWords};
 
-/// Sends one transaction to a runner. The last look at the member grant and the newest spec comes
-/// when the connection is open, so that nothing is left between it and the send.
+const USABLE_WITHIN: Duration = Duration::from_millis(100);
+
+/// Sends one transaction to a runner, on a kept connection if there is one. The last look at the member
+/// grant and the newest spec comes when the connection is open, so that nothing is left between it and
+/// the send. A kept connection that turns out to be gone before anything was written is no fault of the
+/// runner's, and a new one is opened at once.
 pub async fn send(
     state: &Arc<State>,
     held: &HeldHere,
@@ -25,47 +30,76 @@
     attempt: u32,
 ) -> SendEnd {
     let Some(task) = held.task(ticket) else { return SendEnd::Barred(HopReason::NotServing) };
-    let connect_patience = task.budget_end.since(Moment::now());
-    let connection = match connect(place, connect_patience).await {
-        Ok(connection) => connection,
-        Err(_) => return SendEnd::Unsent,
-    };
-    let now = Moment::now();
-    let call = match state.lodge.runner_call(now, held, &task, runner, attempt) {
-        Ok(call) => call,
-        Err(reason) => return SendEnd::Barred(reason),
-    };
-    let budget_left = call.budget_left;
+    let most = held.with(|holder| holder.connections());
     let life = held.life_of(runner);
-    let words = RunnerWords {
-        transaction: &call.transaction,
-        function: &call.function,
-        runner: call.runner,
-        life: call.runner.and(life.as_ref().map(|life| &life.name)),
-        attempt,
-        budget_left,
-        parcel: &call.parcel,
-    };
-    let Ok(request) = state.tongues.runner.request(place, &words) else {
-        return SendEnd::Barred(HopReason::NotAllowed);
-    };
-    state.gauges.sends.inc();
-    if attempt > 1 {
-        state.gauges.extra_sends.inc();
-    }
-    match exchange(connection, request, budget_left, state.boot.largest_body).await {
-        Ok(called) => {
-            let said = state.tongues.runner.read(called.status, &called.headers, called.body);
-            let end = judge(state.lodge.rules, &task.transaction, &held.function, runner, said);
-            if matches!(end, SendEnd::Lost) {
-                state.gauges.rejected_answers.inc();
-                note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: seal", task.transaction);
+    let mut is_counted = false;
+    let mut must_be_new = false;
+    loop {
+        let patience = task.budget_end.since(Moment::now());
+        let drawn = if must_be_new {
+            state.runner_links.draw_new(runner, place, most, patience).await
+        } else {
+            state.runner_links.draw(runner, place, most, patience).await
+        };
+        let mut link = match drawn {
+            Ok(link) => link,
+            Err(LinkFault::Unreachable) => return SendEnd::Unsent,
+            Err(LinkFault::Full) => return SendEnd::ShedByRunner,
+        };
+        must_be_new = true;
+        if !link.is_usable(USABLE_WITHIN).await {
+            if link.is_kept() {
+                continue;
+            }
+            return SendEnd::Unsent;
+        }
+        let call = match state.lodge.runner_call(Moment::now(), held, &task, runner, attempt) {
+            Ok(call) => call,
+            Err(reason) => {
+                state.runner_links.keep(link, None);
+                return SendEnd::Barred(reason);
+            }
+        };
+        let words = RunnerWords {
+            transaction: &call.transaction,
+            function: &call.function,
+            runner: call.runner,
+            life: call.runner.and(life.as_ref().map(|life| &life.name)),
+            attempt,
+            budget_left: call.budget_left,
+            parcel: &call.parcel,
+        };
+        let Ok(request) = state.tongues.runner.request(place, &words) else {
+            return SendEnd::Barred(HopReason::NotAllowed);
+        };
+        if !is_counted {
+            is_counted = true;
+            state.gauges.sends.inc();
+            if attempt > 1 {
+                state.gauges.extra_sends.inc();
             }
-            end
         }
-        Err(fault) => {
-            note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: {fault}", task.transaction);
-            SendEnd::Lost
+        match link.exchange(request, call.budget_left, state.boot.largest_body).await {
+            Exchanged::Answered(called) => {
+                let kept_for = kept_for(&called.headers);
+                let is_last = closes(&called.headers);
+                let said = state.tongues.runner.read(called.status, &called.headers, called.body);
+                let is_last = is_last || said.closes;
+                let end = judge(state.lodge.rules, &task.transaction, &held.function, runner, said);
+                if matches!(end, SendEnd::Lost) {
+                    state.gauges.rejected_answers.inc();
+                    note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: seal", task.transaction);
+                } else if !is_last && !matches!(end, SendEnd::OtherRunner) {
+                    state.runner_links.keep(link, kept_for);
+                }
+                return end;
+            }
+            Exchanged::Untaken if link.is_kept() => {}
+            Exchanged::Untaken => return SendEnd::Unsent,
+            Exchanged::Lost(fault) => {
+                note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: {fault}", task.transaction);
+                return SendEnd::Lost;
+            }
         }
     }
 }
@@ -74,8 +108,9 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
 }
 
-/// Whether a booting runner is ready, and is the one it should be.
-pub async fn is_ready(state: &State, runner: RunnerId, place: Place) -> bool {
+/// Whether a booting runner is ready, and is the one it should be. A connection that was opened to find
+/// that out is kept.
+pub async fn is_ready(state: &State, held: &HeldHere, runner: RunnerId, place: Place) -> bool {
     let patience = Duration::from_millis(800);
     match state.tongues.runner.ready_by() {
         ReadyBy::Asking(path, name_header) => {
@@ -85,7 +120,16 @@
                     && header(&called.headers, name_header) == runner.to_string()
             })
         }
-        ReadyBy::Connecting => connect(place, patience).await.is_ok(),
+        ReadyBy::Connecting => {
+            let most = held.with(|holder| holder.connections());
+            match state.runner_links.draw_new(runner, place, most, patience).await {
+                Ok(link) => {
+                    state.runner_links.keep(link, None);
+                    true
+                }
+                Err(_) => false,
+            }
+        }
     }
 }
 
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -1,4 +1,5 @@
 use super::control::ControlInput;
+use super::links::RunnerLinks;
 use super::{Gauges, HopLinks};
 use crate::boot::TrailheadBoot;
 use crate::lodge::{Held, Lodge};
@@ -24,6 +25,8 @@
     pub lodge: Lodge<oneshot::Sender<HopOutcome>>,
     /// Links to the other daemons.
     pub links: HopLinks,
+    /// Connections to runners.
+    pub runner_links: Arc<RunnerLinks>,
     /// The metrics.
     pub gauges: Gauges,
     pub(super) changes: watch::Sender<u64>,
@@ -43,6 +46,7 @@
             boot,
             tongues,
             lodge: Lodge::new(own_host, rules),
+            runner_links: Arc::new(RunnerLinks::default()),
             gauges: Gauges::new(),
             changes: watch::Sender::new(0),
             control,
--- a/crates/trail/src/drivers/trailhead.rs
+++ b/crates/trail/src/drivers/trailhead.rs
@@ -162,7 +162,7 @@
 }
 
 async fn serve(state: Arc<State>, mut stream: TcpStream) -> Result<(), FrameFault> {
-    stream.set_nodelay(true)?;
+    waymark::sockets::tune(&stream);
     let channel = tokio::time::timeout(Duration::from_secs(3), read_channel(&mut stream))
         .await
         .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -148,6 +148,11 @@
         self.grant
     }
 
+    /// The most connections that one of its runners takes.
+    pub fn connections(&self) -> u32 {
+        self.spec.connections
+    }
+
     /// Whether it admits nothing any more.
     pub fn is_leaving(&self) -> bool {
         self.leaving || self.closed
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod liaison;
 pub mod lodge;
 pub mod owners;
+pub mod pool;
 pub mod tongue;
 pub mod watch;
--- a/crates/waymark/src/http/call.rs
+++ b/crates/waymark/src/http/call.rs
@@ -75,7 +75,7 @@
         Ok(Err(fault)) => return Err(CallFault::NotSent(fault)),
         Ok(Ok(opened_stream)) => opened_stream,
     };
-    let _ = opened_stream.set_nodelay(true);
+    crate::sockets::tune(&opened_stream);
     Ok(opened_stream)
 }
 
