--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -8,6 +8,8 @@
 use waymark::identity::Locality;
 use waymark::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
 
+const LIST_EVERY: Duration = Duration::from_millis(400);
+
 /// What a surveyor needs to know before it starts.
 #[derive(Clone, Debug)]
 pub struct SurveyorBoot {
@@ -27,6 +29,8 @@
     pub data: PathBuf,
     /// The platform.
     pub platform: Place,
+    /// From one reading of the platform's lists to the next, while this surveyor leads.
+    pub list_every: Duration,
     /// The core's times.
     pub core_timing: CoreTiming,
     /// The desk's times.
@@ -53,6 +57,7 @@
             ]);
             let timing = root.field("timing");
             timing.only(&[
+                "list_every_ms",
                 "round_ms",
                 "election_shortest_ms",
                 "election_longest_ms",
@@ -85,6 +90,7 @@
                 seeds: seeds?,
                 data: PathBuf::from(data?),
                 platform: platform?,
+                list_every: read_millis(&timing.field("list_every_ms"), LIST_EVERY),
                 core_timing: CoreTiming::builder()
                     .round_every(read_millis(&timing.field("round_ms"), core_default.round_every))
                     .election_shortest(shortest)
--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -1,4 +1,4 @@
-use super::{Desk, DeskOutput, ListedRunner, StreamId, TraceStep};
+use super::{Desk, DeskOutput, StreamId, TraceStep};
 use serde_json::json;
 use waymark::clock::Moment;
 use waymark::events;
@@ -6,6 +6,7 @@
 use waymark::identity::{FunctionKey, GrantSerial, MemberName, RunnerId, Serial};
 use waymark::rules::Rule;
 use waymark::spec::{Document, Table, View};
+use waymark::tongue::ListedRunner;
 
 const KEPT_VIEWS: usize = 8;
 
@@ -160,9 +161,10 @@
 
     /// Tells the holder to drain a runner that the platform says is about to leave.
     pub(super) fn drain_leaving(&mut self, listed: &ListedRunner) {
-        let is_news = self.reservations.get(&listed.runner).is_some_and(|held| !held.draining);
+        let (Some(runner), Some(function)) = (listed.runner, &listed.key) else { return };
+        let is_news = self.reservations.get(&runner).is_some_and(|held| !held.draining);
         if is_news && self.rules.keep(Rule::DrainObeyed) {
-            self.drain(listed.function.clone(), listed.runner);
+            self.drain(function.clone(), runner);
         }
     }
 
--- a/crates/survey/src/desk/fence.rs
+++ b/crates/survey/src/desk/fence.rs
@@ -2,8 +2,9 @@
 use serde_json::json;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::identity::{FunctionKey, RunnerId};
+use waymark::identity::{FunctionKey, MemberName, RunnerId};
 use waymark::rules::Rule;
+use waymark::tongue::StopOrder;
 
 const KEPT_ENDED: usize = 8192;
 
@@ -33,7 +34,7 @@
             self.tell(events::FENCING, detail);
         }
         let stop_again_after = self.timing.stop_again_after;
-        let mut due_runners: Vec<RunnerId> = Vec::new();
+        let mut due_orders: Vec<StopOrder> = Vec::new();
         for (runner, reservation) in &mut self.reservations {
             let is_held = self
                 .entries
@@ -44,10 +45,16 @@
                 .is_none_or(|asked_at| now.since(asked_at) >= stop_again_after);
             if (!is_held || reservation.stop_wanted) && is_due {
                 reservation.stop_asked_at = Some(now);
-                due_runners.push(*runner);
+                due_orders.push(StopOrder {
+                    runner: *runner,
+                    function: reservation.function.clone(),
+                    worker: reservation.worker.clone(),
+                    life: None,
+                    member: MemberName::from("leader"),
+                });
             }
         }
-        self.outputs.extend(due_runners.into_iter().map(DeskOutput::StopRunner));
+        self.outputs.extend(due_orders.into_iter().map(DeskOutput::StopRunner));
         let cleared_functions: Vec<(FunctionKey, Moment)> = self
             .entries
             .iter()
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -15,7 +15,6 @@
 
 pub use output::{DeskOutput, StreamId, Told, TraceStep};
 pub use timing::DeskTiming;
-pub use workers::{ListedRunner, ListedWorker};
 
 use emptying::Emptying;
 use members::{MemberRecord, WaitingRenewal};
--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -7,32 +7,7 @@
 use waymark::frames::{ReserveResult, StreamDown};
 use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, Locality, RunnerId, WorkerName};
 use waymark::rules::Rule;
-
-/// A worker as the platform lists it.
-#[derive(Clone, Debug)]
-pub struct ListedWorker {
-    /// Its name.
-    pub worker: WorkerName,
-    /// Its locality.
-    pub locality: Locality,
-    /// Its memory.
-    pub memory_mb: u32,
-    /// Whether the platform is emptying it.
-    pub draining: bool,
-}
-
-/// A runner as the platform lists it.
-#[derive(Clone, Debug)]
-pub struct ListedRunner {
-    /// The runner.
-    pub runner: RunnerId,
-    /// Its function.
-    pub function: FunctionKey,
-    /// Where it runs.
-    pub worker: WorkerName,
-    /// Whether it is about to leave.
-    pub leaving: bool,
-}
+use waymark::tongue::{ListedRunner, ListedWorker};
 
 pub(super) struct WorkerRecord {
     pub listed: ListedWorker,
@@ -69,11 +44,11 @@
             return;
         }
         for listed in listed_runners {
-            let is_known = self.reservations.contains_key(&listed.runner)
-                || self.ended.contains(&listed.runner);
+            let (Some(runner), Some(function)) = (listed.runner, &listed.key) else { continue };
+            let is_known = self.reservations.contains_key(&runner) || self.ended.contains(&runner);
             if !is_known {
                 let orphan = Reservation {
-                    function: listed.function.clone(),
+                    function: function.clone(),
                     worker: listed.worker.clone(),
                     memory_mb: 0,
                     ready: true,
@@ -81,10 +56,10 @@
                     stop_wanted: true,
                     stop_asked_at: None,
                 };
-                self.reservations.insert(listed.runner, orphan);
+                self.reservations.insert(runner, orphan);
                 self.tell(
                     events::ORPHAN,
-                    json!({"runner": listed.runner.to_string(), "worker": listed.worker.as_str()}),
+                    json!({"runner": runner.to_string(), "worker": listed.worker.as_str()}),
                 );
             }
         }
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -1,7 +1,8 @@
 use super::disk::DiskDriver;
 use super::gauges::Gauges;
 use super::links::Links;
-use super::{operators, platform, streams};
+use super::platform::OwnPlatform;
+use super::{OperatorsTongue, OwnOperators, operators, platform, streams};
 use crate::boot::SurveyorBoot;
 use crate::core::{Address, Core};
 use crate::desk::StreamId;
@@ -21,6 +22,7 @@
 use waymark::identity::SurveyorId;
 use waymark::note;
 use waymark::readers::BootFault;
+use waymark::tongue::PlatformTongue;
 
 /// Why a surveyor could not start.
 #[derive(Debug)]
@@ -54,6 +56,22 @@
     }
 }
 
+/// The tongues that a surveyor speaks.
+#[derive(Clone)]
+pub struct SurveyorTongues {
+    /// With operators.
+    pub operators: Arc<dyn OperatorsTongue>,
+    /// With the platform.
+    pub platform: Arc<dyn PlatformTongue>,
+}
+
+impl SurveyorTongues {
+    /// The product's own, with the platform at this place.
+    pub fn own(platform: Place) -> Self {
+        Self { operators: Arc::new(OwnOperators), platform: Arc::new(OwnPlatform::new(platform)) }
+    }
+}
+
 /// What the surveyor's tasks share.
 pub struct Shared {
     pub(super) inputs: mpsc::Sender<PlaneInput>,
@@ -63,7 +81,8 @@
     pub(super) has_leader: AtomicBool,
     pub(super) newest_event: watch::Sender<u64>,
     pub(super) gauges: Gauges,
-    pub(super) platform: Place,
+    pub(super) operators: Arc<dyn OperatorsTongue>,
+    pub(super) platform: Arc<dyn PlatformTongue>,
     next_number: AtomicU64,
 }
 
@@ -92,6 +111,7 @@
     disk: DiskDriver,
     process_listener: TcpListener,
     operators_listener: TcpListener,
+    list_every: Duration,
 }
 
 async fn listen(
@@ -106,13 +126,14 @@
 impl Surveyor {
     /// Opens the data folder and the listeners.
     pub async fn open(boot: &SurveyorBoot) -> Result<Self, SurveyorFault> {
-        Self::open_with(boot, Box::new(Sound)).await
+        Self::open_with(boot, Box::new(Sound), SurveyorTongues::own(boot.platform)).await
     }
 
-    /// The same with a seam at its disk.
+    /// The same with a seam at its disk, and with these tongues.
     pub async fn open_with(
         boot: &SurveyorBoot,
         seam: Box<dyn Seam>,
+        tongues: SurveyorTongues,
     ) -> Result<Self, SurveyorFault> {
         let mut chance = Chance::from_os();
         let shelf = Shelf::open_with(&boot.data, seam).map_err(|fault| match fault {
@@ -147,7 +168,8 @@
             has_leader: AtomicBool::new(false),
             newest_event: watch::Sender::new(0),
             gauges: Gauges::new(),
-            platform: boot.platform,
+            operators: tongues.operators,
+            platform: tongues.platform,
             next_number: AtomicU64::new(1),
         });
         Ok(Self {
@@ -158,6 +180,7 @@
             disk: DiskDriver::start(shelf, input_sender),
             process_listener,
             operators_listener,
+            list_every: boot.list_every,
         })
     }
 
@@ -171,9 +194,10 @@
             disk,
             process_listener,
             operators_listener,
+            list_every,
         } = self;
         tokio::spawn(streams::accept(process_listener, shared.clone()));
-        tokio::spawn(platform::poll(shared.clone()));
+        tokio::spawn(platform::poll(shared.clone(), list_every));
         let operators_task =
             tokio::spawn(operators::serve(operators_listener, shared.clone(), stop.clone()));
         let mut ticking = tokio::time::interval(Duration::from_millis(20));
@@ -185,12 +209,14 @@
                 Some(input) = inbox.recv() => input,
                 _ = stopping.wait_for(|stopping| *stopping) => break,
             };
+            if matches!(input, PlaneInput::Operate(_, Operation::Metrics)) {
+                shared.gauges.set(&plane);
+            }
             for order in plane.take(Moment::now(), input) {
                 obey(&shared, &mut links, &disk, order);
             }
             shared.leads.store(plane.core().is_leader(), Ordering::Relaxed);
             shared.has_leader.store(plane.core().leader().is_some(), Ordering::Relaxed);
-            shared.gauges.set(&plane);
         }
         shared.newest_event.send_replace(u64::MAX);
         drop(inbox);
@@ -215,8 +241,8 @@
                 open_streams.remove(&stream);
             }
         }
-        PlaneOutput::StopRunner(runner) => {
-            tokio::spawn(platform::stop_runner(shared.clone(), runner));
+        PlaneOutput::StopRunner(order) => {
+            tokio::spawn(platform::stop_runner(shared.clone(), order));
         }
         PlaneOutput::Operated(ticket, reply) => {
             if let Ok(mut operations) = shared.operations.lock()
--- a/crates/survey/src/drivers/mod.rs
+++ b/crates/survey/src/drivers/mod.rs
@@ -7,5 +7,7 @@
 mod operators;
 mod platform;
 mod streams;
+mod tongue;
 
-pub use engine::{Surveyor, SurveyorFault};
+pub use engine::{Surveyor, SurveyorFault, SurveyorTongues};
+pub use tongue::{OperatorsTongue, OwnOperators};
--- a/crates/survey/src/drivers/operators.rs
+++ b/crates/survey/src/drivers/operators.rs
@@ -1,9 +1,12 @@
 use super::engine::Shared;
-use crate::plane::{ChangeKind, Operation, OperationReply, Wait};
+use crate::plane::{Operation, OperationReply};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, HeaderValue, LOCATION,
+    TRANSFER_ENCODING,
+};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use std::sync::Arc;
@@ -12,12 +15,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use waymark::frames::Place;
-use waymark::http::{self, Served, json_response, read_body, stream_body, text_response};
-use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
-use waymark::readers::{FaultList, PathReader};
+use waymark::http::{
+    self, BodyFault, Served, json_response, read_body, stream_body, text_response,
+};
 
 const PASSED_ON: &str = "rudder-passed-on";
 const LARGEST_BODY: usize = 8 << 20;
+const PASS_CONNECT: Duration = Duration::from_millis(600);
+const PASS_PATIENCE: Duration = Duration::from_secs(15);
 
 /// Serves operators until told to stop.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>, stop: watch::Receiver<bool>) {
@@ -31,171 +36,81 @@
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Served {
     let (head, incoming_body) = request.into_parts();
-    let path = head.uri.path().to_owned();
-    let path_parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-    match (&head.method, path_parts.as_slice()) {
-        (&Method::GET, ["ready"]) => {
-            let is_ready = shared.has_leader.load(Ordering::Relaxed);
-            return said(if is_ready { 200 } else { 503 }, &json!({"ready": is_ready}));
-        }
-        (&Method::GET, ["metrics"]) => return text_response(StatusCode::OK, shared.gauges.page()),
-        _ => {}
+    let tongue = shared.operators.clone();
+    if head.method == Method::GET && head.uri.path() == tongue.ready_path() {
+        let is_ready = shared.has_leader.load(Ordering::Relaxed);
+        return said(if is_ready { 200 } else { 503 }, &json!({"ready": is_ready}));
     }
-    let Ok(body) = read_body(incoming_body, LARGEST_BODY, Duration::from_secs(10)).await else {
-        return said(400, &json!({"error": "unreadable_body", "state": "not_accepted"}));
+    let body = match read_body(incoming_body, LARGEST_BODY, Duration::from_secs(10)).await {
+        Ok(body) => body,
+        Err(fault) => {
+            let status = if matches!(fault, BodyFault::TooLarge) { 413 } else { 408 };
+            let body = json!({"error": "unreadable_body", "state": "not_accepted"});
+            return said(status, &body);
+        }
     };
-    let operation = match read_operation(&head.method, &path_parts, head.uri.query(), &body) {
+    let operation = match tongue.read(&head, &body) {
         Ok(operation) => operation,
-        Err((status, fault_body)) => return said(status, &fault_body),
+        Err(served) => return served,
     };
-    if let Operation::Events(first_number) = operation {
-        let following = head.uri.query().is_some_and(|query| query.contains("follow=true"));
-        return events(shared, &head, first_number, following).await;
-    }
-    match shared.operate(operation).await {
-        None => said(503, &json!({"error": "stopping", "state": "unknown"})),
-        Some(OperationReply::Said(status, reply_body)) => said(status, &reply_body),
-        Some(OperationReply::Elsewhere(leader)) => pass_on(leader, &head, body).await,
+    match operation {
+        Operation::Events(first_number) => {
+            let following = head.uri.query().is_some_and(|query| query.contains("follow=true"));
+            return events(shared, &head, first_number, following).await;
+        }
+        Operation::Metrics => {
+            let _ = shared.operate(Operation::Metrics).await;
+            return text_response(StatusCode::OK, shared.gauges.page());
+        }
+        _ => {}
     }
+    let reply = match shared.operate(operation.clone()).await {
+        None => OperationReply::Unknown { reason: "stopping", change: None },
+        Some(OperationReply::Elsewhere(leader)) => match pass_on(leader, &head, body).await {
+            Ok(served) => return served,
+            Err(reply) => reply,
+        },
+        Some(reply) => reply,
+    };
+    tongue.say(&operation, reply)
 }
 
-async fn pass_on(leader: Place, head: &hyper::http::request::Parts, body: Bytes) -> Served {
+async fn pass_on(
+    leader: Place,
+    head: &hyper::http::request::Parts,
+    body: Bytes,
+) -> Result<Served, OperationReply> {
+    let not_accepted = |reason| OperationReply::NotAccepted { reason, change: None };
     if head.headers.contains_key(PASSED_ON) {
-        return said(503, &json!({"error": "no_leader", "state": "not_accepted"}));
+        return Err(not_accepted("no_leader"));
     }
-    let passed_request = Request::builder()
-        .method(head.method.clone())
-        .uri(head.uri.path_and_query().map_or("/", |whole| whole.as_str()))
-        .header(HOST, leader.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .header(PASSED_ON, "1")
-        .body(Full::new(body));
-    let Ok(passed_request) = passed_request else {
-        return said(400, &json!({"error": "bad_request", "state": "not_accepted"}));
-    };
-    match http::call(leader, passed_request, Duration::from_secs(15), 64 << 20).await {
+    let target = head.uri.path_and_query().map_or("/", |whole| whole.as_str());
+    let mut passed_request = Request::new(Full::new(body));
+    *passed_request.method_mut() = head.method.clone();
+    *passed_request.uri_mut() = target.parse().map_err(|_| not_accepted("bad_request"))?;
+    let headers = passed_request.headers_mut();
+    *headers = head.headers.clone();
+    for hop_header in [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH, EXPECT] {
+        headers.remove(hop_header);
+    }
+    let host = HeaderValue::from_str(&leader.to_string());
+    headers.insert(HOST, host.map_err(|_| not_accepted("bad_request"))?);
+    headers.insert(PASSED_ON, HeaderValue::from_static("1"));
+    let connecting = http::connect(leader, PASS_CONNECT).await;
+    let unreachable = |_| not_accepted("leader_unreachable");
+    let opened_stream = connecting.map_err(unreachable)?;
+    match http::exchange(opened_stream, passed_request, PASS_PATIENCE, 64 << 20).await {
         Ok(called) => {
             let mut response = Response::new(http::full(called.body));
             *response.status_mut() = called.status;
             *response.headers_mut() = called.headers;
-            response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
-            response.headers_mut().remove(hyper::header::TRANSFER_ENCODING);
-            response
-        }
-        Err(fault) if fault.is_surely_unsent() => {
-            said(503, &json!({"error": "leader_unreachable", "state": "not_accepted"}))
-        }
-        Err(_) => said(503, &json!({"error": "leader_lost", "state": "unknown"})),
-    }
-}
-
-type Refusal = (u16, Value);
-
-fn read_operation(
-    method: &Method,
-    path_parts: &[&str],
-    query: Option<&str>,
-    body: &[u8],
-) -> Result<Operation, Refusal> {
-    match (method, path_parts) {
-        (&Method::GET, ["v1", "spec"]) => Ok(Operation::ReadSpec),
-        (&Method::PUT, ["v1", "spec"]) => {
-            read_change(body, |root| Some(ChangeKind::Whole(needed_value(root, "spec")?)))
-        }
-        (&Method::PATCH, ["v1", "spec"]) => {
-            read_change(body, |root| Some(ChangeKind::Patch(needed_value(root, "patch")?)))
-        }
-        (&Method::GET, ["v1", "changes", change]) => {
-            Ok(Operation::AskChange(ChangeId::from(*change)))
-        }
-        (&Method::POST, ["v1", "localities", locality, "evacuate"]) => read_change(body, |root| {
-            let force = root.field("force").flag_or(false);
-            Some(ChangeKind::Evacuate { locality: Locality::from(*locality), force })
-        }),
-        (&Method::POST, ["v1", "localities", locality, "restore"]) => {
-            read_change(body, |_| Some(ChangeKind::Restore { locality: Locality::from(*locality) }))
-        }
-        (&Method::GET, ["v1", "members"]) => Ok(Operation::Members),
-        (&Method::GET, ["v1", "holders"]) => Ok(Operation::Holders),
-        (&Method::GET, ["v1", "workers"]) => Ok(Operation::Workers),
-        (&Method::GET, ["v1", "runners"]) => Ok(Operation::Runners),
-        (&Method::GET, ["v1", "core"]) => Ok(Operation::ShowCore),
-        (&Method::POST, ["v1", "core", "found"]) => Ok(Operation::Found),
-        (&Method::POST, ["v1", "core", "replace", missing, successor]) => {
-            let id = |text: &str| u64::from_str_radix(text, 16).map(SurveyorId);
-            match (id(missing), id(successor)) {
-                (Ok(missing), Ok(successor)) => Ok(Operation::Replace(missing, successor)),
-                _ => Err((400, json!({"error": "not_a_surveyor"}))),
-            }
-        }
-        (&Method::GET, ["v1", "traces", serial]) => match serial.parse() {
-            Ok(serial) => Ok(Operation::Trace(Serial(serial))),
-            Err(_) => Err((400, json!({"error": "not_a_serial"}))),
-        },
-        (&Method::GET, ["v1", "events"]) => {
-            let pairs = query.unwrap_or("").split('&').filter_map(|pair| pair.split_once('='));
-            let from_text = pairs.into_iter().find(|(name, _)| *name == "from");
-            match from_text.map_or(Ok(0), |(_, number)| number.parse()) {
-                Ok(first_number) => Ok(Operation::Events(first_number)),
-                Err(_) => Err((400, json!({"error": "from is not a number"}))),
+            for hop_header in [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH] {
+                response.headers_mut().remove(hop_header);
             }
+            Ok(response)
         }
-        _ => Err((404, json!({"error": "no_such_path"}))),
-    }
-}
-
-fn needed_value(root: &PathReader<'_>, field_name: &str) -> Option<Value> {
-    let reader = root.field(field_name);
-    if !reader.is_there() {
-        reader.fault(waymark::readers::FaultReason::Missing);
-    }
-    reader.value().cloned()
-}
-
-fn read_change(
-    body: &[u8],
-    read_kind: impl FnOnce(&PathReader<'_>) -> Option<ChangeKind>,
-) -> Result<Operation, Refusal> {
-    let parsed_body: Value = serde_json::from_slice(body).map_err(|fault| {
-        (400, json!({"error": "not_json", "reason": fault.to_string(), "state": "not_accepted"}))
-    })?;
-    let faults = FaultList::default();
-    let root = PathReader::new(&parsed_body, &faults);
-    root.only(&["base_serial", "change_id", "spec", "patch", "wait", "force"]);
-    let base_reader = root.field("base_serial");
-    let kind = read_kind(&root);
-    let is_spec_change = matches!(kind, Some(ChangeKind::Whole(_) | ChangeKind::Patch(_)) | None);
-    let base = if base_reader.is_there() || is_spec_change {
-        base_reader.number(0..=u64::MAX).map(Serial)
-    } else {
-        None
-    };
-    let change = root.field("change_id").text().map(ChangeId::from);
-    let wait_reader = root.field("wait");
-    let wait = match wait_reader.value().and_then(Value::as_str) {
-        Some("in_force") => Wait::InForce,
-        Some("accepted") => Wait::Accepted,
-        _ => {
-            if wait_reader.is_there() {
-                let reason = "is neither accepted nor in_force".to_owned();
-                wait_reader.fault(waymark::readers::FaultReason::Form(reason));
-            }
-            Wait::Accepted
-        }
-    };
-    let found_faults = faults.into_inner();
-    match (kind, change) {
-        (Some(kind), Some(change)) if found_faults.is_empty() => {
-            Ok(Operation::Change { base, change, kind, wait })
-        }
-        _ => {
-            let fault_rows: Vec<Value> = found_faults
-                .iter()
-                .map(|fault| json!({"path": fault.path, "reason": fault.reason.to_string()}))
-                .collect();
-            let body = json!({"error": "invalid", "state": "not_accepted", "faults": fault_rows});
-            Err((422, body))
-        }
+        Err(fault) if fault.is_surely_unsent() => Err(not_accepted("leader_unreachable")),
+        Err(_) => Err(OperationReply::Unknown { reason: "leader_lost", change: None }),
     }
 }
 
@@ -214,13 +129,13 @@
             let target = head.uri.path_and_query().map_or("/", |whole| whole.as_str());
             let mut response = said(307, &json!({"leader": leader.to_string()}));
             let location = format!("http://{leader}{target}");
-            if let Ok(location_value) = hyper::header::HeaderValue::from_str(&location) {
-                response.headers_mut().insert(hyper::header::LOCATION, location_value);
+            if let Ok(location_value) = HeaderValue::from_str(&location) {
+                response.headers_mut().insert(LOCATION, location_value);
             }
             return response;
         }
         Some(OperationReply::Said(200, batch)) => batch,
-        Some(OperationReply::Said(status, body)) => return said(status, &body),
+        Some(reply) => return shared.operators.say(&Operation::Events(first_number), reply),
     };
     let (chunk_sender, chunks) = mpsc::channel::<Bytes>(64);
     tokio::spawn(async move {
@@ -253,8 +168,6 @@
         }
     });
     let mut response = Response::new(stream_body(chunks));
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/x-ndjson"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
     response
 }
--- /dev/null
+++ b/crates/survey/src/drivers/tongue.rs
@@ -0,0 +1,278 @@
+use crate::plane::{ChangeKind, ItemChange, Numbering, Operation, OperationReply, Wait};
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use waymark::http::{Served, json_response};
+use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
+use waymark::readers::{FaultList, FaultReason, PathFault, PathReader};
+
+/// How operators' HTTP is read and written. A tongue only translates.
+pub trait OperatorsTongue: Send + Sync {
+    /// Reads a request; one that cannot be read is answered at once.
+    fn read(&self, head: &Parts, body: &[u8]) -> Result<Operation, Served>;
+
+    /// Writes the answer to what was asked.
+    fn say(&self, asked: &Operation, reply: OperationReply) -> Served;
+
+    /// The path at which readiness is asked.
+    fn ready_path(&self) -> &'static str;
+}
+
+/// The product's own interface.
+pub struct OwnOperators;
+
+type Refusal = (u16, Value);
+
+fn said(status: u16, body: &Value) -> Served {
+    json_response(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), body)
+}
+
+fn invalid_body(faults: &[PathFault]) -> Value {
+    let fault_rows: Vec<Value> = faults
+        .iter()
+        .map(|fault| json!({"path": fault.path, "reason": fault.reason.to_string()}))
+        .collect();
+    json!({"error": "invalid", "state": "not_accepted", "faults": fault_rows})
+}
+
+fn with_change(mut body: Value, change: Option<ChangeId>) -> Value {
+    if let (Some(change), Some(fields)) = (change, body.as_object_mut()) {
+        fields.insert("change_id".to_owned(), json!(change.as_str()));
+    }
+    body
+}
+
+fn with_number(mut body: Value, number: u64) -> Value {
+    if let (true, Some(fields)) = (number != 0, body.as_object_mut()) {
+        fields.insert("number".to_owned(), json!(number));
+    }
+    body
+}
+
+impl OperationReply {
+    /// The status and the body that the product's own interface gives.
+    pub fn into_own(self) -> (u16, Value) {
+        match self {
+            Self::Said(status, body) => (status, body),
+            Self::Spec { document, in_force } => {
+                let evacuated: Vec<&str> =
+                    document.evacuated.iter().map(|locality| locality.as_str()).collect();
+                let body = json!({
+                    "serial": document.stamp.serial.0,
+                    "number": document.number,
+                    "in_force": in_force.0,
+                    "spec": document.spec,
+                    "evacuated": evacuated,
+                });
+                (200, body)
+            }
+            Self::Accepted { change, serial, number, in_force } => {
+                let state = if in_force { "in_force" } else { "accepted" };
+                let body = json!({"state": state, "serial": serial.0});
+                (200, with_number(with_change(body, Some(change)), number))
+            }
+            Self::Stale { change, serial, number } => {
+                let body = json!({
+                    "error": "stale_base",
+                    "state": "not_accepted",
+                    "serial": serial.0,
+                });
+                (409, with_number(with_change(body, Some(change)), number))
+            }
+            Self::Invalid(faults) => (422, invalid_body(&faults)),
+            Self::NoLocality { locality, known } => {
+                let known_names: Vec<&str> = known.iter().map(Locality::as_str).collect();
+                let body = json!({
+                    "error": "unknown_locality",
+                    "state": "not_accepted",
+                    "locality": locality.as_str(),
+                    "known": known_names,
+                });
+                (422, body)
+            }
+            Self::LastLocality => {
+                let body = json!({
+                    "error": "last_locality",
+                    "state": "not_accepted",
+                    "reason": "no locality would be left; set force to do it all the same",
+                });
+                (422, body)
+            }
+            Self::NotAccepted { reason, change } => {
+                (503, with_change(json!({"error": reason, "state": "not_accepted"}), change))
+            }
+            Self::Unknown { reason, change } => {
+                (503, with_change(json!({"error": reason, "state": "unknown"}), change))
+            }
+            Self::NotNow(reason) => (503, json!({"error": reason})),
+            Self::Elsewhere(leader) => (307, json!({"leader": leader.to_string()})),
+        }
+    }
+}
+
+impl OperatorsTongue for OwnOperators {
+    fn read(&self, head: &Parts, body: &[u8]) -> Result<Operation, Served> {
+        let path_parts: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
+        read_operation(&head.method, &path_parts, head.uri.query(), body)
+            .map_err(|(status, fault_body)| said(status, &fault_body))
+    }
+
+    fn say(&self, _asked: &Operation, reply: OperationReply) -> Served {
+        let (status, body) = reply.into_own();
+        said(status, &body)
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+}
+
+fn read_operation(
+    method: &Method,
+    path_parts: &[&str],
+    query: Option<&str>,
+    body: &[u8],
+) -> Result<Operation, Refusal> {
+    match (method, path_parts) {
+        (&Method::GET, ["metrics"]) => Ok(Operation::Metrics),
+        (&Method::GET, ["v1", "spec"]) => Ok(Operation::ReadSpec),
+        (&Method::PUT, ["v1", "spec"]) => {
+            read_change(body, |root| Some(ChangeKind::Whole(needed_value(root, "spec")?)))
+        }
+        (&Method::PATCH, ["v1", "spec"]) => read_change(body, read_partly),
+        (&Method::GET, ["v1", "changes", change]) => {
+            Ok(Operation::AskChange(ChangeId::from(*change)))
+        }
+        (&Method::POST, ["v1", "localities", locality, "evacuate"]) => read_change(body, |root| {
+            let force = root.field("force").flag_or(false);
+            Some(ChangeKind::Evacuate { locality: Locality::from(*locality), force })
+        }),
+        (&Method::POST, ["v1", "localities", locality, "restore"]) => {
+            read_change(body, |_| Some(ChangeKind::Restore { locality: Locality::from(*locality) }))
+        }
+        (&Method::GET, ["v1", "members"]) => Ok(Operation::Members),
+        (&Method::GET, ["v1", "holders"]) => Ok(Operation::Holders),
+        (&Method::GET, ["v1", "workers"]) => Ok(Operation::Workers),
+        (&Method::GET, ["v1", "runners"]) => Ok(Operation::Runners),
+        (&Method::GET, ["v1", "core"]) => Ok(Operation::ShowCore),
+        (&Method::POST, ["v1", "core", "found"]) => Ok(Operation::Found),
+        (&Method::POST, ["v1", "core", "replace", missing, successor]) => {
+            let id = |text: &str| u64::from_str_radix(text, 16).map(SurveyorId);
+            match (id(missing), id(successor)) {
+                (Ok(missing), Ok(successor)) => Ok(Operation::Replace(missing, successor)),
+                _ => Err((400, json!({"error": "not_a_surveyor"}))),
+            }
+        }
+        (&Method::GET, ["v1", "traces", serial]) => match serial.parse() {
+            Ok(serial) => Ok(Operation::Trace(Serial(serial))),
+            Err(_) => Err((400, json!({"error": "not_a_serial"}))),
+        },
+        (&Method::GET, ["v1", "events"]) => {
+            let pairs = query.unwrap_or("").split('&').filter_map(|pair| pair.split_once('='));
+            let from_text = pairs.into_iter().find(|(name, _)| *name == "from");
+            match from_text.map_or(Ok(0), |(_, number)| number.parse()) {
+                Ok(first_number) => Ok(Operation::Events(first_number)),
+                Err(_) => Err((400, json!({"error": "from is not a number"}))),
+            }
+        }
+        _ => Err((404, json!({"error": "no_such_path"}))),
+    }
+}
+
+fn needed_value(root: &PathReader<'_>, field_name: &str) -> Option<Value> {
+    let reader = root.field(field_name);
+    if !reader.is_there() {
+        reader.fault(FaultReason::Missing);
+    }
+    reader.value().cloned()
+}
+
+fn read_partly(root: &PathReader<'_>) -> Option<ChangeKind> {
+    let (put, remove) = (root.field("put"), root.field("remove"));
+    if !put.is_there() && !remove.is_there() {
+        return Some(ChangeKind::Patch(needed_value(root, "patch")?));
+    }
+    put.only(&["functions", "routes", "limits", "labels"]);
+    remove.only(&["functions", "routes"]);
+    if root.field("patch").is_there() {
+        let reason = "does not go with put and remove".to_owned();
+        root.field("patch").fault(FaultReason::Form(reason));
+    }
+    let put_items = |part_name: &str| {
+        let fields = put.field(part_name).fields().into_iter();
+        fields
+            .filter_map(|(name, reader)| Some((name.to_owned(), reader.value()?.clone())))
+            .collect()
+    };
+    let removed_names = |part_name: &str| {
+        let items = remove.field(part_name).items();
+        items.iter().filter_map(|item| item.text().map(str::to_owned)).collect()
+    };
+    Some(ChangeKind::Items(ItemChange {
+        put_functions: put_items("functions"),
+        remove_functions: removed_names("functions"),
+        put_routes: put_items("routes"),
+        remove_routes: removed_names("routes"),
+        limits: put.field("limits").value().cloned(),
+        labels: put.field("labels").value().cloned(),
+    }))
+}
+
+fn read_change(
+    body: &[u8],
+    read_kind: impl FnOnce(&PathReader<'_>) -> Option<ChangeKind>,
+) -> Result<Operation, Refusal> {
+    let parsed_body: Value = serde_json::from_slice(body).map_err(|fault| {
+        (400, json!({"error": "not_json", "reason": fault.to_string(), "state": "not_accepted"}))
+    })?;
+    let faults = FaultList::default();
+    let root = PathReader::new(&parsed_body, &faults);
+    root.only(&[
+        "base_serial",
+        "number",
+        "base_number",
+        "change_id",
+        "spec",
+        "patch",
+        "put",
+        "remove",
+        "wait",
+        "force",
+    ]);
+    let base_reader = root.field("base_serial");
+    let kind = read_kind(&root);
+    let is_turn = matches!(kind, Some(ChangeKind::Evacuate { .. } | ChangeKind::Restore { .. }));
+    let is_numbered = ["number", "base_number"].iter().any(|key| root.field(key).is_there());
+    let numbering = if is_numbered {
+        let number = root.field("number").number(0..=u64::MAX);
+        let base_number = root.field("base_number").number(0..=u64::MAX);
+        number.zip(base_number).map(|(number, base_number)| Numbering { number, base_number })
+    } else {
+        None
+    };
+    let base = if base_reader.is_there() || !(is_turn || is_numbered) {
+        base_reader.number(0..=u64::MAX).map(Serial)
+    } else {
+        None
+    };
+    let change = root.field("change_id").text().map(ChangeId::from);
+    let wait_reader = root.field("wait");
+    let wait = match wait_reader.value().and_then(Value::as_str) {
+        Some("in_force") => Wait::InForce,
+        Some("accepted") => Wait::Accepted,
+        _ => {
+            if wait_reader.is_there() {
+                let reason = "is neither accepted nor in_force".to_owned();
+                wait_reader.fault(FaultReason::Form(reason));
+            }
+            Wait::Accepted
+        }
+    };
+    let found_faults = faults.into_inner();
+    match (kind, change) {
+        (Some(kind), Some(change)) if found_faults.is_empty() => {
+            Ok(Operation::Change { base, numbering, change: Some(change), kind, wait })
+        }
+        _ => Err((422, invalid_body(&found_faults))),
+    }
+}
--- a/crates/survey/src/plane/changes.rs
+++ b/crates/survey/src/plane/changes.rs
@@ -1,20 +1,39 @@
-use super::{ChangeKind, OperationReply, OperationTicket, Plane, PlaneOutput, Wait};
-use serde_json::{Value, json};
+use super::{
+    ChangeKind, ItemChange, Numbering, OperationReply, OperationTicket, Plane, PlaneOutput, Wait,
+};
+use serde_json::{Map, Value, json};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::identity::{ChangeId, Locality, Serial};
-use waymark::readers::PathFault;
+use waymark::readers::{FaultReason, PathFault};
 use waymark::rules::Rule;
+use waymark::seal::{digest, hex};
 use waymark::spec::{Document, Spec, read_spec};
 
 const CHANGE_PATIENCE: Duration = Duration::from_secs(3);
 const FORCE_PATIENCE: Duration = Duration::from_secs(10);
 
+/// A change as an operator asked for it.
+pub struct AskedChange {
+    /// The serial it is built on.
+    pub base: Option<Serial>,
+    /// The operators' own numbers.
+    pub numbering: Option<Numbering>,
+    /// The operator's name for it.
+    pub change: Option<ChangeId>,
+    /// What it does.
+    pub kind: ChangeKind,
+    /// What to wait for.
+    pub wait: Wait,
+}
+
 struct QueuedChange {
     ticket: OperationTicket,
     base: Option<Serial>,
+    numbering: Option<Numbering>,
     change: ChangeId,
+    is_named: bool,
     kind: ChangeKind,
     wait: Wait,
     asked_at: Moment,
@@ -24,6 +43,7 @@
     ticket: OperationTicket,
     change: ChangeId,
     serial: Serial,
+    number: u64,
     wait: Wait,
     asked_at: Moment,
 }
@@ -36,20 +56,71 @@
     accepted: Vec<Waiter>,
 }
 
-fn said_accepted(change: &ChangeId, serial: Serial, state: &str) -> OperationReply {
-    let body = json!({"state": state, "serial": serial.0, "change_id": change.as_str()});
-    OperationReply::Said(200, body)
+fn content_value(kind: &ChangeKind) -> Value {
+    match kind {
+        ChangeKind::Whole(spec) => json!({"spec": spec}),
+        ChangeKind::Patch(patch) => json!({"patch": patch}),
+        ChangeKind::Items(items) => json!({
+            "put_functions": items.put_functions,
+            "remove_functions": items.remove_functions,
+            "put_routes": items.put_routes,
+            "remove_routes": items.remove_routes,
+            "limits": items.limits,
+            "labels": items.labels,
+        }),
+        ChangeKind::Evacuate { locality, .. } => json!({"evacuate": locality.as_str()}),
+        ChangeKind::Restore { locality } => json!({"restore": locality.as_str()}),
+    }
+}
+
+/// The name of a change that its operator gave none: a digest of its numbers, its base and its
+/// content, so that the same change sent again has the same name.
+pub fn change_name(
+    base: Option<Serial>,
+    numbering: Option<Numbering>,
+    kind: &ChangeKind,
+) -> ChangeId {
+    let named = json!({
+        "base_serial": base.map(|base| base.0),
+        "number": numbering.map(|numbering| numbering.number),
+        "base_number": numbering.map(|numbering| numbering.base_number),
+        "content": content_value(kind),
+    });
+    ChangeId::from(hex(&digest(named.to_string().as_bytes())))
+}
+
+fn said_accepted(waiter: &Waiter, in_force: Serial) -> OperationReply {
+    OperationReply::Accepted {
+        change: waiter.change.clone(),
+        serial: waiter.serial,
+        number: waiter.number,
+        in_force: in_force >= waiter.serial,
+    }
 }
 
-fn said_invalid(faults: &[PathFault]) -> OperationReply {
-    let fault_rows: Vec<Value> = faults
-        .iter()
-        .map(|fault| json!({"path": fault.path, "reason": fault.reason.to_string()}))
-        .collect();
-    OperationReply::Said(
-        422,
-        json!({"error": "invalid", "state": "not_accepted", "faults": fault_rows}),
-    )
+fn with_items(spec: &Value, items: &ItemChange) -> Value {
+    let mut changed_spec = spec.clone();
+    let Some(root) = changed_spec.as_object_mut() else { return changed_spec };
+    let parts = [
+        ("functions", &items.put_functions, &items.remove_functions),
+        ("routes", &items.put_routes, &items.remove_routes),
+    ];
+    for (part_name, put_items, removed_names) in parts {
+        let part = root.entry(part_name).or_insert_with(|| Value::Object(Map::new()));
+        let Some(part_items) = part.as_object_mut() else { continue };
+        for removed_name in removed_names {
+            part_items.remove(removed_name);
+        }
+        for (put_name, put_item) in put_items {
+            part_items.insert(put_name.clone(), put_item.clone());
+        }
+    }
+    for (key, replaced) in [("limits", &items.limits), ("labels", &items.labels)] {
+        if let Some(replaced) = replaced {
+            root.insert(key.to_owned(), replaced.clone());
+        }
+    }
+    changed_spec
 }
 
 impl Plane {
@@ -57,15 +128,22 @@
         &mut self,
         now: Moment,
         ticket: OperationTicket,
-        base: Option<Serial>,
-        change: ChangeId,
-        kind: ChangeKind,
-        wait: Wait,
+        asked: AskedChange,
     ) {
+        let AskedChange { base, numbering, change, kind, wait } = asked;
+        let is_named = change.is_some();
+        let change = change.unwrap_or_else(|| match &kind {
+            ChangeKind::Evacuate { .. } | ChangeKind::Restore { .. } => {
+                ChangeId::from(format!("turn-{}-{}", self.core.term(), ticket.0))
+            }
+            _ => change_name(base, numbering, &kind),
+        });
         self.changes.inbox.push_back(QueuedChange {
             ticket,
             base,
+            numbering,
             change,
+            is_named,
             kind,
             wait,
             asked_at: now,
@@ -85,12 +163,12 @@
                 .partition(|queued| attached_changes.contains(&queued.change));
         self.changes.inbox = others;
         for queued in attached {
-            let Some(serial) = self
+            let Some((serial, number)) = self
                 .changes
                 .in_flight
                 .iter()
                 .find(|waiter| waiter.change == queued.change)
-                .map(|waiter| waiter.serial)
+                .map(|waiter| (waiter.serial, waiter.number))
             else {
                 continue;
             };
@@ -98,6 +176,7 @@
                 ticket: queued.ticket,
                 change: queued.change,
                 serial,
+                number,
                 wait: queued.wait,
                 asked_at: queued.asked_at,
             });
@@ -111,12 +190,9 @@
             .partition(|queued| now.since(queued.asked_at) > CHANGE_PATIENCE);
         self.changes.inbox = kept;
         for queued in late {
-            let body = json!({
-                "error": "no_quorum",
-                "state": "not_accepted",
-                "change_id": queued.change.as_str(),
-            });
-            self.answer(queued.ticket, OperationReply::Said(503, body));
+            let change = Some(queued.change);
+            let reply = OperationReply::NotAccepted { reason: "no_quorum", change };
+            self.answer(queued.ticket, reply);
         }
         let (late, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.changes.in_flight)
             .into_iter()
@@ -130,7 +206,7 @@
             .partition(|waiter| now.since(waiter.asked_at) > FORCE_PATIENCE);
         self.changes.accepted = kept;
         for waiter in late {
-            self.answer(waiter.ticket, said_accepted(&waiter.change, waiter.serial, "accepted"));
+            self.answer(waiter.ticket, said_accepted(&waiter, Serial(0)));
         }
     }
 
@@ -139,12 +215,8 @@
     }
 
     fn say_unknown(&mut self, waiter: &Waiter) {
-        let body = json!({
-            "error": "no_quorum",
-            "state": "unknown",
-            "change_id": waiter.change.as_str(),
-        });
-        self.answer(waiter.ticket, OperationReply::Said(503, body));
+        let change = Some(waiter.change.clone());
+        self.answer(waiter.ticket, OperationReply::Unknown { reason: "no_quorum", change });
     }
 
     fn put_forward(&mut self, now: Moment, queued: QueuedChange) {
@@ -156,21 +228,34 @@
                 ticket: queued.ticket,
                 change: queued.change,
                 serial: noted.serial,
+                number: noted.number,
                 wait: queued.wait,
                 asked_at: queued.asked_at,
             });
             return;
         }
         let current_serial = current_document.stamp.serial;
-        let is_stale = queued.base.is_some_and(|base| base != current_serial);
+        let current_number = current_document.number;
+        let is_stale = queued.base.is_some_and(|base| base != current_serial)
+            || queued.numbering.is_some_and(|given| given.base_number != current_number);
         if is_stale && self.rules.keep(Rule::StaleBaseRefused) {
-            let body = json!({
-                "error": "stale_base",
-                "state": "not_accepted",
-                "serial": current_serial.0,
-                "change_id": queued.change.as_str(),
+            let reply = OperationReply::Stale {
+                change: queued.change,
+                serial: current_serial,
+                number: current_number,
+            };
+            self.answer(queued.ticket, reply);
+            return;
+        }
+        if !queued.is_named && self.is_so_already(&current_document, &queued.kind) {
+            self.changes.accepted.push(Waiter {
+                ticket: queued.ticket,
+                change: queued.change,
+                serial: current_serial,
+                number: 0,
+                wait: queued.wait,
+                asked_at: queued.asked_at,
             });
-            self.answer(queued.ticket, OperationReply::Said(409, body));
             return;
         }
         let next_document = match self.next_document(&current_document, &queued) {
@@ -180,6 +265,7 @@
                 return;
             }
         };
+        let number = queued.numbering.map_or(0, |given| given.number);
         let serial = next_document.stamp.serial;
         self.traces.put_forward(now, self.core.term(), serial);
         match self.core.propose(now, next_document) {
@@ -188,15 +274,27 @@
                     ticket: queued.ticket,
                     change: queued.change,
                     serial,
+                    number,
                     wait: queued.wait,
                     asked_at: queued.asked_at,
                 });
                 self.obey(now, orders);
             }
             Err(fault) => {
-                let body = json!({"error": fault.to_string(), "state": "not_accepted"});
-                self.answer(queued.ticket, OperationReply::Said(503, body));
+                let reply = OperationReply::NotAccepted { reason: fault.reason(), change: None };
+                self.answer(queued.ticket, reply);
+            }
+        }
+    }
+
+    fn is_so_already(&self, current_document: &Document, kind: &ChangeKind) -> bool {
+        match kind {
+            ChangeKind::Evacuate { locality, .. } => current_document.evacuated.contains(locality),
+            ChangeKind::Restore { locality } => {
+                !current_document.evacuated.contains(locality)
+                    && self.known_localities().contains(locality)
             }
+            _ => false,
         }
     }
 
@@ -205,15 +303,29 @@
         current_document: &Document,
         queued: &QueuedChange,
     ) -> Result<Document, OperationReply> {
-        let with_spec = |new_spec: Value| match read_spec(&new_spec) {
-            Ok(checked_spec) => {
-                Ok(current_document.with_spec(new_spec, &checked_spec, queued.change.clone()))
-            }
-            Err(faults) if self.rules.keep(Rule::InvalidRefused) => Err(said_invalid(&faults)),
-            Err(_) => {
-                let unchecked_spec = Spec::default();
-                Ok(current_document.with_spec(new_spec, &unchecked_spec, queued.change.clone()))
-            }
+        let is_number_low =
+            queued.numbering.is_some_and(|given| given.number <= current_document.number);
+        if is_number_low && self.rules.keep(Rule::InvalidRefused) {
+            let reason = FaultReason::Form(format!("is not above {}", current_document.number));
+            let fault = PathFault { path: "number".to_owned(), reason };
+            return Err(OperationReply::Invalid(vec![fault]));
+        }
+        let number = queued.numbering.map_or(current_document.number, |given| given.number);
+        let with_spec = |new_spec: Value| {
+            let checked_spec = match read_spec(&new_spec) {
+                Ok(checked_spec) => checked_spec,
+                Err(faults) if self.rules.keep(Rule::InvalidRefused) => {
+                    return Err(OperationReply::Invalid(faults));
+                }
+                Err(_) => Spec::default(),
+            };
+            let change = queued.change.clone();
+            let next_document = current_document.with_spec(new_spec, &checked_spec, change);
+            Ok(if queued.numbering.is_some() {
+                next_document.numbered(number)
+            } else {
+                next_document
+            })
         };
         match &queued.kind {
             ChangeKind::Whole(new_spec) => with_spec(new_spec.clone()),
@@ -222,10 +334,14 @@
                 json_patch::merge(&mut new_spec, merge_patch);
                 with_spec(new_spec)
             }
+            ChangeKind::Items(items) => with_spec(with_items(&current_document.spec, items)),
             ChangeKind::Evacuate { locality, force } => {
                 let known_localities = self.known_localities();
                 if !known_localities.contains(locality) {
-                    return Err(said_no_locality(locality, &known_localities));
+                    return Err(OperationReply::NoLocality {
+                        locality: locality.clone(),
+                        known: known_localities,
+                    });
                 }
                 let left_count = known_localities
                     .iter()
@@ -234,12 +350,7 @@
                     })
                     .count();
                 if left_count == 0 && !force {
-                    let body = json!({
-                        "error": "last_locality",
-                        "state": "not_accepted",
-                        "reason": "no locality would be left; set force to do it all the same",
-                    });
-                    return Err(OperationReply::Said(422, body));
+                    return Err(OperationReply::LastLocality);
                 }
                 Ok(current_document.with_locality(locality.clone(), true, queued.change.clone()))
             }
@@ -248,7 +359,10 @@
                 if !known_localities.contains(locality)
                     && !current_document.evacuated.contains(locality)
                 {
-                    return Err(said_no_locality(locality, &known_localities));
+                    return Err(OperationReply::NoLocality {
+                        locality: locality.clone(),
+                        known: known_localities,
+                    });
                 }
                 Ok(current_document.with_locality(locality.clone(), false, queued.change.clone()))
             }
@@ -274,8 +388,7 @@
             .partition(|waiter| waiter.wait == Wait::Accepted || in_force >= waiter.serial);
         self.changes.accepted = kept;
         for waiter in done {
-            let state = if in_force >= waiter.serial { "in_force" } else { "accepted" };
-            self.answer(waiter.ticket, said_accepted(&waiter.change, waiter.serial, state));
+            self.answer(waiter.ticket, said_accepted(&waiter, in_force));
         }
     }
 
@@ -284,15 +397,12 @@
             self.say_unknown(&waiter);
         }
         for waiter in std::mem::take(&mut self.changes.accepted) {
-            self.answer(waiter.ticket, said_accepted(&waiter.change, waiter.serial, "accepted"));
+            self.answer(waiter.ticket, said_accepted(&waiter, Serial(0)));
         }
         for queued in std::mem::take(&mut self.changes.inbox) {
-            let body = json!({
-                "error": "no_leader",
-                "state": "not_accepted",
-                "change_id": queued.change.as_str(),
-            });
-            self.answer(queued.ticket, OperationReply::Said(503, body));
+            let change = Some(queued.change);
+            let reply = OperationReply::NotAccepted { reason: "no_leader", change };
+            self.answer(queued.ticket, reply);
         }
     }
 
@@ -304,8 +414,12 @@
             .filter(|_| !self.core.is_proposing())
             .and_then(|document| document.changes.iter().find(|noted| noted.id == *change));
         if let Some(noted) = noted_change {
-            let state = if in_force >= noted.serial { "in_force" } else { "accepted" };
-            return said_accepted(change, noted.serial, state);
+            return OperationReply::Accepted {
+                change: change.clone(),
+                serial: noted.serial,
+                number: noted.number,
+                in_force: in_force >= noted.serial,
+            };
         }
         let is_pending = self.core.is_proposing()
             || self.changes.inbox.iter().any(|queued| queued.change == *change);
@@ -313,14 +427,3 @@
         OperationReply::Said(200, json!({"state": state, "change_id": change.as_str()}))
     }
 }
-
-fn said_no_locality(locality: &Locality, known: &BTreeSet<Locality>) -> OperationReply {
-    let known_names: Vec<&str> = known.iter().map(Locality::as_str).collect();
-    let body = json!({
-        "error": "unknown_locality",
-        "state": "not_accepted",
-        "locality": locality.as_str(),
-        "known": known_names,
-    });
-    OperationReply::Said(422, body)
-}
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -5,13 +5,14 @@
 mod operation;
 mod traces;
 
+pub use changes::change_name;
 pub use history::{History, Numbered};
-pub use operation::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
+pub use operation::{
+    ChangeKind, ItemChange, Numbering, Operation, OperationReply, OperationTicket, Wait,
+};
 
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
-use crate::desk::{
-    Desk, DeskOutput, DeskTiming, ListedRunner, ListedWorker, Proof, StreamId, Told,
-};
+use crate::desk::{Desk, DeskOutput, DeskTiming, Proof, StreamId, Told};
 use changes::Changes;
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -21,6 +22,7 @@
 use waymark::frames::{CoreFrame, Place, StreamDown, StreamUp};
 use waymark::identity::{RunnerId, Serial, Ticket};
 use waymark::rules::Rules;
+use waymark::tongue::{ListedRunner, ListedWorker, StopOrder};
 
 /// What reaches a surveyor.
 #[derive(Debug)]
@@ -57,7 +59,7 @@
     /// End a daemon's stream.
     Close(StreamId),
     /// Have the platform stop a runner.
-    StopRunner(RunnerId),
+    StopRunner(StopOrder),
     /// Answer an operator.
     Operated(OperationTicket, OperationReply),
     /// An event was noted.
@@ -191,8 +193,8 @@
                 DeskOutput::Down { stream, frame } => {
                     self.outputs.push(PlaneOutput::Down(stream, frame));
                 }
-                DeskOutput::StopRunner(runner) => {
-                    self.outputs.push(PlaneOutput::StopRunner(runner));
+                DeskOutput::StopRunner(order) => {
+                    self.outputs.push(PlaneOutput::StopRunner(order));
                 }
                 DeskOutput::Told(told) => {
                     if told.event == events::IN_FORCE
--- a/crates/survey/src/plane/operation.rs
+++ b/crates/survey/src/plane/operation.rs
@@ -1,13 +1,44 @@
+use super::changes::AskedChange;
 use super::{Plane, PlaneOutput};
 use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
 use waymark::clock::Moment;
 use waymark::frames::Place;
 use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
+use waymark::readers::PathFault;
+use waymark::spec::Document;
 
 /// Names one operator's wish in this process.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct OperationTicket(pub u64);
 
+/// The operators' own number of a spec, and of the one it is built on.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Numbering {
+    /// The number it is to have; above the current one.
+    pub number: u64,
+    /// The number of the spec it is built on; zero before the first.
+    pub base_number: u64,
+}
+
+/// A change by naming items: what is put stands whole in the place of what had its name, and to
+/// remove what is not there is no fault.
+#[derive(Clone, Debug, Default)]
+pub struct ItemChange {
+    /// The functions put, by name.
+    pub put_functions: BTreeMap<String, Value>,
+    /// The functions removed.
+    pub remove_functions: BTreeSet<String>,
+    /// The routes put, by name.
+    pub put_routes: BTreeMap<String, Value>,
+    /// The routes removed.
+    pub remove_routes: BTreeSet<String>,
+    /// The callers' limits, if they change.
+    pub limits: Option<Value>,
+    /// What is kept with the whole spec and never read, if it changes.
+    pub labels: Option<Value>,
+}
+
 /// What a change does.
 #[derive(Clone, Debug)]
 pub enum ChangeKind {
@@ -15,6 +46,8 @@
     Whole(Value),
     /// A JSON merge patch.
     Patch(Value),
+    /// Named items.
+    Items(ItemChange),
     /// Empties a locality.
     Evacuate {
         /// Which one.
@@ -47,8 +80,10 @@
     Change {
         /// The serial it is built on.
         base: Option<Serial>,
-        /// The operator's name for it.
-        change: ChangeId,
+        /// The operators' own numbers, if they number it.
+        numbering: Option<Numbering>,
+        /// The operator's name for it; without one it is known by what it says.
+        change: Option<ChangeId>,
         /// What it does.
         kind: ChangeKind,
         /// What to wait for.
@@ -74,14 +109,70 @@
     Events(u64),
     /// Show what this surveyor knows of one version's way; zero for the newest.
     Trace(Serial),
+    /// Show the metrics.
+    Metrics,
 }
 
 /// The answer to an operator.
 #[derive(Clone, Debug)]
 pub enum OperationReply {
-    /// A status and a body.
+    /// A status and a body, on what only the product's own interface asks.
     Said(u16, Value),
-    /// The leader at this place answers.
+    /// The newest spec.
+    Spec {
+        /// The document that holds it.
+        document: Box<Document>,
+        /// The newest serial that is in force everywhere.
+        in_force: Serial,
+    },
+    /// A change is on the disks of a majority.
+    Accepted {
+        /// Its name.
+        change: ChangeId,
+        /// The serial it made.
+        serial: Serial,
+        /// The operators' number; zero if they gave none.
+        number: u64,
+        /// Whether it is in force everywhere.
+        in_force: bool,
+    },
+    /// Another spec is current than the one a change is built on; nothing was written.
+    Stale {
+        /// The change's name.
+        change: ChangeId,
+        /// The current serial.
+        serial: Serial,
+        /// The operators' current number.
+        number: u64,
+    },
+    /// A change does not check; nothing was written.
+    Invalid(Vec<PathFault>),
+    /// There is no such locality; nothing was written.
+    NoLocality {
+        /// The locality asked for.
+        locality: Locality,
+        /// Those that are known.
+        known: BTreeSet<Locality>,
+    },
+    /// No locality would be left; nothing was written.
+    LastLocality,
+    /// A change surely did not happen and will not.
+    NotAccepted {
+        /// Why.
+        reason: &'static str,
+        /// Its name, if it is known here.
+        change: Option<ChangeId>,
+    },
+    /// A change may have happened, or may yet.
+    Unknown {
+        /// Why.
+        reason: &'static str,
+        /// Its name, if it is known here.
+        change: Option<ChangeId>,
+    },
+    /// Nothing can be told now.
+    NotNow(&'static str),
+    /// The leader answers, reached by operators at this place.
     Elsewhere(Place),
 }
 
@@ -89,6 +180,7 @@
     pub(super) fn operate(&mut self, now: Moment, ticket: OperationTicket, operation: Operation) {
         let reply = match operation {
             Operation::Found => self.found(now),
+            Operation::Metrics => OperationReply::Said(200, Value::Null),
             Operation::ShowCore => OperationReply::Said(200, self.show_core(now)),
             Operation::Trace(serial) => self.trace(now, serial),
             Operation::Events(first_number) if self.desk.is_some() => {
@@ -100,13 +192,13 @@
                     OperationReply::Elsewhere(address.operators)
                 } else if let Operation::Replace(missing, successor) = other {
                     self.replace(now, missing, successor)
-                } else if let Operation::Change { base, change, kind, wait } = other {
+                } else if let Operation::Change { base, numbering, change, kind, wait } = other {
                     if self.desk.is_some() {
-                        self.queue_change(now, ticket, base, change, kind, wait);
+                        let asked = AskedChange { base, numbering, change, kind, wait };
+                        self.queue_change(now, ticket, asked);
                         return;
                     }
-                    let body = json!({"error": "no_leader", "state": "not_accepted", "change_id": change.as_str()});
-                    OperationReply::Said(503, body)
+                    OperationReply::NotAccepted { reason: "no_leader", change }
                 } else {
                     self.report(now, other)
                 }
@@ -117,7 +209,7 @@
 
     fn report(&self, now: Moment, operation: Operation) -> OperationReply {
         let (Some(desk), true) = (&self.desk, self.is_fresh(now)) else {
-            return OperationReply::Said(503, json!({"error": "no_leader"}));
+            return OperationReply::NotNow("no_leader");
         };
         let body = match operation {
             Operation::Members => desk.report_members(now),
@@ -127,14 +219,12 @@
             Operation::AskChange(change) => return self.ask_change(&change),
             _ => {
                 let Some(document) = desk.document() else {
-                    return OperationReply::Said(503, json!({"error": "no_document"}));
+                    return OperationReply::NotNow("no_document");
+                };
+                return OperationReply::Spec {
+                    document: Box::new(document.clone()),
+                    in_force: desk.in_force(),
                 };
-                json!({
-                    "serial": document.stamp.serial.0,
-                    "in_force": desk.in_force().0,
-                    "spec": document.spec,
-                    "evacuated": document.evacuated.iter().map(|held| held.as_str()).collect::<Vec<_>>(),
-                })
             }
         };
         OperationReply::Said(200, body)
--- a/crates/survey/tests/desk.rs
+++ b/crates/survey/tests/desk.rs
@@ -4,16 +4,18 @@
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use survey::desk::{Desk, DeskOutput, DeskTiming, ListedRunner, ListedWorker, Proof, StreamId};
+use survey::desk::{Desk, DeskOutput, DeskTiming, Proof, StreamId};
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Claim, ClaimRunner, Flag, Host, KnownMember, Many, Place, ReserveResult,
+    AcquireResult, Claim, ClaimRunner, Flag, Host, KnownMember, Life, Many, Place, ReserveResult,
     StreamDown, StreamUp,
 };
 use waymark::identity::{
-    ChangeId, CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Stamp, SurveyorId, Term,
+    ChangeId, CorrelationId, FunctionKey, GrantSerial, LifeName, RunnerId, Serial, Stamp,
+    SurveyorId, Term,
 };
 use waymark::spec::{CoreMember, Document, read_spec};
+use waymark::tongue::{ListedRunner, ListedWorker};
 
 const ELECTED: Moment = Moment(100_000_000_000);
 
@@ -101,7 +103,7 @@
         self.outputs
             .iter()
             .filter_map(|output| match output {
-                DeskOutput::StopRunner(runner) => Some(*runner),
+                DeskOutput::StopRunner(order) => Some(order.runner),
                 _ => None,
             })
             .collect()
@@ -153,8 +155,10 @@
     bench.acquire(1);
     bench.pass(ms(2500));
     let listed = [ListedRunner {
-        runner: old_runner(),
-        function: function(),
+        life: Life { name: LifeName::from("life"), place: Place::NOWHERE },
+        runner: Some(old_runner()),
+        function: function().name,
+        key: Some(function()),
         worker: "w".into(),
         leaving: false,
     }];
--- a/crates/waymark/src/spec/document.rs
+++ b/crates/waymark/src/spec/document.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-const KEPT_CHANGES: usize = 512;
+const KEPT_CHANGES: usize = 64;
 
 /// A member of the core as the document names it.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -26,6 +26,8 @@
     pub id: ChangeId,
     /// The serial it made.
     pub serial: Serial,
+    /// The operators' number that it brought; zero if they gave none.
+    pub number: u64,
 }
 
 /// The one document that the core keeps.
@@ -33,6 +35,8 @@
 pub struct Document {
     /// Where it stands.
     pub stamp: Stamp,
+    /// The operators' own number of the spec; zero until they give one.
+    pub number: u64,
     /// The operators' spec, as they wrote it.
     pub spec: Value,
     /// The serial at which each function entered the catalogue.
@@ -148,6 +152,7 @@
     pub fn founding(core: Vec<CoreMember>) -> Self {
         Self {
             stamp: Stamp { term: Term(1), serial: Serial(1) },
+            number: 0,
             spec: json!({"functions": {}, "routes": {}}),
             generations: BTreeMap::new(),
             evacuated: BTreeSet::new(),
@@ -167,6 +172,7 @@
                     term: Term(root.field("term").number(0..=u64::MAX)?),
                     serial: Serial(root.field("serial").number(0..=u64::MAX)?),
                 },
+                number: root.field("number").number_or(0..=u64::MAX, 0),
                 spec: root.field("spec").value()?.clone(),
                 generations: read_generations(&root.field("generations")),
                 evacuated: read_evacuated(&root.field("evacuated")),
@@ -178,6 +184,7 @@
                         Some(ChangeNote {
                             id: item.field("id").text()?.into(),
                             serial: Serial(item.field("serial").number(0..=u64::MAX)?),
+                            number: item.field("number").number_or(0..=u64::MAX, 0),
                         })
                     })
                     .collect(),
@@ -190,11 +197,18 @@
         let noted_changes: Vec<Value> = self
             .changes
             .iter()
-            .map(|change| json!({"id": change.id.as_str(), "serial": change.serial.0}))
+            .map(|change| {
+                json!({
+                    "id": change.id.as_str(),
+                    "serial": change.serial.0,
+                    "number": change.number,
+                })
+            })
             .collect();
         json!({
             "term": self.stamp.term.0,
             "serial": self.stamp.serial.0,
+            "number": self.number,
             "spec": self.spec,
             "generations": generations_json(&self.generations),
             "evacuated": evacuated_json(&self.evacuated),
@@ -217,6 +231,15 @@
         Self { spec: new_spec, generations, ..self.noting(change) }
     }
 
+    /// The same version, with the number that operators gave its spec.
+    pub fn numbered(mut self, number: u64) -> Self {
+        self.number = number;
+        if let Some(newest_change) = self.changes.last_mut() {
+            newest_change.number = number;
+        }
+        self
+    }
+
     /// The next version, with a locality evacuated or restored.
     pub fn with_locality(&self, locality: Locality, evacuate: bool, change: ChangeId) -> Self {
         let mut next_document = self.noting(change);
@@ -236,7 +259,11 @@
     fn noting(&self, change: ChangeId) -> Self {
         let mut next_document = self.clone();
         next_document.stamp.serial = self.stamp.serial.next();
-        next_document.changes.push(ChangeNote { id: change, serial: next_document.stamp.serial });
+        next_document.changes.push(ChangeNote {
+            id: change,
+            serial: next_document.stamp.serial,
+            number: 0,
+        });
         let extra_count = next_document.changes.len().saturating_sub(KEPT_CHANGES);
         next_document.changes.drain(..extra_count);
         next_document
--- a/proving/expedition/src/ailing.rs
+++ b/proving/expedition/src/ailing.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use survey::boot::SurveyorBoot;
 use survey::disk::Seam;
-use survey::drivers::Surveyor;
+use survey::drivers::{Surveyor, SurveyorTongues};
 use waymark::readers::BootSource;
 
 /// A surveyor for proving, with a disk that can be made to ail.
@@ -61,7 +61,9 @@
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     runtime.block_on(async {
-        let surveyor = Surveyor::open_with(&boot, Box::new(seam)).await.wrap_err("opening")?;
+        let tongues = SurveyorTongues::own(boot.platform);
+        let surveyor =
+            Surveyor::open_with(&boot, Box::new(seam), tongues).await.wrap_err("opening")?;
         let stop = waymark::command_line::told_to_stop()?;
         surveyor.run(stop).await;
         Ok(())
--- a/proving/expedition/src/sim/operator.rs
+++ b/proving/expedition/src/sim/operator.rs
@@ -81,7 +81,8 @@
         let ticket = OperationTicket(self.next_number);
         let operation = Operation::Change {
             base: change.base,
-            change: change.change.clone(),
+            numbering: None,
+            change: Some(change.change.clone()),
             kind: change.kind.clone(),
             wait: Wait::Accepted,
         };
@@ -100,7 +101,8 @@
                     self.operate(target, change);
                 }
             }
-            OperationReply::Said(status, body) => {
+            reply => {
+                let (status, body) = reply.into_own();
                 let state = body["state"].as_str().unwrap_or("");
                 if status == 200 && matches!(state, "accepted" | "in_force") {
                     let serial = Serial(body["serial"].as_u64().unwrap_or(0));
--- a/proving/expedition/src/sim/platform.rs
+++ b/proving/expedition/src/sim/platform.rs
@@ -2,10 +2,11 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
-use survey::desk::{ListedRunner, ListedWorker};
 use waymark::clock::Moment;
+use waymark::frames::Life;
 use waymark::frames::Place;
-use waymark::identity::{FunctionKey, Locality, RunnerId, TransactionId, WorkerName};
+use waymark::identity::{FunctionKey, LifeName, Locality, RunnerId, TransactionId, WorkerName};
+use waymark::tongue::{ListedRunner, ListedWorker};
 
 /// One virtual runner.
 #[derive(Clone)]
@@ -80,8 +81,10 @@
             .runners
             .iter()
             .map(|(runner, held)| ListedRunner {
-                runner: *runner,
-                function: held.function.clone(),
+                life: Life { name: LifeName::from(runner.to_string()), place: held.place },
+                runner: Some(*runner),
+                function: held.function.name.clone(),
+                key: Some(held.function.clone()),
                 worker: held.worker.clone(),
                 leaving: self.leaving_since.contains_key(runner),
             })
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -12,7 +12,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 use survey::core::{Recalled, WriteJob, WriteResult};
-use survey::desk::{ListedRunner, ListedWorker, StreamId};
+use survey::desk::StreamId;
 use survey::plane::{ChangeKind, Operation, OperationReply, OperationTicket, PlaneInput};
 use trail::holder::{HolderWord, SendEnd};
 use trail::lodge::{Ask, PassEnd, Topic};
@@ -25,6 +25,7 @@
 };
 use waymark::rules::Rules;
 use waymark::spec::{CoreMember, Document, FunctionSpec, read_spec};
+use waymark::tongue::{ListedRunner, ListedWorker};
 
 /// What a simulated day is made of.
 #[derive(Clone, Debug)]
