--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -1,6 +1,6 @@
 //! The surveyor's boot settings.
 
-use crate::core::CoreTiming;
+use crate::core::{CoreTiming, FULL_CORE};
 use crate::desk::DeskTiming;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -23,10 +23,16 @@
     pub operators: Place,
     /// Its locality.
     pub locality: Locality,
-    /// The three surveyors' places.
+    /// The places of one to three surveyors.
     pub seeds: Vec<Place>,
-    /// The data folder.
-    pub data: PathBuf,
+    /// The data folder; without one it never votes, and only passes operators and daemons on.
+    pub data: Option<PathBuf>,
+    /// Whether the whole system starts for the first time, so that the seeds found the core.
+    pub found_first: bool,
+    /// How many members the core is to have.
+    pub core_size: usize,
+    /// How many threads it runs on.
+    pub threads: usize,
     /// The platform.
     pub platform: Place,
     /// From one reading of the platform's lists to the next, while this surveyor leads.
@@ -52,6 +58,9 @@
                 "locality",
                 "seeds",
                 "data",
+                "found_first",
+                "core_size",
+                "threads",
                 "platform",
                 "timing",
             ]);
@@ -65,6 +74,7 @@
                 "drift_ms",
                 "strike_ms",
                 "replace_ms",
+                "hello_ms",
             ]);
             let core_default = CoreTiming::builder().build();
             let desk_default = DeskTiming::builder().build();
@@ -72,8 +82,13 @@
             let listen = read_listen(root, place);
             let operators = read_place(&root.field("operators"));
             let locality = root.field("locality").text();
-            let seeds = read_places(&root.field("seeds"), 3);
-            let data = root.field("data").text();
+            let seeds = read_places(&root.field("seeds"), 1..=3);
+            let data_reader = root.field("data");
+            let data =
+                if data_reader.is_there() { Some(data_reader.text()?.to_owned()) } else { None };
+            let found_first = root.field("found_first").flag_or(false);
+            let core_size = root.field("core_size").number_or(1..=9, FULL_CORE as u64) as usize;
+            let threads = root.field("threads").number_or(1..=64, 2) as usize;
             let platform = read_place(&root.field("platform"));
             let shortest =
                 read_millis(&timing.field("election_shortest_ms"), core_default.election_shortest);
@@ -88,11 +103,15 @@
                 operators: operators?,
                 locality: Locality::from(locality?),
                 seeds: seeds?,
-                data: PathBuf::from(data?),
+                data: data.map(PathBuf::from),
+                found_first,
+                core_size,
+                threads,
                 platform: platform?,
                 list_every: read_millis(&timing.field("list_every_ms"), LIST_EVERY),
                 core_timing: CoreTiming::builder()
                     .round_every(read_millis(&timing.field("round_ms"), core_default.round_every))
+                    .hello_every(read_millis(&timing.field("hello_ms"), core_default.hello_every))
                     .election_shortest(shortest)
                     .election_longest(longest.max(shortest))
                     .replace_after(read_millis(
--- a/crates/survey/src/core/election.rs
+++ b/crates/survey/src/core/election.rs
@@ -1,10 +1,14 @@
 use super::{Address, Core, CoreOutput, Role, Rounds, Writing};
 use std::collections::BTreeSet;
+use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::frames::{CoreBody, Flag, Many, Place};
 use waymark::identity::{Stamp, SurveyorId, Term};
 use waymark::spec::Document;
 
+const GONE_SHORTEST: Duration = Duration::from_millis(50);
+const GONE_LONGEST: Duration = Duration::from_millis(200);
+
 impl Core {
     pub(super) fn arm_election(&mut self, now: Moment) {
         let wait_span =
@@ -120,6 +124,18 @@
         }
     }
 
+    /// The leader's place refuses connections: its process is gone, and a trial need not wait for
+    /// its silence. Others that did not see it refuse the trial.
+    pub fn leader_gone(&mut self, now: Moment, place: Place) {
+        let is_leader_there = self.leader.is_some_and(|(_, address)| address.place == place);
+        if is_leader_there && matches!(self.role, Role::Follower) {
+            self.leader = None;
+            self.leader_heard_at = now - self.timing.election_shortest;
+            let wait_span = self.chance.within(GONE_SHORTEST, GONE_LONGEST);
+            self.election_at = self.election_at.min(now + wait_span);
+        }
+    }
+
     pub(super) fn hear_vote_ask(
         &mut self,
         now: Moment,
@@ -129,7 +145,7 @@
         accepted: Stamp,
         trial: bool,
     ) {
-        let is_fit = accepted >= self.newest_stamp() && self.may_vote();
+        let is_fit = accepted >= self.newest_stamp() && self.may_vote() && !self.passes_on;
         if self.is_leader_live(now) || term < self.term || (trial && term == self.term) {
             self.reply_vote(address.place, term, trial, false);
             return;
@@ -271,8 +287,23 @@
             members: Many(members.into_iter().collect()),
             whole: Flag(self.members_whole),
         };
-        for known_place in self.known_places() {
-            self.send(known_place, body.clone());
+        let voter_places = self.voter_places();
+        for voter_place in &voter_places {
+            self.send(*voter_place, body.clone());
+        }
+        if now >= self.outsiders_round_at {
+            self.outsiders_round_at = now + self.timing.hello_every;
+            let short_body = CoreBody::Round {
+                term: self.term,
+                round,
+                accepted: self.accepted_stamp(),
+                committed: self.committed,
+                members: Many(Vec::new()),
+                whole: Flag(false),
+            };
+            for known_place in self.known_places().difference(&voter_places) {
+                self.send(*known_place, short_body.clone());
+            }
         }
         self.count_round(now, round, self.id);
     }
--- a/crates/survey/src/core/mod.rs
+++ b/crates/survey/src/core/mod.rs
@@ -9,14 +9,14 @@
 
 pub use output::{CoreOutput, Recalled, WriteJob, WriteResult};
 pub use register::{FoundFault, ProposeFault};
-pub use succession::{SuccessionFault, left_alone};
+pub use succession::{FULL_CORE, SuccessionFault, left_alone};
 pub use timing::CoreTiming;
 
 use rounds::Rounds;
 use std::collections::{BTreeMap, BTreeSet};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
-use waymark::frames::{CoreBody, CoreFrame, KnownMember, Place};
+use waymark::frames::{Blob, CoreBody, CoreFrame, Flag, KnownMember, Place};
 use waymark::identity::{Locality, Stamp, SurveyorId, Term, Ticket};
 use waymark::rules::Rules;
 use waymark::spec::Document;
@@ -38,6 +38,15 @@
     accepted: Stamp,
     heard_at: Moment,
     document_sent_at: Moment,
+    since: Moment,
+    greeting: Option<Greeting>,
+}
+
+/// What another surveyor last said in greeting.
+struct Greeting {
+    heard_at: Moment,
+    term: Term,
+    passes_on: bool,
 }
 
 enum Role {
@@ -87,6 +96,12 @@
     last_ticket: Ticket,
     proposed: Option<Document>,
     rules: Rules,
+    size: usize,
+    may_found: bool,
+    passes_on: bool,
+    hinted: BTreeSet<Place>,
+    outsiders_round_at: Moment,
+    written_out: Option<(Stamp, Blob)>,
     outputs: Vec<CoreOutput>,
 }
 
@@ -132,6 +147,12 @@
             last_ticket: Ticket(0),
             proposed: None,
             rules: Rules::KEPT,
+            size: FULL_CORE,
+            may_found: false,
+            passes_on: false,
+            hinted: BTreeSet::new(),
+            outsiders_round_at: now,
+            written_out: None,
             outputs: Vec::new(),
         };
         core.arm_election(now);
@@ -144,6 +165,29 @@
         self
     }
 
+    /// The same, with another number of members that the core is to have.
+    pub fn with_size(mut self, size: usize) -> Self {
+        self.size = size;
+        self
+    }
+
+    /// The same at the first start of the whole system: the seeds found the core.
+    pub fn founding_first(mut self, may_found: bool) -> Self {
+        self.may_found = may_found;
+        self
+    }
+
+    /// The same without a disk: it never votes, and only passes on.
+    pub fn passing_on(mut self) -> Self {
+        self.passes_on = true;
+        self
+    }
+
+    /// Takes other seeds.
+    pub fn reseed(&mut self, seeds: Vec<Place>) {
+        self.seeds = seeds;
+    }
+
     /// This surveyor's identity.
     pub fn id(&self) -> SurveyorId {
         self.id
@@ -216,14 +260,16 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Moment) -> Vec<CoreOutput> {
-        if now >= self.scrub_at && self.writings.is_empty() {
+        if now >= self.scrub_at && self.writings.is_empty() && !self.passes_on {
             self.scrub_at = now + self.timing.scrub_every;
             self.order_write(now, Writing::Scrub);
         }
         if now >= self.hello_at {
             self.hello_at = now + self.timing.hello_every;
+            self.forget_others(now);
             self.greet_all();
         }
+        self.found_if_first(now);
         if matches!(self.role, Role::Leader(_)) {
             self.lead(now);
             self.progress_succession(now);
@@ -241,11 +287,20 @@
         }
         self.note_other(now, frame.from, sender_address, frame.locality);
         match frame.body {
-            CoreBody::Hello { accepted, term } => {
+            CoreBody::Hello { accepted, term, passes_on } => {
+                if let Some(other) = self.others.get_mut(&frame.place) {
+                    let passes_on = passes_on.0;
+                    other.greeting = Some(Greeting { heard_at: now, term, passes_on });
+                }
                 if term <= self.term || !self.is_leader() {
                     self.hear_hello(now, frame.from, sender_address, accepted);
                 }
             }
+            CoreBody::Named { places } => {
+                if !self.is_voter(self.id) {
+                    self.hinted = places.0.into_iter().collect();
+                }
+            }
             CoreBody::Found { document } => self.hear_found(now, &document.0),
             CoreBody::VoteAsk { term, accepted, trial } => {
                 self.hear_vote_ask(now, frame.from, sender_address, term, accepted, trial.0);
@@ -257,7 +312,9 @@
                     self.members_whole = whole.0;
                     self.committed = self.committed.max(committed);
                 }
-                self.reply_round(sender_address.place, round);
+                if !self.passes_on {
+                    self.reply_round(sender_address.place, round);
+                }
             }
             CoreBody::RoundReply { term, round, accepted } => {
                 self.hear_round_reply(now, frame.from, sender_address.place, term, round, accepted);
@@ -314,9 +371,14 @@
             accepted: Stamp::default(),
             heard_at: now,
             document_sent_at: Moment::ZERO,
+            since: now,
+            greeting: None,
         });
         if other.id != id {
             other.accepted = Stamp::default();
+            other.document_sent_at = Moment::ZERO;
+            other.since = now;
+            other.greeting = None;
         }
         other.id = id;
         other.address = address;
@@ -335,20 +397,63 @@
         self.outputs.push(CoreOutput::Send { to, frame });
     }
 
+    /// Where those stand whose votes count, now or while a succession is not settled.
+    fn voter_places(&self) -> BTreeSet<Place> {
+        let documents = self.accepted.iter().chain(&self.proposed);
+        let voters = documents.flat_map(|document| document.core.iter().chain(&document.former));
+        let mut voter_places: BTreeSet<Place> = voters.map(|voter| voter.place).collect();
+        voter_places.remove(&self.address.place);
+        voter_places
+    }
+
+    fn greeted_places(&self) -> BTreeSet<Place> {
+        let mut greeted_places = self.voter_places();
+        greeted_places.extend(self.seeds.iter().copied());
+        greeted_places.extend(self.hinted.iter().copied());
+        greeted_places.remove(&self.address.place);
+        greeted_places
+    }
+
     fn known_places(&self) -> BTreeSet<Place> {
-        let core_places = self.accepted.iter().flat_map(|document| &document.core);
-        let mut known_places: BTreeSet<Place> = core_places.map(|voter| voter.place).collect();
-        known_places.extend(self.seeds.iter().copied());
+        let mut known_places = self.greeted_places();
         known_places.extend(self.others.keys().copied());
         known_places.remove(&self.address.place);
         known_places
     }
 
+    fn keeps_nothing(&self, place: Place) -> bool {
+        let greeting = self.others.get(&place).and_then(|other| other.greeting.as_ref());
+        greeting.is_some_and(|greeting| greeting.passes_on)
+    }
+
+    fn forget_others(&mut self, now: Moment) {
+        let kept_places = self.greeted_places();
+        let kept_span = self.timing.replace_after * 4;
+        self.others.retain(|place, other| {
+            kept_places.contains(place) || now.since(other.heard_at) < kept_span
+        });
+    }
+
     fn greet_all(&mut self) {
-        let hello = CoreBody::Hello { accepted: self.accepted_stamp(), term: self.term };
-        for known_place in self.known_places() {
-            self.send(known_place, hello.clone());
+        let hello = CoreBody::Hello {
+            accepted: self.accepted_stamp(),
+            term: self.term,
+            passes_on: Flag(self.passes_on),
+        };
+        for greeted_place in self.greeted_places() {
+            self.send(greeted_place, hello.clone());
+        }
+    }
+
+    fn bytes_of(&mut self, document: &Document) -> Blob {
+        if let Some((stamp, document_bytes)) = &self.written_out
+            && *stamp == document.stamp
+        {
+            return document_bytes.clone();
         }
+        let document_bytes = Blob::from(document.to_bytes());
+        self.written_out = Some((document.stamp, document_bytes.clone()));
+        document_bytes
     }
 
     fn order_write(&mut self, now: Moment, writing: Writing) {
@@ -364,6 +469,15 @@
         self.outputs.push(CoreOutput::Write { ticket: self.last_ticket, job });
     }
 
+    /// When time must pass next, if nothing is heard before.
+    pub fn next_due(&self) -> Moment {
+        let due = match &self.role {
+            Role::Leader(rounds) => rounds.next_at(),
+            _ => self.election_at,
+        };
+        due.min(self.hello_at)
+    }
+
     fn is_disk_stalled(&self, now: Moment) -> bool {
         let is_vital = |since: &&WritingSince| !matches!(since.writing, Writing::Scrub);
         let vital_writings = self.writings.values().filter(is_vital);
--- a/crates/survey/src/core/output.rs
+++ b/crates/survey/src/core/output.rs
@@ -16,6 +16,18 @@
     pub distrusted: Stamp,
 }
 
+impl Recalled {
+    /// What an empty disk remembers.
+    pub fn nothing(id: SurveyorId) -> Self {
+        Self { id, voted: None, accepted: None, distrusted: Stamp::default() }
+    }
+
+    /// Whether nothing but an identity is remembered.
+    pub fn is_nothing(&self) -> bool {
+        self.voted.is_none() && self.accepted.is_none() && self.distrusted == Stamp::default()
+    }
+}
+
 /// What the disk is told to write.
 #[derive(Clone, Debug)]
 pub enum WriteJob {
--- a/crates/survey/src/core/register.rs
+++ b/crates/survey/src/core/register.rs
@@ -2,10 +2,12 @@
 use std::collections::BTreeSet;
 use std::fmt;
 use waymark::clock::Moment;
-use waymark::frames::{Blob, CoreBody, Place};
-use waymark::identity::{Stamp, SurveyorId, Term};
+use waymark::frames::{Blob, CoreBody, Many, Place};
+use waymark::identity::{Serial, Stamp, SurveyorId, Term};
 use waymark::spec::{CoreMember, Document};
 
+const FOUNDING: Stamp = Stamp { term: Term(1), serial: Serial(1) };
+
 /// Why a change cannot be put forward.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ProposeFault {
@@ -40,6 +42,8 @@
     Founded,
     /// Not every seed has been heard with an empty disk.
     SeedsMissing,
+    /// This surveyor keeps nothing.
+    PassesOn,
 }
 
 impl fmt::Display for FoundFault {
@@ -47,6 +51,7 @@
         out.write_str(match self {
             Self::Founded => "the core is founded already",
             Self::SeedsMissing => "not every seed has been heard with an empty disk",
+            Self::PassesOn => "a surveyor without a data folder founds nothing",
         })
     }
 }
@@ -54,8 +59,18 @@
 impl std::error::Error for FoundFault {}
 
 impl Core {
-    /// Founds the core with the surveyors at the seed addresses, all of them empty.
+    /// Founds the core with the surveyors at the seed addresses that keep something, all of them empty.
     pub fn found(&mut self, now: Moment) -> Result<Vec<CoreOutput>, FoundFault> {
+        let (founders, _) = self.founders(now)?;
+        self.order_write(now, Writing::Version(Document::founding(founders)));
+        Ok(std::mem::take(&mut self.outputs))
+    }
+
+    /// The founders as they would be now, and whether none of them remembers any term.
+    fn founders(&self, now: Moment) -> Result<(Vec<CoreMember>, bool), FoundFault> {
+        if self.passes_on {
+            return Err(FoundFault::PassesOn);
+        }
         if self.accepted.is_some() || !self.writings.is_empty() {
             return Err(FoundFault::Founded);
         }
@@ -64,23 +79,56 @@
             place: self.address.place,
             locality: self.locality.clone(),
         }];
-        for seed in &self.seeds {
-            if *seed == self.address.place {
+        let mut is_first = self.term == Term(0)
+            && self.voted.is_none()
+            && self.distrusted == Stamp::default()
+            && self.seeds.contains(&self.address.place);
+        let seeds: BTreeSet<Place> = self.seeds.iter().copied().collect();
+        for seed in seeds {
+            if seed == self.address.place {
+                continue;
+            }
+            let greeted_lately = self.others.get(&seed).and_then(|other| {
+                let greeting = other.greeting.as_ref()?;
+                let is_late = now.since(greeting.heard_at) < self.timing.hello_every * 4;
+                is_late.then_some((other, greeting))
+            });
+            let Some((other, greeting)) = greeted_lately else {
+                return Err(FoundFault::SeedsMissing);
+            };
+            if greeting.passes_on {
                 continue;
             }
-            let heard_lately = self
-                .others
-                .get(seed)
-                .filter(|other| now.since(other.heard_at) < self.timing.hello_every * 4);
-            let Some(other) = heard_lately else { return Err(FoundFault::SeedsMissing) };
             if other.accepted != Stamp::default() {
                 return Err(FoundFault::Founded);
             }
+            is_first &= greeting.term == Term(0);
             let locality = other.locality.clone();
-            founders.push(CoreMember { id: other.id, place: *seed, locality });
+            founders.push(CoreMember { id: other.id, place: seed, locality });
+        }
+        Ok((founders, is_first))
+    }
+
+    /// At the first start of the whole system the seed with the smallest place founds, once it has
+    /// heard every seed with an empty disk. Nobody else ever does, and a disk that is lost later
+    /// does not know of the first start any more.
+    pub(super) fn found_if_first(&mut self, now: Moment) {
+        if !self.may_found || self.accepted.is_some() {
+            return;
+        }
+        let Ok((founders, true)) = self.founders(now) else { return };
+        let smallest_place = founders.iter().map(|founder| founder.place).min();
+        if smallest_place == Some(self.address.place) {
+            self.order_write(now, Writing::Version(Document::founding(founders)));
+        }
+    }
+
+    fn send_founding(&mut self) {
+        let Some(document) = self.accepted.clone() else { return };
+        let document_bytes = self.bytes_of(&document);
+        for founder_place in self.voter_places() {
+            self.send(founder_place, CoreBody::Found { document: document_bytes.clone() });
         }
-        self.order_write(now, Writing::Version(Document::founding(founders)));
-        Ok(std::mem::take(&mut self.outputs))
     }
 
     /// Puts the next version forward; from here on its outcome is accepted or unknown.
@@ -103,9 +151,11 @@
     pub(super) fn put_forward(&mut self, now: Moment, document: Document) {
         self.proposed = Some(document.clone());
         self.order_write(now, Writing::Version(document.clone()));
-        let document_bytes = Blob::from(document.to_bytes());
-        let voter_places: BTreeSet<Place> = self.known_places();
-        for known_place in voter_places {
+        let document_bytes = self.bytes_of(&document);
+        for known_place in self.known_places() {
+            if self.keeps_nothing(known_place) {
+                continue;
+            }
             if let Some(other) = self.others.get_mut(&known_place) {
                 other.document_sent_at = now;
             }
@@ -128,10 +178,24 @@
         if let Some(other) = self.others.get_mut(&address.place) {
             other.accepted = accepted;
         }
-        let is_first_copy = self.accepted_stamp() == Stamp { term: Term(1), serial: 1.into() };
-        if accepted == Stamp::default() && is_first_copy && self.is_voter(from) {
-            let document_bytes = self.accepted.as_ref().map(Document::to_bytes).unwrap_or_default();
-            self.send(address.place, CoreBody::Found { document: document_bytes.into() });
+        let founding_document =
+            self.accepted.as_ref().filter(|document| document.stamp == FOUNDING).cloned();
+        if let Some(document) = founding_document
+            && accepted == Stamp::default()
+            && self.is_voter(from)
+        {
+            let document = self.bytes_of(&document);
+            self.send(address.place, CoreBody::Found { document });
+        }
+        if !self.is_voter(from)
+            && let Some((leader_id, leader_address)) = self.leader
+            && leader_id != self.id
+        {
+            let mut named_places = self.voter_places();
+            named_places.insert(leader_address.place);
+            named_places.remove(&address.place);
+            let places = Many(named_places.into_iter().collect());
+            self.send(address.place, CoreBody::Named { places });
         }
         if self.is_leader() {
             self.bring_level(now, address.place);
@@ -139,7 +203,7 @@
     }
 
     pub(super) fn hear_found(&mut self, now: Moment, document_bytes: &[u8]) {
-        if self.accepted.is_some() || !self.writings.is_empty() {
+        if self.passes_on || self.accepted.is_some() || !self.writings.is_empty() {
             return;
         }
         let Ok(document) = Document::from_bytes(document_bytes) else { return };
@@ -161,6 +225,9 @@
             self.say_accepted(address.place);
             return;
         }
+        if self.passes_on {
+            return;
+        }
         if stamp <= self.accepted_stamp() {
             self.say_accepted(address.place);
             return;
@@ -173,6 +240,7 @@
         }
         match Document::from_bytes(document_bytes) {
             Ok(document) if document.stamp == stamp => {
+                self.written_out = Some((stamp, Blob::from(document_bytes.to_vec())));
                 self.order_write(now, Writing::Version(document));
             }
             _ => {}
@@ -190,6 +258,9 @@
         if written_stamp > self.accepted_stamp() {
             self.accepted = Some(document);
         }
+        if written_stamp == FOUNDING {
+            self.send_founding();
+        }
         if self.is_leader() {
             self.count_accepted(now);
         } else if let Some((_, address)) = self.leader {
@@ -241,11 +312,12 @@
         let Some(other) = self.others.get_mut(&place) else { return };
         let is_due =
             other.accepted < stamp && now.since(other.document_sent_at) >= self.timing.resend_after;
-        if is_due {
+        let keeps_nothing = other.greeting.as_ref().is_some_and(|greeting| greeting.passes_on);
+        if is_due && !keeps_nothing {
             other.document_sent_at = now;
-            let body =
-                CoreBody::Accept { term: self.term, stamp, document: document.to_bytes().into() };
-            self.send(place, body);
+            let document = document.clone();
+            let document = self.bytes_of(&document);
+            self.send(place, CoreBody::Accept { term: self.term, stamp, document });
         }
     }
 
--- a/crates/survey/src/core/succession.rs
+++ b/crates/survey/src/core/succession.rs
@@ -8,7 +8,7 @@
 use waymark::spec::{CoreMember, Document};
 
 /// How many members a core is to have.
-const FULL_CORE: usize = 3;
+pub const FULL_CORE: usize = 3;
 
 /// Why a member of the core cannot be replaced.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -95,17 +95,18 @@
             return Some(settled);
         }
         let candidates = self.candidates(now);
-        let missing = document.core.iter().find(|member| {
-            member.id != self.id
-                && now.since(self.silence_began(member.id)) > self.timing.replace_after
-        });
-        if let Some(missing) = missing {
-            let successor = candidates.iter().find(|candidate| {
-                candidate.place == missing.place || candidate.locality == missing.locality
+        let successions = document.core.iter().filter(|member| self.is_missing(now, member));
+        let mut next_documents = successions.filter_map(|missing| {
+            let at_its_place = candidates.iter().find(|candidate| candidate.place == missing.place);
+            let successor = at_its_place.or_else(|| {
+                candidates.iter().find(|candidate| candidate.locality == missing.locality)
             })?;
-            return self.with_successor(now, document, missing.id, successor).ok();
+            self.with_successor(now, document, missing.id, successor).ok()
+        });
+        if let Some(next_document) = next_documents.next() {
+            return Some(next_document);
         }
-        if document.core.len() < FULL_CORE {
+        if document.core.len() < self.size {
             let added = candidates
                 .iter()
                 .find(|candidate| {
@@ -119,6 +120,19 @@
         None
     }
 
+    /// Whether a member has been silent for long, or another surveyor stands at its place: then its
+    /// disk or its machine is lost.
+    fn is_missing(&self, now: Moment, member: &CoreMember) -> bool {
+        if member.id == self.id {
+            return false;
+        }
+        let is_replaced = self.others.get(&member.place).is_some_and(|other| {
+            let heard_at = self.heard.get(&member.id);
+            other.id != member.id && heard_at.is_none_or(|heard_at| *heard_at < other.since)
+        });
+        is_replaced || now.since(self.silence_began(member.id)) > self.timing.replace_after
+    }
+
     fn with_successor(
         &self,
         now: Moment,
--- a/crates/survey/src/disk/mod.rs
+++ b/crates/survey/src/disk/mod.rs
@@ -277,12 +277,27 @@
                 recalled.voted = None;
                 recalled.accepted = None;
                 self.set_all_aside()?;
+                let _ = fs::remove_file(self.folder.join("first"));
             }
             self.write_file("identity", format!("{:x}", recalled.id.0).as_bytes())?;
         }
         Ok((recalled, set_aside))
     }
 
+    /// Notes on a disk without an identity that the whole system starts for the first time. On a disk
+    /// that has one nothing is noted.
+    pub fn note_first_start(&self) -> Result<(), ShelfFault> {
+        if self.folder.join("identity").exists() {
+            return Ok(());
+        }
+        self.write_file("first", b"yes")
+    }
+
+    /// Whether this disk began with the whole system's first start.
+    pub fn is_first_start(&self) -> bool {
+        self.read_file("first").is_some()
+    }
+
     fn kept_distrust(&self) -> Option<Stamp> {
         let payload = self.read_file("distrusted")?;
         let (term_text, serial_text) = std::str::from_utf8(&payload).ok()?.split_once('/')?;
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -1,15 +1,15 @@
 use super::disk::DiskDriver;
 use super::gauges::Gauges;
 use super::links::Links;
-use super::platform::OwnPlatform;
 use super::{OperatorsTongue, OwnOperators, operators, platform, streams};
 use crate::boot::SurveyorBoot;
-use crate::core::{Address, Core};
+use crate::core::{Address, Core, Recalled};
 use crate::desk::StreamId;
 use crate::disk::{Seam, Shelf, ShelfFault, Sound};
 use crate::plane::{Operation, OperationReply, OperationTicket, Plane, PlaneInput, PlaneOutput};
 use std::collections::HashMap;
 use std::fmt;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -22,7 +22,7 @@
 use waymark::identity::SurveyorId;
 use waymark::note;
 use waymark::readers::BootFault;
-use waymark::tongue::PlatformTongue;
+use waymark::tongue::{OwnPlatform, PlatformTongue};
 
 /// Why a surveyor could not start.
 #[derive(Debug)]
@@ -108,7 +108,7 @@
     inbox: mpsc::Receiver<PlaneInput>,
     shared: Arc<Shared>,
     links: Links,
-    disk: DiskDriver,
+    disk: Option<DiskDriver>,
     process_listener: TcpListener,
     operators_listener: TcpListener,
     list_every: Duration,
@@ -123,7 +123,52 @@
     TcpListener::bind(place.address()).await.map_err(fault_of)
 }
 
+type Kept = (Shelf, Recalled, bool);
+
+/// Opens the data folder; says what it remembers, and whether this may be the whole system's first
+/// start: then its disk was empty at a start with that setting, and nothing was written since.
+fn open_shelf(
+    boot: &SurveyorBoot,
+    data: &Path,
+    seam: Box<dyn Seam>,
+    fresh_id: SurveyorId,
+) -> Result<Kept, SurveyorFault> {
+    let shelf = Shelf::open_with(data, seam).map_err(|fault| match fault {
+        ShelfFault::File(path, io_fault) => {
+            SurveyorFault::Boot(BootFault::Folder(boot.source.clone(), path, io_fault))
+        }
+        other => SurveyorFault::Shelf(other),
+    })?;
+    if boot.found_first {
+        shelf.note_first_start()?;
+    }
+    let (recalled, set_aside) = shelf.recall(fresh_id)?;
+    for damaged_name in set_aside {
+        note!(Warn, events::FILE_SET_ASIDE, "{damaged_name}");
+    }
+    let may_found = recalled.is_nothing() && shelf.is_first_start();
+    Ok((shelf, recalled, may_found))
+}
+
+/// Tells a running surveyor of other seeds.
+#[derive(Clone)]
+pub struct Reseeder {
+    inputs: mpsc::Sender<PlaneInput>,
+}
+
+impl Reseeder {
+    /// Takes other seeds; false when the surveyor has stopped.
+    pub async fn reseed(&self, seeds: Vec<Place>) -> bool {
+        self.inputs.send(PlaneInput::Seeds(seeds)).await.is_ok()
+    }
+}
+
 impl Surveyor {
+    /// What tells this surveyor of other seeds while it runs.
+    pub fn reseeder(&self) -> Reseeder {
+        Reseeder { inputs: self.shared.inputs.clone() }
+    }
+
     /// Opens the data folder and the listeners.
     pub async fn open(boot: &SurveyorBoot) -> Result<Self, SurveyorFault> {
         Self::open_with(boot, Box::new(Sound), SurveyorTongues::own(boot.platform)).await
@@ -136,21 +181,20 @@
         tongues: SurveyorTongues,
     ) -> Result<Self, SurveyorFault> {
         let mut chance = Chance::from_os();
-        let shelf = Shelf::open_with(&boot.data, seam).map_err(|fault| match fault {
-            ShelfFault::File(path, io_fault) => {
-                SurveyorFault::Boot(BootFault::Folder(boot.source.clone(), path, io_fault))
-            }
-            other => SurveyorFault::Shelf(other),
-        })?;
-        let (recalled, set_aside) = shelf.recall(SurveyorId(chance.number() | 1))?;
-        for damaged_name in set_aside {
-            note!(Warn, events::FILE_SET_ASIDE, "{damaged_name}");
-        }
+        let fresh_id = SurveyorId(chance.number() | 1);
+        let kept = match &boot.data {
+            Some(data) => Some(open_shelf(boot, data, seam, fresh_id)?),
+            None => None,
+        };
         let listen_key = if boot.listen == boot.place { "place" } else { "listen" };
         let process_listener = listen(boot, listen_key, boot.listen).await?;
         let operators_listener = listen(boot, "operators", boot.operators).await?;
         let (input_sender, inbox) = mpsc::channel(16_384);
         let address = Address { place: boot.place, operators: boot.operators };
+        let recalled = kept
+            .as_ref()
+            .map_or_else(|| Recalled::nothing(fresh_id), |(_, recalled, _)| recalled.clone());
+        let may_found = kept.as_ref().is_some_and(|(_, _, may_found)| *may_found);
         let core = Core::new(
             Moment::now(),
             boot.core_timing.clone(),
@@ -159,7 +203,10 @@
             boot.locality.clone(),
             boot.seeds.clone(),
             chance,
-        );
+        )
+        .with_size(boot.core_size)
+        .founding_first(may_found);
+        let core = if kept.is_some() { core } else { core.passing_on() };
         let shared = Arc::new(Shared {
             inputs: input_sender.clone(),
             operations: Mutex::new(HashMap::new()),
@@ -177,7 +224,7 @@
             inbox,
             shared,
             links: Links::new(*boot.place.0.ip()),
-            disk: DiskDriver::start(shelf, input_sender),
+            disk: kept.map(|(shelf, _, _)| DiskDriver::start(shelf, input_sender)),
             process_listener,
             operators_listener,
             list_every: boot.list_every,
@@ -200,12 +247,12 @@
         tokio::spawn(platform::poll(shared.clone(), list_every));
         let operators_task =
             tokio::spawn(operators::serve(operators_listener, shared.clone(), stop.clone()));
-        let mut ticking = tokio::time::interval(Duration::from_millis(20));
-        ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         let mut stopping = stop.clone();
         loop {
+            let now = Moment::now();
+            let idle_span = plane.next_due(now).since(now);
             let input = tokio::select! {
-                _ = ticking.tick() => PlaneInput::Tick,
+                () = tokio::time::sleep(idle_span) => PlaneInput::Tick,
                 Some(input) = inbox.recv() => input,
                 _ = stopping.wait_for(|stopping| *stopping) => break,
             };
@@ -213,7 +260,7 @@
                 shared.gauges.set(&plane);
             }
             for order in plane.take(Moment::now(), input) {
-                obey(&shared, &mut links, &disk, order);
+                obey(&shared, &mut links, disk.as_ref(), order);
             }
             shared.leads.store(plane.core().is_leader(), Ordering::Relaxed);
             shared.has_leader.store(plane.core().leader().is_some(), Ordering::Relaxed);
@@ -224,10 +271,14 @@
     }
 }
 
-fn obey(shared: &Arc<Shared>, links: &mut Links, disk: &DiskDriver, order: PlaneOutput) {
+fn obey(shared: &Arc<Shared>, links: &mut Links, disk: Option<&DiskDriver>, order: PlaneOutput) {
     match order {
         PlaneOutput::Send(to, frame) => links.send(to, frame),
-        PlaneOutput::Write(ticket, job) => disk.write(ticket, job),
+        PlaneOutput::Write(ticket, job) => {
+            if let Some(disk) = disk {
+                disk.write(ticket, job);
+            }
+        }
         PlaneOutput::Down(stream, frame) => {
             let Ok(mut open_streams) = shared.streams.lock() else { return };
             if let Some(sender) = open_streams.get(&stream)
--- a/crates/survey/src/drivers/links.rs
+++ b/crates/survey/src/drivers/links.rs
@@ -4,6 +4,8 @@
 use tokio::sync::mpsc;
 use waymark::frames::{Channel, CoreFrame, FrameFault, Place, dial, write_frame};
 
+const IDLE_AFTER: Duration = Duration::from_secs(10);
+
 /// One-way links to the other surveyors; what cannot be sent soon is dropped.
 pub struct Links {
     own_ip: Ipv4Addr,
@@ -19,6 +21,7 @@
     /// Sends a frame, or drops it.
     pub fn send(&mut self, to: Place, frame: CoreFrame) {
         let own_ip = self.own_ip;
+        self.senders.retain(|_, sender| !sender.is_closed());
         let sender = self.senders.entry(to).or_insert_with(|| {
             let (sender, frames) = mpsc::channel(256);
             tokio::spawn(keep_link(own_ip, to, frames));
@@ -37,6 +40,10 @@
         tokio::time::sleep(wait_span).await;
         wait_span = (wait_span * 2).min(Duration::from_millis(200));
         while frames.try_recv().is_ok() {}
+        let waiting = tokio::time::timeout(IDLE_AFTER, frames.recv()).await;
+        if !matches!(waiting, Ok(Some(_))) {
+            return;
+        }
     }
 }
 
@@ -48,7 +55,7 @@
 ) -> Result<(), FrameFault> {
     let mut stream = dial(own_ip, to, Channel::Core, Duration::from_millis(500)).await?;
     *wait_span = Duration::from_millis(20);
-    while let Some(frame) = frames.recv().await {
+    while let Ok(Some(frame)) = tokio::time::timeout(IDLE_AFTER, frames.recv()).await {
         tokio::time::timeout(Duration::from_secs(2), write_frame(&mut stream, &frame))
             .await
             .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
--- a/crates/survey/src/drivers/operators.rs
+++ b/crates/survey/src/drivers/operators.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use waymark::clock::Moment;
 use waymark::frames::Place;
 use waymark::http::{
     self, BodyFault, Served, json_response, read_body, stream_body, text_response,
@@ -21,6 +22,9 @@
 
 const PASSED_ON: &str = "rudder-passed-on";
 const LARGEST_BODY: usize = 8 << 20;
+const LEADER_UNREACHABLE: &str = "leader_unreachable";
+const PASS_AGAIN_FOR: Duration = Duration::from_millis(600);
+const PASS_AGAIN_AFTER: Duration = Duration::from_millis(100);
 const PASS_CONNECT: Duration = Duration::from_millis(600);
 const PASS_PATIENCE: Duration = Duration::from_secs(15);
 
@@ -51,7 +55,7 @@
     };
     let operation = match tongue.read(&head, &body) {
         Ok(operation) => operation,
-        Err(served) => return served,
+        Err(served) => return *served,
     };
     match operation {
         Operation::Events(first_number) => {
@@ -64,13 +68,22 @@
         }
         _ => {}
     }
-    let reply = match shared.operate(operation.clone()).await {
-        None => OperationReply::Unknown { reason: "stopping", change: None },
-        Some(OperationReply::Elsewhere(leader)) => match pass_on(leader, &head, body).await {
+    let asked_at = Moment::now();
+    let reply = loop {
+        let Some(reply) = shared.operate(operation.clone()).await else {
+            break OperationReply::Unknown { reason: "stopping", change: None };
+        };
+        let OperationReply::Elsewhere(leader) = reply else { break reply };
+        let unreachable = match pass_on(leader, &head, body.clone()).await {
             Ok(served) => return served,
             Err(reply) => reply,
-        },
-        Some(reply) => reply,
+        };
+        let is_unsent =
+            matches!(unreachable, OperationReply::NotAccepted { reason: LEADER_UNREACHABLE, .. });
+        if !is_unsent || Moment::now().since(asked_at) > PASS_AGAIN_FOR {
+            break unreachable;
+        }
+        tokio::time::sleep(PASS_AGAIN_AFTER).await;
     };
     tongue.say(&operation, reply)
 }
@@ -97,7 +110,7 @@
     headers.insert(HOST, host.map_err(|_| not_accepted("bad_request"))?);
     headers.insert(PASSED_ON, HeaderValue::from_static("1"));
     let connecting = http::connect(leader, PASS_CONNECT).await;
-    let unreachable = |_| not_accepted("leader_unreachable");
+    let unreachable = |_| not_accepted(LEADER_UNREACHABLE);
     let opened_stream = connecting.map_err(unreachable)?;
     match http::exchange(opened_stream, passed_request, PASS_PATIENCE, 64 << 20).await {
         Ok(called) => {
@@ -109,7 +122,7 @@
             }
             Ok(response)
         }
-        Err(fault) if fault.is_surely_unsent() => Err(not_accepted("leader_unreachable")),
+        Err(fault) if fault.is_surely_unsent() => Err(not_accepted(LEADER_UNREACHABLE)),
         Err(_) => Err(OperationReply::Unknown { reason: "leader_lost", change: None }),
     }
 }
--- a/crates/survey/src/drivers/streams.rs
+++ b/crates/survey/src/drivers/streams.rs
@@ -1,6 +1,7 @@
 use super::engine::Shared;
 use crate::desk::StreamId;
 use crate::plane::PlaneInput;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::BufReader;
@@ -8,10 +9,13 @@
 use tokio::sync::mpsc;
 use waymark::events;
 use waymark::frames::{
-    Channel, CoreFrame, FrameFault, StreamDown, StreamUp, read_channel, read_frame, write_frame,
+    Channel, CoreFrame, FrameFault, Place, StreamDown, StreamUp, read_channel, read_frame,
+    write_frame,
 };
 use waymark::note;
 
+const GONE_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Accepts connections of other processes.
 pub async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
@@ -34,25 +38,42 @@
 }
 
 async fn serve(mut stream: TcpStream, shared: &Arc<Shared>) -> Result<(), FrameFault> {
-    stream.set_nodelay(true)?;
+    waymark::sockets::tune(&stream);
     let channel = tokio::time::timeout(Duration::from_secs(3), read_channel(&mut stream))
         .await
         .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
     match channel {
         Channel::Core => {
             let mut reader = BufReader::new(stream);
-            loop {
-                let frame: CoreFrame = read_frame(&mut reader).await?;
+            let mut sender_place = None;
+            let ended = loop {
+                let frame: CoreFrame = match read_frame(&mut reader).await {
+                    Ok(frame) => frame,
+                    Err(fault) => break fault,
+                };
+                sender_place = Some(frame.place);
                 if shared.inputs.send(PlaneInput::Core(frame)).await.is_err() {
                     return Ok(());
                 }
+            };
+            if let Some(place) = sender_place {
+                notice_end(place, shared).await;
             }
+            Err(ended)
         }
         Channel::Stream => serve_stream(stream, shared).await,
         Channel::Hop => Err(FrameFault::WrongChannel(3)),
     }
 }
 
+/// A surveyor's link has ended: asks its place once, and says so if its process is gone.
+async fn notice_end(place: Place, shared: &Shared) {
+    let asked = tokio::time::timeout(GONE_PATIENCE, TcpStream::connect(place.address())).await;
+    if matches!(asked, Ok(Err(fault)) if fault.kind() == ErrorKind::ConnectionRefused) {
+        let _ = shared.inputs.send(PlaneInput::Gone(place)).await;
+    }
+}
+
 async fn serve_stream(stream: TcpStream, shared: &Arc<Shared>) -> Result<(), FrameFault> {
     let stream_id = StreamId(shared.number());
     let (sender, mut frames) = mpsc::channel(4096);
--- a/crates/survey/src/drivers/tongue.rs
+++ b/crates/survey/src/drivers/tongue.rs
@@ -9,7 +9,7 @@
 /// How operators' HTTP is read and written. A tongue only translates.
 pub trait OperatorsTongue: Send + Sync {
     /// Reads a request; one that cannot be read is answered at once.
-    fn read(&self, head: &Parts, body: &[u8]) -> Result<Operation, Served>;
+    fn read(&self, head: &Parts, body: &[u8]) -> Result<Operation, Box<Served>>;
 
     /// Writes the answer to what was asked.
     fn say(&self, asked: &Operation, reply: OperationReply) -> Served;
@@ -111,10 +111,10 @@
 }
 
 impl OperatorsTongue for OwnOperators {
-    fn read(&self, head: &Parts, body: &[u8]) -> Result<Operation, Served> {
+    fn read(&self, head: &Parts, body: &[u8]) -> Result<Operation, Box<Served>> {
         let path_parts: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
         read_operation(&head.method, &path_parts, head.uri.query(), body)
-            .map_err(|(status, fault_body)| said(status, &fault_body))
+            .map_err(|(status, fault_body)| Box::new(said(status, &fault_body)))
     }
 
     fn say(&self, _asked: &Operation, reply: OperationReply) -> Served {
@@ -208,14 +208,14 @@
         let items = remove.field(part_name).items();
         items.iter().filter_map(|item| item.text().map(str::to_owned)).collect()
     };
-    Some(ChangeKind::Items(ItemChange {
+    Some(ChangeKind::Items(Box::new(ItemChange {
         put_functions: put_items("functions"),
         remove_functions: removed_names("functions"),
         put_routes: put_items("routes"),
         remove_routes: removed_names("routes"),
         limits: put.field("limits").value().cloned(),
         labels: put.field("labels").value().cloned(),
-    }))
+    })))
 }
 
 fn read_change(
--- a/crates/survey/src/plane/changes.rs
+++ b/crates/survey/src/plane/changes.rs
@@ -1,5 +1,6 @@
 use super::{
-    ChangeKind, ItemChange, Numbering, OperationReply, OperationTicket, Plane, PlaneOutput, Wait,
+    ChangeKind, ItemChange, Numbering, Operation, OperationReply, OperationTicket, Plane,
+    PlaneOutput, Wait,
 };
 use serde_json::{Map, Value, json};
 use std::collections::{BTreeSet, VecDeque};
@@ -12,6 +13,7 @@
 use waymark::spec::{Document, Spec, read_spec};
 
 const CHANGE_PATIENCE: Duration = Duration::from_secs(3);
+const START_PATIENCE: Duration = Duration::from_millis(800);
 const FORCE_PATIENCE: Duration = Duration::from_secs(10);
 
 /// A change as an operator asked for it.
@@ -187,7 +189,7 @@
     fn expire_changes(&mut self, now: Moment) {
         let (late, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.changes.inbox)
             .into_iter()
-            .partition(|queued| now.since(queued.asked_at) > CHANGE_PATIENCE);
+            .partition(|queued| now.since(queued.asked_at) > START_PATIENCE);
         self.changes.inbox = kept;
         for queued in late {
             let change = Some(queued.change);
@@ -400,9 +402,14 @@
             self.answer(waiter.ticket, said_accepted(&waiter, Serial(0)));
         }
         for queued in std::mem::take(&mut self.changes.inbox) {
-            let change = Some(queued.change);
-            let reply = OperationReply::NotAccepted { reason: "no_leader", change };
-            self.answer(queued.ticket, reply);
+            let operation = Operation::Change {
+                base: queued.base,
+                numbering: queued.numbering,
+                change: Some(queued.change),
+                kind: queued.kind,
+                wait: queued.wait,
+            };
+            self.wait_for_leader(queued.asked_at, queued.ticket, operation);
         }
     }
 
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -14,8 +14,10 @@
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
 use crate::desk::{Desk, DeskOutput, DeskTiming, Proof, StreamId, Told};
 use changes::Changes;
+use operation::WaitingOperation;
 use serde_json::json;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 use traces::Traces;
 use waymark::clock::Moment;
 use waymark::events;
@@ -24,6 +26,10 @@
 use waymark::rules::Rules;
 use waymark::tongue::{ListedRunner, ListedWorker, StopOrder};
 
+const DESK_EVERY: Duration = Duration::from_millis(50);
+const WAITING_EVERY: Duration = Duration::from_millis(100);
+const IDLE_EVERY: Duration = Duration::from_millis(500);
+
 /// What reaches a surveyor.
 #[derive(Debug)]
 pub enum PlaneInput {
@@ -45,6 +51,10 @@
     RunnerStopped(RunnerId),
     /// An operator's wish.
     Operate(OperationTicket, Operation),
+    /// Connections to this place are refused: the process there is gone.
+    Gone(Place),
+    /// Other seeds.
+    Seeds(Vec<Place>),
 }
 
 /// What a surveyor orders.
@@ -71,10 +81,11 @@
     core: Core,
     desk: Option<Desk>,
     desk_timing: DeskTiming,
-    fresh_span: std::time::Duration,
+    fresh_span: Duration,
     streams: BTreeSet<StreamId>,
     history: History,
     changes: Changes,
+    waiting: VecDeque<WaitingOperation>,
     traces: Traces,
     rules: Rules,
     outputs: Vec<PlaneOutput>,
@@ -82,7 +93,7 @@
 
 impl Plane {
     /// A surveyor around a core member.
-    pub fn new(core: Core, desk_timing: DeskTiming, fresh_span: std::time::Duration) -> Self {
+    pub fn new(core: Core, desk_timing: DeskTiming, fresh_span: Duration) -> Self {
         Self {
             core,
             desk: None,
@@ -91,6 +102,7 @@
             streams: BTreeSet::new(),
             history: History::default(),
             changes: Changes::default(),
+            waiting: VecDeque::new(),
             traces: Traces::default(),
             rules: Rules::KEPT,
             outputs: Vec::new(),
@@ -118,6 +130,16 @@
         self.history.newest()
     }
 
+    /// When time must pass next, if nothing reaches it before.
+    pub fn next_due(&self, now: Moment) -> Moment {
+        let longest_span = match (&self.desk, self.waiting.is_empty()) {
+            (Some(_), _) => DESK_EVERY,
+            (None, false) => WAITING_EVERY,
+            (None, true) => IDLE_EVERY,
+        };
+        self.core.next_due().min(now + longest_span)
+    }
+
     /// Takes one input and returns what is ordered.
     pub fn take(&mut self, now: Moment, input: PlaneInput) -> Vec<PlaneOutput> {
         match input {
@@ -159,6 +181,8 @@
                 }
             }
             PlaneInput::Operate(ticket, operation) => self.operate(now, ticket, operation),
+            PlaneInput::Gone(place) => self.core.leader_gone(now, place),
+            PlaneInput::Seeds(seeds) => self.core.reseed(seeds),
         }
         self.progress(now);
         std::mem::take(&mut self.outputs)
@@ -178,6 +202,7 @@
     }
 
     fn progress(&mut self, now: Moment) {
+        self.progress_waiting(now);
         self.progress_changes(now);
         let Some(desk) = &mut self.desk else { return };
         let (known_members, whole) = desk.known_members();
--- a/crates/survey/src/plane/operation.rs
+++ b/crates/survey/src/plane/operation.rs
@@ -2,6 +2,7 @@
 use super::{Plane, PlaneOutput};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::frames::Place;
 use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
@@ -47,7 +48,7 @@
     /// A JSON merge patch.
     Patch(Value),
     /// Named items.
-    Items(ItemChange),
+    Items(Box<ItemChange>),
     /// Empties a locality.
     Evacuate {
         /// Which one.
@@ -176,8 +177,58 @@
     Elsewhere(Place),
 }
 
+const LEADER_PATIENCE: Duration = Duration::from_millis(700);
+
+/// An operator's wish that waits for a leader.
+pub struct WaitingOperation {
+    ticket: OperationTicket,
+    operation: Operation,
+    asked_at: Moment,
+}
+
 impl Plane {
     pub(super) fn operate(&mut self, now: Moment, ticket: OperationTicket, operation: Operation) {
+        if self.must_wait(now, &operation) {
+            self.wait_for_leader(now, ticket, operation);
+        } else {
+            self.operate_now(now, ticket, operation);
+        }
+    }
+
+    pub(super) fn wait_for_leader(
+        &mut self,
+        asked_at: Moment,
+        ticket: OperationTicket,
+        operation: Operation,
+    ) {
+        self.waiting.push_back(WaitingOperation { ticket, operation, asked_at });
+    }
+
+    /// A caller that is refused pauses longer each time, so a wish waits a little for a leader.
+    fn must_wait(&self, now: Moment, operation: &Operation) -> bool {
+        match operation {
+            Operation::Found
+            | Operation::ShowCore
+            | Operation::Trace(_)
+            | Operation::Metrics
+            | Operation::Events(_) => false,
+            Operation::Change { .. } => self.desk.is_none() && self.leader_elsewhere().is_none(),
+            _ => self.leader_elsewhere().is_none() && !self.is_fresh(now),
+        }
+    }
+
+    pub(super) fn progress_waiting(&mut self, now: Moment) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            let is_late = now.since(waiting.asked_at) > LEADER_PATIENCE;
+            if is_late || !self.must_wait(now, &waiting.operation) {
+                self.operate_now(now, waiting.ticket, waiting.operation);
+            } else {
+                self.waiting.push_back(waiting);
+            }
+        }
+    }
+
+    fn operate_now(&mut self, now: Moment, ticket: OperationTicket, operation: Operation) {
         let reply = match operation {
             Operation::Found => self.found(now),
             Operation::Metrics => OperationReply::Said(200, Value::Null),
--- a/crates/trail/src/boot/mod.rs
+++ b/crates/trail/src/boot/mod.rs
@@ -71,7 +71,7 @@
             let place = read_place(&root.field("place"));
             let listen = read_listen(root, place);
             let door = read_place(&root.field("door"));
-            let seeds = read_places(&root.field("seeds"), 3);
+            let seeds = read_places(&root.field("seeds"), 1..=3);
             let platform = read_place(&root.field("platform"));
             let largest_body = root.field("largest_body").number_or(1..=64 << 20, 1 << 20);
             let grace_ms = root.field("grace_ms").number_or(500..=60_000, 5_600);
--- a/crates/waymark/src/events/mod.rs
+++ b/crates/waymark/src/events/mod.rs
@@ -32,6 +32,8 @@
     STOPPING = 1002, "stopping";
     /// A process has stopped.
     STOPPED = 1003, "stopped";
+    /// Settings that have changed could not be read; the process goes on with those it has.
+    SETTINGS_UNREADABLE = 1004, "settings unreadable";
     /// A connection was closed for what it sent.
     FRAME_REJECTED = 1101, "frame rejected";
     /// A heartbeat was not understood or came from a stranger.
--- a/crates/waymark/src/frames/core.rs
+++ b/crates/waymark/src/frames/core.rs
@@ -42,6 +42,8 @@
         accepted: Stamp,
         /// The sender's term.
         term: Term,
+        /// Whether the sender keeps nothing: it never votes, and only passes on.
+        passes_on: Flag,
     },
     /// The first document, for a member it names whose disk holds none.
     #[brw(magic = 2u8)]
@@ -111,6 +113,12 @@
         /// The document.
         document: Blob,
     },
+    /// Names the leader and the members of the core to one that is no member.
+    #[brw(magic = 9u8)]
+    Named {
+        /// Where they are reached.
+        places: Many<Place>,
+    },
     /// Says what is on disk, synced.
     #[brw(magic = 8u8)]
     Accepted {
--- a/crates/waymark/src/frames/dial.rs
+++ b/crates/waymark/src/frames/dial.rs
@@ -15,7 +15,7 @@
         let socket = TcpSocket::new_v4()?;
         socket.bind(SocketAddr::V4(SocketAddrV4::new(own_ip, 0)))?;
         let mut stream = socket.connect(to.address()).await?;
-        stream.set_nodelay(true)?;
+        crate::sockets::tune(&stream);
         write_channel(&mut stream, channel).await?;
         Ok(stream)
     };
--- a/crates/waymark/src/lib.rs
+++ b/crates/waymark/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod ring;
 pub mod rules;
 pub mod seal;
+pub mod sockets;
 pub mod spec;
 pub mod tongue;
--- a/crates/waymark/src/readers/boot.rs
+++ b/crates/waymark/src/readers/boot.rs
@@ -3,6 +3,7 @@
 use serde_json::{Map, Value};
 use std::fmt;
 use std::net::SocketAddrV4;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
 /// Why a process could not take its boot settings.
@@ -126,15 +127,19 @@
     Some(listen)
 }
 
-/// Reads the three seed addresses.
-pub fn read_places(reader: &PathReader<'_>, needed_count: usize) -> Option<Vec<Place>> {
+/// Reads some addresses.
+pub fn read_places(
+    reader: &PathReader<'_>,
+    fitting_count: RangeInclusive<usize>,
+) -> Option<Vec<Place>> {
     if !reader.is_there() {
         reader.fault(FaultReason::Missing);
         return None;
     }
     let read_items: Vec<Place> = reader.items().iter().filter_map(read_place).collect();
-    if read_items.len() != needed_count {
-        reader.fault(FaultReason::Form(format!("needs {needed_count} addresses")));
+    if !fitting_count.contains(&read_items.len()) {
+        let (fewest, most) = fitting_count.into_inner();
+        reader.fault(FaultReason::Form(format!("needs {fewest} to {most} addresses")));
         return None;
     }
     Some(read_items)
--- a/programs/surveyor/src/main.rs
+++ b/programs/surveyor/src/main.rs
@@ -5,7 +5,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use survey::boot::SurveyorBoot;
-use survey::drivers::{Surveyor, SurveyorFault};
+use survey::drivers::{Reseeder, Surveyor, SurveyorFault};
+use tokio::sync::watch;
 use waymark::events;
 use waymark::note;
 use waymark::readers::{BootFault, BootSource};
@@ -25,10 +26,19 @@
     operators: Option<String>,
     #[options(no_short, help = "this machine's locality", meta = "NAME")]
     locality: Option<String>,
-    #[options(no_short, help = "the three surveyors' places, with commas", meta = "PLACES")]
+    #[options(
+        no_short,
+        help = "the places of up to three surveyors, with commas",
+        meta = "PLACES"
+    )]
     seeds: Option<String>,
-    #[options(no_short, help = "data folder", meta = "FOLDER")]
+    #[options(no_short, help = "data folder; without one it has no vote", meta = "FOLDER")]
     data: Option<String>,
+    #[options(
+        no_short,
+        help = "the whole system starts for the first time: the seeds found the core"
+    )]
+    found_first: bool,
     #[options(no_short, help = "the platform's IP:PORT", meta = "PLACE")]
     platform: Option<String>,
     #[options(
@@ -46,6 +56,7 @@
     boot_source.set("operators", text(&flags.operators));
     boot_source.set("locality", text(&flags.locality));
     boot_source.set("data", text(&flags.data));
+    boot_source.set("found_first", flags.found_first.then_some(Value::Bool(true)));
     boot_source.set("platform", text(&flags.platform));
     boot_source.set(
         "seeds",
@@ -73,12 +84,16 @@
             eprintln!("surveyor: --recover needs the phrase i-accept-the-loss; see --help");
             return ExitCode::from(2);
         }
-        if let Err(fault) = survey::disk::leave_alone(&boot.data) {
+        let Some(data) = &boot.data else {
+            eprintln!("surveyor: --recover needs a data folder");
+            return ExitCode::from(2);
+        };
+        if let Err(fault) = survey::disk::leave_alone(data) {
             eprintln!("surveyor: --recover: {fault}");
             return ExitCode::from(1);
         }
     }
-    match run(&boot) {
+    match run(flags, &boot) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("surveyor: {report}");
@@ -87,11 +102,30 @@
     }
 }
 
-fn run(boot: &SurveyorBoot) -> eyre::Result<()> {
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+/// Takes the seeds anew each time the process is told that its settings have changed.
+async fn reread(flags: Flags, reseeder: Reseeder, mut told: watch::Receiver<u64>) {
+    while told.changed().await.is_ok() {
+        match read_boot(&flags) {
+            Ok(boot) => {
+                reseeder.reseed(boot.seeds).await;
+            }
+            Err(fault) => note!(Warn, events::SETTINGS_UNREADABLE, "{fault}"),
+        }
+    }
+}
+
+fn run(flags: Flags, boot: &SurveyorBoot) -> eyre::Result<()> {
+    let runtime = if boot.threads == 1 {
+        tokio::runtime::Builder::new_current_thread().enable_all().build()?
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(boot.threads)
+            .enable_all()
+            .build()?
+    };
     runtime.block_on(async {
         let surveyor = Surveyor::open(boot).await?;
+        tokio::spawn(reread(flags, surveyor.reseeder(), waymark::command_line::told_to_reread()?));
         note!(Info, events::STARTED, "surveyor at {}, operators at {}", boot.place, boot.operators);
         let stop = waymark::command_line::told_to_stop()?;
         surveyor.run(stop).await;
