Holders: refused sends go on within bounds, unnoted transactions, idle stop, warm functions

Cause: runners that refuse, that are another one, that fail, or that cannot be asked what they run; callers whose identities are always fresh; functions that are called once an hour. Ruled out: a refusal straight to the caller (the next runner often has room); keeping a lost answer's slot for good (slots run out); counting refused sends as nothing (they load the fleet). Change: every arrival beyond the first is an extra try, bounded by the route's tries and the window, both settings now. A runner that refused gets nothing more for 200 ms. A lost answer keeps its slot for 400 ms or its budget where runners cannot be asked. Fresh-identity routes keep nothing. With idle_boots a function's last runner stops after so many boot times, unless it boots longer than its callers gladly wait (Table::is_warm); off unless set. A refusal after a lost try is still unknown: the test bounds its tries, since the refused send may now go on.

--- a/crates/trail/src/boot/mod.rs
+++ b/crates/trail/src/boot/mod.rs
@@ -117,6 +117,7 @@
         tries_allowance: count("tries_allowance", 1_000_000, default.tries_allowance),
         tries_allowance_at_once: root.field("tries_allowance_at_once").flag_or(false),
         idle_boots: count("idle_boots", 1_000_000, u64::from(default.idle_boots)) as u32,
+        settles: default.settles,
         fall: span("fall_ms", default.fall),
         drain_every: span("drain_every_ms", default.drain_every),
     }
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -2,6 +2,7 @@
 use super::links::RunnerLinks;
 use super::{Gauges, HopLinks};
 use crate::boot::TrailheadBoot;
+use crate::holder::Tuning;
 use crate::lodge::{Held, Lodge};
 use crate::tongue::TrailTongues;
 use std::sync::{Arc, PoisonError};
@@ -41,11 +42,13 @@
         tongues: TrailTongues,
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
+        let tuning = Tuning { settles: tongues.runner.running_path().is_some(), ..boot.tuning };
+        let lodge = Lodge::new(own_host, rules).with_tuning(tuning);
         Self {
             links: HopLinks::new(*boot.place.0.ip()),
             boot,
             tongues,
-            lodge: Lodge::new(own_host, rules),
+            lodge,
             runner_links: Arc::new(RunnerLinks::default()),
             gauges: Gauges::new(),
             changes: watch::Sender::new(0),
--- a/crates/trail/src/holder/custody.rs
+++ b/crates/trail/src/holder/custody.rs
@@ -138,7 +138,8 @@
     fn take_back(&mut self, now: Moment, ticket: Ticket) {
         let Some(sent) = self.sent.remove(&ticket) else { return };
         if let Some(record) = self.runners.get_mut(&sent.runner) {
-            record.send_ended(now, &sent.waiting.entry.transaction, true);
+            let entry = &sent.waiting.entry;
+            record.send_ended(now, &entry.transaction, entry.budget_end, true);
         }
         self.put_back(now, sent.waiting);
     }
@@ -168,7 +169,7 @@
         };
         let all_waiting = std::mem::take(&mut self.inbox);
         for waiting in all_waiting {
-            if waiting.entry.once && is_known(&waiting.entry.transaction) {
+            if waiting.entry.is_noted_once() && is_known(&waiting.entry.transaction) {
                 let outcome = HopOutcome::Unknown { reason: HopReason::RanBefore };
                 self.end(now, waiting.entry, outcome);
             } else {
@@ -184,7 +185,7 @@
         }
         let all_waiting = std::mem::take(&mut self.inbox);
         for waiting in all_waiting {
-            if waiting.entry.once {
+            if waiting.entry.is_noted_once() {
                 self.give_up(now, waiting, HopReason::OnceWait, retry_span);
             } else {
                 self.inbox.push_back(waiting);
--- a/crates/trail/src/holder/inbox.rs
+++ b/crates/trail/src/holder/inbox.rs
@@ -9,9 +9,9 @@
 const SMALLEST_INBOX: usize = 32;
 
 impl Holder {
-    fn ready_limit(&self) -> u32 {
+    fn ready_limit(&self, now: Moment) -> u32 {
         let ready_runners = self.runners.values().filter(|record| record.phase == Phase::Ready);
-        ready_runners.fold(0, |all, record| all.saturating_add(record.limit))
+        ready_runners.fold(0, |all, record| all.saturating_add(record.limit_at(now)))
     }
 
     fn inbox_bound(&self) -> usize {
@@ -19,8 +19,8 @@
     }
 
     /// When a transaction behind so many others would be sent to a runner.
-    fn expected_start(&self, now: Moment, before_count: usize) -> Moment {
-        let ready_limit = self.ready_limit();
+    pub(super) fn expected_start(&self, now: Moment, before_count: usize) -> Moment {
+        let ready_limit = self.ready_limit(now);
         if ready_limit > 0 {
             let busy_count = self.sent.len() as u32;
             let has_free_slot = busy_count < ready_limit;
@@ -36,12 +36,21 @@
         earliest_ready.unwrap_or(now + self.spec.boot).max(now)
     }
 
+    /// When a transaction that waits is to be given up, if none goes to a runner before.
+    pub(super) fn inbox_due(&self) -> Option<Moment> {
+        let half_service = self.service / 2;
+        self.inbox
+            .iter()
+            .map(|waiting| waiting.give_up_at.min(waiting.entry.budget_end - half_service))
+            .min()
+    }
+
     pub(super) fn reason_to_shed(
         &mut self,
         now: Moment,
         entry: &Entry,
     ) -> Option<(HopReason, Duration)> {
-        if entry.once && !self.custody.is_collecting() && now < self.once_from {
+        if entry.is_noted_once() && !self.custody.is_collecting() && now < self.once_from {
             return Some((HopReason::OnceWait, self.once_from.since(now)));
         }
         if entry.repeat && !self.may_spend(now) {
@@ -66,11 +75,13 @@
         reason: HopReason,
         retry_span: Duration,
     ) {
-        let outcome = if waiting.may_have_run {
-            HopOutcome::Unknown { reason: HopReason::AnswerLost }
-        } else {
-            self.shed_reason = reason;
-            not_run(reason, retry_span.as_millis().max(100) as u32)
+        let outcome = match waiting.failure {
+            Some(failure) => failure,
+            None if waiting.may_have_run => HopOutcome::Unknown { reason: HopReason::AnswerLost },
+            None => {
+                self.shed_reason = reason;
+                not_run(reason, retry_span.as_millis().max(100) as u32)
+            }
         };
         self.end(now, waiting.entry, outcome);
     }
@@ -82,7 +93,7 @@
             let start_at = self.expected_start(now, kept_waiting.len());
             let is_late = now >= waiting.give_up_at
                 || now + self.service / 2 > waiting.entry.budget_end
-                || (self.ready_limit() == 0 && start_at > waiting.give_up_at);
+                || (self.ready_limit(now) == 0 && start_at > waiting.give_up_at);
             if is_late {
                 let has_runner = !self.runners.is_empty();
                 let reason =
@@ -118,12 +129,12 @@
     pub(super) fn dispatch(&mut self, now: Moment) {
         let mut waiting_place = 0;
         while waiting_place < self.inbox.len() && !self.closed {
-            let is_once = self.inbox[waiting_place].entry.once;
+            let is_once = self.inbox[waiting_place].entry.is_noted_once();
             if is_once && !self.custody.is_able() {
                 waiting_place += 1;
                 continue;
             }
-            let Some(runner) = self.free_runner() else { return };
+            let Some(runner) = self.free_runner(now) else { return };
             let Some(waiting) = self.inbox.remove(waiting_place) else { return };
             let Some(record) = self.runners.get_mut(&runner) else { return };
             let Some(place) = record.place else { return };
@@ -137,10 +148,10 @@
         }
     }
 
-    fn free_runner(&self) -> Option<RunnerId> {
+    fn free_runner(&self, now: Moment) -> Option<RunnerId> {
         self.runners
             .iter()
-            .filter(|(_, record)| record.has_free_slot())
+            .filter(|(_, record)| record.has_free_slot(now))
             .min_by_key(|(_, record)| record.busy_count())
             .map(|(runner, _)| *runner)
     }
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -36,6 +36,10 @@
     pub transaction: TransactionId,
     /// Whether it may be sent to a runner only once.
     pub once: bool,
+    /// Whether callers may send its identity again, so that it is remembered.
+    pub noted: bool,
+    /// The most runners it may go to.
+    pub tries: u32,
     /// Whether the caller marked it a repeat.
     pub repeat: bool,
     /// When its budget ends.
@@ -44,11 +48,19 @@
     pub patience: Duration,
 }
 
+impl Entry {
+    /// Whether it is noted elsewhere before it is sent.
+    pub fn is_noted_once(&self) -> bool {
+        self.once && self.noted
+    }
+}
+
 struct Waiting {
     entry: Entry,
     give_up_at: Moment,
     attempt: u32,
     may_have_run: bool,
+    failure: Option<HopOutcome>,
 }
 
 struct Sent {
@@ -96,6 +108,8 @@
     closed: bool,
     released: bool,
     rules: Rules,
+    tuning: Tuning,
+    warm: bool,
     outputs: Vec<HolderOutput>,
 }
 
@@ -113,7 +127,7 @@
             inbox: VecDeque::new(),
             sent: BTreeMap::new(),
             book: Book::default(),
-            tries: TryWindow::new(now),
+            tries: TryWindow::new(now, &Tuning::default()),
             scaling: Scaling::new(now),
             service: Duration::from_millis(40),
             last_called_at: now,
@@ -124,6 +138,8 @@
             closed: false,
             released: false,
             rules: Rules::KEPT,
+            tuning: Tuning::default(),
+            warm: false,
             outputs: Vec::new(),
         }
     }
@@ -138,6 +154,18 @@
         self
     }
 
+    /// The same with other settings.
+    pub fn with_tuning(mut self, now: Moment, tuning: Tuning) -> Self {
+        self.tries = TryWindow::new(now, &tuning);
+        self.tuning = tuning;
+        self
+    }
+
+    /// Whether it is to keep one runner always.
+    pub fn set_warm(&mut self, warm: bool) {
+        self.warm = warm;
+    }
+
     /// The function.
     pub fn function(&self) -> &FunctionKey {
         &self.function
@@ -215,7 +243,9 @@
         self.last_called_at = now;
         self.resting = false;
         self.tries.first_or_repeat(now, entry.repeat);
-        if let Some(known_outcome) = self.known_outcome(&entry.transaction) {
+        if entry.noted
+            && let Some(known_outcome) = self.known_outcome(&entry.transaction)
+        {
             return (Some(known_outcome), Vec::new());
         }
         if let Some((reason, retry_span)) = self.reason_to_shed(now, &entry) {
@@ -228,9 +258,17 @@
         if entry.repeat {
             self.tries.spend(now);
         }
-        self.book.begin(entry.transaction.clone(), entry.once, entry.budget_end);
+        if entry.noted {
+            self.book.begin(entry.transaction.clone(), entry.once, entry.budget_end);
+        }
         let give_up_at = entry.budget_end.min(now + entry.patience);
-        self.inbox.push_back(Waiting { entry, give_up_at, attempt: 1, may_have_run: false });
+        self.inbox.push_back(Waiting {
+            entry,
+            give_up_at,
+            attempt: 1,
+            may_have_run: false,
+            failure: None,
+        });
         self.dispatch(now);
         self.scale(now);
         (None, std::mem::take(&mut self.outputs))
@@ -243,6 +281,9 @@
     fn note_shed(&mut self, now: Moment, entry: &Entry, reason: HopReason, retry_ms: u32) {
         self.shed_count += 1;
         self.shed_reason = reason;
+        if !entry.noted {
+            return;
+        }
         let outcome = not_run(HopReason::ShedBefore, retry_ms);
         self.book.end(now, &entry.transaction, entry.once, entry.budget_end, outcome);
     }
@@ -261,6 +302,7 @@
         self.watch_runners(now);
         self.dispatch(now);
         self.scale(now);
+        self.rest_if_idle(now);
         self.finish_leaving(now);
         std::mem::take(&mut self.outputs)
     }
@@ -270,7 +312,8 @@
         let Some(sent) = self.sent.remove(&ticket) else { return Vec::new() };
         let is_settled = !matches!(end, SendEnd::Lost) || !self.rules.keep(Rule::LostKeepsSlot);
         if let Some(record) = self.runners.get_mut(&sent.runner) {
-            record.send_ended(now, &sent.waiting.entry.transaction, is_settled);
+            let entry = &sent.waiting.entry;
+            record.send_ended(now, &entry.transaction, entry.budget_end, is_settled);
         }
         match end {
             SendEnd::Answered(outcome) => {
@@ -284,23 +327,20 @@
                 self.end(now, sent.waiting.entry, outcome);
             }
             SendEnd::ShedByRunner => {
-                let outcome = if sent.waiting.may_have_run {
-                    HopOutcome::Unknown { reason: HopReason::AnswerLost }
-                } else {
-                    not_run(HopReason::RunnerShed, 200)
-                };
-                self.end(now, sent.waiting.entry, outcome);
+                if let Some(record) = self.runners.get_mut(&sent.runner) {
+                    record.refused(now);
+                }
+                self.refused(now, sent.waiting);
+            }
+            SendEnd::OtherRunner => {
+                self.runner_failed(now, sent.runner);
+                self.never_reached(now, sent.waiting);
             }
             SendEnd::Barred(reason) => {
-                let outcome = if sent.waiting.may_have_run {
-                    HopOutcome::Unknown { reason }
-                } else {
-                    not_run(reason, 500)
-                };
-                self.end(now, sent.waiting.entry, outcome);
+                self.give_up(now, sent.waiting, reason, Duration::from_millis(500));
             }
             SendEnd::Failed(outcome) => self.failed(now, sent.waiting, outcome),
-            SendEnd::Unsent | SendEnd::OtherRunner => {
+            SendEnd::Unsent => {
                 self.runner_failed(now, sent.runner);
                 self.put_back(now, sent.waiting);
             }
@@ -313,8 +353,10 @@
     }
 
     /// A runner's own failure: a repeatable transaction may go to another runner, else it is passed on.
-    fn failed(&mut self, now: Moment, waiting: Waiting, outcome: HopOutcome) {
+    fn failed(&mut self, now: Moment, mut waiting: Waiting, outcome: HopOutcome) {
+        waiting.may_have_run = true;
         if self.may_repeat(now, &waiting) {
+            waiting.failure = Some(outcome);
             self.repeat(now, waiting);
         } else {
             self.end(now, waiting.entry, outcome);
@@ -326,19 +368,39 @@
         if self.may_repeat(now, &waiting) {
             self.repeat(now, waiting);
         } else {
-            let outcome = HopOutcome::Unknown { reason: HopReason::AnswerLost };
-            self.end(now, waiting.entry, outcome);
+            self.give_up(now, waiting, HopReason::AnswerLost, Duration::ZERO);
+        }
+    }
+
+    /// A runner refused it: it did not run there, yet it arrived, and counts as a try.
+    fn refused(&mut self, now: Moment, waiting: Waiting) {
+        if self.may_repeat(now, &waiting) {
+            self.repeat(now, waiting);
+        } else {
+            let start_at = self.expected_start(now, self.inbox.len());
+            let retry_span = start_at.since(now).max(Duration::from_millis(200));
+            self.give_up(now, waiting, HopReason::RunnerShed, retry_span);
+        }
+    }
+
+    /// It came to another runner, which did not run it: the one that was meant never got it.
+    fn never_reached(&mut self, now: Moment, waiting: Waiting) {
+        let has_time = now + self.service < waiting.entry.budget_end;
+        if has_time && !self.closed && self.may_spend(now) {
+            self.repeat(now, waiting);
+        } else {
+            self.give_up(now, waiting, HopReason::NoRunner, self.spec.boot);
         }
     }
 
     fn may_repeat(&mut self, now: Moment, waiting: &Waiting) -> bool {
         let has_time = now + self.service * 2 < waiting.entry.budget_end;
-        !waiting.entry.once && has_time && !self.closed && self.may_spend(now)
+        let has_tries = waiting.attempt < waiting.entry.tries;
+        !waiting.entry.once && has_time && has_tries && !self.closed && self.may_spend(now)
     }
 
     fn repeat(&mut self, now: Moment, mut waiting: Waiting) {
         self.tries.spend(now);
-        waiting.may_have_run = true;
         waiting.attempt += 1;
         waiting.give_up_at = waiting.entry.budget_end;
         self.inbox.push_front(waiting);
@@ -357,14 +419,16 @@
     }
 
     fn end(&mut self, now: Moment, entry: Entry, outcome: HopOutcome) {
-        let kept_outcome = match &outcome {
-            HopOutcome::NotRun { retry_ms, .. } => {
-                self.shed_count += 1;
-                not_run(HopReason::ShedBefore, *retry_ms)
-            }
-            other => other.clone(),
-        };
-        self.book.end(now, &entry.transaction, entry.once, entry.budget_end, kept_outcome);
+        if matches!(outcome, HopOutcome::NotRun { .. }) {
+            self.shed_count += 1;
+        }
+        if entry.noted {
+            let kept_outcome = match &outcome {
+                HopOutcome::NotRun { retry_ms, .. } => not_run(HopReason::ShedBefore, *retry_ms),
+                other => other.clone(),
+            };
+            self.book.end(now, &entry.transaction, entry.once, entry.budget_end, kept_outcome);
+        }
         self.outputs.push(HolderOutput::End { ticket: entry.ticket, outcome });
     }
 
@@ -407,6 +471,7 @@
             (Some(record), Some(place)) if record.phase == Phase::Starting => {
                 record.place = Some(place);
                 record.phase = Phase::Booting;
+                record.probe_from(record.started_at + self.spec.boot / 2);
             }
             (Some(_), None) => self.runner_failed(now, runner),
             _ => {}
@@ -496,11 +561,7 @@
     /// Memory is short: an idle function stops its last runner, and starts one when it is called.
     pub fn give_way(&mut self, now: Moment) -> Vec<HolderOutput> {
         if self.inbox.is_empty() && self.sent.is_empty() {
-            self.resting = true;
-            let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
-            for runner in all_runners {
-                self.stop_runner(now, runner);
-            }
+            self.rest(now);
         }
         std::mem::take(&mut self.outputs)
     }
--- a/crates/trail/src/holder/runners.rs
+++ b/crates/trail/src/holder/runners.rs
@@ -5,7 +5,11 @@
 use waymark::frames::Place;
 use waymark::identity::{RunnerId, TransactionId, WorkerName};
 
-const PROBE_EVERY: Duration = Duration::from_millis(50);
+const PROBE_EVERY: Duration = Duration::from_millis(40);
+/// A lost answer keeps its slot so long where a runner cannot be asked what it is running.
+const LOST_KEEPS_SLOT: Duration = Duration::from_millis(400);
+/// A runner that refused more than we know of gets nothing more for so long.
+const HELD_DOWN: Duration = Duration::from_millis(200);
 const SETTLE_EVERY: Duration = Duration::from_millis(250);
 const STOP_AGAIN_AFTER: Duration = Duration::from_millis(600);
 const START_PATIENCE: Duration = Duration::from_secs(3);
@@ -27,6 +31,12 @@
     Stopping,
 }
 
+#[derive(Clone, Copy)]
+struct Hung {
+    since: Moment,
+    until: Moment,
+}
+
 /// One runner.
 pub struct RunnerRecord {
     /// Where it runs.
@@ -52,7 +62,8 @@
     /// Since when it is to be drained as soon as another can take over.
     pub unfit_since: Option<Moment>,
     running: BTreeSet<TransactionId>,
-    hung: BTreeMap<TransactionId, Moment>,
+    hung: BTreeMap<TransactionId, Hung>,
+    held_down: Option<(Moment, u32)>,
     lost_in_row: u32,
     next_look_at: Moment,
 }
@@ -74,6 +85,7 @@
             unfit_since: None,
             running: BTreeSet::new(),
             hung: BTreeMap::new(),
+            held_down: None,
             lost_in_row: 0,
             next_look_at: now,
         }
@@ -89,9 +101,27 @@
         self.phase == Phase::Ready && self.unfit_since.is_none()
     }
 
+    /// How many transactions it may have at once now.
+    pub fn limit_at(&self, now: Moment) -> u32 {
+        match self.held_down {
+            Some((until, held_limit)) if now < until => self.limit.min(held_limit),
+            _ => self.limit,
+        }
+    }
+
     /// Whether one more transaction fits.
-    pub fn has_free_slot(&self) -> bool {
-        self.phase == Phase::Ready && self.busy_count() < self.limit as usize
+    pub fn has_free_slot(&self, now: Moment) -> bool {
+        self.phase == Phase::Ready && self.busy_count() < self.limit_at(now) as usize
+    }
+
+    /// It refused one more than it has from here: others have the rest of its slots for now.
+    pub fn refused(&mut self, now: Moment) {
+        self.held_down = Some((now + HELD_DOWN, self.busy_count() as u32));
+    }
+
+    /// It is not asked whether it is ready before that.
+    pub fn probe_from(&mut self, first_probe_at: Moment) {
+        self.next_look_at = first_probe_at;
     }
 
     /// Takes a slot.
@@ -101,14 +131,21 @@
     }
 
     /// Frees a slot, or keeps it while it is not known whether the runner is done.
-    pub fn send_ended(&mut self, now: Moment, transaction: &TransactionId, is_settled: bool) {
+    pub fn send_ended(
+        &mut self,
+        now: Moment,
+        transaction: &TransactionId,
+        budget_end: Moment,
+        is_settled: bool,
+    ) {
         self.used_at = now;
         self.running.remove(transaction);
         if is_settled {
             self.lost_in_row = 0;
         } else {
             self.lost_in_row += 1;
-            self.hung.insert(transaction.clone(), now);
+            let until = budget_end.min(now + LOST_KEEPS_SLOT);
+            self.hung.insert(transaction.clone(), Hung { since: now, until });
             self.next_look_at = now + SETTLE_EVERY;
         }
     }
@@ -122,13 +159,39 @@
     /// Frees the slots of transactions that the runner is no longer running.
     pub fn settle(&mut self, now: Moment, running: &[TransactionId]) {
         self.probe_pending = false;
-        self.hung.retain(|transaction, since| {
-            running.contains(transaction) || now.since(*since) < SETTLE_EVERY
+        self.hung.retain(|transaction, hung| {
+            running.contains(transaction) || now.since(hung.since) < SETTLE_EVERY
         });
     }
 }
 
+impl RunnerRecord {
+    /// Frees the slots of lost answers by time alone.
+    fn settle_by_time(&mut self, now: Moment) {
+        self.hung.retain(|_, hung| now < hung.until);
+    }
+
+    /// When something is to be looked at again; none when it is no sooner than the next look at all.
+    fn next_due(&self, settles: bool) -> Option<Moment> {
+        let hung_until = self.hung.values().map(|hung| hung.until).min().filter(|_| !settles);
+        let held_until = self.held_down.map(|(until, _)| until);
+        let look_at = match self.phase {
+            Phase::Booting if !self.probe_pending => Some(self.next_look_at),
+            Phase::Draining if self.busy_count() == 0 => Some(self.since),
+            _ => None,
+        };
+        [hung_until, held_until, look_at].into_iter().flatten().min()
+    }
+}
+
 impl Holder {
+    /// When it is to be looked at again, if that is soon.
+    pub fn next_due(&self) -> Option<Moment> {
+        let runners_due =
+            self.runners.values().filter_map(|record| record.next_due(self.tuning.settles)).min();
+        [runners_due, self.inbox_due()].into_iter().flatten().min()
+    }
+
     pub(super) fn stop_runner(&mut self, now: Moment, runner: RunnerId) {
         let Some(record) = self.runners.get_mut(&runner) else { return };
         if record.phase != Phase::Stopping {
@@ -149,6 +212,12 @@
         let boot_patience = self.spec.boot * 3 + START_PATIENCE;
         let mut stopped_runners: Vec<RunnerId> = Vec::new();
         for (runner, record) in &mut self.runners {
+            if record.held_down.is_some_and(|(until, _)| now >= until) {
+                record.held_down = None;
+            }
+            if !self.tuning.settles {
+                record.settle_by_time(now);
+            }
             match record.phase {
                 Phase::Starting if now.since(record.started_at) > START_PATIENCE => {
                     stopped_runners.push(*runner);
@@ -170,12 +239,15 @@
                     self.outputs.push(HolderOutput::Stop { runner: *runner, worker });
                 }
                 Phase::Ready | Phase::Draining => {
-                    let oldest_hung = record.hung.values().min().copied();
+                    let oldest_hung = record.hung.values().map(|hung| hung.since).min();
                     let is_stuck =
                         oldest_hung.is_some_and(|since| now.since(since) > HUNG_PATIENCE);
                     if is_stuck || record.lost_in_row >= MOST_LOST {
                         stopped_runners.push(*runner);
-                    } else if oldest_hung.is_some() && now >= record.next_look_at {
+                    } else if self.tuning.settles
+                        && oldest_hung.is_some()
+                        && now >= record.next_look_at
+                    {
                         record.next_look_at = now + SETTLE_EVERY;
                         if let Some(place) = record.place {
                             self.outputs.push(HolderOutput::Settle { runner: *runner, place });
--- a/crates/trail/src/holder/scaling.rs
+++ b/crates/trail/src/holder/scaling.rs
@@ -5,10 +5,8 @@
 use waymark::identity::RunnerId;
 
 const TARGET_SHARE: f64 = 0.7;
-const FALL_SECONDS: f64 = 10.0;
 const RESERVE_PATIENCE: Duration = Duration::from_millis(1500);
 const RESERVE_AGAIN_AFTER: Duration = Duration::from_millis(400);
-const DRAIN_EVERY: Duration = Duration::from_secs(1);
 const REPLACE_WITHIN: Duration = Duration::from_millis(1000);
 const MOST_RESERVING: usize = 4;
 
@@ -41,11 +39,17 @@
         }
     }
 
+    /// The function rests: what was wanted before counts no more.
+    pub(super) fn rest(&mut self) {
+        self.smoothed = 0.0;
+    }
+
     /// Quick up, smooth down.
-    fn smooth(&mut self, now: Moment, wanted: f64) -> f64 {
+    fn smooth(&mut self, now: Moment, wanted: f64, fall: Duration) -> f64 {
         let passed_seconds = now.since(self.smoothed_at).as_secs_f64();
         self.smoothed_at = now;
-        let fallen = wanted + (self.smoothed - wanted) * (-passed_seconds / FALL_SECONDS).exp();
+        let fallen =
+            wanted + (self.smoothed - wanted) * (-passed_seconds / fall.as_secs_f64()).exp();
         self.smoothed = fallen.max(wanted);
         self.smoothed
     }
@@ -59,7 +63,7 @@
         }
         let busy_count = (self.inbox.len() + self.sent.len()) as f64;
         let wanted = busy_count / (f64::from(self.spec.slots) * TARGET_SHARE);
-        let smoothed = self.scaling.smooth(now, wanted);
+        let smoothed = self.scaling.smooth(now, wanted, self.tuning.fall);
         let least = u32::from(!self.resting);
         let floor = self.spec.min_runners.max(least).min(self.spec.max_runners);
         let wanted_count =
@@ -76,6 +80,37 @@
         self.drain_extra(now, wanted_count);
     }
 
+    /// Stops the runners of a function that nobody has called for so many boot times; it stays held. A
+    /// function that boots longer than its callers gladly wait keeps one.
+    pub(super) fn rest_if_idle(&mut self, now: Moment) {
+        let is_to_rest = self.tuning.idle_boots > 0
+            && !self.warm
+            && !self.is_leaving()
+            && !self.resting
+            && self.spec.min_runners == 0;
+        if !is_to_rest {
+            return;
+        }
+        let longest_idle = self.spec.boot * self.tuning.idle_boots;
+        let used_at = self.runners.values().map(|record| record.used_at).max();
+        let has_ready = self.runners.values().any(|record| record.phase == Phase::Ready);
+        let is_long_idle = self.idle(now).is_some_and(|span| span > longest_idle)
+            && used_at.is_some_and(|used_at| now.since(used_at) > longest_idle);
+        if has_ready && is_long_idle {
+            self.rest(now);
+        }
+    }
+
+    /// Stops every runner until the next call.
+    pub(super) fn rest(&mut self, now: Moment) {
+        self.resting = true;
+        self.scaling.rest();
+        let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
+        for runner in all_runners {
+            self.stop_runner(now, runner);
+        }
+    }
+
     fn reserve(&mut self, now: Moment, wanted_count: usize, fit_count: usize) {
         let reserving = &mut self.scaling.reserving_since;
         reserving.retain(|since| now.since(*since) < RESERVE_PATIENCE);
@@ -112,7 +147,7 @@
             && ready_runners.len() > wanted_count.max(1)
             && now >= self.scaling.next_drain_at
         {
-            self.scaling.next_drain_at = now + DRAIN_EVERY;
+            self.scaling.next_drain_at = now + self.tuning.drain_every;
             let least_busy =
                 ready_runners.into_iter().min_by_key(|runner| self.runners[runner].busy_count());
             if let Some(record) = least_busy.and_then(|runner| self.runners.get_mut(&runner)) {
--- a/crates/trail/src/holder/tries.rs
+++ b/crates/trail/src/holder/tries.rs
@@ -1,10 +1,10 @@
+use super::Tuning;
 use std::collections::VecDeque;
 use std::time::Duration;
 use waymark::clock::Moment;
 
 const WINDOW: Duration = Duration::from_secs(10);
 const BUCKET_MS: u64 = 100;
-const ALLOWANCE: u64 = 3;
 
 struct Bucket {
     index: u64,
@@ -15,13 +15,22 @@
 /// Counts first and extra tries over the last ten seconds.
 pub struct TryWindow {
     started_at: Moment,
+    percent: u64,
+    allowance: u64,
+    allowance_at_once: bool,
     buckets: VecDeque<Bucket>,
 }
 
 impl TryWindow {
     /// Starts without credit from before.
-    pub fn new(now: Moment) -> Self {
-        Self { started_at: now, buckets: VecDeque::new() }
+    pub fn new(now: Moment, tuning: &Tuning) -> Self {
+        Self {
+            started_at: now,
+            percent: tuning.tries_percent,
+            allowance: tuning.tries_allowance,
+            allowance_at_once: tuning.tries_allowance_at_once,
+            buckets: VecDeque::new(),
+        }
     }
 
     fn bucket(&mut self, now: Moment) -> &mut Bucket {
@@ -44,7 +53,7 @@
         }
     }
 
-    /// Whether one more extra try stays within a fifth of the first ones and the allowance.
+    /// Whether one more extra try stays within the share of the first ones and the allowance.
     pub fn may_spend(&mut self, now: Moment) -> bool {
         let index = self.bucket(now).index;
         let half_index = index.saturating_sub(WINDOW.as_millis() as u64 / BUCKET_MS / 2);
@@ -55,8 +64,8 @@
         let late_firsts: u64 = late_buckets.map(|bucket| bucket.firsts).sum();
         let extras: u64 = self.buckets.iter().map(|bucket| bucket.extras).sum();
         let is_settled = now.since(self.started_at) >= WINDOW;
-        let allowance = if is_settled { ALLOWANCE } else { 0 };
-        extras < all_firsts.min(late_firsts * 2) / 5 + allowance
+        let allowance = if is_settled || self.allowance_at_once { self.allowance } else { 0 };
+        extras < all_firsts.min(late_firsts * 2) * self.percent / 100 + allowance
     }
 
     /// Counts an extra try.
--- a/crates/trail/src/holder/tuning.rs
+++ b/crates/trail/src/holder/tuning.rs
@@ -16,6 +16,9 @@
     /// The last runner is stopped after so many boot times without a transaction; 0 keeps it.
     #[builder(default = 0)]
     pub idle_boots: u32,
+    /// Whether runners can be asked what they are running.
+    #[builder(default = true)]
+    pub settles: bool,
     /// How slowly the wish for runners falls after a crowd.
     #[builder(default = Duration::from_secs(10))]
     pub fall: Duration,
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -368,7 +368,12 @@
             match table.function_of(&held.function) {
                 Some(entry) => {
                     let newest_spec = entry.spec.clone();
-                    held.with(|holder| holder.respec(newest_spec));
+                    let index = table.index_of(&held.function);
+                    let is_warm = index.is_some_and(|index| table.is_warm(index));
+                    held.with(|holder| {
+                        holder.respec(newest_spec);
+                        holder.set_warm(is_warm);
+                    });
                 }
                 None => self.apply(held, |holder| holder.hand_over(now)),
             }
@@ -382,7 +387,10 @@
         if held_grant >= Some(grant) {
             return;
         }
-        let holder = Holder::new(now, terms).with_rules(lodge.rules);
+        let mut holder =
+            Holder::new(now, terms).with_rules(lodge.rules).with_tuning(now, lodge.tuning);
+        let table = lodge.table.load();
+        holder.set_warm(table.index_of(&function).is_some_and(|index| table.is_warm(index)));
         let held = Arc::new(Held::new(holder));
         let displaced = lodge.holdings.load().get(&function).cloned();
         lodge.holdings.rcu(|holdings| {
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/trail/src/lodge/held.rs
@@ -17,6 +17,10 @@
     pub budget_end: Moment,
     /// Whether it may be sent to a runner only once.
     pub once: bool,
+    /// Whether callers may send its identity again, so that it is remembered.
+    pub noted: bool,
+    /// The most runners it may go to.
+    pub tries: u32,
     /// Whether the caller marked it a repeat.
     pub repeat: bool,
     /// How long it may wait in the inbox.
@@ -91,6 +95,8 @@
             ticket,
             transaction: task.transaction.clone(),
             once: task.once,
+            noted: task.noted,
+            tries: task.tries,
             repeat: task.repeat,
             budget_end: task.budget_end,
             patience: task.patience,
--- a/crates/trail/src/lodge/mod.rs
+++ b/crates/trail/src/lodge/mod.rs
@@ -13,6 +13,7 @@
 pub use stewards::{Question, Topic};
 pub use way::{Ask, PassEnd, Way, WayStep};
 
+use crate::holder::Tuning;
 use crate::ledger::Keepsake;
 use arc_swap::ArcSwap;
 use std::collections::BTreeMap;
@@ -40,6 +41,8 @@
     pub own_host: Host,
     /// The rules kept.
     pub rules: Rules,
+    /// How held functions are run.
+    pub tuning: Tuning,
     /// The spec in use.
     pub table: ArcSwap<Table>,
     /// The daemons alive.
@@ -66,6 +69,7 @@
         Self {
             own_host,
             rules,
+            tuning: Tuning::default(),
             table: ArcSwap::from_pointee(Table::empty()),
             hosts: ArcSwap::from_pointee(Vec::new()),
             owners: ArcSwap::from_pointee(BTreeMap::new()),
@@ -79,6 +83,12 @@
         }
     }
 
+    /// The same with other settings for what it holds.
+    pub fn with_tuning(mut self, tuning: Tuning) -> Self {
+        self.tuning = tuning;
+        self
+    }
+
     /// A number for a transaction in this process.
     pub fn ticket(&self) -> Ticket {
         Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
--- a/crates/trail/src/lodge/way.rs
+++ b/crates/trail/src/lodge/way.rs
@@ -170,6 +170,8 @@
                         route: self.ask.route.clone(),
                         budget_end: self.ask.budget_end,
                         once: route.spec.once,
+                        noted: route.spec.noted,
+                        tries: route.spec.tries,
                         repeat: self.ask.repeat,
                         patience,
                         parcel: self.ask.parcel.clone(),
--- a/crates/trail/tests/holder.rs
+++ b/crates/trail/tests/holder.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use trail::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd};
+use trail::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd, Tuning};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
@@ -26,6 +26,8 @@
     orders: Vec<HolderOutput>,
     next_ticket: u64,
     next_runner: u64,
+    noted: bool,
+    tries: u32,
 }
 
 impl Bench {
@@ -73,9 +75,20 @@
             orders: Vec::new(),
             next_ticket: 0,
             next_runner: 0,
+            noted: true,
+            tries: 100,
         }
     }
 
+    fn tuned(mut self, tuning: Tuning) -> Self {
+        self.holder = self.holder.with_tuning(START, tuning);
+        self
+    }
+
+    fn sends_of(&self, ticket: Ticket) -> usize {
+        self.sent.iter().filter(|(sent, _, _)| *sent == ticket).count()
+    }
+
     fn take(&mut self, outputs: Vec<HolderOutput>) {
         for output in outputs {
             self.orders.push(output.clone());
@@ -114,6 +127,8 @@
             ticket,
             transaction: name.into(),
             once,
+            noted: self.noted,
+            tries: self.tries,
             repeat,
             budget_end: self.now + ms(3000),
             patience: ms(3000),
@@ -236,6 +251,7 @@
         let runner = bench.sent.last().expect("sent").1;
         bench.answer(ticket, runner);
     }
+    bench.tries = 2;
     let (ticket, _) = bench.enter("risky", false, false);
     bench.end(ticket, SendEnd::Lost);
     verify_that!(bench.sent.last().map(|sent| sent.2), some(eq(2)))?;
@@ -503,3 +519,175 @@
     bench.pass(ms(2100));
     verify_that!(bench.enter("late", true, false).1.is_none(), eq(true))
 }
+
+fn generous() -> Tuning {
+    Tuning::builder().tries_allowance(50).tries_allowance_at_once(true).build()
+}
+
+fn failed_at(runner: RunnerId) -> HopOutcome {
+    HopOutcome::Answer {
+        lines: waymark::frames::Many(Vec::new()),
+        status: 500,
+        seal: Vec::new().into(),
+        runner,
+        body: b"broken".to_vec().into(),
+    }
+}
+
+#[gtest]
+fn a_refused_transaction_goes_on_only_as_often_as_its_route_and_the_window_allow() -> Result<()> {
+    for (tries, allowance, expected_sends) in [(1, 50, 1), (3, 50, 3), (9, 2, 3), (9, 0, 1)] {
+        let tuning = Tuning::builder()
+            .tries_percent(0)
+            .tries_allowance(allowance)
+            .tries_allowance_at_once(true)
+            .build();
+        let mut bench = Bench::new(2, 4, Duration::ZERO).tuned(tuning);
+        bench.warm();
+        bench.tries = tries;
+        let (ticket, _) = bench.enter("refused", false, false);
+        for _ in 0..12 {
+            if bench.sent.last().is_some_and(|(sent, _, _)| *sent == ticket) {
+                bench.end(ticket, SendEnd::ShedByRunner);
+            }
+            bench.pass(ms(100));
+        }
+        verify_that!(bench.sends_of(ticket), eq(expected_sends))?;
+        let Some(HopOutcome::NotRun { reason, retry_ms }) = bench.ended.get(&ticket) else {
+            return fail!("a transaction that never ran is not refused");
+        };
+        verify_that!(*reason, eq(HopReason::RunnerShed))?;
+        verify_that!(*retry_ms, ge(200))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_runner_that_refuses_more_than_is_known_gets_nothing_more_for_a_while() -> Result<()> {
+    let mut bench = Bench::new(4, 1, Duration::ZERO).tuned(generous());
+    bench.warm();
+    let (first, _) = bench.enter("a", true, false);
+    let (second, _) = bench.enter("b", true, false);
+    bench.end(second, SendEnd::ShedByRunner);
+    verify_that!(reason(&bench.ended.get(&second).cloned()), some(eq(HopReason::RunnerShed)))?;
+    let (third, _) = bench.enter("c", true, false);
+    bench.pass(ms(150));
+    verify_that!(bench.sends_of(third), eq(0))?;
+    bench.pass(ms(60));
+    verify_that!(bench.sends_of(third), eq(1))?;
+    verify_that!(bench.sends_of(first), eq(1))
+}
+
+#[gtest]
+fn what_came_to_another_runner_is_put_back_and_its_own_is_given_up() -> Result<()> {
+    for once in [false, true] {
+        let mut bench = Bench::new(2, 2, Duration::ZERO).tuned(generous());
+        bench.warm();
+        let (ticket, _) = bench.enter("lost way", once, false);
+        let runner = bench.sent.last().expect("sent").1;
+        bench.end(ticket, SendEnd::OtherRunner);
+        let stops = |order: &HolderOutput| matches!(order, HolderOutput::Stop { runner: stopped, .. } if *stopped == runner);
+        verify_that!(bench.orders.iter().any(stops), eq(true))?;
+        verify_that!(bench.ended.get(&ticket), none())?;
+        bench.pass(ms(60));
+        bench.pass(ms(60));
+        let (last_ticket, last_runner, attempt) = *bench.sent.last().expect("sent");
+        verify_that!((last_ticket, attempt), eq((ticket, 2)))?;
+        verify_that!(last_runner, not(eq(runner)))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_runners_own_failure_is_tried_again_or_passed_on_as_it_came() -> Result<()> {
+    let mut bench = Bench::new(2, 1, Duration::ZERO).tuned(generous());
+    bench.warm();
+    bench.tries = 2;
+    let (ticket, _) = bench.enter("fails", false, false);
+    let runner = bench.sent.last().expect("sent").1;
+    bench.end(ticket, SendEnd::Failed(failed_at(runner)));
+    verify_that!(bench.sends_of(ticket), eq(2))?;
+    bench.end(ticket, SendEnd::Lost);
+    verify_that!(bench.ended.get(&ticket), some(eq(&failed_at(runner))))?;
+    let (once, _) = bench.enter("fails once", true, false);
+    bench.end(once, SendEnd::Failed(failed_at(runner)));
+    verify_that!(bench.sends_of(once), eq(1))?;
+    verify_that!(bench.ended.get(&once), some(eq(&failed_at(runner))))
+}
+
+#[gtest]
+fn a_once_transaction_of_a_fresh_identity_is_sent_once_and_nothing_of_it_is_kept() -> Result<()> {
+    let mut bench = Bench::new(2, 4, ms(60_000));
+    bench.noted = false;
+    bench.warm();
+    let (ticket, at_once) = bench.enter("fresh", true, false);
+    verify_that!(at_once, none())?;
+    bench.end(ticket, SendEnd::Lost);
+    for _ in 0..40 {
+        bench.pass(ms(100));
+    }
+    verify_that!(bench.sends_of(ticket), eq(1))?;
+    verify_that!(
+        bench.ended.get(&ticket),
+        some(eq(&HopOutcome::Unknown { reason: HopReason::AnswerLost }))
+    )?;
+    let notes = |order: &HolderOutput| matches!(order, HolderOutput::Note { .. });
+    verify_that!(bench.orders.iter().any(notes), eq(false))?;
+    verify_that!(bench.enter("fresh", true, false).1, none())
+}
+
+#[gtest]
+fn a_lost_answer_keeps_its_slot_for_a_time_where_runners_cannot_be_asked() -> Result<()> {
+    let tuning = Tuning::builder().settles(false).build();
+    let mut bench = Bench::new(1, 1, Duration::ZERO).tuned(tuning);
+    bench.warm();
+    let (first, _) = bench.enter("a", true, false);
+    bench.end(first, SendEnd::Lost);
+    let (second, _) = bench.enter("b", true, false);
+    bench.pass(ms(390));
+    verify_that!(bench.sends_of(second), eq(0))?;
+    verify_that!(bench.holder.next_due(), some(le(bench.now + ms(10))))?;
+    bench.pass(ms(11));
+    verify_that!(bench.sends_of(second), eq(1))?;
+    let settles = |order: &HolderOutput| matches!(order, HolderOutput::Settle { .. });
+    verify_that!(bench.orders.iter().any(settles), eq(false))
+}
+
+#[gtest]
+fn an_idle_function_stops_its_last_runner_unless_it_boots_too_long_for_its_callers() -> Result<()> {
+    for (idle_boots, is_warm, is_stopped) in
+        [(0, false, false), (20, true, false), (20, false, true)]
+    {
+        let tuning = Tuning::builder().idle_boots(idle_boots).build();
+        let mut bench = Bench::new(2, 4, Duration::ZERO).tuned(tuning);
+        bench.holder.set_warm(is_warm);
+        bench.warm();
+        bench.orders.clear();
+        bench.pass(ms(1900));
+        let stops = |bench: &Bench| {
+            bench.orders.iter().any(|order| matches!(order, HolderOutput::Stop { .. }))
+        };
+        verify_that!(stops(&bench), eq(false))?;
+        for _ in 0..3 {
+            bench.pass(ms(100));
+        }
+        verify_that!(stops(&bench), eq(is_stopped))?;
+        if !is_stopped {
+            continue;
+        }
+        let stopped = bench.orders.iter().find_map(|order| match order {
+            HolderOutput::Stop { runner, .. } => Some(*runner),
+            _ => None,
+        });
+        let outputs = bench.holder.stopped(bench.now, stopped.expect("one"));
+        bench.take(outputs);
+        bench.pass(ms(5000));
+        verify_that!(bench.holder.runner_counts(), eq((0, 0)))?;
+        let (ticket, at_once) = bench.enter("next", false, false);
+        verify_that!(at_once, none())?;
+        bench.pass(ms(60));
+        bench.pass(ms(60));
+        verify_that!(bench.sends_of(ticket), eq(1))?;
+    }
+    Ok(())
+}
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -150,6 +150,8 @@
         route: "r".to_owned(),
         budget_end: bench.now + ms(2000),
         once: false,
+        noted: true,
+        tries: 3,
         repeat: false,
         patience: ms(1000),
         parcel: Arc::new(Parcel::of_body(Vec::new().into())),
--- a/crates/waymark/src/spec/table.rs
+++ b/crates/waymark/src/spec/table.rs
@@ -71,6 +71,7 @@
     by_route: HashMap<String, usize>,
     by_key: HashMap<FunctionKey, FunctionIndex>,
     evacuated: BTreeSet<Locality>,
+    warm: BTreeSet<FunctionIndex>,
 }
 
 impl Table {
@@ -86,6 +87,7 @@
             by_route: HashMap::new(),
             by_key: HashMap::new(),
             evacuated: BTreeSet::new(),
+            warm: BTreeSet::new(),
         }
     }
 
@@ -130,9 +132,33 @@
             table.by_route.insert(route_spec.name.clone(), route_place);
             table.routes.push(RouteEntry { spec: route_spec, function, shares });
         }
+        table.warm = table.find_warm();
         Ok(table)
     }
 
+    fn find_warm(&self) -> BTreeSet<FunctionIndex> {
+        let mut warm_functions = BTreeSet::new();
+        for route in &self.routes {
+            let shared = route.shares.iter().filter(|(_, weight)| *weight > 0);
+            let single = route.shares.is_empty().then_some(route.function);
+            let led_to = shared.map(|(function, _)| *function).chain(single);
+            let target = route.spec.target;
+            warm_functions
+                .extend(led_to.filter(|function| self.function(*function).spec.boot > target));
+        }
+        warm_functions
+    }
+
+    /// Whether a function boots longer than an answer by one of its routes is worth its full value.
+    pub fn is_warm(&self, index: FunctionIndex) -> bool {
+        self.warm.contains(&index)
+    }
+
+    /// The functions that boot longer than an answer is worth its full value.
+    pub fn warm_functions(&self) -> impl Iterator<Item = &FunctionKey> {
+        self.warm.iter().map(|index| &self.function(*index).key)
+    }
+
     /// The serial this was made from.
     pub fn serial(&self) -> Serial {
         self.serial
