--- /dev/null
+++ b/crates/survey/tests/plane/numbers.rs
@@ -0,0 +1,294 @@
+//! Operators number their specs themselves; beside the plane stands a slow list that says what each
+//! change must be answered.
+
+use super::fleet::Fleet;
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use survey::plane::{
+    ChangeKind, ItemChange, Numbering, Operation, OperationReply, Wait, change_name,
+};
+use waymark::chance::Chance;
+use waymark::spec::Document;
+
+#[derive(Clone, PartialEq, Debug)]
+struct Sent {
+    number: u64,
+    base_number: u64,
+    content: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Verdict {
+    Accepted,
+    Stale,
+    Invalid,
+    NotAccepted,
+    Unknown,
+}
+
+impl Sent {
+    fn drawn(chance: &mut Chance, current: u64) -> Self {
+        let base_number = if chance.happens(0.7) { current } else { chance.below(current + 2) };
+        let number = (base_number + chance.below(4)).saturating_sub(chance.below(2));
+        Self { number, base_number, content: chance.below(3) }
+    }
+
+    fn spec(&self) -> Value {
+        json!({"functions": {}, "routes": {}, "labels": {"content": self.content}})
+    }
+
+    fn numbering(&self) -> Numbering {
+        Numbering { number: self.number, base_number: self.base_number }
+    }
+
+    fn operation(&self) -> Operation {
+        Operation::Change {
+            base: None,
+            numbering: Some(self.numbering()),
+            change: None,
+            kind: ChangeKind::Whole(self.spec()),
+            wait: Wait::Accepted,
+        }
+    }
+
+    fn is_in(&self, document: &Document) -> bool {
+        let name = change_name(None, Some(self.numbering()), &ChangeKind::Whole(self.spec()));
+        document.changes.iter().any(|noted| noted.id == name)
+    }
+}
+
+fn verdict_of(reply: &OperationReply) -> Verdict {
+    match reply {
+        OperationReply::Accepted { .. } => Verdict::Accepted,
+        OperationReply::Stale { .. } => Verdict::Stale,
+        OperationReply::Invalid(_) => Verdict::Invalid,
+        OperationReply::NotAccepted { .. } => Verdict::NotAccepted,
+        _ => Verdict::Unknown,
+    }
+}
+
+/// The slow list: all that was taken, in order.
+#[derive(Default)]
+struct Taken(Vec<Sent>);
+
+impl Taken {
+    fn current(&self) -> u64 {
+        self.0.last().map_or(0, |sent| sent.number)
+    }
+
+    fn expect(&mut self, sent: &Sent) -> Verdict {
+        if self.0.contains(sent) {
+            return Verdict::Accepted;
+        }
+        if sent.base_number != self.current() {
+            return Verdict::Stale;
+        }
+        if sent.number <= self.current() {
+            return Verdict::Invalid;
+        }
+        self.0.push(sent.clone());
+        Verdict::Accepted
+    }
+}
+
+fn founded(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(seed, &[0, 1, 2]);
+    fleet.start_all();
+    fleet.await_leader();
+    fleet.pass(300);
+    fleet
+}
+
+#[gtest]
+fn every_number_is_answered_as_the_list_says() -> Result<()> {
+    let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+    for seed in 0..8 {
+        let mut fleet = founded(seed);
+        let mut taken = Taken::default();
+        let mut chance = Chance::seeded(seed);
+        let mut earlier: Vec<Sent> = Vec::new();
+        for _ in 0..60 {
+            let repeated = chance.happens(0.3) && !earlier.is_empty();
+            let sent = if repeated {
+                earlier[chance.below(earlier.len() as u64) as usize].clone()
+            } else {
+                Sent::drawn(&mut chance, taken.current())
+            };
+            earlier.push(sent.clone());
+            let leader = fleet.await_leader();
+            let reply = fleet.asked(leader, sent.operation()).expect("an answer");
+            let expected = taken.expect(&sent);
+            verify_that!(verdict_of(&reply), eq(expected)).with_failure_message(|| {
+                format!("seed {seed}: {sent:?} after {:?}", taken.0.last())
+            })?;
+            *seen.entry(format!("{expected:?}")).or_default() += 1;
+            let document = fleet.accepted(leader).expect("a document");
+            verify_that!(document.number, eq(taken.current()))?;
+        }
+    }
+    verify_that!(seen.values().all(|count| *count >= 20) && seen.len() == 3, eq(true))
+        .with_failure_message(|| format!("{seen:?}"))
+}
+
+/// What must hold whatever was killed: each number was built on the one before, and above it.
+fn check_chain(fleet: &Fleet, sent: &[Sent]) -> Result<()> {
+    let mut chain: BTreeMap<u64, (u64, Value)> = BTreeMap::new();
+    for document in &fleet.committed {
+        let known = chain
+            .entry(document.stamp.serial.0)
+            .or_insert((document.number, document.spec.clone()));
+        verify_that!(*known == (document.number, document.spec.clone()), eq(true))?;
+    }
+    let mut last_number = 0;
+    for (number, spec) in chain.values().filter(|(number, _)| *number > 0) {
+        if *number == last_number {
+            continue;
+        }
+        let made_by = sent.iter().find(|change| {
+            change.number == *number && change.base_number == last_number && change.spec() == *spec
+        });
+        verify_that!(made_by.is_some(), eq(true))?;
+        last_number = *number;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_change_sent_again_after_kills_is_never_refused_once_taken() -> Result<()> {
+    let (mut unknown_count, mut again_count, mut kill_count) = (0, 0, 0);
+    for seed in 0..40 {
+        let mut fleet = founded(seed);
+        let mut chance = Chance::seeded(1000 + seed);
+        let mut all_sent: Vec<Sent> = Vec::new();
+        let mut accepted: Vec<Sent> = Vec::new();
+        for _ in 0..12 {
+            let leader = fleet.await_leader();
+            let current = fleet.accepted(leader).expect("a document").number;
+            let rivals: Vec<Sent> =
+                (0..1 + chance.below(2)).map(|_| Sent::drawn(&mut chance, current)).collect();
+            all_sent.extend(rivals.iter().cloned());
+            let tickets: Vec<_> =
+                rivals.iter().map(|sent| fleet.ask(leader, sent.operation())).collect();
+            if chance.happens(0.7) {
+                let span = chance.below(25);
+                fleet.pass(span);
+                let victim = if chance.happens(0.8) { leader } else { chance.below(3) as usize };
+                fleet.kill(victim);
+                kill_count += 1;
+                fleet.pass(400);
+                fleet.start(victim);
+            }
+            fleet.pass(1000);
+            for (sent, ticket) in rivals.iter().zip(tickets) {
+                let mut verdict = fleet
+                    .replies
+                    .remove(&ticket)
+                    .map_or(Verdict::Unknown, |reply| verdict_of(&reply));
+                let mut try_count = 0;
+                while matches!(verdict, Verdict::Unknown | Verdict::NotAccepted) && try_count < 8 {
+                    unknown_count += usize::from(verdict == Verdict::Unknown);
+                    let at = fleet.await_leader();
+                    let was_taken = fleet.accepted(at).is_some_and(|held| sent.is_in(held));
+                    again_count += usize::from(was_taken);
+                    let reply = fleet.asked(at, sent.operation());
+                    verdict = reply.map_or(Verdict::Unknown, |reply| verdict_of(&reply));
+                    if was_taken {
+                        verify_that!(verdict, eq(Verdict::Accepted))?;
+                    }
+                    try_count += 1;
+                }
+                match verdict {
+                    Verdict::Accepted => accepted.push(sent.clone()),
+                    Verdict::Stale | Verdict::Invalid => {
+                        let is_committed =
+                            fleet.committed.iter().any(|document| sent.is_in(document));
+                        verify_that!(is_committed, eq(false))?;
+                    }
+                    _ => {}
+                }
+            }
+        }
+        check_chain(&fleet, &all_sent)?;
+        let leader = fleet.await_leader();
+        let newest = fleet.accepted(leader).expect("a document").clone();
+        for sent in &accepted {
+            verify_that!(sent.is_in(&newest), eq(true))?;
+        }
+        let bases: Vec<u64> = accepted.iter().map(|sent| sent.base_number).collect();
+        let different: BTreeSet<(u64, u64, u64)> =
+            accepted.iter().map(|sent| (sent.number, sent.base_number, sent.content)).collect();
+        let different_bases: BTreeSet<u64> = bases.into_iter().collect();
+        verify_that!(different.len(), eq(different_bases.len()))?;
+    }
+    verify_that!(unknown_count.min(again_count).min(kill_count), ge(10))
+}
+
+#[gtest]
+fn the_same_change_sent_twice_at_once_is_one_change() -> Result<()> {
+    let mut fleet = founded(4);
+    let leader = fleet.await_leader();
+    let sent = Sent { number: 5, base_number: 0, content: 1 };
+    let rival = Sent { number: 5, base_number: 0, content: 2 };
+    let tickets = [&sent, &sent, &rival].map(|change| fleet.ask(leader, change.operation()));
+    fleet.pass(1000);
+    let verdicts = tickets.map(|ticket| verdict_of(&fleet.replies[&ticket]));
+    verify_that!(verdicts, eq([Verdict::Accepted, Verdict::Accepted, Verdict::Stale]))?;
+    verify_that!(fleet.accepted(leader).expect("one").number, eq(5))
+}
+
+fn function(memory_mb: u64) -> Value {
+    json!({"memory_mb": memory_mb, "boot_ms": 100, "slots": 2, "labels": {"kept": [memory_mb]}})
+}
+
+fn route(name: &str, function: &str) -> Value {
+    json!({"method": "POST", "path": format!("/{name}"), "function": function,
+           "budget_ms": 1000, "kind": "once", "labels": {"of": name}})
+}
+
+fn change(numbering: Numbering, kind: ChangeKind) -> Operation {
+    let numbering = Some(numbering);
+    Operation::Change { base: None, numbering, change: None, kind, wait: Wait::Accepted }
+}
+
+#[gtest]
+fn items_are_put_whole_and_removed_by_name() -> Result<()> {
+    let mut fleet = founded(2);
+    let leader = fleet.await_leader();
+    let first = json!({
+        "functions": {"a": function(100), "b": function(200)},
+        "routes": {"ra": route("ra", "a"), "rb": route("rb", "b")},
+        "labels": {"day": "one"},
+    });
+    let numbering = Numbering { number: 3, base_number: 0 };
+    let reply = fleet.asked(leader, change(numbering, ChangeKind::Whole(first)));
+    verify_that!(reply.map(|reply| verdict_of(&reply)), some(eq(Verdict::Accepted)))?;
+    let items = ItemChange {
+        put_functions: BTreeMap::from([("c".to_owned(), function(300))]),
+        remove_functions: BTreeSet::from(["b".to_owned(), "nobody".to_owned()]),
+        put_routes: BTreeMap::from([("ra".to_owned(), route("other", "c"))]),
+        remove_routes: BTreeSet::from(["rb".to_owned()]),
+        limits: Some(json!({"body_bytes": 4096})),
+        labels: None,
+    };
+    let numbering = Numbering { number: 8, base_number: 3 };
+    let kind = ChangeKind::Items(Box::new(items));
+    for _ in 0..2 {
+        let reply = fleet.asked(leader, change(numbering, kind.clone()));
+        verify_that!(reply.map(|reply| verdict_of(&reply)), some(eq(Verdict::Accepted)))?;
+    }
+    let expected = json!({
+        "functions": {"a": function(100), "c": function(300)},
+        "routes": {"ra": route("other", "c")},
+        "limits": {"body_bytes": 4096},
+        "labels": {"day": "one"},
+    });
+    verify_that!(fleet.accepted(leader).expect("one").spec, eq(&expected))?;
+    let dangling =
+        ItemChange { remove_functions: BTreeSet::from(["c".to_owned()]), ..ItemChange::default() };
+    let numbering = Numbering { number: 9, base_number: 8 };
+    let kind = ChangeKind::Items(Box::new(dangling));
+    let reply = fleet.asked(leader, change(numbering, kind));
+    verify_that!(reply.map(|reply| verdict_of(&reply)), some(eq(Verdict::Invalid)))?;
+    verify_that!(fleet.accepted(leader).expect("one").number, eq(8))
+}
--- /dev/null
+++ b/crates/survey/tests/plane/tongue.rs
@@ -0,0 +1,128 @@
+//! The product's own operators' interface, there and back.
+
+use googletest::prelude::*;
+use http_body_util::BodyExt;
+use hyper::http::request::Parts;
+use hyper::{Method, Request};
+use serde_json::{Value, json};
+use survey::drivers::{OperatorsTongue, OwnOperators};
+use survey::plane::{ChangeKind, Numbering, Operation, OperationReply, Wait};
+use waymark::http::Served;
+use waymark::identity::{ChangeId, Serial};
+use waymark::spec::Document;
+
+fn head(method: Method, target: &str) -> Parts {
+    Request::builder().method(method).uri(target).body(()).expect("a request").into_parts().0
+}
+
+fn read(method: Method, target: &str, body: &Value) -> std::result::Result<Operation, Box<Served>> {
+    OwnOperators.read(&head(method, target), body.to_string().as_bytes())
+}
+
+async fn told(served: Served) -> (u16, Value) {
+    let status = served.status().as_u16();
+    let body = served.into_body().collect().await.expect("a body").to_bytes();
+    (status, serde_json::from_slice(&body).expect("JSON"))
+}
+
+fn said(reply: OperationReply) -> Served {
+    OwnOperators.say(&Operation::ReadSpec, reply)
+}
+
+#[tokio::test]
+async fn numbers_stand_in_for_a_serial_and_items_for_a_patch() {
+    let body = json!({
+        "number": 7, "base_number": 5, "change_id": "c",
+        "put": {"routes": {"r": {"kind": "once"}}, "limits": {"idle_ms": 5}},
+        "remove": {"functions": ["f"]},
+    });
+    let Ok(Operation::Change { base, numbering, change, kind, wait }) =
+        read(Method::PATCH, "/v1/spec", &body)
+    else {
+        panic!("a change");
+    };
+    assert_that!(base, none());
+    assert_that!(numbering, some(eq(Numbering { number: 7, base_number: 5 })));
+    assert_that!(change, some(eq(&ChangeId::from("c"))));
+    assert_that!(wait, eq(Wait::Accepted));
+    let ChangeKind::Items(items) = kind else { panic!("items") };
+    assert_that!(items.put_routes["r"], eq(&json!({"kind": "once"})));
+    assert_that!(items.put_functions.is_empty(), eq(true));
+    assert_that!(items.remove_functions.contains("f"), eq(true));
+    assert_that!(items.limits, some(eq(&json!({"idle_ms": 5}))));
+}
+
+#[tokio::test]
+async fn what_lacks_its_base_or_mixes_both_ways_is_refused_with_its_path() {
+    let cases = [
+        (json!({"change_id": "c", "patch": {}}), "base_serial"),
+        (json!({"change_id": "c", "patch": {}, "number": 3}), "base_number"),
+        (json!({"change_id": "c", "base_serial": 1, "patch": {}, "put": {}}), "patch"),
+        (json!({"change_id": "c", "base_serial": 1, "put": {"roads": {}}}), "put.roads"),
+        (json!({"base_serial": 1, "put": {}}), "change_id"),
+    ];
+    for (body, path) in cases {
+        let Err(served) = read(Method::PATCH, "/v1/spec", &body) else { panic!("{body}") };
+        let (status, answer) = told(*served).await;
+        assert_that!(status, eq(422));
+        assert_that!(answer["state"], eq(&json!("not_accepted")));
+        let paths: Vec<&str> = answer["faults"]
+            .as_array()
+            .expect("faults")
+            .iter()
+            .filter_map(|fault| fault["path"].as_str())
+            .collect();
+        assert_that!(paths, contains(eq(&path)));
+    }
+}
+
+#[tokio::test]
+async fn each_answer_has_its_status_and_words() {
+    let change = ChangeId::from("c");
+    let accepted = |number, in_force| OperationReply::Accepted {
+        change: change.clone(),
+        serial: Serial(4),
+        number,
+        in_force,
+    };
+    let named = Some(change.clone());
+    let cases = [
+        (accepted(0, false), 200, json!({"state": "accepted", "serial": 4, "change_id": "c"})),
+        (
+            accepted(9, true),
+            200,
+            json!({"state": "in_force", "serial": 4, "number": 9, "change_id": "c"}),
+        ),
+        (
+            OperationReply::Stale { change: change.clone(), serial: Serial(6), number: 0 },
+            409,
+            json!({"error": "stale_base", "state": "not_accepted", "serial": 6, "change_id": "c"}),
+        ),
+        (
+            OperationReply::NotAccepted { reason: "no_quorum", change: named.clone() },
+            503,
+            json!({"error": "no_quorum", "state": "not_accepted", "change_id": "c"}),
+        ),
+        (
+            OperationReply::Unknown { reason: "no_quorum", change: named },
+            503,
+            json!({"error": "no_quorum", "state": "unknown", "change_id": "c"}),
+        ),
+        (
+            OperationReply::Unknown { reason: "leader_lost", change: None },
+            503,
+            json!({"error": "leader_lost", "state": "unknown"}),
+        ),
+        (OperationReply::NotNow("no_leader"), 503, json!({"error": "no_leader"})),
+    ];
+    for (reply, status, body) in cases {
+        assert_that!(told(said(reply)).await, eq(&(status, body)));
+    }
+    let document = Box::new(Document::founding(Vec::new()).numbered(12));
+    let (status, body) = told(said(OperationReply::Spec { document, in_force: Serial(1) })).await;
+    let expected = json!({
+        "serial": 1, "number": 12, "in_force": 1, "evacuated": [],
+        "spec": {"functions": {}, "routes": {}},
+    });
+    assert_that!((status, body), eq(&(200, expected)));
+}
