--- a/crates/survey/src/desk/claims.rs
+++ b/crates/survey/src/desk/claims.rs
@@ -1,10 +1,10 @@
-use super::workers::Reservation;
+use super::reservations::Reservation;
 use super::{Desk, GrantEntry, StreamId};
 use serde_json::json;
 use std::collections::BTreeSet;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::frames::{Claim, KnownMember, StreamDown};
+use waymark::frames::{Claim, ClaimRunner, KnownMember, StreamDown};
 use waymark::identity::{FunctionKey, RunnerId};
 
 impl Desk {
@@ -19,25 +19,29 @@
             .flat_map(|claim| claim.runners.0.iter().map(|listed| listed.runner))
             .collect();
         for claim in ending_claims {
-            self.take_ending(claim);
+            self.take_ending(now, claim.function, claim.runners.0);
         }
         for claim in claims {
             self.take_claim(now, stream, &claimant, claim);
         }
-        for (function, entry) in &mut self.entries {
-            let is_dropped = entry.holder == claimant && !claimed_functions.contains(function);
-            if is_dropped && entry.fencing_since.is_none() {
-                entry.fencing_since = Some(now);
-            }
+        let dropped_functions: Vec<FunctionKey> = self
+            .entries
+            .iter()
+            .filter(|(function, entry)| {
+                entry.holder == claimant && !claimed_functions.contains(*function)
+            })
+            .map(|(function, _)| function.clone())
+            .collect();
+        for dropped_function in dropped_functions {
+            self.begin_fencing(now, &dropped_function);
         }
-        for (runner, reservation) in &mut self.reservations {
-            let is_claimants = self
-                .entries
-                .get(&reservation.function)
-                .is_some_and(|entry| entry.holder == claimant && entry.grant == runner.grant);
-            if is_claimants && !claimed_runners.contains(runner) {
-                reservation.stop_wanted = true;
-            }
+        let unclaimed_runners: Vec<RunnerId> = self
+            .runners_of(&claimant)
+            .into_iter()
+            .filter(|runner| !claimed_runners.contains(runner))
+            .collect();
+        for unclaimed_runner in unclaimed_runners {
+            self.reservations.want_stop(unclaimed_runner);
         }
         if let Some(record) = self.members.get_mut(&claimant) {
             record.claimed = true;
@@ -51,31 +55,60 @@
         for entry in self.entries.values_mut().filter(|entry| entry.holder == *claimant) {
             entry.handing_over = false;
         }
-        let entries = &self.entries;
-        for (runner, reservation) in &mut self.reservations {
-            let is_claimants = entries
-                .get(&reservation.function)
-                .is_some_and(|entry| entry.holder == *claimant && entry.grant == runner.grant);
-            if is_claimants {
-                reservation.draining = false;
-            }
+        for runner in self.runners_of(claimant) {
+            self.reservations.note(runner, |held| held.draining = false);
         }
         self.hand_over_evacuated();
     }
 
-    /// Runners of a function given up stand in the way of its next grant until they are stopped.
-    fn take_ending(&mut self, claim: Claim) {
-        for listed in claim.runners.0 {
-            let reservation = self.reservations.entry(listed.runner).or_insert(Reservation {
-                function: claim.function.clone(),
-                worker: listed.worker,
-                memory_mb: listed.memory_mb,
-                ready: true,
-                draining: true,
-                stop_wanted: true,
-                stop_asked_at: None,
-            });
-            reservation.stop_wanted = true;
+    /// The runners under the grants that a daemon holds.
+    fn runners_of(&self, holder: &KnownMember) -> Vec<RunnerId> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.holder == *holder && entry.fencing_since.is_none())
+            .flat_map(|(function, entry)| {
+                let runners = self.reservations.of(function).map(|(runner, _)| runner);
+                runners.filter(|runner| runner.grant == entry.grant)
+            })
+            .collect()
+    }
+
+    /// Runners of a function given up are left for its next holder, or stand in the way of its next
+    /// grant until they are stopped. A life that somebody else has by now is no longer theirs.
+    pub(super) fn take_ending(
+        &mut self,
+        now: Moment,
+        function: FunctionKey,
+        listed_runners: Vec<ClaimRunner>,
+    ) {
+        for listed in listed_runners {
+            let life = listed.life.0.into_iter().next();
+            let life_name = life.as_ref().map(|life| &life.name);
+            let owner = life_name.and_then(|name| self.reservations.with_life(name));
+            let is_anothers = owner.is_some_and(|owner| owner != listed.runner);
+            let is_renamed = self.reservations.name_now(listed.runner) != listed.runner;
+            if is_anothers || is_renamed || self.reservations.has_ended(listed.runner, life_name) {
+                continue;
+            }
+            if self.reservations.get(listed.runner).is_none() {
+                let memory_mb = listed.memory_mb;
+                let mut reservation = Reservation::new(function.clone(), listed.worker, memory_mb);
+                reservation.ready = listed.fit.0;
+                self.reservations.insert(listed.runner, reservation);
+                if let Some(life) = life {
+                    self.reservations.begun(listed.runner, life, now);
+                }
+                self.leave_or_stop(now, listed.runner);
+                continue;
+            }
+            if let Some(life) = life {
+                self.reservations.begun(listed.runner, life, now);
+            }
+            if listed.fit.0 {
+                self.reservations.note(listed.runner, |held| held.ready = true);
+            } else {
+                self.reservations.want_stop(listed.runner);
+            }
         }
     }
 
@@ -88,11 +121,15 @@
         let is_older = standing.is_some_and(|entry| entry.grant < claim.grant) && !self.opened;
         if is_older && let Some(entry) = standing {
             let loser_record = self.members.get(&entry.holder);
+            let frame = StreamDown::Revoke { function: claim.function.clone(), grant: entry.grant };
             if let Some(loser_stream) = loser_record.and_then(|record| record.stream) {
-                let frame =
-                    StreamDown::Revoke { function: claim.function.clone(), grant: entry.grant };
                 self.down(loser_stream, frame);
             }
+            let losing_runners: Vec<RunnerId> =
+                self.reservations.of(&claim.function).map(|(runner, _)| runner).collect();
+            for losing_runner in losing_runners {
+                self.reservations.want_stop(losing_runner);
+            }
         }
         if !(is_same || is_free || is_older) {
             self.tell(
@@ -121,18 +158,25 @@
         if let Some(record) = self.members.get_mut(claimant) {
             let claimed_bound = self.elected_at + self.timing.full_wait();
             record.grant_bound = record.grant_bound.max(claimed_bound);
+            record.swept = false;
             record.heard_at = now;
         }
         for listed in claim.runners.0 {
-            self.reservations.entry(listed.runner).or_insert(Reservation {
-                function: claim.function.clone(),
-                worker: listed.worker,
-                memory_mb: listed.memory_mb,
-                ready: true,
-                draining: false,
-                stop_wanted: false,
-                stop_asked_at: None,
-            });
+            let is_new = self.reservations.get(listed.runner).is_none();
+            if is_new && self.reservations.has_ended(listed.runner, None) {
+                continue;
+            }
+            if is_new {
+                let (function, memory_mb) = (claim.function.clone(), listed.memory_mb);
+                let reservation = Reservation::new(function, listed.worker, memory_mb);
+                self.reservations.insert(listed.runner, reservation);
+            }
+            if let Some(life) = listed.life.0.into_iter().next() {
+                self.reservations.begun(listed.runner, life, now);
+            }
+            if is_new || listed.fit.0 {
+                self.reservations.note(listed.runner, |held| held.ready = listed.fit.0);
+            }
         }
     }
 }
--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -1,4 +1,4 @@
-use super::{Desk, DeskOutput, ListedRunner, StreamId, TraceStep};
+use super::{Desk, DeskOutput, StreamId, TraceStep};
 use serde_json::json;
 use waymark::clock::Moment;
 use waymark::events;
@@ -27,6 +27,8 @@
                 self.tell(events::SPEC_FAILED, detail);
             }
         }
+        self.stewards_due = true;
+        self.acquires_changed = true;
         self.longest_budget = self.longest_budget.max(self.table.longest_budget());
         self.document = Some(document);
         if self.views.back().is_none_or(|newest_view| newest_view.serial < view.serial) {
@@ -159,23 +161,26 @@
     }
 
     /// Tells the holder to drain a runner that the platform says is about to leave.
-    pub(super) fn drain_leaving(&mut self, listed: &ListedRunner) {
-        let is_news = self.reservations.get(&listed.runner).is_some_and(|held| !held.draining);
-        if is_news && self.rules.keep(Rule::DrainObeyed) {
-            self.drain(listed.function.clone(), listed.runner);
+    pub(super) fn drain_leaving(&mut self, runner: RunnerId) {
+        let Some(held) = self.reservations.get(runner) else { return };
+        if !held.draining && self.rules.keep(Rule::DrainObeyed) {
+            let function = held.function.clone();
+            self.drain(function, runner);
         }
     }
 
     pub(super) fn drain(&mut self, function: FunctionKey, runner: RunnerId) {
+        if self.reservations.get(runner).is_some_and(|held| held.is_left()) {
+            self.reservations.want_stop(runner);
+            return;
+        }
         let Some(entry) = self.entries.get(&function) else { return };
         if entry.grant != runner.grant {
             return;
         }
         let holder_record = self.members.get(&entry.holder);
         let Some(stream) = holder_record.and_then(|record| record.stream) else { return };
-        if let Some(reservation) = self.reservations.get_mut(&runner) {
-            reservation.draining = true;
-        }
+        self.reservations.note(runner, |held| held.draining = true);
         self.down(stream, StreamDown::Drain { function, runner });
     }
 
--- a/crates/survey/src/desk/emptying.rs
+++ b/crates/survey/src/desk/emptying.rs
@@ -20,7 +20,7 @@
 impl Desk {
     /// Empties the least used worker when all its runners fit on the others in use, one at a time.
     pub(super) fn empty_workers(&mut self, now: Moment) {
-        if !self.opened {
+        if !self.opened || !self.timing.emptying {
             return;
         }
         if let Some(emptying) = &self.emptying {
--- a/crates/survey/src/desk/fence.rs
+++ b/crates/survey/src/desk/fence.rs
@@ -2,63 +2,171 @@
 use serde_json::json;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::identity::{FunctionKey, RunnerId};
+use waymark::frames::{KnownMember, StreamDown};
+use waymark::identity::{FunctionKey, MemberName, RunnerId};
 use waymark::rules::Rule;
+use waymark::tongue::StopOrder;
 
-const KEPT_ENDED: usize = 8192;
+/// Without the rule that a grant is outwaited, a holder counts as lost so soon after it was heard.
+const TOO_SOON: std::time::Duration = std::time::Duration::from_millis(400);
 
 impl Desk {
-    /// Has the runners of lost holders stopped through the platform, and frees what is stopped.
+    /// Ends the entries of lost holders: their runners are left for the next holder, or stopped through
+    /// the platform.
     pub(super) fn fence(&mut self, now: Moment) {
         if !self.opened {
             return;
         }
-        let lost_functions: Vec<FunctionKey> = self
-            .entries
+        self.sweep_lost(now);
+        self.give_up_left(now);
+        self.order_stops(now);
+        self.clear_fenced(now);
+    }
+
+    fn sweep_lost(&mut self, now: Moment) {
+        let outwaits = self.rules.keep(Rule::GrantOutwaited);
+        let lost_members: Vec<KnownMember> = self
+            .members
             .iter()
-            .filter(|(_, entry)| entry.fencing_since.is_none())
-            .filter(|(_, entry)| {
-                self.members.get(&entry.holder).is_none_or(|record| now >= record.grant_bound)
+            .filter(|(_, record)| {
+                let is_early = !outwaits && now.since(record.heard_at) > TOO_SOON;
+                !record.swept && (now >= record.grant_bound || is_early)
             })
+            .map(|(known_member, _)| known_member.clone())
+            .collect();
+        for lost_member in lost_members {
+            if let Some(record) = self.members.get_mut(&lost_member) {
+                record.swept = true;
+            }
+            self.fence_all_of(now, &lost_member);
+        }
+    }
+
+    /// Fences every function of a daemon whose grant is over.
+    pub(super) fn fence_all_of(&mut self, now: Moment, holder: &KnownMember) {
+        let held_functions: Vec<FunctionKey> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.holder == *holder && entry.fencing_since.is_none())
             .map(|(function, _)| function.clone())
             .collect();
-        for lost_function in lost_functions {
-            let Some(entry) = self.entries.get_mut(&lost_function) else { continue };
-            entry.fencing_since = Some(now);
+        for held_function in held_functions {
+            self.begin_fencing(now, &held_function);
+            let Some(entry) = self.entries.get(&held_function) else { continue };
             let detail = json!({
-                "function": lost_function.to_string(),
+                "function": held_function.to_string(),
                 "member": entry.holder.member.as_str(),
                 "grant": entry.grant.0,
             });
             self.tell(events::FENCING, detail);
         }
+    }
+
+    /// The holder has lost the function: each of its runners is left as it stands, or stopped.
+    pub(super) fn begin_fencing(&mut self, now: Moment, function: &FunctionKey) {
+        let Some(entry) = self.entries.get_mut(function) else { return };
+        if entry.fencing_since.is_some() {
+            return;
+        }
+        entry.fencing_since = Some(now);
+        let grant = entry.grant;
+        self.fencing.insert(function.clone());
+        self.acquires_changed = true;
+        let held_runners: Vec<RunnerId> = self
+            .reservations
+            .of(function)
+            .filter(|(runner, held)| runner.grant == grant && held.left_since.is_none())
+            .map(|(runner, _)| runner)
+            .collect();
+        for held_runner in held_runners {
+            self.leave_or_stop(now, held_runner);
+        }
+    }
+
+    /// A runner that nobody holds is left for the next holder if it is fit to be taken over.
+    pub(super) fn leave_or_stop(&mut self, now: Moment, runner: RunnerId) {
+        let Some(held) = self.reservations.get(runner) else { return };
+        let is_wanted = self.table.function_of(&held.function).is_some();
+        let is_on_fit_worker = !self.workers_listed || self.is_worker_fit(&held.worker);
+        if held.is_fit() && is_wanted && is_on_fit_worker {
+            let detail = json!({
+                "function": held.function.to_string(),
+                "runner": runner.to_string(),
+                "worker": held.worker.as_str(),
+            });
+            self.reservations.leave(runner, now);
+            self.tell(events::RUNNER_LEFT, detail);
+        } else {
+            self.reservations.want_stop(runner);
+        }
+    }
+
+    /// Stops what was left and nobody took.
+    fn give_up_left(&mut self, now: Moment) {
+        let left_for = self.timing.left_for;
+        let opened_at = self.opened_at;
+        let untaken_runners: Vec<RunnerId> = self
+            .reservations
+            .left()
+            .iter()
+            .copied()
+            .filter(|runner| {
+                let left_since = self.reservations.get(*runner).and_then(|held| held.left_since);
+                left_since.is_none_or(|since| now.since(since.max(opened_at)) >= left_for)
+            })
+            .collect();
+        for untaken_runner in untaken_runners {
+            self.reservations.want_stop(untaken_runner);
+        }
+    }
+
+    fn order_stops(&mut self, now: Moment) {
         let stop_again_after = self.timing.stop_again_after;
-        let mut due_runners: Vec<RunnerId> = Vec::new();
-        for (runner, reservation) in &mut self.reservations {
-            let is_held = self
+        let due_runners: Vec<RunnerId> = self
+            .reservations
+            .stopping()
+            .iter()
+            .copied()
+            .filter(|runner| {
+                let asked_at = self.reservations.get(*runner).and_then(|held| held.stop_asked_at);
+                asked_at.is_none_or(|asked_at| now.since(asked_at) >= stop_again_after)
+            })
+            .collect();
+        for due_runner in due_runners {
+            self.reservations.note(due_runner, |held| held.stop_asked_at = Some(now));
+            let Some(held) = self.reservations.get(due_runner) else { continue };
+            let member = self
                 .entries
-                .get(&reservation.function)
-                .is_some_and(|entry| entry.grant == runner.grant && entry.fencing_since.is_none());
-            let is_due = reservation
-                .stop_asked_at
-                .is_none_or(|asked_at| now.since(asked_at) >= stop_again_after);
-            if (!is_held || reservation.stop_wanted) && is_due {
-                reservation.stop_asked_at = Some(now);
-                due_runners.push(*runner);
-            }
+                .get(&held.function)
+                .map_or_else(|| MemberName::from("leader"), |entry| entry.holder.member.clone());
+            self.outputs.push(DeskOutput::StopRunner(StopOrder {
+                runner: due_runner,
+                function: held.function.clone(),
+                worker: held.worker.clone(),
+                life: held.life.as_ref().map(|life| life.name.clone()),
+                member,
+            }));
         }
-        self.outputs.extend(due_runners.into_iter().map(DeskOutput::StopRunner));
+    }
+
+    /// An entry is over when each of its runners is left, or has surely stopped.
+    fn clear_fenced(&mut self, now: Moment) {
+        if self.fencing.is_empty() {
+            return;
+        }
+        let needs_stops = self.rules.keep(Rule::FenceBeforeRegrant);
         let cleared_functions: Vec<(FunctionKey, Moment)> = self
-            .entries
+            .fencing
             .iter()
-            .filter(|(function, entry)| {
-                let is_fenced = !self.reservations.iter().any(|(runner, held)| {
-                    held.function == **function && runner.grant == entry.grant
-                });
-                entry.fencing_since.is_some()
-                    && (is_fenced || !self.rules.keep(Rule::FenceBeforeRegrant))
+            .filter_map(|function| {
+                let entry = self.entries.get(function)?;
+                let is_standing = self
+                    .reservations
+                    .of(function)
+                    .any(|(runner, held)| runner.grant == entry.grant && !held.is_left());
+                let is_over = !is_standing || !needs_stops;
+                is_over.then(|| (function.clone(), entry.fencing_since.unwrap_or(now)))
             })
-            .map(|(function, entry)| (function.clone(), entry.fencing_since.unwrap_or(now)))
             .collect();
         for (cleared_function, grant_end) in cleared_functions {
             self.end_entry(now, &cleared_function, grant_end);
@@ -68,11 +176,9 @@
 
     /// The platform has confirmed that a runner is stopped and will never start.
     pub fn runner_stopped(&mut self, runner: RunnerId) {
-        self.ended.insert(runner);
-        if self.ended.len() > KEPT_ENDED {
-            self.ended.pop_first();
-        }
-        if let Some(reservation) = self.reservations.remove(&runner) {
+        let runner = self.reservations.name_now(runner);
+        self.acquires_changed = true;
+        if let Some(reservation) = self.reservations.end(runner) {
             self.tell(
                 events::RUNNER_STOPPED,
                 json!({
@@ -83,4 +189,26 @@
             );
         }
     }
+
+    /// A runner is gone without its holder's doing: the holder is told, and the reservation is free.
+    pub(super) fn runner_vanished(&mut self, runner: RunnerId) {
+        let Some(held) = self.reservations.get(runner) else { return };
+        let function = held.function.clone();
+        let detail = json!({
+            "function": function.to_string(),
+            "runner": runner.to_string(),
+            "worker": held.worker.as_str(),
+        });
+        let stream = self
+            .entries
+            .get(&function)
+            .filter(|entry| entry.grant == runner.grant)
+            .and_then(|entry| self.members.get(&entry.holder)?.stream);
+        self.reservations.end(runner);
+        self.acquires_changed = true;
+        self.tell(events::RUNNER_VANISHED, detail);
+        if let Some(stream) = stream {
+            self.down(stream, StreamDown::Vanished { function, runner });
+        }
+    }
 }
--- a/crates/survey/src/desk/functions.rs
+++ b/crates/survey/src/desk/functions.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::frames::{AcquireResult, HopReason, Many, Prior, RunnerNews, StreamDown};
+use waymark::frames::{
+    AcquireResult, ClaimRunner, HopReason, KnownMember, Many, Prior, RunnerNews, StreamDown,
+};
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId};
 use waymark::rules::Rule;
 
@@ -15,6 +17,8 @@
 const FENCE_SPAN: Duration = Duration::from_millis(100);
 /// How long after an election daemons that are alive have claimed, as a rule.
 const CLAIMS_SPAN: Duration = Duration::from_millis(700);
+/// Open questions are looked at again so often although nothing has changed.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// How long a question is kept open.
 const ACQUIRE_PATIENCE: Duration = Duration::from_secs(6);
 /// A shorter wait is waited out with the question open.
@@ -24,6 +28,12 @@
     /// Answers each acquisition that can be answered: grants to the asker when nobody holds, and says
     /// how long it will be if that is known.
     pub(super) fn answer_acquires(&mut self, now: Moment) {
+        let is_due = now.since(self.acquires_looked_at) >= LOOK_EVERY;
+        if !is_due && !std::mem::take(&mut self.acquires_changed) {
+            return;
+        }
+        self.acquires_changed = false;
+        self.acquires_looked_at = now;
         for acquire in std::mem::take(&mut self.acquires) {
             let Some(result) = self.decide_acquire(now, &acquire) else {
                 self.keep_waiting(now, acquire);
@@ -105,7 +115,7 @@
         if !self.opened {
             return None;
         }
-        let has_runners = self.reservations.values().any(|held| held.function == acquire.function);
+        let has_runners = self.reservations.of(&acquire.function).any(|(_, held)| !held.is_left());
         if has_runners && self.rules.keep(Rule::FenceBeforeRegrant) {
             return None;
         }
@@ -120,9 +130,15 @@
         if !self.is_serving(&asker, now) {
             return None;
         }
+        if !self.check_left(&acquire.function) {
+            return None;
+        }
         let grant = self.next_number();
+        let is_noted = self.is_noted(&acquire.function);
         let once_from = self.once_from.get(&acquire.function).copied().unwrap_or_default();
-        let once_wait = once_from.max(self.once_boundary(&acquire.function)).since(now);
+        let once_boundary = once_from.max(self.once_boundary(&acquire.function));
+        let once_wait = if is_noted { once_boundary.since(now) } else { Duration::ZERO };
+        let adopted = self.adopt_left(&acquire.function, grant);
         self.tell(
             events::GRANTED,
             json!({
@@ -130,9 +146,11 @@
                 "member": asker.member.as_str(),
                 "grant": grant.0,
                 "once_wait_ms": once_wait.as_millis() as u64,
+                "adopted": adopted.len(),
             }),
         );
-        let steward = self.choose_steward(now, &acquire.function, &asker, None);
+        let steward =
+            if is_noted { self.choose_steward(now, &acquire.function, &asker, None) } else { None };
         let prior = self.priors.get(&acquire.function).filter(|_| !once_wait.is_zero()).cloned();
         let entry = GrantEntry {
             holder: asker,
@@ -148,36 +166,98 @@
             once_wait_ms: once_wait.as_millis() as u32,
             steward: Many(steward.into_iter().collect()),
             prior: Many(prior.into_iter().collect()),
-            adopted: Many(Vec::new()),
+            adopted: Many(adopted),
         })
     }
 
+    /// Whether a function's once-transactions are noted elsewhere and waited for.
+    fn is_noted(&self, function: &FunctionKey) -> bool {
+        self.table.index_of(function).is_none_or(|index| self.table.is_noted(index))
+    }
+
+    /// A function whose ledger has come to be wanted gets a steward.
+    pub(super) fn name_stewards(&mut self, now: Moment) {
+        if !std::mem::take(&mut self.stewards_due) {
+            return;
+        }
+        let wanting_functions: Vec<(FunctionKey, GrantSerial, KnownMember)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.steward.is_none() && entry.fencing_since.is_none())
+            .filter(|(function, _)| self.is_noted(function))
+            .map(|(function, entry)| (function.clone(), entry.grant, entry.holder.clone()))
+            .collect();
+        for (function, grant, holder) in wanting_functions {
+            let stream = self.members.get(&holder).and_then(|record| record.stream);
+            let steward = self.choose_steward(now, &function, &holder, None);
+            let (Some(stream), Some(steward)) = (stream, steward) else { continue };
+            if let Some(entry) = self.entries.get_mut(&function) {
+                entry.steward = Some(steward.clone());
+                entry.whole = false;
+            }
+            let steward = Many(vec![steward]);
+            self.down(stream, StreamDown::Steward { function, grant, steward });
+        }
+    }
+
+    /// Whether every runner left of a function can still be taken over; one that cannot is stopped
+    /// first.
+    fn check_left(&mut self, function: &FunctionKey) -> bool {
+        let unfit_runners: Vec<RunnerId> = self
+            .reservations
+            .of(function)
+            .filter(|(_, held)| held.is_left())
+            .filter(|(_, held)| {
+                !held.is_fit() || (self.workers_listed && !self.is_worker_fit(&held.worker))
+            })
+            .map(|(runner, _)| runner)
+            .collect();
+        for unfit_runner in &unfit_runners {
+            self.reservations.want_stop(*unfit_runner);
+        }
+        unfit_runners.is_empty() || !self.rules.keep(Rule::FenceBeforeRegrant)
+    }
+
+    /// The runners left of a function go to its next holder, under new names.
+    fn adopt_left(&mut self, function: &FunctionKey, grant: GrantSerial) -> Vec<ClaimRunner> {
+        let left_runners: Vec<RunnerId> = self
+            .reservations
+            .of(function)
+            .filter(|(_, held)| held.is_left())
+            .map(|(runner, _)| runner)
+            .collect();
+        let is_once = self.rules.keep(Rule::LifeAdoptedOnce);
+        let mut adopted = Vec::new();
+        for left_runner in left_runners {
+            let runner = RunnerId { grant, ordinal: self.next_number().0 };
+            self.reservations.adopt(left_runner, runner, is_once);
+            if let Some(held) = self.reservations.get(runner) {
+                adopted.push(held.as_claim(runner));
+            }
+        }
+        adopted
+    }
+
+    /// A holder gives a function back, and says which runners it leaves; one that holds it no more says
+    /// what it still had.
     pub(super) fn hear_release(
         &mut self,
         now: Moment,
         stream: StreamId,
-        function: &FunctionKey,
+        function: FunctionKey,
         grant: GrantSerial,
+        runners: Many<ClaimRunner>,
     ) {
         let Some(releaser) = self.streams.get(&stream).cloned() else { return };
         let is_holder = self
             .entries
-            .get(function)
+            .get(&function)
             .is_some_and(|entry| entry.holder == releaser && entry.grant == grant);
+        self.take_ending(now, function.clone(), runners.0);
         if !is_holder {
             return;
         }
-        let has_runners = self
-            .reservations
-            .iter()
-            .any(|(runner, held)| held.function == *function && runner.grant == grant);
-        if has_runners {
-            if let Some(entry) = self.entries.get_mut(function) {
-                entry.fencing_since.get_or_insert(now);
-            }
-        } else {
-            self.end_entry(now, function, now);
-        }
+        self.begin_fencing(now, &function);
         self.tell(
             events::RELEASED,
             json!({
@@ -189,6 +269,8 @@
     }
 
     pub(super) fn end_entry(&mut self, now: Moment, function: &FunctionKey, grant_end: Moment) {
+        self.fencing.remove(function);
+        self.acquires_changed = true;
         let ended_entry = self.entries.remove(function);
         let prior = ended_entry.filter(|entry| entry.whole).and_then(|entry| {
             let grant = entry.grant;
@@ -207,29 +289,42 @@
 
     pub(super) fn hear_runner_news(
         &mut self,
+        now: Moment,
         function: &FunctionKey,
         runner: RunnerId,
-        news: &RunnerNews,
+        news: RunnerNews,
     ) {
-        let Some(reservation) = self.reservations.get_mut(&runner) else { return };
-        if reservation.function != *function {
+        let name_now = self.reservations.name_now(runner);
+        let Some(held) = self.reservations.get(name_now) else { return };
+        if held.function != *function {
             return;
         }
         match news {
             RunnerNews::Ready => {
-                reservation.ready = true;
-                let worker = reservation.worker.to_string();
+                let worker = held.worker.to_string();
+                self.reservations.note(name_now, |held| held.ready = true);
                 self.tell(
                     events::RUNNER_READY,
                     json!({
                         "function": function.to_string(),
-                        "runner": runner.to_string(),
+                        "runner": name_now.to_string(),
                         "worker": worker,
                     }),
                 );
             }
-            RunnerNews::Gone => self.runner_stopped(runner),
-            RunnerNews::Begun { .. } => {}
+            RunnerNews::Gone if name_now != runner => self.runner_vanished(name_now),
+            RunnerNews::Gone => {
+                if held.life.is_none() && !held.stop_wanted {
+                    self.refused_at.insert(held.worker.clone(), now);
+                }
+                self.runner_stopped(runner);
+            }
+            RunnerNews::Begun { life } => {
+                let owner = self.reservations.with_life(&life.name);
+                if owner.is_none_or(|owner| owner == name_now) {
+                    self.reservations.begun(name_now, life, now);
+                }
+            }
         }
     }
 
--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -20,6 +20,7 @@
     pub pushed: Serial,
     pub claimed: bool,
     pub heard_at: Moment,
+    pub swept: bool,
 }
 
 pub(super) struct WaitingRenewal {
@@ -37,8 +38,16 @@
         door: Place,
         serial: Serial,
     ) {
-        let known_member =
-            KnownMember { member: host.member.clone(), incarnation: host.incarnation };
+        let known_member = KnownMember {
+            member: host.member.clone(),
+            incarnation: host.incarnation,
+            place: host.place,
+        };
+        self.end_earlier_lives(now, &known_member);
+        let is_reborn = self.last_known.iter().any(|known| known.is_reborn_as(&known_member));
+        if is_reborn && !self.members.contains_key(&known_member) {
+            self.reborn_at = now;
+        }
         let earlier_stream = self.members.get(&known_member).and_then(|record| record.stream);
         if let Some(earlier_stream) = earlier_stream {
             self.streams.remove(&earlier_stream);
@@ -58,7 +67,9 @@
             pushed: serial,
             claimed: false,
             heard_at: now,
+            swept: false,
         });
+        self.known_changed = true;
         record.stream = Some(stream);
         record.is_welcome = is_welcome;
         record.host = Host { eligible, ..host.clone() };
@@ -79,6 +90,27 @@
         );
     }
 
+    /// A new life at the same place holds that place's port: the earlier one is gone, and its grant with
+    /// it.
+    fn end_earlier_lives(&mut self, now: Moment, reborn: &KnownMember) {
+        let earlier_lives: Vec<KnownMember> =
+            self.members.keys().filter(|known| known.is_reborn_as(reborn)).cloned().collect();
+        for earlier_life in earlier_lives {
+            self.reborn_at = now;
+            let Some(record) = self.members.get_mut(&earlier_life) else { continue };
+            record.grant_end = record.grant_end.min(now);
+            record.grant_bound = record.grant_bound.min(now);
+            record.is_welcome = false;
+            record.host.eligible = Flag(false);
+            if let Some(earlier_stream) = record.stream.take() {
+                self.streams.remove(&earlier_stream);
+                self.acquires.retain(|acquire| acquire.stream != earlier_stream);
+                self.renewals.retain(|renewal| renewal.stream != earlier_stream);
+            }
+            self.fence_all_of(now, &earlier_life);
+        }
+    }
+
     pub(super) fn hear_renew(
         &mut self,
         now: Moment,
@@ -111,6 +143,7 @@
             record.host.eligible = Flag(false);
             record.grant_end = now;
             record.grant_bound = now;
+            record.swept = false;
             self.hosts_changed = true;
         }
         self.renewals.retain(|renewal| renewal.stream != stream);
@@ -139,6 +172,7 @@
             record.grant_end = record.grant_end.max(grant_end);
             record.grant_bound = record.grant_bound.max(grant_bound);
             record.heard_at = now;
+            record.swept = false;
             let length_ms = grant_end.since(renewal.asked_at).as_millis() as u32;
             let correlation = renewal.correlation;
             self.down(
@@ -150,18 +184,16 @@
 
     pub(super) fn expire_members(&mut self, now: Moment) {
         let forget_after = self.timing.forget_after;
-        let held_members: BTreeSet<&KnownMember> =
-            self.entries.values().map(|entry| &entry.holder).collect();
         let gone_members: Vec<KnownMember> = self
             .members
             .iter()
-            .filter(|(known_member, record)| {
+            .filter(|(_, record)| {
                 record.stream.is_none()
                     && now >= record.grant_bound
                     && now.since(record.heard_at) > forget_after
-                    && !held_members.contains(known_member)
             })
             .map(|(known_member, _)| known_member.clone())
+            .filter(|known_member| self.entries.values().all(|entry| entry.holder != *known_member))
             .collect();
         for gone_member in gone_members {
             self.members.remove(&gone_member);
@@ -169,6 +201,7 @@
                 self.current.remove(&gone_member.member);
             }
             self.hosts_changed = true;
+            self.known_changed = true;
         }
     }
 
@@ -182,6 +215,7 @@
                 std::mem::take(&mut self.last_known)
                     .into_iter()
                     .partition(|known_member| current.contains_key(&known_member.member));
+            self.known_changed |= !struck.is_empty();
             self.last_known = kept;
             for struck_member in struck {
                 self.tell(events::STRUCK_OFF, json!({"member": struck_member.member.as_str()}));
@@ -195,17 +229,30 @@
         };
         let claimed_count = self.last_known.iter().filter(|known| has_name_claimed(known)).count();
         let has_majority = self.last_known.is_empty() || claimed_count * 2 > self.last_known.len();
+        let is_reborn = |known: &KnownMember| {
+            let now_known = self.current.get(&known.member);
+            now_known.is_some_and(|reborn| known.is_reborn_as(reborn) && has_claimed(reborn))
+        };
+        let has_reborn = self.last_known.iter().any(&is_reborn);
+        let reborn_from = self.reborn_at + self.timing.start_settle;
+        let listed_from =
+            if has_reborn { reborn_from.max(self.elected_at) } else { self.elected_at };
+        let is_list_new = self.runners_listed_at >= listed_from;
         let all_claimed = self.last_known_whole
             && !self.last_known.is_empty()
-            && self.last_known.iter().all(has_claimed);
+            && is_list_new
+            && self.last_known.iter().all(|known| has_claimed(known) || is_reborn(known));
         let full_wait_end = self.elected_at + self.timing.claims_wait;
         let has_waited = now >= full_wait_end
             && self.runners_listed_at >= full_wait_end + self.timing.start_settle;
         let is_due = has_majority && (all_claimed || has_waited);
         if self.inherited_nothing || is_due || !self.rules.keep(Rule::ClaimsWait) {
             self.opened = true;
+            self.known_changed = true;
+            self.acquires_changed = true;
             self.opened_at = now;
             self.all_claimed = all_claimed;
+            self.take_listed();
             let waited_ms = now.since(self.elected_at).as_millis() as u64;
             self.tell(
                 events::CLAIMS_QUORUM,
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -5,31 +5,33 @@
 mod emptying;
 mod fence;
 mod functions;
+mod listing;
 mod members;
 mod output;
 mod pressure;
 mod report;
+mod reservations;
 mod stewards;
 mod timing;
 mod workers;
 
 pub use output::{DeskOutput, StreamId, Told, TraceStep};
 pub use timing::DeskTiming;
-pub use workers::{ListedRunner, ListedWorker};
 
 use emptying::Emptying;
 use members::{MemberRecord, WaitingRenewal};
+use reservations::Reservations;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::frames::{Host, KnownMember, Prior, StreamDown, StreamUp};
 use waymark::identity::{
-    CorrelationId, FunctionKey, GrantSerial, Locality, MemberName, RunnerId, Serial, Term,
-    WorkerName,
+    CorrelationId, FunctionKey, GrantSerial, Locality, MemberName, Serial, Term, WorkerName,
 };
 use waymark::rules::{Rule, Rules};
 use waymark::spec::{Document, Table, View};
-use workers::{Reservation, WorkerRecord};
+use waymark::tongue::ListedRunner;
+use workers::WorkerRecord;
 
 /// What the core proves to the desk at one moment.
 pub struct Proof<'a> {
@@ -75,12 +77,18 @@
     members: BTreeMap<KnownMember, MemberRecord>,
     current: BTreeMap<MemberName, KnownMember>,
     entries: BTreeMap<FunctionKey, GrantEntry>,
-    reservations: BTreeMap<RunnerId, Reservation>,
+    fencing: BTreeSet<FunctionKey>,
+    reservations: Reservations,
     workers: BTreeMap<WorkerName, WorkerRecord>,
     workers_listed: bool,
     once_from: BTreeMap<FunctionKey, Moment>,
     priors: BTreeMap<FunctionKey, Prior>,
-    ended: BTreeSet<RunnerId>,
+    refused_at: BTreeMap<WorkerName, Moment>,
+    reborn_at: Moment,
+    stewards_due: bool,
+    acquires_changed: bool,
+    acquires_looked_at: Moment,
+    known_changed: bool,
     idle_since: BTreeMap<FunctionKey, Moment>,
     gave_way_at: BTreeMap<FunctionKey, Moment>,
     starving: BTreeMap<FunctionKey, Moment>,
@@ -91,6 +99,7 @@
     acquires: Vec<WaitingAcquire>,
     renewals: Vec<WaitingRenewal>,
     runners_listed_at: Moment,
+    newest_list: Vec<ListedRunner>,
     all_claimed: bool,
     opened: bool,
     opened_at: Moment,
@@ -128,12 +137,18 @@
             members: BTreeMap::new(),
             current: BTreeMap::new(),
             entries: BTreeMap::new(),
-            reservations: BTreeMap::new(),
+            fencing: BTreeSet::new(),
+            reservations: Reservations::default(),
             workers: BTreeMap::new(),
             workers_listed: false,
             once_from: BTreeMap::new(),
             priors: BTreeMap::new(),
-            ended: BTreeSet::new(),
+            refused_at: BTreeMap::new(),
+            reborn_at: Moment::ZERO,
+            stewards_due: false,
+            acquires_changed: true,
+            acquires_looked_at: Moment::ZERO,
+            known_changed: true,
             idle_since: BTreeMap::new(),
             gave_way_at: BTreeMap::new(),
             starving: BTreeMap::new(),
@@ -144,6 +159,7 @@
             acquires: Vec::new(),
             renewals: Vec::new(),
             runners_listed_at: Moment::ZERO,
+            newest_list: Vec::new(),
             all_claimed: false,
             opened: false,
             opened_at: elected_at,
@@ -181,6 +197,11 @@
         (known_members, self.last_known_whole || self.opened)
     }
 
+    /// The same, if they may have changed since last asked.
+    pub fn take_known_members(&mut self) -> Option<(BTreeSet<KnownMember>, bool)> {
+        std::mem::take(&mut self.known_changed).then(|| self.known_members())
+    }
+
     /// The newest serial that is in force everywhere.
     pub fn in_force(&self) -> Serial {
         self.in_force
@@ -188,6 +209,7 @@
 
     /// Takes what a daemon says on its stream.
     pub fn heard(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
+        self.acquires_changed = true;
         match frame {
             StreamUp::Hello { host, door, serial } => {
                 self.hear_hello(now, stream, host, door, serial);
@@ -208,14 +230,14 @@
                 };
                 self.acquires.push(asked);
             }
-            StreamUp::Release { function, grant, .. } => {
-                self.hear_release(now, stream, &function, grant);
+            StreamUp::Release { function, grant, runners } => {
+                self.hear_release(now, stream, function, grant, runners);
             }
             StreamUp::Reserve { correlation, function, grant } => {
                 self.hear_reserve(now, stream, correlation, function, grant);
             }
             StreamUp::Runner { function, runner, news } => {
-                self.hear_runner_news(&function, runner, &news);
+                self.hear_runner_news(now, &function, runner, news);
             }
             StreamUp::Sheds { function, count, reason } => {
                 self.hear_sheds(stream, function, count, reason)
@@ -234,6 +256,7 @@
     /// A stream has ended.
     pub fn stream_lost(&mut self, stream: StreamId) {
         let Some(known_member) = self.streams.remove(&stream) else { return };
+        self.acquires_changed = true;
         self.acquires.retain(|acquire| acquire.stream != stream);
         self.renewals.retain(|renewal| renewal.stream != stream);
         if let Some(record) = self.members.get_mut(&known_member)
@@ -252,6 +275,7 @@
         self.expire_members(now);
         self.open_if_due(now, proof);
         self.fence(now);
+        self.name_stewards(now);
         self.answer_renewals(now, proof);
         self.answer_acquires(now);
         self.note_in_force(now);
--- a/crates/survey/src/desk/output.rs
+++ b/crates/survey/src/desk/output.rs
@@ -1,7 +1,8 @@
 use serde_json::Value;
 use waymark::events::Event;
 use waymark::frames::StreamDown;
-use waymark::identity::{MemberName, RunnerId, Serial};
+use waymark::identity::{MemberName, Serial};
+use waymark::tongue::StopOrder;
 
 /// Names one daemon's stream in this process.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -33,7 +34,7 @@
         frame: StreamDown,
     },
     /// Have the platform stop a runner.
-    StopRunner(RunnerId),
+    StopRunner(StopOrder),
     /// Tell operators.
     Told(Told),
     /// A version came one step further at one daemon.
--- a/crates/survey/src/desk/pressure.rs
+++ b/crates/survey/src/desk/pressure.rs
@@ -31,8 +31,8 @@
         }
         let reserved_sums = self.reserved_mb();
         let mut staying: BTreeMap<&FunctionKey, Vec<(u64, RunnerId)>> = BTreeMap::new();
-        for (runner, held) in &self.reservations {
-            let has_gone = held.draining || held.stop_wanted;
+        for (runner, held) in self.reservations.iter() {
+            let has_gone = held.draining || held.stop_wanted || held.left_since.is_some();
             let Some(record) = self.workers.get(&held.worker) else { continue };
             if has_gone || held.function == *asker || !self.is_worker_fit(&held.worker) {
                 continue;
@@ -90,7 +90,7 @@
                     .entries
                     .get(function)
                     .is_some_and(|entry| entry.fencing_since.is_none() && !entry.handing_over)
-                && self.reservations.values().any(|held| held.function == *function)
+                && self.reservations.of(function).next().is_some()
         };
         let mut idle_functions: Vec<(Moment, FunctionKey)> = self
             .idle_since
@@ -108,12 +108,8 @@
             let grant = entry.grant;
             let stream = self.members.get(&entry.holder).and_then(|record| record.stream);
             let Some(stream) = stream else { continue };
-            freed_mb += self
-                .reservations
-                .values()
-                .filter(|held| held.function == function)
-                .map(|held| held.memory_mb)
-                .sum::<u32>();
+            freed_mb +=
+                self.reservations.of(&function).map(|(_, held)| held.memory_mb).sum::<u32>();
             self.gave_way_at.insert(function.clone(), now);
             self.idle_since.remove(&function);
             self.tell(events::GAVE_WAY, json!({"function": function.to_string()}));
--- a/crates/survey/src/desk/report.rs
+++ b/crates/survey/src/desk/report.rs
@@ -33,12 +33,8 @@
             .entries
             .iter()
             .map(|(function, entry)| {
-                let runners: Vec<String> = self
-                    .reservations
-                    .iter()
-                    .filter(|(_, held)| held.function == *function)
-                    .map(|(runner, _)| runner.to_string())
-                    .collect();
+                let runners: Vec<String> =
+                    self.reservations.of(function).map(|(runner, _)| runner.to_string()).collect();
                 json!({
                     "function": function.to_string(),
                     "member": entry.holder.member.as_str(),
@@ -85,6 +81,8 @@
                     "memory_mb": held.memory_mb,
                     "ready": held.ready,
                     "draining": held.draining,
+                    "left": held.is_left(),
+                    "life": held.life.as_ref().map(|life| life.name.as_str()),
                 })
             })
             .collect();
--- a/crates/survey/src/desk/timing.rs
+++ b/crates/survey/src/desk/timing.rs
@@ -23,6 +23,21 @@
     /// Before a runner that did not stop is told again.
     #[builder(default = Duration::from_millis(700))]
     pub stop_again_after: Duration,
+    /// How long a runner that nobody holds is left for a next holder.
+    #[builder(default = Duration::from_secs(4))]
+    pub left_for: Duration,
+    /// How long after its start a runner may be missing in the platform's list, beside three boots.
+    #[builder(default = Duration::from_secs(1))]
+    pub list_lag: Duration,
+    /// How long a worker that refused a start is left alone.
+    #[builder(default = Duration::from_secs(1))]
+    pub refused_for: Duration,
+    /// Whether a function's runners are spread over localities; else they stand in their holder's.
+    #[builder(default = true)]
+    pub spread: bool,
+    /// Whether little used workers are emptied.
+    #[builder(default = true)]
+    pub emptying: bool,
     /// How long a daemon without stream and grant is remembered.
     #[builder(default = Duration::from_secs(5))]
     pub forget_after: Duration,
--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -1,51 +1,22 @@
+use super::reservations::Reservation;
 use super::{Desk, StreamId};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{ReserveResult, StreamDown};
 use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, Locality, RunnerId, WorkerName};
 use waymark::rules::Rule;
-
-/// A worker as the platform lists it.
-#[derive(Clone, Debug)]
-pub struct ListedWorker {
-    /// Its name.
-    pub worker: WorkerName,
-    /// Its locality.
-    pub locality: Locality,
-    /// Its memory.
-    pub memory_mb: u32,
-    /// Whether the platform is emptying it.
-    pub draining: bool,
-}
-
-/// A runner as the platform lists it.
-#[derive(Clone, Debug)]
-pub struct ListedRunner {
-    /// The runner.
-    pub runner: RunnerId,
-    /// Its function.
-    pub function: FunctionKey,
-    /// Where it runs.
-    pub worker: WorkerName,
-    /// Whether it is about to leave.
-    pub leaving: bool,
-}
+use waymark::tongue::ListedWorker;
 
 pub(super) struct WorkerRecord {
     pub listed: ListedWorker,
 }
 
-pub(super) struct Reservation {
-    pub function: FunctionKey,
-    pub worker: WorkerName,
-    pub memory_mb: u32,
-    pub ready: bool,
-    pub draining: bool,
-    pub stop_wanted: bool,
-    pub stop_asked_at: Option<Moment>,
+/// Whether a runner is there to stay.
+fn is_staying(held: &Reservation) -> bool {
+    !held.draining && !held.stop_wanted && held.left_since.is_none()
 }
 
 impl Desk {
@@ -59,37 +30,6 @@
         self.drain_unfit();
     }
 
-    /// Takes the platform's list of runners, which shows how things stood at a moment.
-    pub fn runners_listed(&mut self, content_moment: Moment, listed_runners: &[ListedRunner]) {
-        self.runners_listed_at = self.runners_listed_at.max(content_moment);
-        for listed in listed_runners.iter().filter(|listed| listed.leaving) {
-            self.drain_leaving(listed);
-        }
-        if !self.opened && content_moment < self.elected_at + self.timing.claims_wait {
-            return;
-        }
-        for listed in listed_runners {
-            let is_known = self.reservations.contains_key(&listed.runner)
-                || self.ended.contains(&listed.runner);
-            if !is_known {
-                let orphan = Reservation {
-                    function: listed.function.clone(),
-                    worker: listed.worker.clone(),
-                    memory_mb: 0,
-                    ready: true,
-                    draining: true,
-                    stop_wanted: true,
-                    stop_asked_at: None,
-                };
-                self.reservations.insert(listed.runner, orphan);
-                self.tell(
-                    events::ORPHAN,
-                    json!({"runner": listed.runner.to_string(), "worker": listed.worker.as_str()}),
-                );
-            }
-        }
-    }
-
     pub(super) fn is_worker_fit(&self, worker: &WorkerName) -> bool {
         let is_emptied = self.emptying.as_ref().is_some_and(|emptying| emptying.worker == *worker);
         !is_emptied
@@ -99,13 +39,8 @@
             })
     }
 
-    pub(super) fn reserved_mb(&self) -> BTreeMap<WorkerName, u64> {
-        let mut reserved_sums: BTreeMap<WorkerName, u64> = BTreeMap::new();
-        for reservation in self.reservations.values() {
-            *reserved_sums.entry(reservation.worker.clone()).or_default() +=
-                u64::from(reservation.memory_mb);
-        }
-        reserved_sums
+    pub(super) fn reserved_mb(&self) -> &BTreeMap<WorkerName, u64> {
+        self.reservations.reserved_mb()
     }
 
     pub(super) fn hear_reserve(
@@ -120,8 +55,6 @@
         self.down(stream, StreamDown::Reserved { correlation, function, result });
     }
 
-    /// Picks a worker in use before an empty one, then the locality where the function has fewest
-    /// runners that stay, then the fullest worker that fits.
     fn reserve(
         &mut self,
         now: Moment,
@@ -140,39 +73,12 @@
         else {
             return ReserveResult::Shed;
         };
-        let has_runner = self
-            .reservations
-            .values()
-            .any(|held| held.function == *function && !held.draining && !held.stop_wanted);
+        let holder_locality = self.members.get(asker).map(|record| record.host.locality.clone());
+        let has_runner = self.reservations.of(function).any(|(_, held)| is_staying(held));
         if has_runner && self.must_wait(now, function) {
             return ReserveResult::Shed;
         }
-        let reserved_sums = self.reserved_mb();
-        let mut locality_counts: BTreeMap<&Locality, usize> = BTreeMap::new();
-        let staying = |held: &&Reservation| held.function == *function && !held.draining;
-        for reservation in self.reservations.values().filter(staying) {
-            if let Some(record) = self.workers.get(&reservation.worker) {
-                *locality_counts.entry(&record.listed.locality).or_default() += 1;
-            }
-        }
-        let chosen_worker = self
-            .workers
-            .iter()
-            .filter(|(worker, _)| self.is_worker_fit(worker))
-            .filter_map(|(worker, record)| {
-                let used_mb = reserved_sums.get(worker).copied().unwrap_or(0);
-                let free_mb = u64::from(record.listed.memory_mb).checked_sub(used_mb)?;
-                let locality_count =
-                    locality_counts.get(&record.listed.locality).copied().unwrap_or(0);
-                (free_mb >= u64::from(needed_mb)).then_some((
-                    used_mb == 0,
-                    locality_count,
-                    free_mb,
-                    worker,
-                ))
-            })
-            .min()
-            .map(|(_, _, _, worker)| worker.clone());
+        let chosen_worker = self.choose_worker(now, function, needed_mb, holder_locality.as_ref());
         let Some(worker) = chosen_worker else {
             let detail = json!({"function": function.to_string(), "memory_mb": needed_mb});
             if now.since(self.no_room_told_at) > Duration::from_secs(1) {
@@ -180,6 +86,7 @@
                 self.tell(events::NO_ROOM, detail);
             }
             self.emptying = None;
+            self.stop_left(function);
             self.make_room(now, function, needed_mb);
             if !has_runner {
                 self.take_back(now, function, needed_mb);
@@ -188,21 +95,74 @@
         };
         self.starving.remove(function);
         let runner = RunnerId { grant, ordinal: self.next_number().0 };
-        self.reservations.insert(
-            runner,
-            Reservation {
-                function: function.clone(),
-                worker: worker.clone(),
-                memory_mb: needed_mb,
-                ready: false,
-                draining: false,
-                stop_wanted: false,
-                stop_asked_at: None,
-            },
-        );
+        let reservation = Reservation::new(function.clone(), worker.clone(), needed_mb);
+        self.reservations.insert(runner, reservation);
         ReserveResult::Reserved { runner, worker, memory_mb: needed_mb }
     }
 
+    /// Spread: a worker in use before an empty one, then the locality where the function has fewest
+    /// runners that stay, then the fullest that fits. Not spread: the holder's locality before others,
+    /// since bytes between localities are dear and the holder's loss takes the service with it anyhow;
+    /// then a worker in use without a runner of the function, one with, an empty one; then the fullest.
+    fn choose_worker(
+        &mut self,
+        now: Moment,
+        function: &FunctionKey,
+        needed_mb: u32,
+        holder_locality: Option<&Locality>,
+    ) -> Option<WorkerName> {
+        let refused_for = self.timing.refused_for;
+        self.refused_at.retain(|_, refused_at| now.since(*refused_at) < refused_for);
+        let mut locality_counts: BTreeMap<&Locality, usize> = BTreeMap::new();
+        let mut own_workers: BTreeSet<&WorkerName> = BTreeSet::new();
+        for (_, held) in self.reservations.of(function).filter(|(_, held)| !held.draining) {
+            own_workers.insert(&held.worker);
+            if let Some(record) = self.workers.get(&held.worker) {
+                *locality_counts.entry(&record.listed.locality).or_default() += 1;
+            }
+        }
+        let reserved_sums = self.reserved_mb();
+        let fitting_workers = self.workers.iter().filter(|(worker, _)| {
+            self.is_worker_fit(worker) && !self.refused_at.contains_key(*worker)
+        });
+        fitting_workers
+            .filter_map(|(worker, record)| {
+                let used_mb = reserved_sums.get(worker).copied().unwrap_or(0);
+                let free_mb = u64::from(record.listed.memory_mb).checked_sub(used_mb)?;
+                let locality = &record.listed.locality;
+                let rank = if self.timing.spread {
+                    let locality_count = locality_counts.get(locality).copied().unwrap_or(0);
+                    (false, usize::from(used_mb == 0), locality_count)
+                } else {
+                    let use_rank = match (used_mb, own_workers.contains(worker)) {
+                        (0, _) => 2,
+                        (_, true) => 1,
+                        (_, false) => 0,
+                    };
+                    (Some(locality) != holder_locality, use_rank, 0)
+                };
+                (free_mb >= u64::from(needed_mb)).then_some((rank, free_mb, worker))
+            })
+            .min()
+            .map(|(_, _, worker)| worker.clone())
+    }
+
+    /// Memory is short: what was left for a next holder of another function goes first.
+    fn stop_left(&mut self, asker: &FunctionKey) {
+        let left_runners: Vec<RunnerId> = self
+            .reservations
+            .left()
+            .iter()
+            .copied()
+            .filter(|runner| {
+                self.reservations.get(*runner).is_some_and(|held| held.function != *asker)
+            })
+            .collect();
+        for left_runner in left_runners {
+            self.reservations.want_stop(left_runner);
+        }
+    }
+
     fn is_granted(&self, known_member: &waymark::frames::KnownMember, now: Moment) -> bool {
         self.members.get(known_member).is_some_and(|record| record.grant_end > now)
     }
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -215,8 +215,8 @@
                 open_streams.remove(&stream);
             }
         }
-        PlaneOutput::StopRunner(runner) => {
-            tokio::spawn(platform::stop_runner(shared.clone(), runner));
+        PlaneOutput::StopRunner(order) => {
+            tokio::spawn(platform::stop_runner(shared.clone(), order));
         }
         PlaneOutput::Operated(ticket, reply) => {
             if let Ok(mut operations) = shared.operations.lock()
--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -1,5 +1,4 @@
 use super::engine::Shared;
-use crate::desk::{ListedRunner, ListedWorker};
 use crate::plane::PlaneInput;
 use hyper::{Method, StatusCode};
 use std::sync::Arc;
@@ -7,10 +6,12 @@
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
+use waymark::frames::{Life, Place};
 use waymark::http::call_json;
-use waymark::identity::RunnerId;
+use waymark::identity::FunctionKey;
 use waymark::note;
 use waymark::readers::{FaultList, PathReader};
+use waymark::tongue::{ListedRunner, ListedWorker, StopOrder};
 
 /// Reads the platform's lists while this surveyor leads.
 pub async fn poll(shared: Arc<Shared>) {
@@ -75,9 +76,16 @@
         .items()
         .iter()
         .filter_map(|item| {
+            let key: FunctionKey = item.field("function").text()?.parse().ok()?;
+            let life_name = item.field("life").text()?;
             Some(ListedRunner {
-                runner: item.field("runner").text()?.parse().ok()?,
-                function: item.field("function").text()?.parse().ok()?,
+                life: Life {
+                    name: life_name.into(),
+                    place: Place(item.field("place").text()?.parse().ok()?),
+                },
+                runner: item.field("runner").text()?.parse().ok(),
+                function: key.name.clone(),
+                key: Some(key),
                 worker: item.field("worker").text()?.into(),
                 leaving: item.field("leaving").flag_or(false),
             })
@@ -91,8 +99,12 @@
 }
 
 /// Has the platform stop a runner; only a clear yes counts.
-pub async fn stop_runner(shared: Arc<Shared>, runner: RunnerId) {
-    let path = format!("/v1/runners/{runner}");
+pub async fn stop_runner(shared: Arc<Shared>, order: StopOrder) {
+    let runner = order.runner;
+    let path = match &order.life {
+        Some(life) => format!("/v1/runners/{life}"),
+        None => format!("/v1/runners/{runner}"),
+    };
     let patience = Duration::from_secs(2);
     let called = call_json(shared.platform, Method::DELETE, &path, None, patience).await;
     if called.is_ok_and(|called| called.status == StatusCode::OK) {
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -9,9 +9,7 @@
 pub use operation::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
 
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
-use crate::desk::{
-    Desk, DeskOutput, DeskTiming, ListedRunner, ListedWorker, Proof, StreamId, Told,
-};
+use crate::desk::{Desk, DeskOutput, DeskTiming, Proof, StreamId, Told};
 use changes::Changes;
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -21,6 +19,7 @@
 use waymark::frames::{CoreFrame, Place, StreamDown, StreamUp};
 use waymark::identity::{RunnerId, Serial, Ticket};
 use waymark::rules::Rules;
+use waymark::tongue::{ListedRunner, ListedWorker, StopOrder};
 
 /// What reaches a surveyor.
 #[derive(Debug)]
@@ -57,7 +56,7 @@
     /// End a daemon's stream.
     Close(StreamId),
     /// Have the platform stop a runner.
-    StopRunner(RunnerId),
+    StopRunner(StopOrder),
     /// Answer an operator.
     Operated(OperationTicket, OperationReply),
     /// An event was noted.
@@ -178,8 +177,9 @@
     fn progress(&mut self, now: Moment) {
         self.progress_changes(now);
         let Some(desk) = &mut self.desk else { return };
-        let (known_members, whole) = desk.known_members();
-        self.core.set_members(known_members, whole);
+        if let Some((known_members, whole)) = desk.take_known_members() {
+            self.core.set_members(known_members, whole);
+        }
         let core = &self.core;
         let proof = Proof {
             ready: core.is_ready(),
@@ -191,8 +191,8 @@
                 DeskOutput::Down { stream, frame } => {
                     self.outputs.push(PlaneOutput::Down(stream, frame));
                 }
-                DeskOutput::StopRunner(runner) => {
-                    self.outputs.push(PlaneOutput::StopRunner(runner));
+                DeskOutput::StopRunner(order) => {
+                    self.outputs.push(PlaneOutput::StopRunner(order));
                 }
                 DeskOutput::Told(told) => {
                     if told.event == events::IN_FORCE
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -48,8 +48,8 @@
         }
         HolderOutput::Start { runner, worker, spec } => {
             tokio::spawn(async move {
-                let place = platform::start(&state, &held, runner, &worker, &spec).await;
-                apply(&held, &state, |holder, now| holder.started(now, runner, place));
+                let end = platform::start(&state, &held, runner, &worker, &spec).await;
+                apply(&held, &state, |holder, now| holder.started(now, runner, end));
             });
         }
         HolderOutput::Probe { runner, place } => {
@@ -60,13 +60,14 @@
         }
         HolderOutput::Settle { runner, place } => {
             tokio::spawn(async move {
-                let running = runners::running(runner, place).await;
+                let face = held.face_of(runner);
+                let running = runners::running(face, place).await;
                 apply(&held, &state, |holder, now| holder.settled(now, runner, running));
             });
         }
-        HolderOutput::Stop { runner } => {
+        HolderOutput::Stop { runner, life, .. } => {
             tokio::spawn(async move {
-                if platform::stop(&state, runner).await {
+                if platform::stop(&state, runner, life.as_ref()).await {
                     apply(&held, &state, |holder, now| holder.stopped(now, runner));
                 }
             });
--- a/crates/trail/src/drivers/runners.rs
+++ b/crates/trail/src/drivers/runners.rs
@@ -55,7 +55,8 @@
                 is_shed: called.headers.contains_key(seal::SHED),
                 body: called.body.clone(),
             };
-            let end = judge(state.lodge.rules, &task.transaction, &held.function, runner, answer);
+            let face = held.face_of(runner);
+            let end = judge(state.lodge.rules, &task.transaction, &held.function, face, answer);
             if matches!(end, SendEnd::Lost) {
                 state.gauges.rejected_answers.inc();
                 note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: seal", task.transaction);
--- a/crates/trail/src/holder/custody.rs
+++ b/crates/trail/src/holder/custody.rs
@@ -1,3 +1,4 @@
+use super::runners::RunnerRecord;
 use super::{Holder, HolderOutput, HolderWord};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -126,7 +127,7 @@
     fn send_noted(&mut self, now: Moment, ticket: Ticket) {
         let Some(sent) = self.sent.get(&ticket) else { return };
         let (runner, attempt) = (sent.runner, sent.waiting.attempt);
-        let place = self.runners.get(&runner).and_then(|record| record.place);
+        let place = self.runners.get(&runner).and_then(RunnerRecord::place);
         match place.filter(|_| !self.closed) {
             Some(place) => {
                 self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
--- a/crates/trail/src/holder/inbox.rs
+++ b/crates/trail/src/holder/inbox.rs
@@ -126,7 +126,7 @@
             let Some(runner) = self.free_runner() else { return };
             let Some(waiting) = self.inbox.remove(waiting_place) else { return };
             let Some(record) = self.runners.get_mut(&runner) else { return };
-            let Some(place) = record.place else { return };
+            let Some(place) = record.place() else { return };
             record.begin_send(now, waiting.entry.transaction.clone());
             let ticket = waiting.entry.ticket;
             let attempt = waiting.attempt;
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -18,12 +18,17 @@
 use tries::TryWindow;
 use waymark::clock::Moment;
 use waymark::frames::{
-    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Host, Many, Place, Prior, ReserveResult,
+    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Host, Life, Many, Prior, ReserveResult,
     RunnerNews,
 };
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use waymark::rules::{Rule, Rules};
 use waymark::spec::FunctionSpec;
+use waymark::tongue::BeginEnd;
+
+/// How long what is left is remembered when the leader cannot be told; it finds it in the platform's
+/// list.
+const LEFT_KEPT: Duration = Duration::from_secs(10);
 
 /// A transaction as it reaches its holder.
 #[derive(Clone, Debug)]
@@ -70,6 +75,8 @@
     pub steward: Option<Host>,
     /// Where an earlier ledger may be collected.
     pub prior: Option<Prior>,
+    /// Runners left by an earlier holder, to be taken over as they stand.
+    pub adopted: Vec<ClaimRunner>,
 }
 
 /// One held function.
@@ -92,6 +99,8 @@
     resting: bool,
     leaving: bool,
     closed: bool,
+    closed_at: Moment,
+    left_told: bool,
     released: bool,
     rules: Rules,
     outputs: Vec<HolderOutput>,
@@ -101,13 +110,19 @@
     /// A function that has just been granted.
     pub fn new(now: Moment, terms: GrantTerms) -> Self {
         let is_whole = terms.once_wait.is_zero();
+        let slots = terms.spec.slots;
+        let runners = terms
+            .adopted
+            .into_iter()
+            .filter_map(|listed| Some((listed.runner, RunnerRecord::adopted(now, listed, slots)?)))
+            .collect();
         Self {
             function: terms.function,
             grant: terms.grant,
             spec: terms.spec,
             once_from: now + terms.once_wait,
             custody: Custody::new(now, terms.steward, terms.prior, is_whole),
-            runners: BTreeMap::new(),
+            runners,
             inbox: VecDeque::new(),
             sent: BTreeMap::new(),
             book: Book::default(),
@@ -120,6 +135,8 @@
             resting: false,
             leaving: false,
             closed: false,
+            closed_at: now,
+            left_told: false,
             released: false,
             rules: Rules::KEPT,
             outputs: Vec::new(),
@@ -129,6 +146,9 @@
     /// The same, with a rule taken away for proving.
     pub fn with_rules(mut self, rules: Rules) -> Self {
         self.rules = rules;
+        if !rules.keep(Rule::RampKept) {
+            self.runners.values_mut().for_each(|record| record.limit = record.slots);
+        }
         if !rules.keep(Rule::LedgerCollected) {
             self.once_from = Moment::ZERO;
             self.custody.skip_collecting();
@@ -151,9 +171,36 @@
         self.leaving || self.closed
     }
 
-    /// Whether nothing is left to be done for it.
-    pub fn is_over(&self) -> bool {
-        self.released || (self.closed && self.runners.is_empty() && self.sent.is_empty())
+    /// Whether nothing is left to be done for it: what it had is ended, and the leader was told what it
+    /// left, or will find it in the platform's list.
+    pub fn is_over(&self, now: Moment) -> bool {
+        let is_forgotten = self.left_told || now.since(self.closed_at) > LEFT_KEPT;
+        let has_work = self.runners.values().any(|record| record.phase != Phase::Left);
+        let has_left = !self.runners.is_empty();
+        self.released
+            || (self.closed && self.sent.is_empty() && !has_work && (is_forgotten || !has_left))
+    }
+
+    /// The leader was told what is left.
+    pub fn left_told(&mut self) {
+        self.left_told = true;
+    }
+
+    /// The runners that are left as they stand for the next holder.
+    pub fn left_runners(&self) -> Vec<ClaimRunner> {
+        let left = self.runners.iter().filter(|(_, record)| record.phase == Phase::Left);
+        left.map(|(runner, record)| record.as_claim(*runner)).collect()
+    }
+
+    /// A runner's life, once the platform has told it.
+    pub fn life_of(&self, runner: RunnerId) -> Option<Life> {
+        self.runners.get(&runner).and_then(|record| record.life.clone())
+    }
+
+    /// The lives it sends to.
+    pub fn lives(&self) -> Vec<Life> {
+        let used = self.runners.values().filter(|record| record.phase != Phase::Left);
+        used.filter_map(|record| record.life.clone()).collect()
     }
 
     /// The transactions waiting and running.
@@ -170,17 +217,8 @@
 
     /// What is claimed for it after a reconnection.
     pub fn claim(&self) -> Claim {
-        let runners = self
-            .runners
-            .iter()
-            .map(|(runner, record)| ClaimRunner {
-                runner: *runner,
-                worker: record.worker.clone(),
-                memory_mb: record.memory_mb,
-                life: Many(Vec::new()),
-                fit: Flag(false),
-            })
-            .collect();
+        let runners =
+            self.runners.iter().map(|(runner, record)| record.as_claim(*runner)).collect();
         Claim {
             function: self.function.clone(),
             grant: self.grant,
@@ -371,20 +409,30 @@
         self.scaling.reserve_ended(now, false);
     }
 
-    /// The platform answered a start: where the runner listens, or nothing.
-    pub fn started(
-        &mut self,
-        now: Moment,
-        runner: RunnerId,
-        place: Option<Place>,
-    ) -> Vec<HolderOutput> {
-        match (self.runners.get_mut(&runner), place) {
-            (Some(record), Some(place)) if record.phase == Phase::Starting => {
-                record.place = Some(place);
-                record.phase = Phase::Booting;
+    /// The platform answered a start. The same order again finds the same runner.
+    pub fn started(&mut self, now: Moment, runner: RunnerId, end: BeginEnd) -> Vec<HolderOutput> {
+        let Some(record) = self.runners.get_mut(&runner) else { return Vec::new() };
+        match end {
+            BeginEnd::Begun(life) => {
+                if record.life.is_none() {
+                    record.life = Some(life.clone());
+                    let news = RunnerNews::Begun { life };
+                    self.outputs.push(HolderOutput::Tell(HolderWord::News { runner, news }));
+                }
+                if record.phase == Phase::Starting {
+                    record.phase = Phase::Booting;
+                }
+            }
+            _ if record.phase != Phase::Starting => {}
+            BeginEnd::Busy | BeginEnd::Lost => record.order_again(now),
+            BeginEnd::NoRoom | BeginEnd::Refused => {
+                self.runners.remove(&runner);
+                self.scaling.reserve_ended(now, false);
+                let news = RunnerNews::Gone;
+                self.outputs.push(HolderOutput::Tell(HolderWord::News { runner, news }));
+                self.scale(now);
+                self.finish_leaving(now);
             }
-            (Some(_), None) => self.runner_failed(now, runner),
-            _ => {}
         }
         std::mem::take(&mut self.outputs)
     }
@@ -433,6 +481,14 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// The platform no longer lists a runner: it is gone.
+    pub fn vanished(&mut self, now: Moment, runner: RunnerId) -> Vec<HolderOutput> {
+        self.runners.remove(&runner);
+        self.scale(now);
+        self.finish_leaving(now);
+        std::mem::take(&mut self.outputs)
+    }
+
     /// The leader wants a runner drained.
     pub fn drain(&mut self, now: Moment, runner: RunnerId) -> Vec<HolderOutput> {
         if let Some(record) = self.runners.get_mut(&runner) {
@@ -442,24 +498,35 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// The function is to be handed over: admit nothing, finish, stop, release.
+    /// The function is to be handed over: admit nothing, finish, leave fit runners, release.
     pub fn hand_over(&mut self, now: Moment) -> Vec<HolderOutput> {
         self.leaving = true;
         self.finish_leaving(now);
         std::mem::take(&mut self.outputs)
     }
 
-    /// The grant is gone: refuse what waits, stop every runner at once.
+    /// The grant is gone: refuse what waits, send nothing more. Fit runners are left as they stand for
+    /// the next holder, the others stopped; what was sent may still be answered.
     pub fn close(&mut self, now: Moment) -> Vec<HolderOutput> {
-        self.closed = true;
+        if !self.closed {
+            self.closed = true;
+            self.closed_at = now;
+        }
         for waiting in std::mem::take(&mut self.inbox) {
             self.give_up(now, waiting, HopReason::NotServing, Duration::from_millis(500));
         }
+        self.leave_runners(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn leave_runners(&mut self, now: Moment) {
         let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
         for runner in all_runners {
-            self.stop_runner(now, runner);
+            match self.runners.get_mut(&runner) {
+                Some(record) if record.may_be_left() => record.phase = Phase::Left,
+                _ => self.stop_runner(now, runner),
+            }
         }
-        std::mem::take(&mut self.outputs)
     }
 
     /// How long it has not been called, while it has nothing to do.
@@ -490,13 +557,11 @@
             return;
         }
         if self.inbox.is_empty() && self.sent.is_empty() {
-            let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
-            for runner in all_runners {
-                self.stop_runner(now, runner);
-            }
-            if self.runners.is_empty() {
+            self.leave_runners(now);
+            if self.runners.values().all(|record| record.phase == Phase::Left) {
                 self.released = true;
-                self.outputs.push(HolderOutput::Tell(HolderWord::Released));
+                let runners = self.left_runners();
+                self.outputs.push(HolderOutput::Tell(HolderWord::Released { runners }));
             }
         }
     }
--- a/crates/trail/src/holder/output.rs
+++ b/crates/trail/src/holder/output.rs
@@ -1,5 +1,7 @@
-use waymark::frames::{HopOutcome, HopReason, Host, LedgerNote, Place, Prior, RunnerNews};
-use waymark::identity::{MemberName, RunnerId, Ticket, WorkerName};
+use waymark::frames::{
+    ClaimRunner, HopOutcome, HopReason, Host, LedgerNote, Place, Prior, RunnerNews,
+};
+use waymark::identity::{LifeName, MemberName, RunnerId, Ticket, WorkerName};
 use waymark::spec::FunctionSpec;
 
 /// What a holder orders.
@@ -50,6 +52,10 @@
     Stop {
         /// Which one.
         runner: RunnerId,
+        /// Where it runs.
+        worker: WorkerName,
+        /// Its life; none while the platform has not told it.
+        life: Option<LifeName>,
     },
     /// Collect an earlier holder's ledger.
     Collect {
@@ -98,8 +104,11 @@
         /// The steward.
         steward: MemberName,
     },
-    /// Everything is finished and stopped: the grant goes back.
-    Released,
+    /// Everything is finished: the grant goes back.
+    Released {
+        /// The runners left as they stand.
+        runners: Vec<ClaimRunner>,
+    },
 }
 
 /// How a send to a runner ended.
--- a/crates/trail/src/holder/runners.rs
+++ b/crates/trail/src/holder/runners.rs
@@ -2,12 +2,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::Place;
+use waymark::frames::{ClaimRunner, Flag, Life, Many, Place};
 use waymark::identity::{RunnerId, TransactionId, WorkerName};
 
 const PROBE_EVERY: Duration = Duration::from_millis(50);
 const SETTLE_EVERY: Duration = Duration::from_millis(250);
 const STOP_AGAIN_AFTER: Duration = Duration::from_millis(600);
+const ORDER_AGAIN_AFTER: Duration = Duration::from_millis(150);
 const START_PATIENCE: Duration = Duration::from_secs(3);
 const HUNG_PATIENCE: Duration = Duration::from_secs(6);
 const MOST_LOST: u32 = 5;
@@ -25,6 +26,8 @@
     Draining,
     /// The platform was asked to stop it.
     Stopping,
+    /// It is left as it stands to the next holder.
+    Left,
 }
 
 /// One runner.
@@ -35,8 +38,8 @@
     pub memory_mb: u32,
     /// Where it is in its life.
     pub phase: Phase,
-    /// Where it listens.
-    pub place: Option<Place>,
+    /// Its life, once the platform has told it.
+    pub life: Option<Life>,
     /// When it was asked for.
     pub started_at: Moment,
     /// Since when it is in its phase.
@@ -55,6 +58,7 @@
     hung: BTreeMap<TransactionId, Moment>,
     lost_in_row: u32,
     next_look_at: Moment,
+    order_at: Option<Moment>,
 }
 
 impl RunnerRecord {
@@ -64,7 +68,7 @@
             worker,
             memory_mb,
             phase: Phase::Starting,
-            place: None,
+            life: None,
             started_at: now,
             since: now,
             used_at: now,
@@ -76,6 +80,53 @@
             hung: BTreeMap::new(),
             lost_in_row: 0,
             next_look_at: now,
+            order_at: None,
+        }
+    }
+
+    /// A runner taken over as it stands; its earlier holder's transactions may still run there, so it
+    /// begins with half of its slots.
+    pub fn adopted(now: Moment, listed: ClaimRunner, slots: u32) -> Option<Self> {
+        let life = listed.life.0.into_iter().next()?;
+        let mut record = Self::starting(now, listed.worker, listed.memory_mb, slots);
+        record.phase = Phase::Ready;
+        record.life = Some(life);
+        record.limit = (slots / 2).max(1);
+        Some(record)
+    }
+
+    /// Where it listens.
+    pub fn place(&self) -> Option<Place> {
+        self.life.as_ref().map(|life| life.place)
+    }
+
+    /// The order to start it is to be repeated.
+    pub fn order_again(&mut self, now: Moment) {
+        self.order_at = Some(now + ORDER_AGAIN_AFTER);
+    }
+
+    /// Whether the next holder may take it over as it stands.
+    pub fn may_be_left(&self) -> bool {
+        let is_healthy = self.lost_in_row < 2;
+        self.phase == Phase::Left || (self.is_fit() && self.life.is_some() && is_healthy)
+    }
+
+    fn stop_order(&self, runner: RunnerId) -> HolderOutput {
+        HolderOutput::Stop {
+            runner,
+            worker: self.worker.clone(),
+            life: self.life.as_ref().map(|life| life.name.clone()),
+        }
+    }
+
+    /// How the leader is told of it.
+    pub fn as_claim(&self, runner: RunnerId) -> ClaimRunner {
+        ClaimRunner {
+            runner,
+            worker: self.worker.clone(),
+            memory_mb: self.memory_mb,
+            life: Many(self.life.iter().cloned().collect()),
+            fit: Flag(self.may_be_left()),
         }
     }
 
@@ -135,7 +186,8 @@
             record.phase = Phase::Stopping;
             record.since = now;
             record.next_look_at = now + STOP_AGAIN_AFTER;
-            self.outputs.push(HolderOutput::Stop { runner });
+            let output = record.stop_order(runner);
+            self.outputs.push(output);
         }
     }
 
@@ -152,20 +204,28 @@
                 Phase::Starting if now.since(record.started_at) > START_PATIENCE => {
                     stopped_runners.push(*runner);
                 }
+                Phase::Starting if record.order_at.is_some_and(|order_at| now >= order_at) => {
+                    record.order_at = None;
+                    self.outputs.push(HolderOutput::Start {
+                        runner: *runner,
+                        worker: record.worker.clone(),
+                        spec: self.spec.clone(),
+                    });
+                }
                 Phase::Booting if now.since(record.started_at) > boot_patience => {
                     stopped_runners.push(*runner);
                 }
                 Phase::Booting if now >= record.next_look_at && !record.probe_pending => {
                     record.next_look_at = now + PROBE_EVERY;
                     record.probe_pending = true;
-                    if let Some(place) = record.place {
+                    if let Some(place) = record.place() {
                         self.outputs.push(HolderOutput::Probe { runner: *runner, place });
                     }
                 }
                 Phase::Draining if record.busy_count() == 0 => stopped_runners.push(*runner),
                 Phase::Stopping if now >= record.next_look_at => {
                     record.next_look_at = now + STOP_AGAIN_AFTER;
-                    self.outputs.push(HolderOutput::Stop { runner: *runner });
+                    self.outputs.push(record.stop_order(*runner));
                 }
                 Phase::Ready | Phase::Draining => {
                     let oldest_hung = record.hung.values().min().copied();
@@ -175,7 +235,7 @@
                         stopped_runners.push(*runner);
                     } else if oldest_hung.is_some() && now >= record.next_look_at {
                         record.next_look_at = now + SETTLE_EVERY;
-                        if let Some(place) = record.place {
+                        if let Some(place) = record.place() {
                             self.outputs.push(HolderOutput::Settle { runner: *runner, place });
                         }
                     }
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Claim, Heartbeat, Host, Many, Place, ReserveResult, RunnerNews, StreamDown,
-    StreamUp,
+    AcquireResult, Claim, Heartbeat, Host, Place, ReserveResult, RunnerNews, StreamDown, StreamUp,
 };
 use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term};
 use waymark::rules::{Rule, Rules};
@@ -69,6 +68,8 @@
     Revoke(FunctionKey, GrantSerial),
     /// Drain a runner.
     Drain(FunctionKey, RunnerId),
+    /// A runner is gone.
+    Vanished(FunctionKey, RunnerId),
     /// Hand a function over.
     HandOver(FunctionKey, GrantSerial),
 }
@@ -308,6 +309,9 @@
             StreamDown::Drain { function, runner } => {
                 self.orders.push(KeeperOrder::Drain(function, runner));
             }
+            StreamDown::Vanished { function, runner } => {
+                self.orders.push(KeeperOrder::Vanished(function, runner));
+            }
             StreamDown::HandOver { function, grant } => {
                 self.orders.push(KeeperOrder::HandOver(function, grant));
             }
@@ -362,7 +366,7 @@
             .acquires
             .remove(&correlation)
             .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
-        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior, .. } = &result {
+        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior, adopted } = &result {
             let spec = self.table.function_of(&function).map(|entry| entry.spec.clone());
             let may_hold = now < self.liaison.grant_end() && !self.leaving;
             match spec.filter(|_| may_hold) {
@@ -373,12 +377,13 @@
                     once_wait: Duration::from_millis(u64::from(*once_wait_ms)),
                     steward: steward.0.first().cloned(),
                     prior: prior.0.first().cloned(),
+                    adopted: adopted.0.clone(),
                 })),
                 None => {
                     let frame = StreamUp::Release {
                         function: function.clone(),
                         grant: *grant,
-                        runners: Many(Vec::new()),
+                        runners: adopted.clone(),
                     };
                     self.orders.push(KeeperOrder::Say(frame));
                 }
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -82,7 +82,7 @@
         }
         let closing: Vec<Arc<Held<W>>> = {
             let mut closing = lodge.closing.lock().unwrap_or_else(PoisonError::into_inner);
-            closing.retain(|held| !held.with(|holder| holder.is_over()));
+            closing.retain(|held| !held.with(|holder| holder.is_over(now)));
             closing.clone()
         };
         for held in closing {
@@ -178,10 +178,10 @@
             HolderWord::StewardWhole { steward } => {
                 self.say(StreamUp::StewardWhole { function, grant, steward });
             }
-            HolderWord::Released => {
+            HolderWord::Released { runners } => {
                 if lodge.held(&function, grant).is_some() {
                     self.remove(lodge, &function);
-                    self.say(StreamUp::Release { function, grant, runners: Many(Vec::new()) });
+                    self.say(StreamUp::Release { function, grant, runners: Many(runners) });
                 }
             }
         }
@@ -308,8 +308,14 @@
                 if let Some(held) = lodge.held(&function, grant) {
                     self.remove(lodge, &function);
                     self.close(lodge, now, &held);
+                    self.say_left(&held);
                 }
             }
+            KeeperOrder::Vanished(function, runner) => {
+                self.apply_known(lodge, &function, runner.grant, |holder| {
+                    holder.vanished(now, runner)
+                });
+            }
             KeeperOrder::Drain(function, runner) => {
                 if lodge.rules.keep(Rule::DrainObeyed) {
                     self.apply_known(lodge, &function, runner.grant, |holder| {
@@ -330,6 +336,11 @@
         let holdings = lodge.holdings.load_full();
         let closing: Vec<Arc<Held<W>>> =
             lodge.closing.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if self.keeper.is_welcomed() {
+            for held in &closing {
+                held.with(|holder| holder.left_told());
+            }
+        }
         let claims = holdings
             .values()
             .chain(&closing)
@@ -387,6 +398,7 @@
         });
         if let Some(displaced) = displaced {
             self.close(lodge, now, &displaced);
+            self.say_left(&displaced);
         }
         lodge.learn_owner(&function, &lodge.own_host);
         self.tell(events::GRANTED, format!("{function} under {grant}"));
@@ -412,6 +424,19 @@
         }
     }
 
+    /// Tells the leader what a function that was closed alone leaves behind.
+    fn say_left(&mut self, held: &Arc<Held<W>>) {
+        if !self.keeper.is_welcomed() {
+            return;
+        }
+        let runners = held.with(|holder| {
+            holder.left_told();
+            holder.left_runners()
+        });
+        let (function, grant) = (held.function.clone(), held.grant);
+        self.say(StreamUp::Release { function, grant, runners: Many(runners) });
+    }
+
     fn close(&mut self, lodge: &Lodge<W>, now: Moment, held: &Arc<Held<W>>) {
         lodge.closing.lock().unwrap_or_else(PoisonError::into_inner).push(held.clone());
         self.apply(held, |holder| holder.close(now));
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/trail/src/lodge/held.rs
@@ -4,8 +4,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::HopOutcome;
-use waymark::identity::{FunctionKey, GrantSerial, Ticket, TransactionId};
+use waymark::frames::{HopOutcome, Life};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 
 /// A transaction on its way to a runner.
 #[derive(Clone)]
@@ -57,6 +57,16 @@
         look(&mut self.holder.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// A runner's life, once the platform has told it.
+    pub fn life_of(&self, runner: RunnerId) -> Option<Life> {
+        self.with(|holder| holder.life_of(runner))
+    }
+
+    /// The name that a runner itself goes by.
+    pub fn face_of(&self, runner: RunnerId) -> RunnerId {
+        runner.face(self.life_of(runner).as_ref().map(|life| &life.name))
+    }
+
     /// What a ticket stands for, while somebody waits for it.
     pub fn task(&self, ticket: Ticket) -> Option<Task> {
         let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/waymark/src/events/mod.rs
+++ b/crates/waymark/src/events/mod.rs
@@ -68,13 +68,13 @@
     GRANTED = 2104, "granted";
     /// A function was given back.
     RELEASED = 2105, "released";
-    /// A lost holder's runners are being stopped through the platform.
+    /// A holder has lost a function; its runners are left for the next one, or being stopped.
     FENCING = 2106, "fencing";
-    /// A lost holder's runners are stopped; the function may be granted again.
+    /// Each runner of a lost holder is left or stopped; the function may be granted again.
     FENCED = 2107, "fenced";
     /// A claim was rejected.
     CLAIM_REJECTED = 2108, "claim rejected";
-    /// A runner without a holder was found and is being stopped.
+    /// A runner without a holder was found; it is left for the next one, or being stopped.
     ORPHAN = 2109, "orphan";
     /// The platform did not answer.
     PLATFORM_SILENT = 2110, "platform silent";
@@ -90,11 +90,15 @@
     WORKER_EMPTY = 2117, "worker empty";
     /// A daemon refused transactions.
     SHEDS = 2114, "sheds";
+    /// A runner that nobody holds is left for the next holder.
+    RUNNER_LEFT = 2118, "runner left";
+    /// A runner has gone from the platform's list.
+    RUNNER_VANISHED = 2119, "runner vanished";
     /// An evacuation leaves little capacity.
     CAPACITY_LOW = 2113, "capacity low";
     /// The daemon's member grant runs.
     SERVING = 3001, "serving";
-    /// The daemon's member grant ended; its runners are stopped.
+    /// The daemon's member grant ended; it serves no more, and leaves its runners.
     GRANT_ENDED = 3002, "grant ended";
     /// A spec was installed.
     SPEC_INSTALLED = 3003, "spec installed";
--- a/crates/waymark/src/frames/core.rs
+++ b/crates/waymark/src/frames/core.rs
@@ -11,6 +11,18 @@
     pub member: MemberName,
     /// The life that was last granted to.
     pub incarnation: Incarnation,
+    /// Where it listens; another life there proves that this one is gone.
+    pub place: Place,
+}
+
+impl KnownMember {
+    /// Whether this is another life of the same daemon, at the same place: only one of them can be
+    /// alive, since it holds the place's port.
+    pub fn is_reborn_as(&self, other: &KnownMember) -> bool {
+        self.member == other.member
+            && self.place == other.place
+            && self.incarnation != other.incarnation
+    }
 }
 
 /// What one core member sends another.
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/waymark/src/frames/stream.rs
@@ -388,6 +388,14 @@
         /// The grant it is held under.
         grant: GrantSerial,
     },
+    /// The platform no longer lists this runner: it is gone, and its reservation is free.
+    #[brw(magic = 14u8)]
+    Vanished {
+        /// The function.
+        function: FunctionKey,
+        /// The runner.
+        runner: RunnerId,
+    },
     /// Another daemon is to keep the copy of a function's ledger.
     #[brw(magic = 12u8)]
     Steward {
--- a/crates/waymark/src/identity/runner.rs
+++ b/crates/waymark/src/identity/runner.rs
@@ -1,4 +1,4 @@
-use super::GrantSerial;
+use super::{GrantSerial, LifeName};
 use binrw::binrw;
 use std::fmt;
 use std::str::FromStr;
@@ -14,6 +14,19 @@
     pub ordinal: u64,
 }
 
+impl RunnerId {
+    /// The name under which a life was started, where the platform keeps it in the life's name after
+    /// a dot; a runner that was taken over goes by it all its life.
+    pub fn started_as(life: &LifeName) -> Option<RunnerId> {
+        life.as_str().split_once('.')?.1.parse().ok()
+    }
+
+    /// The name that a runner itself goes by: the one it was started under if that is known.
+    pub fn face(self, life: Option<&LifeName>) -> RunnerId {
+        life.and_then(Self::started_as).unwrap_or(self)
+    }
+}
+
 impl fmt::Display for RunnerId {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "r-{:x}-{:x}", self.grant.0, self.ordinal)
--- a/crates/waymark/src/rules.rs
+++ b/crates/waymark/src/rules.rs
@@ -41,8 +41,14 @@
     EvacuationObeyed,
     /// A daemon that is stopped in order hands out the answers it has in hand.
     AnswersHandedOut,
-    /// Runners of a lost holder are stopped through the platform before a regrant.
+    /// Runners of a lost holder are left for the next one, or stopped through the platform, before a
+    /// regrant.
     FenceBeforeRegrant,
+    /// A function is granted anew only when its old holder's member grant has ended everywhere, or the
+    /// old holder gave it up.
+    GrantOutwaited,
+    /// A runner that was left is taken over by one holder only.
+    LifeAdoptedOnce,
     /// A new leader waits for the claims quorum, and for old grants to end.
     ClaimsWait,
     /// A change built on another serial than the newest is refused.
@@ -75,6 +81,8 @@
         Rule::EvacuationObeyed,
         Rule::AnswersHandedOut,
         Rule::FenceBeforeRegrant,
+        Rule::GrantOutwaited,
+        Rule::LifeAdoptedOnce,
         Rule::ClaimsWait,
         Rule::StaleBaseRefused,
         Rule::InvalidRefused,
@@ -109,6 +117,8 @@
             Self::EvacuationObeyed => "evacuation-obeyed",
             Self::AnswersHandedOut => "answers-handed-out",
             Self::FenceBeforeRegrant => "fence-before-regrant",
+            Self::GrantOutwaited => "grant-outwaited",
+            Self::LifeAdoptedOnce => "life-adopted-once",
             Self::ClaimsWait => "claims-wait",
             Self::StaleBaseRefused => "stale-base-refused",
             Self::InvalidRefused => "invalid-refused",
--- a/crates/waymark/src/spec/table.rs
+++ b/crates/waymark/src/spec/table.rs
@@ -222,6 +222,14 @@
         self.routes.len()
     }
 
+    /// Whether callers may send the identity of a once-transaction of this function again, so that its
+    /// ledger is kept elsewhere and waited for; not so when no once-route of it asks for that.
+    pub fn is_noted(&self, index: FunctionIndex) -> bool {
+        let mut once_routes =
+            self.routes.iter().filter(|route| route.spec.once && route.leads_to(index)).peekable();
+        once_routes.peek().is_none() || once_routes.any(|route| route.spec.noted)
+    }
+
     /// The longest budget any route allows.
     pub fn longest_budget(&self) -> Duration {
         self.routes.iter().map(|route| route.spec.budget).max().unwrap_or_default()
--- a/proving/expedition/src/sim/platform.rs
+++ b/proving/expedition/src/sim/platform.rs
@@ -2,10 +2,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
-use survey::desk::{ListedRunner, ListedWorker};
 use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::identity::{FunctionKey, Locality, RunnerId, TransactionId, WorkerName};
+use waymark::frames::{Life, Place};
+use waymark::identity::{
+    FunctionKey, GrantSerial, LifeName, Locality, RunnerId, TransactionId, WorkerName,
+};
+use waymark::tongue::{BeginEnd, ListedRunner, ListedWorker};
 
 /// One virtual runner.
 #[derive(Clone)]
@@ -14,12 +16,12 @@
     pub function: FunctionKey,
     /// Where it runs.
     pub worker: WorkerName,
-    /// Where it listens.
-    pub place: Place,
+    /// Its life, as the platform names it.
+    pub life: Life,
     /// When it is ready.
     pub ready_at: Moment,
-    /// What it is running.
-    pub running: BTreeSet<TransactionId>,
+    /// What it is running, and for which grant.
+    pub running: BTreeMap<TransactionId, GrantSerial>,
     /// How many it may run.
     pub slots: u32,
     /// How many good answers it has sent.
@@ -42,6 +44,8 @@
     /// How late the list of runners is.
     pub lag: Duration,
     listening: BTreeMap<Place, RunnerId>,
+    by_life: BTreeMap<LifeName, RunnerId>,
+    life_count: u64,
     free_places: Vec<Place>,
     place_count: u16,
     /// Since when runners are about to leave.
@@ -67,6 +71,8 @@
             ended: BTreeSet::new(),
             lag: Duration::from_millis(1000),
             listening: BTreeMap::new(),
+            by_life: BTreeMap::new(),
+            life_count: 0,
             free_places: Vec::new(),
             place_count: 0,
             leaving_since: BTreeMap::new(),
@@ -80,8 +86,10 @@
             .runners
             .iter()
             .map(|(runner, held)| ListedRunner {
-                runner: *runner,
-                function: held.function.clone(),
+                life: held.life.clone(),
+                runner: None,
+                function: held.function.name.clone(),
+                key: None,
                 worker: held.worker.clone(),
                 leaving: self.leaving_since.contains_key(runner),
             })
@@ -112,30 +120,48 @@
         self.runners.get(&runner).map(|held| (runner, held))
     }
 
-    /// Starts a runner, unless its name has ended; says where it listens.
-    pub fn start(&mut self, runner: RunnerId, mut started: SimRunner) -> Option<Place> {
+    /// Starts a runner under a key, unless that has ended; the same key finds the same life.
+    pub fn start(&mut self, runner: RunnerId, mut started: SimRunner) -> BeginEnd {
         if let Some(held) = self.runners.get(&runner) {
-            return Some(held.place);
+            return BeginEnd::Begun(held.life.clone());
         }
-        if self.ended.contains(&runner) || self.locality_of(&started.worker).is_none() {
-            return None;
+        if self.ended.contains(&runner) {
+            return BeginEnd::Refused;
+        }
+        if self.locality_of(&started.worker).is_none() {
+            return BeginEnd::NoRoom;
         }
         let place = self.free_places.pop().unwrap_or_else(|| {
             self.place_count += 1;
             Place(SocketAddrV4::new(Ipv4Addr::new(10, 0, 9, 1), self.place_count))
         });
-        started.place = place;
+        self.life_count += 1;
+        let life = Life { name: format!("l{}.{runner}", self.life_count).into(), place };
+        started.life = life.clone();
         self.listening.insert(place, runner);
+        self.by_life.insert(life.name.clone(), runner);
         self.runners.insert(runner, started);
-        Some(place)
+        BeginEnd::Begun(life)
+    }
+
+    /// Stops a life for good; without one, whatever the key has started or will.
+    pub fn stop_life(&mut self, runner: RunnerId, life: Option<&LifeName>) {
+        match life {
+            Some(life) => {
+                if let Some(key) = self.by_life.get(life).copied() {
+                    self.stop(key);
+                }
+            }
+            None => self.stop(runner),
+        }
     }
 
-    /// Stops a runner for good.
+    /// Stops the runner of a key for good.
     pub fn stop(&mut self, runner: RunnerId) {
         self.leaving_since.remove(&runner);
         if let Some(held) = self.runners.remove(&runner) {
-            self.listening.remove(&held.place);
-            self.free_places.push(held.place);
+            self.listening.remove(&held.life.place);
+            self.free_places.push(held.life.place);
         }
         self.ended.insert(runner);
     }
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -147,11 +147,11 @@
             PlaneOutput::Write(ticket, job) => self.write(place, ticket, job),
             PlaneOutput::Down(stream, frame) => self.send_down(stream, frame),
             PlaneOutput::Close(stream) => self.close_link(stream.0),
-            PlaneOutput::StopRunner(runner) => {
+            PlaneOutput::StopRunner(order) => {
                 let asker = Asker { node, life };
                 if self.network.reaches(node, PLATFORM) {
                     let delay = self.network.delay(&mut self.chance);
-                    self.push(delay, Event::LeaderStop(asker, runner));
+                    self.push(delay, Event::LeaderStop(asker, order));
                 }
             }
             PlaneOutput::Operated(ticket, reply) => self.operated(ticket, reply),
--- a/proving/hut/src/platform/mod.rs
+++ b/proving/hut/src/platform/mod.rs
@@ -16,7 +16,7 @@
 use waymark::clock::Moment;
 use waymark::frames::Place;
 use waymark::http::{self, Served, call_json, json_response, read_body};
-use waymark::identity::{FunctionKey, RunnerId};
+use waymark::identity::{FunctionKey, LifeName, RunnerId};
 
 /// One worker.
 #[derive(Clone, Debug)]
@@ -35,6 +35,7 @@
 
 struct Placed {
     runner: Arc<Runner>,
+    life: String,
     worker: String,
     memory_mb: u64,
     port: u16,
@@ -50,6 +51,7 @@
     placed: HashMap<RunnerId, Placed>,
     ended: BTreeSet<RunnerId>,
     free_ports: Vec<u16>,
+    life_count: u64,
 }
 
 /// A whole stand-in platform.
@@ -155,14 +157,14 @@
                 json_response(StatusCode::OK, &json!({"ready": names}))
             }
             (&Method::POST, ["v1", "runners"]) => self.start(&body).await,
-            (&Method::DELETE, ["v1", "runners", runner]) => match runner.parse() {
-                Ok(runner) => self.stop(runner),
-                Err(_) => json_response(StatusCode::BAD_REQUEST, &json!({"error": "bad_runner"})),
+            (&Method::DELETE, ["v1", "runners", name]) => match key_of(name) {
+                Some(runner) => self.stop(runner),
+                None => json_response(StatusCode::BAD_REQUEST, &json!({"error": "bad_runner"})),
             },
             (&Method::POST, ["v1", "workers", worker, deed]) => self.turn(worker, deed),
-            (&Method::POST, ["v1", "runners", runner, "leave"]) => match runner.parse() {
-                Ok(runner) => self.leave(runner),
-                Err(_) => json_response(StatusCode::BAD_REQUEST, &json!({"error": "bad_runner"})),
+            (&Method::POST, ["v1", "runners", name, "leave"]) => match key_of(name) {
+                Some(runner) => self.leave(runner),
+                None => json_response(StatusCode::BAD_REQUEST, &json!({"error": "bad_runner"})),
             },
             (&Method::POST, ["v1", "mischief"]) => {
                 let mischief = Mischief::from_value(&body);
@@ -204,8 +206,8 @@
         let port = listener.local_addr().map(|address| address.port()).unwrap_or(0);
         let mut books = self.books.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(placed) = books.placed.get(&runner) {
-            let place = address(placed.port).to_string();
-            return json_response(StatusCode::CREATED, &json!({"place": place}));
+            let answer = json!({"life": placed.life, "place": address(placed.port).to_string()});
+            return json_response(StatusCode::CREATED, &answer);
         }
         if books.ended.contains(&runner) {
             return json_response(StatusCode::CONFLICT, &json!({"error": "ended"}));
@@ -241,10 +243,13 @@
         self.yard.records.add("runner_start", detail);
         let boot = Duration::from_millis(boot_ms);
         let started = Runner::start(self.yard.clone(), runner, key, boot, listener);
+        books.life_count += 1;
+        let life = format!("l{}.{runner}", books.life_count);
+        let answer = json!({"life": life, "place": address(port).to_string()});
         let placed =
-            Placed { runner: started, worker: worker_name, memory_mb, port, leaving: false };
+            Placed { runner: started, life, worker: worker_name, memory_mb, port, leaving: false };
         books.placed.insert(runner, placed);
-        json_response(StatusCode::CREATED, &json!({"place": address(port).to_string()}))
+        json_response(StatusCode::CREATED, &answer)
     }
 
     fn stop(&self, runner: RunnerId) -> Served {
@@ -307,6 +312,11 @@
     }
 }
 
+/// The key of a start, named by itself or by the life that it began.
+fn key_of(name: &str) -> Option<RunnerId> {
+    name.parse().ok().or_else(|| RunnerId::started_as(&LifeName::from(name)))
+}
+
 fn list_workers(books: &Books) -> Value {
     let rows: Vec<Value> = books
         .workers
@@ -331,6 +341,8 @@
         .map(|(runner, placed)| {
             json!({
                 "runner": runner.to_string(),
+                "life": placed.life,
+                "place": SocketAddrV4::new(Ipv4Addr::LOCALHOST, placed.port).to_string(),
                 "function": placed.runner.function.to_string(),
                 "worker": placed.worker,
                 "leaving": placed.leaving,
