--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -63,7 +63,12 @@
                 "threads",
                 "platform",
                 "timing",
+                "placing",
             ]);
+            let placing = root.field("placing");
+            placing.only(&["spread", "emptying"]);
+            let spread = placing.field("spread").flag_or(true);
+            let emptying = placing.field("emptying").flag_or(true);
             let timing = root.field("timing");
             timing.only(&[
                 "list_every_ms",
@@ -123,6 +128,8 @@
                     .grant_length(grant_length)
                     .drift_margin(drift_margin)
                     .claims_wait(grant_length + drift_margin)
+                    .spread(spread)
+                    .emptying(emptying)
                     .strike_after(read_millis(
                         &timing.field("strike_ms"),
                         desk_default.strike_after,
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -48,12 +48,8 @@
         }
         HolderOutput::Start { runner, worker, spec } => {
             tokio::spawn(async move {
-                let life = platform::start(&state, &held, runner, &worker, &spec).await;
-                let place = life.as_ref().map(|life| life.place);
-                if let Some(life) = life {
-                    held.learn_life(runner, life);
-                }
-                apply(&held, &state, |holder, now| holder.started(now, runner, place));
+                let end = platform::start(&state, &held, runner, &worker, &spec).await;
+                apply(&held, &state, |holder, now| holder.started(now, runner, end));
             });
         }
         HolderOutput::Probe { runner, place } => {
@@ -64,15 +60,15 @@
         }
         HolderOutput::Settle { runner, place } => {
             tokio::spawn(async move {
-                let running = runners::running(&state, runner, place).await;
+                let face = held.face_of(runner);
+                let running = runners::running(&state, face, place).await;
                 apply(&held, &state, |holder, now| holder.settled(now, runner, running));
             });
         }
-        HolderOutput::Stop { runner, worker } => {
+        HolderOutput::Stop { runner, worker, life } => {
             state.runner_links.forget(runner);
             tokio::spawn(async move {
-                if platform::stop(&state, &held, runner, &worker).await {
-                    held.forget_life(runner);
+                if platform::stop(&state, &held, runner, worker, life).await {
                     apply(&held, &state, |holder, now| holder.stopped(now, runner));
                 }
             });
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -151,7 +151,7 @@
                 let asker = Asker { node, life };
                 if self.network.reaches(node, PLATFORM) {
                     let delay = self.network.delay(&mut self.chance);
-                    self.push(delay, Event::LeaderStop(asker, order.runner));
+                    self.push(delay, Event::LeaderStop(asker, order));
                 }
             }
             PlaneOutput::Operated(ticket, reply) => self.operated(ticket, reply),
