Deadlines instead of ticks, warm functions sought, a refusal by another spec looked at again

Cause: each wake-up is paid for; a 404 is a promise; functions that boot longer than their callers gladly wait are cold after every loss of a holder. Ruled out: a tick every 20 ms with less in it (still fifty wake-ups a second); a 404 from a holder's refusal (its table may be the older one). Change: the control task sleeps until something is due, 100 ms at most, and is hurried by holders that need less. Frames that wait together go out in one write. WarmSeeker has hash owners ask for warm functions on a new spec, a changed host list and a lost owner. Heartbeats every beat_ms. Conclusion: not_allowed reaches callers only as come back soon.

--- a/crates/trail/src/chain/mod.rs
+++ b/crates/trail/src/chain/mod.rs
@@ -4,7 +4,7 @@
 mod filters;
 mod resolve;
 
-pub use resolve::resolve;
+pub use resolve::{Resolved, resolve};
 
 use crate::drivers::State;
 use crate::lodge::Ask;
@@ -73,10 +73,9 @@
         repeat: door.is_repeat(&head.headers),
         parcel: Arc::new(parcel(door, &head, body)),
     };
-    let function = ask.function.clone();
-    let (outcome, _) = resolve(state, ask).await;
+    let resolved = resolve(state, ask).await;
 
-    say(state, Some(&transaction), ended(function, outcome))
+    say(state, Some(&transaction), ended(resolved.function, resolved.outcome))
 }
 
 fn parcel(door: &dyn DoorTongue, head: &Parts, body: bytes::Bytes) -> Parcel {
--- a/crates/trail/src/chain/resolve.rs
+++ b/crates/trail/src/chain/resolve.rs
@@ -4,9 +4,20 @@
 use tokio::time::timeout;
 use waymark::clock::Moment;
 use waymark::frames::{HopBody, HopOutcome, Host};
+use waymark::identity::FunctionKey;
 
-/// Brings a transaction to its holder, and comes back with its outcome and the holder if it is known.
-pub async fn resolve(state: &Arc<State>, ask: Ask) -> (HopOutcome, Option<Host>) {
+/// How a transaction ended.
+pub struct Resolved {
+    /// The function that it went to in the end.
+    pub function: FunctionKey,
+    /// How it ended.
+    pub outcome: HopOutcome,
+    /// The holder, if it is known.
+    pub holder: Option<Host>,
+}
+
+/// Brings a transaction to its holder, and comes back with its outcome.
+pub async fn resolve(state: &Arc<State>, ask: Ask) -> Resolved {
     let lodge = &state.lodge;
     let _in_hand = lodge.take_in_hand();
     let mut changes = state.changes();
@@ -44,7 +55,10 @@
                 let _ = timeout(wait_span, changes.changed()).await;
                 way.look(lodge, Moment::now())
             }
-            WayStep::End(outcome, holder) => return (outcome, holder),
+            WayStep::End(outcome, holder) => {
+                let function = way.ask().function.clone();
+                return Resolved { function, outcome, holder };
+            }
         }
     }
 }
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/trail/src/drivers/control.rs
@@ -5,19 +5,24 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::BufReader;
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::events::{self, Event};
 use waymark::frames::{
-    AcquireResult, Channel, FrameFault, Heartbeat, HopOutcome, Place, StreamDown, StreamUp, dial,
-    encode_heartbeat, read_frame, write_frame,
+    AcquireResult, Channel, FrameFault, Heartbeat, HopOutcome, Place, StreamDown, StreamUp,
+    append_frame, dial, encode_heartbeat, read_frame,
 };
 use waymark::identity::{FunctionKey, GrantSerial};
 use waymark::note;
 
+const LONGEST_REST: Duration = Duration::from_millis(100);
+const SHORTEST_REST: Duration = Duration::from_millis(5);
+const SENT_AT_ONCE: usize = 64 << 10;
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
 /// What reaches the control task.
 pub enum ControlInput {
     /// The dialed stream is open.
@@ -48,6 +53,7 @@
     stream_number: u64,
     stream: Option<mpsc::Sender<StreamUp>>,
     beats: Arc<UdpSocket>,
+    sweep_at: Moment,
 }
 
 impl Control {
@@ -60,29 +66,54 @@
             state.boot.door,
             state.boot.seeds.clone(),
             Chance::from_os(),
-        );
+        )
+        .with_beat(state.boot.beat_every);
+        let controller =
+            if state.boot.warm { controller.with_warm(Moment::now()) } else { controller };
         let acquires = HashMap::new();
-        Self { state, controller, acquires, stream_number: 0, stream: None, beats }
+        let sweep_at = Moment::now() + SWEEP_EVERY;
+        Self { state, controller, acquires, stream_number: 0, stream: None, beats, sweep_at }
     }
 
-    /// Runs as long as the process.
+    /// Runs as long as the process; wakes only when something is due, or comes in.
     pub async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<ControlInput>) {
-        let mut ticking = tokio::time::interval(Duration::from_millis(20));
-        ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        let state = self.state.clone();
+        let mut due = Moment::now();
         loop {
+            if Moment::now() >= due {
+                self.tick();
+                due = self.next_due();
+            }
+            state.control_due.set(due);
             tokio::select! {
-                _ = ticking.tick() => {
-                    let orders = self.controller.tick(&self.state.lodge, Moment::now());
-                    self.obey(orders);
-                }
+                () = tokio::time::sleep(due.since(Moment::now())) => {}
+                () = state.rush.notified() => due = due.min(self.next_due()),
                 input = inbox.recv() => match input {
-                    Some(input) => self.take(input),
+                    Some(input) => {
+                        self.take(input);
+                        due = due.min(self.controller.stream_due());
+                    }
                     None => return,
                 },
             }
         }
     }
 
+    fn tick(&mut self) {
+        let now = Moment::now();
+        let orders = self.controller.tick(&self.state.lodge, now);
+        self.obey(orders);
+        if now >= self.sweep_at {
+            self.sweep_at = now + SWEEP_EVERY;
+            self.state.runner_links.sweep();
+        }
+    }
+
+    fn next_due(&self) -> Moment {
+        let now = Moment::now();
+        self.controller.next_due(&self.state.lodge).clamp(now + SHORTEST_REST, now + LONGEST_REST)
+    }
+
     fn take(&mut self, input: ControlInput) {
         let now = Moment::now();
         let state = self.state.clone();
@@ -226,11 +257,18 @@
         }
     };
     let writing = async {
+        let mut sent_bytes = Vec::new();
         while let Some(frame) = frames.recv().await {
-            let writing_frame = write_frame(&mut writing_half, &frame);
-            tokio::time::timeout(Duration::from_secs(2), writing_frame)
+            append_frame(&mut sent_bytes, &frame)?;
+            while sent_bytes.len() < SENT_AT_ONCE
+                && let Ok(next_frame) = frames.try_recv()
+            {
+                append_frame(&mut sent_bytes, &next_frame)?;
+            }
+            tokio::time::timeout(Duration::from_secs(2), writing_half.write_all(&sent_bytes))
                 .await
                 .map_err(|_| timed_out())??;
+            sent_bytes.clear();
         }
         Ok(())
     };
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -21,6 +21,7 @@
 
 /// Does what a holder orders.
 pub fn drive(held: &HeldHere, state: &Arc<State>, outputs: Vec<HolderOutput>) {
+    state.hurry(held);
     for output in outputs {
         match held.question(output) {
             Ok(question) => {
--- a/crates/trail/src/drivers/hops.rs
+++ b/crates/trail/src/drivers/hops.rs
@@ -6,15 +6,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::io::BufReader;
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use waymark::clock::Moment;
 use waymark::frames::{
-    Channel, FrameFault, HopBody, HopFrame, Many, Place, dial, read_frame, write_frame,
+    Channel, FrameFault, HopBody, HopFrame, Many, Place, append_frame, dial, read_frame,
 };
 use waymark::identity::CorrelationId;
 
+const SENT_AT_ONCE: usize = 64 << 10;
+
 /// How a passed-on transaction came back.
 pub enum AskEnd {
     /// With an answer.
@@ -97,14 +99,23 @@
         }
     };
     let writing = async {
-        while let Some(asking) = askings.recv().await {
-            pending
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .insert(asking.frame.correlation, asking.end);
-            if write_frame(&mut writing_half, &asking.frame).await.is_err() {
+        let mut sent_bytes = Vec::new();
+        while let Some(first_asking) = askings.recv().await {
+            let mut next_asking = Some(first_asking);
+            while let Some(asking) = next_asking {
+                if append_frame(&mut sent_bytes, &asking.frame).is_err() {
+                    let _ = asking.end.send(AskEnd::Unsent);
+                } else {
+                    let mut open_asks = pending.lock().unwrap_or_else(PoisonError::into_inner);
+                    open_asks.insert(asking.frame.correlation, asking.end);
+                }
+                let has_room = sent_bytes.len() < SENT_AT_ONCE;
+                next_asking = if has_room { askings.try_recv().ok() } else { None };
+            }
+            if writing_half.write_all(&sent_bytes).await.is_err() {
                 return;
             }
+            sent_bytes.clear();
         }
     };
     tokio::select! {
@@ -124,10 +135,20 @@
     let mut reader = BufReader::new(reading_half);
     let (done_sender, mut done_frames) = mpsc::channel::<HopFrame>(1024);
     tokio::spawn(async move {
+        let mut sent_bytes = Vec::new();
         while let Some(frame) = done_frames.recv().await {
-            if write_frame(&mut writing_half, &frame).await.is_err() {
+            let mut next_frame = Some(frame);
+            while let Some(frame) = next_frame {
+                if append_frame(&mut sent_bytes, &frame).is_err() {
+                    return;
+                }
+                let has_room = sent_bytes.len() < SENT_AT_ONCE;
+                next_frame = if has_room { done_frames.try_recv().ok() } else { None };
+            }
+            if writing_half.write_all(&sent_bytes).await.is_err() {
                 return;
             }
+            sent_bytes.clear();
         }
     });
     loop {
@@ -145,8 +166,9 @@
 async fn answer(state: &Arc<State>, body: HopBody) -> Option<HopBody> {
     match Ask::passed_on(Moment::now(), body) {
         Ok(ask) => {
-            let (outcome, holder) = resolve(state, ask).await;
-            Some(HopBody::Done { outcome, holder: Many(holder.into_iter().collect()) })
+            let resolved = resolve(state, ask).await;
+            let holder = Many(resolved.holder.into_iter().collect());
+            Some(HopBody::Done { outcome: resolved.outcome, holder })
         }
         Err(question) => state.lodge.answer_as_steward(Moment::now(), *question),
     }
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -6,8 +6,8 @@
 use crate::lodge::{Held, Lodge};
 use crate::tongue::TrailTongues;
 use std::sync::{Arc, PoisonError};
-use tokio::sync::{mpsc, oneshot, watch};
-use waymark::clock::Moment;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use waymark::clock::{Moment, SharedMoment};
 use waymark::frames::{AcquireResult, HopOutcome, Host};
 use waymark::identity::FunctionKey;
 use waymark::rules::Rules;
@@ -30,6 +30,8 @@
     pub runner_links: Arc<RunnerLinks>,
     /// The metrics.
     pub gauges: Gauges,
+    pub(super) rush: Notify,
+    pub(super) control_due: SharedMoment,
     pub(super) changes: watch::Sender<u64>,
     pub(super) control: mpsc::UnboundedSender<ControlInput>,
 }
@@ -51,6 +53,8 @@
             lodge,
             runner_links: Arc::new(RunnerLinks::default()),
             gauges: Gauges::new(),
+            rush: Notify::new(),
+            control_due: SharedMoment::new(),
             changes: watch::Sender::new(0),
             control,
         }
@@ -77,6 +81,14 @@
         result.await.ok()
     }
 
+    /// Has the control task look earlier than it meant to, if a holder needs that.
+    pub(super) fn hurry(&self, held: &HeldHere) {
+        let holder_due = held.with(|holder| holder.next_due());
+        if holder_due.is_some_and(|due| due < self.control_due.get()) {
+            self.rush.notify_one();
+        }
+    }
+
     /// Brings the gauges up to the moment.
     pub(super) fn gauge(&self) {
         let holdings = self.lodge.holdings.load_full();
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -116,6 +116,17 @@
         self
     }
 
+    /// The same with another pause between heartbeats.
+    pub fn with_beat(mut self, beat_every: Duration) -> Self {
+        self.watch = self.watch.with_beat(beat_every);
+        self
+    }
+
+    /// When something is due, at the latest.
+    pub fn next_due(&self) -> Moment {
+        self.liaison.next_due().min(self.watch.next_due())
+    }
+
     /// The seeds have changed.
     pub fn set_seeds(&mut self, seeds: Vec<Place>) {
         self.liaison.set_seeds(seeds);
--- a/crates/trail/src/liaison/mod.rs
+++ b/crates/trail/src/liaison/mod.rs
@@ -123,6 +123,19 @@
         self
     }
 
+    /// When something is due.
+    pub fn next_due(&self) -> Moment {
+        let state_due = match self.state {
+            StreamState::Idle { dial_at } => dial_at,
+            StreamState::Dialing { give_up_at } | StreamState::Open { give_up_at } => give_up_at,
+            StreamState::Welcomed { heard_at, renew_at } => {
+                let silent_at = heard_at + self.timing.silence_within;
+                if self.leaving { silent_at } else { silent_at.min(renew_at) }
+            }
+        };
+        if self.granted { state_due.min(self.grant_end) } else { state_due }
+    }
+
     /// The seeds have changed; surveyors known from the spec stay known.
     pub fn set_seeds(&mut self, seeds: Vec<Place>) {
         if seeds.is_empty() {
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -2,6 +2,7 @@
 use crate::holder::{GrantTerms, Holder, HolderOutput, HolderWord};
 use crate::keeper::{Keeper, KeeperOrder};
 use crate::liaison::{Liaison, LiaisonTiming};
+use crate::owners::{WarmSeeker, WarmSight};
 use std::collections::BTreeMap;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -49,6 +50,7 @@
 pub struct Controller<W> {
     keeper: Keeper,
     say_at: Moment,
+    warm: Option<WarmSeeker>,
     orders: Vec<DaemonOrder<W>>,
 }
 
@@ -66,7 +68,66 @@
         let liaison = Liaison::new(now, timing, own_host.clone(), door, seeds, chance)
             .with_rules(lodge.rules);
         let keeper = Keeper::new(liaison, own_host).with_rules(lodge.rules);
-        Self { keeper, say_at: now, orders: Vec::new() }
+        Self { keeper, say_at: now, warm: None, orders: Vec::new() }
+    }
+
+    /// The same with another pause between heartbeats.
+    pub fn with_beat(mut self, beat_every: Duration) -> Self {
+        self.keeper = self.keeper.with_beat(beat_every);
+        self
+    }
+
+    /// The same, seeking owners for warm functions before they are called.
+    pub fn with_warm(mut self, now: Moment) -> Self {
+        self.warm = Some(WarmSeeker::new(now));
+        self
+    }
+
+    /// When something is due, at the latest.
+    pub fn next_due(&self, lodge: &Lodge<W>) -> Moment {
+        let seeks = self.keeper.is_welcomed() && !lodge.is_leaving();
+        let warm = self.warm.as_ref().filter(|_| seeks);
+        let warm_due = warm.map_or(self.say_at, WarmSeeker::next_due);
+        let first_due = self.keeper.next_due().min(self.say_at).min(warm_due);
+        let holdings = lodge.holdings.load();
+        let holders_due =
+            holdings.values().filter_map(|held| held.with(|holder| holder.next_due()));
+        holders_due.fold(first_due, Moment::min)
+    }
+
+    /// When the stream or a heartbeat is due.
+    pub fn stream_due(&self) -> Moment {
+        self.keeper.next_due()
+    }
+
+    /// Asks for warm functions that want an owner.
+    fn seek_warm(&mut self, lodge: &Lodge<W>, now: Moment) {
+        if !lodge.is_serving(now) || lodge.is_leaving() || !self.keeper.is_welcomed() {
+            return;
+        }
+        let Some(warm) = &mut self.warm else { return };
+        let (table, hosts) = (lodge.table.load(), lodge.hosts.load());
+        let (owners, holdings) = (lodge.owners.load(), lodge.holdings.load());
+        let wish = warm.next(
+            now,
+            &WarmSight {
+                table: &table,
+                own_member: &lodge.own_host.member,
+                hosts: &hosts,
+                owners: &owners,
+                holds: &|function| holdings.contains_key(function),
+            },
+        );
+        if let Some(function) = wish {
+            let keeper_orders = self.keeper.acquire(now, function);
+            self.obey(lodge, now, keeper_orders);
+        }
+    }
+
+    fn warm_changed(&mut self, now: Moment) {
+        if let Some(warm) = &mut self.warm {
+            warm.changed(now);
+        }
     }
 
     /// The seeds have changed.
@@ -93,6 +154,7 @@
         for held in closing {
             self.apply(&held, |holder| holder.tick(now));
         }
+        self.seek_warm(lodge, now);
         if now >= self.say_at {
             self.say_at = now + SAY_EVERY;
             self.say_busyness(lodge, now);
@@ -273,6 +335,7 @@
             }
             KeeperOrder::ServeUntil(grant_end) => {
                 if !lodge.is_serving(now) {
+                    self.warm_changed(now);
                     self.tell(events::SERVING, format!("serial {}", self.keeper.serial()));
                     self.orders.push(DaemonOrder::Changed);
                 }
@@ -285,6 +348,7 @@
             }
             KeeperOrder::Hosts(alive_hosts) => {
                 lodge.hosts.store(Arc::new(alive_hosts));
+                self.warm_changed(now);
                 self.orders.push(DaemonOrder::Changed);
             }
             KeeperOrder::Grant(terms) => self.granted(lodge, now, terms),
@@ -361,6 +425,7 @@
 
     fn install(&mut self, lodge: &Lodge<W>, now: Moment, table: Arc<Table>) {
         lodge.table.store(table.clone());
+        self.warm_changed(now);
         let detail = format!("serial {}, {} routes", table.serial(), table.route_count());
         self.tell(events::SPEC_INSTALLED, detail);
         self.orders.push(DaemonOrder::Installed(table.serial()));
--- a/crates/trail/src/lodge/way.rs
+++ b/crates/trail/src/lodge/way.rs
@@ -6,11 +6,15 @@
 use waymark::clock::Moment;
 use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Parcel};
 use waymark::identity::{FunctionKey, Serial, TransactionId};
+use waymark::spec::Table;
 
 /// What is kept back of the budget for each hop, there and back, so that a refusal at the last moment
 /// still arrives as one.
 const HOP_COST: Duration = Duration::from_millis(25);
 const SPEC_PATIENCE: Duration = Duration::from_millis(500);
+/// How long a daemon waits for a newer spec when the holder has refused by another one than its own.
+const DISPUTE_PATIENCE: Duration = Duration::from_millis(300);
+const MOST_DISPUTES: u32 = 3;
 const ASK_PAUSE: Duration = Duration::from_millis(40);
 
 /// A transaction that seeks its holder.
@@ -108,6 +112,8 @@
     give_up_at: Option<Moment>,
     ask_from: Moment,
     come_back: Option<Moment>,
+    disputed_until: Option<Moment>,
+    dispute_count: u32,
 }
 
 fn ended<W>(reason: HopReason, retry_span: Duration) -> WayStep<W> {
@@ -117,7 +123,15 @@
 impl Way {
     /// A transaction at the start of its way through this daemon.
     pub fn new(now: Moment, ask: Ask) -> Self {
-        Self { ask, spec_by: now + SPEC_PATIENCE, give_up_at: None, ask_from: now, come_back: None }
+        Self {
+            ask,
+            spec_by: now + SPEC_PATIENCE,
+            give_up_at: None,
+            ask_from: now,
+            come_back: None,
+            disputed_until: None,
+            dispute_count: 0,
+        }
     }
 
     /// The transaction.
@@ -132,6 +146,19 @@
             return ended(HopReason::NotServing, Duration::from_millis(1000));
         }
         let table = lodge.table.load();
+        if let Some(disputed_until) = self.disputed_until {
+            if table.serial() <= self.ask.serial {
+                return if now < disputed_until {
+                    WayStep::Wait { wait_until: disputed_until }
+                } else {
+                    ended(HopReason::NotAllowed, Duration::from_millis(200))
+                };
+            }
+            self.disputed_until = None;
+        }
+        if self.ask.hops == 0 {
+            self.aim(&table);
+        }
         let Some(route) = table
             .route_named(&self.ask.route)
             .filter(|_| table.allows(&self.ask.route, &self.ask.function))
@@ -216,6 +243,27 @@
         }
     }
 
+    /// At the caller's daemon: a newer spec may lead the same route elsewhere. Nothing has run yet.
+    fn aim(&mut self, table: &Table) {
+        if table.serial() <= self.ask.serial {
+            return;
+        }
+        if let Some(route) = table.route_named(&self.ask.route) {
+            self.ask.function = table.function(route.choose(&self.ask.transaction)).key.clone();
+            self.ask.serial = table.serial();
+        }
+    }
+
+    /// A holder refused by another spec than this daemon's: one of them is about to change.
+    fn dispute<W>(&mut self, lodge: &Lodge<W>, now: Moment) -> WayStep<W> {
+        self.dispute_count += 1;
+        if self.dispute_count > MOST_DISPUTES {
+            return ended(HopReason::NotAllowed, Duration::from_millis(200));
+        }
+        self.disputed_until = Some(now + DISPUTE_PATIENCE);
+        self.look(lodge, now)
+    }
+
     fn pause<W>(&mut self, now: Moment) -> WayStep<W> {
         self.ask_from = now + ASK_PAUSE;
         WayStep::Wait { wait_until: self.ask_from }
@@ -227,6 +275,9 @@
         if is_turned_away && self.ask.hops == 0 {
             return self.pause(now);
         }
+        if is_not_allowed(&outcome) && self.ask.hops == 0 {
+            return self.dispute(lodge, now);
+        }
         WayStep::End(outcome, (!is_turned_away).then(|| lodge.own_host.clone()))
     }
 
@@ -240,6 +291,9 @@
                 }
                 self.pause(now)
             }
+            PassEnd::Done(outcome, _) if is_not_allowed(&outcome) && self.ask.hops == 0 => {
+                self.dispute(lodge, now)
+            }
             PassEnd::Done(outcome, holder) => {
                 if let Some(holder) = &holder {
                     lodge.learn_owner(&self.ask.function, holder);
@@ -298,3 +352,7 @@
 fn is_not_holder(outcome: &HopOutcome) -> bool {
     matches!(outcome, HopOutcome::NotRun { reason: HopReason::NotHolder, .. })
 }
+
+fn is_not_allowed(outcome: &HopOutcome) -> bool {
+    matches!(outcome, HopOutcome::NotRun { reason: HopReason::NotAllowed, .. })
+}
--- a/crates/trail/src/owners/mod.rs
+++ b/crates/trail/src/owners/mod.rs
@@ -1,5 +1,9 @@
 //! The source's ordinary path: cache, then hash owner, and only the hash owner asks the leader.
 
+mod warm;
+
+pub use warm::{WarmSeeker, WarmSight};
+
 use waymark::frames::Host;
 use waymark::identity::{FunctionKey, MemberName};
 use waymark::ring;
--- a/crates/trail/src/watch/mod.rs
+++ b/crates/trail/src/watch/mod.rs
@@ -10,7 +10,7 @@
 /// How many daemons watch each one.
 pub const WATCHER_COUNT: usize = 3;
 
-/// From one heartbeat to the next.
+/// From one heartbeat to the next, unless the boot settings say otherwise.
 pub const BEAT_EVERY: Duration = Duration::from_millis(100);
 
 /// After this silence a daemon counts as gone.
@@ -25,6 +25,7 @@
 pub struct Watch {
     own_host: Host,
     sightings: BTreeMap<MemberName, Sighting>,
+    beat_every: Duration,
     beat_at: Moment,
     beat_count: u64,
     ignored_count: u64,
@@ -36,12 +37,29 @@
         Self {
             own_host,
             sightings: BTreeMap::new(),
+            beat_every: BEAT_EVERY,
             beat_at: Moment::ZERO,
             beat_count: 0,
             ignored_count: 0,
         }
     }
 
+    /// The same with another pause between heartbeats; the silence that is borne changes with it.
+    pub fn with_beat(mut self, beat_every: Duration) -> Self {
+        self.beat_every = beat_every;
+        self
+    }
+
+    /// When the next heartbeat is due.
+    pub fn next_due(&self) -> Moment {
+        self.beat_at
+    }
+
+    fn gone_after(&self) -> Duration {
+        let millis = self.beat_every.as_millis() * GONE_AFTER.as_millis() / BEAT_EVERY.as_millis();
+        Duration::from_millis(millis as u64)
+    }
+
     /// Takes the leader's host list. A daemon on it counts as just seen only when it is new.
     pub fn listed(&mut self, now: Moment, hosts: Vec<Host>) {
         let mut earlier_sightings = std::mem::take(&mut self.sightings);
@@ -88,7 +106,7 @@
         if now < self.beat_at {
             return None;
         }
-        self.beat_at = now + BEAT_EVERY;
+        self.beat_at = now + self.beat_every;
         self.beat_count += 1;
         let hosts: Vec<Host> =
             self.sightings.values().map(|sighting| sighting.host.clone()).collect();
@@ -117,8 +135,9 @@
 
     /// The daemons that count as alive, this one always among them.
     pub fn alive(&self, now: Moment) -> Vec<Host> {
+        let gone_after = self.gone_after();
         let is_alive = |sighting: &&Sighting| {
-            sighting.host.member == self.own_host.member || now.since(sighting.seen_at) < GONE_AFTER
+            sighting.host.member == self.own_host.member || now.since(sighting.seen_at) < gone_after
         };
         self.sightings.values().filter(is_alive).map(|sighting| sighting.host.clone()).collect()
     }
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use trail::holder::{GrantTerms, Holder, SendEnd};
 use trail::liaison::LiaisonTiming;
-use trail::lodge::{Ask, Controller, DaemonOrder, Held, Lodge, Task, Way, WayStep, judge};
+use trail::lodge::{Ask, Controller, DaemonOrder, Held, Lodge, PassEnd, Task, Way, WayStep, judge};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
@@ -294,6 +294,126 @@
     verify_that!(judged(unnamed, foreign.0, foreign.1, &foreign.2, &foreign.3), eq(true))
 }
 
+/// An answer as a runner gives it whose seal only the caller can check.
+fn carried(status: u16) -> RunnerSaid {
+    RunnerSaid {
+        status,
+        transaction: "t".to_owned(),
+        function: None,
+        runner: None,
+        seal: "carried".to_owned(),
+        seal_kind: SealKind::Carried,
+        did_not_run: false,
+        is_other: false,
+        is_doubtful: false,
+        closes: false,
+        lines: Vec::new(),
+        body: b"whole".to_vec().into(),
+    }
+}
+
+#[gtest]
+fn an_answer_whose_seal_only_the_caller_can_check_is_believed_by_what_can_be_seen() -> Result<()> {
+    let runner = RunnerId { grant: GrantSerial(4), ordinal: 5 };
+    let function = FunctionKey::new("f", Serial(2));
+    let other_name = || "other".to_owned();
+    let cases: Vec<(&str, RunnerSaid, &str)> = vec![
+        ("whole and sealed", carried(200), "answered"),
+        (
+            "names itself",
+            RunnerSaid { runner: Some(runner.to_string()), ..carried(200) },
+            "answered",
+        ),
+        ("another identity", RunnerSaid { transaction: other_name(), ..carried(200) }, "lost"),
+        ("another function", RunnerSaid { function: Some(other_name()), ..carried(200) }, "lost"),
+        ("names another", RunnerSaid { runner: Some(other_name()), ..carried(200) }, "lost"),
+        ("no seal", RunnerSaid { seal: String::new(), ..carried(200) }, "lost"),
+        ("doubtful", RunnerSaid { is_doubtful: true, ..carried(200) }, "lost"),
+        (
+            "callers' fault without seal",
+            RunnerSaid { seal: String::new(), ..carried(404) },
+            "answered",
+        ),
+        ("did not run", RunnerSaid { did_not_run: true, ..carried(503) }, "shed"),
+        (
+            "did not run, of another",
+            RunnerSaid { did_not_run: true, transaction: other_name(), ..carried(503) },
+            "lost",
+        ),
+        (
+            "is another",
+            RunnerSaid { is_other: true, did_not_run: true, ..carried(421) },
+            "other runner",
+        ),
+        (
+            "is another, of another",
+            RunnerSaid { is_other: true, transaction: other_name(), ..carried(421) },
+            "lost",
+        ),
+        ("its own failure", RunnerSaid { seal: String::new(), ..carried(500) }, "failed"),
+    ];
+    for (what, said, expected) in cases {
+        let end = judge(Rules::KEPT, &TransactionId::from("t"), &function, runner, said);
+        let seen = match end {
+            SendEnd::Answered(_) => "answered",
+            SendEnd::Failed(_) => "failed",
+            SendEnd::ShedByRunner => "shed",
+            SendEnd::OtherRunner => "other runner",
+            SendEnd::Lost => "lost",
+            SendEnd::Barred(_) | SendEnd::Unsent => "never",
+        };
+        verify_that!((what, seen), eq((what, expected)))?;
+    }
+    Ok(())
+}
+
+/// A daemon that has passed a transaction on, and whose holder refused it by another spec.
+fn disputed() -> (Bench, Way, WayStep<u64>) {
+    let mut bench = Bench::new(Rules::KEPT);
+    bench.hear(spec_frame(3, "f"));
+    bench.renew(3);
+    bench.list_itself();
+    let mut way = Way::new(bench.now, bench.ask());
+    way.look(&bench.lodge, bench.now);
+    let refused = HopOutcome::NotRun { reason: HopReason::NotAllowed, retry_ms: 500 };
+    let step = way.passed(&bench.lodge, bench.now, PassEnd::Done(refused, None));
+    (bench, way, step)
+}
+
+#[gtest]
+fn a_holder_with_a_newer_spec_has_the_door_look_again_when_its_own_comes() -> Result<()> {
+    let (mut bench, mut way, step) = disputed();
+    let WayStep::Wait { wait_until } = step else { return fail!("the door does not wait") };
+    verify_that!(wait_until, eq(bench.now + ms(300)))?;
+    let unchanged = way.look(&bench.lodge, bench.now + ms(100));
+    verify_that!(matches!(unchanged, WayStep::Wait { .. }), eq(true))?;
+    bench.hear(spec_frame(4, "g"));
+    let changed = way.look(&bench.lodge, bench.now + ms(110));
+    verify_that!(matches!(changed, WayStep::Acquire { .. }), eq(true))?;
+    verify_that!(way.ask().function.clone(), eq(&bench.key("g")))?;
+    verify_that!(way.ask().serial, eq(Serial(4)))
+}
+
+#[gtest]
+fn a_disagreement_that_stays_is_a_reason_to_come_back_soon_and_no_more() -> Result<()> {
+    let (bench, mut way, _) = disputed();
+    let late = way.look(&bench.lodge, bench.now + ms(300));
+    verify_that!(refusal(&late), some(eq((HopReason::NotAllowed, 200))))
+}
+
+#[gtest]
+fn the_controller_rests_until_something_is_due() -> Result<()> {
+    let mut bench = Bench::new(Rules::KEPT);
+    bench.hear(spec_frame(3, "f"));
+    bench.renew(3);
+    bench.list_itself();
+    bench.controller.tick(&bench.lodge, bench.now);
+    let due = bench.controller.next_due(&bench.lodge);
+    verify_that!(due, eq(bench.now + ms(100)))?;
+    bench.controller.tick(&bench.lodge, due);
+    verify_that!(bench.controller.next_due(&bench.lodge), gt(due))
+}
+
 #[gtest]
 fn a_caller_that_hangs_up_leaves_nothing_in_hand() -> Result<()> {
     let lodge: Lodge<u64> = Lodge::new(host(), Rules::KEPT);
--- /dev/null
+++ b/crates/trail/tests/warm.rs
@@ -0,0 +1,118 @@
+//! Functions that boot longer than their callers gladly wait get an owner before they are called.
+
+use googletest::prelude::*;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use trail::owners::{WarmSeeker, WarmSight};
+use waymark::clock::Moment;
+use waymark::frames::{Flag, Host, Place};
+use waymark::identity::{FunctionKey, MemberName, Serial};
+use waymark::ring::hash_owner;
+use waymark::spec::{Document, Table, read_spec};
+
+const START: Moment = Moment(10_000_000_000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn hosts() -> Vec<Host> {
+    (0..4)
+        .map(|number| Host {
+            member: format!("th-{number}").into(),
+            incarnation: (number + 1).into(),
+            locality: "here".into(),
+            place: Place::NOWHERE,
+            eligible: Flag(true),
+        })
+        .collect()
+}
+
+/// Twelve functions that boot for 800 ms; the odd ones' callers gladly wait for a second.
+fn table() -> Table {
+    let mut functions = serde_json::Map::new();
+    let mut routes = serde_json::Map::new();
+    for number in 0..12 {
+        let name = format!("f{number}");
+        functions.insert(name.clone(), json!({"memory_mb": 100, "boot_ms": 800, "slots": 2}));
+        let target_ms = if number % 2 == 0 { 300 } else { 1000 };
+        routes.insert(
+            format!("r{number}"),
+            json!({
+                "method": "POST", "path": format!("/r{number}"), "function": name,
+                "budget_ms": 3000, "target_ms": target_ms, "kind": "repeatable",
+            }),
+        );
+    }
+    let spec = json!({"functions": functions, "routes": routes});
+    let checked_spec = read_spec(&spec).expect("a spec");
+    let mut document = Document::founding(Vec::new());
+    document.stamp.serial = Serial(1);
+    Table::build(&document.with_spec(spec, &checked_spec, "change".into()).view()).expect("a table")
+}
+
+fn asked_by(
+    seeker: &mut WarmSeeker,
+    own_member: &MemberName,
+    hosts: &[Host],
+    owners: &BTreeMap<FunctionKey, Host>,
+    from: Moment,
+    span: Duration,
+) -> Vec<(Moment, FunctionKey)> {
+    let table = table();
+    let sight = WarmSight { table: &table, own_member, hosts, owners, holds: &|_| false };
+    (0..span.as_millis() as u64)
+        .filter_map(|passed_ms| {
+            let now = from + ms(passed_ms);
+            seeker.next(now, &sight).map(|function| (now, function))
+        })
+        .collect()
+}
+
+#[gtest]
+fn each_warm_function_is_asked_for_by_its_hash_owner_alone_one_after_the_other() -> Result<()> {
+    let hosts = hosts();
+    let table = table();
+    let no_owners = BTreeMap::new();
+    let mut all_asked: Vec<FunctionKey> = Vec::new();
+    for host in &hosts {
+        let mut seeker = WarmSeeker::new(START);
+        let asked = asked_by(&mut seeker, &host.member, &hosts, &no_owners, START, ms(900));
+        for pair in asked.windows(2) {
+            verify_that!(pair[1].0.since(pair[0].0), ge(ms(5)))?;
+        }
+        for (_, function) in asked {
+            let owner = hash_owner(&function, hosts.iter()).map(|owner| owner.member.clone());
+            verify_that!(owner, some(eq(&host.member)))?;
+            all_asked.push(function);
+        }
+    }
+    all_asked.sort();
+    let mut warm_functions: Vec<FunctionKey> = table.warm_functions().cloned().collect();
+    warm_functions.sort();
+    verify_that!(warm_functions.len(), eq(6))?;
+    verify_that!(all_asked, eq(&warm_functions))
+}
+
+#[gtest]
+fn a_warm_function_is_asked_for_again_when_its_known_owner_disappears() -> Result<()> {
+    let all_hosts = hosts();
+    let table = table();
+    let lost_host = &all_hosts[0];
+    let owners: BTreeMap<FunctionKey, Host> =
+        table.warm_functions().map(|function| (function.clone(), lost_host.clone())).collect();
+    let staying_hosts = &all_hosts[1..];
+    let mut asked_count = 0;
+    for host in staying_hosts {
+        let mut seeker = WarmSeeker::new(START);
+        let before = asked_by(&mut seeker, &host.member, &all_hosts, &owners, START, ms(300));
+        verify_that!(before.len(), eq(0))?;
+        let lost_at = START + ms(300);
+        seeker.changed(lost_at);
+        verify_that!(seeker.next_due(), le(lost_at))?;
+        let after = asked_by(&mut seeker, &host.member, staying_hosts, &owners, lost_at, ms(300));
+        asked_count += after.len();
+    }
+    verify_that!(asked_count, eq(6))
+}
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -18,6 +18,6 @@
     StreamDown, StreamUp,
 };
 pub use wire::{
-    Channel, FrameFault, decode, decode_heartbeat, encode, encode_heartbeat, read_channel,
-    read_frame, write_channel, write_frame,
+    Channel, FrameFault, append_frame, decode, decode_heartbeat, encode, encode_heartbeat,
+    read_channel, read_frame, write_channel, write_frame,
 };
--- a/crates/waymark/src/frames/wire.rs
+++ b/crates/waymark/src/frames/wire.rs
@@ -130,19 +130,35 @@
         .ok_or(FrameFault::WrongChannel(first_bytes[3]))
 }
 
+/// Appends one frame to what is to be written: its length, then its bytes.
+pub fn append_frame<T>(sent_bytes: &mut Vec<u8>, frame: &T) -> Result<(), FrameFault>
+where
+    T: for<'a> BinWrite<Args<'a> = ()> + WriteEndian,
+{
+    let frame_place = sent_bytes.len();
+    let mut frame_cursor = Cursor::new(std::mem::take(sent_bytes));
+    frame_cursor.set_position(frame_place as u64 + 4);
+    let written = frame.write(&mut frame_cursor);
+    *sent_bytes = frame_cursor.into_inner();
+    let frame_length = sent_bytes.len().saturating_sub(frame_place + 4);
+    if written.is_err() || frame_length as u64 > u64::from(LARGEST_FRAME) {
+        sent_bytes.truncate(frame_place);
+        written?;
+        return Err(FrameFault::Oversized(frame_length as u32));
+    }
+    let length_bytes = (frame_length as u32).to_be_bytes();
+    sent_bytes[frame_place..frame_place + 4].copy_from_slice(&length_bytes);
+    Ok(())
+}
+
 /// Writes one frame: its length, then its bytes.
 pub async fn write_frame<W, T>(writer: &mut W, frame: &T) -> Result<(), FrameFault>
 where
     W: AsyncWrite + Unpin,
     T: for<'a> BinWrite<Args<'a> = ()> + WriteEndian,
 {
-    let frame_bytes = encode(frame)?;
-    if frame_bytes.len() as u64 > u64::from(LARGEST_FRAME) {
-        return Err(FrameFault::Oversized(frame_bytes.len() as u32));
-    }
-    let mut sent_bytes = Vec::with_capacity(frame_bytes.len() + 4);
-    sent_bytes.extend_from_slice(&(frame_bytes.len() as u32).to_be_bytes());
-    sent_bytes.extend_from_slice(&frame_bytes);
+    let mut sent_bytes = Vec::new();
+    append_frame(&mut sent_bytes, frame)?;
     writer.write_all(&sent_bytes).await?;
     Ok(())
 }
--- a/proving/expedition/src/sim/checks.rs
+++ b/proving/expedition/src/sim/checks.rs
@@ -228,6 +228,14 @@
         }
     }
 
+    /// A newer spec leads a first try elsewhere before it has run.
+    pub fn turned(&mut self, at: Moment, from: &FunctionKey, to: &FunctionKey) {
+        if let Some(tries) = self.tries.get_mut(from) {
+            tries.firsts.pop_back();
+        }
+        self.tries.entry(to.clone()).or_default().firsts.push_back(at);
+    }
+
     /// The same identity will come again by another door.
     pub fn twin(&mut self, transaction: &TransactionId) {
         self.seen.entry(transaction.clone()).or_default().is_twin = true;
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -622,13 +622,19 @@
             return;
         }
         let lodge = body.lodge.clone();
+        let function_before = pending.way.ask().function.clone();
         let next_step = change(&mut pending.way, &lodge, local_now);
+        let function = pending.way.ask().function.clone();
+        let is_first = !pending.way.ask().repeat;
         pending.awaits = match &next_step {
             WayStep::Serve(..) => Awaits::Outcome,
             WayStep::Pass { .. } => Awaits::Passed,
             WayStep::Acquire { .. } => Awaits::Acquired,
             WayStep::Wait { .. } | WayStep::End(..) => Awaits::Look,
         };
+        if function != function_before && is_first {
+            self.checks.turned(self.now, &function_before, &function);
+        }
         match next_step {
             WayStep::Serve(held, task) => self.serve(place, number, &held, task),
             WayStep::Pass { host, body, wait_until } => {
