The simulator tells surveyors of a killed one's closed place

One in ten is not told, as when a link was down already, so trials are also refused by those who did not see it.

--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -88,6 +88,7 @@
         self.surveyors[place].life += 1;
         let node = self.surveyors[place].node;
         self.break_links(node);
+        self.notice_gone(node, self.surveyors[place].place);
         let unsynced = std::mem::take(&mut self.unsynced);
         for (owner, job) in unsynced {
             let is_lucky = self.chance.happens(0.5) && self.plan.flaw != Flaw::SyncSkipped;
@@ -99,6 +100,21 @@
         }
     }
 
+    /// The other surveyors that reach a killed one find its place closed, a little later.
+    fn notice_gone(&mut self, gone: Node, place: Place) {
+        let others: Vec<Node> = self.surveyors.iter().map(|surveyor| surveyor.node).collect();
+        for other in others {
+            let is_noticed = other != gone
+                && self.network.reaches(other, gone)
+                && self.network.reaches(gone, other)
+                && !self.chance.happens(0.1);
+            if is_noticed {
+                let delay = self.network.delay(&mut self.chance);
+                self.push(delay, Event::SurveyorGone(other, place));
+            }
+        }
+    }
+
     /// A surveyor's disk is replaced by an empty one.
     pub(super) fn lose_disk(&mut self, place: usize) {
         let fresh_id = SurveyorId(self.chance.number() | 1);
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -118,6 +118,7 @@
     Tick(Node, u64),
     Poll(Node, u64),
     CoreFrame(Node, CoreFrame),
+    SurveyorGone(Node, Place),
     Durable(Node, u64, WriteJob),
     Written(Node, u64, Ticket, WriteResult),
     Lists(Node, u64, Vec<ListedWorker>, Moment, Vec<ListedRunner>),
@@ -186,6 +187,7 @@
             | Self::StewardSaid(asker, ..)
             | Self::SendEnded(asker, ..) => Some((asker.node, Some(asker.life))),
             Self::CoreFrame(node, _)
+            | Self::SurveyorGone(node, _)
             | Self::Beat(node, _)
             | Self::StewardAsked(node, ..)
             | Self::Operate(node, ..) => Some((*node, None)),
@@ -551,6 +553,9 @@
             }
             Event::Poll(node, _) => self.poll_platform(node.0),
             Event::CoreFrame(node, frame) => self.feed_surveyor(node.0, PlaneInput::Core(frame)),
+            Event::SurveyorGone(node, place) => {
+                self.feed_surveyor(node.0, PlaneInput::Gone(place));
+            }
             Event::Durable(node, life, job) => {
                 if self.surveyors[node.0].life == life {
                     self.durable(node.0, &job);
