--- a/crates/survey/src/core/mod.rs
+++ b/crates/survey/src/core/mod.rs
@@ -462,7 +462,9 @@
             Writing::Vote { term, candidate } => {
                 WriteJob::Vote { term: *term, candidate: *candidate }
             }
-            Writing::Version(document) => WriteJob::Version(document.clone()),
+            Writing::Version(document) => {
+                WriteJob::Version(document.clone(), self.bytes_of(document))
+            }
             Writing::Scrub => WriteJob::Scrub(self.accepted.clone()),
         };
         self.writings.insert(self.last_ticket, WritingSince { started_at: now, writing });
--- a/crates/survey/src/core/output.rs
+++ b/crates/survey/src/core/output.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeSet;
-use waymark::frames::{CoreFrame, KnownMember, Place};
+use waymark::frames::{Blob, CoreFrame, KnownMember, Place};
 use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
 use waymark::spec::Document;
 
@@ -38,12 +38,19 @@
         /// Who got the vote.
         candidate: SurveyorId,
     },
-    /// A version of the document.
-    Version(Document),
+    /// A version of the document, with its bytes.
+    Version(Document, Blob),
     /// Read every kept file again; a damaged newest version is written anew from memory.
     Scrub(Option<Document>),
 }
 
+impl WriteJob {
+    /// A version, written out.
+    pub fn version(document: &Document) -> Self {
+        Self::Version(document.clone(), Blob::from(document.to_bytes()))
+    }
+}
+
 /// How a write ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum WriteResult {
--- a/crates/survey/src/core/register.rs
+++ b/crates/survey/src/core/register.rs
@@ -208,6 +208,7 @@
         }
         let Ok(document) = Document::from_bytes(document_bytes) else { return };
         if document.core.iter().any(|voter| voter.id == self.id) {
+            self.written_out = Some((document.stamp, Blob::from(document_bytes.to_vec())));
             self.order_write(now, Writing::Version(document));
         }
     }
--- a/crates/survey/src/drivers/streams.rs
+++ b/crates/survey/src/drivers/streams.rs
@@ -14,6 +14,8 @@
 };
 use waymark::note;
 
+const GONE_TRIES: usize = 4;
+const GONE_AGAIN_AFTER: Duration = Duration::from_millis(20);
 const GONE_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Accepts connections of other processes.
@@ -66,14 +68,26 @@
     }
 }
 
-/// A surveyor's link has ended: asks its place once, and says so if its process is gone.
+/// A surveyor's link has ended: asks its place a few times, since a dying process closes its links
+/// before its listener, and says so if its process is gone.
 async fn notice_end(place: Place, shared: &Shared) {
-    let asked = tokio::time::timeout(GONE_PATIENCE, TcpStream::connect(place.address())).await;
-    if matches!(asked, Ok(Err(fault)) if fault.kind() == ErrorKind::ConnectionRefused) {
-        let _ = shared.inputs.send(PlaneInput::Gone(place)).await;
+    for _ in 0..GONE_TRIES {
+        let asked = tokio::time::timeout(GONE_PATIENCE, TcpStream::connect(place.address())).await;
+        match asked {
+            Ok(Err(fault)) if is_refusal(fault.kind()) => {
+                let _ = shared.inputs.send(PlaneInput::Gone(place)).await;
+                return;
+            }
+            Ok(Ok(_)) => tokio::time::sleep(GONE_AGAIN_AFTER).await,
+            _ => return,
+        }
     }
 }
 
+fn is_refusal(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+}
+
 async fn serve_stream(stream: TcpStream, shared: &Arc<Shared>) -> Result<(), FrameFault> {
     let stream_id = StreamId(shared.number());
     let (sender, mut frames) = mpsc::channel(4096);
--- a/crates/survey/src/plane/changes.rs
+++ b/crates/survey/src/plane/changes.rs
@@ -292,10 +292,7 @@
     fn is_so_already(&self, current_document: &Document, kind: &ChangeKind) -> bool {
         match kind {
             ChangeKind::Evacuate { locality, .. } => current_document.evacuated.contains(locality),
-            ChangeKind::Restore { locality } => {
-                !current_document.evacuated.contains(locality)
-                    && self.known_localities().contains(locality)
-            }
+            ChangeKind::Restore { locality } => !current_document.evacuated.contains(locality),
             _ => false,
         }
     }
@@ -339,7 +336,7 @@
             ChangeKind::Items(items) => with_spec(with_items(&current_document.spec, items)),
             ChangeKind::Evacuate { locality, force } => {
                 let known_localities = self.known_localities();
-                if !known_localities.contains(locality) {
+                if !known_localities.contains(locality) && !force {
                     return Err(OperationReply::NoLocality {
                         locality: locality.clone(),
                         known: known_localities,
--- a/crates/survey/tests/disk.rs
+++ b/crates/survey/tests/disk.rs
@@ -55,7 +55,7 @@
     shelf.recall(SurveyorId(7)).expect("recalled");
     let kept = versions(count);
     for document in &kept {
-        shelf.write(&WriteJob::Version(document.clone())).expect("written");
+        shelf.write(&WriteJob::version(document)).expect("written");
     }
     shelf.write(&WriteJob::Vote { term: Term(4), candidate: SurveyorId(9) }).expect("written");
     kept
@@ -154,3 +154,24 @@
     verify_that!(alone.core.len(), eq(1))?;
     verify_that!(&alone.evacuated, eq(&kept[2].evacuated))
 }
+
+#[gtest]
+fn a_first_start_is_noted_on_an_empty_disk_only_and_goes_with_a_lost_identity() -> Result<()> {
+    let folder = Folder::new("first");
+    let shelf = Shelf::open(&folder.0)?;
+    verify_that!(shelf.is_first_start(), eq(false))?;
+    shelf.note_first_start()?;
+    shelf.recall(SurveyorId(7))?;
+    verify_that!(Shelf::open(&folder.0)?.is_first_start(), eq(true))?;
+    let later = Folder::new("later");
+    let shelf = Shelf::open(&later.0)?;
+    shelf.recall(SurveyorId(7))?;
+    shelf.note_first_start()?;
+    verify_that!(shelf.is_first_start(), eq(false))?;
+    fill(&folder, 2);
+    fs::write(folder.0.join("identity"), "rot")?;
+    let shelf = Shelf::open(&folder.0)?;
+    let (recalled, _) = shelf.recall(SurveyorId(9))?;
+    verify_that!(recalled.is_nothing(), eq(true))?;
+    verify_that!(shelf.is_first_start(), eq(false))
+}
--- a/crates/survey/tests/plane/numbers.rs
+++ b/crates/survey/tests/plane/numbers.rs
@@ -9,6 +9,7 @@
     ChangeKind, ItemChange, Numbering, Operation, OperationReply, Wait, change_name,
 };
 use waymark::chance::Chance;
+use waymark::identity::Locality;
 use waymark::spec::Document;
 
 #[derive(Clone, PartialEq, Debug)]
@@ -292,3 +293,32 @@
     verify_that!(reply.map(|reply| verdict_of(&reply)), some(eq(Verdict::Invalid)))?;
     verify_that!(fleet.accepted(leader).expect("one").number, eq(8))
 }
+
+#[gtest]
+fn a_turn_without_a_name_is_accepted_again_and_changes_nothing() -> Result<()> {
+    let mut fleet = founded(6);
+    let leader = fleet.await_leader();
+    let turn = |kind| Operation::Change {
+        base: None,
+        numbering: None,
+        change: None,
+        kind,
+        wait: Wait::Accepted,
+    };
+    let evacuate = |force| ChangeKind::Evacuate { locality: "l9".into(), force };
+    let unknown = fleet.asked(leader, turn(evacuate(false)));
+    verify_that!(matches!(unknown, Some(OperationReply::NoLocality { .. })), eq(true))?;
+    let restore = ChangeKind::Restore { locality: "l9".into() };
+    for (kind, is_evacuated) in [(evacuate(true), true), (restore, false)] {
+        let mut serials = BTreeSet::new();
+        for _ in 0..3 {
+            let reply = fleet.asked(leader, turn(kind.clone()));
+            verify_that!(reply.map(|reply| verdict_of(&reply)), some(eq(Verdict::Accepted)))?;
+            let document = fleet.accepted(leader).expect("a document");
+            verify_that!(document.evacuated.contains(&Locality::from("l9")), eq(is_evacuated))?;
+            serials.insert(document.stamp.serial);
+        }
+        verify_that!(serials.len(), eq(1))?;
+    }
+    Ok(())
+}
--- a/programs/legend/src/desk.rs
+++ b/programs/legend/src/desk.rs
@@ -56,6 +56,33 @@
 
 impl std::error::Error for DeskFault {}
 
+/// How a change is said.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// As a whole spec.
+    Whole,
+    /// As a merge patch.
+    Patch,
+    /// As named items.
+    Items,
+}
+
+/// A change to be sent.
+pub struct Sent<'a> {
+    /// The file that says it.
+    pub file: &'a Path,
+    /// The serial it is built on.
+    pub base: Option<u64>,
+    /// The operators' own number for it.
+    pub number: Option<u64>,
+    /// The operators' own number of the spec it is built on.
+    pub base_number: Option<u64>,
+    /// Its id.
+    pub change_id: Option<String>,
+    /// Whether to wait until it is in force.
+    pub wait: bool,
+}
+
 /// Speaks to whichever surveyor answers.
 pub struct Desk {
     places: Vec<Place>,
@@ -161,31 +188,31 @@
         Ok(serial)
     }
 
-    /// Sends a change of the spec.
-    pub async fn change(
-        &self,
-        method: &str,
-        field: &str,
-        file: &Path,
-        base: Option<u64>,
-        change_id: Option<String>,
-        wait: bool,
-    ) -> Result<ExitCode, DeskFault> {
-        let file_text = std::fs::read_to_string(file)
-            .map_err(|fault| DeskFault::File(file.to_owned(), fault))?;
+    /// Sends a change of the spec. Numbers of the operators' own stand in for the serial it is built on.
+    pub async fn change(&self, way: Way, sent: Sent<'_>) -> Result<ExitCode, DeskFault> {
+        let file_text = std::fs::read_to_string(sent.file)
+            .map_err(|fault| DeskFault::File(sent.file.to_owned(), fault))?;
         let value: Value = serde_json::from_str(&file_text)
-            .map_err(|fault| DeskFault::NotJson(file.to_owned(), fault))?;
-        let base_serial = match base {
-            Some(base) => json!(base),
-            None => self.newest_serial().await?,
+            .map_err(|fault| DeskFault::NotJson(sent.file.to_owned(), fault))?;
+        let mut body = match way {
+            Way::Whole => json!({"spec": value}),
+            Way::Patch => json!({"patch": value}),
+            Way::Items => json!({"put": value["put"], "remove": value["remove"]}),
         };
-        let body = json!({
-            "base_serial": base_serial,
-            "change_id": change_id.unwrap_or_else(made_up_id),
-            "wait": if wait { "in_force" } else { "accepted" },
-            field: value,
-        });
-        let method = if method == "PUT" { Method::PUT } else { Method::PATCH };
+        body["change_id"] = json!(sent.change_id.unwrap_or_else(made_up_id));
+        body["wait"] = json!(if sent.wait { "in_force" } else { "accepted" });
+        match (sent.number, sent.base_number, sent.base) {
+            (None, None, Some(base)) => body["base_serial"] = json!(base),
+            (None, None, None) => body["base_serial"] = self.newest_serial().await?,
+            (number, base_number, base) => {
+                body["number"] = json!(number);
+                body["base_number"] = json!(base_number);
+                if let Some(base) = base {
+                    body["base_serial"] = json!(base);
+                }
+            }
+        }
+        let method = if way == Way::Whole { Method::PUT } else { Method::PATCH };
         self.call(method, "/v1/spec", Some(&body)).await.map(|called| print(&called))
     }
 
--- a/programs/legend/src/main.rs
+++ b/programs/legend/src/main.rs
@@ -2,7 +2,7 @@
 
 mod desk;
 
-use desk::{Desk, DeskFault};
+use desk::{Desk, DeskFault, Sent, Way};
 use gumdrop::Options;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -38,6 +38,8 @@
     Put(Change),
     #[options(help = "send a JSON merge patch from a file")]
     Patch(Change),
+    #[options(help = "put and remove named functions and routes, from a file with put and remove")]
+    Items(Change),
     #[options(help = "ask what became of a change")]
     Change(Named),
     #[options(help = "empty a locality")]
@@ -88,12 +90,29 @@
     file: PathBuf,
     #[options(help = "serial it is built on; read beforehand if not given", meta = "SERIAL")]
     base: Option<u64>,
+    #[options(no_short, help = "your own number for it", meta = "NUMBER")]
+    number: Option<u64>,
+    #[options(no_short, help = "your own number of the spec it is built on", meta = "NUMBER")]
+    base_number: Option<u64>,
     #[options(no_short, help = "the change's id; made up if not given", meta = "ID")]
     change_id: Option<String>,
     #[options(help = "wait until it is in force everywhere")]
     wait: bool,
 }
 
+impl Change {
+    fn sent(&self) -> Sent<'_> {
+        Sent {
+            file: &self.file,
+            base: self.base,
+            number: self.number,
+            base_number: self.base_number,
+            change_id: self.change_id.clone(),
+            wait: self.wait,
+        }
+    }
+}
+
 #[derive(Options)]
 struct Turn {
     #[options(help = "print this help")]
@@ -158,14 +177,9 @@
         Command::Workers(_) => desk.get("/v1/workers").await,
         Command::Runners(_) => desk.get("/v1/runners").await,
         Command::Change(named) => desk.get(&format!("/v1/changes/{}", named.id)).await,
-        Command::Put(change) => {
-            desk.change("PUT", "spec", &change.file, change.base, change.change_id, change.wait)
-                .await
-        }
-        Command::Patch(change) => {
-            desk.change("PATCH", "patch", &change.file, change.base, change.change_id, change.wait)
-                .await
-        }
+        Command::Put(change) => desk.change(Way::Whole, change.sent()).await,
+        Command::Patch(change) => desk.change(Way::Patch, change.sent()).await,
+        Command::Items(change) => desk.change(Way::Items, change.sent()).await,
         Command::Evacuate(turn) => {
             desk.turn("evacuate", &turn.locality, turn.change_id, turn.wait, turn.force).await
         }
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -305,7 +305,7 @@
         (WriteJob::Vote { term: left_term, .. }, WriteJob::Vote { term: right_term, .. }) => {
             left_term == right_term
         }
-        (WriteJob::Version(left_document), WriteJob::Version(right_document)) => {
+        (WriteJob::Version(left_document, _), WriteJob::Version(right_document, _)) => {
             left_document.stamp == right_document.stamp
         }
         (WriteJob::Scrub(_), WriteJob::Scrub(_)) => true,
@@ -323,7 +323,7 @@
                 }
             }
             WriteJob::Scrub(_) => {}
-            WriteJob::Version(document) => {
+            WriteJob::Version(document, _) => {
                 let is_newer =
                     self.durable.accepted.as_ref().is_none_or(|held| held.stamp < document.stamp);
                 if is_newer {
