Heartbeats name nobody in calm times; hosts by difference; silent holders end passes

Callers of a holder that died waited out their whole budget. Ruled out: naming everyone less often (still square), asking neighbours in turn (a round trip more per beat), one watcher's word as proof (a cut between two localities would strike off live daemons). Change: a heartbeat carries its sender and only those it misses, told twice at most; two watchers elsewhere and one near; the leader calls a missed daemon silent when its own stream has brought nothing for 700 ms, and pushes differences, numbered. A pass to a daemon that no longer counts as alive ends at once: a repeatable one goes on as a repeat, any other ends as unknown. A hash owner names a holder in another locality instead of passing on.

--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -1,12 +1,14 @@
 use super::{Desk, DeskOutput, Proof, StreamId, TraceStep};
 use serde_json::json;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::frames::{Flag, Host, KnownMember, Many, Place, StreamDown};
-use waymark::identity::{CorrelationId, FunctionKey, Serial};
+use waymark::frames::{Flag, Host, KnownMember, Many, MemberLife, Place, StreamDown};
+use waymark::identity::{CorrelationId, FunctionKey, MemberName, Serial};
 use waymark::rules::Rule;
 
+/// A daemon that its watchers miss counts as silent when its stream has brought nothing for so long.
+const SILENT_AFTER: std::time::Duration = std::time::Duration::from_millis(700);
 const HOSTS_EVERY: std::time::Duration = std::time::Duration::from_millis(100);
 
 pub(super) struct MemberRecord {
@@ -21,6 +23,16 @@
     pub claimed: bool,
     pub heard_at: Moment,
     pub swept: bool,
+    pub spoke_at: Moment,
+    pub hosts_number: u64,
+}
+
+/// The host list as it was last pushed: its number, the daemons, and those that watchers miss.
+#[derive(Default)]
+pub(super) struct PushedHosts {
+    number: u64,
+    hosts: BTreeMap<MemberName, Host>,
+    silent: BTreeSet<MemberLife>,
 }
 
 pub(super) struct WaitingRenewal {
@@ -68,6 +80,8 @@
             claimed: false,
             heard_at: now,
             swept: false,
+            spoke_at: now,
+            hosts_number: 0,
         });
         self.known_changed = true;
         record.stream = Some(stream);
@@ -77,6 +91,9 @@
         record.installed = serial;
         record.pushed = serial;
         record.heard_at = now;
+        record.hosts_number = 0;
+        record.spoke_at = now;
+        self.missed.retain(|life| life.member != host.member);
         self.hosts_changed = true;
         self.down(stream, StreamDown::Welcome { term: self.term });
         self.push_newest(stream);
@@ -285,24 +302,110 @@
         self.longest_budget + self.timing.grant_length
     }
 
-    /// Tells every daemon who there is, changes of a tenth of a second at once: told one by one, the
-    /// joining of many would grow with the cube of their number.
+    /// Something came in on a daemon's stream: it is alive.
+    pub(super) fn note_spoke(&mut self, now: Moment, stream: StreamId) {
+        if let Some(known_member) = self.streams.get(&stream)
+            && let Some(record) = self.members.get_mut(known_member)
+        {
+            record.spoke_at = now;
+        }
+    }
+
+    /// A watcher misses a daemon.
+    pub(super) fn hear_silent(&mut self, stream: StreamId, life: MemberLife) {
+        if self.streams.contains_key(&stream) && self.is_current(&life) {
+            self.missed.insert(life);
+        }
+    }
+
+    /// A watcher hears it again, or it speaks for itself.
+    pub(super) fn hear_heard(&mut self, life: &MemberLife) {
+        self.missed.remove(life);
+    }
+
+    fn is_current(&self, life: &MemberLife) -> bool {
+        let known_member = self.current.get(&life.member);
+        known_member.is_some_and(|known| known.incarnation == life.incarnation)
+    }
+
+    /// Silent is whom its watchers miss while its stream has brought nothing either.
+    fn look_who_is_silent(&mut self, now: Moment) {
+        let missed = std::mem::take(&mut self.missed);
+        self.missed = missed.into_iter().filter(|life| self.is_current(life)).collect();
+        let has_spoken = |life: &MemberLife| {
+            let record = self.current.get(&life.member).and_then(|known| self.members.get(known));
+            record.is_some_and(|record| now.since(record.spoke_at) < SILENT_AFTER)
+        };
+        let silent: BTreeSet<MemberLife> =
+            self.missed.iter().filter(|life| !has_spoken(life)).cloned().collect();
+        if silent == self.silent {
+            return;
+        }
+        self.hosts_changed = true;
+        let earlier_silent = std::mem::replace(&mut self.silent, silent);
+        for life in self.silent.difference(&earlier_silent).cloned().collect::<Vec<MemberLife>>() {
+            self.tell(events::MEMBER_SILENT, json!({"member": life.member.as_str()}));
+        }
+        for life in earlier_silent.difference(&self.silent).cloned().collect::<Vec<MemberLife>>() {
+            self.tell(events::MEMBER_HEARD, json!({"member": life.member.as_str()}));
+        }
+    }
+
+    /// A change of the host list did not fit what a daemon has.
+    pub(super) fn hear_whole_hosts(&mut self, stream: StreamId) {
+        if let Some(known_member) = self.streams.get(&stream)
+            && let Some(record) = self.members.get_mut(known_member)
+        {
+            record.hosts_number = 0;
+            self.hosts_changed = true;
+        }
+    }
+
+    /// Tells every daemon who there is, changes of a tenth of a second at once: a fresh stream gets the
+    /// whole list, all others what has changed since they were last told.
     pub(super) fn push_hosts(&mut self, now: Moment) {
+        self.look_who_is_silent(now);
         if !self.hosts_changed || now.since(self.hosts_pushed_at) < HOSTS_EVERY {
             return;
         }
         self.hosts_changed = false;
         self.hosts_pushed_at = now;
-        let hosts: Many<Host> = Many(
-            self.current
-                .values()
-                .filter_map(|known_member| self.members.get(known_member))
-                .map(|record| record.host.clone())
-                .collect(),
-        );
-        let open_streams: Vec<StreamId> = self.streams.keys().copied().collect();
-        for open_stream in open_streams {
-            self.down(open_stream, StreamDown::Hosts { hosts: hosts.clone() });
+        let hosts: BTreeMap<MemberName, Host> = self
+            .current
+            .values()
+            .filter_map(|known_member| self.members.get(known_member))
+            .map(|record| (record.host.member.clone(), record.host.clone()))
+            .collect();
+        let pushed = std::mem::take(&mut self.pushed_hosts);
+        let put: Vec<Host> = hosts
+            .values()
+            .filter(|host| pushed.hosts.get(&host.member) != Some(host))
+            .cloned()
+            .collect();
+        let removed: Vec<MemberName> =
+            pushed.hosts.keys().filter(|member| !hosts.contains_key(*member)).cloned().collect();
+        let is_other = !put.is_empty() || !removed.is_empty() || pushed.silent != self.silent;
+        let number = if is_other { pushed.number + 1 } else { pushed.number };
+        let silent = Many(self.silent.iter().cloned().collect());
+        let change = StreamDown::HostsChanged {
+            number,
+            put: Many(put),
+            removed: Many(removed),
+            silent: Many(self.silent.iter().cloned().collect()),
+        };
+        let whole =
+            StreamDown::Hosts { number, hosts: Many(hosts.values().cloned().collect()), silent };
+        self.pushed_hosts = PushedHosts { number, hosts, silent: self.silent.clone() };
+        let open_streams: Vec<(StreamId, KnownMember)> =
+            self.streams.iter().map(|(stream, known)| (*stream, known.clone())).collect();
+        for (open_stream, known_member) in open_streams {
+            let Some(record) = self.members.get_mut(&known_member) else { continue };
+            let told_number = std::mem::replace(&mut record.hosts_number, number);
+            if told_number == number {
+                continue;
+            }
+            let is_next = told_number > 0 && told_number == pushed.number;
+            self.down(open_stream, if is_next { change.clone() } else { whole.clone() });
         }
     }
 }
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -19,12 +19,12 @@
 pub use timing::DeskTiming;
 
 use emptying::Emptying;
-use members::{MemberRecord, WaitingRenewal};
+use members::{MemberRecord, PushedHosts, WaitingRenewal};
 use reservations::Reservations;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::{Host, KnownMember, Prior, StreamDown, StreamUp};
+use waymark::frames::{Host, KnownMember, MemberLife, Prior, StreamDown, StreamUp};
 use waymark::identity::{
     CorrelationId, FunctionKey, GrantSerial, Locality, MemberName, Serial, Term, WorkerName,
 };
@@ -108,6 +108,9 @@
     given_count: u64,
     hosts_changed: bool,
     hosts_pushed_at: Moment,
+    pushed_hosts: PushedHosts,
+    missed: BTreeSet<MemberLife>,
+    silent: BTreeSet<MemberLife>,
     rules: Rules,
     outputs: Vec<DeskOutput>,
 }
@@ -168,6 +171,9 @@
             given_count: 0,
             hosts_changed: false,
             hosts_pushed_at: Moment::ZERO,
+            pushed_hosts: PushedHosts::default(),
+            missed: BTreeSet::new(),
+            silent: BTreeSet::new(),
             rules: Rules::KEPT,
             outputs: Vec::new(),
         }
@@ -210,6 +216,7 @@
     /// Takes what a daemon says on its stream.
     pub fn heard(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
         self.acquires_changed = true;
+        self.note_spoke(now, stream);
         match frame {
             StreamUp::Hello { host, door, serial } => {
                 self.hear_hello(now, stream, host, door, serial);
@@ -249,6 +256,9 @@
                 self.hear_steward_whole(stream, &function, grant, &steward);
             }
             StreamUp::Idle { functions } => self.hear_idle(now, stream, functions.0),
+            StreamUp::Silent { life } => self.hear_silent(stream, life),
+            StreamUp::Heard { life } => self.hear_heard(&life),
+            StreamUp::WholeHosts => self.hear_whole_hosts(stream),
             StreamUp::Leaving => self.hear_leaving(now, stream),
         }
     }
--- a/crates/trail/src/boot/mod.rs
+++ b/crates/trail/src/boot/mod.rs
@@ -79,7 +79,7 @@
             let ready_reader = root.field("ready");
             let ready =
                 if ready_reader.is_there() { Some(read_place(&ready_reader)?) } else { None };
-            let beat_ms = root.field("beat_ms").number_or(20..=10_000, 100);
+            let beat_ms = root.field("beat_ms").number_or(20..=10_000, 250);
             let warm = root.field("warm").flag_or(false);
             let tuning = read_tuning(root);
             Some(Self {
--- a/crates/trail/src/chain/answer.rs
+++ b/crates/trail/src/chain/answer.rs
@@ -10,13 +10,13 @@
     Said::NotRun { kind, reason, header: None, come_back: None }
 }
 
-/// Refused at the door, with a hint to come back soon.
-pub fn refused(reason: HopReason) -> Said {
+/// Refused at the door, with a hint when to come back.
+pub fn refused(reason: HopReason, come_back: Duration) -> Said {
     Said::NotRun {
         kind: kind_of(reason),
         reason: reason.as_str(),
         header: None,
-        come_back: Some(Duration::from_millis(1000)),
+        come_back: Some(come_back),
     }
 }
 
--- a/crates/trail/src/chain/mod.rs
+++ b/crates/trail/src/chain/mod.rs
@@ -46,7 +46,7 @@
         let said = if state.lodge.is_serving(Moment::now()) {
             refused_for_good(NotRunKind::NoRoute, "no_route")
         } else {
-            refused(HopReason::NotServing)
+            refused(HopReason::NotServing, state.lodge.serves_again_after())
         };
         return say(state, Some(&transaction), said);
     };
@@ -61,7 +61,8 @@
     };
 
     if state.lodge.is_leaving() || !state.lodge.is_serving(Moment::now()) {
-        return say(state, Some(&transaction), refused(HopReason::NotServing));
+        let said = refused(HopReason::NotServing, state.lodge.serves_again_after());
+        return say(state, Some(&transaction), said);
     }
 
     let ask = Ask {
@@ -72,6 +73,7 @@
         budget_end: began_at + asked_budget.min(found.route.spec.budget),
         hops: 0,
         repeat: door.is_repeat(&head.headers),
+        refer: true,
         parcel: Arc::new(parcel(door, &head, body)),
     };
     let resolved = resolve(state, ask).await;
--- a/crates/trail/src/chain/resolve.rs
+++ b/crates/trail/src/chain/resolve.rs
@@ -1,5 +1,6 @@
 use crate::drivers::{AskEnd, State, holding};
 use crate::lodge::{Ask, PassEnd, Way, WayStep};
+use crate::owners::is_valid;
 use std::sync::Arc;
 use tokio::time::timeout;
 use waymark::clock::Moment;
@@ -16,6 +17,27 @@
     pub holder: Option<Host>,
 }
 
+fn pass_end(ask_end: AskEnd) -> PassEnd {
+    match ask_end {
+        AskEnd::Reply(HopBody::Done { outcome, holder }) => {
+            PassEnd::Done(outcome, holder.0.into_iter().next())
+        }
+        AskEnd::Unsent => PassEnd::Unsent,
+        AskEnd::Reply(_) | AskEnd::Lost => PassEnd::Lost,
+    }
+}
+
+/// Waits until a daemon no longer counts as alive: it has fallen silent, is no longer listed, or lives
+/// anew.
+async fn gone(state: &State, host: &Host) {
+    let mut changes = state.changes();
+    while is_valid(host, &state.lodge.hosts.load()) {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Brings a transaction to its holder, and comes back with its outcome.
 pub async fn resolve(state: &Arc<State>, ask: Ask) -> Resolved {
     let lodge = &state.lodge;
@@ -32,12 +54,9 @@
             }
             WayStep::Pass { host, body, wait_until } => {
                 state.gauges.lookups.with_label_values(&["passed"]).inc();
-                let end = match state.links.ask(host.place, body, wait_until).await {
-                    AskEnd::Reply(HopBody::Done { outcome, holder }) => {
-                        PassEnd::Done(outcome, holder.0.into_iter().next())
-                    }
-                    AskEnd::Unsent => PassEnd::Unsent,
-                    AskEnd::Reply(_) | AskEnd::Lost => PassEnd::Lost,
+                let end = tokio::select! {
+                    ask_end = state.links.ask(host.place, body, wait_until) => pass_end(ask_end),
+                    () = gone(state, &host) => PassEnd::Lost,
                 };
                 way.passed(lodge, Moment::now(), end)
             }
--- a/crates/trail/src/drivers/hops.rs
+++ b/crates/trail/src/drivers/hops.rs
@@ -16,6 +16,7 @@
 use waymark::identity::CorrelationId;
 
 const SENT_AT_ONCE: usize = 64 << 10;
+const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
 
 /// How a passed-on transaction came back.
 pub enum AskEnd {
@@ -77,7 +78,7 @@
 type Pending = Arc<Mutex<HashMap<CorrelationId, oneshot::Sender<AskEnd>>>>;
 
 async fn keep_link(own_ip: Ipv4Addr, place: Place, mut askings: mpsc::Receiver<Asking>) {
-    let opened = dial(own_ip, place, Channel::Hop, Duration::from_millis(300)).await.ok();
+    let opened = dial(own_ip, place, Channel::Hop, CONNECT_PATIENCE).await.ok();
     let Some(stream) = opened else {
         askings.close();
         while let Some(asking) = askings.recv().await {
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::holder::GrantTerms;
 use crate::liaison::{Liaison, LiaisonOutput};
-use crate::watch::Watch;
+use crate::watch::{Watch, WatchOutput};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -156,9 +156,8 @@
     pub fn tick(&mut self, now: Moment) -> Vec<KeeperOrder> {
         let outputs = self.liaison.tick(now);
         self.obey(now, outputs);
-        if let Some((heartbeat, places)) = self.watch.tick(now) {
-            self.orders.push(KeeperOrder::Beat(heartbeat, places));
-        }
+        let watch_outputs = self.watch.tick(now);
+        self.obey_watch(watch_outputs);
         self.look_at_hosts(now);
         let late_correlations: Vec<CorrelationId> = self
             .acquires
@@ -180,6 +179,22 @@
         self.done()
     }
 
+    fn obey_watch(&mut self, outputs: Vec<WatchOutput>) {
+        for output in outputs {
+            let frame = match output {
+                WatchOutput::Beat(heartbeat, places) => {
+                    self.orders.push(KeeperOrder::Beat(heartbeat, places));
+                    continue;
+                }
+                WatchOutput::Silent(life) => StreamUp::Silent { life },
+                WatchOutput::Heard(life) => StreamUp::Heard { life },
+            };
+            if self.liaison.is_welcomed() {
+                self.orders.push(KeeperOrder::Say(frame));
+            }
+        }
+    }
+
     fn look_at_hosts(&mut self, now: Moment) {
         let alive_hosts = self.watch.alive(now);
         if alive_hosts != self.alive_hosts {
@@ -278,6 +293,9 @@
                 LiaisonOutput::Say(frame) => self.orders.push(KeeperOrder::Say(frame)),
                 LiaisonOutput::Welcomed => {
                     self.orders.push(KeeperOrder::Welcomed(self.liaison.term()));
+                    for life in self.watch.missed() {
+                        self.orders.push(KeeperOrder::Say(StreamUp::Silent { life }));
+                    }
                 }
                 LiaisonOutput::Lost => {
                     self.acquires.clear();
@@ -309,10 +327,18 @@
                 Some(view) if view.serial >= serial => {}
                 _ => self.orders.push(KeeperOrder::Say(StreamUp::Whole)),
             },
-            StreamDown::Hosts { hosts } => {
-                self.watch.listed(now, hosts.0);
+            StreamDown::Hosts { number, hosts, silent } => {
+                self.watch.listed(now, number, hosts.0, silent.0);
                 self.look_at_hosts(now);
             }
+            StreamDown::HostsChanged { number, put, removed, silent } => {
+                let fits = self.watch.list_changed(now, number, put.0, removed.0, silent.0);
+                if fits {
+                    self.look_at_hosts(now);
+                } else {
+                    self.orders.push(KeeperOrder::Say(StreamUp::WholeHosts));
+                }
+            }
             StreamDown::Acquired { correlation, function, result } => {
                 self.acquired(now, correlation, function, result);
             }
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -320,11 +320,13 @@
                 self.orders.push(DaemonOrder::Beat(heartbeat, places));
             }
             KeeperOrder::Welcomed(term) => {
+                lodge.set_led(true);
                 self.tell(events::STREAM_OPEN, format!("leader of term {term}"));
                 self.send_claims(lodge, now);
                 self.orders.push(DaemonOrder::Changed);
             }
             KeeperOrder::StreamLost(lost_reserves) => {
+                lodge.set_led(false);
                 self.tell(events::STREAM_LOST, String::new());
                 self.orders.push(DaemonOrder::AcquiresLost);
                 for (function, grant) in lost_reserves {
--- a/crates/trail/src/lodge/mod.rs
+++ b/crates/trail/src/lodge/mod.rs
@@ -19,12 +19,16 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use waymark::clock::{Moment, SharedMoment};
 use waymark::frames::Host;
 use waymark::identity::{FunctionKey, GrantSerial, Ticket};
 use waymark::rules::{Rule, Rules};
 use waymark::spec::Table;
 
+const AGAIN_WHEN_LED: Duration = Duration::from_millis(400);
+const AGAIN_WITHOUT_LEADER: Duration = Duration::from_millis(1000);
+
 /// One transaction in a daemon's hands.
 pub struct InHand(Arc<AtomicUsize>);
 
@@ -58,6 +62,7 @@
     /// The copies kept of other daemons' ledgers.
     pub keepsake: Mutex<Keepsake>,
     leaving: AtomicBool,
+    led: AtomicBool,
     in_hand: Arc<AtomicUsize>,
     next_ticket: AtomicU64,
 }
@@ -78,6 +83,7 @@
             serving_until: SharedMoment::new(),
             keepsake: Mutex::new(Keepsake::new(own_incarnation)),
             leaving: AtomicBool::new(false),
+            led: AtomicBool::new(false),
             in_hand: Arc::new(AtomicUsize::new(0)),
             next_ticket: AtomicU64::new(1),
         }
@@ -100,6 +106,21 @@
             || (!self.rules.keep(Rule::MemberGrant) && self.serving_until.get() > Moment::ZERO)
     }
 
+    /// Whether a leader has welcomed this daemon's stream.
+    pub fn set_led(&self, is_led: bool) {
+        self.led.store(is_led, Ordering::Release);
+    }
+
+    /// After what time a daemon that does not serve may do so again, as far as it knows: soon when the
+    /// leader has only to renew its grant, and not before a leader is found otherwise.
+    pub fn serves_again_after(&self) -> Duration {
+        if self.led.load(Ordering::Acquire) && !self.is_leaving() {
+            AGAIN_WHEN_LED
+        } else {
+            AGAIN_WITHOUT_LEADER
+        }
+    }
+
     /// Whether the daemon is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
--- a/crates/trail/src/lodge/way.rs
+++ b/crates/trail/src/lodge/way.rs
@@ -16,6 +16,10 @@
 const DISPUTE_PATIENCE: Duration = Duration::from_millis(300);
 const MOST_DISPUTES: u32 = 3;
 const ASK_PAUSE: Duration = Duration::from_millis(40);
+/// A body no larger than this is rather sent twice than its answer brought by a detour.
+const LARGEST_REFERRED: usize = 64 << 10;
+/// What must be left of a budget so that a detour can be spared.
+const REFERRAL_PATIENCE: Duration = Duration::from_millis(300);
 
 /// A transaction that seeks its holder.
 #[derive(Clone, Debug)]
@@ -32,8 +36,10 @@
     pub budget_end: Moment,
     /// How many hops it has made.
     pub hops: u8,
-    /// Whether the caller marked it a repeat.
+    /// Whether it is a repeat: the caller's, or of one passed to a holder that fell silent.
     pub repeat: bool,
+    /// Whether whoever passed it on would rather be told the holder.
+    pub refer: bool,
     /// What the caller sent.
     pub parcel: Arc<Parcel>,
 }
@@ -50,6 +56,7 @@
                 budget_ms,
                 hops,
                 repeat,
+                refer,
                 parcel,
             } => Ok(Self {
                 transaction,
@@ -59,6 +66,7 @@
                 budget_end: now + Duration::from_millis(u64::from(budget_ms)),
                 hops,
                 repeat: repeat.0,
+                refer: refer.0,
                 parcel: Arc::new(parcel),
             }),
             other => Err(Box::new(other)),
@@ -114,6 +122,7 @@
     come_back: Option<Moment>,
     disputed_until: Option<Moment>,
     dispute_count: u32,
+    lost_count: u32,
 }
 
 fn ended<W>(reason: HopReason, retry_span: Duration) -> WayStep<W> {
@@ -131,6 +140,7 @@
             come_back: None,
             disputed_until: None,
             dispute_count: 0,
+            lost_count: 0,
         }
     }
 
@@ -139,11 +149,26 @@
         &self.ask
     }
 
+    /// After a holder fell silent with it nobody can say that it was not run.
+    fn honest<W>(&self, step: WayStep<W>) -> WayStep<W> {
+        match step {
+            WayStep::End(HopOutcome::NotRun { .. }, holder) if self.lost_count > 0 => {
+                WayStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, holder)
+            }
+            step => step,
+        }
+    }
+
     /// Looks where it goes next. A daemon without a member grant refuses at once, so that what lay in
     /// its sockets while it was frozen goes no further.
     pub fn look<W>(&mut self, lodge: &Lodge<W>, now: Moment) -> WayStep<W> {
+        let step = self.next_step(lodge, now);
+        self.honest(step)
+    }
+
+    fn next_step<W>(&mut self, lodge: &Lodge<W>, now: Moment) -> WayStep<W> {
         if !lodge.is_serving(now) {
-            return ended(HopReason::NotServing, Duration::from_millis(1000));
+            return ended(HopReason::NotServing, lodge.serves_again_after());
         }
         let table = lodge.table.load();
         if let Some(disputed_until) = self.disputed_until {
@@ -207,6 +232,9 @@
                 }
                 None => WayStep::Wait { wait_until: now },
             },
+            Step::Forward(host) if self.may_refer(&lodge.own_host, &host, now) => {
+                WayStep::End(not_run(HopReason::NotHolder, 50), Some(host))
+            }
             Step::Forward(host) => WayStep::Pass {
                 host,
                 body: self.passed_body(now),
@@ -221,6 +249,17 @@
         }
     }
 
+    /// A hash owner that knows the holder names it rather than pass a transaction on, if that spares the
+    /// answer a way between localities: the caller's daemon then goes there itself. Nothing was sent
+    /// from here, so it is surely not run.
+    fn may_refer(&self, own_host: &Host, holder: &Host, now: Moment) -> bool {
+        self.ask.hops == 1
+            && self.ask.refer
+            && holder.locality != own_host.locality
+            && self.ask.parcel.body.0.len() <= LARGEST_REFERRED
+            && self.ask.budget_end.since(now) >= REFERRAL_PATIENCE
+    }
+
     fn no_owner<W>(&self, now: Moment) -> WayStep<W> {
         let known_span = self.come_back.map(|come_back| come_back.since(now));
         ended(
@@ -239,6 +278,7 @@
             budget_ms: budget_left.as_millis() as u32,
             hops: self.ask.hops + 1,
             repeat: Flag(self.ask.repeat),
+            refer: Flag(self.ask.hops == 0 && self.ask.refer),
             parcel: Parcel::clone(&self.ask.parcel),
         }
     }
@@ -271,6 +311,16 @@
 
     /// The holder here has ended it; one that admits nothing any more proves that nothing was run.
     pub fn served<W>(&mut self, lodge: &Lodge<W>, now: Moment, outcome: HopOutcome) -> WayStep<W> {
+        let step = self.after_serving(lodge, now, outcome);
+        self.honest(step)
+    }
+
+    fn after_serving<W>(
+        &mut self,
+        lodge: &Lodge<W>,
+        now: Moment,
+        outcome: HopOutcome,
+    ) -> WayStep<W> {
         let is_turned_away = is_not_holder(&outcome);
         if is_turned_away && self.ask.hops == 0 {
             return self.pause(now);
@@ -283,7 +333,19 @@
 
     /// The daemon it was passed to has ended it, or could not be reached, or fell silent.
     pub fn passed<W>(&mut self, lodge: &Lodge<W>, now: Moment, end: PassEnd) -> WayStep<W> {
+        let step = self.after_pass(lodge, now, end);
+        self.honest(step)
+    }
+
+    fn after_pass<W>(&mut self, lodge: &Lodge<W>, now: Moment, end: PassEnd) -> WayStep<W> {
         match end {
+            PassEnd::Done(outcome, Some(holder))
+                if is_not_holder(&outcome) && self.ask.hops == 0 && self.ask.refer =>
+            {
+                self.ask.refer = false;
+                lodge.learn_owner(&self.ask.function, &holder);
+                self.look(lodge, now)
+            }
             PassEnd::Done(outcome, _) if is_not_holder(&outcome) => {
                 lodge.forget_owner(&self.ask.function);
                 if self.ask.hops > 0 {
@@ -306,11 +368,27 @@
             }
             PassEnd::Lost => {
                 lodge.forget_owner(&self.ask.function);
+                if self.may_pass_again(lodge, now) {
+                    self.lost_count += 1;
+                    self.ask.repeat = true;
+                    self.give_up_at = None;
+                    return self.pause(now);
+                }
                 WayStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, None)
             }
         }
     }
 
+    /// A repeatable transaction whose holder fell silent goes to the next one, as an extra try.
+    fn may_pass_again<W>(&self, lodge: &Lodge<W>, now: Moment) -> bool {
+        let table = lodge.table.load();
+        let has_time = now + HOP_COST + ASK_PAUSE < self.ask.budget_end;
+        let has_tries = |tries: u32| self.lost_count + 1 < tries;
+        table
+            .route_named(&self.ask.route)
+            .is_some_and(|route| !route.spec.once && has_tries(route.spec.tries) && has_time)
+    }
+
     /// The leader has answered, or the question was lost. A wait that it foresees and that the caller
     /// has not the patience for is told at once.
     pub fn acquired<W>(
@@ -318,6 +396,16 @@
         lodge: &Lodge<W>,
         now: Moment,
         result: Option<AcquireResult>,
+    ) -> WayStep<W> {
+        let step = self.after_asking(lodge, now, result);
+        self.honest(step)
+    }
+
+    fn after_asking<W>(
+        &mut self,
+        lodge: &Lodge<W>,
+        now: Moment,
+        result: Option<AcquireResult>,
     ) -> WayStep<W> {
         let give_up_at = self.give_up_at.unwrap_or(now);
         match result {
--- a/crates/waymark/src/events/mod.rs
+++ b/crates/waymark/src/events/mod.rs
@@ -96,6 +96,10 @@
     RUNNER_LEFT = 2118, "runner left";
     /// A runner has gone from the platform's list.
     RUNNER_VANISHED = 2119, "runner vanished";
+    /// The watchers of a daemon miss its heartbeats.
+    MEMBER_SILENT = 2120, "member silent";
+    /// A daemon that was missed is heard again.
+    MEMBER_HEARD = 2121, "member heard";
     /// An evacuation leaves little capacity.
     CAPACITY_LOW = 2113, "capacity low";
     /// The daemon's member grant runs.
--- a/crates/waymark/src/frames/heartbeat.rs
+++ b/crates/waymark/src/frames/heartbeat.rs
@@ -2,20 +2,29 @@
 use crate::identity::{Incarnation, MemberName};
 use binrw::binrw;
 
-/// How lately a daemon was heard, as its sender knows.
+/// One life of a daemon.
 #[binrw]
 #[brw(big)]
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub struct View {
-    /// Of whom.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct MemberLife {
+    /// Whose.
     pub member: MemberName,
-    /// Which life.
+    /// Which.
     pub incarnation: Incarnation,
-    /// How many milliseconds ago.
-    pub age_ms: u32,
 }
 
-/// What a daemon sends to its watchers.
+/// That a daemon has fallen silent, as far as its watchers know.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Suspicion {
+    /// Who is silent.
+    pub life: MemberLife,
+    /// How often the word may still be passed on.
+    pub tellings: u8,
+}
+
+/// What a daemon sends to its watchers. In calm times it carries nobody but its sender.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -26,6 +35,6 @@
     pub incarnation: Incarnation,
     /// Counts the heartbeats of that life.
     pub count: u64,
-    /// What the sender knows of the others.
-    pub views: Many<View>,
+    /// Whom the sender believes silent.
+    pub suspicions: Many<Suspicion>,
 }
--- a/crates/waymark/src/frames/hop.rs
+++ b/crates/waymark/src/frames/hop.rs
@@ -208,8 +208,10 @@
         budget_ms: u32,
         /// How many hops it has made.
         hops: u8,
-        /// Whether the caller marked it a repeat.
+        /// Whether it is a repeat: the caller's, or of one passed to a holder that fell silent.
         repeat: Flag,
+        /// Whether the sender would rather be told the holder than have it passed on.
+        refer: Flag,
         /// What the caller sent.
         parcel: Parcel,
     },
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -10,7 +10,7 @@
 
 pub use self::core::{CoreBody, CoreFrame, KnownMember};
 pub use dial::dial;
-pub use heartbeat::{Heartbeat, View};
+pub use heartbeat::{Heartbeat, MemberLife, Suspicion};
 pub use hop::{HeadLine, HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState, Parcel};
 pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
 pub use stream::{
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/waymark/src/frames/stream.rs
@@ -1,4 +1,4 @@
-use super::{Blob, Flag, Many, Place};
+use super::{Blob, Flag, Many, MemberLife, Place};
 use crate::identity::{
     CorrelationId, FunctionKey, GrantSerial, Incarnation, LifeName, Locality, MemberName, RunnerId,
     Serial, Term, WorkerName,
@@ -271,6 +271,21 @@
         /// Those idle for some seconds.
         functions: Many<IdleFunction>,
     },
+    /// A watcher misses a daemon's heartbeats.
+    #[brw(magic = 15u8)]
+    Silent {
+        /// That daemon.
+        life: MemberLife,
+    },
+    /// A watcher hears that daemon again, or it speaks for itself.
+    #[brw(magic = 16u8)]
+    Heard {
+        /// That daemon.
+        life: MemberLife,
+    },
+    /// Asks for the whole host list, as a change of it did not fit.
+    #[brw(magic = 17u8)]
+    WholeHosts,
     /// The steward's copy is whole.
     #[brw(magic = 13u8)]
     StewardWhole {
@@ -333,8 +348,24 @@
     /// The daemons there are.
     #[brw(magic = 6u8)]
     Hosts {
+        /// The number of this list; the next change carries the next.
+        number: u64,
         /// All of them.
         hosts: Many<Host>,
+        /// Those among them that watchers miss.
+        silent: Many<MemberLife>,
+    },
+    /// What has changed of them since the list or change numbered one less.
+    #[brw(magic = 15u8)]
+    HostsChanged {
+        /// The number of the list that results.
+        number: u64,
+        /// Daemons that are new, or of which something has changed.
+        put: Many<Host>,
+        /// Daemons that are no longer there.
+        removed: Many<MemberName>,
+        /// All that watchers miss now.
+        silent: Many<MemberLife>,
     },
     /// Answers an acquisition.
     #[brw(magic = 7u8)]
--- a/crates/waymark/src/ring/mod.rs
+++ b/crates/waymark/src/ring/mod.rs
@@ -37,18 +37,34 @@
         .map(|(_, host)| host)
 }
 
-/// The daemons that watch a member: those that follow it on the ring, other localities first.
-pub fn watchers<'a>(watched_host: &Host, hosts: &'a [Host], watcher_count: usize) -> Vec<&'a Host> {
-    let place_of = |member: &MemberName| weight("ring", member.as_str());
+/// How many watchers of each daemon stand in other localities than its own.
+pub const FAR_WATCHERS: usize = 2;
+
+/// How many stand in its own.
+pub const NEAR_WATCHERS: usize = 1;
+
+/// Where a member stands on the ring.
+pub fn place_of(member: &MemberName) -> u64 {
+    weight("ring", member.as_str())
+}
+
+/// The daemons that watch a member: of those that follow it on the ring the first two in other
+/// localities and the first in its own; where there are too few of one kind, more of the other.
+/// The hosts come with their places on the ring.
+pub fn watchers<'a>(
+    watched_host: &Host,
+    placed_hosts: impl Iterator<Item = (u64, &'a Host)>,
+) -> Vec<&'a Host> {
     let own_place = place_of(&watched_host.member);
-    let mut ranked_hosts: Vec<(bool, u64, &Host)> = hosts
-        .iter()
-        .filter(|host| host.member != watched_host.member)
-        .map(|host| {
-            let ring_distance = place_of(&host.member).wrapping_sub(own_place);
-            (host.locality == watched_host.locality, ring_distance, host)
-        })
-        .collect();
-    ranked_hosts.sort_by_key(|(same_locality, ring_distance, _)| (*same_locality, *ring_distance));
-    ranked_hosts.into_iter().take(watcher_count).map(|(_, _, host)| host).collect()
+    let (mut near_hosts, mut far_hosts): (Vec<_>, Vec<_>) = placed_hosts
+        .filter(|(_, host)| host.member != watched_host.member)
+        .map(|(ring_place, host)| (ring_place.wrapping_sub(own_place), host))
+        .partition(|(_, host)| host.locality == watched_host.locality);
+    near_hosts.sort_by_key(|(ring_distance, _)| *ring_distance);
+    far_hosts.sort_by_key(|(ring_distance, _)| *ring_distance);
+    let watcher_count = FAR_WATCHERS + NEAR_WATCHERS;
+    let near_count = near_hosts.len().min(watcher_count - FAR_WATCHERS.min(far_hosts.len()));
+    let far_count = watcher_count - near_count;
+    let chosen_far = far_hosts.into_iter().take(far_count);
+    chosen_far.chain(near_hosts.into_iter().take(near_count)).map(|(_, host)| host).collect()
 }
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -268,7 +268,10 @@
         }
         self.counted("frames down");
         match &frame {
-            StreamDown::Hosts { hosts } => self.counted_by("hosts told", hosts.0.len()),
+            StreamDown::Hosts { hosts, .. } => self.counted_by("hosts told", hosts.0.len()),
+            StreamDown::HostsChanged { put, .. } => {
+                self.counted_by("hosts told", put.0.len());
+            }
             StreamDown::Spec { document: blob, .. } | StreamDown::Change { patch: blob, .. } => {
                 self.counted_by("spec bytes", blob.0.len());
             }
