A runner's status that promises a caller that nothing ran is not passed on unless it says so

Cause: 503 and its like, sent by a runner that may have run a once-transaction, would reach the caller as the daemon's own promise. Ruled out: passing them as another status (an answer is passed on unchanged or not at all). Figures: two rows more in the model table. Conclusion: only a runner that says that it did not run is believed to have refused.

--- a/crates/trail/src/lodge/answer.rs
+++ b/crates/trail/src/lodge/answer.rs
@@ -9,6 +9,10 @@
 use waymark::seal;
 use waymark::tongue::{RunnerSaid, SealKind};
 
+/// Statuses by which a caller is promised that nothing ran. From a runner that does not say so they are
+/// never passed on.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
 /// Decides what an answer is worth: only one that names what was asked, whole and sealed, is believed.
 pub fn judge(
     rules: Rules,
@@ -71,6 +75,9 @@
     if said.did_not_run {
         return SendEnd::ShedByRunner;
     }
+    if PROMISES.contains(&said.status) {
+        return SendEnd::Lost;
+    }
     let is_good = (200..300).contains(&said.status);
     if is_good && (said.seal.is_empty() || said.is_doubtful) && rules.keep(Rule::SealChecked) {
         return SendEnd::Lost;
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -350,6 +350,8 @@
             RunnerSaid { is_other: true, transaction: other_name(), ..carried(421) },
             "lost",
         ),
+        ("ran, yet says what promises the contrary", carried(503), "lost"),
+        ("ran, yet asks to come back", carried(429), "lost"),
         ("its own failure", RunnerSaid { seal: String::new(), ..carried(500) }, "failed"),
     ];
     for (what, said, expected) in cases {
