--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -205,8 +205,9 @@
         self.progress_waiting(now);
         self.progress_changes(now);
         let Some(desk) = &mut self.desk else { return };
-        let (known_members, whole) = desk.known_members();
-        self.core.set_members(known_members, whole);
+        if let Some((known_members, whole)) = desk.take_known_members() {
+            self.core.set_members(known_members, whole);
+        }
         let core = &self.core;
         let proof = Proof {
             ready: core.is_ready(),
--- a/crates/trail/src/drivers/platform.rs
+++ b/crates/trail/src/drivers/platform.rs
@@ -1,20 +1,19 @@
 use super::{HeldHere, State};
 use waymark::clock::Moment;
-use waymark::frames::Life;
-use waymark::identity::{RunnerId, WorkerName};
+use waymark::identity::{LifeName, RunnerId, WorkerName};
 use waymark::spec::FunctionSpec;
 use waymark::tongue::{BeginEnd, BeginOrder, StopOrder};
 
-/// Has the platform start a runner; its life, or none.
+/// Has the platform start a runner.
 pub async fn start(
     state: &State,
     held: &HeldHere,
     runner: RunnerId,
     worker: &WorkerName,
     spec: &FunctionSpec,
-) -> Option<Life> {
+) -> BeginEnd {
     if !state.lodge.is_serving(Moment::now()) {
-        return None;
+        return BeginEnd::Lost;
     }
     let order = BeginOrder {
         runner,
@@ -25,19 +24,22 @@
         slots: spec.slots,
         member: state.boot.member.clone(),
     };
-    match state.tongues.platform.begin(order).await {
-        BeginEnd::Begun(life) => Some(life),
-        BeginEnd::NoRoom | BeginEnd::Busy | BeginEnd::Refused | BeginEnd::Lost => None,
-    }
+    state.tongues.platform.begin(order).await
 }
 
 /// Has the platform stop a runner; true only when it says that the runner is stopped for good.
-pub async fn stop(state: &State, held: &HeldHere, runner: RunnerId, worker: &WorkerName) -> bool {
+pub async fn stop(
+    state: &State,
+    held: &HeldHere,
+    runner: RunnerId,
+    worker: WorkerName,
+    life: Option<LifeName>,
+) -> bool {
     let order = StopOrder {
         runner,
         function: held.function.clone(),
-        worker: worker.clone(),
-        life: held.life_of(runner).map(|life| life.name),
+        worker,
+        life,
         member: state.boot.member.clone(),
     };
     state.tongues.platform.stop(order).await
--- a/crates/trail/src/drivers/runners.rs
+++ b/crates/trail/src/drivers/runners.rs
@@ -32,6 +32,7 @@
     let Some(task) = held.task(ticket) else { return SendEnd::Barred(HopReason::NotServing) };
     let most = held.with(|holder| holder.connections());
     let life = held.life_of(runner);
+    let face = held.face_of(runner);
     let mut is_counted = false;
     let mut must_be_new = false;
     loop {
@@ -85,7 +86,7 @@
                 let is_last = closes(&called.headers);
                 let said = state.tongues.runner.read(called.status, &called.headers, called.body);
                 let is_last = is_last || said.closes;
-                let end = judge(state.lodge.rules, &task.transaction, &held.function, runner, said);
+                let end = judge(state.lodge.rules, &task.transaction, &held.function, face, said);
                 if matches!(end, SendEnd::Lost) {
                     state.gauges.rejected_answers.inc();
                     note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: seal", task.transaction);
@@ -117,7 +118,7 @@
             let called = call_json(place, Method::GET, path, None, patience).await;
             called.is_ok_and(|called| {
                 called.status == StatusCode::OK
-                    && header(&called.headers, name_header) == runner.to_string()
+                    && header(&called.headers, name_header) == held.face_of(runner).to_string()
             })
         }
         ReadyBy::Connecting => {
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/trail/src/lodge/held.rs
@@ -42,7 +42,6 @@
     pub grant: GrantSerial,
     holder: Mutex<Holder>,
     waiting: Mutex<BTreeMap<Ticket, Waiting<W>>>,
-    lives: Mutex<BTreeMap<RunnerId, Life>>,
 }
 
 impl<W> Held<W> {
@@ -53,7 +52,6 @@
             grant: holder.grant(),
             holder: Mutex::new(holder),
             waiting: Mutex::new(BTreeMap::new()),
-            lives: Mutex::new(BTreeMap::new()),
         }
     }
 
@@ -62,19 +60,14 @@
         look(&mut self.holder.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// The platform has told a runner's life.
-    pub fn learn_life(&self, runner: RunnerId, life: Life) {
-        self.lives.lock().unwrap_or_else(PoisonError::into_inner).insert(runner, life);
-    }
-
-    /// A runner has ended.
-    pub fn forget_life(&self, runner: RunnerId) {
-        self.lives.lock().unwrap_or_else(PoisonError::into_inner).remove(&runner);
-    }
-
     /// A runner's life, once the platform has told it.
     pub fn life_of(&self, runner: RunnerId) -> Option<Life> {
-        self.lives.lock().unwrap_or_else(PoisonError::into_inner).get(&runner).cloned()
+        self.with(|holder| holder.life_of(runner))
+    }
+
+    /// The name that a runner itself goes by.
+    pub fn face_of(&self, runner: RunnerId) -> RunnerId {
+        runner.face(self.life_of(runner).as_ref().map(|life| &life.name))
     }
 
     /// What a ticket stands for, while somebody waits for it.
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -88,6 +88,7 @@
         self.surveyors[place].life += 1;
         let node = self.surveyors[place].node;
         self.break_links(node);
+        self.notice_gone(node, self.surveyors[place].place);
         let unsynced = std::mem::take(&mut self.unsynced);
         for (owner, job) in unsynced {
             let is_lucky = self.chance.happens(0.5) && self.plan.flaw != Flaw::SyncSkipped;
@@ -99,6 +100,21 @@
         }
     }
 
+    /// The other surveyors that reach a killed one find its place closed, a little later.
+    fn notice_gone(&mut self, gone: Node, place: Place) {
+        let others: Vec<Node> = self.surveyors.iter().map(|surveyor| surveyor.node).collect();
+        for other in others {
+            let is_noticed = other != gone
+                && self.network.reaches(other, gone)
+                && self.network.reaches(gone, other)
+                && !self.chance.happens(0.1);
+            if is_noticed {
+                let delay = self.network.delay(&mut self.chance);
+                self.push(delay, Event::SurveyorGone(other, place));
+            }
+        }
+    }
+
     /// A surveyor's disk is replaced by an empty one.
     pub(super) fn lose_disk(&mut self, place: usize) {
         let fresh_id = SurveyorId(self.chance.number() | 1);
@@ -151,7 +167,7 @@
                 let asker = Asker { node, life };
                 if self.network.reaches(node, PLATFORM) {
                     let delay = self.network.delay(&mut self.chance);
-                    self.push(delay, Event::LeaderStop(asker, order.runner));
+                    self.push(delay, Event::LeaderStop(asker, order));
                 }
             }
             PlaneOutput::Operated(ticket, reply) => self.operated(ticket, reply),
@@ -289,7 +305,7 @@
         (WriteJob::Vote { term: left_term, .. }, WriteJob::Vote { term: right_term, .. }) => {
             left_term == right_term
         }
-        (WriteJob::Version(left_document), WriteJob::Version(right_document)) => {
+        (WriteJob::Version(left_document, _), WriteJob::Version(right_document, _)) => {
             left_document.stamp == right_document.stamp
         }
         (WriteJob::Scrub(_), WriteJob::Scrub(_)) => true,
@@ -307,7 +323,7 @@
                 }
             }
             WriteJob::Scrub(_) => {}
-            WriteJob::Version(document) => {
+            WriteJob::Version(document, _) => {
                 let is_newer =
                     self.durable.accepted.as_ref().is_none_or(|held| held.stamp < document.stamp);
                 if is_newer {
