--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -54,20 +54,20 @@
         }
         HolderOutput::Probe { runner, place } => {
             tokio::spawn(async move {
-                let is_ready = runners::is_ready(runner, place).await;
+                let is_ready = runners::is_ready(&state, &held, runner, place).await;
                 apply(&held, &state, |holder, now| holder.probed(now, runner, is_ready));
             });
         }
         HolderOutput::Settle { runner, place } => {
             tokio::spawn(async move {
-                let face = held.face_of(runner);
-                let running = runners::running(face, place).await;
+                let running = runners::running(&state, held.face_of(runner), place).await;
                 apply(&held, &state, |holder, now| holder.settled(now, runner, running));
             });
         }
-        HolderOutput::Stop { runner, life, .. } => {
+        HolderOutput::Stop { runner, worker, life } => {
+            state.runner_links.forget(runner);
             tokio::spawn(async move {
-                if platform::stop(&state, runner, life.as_ref()).await {
+                if platform::stop(&state, &held, runner, worker, life).await {
                     apply(&held, &state, |holder, now| holder.stopped(now, runner));
                 }
             });
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/trail/src/lodge/held.rs
@@ -1,10 +1,9 @@
 use crate::holder::{Entry, Holder, HolderOutput};
-use bytes::Bytes;
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, Life};
+use waymark::frames::{HopOutcome, Life, Parcel};
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 
 /// A transaction on its way to a runner.
@@ -18,12 +17,16 @@
     pub budget_end: Moment,
     /// Whether it may be sent to a runner only once.
     pub once: bool,
+    /// Whether callers may send its identity again, so that it is remembered.
+    pub noted: bool,
+    /// The most runners it may go to.
+    pub tries: u32,
     /// Whether the caller marked it a repeat.
     pub repeat: bool,
     /// How long it may wait in the inbox.
     pub patience: Duration,
-    /// The caller's body.
-    pub body: Bytes,
+    /// What the caller sent.
+    pub parcel: Arc<Parcel>,
 }
 
 struct Waiting<W> {
@@ -85,6 +88,8 @@
             ticket,
             transaction: task.transaction.clone(),
             once: task.once,
+            noted: task.noted,
+            tries: task.tries,
             repeat: task.repeat,
             budget_end: task.budget_end,
             patience: task.patience,
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -11,7 +11,7 @@
 };
 use waymark::chance::Chance;
 use waymark::clock::Moment;
-use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, Host, Many, StreamUp};
+use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, Host, Many, Parcel, StreamUp};
 use waymark::identity::{FunctionKey, GrantSerial, Locality, Serial, TransactionId};
 use waymark::tongue::BeginEnd;
 
@@ -579,7 +579,7 @@
             budget_end: local_now + budget.min(route.spec.budget),
             hops: 0,
             repeat,
-            body: Vec::new().into(),
+            parcel: Arc::new(Parcel::of_body(Vec::new().into())),
         };
         self.take_ask(place, ask, Back::Caller);
     }
