--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -62,6 +62,8 @@
                 "core_size",
                 "threads",
                 "platform",
+                "spread",
+                "emptying",
                 "timing",
             ]);
             let timing = root.field("timing");
@@ -75,9 +77,13 @@
                 "strike_ms",
                 "replace_ms",
                 "hello_ms",
+                "left_ms",
+                "list_lag_ms",
             ]);
             let core_default = CoreTiming::builder().build();
             let desk_default = DeskTiming::builder().build();
+            let spread = root.field("spread").flag_or(desk_default.spread);
+            let emptying = root.field("emptying").flag_or(desk_default.emptying);
             let place = read_place(&root.field("place"));
             let listen = read_listen(root, place);
             let operators = read_place(&root.field("operators"));
@@ -123,6 +129,10 @@
                     .grant_length(grant_length)
                     .drift_margin(drift_margin)
                     .claims_wait(grant_length + drift_margin)
+                    .left_for(read_millis(&timing.field("left_ms"), desk_default.left_for))
+                    .list_lag(read_millis(&timing.field("list_lag_ms"), desk_default.list_lag))
+                    .spread(spread)
+                    .emptying(emptying)
                     .strike_after(read_millis(
                         &timing.field("strike_ms"),
                         desk_default.strike_after,
