--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -61,8 +61,7 @@
         }
         HolderOutput::Settle { runner, place } => {
             tokio::spawn(async move {
-                let face = held.face_of(runner);
-                let running = runners::running(&state, face, place).await;
+                let running = runners::running(&state, held.face_of(runner), place).await;
                 apply(&held, &state, |holder, now| holder.settled(now, runner, running));
             });
         }
