--- a/proving/expedition/src/sim/checks.rs
+++ b/proving/expedition/src/sim/checks.rs
@@ -250,14 +250,14 @@
         self.look("hands");
         let mut seen: HashMap<&LifeName, (usize, GrantSerial)> = HashMap::new();
         for (daemon, grant, life) in held_lives {
-            if let Some((other, other_grant)) = seen.insert(life, (daemon, grant)) {
-                if self.in_two_hands.insert(life.clone()) {
-                    let what = format!(
-                        "{life} is in the hands of daemon {daemon} under {grant} and of daemon \
-                         {other} under {other_grant}"
-                    );
-                    self.breach(at, what);
-                }
+            if let Some((other, other_grant)) = seen.insert(life, (daemon, grant))
+                && self.in_two_hands.insert(life.clone())
+            {
+                let what = format!(
+                    "{life} is in the hands of daemon {daemon} under {grant} and of daemon {other} \
+                     under {other_grant}"
+                );
+                self.breach(at, what);
             }
         }
     }
