Links notice their end at once; lists are read as soon as a surveyor leads

Cause: a link to a surveyor that restarted lost two frames before it was opened anew, a vote among them. Change: a link listens for its end, opens anew at once, and keeps the frame that made it open again; one that is not used ends after 10 s. Lists wait for the lead instead of waking to look for it.

--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -77,7 +77,7 @@
     pub(super) inputs: mpsc::Sender<PlaneInput>,
     pub(super) operations: Mutex<HashMap<OperationTicket, oneshot::Sender<OperationReply>>>,
     pub(super) streams: Mutex<HashMap<StreamId, mpsc::Sender<StreamDown>>>,
-    pub(super) leads: AtomicBool,
+    pub(super) leads: watch::Sender<bool>,
     pub(super) has_leader: AtomicBool,
     pub(super) newest_event: watch::Sender<u64>,
     pub(super) gauges: Gauges,
@@ -211,7 +211,7 @@
             inputs: input_sender.clone(),
             operations: Mutex::new(HashMap::new()),
             streams: Mutex::new(HashMap::new()),
-            leads: AtomicBool::new(false),
+            leads: watch::Sender::new(false),
             has_leader: AtomicBool::new(false),
             newest_event: watch::Sender::new(0),
             gauges: Gauges::new(),
@@ -262,7 +262,8 @@
             for order in plane.take(Moment::now(), input) {
                 obey(&shared, &mut links, disk.as_ref(), order);
             }
-            shared.leads.store(plane.core().is_leader(), Ordering::Relaxed);
+            let is_leader = plane.core().is_leader();
+            shared.leads.send_if_modified(|leads| std::mem::replace(leads, is_leader) != is_leader);
             shared.has_leader.store(plane.core().leader().is_some(), Ordering::Relaxed);
         }
         shared.newest_event.send_replace(u64::MAX);
--- a/crates/survey/src/drivers/links.rs
+++ b/crates/survey/src/drivers/links.rs
@@ -1,9 +1,14 @@
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::Ipv4Addr;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use waymark::frames::{Channel, CoreFrame, FrameFault, Place, dial, write_frame};
 
+const SHORTEST_WAIT: Duration = Duration::from_millis(20);
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
 const IDLE_AFTER: Duration = Duration::from_secs(10);
 
 /// One-way links to the other surveyors; what cannot be sent soon is dropped.
@@ -32,33 +37,54 @@
 }
 
 async fn keep_link(own_ip: Ipv4Addr, to: Place, mut frames: mpsc::Receiver<CoreFrame>) {
-    let mut wait_span = Duration::from_millis(20);
-    while !frames.is_closed() {
-        if let Ok(()) = use_link(own_ip, to, &mut frames, &mut wait_span).await {
-            return;
+    let mut wait_span = SHORTEST_WAIT;
+    let mut first_frame = None;
+    loop {
+        match use_link(own_ip, to, &mut frames, first_frame.take(), &mut wait_span).await {
+            Ok(()) => return,
+            Err(_) => tokio::time::sleep(wait_span).await,
         }
-        tokio::time::sleep(wait_span).await;
-        wait_span = (wait_span * 2).min(Duration::from_millis(200));
         while frames.try_recv().is_ok() {}
-        let waiting = tokio::time::timeout(IDLE_AFTER, frames.recv()).await;
-        if !matches!(waiting, Ok(Some(_))) {
-            return;
+        if wait_span > SHORTEST_WAIT {
+            match tokio::time::timeout(IDLE_AFTER, frames.recv()).await {
+                Ok(Some(frame)) => first_frame = Some(frame),
+                _ => return,
+            }
         }
+        wait_span = (wait_span * 2).min(LONGEST_WAIT);
     }
 }
 
+/// Writes frames until nothing more is to be sent, or the other side ends the link.
 async fn use_link(
     own_ip: Ipv4Addr,
     to: Place,
     frames: &mut mpsc::Receiver<CoreFrame>,
+    first_frame: Option<CoreFrame>,
     wait_span: &mut Duration,
 ) -> Result<(), FrameFault> {
     let mut stream = dial(own_ip, to, Channel::Core, Duration::from_millis(500)).await?;
-    *wait_span = Duration::from_millis(20);
-    while let Ok(Some(frame)) = tokio::time::timeout(IDLE_AFTER, frames.recv()).await {
-        tokio::time::timeout(Duration::from_secs(2), write_frame(&mut stream, &frame))
-            .await
-            .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
+    *wait_span = SHORTEST_WAIT;
+    if let Some(frame) = first_frame {
+        write_soon(&mut stream, &frame).await?;
     }
-    Ok(())
+    loop {
+        let mut heard_byte = [0; 1];
+        tokio::select! {
+            taken = tokio::time::timeout(IDLE_AFTER, frames.recv()) => match taken {
+                Ok(Some(frame)) => write_soon(&mut stream, &frame).await?,
+                _ => return Ok(()),
+            },
+            heard = stream.read(&mut heard_byte) => {
+                heard?;
+                return Err(FrameFault::Connection(ErrorKind::UnexpectedEof.into()));
+            }
+        }
+    }
+}
+
+async fn write_soon(stream: &mut TcpStream, frame: &CoreFrame) -> Result<(), FrameFault> {
+    tokio::time::timeout(Duration::from_secs(2), write_frame(stream, frame))
+        .await
+        .map_err(|_| FrameFault::Connection(ErrorKind::TimedOut.into()))?
 }
--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -1,7 +1,6 @@
 use super::engine::Shared;
 use crate::plane::PlaneInput;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
@@ -13,14 +12,12 @@
     let mut ticking = tokio::time::interval(list_every);
     ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut was_silent = false;
+    let mut leads = shared.leads.subscribe();
     loop {
-        ticking.tick().await;
-        if shared.inputs.is_closed() {
+        if leads.wait_for(|leads| *leads).await.is_err() || shared.inputs.is_closed() {
             return;
         }
-        if !shared.leads.load(Ordering::Relaxed) {
-            continue;
-        }
+        ticking.tick().await;
         let (workers_read, runners_read) =
             tokio::join!(read_workers(&shared), read_runners(&shared));
         let is_silent = workers_read.is_none() || runners_read.is_none();
