A durable roster of daemons that may hold grants: a new leader knows whom it waits for

Cause: after a restart of every voter no leader knew who may hold grants, and waited a whole grant, a settling and a late list: 3.5 s of nothing at every closing fault.

Change: the document names the daemons (name and place) that may hold member grants; a daemon is granted to only once the committed roster, and the one in flight, name it, and a majority followed the leader after it joined. A new leader opens when every listed place has claimed. Roster commits change nothing that daemons see; their view keeps its serial. Lists are asked for at the election and from the opening on; listed lives that nobody claimed can be taken over at once, new runners wait until the list surely shows what earlier lives left. Early trials of restarted voters, rounds on demand, quicker liaison; readings wait for a proof from after they were asked, since a restarted voter remembers no leader.

--- a/crates/survey/src/core/election.rs
+++ b/crates/survey/src/core/election.rs
@@ -10,10 +10,16 @@
 const GONE_LONGEST: Duration = Duration::from_millis(200);
 
 impl Core {
+    /// A voter that has just started and heard no leader does not wait a whole timeout: whoever
+    /// hears a live one refuses its trial.
     pub(super) fn arm_election(&mut self, now: Moment) {
-        let wait_span =
-            self.chance.within(self.timing.election_shortest, self.timing.election_longest);
-        self.election_at = now + wait_span;
+        let is_early = self.early_trials > 0 && self.is_voter(self.id);
+        let (shortest, longest) = if is_early {
+            (self.timing.early_shortest, self.timing.early_longest)
+        } else {
+            (self.timing.election_shortest, self.timing.election_longest)
+        };
+        self.election_at = now + self.chance.within(shortest, longest);
     }
 
     pub(super) fn is_majority(&self, given: &BTreeSet<SurveyorId>) -> bool {
@@ -37,6 +43,7 @@
     }
 
     pub(super) fn start_trial(&mut self, now: Moment) {
+        self.early_trials = self.early_trials.saturating_sub(1);
         self.arm_election(now);
         self.leader = None;
         if !self.is_voter(self.id) || !self.may_vote() || self.has_vital_writing() {
@@ -68,6 +75,7 @@
             self.inherited_members = self.members.clone();
             self.inherited_whole = self.members_whole;
             self.role = Role::Candidate { given: BTreeSet::new(), vote_written: false };
+            self.early_trials = 0;
             self.arm_election(now);
             self.outputs.push(CoreOutput::Campaigning { term: self.term });
             self.order_write(now, Writing::Vote { term: self.term, candidate: self.id });
@@ -171,6 +179,7 @@
                 self.reply_vote(address.place, term, false, false);
             }
             _ => {
+                self.early_trials = 0;
                 self.arm_election(now);
                 self.order_write(now, Writing::Vote { term, candidate: from });
             }
@@ -246,6 +255,7 @@
         if term < self.term {
             return false;
         }
+        self.early_trials = 0;
         if term > self.term || !matches!(self.role, Role::Follower) {
             self.step_down(now, term);
         }
@@ -276,7 +286,9 @@
         if now < rounds.next_at() {
             return;
         }
-        let members = self.members.clone();
+        let has_roster = self.accepted.as_ref().is_some_and(|held| !held.roster.is_empty());
+        let members = if has_roster { BTreeSet::new() } else { self.members.clone() };
+        let whole = self.members_whole && !has_roster;
         let next_at = now + self.timing.round_every;
         let round = rounds.start(now, next_at, self.id, members.clone());
         let body = CoreBody::Round {
@@ -285,7 +297,7 @@
             accepted: self.accepted_stamp(),
             committed: self.committed,
             members: Many(members.into_iter().collect()),
-            whole: Flag(self.members_whole),
+            whole: Flag(whole),
         };
         let voter_places = self.voter_places();
         for voter_place in &voter_places {
--- a/crates/survey/src/core/mod.rs
+++ b/crates/survey/src/core/mod.rs
@@ -21,6 +21,8 @@
 use waymark::rules::Rules;
 use waymark::spec::Document;
 
+const EARLY_TRIALS: u32 = 4;
+
 /// Where other surveyors and operators reach one.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Address {
@@ -101,6 +103,7 @@
     passes_on: bool,
     hinted: BTreeSet<Place>,
     outsiders_round_at: Moment,
+    early_trials: u32,
     written_out: Option<(Stamp, Blob)>,
     outputs: Vec<CoreOutput>,
 }
@@ -119,6 +122,7 @@
         let accepted_term = recalled.accepted.as_ref().map_or(Term(0), |held| held.stamp.term);
         let voted_term = recalled.voted.map_or(Term(0), |(term, _)| term);
         let scrub_first = timing.scrub_every;
+        let unheard_since = now - timing.election_shortest;
         let mut core = Self {
             timing,
             id: recalled.id,
@@ -133,7 +137,7 @@
             committed: Stamp::default(),
             role: Role::Follower,
             leader: None,
-            leader_heard_at: now,
+            leader_heard_at: unheard_since,
             election_at: now,
             hello_at: now,
             scrub_at: now + scrub_first,
@@ -152,6 +156,7 @@
             passes_on: false,
             hinted: BTreeSet::new(),
             outsiders_round_at: now,
+            early_trials: EARLY_TRIALS,
             written_out: None,
             outputs: Vec::new(),
         };
@@ -228,6 +233,23 @@
         self.proposed.is_some()
     }
 
+    /// The change in flight.
+    pub fn proposed(&self) -> Option<&Document> {
+        self.proposed.as_ref()
+    }
+
+    /// Somebody waits for a proof of the majority: a round starts now, or as soon as the last one is
+    /// old enough.
+    pub fn hasten_round(&mut self, now: Moment) -> Vec<CoreOutput> {
+        if let Role::Leader(rounds) = &mut self.role {
+            rounds.hasten(self.timing.round_gap);
+            if now >= rounds.next_at() {
+                self.lead(now);
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
     /// When the newest round was sent that a majority answered.
     pub fn quorum_moment(&self) -> Moment {
         match &self.role {
--- a/crates/survey/src/core/rounds.rs
+++ b/crates/survey/src/core/rounds.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::frames::KnownMember;
 use waymark::identity::SurveyorId;
@@ -15,6 +16,7 @@
     open_rounds: VecDeque<Round>,
     last_number: u64,
     next_at: Moment,
+    started_at: Moment,
     elected_at: Moment,
     quorum_moment: Moment,
     confirmed_members: BTreeSet<KnownMember>,
@@ -27,6 +29,7 @@
             open_rounds: VecDeque::new(),
             last_number: 0,
             next_at: elected_at,
+            started_at: Moment::ZERO,
             elected_at,
             quorum_moment: Moment::ZERO,
             confirmed_members: BTreeSet::new(),
@@ -43,6 +46,11 @@
         self.next_at
     }
 
+    /// Somebody waits for a proof: the next round starts as soon as the last one is so old.
+    pub fn hasten(&mut self, shortest_gap: Duration) {
+        self.next_at = self.next_at.min(self.started_at + shortest_gap);
+    }
+
     /// When the newest round was sent that a majority answered.
     pub fn quorum_moment(&self) -> Moment {
         self.quorum_moment
@@ -62,6 +70,7 @@
         members: BTreeSet<KnownMember>,
     ) -> u64 {
         self.last_number += 1;
+        self.started_at = now;
         self.next_at = next_at;
         self.open_rounds.push_back(Round {
             number: self.last_number,
--- a/crates/survey/src/core/timing.rs
+++ b/crates/survey/src/core/timing.rs
@@ -7,6 +7,15 @@
     /// From one round of the leader to the next.
     #[builder(default = Duration::from_millis(100))]
     pub round_every: Duration,
+    /// From one round to another that somebody waits for, at least.
+    #[builder(default = Duration::from_millis(20))]
+    pub round_gap: Duration,
+    /// The shortest wait of a surveyor that has just started, before a trial.
+    #[builder(default = Duration::from_millis(60))]
+    pub early_shortest: Duration,
+    /// The longest wait of a surveyor that has just started, before a trial.
+    #[builder(default = Duration::from_millis(250))]
+    pub early_longest: Duration,
     /// The shortest election timeout.
     #[builder(default = Duration::from_millis(500))]
     pub election_shortest: Duration,
--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -18,6 +18,15 @@
         if self.document.is_none() {
             self.inherited_serial = document.stamp.serial;
             self.inherited_nothing = document.generations.is_empty();
+            self.awaited = document.roster.clone();
+        }
+        self.roster_changed = true;
+        let is_unseen = self.document.as_ref().is_some_and(|held| {
+            document.unseen > 0 && held.view_serial() == document.view_serial()
+        });
+        if is_unseen {
+            self.document = Some(document);
+            return;
         }
         let view = document.view();
         match Table::build(&view) {
@@ -101,7 +110,7 @@
     }
 
     pub(super) fn note_in_force(&mut self, now: Moment) {
-        let Some(serial) = self.document.as_ref().map(|document| document.stamp.serial) else {
+        let Some(serial) = self.document.as_ref().map(Document::view_serial) else {
             return;
         };
         if self.in_force >= serial {
--- a/crates/survey/src/desk/functions.rs
+++ b/crates/survey/src/desk/functions.rs
@@ -121,7 +121,7 @@
         }
         if self.table.function_of(&acquire.function).is_none() {
             let installed = self.members.get(&asker).map(|record| record.installed);
-            let newest = self.document.as_ref().map(|document| document.stamp.serial);
+            let newest = self.document.as_ref().map(|document| document.view_serial());
             return (installed <= newest).then_some(AcquireResult::Shed);
         }
         if !self.members.get(&asker).is_some_and(|record| record.host.eligible.0) {
@@ -133,6 +133,12 @@
         if !self.check_left(&acquire.function) {
             return None;
         }
+        if self.may_have_unlisted(&acquire.function) {
+            let has_left = self.reservations.of(&acquire.function).next().is_some();
+            if !has_left {
+                return None;
+            }
+        }
         let grant = self.next_number();
         let is_noted = self.is_noted(&acquire.function);
         let once_from = self.once_from.get(&acquire.function).copied().unwrap_or_default();
--- a/crates/survey/src/desk/listing.rs
+++ b/crates/survey/src/desk/listing.rs
@@ -38,7 +38,8 @@
     }
 
     fn take_unknown(&mut self, content_moment: Moment, listed_runners: &[ListedRunner]) {
-        if content_moment < self.elected_at {
+        let is_recent = content_moment >= self.elected_at;
+        if !is_recent && !self.all_claimed {
             return;
         }
         for listed in listed_runners {
@@ -48,7 +49,7 @@
             if is_known || self.is_begun_by_key(content_moment, listed) {
                 continue;
             }
-            if !self.is_being_begun(listed) {
+            if !self.is_being_begun(listed) && (is_recent || !self.is_held(listed)) {
                 self.take_orphan(content_moment, listed);
             }
         }
@@ -64,6 +65,11 @@
         is_waited_for
     }
 
+    /// Whether a function of that name is held.
+    fn is_held(&self, listed: &ListedRunner) -> bool {
+        self.entries.keys().any(|function| function.name == listed.function)
+    }
+
     /// Whether a runner of the same function is being begun on the same worker: this life may be its.
     fn is_being_begun(&self, listed: &ListedRunner) -> bool {
         self.reservations.values().any(|held| {
@@ -90,6 +96,7 @@
             (listed.key.clone().unwrap_or(unknown_key), 0)
         });
         let runner = RunnerId { grant: self.next_number(), ordinal: self.next_number().0 };
+        let held_function = function.clone();
         let mut reservation = Reservation::new(function, listed.worker.clone(), memory_mb);
         reservation.life = Some(listed.life.clone());
         reservation.begun_at = content_moment;
@@ -102,7 +109,11 @@
             "worker": listed.worker.as_str(),
         });
         self.tell(events::ORPHAN, detail);
-        self.leave_or_stop(content_moment, runner);
+        if self.entries.contains_key(&held_function) {
+            self.reservations.want_stop(runner);
+        } else {
+            self.leave_or_stop(content_moment, runner);
+        }
     }
 
     /// What must have been listed by now and is not is gone.
--- a/crates/survey/src/desk/members.rs
+++ b/crates/survey/src/desk/members.rs
@@ -4,10 +4,16 @@
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{Flag, Host, KnownMember, Many, Place, StreamDown};
-use waymark::identity::{CorrelationId, FunctionKey, Serial};
+use waymark::identity::{CorrelationId, FunctionKey, MemberName, Serial};
 use waymark::rules::Rule;
 
 const HOSTS_EVERY: std::time::Duration = std::time::Duration::from_millis(100);
+/// A renewal waits for a proof that is no older than so, beside its own age.
+const PROOF_SPAN: std::time::Duration = std::time::Duration::from_millis(20);
+/// A renewal that waited so long takes the proof there is.
+const PROOF_PATIENCE: std::time::Duration = std::time::Duration::from_millis(60);
+/// From one asking for the lists to the next, while something may run that is not known.
+const LISTS_EVERY: std::time::Duration = std::time::Duration::from_millis(150);
 
 pub(super) struct MemberRecord {
     pub host: Host,
@@ -21,12 +27,22 @@
     pub claimed: bool,
     pub heard_at: Moment,
     pub swept: bool,
+    pub joined_at: Moment,
+    pub born_at: Moment,
+    pub was_granted: bool,
+}
+
+/// What a daemon says of its present life.
+pub(super) struct LifeHistory {
+    pub born_at: Moment,
+    pub was_granted: bool,
 }
 
 pub(super) struct WaitingRenewal {
     pub stream: StreamId,
     pub correlation: CorrelationId,
     pub asked_at: Moment,
+    pub wants_proof: bool,
 }
 
 impl Desk {
@@ -37,6 +53,7 @@
         host: Host,
         door: Place,
         serial: Serial,
+        history: LifeHistory,
     ) {
         let known_member = KnownMember {
             member: host.member.clone(),
@@ -68,8 +85,12 @@
             claimed: false,
             heard_at: now,
             swept: false,
+            joined_at: now,
+            born_at: history.born_at,
+            was_granted: history.was_granted,
         });
         self.known_changed = true;
+        self.roster_changed = true;
         record.stream = Some(stream);
         record.is_welcome = is_welcome;
         record.host = Host { eligible, ..host.clone() };
@@ -120,7 +141,8 @@
     ) {
         self.hear_installed(stream, serial);
         self.renewals.retain(|renewal| renewal.stream != stream);
-        self.renewals.push(WaitingRenewal { stream, correlation, asked_at: now });
+        let asked = WaitingRenewal { stream, correlation, asked_at: now, wants_proof: true };
+        self.renewals.push(asked);
     }
 
     pub(super) fn hear_installed(&mut self, stream: StreamId, serial: Serial) {
@@ -150,7 +172,7 @@
     }
 
     pub(super) fn answer_renewals(&mut self, now: Moment, proof: &Proof<'_>) {
-        let Some(committed_serial) = self.document.as_ref().map(|held| held.stamp.serial) else {
+        let Some(committed_serial) = self.document.as_ref().map(|held| held.view_serial()) else {
             return;
         };
         let grant_end = proof.quorum_moment + self.timing.grant_length;
@@ -158,17 +180,22 @@
         if !proof.ready || grant_end <= now {
             return;
         }
-        for renewal in std::mem::take(&mut self.renewals) {
+        for mut renewal in std::mem::take(&mut self.renewals) {
             let Some(known_member) = self.streams.get(&renewal.stream).cloned() else { continue };
-            let Some(record) = self.members.get_mut(&known_member) else { continue };
-            let may_renew = record.claimed
+            let Some(record) = self.members.get(&known_member) else { continue };
+            let is_ready = record.claimed
                 && (record.installed >= committed_serial
-                    || !self.rules.keep(Rule::RenewalNeedsSpec))
-                && (proof.confirmed)(&known_member);
-            if !may_renew {
+                    || !self.rules.keep(Rule::RenewalNeedsSpec));
+            let is_proof_old = proof.quorum_moment + PROOF_SPAN < renewal.asked_at
+                && now.since(renewal.asked_at) < PROOF_PATIENCE;
+            let is_proof_early = proof.quorum_moment < record.joined_at;
+            renewal.wants_proof = is_ready && (is_proof_old || is_proof_early);
+            let may_renew = is_ready && !is_proof_old && self.may_be_granted(&known_member, proof);
+            let Some(record) = self.members.get_mut(&known_member).filter(|_| may_renew) else {
                 self.renewals.push(renewal);
                 continue;
-            }
+            };
+            record.was_granted = true;
             record.grant_end = record.grant_end.max(grant_end);
             record.grant_bound = record.grant_bound.max(grant_bound);
             record.heard_at = now;
@@ -202,6 +229,7 @@
             }
             self.hosts_changed = true;
             self.known_changed = true;
+            self.roster_changed = true;
         }
     }
 
@@ -217,10 +245,20 @@
                     .partition(|known_member| current.contains_key(&known_member.member));
             self.known_changed |= !struck.is_empty();
             self.last_known = kept;
-            for struck_member in struck {
-                self.tell(events::STRUCK_OFF, json!({"member": struck_member.member.as_str()}));
+            let listed_struck = self.strike_awaited();
+            let struck_names: BTreeSet<MemberName> = struck
+                .into_iter()
+                .map(|known| known.member)
+                .chain(listed_struck.into_iter().map(|listed| listed.member))
+                .collect();
+            for struck_name in struck_names {
+                self.tell(events::STRUCK_OFF, json!({"member": struck_name.as_str()}));
             }
         }
+        if !self.awaited.is_empty() {
+            self.open_by_roster(now);
+            return;
+        }
         let has_claimed = |known_member: &KnownMember| {
             self.members.get(known_member).is_some_and(|record| record.claimed)
         };
@@ -247,23 +285,60 @@
             && self.runners_listed_at >= full_wait_end + self.timing.start_settle;
         let is_due = has_majority && (all_claimed || has_waited);
         if self.inherited_nothing || is_due || !self.rules.keep(Rule::ClaimsWait) {
-            self.opened = true;
-            self.known_changed = true;
-            self.acquires_changed = true;
-            self.opened_at = now;
-            self.all_claimed = all_claimed;
-            self.take_listed();
-            let waited_ms = now.since(self.elected_at).as_millis() as u64;
-            self.tell(
-                events::CLAIMS_QUORUM,
-                json!({
-                    "last_known": self.last_known.len(),
-                    "claimed": claimed_count,
-                    "all_claimed": all_claimed,
-                    "waited_ms": waited_ms,
-                    "functions": self.entries.len(),
-                }),
-            );
+            self.open(now, self.last_known.len(), claimed_count, all_claimed);
+        }
+    }
+
+    /// The committed roster names whoever may hold a grant: when each of them has claimed, or its place
+    /// has, nothing else holds anything. Those that do not come are waited for until their grants have
+    /// ended, and the platform's list shows what they left.
+    fn open_by_roster(&mut self, now: Moment) {
+        let claimed_count = self.claimed_names();
+        let has_majority = claimed_count * 2 > self.awaited.len();
+        let all_claimed = self.has_whole_roster_claimed();
+        let full_wait_end = self.elected_at + self.timing.claims_wait;
+        let has_waited = now >= full_wait_end
+            && self.runners_listed_at >= full_wait_end + self.timing.start_settle;
+        let is_hasty = has_majority && !self.rules.keep(Rule::RosterAwaited);
+        let is_due = all_claimed || (has_majority && has_waited);
+        if is_due || is_hasty || !self.rules.keep(Rule::ClaimsWait) {
+            if all_claimed {
+                self.listed_from = self.whole_list_from();
+            }
+            self.open(now, self.awaited.len(), claimed_count, all_claimed);
+        }
+    }
+
+    fn open(&mut self, now: Moment, last_known: usize, claimed: usize, all_claimed: bool) {
+        self.opened = true;
+        self.lists_asked_at = Moment::ZERO;
+        self.known_changed = true;
+        self.roster_changed = true;
+        self.acquires_changed = true;
+        self.opened_at = now;
+        self.all_claimed = all_claimed;
+        self.take_listed();
+        let waited_ms = now.since(self.elected_at).as_millis() as u64;
+        self.tell(
+            events::CLAIMS_QUORUM,
+            json!({
+                "last_known": last_known,
+                "claimed": claimed,
+                "all_claimed": all_claimed,
+                "waited_ms": waited_ms,
+                "functions": self.entries.len(),
+            }),
+        );
+    }
+
+    /// The lists are asked for at the election, and again from the opening on until everything is known
+    /// that earlier lives left.
+    pub(super) fn ask_lists(&mut self, now: Moment) {
+        let is_wanted =
+            self.lists_asked_at == Moment::ZERO || (self.opened && !self.is_list_whole());
+        if is_wanted && now.since(self.lists_asked_at) >= LISTS_EVERY {
+            self.lists_asked_at = now;
+            self.outputs.push(DeskOutput::AskLists);
         }
     }
 
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -11,6 +11,7 @@
 mod pressure;
 mod report;
 mod reservations;
+mod roster;
 mod stewards;
 mod timing;
 mod workers;
@@ -19,7 +20,7 @@
 pub use timing::DeskTiming;
 
 use emptying::Emptying;
-use members::{MemberRecord, WaitingRenewal};
+use members::{LifeHistory, MemberRecord, WaitingRenewal};
 use reservations::Reservations;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -29,7 +30,7 @@
     CorrelationId, FunctionKey, GrantSerial, Locality, MemberName, Serial, Term, WorkerName,
 };
 use waymark::rules::{Rule, Rules};
-use waymark::spec::{Document, Table, View};
+use waymark::spec::{Document, RosterMember, Table, View};
 use waymark::tongue::ListedRunner;
 use workers::WorkerRecord;
 
@@ -39,8 +40,10 @@
     pub ready: bool,
     /// When the newest round was sent that a majority answered.
     pub quorum_moment: Moment,
-    /// Whether a majority knows a daemon.
+    /// Whether a round that a majority answered named a daemon.
     pub confirmed: &'a dyn Fn(&KnownMember) -> bool,
+    /// The roster of the change in flight.
+    pub in_flight: Option<&'a BTreeSet<RosterMember>>,
 }
 
 struct GrantEntry {
@@ -67,6 +70,13 @@
     elected_at: Moment,
     last_known: BTreeSet<KnownMember>,
     last_known_whole: bool,
+    awaited: BTreeSet<RosterMember>,
+    gone_since: BTreeMap<RosterMember, Moment>,
+    roster_changed: bool,
+    roster_look_at: Moment,
+    roster_wanted_since: Option<Moment>,
+    listed_from: Moment,
+    lists_asked_at: Moment,
     document: Option<Document>,
     table: Table,
     views: VecDeque<View>,
@@ -127,6 +137,13 @@
             elected_at,
             last_known,
             last_known_whole,
+            awaited: BTreeSet::new(),
+            gone_since: BTreeMap::new(),
+            roster_changed: true,
+            roster_look_at: elected_at,
+            roster_wanted_since: None,
+            listed_from: Moment::ZERO,
+            lists_asked_at: Moment::ZERO,
             document: None,
             table: Table::empty(),
             views: VecDeque::new(),
@@ -211,8 +228,10 @@
     pub fn heard(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
         self.acquires_changed = true;
         match frame {
-            StreamUp::Hello { host, door, serial } => {
-                self.hear_hello(now, stream, host, door, serial);
+            StreamUp::Hello { host, door, serial, age_ms, granted } => {
+                let history =
+                    LifeHistory { born_at: roster::born_at(now, age_ms), was_granted: granted.0 };
+                self.hear_hello(now, stream, host, door, serial, history);
             }
             StreamUp::Claims { claims } => self.hear_claims(now, stream, claims.0),
             StreamUp::Renew { correlation, serial } => {
@@ -274,6 +293,7 @@
     pub fn progress(&mut self, now: Moment, proof: &Proof<'_>) -> Vec<DeskOutput> {
         self.expire_members(now);
         self.open_if_due(now, proof);
+        self.ask_lists(now);
         self.fence(now);
         self.name_stewards(now);
         self.answer_renewals(now, proof);
--- a/crates/survey/src/desk/output.rs
+++ b/crates/survey/src/desk/output.rs
@@ -33,6 +33,8 @@
         /// What to say.
         frame: StreamDown,
     },
+    /// Ask the platform for its lists at once.
+    AskLists,
     /// Have the platform stop a runner.
     StopRunner(StopOrder),
     /// Tell operators.
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::events;
@@ -83,6 +83,7 @@
     pub(super) gauges: Gauges,
     pub(super) operators: Arc<dyn OperatorsTongue>,
     pub(super) platform: Arc<dyn PlatformTongue>,
+    pub(super) lists_wanted: Notify,
     next_number: AtomicU64,
 }
 
@@ -217,6 +218,7 @@
             gauges: Gauges::new(),
             operators: tongues.operators,
             platform: tongues.platform,
+            lists_wanted: Notify::new(),
             next_number: AtomicU64::new(1),
         });
         Ok(Self {
@@ -292,6 +294,7 @@
                 open_streams.remove(&stream);
             }
         }
+        PlaneOutput::AskLists => shared.lists_wanted.notify_one(),
         PlaneOutput::StopRunner(order) => {
             tokio::spawn(platform::stop_runner(shared.clone(), order));
         }
--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -8,17 +8,20 @@
 use waymark::note;
 use waymark::tongue::StopOrder;
 
-/// Reads the platform's lists while this surveyor leads.
+/// Reads the platform's lists while this surveyor leads, and when the leader asks for them.
 pub async fn poll(shared: Arc<Shared>, list_every: Duration) {
     let mut ticking = tokio::time::interval(list_every);
     ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut was_silent = false;
     loop {
-        ticking.tick().await;
+        let is_wanted = tokio::select! {
+            _ = ticking.tick() => false,
+            () = shared.lists_wanted.notified() => true,
+        };
         if shared.inputs.is_closed() {
             return;
         }
-        if !shared.leads.load(Ordering::Relaxed) {
+        if !is_wanted && !shared.leads.load(Ordering::Relaxed) {
             continue;
         }
         let (workers_read, runners_read) =
--- a/crates/survey/src/drivers/tongue.rs
+++ b/crates/survey/src/drivers/tongue.rs
@@ -58,7 +58,7 @@
                 let evacuated: Vec<&str> =
                     document.evacuated.iter().map(|locality| locality.as_str()).collect();
                 let body = json!({
-                    "serial": document.stamp.serial.0,
+                    "serial": document.view_serial().0,
                     "number": document.number,
                     "in_force": in_force.0,
                     "spec": document.spec,
--- a/crates/survey/src/plane/changes.rs
+++ b/crates/survey/src/plane/changes.rs
@@ -125,6 +125,13 @@
     changed_spec
 }
 
+impl Changes {
+    /// Whether no change waits to be put forward.
+    pub fn is_idle(&self) -> bool {
+        self.inbox.is_empty()
+    }
+}
+
 impl Plane {
     pub(super) fn queue_change(
         &mut self,
@@ -236,7 +243,7 @@
             });
             return;
         }
-        let current_serial = current_document.stamp.serial;
+        let current_serial = current_document.view_serial();
         let current_number = current_document.number;
         let is_stale = queued.base.is_some_and(|base| base != current_serial)
             || queued.numbering.is_some_and(|given| given.base_number != current_number);
@@ -260,8 +267,12 @@
             });
             return;
         }
+        let wanted_roster = self.desk.as_ref().and_then(|desk| desk.wanted_roster(now));
         let next_document = match self.next_document(&current_document, &queued) {
-            Ok(next_document) => next_document,
+            Ok(mut next_document) => {
+                next_document.roster = wanted_roster.unwrap_or(next_document.roster);
+                next_document
+            }
             Err(reply) => {
                 self.answer(queued.ticket, reply);
                 return;
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -22,11 +22,12 @@
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{CoreFrame, Place, StreamDown, StreamUp};
-use waymark::identity::{RunnerId, Serial, Ticket};
+use waymark::identity::{RunnerId, Serial, Stamp, Ticket};
 use waymark::rules::Rules;
 use waymark::tongue::{ListedRunner, ListedWorker, StopOrder};
 
 const DESK_EVERY: Duration = Duration::from_millis(50);
+const HURRIED_EVERY: Duration = Duration::from_millis(10);
 const WAITING_EVERY: Duration = Duration::from_millis(100);
 const IDLE_EVERY: Duration = Duration::from_millis(500);
 
@@ -68,6 +69,8 @@
     Down(StreamId, StreamDown),
     /// End a daemon's stream.
     Close(StreamId),
+    /// Ask the platform for its lists at once.
+    AskLists,
     /// Have the platform stop a runner.
     StopRunner(StopOrder),
     /// Answer an operator.
@@ -133,6 +136,7 @@
     /// When time must pass next, if nothing reaches it before.
     pub fn next_due(&self, now: Moment) -> Moment {
         let longest_span = match (&self.desk, self.waiting.is_empty()) {
+            (Some(desk), _) if desk.is_hurried() => HURRIED_EVERY,
             (Some(_), _) => DESK_EVERY,
             (None, false) => WAITING_EVERY,
             (None, true) => IDLE_EVERY,
@@ -213,12 +217,14 @@
             ready: core.is_ready(),
             quorum_moment: core.quorum_moment(),
             confirmed: &|known_member| core.is_confirmed(known_member),
+            in_flight: core.proposed().map(|document| &document.roster),
         };
         for order in desk.progress(now, &proof) {
             match order {
                 DeskOutput::Down { stream, frame } => {
                     self.outputs.push(PlaneOutput::Down(stream, frame));
                 }
+                DeskOutput::AskLists => self.outputs.push(PlaneOutput::AskLists),
                 DeskOutput::StopRunner(order) => {
                     self.outputs.push(PlaneOutput::StopRunner(order));
                 }
@@ -236,6 +242,26 @@
             }
         }
         self.progress_waits();
+        self.put_roster_forward(now);
+        let wants_round = self.desk.as_ref().is_some_and(Desk::wants_round)
+            || (self.desk.is_some() && !self.waiting.is_empty());
+        if wants_round {
+            let orders = self.core.hasten_round(now);
+            self.obey(now, orders);
+        }
+    }
+
+    /// Names of daemons that joined or are long gone are committed together, after operators' changes
+    /// that wait: those take the names along.
+    fn put_roster_forward(&mut self, now: Moment) {
+        let is_free = self.core.is_ready() && !self.core.is_proposing() && self.changes.is_idle();
+        let Some(desk) = &mut self.desk else { return };
+        let Some(roster) = desk.due_roster(now).filter(|_| is_free) else { return };
+        let Some(document) = self.core.accepted() else { return };
+        let next_document = document.with_roster(roster);
+        if let Ok(orders) = self.core.propose(now, next_document) {
+            self.obey(now, orders);
+        }
     }
 
     fn tell(&mut self, told: Told) {
@@ -272,7 +298,8 @@
                     let stamp = document.stamp;
                     let detail = json!({"term": stamp.term.0, "serial": stamp.serial.0});
                     self.tell(Told { event: events::COMMITTED, detail });
-                    self.traces.committed(now, stamp);
+                    let seen_stamp = Stamp { serial: document.view_serial(), ..stamp };
+                    self.traces.committed(now, seen_stamp);
                     if let Some(desk) = &mut self.desk {
                         desk.committed(document);
                     }
--- a/crates/survey/src/plane/operation.rs
+++ b/crates/survey/src/plane/operation.rs
@@ -188,7 +188,7 @@
 
 impl Plane {
     pub(super) fn operate(&mut self, now: Moment, ticket: OperationTicket, operation: Operation) {
-        if self.must_wait(now, &operation) {
+        if self.must_wait(now, now, &operation) {
             self.wait_for_leader(now, ticket, operation);
         } else {
             self.operate_now(now, ticket, operation);
@@ -205,7 +205,8 @@
     }
 
     /// A caller that is refused pauses longer each time, so a wish waits a little for a leader.
-    fn must_wait(&self, now: Moment, operation: &Operation) -> bool {
+    /// A reading waits for a majority's proof from after it was asked.
+    fn must_wait(&self, now: Moment, asked_at: Moment, operation: &Operation) -> bool {
         match operation {
             Operation::Found
             | Operation::ShowCore
@@ -213,14 +214,17 @@
             | Operation::Metrics
             | Operation::Events(_) => false,
             Operation::Change { .. } => self.desk.is_none() && self.leader_elsewhere().is_none(),
-            _ => self.leader_elsewhere().is_none() && !self.is_fresh(now),
+            _ => {
+                let is_proven = self.is_fresh(now) && self.core.quorum_moment() >= asked_at;
+                self.leader_elsewhere().is_none() && !is_proven
+            }
         }
     }
 
     pub(super) fn progress_waiting(&mut self, now: Moment) {
         for waiting in std::mem::take(&mut self.waiting) {
             let is_late = now.since(waiting.asked_at) > LEADER_PATIENCE;
-            if is_late || !self.must_wait(now, &waiting.operation) {
+            if is_late || !self.must_wait(now, waiting.asked_at, &waiting.operation) {
                 self.operate_now(now, waiting.ticket, waiting.operation);
             } else {
                 self.waiting.push_back(waiting);
--- a/crates/survey/tests/desk.rs
+++ b/crates/survey/tests/desk.rs
@@ -46,6 +46,11 @@
     FunctionKey::new("f", Serial(2))
 }
 
+fn hello(host: Host, age_ms: u32, granted: bool) -> StreamUp {
+    let granted = Flag(granted);
+    StreamUp::Hello { host, door: Place::NOWHERE, serial: Serial(2), age_ms, granted }
+}
+
 struct Bench {
     desk: Desk,
     now: Moment,
@@ -62,7 +67,8 @@
 
     fn pass(&mut self, span: Duration) {
         self.now = self.now + span;
-        let proof = Proof { ready: true, quorum_moment: self.now, confirmed: &|_| true };
+        let proof =
+            Proof { ready: true, quorum_moment: self.now, confirmed: &|_| true, in_flight: None };
         self.outputs = self.desk.progress(self.now, &proof);
     }
 
@@ -74,7 +80,7 @@
             place: Place::NOWHERE,
             eligible: Flag(true),
         };
-        let hello = StreamUp::Hello { host, door: Place::NOWHERE, serial: Serial(2) };
+        let hello = hello(host, 700, true);
         self.say(stream, hello);
         self.say(stream, StreamUp::Claims { claims: Many(claims) });
         self.say(stream, StreamUp::Renew { correlation: CorrelationId(1), serial: Serial(2) });
@@ -392,7 +398,7 @@
         place: Place::NOWHERE,
         eligible: Flag(true),
     };
-    bench.say(3, StreamUp::Hello { host, door: Place::NOWHERE, serial: Serial(2) });
+    bench.say(3, hello(host, 0, false));
     bench.acquire(2);
     bench.pass(ms(10));
     verify_that!(adopted(&bench).len(), eq(1))
--- a/crates/trail/src/liaison/mod.rs
+++ b/crates/trail/src/liaison/mod.rs
@@ -5,7 +5,7 @@
 use typed_builder::TypedBuilder;
 use waymark::chance::Chance;
 use waymark::clock::Moment;
-use waymark::frames::{Claim, Host, Many, Place, StreamDown, StreamUp};
+use waymark::frames::{Claim, Flag, Host, Many, Place, StreamDown, StreamUp};
 use waymark::identity::{CorrelationId, Serial, Term};
 use waymark::rules::{Rule, Rules};
 
@@ -13,13 +13,13 @@
 #[derive(Clone, Debug, TypedBuilder)]
 pub struct LiaisonTiming {
     /// From one renewal to the next.
-    #[builder(default = Duration::from_millis(300))]
+    #[builder(default = Duration::from_millis(250))]
     pub renew_every: Duration,
     /// How long a connection may take to come about and be welcomed.
-    #[builder(default = Duration::from_millis(400))]
+    #[builder(default = Duration::from_millis(250))]
     pub welcome_within: Duration,
     /// How long a welcomed stream may bring no renewal before another leader is sought.
-    #[builder(default = Duration::from_millis(900))]
+    #[builder(default = Duration::from_millis(550))]
     pub silence_within: Duration,
     /// How long a surveyor that fell silent is left alone.
     #[builder(default = Duration::from_millis(1500))]
@@ -30,6 +30,13 @@
     /// The longest wait before the next seed is tried.
     #[builder(default = Duration::from_millis(150))]
     pub retry_longest: Duration,
+    /// The longest wait after a surveyor said that it knows no leader, or named one again so soon.
+    #[builder(default = Duration::from_millis(60))]
+    pub unled_longest: Duration,
+    /// How long leaders of a term before the newest one heard are refused: their grants have then
+    /// surely ended.
+    #[builder(default = Duration::from_secs(5))]
+    pub refuse_earlier_for: Duration,
 }
 
 /// What the liaison orders.
@@ -71,6 +78,10 @@
     hinted_leader: Option<Place>,
     dialed: Place,
     shunned: Option<(Place, Moment)>,
+    hinted_at: Moment,
+    born_at: Moment,
+    was_granted: bool,
+    led_at: Moment,
     state: StreamState,
     term: Term,
     grant_end: Moment,
@@ -104,6 +115,10 @@
             hinted_leader: None,
             dialed: Place::NOWHERE,
             shunned: None,
+            hinted_at: Moment::ZERO,
+            born_at: now,
+            was_granted: false,
+            led_at: Moment::ZERO,
             state: StreamState::Idle { dial_at: now },
             term: Term(0),
             grant_end: Moment::ZERO,
@@ -186,11 +201,22 @@
     pub fn leave(&mut self) -> Vec<LiaisonOutput> {
         self.leaving = true;
         self.host.eligible.0 = false;
-        if self.is_welcomed() { vec![LiaisonOutput::Say(self.hello())] } else { Vec::new() }
+        if self.is_welcomed() {
+            vec![LiaisonOutput::Say(self.hello(self.led_at))]
+        } else {
+            Vec::new()
+        }
     }
 
-    fn hello(&self) -> StreamUp {
-        StreamUp::Hello { host: self.host.clone(), door: self.door, serial: self.serial }
+    fn hello(&self, now: Moment) -> StreamUp {
+        let age_ms = now.since(self.born_at).as_millis().min(u128::from(u32::MAX)) as u32;
+        StreamUp::Hello {
+            host: self.host.clone(),
+            door: self.door,
+            serial: self.serial,
+            age_ms,
+            granted: Flag(self.was_granted),
+        }
     }
 
     fn idle(&mut self, now: Moment) {
@@ -199,6 +225,22 @@
         self.renewals.clear();
     }
 
+    /// A leader that was named is dialed at once; without one, or when names come too fast, a little
+    /// later.
+    fn follow_hint(&mut self, now: Moment) {
+        let shunned_place =
+            self.shunned.filter(|(_, until)| *until > now).map(|(shunned_place, _)| shunned_place);
+        let is_useful = self.hinted_leader.is_some() && self.hinted_leader != shunned_place;
+        let is_first = now.since(self.hinted_at) >= self.timing.retry_shortest;
+        let dial_at = if is_useful && is_first {
+            self.hinted_at = now;
+            now
+        } else {
+            now + self.chance.within(self.timing.retry_shortest, self.timing.unled_longest)
+        };
+        self.state = StreamState::Idle { dial_at };
+    }
+
     fn hang_up(&mut self, now: Moment, outputs: &mut Vec<LiaisonOutput>) {
         let was_welcomed = self.is_welcomed();
         self.idle(now);
@@ -276,7 +318,7 @@
     pub fn connected(&mut self, now: Moment) -> Vec<LiaisonOutput> {
         if let StreamState::Dialing { .. } = self.state {
             self.state = StreamState::Open { give_up_at: now + self.timing.welcome_within };
-            return vec![LiaisonOutput::Say(self.hello())];
+            return vec![LiaisonOutput::Say(self.hello(now))];
         }
         Vec::new()
     }
@@ -301,10 +343,17 @@
             StreamDown::Elsewhere { leader } => {
                 self.hinted_leader = (leader != Place::NOWHERE).then_some(leader);
                 self.hang_up(now, &mut outputs);
+                self.follow_hint(now);
             }
             StreamDown::Welcome { term } => {
-                if !self.is_welcomed() {
+                let is_deposed =
+                    term < self.term && now.since(self.led_at) < self.timing.refuse_earlier_for;
+                if is_deposed {
+                    self.shunned = Some((self.dialed, now + self.timing.shun_for));
+                    self.hang_up(now, &mut outputs);
+                } else if !self.is_welcomed() {
                     self.term = term;
+                    self.led_at = now;
                     self.state = StreamState::Welcomed { heard_at: now, renew_at: now };
                     outputs.push(LiaisonOutput::Welcomed);
                 }
@@ -312,12 +361,14 @@
             StreamDown::Renewed { correlation, length_ms, serial } => {
                 let StreamState::Welcomed { renew_at, .. } = self.state else { return outputs };
                 self.state = StreamState::Welcomed { heard_at: now, renew_at };
+                self.led_at = now;
                 let Some(sent_at) = self.renewals.remove(&correlation) else { return outputs };
                 let new_end = sent_at + Duration::from_millis(u64::from(length_ms));
                 let is_newest = serial <= self.serial || !self.rules.keep(Rule::RenewalNeedsSpec);
                 if new_end > self.grant_end && new_end > now && is_newest {
                     self.grant_end = new_end;
                     self.granted = true;
+                    self.was_granted = true;
                     outputs.push(LiaisonOutput::GrantedUntil(new_end));
                 }
             }
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/waymark/src/frames/stream.rs
@@ -180,6 +180,10 @@
         door: Place,
         /// The newest spec it has installed.
         serial: Serial,
+        /// How long this life has run, in milliseconds: for as long its earlier ones are surely gone.
+        age_ms: u32,
+        /// Whether this life has ever had a member grant, so that it may have started something.
+        granted: Flag,
     },
     /// Every function held, sent after each Hello.
     #[brw(magic = 2u8)]
--- a/crates/waymark/src/rules.rs
+++ b/crates/waymark/src/rules.rs
@@ -51,6 +51,8 @@
     LifeAdoptedOnce,
     /// A new leader waits for the claims quorum, and for old grants to end.
     ClaimsWait,
+    /// A new leader waits for each daemon of the roster that has not claimed.
+    RosterAwaited,
     /// A change built on another serial than the newest is refused.
     StaleBaseRefused,
     /// An invalid change is never written.
@@ -84,6 +86,7 @@
         Rule::GrantOutwaited,
         Rule::LifeAdoptedOnce,
         Rule::ClaimsWait,
+        Rule::RosterAwaited,
         Rule::StaleBaseRefused,
         Rule::InvalidRefused,
         Rule::CoreInTwoSteps,
@@ -120,6 +123,7 @@
             Self::GrantOutwaited => "grant-outwaited",
             Self::LifeAdoptedOnce => "life-adopted-once",
             Self::ClaimsWait => "claims-wait",
+            Self::RosterAwaited => "roster-awaited",
             Self::StaleBaseRefused => "stale-base-refused",
             Self::InvalidRefused => "invalid-refused",
             Self::CoreInTwoSteps => "core-in-two-steps",
--- a/crates/waymark/src/spec/document.rs
+++ b/crates/waymark/src/spec/document.rs
@@ -1,6 +1,8 @@
 use super::{Spec, read_spec};
 use crate::frames::Place;
-use crate::identity::{ChangeId, FunctionName, Locality, Serial, Stamp, SurveyorId, Term};
+use crate::identity::{
+    ChangeId, FunctionName, Locality, MemberName, Serial, Stamp, SurveyorId, Term,
+};
 use crate::readers::{FaultList, FaultReason, PathFault, PathReader, read_place};
 use serde_json::{Map, Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +21,15 @@
     pub locality: Locality,
 }
 
+/// A daemon that may hold a member grant: whatever life of it stands at its place.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct RosterMember {
+    /// Its name.
+    pub member: MemberName,
+    /// Where it listens; only one life can hold that port.
+    pub place: Place,
+}
+
 /// What became of one change.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct ChangeNote {
@@ -49,6 +60,10 @@
     pub former: Vec<CoreMember>,
     /// The last changes, oldest first.
     pub changes: Vec<ChangeNote>,
+    /// The daemons that may hold member grants; nobody in documents that were written without it.
+    pub roster: BTreeSet<RosterMember>,
+    /// How many of the last versions changed nothing that daemons see.
+    pub unseen: u64,
 }
 
 /// Why bytes are no document.
@@ -136,6 +151,29 @@
         .collect()
 }
 
+fn read_roster(reader: &PathReader<'_>) -> BTreeSet<RosterMember> {
+    if !reader.is_there() {
+        return BTreeSet::new();
+    }
+    let roster_items = reader.items();
+    roster_items
+        .iter()
+        .filter_map(|item| {
+            Some(RosterMember {
+                member: item.field("member").text()?.into(),
+                place: read_place(&item.field("place"))?,
+            })
+        })
+        .collect()
+}
+
+fn roster_json(roster: &BTreeSet<RosterMember>) -> Value {
+    let rows = roster
+        .iter()
+        .map(|listed| json!({"member": listed.member.as_str(), "place": listed.place.to_string()}));
+    Value::Array(rows.collect())
+}
+
 fn core_json(members: &[CoreMember]) -> Value {
     let rows = members.iter().map(|member| {
         json!({
@@ -159,6 +197,8 @@
             core,
             former: Vec::new(),
             changes: Vec::new(),
+            roster: BTreeSet::new(),
+            unseen: 0,
         }
     }
 
@@ -188,6 +228,8 @@
                         })
                     })
                     .collect(),
+                roster: read_roster(&root.field("roster")),
+                unseen: root.field("unseen").number_or(0..=u64::MAX, 0),
             })
         })
     }
@@ -215,6 +257,8 @@
             "core": core_json(&self.core),
             "former": core_json(&self.former),
             "changes": noted_changes,
+            "roster": roster_json(&self.roster),
+            "unseen": self.unseen,
         })
         .to_string()
         .into_bytes()
@@ -256,8 +300,21 @@
         Self { core, ..self.noting(change) }
     }
 
+    /// The next version, with other daemons that may hold member grants: nothing that daemons see.
+    pub fn with_roster(&self, roster: BTreeSet<RosterMember>) -> Self {
+        let mut next_document = Self { roster, unseen: self.unseen + 1, ..self.clone() };
+        next_document.stamp.serial = self.stamp.serial.next();
+        next_document
+    }
+
+    /// The serial of the last version that changed what daemons see.
+    pub fn view_serial(&self) -> Serial {
+        Serial(self.stamp.serial.0.saturating_sub(self.unseen))
+    }
+
     fn noting(&self, change: ChangeId) -> Self {
         let mut next_document = self.clone();
+        next_document.unseen = 0;
         next_document.stamp.serial = self.stamp.serial.next();
         next_document.changes.push(ChangeNote {
             id: change,
@@ -272,7 +329,7 @@
     /// The part that daemons need.
     pub fn view(&self) -> View {
         View {
-            serial: self.stamp.serial,
+            serial: self.view_serial(),
             spec: self.spec.clone(),
             generations: self.generations.clone(),
             evacuated: self.evacuated.clone(),
--- a/crates/waymark/src/spec/mod.rs
+++ b/crates/waymark/src/spec/mod.rs
@@ -4,6 +4,6 @@
 mod reader;
 mod table;
 
-pub use document::{ChangeNote, CoreMember, Document, DocumentFault, View};
+pub use document::{ChangeNote, CoreMember, Document, DocumentFault, RosterMember, View};
 pub use reader::{CallerLimits, FunctionSpec, RouteMatch, RouteSpec, Spec, read_spec};
 pub use table::{Found, FunctionEntry, RouteEntry, Table};
--- a/crates/waymark/tests/frames.rs
+++ b/crates/waymark/tests/frames.rs
@@ -84,7 +84,13 @@
     ];
     let hops = asks.into_iter().map(|body| HopFrame { correlation: CorrelationId(8), body });
     let ups = [
-        StreamUp::Hello { host: host.clone(), door: Place::NOWHERE, serial: Serial(3) },
+        StreamUp::Hello {
+            host: host.clone(),
+            door: Place::NOWHERE,
+            serial: Serial(3),
+            age_ms: 700,
+            granted: Flag(true),
+        },
         StreamUp::Acquire { correlation: CorrelationId(8), function: function.clone() },
         StreamUp::Release {
             function: function.clone(),
--- a/proving/expedition/src/sim/proofs.rs
+++ b/proving/expedition/src/sim/proofs.rs
@@ -169,6 +169,7 @@
         6,
     ),
     proof("two holders", Rule::ClaimsWait, &[F::KillLeader, F::CutOff], 1200, "", 20),
+    proof("two holders", Rule::RosterAwaited, &[F::KillLeader, F::CutOff], 1200, "", 20),
     around(
         "two holders",
         Flaw::StopsUnconfirmed,
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/proving/expedition/src/sim/surveyor.rs
@@ -45,7 +45,19 @@
 }
 
 pub(super) fn timing() -> CoreTiming {
-    CoreTiming::builder().replace_after(Duration::from_secs(3)).build()
+    CoreTiming::builder()
+        .election_shortest(Duration::from_millis(350))
+        .election_longest(Duration::from_millis(600))
+        .replace_after(Duration::from_secs(3))
+        .build()
+}
+
+fn desk_timing() -> DeskTiming {
+    DeskTiming::builder()
+        .grant_length(Duration::from_millis(1600))
+        .drift_margin(Duration::from_millis(160))
+        .claims_wait(Duration::from_millis(1760))
+        .build()
 }
 
 impl World {
@@ -74,8 +86,7 @@
             Chance::seeded(seed),
         )
         .with_rules(rules);
-        let desk_timing = DeskTiming::builder().build();
-        let plane = Plane::new(core, desk_timing, timing().election_shortest);
+        let plane = Plane::new(core, desk_timing(), timing().election_shortest);
         surveyor.plane = Some(plane.with_rules(rules));
         let node = surveyor.node;
         self.push(Duration::from_millis(1), Event::Tick(node, self.surveyors[place].life));
@@ -163,6 +174,7 @@
             PlaneOutput::Write(ticket, job) => self.write(place, ticket, job),
             PlaneOutput::Down(stream, frame) => self.send_down(stream, frame),
             PlaneOutput::Close(stream) => self.close_link(stream.0),
+            PlaneOutput::AskLists => self.read_lists(place),
             PlaneOutput::StopRunner(order) => {
                 let asker = Asker { node, life };
                 if self.network.reaches(node, PLATFORM) {
@@ -285,7 +297,15 @@
         self.push(Duration::from_millis(400), Event::Poll(node, life));
         let leads =
             self.surveyors[place].plane.as_ref().is_some_and(|plane| plane.core().is_leader());
-        if !leads || !self.network.reaches(node, PLATFORM) {
+        if leads {
+            self.read_lists(place);
+        }
+    }
+
+    fn read_lists(&mut self, place: usize) {
+        let node = self.surveyors[place].node;
+        let life = self.surveyors[place].life;
+        if !self.network.reaches(node, PLATFORM) {
             return;
         }
         let sent_at = self.surveyor_now(place);
