--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -7,7 +7,7 @@
 use waymark::note;
 use waymark::tongue::StopOrder;
 
-/// Reads the platform's lists while this surveyor leads.
+/// Reads the platform's lists while this surveyor leads, and when the leader asks for them.
 pub async fn poll(shared: Arc<Shared>, list_every: Duration) {
     let mut ticking = tokio::time::interval(list_every);
     ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -17,7 +17,10 @@
         if leads.wait_for(|leads| *leads).await.is_err() || shared.inputs.is_closed() {
             return;
         }
-        ticking.tick().await;
+        tokio::select! {
+            _ = ticking.tick() => {}
+            () = shared.lists_wanted.notified() => {}
+        }
         let (workers_read, runners_read) =
             tokio::join!(read_workers(&shared), read_runners(&shared));
         let is_silent = workers_read.is_none() || runners_read.is_none();
