--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/survey/src/drivers/engine.rs
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::events;
@@ -77,12 +77,13 @@
     pub(super) inputs: mpsc::Sender<PlaneInput>,
     pub(super) operations: Mutex<HashMap<OperationTicket, oneshot::Sender<OperationReply>>>,
     pub(super) streams: Mutex<HashMap<StreamId, mpsc::Sender<StreamDown>>>,
-    pub(super) leads: AtomicBool,
+    pub(super) leads: watch::Sender<bool>,
     pub(super) has_leader: AtomicBool,
     pub(super) newest_event: watch::Sender<u64>,
     pub(super) gauges: Gauges,
     pub(super) operators: Arc<dyn OperatorsTongue>,
     pub(super) platform: Arc<dyn PlatformTongue>,
+    pub(super) lists_wanted: Notify,
     next_number: AtomicU64,
 }
 
@@ -211,12 +212,13 @@
             inputs: input_sender.clone(),
             operations: Mutex::new(HashMap::new()),
             streams: Mutex::new(HashMap::new()),
-            leads: AtomicBool::new(false),
+            leads: watch::Sender::new(false),
             has_leader: AtomicBool::new(false),
             newest_event: watch::Sender::new(0),
             gauges: Gauges::new(),
             operators: tongues.operators,
             platform: tongues.platform,
+            lists_wanted: Notify::new(),
             next_number: AtomicU64::new(1),
         });
         Ok(Self {
@@ -262,7 +264,8 @@
             for order in plane.take(Moment::now(), input) {
                 obey(&shared, &mut links, disk.as_ref(), order);
             }
-            shared.leads.store(plane.core().is_leader(), Ordering::Relaxed);
+            let is_leader = plane.core().is_leader();
+            shared.leads.send_if_modified(|leads| std::mem::replace(leads, is_leader) != is_leader);
             shared.has_leader.store(plane.core().leader().is_some(), Ordering::Relaxed);
         }
         shared.newest_event.send_replace(u64::MAX);
@@ -292,6 +295,7 @@
                 open_streams.remove(&stream);
             }
         }
+        PlaneOutput::AskLists => shared.lists_wanted.notify_one(),
         PlaneOutput::StopRunner(order) => {
             tokio::spawn(platform::stop_runner(shared.clone(), order));
         }
--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -1,25 +1,25 @@
 use super::engine::Shared;
 use crate::plane::PlaneInput;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::note;
 use waymark::tongue::StopOrder;
 
-/// Reads the platform's lists while this surveyor leads.
+/// Reads the platform's lists while this surveyor leads, and when the leader asks for them.
 pub async fn poll(shared: Arc<Shared>, list_every: Duration) {
     let mut ticking = tokio::time::interval(list_every);
     ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut was_silent = false;
+    let mut leads = shared.leads.subscribe();
     loop {
-        ticking.tick().await;
-        if shared.inputs.is_closed() {
+        if leads.wait_for(|leads| *leads).await.is_err() || shared.inputs.is_closed() {
             return;
         }
-        if !shared.leads.load(Ordering::Relaxed) {
-            continue;
+        tokio::select! {
+            _ = ticking.tick() => {}
+            () = shared.lists_wanted.notified() => {}
         }
         let (workers_read, runners_read) =
             tokio::join!(read_workers(&shared), read_runners(&shared));
