Referrals, silent holders and host differences proved; an answering holder not named twice

Change: tests of the way, the desk and the frames; a holder that answers itself is not named in the frame.

--- a/crates/trail/src/chain/resolve.rs
+++ b/crates/trail/src/chain/resolve.rs
@@ -17,8 +17,12 @@
     pub holder: Option<Host>,
 }
 
-fn pass_end(ask_end: AskEnd) -> PassEnd {
+fn pass_end(ask_end: AskEnd, host: &Host) -> PassEnd {
     match ask_end {
+        AskEnd::Reply(HopBody::Done { outcome: outcome @ HopOutcome::Answer { .. }, holder }) => {
+            let holder = holder.0.into_iter().next().unwrap_or_else(|| host.clone());
+            PassEnd::Done(outcome, Some(holder))
+        }
         AskEnd::Reply(HopBody::Done { outcome, holder }) => {
             PassEnd::Done(outcome, holder.0.into_iter().next())
         }
@@ -55,7 +59,7 @@
             WayStep::Pass { host, body, wait_until } => {
                 state.gauges.lookups.with_label_values(&["passed"]).inc();
                 let end = tokio::select! {
-                    ask_end = state.links.ask(host.place, body, wait_until) => pass_end(ask_end),
+                    ask_end = state.links.ask(host.place, body, wait_until) => pass_end(ask_end, &host),
                     () = gone(state, &host) => PassEnd::Lost,
                 };
                 way.passed(lodge, Moment::now(), end)
--- a/crates/trail/src/drivers/hops.rs
+++ b/crates/trail/src/drivers/hops.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use waymark::clock::Moment;
 use waymark::frames::{
-    Channel, FrameFault, HopBody, HopFrame, Many, Place, append_frame, dial, read_frame,
+    Channel, FrameFault, HopBody, HopFrame, HopOutcome, Many, Place, append_frame, dial, read_frame,
 };
 use waymark::identity::CorrelationId;
 
@@ -168,7 +168,10 @@
     match Ask::passed_on(Moment::now(), body) {
         Ok(ask) => {
             let resolved = resolve(state, ask).await;
-            let holder = Many(resolved.holder.into_iter().collect());
+            let is_answer = matches!(resolved.outcome, HopOutcome::Answer { .. });
+            let named_holder =
+                resolved.holder.filter(|holder| !is_answer || *holder != state.lodge.own_host);
+            let holder = Many(named_holder.into_iter().collect());
             Some(HopBody::Done { outcome: resolved.outcome, holder })
         }
         Err(question) => state.lodge.answer_as_steward(Moment::now(), *question),
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -7,11 +7,13 @@
 use trail::holder::{GrantTerms, Holder, SendEnd};
 use trail::liaison::LiaisonTiming;
 use trail::lodge::{Ask, Controller, DaemonOrder, Held, Lodge, PassEnd, Task, Way, WayStep, judge};
+use trail::owners::is_valid;
 use trail::watch::BEAT_EVERY;
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Flag, HopOutcome, HopReason, Host, Many, Parcel, Place, StreamDown, StreamUp,
+    AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Many, MemberLife, Parcel, Place,
+    StreamDown, StreamUp,
 };
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId};
 use waymark::rules::{Rule, Rules};
@@ -37,6 +39,10 @@
 
 /// A document in which the route goes to one of two functions, or nowhere.
 fn document(serial: u64, function: &str) -> Document {
+    document_of(serial, function, "repeatable")
+}
+
+fn document_of(serial: u64, function: &str, kind: &str) -> Document {
     let spec = json!({
         "functions": {
             "f": {"memory_mb": 100, "boot_ms": 200, "slots": 2},
@@ -44,7 +50,7 @@
         },
         "routes": {"r": {
             "method": "POST", "path": "/r", "function": function,
-            "budget_ms": 3000, "kind": "repeatable",
+            "budget_ms": 3000, "kind": kind,
         }},
     });
     let checked_spec = read_spec(&spec).expect("a spec");
@@ -56,7 +62,16 @@
 }
 
 fn spec_frame(serial: u64, function: &str) -> StreamDown {
-    let view = document(serial, function).view();
+    frame_of(document(serial, function))
+}
+
+/// The route may be run only once from now on.
+fn once_frame(serial: u64) -> StreamDown {
+    frame_of(document_of(serial, "f", "once"))
+}
+
+fn frame_of(document: Document) -> StreamDown {
+    let view = document.view();
     StreamDown::Spec {
         serial: view.serial,
         document: view.to_value().to_string().into_bytes().into(),
@@ -439,3 +454,125 @@
     verify_that!(lodge.is_ready(START), eq(false))?;
     verify_that!(lodge.table.load().serial(), eq(Table::empty().serial()))
 }
+
+/// A daemon in another locality.
+fn far_host(name: &str, incarnation: u64) -> Host {
+    Host {
+        member: name.into(),
+        incarnation: incarnation.into(),
+        locality: "elsewhere".into(),
+        place: Place::NOWHERE,
+        eligible: Flag(true),
+    }
+}
+
+impl Bench {
+    /// Serving, among others.
+    fn among(others: Vec<Host>) -> Self {
+        let mut bench = Bench::new(Rules::KEPT);
+        bench.hear(spec_frame(3, "f"));
+        bench.renew(3);
+        let hosts = Many([vec![host()], others].concat());
+        bench.hear(StreamDown::Hosts { number: 1, hosts, silent: Many(Vec::new()) });
+        bench
+    }
+
+    fn mark_silent(&mut self, lost_host: &Host) {
+        let life =
+            MemberLife { member: lost_host.member.clone(), incarnation: lost_host.incarnation };
+        let silent = Many(vec![life]);
+        let (put, removed) = (Many(Vec::new()), Many(Vec::new()));
+        self.hear(StreamDown::HostsChanged { number: 2, put, removed, silent });
+    }
+}
+
+#[gtest]
+fn a_hash_owner_names_a_holder_elsewhere_and_passes_on_what_cannot_make_the_detour() -> Result<()> {
+    let holder = far_host("daemon-2", 4);
+    let bench = Bench::among(vec![holder.clone()]);
+    bench.lodge.learn_owner(&bench.key("f"), &holder);
+    let asked = |refer: bool, body: usize, budget: u64| {
+        let parcel = Arc::new(Parcel::of_body(vec![0; body].into()));
+        let budget_end = bench.now + ms(budget);
+        let mut way =
+            Way::new(bench.now, Ask { hops: 1, refer, parcel, budget_end, ..bench.ask() });
+        way.look(&bench.lodge, bench.now)
+    };
+    let named = asked(true, 100, 2000);
+    verify_that!(refusal(&named).map(|(reason, _)| reason), some(eq(HopReason::NotHolder)))?;
+    verify_that!(matches!(named, WayStep::End(_, Some(host)) if host == holder), eq(true))?;
+    let is_passed = |step: WayStep<u64>| matches!(step, WayStep::Pass { .. });
+    verify_that!(is_passed(asked(false, 100, 2000)), eq(true))?;
+    verify_that!(is_passed(asked(true, 1 << 20, 2000)), eq(true))?;
+    verify_that!(is_passed(asked(true, 100, 200)), eq(true))
+}
+
+#[gtest]
+fn a_door_goes_itself_to_the_holder_it_is_told_and_takes_no_second_such_word() -> Result<()> {
+    let holder = far_host("daemon-2", 4);
+    let bench = Bench::among(vec![holder.clone(), far_host("daemon-3", 5)]);
+    let mut way = Way::new(bench.now, bench.ask());
+    way.look(&bench.lodge, bench.now);
+    let named = || HopOutcome::NotRun { reason: HopReason::NotHolder, retry_ms: 50 };
+    let end = PassEnd::Done(named(), Some(holder.clone()));
+    let WayStep::Pass { host, body, .. } = way.passed(&bench.lodge, bench.now, end) else {
+        return fail!("the door does not go there");
+    };
+    verify_that!(host, eq(&holder))?;
+    verify_that!(matches!(body, HopBody::Ask { refer: Flag(false), .. }), eq(true))?;
+    let again = way.passed(&bench.lodge, bench.now, PassEnd::Done(named(), Some(holder)));
+    verify_that!(matches!(again, WayStep::Wait { .. }), eq(true))
+}
+
+#[gtest]
+fn a_wait_foreseen_by_the_hash_owner_reaches_the_door_as_it_is() -> Result<()> {
+    let bench = Bench::among(vec![far_host("daemon-2", 4)]);
+    let mut way = Way::new(bench.now, bench.ask());
+    way.look(&bench.lodge, bench.now);
+    let told = HopOutcome::NotRun { reason: HopReason::NoOwner, retry_ms: 1733 };
+    let step = way.passed(&bench.lodge, bench.now, PassEnd::Done(told, None));
+    verify_that!(refusal(&step), some(eq((HopReason::NoOwner, 1733))))
+}
+
+#[gtest]
+fn what_a_silent_holder_had_goes_on_as_a_repeat_and_is_never_called_not_run() -> Result<()> {
+    let holder = far_host("daemon-2", 4);
+    let mut bench = Bench::among(vec![holder.clone()]);
+    bench.lodge.learn_owner(&bench.key("f"), &holder);
+    let mut way = Way::new(bench.now, bench.ask());
+    let first = way.look(&bench.lodge, bench.now);
+    verify_that!(matches!(first, WayStep::Pass { .. }), eq(true))?;
+    bench.mark_silent(&holder);
+    verify_that!(is_valid(&holder, &bench.lodge.hosts.load()), eq(false))?;
+    let step = way.passed(&bench.lodge, bench.now, PassEnd::Lost);
+    let WayStep::Wait { wait_until } = step else { return fail!("it does not go on") };
+    verify_that!(way.ask().repeat, eq(true))?;
+    let asking = way.look(&bench.lodge, wait_until);
+    verify_that!(matches!(asking, WayStep::Acquire { .. }), eq(true))?;
+    let told = Some(AcquireResult::Later { wait_ms: 2300 });
+    let step = way.acquired(&bench.lodge, wait_until, told);
+    let is_unknown =
+        matches!(step, WayStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, _));
+    verify_that!(is_unknown, eq(true))
+}
+
+#[gtest]
+fn what_may_run_only_once_ends_as_unknown_with_its_silent_holder() -> Result<()> {
+    let holder = far_host("daemon-2", 4);
+    let mut bench = Bench::among(vec![holder.clone()]);
+    bench.hear(once_frame(4));
+    bench.renew(4);
+    bench.lodge.learn_owner(&bench.key("f"), &holder);
+    let mut way = Way::new(bench.now, bench.ask());
+    way.look(&bench.lodge, bench.now);
+    let step = way.passed(&bench.lodge, bench.now, PassEnd::Lost);
+    verify_that!(matches!(step, WayStep::End(HopOutcome::Unknown { .. }, _)), eq(true))
+}
+
+#[gtest]
+fn a_daemon_that_does_not_serve_tells_when_it_may() -> Result<()> {
+    let mut bench = Bench::new(Rules::KEPT);
+    verify_that!(bench.lodge.serves_again_after(), eq(ms(400)))?;
+    bench.controller.disconnected(&bench.lodge, bench.now);
+    verify_that!(bench.lodge.serves_again_after(), eq(ms(1000)))
+}
--- a/crates/waymark/src/frames/hop.rs
+++ b/crates/waymark/src/frames/hop.rs
@@ -220,7 +220,8 @@
     Done {
         /// How it ended.
         outcome: HopOutcome,
-        /// The function's holder, when the answering daemon knows it.
+        /// The function's holder, when the answering daemon knows it; with an answer, nobody is named
+        /// when it is that daemon itself.
         holder: Many<Host>,
     },
     /// A holder has its steward note once-transactions.
--- a/crates/waymark/tests/frames.rs
+++ b/crates/waymark/tests/frames.rs
@@ -3,13 +3,13 @@
 use googletest::prelude::*;
 use waymark::chance::Chance;
 use waymark::frames::{
-    AcquireResult, Channel, CoreBody, CoreFrame, Flag, FrameFault, Heartbeat, HopBody, HopFrame,
-    HopOutcome, HopReason, Host, LedgerNote, Many, MemberLife, NoteState, Parcel, Place,
+    AcquireResult, Channel, CoreBody, CoreFrame, Flag, FrameFault, HeadLine, Heartbeat, HopBody,
+    HopFrame, HopOutcome, HopReason, Host, LedgerNote, Many, MemberLife, NoteState, Parcel, Place,
     StreamDown, StreamUp, Suspicion, decode, decode_heartbeat, encode, encode_heartbeat,
     read_channel, read_frame, write_channel, write_frame,
 };
 use waymark::identity::{
-    CorrelationId, FunctionKey, GrantSerial, MemberName, Serial, Stamp, SurveyorId, Term,
+    CorrelationId, FunctionKey, GrantSerial, MemberName, RunnerId, Serial, Stamp, SurveyorId, Term,
 };
 
 fn sample() -> StreamDown {
@@ -221,3 +221,50 @@
     verify_that!(decode_heartbeat(b"hello").is_err(), eq(true))?;
     verify_that!(MemberName::from("th-1").as_str(), eq("th-1"))
 }
+
+#[gtest]
+fn a_passed_call_costs_little_beside_its_own_lines_and_bodies() -> Result<()> {
+    let line = |name: &str, value: &str| HeadLine {
+        name: name.into(),
+        value: value.as_bytes().to_vec().into(),
+    };
+    let identity = "0f3c2a9e-6a55-4d0e-8a5c-1f3f6f0c9d11";
+    let lines = vec![line("host", "segments.internal"), line("content-type", "application/json")];
+    let own_bytes = |lines: &[HeadLine]| -> usize {
+        let as_sent =
+            |line: &HeadLine| line.name.as_str().len() + line.value.0.len() + ": \r\n".len();
+        lines.iter().map(as_sent).sum()
+    };
+    let parcel = Parcel {
+        method: "POST".into(),
+        target: "/segments/7".into(),
+        lines: Many(lines.clone()),
+        body: vec![7; 300].into(),
+    };
+    let ask = HopBody::Ask {
+        transaction: identity.into(),
+        function: FunctionKey::new("segment-check", Serial(2)),
+        route: "segment-check-post".into(),
+        serial: Serial(3),
+        budget_ms: 900,
+        hops: 1,
+        repeat: Flag(false),
+        refer: Flag(true),
+        parcel,
+    };
+    let outcome = HopOutcome::Answer {
+        status: 200,
+        seal: vec![1; 32].into(),
+        runner: RunnerId { grant: GrantSerial(4), ordinal: 5 },
+        lines: Many(lines.clone()),
+        body: vec![7; 1700].into(),
+    };
+    let done = HopBody::Done { outcome, holder: Many(Vec::new()) };
+    let framed = |body: HopBody| {
+        encode(&HopFrame { correlation: CorrelationId(8), body }).map(|bytes| bytes.len() + 4)
+    };
+    let ask_overhead =
+        framed(ask)? - own_bytes(&lines) - 300 - identity.len() - "POST/segments/7".len();
+    let done_overhead = framed(done)? - own_bytes(&lines) - 1700 - 32;
+    verify_that!(ask_overhead + done_overhead, le(150))
+}
