--- a/crates/survey/src/desk/fence.rs
+++ b/crates/survey/src/desk/fence.rs
@@ -10,6 +10,9 @@
 /// Without the rule that a grant is outwaited, a holder counts as lost so soon after it was heard.
 const TOO_SOON: std::time::Duration = std::time::Duration::from_millis(400);
 
+/// What waits for its time is looked at so often.
+const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(40);
+
 impl Desk {
     /// Ends the entries of lost holders: their runners are left for the next holder, or stopped through
     /// the platform.
@@ -18,9 +21,16 @@
             return;
         }
         self.sweep_lost(now);
-        self.give_up_left(now);
+        let is_due = now.since(self.fences_looked_at) >= LOOK_EVERY;
+        if is_due {
+            self.fences_looked_at = now;
+            self.give_up_left(now);
+            self.repeat_stops(now);
+        }
         self.order_stops(now);
-        self.clear_fenced(now);
+        if std::mem::take(&mut self.fences_changed) || is_due {
+            self.clear_fenced(now);
+        }
     }
 
     fn sweep_lost(&mut self, now: Moment) {
@@ -72,6 +82,7 @@
         let grant = entry.grant;
         self.fencing.insert(function.clone());
         self.acquires_changed = true;
+        self.fences_changed = true;
         let held_runners: Vec<RunnerId> = self
             .reservations
             .of(function)
@@ -120,19 +131,26 @@
         }
     }
 
-    fn order_stops(&mut self, now: Moment) {
+    /// Stops that were ordered some time ago and not confirmed are ordered again.
+    fn repeat_stops(&mut self, now: Moment) {
         let stop_again_after = self.timing.stop_again_after;
-        let due_runners: Vec<RunnerId> = self
+        let overdue_runners: Vec<RunnerId> = self
             .reservations
             .stopping()
             .iter()
             .copied()
             .filter(|runner| {
                 let asked_at = self.reservations.get(*runner).and_then(|held| held.stop_asked_at);
-                asked_at.is_none_or(|asked_at| now.since(asked_at) >= stop_again_after)
+                asked_at.is_some_and(|asked_at| now.since(asked_at) >= stop_again_after)
             })
             .collect();
-        for due_runner in due_runners {
+        for overdue_runner in overdue_runners {
+            self.reservations.want_stop(overdue_runner);
+        }
+    }
+
+    fn order_stops(&mut self, now: Moment) {
+        for due_runner in self.reservations.take_due_stops() {
             self.reservations.note(due_runner, |held| held.stop_asked_at = Some(now));
             let Some(held) = self.reservations.get(due_runner) else { continue };
             let member = self
@@ -178,6 +196,7 @@
     pub fn runner_stopped(&mut self, runner: RunnerId) {
         let runner = self.reservations.name_now(runner);
         self.acquires_changed = true;
+        self.fences_changed = true;
         if let Some(reservation) = self.reservations.end(runner) {
             self.tell(
                 events::RUNNER_STOPPED,
@@ -206,6 +225,7 @@
             .and_then(|entry| self.members.get(&entry.holder)?.stream);
         self.reservations.end(runner);
         self.acquires_changed = true;
+        self.fences_changed = true;
         self.tell(events::RUNNER_VANISHED, detail);
         if let Some(stream) = stream {
             self.down(stream, StreamDown::Vanished { function, runner });
--- a/crates/survey/src/desk/reservations.rs
+++ b/crates/survey/src/desk/reservations.rs
@@ -68,6 +68,7 @@
     by_worker: BTreeMap<WorkerName, u64>,
     worker_counts: BTreeMap<WorkerName, usize>,
     stopping: BTreeSet<RunnerId>,
+    due_stops: BTreeSet<RunnerId>,
     left: BTreeSet<RunnerId>,
     renamed: BTreeMap<RunnerId, RunnerId>,
     ended: BTreeSet<RunnerId>,
@@ -132,6 +133,11 @@
         &self.stopping
     }
 
+    /// Those whose stop is to be ordered now.
+    pub fn take_due_stops(&mut self) -> BTreeSet<RunnerId> {
+        std::mem::take(&mut self.due_stops)
+    }
+
     /// Those left for a next holder.
     pub fn left(&self) -> &BTreeSet<RunnerId> {
         &self.left
@@ -202,6 +208,7 @@
             reservation.left_since = None;
             self.left.remove(&runner);
             self.stopping.insert(runner);
+            self.due_stops.insert(runner);
         }
     }
 
@@ -258,6 +265,7 @@
             }
         }
         self.stopping.remove(&runner);
+        self.due_stops.remove(&runner);
         self.left.remove(&runner);
         Some(reservation)
     }
