--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -21,6 +21,7 @@
 
 /// Does what a holder orders.
 pub fn drive(held: &HeldHere, state: &Arc<State>, outputs: Vec<HolderOutput>) {
+    state.hurry(held);
     for output in outputs {
         match held.question(output) {
             Ok(question) => {
@@ -60,7 +61,8 @@
         }
         HolderOutput::Settle { runner, place } => {
             tokio::spawn(async move {
-                let running = runners::running(&state, held.face_of(runner), place).await;
+                let face = held.face_of(runner);
+                let running = runners::running(&state, face, place).await;
                 apply(&held, &state, |holder, now| holder.settled(now, runner, running));
             });
         }
--- a/crates/trail/src/drivers/runners.rs
+++ b/crates/trail/src/drivers/runners.rs
@@ -118,7 +118,7 @@
             let called = call_json(place, Method::GET, path, None, patience).await;
             called.is_ok_and(|called| {
                 called.status == StatusCode::OK
-                    && header(&called.headers, name_header) == runner.to_string()
+                    && header(&called.headers, name_header) == held.face_of(runner).to_string()
             })
         }
         ReadyBy::Connecting => {
--- a/crates/waymark/src/tongue/own.rs
+++ b/crates/waymark/src/tongue/own.rs
@@ -4,7 +4,7 @@
 };
 use crate::frames::{Life, Place};
 use crate::http::call_json;
-use crate::identity::{FunctionKey, LifeName, RunnerId};
+use crate::identity::{FunctionKey, LifeName};
 use crate::readers::{FaultList, PathReader, read_place};
 use hyper::{Method, StatusCode};
 use serde_json::json;
@@ -38,11 +38,10 @@
             StatusCode::CREATED => {
                 let answer = called.json();
                 let faults = FaultList::default();
-                let listens_at = read_place(&PathReader::new(&answer, &faults).field("place"));
-                let name =
-                    PathReader::new(&answer, &faults).field("life").text().map(LifeName::from);
-                let life = name.zip(listens_at).map(|(name, place)| Life { name, place });
-                life.map_or(BeginEnd::Lost, BeginEnd::Begun)
+                let root = PathReader::new(&answer, &faults);
+                let told = root.field("life").text().map(LifeName::from);
+                let told = told.zip(read_place(&root.field("place")));
+                told.map_or(BeginEnd::Lost, |(name, place)| BeginEnd::Begun(Life { name, place }))
             }
             StatusCode::CONFLICT | StatusCode::INSUFFICIENT_STORAGE => BeginEnd::NoRoom,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => BeginEnd::Busy,
@@ -52,8 +51,7 @@
     }
 
     async fn stop_own(&self, order: StopOrder) -> bool {
-        let key = order.runner.to_string();
-        let name = order.life.as_ref().map_or(key.as_str(), LifeName::as_str);
+        let name = order.life.map_or_else(|| order.runner.to_string(), |life| life.to_string());
         let path = format!("/v1/runners/{name}");
         let called = call_json(self.place, Method::DELETE, &path, None, PATIENCE).await;
         called.is_ok_and(|called| called.status == StatusCode::OK)
@@ -97,13 +95,11 @@
 }
 
 fn read_runner(item: &PathReader<'_>) -> Option<ListedRunner> {
-    let runner: Option<RunnerId> = item.field("runner").text()?.parse().ok();
     let key: FunctionKey = item.field("function").text()?.parse().ok()?;
     let place = read_place(&item.field("place"))?;
-    let name = LifeName::from(item.field("life").text()?);
     Some(ListedRunner {
-        life: Life { name, place },
-        runner,
+        life: Life { name: item.field("life").text()?.into(), place },
+        runner: item.field("runner").text()?.parse().ok(),
         function: key.name.clone(),
         key: Some(key),
         worker: item.field("worker").text()?.into(),
--- a/proving/expedition/src/sim/daemon.rs
+++ b/proving/expedition/src/sim/daemon.rs
@@ -116,7 +116,7 @@
             place: own_place,
             eligible: Flag(true),
         };
-        let lodge = Arc::new(Lodge::new(host, self.plan.rules()));
+        let lodge = Arc::new(Lodge::new(host, self.plan.rules()).with_tuning(self.plan.tuning));
         let controller = Controller::new(
             local_now,
             &lodge,
@@ -125,6 +125,8 @@
             self.seeds(),
             Chance::seeded(seed),
         );
+        let controller =
+            if self.plan.seeks_warm { controller.with_warm(local_now) } else { controller };
         let daemon = &mut self.daemons[place];
         daemon.life += 1;
         daemon.body = Some(Box::new(Body {
@@ -656,13 +658,19 @@
             return;
         }
         let lodge = body.lodge.clone();
+        let function_before = pending.way.ask().function.clone();
         let next_step = change(&mut pending.way, &lodge, local_now);
+        let function = pending.way.ask().function.clone();
+        let is_first = !pending.way.ask().repeat;
         pending.awaits = match &next_step {
             WayStep::Serve(..) => Awaits::Outcome,
             WayStep::Pass { .. } => Awaits::Passed,
             WayStep::Acquire { .. } => Awaits::Acquired,
             WayStep::Wait { .. } | WayStep::End(..) => Awaits::Look,
         };
+        if function != function_before && is_first {
+            self.checks.turned(self.now, &function_before, &function);
+        }
         match next_step {
             WayStep::Serve(held, task) => self.serve(place, number, &held, task),
             WayStep::Pass { host, body, wait_until } => {
--- a/proving/expedition/src/sim/world.rs
+++ b/proving/expedition/src/sim/world.rs
@@ -14,6 +14,7 @@
 use survey::core::{Recalled, WriteJob, WriteResult};
 use survey::desk::StreamId;
 use survey::plane::{ChangeKind, Operation, OperationReply, OperationTicket, PlaneInput};
+use trail::holder::Tuning;
 use trail::holder::{HolderWord, SendEnd};
 use trail::lodge::{Ask, PassEnd, Topic};
 use waymark::chance::Chance;
@@ -48,6 +49,10 @@
     pub focus: Vec<SimFault>,
     /// The longest time from one fault to the next.
     pub gap: Duration,
+    /// How daemons run what they hold.
+    pub tuning: Tuning,
+    /// Whether functions that boot long are sought before they are called.
+    pub seeks_warm: bool,
 }
 
 impl SimPlan {
@@ -63,6 +68,8 @@
             twins: 0.2,
             focus: Vec::new(),
             gap: Duration::from_millis(3500),
+            tuning: Tuning::default(),
+            seeks_warm: false,
         }
     }
 
@@ -118,6 +125,7 @@
     Tick(Node, u64),
     Poll(Node, u64),
     CoreFrame(Node, CoreFrame),
+    SurveyorGone(Node, Place),
     Durable(Node, u64, WriteJob),
     Written(Node, u64, Ticket, WriteResult),
     Lists(Node, u64, Vec<ListedWorker>, Moment, Vec<ListedRunner>),
@@ -186,6 +194,7 @@
             | Self::StewardSaid(asker, ..)
             | Self::SendEnded(asker, ..) => Some((asker.node, Some(asker.life))),
             Self::CoreFrame(node, _)
+            | Self::SurveyorGone(node, _)
             | Self::Beat(node, _)
             | Self::StewardAsked(node, ..)
             | Self::Operate(node, ..) => Some((*node, None)),
@@ -551,6 +560,9 @@
             }
             Event::Poll(node, _) => self.poll_platform(node.0),
             Event::CoreFrame(node, frame) => self.feed_surveyor(node.0, PlaneInput::Core(frame)),
+            Event::SurveyorGone(node, place) => {
+                self.feed_surveyor(node.0, PlaneInput::Gone(place));
+            }
             Event::Durable(node, life, job) => {
                 if self.surveyors[node.0].life == life {
                     self.durable(node.0, &job);
