--- a/proving/expedition/src/sim/proofs.rs
+++ b/proving/expedition/src/sim/proofs.rs
@@ -155,7 +155,7 @@
         &[F::Mischief, F::Crowd, F::Impatience],
         700,
         "extra try",
-        6,
+        12,
     ),
     proof("flood", Rule::RampKept, &[F::Crowd], 1000, "answers", 6),
     proof("flood", Rule::SlotsKept, &[F::Crowd], 1000, "slots", 6),
