--- a/crates/survey/tests/desk.rs
+++ b/crates/survey/tests/desk.rs
@@ -13,7 +13,7 @@
 use waymark::identity::{
     ChangeId, CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Stamp, SurveyorId, Term,
 };
-use waymark::spec::{CoreMember, Document, read_spec};
+use waymark::spec::{CoreMember, Document, RosterMember, read_spec};
 use waymark::tongue::{ListedRunner, ListedWorker};
 
 const ELECTED: Moment = Moment(100_000_000_000);
@@ -478,3 +478,167 @@
     verify_that!(places[..4].iter().all(|name| name.starts_with("near")), eq(true))?;
     verify_that!(places[4].as_str(), eq("far"))
 }
+
+fn place(last: u8) -> Place {
+    Place(format!("10.0.0.{last}:1").parse().expect("an address"))
+}
+
+/// A daemon of the roster: its name, and the last number of its place.
+type Listed = (&'static str, u8);
+
+fn roster(listed: &[Listed]) -> BTreeSet<RosterMember> {
+    let members = listed
+        .iter()
+        .map(|(name, last)| RosterMember { member: (*name).into(), place: place(*last) });
+    members.collect()
+}
+
+fn elected_with_roster(listed: &[Listed]) -> Bench {
+    let timing = DeskTiming::builder().build();
+    let mut desk = Desk::new(timing, Term(5), ELECTED, BTreeSet::new(), false);
+    let mut made = document().with_roster(roster(listed));
+    made.stamp.term = Term(5);
+    desk.committed(made);
+    Bench { desk, now: ELECTED, outputs: Vec::new() }
+}
+
+fn come(bench: &mut Bench, stream: u64, at: Listed, incarnation: u64, age_ms: u32, granted: bool) {
+    let host = Host {
+        member: at.0.into(),
+        incarnation: incarnation.into(),
+        locality: "l".into(),
+        place: place(at.1),
+        eligible: Flag(true),
+    };
+    bench.say(stream, hello(host, age_ms, granted));
+    bench.say(stream, StreamUp::Claims { claims: Many(vec![]) });
+    bench.say(stream, StreamUp::Renew { correlation: CorrelationId(1), serial: Serial(2) });
+}
+
+fn is_renewed(bench: &Bench, asked: u64) -> bool {
+    bench.outputs.iter().any(|output| {
+        matches!(output, DeskOutput::Down { stream, frame: StreamDown::Renewed { .. } }
+            if *stream == StreamId(asked))
+    })
+}
+
+#[gtest]
+fn with_a_roster_the_desk_opens_when_each_place_has_claimed_whatever_life_stands_there()
+-> Result<()> {
+    let mut bench = elected_with_roster(&[("a", 1), ("b", 2), ("c", 3)]);
+    come(&mut bench, 1, ("a", 1), 1, 5000, true);
+    come(&mut bench, 2, ("b", 2), 9, 600, false);
+    bench.pass(ms(100));
+    verify_that!(bench.desk.is_open(), eq(false))?;
+    come(&mut bench, 3, ("c", 4), 9, 600, false);
+    bench.pass(ms(100));
+    verify_that!(bench.desk.is_open(), eq(false))?;
+    come(&mut bench, 4, ("d", 3), 9, 600, false);
+    bench.pass(ms(10));
+    verify_that!(bench.desk.is_open(), eq(true))
+}
+
+#[gtest]
+fn a_roster_member_that_does_not_come_is_waited_for_as_long_as_its_grant() -> Result<()> {
+    let mut bench = elected_with_roster(&[("a", 1), ("b", 2), ("c", 3)]);
+    come(&mut bench, 1, ("a", 1), 1, 5000, true);
+    come(&mut bench, 2, ("b", 2), 1, 5000, true);
+    bench.pass(ms(2150));
+    bench.listed(&[]);
+    bench.pass(ms(10));
+    verify_that!(bench.desk.is_open(), eq(false))?;
+    bench.pass(ms(450));
+    bench.listed(&[]);
+    bench.pass(ms(10));
+    verify_that!(bench.desk.is_open(), eq(true))
+}
+
+#[gtest]
+fn a_listed_life_is_taken_over_at_once_and_a_new_runner_waits_for_a_list_that_shows_all()
+-> Result<()> {
+    let mut bench = elected_with_roster(&[("a", 1)]);
+    bench.desk.runners_listed(ELECTED - ms(500), &[listed_life(false)]);
+    bench.pass(ms(200));
+    come(&mut bench, 1, ("a", 1), 9, 500, false);
+    bench.acquire(1);
+    let other = FunctionKey::new("g", Serial(2));
+    bench.say(1, StreamUp::Acquire { correlation: CorrelationId(10), function: other });
+    bench.pass(ms(10));
+    verify_that!(bench.desk.is_open(), eq(true))?;
+    verify_that!(adopted(&bench).len(), eq(1))?;
+    let granted_count = |bench: &Bench| {
+        let is_granted = |output: &&DeskOutput| {
+            matches!(output, DeskOutput::Down { frame: StreamDown::Acquired { .. }, .. })
+        };
+        bench.outputs.iter().filter(is_granted).count()
+    };
+    verify_that!(granted_count(&bench), eq(1))?;
+    bench.desk.runners_listed(ELECTED + ms(100), &[listed_life(false)]);
+    bench.pass(ms(30));
+    verify_that!(granted_count(&bench), eq(0))?;
+    bench.desk.runners_listed(ELECTED + ms(165), &[listed_life(false)]);
+    bench.pass(ms(30));
+    verify_that!(granted_count(&bench), eq(1))
+}
+
+#[gtest]
+fn a_daemon_is_granted_to_when_the_roster_committed_and_the_one_in_flight_name_it() -> Result<()> {
+    let mut bench = elected_with_roster(&[("a", 1)]);
+    come(&mut bench, 1, ("a", 1), 1, 5000, true);
+    come(&mut bench, 2, ("b", 2), 1, 300, false);
+    bench.pass(ms(10));
+    verify_that!(is_renewed(&bench, 1), eq(true))?;
+    verify_that!(is_renewed(&bench, 2), eq(false))?;
+    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    bench.now = bench.now + ms(40);
+    let due = bench.desk.due_roster(bench.now);
+    verify_that!(due.as_ref(), some(eq(&roster(&[("a", 1), ("b", 2)]))))?;
+    let mut next_document = document().with_roster(due.expect("a roster"));
+    next_document.stamp = Stamp { term: Term(5), serial: Serial(4) };
+    next_document.unseen = 2;
+    bench.desk.committed(next_document);
+    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    let smaller = roster(&[("a", 1)]);
+    let quorum_moment = bench.now;
+    let proof =
+        Proof { ready: true, quorum_moment, confirmed: &|_| true, in_flight: Some(&smaller) };
+    bench.outputs = bench.desk.progress(bench.now, &proof);
+    verify_that!(is_renewed(&bench, 2), eq(false))?;
+    bench.pass(ms(10));
+    verify_that!(is_renewed(&bench, 2), eq(true))?;
+    let is_pushed = |output: &DeskOutput| {
+        matches!(
+            output,
+            DeskOutput::Down { frame: StreamDown::Change { .. } | StreamDown::Spec { .. }, .. }
+        )
+    };
+    verify_that!(bench.outputs.iter().any(is_pushed), eq(false))
+}
+
+#[gtest]
+fn a_proof_from_before_a_life_joined_grants_it_nothing() -> Result<()> {
+    let mut bench = elected_with_roster(&[("a", 1)]);
+    bench.pass(ms(300));
+    come(&mut bench, 1, ("a", 1), 9, 100, false);
+    let before = bench.now - ms(5);
+    let proof = Proof { ready: true, quorum_moment: before, confirmed: &|_| true, in_flight: None };
+    bench.outputs = bench.desk.progress(bench.now + ms(100), &proof);
+    verify_that!(is_renewed(&bench, 1), eq(false))?;
+    verify_that!(bench.desk.wants_round(), eq(true))?;
+    bench.pass(ms(0));
+    verify_that!(is_renewed(&bench, 1), eq(true))
+}
+
+#[gtest]
+fn names_that_are_gone_for_long_leave_the_roster() -> Result<()> {
+    let mut bench = elected_with_roster(&[("a", 1), ("b", 2)]);
+    come(&mut bench, 1, ("a", 1), 1, 5000, true);
+    bench.pass(ms(100));
+    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    bench.pass(ms(9000));
+    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    bench.pass(ms(2000));
+    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    bench.pass(ms(40));
+    verify_that!(bench.desk.due_roster(bench.now), some(eq(&roster(&[("a", 1)]))))
+}
--- a/crates/survey/tests/plane/founding.rs
+++ b/crates/survey/tests/plane/founding.rs
@@ -236,3 +236,44 @@
     }
     Ok(())
 }
+
+/// Before, a surveyor that had just started waited a whole election timeout for a leader.
+#[gtest]
+fn after_a_restart_of_all_a_leader_is_there_within_half_a_second() -> Result<()> {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(seed, &[0, 1, 2]);
+        fleet.start_all();
+        fleet.await_leader();
+        fleet.pass(500);
+        for number in 0..3 {
+            fleet.kill(number);
+        }
+        fleet.pass(600);
+        for number in 0..3 {
+            fleet.start(number);
+            fleet.pass(30);
+        }
+        fleet.pass(410);
+        verify_that!(fleet.leader(), some(anything()))?;
+    }
+    Ok(())
+}
+
+/// A voter that restarts next to a live leader takes nothing from it.
+#[gtest]
+fn a_voter_that_restarts_beside_a_live_leader_changes_nothing() -> Result<()> {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(seed, &[0, 1, 2]);
+        fleet.start_all();
+        let leader = fleet.await_leader();
+        fleet.pass(500);
+        let term = fleet.accepted(leader).expect("a document").stamp.term;
+        let other = (leader + 1) % 3;
+        fleet.kill(other);
+        fleet.start(other);
+        fleet.pass(1500);
+        verify_that!(fleet.leader(), some(eq(leader)))?;
+        verify_that!(fleet.accepted(leader).expect("a document").stamp.term, eq(term))?;
+    }
+    Ok(())
+}
--- a/crates/trail/tests/liaison.rs
+++ b/crates/trail/tests/liaison.rs
@@ -146,3 +146,52 @@
     watch.heard(later, &beat("th-2", 2, vec![old_view]));
     verify_that!(watch.alive(later).len(), eq(2))
 }
+
+#[gtest]
+fn a_named_leader_is_dialed_at_once_and_names_that_go_round_are_not_chased() -> Result<()> {
+    let mut liaison = liaison();
+    liaison.tick(START);
+    liaison.connected(START);
+    liaison.heard(START, StreamDown::Elsewhere { leader: place(3) });
+    verify_that!(dialed(&liaison.tick(START)), some(eq(place(3))))?;
+    liaison.connected(START);
+    liaison.heard(START + ms(2), StreamDown::Elsewhere { leader: place(2) });
+    verify_that!(dialed(&liaison.tick(START + ms(2))), none())?;
+    let mut paused = self::liaison();
+    paused.tick(START);
+    paused.connected(START);
+    paused.heard(START, StreamDown::Elsewhere { leader: Place::NOWHERE });
+    verify_that!(dialed(&paused.tick(START + ms(29))), none())?;
+    verify_that!(dialed(&paused.tick(START + ms(61))), some(anything()))
+}
+
+/// A leader that another has followed may still give what that one gives to others.
+#[gtest]
+fn a_leader_of_an_earlier_term_is_refused() -> Result<()> {
+    let mut liaison = liaison();
+    welcomed(&mut liaison);
+    liaison.disconnected(START + ms(300));
+    let later = START + ms(600);
+    liaison.tick(later);
+    liaison.connected(later);
+    let outputs = liaison.heard(later, StreamDown::Welcome { term: Term(1) });
+    verify_that!(outputs.iter().any(|output| matches!(output, LiaisonOutput::Hangup)), eq(true))?;
+    verify_that!(liaison.is_welcomed(), eq(false))
+}
+
+#[gtest]
+fn a_life_says_how_long_it_runs_and_whether_it_was_ever_granted() -> Result<()> {
+    let said = |outputs: &[LiaisonOutput]| match outputs.first() {
+        Some(LiaisonOutput::Say(StreamUp::Hello { age_ms, granted, .. })) => (*age_ms, granted.0),
+        other => panic!("no hello: {other:?}"),
+    };
+    let mut liaison = liaison();
+    liaison.tick(START);
+    verify_that!(said(&liaison.connected(START + ms(40))), eq((40, false)))?;
+    liaison.heard(START + ms(41), StreamDown::Welcome { term: Term(2) });
+    let correlation = renewal(&liaison.tick(START + ms(41))).expect("a renewal");
+    liaison.heard(START + ms(45), renewed(correlation, 0));
+    liaison.disconnected(START + ms(300));
+    liaison.tick(START + ms(600));
+    verify_that!(said(&liaison.connected(START + ms(601))), eq((601, true)))
+}
--- a/proving/expedition/src/sim/checks.rs
+++ b/proving/expedition/src/sim/checks.rs
@@ -71,6 +71,7 @@
     pub breaches: Vec<Breach>,
     /// How often each kind of thing was looked at.
     pub looked: BTreeMap<&'static str, u64>,
+    written: BTreeMap<Serial, Value>,
     committed: BTreeMap<Serial, CommittedVersion>,
     reigns: BTreeMap<Term, (Serial, Serial)>,
     accepted_on: BTreeMap<Serial, ChangeId>,
@@ -132,12 +133,17 @@
         }
         let reign = self.reigns.entry(term).or_insert((serial, serial));
         *reign = (reign.0.min(serial), reign.1.max(serial));
-        if let Some(known) = self.committed.get(&serial) {
-            if known.content != content {
+        if let Some(known) = self.written.get(&serial) {
+            if *known != content {
                 self.breach(at, format!("serial {serial} was committed twice, with other content"));
             }
             return;
         }
+        self.written.insert(serial, content.clone());
+        if document.unseen > 0 {
+            self.changes_nothing_seen(at, document);
+            return;
+        }
         let routes = Table::build(&document.view())
             .map(|table| {
                 let named = document.spec["routes"].as_object().into_iter().flatten();
@@ -152,6 +158,19 @@
         self.committed.insert(serial, CommittedVersion { at, content, routes });
     }
 
+    /// A version that only names daemons is to daemons what the last one was.
+    fn changes_nothing_seen(&mut self, at: Moment, document: &Document) {
+        let seen_serial = document.view_serial();
+        let newest = self.committed.last_key_value();
+        let is_same = newest.is_some_and(|(newest_serial, known)| {
+            *newest_serial == seen_serial && known.content["spec"] == document.spec
+        });
+        if !is_same {
+            let serial = document.stamp.serial;
+            self.breach(at, format!("serial {serial} names daemons and changes what they see"));
+        }
+    }
+
     /// An operator was told that a change is accepted.
     pub fn accepts(&mut self, at: Moment, change: &ChangeId, base: Option<Serial>, serial: Serial) {
         self.look("accepted change");
