--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/survey/src/drivers/platform.rs
@@ -1,7 +1,6 @@
 use super::engine::Shared;
 use crate::plane::PlaneInput;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use waymark::clock::Moment;
 use waymark::events;
@@ -13,16 +12,14 @@
     let mut ticking = tokio::time::interval(list_every);
     ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut was_silent = false;
+    let mut leads = shared.leads.subscribe();
     loop {
-        let is_wanted = tokio::select! {
-            _ = ticking.tick() => false,
-            () = shared.lists_wanted.notified() => true,
-        };
-        if shared.inputs.is_closed() {
+        if leads.wait_for(|leads| *leads).await.is_err() || shared.inputs.is_closed() {
             return;
         }
-        if !is_wanted && !shared.leads.load(Ordering::Relaxed) {
-            continue;
+        tokio::select! {
+            _ = ticking.tick() => {}
+            () = shared.lists_wanted.notified() => {}
         }
         let (workers_read, runners_read) =
             tokio::join!(read_workers(&shared), read_runners(&shared));
--- a/crates/trail/src/tongue/runner.rs
+++ b/crates/trail/src/tongue/runner.rs
@@ -29,7 +29,9 @@
             .header(seal::ATTEMPT, words.attempt.to_string())
             .header(seal::BUDGET, words.budget_left.as_millis().to_string());
         if let Some(runner) = words.runner {
-            request = request.header(seal::RUNNER, runner.to_string());
+            request = request
+                .header(seal::RUNNER, runner.face(words.life).to_string())
+                .header(seal::GRANT, runner.grant.to_string());
         }
         request.body(Full::new(words.parcel.body.0.clone()))
     }
