--- a/crates/survey/src/desk/workers.rs
+++ b/crates/survey/src/desk/workers.rs
@@ -73,16 +73,6 @@
         else {
             return ReserveResult::Shed;
         };
-        let is_beside = |runner: RunnerId, held: &Reservation| {
-            runner.grant != grant && (held.stop_wanted || held.is_left())
-        };
-        let is_beside_others =
-            self.reservations.of(function).any(|(runner, held)| is_beside(runner, held));
-        let is_of_reign = grant >= GrantSerial::of(self.term, 0);
-        let is_alone = !is_beside_others && !(is_of_reign && self.may_have_unlisted(function));
-        if !is_alone && self.rules.keep(Rule::FenceBeforeRegrant) {
-            return ReserveResult::Shed;
-        }
         let holder_locality = self.members.get(asker).map(|record| record.host.locality.clone());
         let has_runner = self.reservations.of(function).any(|(_, held)| is_staying(held));
         if has_runner && self.must_wait(now, function) {
