Scaling: runners from offered load, rare functions rest by their calls' gaps

Cause: wanted runners followed momentary waiting over 0.7 of a runner's slots, held at the peak for ten seconds, so chance crowds of one tick started runners that nobody needed, and every function kept its last runner for two boots whatever its calls were. Ruled out: a longer smoothing alone (the same costs and late crowds), a margin in proportion to the load (wide where the load is large, narrow where it is small). Change: calls a second (half a second up, fall_ms down) times service time, plus the load's root in slots; what waits starts further runners only where present, booting and asked-for slots cannot send it in time; a runner that boots for nothing is stopped within half of its boot; rare functions rest after idle_rare_ms, frequent ones by the gap expected; inbox by rank, then timely, then oldest; expected start counts booting runners; two answers owed in a row make a runner unfit.

--- a/crates/trail/src/boot/mod.rs
+++ b/crates/trail/src/boot/mod.rs
@@ -63,6 +63,9 @@
                 "tries_allowance",
                 "tries_allowance_at_once",
                 "idle_boots",
+                "idle_rare_ms",
+                "rise_ms",
+                "margin_percent",
                 "fall_ms",
                 "drain_every_ms",
             ]);
@@ -118,6 +121,12 @@
         tries_allowance_at_once: root.field("tries_allowance_at_once").flag_or(false),
         idle_boots: count("idle_boots", 1_000_000, u64::from(default.idle_boots)) as u32,
         settles: default.settles,
+        idle_rare: root
+            .field("idle_rare_ms")
+            .is_there()
+            .then(|| span("idle_rare_ms", default.fall)),
+        rise: span("rise_ms", default.rise),
+        margin_percent: count("margin_percent", 10_000, u64::from(default.margin_percent)) as u32,
         fall: span("fall_ms", default.fall),
         drain_every: span("drain_every_ms", default.drain_every),
     }
--- /dev/null
+++ b/crates/trail/src/holder/demand.rs
@@ -0,0 +1,91 @@
+use super::Tuning;
+use std::time::Duration;
+use waymark::clock::Moment;
+
+const SHORTEST_SIGHT: f64 = 0.25;
+/// How many break-even spans the calls' gaps are remembered.
+const GAPS_KEPT: f64 = 8.0;
+
+/// A count that fades.
+struct Fading {
+    span: f64,
+    count: f64,
+    counted_at: Option<Moment>,
+}
+
+impl Fading {
+    fn new(span: f64) -> Self {
+        Self { span, count: 0.0, counted_at: None }
+    }
+
+    fn at(&self, now: Moment) -> f64 {
+        self.counted_at.map_or(0.0, |counted_at| {
+            self.count * (-now.since(counted_at).as_secs_f64() / self.span).exp()
+        })
+    }
+
+    fn add(&mut self, now: Moment) {
+        self.count = self.at(now) + 1.0;
+        self.counted_at = Some(now);
+    }
+
+    /// The time that the count stands for, when it began so long ago.
+    fn sight(&self, age: f64) -> f64 {
+        self.span * (1.0 - (-age / self.span).exp())
+    }
+}
+
+/// What is asked of a function: calls a second of late, and the gap to be expected before the next one.
+pub struct Demand {
+    recent: Fading,
+    remembered: Fading,
+    break_even: f64,
+    first_at: Option<Moment>,
+    smoothed: f64,
+    smoothed_at: Moment,
+    fall: f64,
+}
+
+impl Demand {
+    /// Nothing was called yet.
+    pub fn new(now: Moment, tuning: &Tuning, boot: Duration) -> Self {
+        let break_even = (boot * tuning.idle_boots.max(1)).as_secs_f64().max(0.05);
+        Self {
+            recent: Fading::new(tuning.rise.as_secs_f64().max(0.05)),
+            remembered: Fading::new(break_even * GAPS_KEPT),
+            break_even,
+            first_at: None,
+            smoothed: 0.0,
+            smoothed_at: now,
+            fall: tuning.fall.as_secs_f64().max(0.05),
+        }
+    }
+
+    /// A call came.
+    pub fn called(&mut self, now: Moment) {
+        self.first_at.get_or_insert(now);
+        self.recent.add(now);
+        self.remembered.add(now);
+    }
+
+    fn age(&self, now: Moment) -> f64 {
+        self.first_at.map_or(0.0, |first_at| now.since(first_at).as_secs_f64())
+    }
+
+    /// Calls a second: quick up, and slowly down.
+    pub fn rate(&mut self, now: Moment) -> f64 {
+        let sight = self.recent.sight(self.age(now).max(SHORTEST_SIGHT));
+        let rate = self.recent.at(now) / sight;
+        let passed = now.since(self.smoothed_at).as_secs_f64();
+        self.smoothed_at = now;
+        self.smoothed = rate.max(rate + (self.smoothed - rate) * (-passed / self.fall).exp());
+        self.smoothed
+    }
+
+    /// Whether the next call is to be expected sooner than a runner kept for it costs more than a start.
+    pub fn is_frequent(&self, now: Moment) -> bool {
+        let sight = self.remembered.sight(self.age(now));
+        let count = self.remembered.at(now);
+        count > 0.0 && (sight + self.break_even) / count < self.break_even
+    }
+}
--- a/crates/trail/src/holder/inbox.rs
+++ b/crates/trail/src/holder/inbox.rs
@@ -14,26 +14,69 @@
         ready_runners.fold(0, |all, record| all.saturating_add(record.limit_at(now)))
     }
 
+    fn ready_soon(&self, now: Moment) -> u32 {
+        let ready_runners = self.runners.values().filter(|record| record.phase == Phase::Ready);
+        ready_runners.map(|record| record.limit_soon(now).min(self.spec.slots.max(1))).sum()
+    }
+
     fn inbox_bound(&self) -> usize {
         SMALLEST_INBOX.max((self.spec.slots * self.spec.max_runners) as usize * 2)
     }
 
-    /// When a transaction behind so many others would be sent to a runner.
+    /// When a transaction behind so many others would be sent to a runner, by what runs and boots.
     pub(super) fn expected_start(&self, now: Moment, before_count: usize) -> Moment {
-        let ready_limit = self.ready_limit(now);
-        if ready_limit > 0 {
-            let busy_count = self.sent.len() as u32;
-            let has_free_slot = busy_count < ready_limit;
-            let own_wait = if has_free_slot { Duration::ZERO } else { self.service / 2 };
-            let turns = before_count as u32 / ready_limit;
-            return now + own_wait + self.service * turns;
-        }
-        let booting_runners = self
+        let service = self.service.as_secs_f64().max(0.001);
+        let mut sources: Vec<(f64, f64)> = self
             .runners
             .values()
-            .filter(|record| matches!(record.phase, Phase::Starting | Phase::Booting));
-        let earliest_ready = booting_runners.map(|record| record.started_at + self.spec.boot).min();
-        earliest_ready.unwrap_or(now + self.spec.boot).max(now)
+            .filter(|record| matches!(record.phase, Phase::Starting | Phase::Booting))
+            .map(|record| {
+                let ready_in = (record.started_at + self.spec.boot).since(now).as_secs_f64();
+                (ready_in, f64::from(self.spec.slots.max(1)))
+            })
+            .collect();
+        let ready_limit = f64::from(self.ready_limit(now).max(self.ready_soon(now)));
+        let busy_count = self.sent.len() as f64;
+        if ready_limit > 0.0 {
+            let free_in = if busy_count < ready_limit { 0.0 } else { service / 2.0 };
+            sources.push((free_in, ready_limit));
+        } else if sources.is_empty() {
+            sources.push((self.spec.boot.as_secs_f64(), f64::from(self.spec.slots.max(1))));
+        }
+        sources.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let turns = before_count as f64;
+        let mut able = 0.0;
+        let mut passed = sources[0].0;
+        let mut slots = 0.0;
+        for (ready_in, ready_slots) in sources {
+            let until_then = able + (ready_in - passed) * slots / service;
+            if slots > 0.0 && until_then >= turns - slots {
+                break;
+            }
+            able = until_then;
+            passed = ready_in;
+            slots += ready_slots;
+        }
+        let left = (turns - slots + 1.0 - able).max(0.0);
+        now + Duration::from_secs_f64(passed + left * service / slots.max(1.0))
+    }
+
+    /// Where one of a rank goes: behind those of its own rank and of lower ones.
+    pub(super) fn inbox_place(&self, rank: u8) -> usize {
+        self.inbox.partition_point(|waiting| waiting.entry.rank <= rank)
+    }
+
+    /// Which one goes next: of the first rank that may be sent, the oldest whose target can still be met,
+    /// else the oldest.
+    fn next_place(&self, now: Moment) -> Option<usize> {
+        let may_go = |waiting: &Waiting| !waiting.entry.is_noted_once() || self.custody.is_able();
+        let first_place = self.inbox.iter().position(may_go)?;
+        let rank = self.inbox[first_place].entry.rank;
+        let of_rank = self.inbox.iter().enumerate().skip(first_place);
+        let timely = of_rank
+            .take_while(|(_, waiting)| waiting.entry.rank == rank)
+            .find(|(_, waiting)| may_go(waiting) && now + self.service <= waiting.target_end);
+        Some(timely.map_or(first_place, |(place, _)| place))
     }
 
     /// When a transaction that waits is to be given up, if none goes to a runner before.
@@ -59,7 +102,7 @@
         if self.inbox.len() >= self.inbox_bound() {
             return Some((HopReason::InboxFull, Duration::from_secs(1)));
         }
-        let start_at = self.expected_start(now, self.inbox.len());
+        let start_at = self.expected_start(now, self.inbox_place(entry.rank));
         let patience_end = now + entry.patience;
         if start_at + self.service > entry.budget_end || start_at > patience_end {
             let wait_span = start_at.since(now) + Duration::from_millis(100);
@@ -125,17 +168,13 @@
         }
     }
 
-    /// Sends what waits to runners with a free slot, first come first served.
+    /// Sends what waits to runners with a free slot.
     pub(super) fn dispatch(&mut self, now: Moment) {
-        let mut waiting_place = 0;
-        while waiting_place < self.inbox.len() && !self.closed {
-            let is_once = self.inbox[waiting_place].entry.is_noted_once();
-            if is_once && !self.custody.is_able() {
-                waiting_place += 1;
-                continue;
-            }
+        while !self.closed {
+            let Some(waiting_place) = self.next_place(now) else { return };
             let Some(runner) = self.free_runner(now) else { return };
             let Some(waiting) = self.inbox.remove(waiting_place) else { return };
+            let is_once = waiting.entry.is_noted_once();
             let Some(record) = self.runners.get_mut(&runner) else { return };
             let Some(place) = record.place() else { return };
             record.begin_send(now, waiting.entry.transaction.clone());
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -1,6 +1,7 @@
 //! A held function: inbox, runners with their slots, ledger of identities, extra tries. No I/O.
 
 mod custody;
+mod demand;
 mod inbox;
 mod output;
 mod runners;
@@ -13,6 +14,7 @@
 
 use crate::ledger::Book;
 use custody::Custody;
+use demand::Demand;
 use runners::{Phase, RunnerRecord};
 use scaling::Scaling;
 use std::collections::{BTreeMap, VecDeque};
@@ -51,6 +53,10 @@
     pub budget_end: Moment,
     /// How long it may wait in the inbox.
     pub patience: Duration,
+    /// When an answer turns late.
+    pub target: Duration,
+    /// Which goes first; the lowest before all others.
+    pub rank: u8,
 }
 
 impl Entry {
@@ -62,6 +68,7 @@
 
 struct Waiting {
     entry: Entry,
+    target_end: Moment,
     give_up_at: Moment,
     attempt: u32,
     may_have_run: bool,
@@ -106,6 +113,8 @@
     custody: Custody,
     tries: TryWindow,
     scaling: Scaling,
+    demand: Demand,
+    has_adopted: bool,
     service: Duration,
     last_called_at: Moment,
     shed_count: u32,
@@ -127,6 +136,8 @@
     pub fn new(now: Moment, terms: GrantTerms) -> Self {
         let is_whole = terms.once_wait.is_zero();
         let slots = terms.spec.slots;
+        let has_adopted = !terms.adopted.is_empty();
+        let demand = Demand::new(now, &Tuning::default(), terms.spec.boot);
         let runners = terms
             .adopted
             .into_iter()
@@ -144,6 +155,8 @@
             book: Book::default(),
             tries: TryWindow::new(now, &Tuning::default()),
             scaling: Scaling::new(now),
+            demand,
+            has_adopted,
             service: Duration::from_millis(40),
             last_called_at: now,
             shed_count: 0,
@@ -177,6 +190,7 @@
     /// The same with other settings.
     pub fn with_tuning(mut self, now: Moment, tuning: Tuning) -> Self {
         self.tries = TryWindow::new(now, &tuning);
+        self.demand = Demand::new(now, &tuning, self.spec.boot);
         self.tuning = tuning;
         self
     }
@@ -280,6 +294,7 @@
         }
         self.last_called_at = now;
         self.resting = false;
+        self.demand.called(now);
         self.tries.first_or_repeat(now, entry.repeat);
         if entry.noted
             && let Some(known_outcome) = self.known_outcome(&entry.transaction)
@@ -300,13 +315,19 @@
             self.book.begin(entry.transaction.clone(), entry.once, entry.budget_end);
         }
         let give_up_at = entry.budget_end.min(now + entry.patience);
-        self.inbox.push_back(Waiting {
-            entry,
-            give_up_at,
-            attempt: 1,
-            may_have_run: false,
-            failure: None,
-        });
+        let target_end = now + entry.target;
+        let place = self.inbox_place(entry.rank);
+        self.inbox.insert(
+            place,
+            Waiting {
+                entry,
+                target_end,
+                give_up_at,
+                attempt: 1,
+                may_have_run: false,
+                failure: None,
+            },
+        );
         self.dispatch(now);
         self.scale(now);
         (None, std::mem::take(&mut self.outputs))
--- a/crates/trail/src/holder/runners.rs
+++ b/crates/trail/src/holder/runners.rs
@@ -16,6 +16,8 @@
 const START_PATIENCE: Duration = Duration::from_secs(3);
 const HUNG_PATIENCE: Duration = Duration::from_secs(6);
 const MOST_LOST: u32 = 5;
+/// A runner that owes so many answers in a row is replaced.
+const UNFIT_LOST: u32 = 2;
 
 /// Where a runner is in its life.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -147,6 +149,12 @@
         self.running.len() + self.hung.len()
     }
 
+    /// Whether it is ready or will be, and stays so.
+    pub fn is_coming_or_fit(&self) -> bool {
+        matches!(self.phase, Phase::Starting | Phase::Booting | Phase::Ready)
+            && self.unfit_since.is_none()
+    }
+
     /// Whether it is ready and stays so.
     pub fn is_fit(&self) -> bool {
         self.phase == Phase::Ready && self.unfit_since.is_none()
@@ -160,6 +168,14 @@
         }
     }
 
+    /// How many it will have at once within a few answers: its ramp widens fast.
+    pub fn limit_soon(&self, now: Moment) -> u32 {
+        match self.held_down {
+            Some((until, held_limit)) if now < until => self.slots.min(held_limit),
+            _ => self.slots,
+        }
+    }
+
     /// Whether one more transaction fits.
     pub fn has_free_slot(&self, now: Moment) -> bool {
         self.phase == Phase::Ready && self.busy_count() < self.limit_at(now) as usize
@@ -195,6 +211,9 @@
             self.lost_in_row = 0;
         } else {
             self.lost_in_row += 1;
+            if self.lost_in_row >= UNFIT_LOST {
+                self.unfit_since.get_or_insert(now);
+            }
             let until = budget_end.min(now + LOST_KEEPS_SLOT);
             self.hung.insert(transaction.clone(), Hung { since: now, until });
             self.next_look_at = now + SETTLE_EVERY;
--- a/crates/trail/src/holder/scaling.rs
+++ b/crates/trail/src/holder/scaling.rs
@@ -4,16 +4,19 @@
 use waymark::clock::Moment;
 use waymark::identity::RunnerId;
 
-const TARGET_SHARE: f64 = 0.7;
 const RESERVE_PATIENCE: Duration = Duration::from_millis(1500);
 const RESERVE_AGAIN_AFTER: Duration = Duration::from_millis(400);
 const REPLACE_WITHIN: Duration = Duration::from_millis(1000);
-const MOST_RESERVING: usize = 4;
+const MOST_RESERVING: usize = 8;
+/// A runner is not drained before it is so old: what it was started or taken over for may be on its way.
+const SETTLED_AFTER: Duration = Duration::from_secs(1);
+/// A runner that boots for nothing is stopped up to this share of its boot; later it may as well be used.
+const BOOT_GIVEN_UP: f64 = 0.5;
+/// A function called often keeps a runner through so many break-even spans without a call.
+const FREQUENT_KEPT: u32 = 2;
 
-/// The holder's view of how many runners it needs.
+/// The holder's view of what it has asked for.
 pub struct Scaling {
-    smoothed: f64,
-    smoothed_at: Moment,
     reserving_since: Vec<Moment>,
     next_reserve_at: Moment,
     next_drain_at: Moment,
@@ -22,13 +25,7 @@
 impl Scaling {
     /// Needs none yet.
     pub fn new(now: Moment) -> Self {
-        Self {
-            smoothed: 0.0,
-            smoothed_at: now,
-            reserving_since: Vec::new(),
-            next_reserve_at: now,
-            next_drain_at: now,
-        }
+        Self { reserving_since: Vec::new(), next_reserve_at: now, next_drain_at: now }
     }
 
     /// An asked-for runner was given or refused.
@@ -38,50 +35,76 @@
             self.next_reserve_at = now + RESERVE_AGAIN_AFTER;
         }
     }
-
-    /// The function rests: what was wanted before counts no more.
-    pub(super) fn rest(&mut self) {
-        self.smoothed = 0.0;
-    }
-
-    /// Quick up, smooth down.
-    fn smooth(&mut self, now: Moment, wanted: f64, fall: Duration) -> f64 {
-        let passed_seconds = now.since(self.smoothed_at).as_secs_f64();
-        self.smoothed_at = now;
-        let fallen =
-            wanted + (self.smoothed - wanted) * (-passed_seconds / fall.as_secs_f64()).exp();
-        self.smoothed = fallen.max(wanted);
-        self.smoothed
-    }
 }
 
 impl Holder {
-    /// Asks for runners, or drains one, as busyness tells.
+    /// Asks for runners, or gives some up, as the load and what waits tell.
     pub(super) fn scale(&mut self, now: Moment) {
         if self.is_leaving() {
             return;
         }
-        let busy_count = (self.inbox.len() + self.sent.len()) as f64;
-        let wanted = busy_count / (f64::from(self.spec.slots) * TARGET_SHARE);
-        let smoothed = self.scaling.smooth(now, wanted, self.tuning.fall);
+        let reserving = &mut self.scaling.reserving_since;
+        reserving.retain(|since| now.since(*since) < RESERVE_PATIENCE);
         let least = u32::from(!self.resting);
-        let floor = self.spec.min_runners.max(least).min(self.spec.max_runners);
-        let wanted_count =
-            (smoothed.ceil() as u32).clamp(floor, self.spec.max_runners.max(1)) as usize;
-        let fit_count = self
+        let floor = self.spec.min_runners.max(least).min(self.spec.max_runners) as usize;
+        let most = self.spec.max_runners.max(1) as usize;
+        let fit_count = self.runners.values().filter(|record| record.is_coming_or_fit()).count();
+        let coming_count = fit_count + self.scaling.reserving_since.len();
+        let load = self.demand.rate(now) * self.service.as_secs_f64();
+        let load_count = if self.resting { 0 } else { self.runners_for(load) };
+        let late_count = self.runners_for_waiting(now, load);
+        let wanted_count = load_count.max(coming_count * usize::from(late_count > 0) + late_count);
+        let wanted_count = wanted_count.clamp(floor, most.max(floor));
+        self.reserve(now, wanted_count, coming_count);
+        if self.inbox.is_empty() {
+            self.give_up_booting(now, wanted_count);
+        }
+        self.drain_extra(now, wanted_count);
+    }
+
+    /// The runners for a load, in slots, with a margin for its swings that grows as its root.
+    fn runners_for(&self, load: f64) -> usize {
+        let margin = f64::from(self.tuning.margin_percent) / 100.0 * load.sqrt();
+        ((load + margin) / f64::from(self.spec.slots.max(1))).ceil() as usize
+    }
+
+    /// The runners to be started for what waits: those without which it would not be sent in time. What
+    /// runs, boots or is asked for counts with what it can do until then.
+    fn runners_for_waiting(&self, now: Moment, load: f64) -> usize {
+        let boot = self.spec.boot.as_secs_f64();
+        let service = self.service.as_secs_f64().max(0.001);
+        let slots = f64::from(self.spec.slots.max(1));
+        let horizon = self.inbox.iter().map(|waiting| {
+            let target = waiting.entry.target.as_secs_f64();
+            let budget = waiting.entry.budget_end.since(now).as_secs_f64();
+            if target > boot + 2.0 * service { target } else { boot.midpoint(budget.max(boot)) }
+        });
+        let Some(horizon) = horizon.max_by(f64::total_cmp) else { return 0 };
+        let turns = |span: f64| (span / service).max(0.0);
+        let of_runners: f64 = self
             .runners
             .values()
-            .filter(|record| {
-                matches!(record.phase, Phase::Starting | Phase::Booting | Phase::Ready)
-                    && record.unfit_since.is_none()
+            .filter(|record| record.is_coming_or_fit())
+            .map(|record| match record.phase {
+                Phase::Ready => f64::from(record.limit_soon(now)) * turns(horizon),
+                _ => {
+                    let ready_in = (record.started_at + self.spec.boot).since(now).as_secs_f64();
+                    slots * turns(horizon - ready_in).max(1.0)
+                }
             })
-            .count();
-        self.reserve(now, wanted_count, fit_count);
-        self.drain_extra(now, wanted_count);
+            .sum();
+        let asked_count = self.scaling.reserving_since.len() as f64;
+        let fresh_turns = slots * turns(horizon - boot).max(1.0);
+        let is_ready = self.runners.values().any(|record| record.phase == Phase::Ready);
+        let arriving = if is_ready { load / service * horizon } else { 0.0 };
+        let able = (of_runners + asked_count * fresh_turns - arriving).max(0.0);
+        let unserved = self.inbox.len() as f64 - able;
+        if unserved > 0.0 { (unserved / fresh_turns).ceil() as usize } else { 0 }
     }
 
-    /// Stops the runners of a function that nobody has called for so many boot times; it stays held. A
-    /// function that boots longer than its callers gladly wait keeps one.
+    /// Stops the runners of a function that nobody calls; it stays held. One whose calls come closer than a
+    /// start is worth keeps a runner for so many boot times, one whose calls are rare only for a short span.
+    /// A function that boots longer than its callers gladly wait keeps one always.
     pub(super) fn rest_if_idle(&mut self, now: Moment) {
         let is_to_rest = self.tuning.idle_boots > 0
             && !self.warm
@@ -91,12 +114,19 @@
         if !is_to_rest {
             return;
         }
-        let longest_idle = self.spec.boot * self.tuning.idle_boots;
+        let break_even = self.spec.boot * self.tuning.idle_boots;
+        let longest_idle = match self.tuning.idle_rare {
+            Some(idle_rare) if !self.demand.is_frequent(now) => idle_rare.min(break_even),
+            Some(_) => break_even * FREQUENT_KEPT,
+            None => break_even,
+        };
         let used_at = self.runners.values().map(|record| record.used_at).max();
         let has_ready = self.runners.values().any(|record| record.phase == Phase::Ready);
+        let is_settled =
+            self.runners.values().all(|record| now.since(record.started_at) >= SETTLED_AFTER);
         let is_long_idle = self.idle(now).is_some_and(|span| span > longest_idle)
             && used_at.is_some_and(|used_at| now.since(used_at) > longest_idle);
-        if has_ready && is_long_idle {
+        if has_ready && is_long_idle && (is_settled || !self.has_adopted) {
             self.rest(now);
         }
     }
@@ -104,28 +134,44 @@
     /// Stops every runner until the next call.
     pub(super) fn rest(&mut self, now: Moment) {
         self.resting = true;
-        self.scaling.rest();
         let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
         for runner in all_runners {
             self.stop_runner(now, runner);
         }
     }
 
-    fn reserve(&mut self, now: Moment, wanted_count: usize, fit_count: usize) {
-        let reserving = &mut self.scaling.reserving_since;
-        reserving.retain(|since| now.since(*since) < RESERVE_PATIENCE);
-        let coming_count = fit_count + reserving.len();
-        let step_count = wanted_count.min(fit_count * 2 + 1).saturating_sub(coming_count);
-        let most_count = step_count.min(MOST_RESERVING.saturating_sub(reserving.len()));
+    fn reserve(&mut self, now: Moment, wanted_count: usize, coming_count: usize) {
         if now < self.scaling.next_reserve_at {
             return;
         }
-        for _ in 0..most_count {
+        let asked_count = self.scaling.reserving_since.len();
+        let missing_count = wanted_count.saturating_sub(coming_count);
+        for _ in 0..missing_count.min(MOST_RESERVING.saturating_sub(asked_count)) {
             self.scaling.reserving_since.push(now);
             self.outputs.push(HolderOutput::Tell(HolderWord::Reserve));
         }
     }
 
+    /// Stops the youngest runner that boots and is no longer needed, while little of its boot is paid for.
+    fn give_up_booting(&mut self, now: Moment, wanted_count: usize) {
+        let fit_count = self.runners.values().filter(|record| record.is_coming_or_fit()).count();
+        let ready_count = self.runners.values().filter(|record| record.is_fit()).count();
+        if fit_count <= wanted_count || ready_count < wanted_count {
+            return;
+        }
+        let paid_until = self.spec.boot.mul_f64(BOOT_GIVEN_UP);
+        let youngest = self
+            .runners
+            .iter()
+            .filter(|(_, record)| matches!(record.phase, Phase::Starting | Phase::Booting))
+            .max_by_key(|(_, record)| record.started_at)
+            .filter(|(_, record)| now.since(record.started_at) < paid_until)
+            .map(|(runner, _)| *runner);
+        if let Some(runner) = youngest {
+            self.stop_runner(now, runner);
+        }
+    }
+
     fn drain_extra(&mut self, now: Moment, wanted_count: usize) {
         let ready_runners: Vec<RunnerId> = self
             .runners
@@ -148,8 +194,10 @@
             && now >= self.scaling.next_drain_at
         {
             self.scaling.next_drain_at = now + self.tuning.drain_every;
-            let least_busy =
-                ready_runners.into_iter().min_by_key(|runner| self.runners[runner].busy_count());
+            let least_busy = ready_runners
+                .into_iter()
+                .filter(|runner| now.since(self.runners[runner].since) >= SETTLED_AFTER)
+                .min_by_key(|runner| self.runners[runner].busy_count());
             if let Some(record) = least_busy.and_then(|runner| self.runners.get_mut(&runner)) {
                 record.phase = Phase::Draining;
                 record.since = now;
--- a/crates/trail/src/holder/tuning.rs
+++ b/crates/trail/src/holder/tuning.rs
@@ -13,12 +13,22 @@
     /// Whether a new holder has that allowance at once, and not only after ten seconds.
     #[builder(default = false)]
     pub tries_allowance_at_once: bool,
-    /// The last runner is stopped after so many boot times without a transaction; 0 keeps it.
+    /// A start costs as much as keeping a runner for so many boot times: the last runner is stopped after
+    /// these without a transaction; 0 keeps it.
     #[builder(default = 0)]
     pub idle_boots: u32,
+    /// Where it is set, the last runner of a rarely called function is stopped after this span already.
+    #[builder(default = None)]
+    pub idle_rare: Option<Duration>,
     /// Whether runners can be asked what they are running.
     #[builder(default = true)]
     pub settles: bool,
+    /// Over which span calls are counted.
+    #[builder(default = Duration::from_millis(500))]
+    pub rise: Duration,
+    /// The margin of slots over the load, in hundredths of the load's root.
+    #[builder(default = 100)]
+    pub margin_percent: u32,
     /// How slowly the wish for runners falls after a crowd.
     #[builder(default = Duration::from_secs(10))]
     pub fall: Duration,
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/trail/src/lodge/held.rs
@@ -25,6 +25,10 @@
     pub repeat: bool,
     /// How long it may wait in the inbox.
     pub patience: Duration,
+    /// When an answer turns late.
+    pub target: Duration,
+    /// Which goes first; the lowest before all others.
+    pub rank: u8,
     /// What the caller sent.
     pub parcel: Arc<Parcel>,
 }
@@ -93,6 +97,8 @@
             repeat: task.repeat,
             budget_end: task.budget_end,
             patience: task.patience,
+            target: task.target,
+            rank: task.rank,
         };
         let kept = Waiting { task, waiter };
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner).insert(ticket, kept);
--- a/crates/trail/src/lodge/way.rs
+++ b/crates/trail/src/lodge/way.rs
@@ -201,6 +201,8 @@
                         tries: route.spec.tries,
                         repeat: self.ask.repeat,
                         patience,
+                        target: route.spec.target,
+                        rank: route.spec.rank,
                         parcel: self.ask.parcel.clone(),
                     };
                     WayStep::Serve(held, task)
--- a/crates/trail/tests/holder.rs
+++ b/crates/trail/tests/holder.rs
@@ -152,6 +152,8 @@
             repeat,
             budget_end: self.now + ms(3000),
             patience: ms(3000),
+            target: ms(3000),
+            rank: 0,
         };
         let (at_once, outputs) = self.holder.grant_entry(self.now, entry);
         self.take(outputs);
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -156,6 +156,8 @@
         tries: 3,
         repeat: false,
         patience: ms(1000),
+        target: ms(1000),
+        rank: 0,
         parcel: Arc::new(Parcel::of_body(Vec::new().into())),
     };
     let runner = RunnerId { grant: GrantSerial(4), ordinal: 5 };
