--- a/crates/trail/src/holder/runners.rs
+++ b/crates/trail/src/holder/runners.rs
@@ -5,7 +5,7 @@
 use waymark::frames::{ClaimRunner, Flag, Life, Many, Place};
 use waymark::identity::{RunnerId, TransactionId, WorkerName};
 
-const PROBE_EVERY: Duration = Duration::from_millis(40);
+const PROBE_EVERY: Duration = Duration::from_millis(20);
 /// A lost answer keeps its slot so long where a runner cannot be asked what it is running.
 const LOST_KEEPS_SLOT: Duration = Duration::from_millis(400);
 /// A runner that refused more than we know of gets nothing more for so long.
--- a/crates/trail/tests/costs/mod.rs
+++ b/crates/trail/tests/costs/mod.rs
@@ -467,7 +467,7 @@
         .tries_allowance(15)
         .tries_allowance_at_once(true)
         .idle_boots(3)
-        .idle_rare(Some(Duration::from_millis(200)))
+        .idle_rare(Some(Duration::from_millis(150)))
         .margin_percent(100)
         .fall(Duration::from_millis(3000))
         .rise(Duration::from_millis(500))
