--- a/crates/survey/src/desk/mod.rs
+++ b/crates/survey/src/desk/mod.rs
@@ -11,6 +11,7 @@
 mod pressure;
 mod report;
 mod reservations;
+mod roster;
 mod stewards;
 mod timing;
 mod workers;
@@ -19,17 +20,17 @@
 pub use timing::DeskTiming;
 
 use emptying::Emptying;
-use members::{MemberRecord, WaitingRenewal};
+use members::{LifeHistory, MemberRecord, PushedHosts, WaitingRenewal};
 use reservations::Reservations;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::{Host, KnownMember, Prior, StreamDown, StreamUp};
+use waymark::frames::{Host, KnownMember, MemberLife, Prior, StreamDown, StreamUp};
 use waymark::identity::{
     CorrelationId, FunctionKey, GrantSerial, Locality, MemberName, Serial, Term, WorkerName,
 };
 use waymark::rules::{Rule, Rules};
-use waymark::spec::{Document, Table, View};
+use waymark::spec::{Document, RosterMember, Table, View};
 use waymark::tongue::ListedRunner;
 use workers::WorkerRecord;
 
@@ -39,8 +40,10 @@
     pub ready: bool,
     /// When the newest round was sent that a majority answered.
     pub quorum_moment: Moment,
-    /// Whether a majority knows a daemon.
+    /// Whether a round that a majority answered named a daemon.
     pub confirmed: &'a dyn Fn(&KnownMember) -> bool,
+    /// The roster of the change in flight.
+    pub in_flight: Option<&'a BTreeSet<RosterMember>>,
 }
 
 struct GrantEntry {
@@ -67,6 +70,13 @@
     elected_at: Moment,
     last_known: BTreeSet<KnownMember>,
     last_known_whole: bool,
+    awaited: BTreeSet<RosterMember>,
+    gone_since: BTreeMap<RosterMember, Moment>,
+    roster_changed: bool,
+    roster_look_at: Moment,
+    roster_wanted_since: Option<Moment>,
+    listed_from: Moment,
+    lists_asked_at: Moment,
     document: Option<Document>,
     table: Table,
     views: VecDeque<View>,
@@ -108,6 +118,9 @@
     given_count: u64,
     hosts_changed: bool,
     hosts_pushed_at: Moment,
+    pushed_hosts: PushedHosts,
+    missed: BTreeSet<MemberLife>,
+    silent: BTreeSet<MemberLife>,
     rules: Rules,
     outputs: Vec<DeskOutput>,
 }
@@ -127,6 +140,13 @@
             elected_at,
             last_known,
             last_known_whole,
+            awaited: BTreeSet::new(),
+            gone_since: BTreeMap::new(),
+            roster_changed: true,
+            roster_look_at: elected_at,
+            roster_wanted_since: None,
+            listed_from: Moment::ZERO,
+            lists_asked_at: Moment::ZERO,
             document: None,
             table: Table::empty(),
             views: VecDeque::new(),
@@ -168,6 +188,9 @@
             given_count: 0,
             hosts_changed: false,
             hosts_pushed_at: Moment::ZERO,
+            pushed_hosts: PushedHosts::default(),
+            missed: BTreeSet::new(),
+            silent: BTreeSet::new(),
             rules: Rules::KEPT,
             outputs: Vec::new(),
         }
@@ -210,9 +233,12 @@
     /// Takes what a daemon says on its stream.
     pub fn heard(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
         self.acquires_changed = true;
+        self.note_spoke(now, stream);
         match frame {
-            StreamUp::Hello { host, door, serial } => {
-                self.hear_hello(now, stream, host, door, serial);
+            StreamUp::Hello { host, door, serial, age_ms, granted } => {
+                let history =
+                    LifeHistory { born_at: roster::born_at(now, age_ms), was_granted: granted.0 };
+                self.hear_hello(now, stream, host, door, serial, history);
             }
             StreamUp::Claims { claims } => self.hear_claims(now, stream, claims.0),
             StreamUp::Renew { correlation, serial } => {
@@ -249,6 +275,9 @@
                 self.hear_steward_whole(stream, &function, grant, &steward);
             }
             StreamUp::Idle { functions } => self.hear_idle(now, stream, functions.0),
+            StreamUp::Silent { life } => self.hear_silent(stream, life),
+            StreamUp::Heard { life } => self.hear_heard(&life),
+            StreamUp::WholeHosts => self.hear_whole_hosts(stream),
             StreamUp::Leaving => self.hear_leaving(now, stream),
         }
     }
@@ -274,6 +303,7 @@
     pub fn progress(&mut self, now: Moment, proof: &Proof<'_>) -> Vec<DeskOutput> {
         self.expire_members(now);
         self.open_if_due(now, proof);
+        self.ask_lists(now);
         self.fence(now);
         self.name_stewards(now);
         self.answer_renewals(now, proof);
