--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -62,8 +62,13 @@
                 "core_size",
                 "threads",
                 "platform",
+                "placing",
                 "timing",
             ]);
+            let placing = root.field("placing");
+            placing.only(&["spread", "emptying"]);
+            let spread = placing.field("spread").flag_or(true);
+            let emptying = placing.field("emptying").flag_or(true);
             let timing = root.field("timing");
             timing.only(&[
                 "list_every_ms",
