Scaling: a rate is believed after a second or 32 calls; ranks, rest and unfit tested

Cause: six calls in one instant to a function that boots its first runner read as thirty a second and started a second one. Ruled out: the inbox alone, which sheds at one runner's ability and then starts no more.

--- a/crates/trail/src/holder/demand.rs
+++ b/crates/trail/src/holder/demand.rs
@@ -3,6 +3,8 @@
 use waymark::clock::Moment;
 
 const SHORTEST_SIGHT: f64 = 0.25;
+/// So many calls of late say something of the rate even of a function that was never called before.
+const CALLS_ENOUGH: f64 = 32.0;
 /// How many break-even spans the calls' gaps are remembered.
 const GAPS_KEPT: f64 = 8.0;
 
@@ -72,6 +74,11 @@
         self.first_at.map_or(0.0, |first_at| now.since(first_at).as_secs_f64())
     }
 
+    /// Whether it was called for long enough, or often enough, that its rate says something.
+    pub fn is_known(&self, now: Moment) -> bool {
+        self.age(now) >= 2.0 * self.recent.span || self.recent.at(now) >= CALLS_ENOUGH
+    }
+
     /// Calls a second: quick up, and slowly down.
     pub fn rate(&mut self, now: Moment) -> f64 {
         let sight = self.recent.sight(self.age(now).max(SHORTEST_SIGHT));
--- a/crates/trail/src/holder/scaling.rs
+++ b/crates/trail/src/holder/scaling.rs
@@ -51,7 +51,8 @@
         let fit_count = self.runners.values().filter(|record| record.is_coming_or_fit()).count();
         let coming_count = fit_count + self.scaling.reserving_since.len();
         let load = self.demand.rate(now) * self.service.as_secs_f64();
-        let load_count = if self.resting { 0 } else { self.runners_for(load) };
+        let is_load_known = !self.resting && self.demand.is_known(now);
+        let load_count = if is_load_known { self.runners_for(load) } else { 0 };
         let late_count = self.runners_for_waiting(now, load);
         let wanted_count = load_count.max(coming_count * usize::from(late_count > 0) + late_count);
         let wanted_count = wanted_count.clamp(floor, most.max(floor));
--- a/crates/trail/tests/holder.rs
+++ b/crates/trail/tests/holder.rs
@@ -30,6 +30,7 @@
     next_runner: u64,
     noted: bool,
     tries: u32,
+    rank: u8,
 }
 
 impl Bench {
@@ -95,6 +96,7 @@
             next_runner: 0,
             noted: true,
             tries: 100,
+            rank: 0,
         }
     }
 
@@ -153,7 +155,7 @@
             budget_end: self.now + ms(3000),
             patience: ms(3000),
             target: ms(3000),
-            rank: 0,
+            rank: self.rank,
         };
         let (at_once, outputs) = self.holder.grant_entry(self.now, entry);
         self.take(outputs);
@@ -787,3 +789,73 @@
     }
     Ok(())
 }
+
+#[gtest]
+fn the_lowest_rank_goes_first_and_those_of_one_rank_as_they_came() -> Result<()> {
+    let mut bench = Bench::new(1, 1, Duration::ZERO);
+    bench.warm();
+    let (running, _) = bench.enter("running", false, false);
+    let runner = bench.sent[0].1;
+    let waiting: Vec<Ticket> = [3, 1, 0, 1]
+        .into_iter()
+        .map(|rank| {
+            bench.rank = rank;
+            bench.enter(&format!("rank {rank} of {}", bench.next_ticket), false, false).0
+        })
+        .collect();
+    bench.sent.clear();
+    bench.answer(running, runner);
+    while let Some((ticket, _, _)) = bench.sent.last().copied()
+        && !bench.ended.contains_key(&ticket)
+    {
+        bench.answer(ticket, runner);
+    }
+    let order: Vec<Ticket> = bench.sent.iter().map(|(ticket, _, _)| *ticket).collect();
+    verify_that!(order, eq(&vec![waiting[2], waiting[1], waiting[3], waiting[0]]))
+}
+
+#[gtest]
+fn a_runner_that_owes_two_answers_in_a_row_is_replaced() -> Result<()> {
+    let mut bench = Bench::new(4, 4, Duration::ZERO);
+    bench.warm();
+    for (number, wanted_count) in [(0, 1), (1, 2)] {
+        let (ticket, _) = bench.enter(&format!("t{number}"), true, false);
+        bench.end(ticket, SendEnd::Lost);
+        verify_that!(bench.next_runner, eq(wanted_count))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn calls_that_a_booting_runner_will_serve_in_time_start_no_second_one() -> Result<()> {
+    for (call_count, most_runners) in [(6, 1), (400, 4)] {
+        let mut bench = Bench::new(2, 4, Duration::ZERO);
+        for number in 0..call_count {
+            bench.enter(&format!("t{number}"), false, false);
+        }
+        verify_that!(bench.next_runner, eq(most_runners))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_rarely_called_function_rests_soon_and_a_frequent_one_does_not() -> Result<()> {
+    for (call_count, is_stopped) in [(1, true), (12, false)] {
+        let tuning = Tuning::builder().idle_boots(10).idle_rare(Some(ms(200))).build();
+        let mut bench = Bench::new(2, 4, Duration::ZERO).tuned(tuning);
+        bench.warm();
+        for number in 1..call_count {
+            bench.pass(ms(100));
+            let (ticket, _) = bench.enter(&format!("t{number}"), false, false);
+            let runner = bench.sent.last().expect("sent").1;
+            bench.answer(ticket, runner);
+        }
+        bench.orders.clear();
+        bench.pass(ms(150));
+        bench.pass(ms(150));
+        let is_ordered =
+            bench.orders.iter().any(|order| matches!(order, HolderOutput::Stop { .. }));
+        verify_that!(is_ordered, eq(is_stopped))?;
+    }
+    Ok(())
+}
