--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -62,8 +62,6 @@
                 "core_size",
                 "threads",
                 "platform",
-                "spread",
-                "emptying",
                 "timing",
             ]);
             let timing = root.field("timing");
@@ -82,8 +80,6 @@
             ]);
             let core_default = CoreTiming::builder().build();
             let desk_default = DeskTiming::builder().build();
-            let spread = root.field("spread").flag_or(desk_default.spread);
-            let emptying = root.field("emptying").flag_or(desk_default.emptying);
             let place = read_place(&root.field("place"));
             let listen = read_listen(root, place);
             let operators = read_place(&root.field("operators"));
