Hollow fleets: the state machines of many daemons in one process, measured by role

Cause: the size of two years from now is to be worked out from measured slopes. Change: expedition hollow feeds controllers, lodges and planes under virtual time, with callers, runners and a platform in memory, and measures messages, bytes, processor time and memory by role.

--- /dev/null
+++ b/proving/expedition/src/hollow/memory.rs
@@ -0,0 +1,60 @@
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicBool, AtomicIsize, Ordering};
+
+static IS_COUNTING: AtomicBool = AtomicBool::new(false);
+static LIVE: AtomicIsize = AtomicIsize::new(0);
+static PEAK: AtomicIsize = AtomicIsize::new(0);
+
+/// The system's allocator, which counts the bytes asked of it once it is told to. Only one thread may
+/// allocate while it counts.
+pub struct CountingAllocator;
+
+fn note(change: isize) {
+    if IS_COUNTING.load(Ordering::Relaxed) {
+        let live = LIVE.load(Ordering::Relaxed) + change;
+        LIVE.store(live, Ordering::Relaxed);
+        if live > PEAK.load(Ordering::Relaxed) {
+            PEAK.store(live, Ordering::Relaxed);
+        }
+    }
+}
+
+#[allow(unsafe_code)]
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        note(layout.size() as isize);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, place: *mut u8, layout: Layout) {
+        note(-(layout.size() as isize));
+        unsafe { System.dealloc(place, layout) }
+    }
+
+    unsafe fn realloc(&self, place: *mut u8, layout: Layout, new_size: usize) -> *mut u8 {
+        note(new_size as isize - layout.size() as isize);
+        unsafe { System.realloc(place, layout, new_size) }
+    }
+}
+
+/// Counts from now on.
+pub(super) fn start_counting() {
+    IS_COUNTING.store(true, Ordering::Relaxed);
+}
+
+/// The bytes on the heap since counting began.
+pub(super) fn live() -> u64 {
+    LIVE.load(Ordering::Relaxed).max(0) as u64
+}
+
+/// Forgets the peak, and gives the bytes on the heap now.
+pub(super) fn begin_swell() -> u64 {
+    let live_bytes = LIVE.load(Ordering::Relaxed);
+    PEAK.store(live_bytes, Ordering::Relaxed);
+    live_bytes.max(0) as u64
+}
+
+/// How far the heap has risen above what it was.
+pub(super) fn swell_above(begun_bytes: u64) -> u64 {
+    (PEAK.load(Ordering::Relaxed).max(0) as u64).saturating_sub(begun_bytes)
+}
--- /dev/null
+++ b/proving/expedition/src/hollow/mod.rs
@@ -0,0 +1,23 @@
+//! Hollow fleets: the real state machines of many daemons and three surveyors in one process, under
+//! virtual time, with callers, runners and a platform that are answered in memory. What each role sends,
+//! hears, computes and keeps is measured.
+
+mod calls;
+mod catalogue;
+mod events;
+mod fleet;
+mod memory;
+mod meter;
+mod platform;
+mod record;
+mod size;
+mod surveyors;
+mod trailheads;
+mod wire;
+mod zones;
+
+pub use fleet::Fleet;
+pub use memory::CountingAllocator;
+pub use meter::{Role, Tally, Work};
+pub use record::{RecordFault, RunRecord};
+pub use size::{HollowSize, SizeFault};
--- /dev/null
+++ b/proving/expedition/src/hollow/platform.rs
@@ -0,0 +1,141 @@
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use survey::desk::{ListedRunner, ListedWorker};
+use waymark::clock::Moment;
+use waymark::frames::Place;
+use waymark::identity::{FunctionKey, RunnerId, WorkerName};
+
+/// One hollow runner.
+pub(super) struct HollowRunner {
+    /// Its function.
+    pub function: FunctionKey,
+    /// Where it runs.
+    pub worker: WorkerName,
+    /// When it has booted.
+    pub ready_at: Moment,
+    /// Where it listens.
+    pub place: Place,
+}
+
+/// A platform that does at once what it is asked.
+pub(super) struct HollowPlatform {
+    workers: Vec<ListedWorker>,
+    runners: BTreeMap<RunnerId, HollowRunner>,
+    listening: HashMap<Place, RunnerId>,
+    started_count: u32,
+}
+
+impl HollowPlatform {
+    /// So many workers, a zone each in turn.
+    pub fn new(worker_count: usize, memory_mb: u32) -> Self {
+        let workers = (0..worker_count)
+            .map(|number| ListedWorker {
+                worker: format!("worker-{number:04}").into(),
+                locality: super::zones::Zone::of(number).locality(),
+                memory_mb,
+                draining: false,
+            })
+            .collect();
+        Self { workers, runners: BTreeMap::new(), listening: HashMap::new(), started_count: 0 }
+    }
+
+    /// Starts a runner and says where it listens.
+    pub fn start(
+        &mut self,
+        runner: RunnerId,
+        function: FunctionKey,
+        worker: WorkerName,
+        ready_at: Moment,
+    ) -> Place {
+        self.started_count += 1;
+        let [_, high, middle, low] = self.started_count.to_be_bytes();
+        let place = Place(SocketAddrV4::new(Ipv4Addr::new(11, high, middle, low), 9000));
+        self.listening.insert(place, runner);
+        self.runners.insert(runner, HollowRunner { function, worker, ready_at, place });
+        place
+    }
+
+    /// Stops a runner.
+    pub fn stop(&mut self, runner: RunnerId) {
+        if let Some(stopped) = self.runners.remove(&runner) {
+            self.listening.remove(&stopped.place);
+        }
+    }
+
+    /// Who listens at a place.
+    pub fn at(&self, place: Place) -> Option<(RunnerId, &HollowRunner)> {
+        let runner = *self.listening.get(&place)?;
+        self.runners.get(&runner).map(|held| (runner, held))
+    }
+
+    /// How many runners there are.
+    pub fn runner_count(&self) -> usize {
+        self.runners.len()
+    }
+
+    /// Both lists as the platform sends them.
+    pub fn list_bodies(&self) -> (Vec<u8>, Vec<u8>) {
+        let workers: Vec<Value> = self
+            .workers
+            .iter()
+            .map(|listed| {
+                json!({
+                    "worker": listed.worker.as_str(),
+                    "locality": listed.locality.as_str(),
+                    "memory_mb": listed.memory_mb,
+                    "draining": listed.draining,
+                })
+            })
+            .collect();
+        let runners: Vec<Value> = self
+            .runners
+            .iter()
+            .map(|(runner, held)| {
+                json!({
+                    "runner": runner.to_string(),
+                    "function": held.function.to_string(),
+                    "worker": held.worker.as_str(),
+                    "leaving": false,
+                })
+            })
+            .collect();
+        let workers_body = json!({"age_ms": 0, "workers": workers}).to_string();
+        let runners_body = json!({"age_ms": 0, "runners": runners}).to_string();
+        (workers_body.into_bytes(), runners_body.into_bytes())
+    }
+}
+
+fn text<'a>(row: &'a Value, key: &str) -> &'a str {
+    row[key].as_str().unwrap_or_default()
+}
+
+/// Reads the list of workers as the leader's caller of the platform does.
+pub(super) fn read_workers(body: &[u8]) -> Vec<ListedWorker> {
+    let listed: Value = serde_json::from_slice(body).unwrap_or_default();
+    let rows = listed["workers"].as_array().map(Vec::as_slice).unwrap_or_default();
+    rows.iter()
+        .map(|row| ListedWorker {
+            worker: text(row, "worker").into(),
+            locality: text(row, "locality").into(),
+            memory_mb: row["memory_mb"].as_u64().unwrap_or_default() as u32,
+            draining: row["draining"].as_bool().unwrap_or_default(),
+        })
+        .collect()
+}
+
+/// Reads the list of runners as the leader's caller of the platform does.
+pub(super) fn read_runners(body: &[u8]) -> Vec<ListedRunner> {
+    let listed: Value = serde_json::from_slice(body).unwrap_or_default();
+    let rows = listed["runners"].as_array().map(Vec::as_slice).unwrap_or_default();
+    rows.iter()
+        .filter_map(|row| {
+            Some(ListedRunner {
+                runner: text(row, "runner").parse().ok()?,
+                function: text(row, "function").parse().ok()?,
+                worker: text(row, "worker").into(),
+                leaving: row["leaving"].as_bool().unwrap_or_default(),
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/proving/expedition/src/hollow/surveyors.rs
@@ -0,0 +1,255 @@
+use super::catalogue;
+use super::events::Event;
+use super::fleet::{ChangeUnderWay, Fleet};
+use super::meter::{Role, Work};
+use super::platform::{read_runners, read_workers};
+use super::wire;
+use super::zones::Zone;
+use bytes::Bytes;
+use serde_json::Value;
+use std::time::Duration;
+use survey::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
+use survey::desk::{DeskTiming, StreamId};
+use survey::plane::{
+    ChangeKind, Numbered, Operation, OperationReply, OperationTicket, Plane, PlaneInput,
+    PlaneOutput, Wait,
+};
+use waymark::chance::Chance;
+use waymark::events;
+use waymark::frames::{CoreFrame, StreamDown, StreamUp, decode, encode};
+use waymark::identity::{ChangeId, RunnerId, Serial, Stamp, SurveyorId, Term, Ticket};
+use waymark::spec::{CoreMember, Document, read_spec};
+
+const TICK: Duration = Duration::from_millis(20);
+const POLL_EVERY: Duration = Duration::from_millis(400);
+const DISK_TAKES: Duration = Duration::from_millis(4);
+const PLATFORM_TAKES: Duration = Duration::from_millis(5);
+/// What a call to the platform carries beside its body, with its answer's.
+const HTTP_HEADERS: u64 = 400;
+
+/// One hollow surveyor.
+pub(super) struct Surveyor {
+    pub plane: Plane,
+}
+
+impl Surveyor {
+    fn role(&self) -> Role {
+        if self.plane.core().is_leader() { Role::Leading } else { Role::Following }
+    }
+}
+
+impl Fleet {
+    /// Three surveyors whose disks hold the first spec.
+    pub(super) fn found(&mut self, first_spec: Value) {
+        let seeds = Self::seeds();
+        let ids: Vec<SurveyorId> =
+            (0..seeds.len()).map(|_| SurveyorId(self.chance.number() | 1)).collect();
+        let members = ids.iter().zip(&seeds).enumerate();
+        let core: Vec<CoreMember> = members
+            .map(|(number, (id, place))| CoreMember {
+                id: *id,
+                place: *place,
+                locality: Zone::of(number).locality(),
+            })
+            .collect();
+        let checked_spec = read_spec(&first_spec).unwrap_or_default();
+        let founded = Document::founding(core);
+        let mut document = founded.with_spec(first_spec, &checked_spec, ChangeId::from("founding"));
+        document.stamp = Stamp { term: Term(1), serial: Serial(2) };
+        self.record.document_bytes = document.to_bytes().len() as u64;
+        let document_bytes = document.to_bytes();
+        for (number, id) in ids.into_iter().enumerate() {
+            let accepted = Document::from_bytes(&document_bytes).ok();
+            let recalled = Recalled { id, voted: None, accepted, distrusted: Stamp::default() };
+            let place = seeds[number];
+            let timing = CoreTiming::builder().build();
+            let fresh_span = timing.election_shortest;
+            let core = Core::new(
+                self.now,
+                timing,
+                recalled,
+                Address { place, operators: place },
+                Zone::of(number).locality(),
+                seeds.clone(),
+                Chance::seeded(self.chance.number()),
+            );
+            let plane = Plane::new(core, DeskTiming::builder().build(), fresh_span);
+            self.surveyors.push(Surveyor { plane });
+            self.push(Duration::from_millis(number as u64), Event::TickSurveyor(number));
+            self.push(Duration::from_millis(50), Event::Poll(number));
+        }
+    }
+
+    /// Feeds a surveyor and does what it orders.
+    pub(super) fn feed(&mut self, surveyor: usize, work: Work, input: PlaneInput) {
+        let now = self.now;
+        let role = self.surveyors[surveyor].role();
+        let plane = &mut self.surveyors[surveyor].plane;
+        let (orders, _) = self.meter.think(role, work, || plane.take(now, input));
+        for order in orders {
+            self.obey_surveyor(surveyor, order);
+        }
+    }
+
+    pub(super) fn tick_surveyor(&mut self, surveyor: usize) {
+        self.push(TICK, Event::TickSurveyor(surveyor));
+        self.feed(surveyor, Work::Ticks, PlaneInput::Tick);
+    }
+
+    fn obey_surveyor(&mut self, surveyor: usize, order: PlaneOutput) {
+        let role = self.surveyors[surveyor].role();
+        match order {
+            PlaneOutput::Send(to, frame) => {
+                let Some(other) = Self::surveyor_at(to) else { return };
+                let Ok(bytes) = self.meter.wire(role, Work::Core, 1, || encode(&frame)) else {
+                    return;
+                };
+                self.meter.sent(role, Work::Core, 1, wire::frame_bytes(bytes.len()));
+                let delay = Self::delay(surveyor, other);
+                self.push(delay, Event::Core(other, bytes.into()));
+            }
+            PlaneOutput::Write(ticket, job) => {
+                if let WriteJob::Version(document) = &job {
+                    let length = self.meter.wire(role, Work::Disk, 1, || document.to_bytes().len());
+                    self.meter.sent(role, Work::Disk, 1, length as u64);
+                }
+                self.push(DISK_TAKES, Event::Written(surveyor, ticket));
+            }
+            PlaneOutput::Down(stream, frame) => self.say_down(surveyor, stream, &frame),
+            PlaneOutput::Close(stream) => self.close_link(stream.0 as usize),
+            PlaneOutput::StopRunner(runner) => {
+                self.meter.sent(Role::Platform, Work::Runners, 1, HTTP_HEADERS);
+                self.platform.stop(runner);
+                self.push(PLATFORM_TAKES, Event::LeaderStopped(surveyor, runner));
+            }
+            PlaneOutput::Operated(ticket, reply) => self.operated(ticket, reply),
+            PlaneOutput::Told(numbered) => self.told(&numbered),
+        }
+    }
+
+    fn say_down(&mut self, surveyor: usize, stream: StreamId, frame: &StreamDown) {
+        let role = self.surveyors[surveyor].role();
+        let work = wire::work_down(frame);
+        let link = stream.0 as usize;
+        let Ok(bytes) = self.meter.wire(role, work, 1, || encode(frame)) else { return };
+        self.meter.sent(role, work, 1, wire::frame_bytes(bytes.len()));
+        let delay = Self::delay(surveyor, self.links[link].trailhead);
+        self.push(delay, Event::Down(link, bytes.into()));
+    }
+
+    pub(super) fn close_link(&mut self, link: usize) {
+        let delay = Self::delay(self.links[link].surveyor, self.links[link].trailhead);
+        self.push(delay, Event::LinkLost { link, at_surveyor: false });
+        self.push(delay, Event::LinkLost { link, at_surveyor: true });
+    }
+
+    pub(super) fn hear_core(&mut self, surveyor: usize, bytes: &Bytes) {
+        let role = self.surveyors[surveyor].role();
+        self.meter.heard(role, Work::Core, 1, wire::frame_bytes(bytes.len()));
+        let read = self.meter.wire(role, Work::Core, 1, || decode::<CoreFrame>(bytes));
+        if let Ok(frame) = read {
+            self.feed(surveyor, Work::Core, PlaneInput::Core(frame));
+        }
+    }
+
+    pub(super) fn written(&mut self, surveyor: usize, ticket: Ticket) {
+        self.feed(surveyor, Work::Disk, PlaneInput::Written(ticket, WriteResult::Synced));
+    }
+
+    pub(super) fn hear_up(&mut self, link: usize, bytes: &Bytes) {
+        if !self.links[link].is_open {
+            return;
+        }
+        let surveyor = self.links[link].surveyor;
+        let role = self.surveyors[surveyor].role();
+        let Ok(frame) = decode::<StreamUp>(bytes) else { return };
+        let work = wire::work_up(&frame);
+        let _ = self.meter.wire(role, work, 1, || decode::<StreamUp>(bytes));
+        self.meter.heard(role, work, 1, wire::frame_bytes(bytes.len()));
+        self.feed(surveyor, work, PlaneInput::Stream(StreamId(link as u64), frame));
+    }
+
+    pub(super) fn leader_stopped(&mut self, surveyor: usize, runner: RunnerId) {
+        self.feed(surveyor, Work::Runners, PlaneInput::RunnerStopped(runner));
+    }
+
+    /// The leader reads the platform's lists.
+    pub(super) fn poll(&mut self, surveyor: usize) {
+        self.push(POLL_EVERY, Event::Poll(surveyor));
+        if !self.surveyors[surveyor].plane.core().is_leader() {
+            return;
+        }
+        self.note_alive();
+        let (workers_body, runners_body) = self.platform.list_bodies();
+        let (workers, runners) = self.meter.wire(Role::Platform, Work::Lists, 1, || {
+            (read_workers(&workers_body), read_runners(&runners_body))
+        });
+        let list_bytes = (workers_body.len() + runners_body.len()) as u64;
+        self.meter.sent(Role::Platform, Work::Lists, 2, 2 * HTTP_HEADERS);
+        self.meter.heard(Role::Platform, Work::Lists, 2, list_bytes);
+        let listed_at = self.now;
+        self.feed(surveyor, Work::Lists, PlaneInput::Workers(workers));
+        self.feed(surveyor, Work::Lists, PlaneInput::Runners(listed_at, runners));
+    }
+
+    /// An operator changes one function.
+    pub(super) fn send_change(&mut self) {
+        let leads = |surveyor: &Surveyor| surveyor.plane.core().is_leader();
+        let Some(leader) = self.surveyors.iter().position(leads) else { return };
+        self.change_turn += 1;
+        let patch = catalogue::change_of(&mut self.chance, self.size.functions, self.change_turn);
+        let ticket = OperationTicket(self.number());
+        let under_way = ChangeUnderWay {
+            asked_at: self.now,
+            leader_nanos: self.meter.leader_nanos,
+            serial: None,
+        };
+        self.changes.insert(ticket, under_way);
+        let operation = Operation::Change {
+            base: None,
+            change: ChangeId::from(format!("change-{}", self.change_turn)),
+            kind: ChangeKind::Patch(patch),
+            wait: Wait::Accepted,
+        };
+        self.push(Duration::ZERO, Event::Operate(leader, ticket, Box::new(operation)));
+    }
+
+    pub(super) fn operate(
+        &mut self,
+        surveyor: usize,
+        ticket: OperationTicket,
+        operation: Operation,
+    ) {
+        self.feed(surveyor, Work::Changes, PlaneInput::Operate(ticket, operation));
+    }
+
+    fn operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
+        let OperationReply::Said(_, body) = reply else { return };
+        if let Some(under_way) = self.changes.get_mut(&ticket) {
+            under_way.serial = body["serial"].as_u64();
+        }
+    }
+
+    /// A change is in force: its time is that of the network, the leader's own from its asking, and the
+    /// slowest daemon's installing.
+    fn told(&mut self, numbered: &Numbered) {
+        if numbered.told.event != events::IN_FORCE {
+            return;
+        }
+        let in_force = numbered.told.detail["serial"].as_u64();
+        let leader_nanos = self.meter.leader_nanos;
+        let now = self.now;
+        let done: Vec<OperationTicket> = self
+            .changes
+            .iter()
+            .filter(|(_, under_way)| under_way.serial.is_some() && under_way.serial <= in_force)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in done {
+            let Some(under_way) = self.changes.remove(&ticket) else { continue };
+            let network_ms = now.since(under_way.asked_at).as_secs_f64() * 1e3;
+            let leader_ms = (leader_nanos - under_way.leader_nanos) as f64 / 1e6;
+            self.record.in_force.push((network_ms, leader_ms));
+        }
+    }
+}
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -1,6 +1,7 @@
 //! The proving tool: whole days of the fleet, judged.
 
 use expedition::days::{Day, Deployment, FaultName, run_day};
+use expedition::hollow::{CountingAllocator, Fleet, HollowSize, RecordFault};
 use expedition::judge::{Evidence, EvidenceFault, Recovery, Verdict, judge};
 use expedition::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
 use eyre::{WrapErr, eyre};
@@ -12,6 +13,9 @@
 use std::time::Duration;
 use waymark::rules::Rule;
 
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
 /// Runs rudderstream's whole fleet on this machine, hurts it, and judges what callers and runners saw.
 #[derive(Options)]
 struct Flags {
@@ -35,10 +39,38 @@
     Sim(Sim),
     #[options(help = "take each safety rule away and see that it is found")]
     Proofs(Proofs),
+    #[options(help = "measure a hollow fleet, all its state machines in this process")]
+    Hollow(Hollow),
     #[options(help = "list deployments and faults")]
     List(Plain),
 }
 
+#[derive(Options)]
+struct Hollow {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "daemons", default = "50")]
+    daemons: usize,
+    #[options(no_short, help = "functions, each with a route", default = "200")]
+    functions: usize,
+    #[options(no_short, help = "functions that are called and so held, if not all")]
+    held: Option<usize>,
+    #[options(no_short, help = "runners that each held function keeps", default = "1")]
+    runners: u32,
+    #[options(no_short, help = "changes of the spec while it is measured", default = "4")]
+    changes: u32,
+    #[options(help = "seed", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "calls a second and daemon while it is measured", default = "4")]
+    calls: u32,
+    #[options(no_short, help = "seconds of virtual time that are measured", default = "10")]
+    seconds: u64,
+    #[options(no_short, help = "seconds of real time after which it is stopped", default = "180")]
+    patience: u64,
+    #[options(no_short, help = "a folder for the record; none is written without")]
+    folder: Option<PathBuf>,
+}
+
 #[derive(Options)]
 struct Plain {
     #[options(help = "print this help")]
@@ -212,6 +244,7 @@
             .map(|evidence| conclude(&judge(&evidence))),
         Some(Command::Table(table)) => tabulate(&table.folders).wrap_err("records"),
         Some(Command::Sim(sim)) => return simulate(&sim),
+        Some(Command::Hollow(hollow)) => measure(&hollow).wrap_err("record"),
         Some(Command::Proofs(proofs)) => return prove(&proofs),
         Some(Command::Run(run)) => match read_day(&run) {
             Ok(day) => run_whole(&day),
@@ -227,6 +260,34 @@
     })
 }
 
+/// Runs a hollow fleet, prints what it came to, and keeps it.
+fn measure(hollow: &Hollow) -> Result<ExitCode, RecordFault> {
+    let size = HollowSize {
+        daemons: hollow.daemons,
+        functions: hollow.functions,
+        held: hollow.held.unwrap_or(hollow.functions),
+        runners: hollow.runners,
+        changes: hollow.changes,
+        seed: hollow.seed,
+        calls: hollow.calls,
+        measured: Duration::from_secs(hollow.seconds),
+        patience: Duration::from_secs(hollow.patience),
+    };
+    let fleet = match size.checked().and_then(Fleet::new) {
+        Ok(fleet) => fleet,
+        Err(fault) => {
+            eprintln!("expedition: {fault}");
+            return Ok(ExitCode::from(2));
+        }
+    };
+    let record = fleet.run();
+    print!("{record}");
+    if let Some(folder) = &hollow.folder {
+        println!("{}", record.write(folder)?.display());
+    }
+    Ok(if record.stopped.is_none() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
 /// Prints a table in Markdown: for each fault its runs, shares, and times to recovery.
 fn tabulate(folders: &[PathBuf]) -> Result<ExitCode, EvidenceFault> {
     let mut by_fault: BTreeMap<String, Vec<Recovery>> = BTreeMap::new();
