docs/CAPACITY.md from measured slopes, its tables made by expedition capacity

Cause: what the size of two years from now asks of each role was not known. Change: the page with a table for each role, fitted to the records of hollow fleets, plots, and a test that compares page and files.

--- a/proving/expedition/src/hollow/calls.rs
+++ b/proving/expedition/src/hollow/calls.rs
@@ -58,13 +58,7 @@
         match event {
             Event::Fill => self.fill(),
             Event::Call => self.call_some(),
-            Event::Look { trailhead, number, wake } => {
-                if self.pending(trailhead, number).is_some_and(|pending| pending.wakes == wake) {
-                    self.step(trailhead, number, Awaits::Look, |way, lodge, now| {
-                        way.look(lodge, now)
-                    });
-                }
-            }
+            Event::Look { trailhead, number, wake } => self.look(trailhead, number, wake),
             Event::AcquireTimedOut(trailhead, number) => {
                 self.step(trailhead, number, Awaits::Acquired, |way, lodge, now| {
                     way.look(lodge, now)
@@ -111,6 +105,9 @@
 
     /// Calls every function once, through some door each.
     fn fill(&mut self) {
+        if self.fill_next == 0 {
+            self.record.join_nanos = self.meter.leader_nanos;
+        }
         let ticks = (self.fill_span().as_millis() / FILLS_EVERY.as_millis()).max(1) as usize;
         let share = self.size.held.div_ceil(ticks);
         let until = (self.fill_next + share).min(self.size.held);
@@ -178,6 +175,13 @@
         self.step(trailhead, number, Awaits::Look, |way, lodge, now| way.look(lodge, now));
     }
 
+    /// The time of a wait is up, unless something else has come since.
+    fn look(&mut self, trailhead: usize, number: u64, wake: u64) {
+        if self.pending(trailhead, number).is_some_and(|pending| pending.wakes == wake) {
+            self.step(trailhead, number, Awaits::Look, |way, lodge, now| way.look(lodge, now));
+        }
+    }
+
     /// Something has changed that a waiting transaction may wait for.
     pub(super) fn look_all(&mut self, trailhead: usize) {
         let Some(begun) = &mut self.trailheads[trailhead] else { return };
--- a/proving/expedition/src/hollow/fleet.rs
+++ b/proving/expedition/src/hollow/fleet.rs
@@ -4,7 +4,7 @@
 use super::memory;
 use super::meter::Meter;
 use super::platform::HollowPlatform;
-use super::record::RunRecord;
+use super::record::{Halt, RunRecord};
 use super::size::{HollowSize, SizeFault, half_of_memory};
 use super::surveyors::Surveyor;
 use super::trailheads::Trailhead;
@@ -40,13 +40,6 @@
     pub serial: Option<u64>,
 }
 
-/// Why a fleet was not run to its end.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(super) enum Halt {
-    Patience,
-    Memory,
-}
-
 /// A hollow fleet.
 pub struct Fleet {
     pub(super) size: HollowSize,
@@ -185,9 +178,9 @@
 
     fn halt(&self, begun_at: Instant) -> Option<Halt> {
         if begun_at.elapsed() > self.size.patience {
-            return Some(Halt::Patience);
+            return Some(Halt::Patience(self.now));
         }
-        (memory::live() > self.half_bytes).then_some(Halt::Memory)
+        (memory::live() > self.half_bytes).then_some(Halt::Memory(self.now))
     }
 
     fn conclude(mut self, took: Duration, halt: Option<Halt>) -> RunRecord {
@@ -195,10 +188,7 @@
         record.took = took;
         record.heap_bytes = memory::live();
         record.instances = self.platform.runner_count() as u64;
-        record.stopped = halt.map(|halt| match halt {
-            Halt::Patience => format!("real time is up at {} of virtual time", self.now),
-            Halt::Memory => format!("half of the memory is used at {} of virtual time", self.now),
-        });
+        record.stopped = halt;
         record.tallies = self.meter.tallies().clone();
         let held_count = |trailhead: &Trailhead| trailhead.lodge.holdings.load().len() as u64;
         record.held = self.trailheads.iter().flatten().map(held_count).sum();
--- /dev/null
+++ b/proving/expedition/src/hollow/page/figure.rs
@@ -0,0 +1,165 @@
+use super::fit::{Fit, Term};
+use std::fmt;
+
+/// What a figure is counted in.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Unit {
+    /// Bytes.
+    Bytes,
+    /// Bytes a second.
+    BytesASecond,
+    /// Megabytes.
+    Megabytes,
+    /// Messages a second.
+    MessagesASecond,
+    /// Calls a second.
+    CallsASecond,
+    /// Microseconds of processor time a second.
+    BusyASecond,
+    /// Processor cores.
+    Cores,
+    /// A factor.
+    Times,
+    /// Milliseconds.
+    Millis,
+    /// Seconds.
+    Seconds,
+}
+
+impl fmt::Display for Unit {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::Bytes => "B",
+            Self::BytesASecond => "B/s",
+            Self::Megabytes => "MB",
+            Self::MessagesASecond => "messages/s",
+            Self::CallsASecond => "calls/s",
+            Self::BusyASecond => "µs/s",
+            Self::Cores => "cores",
+            Self::Times => "×",
+            Self::Millis => "ms",
+            Self::Seconds => "s",
+        })
+    }
+}
+
+/// One row of a role's table: a sum of lines, each as often as it counts at the size of two years on.
+#[derive(Clone, Debug)]
+pub struct Figure {
+    /// What it is.
+    pub name: String,
+    /// What it is counted in.
+    pub unit: Unit,
+    /// The lines, each with its factor at that size.
+    pub parts: Vec<(Fit, f64)>,
+    /// What may be spent.
+    pub budget: Option<f64>,
+    /// Whether it is the sum of rows above.
+    pub is_sum: bool,
+}
+
+/// A number with three places that count, and thousands apart.
+pub fn written(value: f64) -> String {
+    let size = value.abs();
+    if size == 0.0 {
+        return "0".to_owned();
+    }
+    if size >= 100.0 {
+        let places = 10f64.powf(size.log10().floor() - 2.0);
+        let whole = ((value / places).round() * places) as i64;
+        let digits = whole.abs().to_string();
+        let mut grouped = String::new();
+        for (place, digit) in digits.chars().enumerate() {
+            if place > 0 && (digits.len() - place).is_multiple_of(3) {
+                grouped.push(' ');
+            }
+            grouped.push(digit);
+        }
+        if whole < 0 { format!("-{grouped}") } else { grouped }
+    } else {
+        let decimals = (2.0 - size.log10().floor()).clamp(0.0, 12.0) as usize;
+        format!("{value:.decimals$}")
+    }
+}
+
+impl Figure {
+    /// One line that counts so often.
+    pub fn of(name: &str, unit: Unit, fit: &Fit, factor: f64) -> Self {
+        let parts = vec![(fit.clone(), factor)];
+        Self { name: name.to_owned(), unit, parts, budget: None, is_sum: false }
+    }
+
+    /// The sum of other figures.
+    pub fn sum(name: &str, unit: Unit, figures: &[&Figure]) -> Self {
+        let parts = figures.iter().flat_map(|figure| figure.parts.clone()).collect();
+        Self { name: name.to_owned(), unit, parts, budget: None, is_sum: true }
+    }
+
+    /// With what may be spent.
+    pub fn within(mut self, budget: f64) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
+    /// Its value at the size of two years from now.
+    pub fn at_target(&self) -> f64 {
+        self.parts.iter().map(|(fit, factor)| fit.line.at_target() * factor).sum()
+    }
+
+    /// By how much it misses its budget: above one it does not fit.
+    pub fn ratio(&self) -> Option<f64> {
+        self.budget.map(|budget| self.at_target() / budget)
+    }
+
+    fn spread(&self) -> Option<(f64, f64)> {
+        let seed_count = self.parts.iter().map(|(fit, _)| fit.by_seed.len()).max()?;
+        let of_seed = |seed: usize| -> f64 {
+            self.parts
+                .iter()
+                .map(|(fit, factor)| {
+                    fit.by_seed.get(seed).unwrap_or(&fit.line).at_target() * factor
+                })
+                .sum()
+        };
+        let values: Vec<f64> = (0..seed_count).map(of_seed).collect();
+        let least = values.iter().copied().reduce(f64::min)?;
+        let most = values.iter().copied().reduce(f64::max)?;
+        Some((least, most))
+    }
+
+    fn formula(&self) -> String {
+        if self.is_sum {
+            return "the sum of the rows named".to_owned();
+        }
+        let Some((fit, factor)) = self.parts.first() else { return String::new() };
+        let parts: Vec<String> = fit
+            .line
+            .parts
+            .iter()
+            .map(|(term, slope)| match term {
+                Term::One => written(*slope),
+                _ => format!("{} {term}", written(*slope)),
+            })
+            .collect();
+        let line = parts.join(" + ");
+        if *factor == 1.0 { line } else { format!("({line}) × {}", written(*factor)) }
+    }
+
+    /// The row as Markdown.
+    pub fn row(&self) -> String {
+        let spread = match self.spread() {
+            Some((least, most)) => format!("{} to {}", written(least), written(most)),
+            None => "worked out".to_owned(),
+        };
+        let value = format!("{} {}", written(self.at_target()), self.unit);
+        let budget = self
+            .budget
+            .map_or("–".to_owned(), |budget| format!("{} {}", written(budget), self.unit));
+        let ratio = match self.ratio() {
+            Some(ratio) if ratio > 1.0 => format!("**{} × too much**", written(ratio)),
+            Some(ratio) => written(ratio),
+            None => "–".to_owned(),
+        };
+        format!("| {} | {} | {value} | {spread} | {budget} | {ratio} |", self.name, self.formula())
+    }
+}
--- /dev/null
+++ b/proving/expedition/src/hollow/page/fit.rs
@@ -0,0 +1,227 @@
+use super::Run;
+use std::fmt;
+
+/// What a figure grows with.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Term {
+    /// Nothing: the intercept.
+    One,
+    /// Daemons.
+    Daemons,
+    /// Functions in the spec.
+    Functions,
+    /// Functions held by all daemons together.
+    Held,
+    /// Functions held by one daemon.
+    HeldByOne,
+    /// Runners alive.
+    Instances,
+    /// Functions held times runners alive.
+    HeldTimesInstances,
+    /// Daemons squared.
+    DaemonsSquared,
+    /// Changes of the spec a second.
+    Changes,
+    /// Changes of the spec a second, times functions in it.
+    ChangedFunctions,
+}
+
+impl Term {
+    /// Its value in a run.
+    pub fn of(self, run: &Run) -> f64 {
+        match self {
+            Self::One => 1.0,
+            Self::Daemons => run.daemons(),
+            Self::Functions => run.number("functions"),
+            Self::Held => run.number("held"),
+            Self::HeldByOne => run.held_by_one(),
+            Self::Instances => run.number("instances"),
+            Self::HeldTimesInstances => run.number("held") * run.number("instances"),
+            Self::DaemonsSquared => run.daemons() * run.daemons(),
+            Self::Changes => run.number("changes") / run.number("measured_s"),
+            Self::ChangedFunctions => {
+                run.number("functions") * run.number("changes") / run.number("measured_s")
+            }
+        }
+    }
+
+    /// Its value at the size of two years from now.
+    pub fn target(self) -> f64 {
+        match self {
+            Self::One => 1.0,
+            Self::Daemons => 740.0,
+            Self::Functions | Self::Held => 15_000.0,
+            Self::HeldByOne => 15_000.0 / 740.0,
+            Self::Instances => 40_000.0,
+            Self::HeldTimesInstances => 15_000.0 * 40_000.0,
+            Self::DaemonsSquared => 740.0 * 740.0,
+            Self::Changes => 1_800.0 / 86_400.0,
+            Self::ChangedFunctions => 15_000.0 * 1_800.0 / 86_400.0,
+        }
+    }
+}
+
+impl fmt::Display for Term {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::One => "",
+            Self::Daemons => "D",
+            Self::Functions => "F",
+            Self::Held => "H",
+            Self::HeldByOne => "H/D",
+            Self::Instances => "N",
+            Self::HeldTimesInstances => "H·N",
+            Self::DaemonsSquared => "D²",
+            Self::Changes => "C",
+            Self::ChangedFunctions => "C·F",
+        })
+    }
+}
+
+/// An intercept and slopes.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Each term with its factor.
+    pub parts: Vec<(Term, f64)>,
+}
+
+impl Line {
+    /// The line through points, by least squares of relative deviations; terms whose factor comes out
+    /// below nothing are left out, since no cost shrinks with size.
+    pub fn through(terms: &[Term], points: &[(&Run, f64)]) -> Self {
+        let mut kept: Vec<Term> = terms.to_vec();
+        loop {
+            let factors = solve(&kept, points);
+            let lowest = factors
+                .iter()
+                .enumerate()
+                .filter(|(_, factor)| **factor < 0.0)
+                .min_by(|left, right| left.1.total_cmp(right.1));
+            match lowest {
+                Some((place, _)) if kept.len() > 1 => {
+                    kept.remove(place);
+                }
+                _ => {
+                    let parts = kept.into_iter().zip(factors).collect();
+                    return Self { parts }.without_trifles(points);
+                }
+            }
+        }
+    }
+
+    /// Without the terms that come to less than a millionth of every point.
+    fn without_trifles(mut self, points: &[(&Run, f64)]) -> Self {
+        self.parts.retain(|(term, factor)| {
+            points.iter().any(|(run, value)| factor * term.of(run) > value.abs() * 1e-6)
+        });
+        self
+    }
+
+    /// Its value where terms have the values given.
+    pub fn at(&self, value_of: impl Fn(Term) -> f64) -> f64 {
+        self.parts.iter().map(|(term, factor)| factor * value_of(*term)).sum()
+    }
+
+    /// Its value at the size of two years from now.
+    pub fn at_target(&self) -> f64 {
+        self.at(Term::target)
+    }
+
+    fn keeping(&self, is_kept: &dyn Fn(Term) -> bool) -> Self {
+        Self { parts: self.parts.iter().copied().filter(|(term, _)| is_kept(*term)).collect() }
+    }
+}
+
+/// Weighted least squares by normal equations, each term scaled to its largest value.
+fn solve(terms: &[Term], points: &[(&Run, f64)]) -> Vec<f64> {
+    let count = terms.len();
+    let scales: Vec<f64> = terms
+        .iter()
+        .map(|term| points.iter().map(|(run, _)| term.of(run).abs()).fold(1e-12, f64::max))
+        .collect();
+    let mut rows = vec![vec![0.0; count + 1]; count];
+    for (run, value) in points {
+        let weight = 1.0 / value.abs().max(1e-9).powi(2);
+        let values: Vec<f64> =
+            terms.iter().zip(&scales).map(|(term, scale)| term.of(run) / scale).collect();
+        for left in 0..count {
+            for right in 0..count {
+                rows[left][right] += weight * values[left] * values[right];
+            }
+            rows[left][count] += weight * values[left] * value;
+        }
+    }
+    for pivot in 0..count {
+        let best = (pivot..count)
+            .max_by(|left, right| rows[*left][pivot].abs().total_cmp(&rows[*right][pivot].abs()))
+            .unwrap_or(pivot);
+        rows.swap(pivot, best);
+        if rows[pivot][pivot].abs() < 1e-18 {
+            continue;
+        }
+        let pivot_row = rows[pivot].clone();
+        for (place, row) in rows.iter_mut().enumerate() {
+            if place != pivot {
+                let share = row[pivot] / pivot_row[pivot];
+                for (cell, pivot_cell) in row.iter_mut().zip(&pivot_row) {
+                    *cell -= share * pivot_cell;
+                }
+            }
+        }
+    }
+    (0..count)
+        .map(|place| {
+            let divisor = rows[place][place];
+            if divisor.abs() < 1e-18 { 0.0 } else { rows[place][count] / divisor / scales[place] }
+        })
+        .collect()
+}
+
+/// A line through all runs, and one through the runs of each seed.
+#[derive(Clone, Debug)]
+pub struct Fit {
+    /// Through all of them.
+    pub line: Line,
+    /// For each seed.
+    pub by_seed: Vec<Line>,
+}
+
+impl Fit {
+    /// Fits what is read from each run; a run of which nothing is read is left out.
+    pub fn of(terms: &[Term], runs: &[&Run], read: impl Fn(&Run) -> Option<f64>) -> Self {
+        let points: Vec<(&Run, f64)> =
+            runs.iter().filter_map(|run| Some((*run, read(run)?))).collect();
+        let mut seeds: Vec<u64> = points.iter().map(|(run, _)| run.seed()).collect();
+        seeds.sort_unstable();
+        seeds.dedup();
+        let by_seed = seeds
+            .into_iter()
+            .map(|seed| {
+                let seeded: Vec<(&Run, f64)> =
+                    points.iter().filter(|(run, _)| run.seed() == seed).copied().collect();
+                Line::through(terms, &seeded)
+            })
+            .collect();
+        Self { line: Line::through(terms, &points), by_seed }
+    }
+
+    /// A figure that nothing is measured for.
+    pub fn fixed(value: f64) -> Self {
+        Self { line: Line { parts: vec![(Term::One, value)] }, by_seed: Vec::new() }
+    }
+
+    /// Only the part that grows with one term.
+    pub fn only(&self, wanted: Term) -> Self {
+        self.keeping(&|term| term == wanted)
+    }
+
+    /// All but the part that grows with one term.
+    pub fn without(&self, unwanted: Term) -> Self {
+        self.keeping(&|term| term != unwanted)
+    }
+
+    fn keeping(&self, is_kept: &dyn Fn(Term) -> bool) -> Self {
+        let by_seed = self.by_seed.iter().map(|line| line.keeping(is_kept)).collect();
+        Self { line: self.line.keeping(is_kept), by_seed }
+    }
+}
--- /dev/null
+++ b/proving/expedition/src/hollow/page/plots.rs
@@ -0,0 +1,209 @@
+use super::fit::Term;
+use super::scope::Scope;
+use super::{PageFault, Run};
+use plotters::prelude::*;
+use std::path::{Path, PathBuf};
+
+/// Why a plot cannot be drawn.
+pub type DrawFault = DrawingAreaErrorKind<std::io::Error>;
+
+struct Plot<'a> {
+    file: &'a str,
+    title: &'a str,
+    sizes: &'a str,
+    values: &'a str,
+    target: f64,
+    points: Vec<(f64, f64)>,
+    line: Vec<(f64, f64)>,
+    budget: f64,
+    budget_name: &'a str,
+}
+
+fn ladder(from: f64, to: f64) -> impl Iterator<Item = f64> {
+    (0..=60).map(move |step| from * (to / from).powf(f64::from(step) / 60.0))
+}
+
+/// A fleet's sizes with all but one of them held still.
+fn at_size(daemons: f64, functions: f64, held: f64) -> impl Fn(Term) -> f64 {
+    move |term| match term {
+        Term::One => 1.0,
+        Term::Daemons => daemons,
+        Term::Functions => functions,
+        Term::Held | Term::Instances => held,
+        Term::HeldByOne => held / daemons,
+        Term::HeldTimesInstances => held * held,
+        Term::DaemonsSquared => daemons * daemons,
+        Term::Changes => 0.4,
+        Term::ChangedFunctions => 0.4 * functions,
+    }
+}
+
+fn leader_busy(run: &Run) -> f64 {
+    let works = ["leading renewals", "leading idle", "leading ticks", "leading core"];
+    works.iter().map(|work| run.busy(work)).sum()
+}
+
+fn in_force(run: &Run) -> Option<f64> {
+    run.in_force().map(|(network_ms, leader_ms, install_ms)| network_ms + leader_ms + install_ms)
+}
+
+/// Draws every plot into a folder, and names the files.
+pub fn draw_plots(folder: &Path, runs: &[Run]) -> Result<Vec<PathBuf>, PageFault> {
+    let scope = Scope::of(runs);
+    let calm: Vec<&Run> = runs.iter().filter(|run| run.is_calm()).collect();
+    let wide: Vec<&Run> =
+        calm.iter().copied().filter(|run| run.number("functions") == 200.0).collect();
+    let held: Vec<&Run> = calm
+        .iter()
+        .copied()
+        .filter(|run| {
+            run.daemons() == 50.0
+                && run.number("runners") == 1.0
+                && run.number("functions") == run.number("held_wanted")
+        })
+        .collect();
+    let deep: Vec<&Run> = calm
+        .iter()
+        .copied()
+        .filter(|run| run.daemons() == 50.0 && run.number("held_wanted") == 200.0)
+        .collect();
+    let plots = [
+        Plot {
+            file: "bytes-at-a-daemon.svg",
+            title: "Heartbeat bytes at a daemon",
+            sizes: "daemons",
+            values: "bytes a second, sent and heard",
+            target: 740.0,
+            points: wide
+                .iter()
+                .map(|run| {
+                    let bytes = run.rate("door beats", "sent_bytes")
+                        + run.rate("door beats", "heard_bytes");
+                    (run.daemons(), bytes / run.daemons())
+                })
+                .collect(),
+            line: ladder(40.0, 900.0)
+                .map(|size| (size, scope.beat_bytes.line.at(at_size(size, 200.0, 200.0))))
+                .collect(),
+            budget: 5_000.0,
+            budget_name: "5 KB/s",
+        },
+        Plot {
+            file: "leader-by-daemons.svg",
+            title: "Processor time at the leader, 200 functions",
+            sizes: "daemons",
+            values: "microseconds a second",
+            target: 740.0,
+            points: wide.iter().map(|run| (run.daemons(), leader_busy(run))).collect(),
+            line: ladder(40.0, 900.0)
+                .map(|size| (size, scope.leader_busy(&at_size(size, 200.0, 200.0))))
+                .collect(),
+            budget: 1e6,
+            budget_name: "one core",
+        },
+        Plot {
+            file: "leader-by-functions.svg",
+            title: "Processor time at the leader, 50 daemons, every function held",
+            sizes: "functions held, one runner each",
+            values: "microseconds a second",
+            target: 15_000.0,
+            points: held.iter().map(|run| (run.number("held"), leader_busy(run))).collect(),
+            line: ladder(150.0, 18_000.0)
+                .map(|size| (size, scope.leader_busy(&at_size(50.0, size, size))))
+                .collect(),
+            budget: 1e6,
+            budget_name: "one core",
+        },
+        Plot {
+            file: "force-by-daemons.svg",
+            title: "A change in force, 200 functions",
+            sizes: "daemons",
+            values: "milliseconds",
+            target: 740.0,
+            points: wide.iter().filter_map(|run| Some((run.daemons(), in_force(run)?))).collect(),
+            line: ladder(40.0, 900.0)
+                .map(|size| (size, scope.force_ms(&at_size(size, 200.0, 200.0))))
+                .collect(),
+            budget: 5_000.0,
+            budget_name: "5 s",
+        },
+        Plot {
+            file: "force-by-functions.svg",
+            title: "A change in force, 50 daemons, 200 functions held",
+            sizes: "functions in the spec",
+            values: "milliseconds",
+            target: 15_000.0,
+            points: deep
+                .iter()
+                .filter_map(|run| Some((run.number("functions"), in_force(run)?)))
+                .collect(),
+            line: ladder(150.0, 18_000.0)
+                .map(|size| (size, scope.force_ms(&at_size(50.0, size, 200.0))))
+                .collect(),
+            budget: 5_000.0,
+            budget_name: "5 s",
+        },
+    ];
+    plots.iter().map(|plot| plot.draw(folder)).collect()
+}
+
+impl Plot<'_> {
+    fn draw(&self, folder: &Path) -> Result<PathBuf, PageFault> {
+        let path = folder.join(self.file);
+        let drawn = self.draw_at(&path);
+        drawn.map_err(|fault| PageFault::Plot(path.clone(), fault))?;
+        Ok(path)
+    }
+
+    fn draw_at(&self, path: &Path) -> Result<(), DrawFault> {
+        let area = SVGBackend::new(path, (760, 460)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let sizes = self.line.iter().map(|(size, _)| *size);
+        let (least, most) =
+            (sizes.clone().fold(f64::INFINITY, f64::min), sizes.fold(0.0, f64::max));
+        let values =
+            self.line.iter().chain(&self.points).map(|(_, value)| *value).chain([self.budget]);
+        let (lowest, highest) =
+            (values.clone().fold(f64::INFINITY, f64::min) * 0.6, values.fold(0.0, f64::max) * 1.8);
+        let mut chart = ChartBuilder::on(&area)
+            .caption(self.title, ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(42)
+            .y_label_area_size(86)
+            .build_cartesian_2d((least..most).log_scale(), (lowest..highest).log_scale())?;
+        chart
+            .configure_mesh()
+            .light_line_style(WHITE)
+            .x_desc(self.sizes)
+            .y_desc(self.values)
+            .label_style(("sans-serif", 13))
+            .draw()?;
+        let budget_line = [(least, self.budget), (most, self.budget)];
+        chart
+            .draw_series(LineSeries::new(budget_line, RED.stroke_width(2)))?
+            .label(format!("budget: {}", self.budget_name))
+            .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], RED.stroke_width(2)));
+        chart
+            .draw_series(LineSeries::new(self.line.iter().copied(), BLUE.stroke_width(2)))?
+            .label("by the slopes")
+            .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], BLUE.stroke_width(2)));
+        let target_line = [(self.target, lowest), (self.target, highest)];
+        chart
+            .draw_series(LineSeries::new(target_line, BLACK.mix(0.4).stroke_width(1)))?
+            .label("the size of two years from now")
+            .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], BLACK.mix(0.4)));
+        chart
+            .draw_series(self.points.iter().map(|point| Circle::new(*point, 4, BLACK.filled())))?
+            .label("measured")
+            .legend(|(x, y)| Circle::new((x + 9, y), 4, BLACK.filled()));
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK.mix(0.3))
+            .label_font(("sans-serif", 13))
+            .draw()?;
+        area.present()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/proving/expedition/src/hollow/page/runs.rs
@@ -0,0 +1,105 @@
+use super::PageFault;
+use crate::hollow::record::RecordFault;
+use serde_json::Value;
+use std::path::Path;
+
+/// One run as its file tells it.
+pub struct Run(Value);
+
+impl Run {
+    /// A number of the record; zero when there is none.
+    pub fn number(&self, key: &str) -> f64 {
+        self.0[key].as_f64().unwrap_or_default()
+    }
+
+    /// Daemons.
+    pub fn daemons(&self) -> f64 {
+        self.number("daemons")
+    }
+
+    /// Functions held, by one daemon on average.
+    pub fn held_by_one(&self) -> f64 {
+        self.number("held") / self.daemons()
+    }
+
+    /// The seed.
+    pub fn seed(&self) -> u64 {
+        self.number("seed") as u64
+    }
+
+    /// Why it was stopped early.
+    pub fn stopped(&self) -> Option<&str> {
+        self.0["stopped"].as_str()
+    }
+
+    /// Whether slopes are taken from it: a whole run without calls, and not one of the crossed sizes
+    /// that the slopes are held against.
+    pub fn is_calm(&self) -> bool {
+        let is_crossed = self.daemons() > 50.0 && self.number("functions") > 200.0;
+        self.stopped().is_none() && self.number("calls") == 0.0 && !is_crossed
+    }
+
+    /// Whether it is one of the crossed sizes.
+    pub fn is_crossed(&self) -> bool {
+        let is_crossed = self.daemons() > 50.0 && self.number("functions") > 200.0;
+        self.stopped().is_none() && is_crossed
+    }
+
+    /// Whether it was called while it was measured, at a size where daemons see each other.
+    pub fn is_called(&self) -> bool {
+        self.stopped().is_none() && self.number("calls") > 0.0 && self.daemons() <= 50.0
+    }
+
+    /// A sum of one role's work.
+    pub fn work(&self, work: &str, key: &str) -> f64 {
+        self.0["work"][work][key].as_f64().unwrap_or_default()
+    }
+
+    /// A sum of one role's work, a second.
+    pub fn rate(&self, work: &str, key: &str) -> f64 {
+        self.work(work, key) / self.number("measured_s")
+    }
+
+    /// Processor time of one role's work a second, in microseconds, frames included.
+    pub fn busy(&self, work: &str) -> f64 {
+        self.rate(work, "think_us") + self.rate(work, "wire_us")
+    }
+
+    /// Processor time of one step, in microseconds, frames not included.
+    pub fn each(&self, work: &str) -> Option<f64> {
+        let steps = self.work(work, "steps");
+        (steps > 0.0).then(|| self.work(work, "think_us") / steps)
+    }
+
+    /// The changes' longest time on the network, the leader's longest own time, and the slowest install,
+    /// in milliseconds; none when no change came into force.
+    pub fn in_force(&self) -> Option<(f64, f64, f64)> {
+        let rows = self.0["in_force_ms"].as_array().filter(|rows| !rows.is_empty())?;
+        let longest =
+            |part: usize| rows.iter().filter_map(|row| row[part].as_f64()).fold(0.0, f64::max);
+        Some((longest(0), longest(1), self.number("install_ms")))
+    }
+}
+
+/// Reads every record of a folder, in the order of sizes.
+pub fn read_runs(folder: &Path) -> Result<Vec<Run>, PageFault> {
+    let file_fault = |fault| RecordFault::File(folder.to_owned(), fault);
+    let mut runs = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(file_fault)? {
+        let path = entry.map_err(file_fault)?.path();
+        if path.extension().is_some_and(|extension| extension == "json") {
+            let text = std::fs::read_to_string(&path)
+                .map_err(|fault| RecordFault::File(path.clone(), fault))?;
+            let value = serde_json::from_str(&text)
+                .map_err(|fault| RecordFault::NotJson(path.clone(), fault))?;
+            runs.push(Run(value));
+        }
+    }
+    let sizes = ["daemons", "functions", "held_wanted", "runners", "calls", "seed"];
+    runs.sort_by_key(|run| sizes.map(|key| run.number(key) as u64));
+    let whole_count = runs.iter().filter(|run| run.is_calm()).count();
+    if whole_count < 6 {
+        return Err(PageFault::TooFew(folder.to_owned(), whole_count));
+    }
+    Ok(runs)
+}
--- /dev/null
+++ b/proving/expedition/src/hollow/page/tables.rs
@@ -0,0 +1,170 @@
+use super::figure::{Figure, written};
+use super::fit::Term;
+use super::scope::Scope;
+use super::{PageFault, Run};
+use crate::hollow::record::RecordFault;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+
+/// The page's tables by their names, made from the runs.
+pub fn tables(runs: &[Run]) -> BTreeMap<&'static str, String> {
+    let scope = Scope::of(runs);
+    let roles = [
+        ("door", scope.door(runs)),
+        ("holder", scope.holder(runs)),
+        ("following", scope.following(runs)),
+        ("leading", scope.leading(runs)),
+        ("platform", scope.platform(runs)),
+    ];
+    let misses = misses(&roles);
+    let mut made: BTreeMap<&'static str, String> =
+        roles.into_iter().map(|(name, figures)| (name, role_table(&figures))).collect();
+    made.insert("misses", misses);
+    made.insert("runs", runs_table(runs));
+    made.insert("crossed", crossed_table(&scope, runs));
+    made
+}
+
+fn role_table(figures: &[Figure]) -> String {
+    let mut table = String::from(
+        "| figure | intercept + slope × size | at the size | over the seeds | budget | ratio |\n|---|---|---|---|---|---|\n",
+    );
+    for figure in figures {
+        let _ = writeln!(table, "{}", figure.row());
+    }
+    table
+}
+
+/// What does not fit, the worst first.
+fn misses(roles: &[(&'static str, Vec<Figure>)]) -> String {
+    let mut missing: Vec<(f64, &str, &Figure)> = roles
+        .iter()
+        .flat_map(|(role, figures)| figures.iter().map(move |figure| (*role, figure)))
+        .filter_map(|(role, figure)| Some((figure.ratio()?, role, figure)))
+        .filter(|(ratio, _, _)| *ratio > 1.0)
+        .collect();
+    missing.sort_by(|left, right| right.0.total_cmp(&left.0));
+    let mut table = String::from(
+        "| role | figure | at the size | budget | misses by |\n|---|---|---|---|---|\n",
+    );
+    for (ratio, role, figure) in missing {
+        let name = figure.name.replace('*', "");
+        let budget = figure.budget.map(written).unwrap_or_default();
+        let _ = writeln!(
+            table,
+            "| {role} | {name} | {} {unit} | {budget} {unit} | **{} ×** |",
+            written(figure.at_target()),
+            written(ratio),
+            unit = figure.unit,
+        );
+    }
+    table
+}
+
+struct Size<'a> {
+    runs: Vec<&'a Run>,
+}
+
+impl Size<'_> {
+    fn mean(&self, read: impl Fn(&Run) -> f64) -> f64 {
+        self.runs.iter().map(|run| read(run)).sum::<f64>() / self.runs.len().max(1) as f64
+    }
+}
+
+/// How far the fleets went.
+fn runs_table(runs: &[Run]) -> String {
+    let keys = ["daemons", "functions", "held_wanted", "runners", "calls"];
+    let mut sizes: BTreeMap<[u64; 5], Size<'_>> = BTreeMap::new();
+    for run in runs {
+        let key = keys.map(|key| run.number(key) as u64);
+        sizes.entry(key).or_insert(Size { runs: Vec::new() }).runs.push(run);
+    }
+    let mut table = String::from(
+        "| daemons | functions | held | runners each | calls/s each | seeds | real time | memory | seen alive | answered | grants ended | change: network, leader, install |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+    );
+    for ([daemons, functions, held, runners, calls], size) in sizes {
+        let called = size.mean(|run| run.number("called"));
+        let answered = if called > 0.0 {
+            format!("{:.1} %", size.mean(|run| run.number("answered")) / called * 100.0)
+        } else {
+            "–".to_owned()
+        };
+        let part = |place: usize| {
+            let read = |run: &Run| {
+                run.in_force()
+                    .map_or(0.0, |(network, leader, install)| [network, leader, install][place])
+            };
+            written(size.mean(read))
+        };
+        let stopped = size.runs.iter().find_map(|run| run.stopped());
+        let change = stopped.map_or_else(
+            || format!("{}, {}, {} ms", part(0), part(1), part(2)),
+            |reason| format!("stopped: {reason}"),
+        );
+        let _ = writeln!(
+            table,
+            "| {daemons} | {functions} | {held} | {runners} | {calls} | {} | {:.0} s | {:.0} MB | {:.1} | {answered} | {:.0} | {change} |",
+            size.runs.len(),
+            size.mean(|run| run.number("took_s")),
+            size.mean(|run| run.number("heap_bytes")) / 1e6,
+            size.mean(|run| run.number("alive_seen")),
+            size.mean(|run| run.number("grants_ended")),
+        );
+    }
+    table
+}
+
+/// What the slopes say of fleets that they were not taken from.
+fn crossed_table(scope: &Scope, runs: &[Run]) -> String {
+    let mut table = String::from(
+        "| fleet | figure | by the slopes | measured | measured ÷ slopes |\n|---|---|---|---|---|\n",
+    );
+    for run in runs.iter().filter(|run| run.is_crossed()) {
+        let value_of = |term: Term| term.of(run);
+        let beat_bytes = (run.rate("door beats", "sent_bytes")
+            + run.rate("door beats", "heard_bytes"))
+            / run.daemons();
+        let leader_works = ["leading renewals", "leading idle", "leading ticks", "leading core"];
+        let leader_busy: f64 = leader_works.iter().map(|work| run.busy(work)).sum();
+        let in_force = run
+            .in_force()
+            .map_or(0.0, |(network_ms, leader_ms, install_ms)| network_ms + leader_ms + install_ms);
+        let rows = [
+            ("heartbeat bytes at a daemon, B/s", scope.beat_bytes.line.at(value_of), beat_bytes),
+            ("the leader's processor time, µs/s", scope.leader_busy(&value_of), leader_busy),
+            ("a change in force, ms", scope.force_ms(&value_of), in_force),
+        ];
+        for (name, foretold, measured) in rows {
+            let _ = writeln!(
+                table,
+                "| {} daemons, {} functions, {} held | {name} | {} | {} | {:.2} |",
+                run.daemons(),
+                run.number("functions"),
+                run.number("held"),
+                written(foretold),
+                written(measured),
+                measured / foretold,
+            );
+        }
+    }
+    table
+}
+
+fn marks(name: &str) -> (String, String) {
+    (format!("<!-- made: {name} -->"), format!("<!-- end: {name} -->"))
+}
+
+/// The page with every table between its marks made anew.
+pub fn renew(page_path: &Path, runs: &[Run]) -> Result<String, PageFault> {
+    let mut page = std::fs::read_to_string(page_path)
+        .map_err(|fault| RecordFault::File(page_path.to_owned(), fault))?;
+    for (name, table) in tables(runs) {
+        let (begins, ends) = marks(name);
+        let unmarked = |mark: &str| PageFault::Unmarked(page_path.to_owned(), mark.to_owned());
+        let from = page.find(&begins).ok_or_else(|| unmarked(&begins))? + begins.len();
+        let length = page[from..].find(&ends).ok_or_else(|| unmarked(&ends))?;
+        page.replace_range(from..from + length, &format!("\n{table}"));
+    }
+    Ok(page)
+}
--- a/proving/expedition/src/hollow/record.rs
+++ b/proving/expedition/src/hollow/record.rs
@@ -5,6 +5,25 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use waymark::clock::Moment;
+
+/// Why a fleet was not run to its end, and at which moment of virtual time.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Halt {
+    /// Its real time was up.
+    Patience(Moment),
+    /// It had taken half of the machine's memory.
+    Memory(Moment),
+}
+
+impl fmt::Display for Halt {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Patience(at) => write!(out, "real time is up at {at} of virtual time"),
+            Self::Memory(at) => write!(out, "half of the memory is used at {at} of virtual time"),
+        }
+    }
+}
 
 /// What one hollow fleet came to.
 pub struct RunRecord {
@@ -13,7 +32,7 @@
     /// Real time taken.
     pub took: Duration,
     /// Why it was not run to its end.
-    pub stopped: Option<String>,
+    pub stopped: Option<Halt>,
     /// Functions held at the end, by all daemons together.
     pub held: u64,
     /// Runners alive at the end.
@@ -36,6 +55,10 @@
     pub document_bytes: u64,
     /// Bytes of the last heartbeat without headers.
     pub heartbeat_bytes: u64,
+    /// Bytes of the last list of daemons, with its headers.
+    pub hosts_bytes: u64,
+    /// The leader's processor time until every daemon had joined, in nanoseconds.
+    pub join_nanos: u64,
     /// Bytes on the heap at the end, everything together.
     pub heap_bytes: u64,
     /// Bytes that each daemon freed beside the functions it held.
@@ -104,6 +127,8 @@
             grants_ended: 0,
             document_bytes: 0,
             heartbeat_bytes: 0,
+            hosts_bytes: 0,
+            join_nanos: 0,
             heap_bytes: 0,
             door_bytes: Vec::new(),
             holder_bytes: Vec::new(),
@@ -155,7 +180,7 @@
             "calls": self.size.calls,
             "measured_s": self.size.measured.as_secs(),
             "took_s": rounded(self.took.as_secs_f64()),
-            "stopped": self.stopped,
+            "stopped": self.stopped.map(|halt| halt.to_string()),
             "held": self.held,
             "instances": self.instances,
             "alive_seen": rounded(self.alive_seen()),
@@ -166,6 +191,8 @@
             "grants_ended": self.grants_ended,
             "document_bytes": self.document_bytes,
             "heartbeat_bytes": self.heartbeat_bytes,
+            "hosts_bytes": self.hosts_bytes,
+            "join_ms": self.join_nanos / 1_000_000,
             "heap_bytes": self.heap_bytes,
             "door_bytes": mean(&self.door_bytes),
             "holder_bytes": mean(&self.holder_bytes),
--- a/proving/expedition/src/hollow/surveyors.rs
+++ b/proving/expedition/src/hollow/surveyors.rs
@@ -133,6 +133,9 @@
         let link = stream.0 as usize;
         let Ok(bytes) = self.meter.wire(role, work, 1, || encode(frame)) else { return };
         self.meter.sent(role, work, 1, wire::frame_bytes(bytes.len()));
+        if work == Work::Hosts {
+            self.record.hosts_bytes = wire::frame_bytes(bytes.len());
+        }
         let delay = Self::delay(surveyor, self.links[link].trailhead);
         self.push(delay, Event::Down(link, bytes.into()));
     }
--- a/proving/expedition/src/main.rs
+++ b/proving/expedition/src/main.rs
@@ -1,6 +1,7 @@
 //! The proving tool: whole days of the fleet, judged.
 
 use expedition::days::{Day, Deployment, FaultName, run_day};
+use expedition::hollow::page::{PageFault, draw_plots, read_runs, renew};
 use expedition::hollow::{CountingAllocator, Fleet, HollowSize, RecordFault};
 use expedition::judge::{Evidence, EvidenceFault, Recovery, Verdict, judge};
 use expedition::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
@@ -41,6 +42,8 @@
     Proofs(Proofs),
     #[options(help = "measure a hollow fleet, all its state machines in this process")]
     Hollow(Hollow),
+    #[options(help = "make the capacity page's tables and plots from hollow fleets' records")]
+    Capacity(Capacity),
     #[options(help = "list deployments and faults")]
     List(Plain),
 }
@@ -71,6 +74,20 @@
     folder: Option<PathBuf>,
 }
 
+#[derive(Options)]
+struct Capacity {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        help = "the folder of plots, with the records in its runs",
+        default = "docs/capacity"
+    )]
+    from: PathBuf,
+    #[options(no_short, help = "the page", default = "docs/CAPACITY.md")]
+    page: PathBuf,
+}
+
 #[derive(Options)]
 struct Plain {
     #[options(help = "print this help")]
@@ -244,6 +261,7 @@
             .map(|evidence| conclude(&judge(&evidence))),
         Some(Command::Table(table)) => tabulate(&table.folders).wrap_err("records"),
         Some(Command::Sim(sim)) => return simulate(&sim),
+        Some(Command::Capacity(capacity)) => renew_page(&capacity).wrap_err("page"),
         Some(Command::Hollow(hollow)) => measure(&hollow).wrap_err("record"),
         Some(Command::Proofs(proofs)) => return prove(&proofs),
         Some(Command::Run(run)) => match read_day(&run) {
@@ -260,6 +278,19 @@
     })
 }
 
+/// Makes the page's tables and plots anew.
+fn renew_page(capacity: &Capacity) -> Result<ExitCode, PageFault> {
+    let runs = read_runs(&capacity.from.join("runs"))?;
+    let renewed_page = renew(&capacity.page, &runs)?;
+    std::fs::write(&capacity.page, renewed_page)
+        .map_err(|fault| RecordFault::File(capacity.page.clone(), fault))?;
+    println!("{}", capacity.page.display());
+    for plot_path in draw_plots(&capacity.from, &runs)? {
+        println!("{}", plot_path.display());
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Runs a hollow fleet, prints what it came to, and keeps it.
 fn measure(hollow: &Hollow) -> Result<ExitCode, RecordFault> {
     let size = HollowSize {
--- /dev/null
+++ b/proving/expedition/tests/capacity.rs
@@ -0,0 +1,83 @@
+//! The capacity page says what its files say, and sizes that cannot be are refused.
+
+use expedition::hollow::page::{read_runs, renew, tables};
+use expedition::hollow::{Fleet, HollowSize};
+use googletest::prelude::*;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+fn documents() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs")
+}
+
+fn run(arguments: &[&str]) -> Result<Output> {
+    Ok(Command::new(env!("CARGO_BIN_EXE_expedition")).args(arguments).output()?)
+}
+
+#[gtest]
+fn the_page_is_what_the_command_makes_of_the_files() -> Result<()> {
+    let page_path = documents().join("CAPACITY.md");
+    let runs = read_runs(&documents().join("capacity/runs"))?;
+    let renewed_page = renew(&page_path, &runs)?;
+    let page = std::fs::read_to_string(&page_path)?;
+    verify_that!(page == renewed_page, eq(true))
+        .with_failure_message(|| "run: expedition capacity --from docs/capacity".to_owned())?;
+    verify_that!(tables(&runs).len(), eq(8))
+}
+
+#[gtest]
+fn every_size_asked_for_was_run_with_three_seeds() -> Result<()> {
+    let runs = read_runs(&documents().join("capacity/runs"))?;
+    for daemons in [50.0, 100.0, 200.0, 400.0, 740.0] {
+        let whole = runs.iter().filter(|run| run.is_calm() && run.daemons() == daemons);
+        let mut seeds: Vec<u64> = whole.map(|run| run.seed()).collect();
+        seeds.sort_unstable();
+        seeds.dedup();
+        verify_that!(seeds, eq(&vec![1, 2, 3]))?;
+    }
+    let deepest = runs.iter().map(|run| run.number("functions") as u64).max();
+    verify_that!(deepest, some(eq(15_000)))
+}
+
+#[gtest]
+fn sizes_that_cannot_be_are_refused_with_limit_and_reason() -> Result<()> {
+    let cases: [(&[&str], &str); 5] = [
+        (&["hollow", "--daemons", "0"], "the least is 1"),
+        (&["hollow", "--functions", "0"], "the least is 1"),
+        (&["hollow", "--functions", "5", "--held", "9"], "limit of 5"),
+        (
+            &["hollow", "--daemons", "100000", "--functions", "15000"],
+            "half of the machine's memory",
+        ),
+        (&["hollow", "--moons", "3"], "moons"),
+    ];
+    for (arguments, reason) in cases {
+        let refused = run(arguments)?;
+        verify_that!(refused.status.code(), some(eq(2)))?;
+        let said = String::from_utf8_lossy(&refused.stderr).into_owned();
+        verify_that!(said, contains_substring(reason))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_small_fleet_holds_its_functions_and_answers() -> Result<()> {
+    let size = HollowSize {
+        daemons: 8,
+        functions: 12,
+        held: 12,
+        runners: 1,
+        changes: 1,
+        seed: 7,
+        calls: 5,
+        measured: Duration::from_secs(2),
+        patience: Duration::from_secs(120),
+    };
+    let record = Fleet::new(size)?.run();
+    verify_that!(record.stopped, none())?;
+    verify_that!(record.held, eq(12))?;
+    verify_that!(record.alive_seen(), eq(8.0))?;
+    verify_that!(record.in_force.len(), eq(1))?;
+    verify_that!(record.answered * 10, ge(record.called * 9))
+}
