Capacity: the leader's own part of a change is fitted to fleets of all sizes

Cause: a line through 50 daemons alone foretold a third too little at 400. Change: daemons and their square join its terms.

--- a/proving/expedition/src/hollow/page/scope.rs
+++ b/proving/expedition/src/hollow/page/scope.rs
@@ -46,7 +46,7 @@
     pub leading_core: Fit,
     /// The network's part of a change, in milliseconds.
     pub force_network: Fit,
-    /// The leader's own part of a change with 50 daemons, in milliseconds.
+    /// The leader's own part of a change, in milliseconds.
     pub force_leader: Fit,
     /// One daemon's word of a spec installed, at the leader, in microseconds.
     pub installed_each: Fit,
@@ -76,9 +76,6 @@
     /// Fits the lines to whole runs without calls.
     pub fn of(runs: &[Run]) -> Self {
         let calm: Vec<&Run> = runs.iter().filter(|run| run.is_calm()).collect();
-        let force = |part: fn((f64, f64, f64)) -> f64| {
-            move |run: &Run| run.in_force().filter(|_| run.daemons() == 50.0).map(part)
-        };
         Self {
             beat_bytes: Fit::of(&[Term::One, Term::Daemons], &calm, |run| {
                 let sent_and_heard =
@@ -95,16 +92,20 @@
                 run.in_force().map(|(network_ms, _, _)| network_ms)
             }),
             force_leader: Fit::of(
-                &[Term::One, Term::Functions, Term::HeldTimesInstances],
+                &[
+                    Term::One,
+                    Term::Daemons,
+                    Term::DaemonsSquared,
+                    Term::Functions,
+                    Term::HeldTimesInstances,
+                ],
                 &calm,
-                force(|(_, leader_ms, _)| leader_ms),
+                |run| run.in_force().map(|(_, leader_ms, _)| leader_ms),
             ),
             installed_each: Fit::of(&LOADED, &calm, |run| run.each("leading spec")),
-            install: Fit::of(
-                &[Term::One, Term::Functions],
-                &calm,
-                force(|(_, _, install_ms)| install_ms),
-            ),
+            install: Fit::of(&[Term::One, Term::Functions], &calm, |run| {
+                run.in_force().map(|(_, _, install_ms)| install_ms)
+            }),
         }
     }
 
@@ -333,7 +334,8 @@
 
     /// The time of a change to in force at any size, in milliseconds.
     pub fn force_ms(&self, value_of: &dyn Fn(Term) -> f64) -> f64 {
-        let installed_ms = self.installed_each.line.at(value_of) / 1e3;
+        let product = self.installed_each.only(Term::HeldTimesInstances);
+        let installed_ms = product.line.at(value_of) / 1e3;
         self.force_network.line.at(value_of)
             + self.force_leader.line.at(value_of)
             + self.install.line.at(value_of)
@@ -389,16 +391,11 @@
             Figure::of("memory on top while a change is made", Unit::Megabytes, &swell, 1.0);
         let all_memory = Figure::sum("**memory**", Unit::Megabytes, &[&memory, &swell]);
         let network = Figure::of("a change: the network", Unit::Millis, &self.force_network, 1.0);
-        let own = Figure::of(
-            "a change: the leader, with 50 daemons",
-            Unit::Millis,
-            &self.force_leader,
-            1.0,
-        );
+        let own = Figure::of("a change: the leader", Unit::Millis, &self.force_leader, 1.0);
         let told = Figure::of(
-            "a change: the leader hears the other 690 daemons",
+            "a change: what H·N adds at the words of 690 more daemons",
             Unit::Millis,
-            &self.installed_each,
+            &self.installed_each.only(Term::HeldTimesInstances),
             (DAEMONS - 50.0) / 1e3,
         );
         let install = Figure::of("a change: the slowest daemon", Unit::Millis, &self.install, 1.0);
