--- a/crates/survey/src/core/output.rs
+++ b/crates/survey/src/core/output.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeSet;
-use waymark::frames::{CoreFrame, KnownMember, Place};
+use waymark::frames::{Blob, CoreFrame, KnownMember, Place};
 use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
 use waymark::spec::Document;
 
@@ -16,6 +16,18 @@
     pub distrusted: Stamp,
 }
 
+impl Recalled {
+    /// What an empty disk remembers.
+    pub fn nothing(id: SurveyorId) -> Self {
+        Self { id, voted: None, accepted: None, distrusted: Stamp::default() }
+    }
+
+    /// Whether nothing but an identity is remembered.
+    pub fn is_nothing(&self) -> bool {
+        self.voted.is_none() && self.accepted.is_none() && self.distrusted == Stamp::default()
+    }
+}
+
 /// What the disk is told to write.
 #[derive(Clone, Debug)]
 pub enum WriteJob {
@@ -26,12 +38,19 @@
         /// Who got the vote.
         candidate: SurveyorId,
     },
-    /// A version of the document.
-    Version(Document),
+    /// A version of the document, with its bytes.
+    Version(Document, Blob),
     /// Read every kept file again; a damaged newest version is written anew from memory.
     Scrub(Option<Document>),
 }
 
+impl WriteJob {
+    /// A version, written out.
+    pub fn version(document: &Document) -> Self {
+        Self::Version(document.clone(), Blob::from(document.to_bytes()))
+    }
+}
+
 /// How a write ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum WriteResult {
--- a/crates/survey/src/disk/mod.rs
+++ b/crates/survey/src/disk/mod.rs
@@ -76,7 +76,7 @@
         .as_ref()
         .and_then(|document| crate::core::left_alone(document, recalled.id))
         .ok_or(ShelfFault::NothingToRecover)?;
-    shelf.write(&WriteJob::Version(alone.clone()))?;
+    shelf.write(&WriteJob::version(&alone))?;
     Ok(alone.stamp)
 }
 
@@ -169,8 +169,8 @@
             WriteJob::Vote { term, candidate } => {
                 self.write_file(&vote_name(*term), format!("{:x}", candidate.0).as_bytes())?;
             }
-            WriteJob::Version(document) => {
-                self.write_file(&version_name(document.stamp), &document.to_bytes())?;
+            WriteJob::Version(document, document_bytes) => {
+                self.write_file(&version_name(document.stamp), &document_bytes.0)?;
             }
             WriteJob::Scrub(document) => {
                 self.scrub(document.as_ref())?;
@@ -277,12 +277,27 @@
                 recalled.voted = None;
                 recalled.accepted = None;
                 self.set_all_aside()?;
+                let _ = fs::remove_file(self.folder.join("first"));
             }
             self.write_file("identity", format!("{:x}", recalled.id.0).as_bytes())?;
         }
         Ok((recalled, set_aside))
     }
 
+    /// Notes on a disk without an identity that the whole system starts for the first time. On a disk
+    /// that has one nothing is noted.
+    pub fn note_first_start(&self) -> Result<(), ShelfFault> {
+        if self.folder.join("identity").exists() {
+            return Ok(());
+        }
+        self.write_file("first", b"yes")
+    }
+
+    /// Whether this disk began with the whole system's first start.
+    pub fn is_first_start(&self) -> bool {
+        self.read_file("first").is_some()
+    }
+
     fn kept_distrust(&self) -> Option<Stamp> {
         let payload = self.read_file("distrusted")?;
         let (term_text, serial_text) = std::str::from_utf8(&payload).ok()?.split_once('/')?;
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/survey/src/plane/mod.rs
@@ -5,22 +5,30 @@
 mod operation;
 mod traces;
 
+pub use changes::change_name;
 pub use history::{History, Numbered};
-pub use operation::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
+pub use operation::{
+    ChangeKind, ItemChange, Numbering, Operation, OperationReply, OperationTicket, Wait,
+};
 
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
-use crate::desk::{
-    Desk, DeskOutput, DeskTiming, ListedRunner, ListedWorker, Proof, StreamId, Told,
-};
+use crate::desk::{Desk, DeskOutput, DeskTiming, Proof, StreamId, Told};
 use changes::Changes;
+use operation::WaitingOperation;
 use serde_json::json;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 use traces::Traces;
 use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{CoreFrame, Place, StreamDown, StreamUp};
 use waymark::identity::{RunnerId, Serial, Ticket};
 use waymark::rules::Rules;
+use waymark::tongue::{ListedRunner, ListedWorker, StopOrder};
+
+const DESK_EVERY: Duration = Duration::from_millis(50);
+const WAITING_EVERY: Duration = Duration::from_millis(100);
+const IDLE_EVERY: Duration = Duration::from_millis(500);
 
 /// What reaches a surveyor.
 #[derive(Debug)]
@@ -43,6 +51,10 @@
     RunnerStopped(RunnerId),
     /// An operator's wish.
     Operate(OperationTicket, Operation),
+    /// Connections to this place are refused: the process there is gone.
+    Gone(Place),
+    /// Other seeds.
+    Seeds(Vec<Place>),
 }
 
 /// What a surveyor orders.
@@ -57,7 +69,7 @@
     /// End a daemon's stream.
     Close(StreamId),
     /// Have the platform stop a runner.
-    StopRunner(RunnerId),
+    StopRunner(StopOrder),
     /// Answer an operator.
     Operated(OperationTicket, OperationReply),
     /// An event was noted.
@@ -69,10 +81,11 @@
     core: Core,
     desk: Option<Desk>,
     desk_timing: DeskTiming,
-    fresh_span: std::time::Duration,
+    fresh_span: Duration,
     streams: BTreeSet<StreamId>,
     history: History,
     changes: Changes,
+    waiting: VecDeque<WaitingOperation>,
     traces: Traces,
     rules: Rules,
     outputs: Vec<PlaneOutput>,
@@ -80,7 +93,7 @@
 
 impl Plane {
     /// A surveyor around a core member.
-    pub fn new(core: Core, desk_timing: DeskTiming, fresh_span: std::time::Duration) -> Self {
+    pub fn new(core: Core, desk_timing: DeskTiming, fresh_span: Duration) -> Self {
         Self {
             core,
             desk: None,
@@ -89,6 +102,7 @@
             streams: BTreeSet::new(),
             history: History::default(),
             changes: Changes::default(),
+            waiting: VecDeque::new(),
             traces: Traces::default(),
             rules: Rules::KEPT,
             outputs: Vec::new(),
@@ -116,6 +130,16 @@
         self.history.newest()
     }
 
+    /// When time must pass next, if nothing reaches it before.
+    pub fn next_due(&self, now: Moment) -> Moment {
+        let longest_span = match (&self.desk, self.waiting.is_empty()) {
+            (Some(_), _) => DESK_EVERY,
+            (None, false) => WAITING_EVERY,
+            (None, true) => IDLE_EVERY,
+        };
+        self.core.next_due().min(now + longest_span)
+    }
+
     /// Takes one input and returns what is ordered.
     pub fn take(&mut self, now: Moment, input: PlaneInput) -> Vec<PlaneOutput> {
         match input {
@@ -157,6 +181,8 @@
                 }
             }
             PlaneInput::Operate(ticket, operation) => self.operate(now, ticket, operation),
+            PlaneInput::Gone(place) => self.core.leader_gone(now, place),
+            PlaneInput::Seeds(seeds) => self.core.reseed(seeds),
         }
         self.progress(now);
         std::mem::take(&mut self.outputs)
@@ -176,10 +202,12 @@
     }
 
     fn progress(&mut self, now: Moment) {
+        self.progress_waiting(now);
         self.progress_changes(now);
         let Some(desk) = &mut self.desk else { return };
-        let (known_members, whole) = desk.known_members();
-        self.core.set_members(known_members, whole);
+        if let Some((known_members, whole)) = desk.take_known_members() {
+            self.core.set_members(known_members, whole);
+        }
         let core = &self.core;
         let proof = Proof {
             ready: core.is_ready(),
@@ -191,8 +219,8 @@
                 DeskOutput::Down { stream, frame } => {
                     self.outputs.push(PlaneOutput::Down(stream, frame));
                 }
-                DeskOutput::StopRunner(runner) => {
-                    self.outputs.push(PlaneOutput::StopRunner(runner));
+                DeskOutput::StopRunner(order) => {
+                    self.outputs.push(PlaneOutput::StopRunner(order));
                 }
                 DeskOutput::Told(told) => {
                     if told.event == events::IN_FORCE
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/trail/src/drivers/holding.rs
@@ -21,6 +21,7 @@
 
 /// Does what a holder orders.
 pub fn drive(held: &HeldHere, state: &Arc<State>, outputs: Vec<HolderOutput>) {
+    state.hurry(held);
     for output in outputs {
         match held.question(output) {
             Ok(question) => {
@@ -48,25 +49,27 @@
         }
         HolderOutput::Start { runner, worker, spec } => {
             tokio::spawn(async move {
-                let place = platform::start(&state, &held, runner, &worker, &spec).await;
-                apply(&held, &state, |holder, now| holder.started(now, runner, place));
+                let end = platform::start(&state, &held, runner, &worker, &spec).await;
+                apply(&held, &state, |holder, now| holder.started(now, runner, end));
             });
         }
         HolderOutput::Probe { runner, place } => {
             tokio::spawn(async move {
-                let is_ready = runners::is_ready(runner, place).await;
+                let is_ready = runners::is_ready(&state, &held, runner, place).await;
                 apply(&held, &state, |holder, now| holder.probed(now, runner, is_ready));
             });
         }
         HolderOutput::Settle { runner, place } => {
             tokio::spawn(async move {
-                let running = runners::running(runner, place).await;
+                let face = held.face_of(runner);
+                let running = runners::running(&state, face, place).await;
                 apply(&held, &state, |holder, now| holder.settled(now, runner, running));
             });
         }
-        HolderOutput::Stop { runner } => {
+        HolderOutput::Stop { runner, worker, life } => {
+            state.runner_links.forget(runner);
             tokio::spawn(async move {
-                if platform::stop(&state, runner).await {
+                if platform::stop(&state, &held, runner, worker, life).await {
                     apply(&held, &state, |holder, now| holder.stopped(now, runner));
                 }
             });
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/trail/src/drivers/state.rs
@@ -1,13 +1,17 @@
 use super::control::ControlInput;
+use super::links::RunnerLinks;
 use super::{Gauges, HopLinks};
 use crate::boot::TrailheadBoot;
+use crate::holder::Tuning;
 use crate::lodge::{Held, Lodge};
+use crate::tongue::TrailTongues;
 use std::sync::{Arc, PoisonError};
-use tokio::sync::{mpsc, oneshot, watch};
-use waymark::clock::Moment;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use waymark::clock::{Moment, SharedMoment};
 use waymark::frames::{AcquireResult, HopOutcome, Host};
 use waymark::identity::FunctionKey;
 use waymark::rules::Rules;
+use waymark::spec::CallerLimits;
 
 /// A held function whose transactions wait on this process's tasks.
 pub type HeldHere = Arc<Held<oneshot::Sender<HopOutcome>>>;
@@ -16,12 +20,18 @@
 pub struct State {
     /// The boot settings.
     pub boot: TrailheadBoot,
+    /// How callers, runners and platform are spoken with.
+    pub tongues: TrailTongues,
     /// The daemon itself.
     pub lodge: Lodge<oneshot::Sender<HopOutcome>>,
     /// Links to the other daemons.
     pub links: HopLinks,
+    /// Connections to runners.
+    pub runner_links: Arc<RunnerLinks>,
     /// The metrics.
     pub gauges: Gauges,
+    pub(super) rush: Notify,
+    pub(super) control_due: SharedMoment,
     pub(super) changes: watch::Sender<u64>,
     pub(super) control: mpsc::UnboundedSender<ControlInput>,
 }
@@ -31,13 +41,20 @@
         boot: TrailheadBoot,
         own_host: Host,
         rules: Rules,
+        tongues: TrailTongues,
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
+        let tuning = Tuning { settles: tongues.runner.running_path().is_some(), ..boot.tuning };
+        let lodge = Lodge::new(own_host, rules).with_tuning(tuning);
         Self {
             links: HopLinks::new(*boot.place.0.ip()),
             boot,
-            lodge: Lodge::new(own_host, rules),
+            tongues,
+            lodge,
+            runner_links: Arc::new(RunnerLinks::default()),
             gauges: Gauges::new(),
+            rush: Notify::new(),
+            control_due: SharedMoment::new(),
             changes: watch::Sender::new(0),
             control,
         }
@@ -48,6 +65,15 @@
         self.changes.subscribe()
     }
 
+    /// The largest body taken from a caller: what the spec says, or else the boot settings.
+    pub fn largest_call(&self, limits: CallerLimits) -> usize {
+        if limits.body_bytes == CallerLimits::default().body_bytes {
+            self.boot.largest_body
+        } else {
+            limits.body_bytes
+        }
+    }
+
     /// Asks the leader for a function, together with all who ask for it now; none if the stream is lost.
     pub async fn acquire(&self, function: &FunctionKey) -> Option<AcquireResult> {
         let (result_sender, result) = oneshot::channel();
@@ -55,6 +81,14 @@
         result.await.ok()
     }
 
+    /// Has the control task look earlier than it meant to, if a holder needs that.
+    pub(super) fn hurry(&self, held: &HeldHere) {
+        let holder_due = held.with(|holder| holder.next_due());
+        if holder_due.is_some_and(|due| due < self.control_due.get()) {
+            self.rush.notify_one();
+        }
+    }
+
     /// Brings the gauges up to the moment.
     pub(super) fn gauge(&self) {
         let holdings = self.lodge.holdings.load_full();
--- a/crates/trail/src/holder/custody.rs
+++ b/crates/trail/src/holder/custody.rs
@@ -1,3 +1,4 @@
+use super::runners::RunnerRecord;
 use super::{Holder, HolderOutput, HolderWord};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -126,7 +127,7 @@
     fn send_noted(&mut self, now: Moment, ticket: Ticket) {
         let Some(sent) = self.sent.get(&ticket) else { return };
         let (runner, attempt) = (sent.runner, sent.waiting.attempt);
-        let place = self.runners.get(&runner).and_then(|record| record.place);
+        let place = self.runners.get(&runner).and_then(RunnerRecord::place);
         match place.filter(|_| !self.closed) {
             Some(place) => {
                 self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
@@ -138,7 +139,8 @@
     fn take_back(&mut self, now: Moment, ticket: Ticket) {
         let Some(sent) = self.sent.remove(&ticket) else { return };
         if let Some(record) = self.runners.get_mut(&sent.runner) {
-            record.send_ended(now, &sent.waiting.entry.transaction, true);
+            let entry = &sent.waiting.entry;
+            record.send_ended(now, &entry.transaction, entry.budget_end, true);
         }
         self.put_back(now, sent.waiting);
     }
@@ -168,7 +170,7 @@
         };
         let all_waiting = std::mem::take(&mut self.inbox);
         for waiting in all_waiting {
-            if waiting.entry.once && is_known(&waiting.entry.transaction) {
+            if waiting.entry.is_noted_once() && is_known(&waiting.entry.transaction) {
                 let outcome = HopOutcome::Unknown { reason: HopReason::RanBefore };
                 self.end(now, waiting.entry, outcome);
             } else {
@@ -184,7 +186,7 @@
         }
         let all_waiting = std::mem::take(&mut self.inbox);
         for waiting in all_waiting {
-            if waiting.entry.once {
+            if waiting.entry.is_noted_once() {
                 self.give_up(now, waiting, HopReason::OnceWait, retry_span);
             } else {
                 self.inbox.push_back(waiting);
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/trail/src/holder/mod.rs
@@ -6,8 +6,10 @@
 mod runners;
 mod scaling;
 mod tries;
+mod tuning;
 
 pub use output::{HolderOutput, HolderWord, SendEnd};
+pub use tuning::Tuning;
 
 use crate::ledger::Book;
 use custody::Custody;
@@ -18,12 +20,17 @@
 use tries::TryWindow;
 use waymark::clock::Moment;
 use waymark::frames::{
-    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Host, Many, Place, Prior, ReserveResult,
+    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Host, Life, Many, Prior, ReserveResult,
     RunnerNews,
 };
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use waymark::rules::{Rule, Rules};
 use waymark::spec::FunctionSpec;
+use waymark::tongue::BeginEnd;
+
+/// How long what is left is remembered when the leader cannot be told; it finds it in the platform's
+/// list.
+const LEFT_KEPT: Duration = Duration::from_secs(10);
 
 /// A transaction as it reaches its holder.
 #[derive(Clone, Debug)]
@@ -34,6 +41,10 @@
     pub transaction: TransactionId,
     /// Whether it may be sent to a runner only once.
     pub once: bool,
+    /// Whether callers may send its identity again, so that it is remembered.
+    pub noted: bool,
+    /// The most runners it may go to.
+    pub tries: u32,
     /// Whether the caller marked it a repeat.
     pub repeat: bool,
     /// When its budget ends.
@@ -42,11 +53,19 @@
     pub patience: Duration,
 }
 
+impl Entry {
+    /// Whether it is noted elsewhere before it is sent.
+    pub fn is_noted_once(&self) -> bool {
+        self.once && self.noted
+    }
+}
+
 struct Waiting {
     entry: Entry,
     give_up_at: Moment,
     attempt: u32,
     may_have_run: bool,
+    failure: Option<HopOutcome>,
 }
 
 struct Sent {
@@ -70,6 +89,8 @@
     pub steward: Option<Host>,
     /// Where an earlier ledger may be collected.
     pub prior: Option<Prior>,
+    /// Runners left by an earlier holder, to be taken over as they stand.
+    pub adopted: Vec<ClaimRunner>,
 }
 
 /// One held function.
@@ -92,8 +113,12 @@
     resting: bool,
     leaving: bool,
     closed: bool,
+    closed_at: Moment,
+    left_told: bool,
     released: bool,
     rules: Rules,
+    tuning: Tuning,
+    warm: bool,
     outputs: Vec<HolderOutput>,
 }
 
@@ -101,17 +126,23 @@
     /// A function that has just been granted.
     pub fn new(now: Moment, terms: GrantTerms) -> Self {
         let is_whole = terms.once_wait.is_zero();
+        let slots = terms.spec.slots;
+        let runners = terms
+            .adopted
+            .into_iter()
+            .filter_map(|listed| Some((listed.runner, RunnerRecord::adopted(now, listed, slots)?)))
+            .collect();
         Self {
             function: terms.function,
             grant: terms.grant,
             spec: terms.spec,
             once_from: now + terms.once_wait,
             custody: Custody::new(now, terms.steward, terms.prior, is_whole),
-            runners: BTreeMap::new(),
+            runners,
             inbox: VecDeque::new(),
             sent: BTreeMap::new(),
             book: Book::default(),
-            tries: TryWindow::new(now),
+            tries: TryWindow::new(now, &Tuning::default()),
             scaling: Scaling::new(now),
             service: Duration::from_millis(40),
             last_called_at: now,
@@ -120,8 +151,12 @@
             resting: false,
             leaving: false,
             closed: false,
+            closed_at: now,
+            left_told: false,
             released: false,
             rules: Rules::KEPT,
+            tuning: Tuning::default(),
+            warm: false,
             outputs: Vec::new(),
         }
     }
@@ -129,6 +164,9 @@
     /// The same, with a rule taken away for proving.
     pub fn with_rules(mut self, rules: Rules) -> Self {
         self.rules = rules;
+        if !rules.keep(Rule::RampKept) {
+            self.runners.values_mut().for_each(|record| record.limit = record.slots);
+        }
         if !rules.keep(Rule::LedgerCollected) {
             self.once_from = Moment::ZERO;
             self.custody.skip_collecting();
@@ -136,6 +174,18 @@
         self
     }
 
+    /// The same with other settings.
+    pub fn with_tuning(mut self, now: Moment, tuning: Tuning) -> Self {
+        self.tries = TryWindow::new(now, &tuning);
+        self.tuning = tuning;
+        self
+    }
+
+    /// Whether it is to keep one runner always.
+    pub fn set_warm(&mut self, warm: bool) {
+        self.warm = warm;
+    }
+
     /// The function.
     pub fn function(&self) -> &FunctionKey {
         &self.function
@@ -146,14 +196,46 @@
         self.grant
     }
 
+    /// The most connections that one of its runners takes.
+    pub fn connections(&self) -> u32 {
+        self.spec.connections
+    }
+
     /// Whether it admits nothing any more.
     pub fn is_leaving(&self) -> bool {
         self.leaving || self.closed
     }
 
-    /// Whether nothing is left to be done for it.
-    pub fn is_over(&self) -> bool {
-        self.released || (self.closed && self.runners.is_empty() && self.sent.is_empty())
+    /// Whether nothing is left to be done for it: what it had is ended, and the leader was told what it
+    /// left, or will find it in the platform's list.
+    pub fn is_over(&self, now: Moment) -> bool {
+        let is_forgotten = self.left_told || now.since(self.closed_at) > LEFT_KEPT;
+        let has_work = self.runners.values().any(|record| record.phase != Phase::Left);
+        let has_left = !self.runners.is_empty();
+        self.released
+            || (self.closed && self.sent.is_empty() && !has_work && (is_forgotten || !has_left))
+    }
+
+    /// The leader was told what is left.
+    pub fn left_told(&mut self) {
+        self.left_told = true;
+    }
+
+    /// The runners that are left as they stand for the next holder.
+    pub fn left_runners(&self) -> Vec<ClaimRunner> {
+        let left = self.runners.iter().filter(|(_, record)| record.phase == Phase::Left);
+        left.map(|(runner, record)| record.as_claim(*runner)).collect()
+    }
+
+    /// A runner's life, once the platform has told it.
+    pub fn life_of(&self, runner: RunnerId) -> Option<Life> {
+        self.runners.get(&runner).and_then(|record| record.life.clone())
+    }
+
+    /// The lives it sends to.
+    pub fn lives(&self) -> Vec<Life> {
+        let used = self.runners.values().filter(|record| record.phase != Phase::Left);
+        used.filter_map(|record| record.life.clone()).collect()
     }
 
     /// The transactions waiting and running.
@@ -170,15 +252,8 @@
 
     /// What is claimed for it after a reconnection.
     pub fn claim(&self) -> Claim {
-        let runners = self
-            .runners
-            .iter()
-            .map(|(runner, record)| ClaimRunner {
-                runner: *runner,
-                worker: record.worker.clone(),
-                memory_mb: record.memory_mb,
-            })
-            .collect();
+        let runners =
+            self.runners.iter().map(|(runner, record)| record.as_claim(*runner)).collect();
         Claim {
             function: self.function.clone(),
             grant: self.grant,
@@ -206,7 +281,9 @@
         self.last_called_at = now;
         self.resting = false;
         self.tries.first_or_repeat(now, entry.repeat);
-        if let Some(known_outcome) = self.known_outcome(&entry.transaction) {
+        if entry.noted
+            && let Some(known_outcome) = self.known_outcome(&entry.transaction)
+        {
             return (Some(known_outcome), Vec::new());
         }
         if let Some((reason, retry_span)) = self.reason_to_shed(now, &entry) {
@@ -219,9 +296,17 @@
         if entry.repeat {
             self.tries.spend(now);
         }
-        self.book.begin(entry.transaction.clone(), entry.once, entry.budget_end);
+        if entry.noted {
+            self.book.begin(entry.transaction.clone(), entry.once, entry.budget_end);
+        }
         let give_up_at = entry.budget_end.min(now + entry.patience);
-        self.inbox.push_back(Waiting { entry, give_up_at, attempt: 1, may_have_run: false });
+        self.inbox.push_back(Waiting {
+            entry,
+            give_up_at,
+            attempt: 1,
+            may_have_run: false,
+            failure: None,
+        });
         self.dispatch(now);
         self.scale(now);
         (None, std::mem::take(&mut self.outputs))
@@ -234,6 +319,9 @@
     fn note_shed(&mut self, now: Moment, entry: &Entry, reason: HopReason, retry_ms: u32) {
         self.shed_count += 1;
         self.shed_reason = reason;
+        if !entry.noted {
+            return;
+        }
         let outcome = not_run(HopReason::ShedBefore, retry_ms);
         self.book.end(now, &entry.transaction, entry.once, entry.budget_end, outcome);
     }
@@ -252,6 +340,7 @@
         self.watch_runners(now);
         self.dispatch(now);
         self.scale(now);
+        self.rest_if_idle(now);
         self.finish_leaving(now);
         std::mem::take(&mut self.outputs)
     }
@@ -261,7 +350,8 @@
         let Some(sent) = self.sent.remove(&ticket) else { return Vec::new() };
         let is_settled = !matches!(end, SendEnd::Lost) || !self.rules.keep(Rule::LostKeepsSlot);
         if let Some(record) = self.runners.get_mut(&sent.runner) {
-            record.send_ended(now, &sent.waiting.entry.transaction, is_settled);
+            let entry = &sent.waiting.entry;
+            record.send_ended(now, &entry.transaction, entry.budget_end, is_settled);
         }
         match end {
             SendEnd::Answered(outcome) => {
@@ -275,21 +365,19 @@
                 self.end(now, sent.waiting.entry, outcome);
             }
             SendEnd::ShedByRunner => {
-                let outcome = if sent.waiting.may_have_run {
-                    HopOutcome::Unknown { reason: HopReason::AnswerLost }
-                } else {
-                    not_run(HopReason::RunnerShed, 200)
-                };
-                self.end(now, sent.waiting.entry, outcome);
+                if let Some(record) = self.runners.get_mut(&sent.runner) {
+                    record.refused(now);
+                }
+                self.refused(now, sent.waiting);
+            }
+            SendEnd::OtherRunner => {
+                self.runner_failed(now, sent.runner);
+                self.never_reached(now, sent.waiting);
             }
             SendEnd::Barred(reason) => {
-                let outcome = if sent.waiting.may_have_run {
-                    HopOutcome::Unknown { reason }
-                } else {
-                    not_run(reason, 500)
-                };
-                self.end(now, sent.waiting.entry, outcome);
+                self.give_up(now, sent.waiting, reason, Duration::from_millis(500));
             }
+            SendEnd::Failed(outcome) => self.failed(now, sent.waiting, outcome),
             SendEnd::Unsent => {
                 self.runner_failed(now, sent.runner);
                 self.put_back(now, sent.waiting);
@@ -302,21 +390,60 @@
         std::mem::take(&mut self.outputs)
     }
 
-    fn lost(&mut self, now: Moment, mut waiting: Waiting) {
+    /// A runner's own failure: a repeatable transaction may go to another runner, else it is passed on.
+    fn failed(&mut self, now: Moment, mut waiting: Waiting, outcome: HopOutcome) {
         waiting.may_have_run = true;
-        let has_time = now + self.service * 2 < waiting.entry.budget_end;
-        let may_repeat = !waiting.entry.once && has_time && !self.closed;
-        if may_repeat && self.may_spend(now) {
-            self.tries.spend(now);
-            waiting.attempt += 1;
-            waiting.give_up_at = waiting.entry.budget_end;
-            self.inbox.push_front(waiting);
+        if self.may_repeat(now, &waiting) {
+            waiting.failure = Some(outcome);
+            self.repeat(now, waiting);
         } else {
-            let outcome = HopOutcome::Unknown { reason: HopReason::AnswerLost };
             self.end(now, waiting.entry, outcome);
         }
     }
 
+    fn lost(&mut self, now: Moment, mut waiting: Waiting) {
+        waiting.may_have_run = true;
+        if self.may_repeat(now, &waiting) {
+            self.repeat(now, waiting);
+        } else {
+            self.give_up(now, waiting, HopReason::AnswerLost, Duration::ZERO);
+        }
+    }
+
+    /// A runner refused it: it did not run there, yet it arrived, and counts as a try.
+    fn refused(&mut self, now: Moment, waiting: Waiting) {
+        if self.may_repeat(now, &waiting) {
+            self.repeat(now, waiting);
+        } else {
+            let start_at = self.expected_start(now, self.inbox.len());
+            let retry_span = start_at.since(now).max(Duration::from_millis(200));
+            self.give_up(now, waiting, HopReason::RunnerShed, retry_span);
+        }
+    }
+
+    /// It came to another runner, which did not run it: the one that was meant never got it.
+    fn never_reached(&mut self, now: Moment, waiting: Waiting) {
+        let has_time = now + self.service < waiting.entry.budget_end;
+        if has_time && !self.closed && self.may_spend(now) {
+            self.repeat(now, waiting);
+        } else {
+            self.give_up(now, waiting, HopReason::NoRunner, self.spec.boot);
+        }
+    }
+
+    fn may_repeat(&mut self, now: Moment, waiting: &Waiting) -> bool {
+        let has_time = now + self.service * 2 < waiting.entry.budget_end;
+        let has_tries = waiting.attempt < waiting.entry.tries;
+        !waiting.entry.once && has_time && has_tries && !self.closed && self.may_spend(now)
+    }
+
+    fn repeat(&mut self, now: Moment, mut waiting: Waiting) {
+        self.tries.spend(now);
+        waiting.attempt += 1;
+        waiting.give_up_at = waiting.entry.budget_end;
+        self.inbox.push_front(waiting);
+    }
+
     fn may_spend(&mut self, now: Moment) -> bool {
         !self.rules.keep(Rule::TriesCounted) || self.tries.may_spend(now)
     }
@@ -330,14 +457,16 @@
     }
 
     fn end(&mut self, now: Moment, entry: Entry, outcome: HopOutcome) {
-        let kept_outcome = match &outcome {
-            HopOutcome::NotRun { retry_ms, .. } => {
-                self.shed_count += 1;
-                not_run(HopReason::ShedBefore, *retry_ms)
-            }
-            other => other.clone(),
-        };
-        self.book.end(now, &entry.transaction, entry.once, entry.budget_end, kept_outcome);
+        if matches!(outcome, HopOutcome::NotRun { .. }) {
+            self.shed_count += 1;
+        }
+        if entry.noted {
+            let kept_outcome = match &outcome {
+                HopOutcome::NotRun { retry_ms, .. } => not_run(HopReason::ShedBefore, *retry_ms),
+                other => other.clone(),
+            };
+            self.book.end(now, &entry.transaction, entry.once, entry.budget_end, kept_outcome);
+        }
         self.outputs.push(HolderOutput::End { ticket: entry.ticket, outcome });
     }
 
@@ -369,20 +498,31 @@
         self.scaling.reserve_ended(now, false);
     }
 
-    /// The platform answered a start: where the runner listens, or nothing.
-    pub fn started(
-        &mut self,
-        now: Moment,
-        runner: RunnerId,
-        place: Option<Place>,
-    ) -> Vec<HolderOutput> {
-        match (self.runners.get_mut(&runner), place) {
-            (Some(record), Some(place)) if record.phase == Phase::Starting => {
-                record.place = Some(place);
-                record.phase = Phase::Booting;
+    /// The platform answered a start. The same order again finds the same runner.
+    pub fn started(&mut self, now: Moment, runner: RunnerId, end: BeginEnd) -> Vec<HolderOutput> {
+        let Some(record) = self.runners.get_mut(&runner) else { return Vec::new() };
+        match end {
+            BeginEnd::Begun(life) => {
+                if record.life.is_none() {
+                    record.life = Some(life.clone());
+                    let news = RunnerNews::Begun { life };
+                    self.outputs.push(HolderOutput::Tell(HolderWord::News { runner, news }));
+                }
+                if record.phase == Phase::Starting {
+                    record.phase = Phase::Booting;
+                    record.probe_from(record.started_at + self.spec.boot / 2);
+                }
+            }
+            _ if record.phase != Phase::Starting => {}
+            BeginEnd::Busy | BeginEnd::Lost => record.order_again(now),
+            BeginEnd::NoRoom | BeginEnd::Refused => {
+                self.runners.remove(&runner);
+                self.scaling.reserve_ended(now, false);
+                let news = RunnerNews::Gone;
+                self.outputs.push(HolderOutput::Tell(HolderWord::News { runner, news }));
+                self.scale(now);
+                self.finish_leaving(now);
             }
-            (Some(_), None) => self.runner_failed(now, runner),
-            _ => {}
         }
         std::mem::take(&mut self.outputs)
     }
@@ -431,6 +571,14 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// The platform no longer lists a runner: it is gone.
+    pub fn vanished(&mut self, now: Moment, runner: RunnerId) -> Vec<HolderOutput> {
+        self.runners.remove(&runner);
+        self.scale(now);
+        self.finish_leaving(now);
+        std::mem::take(&mut self.outputs)
+    }
+
     /// The leader wants a runner drained.
     pub fn drain(&mut self, now: Moment, runner: RunnerId) -> Vec<HolderOutput> {
         if let Some(record) = self.runners.get_mut(&runner) {
@@ -440,24 +588,35 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// The function is to be handed over: admit nothing, finish, stop, release.
+    /// The function is to be handed over: admit nothing, finish, leave fit runners, release.
     pub fn hand_over(&mut self, now: Moment) -> Vec<HolderOutput> {
         self.leaving = true;
         self.finish_leaving(now);
         std::mem::take(&mut self.outputs)
     }
 
-    /// The grant is gone: refuse what waits, stop every runner at once.
+    /// The grant is gone: refuse what waits, send nothing more. Fit runners are left as they stand for
+    /// the next holder, the others stopped; what was sent may still be answered.
     pub fn close(&mut self, now: Moment) -> Vec<HolderOutput> {
-        self.closed = true;
+        if !self.closed {
+            self.closed = true;
+            self.closed_at = now;
+        }
         for waiting in std::mem::take(&mut self.inbox) {
             self.give_up(now, waiting, HopReason::NotServing, Duration::from_millis(500));
         }
+        self.leave_runners(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn leave_runners(&mut self, now: Moment) {
         let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
         for runner in all_runners {
-            self.stop_runner(now, runner);
+            match self.runners.get_mut(&runner) {
+                Some(record) if record.may_be_left() => record.phase = Phase::Left,
+                _ => self.stop_runner(now, runner),
+            }
         }
-        std::mem::take(&mut self.outputs)
     }
 
     /// How long it has not been called, while it has nothing to do.
@@ -469,11 +628,7 @@
     /// Memory is short: an idle function stops its last runner, and starts one when it is called.
     pub fn give_way(&mut self, now: Moment) -> Vec<HolderOutput> {
         if self.inbox.is_empty() && self.sent.is_empty() {
-            self.resting = true;
-            let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
-            for runner in all_runners {
-                self.stop_runner(now, runner);
-            }
+            self.rest(now);
         }
         std::mem::take(&mut self.outputs)
     }
@@ -488,13 +643,11 @@
             return;
         }
         if self.inbox.is_empty() && self.sent.is_empty() {
-            let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
-            for runner in all_runners {
-                self.stop_runner(now, runner);
-            }
-            if self.runners.is_empty() {
+            self.leave_runners(now);
+            if self.runners.values().all(|record| record.phase == Phase::Left) {
                 self.released = true;
-                self.outputs.push(HolderOutput::Tell(HolderWord::Released));
+                let runners = self.left_runners();
+                self.outputs.push(HolderOutput::Tell(HolderWord::Released { runners }));
             }
         }
     }
--- a/crates/trail/src/holder/output.rs
+++ b/crates/trail/src/holder/output.rs
@@ -1,5 +1,7 @@
-use waymark::frames::{HopOutcome, HopReason, Host, LedgerNote, Place, Prior, RunnerNews};
-use waymark::identity::{MemberName, RunnerId, Ticket, WorkerName};
+use waymark::frames::{
+    ClaimRunner, HopOutcome, HopReason, Host, LedgerNote, Place, Prior, RunnerNews,
+};
+use waymark::identity::{LifeName, MemberName, RunnerId, Ticket, WorkerName};
 use waymark::spec::FunctionSpec;
 
 /// What a holder orders.
@@ -50,6 +52,10 @@
     Stop {
         /// Which one.
         runner: RunnerId,
+        /// Where it runs.
+        worker: WorkerName,
+        /// Its life; none while the platform has not told it.
+        life: Option<LifeName>,
     },
     /// Collect an earlier holder's ledger.
     Collect {
@@ -98,8 +104,11 @@
         /// The steward.
         steward: MemberName,
     },
-    /// Everything is finished and stopped: the grant goes back.
-    Released,
+    /// Everything is finished: the grant goes back.
+    Released {
+        /// The runners left as they stand.
+        runners: Vec<ClaimRunner>,
+    },
 }
 
 /// How a send to a runner ended.
@@ -107,8 +116,12 @@
 pub enum SendEnd {
     /// The runner's whole sealed body.
     Answered(HopOutcome),
-    /// The runner refused, under seal.
+    /// The runner's own failure, after it ran.
+    Failed(HopOutcome),
+    /// The runner refused, and did not run it.
     ShedByRunner,
+    /// Another runner is at the address, and did not run it.
+    OtherRunner,
     /// Nothing was sent: the member grant has ended, or the spec no longer allows it.
     Barred(HopReason),
     /// Surely nothing was sent: the runner could not be reached.
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -68,6 +68,8 @@
     Revoke(FunctionKey, GrantSerial),
     /// Drain a runner.
     Drain(FunctionKey, RunnerId),
+    /// A runner is gone.
+    Vanished(FunctionKey, RunnerId),
     /// Hand a function over.
     HandOver(FunctionKey, GrantSerial),
 }
@@ -115,6 +117,22 @@
         self
     }
 
+    /// The same with another pause between heartbeats.
+    pub fn with_beat(mut self, beat_every: Duration) -> Self {
+        self.watch = self.watch.with_beat(beat_every);
+        self
+    }
+
+    /// When something is due, at the latest.
+    pub fn next_due(&self) -> Moment {
+        self.liaison.next_due().min(self.watch.next_due())
+    }
+
+    /// The seeds have changed.
+    pub fn set_seeds(&mut self, seeds: Vec<Place>) {
+        self.liaison.set_seeds(seeds);
+    }
+
     /// When the member grant ends.
     pub fn grant_end(&self) -> Moment {
         self.liaison.grant_end()
@@ -307,6 +325,9 @@
             StreamDown::Drain { function, runner } => {
                 self.orders.push(KeeperOrder::Drain(function, runner));
             }
+            StreamDown::Vanished { function, runner } => {
+                self.orders.push(KeeperOrder::Vanished(function, runner));
+            }
             StreamDown::HandOver { function, grant } => {
                 self.orders.push(KeeperOrder::HandOver(function, grant));
             }
@@ -361,7 +382,7 @@
             .acquires
             .remove(&correlation)
             .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
-        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior } = &result {
+        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior, adopted } = &result {
             let spec = self.table.function_of(&function).map(|entry| entry.spec.clone());
             let may_hold = now < self.liaison.grant_end() && !self.leaving;
             match spec.filter(|_| may_hold) {
@@ -372,9 +393,14 @@
                     once_wait: Duration::from_millis(u64::from(*once_wait_ms)),
                     steward: steward.0.first().cloned(),
                     prior: prior.0.first().cloned(),
+                    adopted: adopted.0.clone(),
                 })),
                 None => {
-                    let frame = StreamUp::Release { function: function.clone(), grant: *grant };
+                    let frame = StreamUp::Release {
+                        function: function.clone(),
+                        grant: *grant,
+                        runners: adopted.clone(),
+                    };
                     self.orders.push(KeeperOrder::Say(frame));
                 }
             }
--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/trail/src/lodge/controller.rs
@@ -2,6 +2,7 @@
 use crate::holder::{GrantTerms, Holder, HolderOutput, HolderWord};
 use crate::keeper::{Keeper, KeeperOrder};
 use crate::liaison::{Liaison, LiaisonTiming};
+use crate::owners::{WarmSeeker, WarmSight};
 use std::collections::BTreeMap;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -49,6 +50,7 @@
 pub struct Controller<W> {
     keeper: Keeper,
     say_at: Moment,
+    warm: Option<WarmSeeker>,
     orders: Vec<DaemonOrder<W>>,
 }
 
@@ -66,7 +68,71 @@
         let liaison = Liaison::new(now, timing, own_host.clone(), door, seeds, chance)
             .with_rules(lodge.rules);
         let keeper = Keeper::new(liaison, own_host).with_rules(lodge.rules);
-        Self { keeper, say_at: now, orders: Vec::new() }
+        Self { keeper, say_at: now, warm: None, orders: Vec::new() }
+    }
+
+    /// The same with another pause between heartbeats.
+    pub fn with_beat(mut self, beat_every: Duration) -> Self {
+        self.keeper = self.keeper.with_beat(beat_every);
+        self
+    }
+
+    /// The same, seeking owners for warm functions before they are called.
+    pub fn with_warm(mut self, now: Moment) -> Self {
+        self.warm = Some(WarmSeeker::new(now));
+        self
+    }
+
+    /// When something is due, at the latest.
+    pub fn next_due(&self, lodge: &Lodge<W>) -> Moment {
+        let seeks = self.keeper.is_welcomed() && !lodge.is_leaving();
+        let warm = self.warm.as_ref().filter(|_| seeks);
+        let warm_due = warm.map_or(self.say_at, WarmSeeker::next_due);
+        let first_due = self.keeper.next_due().min(self.say_at).min(warm_due);
+        let holdings = lodge.holdings.load();
+        let holders_due =
+            holdings.values().filter_map(|held| held.with(|holder| holder.next_due()));
+        holders_due.fold(first_due, Moment::min)
+    }
+
+    /// When the stream or a heartbeat is due.
+    pub fn stream_due(&self) -> Moment {
+        self.keeper.next_due()
+    }
+
+    /// Asks for warm functions that want an owner.
+    fn seek_warm(&mut self, lodge: &Lodge<W>, now: Moment) {
+        if !lodge.is_serving(now) || lodge.is_leaving() || !self.keeper.is_welcomed() {
+            return;
+        }
+        let Some(warm) = &mut self.warm else { return };
+        let (table, hosts) = (lodge.table.load(), lodge.hosts.load());
+        let (owners, holdings) = (lodge.owners.load(), lodge.holdings.load());
+        let wish = warm.next(
+            now,
+            &WarmSight {
+                table: &table,
+                own_member: &lodge.own_host.member,
+                hosts: &hosts,
+                owners: &owners,
+                holds: &|function| holdings.contains_key(function),
+            },
+        );
+        if let Some(function) = wish {
+            let keeper_orders = self.keeper.acquire(now, function);
+            self.obey(lodge, now, keeper_orders);
+        }
+    }
+
+    fn warm_changed(&mut self, now: Moment) {
+        if let Some(warm) = &mut self.warm {
+            warm.changed(now);
+        }
+    }
+
+    /// The seeds have changed.
+    pub fn set_seeds(&mut self, seeds: Vec<Place>) {
+        self.keeper.set_seeds(seeds);
     }
 
     fn done(&mut self) -> Vec<DaemonOrder<W>> {
@@ -82,12 +148,13 @@
         }
         let closing: Vec<Arc<Held<W>>> = {
             let mut closing = lodge.closing.lock().unwrap_or_else(PoisonError::into_inner);
-            closing.retain(|held| !held.with(|holder| holder.is_over()));
+            closing.retain(|held| !held.with(|holder| holder.is_over(now)));
             closing.clone()
         };
         for held in closing {
             self.apply(&held, |holder| holder.tick(now));
         }
+        self.seek_warm(lodge, now);
         if now >= self.say_at {
             self.say_at = now + SAY_EVERY;
             self.say_busyness(lodge, now);
@@ -178,10 +245,10 @@
             HolderWord::StewardWhole { steward } => {
                 self.say(StreamUp::StewardWhole { function, grant, steward });
             }
-            HolderWord::Released => {
+            HolderWord::Released { runners } => {
                 if lodge.held(&function, grant).is_some() {
                     self.remove(lodge, &function);
-                    self.say(StreamUp::Release { function, grant });
+                    self.say(StreamUp::Release { function, grant, runners: Many(runners) });
                 }
             }
         }
@@ -268,6 +335,7 @@
             }
             KeeperOrder::ServeUntil(grant_end) => {
                 if !lodge.is_serving(now) {
+                    self.warm_changed(now);
                     self.tell(events::SERVING, format!("serial {}", self.keeper.serial()));
                     self.orders.push(DaemonOrder::Changed);
                 }
@@ -280,6 +348,7 @@
             }
             KeeperOrder::Hosts(alive_hosts) => {
                 lodge.hosts.store(Arc::new(alive_hosts));
+                self.warm_changed(now);
                 self.orders.push(DaemonOrder::Changed);
             }
             KeeperOrder::Grant(terms) => self.granted(lodge, now, terms),
@@ -308,8 +377,14 @@
                 if let Some(held) = lodge.held(&function, grant) {
                     self.remove(lodge, &function);
                     self.close(lodge, now, &held);
+                    self.say_left(&held);
                 }
             }
+            KeeperOrder::Vanished(function, runner) => {
+                self.apply_known(lodge, &function, runner.grant, |holder| {
+                    holder.vanished(now, runner)
+                });
+            }
             KeeperOrder::Drain(function, runner) => {
                 if lodge.rules.keep(Rule::DrainObeyed) {
                     self.apply_known(lodge, &function, runner.grant, |holder| {
@@ -330,6 +405,11 @@
         let holdings = lodge.holdings.load_full();
         let closing: Vec<Arc<Held<W>>> =
             lodge.closing.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if self.keeper.is_welcomed() {
+            for held in &closing {
+                held.with(|holder| holder.left_told());
+            }
+        }
         let claims = holdings
             .values()
             .chain(&closing)
@@ -356,6 +436,7 @@
 
     fn install(&mut self, lodge: &Lodge<W>, now: Moment, table: Arc<Table>) {
         lodge.table.store(table.clone());
+        self.warm_changed(now);
         let detail = format!("serial {}, {} routes", table.serial(), table.route_count());
         self.tell(events::SPEC_INSTALLED, detail);
         self.orders.push(DaemonOrder::Installed(table.serial()));
@@ -363,7 +444,12 @@
             match table.function_of(&held.function) {
                 Some(entry) => {
                     let newest_spec = entry.spec.clone();
-                    held.with(|holder| holder.respec(newest_spec));
+                    let index = table.index_of(&held.function);
+                    let is_warm = index.is_some_and(|index| table.is_warm(index));
+                    held.with(|holder| {
+                        holder.respec(newest_spec);
+                        holder.set_warm(is_warm);
+                    });
                 }
                 None => self.apply(held, |holder| holder.hand_over(now)),
             }
@@ -377,7 +463,10 @@
         if held_grant >= Some(grant) {
             return;
         }
-        let holder = Holder::new(now, terms).with_rules(lodge.rules);
+        let mut holder =
+            Holder::new(now, terms).with_rules(lodge.rules).with_tuning(now, lodge.tuning);
+        let table = lodge.table.load();
+        holder.set_warm(table.index_of(&function).is_some_and(|index| table.is_warm(index)));
         let held = Arc::new(Held::new(holder));
         let displaced = lodge.holdings.load().get(&function).cloned();
         lodge.holdings.rcu(|holdings| {
@@ -387,6 +476,7 @@
         });
         if let Some(displaced) = displaced {
             self.close(lodge, now, &displaced);
+            self.say_left(&displaced);
         }
         lodge.learn_owner(&function, &lodge.own_host);
         self.tell(events::GRANTED, format!("{function} under {grant}"));
@@ -412,6 +502,19 @@
         }
     }
 
+    /// Tells the leader what a function that was closed alone leaves behind.
+    fn say_left(&mut self, held: &Arc<Held<W>>) {
+        if !self.keeper.is_welcomed() {
+            return;
+        }
+        let runners = held.with(|holder| {
+            holder.left_told();
+            holder.left_runners()
+        });
+        let (function, grant) = (held.function.clone(), held.grant);
+        self.say(StreamUp::Release { function, grant, runners: Many(runners) });
+    }
+
     fn close(&mut self, lodge: &Lodge<W>, now: Moment, held: &Arc<Held<W>>) {
         lodge.closing.lock().unwrap_or_else(PoisonError::into_inner).push(held.clone());
         self.apply(held, |holder| holder.close(now));
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/trail/src/lodge/held.rs
@@ -1,11 +1,10 @@
 use crate::holder::{Entry, Holder, HolderOutput};
-use bytes::Bytes;
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use waymark::clock::Moment;
-use waymark::frames::HopOutcome;
-use waymark::identity::{FunctionKey, GrantSerial, Ticket, TransactionId};
+use waymark::frames::{HopOutcome, Life, Parcel};
+use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 
 /// A transaction on its way to a runner.
 #[derive(Clone)]
@@ -18,12 +17,16 @@
     pub budget_end: Moment,
     /// Whether it may be sent to a runner only once.
     pub once: bool,
+    /// Whether callers may send its identity again, so that it is remembered.
+    pub noted: bool,
+    /// The most runners it may go to.
+    pub tries: u32,
     /// Whether the caller marked it a repeat.
     pub repeat: bool,
     /// How long it may wait in the inbox.
     pub patience: Duration,
-    /// The caller's body.
-    pub body: Bytes,
+    /// What the caller sent.
+    pub parcel: Arc<Parcel>,
 }
 
 struct Waiting<W> {
@@ -57,6 +60,16 @@
         look(&mut self.holder.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// A runner's life, once the platform has told it.
+    pub fn life_of(&self, runner: RunnerId) -> Option<Life> {
+        self.with(|holder| holder.life_of(runner))
+    }
+
+    /// The name that a runner itself goes by.
+    pub fn face_of(&self, runner: RunnerId) -> RunnerId {
+        runner.face(self.life_of(runner).as_ref().map(|life| &life.name))
+    }
+
     /// What a ticket stands for, while somebody waits for it.
     pub fn task(&self, ticket: Ticket) -> Option<Task> {
         let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
@@ -75,6 +88,8 @@
             ticket,
             transaction: task.transaction.clone(),
             once: task.once,
+            noted: task.noted,
+            tries: task.tries,
             repeat: task.repeat,
             budget_end: task.budget_end,
             patience: task.patience,
--- a/crates/trail/tests/lodge.rs
+++ b/crates/trail/tests/lodge.rs
@@ -6,18 +6,17 @@
 use std::time::Duration;
 use trail::holder::{GrantTerms, Holder, SendEnd};
 use trail::liaison::LiaisonTiming;
-use trail::lodge::{
-    Ask, Controller, DaemonOrder, Held, Lodge, RunnerAnswer, Task, Way, WayStep, judge,
-};
+use trail::lodge::{Ask, Controller, DaemonOrder, Held, Lodge, PassEnd, Task, Way, WayStep, judge};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, Flag, HopOutcome, HopReason, Host, Many, Place, StreamDown, StreamUp,
+    AcquireResult, Flag, HopOutcome, HopReason, Host, Many, Parcel, Place, StreamDown, StreamUp,
 };
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId};
 use waymark::rules::{Rule, Rules};
 use waymark::seal;
 use waymark::spec::{Document, FunctionSpec, Table, read_spec};
+use waymark::tongue::{RunnerSaid, SealKind};
 
 const START: Moment = Moment(10_000_000_000);
 
@@ -117,7 +116,7 @@
             budget_end: self.now + ms(2000),
             hops: 0,
             repeat: false,
-            body: Vec::new().into(),
+            parcel: Arc::new(Parcel::of_body(Vec::new().into())),
         }
     }
 }
@@ -134,20 +133,30 @@
     bench.hear(spec_frame(3, "f"));
     bench.renew(3);
     let function = bench.key("f");
-    let spec =
-        FunctionSpec { memory_mb: 100, boot: ms(200), slots: 2, min_runners: 0, max_runners: 2 };
+    let spec = FunctionSpec {
+        connections: 100,
+        memory_mb: 100,
+        boot: ms(200),
+        slots: 2,
+        min_runners: 0,
+        max_runners: 2,
+    };
     let grant = GrantSerial(4);
     let once_wait = Duration::ZERO;
-    let terms = GrantTerms { function, grant, spec, once_wait, steward: None, prior: None };
+    let adopted = Vec::new();
+    let terms =
+        GrantTerms { function, grant, spec, once_wait, steward: None, prior: None, adopted };
     let held: Held<u64> = Held::new(Holder::new(bench.now, terms));
     let task = Task {
         transaction: "t".into(),
         route: "r".to_owned(),
         budget_end: bench.now + ms(2000),
         once: false,
+        noted: true,
+        tries: 3,
         repeat: false,
         patience: ms(1000),
-        body: Vec::new().into(),
+        parcel: Arc::new(Parcel::of_body(Vec::new().into())),
     };
     let runner = RunnerId { grant: GrantSerial(4), ordinal: 5 };
     let now = bench.now;
@@ -250,16 +259,21 @@
         seal::seal(named, &function, by, is_shed, &body)
     };
     let judged = |rules: Rules, named: &TransactionId, by: RunnerId, given: &str, bytes: &[u8]| {
-        let answer = RunnerAnswer {
+        let said = RunnerSaid {
             status: 200,
-            transaction: named.as_str(),
-            function: &function.to_string(),
-            runner: &by.to_string(),
-            seal: given,
-            is_shed: false,
+            transaction: named.to_string(),
+            function: Some(function.to_string()),
+            runner: Some(by.to_string()),
+            seal: given.to_owned(),
+            seal_kind: SealKind::Digest,
+            did_not_run: false,
+            is_other: false,
+            is_doubtful: false,
+            closes: false,
+            lines: Vec::new(),
             body: bytes.to_vec().into(),
         };
-        matches!(judge(rules, &transaction, &function, runner, answer), SendEnd::Answered(_))
+        matches!(judge(rules, &transaction, &function, runner, said), SendEnd::Answered(_))
     };
     let other = TransactionId::from("other");
     let right_seal = sealed(&transaction, runner, false);
@@ -282,6 +296,126 @@
     verify_that!(judged(unnamed, foreign.0, foreign.1, &foreign.2, &foreign.3), eq(true))
 }
 
+/// An answer as a runner gives it whose seal only the caller can check.
+fn carried(status: u16) -> RunnerSaid {
+    RunnerSaid {
+        status,
+        transaction: "t".to_owned(),
+        function: None,
+        runner: None,
+        seal: "carried".to_owned(),
+        seal_kind: SealKind::Carried,
+        did_not_run: false,
+        is_other: false,
+        is_doubtful: false,
+        closes: false,
+        lines: Vec::new(),
+        body: b"whole".to_vec().into(),
+    }
+}
+
+#[gtest]
+fn an_answer_whose_seal_only_the_caller_can_check_is_believed_by_what_can_be_seen() -> Result<()> {
+    let runner = RunnerId { grant: GrantSerial(4), ordinal: 5 };
+    let function = FunctionKey::new("f", Serial(2));
+    let other_name = || "other".to_owned();
+    let cases: Vec<(&str, RunnerSaid, &str)> = vec![
+        ("whole and sealed", carried(200), "answered"),
+        (
+            "names itself",
+            RunnerSaid { runner: Some(runner.to_string()), ..carried(200) },
+            "answered",
+        ),
+        ("another identity", RunnerSaid { transaction: other_name(), ..carried(200) }, "lost"),
+        ("another function", RunnerSaid { function: Some(other_name()), ..carried(200) }, "lost"),
+        ("names another", RunnerSaid { runner: Some(other_name()), ..carried(200) }, "lost"),
+        ("no seal", RunnerSaid { seal: String::new(), ..carried(200) }, "lost"),
+        ("doubtful", RunnerSaid { is_doubtful: true, ..carried(200) }, "lost"),
+        (
+            "callers' fault without seal",
+            RunnerSaid { seal: String::new(), ..carried(404) },
+            "answered",
+        ),
+        ("did not run", RunnerSaid { did_not_run: true, ..carried(503) }, "shed"),
+        (
+            "did not run, of another",
+            RunnerSaid { did_not_run: true, transaction: other_name(), ..carried(503) },
+            "lost",
+        ),
+        (
+            "is another",
+            RunnerSaid { is_other: true, did_not_run: true, ..carried(421) },
+            "other runner",
+        ),
+        (
+            "is another, of another",
+            RunnerSaid { is_other: true, transaction: other_name(), ..carried(421) },
+            "lost",
+        ),
+        ("its own failure", RunnerSaid { seal: String::new(), ..carried(500) }, "failed"),
+    ];
+    for (what, said, expected) in cases {
+        let end = judge(Rules::KEPT, &TransactionId::from("t"), &function, runner, said);
+        let seen = match end {
+            SendEnd::Answered(_) => "answered",
+            SendEnd::Failed(_) => "failed",
+            SendEnd::ShedByRunner => "shed",
+            SendEnd::OtherRunner => "other runner",
+            SendEnd::Lost => "lost",
+            SendEnd::Barred(_) | SendEnd::Unsent => "never",
+        };
+        verify_that!((what, seen), eq((what, expected)))?;
+    }
+    Ok(())
+}
+
+/// A daemon that has passed a transaction on, and whose holder refused it by another spec.
+fn disputed() -> (Bench, Way, WayStep<u64>) {
+    let mut bench = Bench::new(Rules::KEPT);
+    bench.hear(spec_frame(3, "f"));
+    bench.renew(3);
+    bench.list_itself();
+    let mut way = Way::new(bench.now, bench.ask());
+    way.look(&bench.lodge, bench.now);
+    let refused = HopOutcome::NotRun { reason: HopReason::NotAllowed, retry_ms: 500 };
+    let step = way.passed(&bench.lodge, bench.now, PassEnd::Done(refused, None));
+    (bench, way, step)
+}
+
+#[gtest]
+fn a_holder_with_a_newer_spec_has_the_door_look_again_when_its_own_comes() -> Result<()> {
+    let (mut bench, mut way, step) = disputed();
+    let WayStep::Wait { wait_until } = step else { return fail!("the door does not wait") };
+    verify_that!(wait_until, eq(bench.now + ms(300)))?;
+    let unchanged = way.look(&bench.lodge, bench.now + ms(100));
+    verify_that!(matches!(unchanged, WayStep::Wait { .. }), eq(true))?;
+    bench.hear(spec_frame(4, "g"));
+    let changed = way.look(&bench.lodge, bench.now + ms(110));
+    verify_that!(matches!(changed, WayStep::Acquire { .. }), eq(true))?;
+    verify_that!(way.ask().function.clone(), eq(&bench.key("g")))?;
+    verify_that!(way.ask().serial, eq(Serial(4)))
+}
+
+#[gtest]
+fn a_disagreement_that_stays_is_a_reason_to_come_back_soon_and_no_more() -> Result<()> {
+    let (bench, mut way, _) = disputed();
+    let late = way.look(&bench.lodge, bench.now + ms(300));
+    verify_that!(refusal(&late), some(eq((HopReason::NotAllowed, 200))))
+}
+
+#[gtest]
+fn the_controller_rests_until_something_is_due() -> Result<()> {
+    let mut bench = Bench::new(Rules::KEPT);
+    bench.hear(spec_frame(3, "f"));
+    bench.renew(3);
+    bench.list_itself();
+    bench.controller.tick(&bench.lodge, bench.now);
+    let due = bench.controller.next_due(&bench.lodge);
+    verify_that!(due, eq(bench.now + ms(100)))?;
+    bench.controller.tick(&bench.lodge, due);
+    verify_that!(bench.controller.next_due(&bench.lodge), gt(due))
+}
+
 #[gtest]
 fn a_caller_that_hangs_up_leaves_nothing_in_hand() -> Result<()> {
     let lodge: Lodge<u64> = Lodge::new(host(), Rules::KEPT);
--- a/crates/waymark/src/frames/core.rs
+++ b/crates/waymark/src/frames/core.rs
@@ -11,6 +11,18 @@
     pub member: MemberName,
     /// The life that was last granted to.
     pub incarnation: Incarnation,
+    /// Where it listens; another life there proves that this one is gone.
+    pub place: Place,
+}
+
+impl KnownMember {
+    /// Whether this is another life of the same daemon, at the same place: only one of them can be
+    /// alive, since it holds the place's port.
+    pub fn is_reborn_as(&self, other: &KnownMember) -> bool {
+        self.member == other.member
+            && self.place == other.place
+            && self.incarnation != other.incarnation
+    }
 }
 
 /// What one core member sends another.
@@ -42,6 +54,8 @@
         accepted: Stamp,
         /// The sender's term.
         term: Term,
+        /// Whether the sender keeps nothing: it never votes, and only passes on.
+        passes_on: Flag,
     },
     /// The first document, for a member it names whose disk holds none.
     #[brw(magic = 2u8)]
@@ -111,6 +125,12 @@
         /// The document.
         document: Blob,
     },
+    /// Names the leader and the members of the core to one that is no member.
+    #[brw(magic = 9u8)]
+    Named {
+        /// Where they are reached.
+        places: Many<Place>,
+    },
     /// Says what is on disk, synced.
     #[brw(magic = 8u8)]
     Accepted {
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -11,13 +11,13 @@
 pub use self::core::{CoreBody, CoreFrame, KnownMember};
 pub use dial::dial;
 pub use heartbeat::{Heartbeat, View};
-pub use hop::{HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState};
+pub use hop::{HeadLine, HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState, Parcel};
 pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
 pub use stream::{
-    AcquireResult, Claim, ClaimRunner, Host, IdleFunction, Prior, ReserveResult, RunnerNews,
+    AcquireResult, Claim, ClaimRunner, Host, IdleFunction, Life, Prior, ReserveResult, RunnerNews,
     StreamDown, StreamUp,
 };
 pub use wire::{
-    Channel, FrameFault, decode, decode_heartbeat, encode, encode_heartbeat, read_channel,
-    read_frame, write_channel, write_frame,
+    Channel, FrameFault, append_frame, decode, decode_heartbeat, encode, encode_heartbeat,
+    read_channel, read_frame, write_channel, write_frame,
 };
--- a/crates/waymark/tests/spec.rs
+++ b/crates/waymark/tests/spec.rs
@@ -108,10 +108,11 @@
             1 => format!("/area/{number}/other"),
             _ => format!("/w/list-{number}"),
         };
-        let found = table.route(&Method::POST, &path).map(|entry| entry.spec.name.as_str());
+        let found = table.route(&Method::POST, "", &path, &"t".into());
+        let found = found.map(|found| found.route.spec.name.as_str());
         verify_that!(found, eq(plain_match(&listed, &path)))?;
     }
-    verify_that!(table.route(&Method::GET, "/area/0/tile").is_none(), eq(true))
+    verify_that!(table.route(&Method::GET, "", "/area/0/tile", &"t".into()).is_none(), eq(true))
 }
 
 #[gtest]
@@ -157,12 +158,12 @@
         "file.json",
         json!({"seeds": ["127.0.0.1:1", "nowhere:2", "127.0.0.1:3"]}),
     );
-    let fault = source.read(|root| read_places(&root.field("seeds"), 3)).expect_err("a fault");
+    let fault = source.read(|root| read_places(&root.field("seeds"), 1..=3)).expect_err("a fault");
     verify_that!(
         fault.to_string(),
         eq("file.json: seeds.1 is not an IP number with port: \"nowhere:2\"")
     )?;
-    let short = BootSource::from_value("file.json", json!({"seeds": ["127.0.0.1:1"]}));
-    let fault = short.read(|root| read_places(&root.field("seeds"), 3)).expect_err("a fault");
-    verify_that!(fault.to_string(), eq("file.json: seeds needs 3 addresses"))
+    let short = BootSource::from_value("file.json", json!({"seeds": []}));
+    let fault = short.read(|root| read_places(&root.field("seeds"), 1..=3)).expect_err("a fault");
+    verify_that!(fault.to_string(), eq("file.json: seeds needs 1 to 3 addresses"))
 }
--- a/proving/expedition/src/sim/runners.rs
+++ b/proving/expedition/src/sim/runners.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trail::holder::SendEnd;
-use trail::lodge::{Held, RunnerAnswer, RunnerCall, judge};
+use trail::lodge::{Held, RunnerCall, judge};
 use waymark::frames::Place;
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use waymark::seal;
+use waymark::tongue::{RunnerSaid, SealKind};
 
 /// One transaction on a runner, and where its end goes back to.
 #[derive(Clone)]
@@ -57,7 +58,19 @@
                         format!("daemon {place} sends {transaction} outside its member grant");
                     self.checks.breach(self.now, what);
                 }
-                let run = SimRun { asker, function, grant, ticket, asked_runner: runner, call };
+                let life = held.life_of(runner).map(|life| life.name);
+                let before = life.and_then(|life| self.checks.sends(&life, place, grant));
+                if let Some((other, other_grant)) = before
+                    && self.is_live_holder(other, &function, other_grant)
+                {
+                    let what = format!(
+                        "daemon {place} under {grant} and daemon {other} under {other_grant} send to \
+                         the same life of {function}"
+                    );
+                    self.checks.breach(self.now, what);
+                }
+                let asked_runner = held.face_of(runner);
+                let run = SimRun { asker, function, grant, ticket, asked_runner, call };
                 let delay = self.long_delay();
                 self.push(delay, Event::Run(runner_place, run));
             }
@@ -85,8 +98,16 @@
         let (function, worker, slots) = (held.function.clone(), held.worker.clone(), held.slots);
         let (ready_at, answered) = (held.ready_at, held.answered);
         let Some(held) = self.platform.runners.get_mut(&runner) else { return };
-        held.running.insert(transaction.clone());
-        let running_count = held.running.len() as u32;
+        let own_count = held.running.values().filter(|grant| **grant == run.grant).count() as u32;
+        if held.running.len() as u32 >= slots && own_count < slots {
+            self.counted("refused beside an earlier holder's");
+            self.shed_by_runner(&run, runner, &transaction);
+            return;
+        }
+        held.running.insert(transaction.clone(), run.grant);
+        let running_count = own_count + 1;
+        let is_adopted = runner.grant != run.grant;
+        let answered = if is_adopted { answered.max((slots / 2).max(1) - 1) } else { answered };
         self.traced(|now| {
             let daemon = run.asker.node.0 - 3;
             format!("{now} run {transaction} on {runner} for daemon {daemon}")
@@ -101,7 +122,7 @@
         for locality in worker_locality.into_iter().chain([daemon_locality]) {
             self.checks.not_evacuated(self.now, &locality);
         }
-        self.checks.runs(self.now, &transaction, run.call.attempt, &function, runner.grant);
+        self.checks.runs(self.now, &transaction, run.call.attempt, &function, run.grant);
         let mishap = self.mishap();
         if mishap == Mishap::BrokenEarly {
             self.end_send(&run, SendEnd::Lost);
@@ -112,9 +133,7 @@
             self.chance.within(Duration::from_millis(shortest), Duration::from_millis(longest));
         if mishap == Mishap::Shed {
             self.checks.did_not_run(&transaction);
-            let answer_body = b"no".to_vec();
-            let answer_seal = seal::seal(&transaction, &function, runner, true, &answer_body);
-            self.answer_send(&run, runner, &transaction, answer_seal, true, answer_body);
+            self.shed_by_runner(&run, runner, &transaction);
             if let Some(held) = self.platform.runners.get_mut(&runner) {
                 held.running.remove(&transaction);
             }
@@ -124,6 +143,12 @@
         self.push(work, Event::RunDone(runner, run, spoils));
     }
 
+    fn shed_by_runner(&mut self, run: &SimRun, runner: RunnerId, transaction: &TransactionId) {
+        let answer_body = b"no".to_vec();
+        let answer_seal = seal::seal(transaction, &run.function, runner, true, &answer_body);
+        self.answer_send(run, runner, transaction, answer_seal, true, answer_body);
+    }
+
     fn mishap(&mut self) -> Mishap {
         if !self.chance.happens(self.mischief) {
             return Mishap::None;
@@ -204,18 +229,23 @@
             .runners
             .get(&runner)
             .map_or(run.function.to_string(), |held| held.function.to_string());
-        let answer = RunnerAnswer {
+        let said = RunnerSaid {
             status: 200,
-            transaction: sealed_name.as_str(),
-            function: &function,
-            runner: &runner.to_string(),
-            seal: &answer_seal,
-            is_shed,
+            transaction: sealed_name.to_string(),
+            function: Some(function),
+            runner: Some(runner.to_string()),
+            seal: answer_seal,
+            seal_kind: SealKind::Digest,
+            did_not_run: is_shed,
+            is_other: false,
+            is_doubtful: false,
+            closes: false,
+            lines: Vec::new(),
             body: body.into(),
         };
         let rules = self.plan.rules();
         let asked = &run.call.transaction;
-        let end = judge(rules, asked, &run.function, run.asked_runner, answer);
+        let end = judge(rules, asked, &run.function, run.asked_runner, said);
         self.end_send(run, end);
     }
 
