--- a/proving/expedition/src/hollow/calls.rs
+++ b/proving/expedition/src/hollow/calls.rs
@@ -9,16 +9,16 @@
 use std::time::Duration;
 use trail::holder::{Holder, HolderOutput, SendEnd};
 use trail::lodge::{
-    Ask, Held, InHand, Lodge, PassEnd, Question, RunnerAnswer, RunnerCall, Task, Topic, Way,
-    WayStep, judge,
+    Ask, Held, InHand, Lodge, PassEnd, Question, RunnerCall, Task, Topic, Way, WayStep, judge,
 };
 use waymark::clock::Moment;
 use waymark::frames::{
-    AcquireResult, HopBody, HopFrame, HopOutcome, HopReason, Host, Many, decode, encode,
+    AcquireResult, HopBody, HopFrame, HopOutcome, HopReason, Host, Many, Parcel, decode, encode,
 };
 use waymark::identity::{CorrelationId, FunctionKey, RunnerId, Ticket, TransactionId};
 use waymark::rules::Rules;
 use waymark::seal;
+use waymark::tongue::{BeginEnd, RunnerSaid, SealKind};
 
 const PLATFORM_TAKES: Duration = Duration::from_millis(5);
 const RUNNER_NEAR: Duration = Duration::from_millis(2);
@@ -69,9 +69,9 @@
                 self.hear_done(trailhead, number, &frame);
             }
             Event::Passed(trailhead, number, end) => self.passed(trailhead, number, end),
-            Event::Started(spot, runner, place) => {
+            Event::Started(spot, runner, life) => {
                 self.apply(&spot, Work::Runners, |holder, now| {
-                    holder.started(now, runner, Some(place))
+                    holder.started(now, runner, BeginEnd::Begun(life))
                 });
             }
             Event::Stopped(spot, runner) => {
@@ -140,26 +140,26 @@
         let Some(lodge) = self.lodge(trailhead) else { return };
         let route_name = catalogue::name_of(function);
         let path = format!("/{route_name}/{number}");
+        let transaction = TransactionId::from(format!("transaction-{number:012}"));
         self.record.called += 1;
         let (matched, _) = self.meter.think(Role::Door, Work::Calls, || {
             let table = lodge.table.load_full();
-            let route = table.route(&hyper::Method::POST, &path)?;
-            let key = table.function(route.function).key.clone();
-            Some((key, table.serial()))
+            let found = table.route(&hyper::Method::POST, "callers", &path, &transaction)?;
+            Some((found.function.key.clone(), table.serial()))
         });
         let Some((key, serial)) = matched.filter(|_| lodge.is_serving(now)) else {
             self.record.not_run += 1;
             return;
         };
         let ask = Ask {
-            transaction: TransactionId::from(format!("transaction-{number:012}")),
+            transaction,
             function: key,
             route: route_name,
             serial,
             budget_end: now + BUDGET,
             hops: 0,
             repeat: false,
-            body: Bytes::from_static(REQUEST),
+            parcel: Arc::new(Parcel::of_body(Bytes::from_static(REQUEST))),
         };
         self.take_ask(trailhead, ask, Back::Caller);
     }
@@ -246,6 +246,7 @@
             .meter
             .think(Role::Holder, Work::Runs, || held.enter(now, lodge.ticket(), task, number));
         self.drive(trailhead, held, outputs);
+        self.hurry(trailhead, held);
         if let Some((number, outcome)) = at_once {
             self.served(trailhead, number, outcome);
         }
@@ -364,6 +365,7 @@
         let (outputs, _) =
             self.meter.think(Role::Holder, work, || held.with(|holder| change(holder, now)));
         self.drive(spot.trailhead, &held, outputs);
+        self.hurry(spot.trailhead, &held);
     }
 
     pub(super) fn drive(
@@ -405,8 +407,8 @@
                 self.meter.sent(Role::Platform, Work::Runners, 1, body_bytes + HTTP_HEADERS);
                 let ready_at = self.now + PLATFORM_TAKES + spec.boot;
                 let function = spot.function.clone();
-                let place = self.platform.start(runner, function, worker, ready_at);
-                self.push(PLATFORM_TAKES, Event::Started(spot, runner, place));
+                let life = self.platform.start(runner, function, worker, ready_at);
+                self.push(PLATFORM_TAKES, Event::Started(spot, runner, life));
             }
             HolderOutput::Probe { runner, place } => {
                 let now = self.now;
@@ -419,7 +421,7 @@
             HolderOutput::Settle { runner, .. } => {
                 self.push(RUNNER_NEAR, Event::Settled(spot, runner, Some(Vec::new())));
             }
-            HolderOutput::Stop { runner } => {
+            HolderOutput::Stop { runner, .. } => {
                 self.meter.sent(Role::Platform, Work::Runners, 1, HTTP_HEADERS);
                 self.platform.stop(runner);
                 self.push(PLATFORM_TAKES, Event::Stopped(spot, runner));
@@ -441,6 +443,7 @@
     ) {
         let now = self.now;
         let Some(lodge) = self.lodge(spot.trailhead) else { return };
+        let face = held.face_of(runner);
         let (call, _) = self.meter.think(Role::Holder, Work::Runs, || {
             let task = held.task(ticket).ok_or(HopReason::NotServing)?;
             lodge.runner_call(now, held, &task, runner, attempt)
@@ -450,7 +453,7 @@
                 let work_span =
                     self.chance.within(Duration::from_millis(10), Duration::from_millis(40));
                 let call = Box::new(call);
-                let done = Event::RunDone { spot, ticket, runner, call };
+                let done = Event::RunDone { spot, ticket, runner: face, call };
                 self.push(RUNNER_NEAR + work_span, done);
             }
             Err(reason) => {
@@ -464,18 +467,22 @@
     fn run_done(&mut self, spot: Spot, ticket: Ticket, runner: RunnerId, call: &RunnerCall) {
         let body = Bytes::from_static(ANSWER);
         let answer_seal = seal::seal(&call.transaction, &call.function, runner, false, &body);
-        let (function, runner_name) = (call.function.to_string(), runner.to_string());
+        let said = RunnerSaid {
+            status: 200,
+            transaction: call.transaction.to_string(),
+            function: Some(call.function.to_string()),
+            runner: Some(runner.to_string()),
+            seal: answer_seal,
+            seal_kind: SealKind::Digest,
+            did_not_run: false,
+            is_other: false,
+            is_doubtful: false,
+            closes: false,
+            lines: Vec::new(),
+            body,
+        };
         let (end, _) = self.meter.think(Role::Holder, Work::Runs, || {
-            let answer = RunnerAnswer {
-                status: 200,
-                transaction: call.transaction.as_str(),
-                function: &function,
-                runner: &runner_name,
-                seal: &answer_seal,
-                is_shed: false,
-                body,
-            };
-            judge(Rules::KEPT, &call.transaction, &call.function, runner, answer)
+            judge(Rules::KEPT, &call.transaction, &call.function, runner, said)
         });
         self.push(RUNNER_NEAR, Event::SendEnded(spot, ticket, end));
     }
--- a/proving/expedition/src/hollow/events.rs
+++ b/proving/expedition/src/hollow/events.rs
@@ -3,7 +3,7 @@
 use survey::plane::{Operation, OperationTicket};
 use trail::holder::{HolderWord, SendEnd};
 use trail::lodge::{PassEnd, RunnerCall, Topic};
-use waymark::frames::{Heartbeat, Place};
+use waymark::frames::{Heartbeat, Life};
 use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 
 /// A heartbeat on its way, with its bytes.
@@ -46,7 +46,7 @@
     HopDone { trailhead: usize, number: u64, frame: Bytes },
     Passed(usize, u64, PassEnd),
     Word(Spot, HolderWord),
-    Started(Spot, RunnerId, Place),
+    Started(Spot, RunnerId, Life),
     Stopped(Spot, RunnerId),
     LeaderStopped(usize, RunnerId),
     Probed(Spot, RunnerId, bool),
--- a/proving/expedition/src/hollow/platform.rs
+++ b/proving/expedition/src/hollow/platform.rs
@@ -1,10 +1,10 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use survey::desk::{ListedRunner, ListedWorker};
 use waymark::clock::Moment;
-use waymark::frames::Place;
+use waymark::frames::{Life, Place};
 use waymark::identity::{FunctionKey, RunnerId, WorkerName};
+use waymark::tongue::{ListedRunner, ListedWorker};
 
 /// One hollow runner.
 pub(super) struct HollowRunner {
@@ -14,8 +14,8 @@
     pub worker: WorkerName,
     /// When it has booted.
     pub ready_at: Moment,
-    /// Where it listens.
-    pub place: Place,
+    /// Its life, as the platform names it.
+    pub life: Life,
 }
 
 /// A platform that does at once what it is asked.
@@ -40,26 +40,28 @@
         Self { workers, runners: BTreeMap::new(), listening: HashMap::new(), started_count: 0 }
     }
 
-    /// Starts a runner and says where it listens.
+    /// Starts a runner and names its life.
     pub fn start(
         &mut self,
         runner: RunnerId,
         function: FunctionKey,
         worker: WorkerName,
         ready_at: Moment,
-    ) -> Place {
+    ) -> Life {
         self.started_count += 1;
         let [_, high, middle, low] = self.started_count.to_be_bytes();
         let place = Place(SocketAddrV4::new(Ipv4Addr::new(11, high, middle, low), 9000));
         self.listening.insert(place, runner);
-        self.runners.insert(runner, HollowRunner { function, worker, ready_at, place });
-        place
+        let life = Life { name: format!("life-{}", self.started_count).into(), place };
+        let started = HollowRunner { function, worker, ready_at, life: life.clone() };
+        self.runners.insert(runner, started);
+        life
     }
 
     /// Stops a runner.
     pub fn stop(&mut self, runner: RunnerId) {
         if let Some(stopped) = self.runners.remove(&runner) {
-            self.listening.remove(&stopped.place);
+            self.listening.remove(&stopped.life.place);
         }
     }
 
@@ -94,6 +96,8 @@
             .map(|(runner, held)| {
                 json!({
                     "runner": runner.to_string(),
+                    "life": held.life.name.as_str(),
+                    "place": held.life.place.to_string(),
                     "function": held.function.to_string(),
                     "worker": held.worker.as_str(),
                     "leaving": false,
@@ -130,9 +134,13 @@
     let rows = listed["runners"].as_array().map(Vec::as_slice).unwrap_or_default();
     rows.iter()
         .filter_map(|row| {
+            let key: FunctionKey = text(row, "function").parse().ok()?;
+            let place = Place(text(row, "place").parse().ok()?);
             Some(ListedRunner {
-                runner: text(row, "runner").parse().ok()?,
-                function: text(row, "function").parse().ok()?,
+                life: Life { name: text(row, "life").into(), place },
+                runner: text(row, "runner").parse().ok(),
+                function: key.name.clone(),
+                key: Some(key),
                 worker: text(row, "worker").into(),
                 leaving: row["leaving"].as_bool().unwrap_or_default(),
             })
--- a/proving/expedition/src/hollow/surveyors.rs
+++ b/proving/expedition/src/hollow/surveyors.rs
@@ -15,12 +15,13 @@
     PlaneOutput, Wait,
 };
 use waymark::chance::Chance;
+use waymark::clock::Moment;
 use waymark::events;
 use waymark::frames::{CoreFrame, StreamDown, StreamUp, decode, encode};
 use waymark::identity::{ChangeId, RunnerId, Serial, Stamp, SurveyorId, Term, Ticket};
 use waymark::spec::{CoreMember, Document, read_spec};
 
-const TICK: Duration = Duration::from_millis(20);
+const SHORTEST_REST: Duration = Duration::from_millis(1);
 const POLL_EVERY: Duration = Duration::from_millis(400);
 const DISK_TAKES: Duration = Duration::from_millis(4);
 const PLATFORM_TAKES: Duration = Duration::from_millis(5);
@@ -30,6 +31,7 @@
 /// One hollow surveyor.
 pub(super) struct Surveyor {
     pub plane: Plane,
+    pub due: Moment,
 }
 
 impl Surveyor {
@@ -74,7 +76,7 @@
                 Chance::seeded(self.chance.number()),
             );
             let plane = Plane::new(core, DeskTiming::builder().build(), fresh_span);
-            self.surveyors.push(Surveyor { plane });
+            self.surveyors.push(Surveyor { plane, due: self.now });
             self.push(Duration::from_millis(number as u64), Event::TickSurveyor(number));
             self.push(Duration::from_millis(50), Event::Poll(number));
         }
@@ -86,14 +88,21 @@
         let role = self.surveyors[surveyor].role();
         let plane = &mut self.surveyors[surveyor].plane;
         let (orders, _) = self.meter.think(role, work, || plane.take(now, input));
+        let due = self.surveyors[surveyor].plane.next_due(now);
+        self.surveyors[surveyor].due = due;
         for order in orders {
             self.obey_surveyor(surveyor, order);
         }
     }
 
+    /// Time passes for a surveyor that nothing else has reached.
     pub(super) fn tick_surveyor(&mut self, surveyor: usize) {
-        self.push(TICK, Event::TickSurveyor(surveyor));
-        self.feed(surveyor, Work::Ticks, PlaneInput::Tick);
+        if self.now >= self.surveyors[surveyor].due {
+            self.feed(surveyor, Work::Ticks, PlaneInput::Tick);
+        }
+        let due = self.surveyors[surveyor].due;
+        let idle_span = due.since(self.now).max(SHORTEST_REST);
+        self.push(idle_span, Event::TickSurveyor(surveyor));
     }
 
     fn obey_surveyor(&mut self, surveyor: usize, order: PlaneOutput) {
@@ -109,15 +118,15 @@
                 self.push(delay, Event::Core(other, bytes.into()));
             }
             PlaneOutput::Write(ticket, job) => {
-                if let WriteJob::Version(document) = &job {
-                    let length = self.meter.wire(role, Work::Disk, 1, || document.to_bytes().len());
-                    self.meter.sent(role, Work::Disk, 1, length as u64);
+                if let WriteJob::Version(_, bytes) = &job {
+                    self.meter.sent(role, Work::Disk, 1, bytes.0.len() as u64);
                 }
                 self.push(DISK_TAKES, Event::Written(surveyor, ticket));
             }
             PlaneOutput::Down(stream, frame) => self.say_down(surveyor, stream, &frame),
             PlaneOutput::Close(stream) => self.close_link(stream.0 as usize),
-            PlaneOutput::StopRunner(runner) => {
+            PlaneOutput::StopRunner(order) => {
+                let runner = order.runner;
                 self.meter.sent(Role::Platform, Work::Runners, 1, HTTP_HEADERS);
                 self.platform.stop(runner);
                 self.push(PLATFORM_TAKES, Event::LeaderStopped(surveyor, runner));
@@ -210,7 +219,8 @@
         self.changes.insert(ticket, under_way);
         let operation = Operation::Change {
             base: None,
-            change: ChangeId::from(format!("change-{}", self.change_turn)),
+            numbering: None,
+            change: Some(ChangeId::from(format!("change-{}", self.change_turn))),
             kind: ChangeKind::Patch(patch),
             wait: Wait::Accepted,
         };
@@ -227,9 +237,9 @@
     }
 
     fn operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
-        let OperationReply::Said(_, body) = reply else { return };
+        let OperationReply::Accepted { serial, .. } = reply else { return };
         if let Some(under_way) = self.changes.get_mut(&ticket) {
-            under_way.serial = body["serial"].as_u64();
+            under_way.serial = Some(serial.0);
         }
     }
 
--- a/proving/expedition/src/hollow/trailheads.rs
+++ b/proving/expedition/src/hollow/trailheads.rs
@@ -14,7 +14,7 @@
 use survey::plane::PlaneInput;
 use trail::holder::HolderWord;
 use trail::liaison::LiaisonTiming;
-use trail::lodge::{Controller, DaemonOrder, Lodge};
+use trail::lodge::{Controller, DaemonOrder, Held, Lodge};
 use waymark::chance::Chance;
 use waymark::clock::Moment;
 use waymark::frames::{
@@ -24,7 +24,8 @@
 use waymark::identity::FunctionKey;
 use waymark::rules::Rules;
 
-const TICK: Duration = Duration::from_millis(20);
+const SHORTEST_REST: Duration = Duration::from_millis(5);
+const LONGEST_REST: Duration = Duration::from_millis(100);
 /// One heartbeat in so many is read from its bytes; its time stands for the others.
 const BEATS_READ: u64 = 8;
 
@@ -36,6 +37,7 @@
     pub acquires: BTreeMap<FunctionKey, Vec<u64>>,
     pub link: Option<usize>,
     pub beats_heard: u64,
+    pub due: Moment,
 }
 
 impl Fleet {
@@ -68,14 +70,43 @@
             acquires: BTreeMap::new(),
             link: None,
             beats_heard: 0,
+            due: self.now,
         });
-        let first_tick = self.chance.within(Duration::ZERO, TICK);
+        let first_tick = self.chance.within(Duration::ZERO, LONGEST_REST);
         self.push(first_tick, Event::TickTrailhead(trailhead));
     }
 
+    /// Time passes for a daemon, if it is due; what is due next is looked up as part of it.
     pub(super) fn tick_trailhead(&mut self, trailhead: usize) {
-        self.push(TICK, Event::TickTrailhead(trailhead));
+        let now = self.now;
+        if self.trailheads[trailhead].as_ref().is_none_or(|begun| begun.due > now) {
+            return;
+        }
         self.control(trailhead, Work::Ticks, |controller, lodge, now| controller.tick(lodge, now));
+        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+        let (lodge, controller) = (&begun.lodge, &begun.controller);
+        let (next_due, _) =
+            self.meter.think(Role::Door, Work::Ticks, || controller.next_due(lodge));
+        begun.due = next_due.clamp(now + SHORTEST_REST, now + LONGEST_REST);
+        let rest = begun.due.since(now);
+        self.push(rest, Event::TickTrailhead(trailhead));
+    }
+
+    fn hasten(&mut self, trailhead: usize, due: Moment) {
+        let now = self.now;
+        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+        if due < begun.due {
+            begun.due = due.max(now + SHORTEST_REST).min(begun.due);
+            let rest = begun.due.since(now);
+            self.push(rest, Event::TickTrailhead(trailhead));
+        }
+    }
+
+    /// Has a daemon look earlier than it meant to, if a holder needs that.
+    pub(super) fn hurry(&mut self, trailhead: usize, held: &Held<u64>) {
+        if let Some(due) = held.with(|holder| holder.next_due()) {
+            self.hasten(trailhead, due);
+        }
     }
 
     /// Feeds a daemon's controller and does what it orders.
@@ -97,6 +128,11 @@
             }
             self.obey_trailhead(trailhead, order);
         }
+        let stream_due =
+            self.trailheads[trailhead].as_ref().map(|begun| begun.controller.stream_due());
+        if let Some(stream_due) = stream_due {
+            self.hasten(trailhead, stream_due);
+        }
     }
 
     fn obey_trailhead(&mut self, trailhead: usize, order: DaemonOrder<u64>) {
