--- a/proving/expedition/src/hollow/page/fit.rs
+++ b/proving/expedition/src/hollow/page/fit.rs
@@ -16,8 +16,6 @@
     HeldByOne,
     /// Runners alive.
     Instances,
-    /// Functions held times runners alive.
-    HeldTimesInstances,
     /// Daemons squared.
     DaemonsSquared,
     /// Changes of the spec a second.
@@ -36,7 +34,6 @@
             Self::Held => run.number("held"),
             Self::HeldByOne => run.held_by_one(),
             Self::Instances => run.number("instances"),
-            Self::HeldTimesInstances => run.number("held") * run.number("instances"),
             Self::DaemonsSquared => run.daemons() * run.daemons(),
             Self::Changes => run.number("changes") / run.number("measured_s"),
             Self::ChangedFunctions => {
@@ -53,7 +50,6 @@
             Self::Functions | Self::Held => 15_000.0,
             Self::HeldByOne => 15_000.0 / 740.0,
             Self::Instances => 40_000.0,
-            Self::HeldTimesInstances => 15_000.0 * 40_000.0,
             Self::DaemonsSquared => 740.0 * 740.0,
             Self::Changes => 1_800.0 / 86_400.0,
             Self::ChangedFunctions => 15_000.0 * 1_800.0 / 86_400.0,
@@ -70,7 +66,6 @@
             Self::Held => "H",
             Self::HeldByOne => "H/D",
             Self::Instances => "N",
-            Self::HeldTimesInstances => "H·N",
             Self::DaemonsSquared => "D²",
             Self::Changes => "C",
             Self::ChangedFunctions => "C·F",
--- a/proving/expedition/src/hollow/page/plots.rs
+++ b/proving/expedition/src/hollow/page/plots.rs
@@ -31,7 +31,6 @@
         Term::Functions => functions,
         Term::Held | Term::Instances => held,
         Term::HeldByOne => held / daemons,
-        Term::HeldTimesInstances => held * held,
         Term::DaemonsSquared => daemons * daemons,
         Term::Changes => 0.4,
         Term::ChangedFunctions => 0.4 * functions,
--- a/proving/expedition/src/hollow/page/scope.rs
+++ b/proving/expedition/src/hollow/page/scope.rs
@@ -62,15 +62,9 @@
     works.iter().map(|work| run.rate(work, "sent_bytes") + run.rate(work, "heard_bytes")).sum()
 }
 
-const LOADED: [Term; 4] = [Term::One, Term::Daemons, Term::Held, Term::HeldTimesInstances];
-const LOADED_AND_CHANGED: [Term; 6] = [
-    Term::One,
-    Term::Daemons,
-    Term::Held,
-    Term::HeldTimesInstances,
-    Term::Changes,
-    Term::ChangedFunctions,
-];
+const LOADED: [Term; 3] = [Term::One, Term::Daemons, Term::Held];
+const LOADED_AND_CHANGED: [Term; 5] =
+    [Term::One, Term::Daemons, Term::Held, Term::Changes, Term::ChangedFunctions];
 
 impl Scope {
     /// Fits the lines to whole runs without calls.
@@ -92,13 +86,7 @@
                 run.in_force().map(|(network_ms, _, _)| network_ms)
             }),
             force_leader: Fit::of(
-                &[
-                    Term::One,
-                    Term::Daemons,
-                    Term::DaemonsSquared,
-                    Term::Functions,
-                    Term::HeldTimesInstances,
-                ],
+                &[Term::One, Term::Daemons, Term::DaemonsSquared, Term::Functions, Term::Held],
                 &calm,
                 |run| run.in_force().map(|(_, leader_ms, _)| leader_ms),
             ),
@@ -334,12 +322,9 @@
 
     /// The time of a change to in force at any size, in milliseconds.
     pub fn force_ms(&self, value_of: &dyn Fn(Term) -> f64) -> f64 {
-        let product = self.installed_each.only(Term::HeldTimesInstances);
-        let installed_ms = product.line.at(value_of) / 1e3;
         self.force_network.line.at(value_of)
             + self.force_leader.line.at(value_of)
             + self.install.line.at(value_of)
-            + installed_ms * (value_of(Term::Daemons) - 50.0).max(0.0)
     }
 
     /// The surveyor that leads.
@@ -353,19 +338,11 @@
         let ticks = loaded("ticks and commits", &self.leading_ticks, 1.0);
         let core = loaded("the core's talk", &self.leading_core, 1.0);
         let installed = loaded("specs installed", &self.installed_each, DAEMONS * CHANGES_A_SECOND);
-        let rows = [&renewals, &idle, &ticks, &core, &installed];
+        let lists =
+            Fit::of(&[Term::One, Term::Instances], &calm, |run| Some(run.busy("leading lists")));
+        let lists = loaded("the platform's lists taken in", &lists, 1.0);
+        let rows = [&renewals, &idle, &ticks, &core, &installed, &lists];
         let all_busy = Figure::sum("**processor time**", Unit::Cores, &rows);
-        let mended = |figure: &Figure| {
-            let mut figure = figure.clone();
-            let kept =
-                |(fit, factor): &(Fit, f64)| (fit.without(Term::HeldTimesInstances), *factor);
-            figure.parts = figure.parts.iter().map(kept).collect();
-            figure
-        };
-        let mended_rows = rows.map(mended);
-        let mended_rows: Vec<&Figure> = mended_rows.iter().collect();
-        let without_product =
-            Figure::sum("**processor time** without the terms in H·N", Unit::Cores, &mended_rows);
         let stream = Fit::of(&[Term::Daemons, Term::Held], &calm, |run| {
             Some(stream_rate(run, &LEADING_STREAM))
         });
@@ -392,22 +369,9 @@
         let all_memory = Figure::sum("**memory**", Unit::Megabytes, &[&memory, &swell]);
         let network = Figure::of("a change: the network", Unit::Millis, &self.force_network, 1.0);
         let own = Figure::of("a change: the leader", Unit::Millis, &self.force_leader, 1.0);
-        let told = Figure::of(
-            "a change: what H·N adds at the words of 690 more daemons",
-            Unit::Millis,
-            &self.installed_each.only(Term::HeldTimesInstances),
-            (DAEMONS - 50.0) / 1e3,
-        );
         let install = Figure::of("a change: the slowest daemon", Unit::Millis, &self.install, 1.0);
         let in_force =
-            Figure::sum("**a change in force**", Unit::Millis, &[&network, &own, &told, &install]);
-        let mended_force = [&network, &own, &told, &install].map(mended);
-        let mended_force: Vec<&Figure> = mended_force.iter().collect();
-        let mended_force = Figure::sum(
-            "**a change in force** without the terms in H·N",
-            Unit::Millis,
-            &mended_force,
-        );
+            Figure::sum("**a change in force**", Unit::Millis, &[&network, &own, &install]);
         let join = Fit::of(&[Term::One, Term::Daemons, Term::DaemonsSquared], &calm, |run| {
             (run.number("functions") == 200.0).then(|| run.number("join_ms"))
         });
@@ -422,17 +386,15 @@
             ticks,
             core,
             installed,
+            lists,
             all_busy.within(SURVEYOR_BUDGET),
-            without_product.within(SURVEYOR_BUDGET),
             memory,
             swell,
             all_memory,
             network,
             own,
-            told,
             install,
             in_force.within(FORCE_BUDGET_MS),
-            mended_force.within(FORCE_BUDGET_MS),
             join,
         ]
     }
