--- a/crates/waymark/src/tongue/own.rs
+++ b/crates/waymark/src/tongue/own.rs
@@ -4,7 +4,7 @@
 };
 use crate::frames::{Life, Place};
 use crate::http::call_json;
-use crate::identity::{FunctionKey, LifeName};
+use crate::identity::{FunctionKey, LifeName, RunnerId};
 use crate::readers::{FaultList, PathReader, read_place};
 use hyper::{Method, StatusCode};
 use serde_json::json;
@@ -38,10 +38,11 @@
             StatusCode::CREATED => {
                 let answer = called.json();
                 let faults = FaultList::default();
-                let root = PathReader::new(&answer, &faults);
-                let told = root.field("life").text().map(LifeName::from);
-                let told = told.zip(read_place(&root.field("place")));
-                told.map_or(BeginEnd::Lost, |(name, place)| BeginEnd::Begun(Life { name, place }))
+                let listens_at = read_place(&PathReader::new(&answer, &faults).field("place"));
+                let name =
+                    PathReader::new(&answer, &faults).field("life").text().map(LifeName::from);
+                let life = name.zip(listens_at).map(|(name, place)| Life { name, place });
+                life.map_or(BeginEnd::Lost, BeginEnd::Begun)
             }
             StatusCode::CONFLICT | StatusCode::INSUFFICIENT_STORAGE => BeginEnd::NoRoom,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => BeginEnd::Busy,
@@ -51,7 +52,8 @@
     }
 
     async fn stop_own(&self, order: StopOrder) -> bool {
-        let name = order.life.map_or_else(|| order.runner.to_string(), |life| life.to_string());
+        let key = order.runner.to_string();
+        let name = order.life.as_ref().map_or(key.as_str(), LifeName::as_str);
         let path = format!("/v1/runners/{name}");
         let called = call_json(self.place, Method::DELETE, &path, None, PATIENCE).await;
         called.is_ok_and(|called| called.status == StatusCode::OK)
@@ -95,12 +97,13 @@
 }
 
 fn read_runner(item: &PathReader<'_>) -> Option<ListedRunner> {
+    let runner: Option<RunnerId> = item.field("runner").text()?.parse().ok();
     let key: FunctionKey = item.field("function").text()?.parse().ok()?;
-    let place_reader = item.field("place");
-    let place = if place_reader.is_there() { read_place(&place_reader)? } else { Place::NOWHERE };
+    let place = read_place(&item.field("place"))?;
+    let name = LifeName::from(item.field("life").text()?);
     Some(ListedRunner {
-        life: Life { name: item.field("life").text()?.into(), place },
-        runner: item.field("runner").text()?.parse().ok(),
+        life: Life { name, place },
+        runner,
         function: key.name.clone(),
         key: Some(key),
         worker: item.field("worker").text()?.into(),
