--- a/proving/expedition/src/hollow/calls.rs
+++ b/proving/expedition/src/hollow/calls.rs
@@ -158,6 +158,7 @@
             serial,
             budget_end: now + BUDGET,
             hops: 0,
+            refer: true,
             repeat: false,
             parcel: Arc::new(Parcel::of_body(Bytes::from_static(REQUEST))),
         };
--- a/proving/expedition/src/hollow/surveyors.rs
+++ b/proving/expedition/src/hollow/surveyors.rs
@@ -125,6 +125,7 @@
             }
             PlaneOutput::Down(stream, frame) => self.say_down(surveyor, stream, &frame),
             PlaneOutput::Close(stream) => self.close_link(stream.0 as usize),
+            PlaneOutput::AskLists => self.read_lists(surveyor),
             PlaneOutput::StopRunner(order) => {
                 let runner = order.runner;
                 self.meter.sent(Role::Platform, Work::Runners, 1, HTTP_HEADERS);
@@ -188,6 +189,10 @@
     /// The leader reads the platform's lists.
     pub(super) fn poll(&mut self, surveyor: usize) {
         self.push(POLL_EVERY, Event::Poll(surveyor));
+        self.read_lists(surveyor);
+    }
+
+    fn read_lists(&mut self, surveyor: usize) {
         if !self.surveyors[surveyor].plane.core().is_leader() {
             return;
         }
--- a/proving/expedition/src/hollow/wire.rs
+++ b/proving/expedition/src/hollow/wire.rs
@@ -40,7 +40,7 @@
 pub(super) fn work_down(frame: &StreamDown) -> Work {
     match frame {
         StreamDown::Renewed { .. } => Work::Renewals,
-        StreamDown::Hosts { .. } => Work::Hosts,
+        StreamDown::Hosts { .. } | StreamDown::HostsChanged { .. } => Work::Hosts,
         StreamDown::Spec { .. } | StreamDown::Change { .. } => Work::Spec,
         StreamDown::Steward { .. } => Work::Stewards,
         StreamDown::Elsewhere { .. } | StreamDown::Welcome { .. } => Work::Others,
