--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -62,10 +62,13 @@
                 "core_size",
                 "threads",
                 "platform",
-                "spread",
-                "emptying",
+                "placing",
                 "timing",
             ]);
+            let placing = root.field("placing");
+            placing.only(&["spread", "emptying"]);
+            let spread = placing.field("spread").flag_or(true);
+            let emptying = placing.field("emptying").flag_or(true);
             let timing = root.field("timing");
             timing.only(&[
                 "list_every_ms",
@@ -82,8 +85,6 @@
             ]);
             let core_default = CoreTiming::builder().build();
             let desk_default = DeskTiming::builder().build();
-            let spread = root.field("spread").flag_or(desk_default.spread);
-            let emptying = root.field("emptying").flag_or(desk_default.emptying);
             let place = read_place(&root.field("place"));
             let listen = read_listen(root, place);
             let operators = read_place(&root.field("operators"));
