Specs and changes are packed for the wire

Cause: at 72 machines a spec of half a megabyte for every daemon filled the leader's link for three seconds, streams fell silent and began again. Ruled out: the founding and the election, both done in half a second. Change: deflate on what the stream pushes.

--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/survey/src/desk/delivery.rs
@@ -2,7 +2,7 @@
 use serde_json::json;
 use waymark::clock::Moment;
 use waymark::events;
-use waymark::frames::{Blob, Flag, StreamDown};
+use waymark::frames::{Flag, StreamDown, pack};
 use waymark::identity::{FunctionKey, GrantSerial, MemberName, RunnerId, Serial};
 use waymark::rules::Rule;
 use waymark::spec::{Document, Table, View};
@@ -221,14 +221,11 @@
     StreamDown::Change {
         base: base_view.serial,
         serial: newest_view.serial,
-        patch: base_view.patch_to(newest_view).into(),
+        patch: pack(&base_view.patch_to(newest_view)),
         digest: newest_view.digest().to_vec().into(),
     }
 }
 
 fn whole_frame(view: &View) -> StreamDown {
-    StreamDown::Spec {
-        serial: view.serial,
-        document: Blob::from(view.to_value().to_string().into_bytes()),
-    }
+    StreamDown::Spec { serial: view.serial, document: pack(view.to_value().to_string().as_bytes()) }
 }
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/trail/src/keeper/mod.rs
@@ -9,6 +9,7 @@
 use waymark::clock::Moment;
 use waymark::frames::{
     AcquireResult, Claim, Heartbeat, Host, Place, ReserveResult, RunnerNews, StreamDown, StreamUp,
+    unpack,
 };
 use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term};
 use waymark::rules::{Rule, Rules};
@@ -314,16 +315,19 @@
     fn hear(&mut self, now: Moment, frame: StreamDown) {
         match frame {
             StreamDown::Spec { serial, document } => {
-                let read_view = serde_json::from_slice(&document.0)
+                let text = unpack(&document).unwrap_or_default();
+                let read_view = serde_json::from_slice(&text)
                     .map_err(DocumentFault::from)
                     .and_then(|value| View::from_value(&value));
                 self.install(now, serial, read_view);
             }
             StreamDown::Change { base, serial, patch, digest } => match &self.view {
-                Some(view) if view.serial == base => match view.patched(&patch.0, &digest.0) {
-                    Ok(changed_view) => self.install(now, serial, Ok(changed_view)),
-                    Err(_) => self.orders.push(KeeperOrder::Say(StreamUp::Whole)),
-                },
+                Some(view) if view.serial == base => {
+                    match view.patched(&unpack(&patch).unwrap_or_default(), &digest.0) {
+                        Ok(changed_view) => self.install(now, serial, Ok(changed_view)),
+                        Err(_) => self.orders.push(KeeperOrder::Say(StreamUp::Whole)),
+                    }
+                }
                 Some(view) if view.serial >= serial => {}
                 _ => self.orders.push(KeeperOrder::Say(StreamUp::Whole)),
             },
--- a/crates/waymark/src/frames/mod.rs
+++ b/crates/waymark/src/frames/mod.rs
@@ -4,6 +4,7 @@
 mod dial;
 mod heartbeat;
 mod hop;
+mod pack;
 mod parts;
 mod stream;
 mod wire;
@@ -12,6 +13,7 @@
 pub use dial::dial;
 pub use heartbeat::{Heartbeat, MemberLife, Suspicion};
 pub use hop::{HeadLine, HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState, Parcel};
+pub use pack::{pack, unpack};
 pub use parts::{Blob, Flag, Many, Place, read_text, write_text};
 pub use stream::{
     AcquireResult, Claim, ClaimRunner, Host, IdleFunction, Life, Prior, ReserveResult, RunnerNews,
