--- a/crates/survey/tests/succession.rs
+++ b/crates/survey/tests/succession.rs
@@ -278,3 +278,31 @@
     bench.pass(Duration::from_secs(4));
     verify_that!(bench.members(0), eq(&vec![1, 12, 13]))
 }
+
+#[gtest]
+fn a_restarted_voter_that_hears_no_leader_asks_for_a_trial_early() -> Result<()> {
+    let mut bench = Bench::new();
+    bench.found();
+    let known = bench.committed.last().map(|(_, document)| document.clone());
+    let recalled =
+        Recalled { id: SurveyorId(1), voted: None, accepted: known, distrusted: Stamp::default() };
+    let timing = CoreTiming::builder().build();
+    let address = Address { place: place(0), operators: place(0) };
+    let seeds = (0..3).map(place).collect();
+    let locality = Locality::from("l0");
+    let mut restarted =
+        Core::new(bench.now, timing.clone(), recalled, address, locality, seeds, Chance::seeded(9));
+    let mut asked_after = Duration::ZERO;
+    while asked_after < timing.election_longest {
+        asked_after += Duration::from_millis(10);
+        let outputs = restarted.tick(bench.now + asked_after);
+        let asks = outputs.iter().any(|output| {
+            matches!(output, CoreOutput::Send { frame, .. }
+                if matches!(frame.body, waymark::frames::CoreBody::VoteAsk { .. }))
+        });
+        if asks {
+            break;
+        }
+    }
+    verify_that!(asked_after, le(timing.early_longest + Duration::from_millis(10)))
+}
--- a/crates/trail/tests/liaison.rs
+++ b/crates/trail/tests/liaison.rs
@@ -162,3 +162,22 @@
     liaison.tick(START + ms(600));
     verify_that!(said(&liaison.connected(START + ms(601))), eq((601, true)))
 }
+
+#[gtest]
+fn after_reseeding_only_the_new_seeds_are_dialed() -> Result<()> {
+    let mut liaison = liaison();
+    liaison.set_seeds(vec![place(21), place(22)]);
+    let mut now = START;
+    let mut dialed_places = std::collections::BTreeSet::new();
+    for _ in 0..400 {
+        if let Some(dialed_place) = dialed(&liaison.tick(now)) {
+            dialed_places.insert(dialed_place);
+            liaison.disconnected(now);
+        }
+        now = now + ms(20);
+    }
+    verify_that!(
+        dialed_places.into_iter().collect::<Vec<_>>(),
+        elements_are![eq(&place(21)), eq(&place(22))]
+    )
+}
