--- a/crates/survey/src/boot.rs
+++ b/crates/survey/src/boot.rs
@@ -81,6 +81,7 @@
                 "replace_ms",
                 "hello_ms",
                 "left_ms",
+                "start_settle_ms",
                 "list_lag_ms",
             ]);
             let core_default = CoreTiming::builder().build();
@@ -131,6 +132,10 @@
                     .drift_margin(drift_margin)
                     .claims_wait(grant_length + drift_margin)
                     .left_for(read_millis(&timing.field("left_ms"), desk_default.left_for))
+                    .start_settle(read_millis(
+                        &timing.field("start_settle_ms"),
+                        desk_default.start_settle,
+                    ))
                     .list_lag(read_millis(&timing.field("list_lag_ms"), desk_default.list_lag))
                     .spread(spread)
                     .emptying(emptying)
