--- a/crates/trail/src/liaison/mod.rs
+++ b/crates/trail/src/liaison/mod.rs
@@ -16,10 +16,10 @@
     #[builder(default = Duration::from_millis(250))]
     pub renew_every: Duration,
     /// How long a connection may take to come about and be welcomed.
-    #[builder(default = Duration::from_millis(1500))]
+    #[builder(default = Duration::from_millis(250))]
     pub welcome_within: Duration,
     /// How long a welcomed stream may bring no renewal before another leader is sought.
-    #[builder(default = Duration::from_millis(2000))]
+    #[builder(default = Duration::from_millis(550))]
     pub silence_within: Duration,
     /// How long a surveyor that fell silent is left alone.
     #[builder(default = Duration::from_millis(1500))]
