--- a/crates/waymark/src/events/mod.rs
+++ b/crates/common/src/events/mod.rs
@@ -40,11 +40,11 @@
     HEARTBEAT_IGNORED = 1102, "heartbeat ignored";
     /// A link to another process was lost.
     LINK_LOST = 1103, "link lost";
-    /// A surveyor asks for votes.
+    /// A controller asks for votes.
     CAMPAIGN = 2001, "campaign";
-    /// A surveyor leads.
+    /// A controller leads.
     ELECTED = 2002, "elected";
-    /// A surveyor no longer leads.
+    /// A controller no longer leads.
     STEPPED_DOWN = 2003, "stepped down";
     /// A version of the document is committed.
     COMMITTED = 2004, "committed";
--- a/crates/waymark/src/frames/core.rs
+++ b/crates/common/src/frames/core.rs
@@ -1,5 +1,5 @@
 use super::{Blob, Flag, Many, Place};
-use crate::identity::{Incarnation, Locality, MemberName, Stamp, SurveyorId, Term};
+use crate::identity::{ControllerId, Incarnation, MemberName, Stamp, Term, Zone};
 use binrw::binrw;
 
 /// A daemon as the core remembers it over a change of leader.
@@ -31,13 +31,13 @@
 #[derive(Clone, Debug)]
 pub struct CoreFrame {
     /// Who sends.
-    pub from: SurveyorId,
+    pub from: ControllerId,
     /// Where answers reach the sender.
     pub place: Place,
     /// Where operators reach the sender.
     pub operators: Place,
-    /// The sender's locality.
-    pub locality: Locality,
+    /// The sender's zone.
+    pub zone: Zone,
     /// What is said.
     pub body: CoreBody,
 }
--- a/crates/waymark/src/frames/stream.rs
+++ b/crates/common/src/frames/stream.rs
@@ -1,7 +1,7 @@
 use super::{Blob, Flag, Many, MemberLife, Place};
 use crate::identity::{
-    CorrelationId, FunctionKey, GrantSerial, Incarnation, LifeName, Locality, MemberName, RunnerId,
-    Serial, Term, WorkerName,
+    CorrelationId, FunctionKey, GrantSerial, Incarnation, LifeName, MemberName, RunnerId, Serial,
+    Term, WorkerName, Zone,
 };
 use binrw::binrw;
 
@@ -14,8 +14,8 @@
     pub member: MemberName,
     /// Which life of it.
     pub incarnation: Incarnation,
-    /// Its locality.
-    pub locality: Locality,
+    /// Its zone.
+    pub zone: Zone,
     /// Where other processes reach it.
     pub place: Place,
     /// Whether it may be given functions.
@@ -307,13 +307,13 @@
 #[brw(big)]
 #[derive(Clone, Debug)]
 pub enum StreamDown {
-    /// This surveyor does not lead; the leader may be there.
+    /// This controller does not lead; the leader may be there.
     #[brw(magic = 1u8)]
     Elsewhere {
         /// The leader's place, or nowhere.
         leader: Place,
     },
-    /// This surveyor leads.
+    /// This controller leads.
     #[brw(magic = 2u8)]
     Welcome {
         /// Its term.
--- a/crates/waymark/src/identity/mod.rs
+++ b/crates/common/src/identity/mod.rs
@@ -7,9 +7,9 @@
 
 pub use function::{FunctionIndex, FunctionKey, FunctionKeyFault};
 pub use names::{
-    ChangeId, FunctionName, LifeName, Locality, MemberName, TransactionId, Wording, WorkerName,
+    ChangeId, FunctionName, LifeName, MemberName, TransactionId, Wording, WorkerName, Zone,
 };
 pub use numbers::{
-    CorrelationId, GrantSerial, Incarnation, Serial, Stamp, SurveyorId, Term, Ticket,
+    ControllerId, CorrelationId, GrantSerial, Incarnation, Serial, Stamp, Term, Ticket,
 };
 pub use runner::{RunnerId, RunnerIdFault};
--- a/crates/waymark/src/identity/names.rs
+++ b/crates/common/src/identity/names.rs
@@ -75,7 +75,7 @@
     /// A function's name in the catalogue.
     FunctionName,
     /// A group of machines that may be lost together.
-    Locality,
+    Zone,
     /// A daemon's name.
     MemberName,
     /// A worker's name.
--- a/crates/waymark/src/identity/numbers.rs
+++ b/crates/common/src/identity/numbers.rs
@@ -68,7 +68,7 @@
     /// The number of one life of a daemon.
     Incarnation,
     /// A core member's random identity, kept on its disk.
-    SurveyorId,
+    ControllerId,
     /// Ties an answer to its question on a stream.
     CorrelationId,
     /// Ties a finished piece of work to its order.
--- a/crates/waymark/src/ring/mod.rs
+++ b/crates/common/src/ring/mod.rs
@@ -37,7 +37,7 @@
         .map(|(_, host)| host)
 }
 
-/// How many watchers of each daemon stand in other localities than its own.
+/// How many watchers of each daemon stand in other zones than its own.
 pub const FAR_WATCHERS: usize = 2;
 
 /// How many stand in its own.
@@ -49,7 +49,7 @@
 }
 
 /// The daemons that watch a member: of those that follow it on the ring the first two in other
-/// localities and the first in its own; where there are too few of one kind, more of the other.
+/// zones and the first in its own; where there are too few of one kind, more of the other.
 /// The hosts come with their places on the ring.
 pub fn watchers<'a>(
     watched_host: &Host,
@@ -59,7 +59,7 @@
     let (mut near_hosts, mut far_hosts): (Vec<_>, Vec<_>) = placed_hosts
         .filter(|(_, host)| host.member != watched_host.member)
         .map(|(ring_place, host)| (ring_place.wrapping_sub(own_place), host))
-        .partition(|(_, host)| host.locality == watched_host.locality);
+        .partition(|(_, host)| host.zone == watched_host.zone);
     near_hosts.sort_by_key(|(ring_distance, _)| *ring_distance);
     far_hosts.sort_by_key(|(ring_distance, _)| *ring_distance);
     let watcher_count = FAR_WATCHERS + NEAR_WATCHERS;
--- a/crates/waymark/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -37,7 +37,7 @@
     LedgerCollected,
     /// Runners on unfit workers are drained.
     DrainObeyed,
-    /// Functions held in an evacuated locality are handed over, and runners there drained.
+    /// Functions held in an evacuated zone are handed over, and runners there drained.
     EvacuationObeyed,
     /// A daemon that is stopped in order hands out the answers it has in hand.
     AnswersHandedOut,
--- a/crates/waymark/src/spec/document.rs
+++ b/crates/common/src/spec/document.rs
@@ -1,7 +1,7 @@
 use super::{Spec, read_spec};
 use crate::frames::Place;
 use crate::identity::{
-    ChangeId, FunctionName, Locality, MemberName, Serial, Stamp, SurveyorId, Term,
+    ChangeId, ControllerId, FunctionName, MemberName, Serial, Stamp, Term, Zone,
 };
 use crate::readers::{FaultList, FaultReason, PathFault, PathReader, read_place};
 use serde_json::{Map, Value, json};
@@ -14,11 +14,11 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct CoreMember {
     /// Its identity, kept on its disk.
-    pub id: SurveyorId,
+    pub id: ControllerId,
     /// Where other processes reach it.
     pub place: Place,
-    /// Its locality.
-    pub locality: Locality,
+    /// Its zone.
+    pub zone: Zone,
 }
 
 /// A daemon that may hold a member grant: whatever life of it stands at its place.
@@ -52,8 +52,8 @@
     pub spec: Value,
     /// The serial at which each function entered the catalogue.
     pub generations: BTreeMap<FunctionName, Serial>,
-    /// The evacuated localities.
-    pub evacuated: BTreeSet<Locality>,
+    /// The evacuated zones.
+    pub evacuated: BTreeSet<Zone>,
     /// The members of the core.
     pub core: Vec<CoreMember>,
     /// The members before, while a change of the core is not settled; else nobody.
@@ -124,8 +124,8 @@
         .collect()
 }
 
-fn read_evacuated(reader: &PathReader<'_>) -> BTreeSet<Locality> {
-    reader.items().iter().filter_map(|item| item.text().map(Locality::from)).collect()
+fn read_evacuated(reader: &PathReader<'_>) -> BTreeSet<Zone> {
+    reader.items().iter().filter_map(|item| item.text().map(Zone::from)).collect()
 }
 
 fn generations_json(generations: &BTreeMap<FunctionName, Serial>) -> Value {
@@ -133,8 +133,8 @@
     Value::Object(pairs.collect::<Map<_, _>>())
 }
 
-fn evacuated_json(evacuated: &BTreeSet<Locality>) -> Value {
-    Value::Array(evacuated.iter().map(|locality| json!(locality.as_str())).collect())
+fn evacuated_json(evacuated: &BTreeSet<Zone>) -> Value {
+    Value::Array(evacuated.iter().map(|zone| json!(zone.as_str())).collect())
 }
 
 fn read_core(reader: &PathReader<'_>) -> Vec<CoreMember> {
@@ -143,9 +143,9 @@
         .iter()
         .filter_map(|item| {
             Some(CoreMember {
-                id: SurveyorId(u64::from_str_radix(item.field("id").text()?, 16).ok()?),
+                id: ControllerId(u64::from_str_radix(item.field("id").text()?, 16).ok()?),
                 place: read_place(&item.field("place"))?,
-                locality: item.field("locality").text()?.into(),
+                zone: item.field("locality").text()?.into(),
             })
         })
         .collect()
@@ -179,7 +179,7 @@
         json!({
             "id": format!("{:x}", member.id.0),
             "place": member.place.to_string(),
-            "locality": member.locality.as_str(),
+            "locality": member.zone.as_str(),
         })
     });
     Value::Array(rows.collect())
@@ -284,13 +284,13 @@
         self
     }
 
-    /// The next version, with a locality evacuated or restored.
-    pub fn with_locality(&self, locality: Locality, evacuate: bool, change: ChangeId) -> Self {
+    /// The next version, with a zone evacuated or restored.
+    pub fn with_zone(&self, zone: Zone, evacuate: bool, change: ChangeId) -> Self {
         let mut next_document = self.noting(change);
         if evacuate {
-            next_document.evacuated.insert(locality);
+            next_document.evacuated.insert(zone);
         } else {
-            next_document.evacuated.remove(&locality);
+            next_document.evacuated.remove(&zone);
         }
         next_document
     }
@@ -347,8 +347,8 @@
     pub spec: Value,
     /// The serial at which each function entered the catalogue.
     pub generations: BTreeMap<FunctionName, Serial>,
-    /// The evacuated localities.
-    pub evacuated: BTreeSet<Locality>,
+    /// The evacuated zones.
+    pub evacuated: BTreeSet<Zone>,
     /// Where the members of the core stand.
     pub core: Vec<Place>,
 }
--- a/crates/waymark/src/spec/table.rs
+++ b/crates/common/src/spec/table.rs
@@ -1,5 +1,5 @@
 use super::{CallerLimits, DocumentFault, FunctionSpec, RouteMatch, RouteSpec, View};
-use crate::identity::{FunctionIndex, FunctionKey, Locality, Serial, TransactionId};
+use crate::identity::{FunctionIndex, FunctionKey, Serial, TransactionId, Zone};
 use hyper::Method;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap};
@@ -70,7 +70,7 @@
     limits: CallerLimits,
     by_route: HashMap<String, usize>,
     by_key: HashMap<FunctionKey, FunctionIndex>,
-    evacuated: BTreeSet<Locality>,
+    evacuated: BTreeSet<Zone>,
     warm: BTreeSet<FunctionIndex>,
 }
 
@@ -261,8 +261,8 @@
         self.routes.iter().map(|route| route.spec.budget).max().unwrap_or_default()
     }
 
-    /// Whether a locality is evacuated.
-    pub fn is_evacuated(&self, locality: &Locality) -> bool {
-        self.evacuated.contains(locality)
+    /// Whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &Zone) -> bool {
+        self.evacuated.contains(zone)
     }
 }
--- a/crates/waymark/src/tongue/own.rs
+++ b/crates/common/src/tongue/own.rs
@@ -71,7 +71,7 @@
             .filter_map(|item| {
                 Some(ListedWorker {
                     worker: item.field("worker").text()?.into(),
-                    locality: item.field("locality").text()?.into(),
+                    zone: item.field("locality").text()?.into(),
                     memory_mb: item.field("memory_mb").number(0..=u64::from(u32::MAX))? as u32,
                     draining: item.field("draining").flag_or(false),
                 })
--- a/crates/waymark/src/tongue/platform.rs
+++ b/crates/common/src/tongue/platform.rs
@@ -1,6 +1,6 @@
 use crate::frames::Life;
 use crate::identity::{
-    FunctionKey, FunctionName, LifeName, Locality, MemberName, RunnerId, WorkerName,
+    FunctionKey, FunctionName, LifeName, MemberName, RunnerId, WorkerName, Zone,
 };
 use std::future::Future;
 use std::pin::Pin;
@@ -63,8 +63,8 @@
 pub struct ListedWorker {
     /// Its name.
     pub worker: WorkerName,
-    /// Its locality.
-    pub locality: Locality,
+    /// Its zone.
+    pub zone: Zone,
     /// Its whole memory.
     pub memory_mb: u32,
     /// Whether it is being emptied.
--- a/crates/waymark/tests/clocks.rs
+++ b/crates/common/tests/clocks.rs
@@ -18,8 +18,8 @@
 fn deployed_code_reads_no_wall_clock() -> Result<()> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let mut found = Vec::new();
-    let packages = ["crates/waymark", "crates/trail", "crates/survey"];
-    let programs = ["programs/trailhead", "programs/surveyor", "programs/legend", "programs/blaze"];
+    let packages = ["crates/common", "crates/dataplane", "crates/controlplane"];
+    let programs = ["programs/daemon", "programs/controller", "programs/rudderctl"];
     for package in packages.iter().chain(&programs) {
         sources(&root.join(package).join("src"), &mut found);
     }
--- a/crates/waymark/tests/events.rs
+++ b/crates/common/tests/events.rs
@@ -1,7 +1,7 @@
 //! The catalogue of events is whole.
 
+use common::events::ALL;
 use std::collections::BTreeSet;
-use waymark::events::ALL;
 
 #[test]
 fn every_event_has_its_own_number_and_stands_in_the_catalogue() {
--- a/crates/waymark/tests/frames.rs
+++ b/crates/common/tests/frames.rs
@@ -1,16 +1,17 @@
 //! Frames come back as they were sent, and broken ones are told apart.
 
-use googletest::prelude::*;
-use waymark::chance::Chance;
-use waymark::frames::{
+use common::chance::Chance;
+use common::frames::{
     AcquireResult, Channel, CoreBody, CoreFrame, Flag, FrameFault, HeadLine, Heartbeat, HopBody,
     HopFrame, HopOutcome, HopReason, Host, LedgerNote, Many, MemberLife, NoteState, Parcel, Place,
     StreamDown, StreamUp, Suspicion, decode, decode_heartbeat, encode, encode_heartbeat,
     read_channel, read_frame, write_channel, write_frame,
 };
-use waymark::identity::{
-    CorrelationId, FunctionKey, GrantSerial, MemberName, RunnerId, Serial, Stamp, SurveyorId, Term,
+use common::identity::{
+    ControllerId, CorrelationId, FunctionKey, GrantSerial, MemberName, RunnerId, Serial, Stamp,
+    Term,
 };
+use googletest::prelude::*;
 
 fn sample() -> StreamDown {
     StreamDown::Change {
@@ -55,7 +56,7 @@
     let host = Host {
         member: "th-1".into(),
         incarnation: 5.into(),
-        locality: "l".into(),
+        zone: "l".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
     };
@@ -122,10 +123,10 @@
         },
     ];
     let core = CoreFrame {
-        from: SurveyorId(7),
+        from: ControllerId(7),
         place: Place::NOWHERE,
         operators: Place::NOWHERE,
-        locality: "l".into(),
+        zone: "l".into(),
         body: CoreBody::Accept {
             term: Term(2),
             stamp: Stamp { term: Term(2), serial: Serial(3) },
--- a/crates/waymark/tests/pack.rs
+++ b/crates/common/tests/pack.rs
@@ -1,8 +1,8 @@
 //! What is packed comes back; what was packed by nobody fails or stays itself.
 
+use common::chance::Chance;
+use common::frames::{Blob, pack, unpack};
 use googletest::prelude::*;
-use waymark::chance::Chance;
-use waymark::frames::{Blob, pack, unpack};
 
 #[gtest]
 fn what_is_packed_comes_back() -> Result<()> {
--- a/crates/waymark/tests/ring.rs
+++ b/crates/common/tests/ring.rs
@@ -1,16 +1,16 @@
-//! The ring moves little when a daemon goes, and watchers stand in other localities.
+//! The ring moves little when a daemon goes, and watchers stand in other zones.
 
+use common::frames::{Flag, Host, Place};
+use common::identity::{FunctionKey, Serial};
+use common::ring::{hash_owner, place_of, watchers};
 use googletest::prelude::*;
-use waymark::frames::{Flag, Host, Place};
-use waymark::identity::{FunctionKey, Serial};
-use waymark::ring::{hash_owner, place_of, watchers};
 
 fn hosts(count: usize) -> Vec<Host> {
     (0..count)
         .map(|number| Host {
             member: format!("th-{number}").into(),
             incarnation: 1.into(),
-            locality: format!("locality-{}", number % 3).into(),
+            zone: format!("locality-{}", number % 3).into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
         })
@@ -48,13 +48,12 @@
 }
 
 #[gtest]
-fn two_watchers_stand_elsewhere_and_one_in_the_own_locality() -> Result<()> {
+fn two_watchers_stand_elsewhere_and_one_in_the_own_zone() -> Result<()> {
     let all_hosts = hosts(10);
     let placed = || all_hosts.iter().map(|host| (place_of(&host.member), host));
     for host in &all_hosts {
         let chosen_watchers = watchers(host, placed());
-        let near_count =
-            chosen_watchers.iter().filter(|watcher| watcher.locality == host.locality).count();
+        let near_count = chosen_watchers.iter().filter(|watcher| watcher.zone == host.zone).count();
         verify_that!((chosen_watchers.len(), near_count), eq((3, 1)))?;
         verify_that!(
             chosen_watchers.iter().all(|watcher| watcher.member != host.member),
@@ -68,7 +67,7 @@
 fn where_one_kind_is_short_the_other_watches() -> Result<()> {
     let all_hosts = hosts(9);
     let near_ones: Vec<Host> =
-        all_hosts.iter().filter(|host| host.locality == all_hosts[0].locality).cloned().collect();
+        all_hosts.iter().filter(|host| host.zone == all_hosts[0].zone).cloned().collect();
     let counts = |given: &[Host]| {
         let placed = given.iter().map(|host| (place_of(&host.member), host));
         watchers(&given[0], placed).len()
@@ -76,7 +75,7 @@
     verify_that!(counts(&near_ones), eq(2))?;
     let far_ones: Vec<Host> = all_hosts
         .iter()
-        .filter(|host| host.member == all_hosts[0].member || host.locality != all_hosts[0].locality)
+        .filter(|host| host.member == all_hosts[0].member || host.zone != all_hosts[0].zone)
         .cloned()
         .collect();
     verify_that!(counts(&far_ones), eq(3))
--- a/crates/waymark/tests/spec.rs
+++ b/crates/common/tests/spec.rs
@@ -1,13 +1,13 @@
 //! The spec's reader names every fault; its table agrees with a slow plain search; changes fit or fail.
 
+use common::chance::Chance;
+use common::frames::Place;
+use common::identity::{ChangeId, ControllerId, Serial, Zone};
+use common::readers::{BootSource, read_places};
+use common::spec::{CoreMember, Document, Table, View, read_spec};
 use googletest::prelude::*;
 use hyper::Method;
 use serde_json::{Value, json};
-use waymark::chance::Chance;
-use waymark::frames::Place;
-use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
-use waymark::readers::{BootSource, read_places};
-use waymark::spec::{CoreMember, Document, Table, View, read_spec};
 
 fn function() -> Value {
     json!({"memory_mb": 100, "boot_ms": 10, "slots": 2})
@@ -19,9 +19,9 @@
 
 fn document() -> Document {
     let member = CoreMember {
-        id: SurveyorId(0xabc),
+        id: ControllerId(0xabc),
         place: Place("127.0.0.1:1".parse().expect("an address")),
-        locality: "here".into(),
+        zone: "here".into(),
     };
     Document::founding(vec![member])
 }
@@ -134,8 +134,8 @@
 fn changes_lead_to_the_same_view_or_are_not_believed() -> Result<()> {
     let old_document = document();
     let spec = json!({"functions": {"a": function()}, "routes": {"r": route("/r", "a")}});
-    let new_document = changed(&old_document, spec, "c1").with_locality(
-        Locality::from("north"),
+    let new_document = changed(&old_document, spec, "c1").with_zone(
+        Zone::from("north"),
         true,
         ChangeId::from("c2"),
     );
@@ -143,8 +143,7 @@
     let patch = old_view.patch_to(&new_view);
     verify_that!(old_view.patched(&patch, &new_view.digest())? == new_view, eq(true))?;
     verify_that!(old_view.patched(&patch, &[0; 32]).is_err(), eq(true))?;
-    let other_base =
-        old_document.with_locality(Locality::from("south"), true, ChangeId::from("c3")).view();
+    let other_base = old_document.with_zone(Zone::from("south"), true, ChangeId::from("c3")).view();
     verify_that!(other_base.patched(&patch, &new_view.digest()).is_err(), eq(true))?;
     let read_again = View::from_value(&new_view.to_value())?;
     verify_that!(read_again == new_view, eq(true))?;
--- a/crates/survey/src/boot.rs
+++ b/crates/controlplane/src/boot.rs
@@ -1,18 +1,18 @@
-//! The surveyor's boot settings.
+//! The controller's boot settings.
 
 use crate::core::{CoreTiming, FULL_CORE};
-use crate::desk::DeskTiming;
+use crate::leader_state::LeaderTiming;
+use common::frames::Place;
+use common::identity::Zone;
+use common::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
 use std::path::PathBuf;
 use std::time::Duration;
-use waymark::frames::Place;
-use waymark::identity::Locality;
-use waymark::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
 
 const LIST_EVERY: Duration = Duration::from_millis(400);
 
-/// What a surveyor needs to know before it starts.
+/// What a controller needs to know before it starts.
 #[derive(Clone, Debug)]
-pub struct SurveyorBoot {
+pub struct ControllerBoot {
     /// Where the settings came from, for fault messages.
     pub source: String,
     /// Where other processes reach it.
@@ -21,9 +21,9 @@
     pub listen: Place,
     /// Where operators reach it.
     pub operators: Place,
-    /// Its locality.
-    pub locality: Locality,
-    /// The places of one to three surveyors.
+    /// Its zone.
+    pub zone: Zone,
+    /// The places of one to three controllers.
     pub seeds: Vec<Place>,
     /// The data folder; without one it never votes, and only passes operators and daemons on.
     pub data: Option<PathBuf>,
@@ -35,19 +35,19 @@
     pub threads: usize,
     /// The platform.
     pub platform: Place,
-    /// From one reading of the platform's lists to the next, while this surveyor leads.
+    /// From one reading of the platform's lists to the next, while this controller leads.
     pub list_every: Duration,
     /// The core's times.
     pub core_timing: CoreTiming,
-    /// The desk's times.
-    pub desk_timing: DeskTiming,
+    /// The leader state's times.
+    pub leader_state_timing: LeaderTiming,
 }
 
 fn read_millis(reader: &PathReader<'_>, default_span: Duration) -> Duration {
     Duration::from_millis(reader.number_or(1..=60_000, default_span.as_millis() as u64))
 }
 
-impl SurveyorBoot {
+impl ControllerBoot {
     /// Reads and checks the settings.
     pub fn read(boot_source: &BootSource) -> Result<Self, BootFault> {
         boot_source.read(|root| {
@@ -85,11 +85,11 @@
                 "list_lag_ms",
             ]);
             let core_default = CoreTiming::builder().build();
-            let desk_default = DeskTiming::builder().build();
+            let leader_state_default = LeaderTiming::builder().build();
             let place = read_place(&root.field("place"));
             let listen = read_listen(root, place);
             let operators = read_place(&root.field("operators"));
-            let locality = root.field("locality").text();
+            let zone = root.field("locality").text();
             let seeds = read_places(&root.field("seeds"), 1..=3);
             let data_reader = root.field("data");
             let data =
@@ -102,14 +102,16 @@
                 read_millis(&timing.field("election_shortest_ms"), core_default.election_shortest);
             let longest =
                 read_millis(&timing.field("election_longest_ms"), core_default.election_longest);
-            let grant_length = read_millis(&timing.field("grant_ms"), desk_default.grant_length);
-            let drift_margin = read_millis(&timing.field("drift_ms"), desk_default.drift_margin);
+            let grant_length =
+                read_millis(&timing.field("grant_ms"), leader_state_default.grant_length);
+            let drift_margin =
+                read_millis(&timing.field("drift_ms"), leader_state_default.drift_margin);
             Some(Self {
                 source: boot_source.name().to_owned(),
                 place: place?,
                 listen: listen?,
                 operators: operators?,
-                locality: Locality::from(locality?),
+                zone: Zone::from(zone?),
                 seeds: seeds?,
                 data: data.map(PathBuf::from),
                 found_first,
@@ -127,21 +129,24 @@
                         core_default.replace_after,
                     ))
                     .build(),
-                desk_timing: DeskTiming::builder()
+                leader_state_timing: LeaderTiming::builder()
                     .grant_length(grant_length)
                     .drift_margin(drift_margin)
                     .claims_wait(grant_length + drift_margin)
-                    .left_for(read_millis(&timing.field("left_ms"), desk_default.left_for))
+                    .left_for(read_millis(&timing.field("left_ms"), leader_state_default.left_for))
                     .start_settle(read_millis(
                         &timing.field("start_settle_ms"),
-                        desk_default.start_settle,
+                        leader_state_default.start_settle,
+                    ))
+                    .list_lag(read_millis(
+                        &timing.field("list_lag_ms"),
+                        leader_state_default.list_lag,
                     ))
-                    .list_lag(read_millis(&timing.field("list_lag_ms"), desk_default.list_lag))
                     .spread(spread)
                     .emptying(emptying)
                     .strike_after(read_millis(
                         &timing.field("strike_ms"),
-                        desk_default.strike_after,
+                        leader_state_default.strike_after,
                     ))
                     .build(),
             })
--- a/crates/survey/src/plane/changes.rs
+++ b/crates/controlplane/src/controller_state/changes.rs
@@ -1,16 +1,16 @@
 use super::{
-    ChangeKind, ItemChange, Numbering, Operation, OperationReply, OperationTicket, Plane,
-    PlaneOutput, Wait,
+    ChangeKind, ControllerOutput, ControllerState, ItemChange, Numbering, Operation,
+    OperationReply, OperationTicket, Wait,
 };
+use common::clock::Moment;
+use common::identity::{ChangeId, Serial, Zone};
+use common::readers::{FaultReason, PathFault};
+use common::rules::Rule;
+use common::seal::{digest, hex};
+use common::spec::{Document, Spec, read_spec};
 use serde_json::{Map, Value, json};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::identity::{ChangeId, Locality, Serial};
-use waymark::readers::{FaultReason, PathFault};
-use waymark::rules::Rule;
-use waymark::seal::{digest, hex};
-use waymark::spec::{Document, Spec, read_spec};
 
 const CHANGE_PATIENCE: Duration = Duration::from_secs(3);
 const START_PATIENCE: Duration = Duration::from_millis(800);
@@ -70,8 +70,8 @@
             "limits": items.limits,
             "labels": items.labels,
         }),
-        ChangeKind::Evacuate { locality, .. } => json!({"evacuate": locality.as_str()}),
-        ChangeKind::Restore { locality } => json!({"restore": locality.as_str()}),
+        ChangeKind::Evacuate { zone, .. } => json!({"evacuate": zone.as_str()}),
+        ChangeKind::Restore { zone } => json!({"restore": zone.as_str()}),
     }
 }
 
@@ -132,7 +132,7 @@
     }
 }
 
-impl Plane {
+impl ControllerState {
     pub(super) fn queue_change(
         &mut self,
         now: Moment,
@@ -220,7 +220,7 @@
     }
 
     fn answer(&mut self, ticket: OperationTicket, reply: OperationReply) {
-        self.outputs.push(PlaneOutput::Operated(ticket, reply));
+        self.outputs.push(ControllerOutput::Operated(ticket, reply));
     }
 
     fn say_unknown(&mut self, waiter: &Waiter) {
@@ -267,7 +267,8 @@
             });
             return;
         }
-        let wanted_roster = self.desk.as_ref().and_then(|desk| desk.wanted_roster(now));
+        let wanted_roster =
+            self.leader_state.as_ref().and_then(|leader_state| leader_state.wanted_roster(now));
         let next_document = match self.next_document(&current_document, &queued) {
             Ok(mut next_document) => {
                 next_document.roster = wanted_roster.unwrap_or(next_document.roster);
@@ -302,8 +303,8 @@
 
     fn is_so_already(&self, current_document: &Document, kind: &ChangeKind) -> bool {
         match kind {
-            ChangeKind::Evacuate { locality, .. } => current_document.evacuated.contains(locality),
-            ChangeKind::Restore { locality } => !current_document.evacuated.contains(locality),
+            ChangeKind::Evacuate { zone, .. } => current_document.evacuated.contains(zone),
+            ChangeKind::Restore { zone } => !current_document.evacuated.contains(zone),
             _ => false,
         }
     }
@@ -345,42 +346,35 @@
                 with_spec(new_spec)
             }
             ChangeKind::Items(items) => with_spec(with_items(&current_document.spec, items)),
-            ChangeKind::Evacuate { locality, force } => {
-                let known_localities = self.known_localities();
-                if !known_localities.contains(locality) && !force {
-                    return Err(OperationReply::NoLocality {
-                        locality: locality.clone(),
-                        known: known_localities,
-                    });
+            ChangeKind::Evacuate { zone, force } => {
+                let known_zones = self.known_zones();
+                if !known_zones.contains(zone) && !force {
+                    return Err(OperationReply::NoZone { zone: zone.clone(), known: known_zones });
                 }
-                let left_count = known_localities
+                let left_count = known_zones
                     .iter()
-                    .filter(|known| {
-                        *known != locality && !current_document.evacuated.contains(*known)
-                    })
+                    .filter(|known| *known != zone && !current_document.evacuated.contains(*known))
                     .count();
                 if left_count == 0 && !force {
-                    return Err(OperationReply::LastLocality);
+                    return Err(OperationReply::LastZone);
                 }
-                Ok(current_document.with_locality(locality.clone(), true, queued.change.clone()))
+                Ok(current_document.with_zone(zone.clone(), true, queued.change.clone()))
             }
-            ChangeKind::Restore { locality } => {
-                let known_localities = self.known_localities();
-                if !known_localities.contains(locality)
-                    && !current_document.evacuated.contains(locality)
-                {
-                    return Err(OperationReply::NoLocality {
-                        locality: locality.clone(),
-                        known: known_localities,
-                    });
+            ChangeKind::Restore { zone } => {
+                let known_zones = self.known_zones();
+                if !known_zones.contains(zone) && !current_document.evacuated.contains(zone) {
+                    return Err(OperationReply::NoZone { zone: zone.clone(), known: known_zones });
                 }
-                Ok(current_document.with_locality(locality.clone(), false, queued.change.clone()))
+                Ok(current_document.with_zone(zone.clone(), false, queued.change.clone()))
             }
         }
     }
 
-    fn known_localities(&self) -> BTreeSet<Locality> {
-        self.desk.as_ref().map(|desk| desk.known_localities()).unwrap_or_default()
+    fn known_zones(&self) -> BTreeSet<Zone> {
+        self.leader_state
+            .as_ref()
+            .map(|leader_state| leader_state.known_zones())
+            .unwrap_or_default()
     }
 
     pub(super) fn change_committed(&mut self, serial: Serial) {
@@ -392,7 +386,11 @@
     }
 
     pub(super) fn progress_waits(&mut self) {
-        let in_force = self.desk.as_ref().map(|desk| desk.in_force()).unwrap_or_default();
+        let in_force = self
+            .leader_state
+            .as_ref()
+            .map(|leader_state| leader_state.in_force())
+            .unwrap_or_default();
         let (done, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.changes.accepted)
             .into_iter()
             .partition(|waiter| waiter.wait == Wait::Accepted || in_force >= waiter.serial);
@@ -422,7 +420,11 @@
     }
 
     pub(super) fn ask_change(&self, change: &ChangeId) -> OperationReply {
-        let in_force = self.desk.as_ref().map(|desk| desk.in_force()).unwrap_or_default();
+        let in_force = self
+            .leader_state
+            .as_ref()
+            .map(|leader_state| leader_state.in_force())
+            .unwrap_or_default();
         let noted_change = self
             .core
             .accepted()
--- a/crates/survey/src/plane/history.rs
+++ b/crates/controlplane/src/controller_state/history.rs
@@ -1,7 +1,7 @@
-use crate::desk::Told;
+use crate::leader_state::Told;
+use common::identity::Term;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
-use waymark::identity::Term;
 
 const KEPT_EVENTS: usize = 20_000;
 
@@ -26,7 +26,7 @@
     }
 }
 
-/// The last events of this surveyor.
+/// The last events of this controller.
 #[derive(Default)]
 pub struct History {
     kept: VecDeque<Numbered>,
--- a/crates/survey/src/plane/mod.rs
+++ b/crates/controlplane/src/controller_state/mod.rs
@@ -1,4 +1,4 @@
-//! A whole surveyor without I/O: the core, the desk while it leads, and operators' changes.
+//! A whole controller without I/O: the core, the leader state while it leads, and operators' changes.
 
 mod changes;
 mod history;
@@ -12,31 +12,31 @@
 };
 
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
-use crate::desk::{Desk, DeskOutput, DeskTiming, Proof, StreamId, Told};
+use crate::leader_state::{LeaderOutput, LeaderState, LeaderTiming, Proof, StreamId, Told};
 use changes::Changes;
+use common::clock::Moment;
+use common::events;
+use common::frames::{CoreFrame, Place, StreamDown, StreamUp};
+use common::identity::{RunnerId, Serial, Stamp, Ticket};
+use common::rules::Rules;
+use common::tongue::{ListedRunner, ListedWorker, StopOrder};
 use operation::WaitingOperation;
 use serde_json::json;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 use traces::Traces;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{CoreFrame, Place, StreamDown, StreamUp};
-use waymark::identity::{RunnerId, Serial, Stamp, Ticket};
-use waymark::rules::Rules;
-use waymark::tongue::{ListedRunner, ListedWorker, StopOrder};
 
-const DESK_EVERY: Duration = Duration::from_millis(50);
+const LEADER_EVERY: Duration = Duration::from_millis(50);
 const HURRIED_EVERY: Duration = Duration::from_millis(10);
 const WAITING_EVERY: Duration = Duration::from_millis(100);
 const IDLE_EVERY: Duration = Duration::from_millis(500);
 
-/// What reaches a surveyor.
+/// What reaches a controller.
 #[derive(Debug)]
-pub enum PlaneInput {
+pub enum ControllerInput {
     /// Time passes.
     Tick,
-    /// Another surveyor's frame.
+    /// Another controller's frame.
     Core(CoreFrame),
     /// A write has ended.
     Written(Ticket, WriteResult),
@@ -58,10 +58,10 @@
     Seeds(Vec<Place>),
 }
 
-/// What a surveyor orders.
+/// What a controller orders.
 #[derive(Debug)]
-pub enum PlaneOutput {
-    /// Send a frame to another surveyor.
+pub enum ControllerOutput {
+    /// Send a frame to another controller.
     Send(Place, CoreFrame),
     /// Write to disk.
     Write(Ticket, WriteJob),
@@ -79,11 +79,11 @@
     Told(Numbered),
 }
 
-/// A whole surveyor without I/O.
-pub struct Plane {
+/// A whole controller without I/O.
+pub struct ControllerState {
     core: Core,
-    desk: Option<Desk>,
-    desk_timing: DeskTiming,
+    leader_state: Option<LeaderState>,
+    leader_state_timing: LeaderTiming,
     fresh_span: Duration,
     streams: BTreeSet<StreamId>,
     history: History,
@@ -91,16 +91,16 @@
     waiting: VecDeque<WaitingOperation>,
     traces: Traces,
     rules: Rules,
-    outputs: Vec<PlaneOutput>,
+    outputs: Vec<ControllerOutput>,
 }
 
-impl Plane {
-    /// A surveyor around a core member.
-    pub fn new(core: Core, desk_timing: DeskTiming, fresh_span: Duration) -> Self {
+impl ControllerState {
+    /// A controller around a core member.
+    pub fn new(core: Core, leader_state_timing: LeaderTiming, fresh_span: Duration) -> Self {
         Self {
             core,
-            desk: None,
-            desk_timing,
+            leader_state: None,
+            leader_state_timing,
             fresh_span,
             streams: BTreeSet::new(),
             history: History::default(),
@@ -123,9 +123,9 @@
         &self.core
     }
 
-    /// The desk, while this surveyor leads.
-    pub fn desk(&self) -> Option<&Desk> {
-        self.desk.as_ref()
+    /// The leader state, while this controller leads.
+    pub fn leader_state(&self) -> Option<&LeaderState> {
+        self.leader_state.as_ref()
     }
 
     /// The number of the newest event.
@@ -135,9 +135,9 @@
 
     /// When time must pass next, if nothing reaches it before.
     pub fn next_due(&self, now: Moment) -> Moment {
-        let longest_span = match (&self.desk, self.waiting.is_empty()) {
-            (Some(desk), _) if desk.is_hurried() => HURRIED_EVERY,
-            (Some(_), _) => DESK_EVERY,
+        let longest_span = match (&self.leader_state, self.waiting.is_empty()) {
+            (Some(leader_state), _) if leader_state.is_hurried() => HURRIED_EVERY,
+            (Some(_), _) => LEADER_EVERY,
             (None, false) => WAITING_EVERY,
             (None, true) => IDLE_EVERY,
         };
@@ -145,48 +145,48 @@
     }
 
     /// Takes one input and returns what is ordered.
-    pub fn take(&mut self, now: Moment, input: PlaneInput) -> Vec<PlaneOutput> {
+    pub fn take(&mut self, now: Moment, input: ControllerInput) -> Vec<ControllerOutput> {
         match input {
-            PlaneInput::Tick => {
+            ControllerInput::Tick => {
                 let orders = self.core.tick(now);
                 self.obey(now, orders);
             }
-            PlaneInput::Core(frame) => {
+            ControllerInput::Core(frame) => {
                 let orders = self.core.heard(now, frame);
                 self.obey(now, orders);
             }
-            PlaneInput::Written(ticket, result) => {
+            ControllerInput::Written(ticket, result) => {
                 if result == WriteResult::Failed {
                     self.tell(Told { event: events::DISK_FAILED, detail: json!({}) });
                 }
                 let orders = self.core.written(now, ticket, result);
                 self.obey(now, orders);
             }
-            PlaneInput::Stream(stream, frame) => self.hear_stream(now, stream, frame),
-            PlaneInput::StreamLost(stream) => {
+            ControllerInput::Stream(stream, frame) => self.hear_stream(now, stream, frame),
+            ControllerInput::StreamLost(stream) => {
                 self.streams.remove(&stream);
-                if let Some(desk) = &mut self.desk {
-                    desk.stream_lost(stream);
+                if let Some(leader_state) = &mut self.leader_state {
+                    leader_state.stream_lost(stream);
                 }
             }
-            PlaneInput::Workers(listed_workers) => {
-                if let Some(desk) = &mut self.desk {
-                    desk.workers_listed(listed_workers);
+            ControllerInput::Workers(listed_workers) => {
+                if let Some(leader_state) = &mut self.leader_state {
+                    leader_state.workers_listed(listed_workers);
                 }
             }
-            PlaneInput::Runners(content_moment, listed_runners) => {
-                if let Some(desk) = &mut self.desk {
-                    desk.runners_listed(content_moment, &listed_runners);
+            ControllerInput::Runners(content_moment, listed_runners) => {
+                if let Some(leader_state) = &mut self.leader_state {
+                    leader_state.runners_listed(content_moment, &listed_runners);
                 }
             }
-            PlaneInput::RunnerStopped(runner) => {
-                if let Some(desk) = &mut self.desk {
-                    desk.runner_stopped(runner);
+            ControllerInput::RunnerStopped(runner) => {
+                if let Some(leader_state) = &mut self.leader_state {
+                    leader_state.runner_stopped(runner);
                 }
             }
-            PlaneInput::Operate(ticket, operation) => self.operate(now, ticket, operation),
-            PlaneInput::Gone(place) => self.core.leader_gone(now, place),
-            PlaneInput::Seeds(seeds) => self.core.reseed(seeds),
+            ControllerInput::Operate(ticket, operation) => self.operate(now, ticket, operation),
+            ControllerInput::Gone(place) => self.core.leader_gone(now, place),
+            ControllerInput::Seeds(seeds) => self.core.reseed(seeds),
         }
         self.progress(now);
         std::mem::take(&mut self.outputs)
@@ -194,12 +194,12 @@
 
     fn hear_stream(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
         self.streams.insert(stream);
-        match &mut self.desk {
-            Some(desk) => desk.heard(now, stream, frame),
+        match &mut self.leader_state {
+            Some(leader_state) => leader_state.heard(now, stream, frame),
             None => {
                 let leader = self.core.leader().map_or(Place::NOWHERE, |address| address.place);
-                self.outputs.push(PlaneOutput::Down(stream, StreamDown::Elsewhere { leader }));
-                self.outputs.push(PlaneOutput::Close(stream));
+                self.outputs.push(ControllerOutput::Down(stream, StreamDown::Elsewhere { leader }));
+                self.outputs.push(ControllerOutput::Close(stream));
                 self.streams.remove(&stream);
             }
         }
@@ -208,8 +208,8 @@
     fn progress(&mut self, now: Moment) {
         self.progress_waiting(now);
         self.progress_changes(now);
-        let Some(desk) = &mut self.desk else { return };
-        if let Some((known_members, whole)) = desk.take_known_members() {
+        let Some(leader_state) = &mut self.leader_state else { return };
+        if let Some((known_members, whole)) = leader_state.take_known_members() {
             self.core.set_members(known_members, whole);
         }
         let core = &self.core;
@@ -219,16 +219,16 @@
             confirmed: &|known_member| core.is_confirmed(known_member),
             in_flight: core.proposed().map(|document| &document.roster),
         };
-        for order in desk.progress(now, &proof) {
+        for order in leader_state.progress(now, &proof) {
             match order {
-                DeskOutput::Down { stream, frame } => {
-                    self.outputs.push(PlaneOutput::Down(stream, frame));
+                LeaderOutput::Down { stream, frame } => {
+                    self.outputs.push(ControllerOutput::Down(stream, frame));
                 }
-                DeskOutput::AskLists => self.outputs.push(PlaneOutput::AskLists),
-                DeskOutput::StopRunner(order) => {
-                    self.outputs.push(PlaneOutput::StopRunner(order));
+                LeaderOutput::AskLists => self.outputs.push(ControllerOutput::AskLists),
+                LeaderOutput::StopRunner(order) => {
+                    self.outputs.push(ControllerOutput::StopRunner(order));
                 }
-                DeskOutput::Told(told) => {
+                LeaderOutput::Told(told) => {
                     if told.event == events::IN_FORCE
                         && let Some(serial) = told.detail["serial"].as_u64()
                     {
@@ -236,15 +236,15 @@
                     }
                     self.tell(told);
                 }
-                DeskOutput::Step { serial, member, step } => {
+                LeaderOutput::Step { serial, member, step } => {
                     self.traces.step(now, serial, member, step);
                 }
             }
         }
         self.progress_waits();
         self.put_roster_forward(now);
-        let wants_round = self.desk.as_ref().is_some_and(Desk::wants_round)
-            || (self.desk.is_some() && !self.waiting.is_empty());
+        let wants_round = self.leader_state.as_ref().is_some_and(LeaderState::wants_round)
+            || (self.leader_state.is_some() && !self.waiting.is_empty());
         if wants_round {
             let orders = self.core.hasten_round(now);
             self.obey(now, orders);
@@ -255,8 +255,8 @@
     /// that wait: those take the names along.
     fn put_roster_forward(&mut self, now: Moment) {
         let is_free = self.core.is_ready() && !self.core.is_proposing() && self.changes.is_idle();
-        let Some(desk) = &mut self.desk else { return };
-        let Some(roster) = desk.due_roster(now).filter(|_| is_free) else { return };
+        let Some(leader_state) = &mut self.leader_state else { return };
+        let Some(roster) = leader_state.due_roster(now).filter(|_| is_free) else { return };
         let Some(document) = self.core.accepted() else { return };
         let next_document = document.with_roster(roster);
         if let Ok(orders) = self.core.propose(now, next_document) {
@@ -266,15 +266,17 @@
 
     fn tell(&mut self, told: Told) {
         let numbered = self.history.add(told);
-        self.outputs.push(PlaneOutput::Told(numbered));
+        self.outputs.push(ControllerOutput::Told(numbered));
     }
 
     fn obey(&mut self, now: Moment, orders: Vec<CoreOutput>) {
         for order in orders {
             match order {
-                CoreOutput::Send { to, frame } => self.outputs.push(PlaneOutput::Send(to, frame)),
+                CoreOutput::Send { to, frame } => {
+                    self.outputs.push(ControllerOutput::Send(to, frame))
+                }
                 CoreOutput::Write { ticket, job } => {
-                    self.outputs.push(PlaneOutput::Write(ticket, job));
+                    self.outputs.push(ControllerOutput::Write(ticket, job));
                 }
                 CoreOutput::Campaigning { term } => {
                     let detail = json!({"term": term.0});
@@ -289,9 +291,10 @@
                         "whole": whole,
                     });
                     self.tell(Told { event: events::ELECTED, detail });
-                    let desk_timing = self.desk_timing.clone();
-                    let desk = Desk::new(desk_timing, term, now, members, whole);
-                    self.desk = Some(desk.with_rules(self.rules));
+                    let leader_state_timing = self.leader_state_timing.clone();
+                    let leader_state =
+                        LeaderState::new(leader_state_timing, term, now, members, whole);
+                    self.leader_state = Some(leader_state.with_rules(self.rules));
                 }
                 CoreOutput::SteppedDown => self.stepped_down(),
                 CoreOutput::Committed(document) => {
@@ -300,8 +303,8 @@
                     self.tell(Told { event: events::COMMITTED, detail });
                     let seen_stamp = Stamp { serial: document.view_serial(), ..stamp };
                     self.traces.committed(now, seen_stamp);
-                    if let Some(desk) = &mut self.desk {
-                        desk.committed(document);
+                    if let Some(leader_state) = &mut self.leader_state {
+                        leader_state.committed(document);
                     }
                     self.change_committed(stamp.serial);
                 }
@@ -320,12 +323,12 @@
     fn stepped_down(&mut self) {
         let detail = json!({"term": self.core.term().0});
         self.tell(Told { event: events::STEPPED_DOWN, detail });
-        self.desk = None;
+        self.leader_state = None;
         self.drop_changes();
         let leader = self.core.leader().map_or(Place::NOWHERE, |address| address.place);
         for stream in std::mem::take(&mut self.streams) {
-            self.outputs.push(PlaneOutput::Down(stream, StreamDown::Elsewhere { leader }));
-            self.outputs.push(PlaneOutput::Close(stream));
+            self.outputs.push(ControllerOutput::Down(stream, StreamDown::Elsewhere { leader }));
+            self.outputs.push(ControllerOutput::Close(stream));
         }
     }
 
--- a/crates/survey/src/plane/operation.rs
+++ b/crates/controlplane/src/controller_state/operation.rs
@@ -1,13 +1,13 @@
 use super::changes::AskedChange;
-use super::{Plane, PlaneOutput};
+use super::{ControllerOutput, ControllerState};
+use common::clock::Moment;
+use common::frames::Place;
+use common::identity::{ChangeId, ControllerId, Serial, Zone};
+use common::readers::PathFault;
+use common::spec::Document;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
-use waymark::readers::PathFault;
-use waymark::spec::Document;
 
 /// Names one operator's wish in this process.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -49,17 +49,17 @@
     Patch(Value),
     /// Named items.
     Items(Box<ItemChange>),
-    /// Empties a locality.
+    /// Empties a zone.
     Evacuate {
         /// Which one.
-        locality: Locality,
+        zone: Zone,
         /// Even if it is the last one.
         force: bool,
     },
-    /// Brings a locality back.
+    /// Brings a zone back.
     Restore {
         /// Which one.
-        locality: Locality,
+        zone: Zone,
     },
 }
 
@@ -104,11 +104,11 @@
     ShowCore,
     /// Found the core.
     Found,
-    /// Replace a member of the core by another surveyor.
-    Replace(SurveyorId, SurveyorId),
+    /// Replace a member of the core by another controller.
+    Replace(ControllerId, ControllerId),
     /// Read events from a number on.
     Events(u64),
-    /// Show what this surveyor knows of one version's way; zero for the newest.
+    /// Show what this controller knows of one version's way; zero for the newest.
     Trace(Serial),
     /// Show the metrics.
     Metrics,
@@ -148,15 +148,15 @@
     },
     /// A change does not check; nothing was written.
     Invalid(Vec<PathFault>),
-    /// There is no such locality; nothing was written.
-    NoLocality {
-        /// The locality asked for.
-        locality: Locality,
+    /// There is no such zone; nothing was written.
+    NoZone {
+        /// The zone asked for.
+        zone: Zone,
         /// Those that are known.
-        known: BTreeSet<Locality>,
+        known: BTreeSet<Zone>,
     },
-    /// No locality would be left; nothing was written.
-    LastLocality,
+    /// No zone would be left; nothing was written.
+    LastZone,
     /// A change surely did not happen and will not.
     NotAccepted {
         /// Why.
@@ -186,7 +186,7 @@
     asked_at: Moment,
 }
 
-impl Plane {
+impl ControllerState {
     pub(super) fn operate(&mut self, now: Moment, ticket: OperationTicket, operation: Operation) {
         if self.must_wait(now, now, &operation) {
             self.wait_for_leader(now, ticket, operation);
@@ -213,7 +213,9 @@
             | Operation::Trace(_)
             | Operation::Metrics
             | Operation::Events(_) => false,
-            Operation::Change { .. } => self.desk.is_none() && self.leader_elsewhere().is_none(),
+            Operation::Change { .. } => {
+                self.leader_state.is_none() && self.leader_elsewhere().is_none()
+            }
             _ => {
                 let is_proven = self.is_fresh(now) && self.core.quorum_moment() >= asked_at;
                 self.leader_elsewhere().is_none() && !is_proven
@@ -238,7 +240,7 @@
             Operation::Metrics => OperationReply::Said(200, Value::Null),
             Operation::ShowCore => OperationReply::Said(200, self.show_core(now)),
             Operation::Trace(serial) => self.trace(now, serial),
-            Operation::Events(first_number) if self.desk.is_some() => {
+            Operation::Events(first_number) if self.leader_state.is_some() => {
                 let listed_events = self.history.from(first_number, 1000);
                 OperationReply::Said(200, Value::Array(listed_events))
             }
@@ -248,7 +250,7 @@
                 } else if let Operation::Replace(missing, successor) = other {
                     self.replace(now, missing, successor)
                 } else if let Operation::Change { base, numbering, change, kind, wait } = other {
-                    if self.desk.is_some() {
+                    if self.leader_state.is_some() {
                         let asked = AskedChange { base, numbering, change, kind, wait };
                         self.queue_change(now, ticket, asked);
                         return;
@@ -259,26 +261,26 @@
                 }
             }
         };
-        self.outputs.push(PlaneOutput::Operated(ticket, reply));
+        self.outputs.push(ControllerOutput::Operated(ticket, reply));
     }
 
     fn report(&self, now: Moment, operation: Operation) -> OperationReply {
-        let (Some(desk), true) = (&self.desk, self.is_fresh(now)) else {
+        let (Some(leader_state), true) = (&self.leader_state, self.is_fresh(now)) else {
             return OperationReply::NotNow("no_leader");
         };
         let body = match operation {
-            Operation::Members => desk.report_members(now),
-            Operation::Holders => desk.report_holders(),
-            Operation::Workers => desk.report_workers(),
-            Operation::Runners => desk.report_runners(),
+            Operation::Members => leader_state.report_members(now),
+            Operation::Holders => leader_state.report_holders(),
+            Operation::Workers => leader_state.report_workers(),
+            Operation::Runners => leader_state.report_runners(),
             Operation::AskChange(change) => return self.ask_change(&change),
             _ => {
-                let Some(document) = desk.document() else {
+                let Some(document) = leader_state.document() else {
                     return OperationReply::NotNow("no_document");
                 };
                 return OperationReply::Spec {
                     document: Box::new(document.clone()),
-                    in_force: desk.in_force(),
+                    in_force: leader_state.in_force(),
                 };
             }
         };
@@ -298,8 +300,8 @@
     fn replace(
         &mut self,
         now: Moment,
-        missing: SurveyorId,
-        successor: SurveyorId,
+        missing: ControllerId,
+        successor: ControllerId,
     ) -> OperationReply {
         match self.core.replace(now, missing, successor) {
             Ok((serial, orders)) => {
@@ -332,7 +334,7 @@
             "term": core.term().0,
             "leads": core.is_leader(),
             "ready": core.is_ready(),
-            "open": self.desk.as_ref().is_some_and(|desk| desk.is_open()),
+            "open": self.leader_state.as_ref().is_some_and(|leader_state| leader_state.is_open()),
             "leader": core.leader().map(|address| address.operators.to_string()),
             "accepted": own_stamp,
             "committed": core.committed().to_string(),
--- a/crates/survey/src/plane/traces.rs
+++ b/crates/controlplane/src/controller_state/traces.rs
@@ -1,9 +1,9 @@
-use super::{OperationReply, Plane};
-use crate::desk::TraceStep;
+use super::{ControllerState, OperationReply};
+use crate::leader_state::TraceStep;
+use common::clock::Moment;
+use common::identity::{MemberName, Serial, Stamp, Term};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
-use waymark::clock::Moment;
-use waymark::identity::{MemberName, Serial, Stamp, Term};
 
 const KEPT_TRACES: usize = 256;
 
@@ -22,7 +22,7 @@
     members: BTreeMap<MemberName, MemberTrace>,
 }
 
-/// The way of the last versions, as this surveyor saw it while it led.
+/// The way of the last versions, as this controller saw it while it led.
 #[derive(Default)]
 pub struct Traces {
     kept: BTreeMap<(Serial, Term), Trace>,
@@ -79,7 +79,7 @@
     }
 }
 
-impl Plane {
+impl ControllerState {
     pub(super) fn trace(&self, now: Moment, serial: Serial) -> OperationReply {
         let newest = self.traces.kept.keys().next_back().map(|(newest, _)| *newest);
         let asked = if serial == Serial(0) { newest } else { Some(serial) };
@@ -91,9 +91,9 @@
             .map(|(_, trace)| self.trace_row(now, asked.unwrap_or_default(), trace))
             .collect();
         let status = if rows.is_empty() { 404 } else { 200 };
-        let surveyor = format!("{:x}", self.core.id().0);
+        let controller = format!("{:x}", self.core.id().0);
         let body =
-            json!({"serial": asked.map(|known| known.0), "surveyor": surveyor, "traces": rows});
+            json!({"serial": asked.map(|known| known.0), "surveyor": controller, "traces": rows});
         OperationReply::Said(status, body)
     }
 
@@ -111,8 +111,11 @@
             })
             .collect();
         let is_present = self.core.is_leader() && self.core.term() == trace.term;
-        let laggards =
-            self.desk.as_ref().filter(|_| is_present).map(|desk| desk.laggards(now, serial));
+        let laggards = self
+            .leader_state
+            .as_ref()
+            .filter(|_| is_present)
+            .map(|leader_state| leader_state.laggards(now, serial));
         for (member, reason) in laggards.unwrap_or_default() {
             let row = members.entry(member.to_string()).or_insert_with(|| json!({}));
             row["lagging"] = json!(reason);
--- a/crates/survey/src/core/election.rs
+++ b/crates/controlplane/src/core/election.rs
@@ -1,10 +1,10 @@
 use super::{Address, Core, CoreOutput, Role, Rounds, Writing};
+use common::clock::Moment;
+use common::frames::{CoreBody, Flag, Many, Place};
+use common::identity::{ControllerId, Stamp, Term};
+use common::spec::Document;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{CoreBody, Flag, Many, Place};
-use waymark::identity::{Stamp, SurveyorId, Term};
-use waymark::spec::Document;
 
 const GONE_SHORTEST: Duration = Duration::from_millis(50);
 const GONE_LONGEST: Duration = Duration::from_millis(200);
@@ -22,7 +22,7 @@
         self.election_at = now + self.chance.within(shortest, longest);
     }
 
-    pub(super) fn is_majority(&self, given: &BTreeSet<SurveyorId>) -> bool {
+    pub(super) fn is_majority(&self, given: &BTreeSet<ControllerId>) -> bool {
         self.accepted.as_ref().is_some_and(|document| Self::is_majority_of(document, given))
     }
 
@@ -82,7 +82,7 @@
         }
     }
 
-    pub(super) fn vote_written(&mut self, now: Moment, term: Term, candidate: SurveyorId) {
+    pub(super) fn vote_written(&mut self, now: Moment, term: Term, candidate: ControllerId) {
         if self.voted.is_none_or(|(voted_term, _)| voted_term < term) {
             self.voted = Some((term, candidate));
         }
@@ -106,7 +106,7 @@
         }
     }
 
-    fn place_of(&self, id: SurveyorId) -> Option<Place> {
+    fn place_of(&self, id: ControllerId) -> Option<Place> {
         self.others.values().find(|other| other.id == id).map(|other| other.address.place)
     }
 
@@ -147,7 +147,7 @@
     pub(super) fn hear_vote_ask(
         &mut self,
         now: Moment,
-        from: SurveyorId,
+        from: ControllerId,
         address: Address,
         term: Term,
         accepted: Stamp,
@@ -186,7 +186,7 @@
         }
     }
 
-    pub(super) fn hear_vote_reply(&mut self, now: Moment, from: SurveyorId, body: CoreBody) {
+    pub(super) fn hear_vote_reply(&mut self, now: Moment, from: ControllerId, body: CoreBody) {
         let CoreBody::VoteReply { term, asked, trial, given, members, whole } = body else {
             return;
         };
@@ -248,7 +248,7 @@
     pub(super) fn hear_leader(
         &mut self,
         now: Moment,
-        from: SurveyorId,
+        from: ControllerId,
         address: Address,
         term: Term,
     ) -> bool {
@@ -320,7 +320,7 @@
         self.count_round(now, round, self.id);
     }
 
-    pub(super) fn count_round(&mut self, _now: Moment, round: u64, from: SurveyorId) {
+    pub(super) fn count_round(&mut self, _now: Moment, round: u64, from: ControllerId) {
         let present_document = self.accepted.clone();
         let coming_document = self.proposed.clone();
         if let Role::Leader(rounds) = &mut self.role {
--- a/crates/survey/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -12,18 +12,18 @@
 pub use succession::{FULL_CORE, SuccessionFault, left_alone};
 pub use timing::CoreTiming;
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{Blob, CoreBody, CoreFrame, Flag, KnownMember, Place};
+use common::identity::{ControllerId, Stamp, Term, Ticket, Zone};
+use common::rules::Rules;
+use common::spec::Document;
 use rounds::Rounds;
 use std::collections::{BTreeMap, BTreeSet};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{Blob, CoreBody, CoreFrame, Flag, KnownMember, Place};
-use waymark::identity::{Locality, Stamp, SurveyorId, Term, Ticket};
-use waymark::rules::Rules;
-use waymark::spec::Document;
 
 const EARLY_TRIALS: u32 = 4;
 
-/// Where other surveyors and operators reach one.
+/// Where other controllers and operators reach one.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Address {
     /// For processes.
@@ -32,11 +32,11 @@
     pub operators: Place,
 }
 
-/// Another surveyor as this one knows it.
+/// Another controller as this one knows it.
 struct Other {
-    id: SurveyorId,
+    id: ControllerId,
     address: Address,
-    locality: Locality,
+    zone: Zone,
     accepted: Stamp,
     heard_at: Moment,
     document_sent_at: Moment,
@@ -44,7 +44,7 @@
     greeting: Option<Greeting>,
 }
 
-/// What another surveyor last said in greeting.
+/// What another controller last said in greeting.
 struct Greeting {
     heard_at: Moment,
     term: Term,
@@ -53,14 +53,14 @@
 
 enum Role {
     Follower,
-    Trial { given: BTreeSet<SurveyorId> },
-    Candidate { given: BTreeSet<SurveyorId>, vote_written: bool },
+    Trial { given: BTreeSet<ControllerId> },
+    Candidate { given: BTreeSet<ControllerId>, vote_written: bool },
     Leader(Box<Rounds>),
 }
 
 enum Writing {
     Scrub,
-    Vote { term: Term, candidate: SurveyorId },
+    Vote { term: Term, candidate: ControllerId },
     Version(Document),
 }
 
@@ -69,27 +69,27 @@
     writing: Writing,
 }
 
-/// One surveyor's part in the core.
+/// One controller's part in the core.
 pub struct Core {
     timing: CoreTiming,
-    id: SurveyorId,
+    id: ControllerId,
     address: Address,
-    locality: Locality,
+    zone: Zone,
     seeds: Vec<Place>,
     chance: Chance,
     term: Term,
-    voted: Option<(Term, SurveyorId)>,
+    voted: Option<(Term, ControllerId)>,
     distrusted: Stamp,
     accepted: Option<Document>,
     committed: Stamp,
     role: Role,
-    leader: Option<(SurveyorId, Address)>,
+    leader: Option<(ControllerId, Address)>,
     leader_heard_at: Moment,
     election_at: Moment,
     hello_at: Moment,
     scrub_at: Moment,
     others: BTreeMap<Place, Other>,
-    heard: BTreeMap<SurveyorId, Moment>,
+    heard: BTreeMap<ControllerId, Moment>,
     members: BTreeSet<KnownMember>,
     members_whole: bool,
     inherited_members: BTreeSet<KnownMember>,
@@ -115,7 +115,7 @@
         timing: CoreTiming,
         recalled: Recalled,
         address: Address,
-        locality: Locality,
+        zone: Zone,
         seeds: Vec<Place>,
         chance: Chance,
     ) -> Self {
@@ -127,7 +127,7 @@
             timing,
             id: recalled.id,
             address,
-            locality,
+            zone,
             seeds,
             chance,
             term: accepted_term.max(voted_term),
@@ -193,8 +193,8 @@
         self.seeds = seeds;
     }
 
-    /// This surveyor's identity.
-    pub fn id(&self) -> SurveyorId {
+    /// This controller's identity.
+    pub fn id(&self) -> ControllerId {
         self.id
     }
 
@@ -203,7 +203,7 @@
         self.term
     }
 
-    /// Whether this surveyor leads.
+    /// Whether this controller leads.
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_))
     }
@@ -269,8 +269,8 @@
         self.members_whole = whole;
     }
 
-    /// The other surveyors heard lately, and whether each is a member of the core.
-    pub fn others(&self, now: Moment) -> Vec<(SurveyorId, Address, Stamp, bool, u64)> {
+    /// The other controllers heard lately, and whether each is a member of the core.
+    pub fn others(&self, now: Moment) -> Vec<(ControllerId, Address, Stamp, bool, u64)> {
         self.others
             .values()
             .map(|other| {
@@ -301,13 +301,13 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// Takes a frame from another surveyor.
+    /// Takes a frame from another controller.
     pub fn heard(&mut self, now: Moment, frame: CoreFrame) -> Vec<CoreOutput> {
         let sender_address = Address { place: frame.place, operators: frame.operators };
         if frame.from == self.id {
             return Vec::new();
         }
-        self.note_other(now, frame.from, sender_address, frame.locality);
+        self.note_other(now, frame.from, sender_address, frame.zone);
         match frame.body {
             CoreBody::Hello { accepted, term, passes_on } => {
                 if let Some(other) = self.others.get_mut(&frame.place) {
@@ -371,7 +371,7 @@
         std::mem::take(&mut self.outputs)
     }
 
-    fn is_voter(&self, id: SurveyorId) -> bool {
+    fn is_voter(&self, id: ControllerId) -> bool {
         self.accepted
             .as_ref()
             .is_some_and(|document| document.core.iter().any(|voter| voter.id == id))
@@ -381,7 +381,7 @@
         self.accepted.as_ref().map_or(Stamp::default(), |document| document.stamp)
     }
 
-    fn note_other(&mut self, now: Moment, id: SurveyorId, address: Address, locality: Locality) {
+    fn note_other(&mut self, now: Moment, id: ControllerId, address: Address, zone: Zone) {
         self.heard.insert(id, now);
         while self.heard.len() > 64 {
             self.heard.pop_first();
@@ -389,7 +389,7 @@
         let other = self.others.entry(address.place).or_insert(Other {
             id,
             address,
-            locality: locality.clone(),
+            zone: zone.clone(),
             accepted: Stamp::default(),
             heard_at: now,
             document_sent_at: Moment::ZERO,
@@ -404,7 +404,7 @@
         }
         other.id = id;
         other.address = address;
-        other.locality = locality;
+        other.zone = zone;
         other.heard_at = now;
     }
 
@@ -413,7 +413,7 @@
             from: self.id,
             place: self.address.place,
             operators: self.address.operators,
-            locality: self.locality.clone(),
+            zone: self.zone.clone(),
             body,
         };
         self.outputs.push(CoreOutput::Send { to, frame });
--- a/crates/survey/src/core/output.rs
+++ b/crates/controlplane/src/core/output.rs
@@ -1,15 +1,15 @@
+use common::frames::{Blob, CoreFrame, KnownMember, Place};
+use common::identity::{ControllerId, Stamp, Term, Ticket};
+use common::spec::Document;
 use std::collections::BTreeSet;
-use waymark::frames::{Blob, CoreFrame, KnownMember, Place};
-use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
-use waymark::spec::Document;
 
 /// What a core member's disk remembers.
 #[derive(Clone, Debug)]
 pub struct Recalled {
     /// The member's identity, made when the disk was empty.
-    pub id: SurveyorId,
+    pub id: ControllerId,
     /// The last vote.
-    pub voted: Option<(Term, SurveyorId)>,
+    pub voted: Option<(Term, ControllerId)>,
     /// The newest whole version.
     pub accepted: Option<Document>,
     /// A version that was written here and can no longer be read; zero when there is none.
@@ -18,7 +18,7 @@
 
 impl Recalled {
     /// What an empty disk remembers.
-    pub fn nothing(id: SurveyorId) -> Self {
+    pub fn nothing(id: ControllerId) -> Self {
         Self { id, voted: None, accepted: None, distrusted: Stamp::default() }
     }
 
@@ -36,7 +36,7 @@
         /// The term voted in.
         term: Term,
         /// Who got the vote.
-        candidate: SurveyorId,
+        candidate: ControllerId,
     },
     /// A version of the document, with its bytes.
     Version(Document, Blob),
@@ -77,12 +77,12 @@
         /// What to write.
         job: WriteJob,
     },
-    /// This surveyor asks for votes.
+    /// This controller asks for votes.
     Campaigning {
         /// In this term.
         term: Term,
     },
-    /// This surveyor leads.
+    /// This controller leads.
     Elected {
         /// In this term.
         term: Term,
@@ -91,7 +91,7 @@
         /// Whether there are surely no others.
         whole: bool,
     },
-    /// This surveyor leads no longer; a change in flight is unknown.
+    /// This controller leads no longer; a change in flight is unknown.
     SteppedDown,
     /// A version is committed.
     Committed(Document),
--- a/crates/survey/src/core/register.rs
+++ b/crates/controlplane/src/core/register.rs
@@ -1,17 +1,17 @@
 use super::{Address, Core, CoreOutput, Role, Writing};
+use common::clock::Moment;
+use common::frames::{Blob, CoreBody, Many, Place};
+use common::identity::{ControllerId, Serial, Stamp, Term};
+use common::spec::{CoreMember, Document};
 use std::collections::BTreeSet;
 use std::fmt;
-use waymark::clock::Moment;
-use waymark::frames::{Blob, CoreBody, Many, Place};
-use waymark::identity::{Serial, Stamp, SurveyorId, Term};
-use waymark::spec::{CoreMember, Document};
 
 const FOUNDING: Stamp = Stamp { term: Term(1), serial: Serial(1) };
 
 /// Why a change cannot be put forward.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ProposeFault {
-    /// This surveyor does not lead, or has not yet committed under its term.
+    /// This controller does not lead, or has not yet committed under its term.
     NotReady,
     /// Another change is in flight.
     Busy,
@@ -42,7 +42,7 @@
     Founded,
     /// Not every seed has been heard with an empty disk.
     SeedsMissing,
-    /// This surveyor keeps nothing.
+    /// This controller keeps nothing.
     PassesOn,
 }
 
@@ -51,7 +51,7 @@
         out.write_str(match self {
             Self::Founded => "the core is founded already",
             Self::SeedsMissing => "not every seed has been heard with an empty disk",
-            Self::PassesOn => "a surveyor without a data folder founds nothing",
+            Self::PassesOn => "a controller without a data folder founds nothing",
         })
     }
 }
@@ -59,7 +59,7 @@
 impl std::error::Error for FoundFault {}
 
 impl Core {
-    /// Founds the core with the surveyors at the seed addresses that keep something, all of them empty.
+    /// Founds the core with the controllers at the seed addresses that keep something, all of them empty.
     pub fn found(&mut self, now: Moment) -> Result<Vec<CoreOutput>, FoundFault> {
         let (founders, _) = self.founders(now)?;
         self.order_write(now, Writing::Version(Document::founding(founders)));
@@ -74,11 +74,8 @@
         if self.accepted.is_some() || !self.writings.is_empty() {
             return Err(FoundFault::Founded);
         }
-        let mut founders = vec![CoreMember {
-            id: self.id,
-            place: self.address.place,
-            locality: self.locality.clone(),
-        }];
+        let mut founders =
+            vec![CoreMember { id: self.id, place: self.address.place, zone: self.zone.clone() }];
         let mut is_first = self.term == Term(0)
             && self.voted.is_none()
             && self.distrusted == Stamp::default()
@@ -103,8 +100,8 @@
                 return Err(FoundFault::Founded);
             }
             is_first &= greeting.term == Term(0);
-            let locality = other.locality.clone();
-            founders.push(CoreMember { id: other.id, place: seed, locality });
+            let zone = other.zone.clone();
+            founders.push(CoreMember { id: other.id, place: seed, zone });
         }
         Ok((founders, is_first))
     }
@@ -171,7 +168,7 @@
     pub(super) fn hear_hello(
         &mut self,
         now: Moment,
-        from: SurveyorId,
+        from: ControllerId,
         address: Address,
         accepted: Stamp,
     ) {
@@ -216,7 +213,7 @@
     pub(super) fn hear_accept(
         &mut self,
         now: Moment,
-        from: SurveyorId,
+        from: ControllerId,
         address: Address,
         term: Term,
         stamp: Stamp,
@@ -283,7 +280,7 @@
     pub(super) fn hear_round_reply(
         &mut self,
         now: Moment,
-        from: SurveyorId,
+        from: ControllerId,
         place: Place,
         term: Term,
         round: u64,
@@ -327,7 +324,7 @@
             return;
         }
         let Some(document) = &self.proposed else { return };
-        let mut written: BTreeSet<SurveyorId> = self
+        let mut written: BTreeSet<ControllerId> = self
             .others
             .values()
             .filter(|other| other.accepted == document.stamp)
--- a/crates/survey/src/core/rounds.rs
+++ b/crates/controlplane/src/core/rounds.rs
@@ -1,13 +1,13 @@
+use common::clock::Moment;
+use common::frames::KnownMember;
+use common::identity::ControllerId;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::KnownMember;
-use waymark::identity::SurveyorId;
 
 struct Round {
     number: u64,
     sent_at: Moment,
-    answered: BTreeSet<SurveyorId>,
+    answered: BTreeSet<ControllerId>,
     members: BTreeSet<KnownMember>,
 }
 
@@ -66,7 +66,7 @@
         &mut self,
         now: Moment,
         next_at: Moment,
-        own_id: SurveyorId,
+        own_id: ControllerId,
         members: BTreeSet<KnownMember>,
     ) -> u64 {
         self.last_number += 1;
@@ -88,8 +88,8 @@
     pub fn answered(
         &mut self,
         round_number: u64,
-        from: SurveyorId,
-        is_majority: impl Fn(&BTreeSet<SurveyorId>) -> bool,
+        from: ControllerId,
+        is_majority: impl Fn(&BTreeSet<ControllerId>) -> bool,
     ) {
         let Some(place) = self.open_rounds.iter().position(|round| round.number == round_number)
         else {
--- a/crates/survey/src/core/succession.rs
+++ b/crates/controlplane/src/core/succession.rs
@@ -1,11 +1,11 @@
 use super::{Core, CoreOutput, Role};
+use common::clock::Moment;
+use common::frames::Place;
+use common::identity::{ChangeId, ControllerId, Serial, Stamp, Term};
+use common::rules::Rule;
+use common::spec::{CoreMember, Document};
 use std::collections::BTreeSet;
 use std::fmt;
-use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::identity::{ChangeId, Serial, Stamp, SurveyorId, Term};
-use waymark::rules::Rule;
-use waymark::spec::{CoreMember, Document};
 
 /// How many members a core is to have.
 pub const FULL_CORE: usize = 3;
@@ -13,7 +13,7 @@
 /// Why a member of the core cannot be replaced.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum SuccessionFault {
-    /// This surveyor does not lead, or has not yet committed under its term.
+    /// This controller does not lead, or has not yet committed under its term.
     NotReady,
     /// Another change is in flight, or an earlier succession is not settled.
     Busy,
@@ -31,7 +31,7 @@
             Self::NotReady => "no ready leader here",
             Self::Busy => "another change is in flight",
             Self::NoSuchMember => "no such member of the core",
-            Self::NoSuchCandidate => "no such surveyor, or it is not level yet",
+            Self::NoSuchCandidate => "no such controller, or it is not level yet",
             Self::NoMajority => "afterwards no majority of the core would be alive",
         })
     }
@@ -42,14 +42,14 @@
 impl Core {
     /// Whether a set is a majority under a document: of its core, and of the former one while a
     /// succession is not settled.
-    pub(super) fn is_majority_of(document: &Document, given: &BTreeSet<SurveyorId>) -> bool {
+    pub(super) fn is_majority_of(document: &Document, given: &BTreeSet<ControllerId>) -> bool {
         let is_most = |members: &[CoreMember]| {
             members.iter().filter(|member| given.contains(&member.id)).count() * 2 > members.len()
         };
         is_most(&document.core) && (document.former.is_empty() || is_most(&document.former))
     }
 
-    fn is_alive(&self, now: Moment, id: SurveyorId) -> bool {
+    fn is_alive(&self, now: Moment, id: ControllerId) -> bool {
         id == self.id
             || self
                 .heard
@@ -57,7 +57,7 @@
                 .is_some_and(|heard_at| now.since(*heard_at) < self.timing.election_longest * 2)
     }
 
-    fn silence_began(&self, id: SurveyorId) -> Moment {
+    fn silence_began(&self, id: ControllerId) -> Moment {
         let elected_at = match &self.role {
             Role::Leader(rounds) => rounds.elected_at(),
             _ => Moment::ZERO,
@@ -65,7 +65,7 @@
         self.heard.get(&id).copied().unwrap_or_default().max(elected_at)
     }
 
-    /// Surveyors that are no members, are alive, and have the newest committed version.
+    /// Controllers that are no members, are alive, and have the newest committed version.
     fn candidates(&self, now: Moment) -> Vec<CoreMember> {
         self.others
             .values()
@@ -77,7 +77,7 @@
             .map(|other| CoreMember {
                 id: other.id,
                 place: other.address.place,
-                locality: other.locality.clone(),
+                zone: other.zone.clone(),
             })
             .collect()
     }
@@ -98,9 +98,8 @@
         let successions = document.core.iter().filter(|member| self.is_missing(now, member));
         let mut next_documents = successions.filter_map(|missing| {
             let at_its_place = candidates.iter().find(|candidate| candidate.place == missing.place);
-            let successor = at_its_place.or_else(|| {
-                candidates.iter().find(|candidate| candidate.locality == missing.locality)
-            })?;
+            let successor = at_its_place
+                .or_else(|| candidates.iter().find(|candidate| candidate.zone == missing.zone))?;
             self.with_successor(now, document, missing.id, successor).ok()
         });
         if let Some(next_document) = next_documents.next() {
@@ -109,9 +108,7 @@
         if document.core.len() < self.size {
             let added = candidates
                 .iter()
-                .find(|candidate| {
-                    document.core.iter().all(|member| member.locality != candidate.locality)
-                })
+                .find(|candidate| document.core.iter().all(|member| member.zone != candidate.zone))
                 .or(candidates.first())?;
             let mut wider_core = document.core.clone();
             wider_core.push(added.clone());
@@ -120,7 +117,7 @@
         None
     }
 
-    /// Whether a member has been silent for long, or another surveyor stands at its place: then its
+    /// Whether a member has been silent for long, or another controller stands at its place: then its
     /// disk or its machine is lost.
     fn is_missing(&self, now: Moment, member: &CoreMember) -> bool {
         if member.id == self.id {
@@ -137,14 +134,14 @@
         &self,
         now: Moment,
         document: &Document,
-        missing: SurveyorId,
+        missing: ControllerId,
         successor: &CoreMember,
     ) -> Result<Document, SuccessionFault> {
         let mut next_core: Vec<CoreMember> =
             document.core.iter().filter(|member| member.id != missing).cloned().collect();
         next_core.push(successor.clone());
         let next_document = self.joint(document, next_core);
-        let alive: BTreeSet<SurveyorId> = next_document
+        let alive: BTreeSet<ControllerId> = next_document
             .core
             .iter()
             .chain(&next_document.former)
@@ -170,8 +167,8 @@
     pub fn replace(
         &mut self,
         now: Moment,
-        missing: SurveyorId,
-        successor: SurveyorId,
+        missing: ControllerId,
+        successor: ControllerId,
     ) -> Result<(Serial, Vec<CoreOutput>), SuccessionFault> {
         if !self.is_ready() {
             return Err(SuccessionFault::NotReady);
@@ -208,7 +205,7 @@
 
 /// A version in which only this member is left of the core, for operators who lost the majority for
 /// good. What was committed without reaching this disk is lost.
-pub fn left_alone(document: &Document, id: SurveyorId) -> Option<Document> {
+pub fn left_alone(document: &Document, id: ControllerId) -> Option<Document> {
     let own_member = document.core.iter().chain(&document.former).find(|member| member.id == id)?;
     let mut alone = document.with_core(vec![own_member.clone()], succession_id(document));
     alone.former = Vec::new();
--- a/crates/survey/src/core/timing.rs
+++ b/crates/controlplane/src/core/timing.rs
@@ -10,10 +10,10 @@
     /// From one round to another that somebody waits for, at least.
     #[builder(default = Duration::from_millis(20))]
     pub round_gap: Duration,
-    /// The shortest wait of a surveyor that has just started, before a trial.
+    /// The shortest wait of a controller that has just started, before a trial.
     #[builder(default = Duration::from_millis(60))]
     pub early_shortest: Duration,
-    /// The longest wait of a surveyor that has just started, before a trial.
+    /// The longest wait of a controller that has just started, before a trial.
     #[builder(default = Duration::from_millis(250))]
     pub early_longest: Duration,
     /// The shortest election timeout.
@@ -22,10 +22,10 @@
     /// The longest election timeout.
     #[builder(default = Duration::from_millis(900))]
     pub election_longest: Duration,
-    /// From one greeting of the other surveyors to the next.
+    /// From one greeting of the other controllers to the next.
     #[builder(default = Duration::from_millis(500))]
     pub hello_every: Duration,
-    /// How long a member is silent before another surveyor takes its place.
+    /// How long a member is silent before another controller takes its place.
     #[builder(default = Duration::from_secs(8))]
     pub replace_after: Duration,
     /// From one reading of all kept files to the next.
--- a/crates/survey/src/disk/mod.rs
+++ b/crates/controlplane/src/disk/mod.rs
@@ -1,13 +1,13 @@
-//! The surveyor's data folder: one file a version, written aside, synced, renamed, its folder synced.
+//! The controller's data folder: one file a version, written aside, synced, renamed, its folder synced.
 
 use crate::core::{Recalled, WriteJob};
+use common::identity::{ControllerId, Serial, Stamp, Term};
+use common::seal::{digest, hex};
+use common::spec::{Document, DocumentFault};
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use waymark::identity::{Serial, Stamp, SurveyorId, Term};
-use waymark::seal::{digest, hex};
-use waymark::spec::{Document, DocumentFault};
 
 const KEPT_VERSIONS: usize = 8;
 const KEPT_VOTES: usize = 2;
@@ -58,7 +58,7 @@
     }
 }
 
-/// The data folder of one surveyor.
+/// The data folder of one controller.
 pub struct Shelf {
     folder: PathBuf,
     seam: Box<dyn Seam>,
@@ -70,7 +70,7 @@
         return Err(ShelfFault::NothingToRecover);
     }
     let shelf = Shelf::open(folder)?;
-    let (recalled, _) = shelf.recall(SurveyorId(0))?;
+    let (recalled, _) = shelf.recall(ControllerId(0))?;
     let alone = recalled
         .accepted
         .as_ref()
@@ -203,7 +203,7 @@
                 }
                 None => {}
             }
-            waymark::note!(Warn, waymark::events::FILE_SET_ASIDE, "{file_name}");
+            common::note!(Warn, common::events::FILE_SET_ASIDE, "{file_name}");
             damaged_names.push(file_name);
         }
         Ok(damaged_names)
@@ -222,13 +222,13 @@
     }
 
     /// Reads what the disk remembers; damaged files are set aside and named.
-    pub fn recall(&self, fresh_id: SurveyorId) -> Result<(Recalled, Vec<String>), ShelfFault> {
+    pub fn recall(&self, fresh_id: ControllerId) -> Result<(Recalled, Vec<String>), ShelfFault> {
         let mut set_aside = Vec::new();
         let kept_id = self
             .read_file("identity")
             .and_then(|payload| u64::from_str_radix(std::str::from_utf8(&payload).ok()?, 16).ok());
         let mut recalled = Recalled {
-            id: kept_id.map_or(fresh_id, SurveyorId),
+            id: kept_id.map_or(fresh_id, ControllerId),
             voted: None,
             accepted: None,
             distrusted: Stamp::default(),
@@ -242,7 +242,7 @@
                     if candidate.is_none() {
                         set_aside.push(file_name);
                     }
-                    recalled.voted = Some((term, SurveyorId(candidate.unwrap_or(0))));
+                    recalled.voted = Some((term, ControllerId(candidate.unwrap_or(0))));
                 }
                 Some(Kept::Version(stamp)) => {
                     let document = self
--- a/crates/survey/src/drivers/disk.rs
+++ b/crates/controlplane/src/drivers/disk.rs
@@ -1,11 +1,11 @@
+use crate::controller_state::ControllerInput;
 use crate::core::{WriteJob, WriteResult};
 use crate::disk::Shelf;
-use crate::plane::PlaneInput;
+use common::events;
+use common::identity::Ticket;
+use common::note;
 use std::sync::mpsc as blocking;
 use tokio::sync::mpsc;
-use waymark::events;
-use waymark::identity::Ticket;
-use waymark::note;
 
 /// Writes in a thread of its own, in order.
 pub struct DiskDriver {
@@ -14,7 +14,7 @@
 
 impl DiskDriver {
     /// Starts the thread.
-    pub fn start(shelf: Shelf, inputs: mpsc::Sender<PlaneInput>) -> Self {
+    pub fn start(shelf: Shelf, inputs: mpsc::Sender<ControllerInput>) -> Self {
         let (jobs, job_inbox) = blocking::channel::<(Ticket, WriteJob)>();
         std::thread::spawn(move || {
             for (ticket, job) in job_inbox {
@@ -25,7 +25,7 @@
                         WriteResult::Failed
                     }
                 };
-                if inputs.blocking_send(PlaneInput::Written(ticket, result)).is_err() {
+                if inputs.blocking_send(ControllerInput::Written(ticket, result)).is_err() {
                     return;
                 }
             }
--- a/crates/survey/src/drivers/engine.rs
+++ b/crates/controlplane/src/drivers/engine.rs
@@ -2,11 +2,21 @@
 use super::gauges::Gauges;
 use super::links::Links;
 use super::{OperatorsTongue, OwnOperators, operators, platform, streams};
-use crate::boot::SurveyorBoot;
+use crate::boot::ControllerBoot;
+use crate::controller_state::{
+    ControllerInput, ControllerOutput, ControllerState, Operation, OperationReply, OperationTicket,
+};
 use crate::core::{Address, Core, Recalled};
-use crate::desk::StreamId;
 use crate::disk::{Seam, Shelf, ShelfFault, Sound};
-use crate::plane::{Operation, OperationReply, OperationTicket, Plane, PlaneInput, PlaneOutput};
+use crate::leader_state::StreamId;
+use common::chance::Chance;
+use common::clock::Moment;
+use common::events;
+use common::frames::{Place, StreamDown};
+use common::identity::ControllerId;
+use common::note;
+use common::readers::BootFault;
+use common::tongue::{OwnPlatform, PlatformTongue};
 use std::collections::HashMap;
 use std::fmt;
 use std::path::Path;
@@ -15,25 +25,17 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{Place, StreamDown};
-use waymark::identity::SurveyorId;
-use waymark::note;
-use waymark::readers::BootFault;
-use waymark::tongue::{OwnPlatform, PlatformTongue};
 
-/// Why a surveyor could not start.
+/// Why a controller could not start.
 #[derive(Debug)]
-pub enum SurveyorFault {
+pub enum ControllerFault {
     /// Its settings do not fit this machine.
     Boot(BootFault),
     /// Its data folder does not serve.
     Shelf(ShelfFault),
 }
 
-impl fmt::Display for SurveyorFault {
+impl fmt::Display for ControllerFault {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Boot(fault) => write!(out, "{fault}"),
@@ -42,39 +44,39 @@
     }
 }
 
-impl std::error::Error for SurveyorFault {}
+impl std::error::Error for ControllerFault {}
 
-impl From<BootFault> for SurveyorFault {
+impl From<BootFault> for ControllerFault {
     fn from(fault: BootFault) -> Self {
         Self::Boot(fault)
     }
 }
 
-impl From<ShelfFault> for SurveyorFault {
+impl From<ShelfFault> for ControllerFault {
     fn from(fault: ShelfFault) -> Self {
         Self::Shelf(fault)
     }
 }
 
-/// The tongues that a surveyor speaks.
+/// The tongues that a controller speaks.
 #[derive(Clone)]
-pub struct SurveyorTongues {
+pub struct ControllerAdapters {
     /// With operators.
     pub operators: Arc<dyn OperatorsTongue>,
     /// With the platform.
     pub platform: Arc<dyn PlatformTongue>,
 }
 
-impl SurveyorTongues {
+impl ControllerAdapters {
     /// The product's own, with the platform at this place.
     pub fn own(platform: Place) -> Self {
         Self { operators: Arc::new(OwnOperators), platform: Arc::new(OwnPlatform::new(platform)) }
     }
 }
 
-/// What the surveyor's tasks share.
+/// What the controller's tasks share.
 pub struct Shared {
-    pub(super) inputs: mpsc::Sender<PlaneInput>,
+    pub(super) inputs: mpsc::Sender<ControllerInput>,
     pub(super) operations: Mutex<HashMap<OperationTicket, oneshot::Sender<OperationReply>>>,
     pub(super) streams: Mutex<HashMap<StreamId, mpsc::Sender<StreamDown>>>,
     pub(super) leads: watch::Sender<bool>,
@@ -98,15 +100,15 @@
         if let Ok(mut operations) = self.operations.lock() {
             operations.insert(ticket, reply_sender);
         }
-        self.inputs.send(PlaneInput::Operate(ticket, operation)).await.ok()?;
+        self.inputs.send(ControllerInput::Operate(ticket, operation)).await.ok()?;
         reply_receiver.await.ok()
     }
 }
 
-/// A running surveyor.
-pub struct Surveyor {
-    plane: Plane,
-    inbox: mpsc::Receiver<PlaneInput>,
+/// A running controller.
+pub struct Controller {
+    controller_state: ControllerState,
+    inbox: mpsc::Receiver<ControllerInput>,
     shared: Arc<Shared>,
     links: Links,
     disk: Option<DiskDriver>,
@@ -116,7 +118,7 @@
 }
 
 async fn listen(
-    boot: &SurveyorBoot,
+    boot: &ControllerBoot,
     key: &'static str,
     place: Place,
 ) -> Result<TcpListener, BootFault> {
@@ -129,16 +131,16 @@
 /// Opens the data folder; says what it remembers, and whether this may be the whole system's first
 /// start: then its disk was empty at a start with that setting, and nothing was written since.
 fn open_shelf(
-    boot: &SurveyorBoot,
+    boot: &ControllerBoot,
     data: &Path,
     seam: Box<dyn Seam>,
-    fresh_id: SurveyorId,
-) -> Result<Kept, SurveyorFault> {
+    fresh_id: ControllerId,
+) -> Result<Kept, ControllerFault> {
     let shelf = Shelf::open_with(data, seam).map_err(|fault| match fault {
         ShelfFault::File(path, io_fault) => {
-            SurveyorFault::Boot(BootFault::Folder(boot.source.clone(), path, io_fault))
+            ControllerFault::Boot(BootFault::Folder(boot.source.clone(), path, io_fault))
         }
-        other => SurveyorFault::Shelf(other),
+        other => ControllerFault::Shelf(other),
     })?;
     if boot.found_first {
         shelf.note_first_start()?;
@@ -151,38 +153,38 @@
     Ok((shelf, recalled, may_found))
 }
 
-/// Tells a running surveyor of other seeds.
+/// Tells a running controller of other seeds.
 #[derive(Clone)]
 pub struct Reseeder {
-    inputs: mpsc::Sender<PlaneInput>,
+    inputs: mpsc::Sender<ControllerInput>,
 }
 
 impl Reseeder {
-    /// Takes other seeds; false when the surveyor has stopped.
+    /// Takes other seeds; false when the controller has stopped.
     pub async fn reseed(&self, seeds: Vec<Place>) -> bool {
-        self.inputs.send(PlaneInput::Seeds(seeds)).await.is_ok()
+        self.inputs.send(ControllerInput::Seeds(seeds)).await.is_ok()
     }
 }
 
-impl Surveyor {
-    /// What tells this surveyor of other seeds while it runs.
+impl Controller {
+    /// What tells this controller of other seeds while it runs.
     pub fn reseeder(&self) -> Reseeder {
         Reseeder { inputs: self.shared.inputs.clone() }
     }
 
     /// Opens the data folder and the listeners.
-    pub async fn open(boot: &SurveyorBoot) -> Result<Self, SurveyorFault> {
-        Self::open_with(boot, Box::new(Sound), SurveyorTongues::own(boot.platform)).await
+    pub async fn open(boot: &ControllerBoot) -> Result<Self, ControllerFault> {
+        Self::open_with(boot, Box::new(Sound), ControllerAdapters::own(boot.platform)).await
     }
 
     /// The same with a seam at its disk, and with these tongues.
     pub async fn open_with(
-        boot: &SurveyorBoot,
+        boot: &ControllerBoot,
         seam: Box<dyn Seam>,
-        tongues: SurveyorTongues,
-    ) -> Result<Self, SurveyorFault> {
+        tongues: ControllerAdapters,
+    ) -> Result<Self, ControllerFault> {
         let mut chance = Chance::from_os();
-        let fresh_id = SurveyorId(chance.number() | 1);
+        let fresh_id = ControllerId(chance.number() | 1);
         let kept = match &boot.data {
             Some(data) => Some(open_shelf(boot, data, seam, fresh_id)?),
             None => None,
@@ -201,7 +203,7 @@
             boot.core_timing.clone(),
             recalled,
             address,
-            boot.locality.clone(),
+            boot.zone.clone(),
             boot.seeds.clone(),
             chance,
         )
@@ -222,7 +224,11 @@
             next_number: AtomicU64::new(1),
         });
         Ok(Self {
-            plane: Plane::new(core, boot.desk_timing.clone(), boot.core_timing.election_shortest),
+            controller_state: ControllerState::new(
+                core,
+                boot.leader_state_timing.clone(),
+                boot.core_timing.election_shortest,
+            ),
             inbox,
             shared,
             links: Links::new(*boot.place.0.ip()),
@@ -236,7 +242,7 @@
     /// Runs until told to stop.
     pub async fn run(self, stop: watch::Receiver<bool>) {
         let Self {
-            mut plane,
+            mut controller_state,
             mut inbox,
             shared,
             mut links,
@@ -252,21 +258,21 @@
         let mut stopping = stop.clone();
         loop {
             let now = Moment::now();
-            let idle_span = plane.next_due(now).since(now);
+            let idle_span = controller_state.next_due(now).since(now);
             let input = tokio::select! {
-                () = tokio::time::sleep(idle_span) => PlaneInput::Tick,
+                () = tokio::time::sleep(idle_span) => ControllerInput::Tick,
                 Some(input) = inbox.recv() => input,
                 _ = stopping.wait_for(|stopping| *stopping) => break,
             };
-            if matches!(input, PlaneInput::Operate(_, Operation::Metrics)) {
-                shared.gauges.set(&plane);
+            if matches!(input, ControllerInput::Operate(_, Operation::Metrics)) {
+                shared.gauges.set(&controller_state);
             }
-            for order in plane.take(Moment::now(), input) {
+            for order in controller_state.take(Moment::now(), input) {
                 obey(&shared, &mut links, disk.as_ref(), order);
             }
-            let is_leader = plane.core().is_leader();
+            let is_leader = controller_state.core().is_leader();
             shared.leads.send_if_modified(|leads| std::mem::replace(leads, is_leader) != is_leader);
-            shared.has_leader.store(plane.core().leader().is_some(), Ordering::Relaxed);
+            shared.has_leader.store(controller_state.core().leader().is_some(), Ordering::Relaxed);
         }
         shared.newest_event.send_replace(u64::MAX);
         drop(inbox);
@@ -274,15 +280,20 @@
     }
 }
 
-fn obey(shared: &Arc<Shared>, links: &mut Links, disk: Option<&DiskDriver>, order: PlaneOutput) {
+fn obey(
+    shared: &Arc<Shared>,
+    links: &mut Links,
+    disk: Option<&DiskDriver>,
+    order: ControllerOutput,
+) {
     match order {
-        PlaneOutput::Send(to, frame) => links.send(to, frame),
-        PlaneOutput::Write(ticket, job) => {
+        ControllerOutput::Send(to, frame) => links.send(to, frame),
+        ControllerOutput::Write(ticket, job) => {
             if let Some(disk) = disk {
                 disk.write(ticket, job);
             }
         }
-        PlaneOutput::Down(stream, frame) => {
+        ControllerOutput::Down(stream, frame) => {
             let Ok(mut open_streams) = shared.streams.lock() else { return };
             if let Some(sender) = open_streams.get(&stream)
                 && sender.try_send(frame).is_err()
@@ -290,23 +301,23 @@
                 open_streams.remove(&stream);
             }
         }
-        PlaneOutput::Close(stream) => {
+        ControllerOutput::Close(stream) => {
             if let Ok(mut open_streams) = shared.streams.lock() {
                 open_streams.remove(&stream);
             }
         }
-        PlaneOutput::AskLists => shared.lists_wanted.notify_one(),
-        PlaneOutput::StopRunner(order) => {
+        ControllerOutput::AskLists => shared.lists_wanted.notify_one(),
+        ControllerOutput::StopRunner(order) => {
             tokio::spawn(platform::stop_runner(shared.clone(), order));
         }
-        PlaneOutput::Operated(ticket, reply) => {
+        ControllerOutput::Operated(ticket, reply) => {
             if let Ok(mut operations) = shared.operations.lock()
                 && let Some(reply_sender) = operations.remove(&ticket)
             {
                 let _ = reply_sender.send(reply);
             }
         }
-        PlaneOutput::Told(numbered) => {
+        ControllerOutput::Told(numbered) => {
             note!(Info, numbered.told.event, "#{} {}", numbered.number, numbered.told.detail);
             shared.newest_event.send_replace(numbered.number);
         }
--- a/crates/survey/src/drivers/gauges.rs
+++ b/crates/controlplane/src/drivers/gauges.rs
@@ -1,15 +1,15 @@
-use crate::plane::Plane;
+use crate::controller_state::ControllerState;
+use common::metrics::Page;
 use prometheus::{IntCounter, IntGauge};
-use waymark::metrics::Page;
 
-/// The surveyor's metrics.
+/// The controller's metrics.
 pub struct Gauges {
     page: Page,
     leads: IntGauge,
     term: IntGauge,
     serial: IntGauge,
     in_force: IntGauge,
-    desk: Vec<(&'static str, IntGauge)>,
+    leader_state: Vec<(&'static str, IntGauge)>,
     rejected: IntCounter,
     /// Frames from daemons.
     pub frames_up: IntCounter,
@@ -28,12 +28,12 @@
             frames_down: page.counter("rudder_stream_frames_down_total", "frames to daemons"),
             pushed_bytes: page
                 .counter("rudder_pushed_bytes_total", "bytes of specs and changes pushed"),
-            leads: page.gauge("rudder_core_leads", "1 while this surveyor leads"),
+            leads: page.gauge("rudder_core_leads", "1 while this controller leads"),
             term: page.gauge("rudder_core_term", "the present term"),
             serial: page.gauge("rudder_core_committed_serial", "the newest committed serial"),
             in_force: page
                 .gauge("rudder_core_in_force_serial", "the newest serial in force everywhere"),
-            desk: vec![
+            leader_state: vec![
                 ("members", page.gauge("rudder_desk_members", "daemons with a stream here")),
                 ("holders", page.gauge("rudder_desk_holders", "functions held")),
                 ("runners", page.gauge("rudder_desk_runners", "runners placed")),
@@ -45,16 +45,21 @@
         }
     }
 
-    /// Takes the plane's present state.
-    pub fn set(&self, plane: &Plane) {
-        let core = plane.core();
+    /// Takes the controller state's present state.
+    pub fn set(&self, controller_state: &ControllerState) {
+        let core = controller_state.core();
         self.leads.set(i64::from(core.is_leader()));
         self.term.set(core.term().0 as i64);
         self.serial.set(core.committed().serial.0 as i64);
-        let desk_counts = plane.desk().map(|desk| desk.counts());
-        self.in_force.set(plane.desk().map_or(0, |desk| desk.in_force().0 as i64));
-        for (place, (_, desk_gauge)) in self.desk.iter().enumerate() {
-            desk_gauge.set(desk_counts.map_or(0, |counts| counts[place].1 as i64));
+        let leader_state_counts =
+            controller_state.leader_state().map(|leader_state| leader_state.counts());
+        self.in_force.set(
+            controller_state
+                .leader_state()
+                .map_or(0, |leader_state| leader_state.in_force().0 as i64),
+        );
+        for (place, (_, leader_state_gauge)) in self.leader_state.iter().enumerate() {
+            leader_state_gauge.set(leader_state_counts.map_or(0, |counts| counts[place].1 as i64));
         }
     }
 
--- a/crates/survey/src/drivers/links.rs
+++ b/crates/controlplane/src/drivers/links.rs
@@ -1,3 +1,4 @@
+use common::frames::{Channel, CoreFrame, FrameFault, Place, dial, write_frame};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::Ipv4Addr;
@@ -5,13 +6,12 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use waymark::frames::{Channel, CoreFrame, FrameFault, Place, dial, write_frame};
 
 const SHORTEST_WAIT: Duration = Duration::from_millis(20);
 const LONGEST_WAIT: Duration = Duration::from_millis(200);
 const IDLE_AFTER: Duration = Duration::from_secs(10);
 
-/// One-way links to the other surveyors; what cannot be sent soon is dropped.
+/// One-way links to the other controllers; what cannot be sent soon is dropped.
 pub struct Links {
     own_ip: Ipv4Addr,
     senders: HashMap<Place, mpsc::Sender<CoreFrame>>,
--- a/crates/survey/src/drivers/mod.rs
+++ b/crates/controlplane/src/drivers/mod.rs
@@ -9,5 +9,5 @@
 mod streams;
 mod tongue;
 
-pub use engine::{Reseeder, Surveyor, SurveyorFault, SurveyorTongues};
+pub use engine::{Controller, ControllerAdapters, ControllerFault, Reseeder};
 pub use tongue::{OperatorsTongue, OwnOperators};
--- a/crates/survey/src/drivers/operators.rs
+++ b/crates/controlplane/src/drivers/operators.rs
@@ -1,6 +1,9 @@
 use super::engine::Shared;
-use crate::plane::{Operation, OperationReply};
+use crate::controller_state::{Operation, OperationReply};
 use bytes::Bytes;
+use common::clock::Moment;
+use common::frames::Place;
+use common::http::{self, BodyFault, Served, json_response, read_body, stream_body, text_response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{
@@ -14,11 +17,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::http::{
-    self, BodyFault, Served, json_response, read_body, stream_body, text_response,
-};
 
 const PASSED_ON: &str = "rudder-passed-on";
 const LARGEST_BODY: usize = 8 << 20;
--- a/crates/survey/src/drivers/platform.rs
+++ b/crates/controlplane/src/drivers/platform.rs
@@ -1,13 +1,13 @@
 use super::engine::Shared;
-use crate::plane::PlaneInput;
+use crate::controller_state::ControllerInput;
+use common::clock::Moment;
+use common::events;
+use common::note;
+use common::tongue::StopOrder;
 use std::sync::Arc;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::note;
-use waymark::tongue::StopOrder;
 
-/// Reads the platform's lists while this surveyor leads, and when the leader asks for them.
+/// Reads the platform's lists while this controller leads, and when the leader asks for them.
 pub async fn poll(shared: Arc<Shared>, list_every: Duration) {
     let mut ticking = tokio::time::interval(list_every);
     ticking.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -33,19 +33,19 @@
 
 async fn read_workers(shared: &Shared) -> Option<()> {
     let listed_workers = shared.platform.workers().await?;
-    shared.inputs.send(PlaneInput::Workers(listed_workers)).await.ok()
+    shared.inputs.send(ControllerInput::Workers(listed_workers)).await.ok()
 }
 
 async fn read_runners(shared: &Shared) -> Option<()> {
     let sent_at = Moment::now();
     let list = shared.platform.runners().await?;
-    shared.inputs.send(PlaneInput::Runners(sent_at - list.age, list.runners)).await.ok()
+    shared.inputs.send(ControllerInput::Runners(sent_at - list.age, list.runners)).await.ok()
 }
 
 /// Has the platform stop a runner; only a clear yes counts.
 pub async fn stop_runner(shared: Arc<Shared>, order: StopOrder) {
     let runner = order.runner;
     if shared.platform.stop(order).await {
-        let _ = shared.inputs.send(PlaneInput::RunnerStopped(runner)).await;
+        let _ = shared.inputs.send(ControllerInput::RunnerStopped(runner)).await;
     }
 }
--- a/crates/survey/src/drivers/streams.rs
+++ b/crates/controlplane/src/drivers/streams.rs
@@ -1,18 +1,18 @@
 use super::engine::Shared;
-use crate::desk::StreamId;
-use crate::plane::PlaneInput;
+use crate::controller_state::ControllerInput;
+use crate::leader_state::StreamId;
+use common::events;
+use common::frames::{
+    Channel, CoreFrame, FrameFault, Place, StreamDown, StreamUp, read_channel, read_frame,
+    write_frame,
+};
+use common::note;
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::BufReader;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use waymark::events;
-use waymark::frames::{
-    Channel, CoreFrame, FrameFault, Place, StreamDown, StreamUp, read_channel, read_frame,
-    write_frame,
-};
-use waymark::note;
 
 const GONE_TRIES: usize = 4;
 const GONE_AGAIN_AFTER: Duration = Duration::from_millis(20);
@@ -40,7 +40,7 @@
 }
 
 async fn serve(mut stream: TcpStream, shared: &Arc<Shared>) -> Result<(), FrameFault> {
-    waymark::sockets::tune(&stream);
+    common::sockets::tune(&stream);
     let channel = tokio::time::timeout(Duration::from_secs(3), read_channel(&mut stream))
         .await
         .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
@@ -54,7 +54,7 @@
                     Err(fault) => break fault,
                 };
                 sender_place = Some(frame.place);
-                if shared.inputs.send(PlaneInput::Core(frame)).await.is_err() {
+                if shared.inputs.send(ControllerInput::Core(frame)).await.is_err() {
                     return Ok(());
                 }
             };
@@ -68,14 +68,14 @@
     }
 }
 
-/// A surveyor's link has ended: asks its place a few times, since a dying process closes its links
+/// A controller's link has ended: asks its place a few times, since a dying process closes its links
 /// before its listener, and says so if its process is gone.
 async fn notice_end(place: Place, shared: &Shared) {
     for _ in 0..GONE_TRIES {
         let asked = tokio::time::timeout(GONE_PATIENCE, TcpStream::connect(place.address())).await;
         match asked {
             Ok(Err(fault)) if is_refusal(fault.kind()) => {
-                let _ = shared.inputs.send(PlaneInput::Gone(place)).await;
+                let _ = shared.inputs.send(ControllerInput::Gone(place)).await;
                 return;
             }
             Ok(Ok(_)) => tokio::time::sleep(GONE_AGAIN_AFTER).await,
@@ -100,7 +100,7 @@
         loop {
             let frame: StreamUp = read_frame(&mut reader).await?;
             shared.gauges.frames_up.inc();
-            if shared.inputs.send(PlaneInput::Stream(stream_id, frame)).await.is_err() {
+            if shared.inputs.send(ControllerInput::Stream(stream_id, frame)).await.is_err() {
                 return Ok::<(), FrameFault>(());
             }
         }
@@ -126,6 +126,6 @@
     if let Ok(mut open_streams) = shared.streams.lock() {
         open_streams.remove(&stream_id);
     }
-    let _ = shared.inputs.send(PlaneInput::StreamLost(stream_id)).await;
+    let _ = shared.inputs.send(ControllerInput::StreamLost(stream_id)).await;
     ended
 }
--- a/crates/survey/src/drivers/tongue.rs
+++ b/crates/controlplane/src/drivers/tongue.rs
@@ -1,10 +1,10 @@
-use crate::plane::{ChangeKind, ItemChange, Numbering, Operation, OperationReply, Wait};
+use crate::controller_state::{ChangeKind, ItemChange, Numbering, Operation, OperationReply, Wait};
+use common::http::{Served, json_response};
+use common::identity::{ChangeId, ControllerId, Serial, Zone};
+use common::readers::{FaultList, FaultReason, PathFault, PathReader};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
-use waymark::http::{Served, json_response};
-use waymark::identity::{ChangeId, Locality, Serial, SurveyorId};
-use waymark::readers::{FaultList, FaultReason, PathFault, PathReader};
 
 /// How operators' HTTP is read and written. A tongue only translates.
 pub trait OperatorsTongue: Send + Sync {
@@ -56,7 +56,7 @@
             Self::Said(status, body) => (status, body),
             Self::Spec { document, in_force } => {
                 let evacuated: Vec<&str> =
-                    document.evacuated.iter().map(|locality| locality.as_str()).collect();
+                    document.evacuated.iter().map(|zone| zone.as_str()).collect();
                 let body = json!({
                     "serial": document.view_serial().0,
                     "number": document.number,
@@ -80,17 +80,17 @@
                 (409, with_number(with_change(body, Some(change)), number))
             }
             Self::Invalid(faults) => (422, invalid_body(&faults)),
-            Self::NoLocality { locality, known } => {
-                let known_names: Vec<&str> = known.iter().map(Locality::as_str).collect();
+            Self::NoZone { zone, known } => {
+                let known_names: Vec<&str> = known.iter().map(Zone::as_str).collect();
                 let body = json!({
                     "error": "unknown_locality",
                     "state": "not_accepted",
-                    "locality": locality.as_str(),
+                    "locality": zone.as_str(),
                     "known": known_names,
                 });
                 (422, body)
             }
-            Self::LastLocality => {
+            Self::LastZone => {
                 let body = json!({
                     "error": "last_locality",
                     "state": "not_accepted",
@@ -143,12 +143,12 @@
         (&Method::GET, ["v1", "changes", change]) => {
             Ok(Operation::AskChange(ChangeId::from(*change)))
         }
-        (&Method::POST, ["v1", "localities", locality, "evacuate"]) => read_change(body, |root| {
+        (&Method::POST, ["v1", "localities", zone, "evacuate"]) => read_change(body, |root| {
             let force = root.field("force").flag_or(false);
-            Some(ChangeKind::Evacuate { locality: Locality::from(*locality), force })
+            Some(ChangeKind::Evacuate { zone: Zone::from(*zone), force })
         }),
-        (&Method::POST, ["v1", "localities", locality, "restore"]) => {
-            read_change(body, |_| Some(ChangeKind::Restore { locality: Locality::from(*locality) }))
+        (&Method::POST, ["v1", "localities", zone, "restore"]) => {
+            read_change(body, |_| Some(ChangeKind::Restore { zone: Zone::from(*zone) }))
         }
         (&Method::GET, ["v1", "members"]) => Ok(Operation::Members),
         (&Method::GET, ["v1", "holders"]) => Ok(Operation::Holders),
@@ -157,7 +157,7 @@
         (&Method::GET, ["v1", "core"]) => Ok(Operation::ShowCore),
         (&Method::POST, ["v1", "core", "found"]) => Ok(Operation::Found),
         (&Method::POST, ["v1", "core", "replace", missing, successor]) => {
-            let id = |text: &str| u64::from_str_radix(text, 16).map(SurveyorId);
+            let id = |text: &str| u64::from_str_radix(text, 16).map(ControllerId);
             match (id(missing), id(successor)) {
                 (Ok(missing), Ok(successor)) => Ok(Operation::Replace(missing, successor)),
                 _ => Err((400, json!({"error": "not_a_surveyor"}))),
--- a/crates/survey/src/desk/claims.rs
+++ b/crates/controlplane/src/leader_state/claims.rs
@@ -1,13 +1,13 @@
 use super::reservations::Reservation;
-use super::{Desk, GrantEntry, StreamId};
+use super::{GrantEntry, LeaderState, StreamId};
+use common::clock::Moment;
+use common::events;
+use common::frames::{Claim, ClaimRunner, KnownMember, StreamDown};
+use common::identity::{FunctionKey, RunnerId};
 use serde_json::json;
 use std::collections::BTreeSet;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{Claim, ClaimRunner, KnownMember, StreamDown};
-use waymark::identity::{FunctionKey, RunnerId};
 
-impl Desk {
+impl LeaderState {
     pub(super) fn hear_claims(&mut self, now: Moment, stream: StreamId, claims: Vec<Claim>) {
         let Some(claimant) = self.streams.get(&stream).cloned() else { return };
         let (ending_claims, claims): (Vec<Claim>, Vec<Claim>) =
--- a/crates/survey/src/desk/delivery.rs
+++ b/crates/controlplane/src/leader_state/delivery.rs
@@ -1,15 +1,15 @@
-use super::{Desk, DeskOutput, StreamId, TraceStep};
+use super::{LeaderOutput, LeaderState, StreamId, TraceStep};
+use common::clock::Moment;
+use common::events;
+use common::frames::{Flag, StreamDown, pack};
+use common::identity::{FunctionKey, GrantSerial, MemberName, RunnerId, Serial};
+use common::rules::Rule;
+use common::spec::{Document, Table, View};
 use serde_json::json;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{Flag, StreamDown, pack};
-use waymark::identity::{FunctionKey, GrantSerial, MemberName, RunnerId, Serial};
-use waymark::rules::Rule;
-use waymark::spec::{Document, Table, View};
 
 const KEPT_VIEWS: usize = 8;
 
-impl Desk {
+impl LeaderState {
     /// Takes a committed document and pushes it to every daemon.
     pub fn committed(&mut self, document: Document) {
         let earlier_evacuated = self.document.as_ref().map(|held| held.evacuated.clone());
@@ -49,7 +49,7 @@
         }
         let heeds_evacuation = self.rules.keep(Rule::EvacuationObeyed);
         for record in self.members.values_mut() {
-            let is_evacuated = self.table.is_evacuated(&record.host.locality) && heeds_evacuation;
+            let is_evacuated = self.table.is_evacuated(&record.host.zone) && heeds_evacuation;
             let eligible = Flag(record.is_welcome && !is_evacuated);
             if record.host.eligible != eligible {
                 record.host.eligible = eligible;
@@ -98,7 +98,7 @@
         record.pushed = newest_view.serial;
         let serial = newest_view.serial;
         let member = known_member.member.clone();
-        self.outputs.push(DeskOutput::Step { serial, member, step: TraceStep::Pushed });
+        self.outputs.push(LeaderOutput::Step { serial, member, step: TraceStep::Pushed });
         self.down(stream, frame);
     }
 
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Asks holders in evacuated localities for their functions, and drains runners there.
+    /// Asks holders in evacuated zones for their functions, and drains runners there.
     pub(super) fn hand_over_evacuated(&mut self) {
         let table = &self.table;
         let heeds_evacuation = self.rules.keep(Rule::EvacuationObeyed);
@@ -138,7 +138,7 @@
             .filter_map(|(function, entry)| {
                 let record = self.members.get(&entry.holder)?;
                 let stream = record.stream?;
-                let is_evacuated = table.is_evacuated(&record.host.locality);
+                let is_evacuated = table.is_evacuated(&record.host.zone);
                 (is_evacuated && heeds_evacuation).then(|| {
                     entry.handing_over = true;
                     (function.clone(), stream, entry.grant)
--- a/crates/survey/src/desk/emptying.rs
+++ b/crates/controlplane/src/leader_state/emptying.rs
@@ -1,10 +1,10 @@
-use super::Desk;
+use super::LeaderState;
+use common::clock::Moment;
+use common::events;
+use common::identity::WorkerName;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::identity::WorkerName;
 
 const BETWEEN: Duration = Duration::from_secs(8);
 const AFTER_FAILURE: Duration = Duration::from_secs(30);
@@ -17,7 +17,7 @@
     since: Moment,
 }
 
-impl Desk {
+impl LeaderState {
     /// Empties the least used worker when all its runners fit on the others in use, one at a time.
     pub(super) fn empty_workers(&mut self, now: Moment) {
         if !self.opened || !self.timing.emptying {
--- a/crates/survey/src/desk/fence.rs
+++ b/crates/controlplane/src/leader_state/fence.rs
@@ -1,11 +1,11 @@
-use super::{Desk, DeskOutput};
+use super::{LeaderOutput, LeaderState};
+use common::clock::Moment;
+use common::events;
+use common::frames::{KnownMember, StreamDown};
+use common::identity::{FunctionKey, MemberName, RunnerId};
+use common::rules::Rule;
+use common::tongue::StopOrder;
 use serde_json::json;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{KnownMember, StreamDown};
-use waymark::identity::{FunctionKey, MemberName, RunnerId};
-use waymark::rules::Rule;
-use waymark::tongue::StopOrder;
 
 /// Without the rule that a grant is outwaited, a holder counts as lost so soon after it was heard.
 const TOO_SOON: std::time::Duration = std::time::Duration::from_millis(400);
@@ -13,7 +13,7 @@
 /// What waits for its time is looked at so often.
 const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(40);
 
-impl Desk {
+impl LeaderState {
     /// Ends the entries of lost holders: their runners are left for the next holder, or stopped through
     /// the platform.
     pub(super) fn fence(&mut self, now: Moment) {
@@ -157,7 +157,7 @@
                 .entries
                 .get(&held.function)
                 .map_or_else(|| MemberName::from("leader"), |entry| entry.holder.member.clone());
-            self.outputs.push(DeskOutput::StopRunner(StopOrder {
+            self.outputs.push(LeaderOutput::StopRunner(StopOrder {
                 runner: due_runner,
                 function: held.function.clone(),
                 worker: held.worker.clone(),
--- a/crates/survey/src/desk/functions.rs
+++ b/crates/controlplane/src/leader_state/functions.rs
@@ -1,13 +1,13 @@
-use super::{Desk, GrantEntry, StreamId, WaitingAcquire};
-use serde_json::json;
-use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{
+use super::{GrantEntry, LeaderState, StreamId, WaitingAcquire};
+use common::clock::Moment;
+use common::events;
+use common::frames::{
     AcquireResult, ClaimRunner, HopReason, KnownMember, Many, Prior, RunnerNews, StreamDown,
 };
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId};
-use waymark::rules::Rule;
+use common::identity::{FunctionKey, GrantSerial, RunnerId};
+use common::rules::Rule;
+use serde_json::json;
+use std::time::Duration;
 
 /// A holder that has not renewed its member grant for so long is not named as an owner: the asker
 /// waits until it is heard again, or has lost the function.
@@ -24,7 +24,7 @@
 /// A shorter wait is waited out with the question open.
 const WORTH_TELLING: Duration = Duration::from_millis(200);
 
-impl Desk {
+impl LeaderState {
     /// Answers each acquisition that can be answered: grants to the asker when nobody holds, and says
     /// how long it will be if that is known.
     pub(super) fn answer_acquires(&mut self, now: Moment) {
--- a/crates/survey/src/desk/listing.rs
+++ b/crates/controlplane/src/leader_state/listing.rs
@@ -1,14 +1,14 @@
-use super::Desk;
+use super::LeaderState;
 use super::reservations::Reservation;
+use common::clock::Moment;
+use common::events;
+use common::identity::{FunctionKey, LifeName, RunnerId, Serial};
+use common::tongue::ListedRunner;
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::identity::{FunctionKey, LifeName, RunnerId, Serial};
-use waymark::tongue::ListedRunner;
 
-impl Desk {
+impl LeaderState {
     /// Takes the platform's list of runners, which shows how things stood at a moment. Runners are known
     /// again by their lives; while the claims quorum is waited for, unknown ones may still be claimed.
     pub fn runners_listed(&mut self, content_moment: Moment, listed_runners: &[ListedRunner]) {
--- a/crates/survey/src/desk/members.rs
+++ b/crates/controlplane/src/leader_state/members.rs
@@ -1,11 +1,11 @@
-use super::{Desk, DeskOutput, Proof, StreamId, TraceStep};
+use super::{LeaderOutput, LeaderState, Proof, StreamId, TraceStep};
+use common::clock::Moment;
+use common::events;
+use common::frames::{Flag, Host, KnownMember, Many, MemberLife, Place, StreamDown};
+use common::identity::{CorrelationId, FunctionKey, MemberName, Serial};
+use common::rules::Rule;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{Flag, Host, KnownMember, Many, MemberLife, Place, StreamDown};
-use waymark::identity::{CorrelationId, FunctionKey, MemberName, Serial};
-use waymark::rules::Rule;
 
 /// A daemon that its watchers miss counts as silent when its stream has brought nothing for so long.
 const SILENT_AFTER: std::time::Duration = std::time::Duration::from_millis(700);
@@ -57,7 +57,7 @@
     pub wants_proof: bool,
 }
 
-impl Desk {
+impl LeaderState {
     pub(super) fn hear_hello(
         &mut self,
         now: Moment,
@@ -84,7 +84,7 @@
         self.streams.insert(stream, known_member.clone());
         self.current.insert(host.member.clone(), known_member.clone());
         let is_welcome = host.eligible.0;
-        let eligible = Flag(is_welcome && !self.is_evacuated(&host.locality));
+        let eligible = Flag(is_welcome && !self.is_evacuated(&host.zone));
         let record = self.members.entry(known_member).or_insert(MemberRecord {
             host: host.clone(),
             door,
@@ -123,7 +123,7 @@
             json!({
                 "member": host.member.as_str(),
                 "incarnation": host.incarnation.0,
-                "locality": host.locality.as_str(),
+                "locality": host.zone.as_str(),
             }),
         );
     }
@@ -170,7 +170,11 @@
             record.installed = record.installed.max(serial);
             if is_news {
                 let member = known_member.member.clone();
-                self.outputs.push(DeskOutput::Step { serial, member, step: TraceStep::Installed });
+                self.outputs.push(LeaderOutput::Step {
+                    serial,
+                    member,
+                    step: TraceStep::Installed,
+                });
             }
         }
     }
@@ -355,7 +359,7 @@
             self.lists_asked_at == Moment::ZERO || (self.opened && !self.is_list_whole());
         if is_wanted && now.since(self.lists_asked_at) >= LISTS_EVERY {
             self.lists_asked_at = now;
-            self.outputs.push(DeskOutput::AskLists);
+            self.outputs.push(LeaderOutput::AskLists);
         }
     }
 
--- a/crates/survey/src/desk/mod.rs
+++ b/crates/controlplane/src/leader_state/mod.rs
@@ -1,4 +1,4 @@
-//! The leader's desk: members and their grants, function grants, workers. All of it in memory.
+//! The leader's leader state: members and their grants, function grants, workers. All of it in memory.
 
 mod claims;
 mod delivery;
@@ -16,25 +16,25 @@
 mod timing;
 mod workers;
 
-pub use output::{DeskOutput, StreamId, Told, TraceStep};
-pub use timing::DeskTiming;
+pub use output::{LeaderOutput, StreamId, Told, TraceStep};
+pub use timing::LeaderTiming;
 
+use common::clock::Moment;
+use common::frames::{Host, KnownMember, MemberLife, Prior, StreamDown, StreamUp};
+use common::identity::{
+    CorrelationId, FunctionKey, GrantSerial, MemberName, Serial, Term, WorkerName, Zone,
+};
+use common::rules::{Rule, Rules};
+use common::spec::{Document, RosterMember, Table, View};
+use common::tongue::ListedRunner;
 use emptying::Emptying;
 use members::{LifeHistory, MemberRecord, PushedHosts, WaitingRenewal};
 use reservations::Reservations;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{Host, KnownMember, MemberLife, Prior, StreamDown, StreamUp};
-use waymark::identity::{
-    CorrelationId, FunctionKey, GrantSerial, Locality, MemberName, Serial, Term, WorkerName,
-};
-use waymark::rules::{Rule, Rules};
-use waymark::spec::{Document, RosterMember, Table, View};
-use waymark::tongue::ListedRunner;
 use workers::WorkerRecord;
 
-/// What the core proves to the desk at one moment.
+/// What the core proves to the leader state at one moment.
 pub struct Proof<'a> {
     /// Whether the leader has committed under its own term.
     pub ready: bool,
@@ -63,9 +63,9 @@
     told_later: bool,
 }
 
-/// The leader's desk for one reign.
-pub struct Desk {
-    timing: DeskTiming,
+/// The leader's leader state for one reign.
+pub struct LeaderState {
+    timing: LeaderTiming,
     term: Term,
     elected_at: Moment,
     last_known: BTreeSet<KnownMember>,
@@ -124,13 +124,13 @@
     missed: BTreeSet<MemberLife>,
     silent: BTreeSet<MemberLife>,
     rules: Rules,
-    outputs: Vec<DeskOutput>,
+    outputs: Vec<LeaderOutput>,
 }
 
-impl Desk {
-    /// An empty desk for a new leader.
+impl LeaderState {
+    /// An empty leader state for a new leader.
     pub fn new(
-        timing: DeskTiming,
+        timing: LeaderTiming,
         term: Term,
         elected_at: Moment,
         last_known: BTreeSet<KnownMember>,
@@ -206,8 +206,8 @@
         self
     }
 
-    fn is_evacuated(&self, locality: &Locality) -> bool {
-        self.rules.keep(Rule::EvacuationObeyed) && self.table.is_evacuated(locality)
+    fn is_evacuated(&self, zone: &Zone) -> bool {
+        self.rules.keep(Rule::EvacuationObeyed) && self.table.is_evacuated(zone)
     }
 
     /// Whether the claims quorum stands and grants are given.
@@ -297,14 +297,14 @@
         {
             record.stream = None;
             self.tell(
-                waymark::events::MEMBER_LOST,
+                common::events::MEMBER_LOST,
                 serde_json::json!({"member": known_member.member.as_str()}),
             );
         }
     }
 
     /// Does all that is due, and returns what has been ordered.
-    pub fn progress(&mut self, now: Moment, proof: &Proof<'_>) -> Vec<DeskOutput> {
+    pub fn progress(&mut self, now: Moment, proof: &Proof<'_>) -> Vec<LeaderOutput> {
         self.expire_members(now);
         self.open_if_due(now, proof);
         self.ask_lists(now);
@@ -319,11 +319,11 @@
     }
 
     fn down(&mut self, stream: StreamId, frame: StreamDown) {
-        self.outputs.push(DeskOutput::Down { stream, frame });
+        self.outputs.push(LeaderOutput::Down { stream, frame });
     }
 
-    fn tell(&mut self, event: waymark::events::Event, detail: serde_json::Value) {
-        self.outputs.push(DeskOutput::Told(Told { event, detail }));
+    fn tell(&mut self, event: common::events::Event, detail: serde_json::Value) {
+        self.outputs.push(LeaderOutput::Told(Told { event, detail }));
     }
 
     fn is_serving(&self, known_member: &KnownMember, now: Moment) -> bool {
--- a/crates/survey/src/desk/output.rs
+++ b/crates/controlplane/src/leader_state/output.rs
@@ -1,8 +1,8 @@
+use common::events::Event;
+use common::frames::StreamDown;
+use common::identity::{MemberName, Serial};
+use common::tongue::StopOrder;
 use serde_json::Value;
-use waymark::events::Event;
-use waymark::frames::StreamDown;
-use waymark::identity::{MemberName, Serial};
-use waymark::tongue::StopOrder;
 
 /// Names one daemon's stream in this process.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -23,9 +23,9 @@
     }
 }
 
-/// What the desk orders.
+/// What the leader state orders.
 #[derive(Clone, Debug)]
-pub enum DeskOutput {
+pub enum LeaderOutput {
     /// Say something on a daemon's stream.
     Down {
         /// The stream.
--- a/crates/survey/src/desk/pressure.rs
+++ b/crates/controlplane/src/leader_state/pressure.rs
@@ -1,11 +1,11 @@
-use super::{Desk, StreamId};
+use super::{LeaderState, StreamId};
+use common::clock::Moment;
+use common::events;
+use common::frames::{IdleFunction, StreamDown};
+use common::identity::{FunctionKey, RunnerId};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{IdleFunction, StreamDown};
-use waymark::identity::{FunctionKey, RunnerId};
 
 /// A function that gave way is left alone for so long.
 const LEFT_ALONE: Duration = Duration::from_secs(5);
@@ -15,7 +15,7 @@
 /// From one runner taken back to the next.
 const TAKE_BACK_EVERY: Duration = Duration::from_millis(500);
 
-impl Desk {
+impl LeaderState {
     /// Whether a function with runners must wait, since another one has none and found no room.
     pub(super) fn must_wait(&mut self, now: Moment, asker: &FunctionKey) -> bool {
         self.starving.retain(|_, asked_at| now.since(*asked_at) < STARVES_FOR);
--- a/crates/survey/src/desk/report.rs
+++ b/crates/controlplane/src/leader_state/report.rs
@@ -1,8 +1,8 @@
-use super::Desk;
+use super::LeaderState;
+use common::clock::Moment;
 use serde_json::{Value, json};
-use waymark::clock::Moment;
 
-impl Desk {
+impl LeaderState {
     /// The daemons, for operators.
     pub fn report_members(&self, now: Moment) -> Value {
         let rows: Vec<Value> = self
@@ -12,7 +12,7 @@
                 json!({
                     "member": known_member.member.as_str(),
                     "incarnation": known_member.incarnation.0,
-                    "locality": record.host.locality.as_str(),
+                    "locality": record.host.zone.as_str(),
                     "place": record.host.place.to_string(),
                     "door": record.door.to_string(),
                     "connected": record.stream.is_some(),
@@ -58,7 +58,7 @@
                 let worker = &record.listed.worker;
                 json!({
                     "worker": worker.as_str(),
-                    "locality": record.listed.locality.as_str(),
+                    "locality": record.listed.zone.as_str(),
                     "memory_mb": record.listed.memory_mb,
                     "reserved_mb": reserved_sums.get(worker).copied().unwrap_or(0),
                     "draining": record.listed.draining,
@@ -100,11 +100,11 @@
     }
 }
 
-impl Desk {
-    /// Every locality that a daemon or worker stands in.
-    pub fn known_localities(&self) -> std::collections::BTreeSet<waymark::identity::Locality> {
-        let member_localities = self.members.values().map(|record| record.host.locality.clone());
-        let worker_localities = self.workers.values().map(|record| record.listed.locality.clone());
-        member_localities.chain(worker_localities).collect()
+impl LeaderState {
+    /// Every zone that a daemon or worker stands in.
+    pub fn known_zones(&self) -> std::collections::BTreeSet<common::identity::Zone> {
+        let member_zones = self.members.values().map(|record| record.host.zone.clone());
+        let worker_zones = self.workers.values().map(|record| record.listed.zone.clone());
+        member_zones.chain(worker_zones).collect()
     }
 }
--- a/crates/survey/src/desk/reservations.rs
+++ b/crates/controlplane/src/leader_state/reservations.rs
@@ -1,8 +1,8 @@
+use common::clock::Moment;
+use common::frames::{ClaimRunner, Flag, Life, Many};
+use common::identity::{FunctionKey, LifeName, RunnerId, WorkerName};
 use std::collections::btree_map::Iter;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use waymark::clock::Moment;
-use waymark::frames::{ClaimRunner, Flag, Life, Many};
-use waymark::identity::{FunctionKey, LifeName, RunnerId, WorkerName};
 
 const KEPT_ENDED: usize = 8192;
 
--- a/crates/survey/src/desk/roster.rs
+++ b/crates/controlplane/src/leader_state/roster.rs
@@ -1,11 +1,11 @@
 use super::members::MemberRecord;
-use super::{Desk, Proof};
+use super::{LeaderState, Proof};
+use common::clock::Moment;
+use common::frames::{KnownMember, Place};
+use common::identity::FunctionKey;
+use common::spec::RosterMember;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{KnownMember, Place};
-use waymark::identity::FunctionKey;
-use waymark::spec::RosterMember;
 
 /// Names are gathered so long before they are committed together.
 const GATHER_FOR: Duration = Duration::from_millis(30);
@@ -27,7 +27,7 @@
     now - Duration::from_millis(u64::from(age_ms)) * SLOWEST_TENTHS / 10
 }
 
-impl Desk {
+impl LeaderState {
     fn roster(&self) -> Option<&BTreeSet<RosterMember>> {
         self.document.as_ref().map(|document| &document.roster)
     }
--- a/crates/survey/src/desk/stewards.rs
+++ b/crates/controlplane/src/leader_state/stewards.rs
@@ -1,11 +1,11 @@
-use super::{Desk, StreamId};
-use waymark::clock::Moment;
-use waymark::frames::{Host, KnownMember, Many, StreamDown};
-use waymark::identity::{FunctionKey, GrantSerial, MemberName, Serial};
-use waymark::ring;
+use super::{LeaderState, StreamId};
+use common::clock::Moment;
+use common::frames::{Host, KnownMember, Many, StreamDown};
+use common::identity::{FunctionKey, GrantSerial, MemberName, Serial};
+use common::ring;
 
-impl Desk {
-    /// Who is to keep the copy of a holder's ledger: another daemon, in another locality if there is one.
+impl LeaderState {
+    /// Who is to keep the copy of a holder's ledger: another daemon, in another zone if there is one.
     pub(super) fn choose_steward(
         &self,
         now: Moment,
@@ -13,7 +13,7 @@
         holder: &KnownMember,
         lost: Option<&MemberName>,
     ) -> Option<Host> {
-        let holder_locality = self.members.get(holder).map(|record| record.host.locality.clone());
+        let holder_zone = self.members.get(holder).map(|record| record.host.zone.clone());
         let fitting_hosts: Vec<&Host> = self
             .members
             .iter()
@@ -25,10 +25,8 @@
             .map(|(_, record)| &record.host)
             .collect();
         let key = FunctionKey::new(format!("ledger of {}", function.name), Serial(0));
-        let elsewhere = fitting_hosts
-            .iter()
-            .copied()
-            .filter(|host| Some(&host.locality) != holder_locality.as_ref());
+        let elsewhere =
+            fitting_hosts.iter().copied().filter(|host| Some(&host.zone) != holder_zone.as_ref());
         ring::hash_owner(&key, elsewhere)
             .or_else(|| ring::hash_owner(&key, fitting_hosts.iter().copied()))
             .cloned()
--- a/crates/survey/src/desk/timing.rs
+++ b/crates/controlplane/src/leader_state/timing.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 use typed_builder::TypedBuilder;
 
-/// The desk's times.
+/// The leader state's times.
 #[derive(Clone, Debug, TypedBuilder)]
-pub struct DeskTiming {
+pub struct LeaderTiming {
     /// How long a member grant runs.
     #[builder(default = Duration::from_millis(2000))]
     pub grant_length: Duration,
@@ -32,7 +32,7 @@
     /// How long a worker that refused a start is left alone.
     #[builder(default = Duration::from_secs(1))]
     pub refused_for: Duration,
-    /// Whether a function's runners are spread over localities; else they stand in their holder's.
+    /// Whether a function's runners are spread over zones; else they stand in their holder's.
     #[builder(default = true)]
     pub spread: bool,
     /// Whether little used workers are emptied.
@@ -43,7 +43,7 @@
     pub forget_after: Duration,
 }
 
-impl DeskTiming {
+impl LeaderTiming {
     /// How long after its proof a member grant may still be used anywhere.
     pub fn full_wait(&self) -> Duration {
         self.grant_length + self.drift_margin
--- a/crates/survey/src/desk/workers.rs
+++ b/crates/controlplane/src/leader_state/workers.rs
@@ -1,14 +1,14 @@
 use super::reservations::Reservation;
-use super::{Desk, StreamId};
+use super::{LeaderState, StreamId};
+use common::clock::Moment;
+use common::events;
+use common::frames::{ReserveResult, StreamDown};
+use common::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, WorkerName, Zone};
+use common::rules::Rule;
+use common::tongue::ListedWorker;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{ReserveResult, StreamDown};
-use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, Locality, RunnerId, WorkerName};
-use waymark::rules::Rule;
-use waymark::tongue::ListedWorker;
 
 pub(super) struct WorkerRecord {
     pub listed: ListedWorker,
@@ -19,7 +19,7 @@
     !held.draining && !held.stop_wanted && held.left_since.is_none()
 }
 
-impl Desk {
+impl LeaderState {
     /// Takes the platform's list of workers.
     pub fn workers_listed(&mut self, listed_workers: Vec<ListedWorker>) {
         self.workers_listed = true;
@@ -35,7 +35,7 @@
         !is_emptied
             && self.workers.get(worker).is_some_and(|record| {
                 let is_draining = record.listed.draining && self.rules.keep(Rule::DrainObeyed);
-                !is_draining && !self.is_evacuated(&record.listed.locality)
+                !is_draining && !self.is_evacuated(&record.listed.zone)
             })
     }
 
@@ -73,12 +73,12 @@
         else {
             return ReserveResult::Shed;
         };
-        let holder_locality = self.members.get(asker).map(|record| record.host.locality.clone());
+        let holder_zone = self.members.get(asker).map(|record| record.host.zone.clone());
         let has_runner = self.reservations.of(function).any(|(_, held)| is_staying(held));
         if has_runner && self.must_wait(now, function) {
             return ReserveResult::Shed;
         }
-        let chosen_worker = self.choose_worker(now, function, needed_mb, holder_locality.as_ref());
+        let chosen_worker = self.choose_worker(now, function, needed_mb, holder_zone.as_ref());
         let Some(worker) = chosen_worker else {
             let detail = json!({"function": function.to_string(), "memory_mb": needed_mb});
             if now.since(self.no_room_told_at) > Duration::from_secs(1) {
@@ -100,25 +100,25 @@
         ReserveResult::Reserved { runner, worker, memory_mb: needed_mb }
     }
 
-    /// Spread: a worker in use before an empty one, then the locality where the function has fewest
-    /// runners that stay, then the fullest that fits. Not spread: the holder's locality before others,
-    /// since bytes between localities are dear and the holder's loss takes the service with it anyhow;
+    /// Spread: a worker in use before an empty one, then the zone where the function has fewest
+    /// runners that stay, then the fullest that fits. Not spread: the holder's zone before others,
+    /// since bytes between zones are dear and the holder's loss takes the service with it anyhow;
     /// then a worker in use without a runner of the function, one with, an empty one; then the fullest.
     fn choose_worker(
         &mut self,
         now: Moment,
         function: &FunctionKey,
         needed_mb: u32,
-        holder_locality: Option<&Locality>,
+        holder_zone: Option<&Zone>,
     ) -> Option<WorkerName> {
         let refused_for = self.timing.refused_for;
         self.refused_at.retain(|_, refused_at| now.since(*refused_at) < refused_for);
-        let mut locality_counts: BTreeMap<&Locality, usize> = BTreeMap::new();
+        let mut zone_counts: BTreeMap<&Zone, usize> = BTreeMap::new();
         let mut own_workers: BTreeSet<&WorkerName> = BTreeSet::new();
         for (_, held) in self.reservations.of(function).filter(|(_, held)| !held.draining) {
             own_workers.insert(&held.worker);
             if let Some(record) = self.workers.get(&held.worker) {
-                *locality_counts.entry(&record.listed.locality).or_default() += 1;
+                *zone_counts.entry(&record.listed.zone).or_default() += 1;
             }
         }
         let reserved_sums = self.reserved_mb();
@@ -129,17 +129,17 @@
             .filter_map(|(worker, record)| {
                 let used_mb = reserved_sums.get(worker).copied().unwrap_or(0);
                 let free_mb = u64::from(record.listed.memory_mb).checked_sub(used_mb)?;
-                let locality = &record.listed.locality;
+                let zone = &record.listed.zone;
                 let rank = if self.timing.spread {
-                    let locality_count = locality_counts.get(locality).copied().unwrap_or(0);
-                    (false, usize::from(used_mb == 0), locality_count)
+                    let zone_count = zone_counts.get(zone).copied().unwrap_or(0);
+                    (false, usize::from(used_mb == 0), zone_count)
                 } else {
                     let use_rank = match (used_mb, own_workers.contains(worker)) {
                         (0, _) => 2,
                         (_, true) => 1,
                         (_, false) => 0,
                     };
-                    (Some(locality) != holder_locality, use_rank, 0)
+                    (Some(zone) != holder_zone, use_rank, 0)
                 };
                 (free_mb >= u64::from(needed_mb)).then_some((rank, free_mb, worker))
             })
@@ -163,7 +163,7 @@
         }
     }
 
-    fn is_granted(&self, known_member: &waymark::frames::KnownMember, now: Moment) -> bool {
+    fn is_granted(&self, known_member: &common::frames::KnownMember, now: Moment) -> bool {
         self.members.get(known_member).is_some_and(|record| record.grant_end > now)
     }
 }
--- a/crates/survey/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -1,8 +1,8 @@
-//! rudderstream's control plane: the core's election and document, the leader's desk, operators' HTTP.
+//! rudderstream's control plane: the core's election and document, the leader's leader state, operators' HTTP.
 
 pub mod boot;
+pub mod controller_state;
 pub mod core;
-pub mod desk;
 pub mod disk;
 pub mod drivers;
-pub mod plane;
+pub mod leader_state;
--- a/crates/survey/tests/plane/fleet.rs
+++ b/crates/controlplane/tests/controller_state/fleet.rs
@@ -1,16 +1,18 @@
-//! Some surveyors whole, on virtual time, with disks, a network and faults.
+//! Some controllers whole, on virtual time, with disks, a network and faults.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::events;
+use common::frames::{CoreFrame, Place, StreamDown};
+use common::identity::{ControllerId, Ticket, Zone};
+use common::spec::Document;
+use controlplane::controller_state::{
+    ControllerInput, ControllerOutput, ControllerState, Operation, OperationReply, OperationTicket,
+};
+use controlplane::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
+use controlplane::leader_state::{LeaderTiming, StreamId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use survey::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
-use survey::desk::{DeskTiming, StreamId};
-use survey::plane::{Operation, OperationReply, OperationTicket, Plane, PlaneInput, PlaneOutput};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{CoreFrame, Place, StreamDown};
-use waymark::identity::{Locality, SurveyorId, Ticket};
-use waymark::spec::Document;
 
 /// What a disk holds.
 #[derive(Clone)]
@@ -21,14 +23,14 @@
     pub first: bool,
 }
 
-/// One surveyor.
+/// One controller.
 pub struct Node {
     /// Its disk, if it has one.
     pub disk: Option<Disk>,
-    /// Its locality's number.
-    pub locality: usize,
-    /// The surveyor, while its process runs.
-    pub plane: Option<Plane>,
+    /// Its zone's number.
+    pub zone: usize,
+    /// The controller, while its process runs.
+    pub controller_state: Option<ControllerState>,
     /// The places of the seeds, by number.
     pub seeds: Vec<usize>,
     life: u64,
@@ -39,11 +41,11 @@
     Written(usize, u64, Ticket, WriteJob),
 }
 
-/// The surveyors and all between them.
+/// The controllers and all between them.
 pub struct Fleet {
     /// Virtual time.
     pub now: Moment,
-    /// The surveyors.
+    /// The controllers.
     pub nodes: Vec<Node>,
     /// Who does not reach whom.
     pub cuts: BTreeSet<(usize, usize)>,
@@ -61,7 +63,7 @@
     last_number: u64,
 }
 
-/// Where a surveyor stands.
+/// Where a controller stands.
 pub fn place(number: usize) -> Place {
     Place(format!("10.0.0.{}:1", number + 1).parse().expect("an address"))
 }
@@ -76,14 +78,14 @@
 }
 
 impl Fleet {
-    /// Surveyors in these localities, none of them started; the first three are the seeds.
-    pub fn new(seed: u64, localities: &[usize]) -> Self {
-        let nodes = localities
+    /// Controllers in these zones, none of them started; the first three are the seeds.
+    pub fn new(seed: u64, zones: &[usize]) -> Self {
+        let nodes = zones
             .iter()
-            .map(|locality| Node {
+            .map(|zone| Node {
                 disk: None,
-                locality: *locality,
-                plane: None,
+                zone: *zone,
+                controller_state: None,
                 seeds: vec![0, 1, 2],
                 life: 0,
             })
@@ -100,19 +102,19 @@
             events: BTreeMap::new(),
             last_number: 0,
         };
-        for number in 0..localities.len() {
+        for number in 0..zones.len() {
             fleet.wipe(number, true);
         }
         fleet
     }
 
-    /// Gives a stopped surveyor an empty disk.
+    /// Gives a stopped controller an empty disk.
     pub fn wipe(&mut self, number: usize, first: bool) {
-        let id = SurveyorId(self.chance.number() | 1);
+        let id = ControllerId(self.chance.number() | 1);
         self.nodes[number].disk = Some(Disk { recalled: Recalled::nothing(id), first });
     }
 
-    /// Starts a surveyor with what its disk holds.
+    /// Starts a controller with what its disk holds.
     pub fn start(&mut self, number: usize) {
         let seed = self.chance.number();
         let node = &mut self.nodes[number];
@@ -120,7 +122,7 @@
         let address = Address { place: place(number), operators: operators(number) };
         let recalled = match &node.disk {
             Some(disk) => disk.recalled.clone(),
-            None => Recalled::nothing(SurveyorId(seed | 1)),
+            None => Recalled::nothing(ControllerId(seed | 1)),
         };
         let may_found =
             node.disk.as_ref().is_some_and(|disk| disk.first && disk.recalled.is_nothing());
@@ -129,14 +131,15 @@
             timing(),
             recalled,
             address,
-            Locality::from(format!("l{}", node.locality)),
+            Zone::from(format!("l{}", node.zone)),
             node.seeds.iter().map(|seed| place(*seed)).collect(),
             Chance::seeded(seed),
         )
         .founding_first(may_found);
         let core = if node.disk.is_some() { core } else { core.passing_on() };
-        let desk_timing = DeskTiming::builder().build();
-        node.plane = Some(Plane::new(core, desk_timing, timing().election_shortest));
+        let leader_state_timing = LeaderTiming::builder().build();
+        node.controller_state =
+            Some(ControllerState::new(core, leader_state_timing, timing().election_shortest));
     }
 
     /// Starts all.
@@ -146,9 +149,9 @@
         }
     }
 
-    /// Kills a surveyor; a write under way reaches its disk or does not. Others find its place closed.
+    /// Kills a controller; a write under way reaches its disk or does not. Others find its place closed.
     pub fn kill(&mut self, number: usize) {
-        self.nodes[number].plane = None;
+        self.nodes[number].controller_state = None;
         let pending: Vec<(Moment, u64)> = self
             .events
             .iter()
@@ -164,7 +167,7 @@
         }
         for other in 0..self.nodes.len() {
             if other != number && !self.cuts.contains(&(other, number)) {
-                self.feed(other, PlaneInput::Gone(place(number)));
+                self.feed(other, ControllerInput::Gone(place(number)));
             }
         }
     }
@@ -202,18 +205,18 @@
         self.events.insert((self.now + span, self.last_number), event);
     }
 
-    /// Gives one input to a surveyor that runs.
-    pub fn feed(&mut self, number: usize, input: PlaneInput) {
+    /// Gives one input to a controller that runs.
+    pub fn feed(&mut self, number: usize, input: ControllerInput) {
         let now = self.now;
-        let Some(plane) = &mut self.nodes[number].plane else { return };
-        for order in plane.take(now, input) {
+        let Some(controller_state) = &mut self.nodes[number].controller_state else { return };
+        for order in controller_state.take(now, input) {
             self.obey(number, order);
         }
     }
 
-    fn obey(&mut self, number: usize, order: PlaneOutput) {
+    fn obey(&mut self, number: usize, order: ControllerOutput) {
         match order {
-            PlaneOutput::Send(to, frame) => {
+            ControllerOutput::Send(to, frame) => {
                 let target = (0..self.nodes.len()).find(|target| place(*target) == to);
                 if let Some(target) =
                     target.filter(|target| !self.cuts.contains(&(number, *target)))
@@ -221,17 +224,18 @@
                     self.push(1, 4, Event::Frame(target, frame));
                 }
             }
-            PlaneOutput::Write(ticket, job) => {
+            ControllerOutput::Write(ticket, job) => {
                 let life = self.nodes[number].life;
                 self.push(1, 15, Event::Written(number, life, ticket, job));
             }
-            PlaneOutput::Operated(ticket, reply) => {
+            ControllerOutput::Operated(ticket, reply) => {
                 self.replies.insert(ticket, reply);
             }
-            PlaneOutput::Down(_, frame) => self.said_down.push((number, frame)),
-            PlaneOutput::Told(numbered) if numbered.told.event == events::COMMITTED => {
-                let plane = self.nodes[number].plane.as_ref().expect("it runs");
-                self.committed.extend(plane.core().accepted().cloned());
+            ControllerOutput::Down(_, frame) => self.said_down.push((number, frame)),
+            ControllerOutput::Told(numbered) if numbered.told.event == events::COMMITTED => {
+                let controller_state =
+                    self.nodes[number].controller_state.as_ref().expect("it runs");
+                self.committed.extend(controller_state.core().accepted().cloned());
             }
             _ => {}
         }
@@ -250,24 +254,29 @@
                     Event::Frame(number, frame) => {
                         let from = (0..self.nodes.len()).find(|from| place(*from) == frame.place);
                         if from.is_some_and(|from| !self.cuts.contains(&(from, number))) {
-                            self.feed(number, PlaneInput::Core(frame));
+                            self.feed(number, ControllerInput::Core(frame));
                         }
                     }
                     Event::Written(number, life, ticket, job) => {
-                        if self.nodes[number].life == life && self.nodes[number].plane.is_some() {
+                        if self.nodes[number].life == life
+                            && self.nodes[number].controller_state.is_some()
+                        {
                             self.keep(number, &job);
-                            self.feed(number, PlaneInput::Written(ticket, WriteResult::Synced));
+                            self.feed(
+                                number,
+                                ControllerInput::Written(ticket, WriteResult::Synced),
+                            );
                         }
                     }
                 }
             }
             for number in 0..self.nodes.len() {
                 let is_due = self.nodes[number]
-                    .plane
+                    .controller_state
                     .as_ref()
-                    .is_some_and(|plane| plane.core().next_due() <= self.now);
+                    .is_some_and(|controller_state| controller_state.core().next_due() <= self.now);
                 if is_due || self.now.0.is_multiple_of(50_000_000) {
-                    self.feed(number, PlaneInput::Tick);
+                    self.feed(number, ControllerInput::Tick);
                 }
             }
         }
@@ -276,7 +285,10 @@
     /// Who leads and has committed under its term.
     pub fn leader(&self) -> Option<usize> {
         (0..self.nodes.len()).find(|number| {
-            self.nodes[*number].plane.as_ref().is_some_and(|plane| plane.core().is_ready())
+            self.nodes[*number]
+                .controller_state
+                .as_ref()
+                .is_some_and(|controller_state| controller_state.core().is_ready())
         })
     }
 
@@ -291,15 +303,15 @@
         panic!("nobody leads");
     }
 
-    /// An operator's wish at one surveyor.
+    /// An operator's wish at one controller.
     pub fn ask(&mut self, number: usize, operation: Operation) -> OperationTicket {
         self.last_number += 1;
         let ticket = OperationTicket(self.last_number);
-        self.feed(number, PlaneInput::Operate(ticket, operation));
+        self.feed(number, ControllerInput::Operate(ticket, operation));
         ticket
     }
 
-    /// An operator's wish, and the answer to it within four seconds; none if its surveyor died.
+    /// An operator's wish, and the answer to it within four seconds; none if its controller died.
     pub fn asked(&mut self, number: usize, operation: Operation) -> Option<OperationReply> {
         let ticket = self.ask(number, operation);
         for _ in 0..200 {
@@ -312,16 +324,16 @@
     }
 
     /// A daemon speaks on a new stream.
-    pub fn stream(&mut self, number: usize, stream: u64, frame: waymark::frames::StreamUp) {
-        self.feed(number, PlaneInput::Stream(StreamId(stream), frame));
+    pub fn stream(&mut self, number: usize, stream: u64, frame: common::frames::StreamUp) {
+        self.feed(number, ControllerInput::Stream(StreamId(stream), frame));
     }
 
-    /// The newest version at one surveyor.
+    /// The newest version at one controller.
     pub fn accepted(&self, number: usize) -> Option<&Document> {
-        self.nodes[number].plane.as_ref()?.core().accepted()
+        self.nodes[number].controller_state.as_ref()?.core().accepted()
     }
 
-    /// Where the members of the core stand by one surveyor's newest version.
+    /// Where the members of the core stand by one controller's newest version.
     pub fn core_at(&self, number: usize) -> Vec<usize> {
         let document = self.accepted(number).expect("a document");
         let mut members: Vec<usize> = document
--- a/crates/survey/tests/plane/founding.rs
+++ b/crates/controlplane/tests/controller_state/founding.rs
@@ -1,11 +1,11 @@
 //! The core founds itself at the whole system's first start, and never a second time.
 
 use super::fleet::{Fleet, operators, place};
+use common::frames::{StreamDown, StreamUp};
+use common::identity::{ControllerId, Serial};
+use controlplane::controller_state::{Operation, OperationReply};
 use googletest::prelude::*;
 use std::collections::BTreeSet;
-use survey::plane::{Operation, OperationReply};
-use waymark::frames::{StreamDown, StreamUp};
-use waymark::identity::{Serial, SurveyorId};
 
 /// The members' identities of every founding that any disk took.
 fn foundings(fleet: &Fleet) -> BTreeSet<Vec<u64>> {
@@ -102,7 +102,7 @@
                 }
                 2 => fleet.separate(&[number], &[other]),
                 3 => fleet.cuts.clear(),
-                _ if fleet.nodes[number].plane.is_none() => fleet.start(number),
+                _ if fleet.nodes[number].controller_state.is_none() => fleet.start(number),
                 _ => {}
             }
             let millis = fleet.chance.below(400);
@@ -182,7 +182,7 @@
     fleet.wipe(lost, false);
     fleet.start(lost);
     fleet.pass(1200);
-    let members: Vec<SurveyorId> =
+    let members: Vec<ControllerId> =
         fleet.accepted(leader).expect("one").core.iter().map(|member| member.id).collect();
     verify_that!(members.contains(&former_id), eq(false))?;
     verify_that!(fleet.accepted(leader).expect("one").former.is_empty(), eq(true))?;
@@ -204,8 +204,8 @@
     fleet.pass(1000);
     let follower = if leader == 0 { 1 } else { 0 };
     let lost = (0..3).find(|number| *number != leader && *number != follower).expect("a third");
-    let lost_locality = fleet.nodes[lost].locality;
-    fleet.nodes[3].locality = lost_locality;
+    let lost_zone = fleet.nodes[lost].zone;
+    fleet.nodes[3].zone = lost_zone;
     fleet.kill(lost);
     fleet.nodes[3].seeds = vec![follower];
     fleet.wipe(3, false);
@@ -237,7 +237,7 @@
     Ok(())
 }
 
-/// Before, a surveyor that had just started waited a whole election timeout for a leader.
+/// Before, a controller that had just started waited a whole election timeout for a leader.
 #[gtest]
 fn after_a_restart_of_all_a_leader_is_there_within_half_a_second() -> Result<()> {
     for seed in 0..20 {
--- a/crates/survey/tests/plane/numbers.rs
+++ b/crates/controlplane/tests/controller_state/numbers.rs
@@ -2,15 +2,15 @@
 //! change must be answered.
 
 use super::fleet::Fleet;
+use common::chance::Chance;
+use common::identity::Zone;
+use common::spec::Document;
+use controlplane::controller_state::{
+    ChangeKind, ItemChange, Numbering, Operation, OperationReply, Wait, change_name,
+};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
-use survey::plane::{
-    ChangeKind, ItemChange, Numbering, Operation, OperationReply, Wait, change_name,
-};
-use waymark::chance::Chance;
-use waymark::identity::Locality;
-use waymark::spec::Document;
 
 #[derive(Clone, PartialEq, Debug)]
 struct Sent {
@@ -305,17 +305,17 @@
         kind,
         wait: Wait::Accepted,
     };
-    let evacuate = |force| ChangeKind::Evacuate { locality: "l9".into(), force };
+    let evacuate = |force| ChangeKind::Evacuate { zone: "l9".into(), force };
     let unknown = fleet.asked(leader, turn(evacuate(false)));
-    verify_that!(matches!(unknown, Some(OperationReply::NoLocality { .. })), eq(true))?;
-    let restore = ChangeKind::Restore { locality: "l9".into() };
+    verify_that!(matches!(unknown, Some(OperationReply::NoZone { .. })), eq(true))?;
+    let restore = ChangeKind::Restore { zone: "l9".into() };
     for (kind, is_evacuated) in [(evacuate(true), true), (restore, false)] {
         let mut serials = BTreeSet::new();
         for _ in 0..3 {
             let reply = fleet.asked(leader, turn(kind.clone()));
             verify_that!(reply.map(|reply| verdict_of(&reply)), some(eq(Verdict::Accepted)))?;
             let document = fleet.accepted(leader).expect("a document");
-            verify_that!(document.evacuated.contains(&Locality::from("l9")), eq(is_evacuated))?;
+            verify_that!(document.evacuated.contains(&Zone::from("l9")), eq(is_evacuated))?;
             serials.insert(document.stamp.serial);
         }
         verify_that!(serials.len(), eq(1))?;
--- a/crates/survey/tests/plane/tongue.rs
+++ b/crates/controlplane/tests/controller_state/tongue.rs
@@ -1,15 +1,15 @@
 //! The product's own operators' interface, there and back.
 
+use common::http::Served;
+use common::identity::{ChangeId, Serial};
+use common::spec::Document;
+use controlplane::controller_state::{ChangeKind, Numbering, Operation, OperationReply, Wait};
+use controlplane::drivers::{OperatorsTongue, OwnOperators};
 use googletest::prelude::*;
 use http_body_util::BodyExt;
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
 use serde_json::{Value, json};
-use survey::drivers::{OperatorsTongue, OwnOperators};
-use survey::plane::{ChangeKind, Numbering, Operation, OperationReply, Wait};
-use waymark::http::Served;
-use waymark::identity::{ChangeId, Serial};
-use waymark::spec::Document;
 
 fn head(method: Method, target: &str) -> Parts {
     Request::builder().method(method).uri(target).body(()).expect("a request").into_parts().0
--- a/crates/survey/tests/disk.rs
+++ b/crates/controlplane/tests/disk.rs
@@ -1,13 +1,13 @@
 //! What the data folder gives back after crashes and damage.
 
+use common::frames::Place;
+use common::identity::{ChangeId, ControllerId, Stamp, Term, Zone};
+use common::spec::{CoreMember, Document};
+use controlplane::core::WriteJob;
+use controlplane::disk::Shelf;
 use googletest::prelude::*;
 use std::fs;
 use std::path::PathBuf;
-use survey::core::WriteJob;
-use survey::disk::Shelf;
-use waymark::frames::Place;
-use waymark::identity::{ChangeId, Locality, Stamp, SurveyorId, Term};
-use waymark::spec::{CoreMember, Document};
 
 struct Folder(PathBuf);
 
@@ -40,24 +40,24 @@
 }
 
 fn versions(count: u64) -> Vec<Document> {
-    let member = CoreMember { id: SurveyorId(7), place: Place::NOWHERE, locality: "here".into() };
+    let member = CoreMember { id: ControllerId(7), place: Place::NOWHERE, zone: "here".into() };
     let mut kept = vec![Document::founding(vec![member])];
     for number in 1..count {
         let last = kept.last().expect("one");
-        let locality = Locality::from(format!("l{number}"));
-        kept.push(last.with_locality(locality, true, ChangeId::from(format!("c{number}"))));
+        let zone = Zone::from(format!("l{number}"));
+        kept.push(last.with_zone(zone, true, ChangeId::from(format!("c{number}"))));
     }
     kept
 }
 
 fn fill(folder: &Folder, count: u64) -> Vec<Document> {
     let shelf = Shelf::open(&folder.0).expect("a shelf");
-    shelf.recall(SurveyorId(7)).expect("recalled");
+    shelf.recall(ControllerId(7)).expect("recalled");
     let kept = versions(count);
     for document in &kept {
         shelf.write(&WriteJob::version(document)).expect("written");
     }
-    shelf.write(&WriteJob::Vote { term: Term(4), candidate: SurveyorId(9) }).expect("written");
+    shelf.write(&WriteJob::Vote { term: Term(4), candidate: ControllerId(9) }).expect("written");
     kept
 }
 
@@ -65,9 +65,9 @@
 fn the_newest_version_and_vote_come_back_and_old_ones_go() -> Result<()> {
     let folder = Folder::new("newest");
     let kept = fill(&folder, 30);
-    let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
-    verify_that!(recalled.id, eq(SurveyorId(7)))?;
-    verify_that!(recalled.voted, some(eq((Term(4), SurveyorId(9)))))?;
+    let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
+    verify_that!(recalled.id, eq(ControllerId(7)))?;
+    verify_that!(recalled.voted, some(eq((Term(4), ControllerId(9)))))?;
     verify_that!(recalled.accepted.as_ref() == kept.last(), eq(true))?;
     verify_that!(set_aside.is_empty(), eq(true))?;
     let file_count = fs::read_dir(&folder.0)?.count();
@@ -82,7 +82,7 @@
     let aside_path = folder.0.join(format!("spec-{:016x}-{:016x}.aside", 9, 9));
     for cut in (0..whole_bytes.len()).step_by(37) {
         fs::write(&aside_path, &whole_bytes[..cut])?;
-        let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+        let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
         verify_that!(recalled.accepted.as_ref() == kept.last(), eq(true))?;
         verify_that!(set_aside.is_empty(), eq(true))?;
         verify_that!(recalled.distrusted, eq(Stamp::default()))?;
@@ -100,7 +100,7 @@
     damaged_bytes[middle] ^= 1;
     fs::write(&damaged_path, damaged_bytes)?;
     for _ in 0..2 {
-        let (recalled, _) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+        let (recalled, _) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
         verify_that!(recalled.accepted.as_ref() == kept.get(2), eq(true))?;
         verify_that!(recalled.distrusted, eq(kept[3].stamp))?;
     }
@@ -112,19 +112,19 @@
     let folder = Folder::new("vote");
     fill(&folder, 2);
     fs::write(folder.newest("vote-"), "")?;
-    let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+    let (recalled, set_aside) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
     verify_that!(set_aside.len(), eq(1))?;
-    verify_that!(recalled.voted, some(eq((Term(4), SurveyorId(0)))))
+    verify_that!(recalled.voted, some(eq((Term(4), ControllerId(0)))))
 }
 
 #[gtest]
 fn an_empty_folder_is_a_new_identity() -> Result<()> {
     let folder = Folder::new("empty");
-    let (recalled, _) = Shelf::open(&folder.0)?.recall(SurveyorId(42))?;
-    verify_that!(recalled.id, eq(SurveyorId(42)))?;
+    let (recalled, _) = Shelf::open(&folder.0)?.recall(ControllerId(42))?;
+    verify_that!(recalled.id, eq(ControllerId(42)))?;
     verify_that!(recalled.accepted.is_none(), eq(true))?;
-    let (again, _) = Shelf::open(&folder.0)?.recall(SurveyorId(43))?;
-    verify_that!(again.id, eq(SurveyorId(42)))
+    let (again, _) = Shelf::open(&folder.0)?.recall(ControllerId(43))?;
+    verify_that!(again.id, eq(ControllerId(42)))
 }
 
 #[gtest]
@@ -135,7 +135,7 @@
     verify_that!(shelf.scrub(kept.last())?, is_empty())?;
     fs::write(folder.newest("spec-"), "rot")?;
     verify_that!(shelf.scrub(kept.last())?.len(), eq(1))?;
-    let (recalled, set_aside) = shelf.recall(SurveyorId(1))?;
+    let (recalled, set_aside) = shelf.recall(ControllerId(1))?;
     verify_that!(recalled.accepted.as_ref() == kept.last(), eq(true))?;
     verify_that!(recalled.distrusted, eq(Stamp::default()))?;
     verify_that!(set_aside, is_empty())
@@ -144,12 +144,12 @@
 #[gtest]
 fn recovery_alone_needs_a_disk_that_was_a_member() -> Result<()> {
     let empty = Folder::new("recover-empty");
-    verify_that!(survey::disk::leave_alone(&empty.0).is_err(), eq(true))?;
+    verify_that!(controlplane::disk::leave_alone(&empty.0).is_err(), eq(true))?;
     let folder = Folder::new("recover");
     let kept = fill(&folder, 3);
-    let stamp = survey::disk::leave_alone(&folder.0)?;
+    let stamp = controlplane::disk::leave_alone(&folder.0)?;
     verify_that!(stamp > kept[2].stamp, eq(true))?;
-    let (recalled, _) = Shelf::open(&folder.0)?.recall(SurveyorId(1))?;
+    let (recalled, _) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
     let alone = recalled.accepted.expect("a version");
     verify_that!(alone.core.len(), eq(1))?;
     verify_that!(&alone.evacuated, eq(&kept[2].evacuated))
@@ -161,17 +161,17 @@
     let shelf = Shelf::open(&folder.0)?;
     verify_that!(shelf.is_first_start(), eq(false))?;
     shelf.note_first_start()?;
-    shelf.recall(SurveyorId(7))?;
+    shelf.recall(ControllerId(7))?;
     verify_that!(Shelf::open(&folder.0)?.is_first_start(), eq(true))?;
     let later = Folder::new("later");
     let shelf = Shelf::open(&later.0)?;
-    shelf.recall(SurveyorId(7))?;
+    shelf.recall(ControllerId(7))?;
     shelf.note_first_start()?;
     verify_that!(shelf.is_first_start(), eq(false))?;
     fill(&folder, 2);
     fs::write(folder.0.join("identity"), "rot")?;
     let shelf = Shelf::open(&folder.0)?;
-    let (recalled, _) = shelf.recall(SurveyorId(9))?;
+    let (recalled, _) = shelf.recall(ControllerId(9))?;
     verify_that!(recalled.is_nothing(), eq(true))?;
     verify_that!(shelf.is_first_start(), eq(false))
 }
--- a/crates/survey/tests/desk.rs
+++ b/crates/controlplane/tests/leader_state.rs
@@ -1,20 +1,20 @@
-//! The leader's desk: when it grants, whom it waits for, and from when a transaction may run only once.
+//! The leader's leader state: when it grants, whom it waits for, and from when a transaction may run only once.
 
-use googletest::prelude::*;
-use serde_json::json;
-use std::collections::BTreeSet;
-use std::time::Duration;
-use survey::desk::{Desk, DeskOutput, DeskTiming, Proof, StreamId};
-use waymark::clock::Moment;
-use waymark::frames::{
+use common::clock::Moment;
+use common::frames::{
     AcquireResult, Claim, ClaimRunner, Flag, Host, KnownMember, Life, Many, MemberLife, Place,
     ReserveResult, RunnerNews, StreamDown, StreamUp,
 };
-use waymark::identity::{
-    ChangeId, CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Stamp, SurveyorId, Term,
+use common::identity::{
+    ChangeId, ControllerId, CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Stamp, Term,
 };
-use waymark::spec::{CoreMember, Document, RosterMember, read_spec};
-use waymark::tongue::{ListedRunner, ListedWorker};
+use common::spec::{CoreMember, Document, RosterMember, read_spec};
+use common::tongue::{ListedRunner, ListedWorker};
+use controlplane::leader_state::{LeaderOutput, LeaderState, LeaderTiming, Proof, StreamId};
+use googletest::prelude::*;
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::time::Duration;
 
 const ELECTED: Moment = Moment(100_000_000_000);
 
@@ -23,7 +23,7 @@
 }
 
 fn document() -> Document {
-    let member = CoreMember { id: SurveyorId(1), place: Place::NOWHERE, locality: "l".into() };
+    let member = CoreMember { id: ControllerId(1), place: Place::NOWHERE, zone: "l".into() };
     let spec = json!({
         "functions": {
             "f": {"memory_mb": 100, "boot_ms": 10, "slots": 2},
@@ -52,31 +52,32 @@
 }
 
 struct Bench {
-    desk: Desk,
+    leader_state: LeaderState,
     now: Moment,
-    outputs: Vec<DeskOutput>,
+    outputs: Vec<LeaderOutput>,
 }
 
 impl Bench {
     fn new(last_known: &[&str]) -> Self {
         let members: BTreeSet<KnownMember> = last_known.iter().map(|name| known(name)).collect();
-        let mut desk = Desk::new(DeskTiming::builder().build(), Term(5), ELECTED, members, true);
-        desk.committed(document());
-        Self { desk, now: ELECTED, outputs: Vec::new() }
+        let mut leader_state =
+            LeaderState::new(LeaderTiming::builder().build(), Term(5), ELECTED, members, true);
+        leader_state.committed(document());
+        Self { leader_state, now: ELECTED, outputs: Vec::new() }
     }
 
     fn pass(&mut self, span: Duration) {
         self.now = self.now + span;
         let proof =
             Proof { ready: true, quorum_moment: self.now, confirmed: &|_| true, in_flight: None };
-        self.outputs = self.desk.progress(self.now, &proof);
+        self.outputs = self.leader_state.progress(self.now, &proof);
     }
 
     fn join(&mut self, stream: u64, name: &str, claims: Vec<Claim>) {
         let host = Host {
             member: name.into(),
             incarnation: 1.into(),
-            locality: format!("l{stream}").as_str().into(),
+            zone: format!("l{stream}").as_str().into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
         };
@@ -87,11 +88,11 @@
     }
 
     fn listed(&mut self, listed_runners: &[ListedRunner]) {
-        self.desk.runners_listed(self.now, listed_runners);
+        self.leader_state.runners_listed(self.now, listed_runners);
     }
 
     fn say(&mut self, stream: u64, frame: StreamUp) {
-        self.desk.heard(self.now, StreamId(stream), frame);
+        self.leader_state.heard(self.now, StreamId(stream), frame);
     }
 
     fn acquire(&mut self, stream: u64) {
@@ -101,7 +102,7 @@
 
     fn acquired(&self) -> Option<AcquireResult> {
         self.outputs.iter().find_map(|output| match output {
-            DeskOutput::Down { frame: StreamDown::Acquired { result, .. }, .. } => {
+            LeaderOutput::Down { frame: StreamDown::Acquired { result, .. }, .. } => {
                 Some(result.clone())
             }
             _ => None,
@@ -109,14 +110,14 @@
     }
 
     fn asks_lists(&self) -> bool {
-        self.outputs.iter().any(|output| matches!(output, DeskOutput::AskLists))
+        self.outputs.iter().any(|output| matches!(output, LeaderOutput::AskLists))
     }
 
     fn stops(&self) -> Vec<RunnerId> {
         self.outputs
             .iter()
             .filter_map(|output| match output {
-                DeskOutput::StopRunner(order) => Some(order.runner),
+                LeaderOutput::StopRunner(order) => Some(order.runner),
                 _ => None,
             })
             .collect()
@@ -164,11 +165,11 @@
     bench.join(2, "b", vec![]);
     bench.acquire(1);
     bench.pass(ms(100));
-    verify_that!(bench.desk.is_open(), eq(false))?;
+    verify_that!(bench.leader_state.is_open(), eq(false))?;
     verify_that!(bench.acquired(), none())?;
     bench.join(3, "c", vec![]);
     bench.pass(ms(100));
-    verify_that!(bench.desk.is_open(), eq(false))?;
+    verify_that!(bench.leader_state.is_open(), eq(false))?;
     bench.listed(&[]);
     bench.pass(ms(100));
     verify_that!(matches!(bench.acquired(), Some(AcquireResult::Granted { .. })), eq(true))
@@ -194,10 +195,10 @@
     let listed = [listed_life(leaving)];
     bench.listed(&listed);
     bench.pass(ms(700));
-    verify_that!(bench.desk.is_open(), eq(false))?;
+    verify_that!(bench.leader_state.is_open(), eq(false))?;
     bench.listed(&listed);
     bench.pass(ms(10));
-    verify_that!(bench.desk.is_open(), eq(true))?;
+    verify_that!(bench.leader_state.is_open(), eq(true))?;
     Ok(bench)
 }
 
@@ -219,7 +220,7 @@
     verify_that!(bench.stops().len(), eq(1))?;
     verify_that!(bench.acquired(), none())?;
     let stopped = bench.stops()[0];
-    bench.desk.runner_stopped(stopped);
+    bench.leader_state.runner_stopped(stopped);
     bench.pass(ms(10));
     verify_that!(matches!(bench.acquired(), Some(AcquireResult::Granted { .. })), eq(true))
 }
@@ -232,10 +233,10 @@
     bench.listed(&[]);
     bench.acquire(2);
     bench.pass(ms(10));
-    verify_that!(bench.desk.is_open(), eq(true))?;
+    verify_that!(bench.leader_state.is_open(), eq(true))?;
     verify_that!(bench.acquired(), none())?;
     verify_that!(bench.stops(), elements_are![eq(&old_runner())])?;
-    bench.desk.runner_stopped(old_runner());
+    bench.leader_state.runner_stopped(old_runner());
     bench.pass(ms(10));
     verify_that!(matches!(bench.acquired(), Some(AcquireResult::Granted { .. })), eq(true))
 }
@@ -251,7 +252,7 @@
     let Some(AcquireResult::Granted { once_wait_ms, .. }) = bench.acquired() else {
         return fail!("not granted");
     };
-    let grant_length = DeskTiming::builder().build().grant_length;
+    let grant_length = LeaderTiming::builder().build().grant_length;
     verify_that!(once_wait_ms, eq(3000 + grant_length.as_millis() as u32))
 }
 
@@ -275,10 +276,10 @@
     bench.pass(ms(1200));
     verify_that!(bench.stops(), elements_are![eq(&old_runner())])?;
     bench.say(2, StreamUp::Renew { correlation: CorrelationId(3), serial: Serial(2) });
-    bench.desk.runner_stopped(old_runner());
+    bench.leader_state.runner_stopped(old_runner());
     bench.pass(ms(10));
     bench.pass(ms(10));
-    verify_that!(bench.desk.report_holders()["holders"][0]["member"], eq(&json!("b")))
+    verify_that!(bench.leader_state.report_holders()["holders"][0]["member"], eq(&json!("b")))
 }
 
 fn reserve(bench: &mut Bench, stream: u64, name: &str, grant: GrantSerial) -> ReserveResult {
@@ -286,7 +287,9 @@
     bench.say(stream, StreamUp::Reserve { correlation: CorrelationId(4), function, grant });
     bench.pass(ms(10));
     let found = bench.outputs.iter().find_map(|output| match output {
-        DeskOutput::Down { frame: StreamDown::Reserved { result, .. }, .. } => Some(result.clone()),
+        LeaderOutput::Down { frame: StreamDown::Reserved { result, .. }, .. } => {
+            Some(result.clone())
+        }
         _ => None,
     });
     found.expect("an answer")
@@ -343,10 +346,10 @@
     /// Who was told of hosts: the stream, the list's number, how many daemons were named.
     fn hosts_told(&self) -> Vec<(u64, u64, usize)> {
         let named = self.outputs.iter().filter_map(|output| match output {
-            DeskOutput::Down { stream, frame: StreamDown::Hosts { number, hosts, .. } } => {
+            LeaderOutput::Down { stream, frame: StreamDown::Hosts { number, hosts, .. } } => {
                 Some((stream.0, *number, hosts.0.len()))
             }
-            DeskOutput::Down { stream, frame: StreamDown::HostsChanged { number, put, .. } } => {
+            LeaderOutput::Down { stream, frame: StreamDown::HostsChanged { number, put, .. } } => {
                 Some((stream.0, *number, put.0.len()))
             }
             _ => None,
@@ -356,7 +359,7 @@
 
     fn silent_told(&self) -> Option<Vec<MemberLife>> {
         self.outputs.iter().find_map(|output| match output {
-            DeskOutput::Down { frame: StreamDown::HostsChanged { silent, .. }, .. } => {
+            LeaderOutput::Down { frame: StreamDown::HostsChanged { silent, .. }, .. } => {
                 Some(silent.0.clone())
             }
             _ => None,
@@ -370,9 +373,9 @@
     bench.join(1, "a", vec![]);
     bench.listed(&[]);
     bench.pass(ms(10));
-    bench.desk.workers_listed(vec![ListedWorker {
+    bench.leader_state.workers_listed(vec![ListedWorker {
         worker: "w".into(),
-        locality: "l".into(),
+        zone: "l".into(),
         memory_mb: 300,
         draining: false,
     }]);
@@ -387,13 +390,13 @@
         .outputs
         .iter()
         .filter_map(|output| match output {
-            DeskOutput::Down { frame: StreamDown::Drain { runner, .. }, .. } => Some(*runner),
+            LeaderOutput::Down { frame: StreamDown::Drain { runner, .. }, .. } => Some(*runner),
             _ => None,
         })
         .collect();
     verify_that!(drained.len(), eq(1))?;
     verify_that!(drained[0].grant, eq(crowded))?;
-    bench.desk.runner_stopped(drained[0]);
+    bench.leader_state.runner_stopped(drained[0]);
     verify_that!(reserve(&mut bench, 1, "f", crowded), eq(&ReserveResult::Shed))?;
     let given = reserve(&mut bench, 1, "g", poor);
     verify_that!(matches!(given, ReserveResult::Reserved { .. }), eq(true))
@@ -460,7 +463,7 @@
     let host = Host {
         member: "a".into(),
         incarnation: 2.into(),
-        locality: "l1".into(),
+        zone: "l1".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
     };
@@ -475,7 +478,7 @@
     let mut bench = two_daemons(vec![fit_claim(false)]);
     let is_told = |bench: &Bench| {
         bench.outputs.iter().any(|output| {
-            matches!(output, DeskOutput::Down { frame: StreamDown::Vanished { runner, .. }, .. }
+            matches!(output, LeaderOutput::Down { frame: StreamDown::Vanished { runner, .. }, .. }
                 if *runner == old_runner())
         })
     };
@@ -492,9 +495,9 @@
 #[gtest]
 fn a_runner_begun_and_not_yet_told_is_not_taken_for_an_orphan() -> Result<()> {
     let mut bench = two_daemons(vec![]);
-    bench.desk.workers_listed(vec![ListedWorker {
+    bench.leader_state.workers_listed(vec![ListedWorker {
         worker: "w".into(),
-        locality: "l".into(),
+        zone: "l".into(),
         memory_mb: 300,
         draining: false,
     }]);
@@ -504,32 +507,38 @@
     };
     bench.listed(&[listed_life(false)]);
     bench.pass(ms(10));
-    verify_that!(bench.desk.report_runners()["runners"].as_array().map(Vec::len), some(eq(1)))?;
+    verify_that!(
+        bench.leader_state.report_runners()["runners"].as_array().map(Vec::len),
+        some(eq(1))
+    )?;
     let news = RunnerNews::Begun { life: life() };
     bench.say(2, StreamUp::Runner { function: function(), runner, news });
     bench.listed(&[listed_life(false)]);
     bench.pass(ms(10));
-    verify_that!(bench.desk.report_runners()["runners"].as_array().map(Vec::len), some(eq(1)))?;
+    verify_that!(
+        bench.leader_state.report_runners()["runners"].as_array().map(Vec::len),
+        some(eq(1))
+    )?;
     verify_that!(bench.stops(), is_empty())
 }
 
 #[gtest]
-fn without_spreading_a_runner_stands_in_its_holders_locality() -> Result<()> {
+fn without_spreading_a_runner_stands_in_its_holders_zone() -> Result<()> {
     let mut bench = Bench::new(&["a"]);
-    let timing = DeskTiming::builder().spread(false).build();
+    let timing = LeaderTiming::builder().spread(false).build();
     let members: BTreeSet<KnownMember> = [known("a")].into();
-    bench.desk = Desk::new(timing, Term(5), ELECTED, members, true);
-    bench.desk.committed(document());
+    bench.leader_state = LeaderState::new(timing, Term(5), ELECTED, members, true);
+    bench.leader_state.committed(document());
     bench.join(1, "a", vec![]);
     bench.listed(&[]);
     bench.pass(ms(10));
-    let worker = |name: &str, locality: &str, memory_mb: u32| ListedWorker {
+    let worker = |name: &str, zone: &str, memory_mb: u32| ListedWorker {
         worker: name.into(),
-        locality: locality.into(),
+        zone: zone.into(),
         memory_mb,
         draining: false,
     };
-    bench.desk.workers_listed(vec![
+    bench.leader_state.workers_listed(vec![
         worker("far", "l9", 900),
         worker("near-1", "l1", 200),
         worker("near-2", "l1", 200),
@@ -560,19 +569,19 @@
 }
 
 fn elected_with_roster(listed: &[Listed]) -> Bench {
-    let timing = DeskTiming::builder().build();
-    let mut desk = Desk::new(timing, Term(5), ELECTED, BTreeSet::new(), false);
+    let timing = LeaderTiming::builder().build();
+    let mut leader_state = LeaderState::new(timing, Term(5), ELECTED, BTreeSet::new(), false);
     let mut made = document().with_roster(roster(listed));
     made.stamp.term = Term(5);
-    desk.committed(made);
-    Bench { desk, now: ELECTED, outputs: Vec::new() }
+    leader_state.committed(made);
+    Bench { leader_state, now: ELECTED, outputs: Vec::new() }
 }
 
 fn come(bench: &mut Bench, stream: u64, at: Listed, incarnation: u64, age_ms: u32, granted: bool) {
     let host = Host {
         member: at.0.into(),
         incarnation: incarnation.into(),
-        locality: "l".into(),
+        zone: "l".into(),
         place: place(at.1),
         eligible: Flag(true),
     };
@@ -583,25 +592,25 @@
 
 fn is_renewed(bench: &Bench, asked: u64) -> bool {
     bench.outputs.iter().any(|output| {
-        matches!(output, DeskOutput::Down { stream, frame: StreamDown::Renewed { .. } }
+        matches!(output, LeaderOutput::Down { stream, frame: StreamDown::Renewed { .. } }
             if *stream == StreamId(asked))
     })
 }
 
 #[gtest]
-fn with_a_roster_the_desk_opens_when_each_place_has_claimed_whatever_life_stands_there()
+fn with_a_roster_the_leader_state_opens_when_each_place_has_claimed_whatever_life_stands_there()
 -> Result<()> {
     let mut bench = elected_with_roster(&[("a", 1), ("b", 2), ("c", 3)]);
     come(&mut bench, 1, ("a", 1), 1, 5000, true);
     come(&mut bench, 2, ("b", 2), 9, 600, false);
     bench.pass(ms(100));
-    verify_that!(bench.desk.is_open(), eq(false))?;
+    verify_that!(bench.leader_state.is_open(), eq(false))?;
     come(&mut bench, 3, ("c", 4), 9, 600, false);
     bench.pass(ms(100));
-    verify_that!(bench.desk.is_open(), eq(false))?;
+    verify_that!(bench.leader_state.is_open(), eq(false))?;
     come(&mut bench, 4, ("d", 3), 9, 600, false);
     bench.pass(ms(10));
-    verify_that!(bench.desk.is_open(), eq(true))
+    verify_that!(bench.leader_state.is_open(), eq(true))
 }
 
 #[gtest]
@@ -612,11 +621,11 @@
     bench.pass(ms(2150));
     bench.listed(&[]);
     bench.pass(ms(10));
-    verify_that!(bench.desk.is_open(), eq(false))?;
+    verify_that!(bench.leader_state.is_open(), eq(false))?;
     bench.pass(ms(450));
     bench.listed(&[]);
     bench.pass(ms(10));
-    verify_that!(bench.desk.is_open(), eq(true))
+    verify_that!(bench.leader_state.is_open(), eq(true))
 }
 
 /// The earlier life was gone when the present one began; what it had ordered has settled a little later.
@@ -629,12 +638,12 @@
     come(&mut bench, 1, ("a", 1), 9, 1000, false);
     bench.acquire(1);
     bench.pass(ms(10));
-    verify_that!(bench.desk.is_open(), eq(true))?;
+    verify_that!(bench.leader_state.is_open(), eq(true))?;
     verify_that!(bench.asks_lists(), eq(true))?;
-    bench.desk.runners_listed(ELECTED - ms(301), &[listed_life(false)]);
+    bench.leader_state.runners_listed(ELECTED - ms(301), &[listed_life(false)]);
     bench.pass(ms(30));
     verify_that!(bench.acquired(), none())?;
-    bench.desk.runners_listed(ELECTED - ms(300), &[listed_life(false)]);
+    bench.leader_state.runners_listed(ELECTED - ms(300), &[listed_life(false)]);
     bench.pass(ms(30));
     verify_that!(adopted(&bench).len(), eq(1))
 }
@@ -645,11 +654,11 @@
     let mut bench = elected_with_roster(&[("a", 1)]);
     come(&mut bench, 1, ("a", 1), 1, 60_000, true);
     bench.acquire(1);
-    bench.desk.runners_listed(ELECTED - ms(1), &[listed_life(false)]);
+    bench.leader_state.runners_listed(ELECTED - ms(1), &[listed_life(false)]);
     bench.pass(ms(30));
-    verify_that!(bench.desk.is_open(), eq(true))?;
+    verify_that!(bench.leader_state.is_open(), eq(true))?;
     verify_that!(bench.acquired(), none())?;
-    bench.desk.runners_listed(ELECTED, &[listed_life(false)]);
+    bench.leader_state.runners_listed(ELECTED, &[listed_life(false)]);
     bench.pass(ms(30));
     verify_that!(adopted(&bench).len(), eq(1))
 }
@@ -662,27 +671,27 @@
     bench.pass(ms(10));
     verify_that!(is_renewed(&bench, 1), eq(true))?;
     verify_that!(is_renewed(&bench, 2), eq(false))?;
-    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    verify_that!(bench.leader_state.due_roster(bench.now), none())?;
     bench.now = bench.now + ms(40);
-    let due = bench.desk.due_roster(bench.now);
+    let due = bench.leader_state.due_roster(bench.now);
     verify_that!(due.as_ref(), some(eq(&roster(&[("a", 1), ("b", 2)]))))?;
     let mut next_document = document().with_roster(due.expect("a roster"));
     next_document.stamp = Stamp { term: Term(5), serial: Serial(4) };
     next_document.unseen = 2;
-    bench.desk.committed(next_document);
-    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    bench.leader_state.committed(next_document);
+    verify_that!(bench.leader_state.due_roster(bench.now), none())?;
     let smaller = roster(&[("a", 1)]);
     let quorum_moment = bench.now;
     let proof =
         Proof { ready: true, quorum_moment, confirmed: &|_| true, in_flight: Some(&smaller) };
-    bench.outputs = bench.desk.progress(bench.now, &proof);
+    bench.outputs = bench.leader_state.progress(bench.now, &proof);
     verify_that!(is_renewed(&bench, 2), eq(false))?;
     bench.pass(ms(10));
     verify_that!(is_renewed(&bench, 2), eq(true))?;
-    let is_pushed = |output: &DeskOutput| {
+    let is_pushed = |output: &LeaderOutput| {
         matches!(
             output,
-            DeskOutput::Down { frame: StreamDown::Change { .. } | StreamDown::Spec { .. }, .. }
+            LeaderOutput::Down { frame: StreamDown::Change { .. } | StreamDown::Spec { .. }, .. }
         )
     };
     verify_that!(bench.outputs.iter().any(is_pushed), eq(false))
@@ -695,9 +704,9 @@
     come(&mut bench, 1, ("a", 1), 9, 100, false);
     let before = bench.now - ms(5);
     let proof = Proof { ready: true, quorum_moment: before, confirmed: &|_| true, in_flight: None };
-    bench.outputs = bench.desk.progress(bench.now + ms(100), &proof);
+    bench.outputs = bench.leader_state.progress(bench.now + ms(100), &proof);
     verify_that!(is_renewed(&bench, 1), eq(false))?;
-    verify_that!(bench.desk.wants_round(), eq(true))?;
+    verify_that!(bench.leader_state.wants_round(), eq(true))?;
     bench.pass(ms(0));
     verify_that!(is_renewed(&bench, 1), eq(true))
 }
@@ -707,11 +716,11 @@
     let mut bench = elected_with_roster(&[("a", 1), ("b", 2)]);
     come(&mut bench, 1, ("a", 1), 1, 5000, true);
     bench.pass(ms(100));
-    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    verify_that!(bench.leader_state.due_roster(bench.now), none())?;
     bench.pass(ms(9000));
-    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    verify_that!(bench.leader_state.due_roster(bench.now), none())?;
     bench.pass(ms(2000));
-    verify_that!(bench.desk.due_roster(bench.now), none())?;
+    verify_that!(bench.leader_state.due_roster(bench.now), none())?;
     bench.pass(ms(40));
-    verify_that!(bench.desk.due_roster(bench.now), some(eq(&roster(&[("a", 1)]))))
+    verify_that!(bench.leader_state.due_roster(bench.now), some(eq(&roster(&[("a", 1)]))))
 }
--- a/crates/survey/tests/succession.rs
+++ b/crates/controlplane/tests/succession.rs
@@ -1,17 +1,17 @@
 //! A core member is replaced only in a way that no two majorities can miss each other.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{CoreFrame, Place};
+use common::identity::{ChangeId, ControllerId, Stamp, Ticket, Zone};
+use common::rules::{Rule, Rules};
+use common::spec::Document;
+use controlplane::core::{
+    Address, Core, CoreOutput, CoreTiming, Recalled, SuccessionFault, WriteJob, WriteResult,
+};
 use googletest::prelude::*;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
-use survey::core::{
-    Address, Core, CoreOutput, CoreTiming, Recalled, SuccessionFault, WriteJob, WriteResult,
-};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{CoreFrame, Place};
-use waymark::identity::{ChangeId, Locality, Stamp, SurveyorId, Ticket};
-use waymark::rules::{Rule, Rules};
-use waymark::spec::Document;
 
 struct Bench {
     now: Moment,
@@ -26,19 +26,23 @@
     Place(format!("10.0.0.{}:1", number + 1).parse().expect("an address"))
 }
 
-fn core(id: u64, number: usize, locality: usize, now: Moment, rules: Rules) -> Core {
-    let recalled =
-        Recalled { id: SurveyorId(id), voted: None, accepted: None, distrusted: Stamp::default() };
+fn core(id: u64, number: usize, zone: usize, now: Moment, rules: Rules) -> Core {
+    let recalled = Recalled {
+        id: ControllerId(id),
+        voted: None,
+        accepted: None,
+        distrusted: Stamp::default(),
+    };
     let timing = CoreTiming::builder().replace_after(Duration::from_secs(3)).build();
     let address = Address { place: place(number), operators: place(number) };
     let seeds = (0..3).map(place).collect();
-    let locality = Locality::from(format!("l{locality}"));
-    Core::new(now, timing, recalled, address, locality, seeds, Chance::seeded(number as u64))
+    let zone = Zone::from(format!("l{zone}"));
+    Core::new(now, timing, recalled, address, zone, seeds, Chance::seeded(number as u64))
         .with_rules(rules)
 }
 
 impl Bench {
-    /// Three founders, and a fourth surveyor in the third one's locality.
+    /// Three founders, and a fourth controller in the third one's zone.
     fn new() -> Self {
         Self::under(Rules::KEPT)
     }
@@ -153,7 +157,7 @@
 }
 
 #[gtest]
-fn a_silent_member_is_replaced_from_its_locality_and_the_next_loss_is_borne() -> Result<()> {
+fn a_silent_member_is_replaced_from_its_zone_and_the_next_loss_is_borne() -> Result<()> {
     let mut bench = Bench::new();
     bench.found();
     bench.dead = BTreeSet::from([2]);
@@ -228,10 +232,10 @@
     bench.pass(Duration::from_secs(2));
     let leader = bench.leader().expect("a leader");
     let others: Vec<usize> = (0..3).filter(|number| *number != leader).collect();
-    let id = |number: usize| SurveyorId(number as u64 + 1);
-    let unknown = bench.cores[leader].replace(bench.now, SurveyorId(99), id(3));
+    let id = |number: usize| ControllerId(number as u64 + 1);
+    let unknown = bench.cores[leader].replace(bench.now, ControllerId(99), id(3));
     verify_that!(unknown.err(), some(eq(SuccessionFault::NoSuchMember)))?;
-    let stranger = bench.cores[leader].replace(bench.now, id(others[0]), SurveyorId(99));
+    let stranger = bench.cores[leader].replace(bench.now, id(others[0]), ControllerId(99));
     verify_that!(stranger.err(), some(eq(SuccessionFault::NoSuchCandidate)))?;
     bench.dead.insert(others[0]);
     bench.pass(Duration::from_millis(2500));
@@ -253,11 +257,11 @@
     let mut bench = Bench::new();
     bench.found();
     let kept = bench.cores[0].accepted().expect("a document").clone();
-    let changed = kept.with_locality("l0".into(), true, ChangeId::from("x"));
-    let alone = survey::core::left_alone(&changed, SurveyorId(1)).expect("a member");
-    verify_that!(survey::core::left_alone(&changed, SurveyorId(77)).is_none(), eq(true))?;
+    let changed = kept.with_zone("l0".into(), true, ChangeId::from("x"));
+    let alone = controlplane::core::left_alone(&changed, ControllerId(1)).expect("a member");
+    verify_that!(controlplane::core::left_alone(&changed, ControllerId(77)).is_none(), eq(true))?;
     let recalled = Recalled {
-        id: SurveyorId(1),
+        id: ControllerId(1),
         voted: None,
         accepted: Some(alone),
         distrusted: Stamp::default(),
@@ -284,21 +288,25 @@
     let mut bench = Bench::new();
     bench.found();
     let known = bench.committed.last().map(|(_, document)| document.clone());
-    let recalled =
-        Recalled { id: SurveyorId(1), voted: None, accepted: known, distrusted: Stamp::default() };
+    let recalled = Recalled {
+        id: ControllerId(1),
+        voted: None,
+        accepted: known,
+        distrusted: Stamp::default(),
+    };
     let timing = CoreTiming::builder().build();
     let address = Address { place: place(0), operators: place(0) };
     let seeds = (0..3).map(place).collect();
-    let locality = Locality::from("l0");
+    let zone = Zone::from("l0");
     let mut restarted =
-        Core::new(bench.now, timing.clone(), recalled, address, locality, seeds, Chance::seeded(9));
+        Core::new(bench.now, timing.clone(), recalled, address, zone, seeds, Chance::seeded(9));
     let mut asked_after = Duration::ZERO;
     while asked_after < timing.election_longest {
         asked_after += Duration::from_millis(10);
         let outputs = restarted.tick(bench.now + asked_after);
         let asks = outputs.iter().any(|output| {
             matches!(output, CoreOutput::Send { frame, .. }
-                if matches!(frame.body, waymark::frames::CoreBody::VoteAsk { .. }))
+                if matches!(frame.body, common::frames::CoreBody::VoteAsk { .. }))
         });
         if asks {
             break;
--- a/crates/trail/src/lodge/answer.rs
+++ b/crates/dataplane/src/agent/answer.rs
@@ -1,13 +1,13 @@
-use super::{Held, Lodge, Task};
+use super::{Agent, Held, Task};
 use crate::holder::SendEnd;
+use common::clock::Moment;
+use common::frames::{HopOutcome, HopReason, Many, Parcel};
+use common::identity::{FunctionKey, RunnerId, TransactionId};
+use common::rules::{Rule, Rules};
+use common::seal;
+use common::tongue::{RunnerSaid, SealKind};
 use std::sync::Arc;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason, Many, Parcel};
-use waymark::identity::{FunctionKey, RunnerId, TransactionId};
-use waymark::rules::{Rule, Rules};
-use waymark::seal;
-use waymark::tongue::{RunnerSaid, SealKind};
 
 /// Statuses by which a caller is promised that nothing ran. From a runner that does not say so they are
 /// never passed on.
@@ -115,7 +115,7 @@
     pub parcel: Arc<Parcel>,
 }
 
-impl<W> Lodge<W> {
+impl<W> Agent<W> {
     /// The last look before a transaction is sent to a runner: the member grant runs, and the newest
     /// spec still leads its route to this function. Nothing comes between it and the send.
     pub fn runner_call(
