--- a/crates/trail/src/lodge/controller.rs
+++ b/crates/dataplane/src/agent/controller.rs
@@ -1,26 +1,26 @@
-use super::{Held, Lodge};
+use super::{Agent, Held};
 use crate::holder::{GrantTerms, Holder, HolderOutput, HolderWord};
 use crate::keeper::{Keeper, KeeperOrder};
 use crate::liaison::{Liaison, LiaisonTiming};
 use crate::owners::{WarmSeeker, WarmSight};
-use std::collections::BTreeMap;
-use std::sync::{Arc, PoisonError};
-use std::time::Duration;
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::events::{self, Event};
-use waymark::frames::{
+use common::chance::Chance;
+use common::clock::Moment;
+use common::events::{self, Event};
+use common::frames::{
     AcquireResult, Heartbeat, IdleFunction, Many, Place, ReserveResult, RunnerNews, StreamDown,
     StreamUp,
 };
-use waymark::identity::{FunctionKey, GrantSerial, Serial};
-use waymark::rules::Rule;
-use waymark::spec::Table;
+use common::identity::{FunctionKey, GrantSerial, Serial};
+use common::rules::Rule;
+use common::spec::Table;
+use std::collections::BTreeMap;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
 const IDLE_FROM: Duration = Duration::from_secs(3);
 const SAY_EVERY: Duration = Duration::from_secs(1);
 
-/// What the controller orders; the lodge is changed already.
+/// What the controller orders; the agent is changed already.
 pub enum DaemonOrder<W> {
     /// Open a stream there.
     Dial(Place),
@@ -46,7 +46,7 @@
     GrantEnded,
 }
 
-/// Feeds one daemon's keeper, and does in its lodge what the keeper orders.
+/// Feeds one daemon's keeper, and does in its agent what the keeper orders.
 pub struct Controller<W> {
     keeper: Keeper,
     say_at: Moment,
@@ -58,16 +58,16 @@
     /// The controller of a daemon that has just started.
     pub fn new(
         now: Moment,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         timing: LiaisonTiming,
         door: Place,
         seeds: Vec<Place>,
         chance: Chance,
     ) -> Self {
-        let own_host = lodge.own_host.clone();
+        let own_host = agent.own_host.clone();
         let liaison = Liaison::new(now, timing, own_host.clone(), door, seeds, chance)
-            .with_rules(lodge.rules);
-        let keeper = Keeper::new(liaison, own_host).with_rules(lodge.rules);
+            .with_rules(agent.rules);
+        let keeper = Keeper::new(liaison, own_host).with_rules(agent.rules);
         Self { keeper, say_at: now, warm: None, orders: Vec::new() }
     }
 
@@ -84,12 +84,12 @@
     }
 
     /// When something is due, at the latest.
-    pub fn next_due(&self, lodge: &Lodge<W>) -> Moment {
-        let seeks = self.keeper.is_welcomed() && !lodge.is_leaving();
+    pub fn next_due(&self, agent: &Agent<W>) -> Moment {
+        let seeks = self.keeper.is_welcomed() && !agent.is_leaving();
         let warm = self.warm.as_ref().filter(|_| seeks);
         let warm_due = warm.map_or(self.say_at, WarmSeeker::next_due);
         let first_due = self.keeper.next_due().min(self.say_at).min(warm_due);
-        let holdings = lodge.holdings.load();
+        let holdings = agent.holdings.load();
         let holders_due =
             holdings.values().filter_map(|held| held.with(|holder| holder.next_due()));
         holders_due.fold(first_due, Moment::min)
@@ -101,18 +101,18 @@
     }
 
     /// Asks for warm functions that want an owner.
-    fn seek_warm(&mut self, lodge: &Lodge<W>, now: Moment) {
-        if !lodge.is_serving(now) || lodge.is_leaving() || !self.keeper.is_welcomed() {
+    fn seek_warm(&mut self, agent: &Agent<W>, now: Moment) {
+        if !agent.is_serving(now) || agent.is_leaving() || !self.keeper.is_welcomed() {
             return;
         }
         let Some(warm) = &mut self.warm else { return };
-        let (table, hosts) = (lodge.table.load(), lodge.hosts.load());
-        let (owners, holdings) = (lodge.owners.load(), lodge.holdings.load());
+        let (table, hosts) = (agent.table.load(), agent.hosts.load());
+        let (owners, holdings) = (agent.owners.load(), agent.holdings.load());
         let wish = warm.next(
             now,
             &WarmSight {
                 table: &table,
-                own_member: &lodge.own_host.member,
+                own_member: &agent.own_host.member,
                 hosts: &hosts,
                 owners: &owners,
                 holds: &|function| holdings.contains_key(function),
@@ -120,7 +120,7 @@
         );
         if let Some(function) = wish {
             let keeper_orders = self.keeper.acquire(now, function);
-            self.obey(lodge, now, keeper_orders);
+            self.obey(agent, now, keeper_orders);
         }
     }
 
@@ -140,32 +140,32 @@
     }
 
     /// Lets time pass.
-    pub fn tick(&mut self, lodge: &Lodge<W>, now: Moment) -> Vec<DaemonOrder<W>> {
+    pub fn tick(&mut self, agent: &Agent<W>, now: Moment) -> Vec<DaemonOrder<W>> {
         let keeper_orders = self.keeper.tick(now);
-        self.obey(lodge, now, keeper_orders);
-        for held in lodge.holdings.load_full().values() {
+        self.obey(agent, now, keeper_orders);
+        for held in agent.holdings.load_full().values() {
             self.apply(held, |holder| holder.tick(now));
         }
         let closing: Vec<Arc<Held<W>>> = {
-            let mut closing = lodge.closing.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut closing = agent.closing.lock().unwrap_or_else(PoisonError::into_inner);
             closing.retain(|held| !held.with(|holder| holder.is_over(now)));
             closing.clone()
         };
         for held in closing {
             self.apply(&held, |holder| holder.tick(now));
         }
-        self.seek_warm(lodge, now);
+        self.seek_warm(agent, now);
         if now >= self.say_at {
             self.say_at = now + SAY_EVERY;
-            self.say_busyness(lodge, now);
-            lodge.keepsake.lock().unwrap_or_else(PoisonError::into_inner).expire(now);
+            self.say_load(agent, now);
+            agent.replica.lock().unwrap_or_else(PoisonError::into_inner).expire(now);
         }
         self.done()
     }
 
-    fn say_busyness(&mut self, lodge: &Lodge<W>, now: Moment) {
+    fn say_load(&mut self, agent: &Agent<W>, now: Moment) {
         let mut idle_functions = Vec::new();
-        for held in lodge.holdings.load_full().values() {
+        for held in agent.holdings.load_full().values() {
             let function = held.function.clone();
             let (idle_span, sheds) = held.with(|holder| (holder.idle(now), holder.take_sheds()));
             if let Some(idle_span) = idle_span.filter(|span| *span > IDLE_FROM) {
@@ -180,28 +180,28 @@
     }
 
     /// The dialed stream is open.
-    pub fn connected(&mut self, lodge: &Lodge<W>, now: Moment) -> Vec<DaemonOrder<W>> {
+    pub fn connected(&mut self, agent: &Agent<W>, now: Moment) -> Vec<DaemonOrder<W>> {
         let keeper_orders = self.keeper.connected(now);
-        self.obey(lodge, now, keeper_orders);
+        self.obey(agent, now, keeper_orders);
         self.done()
     }
 
     /// The stream failed or ended.
-    pub fn disconnected(&mut self, lodge: &Lodge<W>, now: Moment) -> Vec<DaemonOrder<W>> {
+    pub fn disconnected(&mut self, agent: &Agent<W>, now: Moment) -> Vec<DaemonOrder<W>> {
         let keeper_orders = self.keeper.disconnected(now);
-        self.obey(lodge, now, keeper_orders);
+        self.obey(agent, now, keeper_orders);
         self.done()
     }
 
     /// The leader says something.
     pub fn heard(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         now: Moment,
         frame: StreamDown,
     ) -> Vec<DaemonOrder<W>> {
         let keeper_orders = self.keeper.heard(now, frame);
-        self.obey(lodge, now, keeper_orders);
+        self.obey(agent, now, keeper_orders);
         self.done()
     }
 
@@ -213,19 +213,19 @@
     /// A transaction needs a function's owner.
     pub fn acquire(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         now: Moment,
         function: FunctionKey,
     ) -> Vec<DaemonOrder<W>> {
         let keeper_orders = self.keeper.acquire(now, function);
-        self.obey(lodge, now, keeper_orders);
+        self.obey(agent, now, keeper_orders);
         self.done()
     }
 
     /// A holder has something for the leader.
     pub fn told(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         now: Moment,
         function: FunctionKey,
         grant: GrantSerial,
@@ -234,7 +234,7 @@
         match word {
             HolderWord::Reserve => {
                 let keeper_orders = self.keeper.reserve(function, grant);
-                self.obey(lodge, now, keeper_orders);
+                self.obey(agent, now, keeper_orders);
             }
             HolderWord::News { runner, news } => {
                 self.say(StreamUp::Runner { function, runner, news });
@@ -246,8 +246,8 @@
                 self.say(StreamUp::StewardWhole { function, grant, steward });
             }
             HolderWord::Released { runners } => {
-                if lodge.held(&function, grant).is_some() {
-                    self.remove(lodge, &function);
+                if agent.held(&function, grant).is_some() {
+                    self.remove(agent, &function);
                     self.say(StreamUp::Release { function, grant, runners: Many(runners) });
                 }
             }
@@ -256,11 +256,11 @@
     }
 
     /// The daemon is to stop in order: it takes on nothing, finishes what it holds, and gives it back.
-    pub fn leave(&mut self, lodge: &Lodge<W>, now: Moment) -> Vec<DaemonOrder<W>> {
-        lodge.begin_leaving();
+    pub fn leave(&mut self, agent: &Agent<W>, now: Moment) -> Vec<DaemonOrder<W>> {
+        agent.begin_leaving();
         let keeper_orders = self.keeper.leave(now);
-        self.obey(lodge, now, keeper_orders);
-        for held in lodge.holdings.load_full().values() {
+        self.obey(agent, now, keeper_orders);
+        for held in agent.holdings.load_full().values() {
             self.tell(events::HANDING_OVER, held.function.to_string());
             self.apply(held, |holder| holder.hand_over(now));
         }
@@ -268,8 +268,8 @@
     }
 
     /// The daemon is gone in a moment: it serves no more, and the leader need not wait for its grant.
-    pub fn left(&mut self, lodge: &Lodge<W>) -> Vec<DaemonOrder<W>> {
-        lodge.serving_until.set(Moment::ZERO);
+    pub fn left(&mut self, agent: &Agent<W>) -> Vec<DaemonOrder<W>> {
+        agent.serving_until.set(Moment::ZERO);
         self.say(StreamUp::Leaving);
         self.done()
     }
@@ -295,23 +295,23 @@
 
     fn apply_known(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         function: &FunctionKey,
         grant: GrantSerial,
         change: impl FnOnce(&mut Holder) -> Vec<HolderOutput>,
     ) {
-        if let Some(held) = lodge.held(function, grant) {
+        if let Some(held) = agent.held(function, grant) {
             self.apply(&held, change);
         }
     }
 
-    fn obey(&mut self, lodge: &Lodge<W>, now: Moment, keeper_orders: Vec<KeeperOrder>) {
+    fn obey(&mut self, agent: &Agent<W>, now: Moment, keeper_orders: Vec<KeeperOrder>) {
         for order in keeper_orders {
-            self.obey_one(lodge, now, order);
+            self.obey_one(agent, now, order);
         }
     }
 
-    fn obey_one(&mut self, lodge: &Lodge<W>, now: Moment, order: KeeperOrder) {
+    fn obey_one(&mut self, agent: &Agent<W>, now: Moment, order: KeeperOrder) {
         match order {
             KeeperOrder::Dial(place) => self.orders.push(DaemonOrder::Dial(place)),
             KeeperOrder::Hangup => self.orders.push(DaemonOrder::Hangup),
@@ -320,51 +320,51 @@
                 self.orders.push(DaemonOrder::Beat(heartbeat, places));
             }
             KeeperOrder::Welcomed(term) => {
-                lodge.set_led(true);
+                agent.set_led(true);
                 self.tell(events::STREAM_OPEN, format!("leader of term {term}"));
-                self.send_claims(lodge, now);
+                self.send_claims(agent, now);
                 self.orders.push(DaemonOrder::Changed);
             }
             KeeperOrder::StreamLost(lost_reserves) => {
-                lodge.set_led(false);
+                agent.set_led(false);
                 self.tell(events::STREAM_LOST, String::new());
                 self.orders.push(DaemonOrder::AcquiresLost);
                 for (function, grant) in lost_reserves {
-                    if let Some(held) = lodge.held(&function, grant) {
+                    if let Some(held) = agent.held(&function, grant) {
                         held.with(|holder| holder.reserve_lost(now));
                     }
                 }
             }
             KeeperOrder::ServeUntil(grant_end) => {
-                if !lodge.is_serving(now) {
+                if !agent.is_serving(now) {
                     self.warm_changed(now);
                     self.tell(events::SERVING, format!("serial {}", self.keeper.serial()));
                     self.orders.push(DaemonOrder::Changed);
                 }
-                lodge.serving_until.set(grant_end);
+                agent.serving_until.set(grant_end);
             }
-            KeeperOrder::GiveUpAll => self.give_up_all(lodge, now),
-            KeeperOrder::Install(table) => self.install(lodge, now, table),
+            KeeperOrder::GiveUpAll => self.give_up_all(agent, now),
+            KeeperOrder::Install(table) => self.install(agent, now, table),
             KeeperOrder::InstallFailed(serial, fault) => {
                 self.tell(events::SPEC_FAILED, format!("serial {serial}: {fault}"));
             }
             KeeperOrder::Hosts(alive_hosts) => {
-                lodge.hosts.store(Arc::new(alive_hosts));
+                agent.hosts.store(Arc::new(alive_hosts));
                 self.warm_changed(now);
                 self.orders.push(DaemonOrder::Changed);
             }
-            KeeperOrder::Grant(terms) => self.granted(lodge, now, terms),
+            KeeperOrder::Grant(terms) => self.granted(agent, now, terms),
             KeeperOrder::GiveWay(function, grant) => {
-                self.apply_known(lodge, &function, grant, |holder| holder.give_way(now));
+                self.apply_known(agent, &function, grant, |holder| holder.give_way(now));
             }
             KeeperOrder::Steward(function, grant, steward) => {
-                self.apply_known(lodge, &function, grant, |holder| {
+                self.apply_known(agent, &function, grant, |holder| {
                     holder.steward_named(now, steward)
                 });
             }
             KeeperOrder::Acquired { function, result, round_trip } => {
                 if let Some(AcquireResult::Owner { host }) = &result {
-                    lodge.learn_owner(&function, host);
+                    agent.learn_owner(&function, host);
                 }
                 let is_final = !matches!(result, None | Some(AcquireResult::Later { .. }));
                 self.orders.push(DaemonOrder::Acquired(function, result, round_trip));
@@ -373,40 +373,40 @@
                 }
             }
             KeeperOrder::Reserved { function, grant, result } => {
-                self.reserved(lodge, now, function, grant, &result);
+                self.reserved(agent, now, function, grant, &result);
             }
             KeeperOrder::Revoke(function, grant) => {
-                if let Some(held) = lodge.held(&function, grant) {
-                    self.remove(lodge, &function);
-                    self.close(lodge, now, &held);
+                if let Some(held) = agent.held(&function, grant) {
+                    self.remove(agent, &function);
+                    self.close(agent, now, &held);
                     self.say_left(&held);
                 }
             }
             KeeperOrder::Vanished(function, runner) => {
-                self.apply_known(lodge, &function, runner.grant, |holder| {
+                self.apply_known(agent, &function, runner.grant, |holder| {
                     holder.vanished(now, runner)
                 });
             }
             KeeperOrder::Drain(function, runner) => {
-                if lodge.rules.keep(Rule::DrainObeyed) {
-                    self.apply_known(lodge, &function, runner.grant, |holder| {
+                if agent.rules.keep(Rule::DrainObeyed) {
+                    self.apply_known(agent, &function, runner.grant, |holder| {
                         holder.drain(now, runner)
                     });
                 }
             }
             KeeperOrder::HandOver(function, grant) => {
-                if lodge.rules.keep(Rule::EvacuationObeyed) {
+                if agent.rules.keep(Rule::EvacuationObeyed) {
                     self.tell(events::HANDING_OVER, function.to_string());
-                    self.apply_known(lodge, &function, grant, |holder| holder.hand_over(now));
+                    self.apply_known(agent, &function, grant, |holder| holder.hand_over(now));
                 }
             }
         }
     }
 
-    fn send_claims(&mut self, lodge: &Lodge<W>, now: Moment) {
-        let holdings = lodge.holdings.load_full();
+    fn send_claims(&mut self, agent: &Agent<W>, now: Moment) {
+        let holdings = agent.holdings.load_full();
         let closing: Vec<Arc<Held<W>>> =
-            lodge.closing.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            agent.closing.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if self.keeper.is_welcomed() {
             for held in &closing {
                 held.with(|holder| holder.left_told());
@@ -418,31 +418,31 @@
             .map(|held| held.with(|holder| holder.claim()))
             .collect();
         let keeper_orders = self.keeper.claims(claims);
-        self.obey(lodge, now, keeper_orders);
+        self.obey(agent, now, keeper_orders);
     }
 
-    fn give_up_all(&mut self, lodge: &Lodge<W>, now: Moment) {
-        if !lodge.rules.keep(Rule::MemberGrant) {
+    fn give_up_all(&mut self, agent: &Agent<W>, now: Moment) {
+        if !agent.rules.keep(Rule::MemberGrant) {
             return;
         }
-        let given_up = lodge.holdings.swap(Arc::new(BTreeMap::new()));
+        let given_up = agent.holdings.swap(Arc::new(BTreeMap::new()));
         self.tell(events::GRANT_ENDED, format!("{} functions given up", given_up.len()));
         self.orders.push(DaemonOrder::GrantEnded);
         for held in given_up.values() {
-            self.close(lodge, now, held);
+            self.close(agent, now, held);
         }
-        lodge.owners.store(Arc::new(BTreeMap::new()));
-        self.send_claims(lodge, now);
+        agent.owners.store(Arc::new(BTreeMap::new()));
+        self.send_claims(agent, now);
         self.orders.push(DaemonOrder::Changed);
     }
 
-    fn install(&mut self, lodge: &Lodge<W>, now: Moment, table: Arc<Table>) {
-        lodge.table.store(table.clone());
+    fn install(&mut self, agent: &Agent<W>, now: Moment, table: Arc<Table>) {
+        agent.table.store(table.clone());
         self.warm_changed(now);
         let detail = format!("serial {}, {} routes", table.serial(), table.route_count());
         self.tell(events::SPEC_INSTALLED, detail);
         self.orders.push(DaemonOrder::Installed(table.serial()));
-        for held in lodge.holdings.load_full().values() {
+        for held in agent.holdings.load_full().values() {
             match table.function_of(&held.function) {
                 Some(entry) => {
                     let newest_spec = entry.spec.clone();
@@ -459,28 +459,28 @@
         self.orders.push(DaemonOrder::Changed);
     }
 
-    fn granted(&mut self, lodge: &Lodge<W>, now: Moment, terms: GrantTerms) {
+    fn granted(&mut self, agent: &Agent<W>, now: Moment, terms: GrantTerms) {
         let (function, grant) = (terms.function.clone(), terms.grant);
-        let held_grant = lodge.holdings.load().get(&function).map(|held| held.grant);
+        let held_grant = agent.holdings.load().get(&function).map(|held| held.grant);
         if held_grant >= Some(grant) {
             return;
         }
         let mut holder =
-            Holder::new(now, terms).with_rules(lodge.rules).with_tuning(now, lodge.tuning);
-        let table = lodge.table.load();
+            Holder::new(now, terms).with_rules(agent.rules).with_tuning(now, agent.tuning);
+        let table = agent.table.load();
         holder.set_warm(table.index_of(&function).is_some_and(|index| table.is_warm(index)));
         let held = Arc::new(Held::new(holder));
-        let displaced = lodge.holdings.load().get(&function).cloned();
-        lodge.holdings.rcu(|holdings| {
+        let displaced = agent.holdings.load().get(&function).cloned();
+        agent.holdings.rcu(|holdings| {
             let mut changed_holdings = BTreeMap::clone(holdings);
             changed_holdings.insert(function.clone(), held.clone());
             changed_holdings
         });
         if let Some(displaced) = displaced {
-            self.close(lodge, now, &displaced);
+            self.close(agent, now, &displaced);
             self.say_left(&displaced);
         }
-        lodge.learn_owner(&function, &lodge.own_host);
+        agent.learn_owner(&function, &agent.own_host);
         self.tell(events::GRANTED, format!("{function} under {grant}"));
         self.apply(&held, |holder| holder.begin(now));
         self.orders.push(DaemonOrder::Changed);
@@ -488,13 +488,13 @@
 
     fn reserved(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         now: Moment,
         function: FunctionKey,
         grant: GrantSerial,
         result: &ReserveResult,
     ) {
-        match (lodge.held(&function, grant), result) {
+        match (agent.held(&function, grant), result) {
             (Some(held), _) => self.apply(&held, |holder| holder.reserved(now, result)),
             (None, ReserveResult::Reserved { runner, .. }) => {
                 let news = RunnerNews::Gone;
@@ -517,13 +517,13 @@
         self.say(StreamUp::Release { function, grant, runners: Many(runners) });
     }
 
-    fn close(&mut self, lodge: &Lodge<W>, now: Moment, held: &Arc<Held<W>>) {
-        lodge.closing.lock().unwrap_or_else(PoisonError::into_inner).push(held.clone());
+    fn close(&mut self, agent: &Agent<W>, now: Moment, held: &Arc<Held<W>>) {
+        agent.closing.lock().unwrap_or_else(PoisonError::into_inner).push(held.clone());
         self.apply(held, |holder| holder.close(now));
     }
 
-    fn remove(&mut self, lodge: &Lodge<W>, function: &FunctionKey) {
-        lodge.holdings.rcu(|holdings| {
+    fn remove(&mut self, agent: &Agent<W>, function: &FunctionKey) {
+        agent.holdings.rcu(|holdings| {
             let mut changed_holdings = BTreeMap::clone(holdings);
             changed_holdings.remove(function);
             changed_holdings
--- a/crates/trail/src/lodge/held.rs
+++ b/crates/dataplane/src/agent/held.rs
@@ -1,10 +1,10 @@
 use crate::holder::{Entry, Holder, HolderOutput};
+use common::clock::Moment;
+use common::frames::{HopOutcome, Life, Parcel};
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, Life, Parcel};
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 
 /// A transaction on its way to a runner.
 #[derive(Clone)]
--- a/crates/trail/src/lodge/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -14,17 +14,17 @@
 pub use way::{Ask, PassEnd, Way, WayStep};
 
 use crate::holder::Tuning;
-use crate::ledger::Keepsake;
+use crate::ledger::LedgerReplica;
 use arc_swap::ArcSwap;
+use common::clock::{Moment, SharedMoment};
+use common::frames::Host;
+use common::identity::{FunctionKey, GrantSerial, Ticket};
+use common::rules::{Rule, Rules};
+use common::spec::Table;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use waymark::clock::{Moment, SharedMoment};
-use waymark::frames::Host;
-use waymark::identity::{FunctionKey, GrantSerial, Ticket};
-use waymark::rules::{Rule, Rules};
-use waymark::spec::Table;
 
 const AGAIN_WHEN_LED: Duration = Duration::from_millis(400);
 const AGAIN_WITHOUT_LEADER: Duration = Duration::from_millis(1000);
@@ -40,7 +40,7 @@
 
 /// What a daemon's parts share; tables are snapshots that are swapped whole. `W` is what waits for a
 /// transaction's outcome.
-pub struct Lodge<W> {
+pub struct Agent<W> {
     /// This daemon as others see it.
     pub own_host: Host,
     /// The rules kept.
@@ -60,14 +60,14 @@
     /// When the member grant ends.
     pub serving_until: SharedMoment,
     /// The copies kept of other daemons' ledgers.
-    pub keepsake: Mutex<Keepsake>,
+    pub replica: Mutex<LedgerReplica>,
     leaving: AtomicBool,
     led: AtomicBool,
     in_hand: Arc<AtomicUsize>,
     next_ticket: AtomicU64,
 }
 
-impl<W> Lodge<W> {
+impl<W> Agent<W> {
     /// A daemon that knows and holds nothing yet.
     pub fn new(own_host: Host, rules: Rules) -> Self {
         let own_incarnation = own_host.incarnation;
@@ -81,7 +81,7 @@
             holdings: ArcSwap::from_pointee(BTreeMap::new()),
             closing: Mutex::new(Vec::new()),
             serving_until: SharedMoment::new(),
-            keepsake: Mutex::new(Keepsake::new(own_incarnation)),
+            replica: Mutex::new(LedgerReplica::new(own_incarnation)),
             leaving: AtomicBool::new(false),
             led: AtomicBool::new(false),
             in_hand: Arc::new(AtomicUsize::new(0)),
@@ -133,7 +133,7 @@
 
     /// Whether the platform may send callers here.
     pub fn is_ready(&self, now: Moment) -> bool {
-        let is_evacuated = self.table.load().is_evacuated(&self.own_host.locality);
+        let is_evacuated = self.table.load().is_evacuated(&self.own_host.zone);
         self.is_serving(now) && !self.is_leaving() && !is_evacuated
     }
 
--- a/crates/trail/src/lodge/stewards.rs
+++ b/crates/dataplane/src/agent/stewards.rs
@@ -1,10 +1,10 @@
-use super::{Held, Lodge};
+use super::{Agent, Held};
 use crate::holder::{Holder, HolderOutput};
+use common::clock::Moment;
+use common::frames::{Flag, HopBody, Host, Many};
+use common::rules::Rule;
 use std::sync::PoisonError;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{Flag, HopBody, Host, Many};
-use waymark::rules::Rule;
 
 const COLLECT_PATIENCE: Duration = Duration::from_millis(600);
 const NOTE_PATIENCE: Duration = Duration::from_millis(300);
@@ -95,25 +95,25 @@
     }
 }
 
-impl<W> Lodge<W> {
+impl<W> Agent<W> {
     /// What this daemon says as another one's steward; none to what is no question for a steward.
     pub fn answer_as_steward(&self, now: Moment, question: HopBody) -> Option<HopBody> {
-        let mut keepsake = self.keepsake.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut replica = self.replica.lock().unwrap_or_else(PoisonError::into_inner);
         match question {
             HopBody::Note { .. } if !self.rules.keep(Rule::LedgerNoted) => {
                 Some(HopBody::Noted { kept: Flag(true) })
             }
             HopBody::Note { function, grant, incarnation, notes } => {
-                let kept = keepsake.note(now, &function, grant, incarnation, &notes.0);
+                let kept = replica.note(now, &function, grant, incarnation, &notes.0);
                 Some(HopBody::Noted { kept: Flag(kept) })
             }
             HopBody::Collect { function, grant, incarnation } => {
-                let copy = keepsake.collect(now, &function, grant, incarnation);
+                let copy = replica.collect(now, &function, grant, incarnation);
                 let whole = Flag(copy.is_some());
                 Some(HopBody::Collected { whole, notes: Many(copy.unwrap_or_default()) })
             }
             HopBody::Compare { function, grant, incarnation, digests } => {
-                let ranges = keepsake.compare(now, &function, grant, incarnation, &digests.0);
+                let ranges = replica.compare(now, &function, grant, incarnation, &digests.0);
                 Some(HopBody::Differs { ranges: Many(ranges) })
             }
             HopBody::Ask { .. }
--- a/crates/trail/src/lodge/way.rs
+++ b/crates/dataplane/src/agent/way.rs
@@ -1,12 +1,12 @@
-use super::{Held, Lodge, Task};
+use super::{Agent, Held, Task};
 use crate::holder::not_run;
 use crate::owners::{MOST_HOPS, Sight, Step, is_valid, next_step};
+use common::clock::Moment;
+use common::frames::{AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Parcel};
+use common::identity::{FunctionKey, Serial, TransactionId};
+use common::spec::Table;
 use std::sync::Arc;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Parcel};
-use waymark::identity::{FunctionKey, Serial, TransactionId};
-use waymark::spec::Table;
 
 /// What is kept back of the budget for each hop, there and back, so that a refusal at the last moment
 /// still arrives as one.
@@ -161,16 +161,16 @@
 
     /// Looks where it goes next. A daemon without a member grant refuses at once, so that what lay in
     /// its sockets while it was frozen goes no further.
-    pub fn look<W>(&mut self, lodge: &Lodge<W>, now: Moment) -> WayStep<W> {
-        let step = self.next_step(lodge, now);
+    pub fn look<W>(&mut self, agent: &Agent<W>, now: Moment) -> WayStep<W> {
+        let step = self.next_step(agent, now);
         self.honest(step)
     }
 
-    fn next_step<W>(&mut self, lodge: &Lodge<W>, now: Moment) -> WayStep<W> {
-        if !lodge.is_serving(now) {
-            return ended(HopReason::NotServing, lodge.serves_again_after());
+    fn next_step<W>(&mut self, agent: &Agent<W>, now: Moment) -> WayStep<W> {
+        if !agent.is_serving(now) {
+            return ended(HopReason::NotServing, agent.serves_again_after());
         }
-        let table = lodge.table.load();
+        let table = agent.table.load();
         if let Some(disputed_until) = self.disputed_until {
             if table.serial() <= self.ask.serial {
                 return if now < disputed_until {
@@ -201,13 +201,13 @@
         if now >= give_up_at {
             return self.no_owner(now);
         }
-        let held = lodge.holdings.load().get(&self.ask.function).cloned();
+        let held = agent.holdings.load().get(&self.ask.function).cloned();
         let step = {
-            let owners = lodge.owners.load();
-            let hosts = lodge.hosts.load();
+            let owners = agent.owners.load();
+            let hosts = agent.hosts.load();
             next_step(&Sight {
                 function: &self.ask.function,
-                own_member: &lodge.own_host.member,
+                own_member: &agent.own_host.member,
                 holds: held.is_some(),
                 cached_owner: owners.get(&self.ask.function),
                 hosts: &hosts,
@@ -234,7 +234,7 @@
                 }
                 None => WayStep::Wait { wait_until: now },
             },
-            Step::Forward(host) if self.may_refer(&lodge.own_host, &host, now) => {
+            Step::Forward(host) if self.may_refer(&agent.own_host, &host, now) => {
                 WayStep::End(not_run(HopReason::NotHolder, 50), Some(host))
             }
             Step::Forward(host) => WayStep::Pass {
@@ -252,12 +252,12 @@
     }
 
     /// A hash owner that knows the holder names it rather than pass a transaction on, if that spares the
-    /// answer a way between localities: the caller's daemon then goes there itself. Nothing was sent
+    /// answer a way between zones: the caller's daemon then goes there itself. Nothing was sent
     /// from here, so it is surely not run.
     fn may_refer(&self, own_host: &Host, holder: &Host, now: Moment) -> bool {
         self.ask.hops == 1
             && self.ask.refer
-            && holder.locality != own_host.locality
+            && holder.zone != own_host.zone
             && self.ask.parcel.body.0.len() <= LARGEST_REFERRED
             && self.ask.budget_end.since(now) >= REFERRAL_PATIENCE
     }
@@ -297,13 +297,13 @@
     }
 
     /// A holder refused by another spec than this daemon's: one of them is about to change.
-    fn dispute<W>(&mut self, lodge: &Lodge<W>, now: Moment) -> WayStep<W> {
+    fn dispute<W>(&mut self, agent: &Agent<W>, now: Moment) -> WayStep<W> {
         self.dispute_count += 1;
         if self.dispute_count > MOST_DISPUTES {
             return ended(HopReason::NotAllowed, Duration::from_millis(200));
         }
         self.disputed_until = Some(now + DISPUTE_PATIENCE);
-        self.look(lodge, now)
+        self.look(agent, now)
     }
 
     fn pause<W>(&mut self, now: Moment) -> WayStep<W> {
@@ -312,14 +312,14 @@
     }
 
     /// The holder here has ended it; one that admits nothing any more proves that nothing was run.
-    pub fn served<W>(&mut self, lodge: &Lodge<W>, now: Moment, outcome: HopOutcome) -> WayStep<W> {
-        let step = self.after_serving(lodge, now, outcome);
+    pub fn served<W>(&mut self, agent: &Agent<W>, now: Moment, outcome: HopOutcome) -> WayStep<W> {
+        let step = self.after_serving(agent, now, outcome);
         self.honest(step)
     }
 
     fn after_serving<W>(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         now: Moment,
         outcome: HopOutcome,
     ) -> WayStep<W> {
@@ -328,49 +328,49 @@
             return self.pause(now);
         }
         if is_not_allowed(&outcome) && self.ask.hops == 0 {
-            return self.dispute(lodge, now);
+            return self.dispute(agent, now);
         }
-        WayStep::End(outcome, (!is_turned_away).then(|| lodge.own_host.clone()))
+        WayStep::End(outcome, (!is_turned_away).then(|| agent.own_host.clone()))
     }
 
     /// The daemon it was passed to has ended it, or could not be reached, or fell silent.
-    pub fn passed<W>(&mut self, lodge: &Lodge<W>, now: Moment, end: PassEnd) -> WayStep<W> {
-        let step = self.after_pass(lodge, now, end);
+    pub fn passed<W>(&mut self, agent: &Agent<W>, now: Moment, end: PassEnd) -> WayStep<W> {
+        let step = self.after_pass(agent, now, end);
         self.honest(step)
     }
 
-    fn after_pass<W>(&mut self, lodge: &Lodge<W>, now: Moment, end: PassEnd) -> WayStep<W> {
+    fn after_pass<W>(&mut self, agent: &Agent<W>, now: Moment, end: PassEnd) -> WayStep<W> {
         match end {
             PassEnd::Done(outcome, Some(holder))
                 if is_not_holder(&outcome) && self.ask.hops == 0 && self.ask.refer =>
             {
                 self.ask.refer = false;
-                lodge.learn_owner(&self.ask.function, &holder);
-                self.look(lodge, now)
+                agent.learn_owner(&self.ask.function, &holder);
+                self.look(agent, now)
             }
             PassEnd::Done(outcome, _) if is_not_holder(&outcome) => {
-                lodge.forget_owner(&self.ask.function);
+                agent.forget_owner(&self.ask.function);
                 if self.ask.hops > 0 {
                     return ended(HopReason::NotHolder, Duration::from_millis(50));
                 }
                 self.pause(now)
             }
             PassEnd::Done(outcome, _) if is_not_allowed(&outcome) && self.ask.hops == 0 => {
-                self.dispute(lodge, now)
+                self.dispute(agent, now)
             }
             PassEnd::Done(outcome, holder) => {
                 if let Some(holder) = &holder {
-                    lodge.learn_owner(&self.ask.function, holder);
+                    agent.learn_owner(&self.ask.function, holder);
                 }
                 WayStep::End(outcome, holder)
             }
             PassEnd::Unsent => {
-                lodge.forget_owner(&self.ask.function);
+                agent.forget_owner(&self.ask.function);
                 self.pause(now)
             }
             PassEnd::Lost => {
-                lodge.forget_owner(&self.ask.function);
-                if self.may_pass_again(lodge, now) {
+                agent.forget_owner(&self.ask.function);
+                if self.may_pass_again(agent, now) {
                     self.lost_count += 1;
                     self.ask.repeat = true;
                     self.give_up_at = None;
@@ -382,8 +382,8 @@
     }
 
     /// A repeatable transaction whose holder fell silent goes to the next one, as an extra try.
-    fn may_pass_again<W>(&self, lodge: &Lodge<W>, now: Moment) -> bool {
-        let table = lodge.table.load();
+    fn may_pass_again<W>(&self, agent: &Agent<W>, now: Moment) -> bool {
+        let table = agent.table.load();
         let has_time = now + HOP_COST + ASK_PAUSE < self.ask.budget_end;
         let has_tries = |tries: u32| self.lost_count + 1 < tries;
         table
@@ -395,36 +395,36 @@
     /// has not the patience for is told at once.
     pub fn acquired<W>(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         now: Moment,
         result: Option<AcquireResult>,
     ) -> WayStep<W> {
-        let step = self.after_asking(lodge, now, result);
+        let step = self.after_asking(agent, now, result);
         self.honest(step)
     }
 
     fn after_asking<W>(
         &mut self,
-        lodge: &Lodge<W>,
+        agent: &Agent<W>,
         now: Moment,
         result: Option<AcquireResult>,
     ) -> WayStep<W> {
         let give_up_at = self.give_up_at.unwrap_or(now);
         match result {
-            Some(AcquireResult::Granted { .. }) => self.look(lodge, now),
+            Some(AcquireResult::Granted { .. }) => self.look(agent, now),
             Some(AcquireResult::Owner { host }) if self.ask.hops >= MOST_HOPS => {
                 WayStep::End(not_run(HopReason::NotHolder, 50), Some(host))
             }
             Some(AcquireResult::Owner { host }) => {
-                let is_far = host.member != lodge.own_host.member;
-                if is_far && is_valid(&host, &lodge.hosts.load()) {
-                    return self.look(lodge, now);
+                let is_far = host.member != agent.own_host.member;
+                if is_far && is_valid(&host, &agent.hosts.load()) {
+                    return self.look(agent, now);
                 }
                 self.pause(now)
             }
             Some(AcquireResult::Later { wait_ms }) => {
                 let wait_span = Duration::from_millis(u64::from(wait_ms));
-                let table = lodge.table.load();
+                let table = agent.table.load();
                 let boot = table.function_of(&self.ask.function).map(|entry| entry.spec.boot);
                 let ready_at = now + wait_span + boot.unwrap_or_default();
                 self.come_back = Some(ready_at);
--- a/crates/trail/src/boot/mod.rs
+++ b/crates/dataplane/src/boot/mod.rs
@@ -1,27 +1,27 @@
-//! The trailhead's boot settings.
+//! The daemon's boot settings.
 
 use crate::holder::Tuning;
+use common::frames::Place;
+use common::identity::{MemberName, Zone};
+use common::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
 use std::time::Duration;
-use waymark::frames::Place;
-use waymark::identity::{Locality, MemberName};
-use waymark::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
 
-/// What a trailhead needs to know before it starts.
+/// What a daemon needs to know before it starts.
 #[derive(Clone, Debug)]
-pub struct TrailheadBoot {
+pub struct DaemonBoot {
     /// Where the settings came from, for fault messages.
     pub source: String,
     /// Its name.
     pub member: MemberName,
-    /// Its locality.
-    pub locality: Locality,
+    /// Its zone.
+    pub zone: Zone,
     /// Where other processes reach it, over TCP and UDP.
     pub place: Place,
     /// Where it listens for them, if that is another port.
     pub listen: Place,
     /// Where callers reach it.
     pub door: Place,
-    /// The three surveyors' places.
+    /// The three controllers' places.
     pub seeds: Vec<Place>,
     /// The platform.
     pub platform: Place,
@@ -41,7 +41,7 @@
     pub tuning: Tuning,
 }
 
-impl TrailheadBoot {
+impl DaemonBoot {
     /// Reads and checks the settings.
     pub fn read(boot_source: &BootSource) -> Result<Self, BootFault> {
         boot_source.read(|root| {
@@ -70,7 +70,7 @@
                 "drain_every_ms",
             ]);
             let member = root.field("member").text();
-            let locality = root.field("locality").text();
+            let zone = root.field("locality").text();
             let place = read_place(&root.field("place"));
             let listen = read_listen(root, place);
             let door = read_place(&root.field("door"));
@@ -88,7 +88,7 @@
             Some(Self {
                 source: boot_source.name().to_owned(),
                 member: MemberName::from(member?),
-                locality: Locality::from(locality?),
+                zone: Zone::from(zone?),
                 place: place?,
                 listen: listen?,
                 door: door?,
--- a/crates/trail/src/chain/answer.rs
+++ b/crates/dataplane/src/chain/answer.rs
@@ -1,9 +1,9 @@
 use crate::drivers::State;
+use common::frames::{HopOutcome, HopReason};
+use common::http::{BodyFault, Served};
+use common::identity::{FunctionKey, TransactionId};
+use common::tongue::{NotRunKind, Said};
 use std::time::Duration;
-use waymark::frames::{HopOutcome, HopReason};
-use waymark::http::{BodyFault, Served};
-use waymark::identity::{FunctionKey, TransactionId};
-use waymark::tongue::{NotRunKind, Said};
 
 /// A refusal that no later try changes.
 pub fn refused_for_good(kind: NotRunKind, reason: &'static str) -> Said {
--- a/crates/trail/src/chain/filters.rs
+++ b/crates/dataplane/src/chain/filters.rs
@@ -1,7 +1,7 @@
+use common::identity::TransactionId;
+use common::tongue::{DoorTongue, NotRunKind, Said};
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use std::time::Duration;
-use waymark::identity::TransactionId;
-use waymark::tongue::{DoorTongue, NotRunKind, Said};
 
 /// What makes a call unfit before its body is read.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- a/crates/trail/src/chain/mod.rs
+++ b/crates/dataplane/src/chain/mod.rs
@@ -6,20 +6,20 @@
 
 pub use resolve::{Resolved, resolve};
 
+use crate::agent::Ask;
 use crate::drivers::State;
-use crate::lodge::Ask;
 use answer::{ended, refused, refused_for_good, say, unread};
+use common::clock::Moment;
+use common::frames::{HopReason, Many, Parcel};
+use common::http::{Served, read_body};
+use common::identity::Wording;
+use common::tongue::{DoorTongue, NotRunKind};
 use filters::{budget, identity, largest};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use std::sync::Arc;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{HopReason, Many, Parcel};
-use waymark::http::{Served, read_body};
-use waymark::identity::Wording;
-use waymark::tongue::{DoorTongue, NotRunKind};
 
 const BODY_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -39,14 +39,14 @@
         Err(unfit) => return say(state, Some(&transaction), unfit.into()),
     };
 
-    let table = state.lodge.table.load_full();
+    let table = state.agent.table.load_full();
     let host = head.headers.get(hyper::header::HOST).and_then(|value| value.to_str().ok());
     let found = table.route(&head.method, host.unwrap_or(""), head.uri.path(), &transaction);
     let Some(found) = found else {
-        let said = if state.lodge.is_serving(Moment::now()) {
+        let said = if state.agent.is_serving(Moment::now()) {
             refused_for_good(NotRunKind::NoRoute, "no_route")
         } else {
-            refused(HopReason::NotServing, state.lodge.serves_again_after())
+            refused(HopReason::NotServing, state.agent.serves_again_after())
         };
         return say(state, Some(&transaction), said);
     };
@@ -60,8 +60,8 @@
         Err(fault) => return say(state, Some(&transaction), unread(&fault)),
     };
 
-    if state.lodge.is_leaving() || !state.lodge.is_serving(Moment::now()) {
-        let said = refused(HopReason::NotServing, state.lodge.serves_again_after());
+    if state.agent.is_leaving() || !state.agent.is_serving(Moment::now()) {
+        let said = refused(HopReason::NotServing, state.agent.serves_again_after());
         return say(state, Some(&transaction), said);
     }
 
--- a/crates/trail/src/chain/resolve.rs
+++ b/crates/dataplane/src/chain/resolve.rs
@@ -1,11 +1,11 @@
+use crate::agent::{Ask, PassEnd, Way, WayStep};
 use crate::drivers::{AskEnd, State, holding};
-use crate::lodge::{Ask, PassEnd, Way, WayStep};
 use crate::owners::is_valid;
+use common::clock::Moment;
+use common::frames::{HopBody, HopOutcome, Host};
+use common::identity::FunctionKey;
 use std::sync::Arc;
 use tokio::time::timeout;
-use waymark::clock::Moment;
-use waymark::frames::{HopBody, HopOutcome, Host};
-use waymark::identity::FunctionKey;
 
 /// How a transaction ended.
 pub struct Resolved {
@@ -35,7 +35,7 @@
 /// anew.
 async fn gone(state: &State, host: &Host) {
     let mut changes = state.changes();
-    while is_valid(host, &state.lodge.hosts.load()) {
+    while is_valid(host, &state.agent.hosts.load()) {
         if changes.changed().await.is_err() {
             return;
         }
@@ -44,17 +44,17 @@
 
 /// Brings a transaction to its holder, and comes back with its outcome.
 pub async fn resolve(state: &Arc<State>, ask: Ask) -> Resolved {
-    let lodge = &state.lodge;
-    let _in_hand = lodge.take_in_hand();
+    let agent = &state.agent;
+    let _in_hand = agent.take_in_hand();
     let mut changes = state.changes();
     let mut way = Way::new(Moment::now(), ask);
-    let mut step = way.look(lodge, Moment::now());
+    let mut step = way.look(agent, Moment::now());
     loop {
         step = match step {
             WayStep::Serve(held, task) => {
                 state.gauges.lookups.with_label_values(&["held"]).inc();
                 let outcome = holding::serve(state, &held, task).await;
-                way.served(lodge, Moment::now(), outcome)
+                way.served(agent, Moment::now(), outcome)
             }
             WayStep::Pass { host, body, wait_until } => {
                 state.gauges.lookups.with_label_values(&["passed"]).inc();
@@ -62,21 +62,21 @@
                     ask_end = state.links.ask(host.place, body, wait_until) => pass_end(ask_end, &host),
                     () = gone(state, &host) => PassEnd::Lost,
                 };
-                way.passed(lodge, Moment::now(), end)
+                way.passed(agent, Moment::now(), end)
             }
             WayStep::Acquire { wait_until } => {
                 state.gauges.lookups.with_label_values(&["acquired"]).inc();
                 let wait_span = wait_until.since(Moment::now());
                 let asking = state.acquire(&way.ask().function);
                 match timeout(wait_span, asking).await {
-                    Ok(result) => way.acquired(lodge, Moment::now(), result),
-                    Err(_) => way.look(lodge, Moment::now()),
+                    Ok(result) => way.acquired(agent, Moment::now(), result),
+                    Err(_) => way.look(agent, Moment::now()),
                 }
             }
             WayStep::Wait { wait_until } => {
                 let wait_span = wait_until.since(Moment::now());
                 let _ = timeout(wait_span, changes.changed()).await;
-                way.look(lodge, Moment::now())
+                way.look(agent, Moment::now())
             }
             WayStep::End(outcome, holder) => {
                 let function = way.ask().function.clone();
--- a/crates/trail/src/drivers/control.rs
+++ b/crates/dataplane/src/drivers/control.rs
@@ -1,22 +1,22 @@
 use super::{State, holding};
+use crate::agent::{Controller, DaemonOrder};
 use crate::holder::HolderWord;
 use crate::liaison::LiaisonTiming;
-use crate::lodge::{Controller, DaemonOrder};
+use common::chance::Chance;
+use common::clock::Moment;
+use common::events::{self, Event};
+use common::frames::{
+    AcquireResult, Channel, FrameFault, Heartbeat, HopOutcome, Place, StreamDown, StreamUp,
+    append_frame, dial, encode_heartbeat, read_frame,
+};
+use common::identity::{FunctionKey, GrantSerial};
+use common::note;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::events::{self, Event};
-use waymark::frames::{
-    AcquireResult, Channel, FrameFault, Heartbeat, HopOutcome, Place, StreamDown, StreamUp,
-    append_frame, dial, encode_heartbeat, read_frame,
-};
-use waymark::identity::{FunctionKey, GrantSerial};
-use waymark::note;
 
 const LONGEST_REST: Duration = Duration::from_millis(100);
 const SHORTEST_REST: Duration = Duration::from_millis(5);
@@ -61,7 +61,7 @@
     pub fn new(state: Arc<State>, beats: Arc<UdpSocket>) -> Self {
         let controller = Controller::new(
             Moment::now(),
-            &state.lodge,
+            &state.agent,
             LiaisonTiming::builder().build(),
             state.boot.door,
             state.boot.seeds.clone(),
@@ -101,7 +101,7 @@
 
     fn tick(&mut self) {
         let now = Moment::now();
-        let orders = self.controller.tick(&self.state.lodge, now);
+        let orders = self.controller.tick(&self.state.agent, now);
         self.obey(orders);
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_EVERY;
@@ -111,24 +111,24 @@
 
     fn next_due(&self) -> Moment {
         let now = Moment::now();
-        self.controller.next_due(&self.state.lodge).clamp(now + SHORTEST_REST, now + LONGEST_REST)
+        self.controller.next_due(&self.state.agent).clamp(now + SHORTEST_REST, now + LONGEST_REST)
     }
 
     fn take(&mut self, input: ControlInput) {
         let now = Moment::now();
         let state = self.state.clone();
-        let lodge = &state.lodge;
+        let agent = &state.agent;
         let orders = match input {
             ControlInput::Connected(number, sender) if number == self.stream_number => {
                 self.stream = Some(sender);
-                self.controller.connected(lodge, now)
+                self.controller.connected(agent, now)
             }
             ControlInput::Disconnected(number) if number == self.stream_number => {
                 self.stream = None;
-                self.controller.disconnected(lodge, now)
+                self.controller.disconnected(agent, now)
             }
             ControlInput::Down(number, frame) if number == self.stream_number => {
-                self.controller.heard(lodge, now, frame)
+                self.controller.heard(agent, now, frame)
             }
             ControlInput::Connected(..)
             | ControlInput::Disconnected(_)
@@ -146,17 +146,17 @@
                     return;
                 }
                 state.gauges.acquires.inc();
-                self.controller.acquire(lodge, now, function)
+                self.controller.acquire(agent, now, function)
             }
             ControlInput::Word(function, grant, word) => {
-                self.controller.told(lodge, now, function, grant, word)
+                self.controller.told(agent, now, function, grant, word)
             }
             ControlInput::Seeds(seeds) => {
                 self.controller.set_seeds(seeds);
                 return;
             }
-            ControlInput::Leave => self.controller.leave(lodge, now),
-            ControlInput::Left => self.controller.left(lodge),
+            ControlInput::Leave => self.controller.leave(agent, now),
+            ControlInput::Left => self.controller.left(agent),
         };
         self.obey(orders);
     }
--- a/crates/trail/src/drivers/trailhead.rs
+++ b/crates/dataplane/src/drivers/daemon.rs
@@ -1,35 +1,35 @@
 use super::control::{Control, ControlInput};
 use super::door::{serve_door, serve_ready};
 use super::{State, hops};
-use crate::boot::TrailheadBoot;
-use crate::tongue::TrailTongues;
+use crate::boot::DaemonBoot;
+use crate::tongue::DaemonAdapters;
+use common::chance::Chance;
+use common::clock::Moment;
+use common::events;
+use common::frames::{Channel, Flag, FrameFault, Host, Place, decode_heartbeat, read_channel};
+use common::note;
+use common::readers::BootFault;
+use common::rules::Rules;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{Channel, Flag, FrameFault, Host, Place, decode_heartbeat, read_channel};
-use waymark::note;
-use waymark::readers::BootFault;
-use waymark::rules::Rules;
 
-/// Tells a running trailhead something.
+/// Tells a running daemon something.
 #[derive(Clone)]
-pub struct TrailheadHandle {
+pub struct DaemonHandle {
     state: Arc<State>,
 }
 
-impl TrailheadHandle {
+impl DaemonHandle {
     /// The seeds have changed; those known are replaced.
     pub fn reseed(&self, seeds: Vec<Place>) {
         let _ = self.state.control.send(ControlInput::Seeds(seeds));
     }
 }
 
-/// A running trailhead.
-pub struct Trailhead {
+/// A running daemon.
+pub struct Daemon {
     state: Arc<State>,
     inbox: mpsc::UnboundedReceiver<ControlInput>,
     process_listener: TcpListener,
@@ -38,23 +38,23 @@
     beats: Arc<UdpSocket>,
 }
 
-impl Trailhead {
+impl Daemon {
     /// Opens the listeners.
-    pub async fn open(boot: TrailheadBoot) -> Result<Self, BootFault> {
+    pub async fn open(boot: DaemonBoot) -> Result<Self, BootFault> {
         Self::open_under(boot, Rules::KEPT).await
     }
 
     /// The same with a rule taken away for proving.
-    pub async fn open_under(boot: TrailheadBoot, rules: Rules) -> Result<Self, BootFault> {
-        let tongues = TrailTongues::own(boot.platform);
+    pub async fn open_under(boot: DaemonBoot, rules: Rules) -> Result<Self, BootFault> {
+        let tongues = DaemonAdapters::own(boot.platform);
         Self::open_with(boot, rules, tongues).await
     }
 
     /// The same with other tongues than the product's own.
     pub async fn open_with(
-        boot: TrailheadBoot,
+        boot: DaemonBoot,
         rules: Rules,
-        tongues: TrailTongues,
+        tongues: DaemonAdapters,
     ) -> Result<Self, BootFault> {
         let fault_at = |key: &'static str, place: Place| {
             let source = boot.source.clone();
@@ -80,7 +80,7 @@
         let host = Host {
             member: boot.member.clone(),
             incarnation: (Chance::from_os().number() | 1).into(),
-            locality: boot.locality.clone(),
+            zone: boot.zone.clone(),
             place: boot.place,
             eligible: Flag(true),
         };
@@ -90,8 +90,8 @@
     }
 
     /// What can be told to it while it runs.
-    pub fn handle(&self) -> TrailheadHandle {
-        TrailheadHandle { state: self.state.clone() }
+    pub fn handle(&self) -> DaemonHandle {
+        DaemonHandle { state: self.state.clone() }
     }
 
     /// Serves until told to stop, then leaves in an orderly way.
@@ -108,12 +108,12 @@
         let door = tokio::spawn(serve_door(state.clone(), door_listener, door_stop));
         let _ = stop.wait_for(|stopping| *stopping).await;
         let leave_by = Moment::now() + state.boot.grace;
-        state.lodge.begin_leaving();
+        state.agent.begin_leaving();
         let _ = state.control.send(ControlInput::Leave);
         door_stop_sender.send_replace(true);
         let finishing = async {
             let _ = door.await;
-            while !state.lodge.is_empty_handed() {
+            while !state.agent.is_empty_handed() {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
@@ -162,7 +162,7 @@
 }
 
 async fn serve(state: Arc<State>, mut stream: TcpStream) -> Result<(), FrameFault> {
-    waymark::sockets::tune(&stream);
+    common::sockets::tune(&stream);
     let channel = tokio::time::timeout(Duration::from_secs(3), read_channel(&mut stream))
         .await
         .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
--- a/crates/trail/src/drivers/door.rs
+++ b/crates/dataplane/src/drivers/door.rs
@@ -1,20 +1,20 @@
 use super::State;
 use crate::chain::transact;
+use common::clock::Moment;
+use common::http::{self, CallerTimes, Served, json_response, text_response};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use serde_json::json;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use waymark::clock::Moment;
-use waymark::http::{self, CallerTimes, Served, json_response, text_response};
 
 /// Serves callers until told to stop; also readiness and metrics, unless these have a place of their own.
 pub async fn serve_door(state: Arc<State>, listener: TcpListener, stop: watch::Receiver<bool>) {
     let has_ready_place = state.boot.ready.is_some();
     let times_state = state.clone();
     let times = move || {
-        let limits = times_state.lodge.table.load().limits();
+        let limits = times_state.agent.table.load().limits();
         CallerTimes { header_bytes: limits.header_bytes, idle: limits.header.max(limits.idle) }
     };
     let handler = move |request: Request<Incoming>| {
@@ -52,9 +52,9 @@
             Some(text_response(StatusCode::OK, state.gauges.page()))
         }
         path if path == "/ready" || path == state.tongues.door.ready_path() => {
-            let is_ready = state.lodge.is_ready(Moment::now());
+            let is_ready = state.agent.is_ready(Moment::now());
             let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            let serial = state.lodge.table.load().serial().0;
+            let serial = state.agent.table.load().serial().0;
             Some(json_response(status, &json!({"ready": is_ready, "serial": serial})))
         }
         _ => None,
--- a/crates/trail/src/drivers/gauges.rs
+++ b/crates/dataplane/src/drivers/gauges.rs
@@ -1,7 +1,7 @@
+use common::metrics::Page;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
-use waymark::metrics::Page;
 
-/// The trailhead's metrics.
+/// The daemon's metrics.
 pub struct Gauges {
     page: Page,
     /// Transactions of callers by outcome and reason.
--- a/crates/trail/src/drivers/holding.rs
+++ b/crates/dataplane/src/drivers/holding.rs
@@ -1,15 +1,15 @@
 use super::control::ControlInput;
 use super::{AskEnd, HeldHere, State, platform, runners};
+use crate::agent::{Question, Task, Topic};
 use crate::holder::{Holder, HolderOutput};
-use crate::lodge::{Question, Task, Topic};
+use common::clock::Moment;
+use common::frames::{HopOutcome, HopReason};
 use std::sync::Arc;
 use tokio::sync::oneshot;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason};
 
 /// Takes a transaction in and waits for its outcome.
 pub async fn serve(state: &Arc<State>, held: &HeldHere, task: Task) -> HopOutcome {
-    let ticket = state.lodge.ticket();
+    let ticket = state.agent.ticket();
     let (outcome_sender, outcome) = oneshot::channel();
     let (at_once, outputs) = held.enter(Moment::now(), ticket, task, outcome_sender);
     drive(held, state, outputs);
--- a/crates/trail/src/drivers/hops.rs
+++ b/crates/dataplane/src/drivers/hops.rs
@@ -1,6 +1,11 @@
 use super::State;
+use crate::agent::Ask;
 use crate::chain::resolve;
-use crate::lodge::Ask;
+use common::clock::Moment;
+use common::frames::{
+    Channel, FrameFault, HopBody, HopFrame, HopOutcome, Many, Place, append_frame, dial, read_frame,
+};
+use common::identity::CorrelationId;
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -9,11 +14,6 @@
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use waymark::clock::Moment;
-use waymark::frames::{
-    Channel, FrameFault, HopBody, HopFrame, HopOutcome, Many, Place, append_frame, dial, read_frame,
-};
-use waymark::identity::CorrelationId;
 
 const SENT_AT_ONCE: usize = 64 << 10;
 const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
@@ -170,10 +170,10 @@
             let resolved = resolve(state, ask).await;
             let is_answer = matches!(resolved.outcome, HopOutcome::Answer { .. });
             let named_holder =
-                resolved.holder.filter(|holder| !is_answer || *holder != state.lodge.own_host);
+                resolved.holder.filter(|holder| !is_answer || *holder != state.agent.own_host);
             let holder = Many(named_holder.into_iter().collect());
             Some(HopBody::Done { outcome: resolved.outcome, holder })
         }
-        Err(question) => state.lodge.answer_as_steward(Moment::now(), *question),
+        Err(question) => state.agent.answer_as_steward(Moment::now(), *question),
     }
 }
--- a/crates/trail/src/drivers/links.rs
+++ b/crates/dataplane/src/drivers/links.rs
@@ -1,5 +1,10 @@
 use crate::pool::{Draw, LinkNumber, Pool};
 use bytes::Bytes;
+use common::clock::Moment;
+use common::frames::Place;
+use common::http::{CallFault, Called};
+use common::identity::RunnerId;
+use common::sockets;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -9,11 +14,6 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::http::{CallFault, Called};
-use waymark::identity::RunnerId;
-use waymark::sockets;
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
 
--- a/crates/trail/src/drivers/platform.rs
+++ b/crates/dataplane/src/drivers/platform.rs
@@ -1,8 +1,8 @@
 use super::{HeldHere, State};
-use waymark::clock::Moment;
-use waymark::identity::{LifeName, RunnerId, WorkerName};
-use waymark::spec::FunctionSpec;
-use waymark::tongue::{BeginEnd, BeginOrder, StopOrder};
+use common::clock::Moment;
+use common::identity::{LifeName, RunnerId, WorkerName};
+use common::spec::FunctionSpec;
+use common::tongue::{BeginEnd, BeginOrder, StopOrder};
 
 /// Has the platform start a runner.
 pub async fn start(
@@ -12,7 +12,7 @@
     worker: &WorkerName,
     spec: &FunctionSpec,
 ) -> BeginEnd {
-    if !state.lodge.is_serving(Moment::now()) {
+    if !state.agent.is_serving(Moment::now()) {
         return BeginEnd::Lost;
     }
     let order = BeginOrder {
--- a/crates/trail/src/drivers/runners.rs
+++ b/crates/dataplane/src/drivers/runners.rs
@@ -1,19 +1,19 @@
 use super::links::{Exchanged, LinkFault};
 use super::{HeldHere, State};
+use crate::agent::judge;
 use crate::holder::SendEnd;
-use crate::lodge::judge;
+use common::clock::Moment;
+use common::events;
+use common::frames::{HopReason, Place};
+use common::http::{call_json, closes, kept_for};
+use common::identity::{RunnerId, Ticket, TransactionId};
+use common::note;
+use common::seal;
+use common::tongue::{ReadyBy, RunnerWords};
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{HopReason, Place};
-use waymark::http::{call_json, closes, kept_for};
-use waymark::identity::{RunnerId, Ticket, TransactionId};
-use waymark::note;
-use waymark::seal;
-use waymark::tongue::{ReadyBy, RunnerWords};
 
 const USABLE_WITHIN: Duration = Duration::from_millis(100);
 
@@ -54,7 +54,7 @@
             }
             return SendEnd::Unsent;
         }
-        let call = match state.lodge.runner_call(Moment::now(), held, &task, runner, attempt) {
+        let call = match state.agent.runner_call(Moment::now(), held, &task, runner, attempt) {
             Ok(call) => call,
             Err(reason) => {
                 state.runner_links.keep(link, None);
@@ -86,7 +86,7 @@
                 let is_last = closes(&called.headers);
                 let said = state.tongues.runner.read(called.status, &called.headers, called.body);
                 let is_last = is_last || said.closes;
-                let end = judge(state.lodge.rules, &task.transaction, &held.function, face, said);
+                let end = judge(state.agent.rules, &task.transaction, &held.function, face, said);
                 if matches!(end, SendEnd::Lost) {
                     state.gauges.rejected_answers.inc();
                     note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: seal", task.transaction);
--- a/crates/trail/src/drivers/state.rs
+++ b/crates/dataplane/src/drivers/state.rs
@@ -1,29 +1,29 @@
 use super::control::ControlInput;
 use super::links::RunnerLinks;
 use super::{Gauges, HopLinks};
-use crate::boot::TrailheadBoot;
+use crate::agent::{Agent, Held};
+use crate::boot::DaemonBoot;
 use crate::holder::Tuning;
-use crate::lodge::{Held, Lodge};
-use crate::tongue::TrailTongues;
+use crate::tongue::DaemonAdapters;
+use common::clock::{Moment, SharedMoment};
+use common::frames::{AcquireResult, HopOutcome, Host};
+use common::identity::FunctionKey;
+use common::rules::Rules;
+use common::spec::CallerLimits;
 use std::sync::{Arc, PoisonError};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use waymark::clock::{Moment, SharedMoment};
-use waymark::frames::{AcquireResult, HopOutcome, Host};
-use waymark::identity::FunctionKey;
-use waymark::rules::Rules;
-use waymark::spec::CallerLimits;
 
 /// A held function whose transactions wait on this process's tasks.
 pub type HeldHere = Arc<Held<oneshot::Sender<HopOutcome>>>;
 
-/// All that a trailhead's tasks share.
+/// All that a daemon's tasks share.
 pub struct State {
     /// The boot settings.
-    pub boot: TrailheadBoot,
+    pub boot: DaemonBoot,
     /// How callers, runners and platform are spoken with.
-    pub tongues: TrailTongues,
+    pub tongues: DaemonAdapters,
     /// The daemon itself.
-    pub lodge: Lodge<oneshot::Sender<HopOutcome>>,
+    pub agent: Agent<oneshot::Sender<HopOutcome>>,
     /// Links to the other daemons.
     pub links: HopLinks,
     /// Connections to runners.
@@ -38,19 +38,19 @@
 
 impl State {
     pub(super) fn new(
-        boot: TrailheadBoot,
+        boot: DaemonBoot,
         own_host: Host,
         rules: Rules,
-        tongues: TrailTongues,
+        tongues: DaemonAdapters,
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
         let tuning = Tuning { settles: tongues.runner.running_path().is_some(), ..boot.tuning };
-        let lodge = Lodge::new(own_host, rules).with_tuning(tuning);
+        let agent = Agent::new(own_host, rules).with_tuning(tuning);
         Self {
             links: HopLinks::new(*boot.place.0.ip()),
             boot,
             tongues,
-            lodge,
+            agent,
             runner_links: Arc::new(RunnerLinks::default()),
             gauges: Gauges::new(),
             rush: Notify::new(),
@@ -91,24 +91,24 @@
 
     /// Brings the gauges up to the moment.
     pub(super) fn gauge(&self) {
-        let holdings = self.lodge.holdings.load_full();
+        let holdings = self.agent.holdings.load_full();
         let (mut waiting_sum, mut running_sum, mut ready_sum, mut kept_sum) = (0, 0, 0, 0);
         for held in holdings.values() {
             let ((waiting, running), (ready, all)) =
-                held.with(|holder| (holder.busyness(), holder.runner_counts()));
+                held.with(|holder| (holder.load(), holder.runner_counts()));
             waiting_sum += waiting;
             running_sum += running;
             ready_sum += ready;
             kept_sum += usize::from(all == 1 && waiting + running == 0);
         }
         let line_count =
-            self.lodge.keepsake.lock().unwrap_or_else(PoisonError::into_inner).line_count();
+            self.agent.replica.lock().unwrap_or_else(PoisonError::into_inner).line_count();
         self.gauges.held.set(holdings.len() as i64);
         self.gauges.waiting.set(waiting_sum as i64);
         self.gauges.running.set(running_sum as i64);
         self.gauges.ready_runners.set(ready_sum as i64);
         self.gauges.idle_stop_skipped.set(kept_sum as i64);
         self.gauges.ledger_lines.set(line_count as i64);
-        self.gauges.serving.set(i64::from(self.lodge.is_serving(Moment::now())));
+        self.gauges.serving.set(i64::from(self.agent.is_serving(Moment::now())));
     }
 }
--- a/crates/trail/src/holder/custody.rs
+++ b/crates/dataplane/src/holder/custody.rs
@@ -1,10 +1,10 @@
 use super::runners::RunnerRecord;
 use super::{Holder, HolderOutput, HolderWord};
+use common::clock::Moment;
+use common::frames::{HopOutcome, HopReason, Host, LedgerNote, Prior};
+use common::identity::Ticket;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason, Host, LedgerNote, Prior};
-use waymark::identity::Ticket;
 
 const COMPARE_EVERY: Duration = Duration::from_secs(1);
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(500);
@@ -165,7 +165,7 @@
 
     /// Those that wait here and ran, or may have run, at the earlier holder must not run again.
     fn settle_known(&mut self, now: Moment, notes: &[LedgerNote]) {
-        let is_known = |name: &waymark::identity::TransactionId| {
+        let is_known = |name: &common::identity::TransactionId| {
             notes.iter().any(|note| note.transaction == *name)
         };
         let all_waiting = std::mem::take(&mut self.inbox);
--- a/crates/trail/src/holder/demand.rs
+++ b/crates/dataplane/src/holder/demand.rs
@@ -1,6 +1,6 @@
 use super::Tuning;
+use common::clock::Moment;
 use std::time::Duration;
-use waymark::clock::Moment;
 
 const SHORTEST_SIGHT: f64 = 0.25;
 /// So many calls of late say something of the rate even of a function that was never called before.
--- a/crates/trail/src/holder/inbox.rs
+++ b/crates/dataplane/src/holder/inbox.rs
@@ -1,10 +1,10 @@
 use super::runners::Phase;
 use super::{Entry, Holder, HolderOutput, Sent, Waiting, not_run};
+use common::clock::Moment;
+use common::frames::{HopOutcome, HopReason};
+use common::identity::{RunnerId, Ticket};
+use common::rules::Rule;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason};
-use waymark::identity::{RunnerId, Ticket};
-use waymark::rules::Rule;
 
 const SMALLEST_INBOX: usize = 32;
 
--- a/crates/trail/src/holder/mod.rs
+++ b/crates/dataplane/src/holder/mod.rs
@@ -13,6 +13,15 @@
 pub use tuning::Tuning;
 
 use crate::ledger::Book;
+use common::clock::Moment;
+use common::frames::{
+    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Host, Life, Many, Prior, ReserveResult,
+    RunnerNews,
+};
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
+use common::rules::{Rule, Rules};
+use common::spec::FunctionSpec;
+use common::tongue::BeginEnd;
 use custody::Custody;
 use demand::Demand;
 use runners::{Phase, RunnerRecord};
@@ -20,15 +29,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tries::TryWindow;
-use waymark::clock::Moment;
-use waymark::frames::{
-    Claim, ClaimRunner, Flag, HopOutcome, HopReason, Host, Life, Many, Prior, ReserveResult,
-    RunnerNews,
-};
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
-use waymark::rules::{Rule, Rules};
-use waymark::spec::FunctionSpec;
-use waymark::tongue::BeginEnd;
 
 /// How long what is left is remembered when the leader cannot be told; it finds it in the platform's
 /// list.
@@ -253,7 +253,7 @@
     }
 
     /// The transactions waiting and running.
-    pub fn busyness(&self) -> (usize, usize) {
+    pub fn load(&self) -> (usize, usize) {
         (self.inbox.len(), self.sent.len())
     }
 
--- a/crates/trail/src/holder/output.rs
+++ b/crates/dataplane/src/holder/output.rs
@@ -1,8 +1,8 @@
-use waymark::frames::{
+use common::frames::{
     ClaimRunner, HopOutcome, HopReason, Host, LedgerNote, Place, Prior, RunnerNews,
 };
-use waymark::identity::{LifeName, MemberName, RunnerId, Ticket, WorkerName};
-use waymark::spec::FunctionSpec;
+use common::identity::{LifeName, MemberName, RunnerId, Ticket, WorkerName};
+use common::spec::FunctionSpec;
 
 /// What a holder orders.
 #[derive(Clone, Debug)]
--- a/crates/trail/src/holder/runners.rs
+++ b/crates/dataplane/src/holder/runners.rs
@@ -1,9 +1,9 @@
 use super::{Holder, HolderOutput};
+use common::clock::Moment;
+use common::frames::{ClaimRunner, Flag, Life, Many, Place};
+use common::identity::{RunnerId, TransactionId, WorkerName};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{ClaimRunner, Flag, Life, Many, Place};
-use waymark::identity::{RunnerId, TransactionId, WorkerName};
 
 const PROBE_EVERY: Duration = Duration::from_millis(20);
 /// A lost answer keeps its slot so long where a runner cannot be asked what it is running.
--- a/crates/trail/src/holder/scaling.rs
+++ b/crates/dataplane/src/holder/scaling.rs
@@ -1,8 +1,8 @@
 use super::runners::Phase;
 use super::{Holder, HolderOutput, HolderWord};
+use common::clock::Moment;
+use common::identity::RunnerId;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::identity::RunnerId;
 
 const RESERVE_PATIENCE: Duration = Duration::from_millis(1500);
 const RESERVE_AGAIN_AFTER: Duration = Duration::from_millis(400);
--- a/crates/trail/src/holder/tries.rs
+++ b/crates/dataplane/src/holder/tries.rs
@@ -1,7 +1,7 @@
 use super::Tuning;
+use common::clock::Moment;
 use std::collections::VecDeque;
 use std::time::Duration;
-use waymark::clock::Moment;
 
 const WINDOW: Duration = Duration::from_secs(10);
 const BUCKET_MS: u64 = 100;
--- a/crates/trail/src/keeper/mod.rs
+++ b/crates/dataplane/src/keeper/mod.rs
@@ -3,17 +3,17 @@
 use crate::holder::GrantTerms;
 use crate::liaison::{Liaison, LiaisonOutput};
 use crate::watch::{Watch, WatchOutput};
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{
+use common::clock::Moment;
+use common::frames::{
     AcquireResult, Claim, Heartbeat, Host, Place, ReserveResult, RunnerNews, StreamDown, StreamUp,
     unpack,
 };
-use waymark::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term};
-use waymark::rules::{Rule, Rules};
-use waymark::spec::{DocumentFault, Table, View};
+use common::identity::{CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term};
+use common::rules::{Rule, Rules};
+use common::spec::{DocumentFault, Table, View};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(2);
 
--- a/crates/trail/src/ledger/book.rs
+++ b/crates/dataplane/src/ledger/book.rs
@@ -1,9 +1,9 @@
 use super::ranges::{digests, range_of};
+use common::clock::Moment;
+use common::frames::{HopOutcome, HopReason, LedgerNote, NoteState};
+use common::identity::TransactionId;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason, LedgerNote, NoteState};
-use waymark::identity::TransactionId;
 
 const KEPT_AFTER: Duration = Duration::from_secs(15);
 /// When a caller may come back with another identity, if nothing more is known.
--- a/crates/trail/src/ledger/ranges.rs
+++ b/crates/dataplane/src/ledger/ranges.rs
@@ -1,6 +1,6 @@
+use common::frames::{LedgerNote, NoteState};
+use common::identity::TransactionId;
 use sha2::{Digest, Sha256};
-use waymark::frames::{LedgerNote, NoteState};
-use waymark::identity::TransactionId;
 
 /// How many ranges a ledger is compared in.
 pub const RANGE_COUNT: usize = 16;
--- a/crates/trail/src/ledger/keepsake.rs
+++ b/crates/dataplane/src/ledger/replica.rs
@@ -1,9 +1,9 @@
 use super::ranges::digests;
+use common::clock::Moment;
+use common::frames::{LedgerNote, NoteState};
+use common::identity::{FunctionKey, GrantSerial, Incarnation, TransactionId};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{LedgerNote, NoteState};
-use waymark::identity::{FunctionKey, GrantSerial, Incarnation, TransactionId};
 
 const KEPT_EMPTY: Duration = Duration::from_secs(60);
 
@@ -19,12 +19,12 @@
 }
 
 /// The copies that one daemon keeps of other daemons' ledgers.
-pub struct Keepsake {
+pub struct LedgerReplica {
     incarnation: Incarnation,
     copies: BTreeMap<(FunctionKey, GrantSerial), Copy>,
 }
 
-impl Keepsake {
+impl LedgerReplica {
     /// Keeps nothing yet, in this life.
     pub fn new(incarnation: Incarnation) -> Self {
         Self { incarnation, copies: BTreeMap::new() }
--- a/crates/trail/src/liaison/mod.rs
+++ b/crates/dataplane/src/liaison/mod.rs
@@ -1,13 +1,13 @@
 //! A daemon's stream to the leader and its member grant. No I/O; orders go out.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{Claim, Flag, Host, Many, Place, StreamDown, StreamUp};
+use common::identity::{CorrelationId, Serial, Term};
+use common::rules::{Rule, Rules};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use typed_builder::TypedBuilder;
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{Claim, Flag, Host, Many, Place, StreamDown, StreamUp};
-use waymark::identity::{CorrelationId, Serial, Term};
-use waymark::rules::{Rule, Rules};
 
 /// The liaison's times.
 #[derive(Clone, Debug, TypedBuilder)]
@@ -21,7 +21,7 @@
     /// How long a welcomed stream may bring no renewal before another leader is sought.
     #[builder(default = Duration::from_millis(550))]
     pub silence_within: Duration,
-    /// How long a surveyor that fell silent is left alone.
+    /// How long a controller that fell silent is left alone.
     #[builder(default = Duration::from_millis(1500))]
     pub shun_for: Duration,
     /// The shortest wait before the next seed is tried.
@@ -30,7 +30,7 @@
     /// The longest wait before the next seed is tried.
     #[builder(default = Duration::from_millis(150))]
     pub retry_longest: Duration,
-    /// The longest wait after a surveyor said that it knows no leader, or named one again so soon.
+    /// The longest wait after a controller said that it knows no leader, or named one again so soon.
     #[builder(default = Duration::from_millis(60))]
     pub unled_longest: Duration,
     /// How long leaders of a term before the newest one heard are refused: their grants have then
@@ -151,7 +151,7 @@
         if self.granted { state_due.min(self.grant_end) } else { state_due }
     }
 
-    /// The seeds have changed; surveyors known from the spec stay known.
+    /// The seeds have changed; controllers known from the spec stay known.
     pub fn set_seeds(&mut self, seeds: Vec<Place>) {
         if seeds.is_empty() {
             return;
@@ -289,7 +289,7 @@
         outputs
     }
 
-    /// A hinted leader first, else the surveyors in turn; one that fell silent is left alone for a while.
+    /// A hinted leader first, else the controllers in turn; one that fell silent is left alone for a while.
     fn next_place(&mut self, now: Moment) -> Place {
         let shunned_place =
             self.shunned.filter(|(_, until)| *until > now).map(|(shunned_place, _)| shunned_place);
--- a/crates/trail/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -1,5 +1,6 @@
 //! rudderstream's data plane: routes transactions, finds holders, runs functions it holds.
 
+pub mod agent;
 pub mod boot;
 pub mod chain;
 pub mod drivers;
@@ -7,7 +8,6 @@
 pub mod keeper;
 pub mod ledger;
 pub mod liaison;
-pub mod lodge;
 pub mod owners;
 pub mod pool;
 pub mod tongue;
--- a/crates/trail/src/owners/mod.rs
+++ b/crates/dataplane/src/owners/mod.rs
@@ -4,9 +4,9 @@
 
 pub use warm::{WarmSeeker, WarmSight};
 
-use waymark::frames::Host;
-use waymark::identity::{FunctionKey, MemberName};
-use waymark::ring;
+use common::frames::Host;
+use common::identity::{FunctionKey, MemberName};
+use common::ring;
 
 /// The most daemons a transaction passes through after its caller's.
 pub const MOST_HOPS: u8 = 2;
--- a/crates/trail/src/owners/warm.rs
+++ b/crates/dataplane/src/owners/warm.rs
@@ -1,11 +1,11 @@
 use super::is_valid;
+use common::clock::Moment;
+use common::frames::Host;
+use common::identity::{FunctionKey, MemberName};
+use common::ring;
+use common::spec::Table;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::Host;
-use waymark::identity::{FunctionKey, MemberName};
-use waymark::ring;
-use waymark::spec::Table;
 
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 const ASK_EVERY: Duration = Duration::from_millis(5);
--- a/crates/trail/src/pool/mod.rs
+++ b/crates/dataplane/src/pool/mod.rs
@@ -1,9 +1,9 @@
 //! Which kept connection to a runner is used, and which are dropped. No I/O.
 
+use common::clock::Moment;
+use common::identity::RunnerId;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::identity::RunnerId;
 
 /// The longest that a connection is kept without a transaction.
 const LONGEST_IDLE: Duration = Duration::from_secs(10);
--- a/crates/trail/src/tongue/door.rs
+++ b/crates/dataplane/src/tongue/door.rs
@@ -1,12 +1,12 @@
+use common::frames::HeadLine;
+use common::http::{Served, full, json_response};
+use common::identity::TransactionId;
+use common::seal;
+use common::tongue::{DoorTongue, NotRunKind, Said};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
 use std::time::Duration;
-use waymark::frames::HeadLine;
-use waymark::http::{Served, full, json_response};
-use waymark::identity::TransactionId;
-use waymark::seal;
-use waymark::tongue::{DoorTongue, NotRunKind, Said};
 
 /// Callers' HTTP as the product itself speaks it.
 pub struct OwnDoor;
--- a/crates/trail/src/tongue/mod.rs
+++ b/crates/dataplane/src/tongue/mod.rs
@@ -3,17 +3,17 @@
 mod door;
 mod runner;
 
+pub use common::tongue::OwnPlatform;
 pub use door::OwnDoor;
 pub use runner::OwnRunner;
-pub use waymark::tongue::OwnPlatform;
 
+use common::frames::Place;
+use common::tongue::{DoorTongue, PlatformTongue, RunnerTongue};
 use std::sync::Arc;
-use waymark::frames::Place;
-use waymark::tongue::{DoorTongue, PlatformTongue, RunnerTongue};
 
 /// The tongues of one daemon.
 #[derive(Clone)]
-pub struct TrailTongues {
+pub struct DaemonAdapters {
     /// Towards callers.
     pub door: Arc<dyn DoorTongue>,
     /// Towards runners.
@@ -22,7 +22,7 @@
     pub platform: Arc<dyn PlatformTongue>,
 }
 
-impl TrailTongues {
+impl DaemonAdapters {
     /// The product's own, with the platform at a place.
     pub fn own(platform: Place) -> Self {
         Self {
--- a/crates/trail/src/tongue/runner.rs
+++ b/crates/dataplane/src/tongue/runner.rs
@@ -1,10 +1,10 @@
 use bytes::Bytes;
+use common::frames::Place;
+use common::seal;
+use common::tongue::{ReadyBy, RunnerSaid, RunnerTongue, RunnerWords, SealKind};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
 use hyper::{Method, Request, StatusCode};
-use waymark::frames::Place;
-use waymark::seal;
-use waymark::tongue::{ReadyBy, RunnerSaid, RunnerTongue, RunnerWords, SealKind};
 
 /// Runners' HTTP as the product itself speaks it.
 pub struct OwnRunner;
@@ -47,7 +47,7 @@
             did_not_run: headers.contains_key(seal::SHED),
             is_other: false,
             is_doubtful: false,
-            closes: waymark::http::closes(headers),
+            closes: common::http::closes(headers),
             lines: Vec::new(),
             body,
         }
--- a/crates/trail/src/watch/mod.rs
+++ b/crates/dataplane/src/watch/mod.rs
@@ -1,17 +1,17 @@
 //! Who is alive: the leader's host list, less those who have fallen silent. Heartbeats go to a few
 //! neighbours on the ring and name nobody else, unless somebody is missed.
 
-mod outcry;
+mod suspicion;
 
-pub use outcry::{TELLINGS, WatchOutput};
+pub use suspicion::{TELLINGS, WatchOutput};
 
-use outcry::{Hearsay, MOST_SUSPICIONS};
+use common::clock::Moment;
+use common::frames::{Heartbeat, Host, Many, MemberLife, Place, Suspicion};
+use common::identity::MemberName;
+use common::ring;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{Heartbeat, Host, Many, MemberLife, Place, Suspicion};
-use waymark::identity::MemberName;
-use waymark::ring;
+use suspicion::{Hearsay, MOST_SUSPICIONS};
 
 /// From one heartbeat to the next, unless the boot settings say otherwise.
 pub const BEAT_EVERY: Duration = Duration::from_millis(250);
--- a/crates/trail/src/watch/outcry.rs
+++ b/crates/dataplane/src/watch/suspicion.rs
@@ -1,7 +1,7 @@
+use common::clock::Moment;
+use common::frames::{Heartbeat, MemberLife, Place, Suspicion};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{Heartbeat, MemberLife, Place, Suspicion};
 
 /// How often a watcher's word that it misses somebody is told: by itself, and once by each who hears it.
 pub const TELLINGS: u8 = 2;
--- a/crates/trail/tests/lodge.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -1,25 +1,27 @@
 //! One daemon's own decisions, fed by hand: last looks, serials, what is told at once.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{
+    AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Many, MemberLife, Parcel, Place,
+    StreamDown, StreamUp,
+};
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId};
+use common::rules::{Rule, Rules};
+use common::seal;
+use common::spec::{Document, FunctionSpec, Table, read_spec};
+use common::tongue::{RunnerSaid, SealKind};
+use dataplane::agent::{
+    Agent, Ask, Controller, DaemonOrder, Held, PassEnd, Task, Way, WayStep, judge,
+};
+use dataplane::holder::{GrantTerms, Holder, SendEnd};
+use dataplane::liaison::LiaisonTiming;
+use dataplane::owners::is_valid;
+use dataplane::watch::BEAT_EVERY;
 use googletest::prelude::*;
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
-use trail::holder::{GrantTerms, Holder, SendEnd};
-use trail::liaison::LiaisonTiming;
-use trail::lodge::{Ask, Controller, DaemonOrder, Held, Lodge, PassEnd, Task, Way, WayStep, judge};
-use trail::owners::is_valid;
-use trail::watch::BEAT_EVERY;
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{
-    AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Many, MemberLife, Parcel, Place,
-    StreamDown, StreamUp,
-};
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId};
-use waymark::rules::{Rule, Rules};
-use waymark::seal;
-use waymark::spec::{Document, FunctionSpec, Table, read_spec};
-use waymark::tongue::{RunnerSaid, SealKind};
 
 const START: Moment = Moment(10_000_000_000);
 
@@ -31,7 +33,7 @@
     Host {
         member: "daemon-1".into(),
         incarnation: 7.into(),
-        locality: "here".into(),
+        zone: "here".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
     }
@@ -79,7 +81,7 @@
 }
 
 struct Bench {
-    lodge: Lodge<u64>,
+    agent: Agent<u64>,
     controller: Controller<u64>,
     now: Moment,
 }
@@ -87,24 +89,24 @@
 impl Bench {
     /// A daemon whose stream is welcomed.
     fn new(rules: Rules) -> Self {
-        let lodge = Lodge::new(host(), rules);
+        let agent = Agent::new(host(), rules);
         let timing = LiaisonTiming::builder().build();
         let seeds = vec![Place::NOWHERE; 3];
         let chance = Chance::seeded(3);
-        let mut controller = Controller::new(START, &lodge, timing, Place::NOWHERE, seeds, chance);
-        controller.tick(&lodge, START);
-        controller.connected(&lodge, START);
-        controller.heard(&lodge, START, StreamDown::Welcome { term: Term(2) });
-        Self { lodge, controller, now: START }
+        let mut controller = Controller::new(START, &agent, timing, Place::NOWHERE, seeds, chance);
+        controller.tick(&agent, START);
+        controller.connected(&agent, START);
+        controller.heard(&agent, START, StreamDown::Welcome { term: Term(2) });
+        Self { agent, controller, now: START }
     }
 
     fn hear(&mut self, frame: StreamDown) -> Vec<DaemonOrder<u64>> {
-        self.controller.heard(&self.lodge, self.now, frame)
+        self.controller.heard(&self.agent, self.now, frame)
     }
 
     fn renew(&mut self, serial: u64) {
         self.now = self.now + ms(400);
-        let orders = self.controller.tick(&self.lodge, self.now);
+        let orders = self.controller.tick(&self.agent, self.now);
         let correlation = orders.iter().find_map(|order| match order {
             DaemonOrder::Say(StreamUp::Renew { correlation, .. }) => Some(*correlation),
             _ => None,
@@ -119,7 +121,7 @@
     }
 
     fn key(&self, function: &str) -> FunctionKey {
-        let table = self.lodge.table.load();
+        let table = self.agent.table.load();
         let entries = table.functions();
         entries.iter().find(|entry| entry.key.name.as_str() == function).expect("one").key.clone()
     }
@@ -129,7 +131,7 @@
             transaction: "t".into(),
             function: self.key("f"),
             route: "r".to_owned(),
-            serial: self.lodge.table.load().serial(),
+            serial: self.agent.table.load().serial(),
             budget_end: self.now + ms(2000),
             hops: 0,
             repeat: false,
@@ -180,9 +182,9 @@
     };
     let runner = RunnerId { grant: GrantSerial(4), ordinal: 5 };
     let now = bench.now;
-    bench.lodge.runner_call(now, &held, &task, runner, 1).expect("allowed before the turn");
+    bench.agent.runner_call(now, &held, &task, runner, 1).expect("allowed before the turn");
     bench.hear(spec_frame(4, "g"));
-    bench.lodge.runner_call(now, &held, &task, runner, 1).map(|_| ())
+    bench.agent.runner_call(now, &held, &task, runner, 1).map(|_| ())
 }
 
 #[gtest]
@@ -197,7 +199,7 @@
         let mut bench = Bench::new(rules);
         bench.hear(spec_frame(5, "f"));
         bench.hear(spec_frame(4, "g"));
-        bench.lodge.table.load().serial()
+        bench.agent.table.load().serial()
     };
     verify_that!(serial_after(Rules::KEPT), eq(Serial(5)))?;
     verify_that!(serial_after(Rules::without(Rule::SerialOnlyUp)), eq(Serial(4)))
@@ -209,7 +211,7 @@
         let mut bench = Bench::new(rules);
         bench.hear(spec_frame(3, "f"));
         bench.renew(4);
-        bench.lodge.is_serving(bench.now)
+        bench.agent.is_serving(bench.now)
     };
     verify_that!(serves(Rules::KEPT), eq(false))?;
     verify_that!(serves(Rules::without(Rule::RenewalNeedsSpec)), eq(true))
@@ -220,14 +222,14 @@
     let mut bench = Bench::new(Rules::KEPT);
     bench.hear(spec_frame(3, "f"));
     let mut way = Way::new(bench.now, bench.ask());
-    let early = way.look(&bench.lodge, bench.now);
+    let early = way.look(&bench.agent, bench.now);
     verify_that!(refusal(&early), some(eq((HopReason::NotServing, 400))))?;
     bench.renew(3);
     bench.list_itself();
     let mut way = Way::new(bench.now, bench.ask());
-    let asking = way.look(&bench.lodge, bench.now);
+    let asking = way.look(&bench.agent, bench.now);
     verify_that!(matches!(asking, WayStep::Acquire { .. }), eq(true))?;
-    let late = way.look(&bench.lodge, bench.now + ms(2400));
+    let late = way.look(&bench.agent, bench.now + ms(2400));
     verify_that!(refusal(&late).map(|(reason, _)| reason), some(eq(HopReason::NotServing)))
 }
 
@@ -238,14 +240,14 @@
     bench.renew(3);
     bench.list_itself();
     let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.lodge, bench.now);
+    way.look(&bench.agent, bench.now);
     let told = Some(AcquireResult::Later { wait_ms: 2300 });
-    let step = way.acquired(&bench.lodge, bench.now, told);
+    let step = way.acquired(&bench.agent, bench.now, told);
     verify_that!(refusal(&step), some(eq((HopReason::NoOwner, 2500))))?;
     let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.lodge, bench.now);
+    way.look(&bench.agent, bench.now);
     let told = Some(AcquireResult::Later { wait_ms: 300 });
-    let step = way.acquired(&bench.lodge, bench.now, told);
+    let step = way.acquired(&bench.agent, bench.now, told);
     verify_that!(matches!(step, WayStep::Wait { .. }), eq(true))
 }
 
@@ -257,14 +259,14 @@
     bench.list_itself();
     let mut way = Way::new(bench.now, bench.ask());
     let turned = HopOutcome::NotRun { reason: HopReason::NotHolder, retry_ms: 50 };
-    way.look(&bench.lodge, bench.now);
-    let WayStep::Wait { wait_until } = way.served(&bench.lodge, bench.now, turned) else {
+    way.look(&bench.agent, bench.now);
+    let WayStep::Wait { wait_until } = way.served(&bench.agent, bench.now, turned) else {
         return fail!("a transaction that was turned away is not looked at again");
     };
     verify_that!(wait_until, gt(bench.now))?;
-    let sooner = way.look(&bench.lodge, bench.now + ms(1));
+    let sooner = way.look(&bench.agent, bench.now + ms(1));
     verify_that!(matches!(sooner, WayStep::Wait { .. }), eq(true))?;
-    let again = way.look(&bench.lodge, wait_until);
+    let again = way.look(&bench.agent, wait_until);
     verify_that!(matches!(again, WayStep::Acquire { .. }), eq(true))
 }
 
@@ -398,9 +400,9 @@
     bench.renew(3);
     bench.list_itself();
     let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.lodge, bench.now);
+    way.look(&bench.agent, bench.now);
     let refused = HopOutcome::NotRun { reason: HopReason::NotAllowed, retry_ms: 500 };
-    let step = way.passed(&bench.lodge, bench.now, PassEnd::Done(refused, None));
+    let step = way.passed(&bench.agent, bench.now, PassEnd::Done(refused, None));
     (bench, way, step)
 }
 
@@ -409,10 +411,10 @@
     let (mut bench, mut way, step) = disputed();
     let WayStep::Wait { wait_until } = step else { return fail!("the door does not wait") };
     verify_that!(wait_until, eq(bench.now + ms(300)))?;
-    let unchanged = way.look(&bench.lodge, bench.now + ms(100));
+    let unchanged = way.look(&bench.agent, bench.now + ms(100));
     verify_that!(matches!(unchanged, WayStep::Wait { .. }), eq(true))?;
     bench.hear(spec_frame(4, "g"));
-    let changed = way.look(&bench.lodge, bench.now + ms(110));
+    let changed = way.look(&bench.agent, bench.now + ms(110));
     verify_that!(matches!(changed, WayStep::Acquire { .. }), eq(true))?;
     verify_that!(way.ask().function.clone(), eq(&bench.key("g")))?;
     verify_that!(way.ask().serial, eq(Serial(4)))
@@ -421,7 +423,7 @@
 #[gtest]
 fn a_disagreement_that_stays_is_a_reason_to_come_back_soon_and_no_more() -> Result<()> {
     let (bench, mut way, _) = disputed();
-    let late = way.look(&bench.lodge, bench.now + ms(300));
+    let late = way.look(&bench.agent, bench.now + ms(300));
     verify_that!(refusal(&late), some(eq((HopReason::NotAllowed, 200))))
 }
 
@@ -431,38 +433,38 @@
     bench.hear(spec_frame(3, "f"));
     bench.renew(3);
     bench.list_itself();
-    bench.controller.tick(&bench.lodge, bench.now);
-    let due = bench.controller.next_due(&bench.lodge);
+    bench.controller.tick(&bench.agent, bench.now);
+    let due = bench.controller.next_due(&bench.agent);
     verify_that!(due, eq(bench.now + BEAT_EVERY))?;
-    bench.controller.tick(&bench.lodge, due);
-    verify_that!(bench.controller.next_due(&bench.lodge), gt(due))
+    bench.controller.tick(&bench.agent, due);
+    verify_that!(bench.controller.next_due(&bench.agent), gt(due))
 }
 
 #[gtest]
 fn a_caller_that_hangs_up_leaves_nothing_in_hand() -> Result<()> {
-    let lodge: Lodge<u64> = Lodge::new(host(), Rules::KEPT);
-    let held = lodge.take_in_hand();
-    let hung_up = lodge.take_in_hand();
-    verify_that!(lodge.is_empty_handed(), eq(false))?;
+    let agent: Agent<u64> = Agent::new(host(), Rules::KEPT);
+    let held = agent.take_in_hand();
+    let hung_up = agent.take_in_hand();
+    verify_that!(agent.is_empty_handed(), eq(false))?;
     drop(hung_up);
-    verify_that!(lodge.is_empty_handed(), eq(false))?;
+    verify_that!(agent.is_empty_handed(), eq(false))?;
     drop(held);
-    verify_that!(lodge.is_empty_handed(), eq(true))
+    verify_that!(agent.is_empty_handed(), eq(true))
 }
 
 #[gtest]
-fn an_empty_lodge_routes_nothing() -> Result<()> {
-    let lodge: Arc<Lodge<u64>> = Arc::new(Lodge::new(host(), Rules::KEPT));
-    verify_that!(lodge.is_ready(START), eq(false))?;
-    verify_that!(lodge.table.load().serial(), eq(Table::empty().serial()))
+fn an_empty_agent_routes_nothing() -> Result<()> {
+    let agent: Arc<Agent<u64>> = Arc::new(Agent::new(host(), Rules::KEPT));
+    verify_that!(agent.is_ready(START), eq(false))?;
+    verify_that!(agent.table.load().serial(), eq(Table::empty().serial()))
 }
 
-/// A daemon in another locality.
+/// A daemon in another zone.
 fn far_host(name: &str, incarnation: u64) -> Host {
     Host {
         member: name.into(),
         incarnation: incarnation.into(),
-        locality: "elsewhere".into(),
+        zone: "elsewhere".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
     }
@@ -492,13 +494,13 @@
 fn a_hash_owner_names_a_holder_elsewhere_and_passes_on_what_cannot_make_the_detour() -> Result<()> {
     let holder = far_host("daemon-2", 4);
     let bench = Bench::among(vec![holder.clone()]);
-    bench.lodge.learn_owner(&bench.key("f"), &holder);
+    bench.agent.learn_owner(&bench.key("f"), &holder);
     let asked = |refer: bool, body: usize, budget: u64| {
         let parcel = Arc::new(Parcel::of_body(vec![0; body].into()));
         let budget_end = bench.now + ms(budget);
         let mut way =
             Way::new(bench.now, Ask { hops: 1, refer, parcel, budget_end, ..bench.ask() });
-        way.look(&bench.lodge, bench.now)
+        way.look(&bench.agent, bench.now)
     };
     let named = asked(true, 100, 2000);
     verify_that!(refusal(&named).map(|(reason, _)| reason), some(eq(HopReason::NotHolder)))?;
@@ -514,15 +516,15 @@
     let holder = far_host("daemon-2", 4);
     let bench = Bench::among(vec![holder.clone(), far_host("daemon-3", 5)]);
     let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.lodge, bench.now);
+    way.look(&bench.agent, bench.now);
     let named = || HopOutcome::NotRun { reason: HopReason::NotHolder, retry_ms: 50 };
     let end = PassEnd::Done(named(), Some(holder.clone()));
-    let WayStep::Pass { host, body, .. } = way.passed(&bench.lodge, bench.now, end) else {
+    let WayStep::Pass { host, body, .. } = way.passed(&bench.agent, bench.now, end) else {
         return fail!("the door does not go there");
     };
     verify_that!(host, eq(&holder))?;
     verify_that!(matches!(body, HopBody::Ask { refer: Flag(false), .. }), eq(true))?;
-    let again = way.passed(&bench.lodge, bench.now, PassEnd::Done(named(), Some(holder)));
+    let again = way.passed(&bench.agent, bench.now, PassEnd::Done(named(), Some(holder)));
     verify_that!(matches!(again, WayStep::Wait { .. }), eq(true))
 }
 
@@ -530,9 +532,9 @@
 fn a_wait_foreseen_by_the_hash_owner_reaches_the_door_as_it_is() -> Result<()> {
     let bench = Bench::among(vec![far_host("daemon-2", 4)]);
     let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.lodge, bench.now);
+    way.look(&bench.agent, bench.now);
     let told = HopOutcome::NotRun { reason: HopReason::NoOwner, retry_ms: 1733 };
-    let step = way.passed(&bench.lodge, bench.now, PassEnd::Done(told, None));
+    let step = way.passed(&bench.agent, bench.now, PassEnd::Done(told, None));
     verify_that!(refusal(&step), some(eq((HopReason::NoOwner, 1733))))
 }
 
@@ -540,19 +542,19 @@
 fn what_a_silent_holder_had_goes_on_as_a_repeat_and_is_never_called_not_run() -> Result<()> {
     let holder = far_host("daemon-2", 4);
     let mut bench = Bench::among(vec![holder.clone()]);
-    bench.lodge.learn_owner(&bench.key("f"), &holder);
+    bench.agent.learn_owner(&bench.key("f"), &holder);
     let mut way = Way::new(bench.now, bench.ask());
-    let first = way.look(&bench.lodge, bench.now);
+    let first = way.look(&bench.agent, bench.now);
     verify_that!(matches!(first, WayStep::Pass { .. }), eq(true))?;
     bench.mark_silent(&holder);
-    verify_that!(is_valid(&holder, &bench.lodge.hosts.load()), eq(false))?;
-    let step = way.passed(&bench.lodge, bench.now, PassEnd::Lost);
+    verify_that!(is_valid(&holder, &bench.agent.hosts.load()), eq(false))?;
+    let step = way.passed(&bench.agent, bench.now, PassEnd::Lost);
     let WayStep::Wait { wait_until } = step else { return fail!("it does not go on") };
     verify_that!(way.ask().repeat, eq(true))?;
-    let asking = way.look(&bench.lodge, wait_until);
+    let asking = way.look(&bench.agent, wait_until);
     verify_that!(matches!(asking, WayStep::Acquire { .. }), eq(true))?;
     let told = Some(AcquireResult::Later { wait_ms: 2300 });
-    let step = way.acquired(&bench.lodge, wait_until, told);
+    let step = way.acquired(&bench.agent, wait_until, told);
     let is_unknown =
         matches!(step, WayStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, _));
     verify_that!(is_unknown, eq(true))
@@ -564,17 +566,17 @@
     let mut bench = Bench::among(vec![holder.clone()]);
     bench.hear(once_frame(4));
     bench.renew(4);
-    bench.lodge.learn_owner(&bench.key("f"), &holder);
+    bench.agent.learn_owner(&bench.key("f"), &holder);
     let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.lodge, bench.now);
-    let step = way.passed(&bench.lodge, bench.now, PassEnd::Lost);
+    way.look(&bench.agent, bench.now);
+    let step = way.passed(&bench.agent, bench.now, PassEnd::Lost);
     verify_that!(matches!(step, WayStep::End(HopOutcome::Unknown { .. }, _)), eq(true))
 }
 
 #[gtest]
 fn a_daemon_that_does_not_serve_tells_when_it_may() -> Result<()> {
     let mut bench = Bench::new(Rules::KEPT);
-    verify_that!(bench.lodge.serves_again_after(), eq(ms(400)))?;
-    bench.controller.disconnected(&bench.lodge, bench.now);
-    verify_that!(bench.lodge.serves_again_after(), eq(ms(1000)))
+    verify_that!(bench.agent.serves_again_after(), eq(ms(400)))?;
+    bench.controller.disconnected(&bench.agent, bench.now);
+    verify_that!(bench.agent.serves_again_after(), eq(ms(1000)))
 }
--- a/crates/trail/tests/costs/mod.rs
+++ b/crates/dataplane/tests/costs/mod.rs
@@ -1,15 +1,15 @@
 //! A seeded day of calls for holders under virtual time, with a platform that boots, ramps and refuses.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{HopOutcome, Life, Many, Place, ReserveResult};
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
+use common::spec::FunctionSpec;
+use common::tongue::BeginEnd;
+use dataplane::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd, Tuning};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::time::Duration;
-use trail::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd, Tuning};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, Life, Many, Place, ReserveResult};
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
-use waymark::spec::FunctionSpec;
-use waymark::tongue::BeginEnd;
 
 const START: Moment = Moment(50_000_000_000);
 const DAY: Duration = Duration::from_secs(34);
--- a/crates/trail/tests/holder.rs
+++ b/crates/dataplane/tests/holder.rs
@@ -1,18 +1,18 @@
 //! A held function: slots, ramps, identities, extra tries, refusals.
 
-use googletest::prelude::*;
-use std::collections::BTreeMap;
-use std::time::Duration;
-use trail::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd, Tuning};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{
     ClaimRunner, Flag, HopOutcome, HopReason, Host, LedgerNote, Life, Many, NoteState, Place,
     Prior, ReserveResult, RunnerNews,
 };
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
-use waymark::spec::FunctionSpec;
-use waymark::tongue::BeginEnd;
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
+use common::spec::FunctionSpec;
+use common::tongue::BeginEnd;
+use dataplane::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd, Tuning};
+use googletest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
 
 const START: Moment = Moment(50_000_000_000);
 
@@ -175,7 +175,7 @@
 
     fn answer(&mut self, ticket: Ticket, runner: RunnerId) {
         let outcome = HopOutcome::Answer {
-            lines: waymark::frames::Many(Vec::new()),
+            lines: common::frames::Many(Vec::new()),
             status: 200,
             seal: Vec::new().into(),
             runner,
@@ -514,7 +514,7 @@
         {
             bench.answer(ticket, runner);
         }
-        verify_that!(bench.holder.busyness().1, le(2))?;
+        verify_that!(bench.holder.load().1, le(2))?;
     }
     Ok(())
 }
@@ -523,7 +523,7 @@
     Host {
         member: name.into(),
         incarnation: 1.into(),
-        locality: "elsewhere".into(),
+        zone: "elsewhere".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
     }
@@ -624,7 +624,7 @@
 
 fn failed_at(runner: RunnerId) -> HopOutcome {
     HopOutcome::Answer {
-        lines: waymark::frames::Many(Vec::new()),
+        lines: common::frames::Many(Vec::new()),
         status: 500,
         seal: Vec::new().into(),
         runner,
--- a/crates/trail/tests/holder_costs.rs
+++ b/crates/dataplane/tests/holder_costs.rs
@@ -31,7 +31,7 @@
     budget: ms(5000),
     warm: false,
 };
-const DESK: Kind = Kind {
+const LEADER: Kind = Kind {
     memory_mb: 512,
     boot: ms(1400),
     slots: 4,
@@ -66,8 +66,8 @@
         ("few large", CHEAP_STARTS, streams(LARGE, spread(8, 240.0, 1.1), 1.0), 400.0),
         ("few large, a crowd", CHEAP_STARTS, streams(LARGE, spread(8, 240.0, 1.1), 4.0), 760.0),
         ("many small", CHEAP_STARTS, streams(SMALL, spread(150, 60.0, 1.1), 1.0), 310.0),
-        ("few desks", DEAR_STARTS, streams(DESK, spread(6, 240.0, 0.8), 1.0), 220.0),
-        ("few desks, a crowd", DEAR_STARTS, streams(DESK, spread(6, 240.0, 0.8), 4.0), 480.0),
+        ("few desks", DEAR_STARTS, streams(LEADER, spread(6, 240.0, 0.8), 1.0), 220.0),
+        ("few desks, a crowd", DEAR_STARTS, streams(LEADER, spread(6, 240.0, 0.8), 4.0), 480.0),
         ("many syncs", DEAR_STARTS, streams(SYNC, spread(60, 30.0, 1.1), 1.0), 350.0),
     ];
     let mut over_bounds = Vec::new();
--- a/crates/trail/tests/ledger.rs
+++ b/crates/dataplane/tests/ledger.rs
@@ -1,13 +1,13 @@
 //! Ledgers: copies agree with a plain map, differ only where they differ, and are sealed by a successor.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{HopOutcome, HopReason, LedgerNote, NoteState};
+use common::identity::{FunctionKey, GrantSerial, Incarnation, Serial, TransactionId};
+use dataplane::ledger::{Book, LedgerReplica, digests, range_of};
 use googletest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use trail::ledger::{Book, Keepsake, digests, range_of};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{HopOutcome, HopReason, LedgerNote, NoteState};
-use waymark::identity::{FunctionKey, GrantSerial, Incarnation, Serial, TransactionId};
 
 const LIFE: Incarnation = Incarnation(5);
 const GRANT: GrantSerial = GrantSerial(9);
@@ -29,26 +29,26 @@
     let now = Moment(1_000_000_000);
     let mut chance = Chance::seeded(2);
     let mut book = Book::default();
-    let mut keepsake = Keepsake::new(LIFE);
+    let mut replica = LedgerReplica::new(LIFE);
     for number in 0..400 {
         let name = TransactionId::from(format!("t{number}"));
         let budget_end = now + Duration::from_secs(3);
         book.begin(name.clone(), true, budget_end);
         if chance.happens(0.9) {
             let line = book.line(now, &name).expect("a line");
-            keepsake.note(now, &function(), GRANT, LIFE, &[line]);
+            replica.note(now, &function(), GRANT, LIFE, &[line]);
         }
         if chance.happens(0.1) {
             let outcome = HopOutcome::Unknown { reason: HopReason::AnswerLost };
             book.end(now, &name, true, budget_end, outcome);
         }
     }
-    let copy_of = |keepsake: &mut Keepsake| {
-        let mut probe = Keepsake::new(LIFE);
-        std::mem::swap(&mut probe, keepsake);
+    let copy_of = |replica: &mut LedgerReplica| {
+        let mut probe = LedgerReplica::new(LIFE);
+        std::mem::swap(&mut probe, replica);
         probe
     };
-    let mut copy = copy_of(&mut keepsake);
+    let mut copy = copy_of(&mut replica);
     let ranges = copy.compare(now, &function(), GRANT, LIFE, &book.digests(now));
     verify_that!(ranges.is_empty(), eq(false))?;
     let sent = book.lines_in(now, &ranges);
@@ -65,33 +65,33 @@
 #[gtest]
 fn after_a_successor_collected_an_old_holder_can_note_nothing() -> Result<()> {
     let now = Moment(1_000_000_000);
-    let mut keepsake = Keepsake::new(LIFE);
+    let mut replica = LedgerReplica::new(LIFE);
     let first = [note("a", NoteState::Noted)];
-    verify_that!(keepsake.note(now, &function(), GRANT, LIFE, &first), eq(true))?;
-    let collected = keepsake.collect(now, &function(), GRANT, LIFE);
+    verify_that!(replica.note(now, &function(), GRANT, LIFE, &first), eq(true))?;
+    let collected = replica.collect(now, &function(), GRANT, LIFE);
     verify_that!(collected.map(|notes| notes.len()), some(eq(1)))?;
     let late = [note("b", NoteState::Noted)];
-    verify_that!(keepsake.note(now, &function(), GRANT, LIFE, &late), eq(false))?;
-    verify_that!(keepsake.note(now, &function(), GrantSerial(10), LIFE, &late), eq(true))
+    verify_that!(replica.note(now, &function(), GRANT, LIFE, &late), eq(false))?;
+    verify_that!(replica.note(now, &function(), GrantSerial(10), LIFE, &late), eq(true))
 }
 
 #[gtest]
 fn a_steward_in_another_life_says_that_it_does_not_know() -> Result<()> {
     let now = Moment(1_000_000_000);
-    let mut keepsake = Keepsake::new(Incarnation(6));
-    verify_that!(keepsake.note(now, &function(), GRANT, LIFE, &[]), eq(false))?;
-    verify_that!(keepsake.collect(now, &function(), GRANT, LIFE).is_none(), eq(true))
+    let mut replica = LedgerReplica::new(Incarnation(6));
+    verify_that!(replica.note(now, &function(), GRANT, LIFE, &[]), eq(false))?;
+    verify_that!(replica.collect(now, &function(), GRANT, LIFE).is_none(), eq(true))
 }
 
 #[gtest]
 fn lines_are_forgotten_when_nobody_waits_for_them() -> Result<()> {
     let now = Moment(1_000_000_000);
-    let mut keepsake = Keepsake::new(LIFE);
-    keepsake.note(now, &function(), GRANT, LIFE, &[note("a", NoteState::Noted)]);
-    keepsake.expire(now + Duration::from_secs(4));
-    verify_that!(keepsake.line_count(), eq(1))?;
-    keepsake.expire(now + Duration::from_secs(6));
-    verify_that!(keepsake.line_count(), eq(0))
+    let mut replica = LedgerReplica::new(LIFE);
+    replica.note(now, &function(), GRANT, LIFE, &[note("a", NoteState::Noted)]);
+    replica.expire(now + Duration::from_secs(4));
+    verify_that!(replica.line_count(), eq(1))?;
+    replica.expire(now + Duration::from_secs(6));
+    verify_that!(replica.line_count(), eq(0))
 }
 
 #[gtest]
--- a/crates/trail/tests/liaison.rs
+++ b/crates/dataplane/tests/liaison.rs
@@ -1,12 +1,12 @@
 //! A daemon's member grant, its search for the leader, and whom it counts as alive.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{Flag, Host, Place, StreamDown, StreamUp};
+use common::identity::{CorrelationId, Serial, Term};
+use dataplane::liaison::{Liaison, LiaisonOutput, LiaisonTiming};
 use googletest::prelude::*;
 use std::time::Duration;
-use trail::liaison::{Liaison, LiaisonOutput, LiaisonTiming};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{Flag, Host, Place, StreamDown, StreamUp};
-use waymark::identity::{CorrelationId, Serial, Term};
 
 const START: Moment = Moment(10_000_000_000);
 
@@ -22,7 +22,7 @@
     Host {
         member: name.into(),
         incarnation: incarnation.into(),
-        locality: "here".into(),
+        zone: "here".into(),
         place: place(9),
         eligible: Flag(true),
     }
--- a/crates/trail/tests/owners.rs
+++ b/crates/dataplane/tests/owners.rs
@@ -1,17 +1,17 @@
 //! The source's four rules on the ordinary path, as far as one daemon decides them.
 
+use common::frames::{Flag, Host, Place};
+use common::identity::{FunctionKey, MemberName, Serial};
+use common::ring::hash_owner;
+use dataplane::owners::{Sight, Step, next_step};
 use googletest::prelude::*;
-use trail::owners::{Sight, Step, next_step};
-use waymark::frames::{Flag, Host, Place};
-use waymark::identity::{FunctionKey, MemberName, Serial};
-use waymark::ring::hash_owner;
 
 fn hosts() -> Vec<Host> {
     (0..5)
         .map(|number| Host {
             member: format!("th-{number}").into(),
             incarnation: (number + 1).into(),
-            locality: "here".into(),
+            zone: "here".into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
         })
--- a/crates/trail/tests/pool.rs
+++ b/crates/dataplane/tests/pool.rs
@@ -1,10 +1,10 @@
 //! Which kept connection is used, and which are dropped.
 
+use common::clock::Moment;
+use common::identity::{GrantSerial, RunnerId};
+use dataplane::pool::{Draw, LinkNumber, Pool};
 use googletest::prelude::*;
 use std::time::Duration;
-use trail::pool::{Draw, LinkNumber, Pool};
-use waymark::clock::Moment;
-use waymark::identity::{GrantSerial, RunnerId};
 
 const START: Moment = Moment(10_000_000_000);
 const RUNNER: RunnerId = RunnerId { grant: GrantSerial(4), ordinal: 1 };
--- a/crates/trail/tests/warm.rs
+++ b/crates/dataplane/tests/warm.rs
@@ -1,15 +1,15 @@
 //! Functions that boot longer than their callers gladly wait get an owner before they are called.
 
+use common::clock::Moment;
+use common::frames::{Flag, Host, Place};
+use common::identity::{FunctionKey, MemberName, Serial};
+use common::ring::hash_owner;
+use common::spec::{Document, Table, read_spec};
+use dataplane::owners::{WarmSeeker, WarmSight};
 use googletest::prelude::*;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use trail::owners::{WarmSeeker, WarmSight};
-use waymark::clock::Moment;
-use waymark::frames::{Flag, Host, Place};
-use waymark::identity::{FunctionKey, MemberName, Serial};
-use waymark::ring::hash_owner;
-use waymark::spec::{Document, Table, read_spec};
 
 const START: Moment = Moment(10_000_000_000);
 
@@ -22,7 +22,7 @@
         .map(|number| Host {
             member: format!("th-{number}").into(),
             incarnation: (number + 1).into(),
-            locality: "here".into(),
+            zone: "here".into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
         })
--- a/crates/trail/tests/watch.rs
+++ b/crates/dataplane/tests/watch.rs
@@ -1,14 +1,12 @@
 //! Who is alive: heartbeats that name nobody, suspicions that reach all, refutations that end them.
 
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{Flag, Heartbeat, Host, Many, MemberLife, Place, Suspicion, encode_heartbeat};
+use dataplane::watch::{GONE_AFTER, TELLINGS, Watch, WatchOutput};
 use googletest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use trail::watch::{GONE_AFTER, TELLINGS, Watch, WatchOutput};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{
-    Flag, Heartbeat, Host, Many, MemberLife, Place, Suspicion, encode_heartbeat,
-};
 
 const START: Moment = Moment(10_000_000_000);
 
@@ -24,7 +22,7 @@
     Host {
         member: format!("th-{number}").into(),
         incarnation: incarnation.into(),
-        locality: format!("locality-{}", number % 3).into(),
+        zone: format!("locality-{}", number % 3).into(),
         place: place(number),
         eligible: Flag(true),
     }
--- a/programs/surveyor/src/main.rs
+++ b/programs/controller/src/main.rs
@@ -1,15 +1,15 @@
-//! A surveyor: one member of the core.
+//! A controller: one member of the core.
 
+use common::events;
+use common::note;
+use common::readers::{BootFault, BootSource};
+use controlplane::boot::ControllerBoot;
+use controlplane::drivers::{Controller, ControllerFault, Reseeder};
 use gumdrop::Options;
 use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use survey::boot::SurveyorBoot;
-use survey::drivers::{Reseeder, Surveyor, SurveyorFault};
 use tokio::sync::watch;
-use waymark::events;
-use waymark::note;
-use waymark::readers::{BootFault, BootSource};
 
 /// A member of rudderstream's core: elects a leader, keeps the spec, grants functions.
 #[derive(Options)]
@@ -24,11 +24,11 @@
     place: Option<String>,
     #[options(no_short, help = "IP:PORT for operators", meta = "PLACE")]
     operators: Option<String>,
-    #[options(no_short, help = "this machine's locality", meta = "NAME")]
-    locality: Option<String>,
+    #[options(no_short, long = "locality", help = "this machine's zone", meta = "NAME")]
+    zone: Option<String>,
     #[options(
         no_short,
-        help = "the places of up to three surveyors, with commas",
+        help = "the places of up to three controllers, with commas",
         meta = "PLACES"
     )]
     seeds: Option<String>,
@@ -49,12 +49,12 @@
     recover: Option<String>,
 }
 
-fn read_boot(flags: &Flags) -> Result<SurveyorBoot, BootFault> {
+fn read_boot(flags: &Flags) -> Result<ControllerBoot, BootFault> {
     let text = |given: &Option<String>| given.clone().map(Value::String);
     let mut boot_source = BootSource::open(flags.boot.as_deref())?;
     boot_source.set("place", text(&flags.place));
     boot_source.set("operators", text(&flags.operators));
-    boot_source.set("locality", text(&flags.locality));
+    boot_source.set("locality", text(&flags.zone));
     boot_source.set("data", text(&flags.data));
     boot_source.set("found_first", flags.found_first.then_some(Value::Bool(true)));
     boot_source.set("platform", text(&flags.platform));
@@ -62,42 +62,44 @@
         "seeds",
         flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())),
     );
-    SurveyorBoot::read(&boot_source)
+    ControllerBoot::read(&boot_source)
 }
 
 fn main() -> ExitCode {
-    let flags = waymark::command_line::read::<Flags>("surveyor");
+    let flags = common::command_line::read::<Flags>("rudder-controller");
     if flags.version {
-        println!("surveyor {}", env!("CARGO_PKG_VERSION"));
+        println!("rudder-controller {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    waymark::command_line::start_log();
+    common::command_line::start_log();
     let boot = match read_boot(&flags) {
         Ok(boot) => boot,
         Err(fault) => {
-            eprintln!("surveyor: {fault}");
+            eprintln!("rudder-controller: {fault}");
             return ExitCode::from(2);
         }
     };
     if let Some(phrase) = &flags.recover {
         if phrase != "i-accept-the-loss" {
-            eprintln!("surveyor: --recover needs the phrase i-accept-the-loss; see --help");
+            eprintln!(
+                "rudder-controller: --recover needs the phrase i-accept-the-loss; see --help"
+            );
             return ExitCode::from(2);
         }
         let Some(data) = &boot.data else {
-            eprintln!("surveyor: --recover needs a data folder");
+            eprintln!("rudder-controller: --recover needs a data folder");
             return ExitCode::from(2);
         };
-        if let Err(fault) = survey::disk::leave_alone(data) {
-            eprintln!("surveyor: --recover: {fault}");
+        if let Err(fault) = controlplane::disk::leave_alone(data) {
+            eprintln!("rudder-controller: --recover: {fault}");
             return ExitCode::from(1);
         }
     }
     match run(flags, &boot) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("surveyor: {report}");
-            ExitCode::from(if report.is::<SurveyorFault>() { 2 } else { 1 })
+            eprintln!("rudder-controller: {report}");
+            ExitCode::from(if report.is::<ControllerFault>() { 2 } else { 1 })
         }
     }
 }
@@ -114,7 +116,7 @@
     }
 }
 
-fn run(flags: Flags, boot: &SurveyorBoot) -> eyre::Result<()> {
+fn run(flags: Flags, boot: &ControllerBoot) -> eyre::Result<()> {
     let runtime = if boot.threads == 1 {
         tokio::runtime::Builder::new_current_thread().enable_all().build()?
     } else {
@@ -124,11 +126,17 @@
             .build()?
     };
     runtime.block_on(async {
-        let surveyor = Surveyor::open(boot).await?;
-        tokio::spawn(reread(flags, surveyor.reseeder(), waymark::command_line::told_to_reread()?));
-        note!(Info, events::STARTED, "surveyor at {}, operators at {}", boot.place, boot.operators);
-        let stop = waymark::command_line::told_to_stop()?;
-        surveyor.run(stop).await;
+        let controller = Controller::open(boot).await?;
+        tokio::spawn(reread(flags, controller.reseeder(), common::command_line::told_to_reread()?));
+        note!(
+            Info,
+            events::STARTED,
+            "controller at {}, operators at {}",
+            boot.place,
+            boot.operators
+        );
+        let stop = common::command_line::told_to_stop()?;
+        controller.run(stop).await;
         note!(Info, events::STOPPED);
         Ok(())
     })
--- a/programs/trailhead/tests/command_line.rs
+++ b/programs/daemon/tests/command_line.rs
@@ -4,12 +4,12 @@
 use std::process::{Command, Output};
 
 fn run(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_trailhead")).args(arguments).output().expect("it runs")
+    Command::new(env!("CARGO_BIN_EXE_rudderd")).args(arguments).output().expect("it runs")
 }
 
 fn boot_file(name: &str, text: &str) -> PathBuf {
     let path =
-        std::env::temp_dir().join(format!("rudder-trailhead-{name}-{}.json", std::process::id()));
+        std::env::temp_dir().join(format!("rudder-daemon-{name}-{}.json", std::process::id()));
     std::fs::write(&path, text).expect("a file");
     path
 }
@@ -30,7 +30,7 @@
 #[test]
 fn version_and_help_are_there() {
     let version = run(&["--version"]);
-    assert!(String::from_utf8_lossy(&version.stdout).starts_with("trailhead "));
+    assert!(String::from_utf8_lossy(&version.stdout).starts_with("rudderd "));
     assert_eq!(version.status.code(), Some(0));
     assert!(String::from_utf8_lossy(&run(&["--help"]).stdout).contains("--boot"));
 }
--- a/programs/legend/src/desk.rs
+++ b/programs/rudderctl/src/client.rs
@@ -1,3 +1,6 @@
+use common::chance::Chance;
+use common::frames::Place;
+use common::http::{CallFault, Called, LinesEnd, call_json, follow_lines};
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 use std::fmt;
@@ -6,9 +9,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
-use waymark::chance::Chance;
-use waymark::frames::Place;
-use waymark::http::{CallFault, Called, LinesEnd, call_json, follow_lines};
 
 const PATIENCE: Duration = Duration::from_secs(15);
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
@@ -16,20 +16,20 @@
 
 /// Why a command did not come to an answer.
 #[derive(Debug)]
-pub enum DeskFault {
+pub enum ClientFault {
     /// A place is no IP number with port.
     Place(String),
     /// A file could not be read.
     File(PathBuf, std::io::Error),
     /// A file is not JSON.
     NotJson(PathBuf, serde_json::Error),
-    /// No surveyor was reached.
+    /// No controller was reached.
     Unreachable(CallFault),
     /// The answer was lost; for a change, its outcome is unknown.
     Lost(String, CallFault),
 }
 
-impl DeskFault {
+impl ClientFault {
     /// What the process exits with.
     pub fn exit_code(&self) -> u8 {
         match self {
@@ -39,22 +39,22 @@
     }
 }
 
-impl fmt::Display for DeskFault {
+impl fmt::Display for ClientFault {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Place(text) => write!(out, "--at: not an IP number with port: {text:?}"),
             Self::File(file, fault) => write!(out, "{}: {fault}", file.display()),
             Self::NotJson(file, fault) => write!(out, "{}: not JSON: {fault}", file.display()),
-            Self::Unreachable(fault) => write!(out, "no surveyor reached: {fault}"),
+            Self::Unreachable(fault) => write!(out, "no controller reached: {fault}"),
             Self::Lost(change, fault) if change.is_empty() => write!(out, "answer lost: {fault}"),
             Self::Lost(change, fault) => {
-                write!(out, "answer lost: {fault}; ask: legend change {change}")
+                write!(out, "answer lost: {fault}; ask: rudderctl change {change}")
             }
         }
     }
 }
 
-impl std::error::Error for DeskFault {}
+impl std::error::Error for ClientFault {}
 
 /// How a change is said.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -83,8 +83,8 @@
     pub wait: bool,
 }
 
-/// Speaks to whichever surveyor answers.
-pub struct Desk {
+/// Speaks to whichever controller answers.
+pub struct OperatorClient {
     places: Vec<Place>,
 }
 
@@ -104,16 +104,16 @@
 }
 
 fn made_up_id() -> String {
-    format!("legend-{:x}", Chance::from_os().number())
+    format!("rudderctl-{:x}", Chance::from_os().number())
 }
 
-impl Desk {
-    /// A desk for these surveyors.
-    pub fn new(at: &str) -> Result<Self, DeskFault> {
+impl OperatorClient {
+    /// A leader state for these controllers.
+    pub fn new(at: &str) -> Result<Self, ClientFault> {
         let places = at
             .split(',')
-            .map(|text| text.parse().map(Place).map_err(|_| DeskFault::Place(text.to_owned())))
-            .collect::<Result<Vec<Place>, DeskFault>>()?;
+            .map(|text| text.parse().map(Place).map_err(|_| ClientFault::Place(text.to_owned())))
+            .collect::<Result<Vec<Place>, ClientFault>>()?;
         Ok(Self { places })
     }
 
@@ -122,7 +122,7 @@
         method: Method,
         path: &str,
         body: Option<&Value>,
-    ) -> Result<Called, DeskFault> {
+    ) -> Result<Called, ClientFault> {
         let mut last_fault = CallFault::ConnectTimeout;
         for place in &self.places {
             match call_json(*place, method.clone(), path, body, PATIENCE).await {
@@ -132,26 +132,26 @@
                 }
                 Err(fault) => {
                     let change = body.and_then(|body| body["change_id"].as_str()).unwrap_or("");
-                    return Err(DeskFault::Lost(change.to_owned(), fault));
+                    return Err(ClientFault::Lost(change.to_owned(), fault));
                 }
             }
         }
-        Err(DeskFault::Unreachable(last_fault))
+        Err(ClientFault::Unreachable(last_fault))
     }
 
     /// Reads something and prints it.
-    pub async fn get(&self, path: &str) -> Result<ExitCode, DeskFault> {
+    pub async fn get(&self, path: &str) -> Result<ExitCode, ClientFault> {
         self.call(Method::GET, path, None).await.map(|called| print(&called))
     }
 
     /// Asks for something without a body.
-    pub async fn post(&self, path: &str) -> Result<ExitCode, DeskFault> {
+    pub async fn post(&self, path: &str) -> Result<ExitCode, ClientFault> {
         self.call(Method::POST, path, Some(&json!({}))).await.map(|called| print(&called))
     }
 
-    /// Founds the core; waits a little for the surveyors to start and to meet, and for the first
+    /// Founds the core; waits a little for the controllers to start and to meet, and for the first
     /// leader. What reached nobody, or was refused since they have not met, does no harm when repeated.
-    pub async fn found(&self) -> Result<ExitCode, DeskFault> {
+    pub async fn found(&self) -> Result<ExitCode, ClientFault> {
         let mut look_count = 0;
         let called = loop {
             let asked = self.call(Method::POST, "/v1/core/found", Some(&json!({}))).await;
@@ -159,7 +159,7 @@
                 Ok(called) => {
                     called.json()["error"].as_str().is_some_and(|text| text.contains("seed"))
                 }
-                Err(DeskFault::Unreachable(_)) => true,
+                Err(ClientFault::Unreachable(_)) => true,
                 Err(_) => false,
             };
             look_count += 1;
@@ -175,7 +175,7 @@
     }
 
     /// The newest serial, as soon as there is a leader that can tell it.
-    async fn newest_serial(&self) -> Result<Value, DeskFault> {
+    async fn newest_serial(&self) -> Result<Value, ClientFault> {
         let mut serial = Value::Null;
         for _ in 0..MOST_LOOKS {
             let called = self.call(Method::GET, "/v1/spec", None).await?;
@@ -189,11 +189,11 @@
     }
 
     /// Sends a change of the spec. Numbers of the operators' own stand in for the serial it is built on.
-    pub async fn change(&self, way: Way, sent: Sent<'_>) -> Result<ExitCode, DeskFault> {
+    pub async fn change(&self, way: Way, sent: Sent<'_>) -> Result<ExitCode, ClientFault> {
         let file_text = std::fs::read_to_string(sent.file)
-            .map_err(|fault| DeskFault::File(sent.file.to_owned(), fault))?;
+            .map_err(|fault| ClientFault::File(sent.file.to_owned(), fault))?;
         let value: Value = serde_json::from_str(&file_text)
-            .map_err(|fault| DeskFault::NotJson(sent.file.to_owned(), fault))?;
+            .map_err(|fault| ClientFault::NotJson(sent.file.to_owned(), fault))?;
         let mut body = match way {
             Way::Whole => json!({"spec": value}),
             Way::Patch => json!({"patch": value}),
@@ -216,26 +216,26 @@
         self.call(method, "/v1/spec", Some(&body)).await.map(|called| print(&called))
     }
 
-    /// Evacuates or restores a locality.
+    /// Evacuates or restores a zone.
     pub async fn turn(
         &self,
         deed: &str,
-        locality: &str,
+        zone: &str,
         change_id: Option<String>,
         wait: bool,
         force: bool,
-    ) -> Result<ExitCode, DeskFault> {
+    ) -> Result<ExitCode, ClientFault> {
         let body = json!({
             "change_id": change_id.unwrap_or_else(made_up_id),
             "wait": if wait { "in_force" } else { "accepted" },
             "force": force,
         });
-        let path = format!("/v1/localities/{locality}/{deed}");
+        let path = format!("/v1/localities/{zone}/{deed}");
         self.call(Method::POST, &path, Some(&body)).await.map(|called| print(&called))
     }
 
     /// Prints events, and goes on over changes of leader if asked to.
-    pub async fn events(&self, from: u64, follow: bool) -> Result<ExitCode, DeskFault> {
+    pub async fn events(&self, from: u64, follow: bool) -> Result<ExitCode, ClientFault> {
         let mut next_number = from;
         let mut place_turn = 0;
         let mut hinted_place = None;
@@ -265,7 +265,7 @@
                     place_turn += 1;
                     failed_count += 1;
                     if !follow && failed_count >= self.places.len() {
-                        return Err(DeskFault::Unreachable(fault));
+                        return Err(ClientFault::Unreachable(fault));
                     }
                 }
             }
--- a/programs/legend/src/main.rs
+++ b/programs/rudderctl/src/main.rs
@@ -1,13 +1,15 @@
 //! The operators' command line.
 
-mod desk;
+mod client;
+mod trace;
 
-use desk::{Desk, DeskFault, Sent, Way};
+use client::{ClientFault, OperatorClient, Sent, Way};
+use common::frames::Place;
 use gumdrop::Options;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// Drives rudderstream from an operator's desk.
+/// Drives rudderstream over the operators' API.
 #[derive(Options)]
 struct Flags {
     #[options(help = "print this help")]
@@ -15,7 +17,7 @@
     #[options(no_short, help = "print the version")]
     version: bool,
     #[options(
-        help = "operators' places of surveyors, with commas; the first that answers is used",
+        help = "operators' places of controllers, with commas; the first that answers is used",
         default = "127.0.0.1:7111",
         meta = "PLACES"
     )]
@@ -26,11 +28,11 @@
 
 #[derive(Options)]
 enum Command {
-    #[options(help = "found the core on three empty surveyors, once")]
+    #[options(help = "found the core on three empty controllers, once")]
     Found(Plain),
-    #[options(help = "show the core as one surveyor sees it")]
+    #[options(help = "show the core as one controller sees it")]
     Core(Plain),
-    #[options(help = "have another surveyor take a core member's place at once")]
+    #[options(help = "have another controller take a core member's place at once")]
     Replace(Replace),
     #[options(help = "read the spec with its serial")]
     Spec(Plain),
@@ -56,6 +58,8 @@
     Runners(Plain),
     #[options(help = "print events, a line of JSON each")]
     Events(Events),
+    #[options(help = "trace one version of the spec from its acceptance to every daemon")]
+    Trace(Trace),
 }
 
 #[derive(Options)]
@@ -68,7 +72,7 @@
 struct Replace {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, required, help = "the member's identity, from `legend core`")]
+    #[options(free, required, help = "the member's identity, from `rudderctl core`")]
     missing: String,
     #[options(free, required, help = "the identity of the one to take its place")]
     successor: String,
@@ -118,7 +122,7 @@
     #[options(help = "print this help")]
     help: bool,
     #[options(free, required, help = "the locality")]
-    locality: String,
+    zone: String,
     #[options(no_short, help = "the change's id; made up if not given", meta = "ID")]
     change_id: Option<String>,
     #[options(help = "wait until it is in force everywhere")]
@@ -137,55 +141,94 @@
     follow: bool,
 }
 
+#[derive(Options)]
+struct Trace {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print JSON instead of a table")]
+    json: bool,
+    #[options(help = "ask again until the version is in force")]
+    follow: bool,
+    #[options(no_short, help = "how long to follow, in seconds", default = "30")]
+    patience: u64,
+    #[options(free, help = "the serial; the newest if not given")]
+    serial: Option<u64>,
+}
+
 fn main() -> ExitCode {
-    let flags = waymark::command_line::read::<Flags>("legend");
+    let flags = common::command_line::read::<Flags>("rudderctl");
     if flags.version {
-        println!("legend {}", env!("CARGO_PKG_VERSION"));
+        println!("rudderctl {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let Some(command) = flags.command else {
-        eprintln!("legend: no command; try --help");
+        eprintln!("rudderctl: no command; try --help");
         return ExitCode::from(2);
     };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(fault) => {
-            eprintln!("legend: {fault}");
+            eprintln!("rudderctl: {fault}");
             return ExitCode::FAILURE;
         }
     };
     match runtime.block_on(obey(&flags.at, command)) {
         Ok(exit_code) => exit_code,
         Err(fault) => {
-            eprintln!("legend: {fault}");
+            eprintln!("rudderctl: {fault}");
             ExitCode::from(fault.exit_code())
         }
     }
 }
 
-async fn obey(at: &str, command: Command) -> Result<ExitCode, DeskFault> {
-    let desk = Desk::new(at)?;
+async fn obey(at: &str, command: Command) -> Result<ExitCode, ClientFault> {
+    let client = OperatorClient::new(at)?;
     match command {
-        Command::Found(_) => desk.found().await,
+        Command::Found(_) => client.found().await,
         Command::Replace(replace) => {
-            desk.post(&format!("/v1/core/replace/{}/{}", replace.missing, replace.successor)).await
+            client
+                .post(&format!("/v1/core/replace/{}/{}", replace.missing, replace.successor))
+                .await
         }
-        Command::Core(_) => desk.get("/v1/core").await,
-        Command::Spec(_) => desk.get("/v1/spec").await,
-        Command::Members(_) => desk.get("/v1/members").await,
-        Command::Holders(_) => desk.get("/v1/holders").await,
-        Command::Workers(_) => desk.get("/v1/workers").await,
-        Command::Runners(_) => desk.get("/v1/runners").await,
-        Command::Change(named) => desk.get(&format!("/v1/changes/{}", named.id)).await,
-        Command::Put(change) => desk.change(Way::Whole, change.sent()).await,
-        Command::Patch(change) => desk.change(Way::Patch, change.sent()).await,
-        Command::Items(change) => desk.change(Way::Items, change.sent()).await,
+        Command::Core(_) => client.get("/v1/core").await,
+        Command::Spec(_) => client.get("/v1/spec").await,
+        Command::Members(_) => client.get("/v1/members").await,
+        Command::Holders(_) => client.get("/v1/holders").await,
+        Command::Workers(_) => client.get("/v1/workers").await,
+        Command::Runners(_) => client.get("/v1/runners").await,
+        Command::Change(named) => client.get(&format!("/v1/changes/{}", named.id)).await,
+        Command::Put(change) => client.change(Way::Whole, change.sent()).await,
+        Command::Patch(change) => client.change(Way::Patch, change.sent()).await,
+        Command::Items(change) => client.change(Way::Items, change.sent()).await,
         Command::Evacuate(turn) => {
-            desk.turn("evacuate", &turn.locality, turn.change_id, turn.wait, turn.force).await
+            client.turn("evacuate", &turn.zone, turn.change_id, turn.wait, turn.force).await
         }
         Command::Restore(turn) => {
-            desk.turn("restore", &turn.locality, turn.change_id, turn.wait, turn.force).await
+            client.turn("restore", &turn.zone, turn.change_id, turn.wait, turn.force).await
+        }
+        Command::Events(events) => client.events(events.from, events.follow).await,
+        Command::Trace(asked) => Ok(run_trace(at, &asked).await),
+    }
+}
+
+async fn run_trace(at: &str, asked: &Trace) -> ExitCode {
+    let places: Result<Vec<Place>, _> = at.split(',').map(|text| text.parse().map(Place)).collect();
+    let Ok(places) = places else {
+        eprintln!("rudderctl: --at: not IP numbers with ports: {at:?}");
+        return ExitCode::from(2);
+    };
+    match trace::follow(&places, asked.serial, asked.follow, asked.patience).await {
+        Ok(version_trace) => {
+            if asked.json {
+                println!("{}", version_trace.to_value());
+            } else {
+                print!("{version_trace}");
+            }
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("rudderctl: {fault}");
+            ExitCode::from(fault.exit_code())
         }
-        Command::Events(events) => desk.events(events.from, events.follow).await,
     }
 }
--- a/programs/blaze/src/way.rs
+++ b/programs/rudderctl/src/trace.rs
@@ -1,21 +1,24 @@
+//! The trace of one version of the spec from its acceptance to every daemon.
+
+use common::clock::Moment;
+use common::frames::Place;
+use common::http::call_json;
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
-use waymark::frames::Place;
-use waymark::http::call_json;
 
 /// Why no way can be shown.
 #[derive(Debug)]
-pub enum WayFault {
-    /// No surveyor answered.
+pub enum TraceFault {
+    /// No controller answered.
     Unreachable,
-    /// No surveyor knows the serial.
+    /// No controller knows the serial.
     Unknown(u64),
 }
 
-impl WayFault {
+impl TraceFault {
     /// What the process exits with.
     pub fn exit_code(&self) -> u8 {
         match self {
@@ -25,28 +28,28 @@
     }
 }
 
-impl fmt::Display for WayFault {
+impl fmt::Display for TraceFault {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unreachable => write!(out, "no surveyor reached"),
-            Self::Unknown(0) => write!(out, "no surveyor has led a version yet"),
-            Self::Unknown(serial) => write!(out, "no surveyor knows serial {serial}"),
+            Self::Unreachable => write!(out, "no controller reached"),
+            Self::Unknown(0) => write!(out, "no controller has led a version yet"),
+            Self::Unknown(serial) => write!(out, "no controller knows serial {serial}"),
         }
     }
 }
 
-impl std::error::Error for WayFault {}
+impl std::error::Error for TraceFault {}
 
 /// One version's way, a part for each term in which it was led.
-pub struct Way {
+pub struct VersionTrace {
     serial: u64,
     parts: BTreeMap<u64, Value>,
     silent: Vec<Place>,
 }
 
-impl Way {
-    /// Asks every surveyor, and joins what each saw while it led.
-    pub async fn read(places: &[Place], asked_serial: u64) -> Result<Self, WayFault> {
+impl VersionTrace {
+    /// Asks every controller, and joins what each saw while it led.
+    pub async fn read(places: &[Place], asked_serial: u64) -> Result<Self, TraceFault> {
         let mut answers = Vec::new();
         let mut silent = Vec::new();
         for place in places {
@@ -59,10 +62,10 @@
             }
         }
         if silent.len() == places.len() {
-            return Err(WayFault::Unreachable);
+            return Err(TraceFault::Unreachable);
         }
         let newest = answers.iter().filter_map(|answer| answer["serial"].as_u64()).max();
-        let serial = newest.ok_or(WayFault::Unknown(asked_serial))?;
+        let serial = newest.ok_or(TraceFault::Unknown(asked_serial))?;
         let mut parts = BTreeMap::new();
         for answer in answers.iter().filter(|answer| answer["serial"].as_u64() == Some(serial)) {
             for trace in answer["traces"].as_array().into_iter().flatten() {
@@ -96,14 +99,14 @@
     value.as_f64().map_or_else(|| "-".to_owned(), |millis| format!("{millis:.1} ms"))
 }
 
-impl fmt::Display for Way {
+impl fmt::Display for VersionTrace {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let force = if self.is_in_force() { "in force" } else { "not in force" };
         writeln!(out, "serial {}: {force}", self.serial)?;
         for (term, part) in &self.parts {
             writeln!(
                 out,
-                "term {term}, surveyor {}, {}: committed {}, in force {}",
+                "term {term}, controller {}, {}: committed {}, in force {}",
                 part["surveyor"].as_str().unwrap_or("?"),
                 part["from"].as_str().unwrap_or("?"),
                 millis(&part["committed_ms"]),
@@ -121,8 +124,33 @@
             }
         }
         for place in &self.silent {
-            writeln!(out, "surveyor at {place} did not answer; what it alone saw is missing")?;
+            writeln!(out, "controller at {place} did not answer; what it alone saw is missing")?;
         }
         Ok(())
     }
 }
+
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(100);
+
+/// Reads the trace of a version, the newest if no serial is given; when told to follow, asks again
+/// until the version is in force everywhere or the patience (in seconds) has run out.
+pub async fn follow(
+    places: &[Place],
+    serial: Option<u64>,
+    follow: bool,
+    patience_s: u64,
+) -> Result<VersionTrace, TraceFault> {
+    let follow_until = Moment::now() + Duration::from_secs(patience_s);
+    let mut serial = serial.unwrap_or(0);
+    loop {
+        let read = VersionTrace::read(places, serial).await;
+        let is_late = Moment::now() >= follow_until;
+        match read {
+            Ok(trace) if !follow || trace.is_in_force() || is_late => return Ok(trace),
+            Ok(trace) => serial = trace.serial(),
+            Err(fault) if !follow || is_late => return Err(fault),
+            Err(_) => {}
+        }
+        tokio::time::sleep(ASK_AGAIN_AFTER).await;
+    }
+}
--- a/proving/expedition/src/ailing.rs
+++ b/testing/fleet/src/ailing.rs
@@ -1,16 +1,16 @@
-//! A surveyor whose disk does what a file beside its settings says: nothing, full, failing or stalled.
+//! A controller whose disk does what a file beside its settings says: nothing, full, failing or stalled.
 
+use common::readers::BootSource;
+use controlplane::boot::ControllerBoot;
+use controlplane::disk::Seam;
+use controlplane::drivers::{Controller, ControllerAdapters};
 use eyre::{WrapErr, eyre};
 use gumdrop::Options;
 use std::io;
 use std::path::PathBuf;
 use std::time::Duration;
-use survey::boot::SurveyorBoot;
-use survey::disk::Seam;
-use survey::drivers::{Surveyor, SurveyorTongues};
-use waymark::readers::BootSource;
 
-/// A surveyor for proving, with a disk that can be made to ail.
+/// A controller for proving, with a disk that can be made to ail.
 #[derive(Options)]
 struct Flags {
     #[options(help = "print this help")]
@@ -49,23 +49,23 @@
 }
 
 fn main() -> eyre::Result<()> {
-    let flags = waymark::command_line::read::<Flags>("ailing-surveyor");
+    let flags = common::command_line::read::<Flags>("ailing-controller");
     if flags.version {
-        println!("ailing-surveyor {}", env!("CARGO_PKG_VERSION"));
+        println!("ailing-controller {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    waymark::command_line::start_log();
+    common::command_line::start_log();
     let boot_source = BootSource::open(Some(&flags.boot)).map_err(|fault| eyre!("{fault}"))?;
-    let boot = SurveyorBoot::read(&boot_source).map_err(|fault| eyre!("{fault}"))?;
+    let boot = ControllerBoot::read(&boot_source).map_err(|fault| eyre!("{fault}"))?;
     let seam = Ailing { said_in: flags.boot.with_extension("json.disk") };
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     runtime.block_on(async {
-        let tongues = SurveyorTongues::own(boot.platform);
-        let surveyor =
-            Surveyor::open_with(&boot, Box::new(seam), tongues).await.wrap_err("opening")?;
-        let stop = waymark::command_line::told_to_stop()?;
-        surveyor.run(stop).await;
+        let tongues = ControllerAdapters::own(boot.platform);
+        let controller =
+            Controller::open_with(&boot, Box::new(seam), tongues).await.wrap_err("opening")?;
+        let stop = common::command_line::told_to_stop()?;
+        controller.run(stop).await;
         Ok(())
     })
 }
--- a/proving/expedition/src/days/deployment.rs
+++ b/testing/fleet/src/days/deployment.rs
@@ -5,7 +5,7 @@
 /// A deployment's sizes and mix.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Deployment {
-    /// Trail segments, bundles and elevation for hikers.
+    /// Trail segments, bundles and elevation for load generators.
     Stezka,
     /// Tint recipes for shop counters.
     Tintwell,
@@ -45,7 +45,7 @@
         match self {
             Self::Stezka => Sizes {
                 daemons: 10,
-                localities: 3,
+                zones: 3,
                 workers: 12,
                 worker_mb: 9000,
                 disks_ail: false,
@@ -53,7 +53,7 @@
             },
             Self::Tintwell => Sizes {
                 daemons: 9,
-                localities: 3,
+                zones: 3,
                 workers: 12,
                 worker_mb: 7000,
                 disks_ail: false,
@@ -61,7 +61,7 @@
             },
             Self::Small => Sizes {
                 daemons: 4,
-                localities: 3,
+                zones: 3,
                 workers: 4,
                 worker_mb: 4000,
                 disks_ail: false,
@@ -98,7 +98,7 @@
                         ("elevation-rebuild", false),
                         ("route-profile", false),
                         ("volunteer-roster", true),
-                        ("hut-weather", false),
+                        ("platform-stub-weather", false),
                         ("closure-notice", false),
                     ],
                     "club-page",
--- a/proving/expedition/src/days/fault.rs
+++ b/testing/fleet/src/days/fault.rs
@@ -1,10 +1,10 @@
 use super::Deployment;
 use crate::fleet::{Fleet, FleetFault};
 use crate::judge::lines;
+use common::chance::Chance;
 use serde_json::{Value, json};
 use std::fmt;
 use std::time::Duration;
-use waymark::chance::Chance;
 
 macro_rules! faults {
     ($($(#[$doc:meta])* $variant:ident = $name:literal,)+) => {
@@ -48,27 +48,27 @@
     KillOne = "kill-one",
     /// A third of the daemons are killed at once and return.
     KillHerd = "kill-herd",
-    /// The leading surveyor is killed and returns.
+    /// The leading controller is killed and returns.
     KillLeader = "kill-leader",
     /// The leader is killed right after it accepted a change.
     KillAfterAck = "kill-after-ack",
-    /// A following surveyor is killed, loses its disk and returns.
+    /// A following controller is killed, loses its disk and returns.
     LoseDisk = "lose-disk",
-    /// A following surveyor is lost for good, and an empty one at a new address takes its place.
+    /// A following controller is lost for good, and an empty one at a new address takes its place.
     ReplaceCore = "replace-core",
     /// The daemon that holds most is frozen for six seconds.
     FreezeHolder = "freeze-holder",
-    /// The leading surveyor is frozen for four seconds.
+    /// The leading controller is frozen for four seconds.
     FreezeLeader = "freeze-leader",
     /// A daemon is warned, given its grace, and returns.
     StopOne = "stop-one",
-    /// Every daemon and surveyor is killed and returns.
+    /// Every daemon and controller is killed and returns.
     RestartAll = "restart-all",
     /// A worker is emptied.
     DrainWorker = "drain-worker",
     /// A worker crashes with its runners and returns.
     CrashWorker = "crash-worker",
-    /// A locality is evacuated and brought back.
+    /// A zone is evacuated and brought back.
     Evacuate = "evacuate",
     /// Runners lose one answer in twenty.
     LostAnswers = "lost-answers",
@@ -78,22 +78,22 @@
     Refusals = "refusals",
     /// A route is added, turned and removed, and called through every door each time.
     SpecRoutes = "spec-routes",
-    /// A third of the daemons and a surveyor are killed at once; the surveyor loses its disk.
+    /// A third of the daemons and a controller are killed at once; the controller loses its disk.
     HerdLosesDisk = "herd-loses-disk",
-    /// A locality is lost whole, daemons, surveyor and workers, and returns.
-    LoseLocality = "lose-locality",
+    /// A zone is lost whole, daemons, controller and workers, and returns.
+    LoseZone = "lose-locality",
     /// A third of the daemons freeze at once for four seconds.
     FreezeHerd = "freeze-herd",
     /// The daemon that holds most is warned, given its grace, and returns.
     StopHolder = "stop-holder",
-    /// The leader is cut off from the other surveyors, with half of the daemons on its side.
+    /// The leader is cut off from the other controllers, with half of the daemons on its side.
     CutCore = "cut-core",
     /// The daemon that holds most is cut off from all other processes.
     CutHolder = "cut-holder",
     /// A daemon is heard by nobody, or hears nobody.
     CutOneWay = "cut-one-way",
-    /// A locality is cut off from the others.
-    CutLocality = "cut-locality",
+    /// A zone is cut off from the others.
+    CutZone = "cut-locality",
     /// Everything between the processes takes a fifth of a second longer.
     SlowNetwork = "slow-network",
     /// The leader's disk is full for six seconds, while changes are sent.
@@ -102,7 +102,7 @@
     DiskStalls = "disk-stalls",
     /// A follower's disk fails every write for six seconds, while changes are sent.
     DiskFails = "disk-fails",
-    /// Every daemon and surveyor is stopped in order and started again, one after the other.
+    /// Every daemon and controller is stopped in order and started again, one after the other.
     RollingRestart = "rolling-restart",
     /// Runners say that they leave, and stop six seconds later.
     RunnerLeaves = "runner-leaves",
@@ -141,17 +141,17 @@
             | FaultName::FreezeLeader
             | FaultName::RestartAll
             | FaultName::HerdLosesDisk
-            | FaultName::LoseLocality
+            | FaultName::LoseZone
             | FaultName::FreezeHerd
             | FaultName::CutCore
             | FaultName::CutHolder
-            | FaultName::CutLocality
+            | FaultName::CutZone
             | FaultName::CrashWorker
     )
 }
 
 impl FaultName {
-    /// Whether it needs surveyors whose disks can be made to ail.
+    /// Whether it needs controllers whose disks can be made to ail.
     pub fn is_of_disk(self) -> bool {
         matches!(self, Self::DiskFull | Self::DiskStalls | Self::DiskFails)
     }
@@ -178,7 +178,7 @@
             Self::SpecInvalid => &[lines::REFUSED_CHANGE, lines::NEVER],
             Self::SpecStorm | Self::SpecGrow => &[lines::FORCE, lines::LOSING],
             Self::SpecRoutes => &[lines::FORCE, lines::DOORS],
-            Self::KillOne | Self::KillHerd | Self::LoseLocality | Self::HerdLosesDisk => {
+            Self::KillOne | Self::KillHerd | Self::LoseZone | Self::HerdLosesDisk => {
                 &[lines::TWICE, lines::REFUSED, lines::TWO_HOLDERS, lines::DOWN]
             }
             Self::KillLeader | Self::KillAfterAck | Self::FreezeLeader => {
@@ -188,7 +188,7 @@
             Self::FreezeHolder | Self::FreezeHerd => {
                 &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN]
             }
-            Self::CutCore | Self::CutHolder | Self::CutLocality => {
+            Self::CutCore | Self::CutHolder | Self::CutZone => {
                 &[lines::TWICE, lines::TWO_HOLDERS, lines::DOWN]
             }
             Self::CutOneWay | Self::SlowNetwork => &[lines::TWICE, lines::TWO_HOLDERS],
@@ -245,14 +245,14 @@
             FaultName::SpecInvalid => self.send_invalid(fleet).await,
             FaultName::SpecGrow => self.grow(fleet).await,
             FaultName::KillOne => {
-                let names = fleet.running("trailhead");
+                let names = fleet.running("daemon");
                 let Some(name) = self.one_of(&names) else { return Ok(()) };
                 fleet.kill(&name).await;
                 pause(3000).await;
                 fleet.launch(&name).await
             }
             FaultName::KillHerd => {
-                let names = fleet.running("trailhead");
+                let names = fleet.running("daemon");
                 let herd: Vec<String> = names.iter().step_by(3).cloned().collect();
                 fleet.kill_all(&herd).await;
                 pause(3000).await;
@@ -280,11 +280,11 @@
             }
             FaultName::ReplaceCore => {
                 let Some(name) = self.some_follower(fleet).await else { return Ok(()) };
-                let locality = fleet.layout.machines[&name].locality.clone();
+                let zone = fleet.layout.machines[&name].zone.clone();
                 fleet.kill(&name).await;
                 fleet.layout.machines.remove(&name);
                 let spare_name = format!("spare-{}", self.chance.below(1 << 20));
-                fleet.layout.add_surveyor(&spare_name, &locality)?;
+                fleet.layout.add_controller(&spare_name, &zone)?;
                 fleet.launch(&spare_name).await?;
                 pause(14_000).await;
                 Ok(())
@@ -304,7 +304,7 @@
                 Ok(())
             }
             FaultName::StopOne => {
-                let names = fleet.running("trailhead");
+                let names = fleet.running("daemon");
                 let Some(name) = self.one_of(&names) else { return Ok(()) };
                 fleet.stop(&name, Duration::from_secs(6)).await;
                 pause(1000).await;
@@ -312,14 +312,14 @@
             }
             FaultName::RestartAll => {
                 let names: Vec<String> =
-                    [fleet.running("trailhead"), fleet.running("surveyor")].concat();
+                    [fleet.running("daemon"), fleet.running("controller")].concat();
                 fleet.kill_all(&names).await;
                 pause(1000).await;
                 fleet.launch_all(&names).await
             }
             FaultName::SpecRoutes => self.turn_routes(fleet).await,
             FaultName::HerdLosesDisk => {
-                let names = fleet.running("trailhead");
+                let names = fleet.running("daemon");
                 let herd: Vec<String> = names.iter().step_by(3).cloned().collect();
                 let Some(follower) = self.some_follower(fleet).await else { return Ok(()) };
                 fleet.kill_all(&herd).await;
@@ -329,9 +329,9 @@
                 fleet.launch_all(&herd).await?;
                 fleet.launch(&follower).await
             }
-            FaultName::LoseLocality => self.lose_locality(fleet).await,
+            FaultName::LoseZone => self.lose_zone(fleet).await,
             FaultName::FreezeHerd => {
-                let names = fleet.running("trailhead");
+                let names = fleet.running("daemon");
                 let herd: Vec<String> = names.iter().step_by(3).cloned().collect();
                 herd.iter().for_each(|name| fleet.freeze(name));
                 pause(4000).await;
@@ -346,7 +346,7 @@
             }
             FaultName::CutCore => {
                 let Some(leader) = fleet.leader().await else { return Ok(()) };
-                let daemons = fleet.running("trailhead");
+                let daemons = fleet.running("daemon");
                 let mut side: Vec<String> = daemons.iter().step_by(2).cloned().collect();
                 side.push(leader);
                 self.cut_off(fleet, &side).await
@@ -355,17 +355,17 @@
                 let Some(name) = fleet.busiest_holder().await else { return Ok(()) };
                 self.cut_off(fleet, &[name]).await
             }
-            FaultName::CutLocality => {
-                let locality = format!("locality-{}", 1 + self.chance.below(3));
+            FaultName::CutZone => {
+                let zone = format!("locality-{}", 1 + self.chance.below(3));
                 let machines = fleet.layout.machines.values();
                 let side: Vec<String> = machines
-                    .filter(|machine| machine.locality == locality)
+                    .filter(|machine| machine.zone == zone)
                     .map(|machine| machine.name.clone())
                     .collect();
                 self.cut_off(fleet, &side).await
             }
             FaultName::CutOneWay => {
-                let names = fleet.running("trailhead");
+                let names = fleet.running("daemon");
                 let Some(name) = self.one_of(&names) else { return Ok(()) };
                 let Some(own_ip) = fleet.ip_of(&name) else { return Ok(()) };
                 let is_heard = self.chance.happens(0.5);
@@ -395,7 +395,7 @@
                 self.ail(fleet, &follower, "failing").await
             }
             FaultName::RollingRestart => {
-                let names = [fleet.running("trailhead"), fleet.running("surveyor")].concat();
+                let names = [fleet.running("daemon"), fleet.running("controller")].concat();
                 for name in names {
                     fleet.stop(&name, Duration::from_secs(6)).await;
                     fleet.launch(&name).await?;
@@ -440,7 +440,7 @@
     async fn some_follower(&mut self, fleet: &Fleet) -> Option<String> {
         let leader = fleet.leader().await;
         let followers: Vec<String> = fleet
-            .running("surveyor")
+            .running("controller")
             .into_iter()
             .filter(|name| Some(name) != leader.as_ref())
             .collect();
@@ -520,17 +520,17 @@
     }
 
     async fn evacuate(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
-        let localities = fleet.layout.machines.values().map(|machine| machine.locality.clone());
-        let named_localities: std::collections::BTreeSet<String> =
-            localities.filter(|name| !name.is_empty()).collect();
-        let names: Vec<String> = named_localities.into_iter().collect();
-        let Some(locality) = self.one_of(&names) else { return Ok(()) };
+        let zones = fleet.layout.machines.values().map(|machine| machine.zone.clone());
+        let named_zones: std::collections::BTreeSet<String> =
+            zones.filter(|name| !name.is_empty()).collect();
+        let names: Vec<String> = named_zones.into_iter().collect();
+        let Some(zone) = self.one_of(&names) else { return Ok(()) };
         for deed in ["evacuate", "restore"] {
             let body = json!({"change_id": fleet.change_id()});
-            let path = format!("/v1/localities/{locality}/{deed}");
+            let path = format!("/v1/localities/{zone}/{deed}");
             let said = fleet.ask(hyper::Method::POST, &path, Some(&body)).await;
             let status = said.as_ref().map_or(0, |(status, _)| *status);
-            fleet.note("locality", json!({"locality": locality, "deed": deed, "status": status}));
+            fleet.note("locality", json!({"locality": zone, "deed": deed, "status": status}));
             if deed == "evacuate" {
                 pause(9000).await;
             }
@@ -560,16 +560,16 @@
         Ok(())
     }
 
-    async fn lose_locality(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
-        let locality = format!("locality-{}", 1 + self.chance.below(3));
+    async fn lose_zone(&mut self, fleet: &mut Fleet) -> Result<(), FleetFault> {
+        let zone = format!("locality-{}", 1 + self.chance.below(3));
         let lost: Vec<String> = fleet
             .layout
             .machines
             .values()
-            .filter(|machine| machine.locality == locality)
+            .filter(|machine| machine.zone == zone)
             .map(|machine| machine.name.clone())
             .collect();
-        let workers = fleet.workers_of(&locality).await;
+        let workers = fleet.workers_of(&zone).await;
         fleet.kill_all(&lost).await;
         for worker in &workers {
             fleet.platform(&format!("/v1/workers/{worker}/crash"), &json!({})).await?;
@@ -623,9 +623,9 @@
                 "bursts": [{"at_ms": 0, "lasts_ms": 100, "count": 3, "first_route": 0}],
                 "records": records.display().to_string(),
             });
-            let source = waymark::readers::BootSource::from_value("probe", plan);
-            if let Ok(plan) = hiker::Plan::read(&source) {
-                let _ = hiker::walk(plan).await;
+            let source = common::readers::BootSource::from_value("probe", plan);
+            if let Ok(plan) = loadgen::Plan::read(&source) {
+                let _ = loadgen::walk(plan).await;
             }
         }
     }
@@ -653,9 +653,9 @@
             "bursts": [burst],
             "records": records.display().to_string(),
         });
-        let source = waymark::readers::BootSource::from_value("crowd", plan);
-        if let Ok(plan) = hiker::Plan::read(&source) {
-            let _ = hiker::walk(plan).await;
+        let source = common::readers::BootSource::from_value("crowd", plan);
+        if let Ok(plan) = loadgen::Plan::read(&source) {
+            let _ = loadgen::walk(plan).await;
         }
         Ok(())
     }
--- a/proving/expedition/src/days/run.rs
+++ b/testing/fleet/src/days/run.rs
@@ -1,13 +1,13 @@
 use super::{Deployment, Fault, FaultName};
 use crate::fleet::{Fleet, FleetFault, Layout};
 use crate::judge::{Evidence, Verdict, judge};
-use hiker::{Plan, walk};
+use common::chance::Chance;
+use common::readers::BootSource;
+use common::rules::Rule;
+use loadgen::{Plan, walk};
 use serde_json::json;
 use std::path::PathBuf;
 use std::time::Duration;
-use waymark::chance::Chance;
-use waymark::readers::BootSource;
-use waymark::rules::Rule;
 
 /// One day of the fleet.
 #[derive(Clone, Debug)]
@@ -99,7 +99,7 @@
     for (name, place) in doors {
         let patience = Duration::from_secs(1);
         let called =
-            waymark::http::call_json(place, hyper::Method::GET, "/metrics", None, patience).await;
+            common::http::call_json(place, hyper::Method::GET, "/metrics", None, patience).await;
         if let Ok(called) = called {
             pages.push_str(&format!("# {name}\n{}\n", String::from_utf8_lossy(&called.body)));
         }
--- a/proving/expedition/src/flawed.rs
+++ b/testing/fleet/src/flawed.rs
@@ -1,14 +1,14 @@
-//! A trailhead with one safety rule taken away, to see that the judge finds what is broken.
+//! A daemon with one safety rule taken away, to see that the judge finds what is broken.
 
+use common::readers::BootSource;
+use common::rules::{Rule, Rules};
+use dataplane::boot::DaemonBoot;
+use dataplane::drivers::Daemon;
 use eyre::{WrapErr, eyre};
 use gumdrop::Options;
 use std::path::PathBuf;
-use trail::boot::TrailheadBoot;
-use trail::drivers::Trailhead;
-use waymark::readers::BootSource;
-use waymark::rules::{Rule, Rules};
 
-/// A trailhead for proving, without one of its rules.
+/// A daemon for proving, without one of its rules.
 #[derive(Options)]
 struct Flags {
     #[options(help = "print this help")]
@@ -22,22 +22,22 @@
 }
 
 fn main() -> eyre::Result<()> {
-    let flags = waymark::command_line::read::<Flags>("flawed-trailhead");
+    let flags = common::command_line::read::<Flags>("flawed-daemon");
     if flags.version {
-        println!("flawed-trailhead {}", env!("CARGO_PKG_VERSION"));
+        println!("flawed-daemon {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    waymark::command_line::start_log();
+    common::command_line::start_log();
     let rule = Rule::named(&flags.without)
         .ok_or_else(|| eyre!("--without: no such rule: {:?}", flags.without))?;
     let boot_source = BootSource::open(Some(&flags.boot)).map_err(|fault| eyre!("{fault}"))?;
-    let boot = TrailheadBoot::read(&boot_source).map_err(|fault| eyre!("{fault}"))?;
+    let boot = DaemonBoot::read(&boot_source).map_err(|fault| eyre!("{fault}"))?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let opened = Trailhead::open_under(boot, Rules::without(rule)).await;
-        let trailhead = opened.map_err(|fault| eyre!("{fault}")).wrap_err("opening")?;
-        let stop = waymark::command_line::told_to_stop()?;
-        trailhead.run(stop).await;
+        let opened = Daemon::open_under(boot, Rules::without(rule)).await;
+        let daemon = opened.map_err(|fault| eyre!("{fault}")).wrap_err("opening")?;
+        let stop = common::command_line::told_to_stop()?;
+        daemon.run(stop).await;
         Ok(())
     })
 }
--- a/proving/expedition/src/fleet/layout.rs
+++ b/testing/fleet/src/fleet/layout.rs
@@ -1,10 +1,10 @@
 use super::FleetFault;
+use common::frames::Place;
+use common::rules::Rule;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
-use waymark::frames::Place;
-use waymark::rules::Rule;
 
 /// One process and how it is started.
 #[derive(Clone, Debug)]
@@ -21,8 +21,8 @@
     pub door: Option<Place>,
     /// Where operators reach it.
     pub operators: Option<Place>,
-    /// Its locality.
-    pub locality: String,
+    /// Its zone.
+    pub zone: String,
     /// Where other processes reach it, and where it listens behind its relay.
     pub ways: Option<(Place, Place)>,
 }
@@ -33,12 +33,12 @@
     /// Daemon machines.
     pub daemons: usize,
     /// Localities.
-    pub localities: usize,
+    pub zones: usize,
     /// Workers.
     pub workers: usize,
     /// Memory of one worker in megabytes.
     pub worker_mb: u64,
-    /// Whether the surveyors' disks can be made to ail.
+    /// Whether the controllers' disks can be made to ail.
     pub disks_ail: bool,
     /// The rule that the daemons lack, if any.
     pub without: Option<Rule>,
@@ -115,32 +115,32 @@
             machine_count: 3 + sizes.daemons,
         };
         for number in 0..3 {
-            let name = format!("surveyor-{}", number + 1);
-            let locality = format!("locality-{}", number % sizes.localities + 1);
+            let name = format!("controller-{}", number + 1);
+            let zone = format!("locality-{}", number % sizes.zones + 1);
             let operators = places[1 + number];
             let settings = json!({
                 "place": seeds[number],
                 "listen": ways[number].1.to_string(),
                 "operators": operators.to_string(),
-                "locality": locality,
+                "locality": zone,
                 "seeds": seeds,
                 "data": folder.join(format!("{name}.data")).display().to_string(),
                 "platform": platform.to_string(),
             });
             layout.add(
                 &name,
-                "surveyor",
+                "controller",
                 &settings,
                 None,
                 Some(operators),
-                locality,
+                zone,
                 ways[number],
             )?;
         }
         let mut doors = Vec::new();
         for number in 0..sizes.daemons {
-            let name = format!("trailhead-{:02}", number + 1);
-            let locality = format!("locality-{}", number % sizes.localities + 1);
+            let name = format!("daemon-{:02}", number + 1);
+            let zone = format!("locality-{}", number % sizes.zones + 1);
             let door = places[4 + number];
             let (place, listen) = ways[3 + number];
             let settings = json!({
@@ -148,41 +148,41 @@
                 "place": place.to_string(),
                 "listen": listen.to_string(),
                 "door": door.to_string(),
-                "locality": locality,
+                "locality": zone,
                 "seeds": seeds,
                 "platform": platform.to_string(),
                 "threads": 2,
             });
             doors.push(door.to_string());
             let own_ways = (place, listen);
-            layout.add(&name, "trailhead", &settings, Some(door), None, locality, own_ways)?;
+            layout.add(&name, "daemon", &settings, Some(door), None, zone, own_ways)?;
         }
-        let mut hut_arguments: Vec<String> = [
+        let mut stub_arguments: Vec<String> = [
             ("--place", platform.to_string()),
             ("--workers", sizes.workers.to_string()),
             ("--memory", sizes.worker_mb.to_string()),
-            ("--localities", sizes.localities.to_string()),
+            ("--localities", sizes.zones.to_string()),
             ("--doors", doors.join(",")),
             ("--seed", seed.to_string()),
-            ("--records", folder.join("hut.jsonl").display().to_string()),
+            ("--records", folder.join("platform-stub.jsonl").display().to_string()),
         ]
         .into_iter()
         .flat_map(|(flag, value)| [flag.to_owned(), value])
         .collect();
         if reuse {
-            hut_arguments.push("--reuse".to_owned());
+            stub_arguments.push("--reuse".to_owned());
         }
-        let hut = Machine {
-            name: "hut".to_owned(),
-            program: "hut",
-            binary: programs.join("hut"),
-            arguments: hut_arguments,
+        let platform_stub = Machine {
+            name: "platform-stub".to_owned(),
+            program: "platform-stub",
+            binary: programs.join("platform-stub"),
+            arguments: stub_arguments,
             door: None,
             operators: None,
-            locality: String::new(),
+            zone: String::new(),
             ways: None,
         };
-        layout.machines.insert("hut".to_owned(), hut);
+        layout.machines.insert("platform-stub".to_owned(), platform_stub);
         Ok(layout)
     }
 
@@ -194,7 +194,7 @@
         settings: &Value,
         door: Option<Place>,
         operators: Option<Place>,
-        locality: String,
+        zone: String,
         ways: (Place, Place),
     ) -> Result<(), FleetFault> {
         let boot_path = self.folder.join(format!("{name}.json"));
@@ -202,7 +202,7 @@
         std::fs::write(&boot_path, text)
             .map_err(|fault| FleetFault::Machine(boot_path.clone(), fault))?;
         let mut arguments = vec!["--boot".to_owned(), boot_path.display().to_string()];
-        if let Some(rule) = self.without.filter(|_| program == "trailhead") {
+        if let Some(rule) = self.without.filter(|_| program == "daemon") {
             arguments.extend(["--without".to_owned(), rule.to_string()]);
         }
         let machine = Machine {
@@ -212,30 +212,32 @@
             arguments,
             door,
             operators,
-            locality,
+            zone,
             ways: Some(ways),
         };
         self.machines.insert(name.to_owned(), machine);
         Ok(())
     }
 
-    /// Surveyors whose disks can be made to ail, and daemons that lack a rule, come from programs of the
+    /// Controllers whose disks can be made to ail, and daemons that lack a rule, come from programs of the
     /// proving tools around the same libraries.
     fn binary_of(&self, program: &'static str) -> &'static str {
         match program {
-            "surveyor" if self.disks_ail => "ailing-surveyor",
-            "trailhead" if self.without.is_some() => "flawed-trailhead",
+            "controller" if self.disks_ail => "ailing-controller",
+            "daemon" if self.without.is_some() => "flawed-daemon",
+            "controller" => "rudder-controller",
+            "daemon" => "rudderd",
             _ => program,
         }
     }
 
-    /// The file that says how a surveyor's disk ails.
+    /// The file that says how a controller's disk ails.
     pub fn disk_file(&self, name: &str) -> PathBuf {
         self.folder.join(format!("{name}.json.disk"))
     }
 
-    /// One more surveyor at an address of its own, with an empty disk, in another's locality.
-    pub fn add_surveyor(&mut self, name: &str, locality: &str) -> Result<(), FleetFault> {
+    /// One more controller at an address of its own, with an empty disk, in another's zone.
+    pub fn add_controller(&mut self, name: &str, zone: &str) -> Result<(), FleetFault> {
         let at = |fault| FleetFault::Machine(self.folder.clone(), fault);
         let operators = free_places(1).map_err(at)?[0];
         let ways = machine_places(self.machine_count).map_err(at)?;
@@ -244,15 +246,15 @@
             "place": ways.0.to_string(),
             "listen": ways.1.to_string(),
             "operators": operators.to_string(),
-            "locality": locality,
+            "locality": zone,
             "seeds": self.seeds,
             "data": self.folder.join(format!("{name}.data")).display().to_string(),
             "platform": self.platform.to_string(),
         });
-        self.add(name, "surveyor", &settings, None, Some(operators), locality.to_owned(), ways)
+        self.add(name, "controller", &settings, None, Some(operators), zone.to_owned(), ways)
     }
 
-    /// Where operators reach the surveyors.
+    /// Where operators reach the controllers.
     pub fn operators(&self) -> Vec<Place> {
         self.machines.values().filter_map(|machine| machine.operators).collect()
     }
--- a/proving/expedition/src/fleet/mod.rs
+++ b/testing/fleet/src/fleet/mod.rs
@@ -9,17 +9,17 @@
 pub use relay::Relay;
 
 use crate::judge::EvidenceFault;
-use hut::records::Records;
+use common::clock::Moment;
+use common::frames::Place;
+use common::http::{CallFault, call_json};
 use hyper::Method;
+use platform_stub::records::Records;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::time::Instant;
-use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::http::{CallFault, call_json};
 
 /// Why the fleet could not do something.
 #[derive(Debug)]
@@ -85,8 +85,8 @@
         let mut fleet = Self { layout, journal, relay, processes, next_change: 1 };
 
         let names: Vec<String> = fleet.layout.machines.keys().cloned().collect();
-        fleet.launch("hut").await?;
-        for name in names.iter().filter(|name| *name != "hut") {
+        fleet.launch("platform-stub").await?;
+        for name in names.iter().filter(|name| *name != "platform-stub") {
             fleet.launch(name).await?;
         }
         Ok(fleet)
@@ -201,7 +201,7 @@
         self.note("wake", json!({"machine": name, "door": self.door(name)}));
     }
 
-    /// Empties a surveyor's data folder.
+    /// Empties a controller's data folder.
     pub fn lose_disk(&self, name: &str) {
         let _ = std::fs::remove_dir_all(self.layout.folder.join(format!("{name}.data")));
         self.note("lose_disk", json!({"machine": name}));
@@ -211,13 +211,13 @@
     pub async fn end(&mut self) {
         let names: Vec<String> = self.processes.keys().cloned().collect();
         for name in &names {
-            if let Some(process) = self.processes.get(name).filter(|_| name != "hut") {
+            if let Some(process) = self.processes.get(name).filter(|_| name != "platform-stub") {
                 process.wake();
                 process.warn();
             }
         }
         for name in &names {
-            if name != "hut"
+            if name != "platform-stub"
                 && let Some(mut process) = self.processes.remove(name)
                 && !process.wait(Duration::from_secs(7)).await
             {
@@ -225,22 +225,22 @@
             }
         }
         self.note("end", json!({}));
-        if let Some(mut hut) = self.processes.remove("hut") {
-            hut.warn();
-            if !hut.wait(Duration::from_secs(2)).await {
-                hut.kill();
+        if let Some(mut platform_stub) = self.processes.remove("platform-stub") {
+            platform_stub.warn();
+            if !platform_stub.wait(Duration::from_secs(2)).await {
+                platform_stub.kill();
             }
         }
     }
 
-    /// Asks surveyors in turn until one answers.
+    /// Asks controllers in turn until one answers.
     pub async fn ask(
         &self,
         method: Method,
         path: &str,
         body: Option<&Value>,
     ) -> Result<(u16, Value), FleetFault> {
-        let mut last_fault = FleetFault::Awaited("a surveyor that answers");
+        let mut last_fault = FleetFault::Awaited("a controller that answers");
         for operators in self.layout.operators() {
             let patience = Duration::from_secs(12);
             match call_json(operators, method.clone(), path, body, patience).await {
@@ -343,7 +343,7 @@
         said
     }
 
-    /// The surveyor that says it leads; used only to choose whom to hurt.
+    /// The controller that says it leads; used only to choose whom to hurt.
     pub async fn leader(&self) -> Option<String> {
         for (name, machine) in &self.layout.machines {
             let Some(operators) = machine.operators else { continue };
@@ -370,15 +370,15 @@
             .map(|(name, _)| name)
     }
 
-    /// The platform's workers in a locality.
-    pub async fn workers_of(&self, locality: &str) -> Vec<String> {
+    /// The platform's workers in a zone.
+    pub async fn workers_of(&self, zone: &str) -> Vec<String> {
         let patience = Duration::from_secs(1);
         let place = self.layout.platform;
         let called = call_json(place, Method::GET, "/v1/workers", None, patience).await;
         let body = called.map(|called| called.json()).unwrap_or_default();
         let rows = body["workers"].as_array().cloned().unwrap_or_default();
         rows.iter()
-            .filter(|row| row["locality"] == json!(locality))
+            .filter(|row| row["locality"] == json!(zone))
             .filter_map(|row| row["worker"].as_str().map(str::to_owned))
             .collect()
     }
--- a/proving/expedition/src/fleet/relay.rs
+++ b/testing/fleet/src/fleet/relay.rs
@@ -1,3 +1,4 @@
+use common::frames::Place;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -7,7 +8,6 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use waymark::frames::Place;
 
 /// What the network between the processes does now; machines are known by their IP numbers.
 #[derive(Clone, Default)]
