--- a/proving/expedition/src/hollow/calls.rs
+++ b/testing/fleet/src/hollow/calls.rs
@@ -4,21 +4,21 @@
 use super::meter::{Role, Work};
 use super::wire;
 use bytes::Bytes;
+use common::clock::Moment;
+use common::frames::{
+    AcquireResult, HopBody, HopFrame, HopOutcome, HopReason, Host, Many, Parcel, decode, encode,
+};
+use common::identity::{CorrelationId, FunctionKey, RunnerId, Ticket, TransactionId};
+use common::rules::Rules;
+use common::seal;
+use common::tongue::{BeginEnd, RunnerSaid, SealKind};
+use dataplane::agent::{
+    Agent, Ask, Held, InHand, PassEnd, Question, RunnerCall, Task, Topic, Way, WayStep, judge,
+};
+use dataplane::holder::{Holder, HolderOutput, SendEnd};
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
-use trail::holder::{Holder, HolderOutput, SendEnd};
-use trail::lodge::{
-    Ask, Held, InHand, Lodge, PassEnd, Question, RunnerCall, Task, Topic, Way, WayStep, judge,
-};
-use waymark::clock::Moment;
-use waymark::frames::{
-    AcquireResult, HopBody, HopFrame, HopOutcome, HopReason, Host, Many, Parcel, decode, encode,
-};
-use waymark::identity::{CorrelationId, FunctionKey, RunnerId, Ticket, TransactionId};
-use waymark::rules::Rules;
-use waymark::seal;
-use waymark::tongue::{BeginEnd, RunnerSaid, SealKind};
 
 const PLATFORM_TAKES: Duration = Duration::from_millis(5);
 const RUNNER_NEAR: Duration = Duration::from_millis(2);
@@ -58,17 +58,15 @@
         match event {
             Event::Fill => self.fill(),
             Event::Call => self.call_some(),
-            Event::Look { trailhead, number, wake } => self.look(trailhead, number, wake),
-            Event::AcquireTimedOut(trailhead, number) => {
-                self.step(trailhead, number, Awaits::Acquired, |way, lodge, now| {
-                    way.look(lodge, now)
-                });
+            Event::Look { daemon, number, wake } => self.look(daemon, number, wake),
+            Event::AcquireTimedOut(daemon, number) => {
+                self.step(daemon, number, Awaits::Acquired, |way, agent, now| way.look(agent, now));
             }
-            Event::Hop { trailhead, back, frame } => self.hear_hop(trailhead, back, &frame),
-            Event::HopDone { trailhead, number, frame } => {
-                self.hear_done(trailhead, number, &frame);
+            Event::Hop { daemon, back, frame } => self.hear_hop(daemon, back, &frame),
+            Event::HopDone { daemon, number, frame } => {
+                self.hear_done(daemon, number, &frame);
             }
-            Event::Passed(trailhead, number, end) => self.passed(trailhead, number, end),
+            Event::Passed(daemon, number, end) => self.passed(daemon, number, end),
             Event::Started(spot, runner, life) => {
                 self.apply(&spot, Work::Runners, |holder, now| {
                     holder.started(now, runner, BeginEnd::Begun(life))
@@ -134,20 +132,20 @@
     }
 
     fn call(&mut self, function: usize) {
-        let trailhead = self.chance.below(self.size.daemons as u64) as usize;
+        let daemon = self.chance.below(self.size.daemons as u64) as usize;
         let number = self.number();
         let now = self.now;
-        let Some(lodge) = self.lodge(trailhead) else { return };
+        let Some(agent) = self.agent(daemon) else { return };
         let route_name = catalogue::name_of(function);
         let path = format!("/{route_name}/{number}");
         let transaction = TransactionId::from(format!("transaction-{number:012}"));
         self.record.called += 1;
         let (matched, _) = self.meter.think(Role::Door, Work::Calls, || {
-            let table = lodge.table.load_full();
+            let table = agent.table.load_full();
             let found = table.route(&hyper::Method::POST, "callers", &path, &transaction)?;
             Some((found.function.key.clone(), table.serial()))
         });
-        let Some((key, serial)) = matched.filter(|_| lodge.is_serving(now)) else {
+        let Some((key, serial)) = matched.filter(|_| agent.is_serving(now)) else {
             self.record.not_run += 1;
             return;
         };
@@ -162,30 +160,30 @@
             repeat: false,
             parcel: Arc::new(Parcel::of_body(Bytes::from_static(REQUEST))),
         };
-        self.take_ask(trailhead, ask, Back::Caller);
+        self.take_ask(daemon, ask, Back::Caller);
     }
 
-    fn take_ask(&mut self, trailhead: usize, ask: Ask, back: Back) {
+    fn take_ask(&mut self, daemon: usize, ask: Ask, back: Back) {
         let number = self.number();
         let now = self.now;
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
-        let in_hand = begun.lodge.take_in_hand();
+        let Some(begun) = &mut self.daemons[daemon] else { return };
+        let in_hand = begun.agent.take_in_hand();
         let way = Way::new(now, ask);
         let pending = Pending { way, back, awaits: Awaits::Look, wakes: 0, _in_hand: in_hand };
         begun.pendings.insert(number, pending);
-        self.step(trailhead, number, Awaits::Look, |way, lodge, now| way.look(lodge, now));
+        self.step(daemon, number, Awaits::Look, |way, agent, now| way.look(agent, now));
     }
 
     /// The time of a wait is up, unless something else has come since.
-    fn look(&mut self, trailhead: usize, number: u64, wake: u64) {
-        if self.pending(trailhead, number).is_some_and(|pending| pending.wakes == wake) {
-            self.step(trailhead, number, Awaits::Look, |way, lodge, now| way.look(lodge, now));
+    fn look(&mut self, daemon: usize, number: u64, wake: u64) {
+        if self.pending(daemon, number).is_some_and(|pending| pending.wakes == wake) {
+            self.step(daemon, number, Awaits::Look, |way, agent, now| way.look(agent, now));
         }
     }
 
     /// Something has changed that a waiting transaction may wait for.
-    pub(super) fn look_all(&mut self, trailhead: usize) {
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+    pub(super) fn look_all(&mut self, daemon: usize) {
+        let Some(begun) = &mut self.daemons[daemon] else { return };
         let mut looking: Vec<(u64, u64)> = begun
             .pendings
             .iter_mut()
@@ -197,26 +195,26 @@
             .collect();
         looking.sort_unstable();
         for (number, wake) in looking {
-            self.push(Duration::from_micros(2), Event::Look { trailhead, number, wake });
+            self.push(Duration::from_micros(2), Event::Look { daemon, number, wake });
         }
     }
 
     fn step(
         &mut self,
-        trailhead: usize,
+        daemon: usize,
         number: u64,
         awaited: Awaits,
-        change: impl FnOnce(&mut Way, &Lodge<u64>, Moment) -> WayStep<u64>,
+        change: impl FnOnce(&mut Way, &Agent<u64>, Moment) -> WayStep<u64>,
     ) {
         let now = self.now;
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
-        let lodge = begun.lodge.clone();
+        let Some(begun) = &mut self.daemons[daemon] else { return };
+        let agent = begun.agent.clone();
         let Some(pending) = begun.pendings.get_mut(&number) else { return };
         if pending.awaits != awaited {
             return;
         }
         let way = &mut pending.way;
-        let (next_step, _) = self.meter.think(Role::Door, Work::Calls, || change(way, &lodge, now));
+        let (next_step, _) = self.meter.think(Role::Door, Work::Calls, || change(way, &agent, now));
         pending.awaits = match &next_step {
             WayStep::Serve(..) => Awaits::Outcome,
             WayStep::Pass { .. } => Awaits::Passed,
@@ -224,86 +222,79 @@
             WayStep::Wait { .. } | WayStep::End(..) => Awaits::Look,
         };
         match next_step {
-            WayStep::Serve(held, task) => self.serve(trailhead, number, &held, task),
+            WayStep::Serve(held, task) => self.serve(daemon, number, &held, task),
             WayStep::Pass { host, body, wait_until } => {
-                self.pass(trailhead, number, &host, body, wait_until);
+                self.pass(daemon, number, &host, body, wait_until);
             }
-            WayStep::Acquire { wait_until } => self.acquire(trailhead, number, wait_until),
+            WayStep::Acquire { wait_until } => self.acquire(daemon, number, wait_until),
             WayStep::Wait { wait_until } => {
-                let Some(pending) = self.pending(trailhead, number) else { return };
+                let Some(pending) = self.pending(daemon, number) else { return };
                 pending.wakes += 1;
                 let wake = pending.wakes;
                 let wait_span = wait_until.since(now);
-                self.push(wait_span, Event::Look { trailhead, number, wake });
+                self.push(wait_span, Event::Look { daemon, number, wake });
             }
-            WayStep::End(outcome, holder) => self.end(trailhead, number, outcome, holder),
+            WayStep::End(outcome, holder) => self.end(daemon, number, outcome, holder),
         }
     }
 
-    fn serve(&mut self, trailhead: usize, number: u64, held: &Arc<Held<u64>>, task: Task) {
+    fn serve(&mut self, daemon: usize, number: u64, held: &Arc<Held<u64>>, task: Task) {
         let now = self.now;
-        let Some(lodge) = self.lodge(trailhead) else { return };
+        let Some(agent) = self.agent(daemon) else { return };
         let ((at_once, outputs), _) = self
             .meter
-            .think(Role::Holder, Work::Runs, || held.enter(now, lodge.ticket(), task, number));
-        self.drive(trailhead, held, outputs);
-        self.hurry(trailhead, held);
+            .think(Role::Holder, Work::Runs, || held.enter(now, agent.ticket(), task, number));
+        self.drive(daemon, held, outputs);
+        self.hurry(daemon, held);
         if let Some((number, outcome)) = at_once {
-            self.served(trailhead, number, outcome);
+            self.served(daemon, number, outcome);
         }
     }
 
-    fn served(&mut self, trailhead: usize, number: u64, outcome: HopOutcome) {
-        self.step(trailhead, number, Awaits::Outcome, |way, lodge, now| {
-            way.served(lodge, now, outcome)
+    fn served(&mut self, daemon: usize, number: u64, outcome: HopOutcome) {
+        self.step(daemon, number, Awaits::Outcome, |way, agent, now| {
+            way.served(agent, now, outcome)
         });
     }
 
-    fn pass(
-        &mut self,
-        trailhead: usize,
-        number: u64,
-        host: &Host,
-        body: HopBody,
-        wait_until: Moment,
-    ) {
-        let Some(other) = self.trailhead_at(host.place) else { return };
+    fn pass(&mut self, daemon: usize, number: u64, host: &Host, body: HopBody, wait_until: Moment) {
+        let Some(other) = self.daemon_at(host.place) else { return };
         let frame = hop_frame(number, body);
         let encoded = self.meter.wire(Role::Door, Work::Calls, 1, || encode(&frame));
         let Ok(bytes) = encoded else { return };
         self.meter.sent(Role::Door, Work::Calls, 1, wire::frame_bytes(bytes.len()));
         let wait_span = wait_until.since(self.now);
-        self.push(wait_span, Event::Passed(trailhead, number, PassEnd::Lost));
-        let back = Back::Hop { trailhead, number };
-        let delay = Self::delay(trailhead, other);
-        self.push(delay, Event::Hop { trailhead: other, back, frame: bytes.into() });
+        self.push(wait_span, Event::Passed(daemon, number, PassEnd::Lost));
+        let back = Back::Hop { daemon, number };
+        let delay = Self::delay(daemon, other);
+        self.push(delay, Event::Hop { daemon: other, back, frame: bytes.into() });
     }
 
-    fn hear_hop(&mut self, trailhead: usize, back: Back, bytes: &Bytes) {
+    fn hear_hop(&mut self, daemon: usize, back: Back, bytes: &Bytes) {
         let now = self.now;
         self.meter.heard(Role::Door, Work::Calls, 1, wire::frame_bytes(bytes.len()));
         let read = self.meter.wire(Role::Door, Work::Calls, 1, || decode::<HopFrame>(bytes));
         let Ok(frame) = read else { return };
         if let Ok(ask) = Ask::passed_on(now, frame.body) {
-            self.take_ask(trailhead, ask, back);
+            self.take_ask(daemon, ask, back);
         }
     }
 
-    fn hear_done(&mut self, trailhead: usize, number: u64, bytes: &Bytes) {
+    fn hear_done(&mut self, daemon: usize, number: u64, bytes: &Bytes) {
         self.meter.heard(Role::Door, Work::Calls, 1, wire::frame_bytes(bytes.len()));
         let read = self.meter.wire(Role::Door, Work::Calls, 1, || decode::<HopFrame>(bytes));
         if let Ok(HopFrame { body: HopBody::Done { outcome, holder }, .. }) = read {
             let end = PassEnd::Done(outcome, holder.0.into_iter().next());
-            self.passed(trailhead, number, end);
+            self.passed(daemon, number, end);
         }
     }
 
-    fn passed(&mut self, trailhead: usize, number: u64, end: PassEnd) {
-        self.step(trailhead, number, Awaits::Passed, |way, lodge, now| way.passed(lodge, now, end));
+    fn passed(&mut self, daemon: usize, number: u64, end: PassEnd) {
+        self.step(daemon, number, Awaits::Passed, |way, agent, now| way.passed(agent, now, end));
     }
 
-    fn end(&mut self, trailhead: usize, number: u64, outcome: HopOutcome, holder: Option<Host>) {
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+    fn end(&mut self, daemon: usize, number: u64, outcome: HopOutcome, holder: Option<Host>) {
+        let Some(begun) = &mut self.daemons[daemon] else { return };
         let Some(pending) = begun.pendings.remove(&number) else { return };
         match pending.back {
             Back::Caller => match outcome {
@@ -311,44 +302,44 @@
                 HopOutcome::NotRun { .. } => self.record.not_run += 1,
                 HopOutcome::Unknown { .. } => self.record.unknown += 1,
             },
-            Back::Hop { trailhead: asker, number } => {
+            Back::Hop { daemon: asker, number } => {
                 let holder = Many(holder.into_iter().collect());
                 let frame = hop_frame(number, HopBody::Done { outcome, holder });
                 let encoded = self.meter.wire(Role::Door, Work::Calls, 1, || encode(&frame));
                 let Ok(bytes) = encoded else { return };
                 self.meter.sent(Role::Door, Work::Calls, 1, wire::frame_bytes(bytes.len()));
-                let delay = Self::delay(trailhead, asker);
-                let done = Event::HopDone { trailhead: asker, number, frame: bytes.into() };
+                let delay = Self::delay(daemon, asker);
+                let done = Event::HopDone { daemon: asker, number, frame: bytes.into() };
                 self.push(delay, done);
             }
         }
     }
 
-    fn acquire(&mut self, trailhead: usize, number: u64, wait_until: Moment) {
+    fn acquire(&mut self, daemon: usize, number: u64, wait_until: Moment) {
         let wait_span = wait_until.since(self.now);
-        self.push(wait_span, Event::AcquireTimedOut(trailhead, number));
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+        self.push(wait_span, Event::AcquireTimedOut(daemon, number));
+        let Some(begun) = &mut self.daemons[daemon] else { return };
         let Some(pending) = begun.pendings.get(&number) else { return };
         let function = pending.way.ask().function.clone();
         let waiting = begun.acquires.entry(function.clone()).or_default();
         waiting.push(number);
         if waiting.len() == 1 {
-            self.control(trailhead, Work::Grants, |controller, lodge, now| {
-                controller.acquire(lodge, now, function)
+            self.control(daemon, Work::Grants, |controller, agent, now| {
+                controller.acquire(agent, now, function)
             });
         }
     }
 
     pub(super) fn acquired(
         &mut self,
-        trailhead: usize,
+        daemon: usize,
         function: &FunctionKey,
         result: &Option<AcquireResult>,
     ) {
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+        let Some(begun) = &mut self.daemons[daemon] else { return };
         for number in begun.acquires.remove(function).unwrap_or_default() {
-            self.step(trailhead, number, Awaits::Acquired, |way, lodge, now| {
-                way.acquired(lodge, now, result.clone())
+            self.step(daemon, number, Awaits::Acquired, |way, agent, now| {
+                way.acquired(agent, now, result.clone())
             });
         }
     }
@@ -361,21 +352,21 @@
         change: impl FnOnce(&mut Holder, Moment) -> Vec<HolderOutput>,
     ) {
         let now = self.now;
-        let Some(lodge) = self.lodge(spot.trailhead) else { return };
-        let Some(held) = lodge.known(&spot.function, spot.grant) else { return };
+        let Some(agent) = self.agent(spot.daemon) else { return };
+        let Some(held) = agent.known(&spot.function, spot.grant) else { return };
         let (outputs, _) =
             self.meter.think(Role::Holder, work, || held.with(|holder| change(holder, now)));
-        self.drive(spot.trailhead, &held, outputs);
-        self.hurry(spot.trailhead, &held);
+        self.drive(spot.daemon, &held, outputs);
+        self.hurry(spot.daemon, &held);
     }
 
     pub(super) fn drive(
         &mut self,
-        trailhead: usize,
+        daemon: usize,
         held: &Arc<Held<u64>>,
         outputs: Vec<HolderOutput>,
     ) {
-        let spot = Spot { trailhead, function: held.function.clone(), grant: held.grant };
+        let spot = Spot { daemon, function: held.function.clone(), grant: held.grant };
         for output in outputs {
             match held.question(output) {
                 Ok(question) => self.ask_steward(&spot, question),
@@ -392,7 +383,7 @@
             }
             HolderOutput::End { ticket, outcome } => {
                 if let Some(number) = held.leave(ticket) {
-                    self.served(spot.trailhead, number, outcome);
+                    self.served(spot.daemon, number, outcome);
                 }
             }
             HolderOutput::Start { runner, worker, spec } => {
@@ -443,11 +434,11 @@
         attempt: u32,
     ) {
         let now = self.now;
-        let Some(lodge) = self.lodge(spot.trailhead) else { return };
+        let Some(agent) = self.agent(spot.daemon) else { return };
         let face = held.face_of(runner);
         let (call, _) = self.meter.think(Role::Holder, Work::Runs, || {
             let task = held.task(ticket).ok_or(HopReason::NotServing)?;
-            lodge.runner_call(now, held, &task, runner, attempt)
+            agent.runner_call(now, held, &task, runner, attempt)
         });
         match call {
             Ok(call) => {
@@ -494,12 +485,12 @@
         self.open_questions.insert(number);
         let silent = Event::StewardSaid { spot: spot.clone(), number, topic, frame: None };
         self.push(patience, silent);
-        let Some(other) = self.trailhead_at(steward.place) else { return };
+        let Some(other) = self.daemon_at(steward.place) else { return };
         let frame = hop_frame(number, body);
         let encoded = self.meter.wire(Role::Holder, Work::Stewards, 1, || encode(&frame));
         let Ok(bytes) = encoded else { return };
         self.meter.sent(Role::Holder, Work::Stewards, 1, wire::frame_bytes(bytes.len()));
-        let delay = Self::delay(spot.trailhead, other);
+        let delay = Self::delay(spot.daemon, other);
         let (spot, frame) = (spot.clone(), bytes.into());
         self.push(delay, Event::StewardAsked { steward: other, spot, number, topic, frame });
     }
@@ -513,18 +504,18 @@
         bytes: &Bytes,
     ) {
         let now = self.now;
-        let Some(lodge) = self.lodge(steward) else { return };
+        let Some(agent) = self.agent(steward) else { return };
         let work = Work::Stewards;
         self.meter.heard(Role::Holder, work, 1, wire::frame_bytes(bytes.len()));
         let read = self.meter.wire(Role::Holder, work, 1, || decode::<HopFrame>(bytes));
         let Ok(frame) = read else { return };
         let (reply, _) =
-            self.meter.think(Role::Holder, work, || lodge.answer_as_steward(now, frame.body));
+            self.meter.think(Role::Holder, work, || agent.answer_as_steward(now, frame.body));
         let Some(reply) = reply else { return };
         let frame = hop_frame(number, reply);
         let Ok(bytes) = self.meter.wire(Role::Holder, work, 1, || encode(&frame)) else { return };
         self.meter.sent(Role::Holder, work, 1, wire::frame_bytes(bytes.len()));
-        let delay = Self::delay(steward, spot.trailhead);
+        let delay = Self::delay(steward, spot.daemon);
         let frame = Some(bytes.into());
         self.push(delay, Event::StewardSaid { spot, number, topic, frame });
     }
--- a/proving/expedition/src/hollow/catalogue.rs
+++ b/testing/fleet/src/hollow/catalogue.rs
@@ -1,5 +1,5 @@
+use common::chance::Chance;
 use serde_json::{Map, Value, json};
-use waymark::chance::Chance;
 
 /// The name of the function, and of its route, of a number.
 pub(super) fn name_of(number: usize) -> String {
--- a/proving/expedition/src/hollow/surveyors.rs
+++ b/testing/fleet/src/hollow/controllers.rs
@@ -4,22 +4,22 @@
 use super::meter::{Role, Work};
 use super::platform::{read_runners, read_workers};
 use super::wire;
-use super::zones::Zone;
+use super::zones::ZoneNumber;
 use bytes::Bytes;
+use common::chance::Chance;
+use common::clock::Moment;
+use common::events;
+use common::frames::{CoreFrame, StreamDown, StreamUp, decode, encode};
+use common::identity::{ChangeId, ControllerId, RunnerId, Serial, Stamp, Term, Ticket};
+use common::spec::{CoreMember, Document, read_spec};
+use controlplane::controller_state::{
+    ChangeKind, ControllerInput, ControllerOutput, ControllerState, Numbered, Operation,
+    OperationReply, OperationTicket, Wait,
+};
+use controlplane::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
+use controlplane::leader_state::{LeaderTiming, StreamId};
 use serde_json::Value;
 use std::time::Duration;
-use survey::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
-use survey::desk::{DeskTiming, StreamId};
-use survey::plane::{
-    ChangeKind, Numbered, Operation, OperationReply, OperationTicket, Plane, PlaneInput,
-    PlaneOutput, Wait,
-};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{CoreFrame, StreamDown, StreamUp, decode, encode};
-use waymark::identity::{ChangeId, RunnerId, Serial, Stamp, SurveyorId, Term, Ticket};
-use waymark::spec::{CoreMember, Document, read_spec};
 
 const SHORTEST_REST: Duration = Duration::from_millis(1);
 const POLL_EVERY: Duration = Duration::from_millis(400);
@@ -28,30 +28,30 @@
 /// What a call to the platform carries beside its body, with its answer's.
 const HTTP_HEADERS: u64 = 400;
 
-/// One hollow surveyor.
-pub(super) struct Surveyor {
-    pub plane: Plane,
+/// One hollow controller.
+pub(super) struct Controller {
+    pub controller_state: ControllerState,
     pub due: Moment,
 }
 
-impl Surveyor {
+impl Controller {
     fn role(&self) -> Role {
-        if self.plane.core().is_leader() { Role::Leading } else { Role::Following }
+        if self.controller_state.core().is_leader() { Role::Leading } else { Role::Following }
     }
 }
 
 impl Fleet {
-    /// Three surveyors whose disks hold the first spec.
+    /// Three controllers whose disks hold the first spec.
     pub(super) fn found(&mut self, first_spec: Value) {
         let seeds = Self::seeds();
-        let ids: Vec<SurveyorId> =
-            (0..seeds.len()).map(|_| SurveyorId(self.chance.number() | 1)).collect();
+        let ids: Vec<ControllerId> =
+            (0..seeds.len()).map(|_| ControllerId(self.chance.number() | 1)).collect();
         let members = ids.iter().zip(&seeds).enumerate();
         let core: Vec<CoreMember> = members
             .map(|(number, (id, place))| CoreMember {
                 id: *id,
                 place: *place,
-                locality: Zone::of(number).locality(),
+                zone: ZoneNumber::of(number).zone(),
             })
             .collect();
         let checked_spec = read_spec(&first_spec).unwrap_or_default();
@@ -71,74 +71,75 @@
                 timing,
                 recalled,
                 Address { place, operators: place },
-                Zone::of(number).locality(),
+                ZoneNumber::of(number).zone(),
                 seeds.clone(),
                 Chance::seeded(self.chance.number()),
             );
-            let plane = Plane::new(core, DeskTiming::builder().build(), fresh_span);
-            self.surveyors.push(Surveyor { plane, due: self.now });
-            self.push(Duration::from_millis(number as u64), Event::TickSurveyor(number));
+            let controller_state =
+                ControllerState::new(core, LeaderTiming::builder().build(), fresh_span);
+            self.controllers.push(Controller { controller_state, due: self.now });
+            self.push(Duration::from_millis(number as u64), Event::TickController(number));
             self.push(Duration::from_millis(50), Event::Poll(number));
         }
     }
 
-    /// Feeds a surveyor and does what it orders.
-    pub(super) fn feed(&mut self, surveyor: usize, work: Work, input: PlaneInput) {
+    /// Feeds a controller and does what it orders.
+    pub(super) fn feed(&mut self, controller: usize, work: Work, input: ControllerInput) {
         let now = self.now;
-        let role = self.surveyors[surveyor].role();
-        let plane = &mut self.surveyors[surveyor].plane;
-        let (orders, _) = self.meter.think(role, work, || plane.take(now, input));
-        let due = self.surveyors[surveyor].plane.next_due(now);
-        self.surveyors[surveyor].due = due;
+        let role = self.controllers[controller].role();
+        let controller_state = &mut self.controllers[controller].controller_state;
+        let (orders, _) = self.meter.think(role, work, || controller_state.take(now, input));
+        let due = self.controllers[controller].controller_state.next_due(now);
+        self.controllers[controller].due = due;
         for order in orders {
-            self.obey_surveyor(surveyor, order);
+            self.obey_controller(controller, order);
         }
     }
 
-    /// Time passes for a surveyor that nothing else has reached.
-    pub(super) fn tick_surveyor(&mut self, surveyor: usize) {
-        if self.now >= self.surveyors[surveyor].due {
-            self.feed(surveyor, Work::Ticks, PlaneInput::Tick);
+    /// Time passes for a controller that nothing else has reached.
+    pub(super) fn tick_controller(&mut self, controller: usize) {
+        if self.now >= self.controllers[controller].due {
+            self.feed(controller, Work::Ticks, ControllerInput::Tick);
         }
-        let due = self.surveyors[surveyor].due;
+        let due = self.controllers[controller].due;
         let idle_span = due.since(self.now).max(SHORTEST_REST);
-        self.push(idle_span, Event::TickSurveyor(surveyor));
+        self.push(idle_span, Event::TickController(controller));
     }
 
-    fn obey_surveyor(&mut self, surveyor: usize, order: PlaneOutput) {
-        let role = self.surveyors[surveyor].role();
+    fn obey_controller(&mut self, controller: usize, order: ControllerOutput) {
+        let role = self.controllers[controller].role();
         match order {
-            PlaneOutput::Send(to, frame) => {
-                let Some(other) = Self::surveyor_at(to) else { return };
+            ControllerOutput::Send(to, frame) => {
+                let Some(other) = Self::controller_at(to) else { return };
                 let Ok(bytes) = self.meter.wire(role, Work::Core, 1, || encode(&frame)) else {
                     return;
                 };
                 self.meter.sent(role, Work::Core, 1, wire::frame_bytes(bytes.len()));
-                let delay = Self::delay(surveyor, other);
+                let delay = Self::delay(controller, other);
                 self.push(delay, Event::Core(other, bytes.into()));
             }
-            PlaneOutput::Write(ticket, job) => {
+            ControllerOutput::Write(ticket, job) => {
                 if let WriteJob::Version(_, bytes) = &job {
                     self.meter.sent(role, Work::Disk, 1, bytes.0.len() as u64);
                 }
-                self.push(DISK_TAKES, Event::Written(surveyor, ticket));
+                self.push(DISK_TAKES, Event::Written(controller, ticket));
             }
-            PlaneOutput::Down(stream, frame) => self.say_down(surveyor, stream, &frame),
-            PlaneOutput::Close(stream) => self.close_link(stream.0 as usize),
-            PlaneOutput::AskLists => self.read_lists(surveyor),
-            PlaneOutput::StopRunner(order) => {
+            ControllerOutput::Down(stream, frame) => self.say_down(controller, stream, &frame),
+            ControllerOutput::Close(stream) => self.close_link(stream.0 as usize),
+            ControllerOutput::AskLists => self.read_lists(controller),
+            ControllerOutput::StopRunner(order) => {
                 let runner = order.runner;
                 self.meter.sent(Role::Platform, Work::Runners, 1, HTTP_HEADERS);
                 self.platform.stop(runner);
-                self.push(PLATFORM_TAKES, Event::LeaderStopped(surveyor, runner));
+                self.push(PLATFORM_TAKES, Event::LeaderStopped(controller, runner));
             }
-            PlaneOutput::Operated(ticket, reply) => self.operated(ticket, reply),
-            PlaneOutput::Told(numbered) => self.told(&numbered),
+            ControllerOutput::Operated(ticket, reply) => self.operated(ticket, reply),
+            ControllerOutput::Told(numbered) => self.told(&numbered),
         }
     }
 
-    fn say_down(&mut self, surveyor: usize, stream: StreamId, frame: &StreamDown) {
-        let role = self.surveyors[surveyor].role();
+    fn say_down(&mut self, controller: usize, stream: StreamId, frame: &StreamDown) {
+        let role = self.controllers[controller].role();
         let work = wire::work_down(frame);
         let link = stream.0 as usize;
         let Ok(bytes) = self.meter.wire(role, work, 1, || encode(frame)) else { return };
@@ -146,54 +147,54 @@
         if work == Work::Hosts {
             self.record.hosts_bytes = wire::frame_bytes(bytes.len());
         }
-        let delay = Self::delay(surveyor, self.links[link].trailhead);
+        let delay = Self::delay(controller, self.links[link].daemon);
         self.push(delay, Event::Down(link, bytes.into()));
     }
 
     pub(super) fn close_link(&mut self, link: usize) {
-        let delay = Self::delay(self.links[link].surveyor, self.links[link].trailhead);
-        self.push(delay, Event::LinkLost { link, at_surveyor: false });
-        self.push(delay, Event::LinkLost { link, at_surveyor: true });
+        let delay = Self::delay(self.links[link].controller, self.links[link].daemon);
+        self.push(delay, Event::LinkLost { link, at_controller: false });
+        self.push(delay, Event::LinkLost { link, at_controller: true });
     }
 
-    pub(super) fn hear_core(&mut self, surveyor: usize, bytes: &Bytes) {
-        let role = self.surveyors[surveyor].role();
+    pub(super) fn hear_core(&mut self, controller: usize, bytes: &Bytes) {
+        let role = self.controllers[controller].role();
         self.meter.heard(role, Work::Core, 1, wire::frame_bytes(bytes.len()));
         let read = self.meter.wire(role, Work::Core, 1, || decode::<CoreFrame>(bytes));
         if let Ok(frame) = read {
-            self.feed(surveyor, Work::Core, PlaneInput::Core(frame));
+            self.feed(controller, Work::Core, ControllerInput::Core(frame));
         }
     }
 
-    pub(super) fn written(&mut self, surveyor: usize, ticket: Ticket) {
-        self.feed(surveyor, Work::Disk, PlaneInput::Written(ticket, WriteResult::Synced));
+    pub(super) fn written(&mut self, controller: usize, ticket: Ticket) {
+        self.feed(controller, Work::Disk, ControllerInput::Written(ticket, WriteResult::Synced));
     }
 
     pub(super) fn hear_up(&mut self, link: usize, bytes: &Bytes) {
         if !self.links[link].is_open {
             return;
         }
-        let surveyor = self.links[link].surveyor;
-        let role = self.surveyors[surveyor].role();
+        let controller = self.links[link].controller;
+        let role = self.controllers[controller].role();
         let Ok(frame) = decode::<StreamUp>(bytes) else { return };
         let work = wire::work_up(&frame);
         let _ = self.meter.wire(role, work, 1, || decode::<StreamUp>(bytes));
         self.meter.heard(role, work, 1, wire::frame_bytes(bytes.len()));
-        self.feed(surveyor, work, PlaneInput::Stream(StreamId(link as u64), frame));
+        self.feed(controller, work, ControllerInput::Stream(StreamId(link as u64), frame));
     }
 
-    pub(super) fn leader_stopped(&mut self, surveyor: usize, runner: RunnerId) {
-        self.feed(surveyor, Work::Runners, PlaneInput::RunnerStopped(runner));
+    pub(super) fn leader_stopped(&mut self, controller: usize, runner: RunnerId) {
+        self.feed(controller, Work::Runners, ControllerInput::RunnerStopped(runner));
     }
 
     /// The leader reads the platform's lists.
-    pub(super) fn poll(&mut self, surveyor: usize) {
-        self.push(POLL_EVERY, Event::Poll(surveyor));
-        self.read_lists(surveyor);
+    pub(super) fn poll(&mut self, controller: usize) {
+        self.push(POLL_EVERY, Event::Poll(controller));
+        self.read_lists(controller);
     }
 
-    fn read_lists(&mut self, surveyor: usize) {
-        if !self.surveyors[surveyor].plane.core().is_leader() {
+    fn read_lists(&mut self, controller: usize) {
+        if !self.controllers[controller].controller_state.core().is_leader() {
             return;
         }
         self.note_alive();
@@ -205,14 +206,14 @@
         self.meter.sent(Role::Platform, Work::Lists, 2, 2 * HTTP_HEADERS);
         self.meter.heard(Role::Platform, Work::Lists, 2, list_bytes);
         let listed_at = self.now;
-        self.feed(surveyor, Work::Lists, PlaneInput::Workers(workers));
-        self.feed(surveyor, Work::Lists, PlaneInput::Runners(listed_at, runners));
+        self.feed(controller, Work::Lists, ControllerInput::Workers(workers));
+        self.feed(controller, Work::Lists, ControllerInput::Runners(listed_at, runners));
     }
 
     /// An operator changes one function.
     pub(super) fn send_change(&mut self) {
-        let leads = |surveyor: &Surveyor| surveyor.plane.core().is_leader();
-        let Some(leader) = self.surveyors.iter().position(leads) else { return };
+        let leads = |controller: &Controller| controller.controller_state.core().is_leader();
+        let Some(leader) = self.controllers.iter().position(leads) else { return };
         self.change_turn += 1;
         let patch = catalogue::change_of(&mut self.chance, self.size.functions, self.change_turn);
         let ticket = OperationTicket(self.number());
@@ -234,11 +235,11 @@
 
     pub(super) fn operate(
         &mut self,
-        surveyor: usize,
+        controller: usize,
         ticket: OperationTicket,
         operation: Operation,
     ) {
-        self.feed(surveyor, Work::Changes, PlaneInput::Operate(ticket, operation));
+        self.feed(controller, Work::Changes, ControllerInput::Operate(ticket, operation));
     }
 
     fn operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
--- a/proving/expedition/src/hollow/trailheads.rs
+++ b/testing/fleet/src/hollow/daemons.rs
@@ -5,24 +5,24 @@
 use super::meter::{Role, Work};
 use super::record::RunRecord;
 use super::wire;
-use super::zones::Zone;
+use super::zones::ZoneNumber;
 use bytes::Bytes;
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{
+    Flag, Heartbeat, Host, Place, StreamDown, StreamUp, decode, decode_heartbeat, encode,
+    encode_heartbeat,
+};
+use common::identity::FunctionKey;
+use common::rules::Rules;
+use controlplane::controller_state::ControllerInput;
+use dataplane::agent::{Agent, Controller, DaemonOrder, Held};
+use dataplane::holder::HolderWord;
+use dataplane::liaison::LiaisonTiming;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
-use survey::plane::PlaneInput;
-use trail::holder::HolderWord;
-use trail::liaison::LiaisonTiming;
-use trail::lodge::{Controller, DaemonOrder, Held, Lodge};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{
-    Flag, Heartbeat, Host, Place, StreamDown, StreamUp, decode, decode_heartbeat, encode,
-    encode_heartbeat,
-};
-use waymark::identity::FunctionKey;
-use waymark::rules::Rules;
 
 const SHORTEST_REST: Duration = Duration::from_millis(5);
 const LONGEST_REST: Duration = Duration::from_millis(100);
@@ -30,8 +30,8 @@
 const BEATS_READ: u64 = 8;
 
 /// One hollow daemon.
-pub(super) struct Trailhead {
-    pub lodge: Arc<Lodge<u64>>,
+pub(super) struct Daemon {
+    pub agent: Arc<Agent<u64>>,
     pub controller: Controller<u64>,
     pub pendings: HashMap<u64, Pending>,
     pub acquires: BTreeMap<FunctionKey, Vec<u64>>,
@@ -41,30 +41,30 @@
 }
 
 impl Fleet {
-    pub(super) fn lodge(&self, trailhead: usize) -> Option<Arc<Lodge<u64>>> {
-        self.trailheads[trailhead].as_ref().map(|begun| begun.lodge.clone())
+    pub(super) fn agent(&self, daemon: usize) -> Option<Arc<Agent<u64>>> {
+        self.daemons[daemon].as_ref().map(|begun| begun.agent.clone())
     }
 
-    pub(super) fn begin_trailhead(&mut self, trailhead: usize) {
-        let own_place = Self::trailhead_place(trailhead);
+    pub(super) fn begin_daemon(&mut self, daemon: usize) {
+        let own_place = Self::daemon_place(daemon);
         let host = Host {
-            member: format!("trailhead-{trailhead:03}").into(),
+            member: format!("daemon-{daemon:03}").into(),
             incarnation: (self.chance.number() | 1).into(),
-            locality: Zone::of(trailhead).locality(),
+            zone: ZoneNumber::of(daemon).zone(),
             place: own_place,
             eligible: Flag(true),
         };
-        let lodge = Arc::new(Lodge::new(host, Rules::KEPT));
+        let agent = Arc::new(Agent::new(host, Rules::KEPT));
         let controller = Controller::new(
             self.now,
-            &lodge,
+            &agent,
             LiaisonTiming::builder().build(),
             own_place,
             Self::seeds(),
             Chance::seeded(self.chance.number()),
         );
-        self.trailheads[trailhead] = Some(Trailhead {
-            lodge,
+        self.daemons[daemon] = Some(Daemon {
+            agent,
             controller,
             pendings: HashMap::new(),
             acquires: BTreeMap::new(),
@@ -73,145 +73,144 @@
             due: self.now,
         });
         let first_tick = self.chance.within(Duration::ZERO, LONGEST_REST);
-        self.push(first_tick, Event::TickTrailhead(trailhead));
+        self.push(first_tick, Event::TickDaemon(daemon));
     }
 
     /// Time passes for a daemon, if it is due; what is due next is looked up as part of it.
-    pub(super) fn tick_trailhead(&mut self, trailhead: usize) {
+    pub(super) fn tick_daemon(&mut self, daemon: usize) {
         let now = self.now;
-        if self.trailheads[trailhead].as_ref().is_none_or(|begun| begun.due > now) {
+        if self.daemons[daemon].as_ref().is_none_or(|begun| begun.due > now) {
             return;
         }
-        self.control(trailhead, Work::Ticks, |controller, lodge, now| controller.tick(lodge, now));
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
-        let (lodge, controller) = (&begun.lodge, &begun.controller);
+        self.control(daemon, Work::Ticks, |controller, agent, now| controller.tick(agent, now));
+        let Some(begun) = &mut self.daemons[daemon] else { return };
+        let (agent, controller) = (&begun.agent, &begun.controller);
         let (next_due, _) =
-            self.meter.think(Role::Door, Work::Ticks, || controller.next_due(lodge));
+            self.meter.think(Role::Door, Work::Ticks, || controller.next_due(agent));
         begun.due = next_due.clamp(now + SHORTEST_REST, now + LONGEST_REST);
         let rest = begun.due.since(now);
-        self.push(rest, Event::TickTrailhead(trailhead));
+        self.push(rest, Event::TickDaemon(daemon));
     }
 
-    fn hasten(&mut self, trailhead: usize, due: Moment) {
+    fn hasten(&mut self, daemon: usize, due: Moment) {
         let now = self.now;
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+        let Some(begun) = &mut self.daemons[daemon] else { return };
         if due < begun.due {
             begun.due = due.max(now + SHORTEST_REST).min(begun.due);
             let rest = begun.due.since(now);
-            self.push(rest, Event::TickTrailhead(trailhead));
+            self.push(rest, Event::TickDaemon(daemon));
         }
     }
 
     /// Has a daemon look earlier than it meant to, if a holder needs that.
-    pub(super) fn hurry(&mut self, trailhead: usize, held: &Held<u64>) {
+    pub(super) fn hurry(&mut self, daemon: usize, held: &Held<u64>) {
         if let Some(due) = held.with(|holder| holder.next_due()) {
-            self.hasten(trailhead, due);
+            self.hasten(daemon, due);
         }
     }
 
     /// Feeds a daemon's controller and does what it orders.
     pub(super) fn control(
         &mut self,
-        trailhead: usize,
+        daemon: usize,
         work: Work,
-        step: impl FnOnce(&mut Controller<u64>, &Lodge<u64>, Moment) -> Vec<DaemonOrder<u64>>,
+        step: impl FnOnce(&mut Controller<u64>, &Agent<u64>, Moment) -> Vec<DaemonOrder<u64>>,
     ) {
         let now = self.now;
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
-        let lodge = begun.lodge.clone();
+        let Some(begun) = &mut self.daemons[daemon] else { return };
+        let agent = begun.agent.clone();
         let controller = &mut begun.controller;
         let (orders, nanos) =
-            self.meter.think(wire::daemon_role(work), work, || step(controller, &lodge, now));
+            self.meter.think(wire::daemon_role(work), work, || step(controller, &agent, now));
         for order in orders {
             if matches!(order, DaemonOrder::Installed(_)) && self.meter.is_open() {
                 self.record.installs.push(nanos as f64 / 1e6);
             }
-            self.obey_trailhead(trailhead, order);
+            self.obey_daemon(daemon, order);
         }
-        let stream_due =
-            self.trailheads[trailhead].as_ref().map(|begun| begun.controller.stream_due());
+        let stream_due = self.daemons[daemon].as_ref().map(|begun| begun.controller.stream_due());
         if let Some(stream_due) = stream_due {
-            self.hasten(trailhead, stream_due);
+            self.hasten(daemon, stream_due);
         }
     }
 
-    fn obey_trailhead(&mut self, trailhead: usize, order: DaemonOrder<u64>) {
+    fn obey_daemon(&mut self, daemon: usize, order: DaemonOrder<u64>) {
         match order {
-            DaemonOrder::Dial(to) => self.dial(trailhead, to),
+            DaemonOrder::Dial(to) => self.dial(daemon, to),
             DaemonOrder::Hangup => {
-                let link = self.trailheads[trailhead].as_mut().and_then(|begun| begun.link.take());
+                let link = self.daemons[daemon].as_mut().and_then(|begun| begun.link.take());
                 if let Some(link) = link {
                     self.close_link(link);
                 }
             }
-            DaemonOrder::Say(frame) => self.say(trailhead, &frame),
-            DaemonOrder::Beat(heartbeat, places) => self.beat(trailhead, heartbeat, &places),
-            DaemonOrder::Holder(held, outputs) => self.drive(trailhead, &held, outputs),
+            DaemonOrder::Say(frame) => self.say(daemon, &frame),
+            DaemonOrder::Beat(heartbeat, places) => self.beat(daemon, heartbeat, &places),
+            DaemonOrder::Holder(held, outputs) => self.drive(daemon, &held, outputs),
             DaemonOrder::Acquired(function, result, _) => {
-                self.acquired(trailhead, &function, &result);
+                self.acquired(daemon, &function, &result);
             }
             DaemonOrder::AcquiresLost => {
-                let Some(begun) = &mut self.trailheads[trailhead] else { return };
+                let Some(begun) = &mut self.daemons[daemon] else { return };
                 for function in std::mem::take(&mut begun.acquires).into_keys() {
-                    self.acquired(trailhead, &function, &None);
+                    self.acquired(daemon, &function, &None);
                 }
             }
-            DaemonOrder::Changed => self.look_all(trailhead),
+            DaemonOrder::Changed => self.look_all(daemon),
             DaemonOrder::GrantEnded => self.record.grants_ended += 1,
             DaemonOrder::Tell(..) | DaemonOrder::Installed(_) => {}
         }
     }
 
-    fn dial(&mut self, trailhead: usize, to: Place) {
-        let Some(surveyor) = Self::surveyor_at(to) else { return };
+    fn dial(&mut self, daemon: usize, to: Place) {
+        let Some(controller) = Self::controller_at(to) else { return };
         let link = self.links.len();
-        self.links.push(Link { trailhead, surveyor, is_open: true });
-        if let Some(begun) = &mut self.trailheads[trailhead] {
+        self.links.push(Link { daemon, controller, is_open: true });
+        if let Some(begun) = &mut self.daemons[daemon] {
             begun.link = Some(link);
         }
-        let delay = Self::delay(trailhead, surveyor) * 2;
+        let delay = Self::delay(daemon, controller) * 2;
         self.push(delay, Event::Dialed(link));
     }
 
     fn is_current(&self, link: usize) -> bool {
-        let trailhead = self.links[link].trailhead;
-        self.trailheads[trailhead].as_ref().is_some_and(|begun| begun.link == Some(link))
+        let daemon = self.links[link].daemon;
+        self.daemons[daemon].as_ref().is_some_and(|begun| begun.link == Some(link))
     }
 
     pub(super) fn dialed(&mut self, link: usize) {
         if self.is_current(link) {
-            let trailhead = self.links[link].trailhead;
-            self.control(trailhead, Work::Others, |controller, lodge, now| {
-                controller.connected(lodge, now)
+            let daemon = self.links[link].daemon;
+            self.control(daemon, Work::Others, |controller, agent, now| {
+                controller.connected(agent, now)
             });
         }
     }
 
-    pub(super) fn link_lost(&mut self, link: usize, at_surveyor: bool) {
+    pub(super) fn link_lost(&mut self, link: usize, at_controller: bool) {
         self.links[link].is_open = false;
-        if at_surveyor {
-            let surveyor = self.links[link].surveyor;
-            let stream = survey::desk::StreamId(link as u64);
-            self.feed(surveyor, Work::Others, PlaneInput::StreamLost(stream));
+        if at_controller {
+            let controller = self.links[link].controller;
+            let stream = controlplane::leader_state::StreamId(link as u64);
+            self.feed(controller, Work::Others, ControllerInput::StreamLost(stream));
         } else if self.is_current(link) {
-            let trailhead = self.links[link].trailhead;
-            if let Some(begun) = &mut self.trailheads[trailhead] {
+            let daemon = self.links[link].daemon;
+            if let Some(begun) = &mut self.daemons[daemon] {
                 begun.link = None;
             }
-            self.control(trailhead, Work::Others, |controller, lodge, now| {
-                controller.disconnected(lodge, now)
+            self.control(daemon, Work::Others, |controller, agent, now| {
+                controller.disconnected(agent, now)
             });
         }
     }
 
-    fn say(&mut self, trailhead: usize, frame: &StreamUp) {
-        let link = self.trailheads[trailhead].as_ref().and_then(|begun| begun.link);
+    fn say(&mut self, daemon: usize, frame: &StreamUp) {
+        let link = self.daemons[daemon].as_ref().and_then(|begun| begun.link);
         let Some(link) = link else { return };
         let work = wire::work_up(frame);
         let role = wire::daemon_role(work);
         let Ok(bytes) = self.meter.wire(role, work, 1, || encode(frame)) else { return };
         self.meter.sent(role, work, 1, wire::frame_bytes(bytes.len()));
-        let delay = Self::delay(trailhead, self.links[link].surveyor);
+        let delay = Self::delay(daemon, self.links[link].controller);
         self.push(delay, Event::Up(link, bytes.into()));
     }
 
@@ -224,11 +223,11 @@
         let role = wire::daemon_role(work);
         let _ = self.meter.wire(role, work, 1, || decode::<StreamDown>(bytes));
         self.meter.heard(role, work, 1, wire::frame_bytes(bytes.len()));
-        let trailhead = self.links[link].trailhead;
-        self.control(trailhead, work, |controller, lodge, now| controller.heard(lodge, now, frame));
+        let daemon = self.links[link].daemon;
+        self.control(daemon, work, |controller, agent, now| controller.heard(agent, now, frame));
     }
 
-    fn beat(&mut self, trailhead: usize, heartbeat: Heartbeat, places: &[Place]) {
+    fn beat(&mut self, daemon: usize, heartbeat: Heartbeat, places: &[Place]) {
         let encoded = self.meter.wire(Role::Door, Work::Beats, 1, || encode_heartbeat(&heartbeat));
         let Ok(datagram) = encoded else { return };
         let bytes = wire::datagram_bytes(datagram.len());
@@ -237,16 +236,16 @@
         self.meter.sent(Role::Door, Work::Beats, count, count * bytes);
         let beat = Rc::new(Beat { heartbeat, datagram });
         for place in places {
-            if let Some(watcher) = self.trailhead_at(*place) {
-                let delay = Self::delay(trailhead, watcher);
+            if let Some(watcher) = self.daemon_at(*place) {
+                let delay = Self::delay(daemon, watcher);
                 self.push(delay, Event::Beat(watcher, beat.clone()));
             }
         }
     }
 
-    pub(super) fn hear_beat(&mut self, trailhead: usize, beat: &Rc<Beat>) {
+    pub(super) fn hear_beat(&mut self, daemon: usize, beat: &Rc<Beat>) {
         let now = self.now;
-        let Some(begun) = &mut self.trailheads[trailhead] else { return };
+        let Some(begun) = &mut self.daemons[daemon] else { return };
         let bytes = wire::datagram_bytes(beat.datagram.len());
         self.meter.heard(Role::Door, Work::Beats, 1, bytes);
         begun.beats_heard += 1;
@@ -260,30 +259,30 @@
     }
 
     pub(super) fn hear_word(&mut self, spot: Spot, word: HolderWord) {
-        let Spot { trailhead, function, grant } = spot;
-        self.control(trailhead, Work::Runners, |controller, lodge, now| {
-            controller.told(lodge, now, function, grant, word)
+        let Spot { daemon, function, grant } = spot;
+        self.control(daemon, Work::Runners, |controller, agent, now| {
+            controller.told(agent, now, function, grant, word)
         });
     }
 
     /// Lets go of every state machine, and weighs what that frees.
     pub(super) fn weigh(&mut self, record: &mut RunRecord) {
-        for begun in std::mem::take(&mut self.trailheads).into_iter().flatten() {
-            let Trailhead { lodge, controller, pendings, acquires, .. } = begun;
+        for begun in std::mem::take(&mut self.daemons).into_iter().flatten() {
+            let Daemon { agent, controller, pendings, acquires, .. } = begun;
             drop((pendings, acquires));
             let whole_bytes = memory::live();
-            lodge.holdings.store(Arc::new(BTreeMap::new()));
-            lodge.closing.lock().unwrap_or_else(PoisonError::into_inner).clear();
+            agent.holdings.store(Arc::new(BTreeMap::new()));
+            agent.closing.lock().unwrap_or_else(PoisonError::into_inner).clear();
             let without_held = memory::live();
             record.holder_bytes.push(whole_bytes.saturating_sub(without_held));
             drop(controller);
-            drop(lodge);
+            drop(agent);
             record.door_bytes.push(without_held.saturating_sub(memory::live()));
         }
-        for surveyor in std::mem::take(&mut self.surveyors) {
-            let leads = surveyor.plane.core().is_leader();
+        for controller in std::mem::take(&mut self.controllers) {
+            let leads = controller.controller_state.core().is_leader();
             let whole_bytes = memory::live();
-            drop(surveyor);
+            drop(controller);
             let freed_bytes = whole_bytes.saturating_sub(memory::live());
             if leads {
                 record.leading_bytes = freed_bytes;
--- a/proving/expedition/src/hollow/events.rs
+++ b/testing/fleet/src/hollow/events.rs
@@ -1,10 +1,10 @@
 use bytes::Bytes;
+use common::frames::{Heartbeat, Life};
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
+use controlplane::controller_state::{Operation, OperationTicket};
+use dataplane::agent::{PassEnd, RunnerCall, Topic};
+use dataplane::holder::{HolderWord, SendEnd};
 use std::rc::Rc;
-use survey::plane::{Operation, OperationTicket};
-use trail::holder::{HolderWord, SendEnd};
-use trail::lodge::{PassEnd, RunnerCall, Topic};
-use waymark::frames::{Heartbeat, Life};
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 
 /// A heartbeat on its way, with its bytes.
 pub(super) struct Beat {
@@ -15,7 +15,7 @@
 /// A held function at its daemon.
 #[derive(Clone)]
 pub(super) struct Spot {
-    pub trailhead: usize,
+    pub daemon: usize,
     pub function: FunctionKey,
     pub grant: GrantSerial,
 }
@@ -24,26 +24,26 @@
 #[derive(Clone, Copy)]
 pub(super) enum Back {
     Caller,
-    Hop { trailhead: usize, number: u64 },
+    Hop { daemon: usize, number: u64 },
 }
 
 /// What happens at a moment.
 pub(super) enum Event {
     Begin(usize),
-    TickTrailhead(usize),
-    TickSurveyor(usize),
+    TickDaemon(usize),
+    TickController(usize),
     Poll(usize),
     Core(usize, Bytes),
     Written(usize, Ticket),
     Dialed(usize),
     Up(usize, Bytes),
     Down(usize, Bytes),
-    LinkLost { link: usize, at_surveyor: bool },
+    LinkLost { link: usize, at_controller: bool },
     Beat(usize, Rc<Beat>),
-    Look { trailhead: usize, number: u64, wake: u64 },
+    Look { daemon: usize, number: u64, wake: u64 },
     AcquireTimedOut(usize, u64),
-    Hop { trailhead: usize, back: Back, frame: Bytes },
-    HopDone { trailhead: usize, number: u64, frame: Bytes },
+    Hop { daemon: usize, back: Back, frame: Bytes },
+    HopDone { daemon: usize, number: u64, frame: Bytes },
     Passed(usize, u64, PassEnd),
     Word(Spot, HolderWord),
     Started(Spot, RunnerId, Life),
--- a/proving/expedition/src/hollow/fleet.rs
+++ b/testing/fleet/src/hollow/fleet.rs
@@ -1,22 +1,22 @@
 use super::calls::Pending;
 use super::catalogue;
+use super::controllers::Controller;
+use super::daemons::Daemon;
 use super::events::Event;
 use super::memory;
 use super::meter::Meter;
 use super::platform::HollowPlatform;
 use super::record::{Halt, RunRecord};
 use super::size::{HollowSize, SizeFault, half_of_memory};
-use super::surveyors::Surveyor;
-use super::trailheads::Trailhead;
-use super::zones::Zone;
+use super::zones::ZoneNumber;
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::Place;
+use controlplane::controller_state::OperationTicket;
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
-use survey::plane::OperationTicket;
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::Place;
 
-const SURVEYORS: usize = 3;
+const CONTROLLERS: usize = 3;
 const STARTS_WITHIN: Duration = Duration::from_millis(500);
 const FILL_FROM: Duration = Duration::from_millis(4500);
 const FILL_RATE: u64 = 1000;
@@ -28,8 +28,8 @@
 
 /// One daemon's stream.
 pub(super) struct Link {
-    pub trailhead: usize,
-    pub surveyor: usize,
+    pub daemon: usize,
+    pub controller: usize,
     pub is_open: bool,
 }
 
@@ -46,8 +46,8 @@
     pub(super) now: Moment,
     pub(super) chance: Chance,
     pub(super) meter: Meter,
-    pub(super) surveyors: Vec<Surveyor>,
-    pub(super) trailheads: Vec<Option<Trailhead>>,
+    pub(super) controllers: Vec<Controller>,
+    pub(super) daemons: Vec<Option<Daemon>>,
     pub(super) links: Vec<Link>,
     pub(super) platform: HollowPlatform,
     pub(super) open_questions: HashSet<u64>,
@@ -72,8 +72,8 @@
         let mut fleet = Self {
             now: Moment(1_000_000_000),
             meter: Meter::default(),
-            surveyors: Vec::new(),
-            trailheads: Vec::new(),
+            controllers: Vec::new(),
+            daemons: Vec::new(),
             links: Vec::new(),
             platform: HollowPlatform::new(size.daemons, worker_mb),
             open_questions: HashSet::new(),
@@ -90,10 +90,10 @@
         };
         let first_spec = catalogue::spec_of(&mut chance, size.functions, size.runners);
         fleet.found(first_spec);
-        for trailhead in 0..size.daemons {
-            fleet.trailheads.push(None);
+        for daemon in 0..size.daemons {
+            fleet.daemons.push(None);
             let starts_at = fleet.chance.within(Duration::ZERO, STARTS_WITHIN);
-            fleet.push(starts_at, Event::Begin(trailhead));
+            fleet.push(starts_at, Event::Begin(daemon));
         }
         fleet.push(FILL_FROM, Event::Fill);
         fleet.push(fleet.measured_from(), Event::OpenMeter);
@@ -109,32 +109,32 @@
     }
 
     pub(super) fn seeds() -> Vec<Place> {
-        (0..SURVEYORS).map(Self::surveyor_place).collect()
+        (0..CONTROLLERS).map(Self::controller_place).collect()
     }
 
-    pub(super) fn surveyor_place(surveyor: usize) -> Place {
-        Place(std::net::SocketAddrV4::new([10, 0, 0, surveyor as u8 + 1].into(), 7100))
+    pub(super) fn controller_place(controller: usize) -> Place {
+        Place(std::net::SocketAddrV4::new([10, 0, 0, controller as u8 + 1].into(), 7100))
     }
 
-    pub(super) fn trailhead_place(trailhead: usize) -> Place {
-        let [high, low] = (trailhead as u16).to_be_bytes();
+    pub(super) fn daemon_place(daemon: usize) -> Place {
+        let [high, low] = (daemon as u16).to_be_bytes();
         Place(std::net::SocketAddrV4::new([10, 1, high, low].into(), 7200))
     }
 
-    pub(super) fn surveyor_at(place: Place) -> Option<usize> {
+    pub(super) fn controller_at(place: Place) -> Option<usize> {
         let [_, second, _, last] = place.0.ip().octets();
-        let is_surveyor = second == 0 && last >= 1 && usize::from(last) <= SURVEYORS;
-        is_surveyor.then(|| usize::from(last) - 1)
+        let is_controller = second == 0 && last >= 1 && usize::from(last) <= CONTROLLERS;
+        is_controller.then(|| usize::from(last) - 1)
     }
 
-    pub(super) fn trailhead_at(&self, place: Place) -> Option<usize> {
+    pub(super) fn daemon_at(&self, place: Place) -> Option<usize> {
         let [_, second, high, low] = place.0.ip().octets();
-        let trailhead = usize::from(u16::from_be_bytes([high, low]));
-        (second == 1 && trailhead < self.trailheads.len()).then_some(trailhead)
+        let daemon = usize::from(u16::from_be_bytes([high, low]));
+        (second == 1 && daemon < self.daemons.len()).then_some(daemon)
     }
 
     pub(super) fn delay(from: usize, to: usize) -> Duration {
-        Zone::of(from).delay_to(Zone::of(to))
+        ZoneNumber::of(from).delay_to(ZoneNumber::of(to))
     }
 
     pub(super) fn push(&mut self, delay: Duration, event: Event) {
@@ -190,32 +190,32 @@
         record.instances = self.platform.runner_count() as u64;
         record.stopped = halt;
         record.tallies = self.meter.tallies().clone();
-        let held_count = |trailhead: &Trailhead| trailhead.lodge.holdings.load().len() as u64;
-        record.held = self.trailheads.iter().flatten().map(held_count).sum();
+        let held_count = |daemon: &Daemon| daemon.agent.holdings.load().len() as u64;
+        record.held = self.daemons.iter().flatten().map(held_count).sum();
         self.weigh(&mut record);
         record
     }
 
     fn happen(&mut self, event: Event) {
         match event {
-            Event::Begin(trailhead) => self.begin_trailhead(trailhead),
-            Event::TickTrailhead(trailhead) => self.tick_trailhead(trailhead),
-            Event::TickSurveyor(surveyor) => self.tick_surveyor(surveyor),
-            Event::Poll(surveyor) => self.poll(surveyor),
-            Event::Core(surveyor, frame) => self.hear_core(surveyor, &frame),
-            Event::Written(surveyor, ticket) => self.written(surveyor, ticket),
+            Event::Begin(daemon) => self.begin_daemon(daemon),
+            Event::TickDaemon(daemon) => self.tick_daemon(daemon),
+            Event::TickController(controller) => self.tick_controller(controller),
+            Event::Poll(controller) => self.poll(controller),
+            Event::Core(controller, frame) => self.hear_core(controller, &frame),
+            Event::Written(controller, ticket) => self.written(controller, ticket),
             Event::Dialed(link) => self.dialed(link),
             Event::Up(link, frame) => self.hear_up(link, &frame),
             Event::Down(link, frame) => self.hear_down(link, &frame),
-            Event::LinkLost { link, at_surveyor } => self.link_lost(link, at_surveyor),
-            Event::Beat(trailhead, beat) => self.hear_beat(trailhead, &beat),
+            Event::LinkLost { link, at_controller } => self.link_lost(link, at_controller),
+            Event::Beat(daemon, beat) => self.hear_beat(daemon, &beat),
             Event::Word(spot, word) => self.hear_word(spot, word),
-            Event::Operate(surveyor, ticket, operation) => {
-                self.operate(surveyor, ticket, *operation);
+            Event::Operate(controller, ticket, operation) => {
+                self.operate(controller, ticket, *operation);
             }
             Event::Change => self.send_change(),
             Event::OpenMeter => self.open_meter(),
-            Event::LeaderStopped(surveyor, runner) => self.leader_stopped(surveyor, runner),
+            Event::LeaderStopped(controller, runner) => self.leader_stopped(controller, runner),
             other => self.happen_to_call(other),
         }
     }
@@ -239,13 +239,13 @@
         if !self.meter.is_open() {
             return;
         }
-        for begun in self.trailheads.iter().flatten() {
-            self.record.alive_seen += begun.lodge.hosts.load().len() as u64;
+        for begun in self.daemons.iter().flatten() {
+            self.record.alive_seen += begun.agent.hosts.load().len() as u64;
             self.record.alive_looks += 1;
         }
     }
 
-    pub(super) fn pending(&mut self, trailhead: usize, number: u64) -> Option<&mut Pending> {
-        self.trailheads.get_mut(trailhead)?.as_mut()?.pendings.get_mut(&number)
+    pub(super) fn pending(&mut self, daemon: usize, number: u64) -> Option<&mut Pending> {
+        self.daemons.get_mut(daemon)?.as_mut()?.pendings.get_mut(&number)
     }
 }
--- a/proving/expedition/src/hollow/meter.rs
+++ b/testing/fleet/src/hollow/meter.rs
@@ -6,13 +6,13 @@
 /// Whose work it is.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Role {
-    /// A trailhead with its callers, its member grant, its spec, and the daemons it watches.
+    /// A daemon with its callers, its member grant, its spec, and the daemons it watches.
     Door,
-    /// A trailhead with the functions it holds.
+    /// A daemon with the functions it holds.
     Holder,
-    /// A surveyor that follows.
+    /// A controller that follows.
     Following,
-    /// The surveyor that leads.
+    /// The controller that leads.
     Leading,
     /// Whoever calls the platform: the leader for lists, holders for runners.
     Platform,
@@ -128,7 +128,7 @@
 pub struct Meter {
     tallies: BTreeMap<(Role, Work), Tally>,
     is_open: bool,
-    /// Processor time of the leading surveyor's state machine since the start, in nanoseconds.
+    /// Processor time of the leading controller's state machine since the start, in nanoseconds.
     pub leader_nanos: u64,
 }
 
--- a/proving/expedition/src/hollow/mod.rs
+++ b/testing/fleet/src/hollow/mod.rs
@@ -1,9 +1,11 @@
-//! Hollow fleets: the real state machines of many daemons and three surveyors in one process, under
+//! Hollow fleets: the real state machines of many daemons and three controllers in one process, under
 //! virtual time, with callers, runners and a platform that are answered in memory. What each role sends,
 //! hears, computes and keeps is measured.
 
 mod calls;
 mod catalogue;
+mod controllers;
+mod daemons;
 mod events;
 mod fleet;
 mod memory;
@@ -12,8 +14,6 @@
 mod platform;
 mod record;
 mod size;
-mod surveyors;
-mod trailheads;
 mod wire;
 mod zones;
 
--- a/proving/expedition/src/hollow/page/scope.rs
+++ b/testing/fleet/src/hollow/page/scope.rs
@@ -8,8 +8,8 @@
 const MEMORY_BUDGET: f64 = 256.0;
 /// The largest datagram that no network breaks up, without headers.
 const DATAGRAM_BUDGET: f64 = 1_472.0;
-/// A surveyor's state machine runs in one task: one core.
-const SURVEYOR_BUDGET: f64 = 1.0;
+/// A controller's state machine runs in one task: one core.
+const CONTROLLER_BUDGET: f64 = 1.0;
 const CORE_MICROS: f64 = 1e-6;
 const FORCE_BUDGET_MS: f64 = 5_000.0;
 const START_BUDGET_MS: f64 = 500.0;
@@ -102,7 +102,7 @@
         }
     }
 
-    /// A trailhead as door.
+    /// A daemon as door.
     pub fn door(&self, runs: &[Run]) -> Vec<Figure> {
         let calm: Vec<&Run> = runs.iter().filter(|run| run.is_calm()).collect();
         let called: Vec<&Run> = runs.iter().filter(|run| run.is_called()).collect();
@@ -217,7 +217,7 @@
         Fit::of(&terms, &calm, |run| Some(run.busy("door ticks") / run.daemons()))
     }
 
-    /// A trailhead as holder.
+    /// A daemon as holder.
     pub fn holder(&self, runs: &[Run]) -> Vec<Figure> {
         let calm: Vec<&Run> = runs.iter().filter(|run| run.is_calm()).collect();
         let called: Vec<&Run> = runs.iter().filter(|run| run.is_called()).collect();
@@ -295,7 +295,7 @@
         ]
     }
 
-    /// A surveyor that follows.
+    /// A controller that follows.
     pub fn following(&self, runs: &[Run]) -> Vec<Figure> {
         let calm: Vec<&Run> = runs.iter().filter(|run| run.is_calm()).collect();
         let terms = [Term::One, Term::Daemons, Term::Changes, Term::ChangedFunctions];
@@ -319,7 +319,7 @@
             Figure::of("the core's talk", Unit::MessagesASecond, &count, 1.0),
             Figure::of("documents to disk", Unit::BytesASecond, &disk, 1.0),
             Figure::of("**processor time**", Unit::Cores, &busy, CORE_MICROS)
-                .within(SURVEYOR_BUDGET),
+                .within(CONTROLLER_BUDGET),
             Figure::of("**memory kept**", Unit::Megabytes, &memory, 1.0),
         ]
     }
@@ -340,7 +340,7 @@
             + self.install.line.at(value_of)
     }
 
-    /// The surveyor that leads.
+    /// The controller that leads.
     pub fn leading(&self, runs: &[Run]) -> Vec<Figure> {
         let calm: Vec<&Run> = runs.iter().filter(|run| run.is_calm()).collect();
         let loaded = |name: &str, fit: &Fit, factor: f64| {
@@ -400,7 +400,7 @@
             core,
             installed,
             lists,
-            all_busy.within(SURVEYOR_BUDGET),
+            all_busy.within(CONTROLLER_BUDGET),
             memory,
             swell,
             all_memory,
--- a/proving/expedition/src/hollow/platform.rs
+++ b/testing/fleet/src/hollow/platform.rs
@@ -1,10 +1,10 @@
+use common::clock::Moment;
+use common::frames::{Life, Place};
+use common::identity::{FunctionKey, RunnerId, WorkerName};
+use common::tongue::{ListedRunner, ListedWorker};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use waymark::clock::Moment;
-use waymark::frames::{Life, Place};
-use waymark::identity::{FunctionKey, RunnerId, WorkerName};
-use waymark::tongue::{ListedRunner, ListedWorker};
 
 /// One hollow runner.
 pub(super) struct HollowRunner {
@@ -32,7 +32,7 @@
         let workers = (0..worker_count)
             .map(|number| ListedWorker {
                 worker: format!("worker-{number:04}").into(),
-                locality: super::zones::Zone::of(number).locality(),
+                zone: super::zones::ZoneNumber::of(number).zone(),
                 memory_mb,
                 draining: false,
             })
@@ -84,7 +84,7 @@
             .map(|listed| {
                 json!({
                     "worker": listed.worker.as_str(),
-                    "locality": listed.locality.as_str(),
+                    "locality": listed.zone.as_str(),
                     "memory_mb": listed.memory_mb,
                     "draining": listed.draining,
                 })
@@ -121,7 +121,7 @@
     rows.iter()
         .map(|row| ListedWorker {
             worker: text(row, "worker").into(),
-            locality: text(row, "locality").into(),
+            zone: text(row, "locality").into(),
             memory_mb: row["memory_mb"].as_u64().unwrap_or_default() as u32,
             draining: row["draining"].as_bool().unwrap_or_default(),
         })
--- a/proving/expedition/src/hollow/record.rs
+++ b/testing/fleet/src/hollow/record.rs
@@ -1,11 +1,11 @@
 use super::meter::{Role, Tally, Work};
 use super::size::HollowSize;
+use common::clock::Moment;
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use waymark::clock::Moment;
 
 /// Why a fleet was not run to its end, and at which moment of virtual time.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -65,9 +65,9 @@
     pub door_bytes: Vec<u64>,
     /// Bytes that each daemon's held functions freed.
     pub holder_bytes: Vec<u64>,
-    /// Bytes that a following surveyor freed.
+    /// Bytes that a following controller freed.
     pub following_bytes: u64,
-    /// Bytes that the leading surveyor freed.
+    /// Bytes that the leading controller freed.
     pub leading_bytes: u64,
     /// For each change its time to in force, in milliseconds: the network's, and the leader's own.
     pub in_force: Vec<(f64, f64)>,
--- a/proving/expedition/src/hollow/size.rs
+++ b/testing/fleet/src/hollow/size.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 const MEBIBYTE: u64 = 1 << 20;
-/// What a trailhead takes without any function, and for each other daemon, and for each function, in
+/// What a daemon takes without any function, and for each other daemon, and for each function, in
 /// bytes; rounded up from the runs of small fleets.
-const TRAILHEAD_BYTES: u64 = 64 << 10;
-const TRAILHEAD_BYTES_PER_DAEMON: u64 = 2 << 10;
-const TRAILHEAD_BYTES_PER_FUNCTION: u64 = 4 << 10;
-/// What the three surveyors, the runners and the frames under way take for each function.
+const DAEMON_BYTES: u64 = 64 << 10;
+const DAEMON_BYTES_PER_DAEMON: u64 = 2 << 10;
+const DAEMON_BYTES_PER_FUNCTION: u64 = 4 << 10;
+/// What the three controllers, the runners and the frames under way take for each function.
 const CORE_BYTES_PER_FUNCTION: u64 = 40 << 10;
 
 /// What a hollow fleet is made of.
@@ -78,11 +78,11 @@
     pub fn needed_bytes(&self) -> u64 {
         let daemons = self.daemons as u64;
         let functions = self.functions as u64;
-        let trailhead = TRAILHEAD_BYTES
-            .saturating_add(daemons.saturating_mul(TRAILHEAD_BYTES_PER_DAEMON))
-            .saturating_add(functions.saturating_mul(TRAILHEAD_BYTES_PER_FUNCTION));
+        let daemon = DAEMON_BYTES
+            .saturating_add(daemons.saturating_mul(DAEMON_BYTES_PER_DAEMON))
+            .saturating_add(functions.saturating_mul(DAEMON_BYTES_PER_FUNCTION));
         daemons
-            .saturating_mul(trailhead)
+            .saturating_mul(daemon)
             .saturating_add(functions.saturating_mul(CORE_BYTES_PER_FUNCTION))
     }
 
--- a/proving/expedition/src/hollow/wire.rs
+++ b/testing/fleet/src/hollow/wire.rs
@@ -1,5 +1,5 @@
 use super::meter::{Role, Work};
-use waymark::frames::{StreamDown, StreamUp};
+use common::frames::{StreamDown, StreamUp};
 
 const SEGMENT: u64 = 1448;
 const SEGMENT_HEADERS: u64 = 52;
--- a/proving/expedition/src/judge/evidence.rs
+++ b/testing/fleet/src/judge/evidence.rs
@@ -1,8 +1,8 @@
+use common::identity::{GrantSerial, RunnerId};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::path::{Path, PathBuf};
-use waymark::identity::{GrantSerial, RunnerId};
 
 /// One transaction as its caller saw it.
 #[derive(Clone, Debug, Default)]
@@ -67,8 +67,8 @@
     pub function: String,
     /// The worker.
     pub worker: String,
-    /// The worker's locality, as the platform has it.
-    pub locality: String,
+    /// The worker's zone, as the platform has it.
+    pub zone: String,
     /// How many it may run at once.
     pub slots: u64,
     /// How long it boots, in nanoseconds.
@@ -184,19 +184,19 @@
             return Err(EvidenceFault::Missing(folder.join("callers.jsonl")));
         }
         let told_fields = ["kind", "at"];
-        let hut_records = read_lines(&folder.join("hut.jsonl"), &told_fields)?;
+        let stub_records = read_lines(&folder.join("platform-stub.jsonl"), &told_fields)?;
         let journal_records = read_lines(&folder.join("journal.jsonl"), &told_fields)?;
-        Ok(Self::from_records(&caller_records, &hut_records, &journal_records))
+        Ok(Self::from_records(&caller_records, &stub_records, &journal_records))
     }
 
     /// Takes records as they are.
-    pub fn from_records(callers: &[Value], hut: &[Value], journal: &[Value]) -> Self {
+    pub fn from_records(callers: &[Value], platform_stub: &[Value], journal: &[Value]) -> Self {
         let mut evidence =
             Self { calls: callers.iter().map(read_call).collect(), ..Self::default() };
         evidence.calls.sort_by_key(|call| call.at);
         let mut open_runs: HashMap<(String, u64), usize> = HashMap::new();
         let mut open_lives: HashMap<String, usize> = HashMap::new();
-        for record in hut {
+        for record in platform_stub {
             let runner = text(record, "runner");
             let run_number = number(record, "run");
             match record["kind"].as_str().unwrap_or("") {
@@ -310,7 +310,7 @@
         runner,
         function: text(record, "function"),
         worker: text(record, "worker"),
-        locality: text(record, "locality"),
+        zone: text(record, "locality"),
         slots: number(record, "slots"),
         boot: number(record, "boot_ms") * 1_000_000,
         start: number(record, "at"),
--- a/proving/expedition/src/judge/lines.rs
+++ b/testing/fleet/src/judge/lines.rs
@@ -1,8 +1,8 @@
 use super::{Evidence, Life, Line, Run};
+use common::identity::GrantSerial;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
-use waymark::identity::GrantSerial;
 
 const SECOND: u64 = 1_000_000_000;
 const SLACK: u64 = SECOND / 4;
@@ -346,7 +346,7 @@
 fn evacuated_used(evidence: &Evidence) -> Line {
     let accepted = evidence.told("locality").filter(|told| told.detail["status"] == json!(200));
     let barred = spans(accepted, "locality", &["evacuate"]);
-    barred_runs(evidence, EVACUATED, &barred, |life| life.locality.clone(), 5 * SECOND)
+    barred_runs(evidence, EVACUATED, &barred, |life| life.zone.clone(), 5 * SECOND)
 }
 
 fn answers_dropped(evidence: &Evidence) -> Line {
--- a/proving/expedition/src/main.rs
+++ b/testing/fleet/src/main.rs
@@ -1,18 +1,18 @@
 //! The proving tool: whole days of the fleet, judged.
 
-use expedition::days::{Day, Deployment, FaultName, run_day};
-use expedition::hollow::page::{PageFault, draw_plots, read_runs, renew};
-use expedition::hollow::{CountingAllocator, Fleet, HollowSize, RecordFault};
-use expedition::judge::{Evidence, EvidenceFault, Recovery, Verdict, judge};
-use expedition::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
+use common::rules::Rule;
 use eyre::{WrapErr, eyre};
+use fleet::days::{Day, Deployment, FaultName, run_day};
+use fleet::hollow::page::{PageFault, draw_plots, read_runs, renew};
+use fleet::hollow::{CountingAllocator, Fleet, HollowSize, RecordFault};
+use fleet::judge::{Evidence, EvidenceFault, Recovery, Verdict, judge};
+use fleet::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
 use gumdrop::Options;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
-use waymark::rules::Rule;
 
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
@@ -165,11 +165,7 @@
     daemons: Option<usize>,
     #[options(no_short, help = "a safety rule that the daemons lack", meta = "RULE")]
     without: Option<String>,
-    #[options(
-        no_short,
-        help = "folder for settings, logs and records",
-        default = "expedition-day"
-    )]
+    #[options(no_short, help = "folder for settings, logs and records", default = "fleet-day")]
     folder: PathBuf,
 }
 
@@ -241,14 +237,14 @@
 }
 
 fn main() -> ExitCode {
-    let flags = waymark::command_line::read::<Flags>("expedition");
+    let flags = common::command_line::read::<Flags>("fleet");
     if flags.version {
-        println!("expedition {}", env!("CARGO_PKG_VERSION"));
+        println!("fleet {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let ended = match flags.command {
         None => {
-            eprintln!("expedition: no command; try --help");
+            eprintln!("fleet: no command; try --help");
             return ExitCode::from(2);
         }
         Some(Command::List(_)) => {
@@ -267,13 +263,13 @@
         Some(Command::Run(run)) => match read_day(&run) {
             Ok(day) => run_whole(&day),
             Err(fault) => {
-                eprintln!("expedition: {fault}");
+                eprintln!("fleet: {fault}");
                 return ExitCode::from(2);
             }
         },
     };
     ended.unwrap_or_else(|report| {
-        eprintln!("expedition: {report:#}");
+        eprintln!("fleet: {report:#}");
         ExitCode::from(4)
     })
 }
@@ -307,7 +303,7 @@
     let fleet = match size.checked().and_then(Fleet::new) {
         Ok(fleet) => fleet,
         Err(fault) => {
-            eprintln!("expedition: {fault}");
+            eprintln!("fleet: {fault}");
             return Ok(ExitCode::from(2));
         }
     };
@@ -388,14 +384,14 @@
 fn simulate(sim: &Sim) -> ExitCode {
     let Some(flaw) = Flaw::all().into_iter().find(|flaw| flaw.to_string() == sim.flaw) else {
         let names: Vec<String> = Flaw::all().iter().map(Flaw::to_string).collect();
-        eprintln!("expedition: unknown flaw {:?}; there are: {}", sim.flaw, names.join(", "));
+        eprintln!("fleet: unknown flaw {:?}; there are: {}", sim.flaw, names.join(", "));
         return ExitCode::from(2);
     };
     let mut focus = Vec::new();
     for name in sim.faults.split(',').filter(|name| !name.is_empty()) {
         let Some(fault) = SimFault::named(name) else {
             let names: Vec<String> = SimFault::ALL.iter().map(SimFault::to_string).collect();
-            eprintln!("expedition: unknown fault {name:?}; there are: {}", names.join(", "));
+            eprintln!("fleet: unknown fault {name:?}; there are: {}", names.join(", "));
             return ExitCode::from(2);
         };
         focus.push(fault);
--- a/proving/expedition/src/sim/checks.rs
+++ b/testing/fleet/src/sim/checks.rs
@@ -1,21 +1,21 @@
+use common::clock::Moment;
+use common::frames::{Blob, HopOutcome, HopReason, Life};
+use common::identity::{
+    ChangeId, FunctionKey, FunctionName, GrantSerial, LifeName, RunnerId, Serial, Term,
+    TransactionId, WorkerName, Zone,
+};
+use common::seal;
+use common::spec::{Document, Table, read_spec};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{Blob, HopOutcome, HopReason, Life};
-use waymark::identity::{
-    ChangeId, FunctionKey, FunctionName, GrantSerial, LifeName, Locality, RunnerId, Serial, Term,
-    TransactionId, WorkerName,
-};
-use waymark::seal;
-use waymark::spec::{Document, Table, read_spec};
 
 /// How long an older spec may still be used.
 const IN_FORCE_WITHIN: Duration = Duration::from_millis(3000);
 /// How long a draining worker may still get transactions.
 const DRAINED_WITHIN: Duration = Duration::from_millis(3200);
-/// How long an evacuated locality may still get transactions.
+/// How long an evacuated zone may still get transactions.
 const EVACUATED_WITHIN: Duration = Duration::from_millis(5200);
 /// The span over which extra tries are counted.
 const TRIES_OVER: Duration = Duration::from_secs(10);
@@ -79,7 +79,7 @@
     tries: BTreeMap<FunctionKey, Tries>,
     installed: HashMap<(usize, u64), Serial>,
     granted: BTreeSet<GrantSerial>,
-    evacuated_since: BTreeMap<Locality, Moment>,
+    evacuated_since: BTreeMap<Zone, Moment>,
     control_doubt_at: Moment,
     served_late: BTreeSet<(usize, Serial)>,
     refused_under: HashSet<(GrantSerial, TransactionId)>,
@@ -115,9 +115,9 @@
             self.breach(at, format!("serial {serial} is committed and invalid at {paths:?}"));
         }
         let evacuated = &document.evacuated;
-        self.evacuated_since.retain(|locality, _| evacuated.contains(locality));
-        for locality in evacuated {
-            self.evacuated_since.entry(locality.clone()).or_insert(at);
+        self.evacuated_since.retain(|zone, _| evacuated.contains(zone));
+        for zone in evacuated {
+            self.evacuated_since.entry(zone.clone()).or_insert(at);
         }
         let reigns = self.reigns.clone();
         for (other_term, (first_serial, last_serial)) in reigns {
@@ -443,18 +443,18 @@
         }
     }
 
-    /// A transaction runs, or is sent, in a locality that may be evacuated.
-    pub fn not_evacuated(&mut self, at: Moment, locality: &Locality) {
-        let Some(since) = self.evacuated_since.get(locality).copied() else { return };
-        self.look("run in an evacuated locality");
+    /// A transaction runs, or is sent, in a zone that may be evacuated.
+    pub fn not_evacuated(&mut self, at: Moment, zone: &Zone) {
+        let Some(since) = self.evacuated_since.get(zone).copied() else { return };
+        self.look("run in an evacuated zone");
         let known_since = since.max(self.control_doubt_at);
         if at.since(known_since) > EVACUATED_WITHIN {
             let late_ms = at.since(since).as_millis();
-            self.breach(at, format!("{locality}, evacuated for {late_ms} ms, gets a transaction"));
+            self.breach(at, format!("{zone}, evacuated for {late_ms} ms, gets a transaction"));
         }
     }
 
-    /// Whether any locality is evacuated.
+    /// Whether any zone is evacuated.
     pub fn has_evacuated(&self) -> bool {
         !self.evacuated_since.is_empty()
     }
--- a/proving/expedition/src/sim/surveyor.rs
+++ b/testing/fleet/src/sim/controller.rs
@@ -3,16 +3,18 @@
 use super::network::{Node, PLATFORM};
 use super::platform::Asker;
 use super::world::{Event, World};
+use common::chance::Chance;
+use common::clock::Moment;
+use common::events;
+use common::frames::{CoreBody, CoreFrame, Flag, Many, Place, StreamDown};
+use common::identity::{ControllerId, Stamp, Term, Ticket};
+use common::spec::Document;
+use controlplane::controller_state::{
+    ControllerInput, ControllerOutput, ControllerState, OperationReply, OperationTicket,
+};
+use controlplane::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
+use controlplane::leader_state::{LeaderTiming, StreamId};
 use std::time::Duration;
-use survey::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
-use survey::desk::{DeskTiming, StreamId};
-use survey::plane::{OperationReply, OperationTicket, Plane, PlaneInput, PlaneOutput};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::events;
-use waymark::frames::{CoreBody, CoreFrame, Flag, Many, Place, StreamDown};
-use waymark::identity::{Stamp, SurveyorId, Term, Ticket};
-use waymark::spec::Document;
 
 /// A virtual disk.
 pub struct SimDisk {
@@ -26,8 +28,8 @@
     pub previous: Option<Document>,
 }
 
-/// One virtual surveyor.
-pub struct SimSurveyor {
+/// One virtual controller.
+pub struct SimController {
     /// Its node.
     pub node: Node,
     /// Counts its lives.
@@ -38,8 +40,8 @@
     pub clock_ahead: Duration,
     /// How many thousandths its machine's clock runs fast, or slow if negative.
     pub clock_drift: i64,
-    /// The surveyor itself, while it is alive.
-    pub plane: Option<Plane>,
+    /// The controller itself, while it is alive.
+    pub controller_state: Option<ControllerState>,
     /// Its disk.
     pub disk: SimDisk,
 }
@@ -52,8 +54,8 @@
         .build()
 }
 
-fn desk_timing() -> DeskTiming {
-    DeskTiming::builder()
+fn leader_state_timing() -> LeaderTiming {
+    LeaderTiming::builder()
         .grant_length(Duration::from_millis(1600))
         .drift_margin(Duration::from_millis(160))
         .claims_wait(Duration::from_millis(1760))
@@ -61,59 +63,60 @@
 }
 
 impl World {
-    pub(super) fn surveyor_now(&self, place: usize) -> Moment {
-        let surveyor = &self.surveyors[place];
-        local_moment(self.now, surveyor.clock_ahead, surveyor.clock_drift)
+    pub(super) fn controller_now(&self, place: usize) -> Moment {
+        let controller = &self.controllers[place];
+        local_moment(self.now, controller.clock_ahead, controller.clock_drift)
     }
 
-    /// Starts a surveyor with what its disk remembers.
-    pub(super) fn start_surveyor(&mut self, place: usize) {
-        let local_now = self.surveyor_now(place);
+    /// Starts a controller with what its disk remembers.
+    pub(super) fn start_controller(&mut self, place: usize) {
+        let local_now = self.controller_now(place);
         let seed = self.chance.number();
         let seeds = self.seeds();
         let rules = self.plan.rules();
-        let surveyor = &mut self.surveyors[place];
-        surveyor.life += 1;
-        let own_place = surveyor.place;
+        let controller = &mut self.controllers[place];
+        controller.life += 1;
+        let own_place = controller.place;
         let address = Address { place: own_place, operators: own_place };
         let core = Core::new(
             local_now,
             timing(),
-            surveyor.disk.durable.clone(),
+            controller.disk.durable.clone(),
             address,
-            Self::locality(place),
+            Self::zone(place),
             seeds,
             Chance::seeded(seed),
         )
         .with_rules(rules);
-        let plane = Plane::new(core, desk_timing(), timing().election_shortest);
-        surveyor.plane = Some(plane.with_rules(rules));
-        let node = surveyor.node;
-        self.push(Duration::from_millis(1), Event::Tick(node, self.surveyors[place].life));
-        self.push(Duration::from_millis(50), Event::Poll(node, self.surveyors[place].life));
+        let controller_state =
+            ControllerState::new(core, leader_state_timing(), timing().election_shortest);
+        controller.controller_state = Some(controller_state.with_rules(rules));
+        let node = controller.node;
+        self.push(Duration::from_millis(1), Event::Tick(node, self.controllers[place].life));
+        self.push(Duration::from_millis(50), Event::Poll(node, self.controllers[place].life));
     }
 
-    /// Kills a surveyor; a write under way may or may not have reached the disk.
-    pub(super) fn kill_surveyor(&mut self, place: usize) {
-        self.surveyors[place].plane = None;
-        self.surveyors[place].life += 1;
-        let node = self.surveyors[place].node;
+    /// Kills a controller; a write under way may or may not have reached the disk.
+    pub(super) fn kill_controller(&mut self, place: usize) {
+        self.controllers[place].controller_state = None;
+        self.controllers[place].life += 1;
+        let node = self.controllers[place].node;
         self.break_links(node);
-        self.notice_gone(node, self.surveyors[place].place);
+        self.notice_gone(node, self.controllers[place].place);
         let unsynced = std::mem::take(&mut self.unsynced);
         for (owner, job) in unsynced {
             let is_lucky = self.chance.happens(0.5) && self.plan.flaw != Flaw::SyncSkipped;
             if owner == place && is_lucky {
-                self.surveyors[place].disk.keep(&job);
+                self.controllers[place].disk.keep(&job);
             } else if owner != place {
                 self.unsynced.push((owner, job));
             }
         }
     }
 
-    /// The other surveyors that reach a killed one find its place closed, a little later.
+    /// The other controllers that reach a killed one find its place closed, a little later.
     fn notice_gone(&mut self, gone: Node, place: Place) {
-        let others: Vec<Node> = self.surveyors.iter().map(|surveyor| surveyor.node).collect();
+        let others: Vec<Node> = self.controllers.iter().map(|controller| controller.node).collect();
         for other in others {
             let is_noticed = other != gone
                 && self.network.reaches(other, gone)
@@ -121,15 +124,15 @@
                 && !self.chance.happens(0.1);
             if is_noticed {
                 let delay = self.network.delay(&mut self.chance);
-                self.push(delay, Event::SurveyorGone(other, place));
+                self.push(delay, Event::ControllerGone(other, place));
             }
         }
     }
 
-    /// A surveyor's disk is replaced by an empty one.
+    /// A controller's disk is replaced by an empty one.
     pub(super) fn lose_disk(&mut self, place: usize) {
-        let fresh_id = SurveyorId(self.chance.number() | 1);
-        let disk = &mut self.surveyors[place].disk;
+        let fresh_id = ControllerId(self.chance.number() | 1);
+        let disk = &mut self.controllers[place].disk;
         disk.durable =
             Recalled { id: fresh_id, voted: None, accepted: None, distrusted: Stamp::default() };
         disk.previous = None;
@@ -138,29 +141,29 @@
     /// The newest version on a disk rots: it is set aside at the start, and what it may have
     /// acknowledged is remembered.
     pub(super) fn damage_disk(&mut self, place: usize) {
-        let disk = &mut self.surveyors[place].disk;
+        let disk = &mut self.controllers[place].disk;
         let rotten = disk.durable.accepted.take();
         disk.durable.distrusted = rotten.map_or(Stamp::default(), |held| held.stamp);
         disk.durable.accepted = disk.previous.take();
     }
 
-    pub(super) fn feed_surveyor(&mut self, place: usize, input: PlaneInput) {
-        if place >= self.surveyors.len() {
+    pub(super) fn feed_controller(&mut self, place: usize, input: ControllerInput) {
+        if place >= self.controllers.len() {
             return;
         }
-        let local_now = self.surveyor_now(place);
-        let Some(plane) = &mut self.surveyors[place].plane else { return };
-        let orders = plane.take(local_now, input);
+        let local_now = self.controller_now(place);
+        let Some(controller_state) = &mut self.controllers[place].controller_state else { return };
+        let orders = controller_state.take(local_now, input);
         for order in orders {
-            self.obey_surveyor(place, order);
+            self.obey_controller(place, order);
         }
     }
 
-    fn obey_surveyor(&mut self, place: usize, order: PlaneOutput) {
-        let node = self.surveyors[place].node;
-        let life = self.surveyors[place].life;
+    fn obey_controller(&mut self, place: usize, order: ControllerOutput) {
+        let node = self.controllers[place].node;
+        let life = self.controllers[place].life;
         match order {
-            PlaneOutput::Send(to, frame) => {
+            ControllerOutput::Send(to, frame) => {
                 let Some(to_node) = self.node_at(to) else { return };
                 if self.plan.flaw == Flaw::QuorumOfOne {
                     self.forge_yes(place, to_node, &frame);
@@ -171,25 +174,25 @@
                     self.push_in_order(key, delay, Event::CoreFrame(to_node, frame));
                 }
             }
-            PlaneOutput::Write(ticket, job) => self.write(place, ticket, job),
-            PlaneOutput::Down(stream, frame) => self.send_down(stream, frame),
-            PlaneOutput::Close(stream) => self.close_link(stream.0),
-            PlaneOutput::AskLists => self.read_lists(place),
-            PlaneOutput::StopRunner(order) => {
+            ControllerOutput::Write(ticket, job) => self.write(place, ticket, job),
+            ControllerOutput::Down(stream, frame) => self.send_down(stream, frame),
+            ControllerOutput::Close(stream) => self.close_link(stream.0),
+            ControllerOutput::AskLists => self.read_lists(place),
+            ControllerOutput::StopRunner(order) => {
                 let asker = Asker { node, life };
                 if self.network.reaches(node, PLATFORM) {
                     let delay = self.network.delay(&mut self.chance);
                     self.push(delay, Event::LeaderStop(asker, order));
                 }
             }
-            PlaneOutput::Operated(ticket, reply) => self.operated(ticket, reply),
-            PlaneOutput::Told(numbered) => {
+            ControllerOutput::Operated(ticket, reply) => self.operated(ticket, reply),
+            ControllerOutput::Told(numbered) => {
                 if numbered.told.event == events::COMMITTED {
                     self.check_commit(place);
                 }
                 if self.is_tracing {
                     let line = format!(
-                        "{} surveyor {place} {} {}",
+                        "{} controller {place} {} {}",
                         self.now, numbered.told.event, numbered.told.detail
                     );
                     self.trace.push(line);
@@ -198,7 +201,7 @@
         }
     }
 
-    /// Makes a surveyor believe that another said yes to whatever it asked.
+    /// Makes a controller believe that another said yes to whatever it asked.
     fn forge_yes(&mut self, place: usize, to_node: Node, frame: &CoreFrame) {
         let body = match &frame.body {
             CoreBody::VoteAsk { term, trial, .. } => CoreBody::VoteReply {
@@ -217,30 +220,32 @@
             }
             _ => return,
         };
-        let other_place = self.surveyors[to_node.0].place;
+        let other_place = self.controllers[to_node.0].place;
         let forged_frame = CoreFrame {
-            from: self.surveyors[to_node.0].disk.durable.id,
+            from: self.controllers[to_node.0].disk.durable.id,
             place: other_place,
             operators: other_place,
-            locality: "here".into(),
+            zone: "here".into(),
             body,
         };
-        let node = self.surveyors[place].node;
+        let node = self.controllers[place].node;
         self.push(Duration::from_micros(50), Event::CoreFrame(node, forged_frame));
     }
 
     fn check_commit(&mut self, place: usize) {
-        let committed_document =
-            self.surveyors[place].plane.as_ref().and_then(|plane| plane.core().accepted().cloned());
+        let committed_document = self.controllers[place]
+            .controller_state
+            .as_ref()
+            .and_then(|controller_state| controller_state.core().accepted().cloned());
         if let Some(document) = committed_document {
             self.checks.commits(self.now, &document);
         }
     }
 
     fn write(&mut self, place: usize, ticket: Ticket, job: WriteJob) {
-        let life = self.surveyors[place].life;
-        let node = self.surveyors[place].node;
-        let disk = &self.surveyors[place].disk;
+        let life = self.controllers[place].life;
+        let node = self.controllers[place].node;
+        let disk = &self.controllers[place].disk;
         let own_delay = self.chance.within(Duration::from_micros(300), Duration::from_millis(12));
         let ends_at = (self.now + own_delay).max(disk.stalled_until);
         let is_failing = disk.failing_until > self.now;
@@ -267,13 +272,13 @@
     }
 
     pub(super) fn durable(&mut self, place: usize, job: &WriteJob) {
-        self.surveyors[place].disk.keep(job);
+        self.controllers[place].disk.keep(job);
         self.unsynced.retain(|(owner, kept)| *owner != place || !is_same(kept, job));
     }
 
     fn send_down(&mut self, stream: StreamId, frame: StreamDown) {
         let Some(link) = self.links.get(&stream.0) else { return };
-        let (from, to) = (link.surveyor, link.daemon);
+        let (from, to) = (link.controller, link.daemon);
         if !self.network.reaches(from, to) {
             self.doom_link(stream.0);
             return;
@@ -295,23 +300,25 @@
     }
 
     pub(super) fn poll_platform(&mut self, place: usize) {
-        let node = self.surveyors[place].node;
-        let life = self.surveyors[place].life;
+        let node = self.controllers[place].node;
+        let life = self.controllers[place].life;
         self.push(Duration::from_millis(400), Event::Poll(node, life));
-        let leads =
-            self.surveyors[place].plane.as_ref().is_some_and(|plane| plane.core().is_leader());
+        let leads = self.controllers[place]
+            .controller_state
+            .as_ref()
+            .is_some_and(|controller_state| controller_state.core().is_leader());
         if leads {
             self.read_lists(place);
         }
     }
 
     fn read_lists(&mut self, place: usize) {
-        let node = self.surveyors[place].node;
-        let life = self.surveyors[place].life;
+        let node = self.controllers[place].node;
+        let life = self.controllers[place].life;
         if !self.network.reaches(node, PLATFORM) {
             return;
         }
-        let sent_at = self.surveyor_now(place);
+        let sent_at = self.controller_now(place);
         let (age, listed_runners, workers) = self.platform.late_lists(self.now);
         let delay = self.network.delay(&mut self.chance);
         self.push(delay, Event::Lists(node, life, workers, sent_at - age, listed_runners));
--- a/proving/expedition/src/sim/daemon.rs
+++ b/testing/fleet/src/sim/daemon.rs
@@ -1,20 +1,20 @@
 use super::network::{Node, PLATFORM};
 use super::platform::Asker;
 use super::world::{Event, World};
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{AcquireResult, Flag, HopBody, HopOutcome, Host, Many, Parcel, StreamUp};
+use common::identity::{FunctionKey, GrantSerial, Serial, TransactionId, Zone};
+use common::tongue::BeginEnd;
+use dataplane::agent::{
+    Agent, Ask, Controller, DaemonOrder, Held, InHand, PassEnd, Question, Task, Topic, Way, WayStep,
+};
+use dataplane::holder::{Holder, HolderOutput};
+use dataplane::liaison::LiaisonTiming;
+use dataplane::owners::is_valid;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use trail::holder::{Holder, HolderOutput};
-use trail::liaison::LiaisonTiming;
-use trail::lodge::{
-    Ask, Controller, DaemonOrder, Held, InHand, Lodge, PassEnd, Question, Task, Topic, Way, WayStep,
-};
-use trail::owners::is_valid;
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{AcquireResult, Flag, HopBody, HopOutcome, Host, Many, Parcel, StreamUp};
-use waymark::identity::{FunctionKey, GrantSerial, Locality, Serial, TransactionId};
-use waymark::tongue::BeginEnd;
 
 /// How long an orderly stop may take, and what the platform waits before it kills.
 pub(super) const GRACE: Duration = Duration::from_millis(5600);
@@ -60,7 +60,7 @@
 
 /// What dies with a daemon's process.
 pub struct Body {
-    pub(super) lodge: Arc<Lodge<u64>>,
+    pub(super) agent: Arc<Agent<u64>>,
     controller: Controller<u64>,
     pendings: BTreeMap<u64, Pending>,
     acquires: BTreeMap<FunctionKey, Vec<u64>>,
@@ -87,12 +87,12 @@
         local_moment(self.now, daemon.clock_ahead, daemon.clock_drift)
     }
 
-    pub(super) fn locality(number: usize) -> Locality {
+    pub(super) fn zone(number: usize) -> Zone {
         format!("locality-{}", number % 3 + 1).into()
     }
 
-    pub(super) fn lodge(&self, place: usize) -> Option<Arc<Lodge<u64>>> {
-        self.daemons[place].body.as_ref().map(|body| body.lodge.clone())
+    pub(super) fn agent(&self, place: usize) -> Option<Arc<Agent<u64>>> {
+        self.daemons[place].body.as_ref().map(|body| body.agent.clone())
     }
 
     fn wake_at(&mut self, place: usize, local_at: Moment, number: u64) {
@@ -114,14 +114,14 @@
         let host = Host {
             member: format!("daemon-{place}").into(),
             incarnation: (self.chance.number() | 1).into(),
-            locality: Self::locality(place),
+            zone: Self::zone(place),
             place: own_place,
             eligible: Flag(true),
         };
-        let lodge = Arc::new(Lodge::new(host, self.plan.rules()).with_tuning(self.plan.tuning));
+        let agent = Arc::new(Agent::new(host, self.plan.rules()).with_tuning(self.plan.tuning));
         let controller = Controller::new(
             local_now,
-            &lodge,
+            &agent,
             LiaisonTiming::builder().build(),
             own_place,
             self.seeds(),
@@ -132,7 +132,7 @@
         let daemon = &mut self.daemons[place];
         daemon.life += 1;
         daemon.body = Some(Box::new(Body {
-            lodge,
+            agent,
             controller,
             pendings: BTreeMap::new(),
             acquires: BTreeMap::new(),
@@ -161,7 +161,7 @@
         }
         body.stops_by = Some(local_now + GRACE);
         body.is_disturbed = is_frozen;
-        self.with_controller(place, |controller, lodge, now| controller.leave(lodge, now));
+        self.with_controller(place, |controller, agent, now| controller.leave(agent, now));
     }
 
     pub(super) fn is_leaving(&self, place: usize) -> bool {
@@ -173,7 +173,7 @@
         let local_now = self.daemon_now(place);
         let Some(body) = &self.daemons[place].body else { return };
         let Some(stops_by) = body.stops_by else { return };
-        if local_now < stops_by && !body.lodge.is_empty_handed() {
+        if local_now < stops_by && !body.agent.is_empty_handed() {
             return;
         }
         let in_hand: Vec<TransactionId> =
@@ -181,7 +181,7 @@
         if !body.is_disturbed {
             self.checks.stops_in_order(self.now, place, &in_hand);
         }
-        self.with_controller(place, |controller, lodge, _| controller.left(lodge));
+        self.with_controller(place, |controller, agent, _| controller.left(agent));
         let node = self.daemons[place].node;
         let life = self.daemons[place].life;
         if let Some(body) = &mut self.daemons[place].body {
@@ -193,15 +193,15 @@
     pub(super) fn is_daemon_serving(&self, place: usize) -> bool {
         let local_now = self.daemon_now(place);
         let body = self.daemons[place].body.as_ref();
-        body.is_some_and(|body| local_now < body.lodge.serving_until.get())
+        body.is_some_and(|body| local_now < body.agent.serving_until.get())
     }
 
     pub(super) fn tick_daemon(&mut self, place: usize) {
-        self.with_controller(place, |controller, lodge, now| controller.tick(lodge, now));
-        if let Some(lodge) = self.lodge(place)
+        self.with_controller(place, |controller, agent, now| controller.tick(agent, now));
+        if let Some(agent) = self.agent(place)
             && self.is_daemon_serving(place)
         {
-            self.checks.serves(self.now, place, lodge.table.load().serial());
+            self.checks.serves(self.now, place, agent.table.load().serial());
         }
         self.leave_if_due(place);
     }
@@ -209,18 +209,18 @@
     pub(super) fn with_controller(
         &mut self,
         place: usize,
-        change: impl FnOnce(&mut Controller<u64>, &Lodge<u64>, Moment) -> Vec<DaemonOrder<u64>>,
+        change: impl FnOnce(&mut Controller<u64>, &Agent<u64>, Moment) -> Vec<DaemonOrder<u64>>,
     ) {
         let local_now = self.daemon_now(place);
         let Some(body) = &mut self.daemons[place].body else { return };
-        let lodge = body.lodge.clone();
-        let orders = change(&mut body.controller, &lodge, local_now);
+        let agent = body.agent.clone();
+        let orders = change(&mut body.controller, &agent, local_now);
         for order in orders {
             self.obey_daemon(place, order);
         }
     }
 
-    pub(super) fn heartbeat(&mut self, place: usize, heartbeat: &waymark::frames::Heartbeat) {
+    pub(super) fn heartbeat(&mut self, place: usize, heartbeat: &common::frames::Heartbeat) {
         let local_now = self.daemon_now(place);
         if let Some(body) = &mut self.daemons[place].body {
             body.controller.beat(local_now, heartbeat);
@@ -232,8 +232,8 @@
             if let Some(body) = &mut self.daemons[place].body {
                 body.link = None;
             }
-            self.with_controller(place, |controller, lodge, now| {
-                controller.disconnected(lodge, now)
+            self.with_controller(place, |controller, agent, now| {
+                controller.disconnected(agent, now)
             });
         }
     }
@@ -287,7 +287,7 @@
             DaemonOrder::Changed => self.look_all(place),
             DaemonOrder::Installed(serial) => self.check_install(place, serial),
             DaemonOrder::Tell(event, detail) => {
-                if event == waymark::events::GRANTED {
+                if event == common::events::GRANTED {
                     self.check_granted(place);
                 }
                 if self.is_tracing {
@@ -318,7 +318,7 @@
         let Some(body) = &self.daemons[place].body else { return };
         let Some(link) = body.link else { return };
         let from = self.daemons[place].node;
-        let Some(to) = self.links.get(&link).map(|link| link.surveyor) else { return };
+        let Some(to) = self.links.get(&link).map(|link| link.controller) else { return };
         if !self.network.reaches(from, to) {
             self.doom_link(link);
             return;
@@ -336,10 +336,10 @@
     pub(super) fn check_hands(&mut self) {
         let mut held_lives = Vec::new();
         for place in 0..self.daemons.len() {
-            let Some(lodge) = self.lodge(place).filter(|_| self.is_daemon_serving(place)) else {
+            let Some(agent) = self.agent(place).filter(|_| self.is_daemon_serving(place)) else {
                 continue;
             };
-            for held in lodge.holdings.load().values() {
+            for held in agent.holdings.load().values() {
                 let lives = held
                     .with(|holder| if holder.is_claimable() { holder.lives() } else { Vec::new() });
                 held_lives.extend(lives.into_iter().map(|life| (place, held.grant, life.name)));
@@ -356,7 +356,7 @@
         function: &FunctionKey,
         grant: GrantSerial,
     ) -> bool {
-        let held = self.lodge(place).and_then(|lodge| lodge.held(function, grant));
+        let held = self.agent(place).and_then(|agent| agent.held(function, grant));
         self.is_daemon_serving(place)
             && held.is_some_and(|held| held.with(|holder| holder.is_claimable()))
     }
@@ -364,8 +364,8 @@
     /// A function that has just been granted: nobody else may serve it, and every runner of it that is
     /// alive is among those taken over.
     fn check_granted(&mut self, place: usize) {
-        let Some(lodge) = self.lodge(place) else { return };
-        let holdings = lodge.holdings.load_full();
+        let Some(agent) = self.agent(place) else { return };
+        let holdings = agent.holdings.load_full();
         for held in holdings.values() {
             if !self.checks.is_new_grant(held.grant) {
                 continue;
@@ -375,8 +375,8 @@
                 self.platform.runners.values().map(|runner| (&runner.function, &runner.life));
             self.checks.granted_with(self.now, &held.function, held.grant, &adopted, alive);
             for other in (0..self.daemons.len()).filter(|other| *other != place) {
-                let is_held = self.lodge(other).is_some_and(|other_lodge| {
-                    other_lodge
+                let is_held = self.agent(other).is_some_and(|other_agent| {
+                    other_agent
                         .holdings
                         .load()
                         .get(&held.function)
@@ -395,8 +395,8 @@
     fn acquired(&mut self, place: usize, function: &FunctionKey, result: Option<AcquireResult>) {
         let Some(body) = &mut self.daemons[place].body else { return };
         for number in body.acquires.remove(function).unwrap_or_default() {
-            self.step(place, number, Awaits::Acquired, |way, lodge, now| {
-                way.acquired(lodge, now, result.clone())
+            self.step(place, number, Awaits::Acquired, |way, agent, now| {
+                way.acquired(agent, now, result.clone())
             });
         }
     }
@@ -410,7 +410,7 @@
         change: impl FnOnce(&mut Holder, Moment) -> Vec<HolderOutput>,
     ) {
         let local_now = self.daemon_now(place);
-        let Some(held) = self.lodge(place).and_then(|lodge| lodge.known(function, grant)) else {
+        let Some(held) = self.agent(place).and_then(|agent| agent.known(function, grant)) else {
             return;
         };
         let outputs = held.with(|holder| change(holder, local_now));
@@ -438,14 +438,14 @@
                     self.checks.holder_says(held.grant, &task.transaction, &outcome);
                 }
                 if let Some(number) = held.leave(ticket) {
-                    self.step(place, number, Awaits::Outcome, |way, lodge, now| {
-                        way.served(lodge, now, outcome)
+                    self.step(place, number, Awaits::Outcome, |way, agent, now| {
+                        way.served(agent, now, outcome)
                     });
                 }
             }
             HolderOutput::Start { runner, worker, spec } => {
                 let local_now = self.daemon_now(place);
-                let may_start = self.lodge(place).is_some_and(|lodge| lodge.is_serving(local_now));
+                let may_start = self.agent(place).is_some_and(|agent| agent.is_serving(local_now));
                 if may_start && self.network.reaches(asker.node, PLATFORM) {
                     let delay = self.long_delay();
                     self.push(delay, Event::Start(asker, function, runner, worker, spec));
@@ -523,8 +523,8 @@
     ) {
         let local_now = self.daemon_now(place);
         let node = self.daemons[place].node;
-        let Some(lodge) = self.lodge(place) else { return };
-        let reply = lodge.answer_as_steward(local_now, body);
+        let Some(agent) = self.agent(place) else { return };
+        let reply = agent.answer_as_steward(local_now, body);
         if self.network.reaches(node, asker.node) {
             let delay = self.network.delay(&mut self.chance);
             self.push(delay, Event::StewardSaid(asker, number, function, grant, topic, reply));
@@ -563,11 +563,11 @@
         repeat: bool,
     ) {
         let local_now = self.daemon_now(place);
-        let Some(lodge) = self.lodge(place) else { return };
-        let table = lodge.table.load_full();
+        let Some(agent) = self.agent(place) else { return };
+        let table = agent.table.load_full();
         let route = table
             .route_named(route_name)
-            .filter(|_| lodge.is_serving(local_now) && !lodge.is_leaving());
+            .filter(|_| agent.is_serving(local_now) && !agent.is_leaving());
         let Some(route) = route else {
             self.checks.not_run(self.now, &transaction);
             self.counted("not_run");
@@ -601,7 +601,7 @@
         self.next_number += 1;
         let number = self.next_number;
         let Some(body) = &mut self.daemons[place].body else { return };
-        let in_hand = body.lodge.take_in_hand();
+        let in_hand = body.agent.take_in_hand();
         let way = Way::new(local_now, ask);
         let pending = Pending {
             way,
@@ -627,12 +627,12 @@
 
     /// One look where a transaction goes next, if it waits for one.
     fn look(&mut self, place: usize, number: u64) {
-        self.step(place, number, Awaits::Look, |way, lodge, now| way.look(lodge, now));
+        self.step(place, number, Awaits::Look, |way, agent, now| way.look(agent, now));
     }
 
     /// A wait for the leader's answer has lasted as long as it may.
     pub(super) fn acquire_timed_out(&mut self, place: usize, number: u64) {
-        self.step(place, number, Awaits::Acquired, |way, lodge, now| way.look(lodge, now));
+        self.step(place, number, Awaits::Acquired, |way, agent, now| way.look(agent, now));
     }
 
     fn look_all(&mut self, place: usize) {
@@ -659,7 +659,7 @@
     /// so that what still comes back finds nobody.
     fn end_passes_to_the_gone(&mut self, place: usize) {
         let Some(body) = &mut self.daemons[place].body else { return };
-        let hosts = body.lodge.hosts.load_full();
+        let hosts = body.agent.hosts.load_full();
         let is_to_gone = |pending: &Pending| {
             pending.awaits == Awaits::Passed
                 && pending.passed_to.as_ref().is_some_and(|host| !is_valid(host, &hosts))
@@ -686,7 +686,7 @@
         place: usize,
         number: u64,
         awaited: Awaits,
-        change: impl FnOnce(&mut Way, &Lodge<u64>, Moment) -> WayStep<u64>,
+        change: impl FnOnce(&mut Way, &Agent<u64>, Moment) -> WayStep<u64>,
     ) {
         let local_now = self.daemon_now(place);
         let Some(body) = &mut self.daemons[place].body else { return };
@@ -694,9 +694,9 @@
         if pending.awaits != awaited {
             return;
         }
-        let lodge = body.lodge.clone();
+        let agent = body.agent.clone();
         let function_before = pending.way.ask().function.clone();
-        let next_step = change(&mut pending.way, &lodge, local_now);
+        let next_step = change(&mut pending.way, &agent, local_now);
         let function = pending.way.ask().function.clone();
         let is_first = !pending.way.ask().repeat;
         pending.awaits = match &next_step {
@@ -722,16 +722,16 @@
 
     fn serve(&mut self, place: usize, number: u64, held: &Arc<Held<u64>>, task: Task) {
         let local_now = self.daemon_now(place);
-        let Some(lodge) = self.lodge(place) else { return };
+        let Some(agent) = self.agent(place) else { return };
         let transaction = task.transaction.clone();
-        let (at_once, outputs) = held.enter(local_now, lodge.ticket(), task, number);
+        let (at_once, outputs) = held.enter(local_now, agent.ticket(), task, number);
         if let Some((_, outcome)) = &at_once {
             self.checks.holder_says(held.grant, &transaction, outcome);
         }
         self.drive(place, held, outputs);
         if let Some((number, outcome)) = at_once {
-            self.step(place, number, Awaits::Outcome, |way, lodge, now| {
-                way.served(lodge, now, outcome)
+            self.step(place, number, Awaits::Outcome, |way, agent, now| {
+                way.served(agent, now, outcome)
             });
         }
     }
@@ -747,8 +747,8 @@
         let waiting = body.acquires.entry(function.clone()).or_default();
         waiting.push(number);
         if waiting.len() == 1 {
-            self.with_controller(place, |controller, lodge, now| {
-                controller.acquire(lodge, now, function)
+            self.with_controller(place, |controller, agent, now| {
+                controller.acquire(agent, now, function)
             });
         }
     }
@@ -782,7 +782,7 @@
     }
 
     pub(super) fn passed(&mut self, place: usize, number: u64, end: PassEnd) {
-        self.step(place, number, Awaits::Passed, |way, lodge, now| way.passed(lodge, now, end));
+        self.step(place, number, Awaits::Passed, |way, agent, now| way.passed(agent, now, end));
     }
 
     fn end(&mut self, place: usize, number: u64, outcome: HopOutcome, holder: Option<Host>) {
--- a/proving/expedition/src/sim/faults.rs
+++ b/testing/fleet/src/sim/faults.rs
@@ -1,33 +1,33 @@
 use super::network::{Node, PLATFORM};
 use super::world::{Event, World};
+use controlplane::controller_state::ChangeKind;
 use std::fmt;
 use std::time::Duration;
-use survey::plane::ChangeKind;
 
 /// What the simulator does to a fleet.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum SimFault {
-    /// A surveyor is killed and returns; writes under way reach the disk or do not.
-    KillSurveyor,
-    /// The leading surveyor is killed and returns.
+    /// A controller is killed and returns; writes under way reach the disk or do not.
+    KillController,
+    /// The leading controller is killed and returns.
     KillLeader,
     /// A daemon is killed and returns.
     KillDaemon,
     /// Some daemons are killed at once and return.
     KillHerd,
-    /// All surveyors are killed and return.
+    /// All controllers are killed and return.
     KillCore,
     /// Everything is killed and returns.
     RestartAll,
-    /// A locality is lost whole, workers and all, and returns.
-    LoseLocality,
-    /// A surveyor is killed and returns with an empty disk.
+    /// A zone is lost whole, workers and all, and returns.
+    LoseZone,
+    /// A controller is killed and returns with an empty disk.
     LoseDisk,
-    /// A surveyor is lost for good, and an empty one at a new address takes its place.
+    /// A controller is lost for good, and an empty one at a new address takes its place.
     ReplaceCore,
-    /// A surveyor is killed, and the newest version on its disk rots.
+    /// A controller is killed, and the newest version on its disk rots.
     DamageDisk,
-    /// Some daemons are killed together with a surveyor that loses its disk.
+    /// Some daemons are killed together with a controller that loses its disk.
     HerdWithDisk,
     /// A machine freezes and wakes.
     Freeze,
@@ -57,7 +57,7 @@
     RunnerLeaves,
     /// A worker is drained, and comes back.
     DrainWorker,
-    /// A locality is evacuated, and brought back.
+    /// A zone is evacuated, and brought back.
     Evacuate,
     /// A daemon is warned, given its grace, and returns.
     StopInOrder,
@@ -80,13 +80,13 @@
 impl SimFault {
     /// Every fault.
     pub const ALL: &[SimFault] = &[
-        SimFault::KillSurveyor,
+        SimFault::KillController,
         SimFault::KillLeader,
         SimFault::KillDaemon,
         SimFault::KillHerd,
         SimFault::KillCore,
         SimFault::RestartAll,
-        SimFault::LoseLocality,
+        SimFault::LoseZone,
         SimFault::LoseDisk,
         SimFault::ReplaceCore,
         SimFault::DamageDisk,
@@ -125,13 +125,13 @@
 impl fmt::Display for SimFault {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         out.write_str(match self {
-            Self::KillSurveyor => "kill-surveyor",
+            Self::KillController => "kill-controller",
             Self::KillLeader => "kill-leader",
             Self::KillDaemon => "kill-daemon",
             Self::KillHerd => "kill-herd",
             Self::KillCore => "kill-core",
             Self::RestartAll => "restart-all",
-            Self::LoseLocality => "lose-locality",
+            Self::LoseZone => "lose-locality",
             Self::LoseDisk => "lose-disk",
             Self::ReplaceCore => "replace-core",
             Self::DamageDisk => "damage-disk",
@@ -164,7 +164,7 @@
 }
 
 impl World {
-    fn some_surveyor(&mut self) -> usize {
+    fn some_controller(&mut self) -> usize {
         self.chance.below(3) as usize
     }
 
@@ -184,9 +184,12 @@
         (0..count).map(|step| (first + step) % self.daemons.len()).collect()
     }
 
-    fn leading_surveyor(&self) -> Option<usize> {
-        self.surveyors.iter().position(|surveyor| {
-            surveyor.plane.as_ref().is_some_and(|plane| plane.core().is_leader())
+    fn leading_controller(&self) -> Option<usize> {
+        self.controllers.iter().position(|controller| {
+            controller
+                .controller_state
+                .as_ref()
+                .is_some_and(|controller_state| controller_state.core().is_leader())
         })
     }
 
@@ -209,13 +212,13 @@
 
     fn cause(&mut self, fault: SimFault, lasts: Duration) {
         match fault {
-            SimFault::KillSurveyor => {
-                let place = self.some_surveyor();
-                self.lose_surveyor(place, lasts);
+            SimFault::KillController => {
+                let place = self.some_controller();
+                self.lose_controller(place, lasts);
             }
             SimFault::KillLeader => {
-                if let Some(place) = self.leading_surveyor() {
-                    self.lose_surveyor(place, lasts);
+                if let Some(place) = self.leading_controller() {
+                    self.lose_controller(place, lasts);
                 }
             }
             SimFault::KillDaemon => {
@@ -229,39 +232,39 @@
             }
             SimFault::KillCore => {
                 for place in 0..3 {
-                    self.lose_surveyor(place, lasts);
+                    self.lose_controller(place, lasts);
                 }
             }
             SimFault::RestartAll => {
                 for place in 0..3 {
-                    self.lose_surveyor(place, lasts);
+                    self.lose_controller(place, lasts);
                 }
                 for place in 0..self.daemons.len() {
                     self.lose_daemon(place, lasts);
                 }
             }
-            SimFault::LoseLocality => self.lose_locality(lasts),
+            SimFault::LoseZone => self.lose_zone(lasts),
             SimFault::LoseDisk => {
                 if self.may_lose_disk() {
                     self.counted("disk lost");
-                    let place = self.some_surveyor();
-                    self.lose_surveyor(place, lasts);
+                    let place = self.some_controller();
+                    self.lose_controller(place, lasts);
                     self.lose_disk(place);
                 }
             }
             SimFault::ReplaceCore => {
                 if self.may_lose_disk() {
                     self.counted("disk lost");
-                    let place = self.some_surveyor();
-                    self.lose_surveyor(place, lasts);
+                    let place = self.some_controller();
+                    self.lose_controller(place, lasts);
                     self.lose_disk(place);
-                    self.move_surveyor(place);
+                    self.move_controller(place);
                 }
             }
             SimFault::DamageDisk => {
                 if self.may_lose_disk() {
-                    let place = self.some_surveyor();
-                    self.lose_surveyor(place, lasts);
+                    let place = self.some_controller();
+                    self.lose_controller(place, lasts);
                     self.damage_disk(place);
                 }
             }
@@ -270,8 +273,8 @@
                     for place in self.some_herd() {
                         self.lose_daemon(place, lasts);
                     }
-                    let place = self.some_surveyor();
-                    self.lose_surveyor(place, lasts);
+                    let place = self.some_controller();
+                    self.lose_controller(place, lasts);
                     self.lose_disk(place);
                 }
             }
@@ -281,7 +284,7 @@
             }
             SimFault::FreezeHolder => {
                 let holder = (0..self.daemons.len()).max_by_key(|place| {
-                    self.lodge(*place).map_or(0, |lodge| lodge.holdings.load().len())
+                    self.agent(*place).map_or(0, |agent| agent.holdings.load().len())
                 });
                 if let Some(holder) = holder {
                     self.freeze(self.daemons[holder].node, Duration::from_secs(3) + lasts / 2);
@@ -293,8 +296,8 @@
                 }
             }
             SimFault::FreezeLeader => {
-                if let Some(place) = self.leading_surveyor() {
-                    self.freeze(self.surveyors[place].node, lasts);
+                if let Some(place) = self.leading_controller() {
+                    self.freeze(self.controllers[place].node, lasts);
                 }
             }
             SimFault::CutOff => {
@@ -328,12 +331,12 @@
             }
             SimFault::CutCore => self.cut_core(lasts),
             SimFault::StallDisk => {
-                let place = self.some_surveyor();
-                self.surveyors[place].disk.stalled_until = self.now + lasts;
+                let place = self.some_controller();
+                self.controllers[place].disk.stalled_until = self.now + lasts;
             }
             SimFault::FailDisk => {
-                let place = self.some_surveyor();
-                self.surveyors[place].disk.failing_until = self.now + lasts;
+                let place = self.some_controller();
+                self.controllers[place].disk.failing_until = self.now + lasts;
             }
             SimFault::CrashWorker => {
                 let worker_place = self.chance.below(self.platform.workers.len() as u64) as usize;
@@ -403,9 +406,9 @@
         }
     }
 
-    fn lose_surveyor(&mut self, place: usize, lasts: Duration) {
-        self.kill_surveyor(place);
-        self.push(lasts, Event::Return(self.surveyors[place].node));
+    fn lose_controller(&mut self, place: usize, lasts: Duration) {
+        self.kill_controller(place);
+        self.push(lasts, Event::Return(self.controllers[place].node));
     }
 
     fn lose_daemon(&mut self, place: usize, lasts: Duration) {
@@ -426,24 +429,19 @@
         self.push(wakes_at.since(self.now), Event::Wake(node));
     }
 
-    fn lose_locality(&mut self, lasts: Duration) {
+    fn lose_zone(&mut self, lasts: Duration) {
         let number = self.chance.below(3) as usize;
-        let locality = World::locality(number);
-        self.lose_surveyor(number, lasts);
+        let zone = World::zone(number);
+        self.lose_controller(number, lasts);
         for place in (0..self.daemons.len()).filter(|place| place % 3 == number) {
             self.lose_daemon(place, lasts);
         }
-        let lost_workers: Vec<_> = self
-            .platform
-            .workers
-            .iter()
-            .filter(|listed| listed.locality == locality)
-            .cloned()
-            .collect();
+        let lost_workers: Vec<_> =
+            self.platform.workers.iter().filter(|listed| listed.zone == zone).cloned().collect();
         for lost_worker in &lost_workers {
             self.platform.crash(&lost_worker.worker);
         }
-        self.platform.workers.retain(|listed| listed.locality != locality);
+        self.platform.workers.retain(|listed| listed.zone != zone);
         self.push(lasts, Event::WorkersReturn(lost_workers));
     }
 
@@ -456,10 +454,10 @@
         }
     }
 
-    /// One surveyor, often the leader, alone or with some daemons, apart from the rest.
+    /// One controller, often the leader, alone or with some daemons, apart from the rest.
     fn cut_core(&mut self, lasts: Duration) {
-        let by_chance = self.some_surveyor();
-        let lonely = self.leading_surveyor().unwrap_or(by_chance);
+        let by_chance = self.some_controller();
+        let lonely = self.leading_controller().unwrap_or(by_chance);
         let with_daemons = self.chance.below(self.daemons.len() as u64 + 1) as usize;
         let left: Vec<Node> = [Node(lonely)]
             .into_iter()
@@ -478,27 +476,32 @@
         if self.checks.has_evacuated() {
             return;
         }
-        let locality = World::locality(self.chance.below(3) as usize);
-        self.send(None, ChangeKind::Evacuate { locality: locality.clone(), force: false });
-        self.push(Duration::from_secs(6) + lasts, Event::Restore(locality));
+        let zone = World::zone(self.chance.below(3) as usize);
+        self.send(None, ChangeKind::Evacuate { zone: zone.clone(), force: false });
+        self.push(Duration::from_secs(6) + lasts, Event::Restore(zone));
     }
 
     /// Only when every member of the core is alive, on the disk it is known by, and nothing is
     /// unsettled, may one more disk be lost: the deployments bear one loss at a time.
     fn may_lose_disk(&self) -> bool {
-        let planes = self.surveyors.iter().filter_map(|surveyor| surveyor.plane.as_ref());
-        let ready_plane = planes.into_iter().find(|plane| plane.core().is_ready());
-        let Some(document) = ready_plane.and_then(|plane| plane.core().accepted()) else {
+        let controller_states =
+            self.controllers.iter().filter_map(|controller| controller.controller_state.as_ref());
+        let ready_plane = controller_states
+            .into_iter()
+            .find(|controller_state| controller_state.core().is_ready());
+        let Some(document) =
+            ready_plane.and_then(|controller_state| controller_state.core().accepted())
+        else {
             return false;
         };
-        let is_known = |surveyor: &super::surveyor::SimSurveyor| {
-            let durable = &surveyor.disk.durable;
+        let is_known = |controller: &super::controller::SimController| {
+            let durable = &controller.disk.durable;
             let accepted_stamp = durable.accepted.as_ref().map(|held| held.stamp);
-            surveyor.plane.is_some()
+            controller.controller_state.is_some()
                 && document.core.iter().any(|member| member.id == durable.id)
                 && accepted_stamp.unwrap_or_default() >= durable.distrusted
         };
-        document.former.is_empty() && self.surveyors.iter().all(is_known)
+        document.former.is_empty() && self.controllers.iter().all(is_known)
     }
 
     pub(super) fn all_nodes(&self) -> Vec<Node> {
@@ -508,8 +511,8 @@
     /// A killed machine returns.
     pub(super) fn bring_back(&mut self, node: Node) {
         if node.0 < 3 {
-            if self.surveyors[node.0].plane.is_none() {
-                self.start_surveyor(node.0);
+            if self.controllers[node.0].controller_state.is_none() {
+                self.start_controller(node.0);
             }
         } else if self.daemons[node.0 - 3].body.is_none() {
             self.start_daemon(node.0 - 3);
@@ -528,12 +531,12 @@
                 self.bring_back(node);
             }
         }
-        for surveyor in &mut self.surveyors {
-            surveyor.disk.stalled_until = waymark::clock::Moment::ZERO;
-            surveyor.disk.failing_until = waymark::clock::Moment::ZERO;
+        for controller in &mut self.controllers {
+            controller.disk.stalled_until = common::clock::Moment::ZERO;
+            controller.disk.failing_until = common::clock::Moment::ZERO;
         }
         for number in 0..3 {
-            self.push(Duration::from_secs(4), Event::Restore(World::locality(number)));
+            self.push(Duration::from_secs(4), Event::Restore(World::zone(number)));
         }
     }
 }
--- a/proving/expedition/src/sim/flaw.rs
+++ b/testing/fleet/src/sim/flaw.rs
@@ -1,5 +1,5 @@
+use common::rules::{Rule, Rules};
 use std::fmt;
-use waymark::rules::{Rule, Rules};
 
 /// Something broken on purpose, to see that the checks find it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -10,7 +10,7 @@
     Without(Rule),
     /// The disk says that a write is synced before it is.
     SyncSkipped,
-    /// Each surveyor counts itself as a majority.
+    /// Each controller counts itself as a majority.
     QuorumOfOne,
     /// The platform confirms the leader's stops and does not stop anything.
     StopsUnconfirmed,
--- a/proving/expedition/src/sim/mod.rs
+++ b/testing/fleet/src/sim/mod.rs
@@ -1,6 +1,7 @@
 //! The real state machines of both planes under virtual time, with a virtual network, disk and platform.
 
 mod checks;
+mod controller;
 mod daemon;
 mod faults;
 mod flaw;
@@ -9,7 +10,6 @@
 mod platform;
 mod proofs;
 mod runners;
-mod surveyor;
 mod world;
 
 pub use checks::{Breach, Checks};
--- a/proving/expedition/src/sim/network.rs
+++ b/testing/fleet/src/sim/network.rs
@@ -1,8 +1,8 @@
+use common::chance::Chance;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use waymark::chance::Chance;
 
-/// Names a node: surveyors first, then daemons, the platform last.
+/// Names a node: controllers first, then daemons, the platform last.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct Node(pub usize);
 
--- a/proving/expedition/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -1,8 +1,10 @@
 use super::world::{Event, World};
+use common::identity::{ChangeId, Serial};
+use controlplane::controller_state::{
+    ChangeKind, Operation, OperationReply, OperationTicket, Wait,
+};
 use serde_json::{Value, json};
 use std::time::Duration;
-use survey::plane::{ChangeKind, Operation, OperationReply, OperationTicket, Wait};
-use waymark::identity::{ChangeId, Serial};
 
 /// One operator's change that is on its way.
 pub struct SimChange {
@@ -87,7 +89,7 @@
             wait: Wait::Accepted,
         };
         self.changes.insert(ticket, change);
-        let node = self.surveyors[target].node;
+        let node = self.controllers[target].node;
         let delay = self.network.delay(&mut self.chance);
         self.push(delay, Event::Operate(node, ticket, operation));
     }
--- a/proving/expedition/src/sim/platform.rs
+++ b/testing/fleet/src/sim/platform.rs
@@ -1,13 +1,13 @@
 use super::network::Node;
+use common::clock::Moment;
+use common::frames::{Life, Place};
+use common::identity::{
+    FunctionKey, GrantSerial, LifeName, RunnerId, TransactionId, WorkerName, Zone,
+};
+use common::tongue::{BeginEnd, ListedRunner, ListedWorker};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
-use waymark::clock::Moment;
-use waymark::frames::{Life, Place};
-use waymark::identity::{
-    FunctionKey, GrantSerial, LifeName, Locality, RunnerId, TransactionId, WorkerName,
-};
-use waymark::tongue::{BeginEnd, ListedRunner, ListedWorker};
 
 /// One virtual runner.
 #[derive(Clone)]
@@ -54,12 +54,12 @@
 }
 
 impl SimPlatform {
-    /// Workers in three localities.
+    /// Workers in three zones.
     pub fn new(worker_count: usize, memory_mb: u32) -> Self {
         let workers = (0..worker_count)
             .map(|number| ListedWorker {
                 worker: format!("worker-{number}").into(),
-                locality: format!("locality-{}", number % 3 + 1).into(),
+                zone: format!("locality-{}", number % 3 + 1).into(),
                 memory_mb,
                 draining: false,
             })
@@ -109,9 +109,9 @@
             })
     }
 
-    /// The locality of a worker.
-    pub fn locality_of(&self, worker: &WorkerName) -> Option<&Locality> {
-        self.workers.iter().find(|listed| listed.worker == *worker).map(|listed| &listed.locality)
+    /// The zone of a worker.
+    pub fn zone_of(&self, worker: &WorkerName) -> Option<&Zone> {
+        self.workers.iter().find(|listed| listed.worker == *worker).map(|listed| &listed.zone)
     }
 
     /// Who listens at a place.
@@ -128,7 +128,7 @@
         if self.ended.contains(&runner) {
             return BeginEnd::Refused;
         }
-        if self.locality_of(&started.worker).is_none() {
+        if self.zone_of(&started.worker).is_none() {
             return BeginEnd::NoRoom;
         }
         let place = self.free_places.pop().unwrap_or_else(|| {
--- a/proving/expedition/src/sim/proofs.rs
+++ b/testing/fleet/src/sim/proofs.rs
@@ -1,9 +1,9 @@
 use super::faults::SimFault;
 use super::flaw::Flaw;
 use super::world::{SimPlan, World};
+use common::rules::Rule;
 use std::fmt;
 use std::time::Duration;
-use waymark::rules::Rule;
 
 /// One rule of what must never happen: the faults that try it, what is seen without it, and that
 /// nothing is seen with it.
--- a/proving/expedition/src/sim/runners.rs
+++ b/testing/fleet/src/sim/runners.rs
@@ -1,13 +1,13 @@
 use super::platform::Asker;
 use super::world::{Event, World};
+use common::frames::Place;
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
+use common::seal;
+use common::tongue::{RunnerSaid, SealKind};
+use dataplane::agent::{Held, RunnerCall, judge};
+use dataplane::holder::SendEnd;
 use std::sync::Arc;
 use std::time::Duration;
-use trail::holder::SendEnd;
-use trail::lodge::{Held, RunnerCall, judge};
-use waymark::frames::Place;
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
-use waymark::seal;
-use waymark::tongue::{RunnerSaid, SealKind};
 
 /// One transaction on a runner, and where its end goes back to.
 #[derive(Clone)]
@@ -44,12 +44,12 @@
     ) {
         let asker = Asker { node: self.daemons[place].node, life: self.daemons[place].life };
         let local_now = self.daemon_now(place);
-        let Some(lodge) = self.lodge(place) else { return };
+        let Some(agent) = self.agent(place) else { return };
         let (function, grant) = (held.function.clone(), held.grant);
         let call = held
             .task(ticket)
-            .ok_or(waymark::frames::HopReason::NotServing)
-            .and_then(|task| lodge.runner_call(local_now, held, &task, runner, attempt));
+            .ok_or(common::frames::HopReason::NotServing)
+            .and_then(|task| agent.runner_call(local_now, held, &task, runner, attempt));
         match call {
             Ok(call) => {
                 if !self.is_daemon_serving(place) {
@@ -117,10 +117,10 @@
         self.checks.not_drained(self.now, &worker, since);
         let leaves_since = self.platform.leaving_since.get(&runner).copied();
         self.checks.not_leaving(self.now, runner, leaves_since);
-        let worker_locality = self.platform.locality_of(&worker).cloned();
-        let daemon_locality = World::locality(run.asker.node.0 - 3);
-        for locality in worker_locality.into_iter().chain([daemon_locality]) {
-            self.checks.not_evacuated(self.now, &locality);
+        let worker_zone = self.platform.zone_of(&worker).cloned();
+        let daemon_zone = World::zone(run.asker.node.0 - 3);
+        for zone in worker_zone.into_iter().chain([daemon_zone]) {
+            self.checks.not_evacuated(self.now, &zone);
         }
         self.checks.runs(self.now, &transaction, run.call.attempt, &function, run.grant);
         let mishap = self.mishap();
@@ -255,7 +255,7 @@
         self.push(delay, Event::SendEnded(run.asker, function, run.ticket, run.grant, end));
     }
 
-    pub(super) fn traced(&mut self, line: impl FnOnce(waymark::clock::Moment) -> String) {
+    pub(super) fn traced(&mut self, line: impl FnOnce(common::clock::Moment) -> String) {
         if self.is_tracing {
             let line = line(self.now);
             self.trace.push(line);
--- a/proving/expedition/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -1,4 +1,5 @@
 use super::checks::{Breach, Checks};
+use super::controller::{SimController, SimDisk};
 use super::daemon::{Back, SimDaemon};
 use super::faults::SimFault;
 use super::flaw::Flaw;
@@ -6,27 +7,28 @@
 use super::operator::{SimChange, spec};
 use super::platform::{Asker, SimPlatform, SimRunner};
 use super::runners::SimRun;
-use super::surveyor::{SimDisk, SimSurveyor};
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::{CoreFrame, Heartbeat, HopBody, Life, Place, StreamDown, StreamUp};
+use common::identity::{
+    ChangeId, ControllerId, FunctionKey, GrantSerial, LifeName, RunnerId, Serial, Stamp, Term,
+    Ticket, TransactionId, WorkerName, Zone,
+};
+use common::rules::Rules;
+use common::spec::{CoreMember, Document, FunctionSpec, read_spec};
+use common::tongue::{BeginEnd, ListedRunner, ListedWorker, StopOrder};
+use controlplane::controller_state::{
+    ChangeKind, ControllerInput, Operation, OperationReply, OperationTicket,
+};
+use controlplane::core::{Recalled, WriteJob, WriteResult};
+use controlplane::leader_state::StreamId;
+use dataplane::agent::{Ask, PassEnd, Topic};
+use dataplane::holder::Tuning;
+use dataplane::holder::{HolderWord, SendEnd};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
-use survey::core::{Recalled, WriteJob, WriteResult};
-use survey::desk::StreamId;
-use survey::plane::{ChangeKind, Operation, OperationReply, OperationTicket, PlaneInput};
-use trail::holder::Tuning;
-use trail::holder::{HolderWord, SendEnd};
-use trail::lodge::{Ask, PassEnd, Topic};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::{CoreFrame, Heartbeat, HopBody, Life, Place, StreamDown, StreamUp};
-use waymark::identity::{
-    ChangeId, FunctionKey, GrantSerial, LifeName, Locality, RunnerId, Serial, Stamp, SurveyorId,
-    Term, Ticket, TransactionId, WorkerName,
-};
-use waymark::rules::Rules;
-use waymark::spec::{CoreMember, Document, FunctionSpec, read_spec};
-use waymark::tongue::{BeginEnd, ListedRunner, ListedWorker, StopOrder};
 
 /// What a simulated day is made of.
 #[derive(Clone, Debug)]
@@ -116,8 +118,8 @@
 pub(super) struct Link {
     pub daemon: Node,
     pub daemon_life: u64,
-    pub surveyor: Node,
-    pub surveyor_life: u64,
+    pub controller: Node,
+    pub controller_life: u64,
     pub doomed: bool,
 }
 
@@ -125,7 +127,7 @@
     Tick(Node, u64),
     Poll(Node, u64),
     CoreFrame(Node, CoreFrame),
-    SurveyorGone(Node, Place),
+    ControllerGone(Node, Place),
     Durable(Node, u64, WriteJob),
     Written(Node, u64, Ticket, WriteResult),
     Lists(Node, u64, Vec<ListedWorker>, Moment, Vec<ListedRunner>),
@@ -168,7 +170,7 @@
     RestoreWorkers,
     RunnerLeft(RunnerId),
     WorkersReturn(Vec<ListedWorker>),
-    Restore(Locality),
+    Restore(Zone),
     Heal,
 }
 
@@ -194,7 +196,7 @@
             | Self::StewardSaid(asker, ..)
             | Self::SendEnded(asker, ..) => Some((asker.node, Some(asker.life))),
             Self::CoreFrame(node, _)
-            | Self::SurveyorGone(node, _)
+            | Self::ControllerGone(node, _)
             | Self::Beat(node, _)
             | Self::StewardAsked(node, ..)
             | Self::Operate(node, ..) => Some((*node, None)),
@@ -208,7 +210,7 @@
     pub(super) plan: SimPlan,
     pub(super) now: Moment,
     pub(super) chance: Chance,
-    pub(super) surveyors: Vec<SimSurveyor>,
+    pub(super) controllers: Vec<SimController>,
     pub(super) daemons: Vec<SimDaemon>,
     pub(super) platform: SimPlatform,
     pub(super) network: Network,
@@ -239,11 +241,11 @@
     /// A founded core, daemons that have just started, and an empty platform.
     pub fn new(plan: SimPlan, is_tracing: bool) -> Self {
         let mut chance = Chance::seeded(plan.seed);
-        let ids: Vec<SurveyorId> = (0..3).map(|_| SurveyorId(chance.number() | 1)).collect();
+        let ids: Vec<ControllerId> = (0..3).map(|_| ControllerId(chance.number() | 1)).collect();
         let mut world = Self {
             now: Moment(1_000_000_000),
             chance,
-            surveyors: Vec::new(),
+            controllers: Vec::new(),
             daemons: Vec::new(),
             platform: SimPlatform::new(4, 1300),
             network: Network::default(),
@@ -289,7 +291,7 @@
         world
     }
 
-    fn found(&mut self, ids: &[SurveyorId]) {
+    fn found(&mut self, ids: &[ControllerId]) {
         let places = self.seeds();
         for (number, id) in ids.iter().enumerate() {
             let core = ids
@@ -299,7 +301,7 @@
                 .map(|(other_number, (other, place))| CoreMember {
                     id: *other,
                     place: *place,
-                    locality: Self::locality(other_number),
+                    zone: Self::zone(other_number),
                 })
                 .collect();
             let first_spec = spec(0);
@@ -318,13 +320,13 @@
             };
             let clock_ahead = Duration::from_secs(self.chance.below(100_000));
             let clock_drift = self.some_drift();
-            self.surveyors.push(SimSurveyor {
+            self.controllers.push(SimController {
                 node: Node(number),
                 life: 0,
                 place: places[number],
                 clock_ahead,
                 clock_drift,
-                plane: None,
+                controller_state: None,
                 disk: SimDisk {
                     durable,
                     stalled_until: Moment::ZERO,
@@ -332,7 +334,7 @@
                     previous: None,
                 },
             });
-            self.start_surveyor(number);
+            self.start_controller(number);
         }
     }
 
@@ -341,19 +343,19 @@
         self.chance.below(91) as i64 - 45
     }
 
-    /// The three seed addresses: where the first surveyors stood.
+    /// The three seed addresses: where the first controllers stood.
     pub(super) fn seeds(&self) -> Vec<Place> {
-        (1..=3).map(Self::surveyor_place).collect()
+        (1..=3).map(Self::controller_place).collect()
     }
 
-    fn surveyor_place(last: u8) -> Place {
+    fn controller_place(last: u8) -> Place {
         Place(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 1))
     }
 
-    /// A surveyor's machine is replaced by one at a new address.
-    pub(super) fn move_surveyor(&mut self, place: usize) {
+    /// A controller's machine is replaced by one at a new address.
+    pub(super) fn move_controller(&mut self, place: usize) {
         self.moved_count += 1;
-        self.surveyors[place].place = Self::surveyor_place(10 + self.moved_count);
+        self.controllers[place].place = Self::controller_place(10 + self.moved_count);
     }
 
     pub(super) fn daemon_place(&self, place: usize) -> Place {
@@ -363,7 +365,7 @@
     pub(super) fn node_at(&self, place: Place) -> Option<Node> {
         let [_, _, group, last] = place.0.ip().octets();
         match group {
-            0 => self.surveyors.iter().position(|surveyor| surveyor.place == place).map(Node),
+            0 => self.controllers.iter().position(|controller| controller.place == place).map(Node),
             1 if last >= 1 && (last as usize) <= self.daemons.len() => {
                 Some(Node(last as usize + 2))
             }
@@ -394,12 +396,13 @@
     pub(super) fn dial(&mut self, daemon: Node, daemon_life: u64, to: Place) -> u64 {
         self.next_number += 1;
         let number = self.next_number;
-        let surveyor = self.node_at(to).unwrap_or(PLATFORM);
-        let is_alive = surveyor.0 < 3 && self.surveyors[surveyor.0].plane.is_some();
-        let surveyor_life = if is_alive { self.surveyors[surveyor.0].life } else { 0 };
+        let controller = self.node_at(to).unwrap_or(PLATFORM);
+        let is_alive =
+            controller.0 < 3 && self.controllers[controller.0].controller_state.is_some();
+        let controller_life = if is_alive { self.controllers[controller.0].life } else { 0 };
         let reaches =
-            self.network.reaches(daemon, surveyor) && self.network.reaches(surveyor, daemon);
-        let link = Link { daemon, daemon_life, surveyor, surveyor_life, doomed: !reaches };
+            self.network.reaches(daemon, controller) && self.network.reaches(controller, daemon);
+        let link = Link { daemon, daemon_life, controller, controller_life, doomed: !reaches };
         self.links.insert(number, link);
         let delay = self.network.delay(&mut self.chance);
         if is_alive && reaches {
@@ -415,27 +418,28 @@
         let Some(link) = self.links.get_mut(&number) else { return };
         if !link.doomed {
             link.doomed = true;
-            let (daemon, surveyor) = (link.daemon, link.surveyor);
+            let (daemon, controller) = (link.daemon, link.controller);
             let daemon_after = self.chance.within(Duration::from_secs(1), Duration::from_secs(4));
-            let surveyor_after = self.chance.within(Duration::from_secs(1), Duration::from_secs(4));
+            let controller_after =
+                self.chance.within(Duration::from_secs(1), Duration::from_secs(4));
             self.push(daemon_after, Event::LinkLost(number, daemon));
-            self.push(surveyor_after, Event::LinkLost(number, surveyor));
+            self.push(controller_after, Event::LinkLost(number, controller));
         }
     }
 
     pub(super) fn close_link(&mut self, number: u64) {
         let Some(link) = self.links.get(&number) else { return };
-        let (daemon, surveyor) = (link.daemon, link.surveyor);
+        let (daemon, controller) = (link.daemon, link.controller);
         let delay = Duration::from_millis(4);
         self.push(delay, Event::LinkLost(number, daemon));
-        self.push(delay, Event::LinkLost(number, surveyor));
+        self.push(delay, Event::LinkLost(number, controller));
     }
 
     pub(super) fn break_links(&mut self, node: Node) {
         let mut broken: Vec<u64> = self
             .links
             .iter()
-            .filter(|(_, link)| link.daemon == node || link.surveyor == node)
+            .filter(|(_, link)| link.daemon == node || link.controller == node)
             .map(|(number, _)| *number)
             .collect();
         broken.sort_unstable();
@@ -529,7 +533,7 @@
                 self.links.get(number).map(|link| (link.daemon, Some(link.daemon_life)))
             }
             Event::LinkUp(number, _) => {
-                self.links.get(number).map(|link| (link.surveyor, Some(link.surveyor_life)))
+                self.links.get(number).map(|link| (link.controller, Some(link.controller_life)))
             }
             Event::LinkLost(_, node) => Some((*node, None)),
             _ => None,
@@ -538,8 +542,8 @@
 
     fn is_living(&self, node: Node, life: Option<u64>) -> bool {
         if node.0 < 3 {
-            let surveyor = &self.surveyors[node.0];
-            surveyor.plane.is_some() && life.is_none_or(|life| life == surveyor.life)
+            let controller = &self.controllers[node.0];
+            controller.controller_state.is_some() && life.is_none_or(|life| life == controller.life)
         } else if node != PLATFORM {
             let daemon = &self.daemons[node.0 - 3];
             daemon.body.is_some() && life.is_none_or(|life| life == daemon.life)
@@ -553,35 +557,37 @@
             Event::Tick(node, life) => {
                 self.push(Duration::from_millis(20), Event::Tick(node, life));
                 if node.0 < 3 {
-                    self.feed_surveyor(node.0, PlaneInput::Tick);
+                    self.feed_controller(node.0, ControllerInput::Tick);
                 } else {
                     self.tick_daemon(node.0 - 3);
                 }
             }
             Event::Poll(node, _) => self.poll_platform(node.0),
-            Event::CoreFrame(node, frame) => self.feed_surveyor(node.0, PlaneInput::Core(frame)),
-            Event::SurveyorGone(node, place) => {
-                self.feed_surveyor(node.0, PlaneInput::Gone(place));
+            Event::CoreFrame(node, frame) => {
+                self.feed_controller(node.0, ControllerInput::Core(frame))
+            }
+            Event::ControllerGone(node, place) => {
+                self.feed_controller(node.0, ControllerInput::Gone(place));
             }
             Event::Durable(node, life, job) => {
-                if self.surveyors[node.0].life == life {
+                if self.controllers[node.0].life == life {
                     self.durable(node.0, &job);
                 }
             }
             Event::Written(node, _, ticket, result) => {
-                self.feed_surveyor(node.0, PlaneInput::Written(ticket, result));
+                self.feed_controller(node.0, ControllerInput::Written(ticket, result));
             }
             Event::Lists(node, _, workers, content_at, runners) => {
-                self.feed_surveyor(node.0, PlaneInput::Workers(workers));
-                self.feed_surveyor(node.0, PlaneInput::Runners(content_at, runners));
+                self.feed_controller(node.0, ControllerInput::Workers(workers));
+                self.feed_controller(node.0, ControllerInput::Runners(content_at, runners));
             }
             Event::Dialed(number) => {
                 if let Some(link) = self.links.get(&number)
                     && self.is_current_link(link.daemon.0 - 3, number)
                 {
                     let place = link.daemon.0 - 3;
-                    self.with_controller(place, |controller, lodge, now| {
-                        controller.connected(lodge, now)
+                    self.with_controller(place, |controller, agent, now| {
+                        controller.connected(agent, now)
                     });
                 }
             }
@@ -589,8 +595,8 @@
                 let Some(link) = self.links.get(&number).filter(|link| !link.doomed) else {
                     return;
                 };
-                let place = link.surveyor.0;
-                self.feed_surveyor(place, PlaneInput::Stream(StreamId(number), frame));
+                let place = link.controller.0;
+                self.feed_controller(place, ControllerInput::Stream(StreamId(number), frame));
             }
             Event::LinkDown(number, frame) => {
                 let Some(link) = self.links.get(&number).filter(|link| !link.doomed) else {
@@ -598,14 +604,14 @@
                 };
                 let place = link.daemon.0 - 3;
                 if self.is_current_link(place, number) {
-                    self.with_controller(place, |controller, lodge, now| {
-                        controller.heard(lodge, now, frame)
+                    self.with_controller(place, |controller, agent, now| {
+                        controller.heard(agent, now, frame)
                     });
                 }
             }
             Event::LinkLost(number, node) => {
                 if node.0 < 3 {
-                    self.feed_surveyor(node.0, PlaneInput::StreamLost(StreamId(number)));
+                    self.feed_controller(node.0, ControllerInput::StreamLost(StreamId(number)));
                 } else if node != PLATFORM {
                     self.link_lost(node.0 - 3, number);
                 }
@@ -616,8 +622,8 @@
             Event::Hop(node, _, back, body) => self.hear_hop(node.0 - 3, back, body),
             Event::Passed(node, _, number, end) => self.passed(node.0 - 3, number, end),
             Event::Word(node, _, function, grant, word) => {
-                self.with_controller(node.0 - 3, |controller, lodge, now| {
-                    controller.told(lodge, now, function, grant, word)
+                self.with_controller(node.0 - 3, |controller, agent, now| {
+                    controller.told(agent, now, function, grant, word)
                 });
             }
             Event::Gone(node, _) => {
@@ -677,7 +683,7 @@
                 }
             }
             Event::LeaderStopped(asker, runner) => {
-                self.feed_surveyor(asker.node.0, PlaneInput::RunnerStopped(runner));
+                self.feed_controller(asker.node.0, ControllerInput::RunnerStopped(runner));
             }
             Event::Probed(asker, function, runner, is_ready) => {
                 let place = asker.node.0 - 3;
@@ -692,7 +698,7 @@
                 });
             }
             Event::Operate(node, ticket, operation) => {
-                self.feed_surveyor(node.0, PlaneInput::Operate(ticket, operation));
+                self.feed_controller(node.0, ControllerInput::Operate(ticket, operation));
             }
             Event::Operated(ticket, reply) => self.hear_operated(ticket, reply),
             Event::ListTick => {
@@ -729,7 +735,7 @@
                 self.platform.workers.extend(workers);
                 self.platform.workers.sort_by(|left, right| left.worker.cmp(&right.worker));
             }
-            Event::Restore(locality) => self.send(None, ChangeKind::Restore { locality }),
+            Event::Restore(zone) => self.send(None, ChangeKind::Restore { zone }),
             Event::Repeat(route_name) => self.repeat(&route_name),
             Event::Heal => {
                 self.heal();
@@ -783,13 +789,16 @@
     /// Whether there is a leader that is awake and reaches the platform and every daemon.
     fn is_control_whole(&self) -> bool {
         let is_awake = |node: &Node| self.frozen.get(node).is_none_or(|until| *until <= self.now);
-        self.surveyors.iter().any(|surveyor| {
-            surveyor.plane.as_ref().is_some_and(|plane| {
-                plane.core().is_ready() && plane.desk().is_some_and(|desk| desk.is_open())
-            }) && is_awake(&surveyor.node)
+        self.controllers.iter().any(|controller| {
+            controller.controller_state.as_ref().is_some_and(|controller_state| {
+                controller_state.core().is_ready()
+                    && controller_state
+                        .leader_state()
+                        .is_some_and(|leader_state| leader_state.is_open())
+            }) && is_awake(&controller.node)
                 && self.all_nodes().iter().skip(3).all(|node| {
-                    self.network.reaches(surveyor.node, *node)
-                        && self.network.reaches(*node, surveyor.node)
+                    self.network.reaches(controller.node, *node)
+                        && self.network.reaches(*node, controller.node)
                 })
         })
     }
--- a/proving/expedition/tests/capacity.rs
+++ b/testing/fleet/tests/capacity.rs
@@ -1,7 +1,7 @@
 //! The capacity page says what its files say, and sizes that cannot be are refused.
 
-use expedition::hollow::page::{Line, Run, Term, read_runs, renew, tables};
-use expedition::hollow::{Fleet, HollowSize};
+use fleet::hollow::page::{Line, Run, Term, read_runs, renew, tables};
+use fleet::hollow::{Fleet, HollowSize};
 use googletest::prelude::*;
 use serde_json::json;
 use std::path::PathBuf;
@@ -13,7 +13,7 @@
 }
 
 fn run(arguments: &[&str]) -> Result<Output> {
-    Ok(Command::new(env!("CARGO_BIN_EXE_expedition")).args(arguments).output()?)
+    Ok(Command::new(env!("CARGO_BIN_EXE_fleet")).args(arguments).output()?)
 }
 
 #[gtest]
@@ -23,7 +23,7 @@
     let renewed_page = renew(&page_path, &runs)?;
     let page = std::fs::read_to_string(&page_path)?;
     verify_that!(page == renewed_page, eq(true))
-        .with_failure_message(|| "run: expedition capacity --from docs/capacity".to_owned())?;
+        .with_failure_message(|| "run: fleet capacity --from docs/capacity".to_owned())?;
     verify_that!(tables(&runs).len(), eq(8))
 }
 
--- a/proving/expedition/tests/judge.rs
+++ b/testing/fleet/tests/judge.rs
@@ -1,6 +1,6 @@
 //! The judge finds each planted violation, and none in a clean day.
 
-use expedition::judge::{Evidence, judge};
+use fleet::judge::{Evidence, judge};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
@@ -8,7 +8,7 @@
 
 struct Day {
     callers: Vec<Value>,
-    hut: Vec<Value>,
+    platform_stub: Vec<Value>,
     journal: Vec<Value>,
 }
 
@@ -43,19 +43,19 @@
 fn clean_day() -> Day {
     let mut day = Day {
         callers: Vec::new(),
-        hut: vec![start("r-1-1", 2 * S, "worker-00")],
+        platform_stub: vec![start("r-1-1", 2 * S, "worker-00")],
         journal: vec![change(S, 1, "c1", "accepted", "f")],
     };
     for number in 0..100 {
         let at = 4 * S + number * S / 10;
         day.callers.push(call(&format!("t{number}"), at, "answer"));
-        day.hut.extend(run(&format!("t{number}"), at + 1000, "r-1-1", number));
+        day.platform_stub.extend(run(&format!("t{number}"), at + 1000, "r-1-1", number));
     }
     day
 }
 
 fn violated(day: &Day) -> Vec<String> {
-    let evidence = Evidence::from_records(&day.callers, &day.hut, &day.journal);
+    let evidence = Evidence::from_records(&day.callers, &day.platform_stub, &day.journal);
     let verdict = judge(&evidence);
     verdict
         .lines
@@ -73,7 +73,7 @@
 #[gtest]
 fn a_second_run_of_a_once_transaction_is_found() -> Result<()> {
     let mut day = clean_day();
-    day.hut.extend(run("t5", 30 * S, "r-1-1", 900));
+    day.platform_stub.extend(run("t5", 30 * S, "r-1-1", 900));
     verify_that!(violated(&day), elements_are![eq("a once-transaction runs twice")])
 }
 
@@ -98,7 +98,7 @@
 #[gtest]
 fn a_run_on_another_function_is_found() -> Result<()> {
     let mut day = clean_day();
-    day.hut[1]["function"] = json!("g@2");
+    day.platform_stub[1]["function"] = json!("g@2");
     verify_that!(
         violated(&day),
         elements_are![
@@ -119,7 +119,7 @@
     verify_that!(violated(&in_time), is_empty())?;
     let mut refused = clean_day();
     refused.journal.push(change(3 * S, 1, "c2", "not_accepted", "g"));
-    refused.hut[5]["function"] = json!("g@2");
+    refused.platform_stub[5]["function"] = json!("g@2");
     verify_that!(violated(&refused), contains(eq(name)))
 }
 
@@ -131,10 +131,10 @@
 }
 
 #[gtest]
-fn drained_workers_and_evacuated_localities_still_used_are_found() -> Result<()> {
+fn drained_workers_and_evacuated_zones_still_used_are_found() -> Result<()> {
     let mut drained = clean_day();
     drained
-        .hut
+        .platform_stub
         .push(json!({"kind": "worker", "at": 8 * S, "worker": "worker-00", "deed": "drain"}));
     verify_that!(
         violated(&drained),
@@ -174,7 +174,7 @@
             let mut again =
                 run(&format!("t{number}"), 4 * S + number * S / 10 + 5000, "r-1-1", 500 + number);
             again[0]["attempt"] = json!(2);
-            day.hut.extend(again);
+            day.platform_stub.extend(again);
         }
     }
     verify_that!(violated(&day), elements_are![eq("extra tries above a fifth in 10 s")])
@@ -184,32 +184,34 @@
 fn floods_of_cold_and_full_runners_are_found() -> Result<()> {
     let name = "a cold runner flooded, or slots exceeded";
     let mut full = clean_day();
-    full.hut[101]["at_once"] = json!(3);
+    full.platform_stub[101]["at_once"] = json!(3);
     verify_that!(violated(&full), elements_are![eq(name)])?;
     let mut cold = clean_day();
-    cold.hut[1]["ready"] = json!(false);
+    cold.platform_stub[1]["ready"] = json!(false);
     verify_that!(violated(&cold), elements_are![eq(name)])?;
     let mut fresh = clean_day();
-    fresh.hut[0]["at"] = json!(4 * S - S / 5);
-    fresh.hut[1]["at_once"] = json!(2);
+    fresh.platform_stub[0]["at"] = json!(4 * S - S / 5);
+    fresh.platform_stub[1]["at_once"] = json!(2);
     verify_that!(violated(&fresh), elements_are![eq(name)])
 }
 
 #[gtest]
 fn two_holders_at_once_are_found() -> Result<()> {
     let mut day = clean_day();
-    day.hut.push(start("r-2-1", 6 * S, "worker-01"));
+    day.platform_stub.push(start("r-2-1", 6 * S, "worker-01"));
     verify_that!(violated(&day), elements_are![eq("two holders of one function at once")])?;
     let mut after = clean_day();
-    after.hut.push(json!({"kind": "runner_stop", "at": 20 * S, "runner": "r-1-1"}));
-    after.hut.push(start("r-2-1", 21 * S, "worker-01"));
+    after.platform_stub.push(json!({"kind": "runner_stop", "at": 20 * S, "runner": "r-1-1"}));
+    after.platform_stub.push(start("r-2-1", 21 * S, "worker-01"));
     verify_that!(violated(&after), is_empty())?;
     let mut taken_over = clean_day();
-    for record in taken_over.hut.iter_mut().filter(|record| record["at"].as_u64() > Some(6 * S)) {
+    for record in
+        taken_over.platform_stub.iter_mut().filter(|record| record["at"].as_u64() > Some(6 * S))
+    {
         record["grant"] = json!(2);
     }
     verify_that!(violated(&taken_over), is_empty())?;
-    taken_over.hut[191]["grant"] = json!(1);
+    taken_over.platform_stub[191]["grant"] = json!(1);
     verify_that!(violated(&taken_over), elements_are![eq("two holders of one function at once")])
 }
 
@@ -256,7 +258,7 @@
     gone.journal.push(added_path(20 * S, 2, json!({"/a": "f", "/b": "f"})));
     gone.journal.push(added_path(30 * S, 3, json!({"/a": "f"})));
     gone.callers.push(call_on("b2", 34 * S, "/b", "answer", ""));
-    gone.hut.extend(run("b2", 34 * S + 1000, "r-1-1", 700));
+    gone.platform_stub.extend(run("b2", 34 * S + 1000, "r-1-1", 700));
     verify_that!(violated(&gone), contains(eq(name)))
 }
 
@@ -265,7 +267,7 @@
     let mut day = clean_day();
     day.journal.push(change(5 * S, 1, "c9", "not_accepted", "g"));
     verify_that!(violated(&day), is_empty())?;
-    day.hut[121]["function"] = json!("g@2");
+    day.platform_stub[121]["function"] = json!("g@2");
     verify_that!(violated(&day), contains(eq("a refused change in force")))
 }
 
@@ -273,7 +275,7 @@
 fn a_leaving_runner_still_used_is_found() -> Result<()> {
     let leaves = |at: u64| {
         let mut day = clean_day();
-        day.hut.push(json!({"kind": "runner_leaves", "at": at, "runner": "r-1-1"}));
+        day.platform_stub.push(json!({"kind": "runner_leaves", "at": at, "runner": "r-1-1"}));
         violated(&day)
     };
     verify_that!(leaves(11 * S), is_empty())?;
@@ -308,7 +310,7 @@
             day.callers[number]["once"] = json!(false);
             let mut again = run(&format!("t{number}"), 13 * S + number as u64, "r-1-1", 500);
             again[0]["attempt"] = json!(2);
-            day.hut.extend(again);
+            day.platform_stub.extend(again);
         }
         violated(&day)
     };
@@ -320,7 +322,7 @@
 fn a_line_that_its_fault_was_to_try_and_looked_at_nothing_fails_the_day() -> Result<()> {
     let mut day = clean_day();
     day.journal.push(json!({"kind": "fault", "at": 5 * S, "fault": "evacuate", "heavy": false}));
-    let evidence = Evidence::from_records(&day.callers, &day.hut, &day.journal);
+    let evidence = Evidence::from_records(&day.callers, &day.platform_stub, &day.journal);
     let verdict = judge(&evidence);
     verify_that!(verdict.violation_count(), eq(0))?;
     verify_that!(verdict.is_clean(), eq(false))?;
@@ -339,8 +341,8 @@
     verify_that!(fault(), contains_substring("callers.jsonl"))?;
     let whole_call = call("t", S, "answer").to_string();
     write("callers.jsonl", &format!("{whole_call}\n"));
-    verify_that!(fault(), contains_substring("hut.jsonl"))?;
-    write("hut.jsonl", "{\"kind\": \"probe\", \"at\": 1}\n");
+    verify_that!(fault(), contains_substring("platform-stub.jsonl"))?;
+    write("platform-stub.jsonl", "{\"kind\": \"probe\", \"at\": 1}\n");
     write("journal.jsonl", "{\"kind\": \"end\", \"at\": 1}\n");
     verify_that!(fault(), eq(""))?;
     write("callers.jsonl", &format!("{whole_call}\n{}", &whole_call[..20]));
--- a/proving/expedition/tests/simulator.rs
+++ b/testing/fleet/tests/simulator.rs
@@ -1,9 +1,9 @@
 //! Both planes under seeded faults, and the flaws that the checks must find.
 
-use expedition::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
+use dataplane::holder::Tuning;
+use fleet::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
 use googletest::prelude::*;
 use std::time::Duration;
-use trail::holder::Tuning;
 
 fn breaches(seed: u64, flaw: Flaw) -> Vec<String> {
     let plan = SimPlan { flaw, ..SimPlan::seeded(seed) };
--- a/proving/expedition/tests/smoke.rs
+++ b/testing/fleet/tests/smoke.rs
@@ -1,25 +1,22 @@
 //! Real processes, waited on by what they show: founding, a spec, answers, a killed holder, bad input.
 
-use expedition::days::Deployment;
-use expedition::fleet::{Fleet, FleetFault, Layout, Sizes};
-use expedition::judge::{Evidence, judge};
-use hiker::{Plan, walk};
+use common::frames::Place;
+use common::http::call_json;
+use common::readers::BootSource;
+use fleet::days::Deployment;
+use fleet::fleet::{Fleet, FleetFault, Layout, Sizes};
+use fleet::judge::{Evidence, judge};
 use hyper::Method;
+use loadgen::{Plan, walk};
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use waymark::frames::Place;
-use waymark::http::call_json;
-use waymark::readers::BootSource;
 
 fn programs() -> PathBuf {
     let own_path = std::env::current_exe().expect("a path");
     let folder = own_path.parent().and_then(Path::parent).expect("a folder").to_owned();
-    assert!(
-        folder.join("trailhead").exists(),
-        "build the workspace first: cargo build --workspace"
-    );
+    assert!(folder.join("rudderd").exists(), "build the workspace first: cargo build --workspace");
     folder
 }
 
@@ -66,13 +63,13 @@
     let (_, asked) = fleet.ask(Method::GET, "/v1/changes/stale", None).await?;
     assert_eq!(asked["state"], json!("not_accepted"));
 
-    blaze(fleet);
+    trace(fleet);
     bad_calls(fleet).await;
     garbage(fleet).await;
 
     let holder = fleet.busiest_holder().await.expect("a holder");
     fleet.kill(&holder).await;
-    let other = fleet.running("trailhead").into_iter().find(|name| *name != holder);
+    let other = fleet.running("daemon").into_iter().find(|name| *name != holder);
     let other_door = other.and_then(|name| fleet.door_of(&name));
     call_until_answered(fleet, 2, other_door).await;
     fleet.launch(&holder).await?;
@@ -88,22 +85,22 @@
     let holder = fleet.busiest_holder().await.expect("a holder");
     let holder_ip = fleet.ip_of(&holder).expect("an address");
     fleet.relay.cut_apart(&[holder_ip], &fleet.other_ips(std::slice::from_ref(&holder)));
-    let other = fleet.running("trailhead").into_iter().find(|name| *name != holder);
+    let other = fleet.running("daemon").into_iter().find(|name| *name != holder);
     let other_door = other.and_then(|name| fleet.door_of(&name));
     call_until_answered(fleet, 4, other_door).await;
     fleet.relay.mend();
     fleet.await_ready(3).await?;
 
-    let stopped = fleet.running("trailhead").remove(0);
+    let stopped = fleet.running("daemon").remove(0);
     fleet.stop(&stopped, Duration::from_secs(30)).await;
     Ok(())
 }
 
-fn blaze(fleet: &Fleet) {
+fn trace(fleet: &Fleet) {
     let operators: Vec<String> = fleet.layout.operators().iter().map(ToString::to_string).collect();
     let run = |arguments: &[&str]| {
-        std::process::Command::new(programs().join("blaze"))
-            .args(["--at", &operators.join(",")])
+        std::process::Command::new(programs().join("rudderctl"))
+            .args(["--at", &operators.join(","), "trace"])
             .args(arguments)
             .output()
             .expect("it runs")
@@ -166,7 +163,9 @@
 
 async fn garbage(fleet: &Fleet) {
     for (name, machine) in &fleet.layout.machines {
-        let Some(boot_file) = machine.arguments.get(1).filter(|_| name != "hut") else { continue };
+        let Some(boot_file) = machine.arguments.get(1).filter(|_| name != "platform-stub") else {
+            continue;
+        };
         let text = std::fs::read_to_string(boot_file).expect("settings");
         let settings: Value = serde_json::from_str(&text).expect("JSON");
         let place: std::net::SocketAddr =
@@ -195,7 +194,7 @@
     let folder = std::env::temp_dir().join(format!("rudder-smoke-{}", std::process::id()));
     let sizes = Sizes {
         daemons: 3,
-        localities: 3,
+        zones: 3,
         workers: 4,
         worker_mb: 6000,
         disks_ail: false,
--- a/proving/hiker/src/caller.rs
+++ b/testing/loadgen/src/caller.rs
@@ -1,21 +1,21 @@
 use crate::plan::{Plan, PlannedRoute};
 use bytes::Bytes;
+use common::chance::Chance;
+use common::clock::Moment;
+use common::frames::Place;
+use common::http::{Called, call, call_json};
+use common::identity::{FunctionKey, TransactionId};
+use common::seal;
 use http_body_util::Full;
-use hut::records::Records;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
 use hyper::{Method, Request};
+use platform_stub::records::Records;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::http::{Called, call, call_json};
-use waymark::identity::{FunctionKey, TransactionId};
-use waymark::seal;
 
 /// How many transactions ended how.
 #[derive(Clone, Debug, Default)]
--- a/proving/hiker/src/lib.rs
+++ b/testing/loadgen/src/lib.rs
@@ -1,4 +1,4 @@
-//! Seeded stand-in callers: hikers' phones, club editors, and counters that retry at once.
+//! Seeded stand-in callers: load generators' phones, club editors, and counters that retry at once.
 
 mod caller;
 mod plan;
--- a/proving/hiker/src/main.rs
+++ b/testing/loadgen/src/main.rs
@@ -1,11 +1,11 @@
 //! Stand-in callers as a process.
 
+use common::readers::BootSource;
 use eyre::WrapErr;
 use gumdrop::Options;
-use hiker::{Plan, walk};
+use loadgen::{Plan, walk};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use waymark::readers::BootSource;
 
 /// Seeded stand-in callers.
 #[derive(Options)]
@@ -19,18 +19,18 @@
 }
 
 fn main() -> ExitCode {
-    let flags = waymark::command_line::read::<Flags>("hiker");
+    let flags = common::command_line::read::<Flags>("loadgen");
     if flags.version {
-        println!("hiker {}", env!("CARGO_PKG_VERSION"));
+        println!("loadgen {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let read_plan = BootSource::open(flags.plan.as_deref())
-        .map_err(hiker::PlanFault::from)
+        .map_err(loadgen::PlanFault::from)
         .and_then(|source| Plan::read(&source));
     let plan = match read_plan {
         Ok(plan) => plan,
         Err(fault) => {
-            eprintln!("hiker: {fault}");
+            eprintln!("loadgen: {fault}");
             return ExitCode::from(2);
         }
     };
@@ -46,7 +46,7 @@
             ExitCode::SUCCESS
         }
         Err(report) => {
-            eprintln!("hiker: {report:#}");
+            eprintln!("loadgen: {report:#}");
             ExitCode::FAILURE
         }
     }
--- a/proving/hiker/src/plan.rs
+++ b/testing/loadgen/src/plan.rs
@@ -1,10 +1,10 @@
+use common::frames::Place;
+use common::readers::{BootFault, BootSource, FaultReason, PathReader, read_place};
 use hyper::Method;
 use serde_json::Value;
 use std::fmt;
 use std::path::PathBuf;
 use std::time::Duration;
-use waymark::frames::Place;
-use waymark::readers::{BootFault, BootSource, FaultReason, PathReader, read_place};
 
 /// One route that callers use.
 #[derive(Clone, Debug)]
--- a/proving/hut/src/main.rs
+++ b/testing/platform-stub/src/main.rs
@@ -1,16 +1,16 @@
 //! The stand-in platform as a process.
 
+use common::chance::Chance;
+use common::frames::Place;
 use eyre::WrapErr;
 use gumdrop::Options;
-use hut::platform::{Platform, Worker};
-use hut::records::Records;
-use hut::runner::{Mischief, Yard};
+use platform_stub::platform::{Platform, Worker};
+use platform_stub::records::Records;
+use platform_stub::runner::{Mischief, Yard};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use waymark::chance::Chance;
-use waymark::frames::Place;
 
 /// A stand-in platform: workers of limited memory, and runners that record every run.
 #[derive(Options)]
@@ -25,8 +25,13 @@
     workers: usize,
     #[options(no_short, help = "memory of one worker in megabytes", default = "9000")]
     memory: u64,
-    #[options(no_short, help = "how many localities the workers stand in", default = "3")]
-    localities: usize,
+    #[options(
+        no_short,
+        long = "localities",
+        help = "how many zones the workers stand in",
+        default = "3"
+    )]
+    zones: usize,
     #[options(no_short, help = "how late the lists are, in milliseconds", default = "1000")]
     lag: u64,
     #[options(no_short, help = "shortest run in milliseconds", default = "10")]
@@ -39,17 +44,17 @@
     reuse: bool,
     #[options(no_short, help = "seed of chance", default = "1")]
     seed: u64,
-    #[options(no_short, help = "file of records", default = "hut.jsonl")]
+    #[options(no_short, help = "file of records", default = "platform-stub.jsonl")]
     records: PathBuf,
 }
 
 fn main() -> eyre::Result<()> {
-    let flags = waymark::command_line::read::<Flags>("hut");
+    let flags = common::command_line::read::<Flags>("platform-stub");
     if flags.version {
-        println!("hut {}", env!("CARGO_PKG_VERSION"));
+        println!("platform-stub {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    waymark::command_line::start_log();
+    common::command_line::start_log();
     let doors = flags
         .doors
         .split(',')
@@ -59,7 +64,7 @@
     let workers = (0..flags.workers)
         .map(|place| Worker {
             name: format!("worker-{place:02}"),
-            locality: format!("locality-{}", place % flags.localities.max(1) + 1),
+            zone: format!("locality-{}", place % flags.zones.max(1) + 1),
             memory_mb: flags.memory,
             draining: false,
             crashed: false,
@@ -79,7 +84,7 @@
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
     runtime.block_on(async {
         let listener = TcpListener::bind(&flags.place).await.wrap_err("--place")?;
-        let stop = waymark::command_line::told_to_stop()?;
+        let stop = common::command_line::told_to_stop()?;
         platform.serve(listener, stop).await;
         Ok(())
     })
--- a/proving/hut/src/platform/lists.rs
+++ b/testing/platform-stub/src/platform/lists.rs
@@ -1,7 +1,7 @@
+use common::clock::Moment;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::time::Duration;
-use waymark::clock::Moment;
 
 /// Lists that show how things stood some time ago.
 pub struct LateLists {
--- a/proving/hut/src/platform/mod.rs
+++ b/testing/platform-stub/src/platform/mod.rs
@@ -3,6 +3,10 @@
 mod lists;
 
 use crate::runner::{Mischief, Runner, Yard};
+use common::clock::Moment;
+use common::frames::Place;
+use common::http::{self, Served, call_json, json_response, read_body};
+use common::identity::{FunctionKey, LifeName, RunnerId};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use lists::LateLists;
@@ -13,18 +17,14 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use waymark::clock::Moment;
-use waymark::frames::Place;
-use waymark::http::{self, Served, call_json, json_response, read_body};
-use waymark::identity::{FunctionKey, LifeName, RunnerId};
 
 /// One worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
     /// Its name.
     pub name: String,
-    /// Its locality.
-    pub locality: String,
+    /// Its zone.
+    pub zone: String,
     /// Its memory.
     pub memory_mb: u64,
     /// Whether it is being emptied.
@@ -219,7 +219,7 @@
             .filter(|placed| placed.worker == worker_name)
             .map(|placed| placed.memory_mb)
             .sum();
-        let locality = books.workers.get(&worker_name).map(|worker| worker.locality.clone());
+        let zone = books.workers.get(&worker_name).map(|worker| worker.zone.clone());
         let has_room = books.workers.get(&worker_name).is_some_and(|worker| {
             !worker.crashed && !worker.draining && used_mb + memory_mb <= worker.memory_mb
         });
@@ -233,7 +233,7 @@
             "runner": runner.to_string(),
             "function": function,
             "worker": worker_name,
-            "locality": locality,
+            "locality": zone,
             "memory_mb": memory_mb,
             "boot_ms": boot_ms,
             "slots": number("slots"),
@@ -326,7 +326,7 @@
         .map(|worker| {
             json!({
                 "worker": worker.name,
-                "locality": worker.locality,
+                "locality": worker.zone,
                 "memory_mb": worker.memory_mb,
                 "draining": worker.draining,
             })
--- a/proving/hut/src/records/mod.rs
+++ b/testing/platform-stub/src/records/mod.rs
@@ -1,11 +1,11 @@
 //! What really happened, a line of JSON each, on the machine's boot clock.
 
+use common::clock::Moment;
 use serde_json::{Value, json};
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::Path;
 use std::sync::{Mutex, PoisonError};
-use waymark::clock::Moment;
 
 /// A file of records.
 pub struct Records {
--- a/proving/hut/src/runner/mod.rs
+++ b/testing/platform-stub/src/runner/mod.rs
@@ -2,6 +2,10 @@
 
 use crate::records::Records;
 use bytes::Bytes;
+use common::chance::Chance;
+use common::clock::Moment;
+use common::identity::{FunctionKey, GrantSerial, RunnerId, TransactionId};
+use common::seal;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -17,10 +21,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
-use waymark::chance::Chance;
-use waymark::clock::Moment;
-use waymark::identity::{FunctionKey, GrantSerial, RunnerId, TransactionId};
-use waymark::seal;
 
 /// In which share of cases runners misbehave, and how.
 #[derive(Clone, Debug, Default)]
@@ -74,7 +74,7 @@
     BreakOff,
 }
 
-/// What all runners of a hut share.
+/// What all runners of a platform-stub share.
 pub struct Yard {
     /// Where everything is recorded.
     pub records: Records,
