Open the drivers' connections through a connector

The pool and the hop links were bound to TCP sockets, so a connection could not be cut at a chosen byte in a test. A small connector opens their streams now; hop serving and the caller's connection take any byte stream.

--- a/crates/common/src/frames/dial.rs
+++ b/crates/common/src/frames/dial.rs
@@ -3,6 +3,15 @@
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 
+/// Connects to another process from this process's own IP number; nothing is written yet.
+pub async fn connect_from(own_ip: Ipv4Addr, to: Place) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::V4(SocketAddrV4::new(own_ip, 0)))?;
+    let stream = socket.connect(to.address()).await?;
+    crate::sockets::tune(&stream);
+    Ok(stream)
+}
+
 /// Opens a channel to another process from this process's own IP number, by which the machines of a
 /// fleet know each other.
 pub async fn dial(
@@ -12,10 +21,7 @@
     patience: Duration,
 ) -> Result<TcpStream, FrameFault> {
     let opening = async {
-        let socket = TcpSocket::new_v4()?;
-        socket.bind(SocketAddr::V4(SocketAddrV4::new(own_ip, 0)))?;
-        let mut stream = socket.connect(to.address()).await?;
-        crate::sockets::tune(&stream);
+        let mut stream = connect_from(own_ip, to).await?;
         write_channel(&mut stream, channel).await?;
         Ok(stream)
     };
--- a/crates/common/src/frames/mod.rs
+++ b/crates/common/src/frames/mod.rs
@@ -10,7 +10,7 @@
 mod wire;
 
 pub use self::core::{CoreBody, CoreFrame, KnownMember};
-pub use dial::dial;
+pub use dial::{connect_from, dial};
 pub use heartbeat::{Heartbeat, MemberLife, Suspicion};
 pub use hop::{HeadLine, HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState, Parcel};
 pub use pack::{pack, unpack};
--- a/crates/common/src/http/mod.rs
+++ b/crates/common/src/http/mod.rs
@@ -10,5 +10,5 @@
 pub use lines::{LinesEnd, follow_lines};
 pub use serve::{
     Body, BodyFault, CallerTimes, Served, full, json_response, read_body, serve, serve_callers,
-    stream_body, text_response,
+    serve_connection, stream_body, text_response,
 };
--- a/crates/common/src/http/serve.rs
+++ b/crates/common/src/http/serve.rs
@@ -13,6 +13,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
@@ -148,29 +149,10 @@
             continue;
         };
         let _ = accepted_stream.set_nodelay(true);
-        let connection_handler = handler.clone();
-        let mut connection_stop = stop.clone();
         let connection_token = open_token.clone();
-        let connection_times = times();
+        let serving = serve_connection(accepted_stream, handler.clone(), times(), stop.clone());
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let answering = connection_handler(request);
-                async move { Ok::<_, Infallible>(answering.await) }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(connection_times.idle)
-                .max_buf_size(connection_times.header_bytes.max(SMALLEST_HEAD))
-                .serve_connection(TokioIo::new(accepted_stream), service);
-            tokio::pin!(connection);
-            let ended = tokio::select! {
-                _ = connection.as_mut() => true,
-                _ = connection_stop.wait_for(|stopping| *stopping) => false,
-            };
-            if !ended {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
+            serving.await;
             drop(connection_token);
         });
     }
@@ -178,3 +160,34 @@
     drop(open_token);
     let _ = all_closed.recv().await;
 }
+
+/// Serves one connection until it ends; when told to stop, it ends with the transaction that is open.
+pub async fn serve_connection<S, H, F>(
+    stream: S,
+    handler: H,
+    times: CallerTimes,
+    mut stop: watch::Receiver<bool>,
+) where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Served>,
+{
+    let service = service_fn(move |request| {
+        let answering = handler(request);
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(times.idle)
+        .max_buf_size(times.header_bytes.max(SMALLEST_HEAD))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        _ = connection.as_mut() => true,
+        _ = stop.wait_for(|stopping| *stopping) => false,
+    };
+    if !ended {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/dataplane/src/drivers/connector.rs
@@ -0,0 +1,57 @@
+//! How byte streams to runners and to other daemons are opened. The drivers know only this seam, so that
+//! they run over any transport, and a failure can be brought about at each byte of an exchange.
+
+use common::frames::{Place, connect_from};
+use common::sockets;
+use std::future::Future;
+use std::io;
+use std::net::Ipv4Addr;
+use std::pin::Pin;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+
+/// A connected stream of bytes.
+pub trait ByteStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Send + Unpin> ByteStream for S {}
+
+/// A stream that is being opened.
+pub type Opening<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn ByteStream>>> + Send + 'a>>;
+
+/// Opens byte streams; nothing is written on them.
+pub trait Connector: Send + Sync {
+    /// Opens a connection to a runner.
+    fn to_runner(&self, place: Place) -> Opening<'_>;
+
+    /// Opens a connection to another daemon.
+    fn to_daemon(&self, place: Place) -> Opening<'_>;
+}
+
+/// Opens TCP connections.
+pub struct TcpConnector {
+    own_ip: Ipv4Addr,
+}
+
+impl TcpConnector {
+    /// Other daemons are called from this address, by which they know this machine.
+    pub fn new(own_ip: Ipv4Addr) -> Self {
+        Self { own_ip }
+    }
+}
+
+impl Connector for TcpConnector {
+    fn to_runner(&self, place: Place) -> Opening<'_> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(place.address()).await?;
+            sockets::tune(&stream);
+            Ok(Box::new(stream) as Box<dyn ByteStream>)
+        })
+    }
+
+    fn to_daemon(&self, place: Place) -> Opening<'_> {
+        Box::pin(async move {
+            let stream = connect_from(self.own_ip, place).await?;
+            Ok(Box::new(stream) as Box<dyn ByteStream>)
+        })
+    }
+}
--- a/crates/dataplane/src/drivers/daemon.rs
+++ b/crates/dataplane/src/drivers/daemon.rs
@@ -1,3 +1,4 @@
+use super::connector::TcpConnector;
 use super::control::{Control, ControlInput};
 use super::door::{serve_door, serve_ready};
 use super::{State, hops};
@@ -84,7 +85,8 @@
             place: boot.place,
             eligible: Flag(true),
         };
-        let state = Arc::new(State::new(boot, host, rules, tongues, control));
+        let connector = Arc::new(TcpConnector::new(*boot.place.0.ip()));
+        let state = Arc::new(State::new(boot, host, rules, tongues, connector, control));
         let beats = Arc::new(beats);
         Ok(Self { state, inbox, process_listener, door_listener, ready_listener, beats })
     }
--- a/crates/dataplane/src/drivers/hops.rs
+++ b/crates/dataplane/src/drivers/hops.rs
@@ -1,18 +1,18 @@
 use super::State;
+use super::connector::{ByteStream, Connector};
 use crate::agent::Ask;
 use crate::chain::resolve;
 use common::clock::Moment;
 use common::frames::{
-    Channel, FrameFault, HopBody, HopFrame, HopOutcome, Many, Place, append_frame, dial, read_frame,
+    Channel, FrameFault, HopBody, HopFrame, HopOutcome, Many, Place, append_frame, read_frame,
+    write_channel,
 };
 use common::identity::CorrelationId;
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
 const SENT_AT_ONCE: usize = 64 << 10;
@@ -35,15 +35,15 @@
 
 /// Links to the other daemons, one each, kept open.
 pub struct HopLinks {
-    own_ip: Ipv4Addr,
+    connector: Arc<dyn Connector>,
     senders: Mutex<HashMap<Place, mpsc::Sender<Asking>>>,
     next_correlation: AtomicU64,
 }
 
 impl HopLinks {
     /// No links yet.
-    pub fn new(own_ip: Ipv4Addr) -> Self {
-        Self { own_ip, senders: Mutex::new(HashMap::new()), next_correlation: AtomicU64::new(1) }
+    pub fn new(connector: Arc<dyn Connector>) -> Self {
+        Self { connector, senders: Mutex::new(HashMap::new()), next_correlation: AtomicU64::new(1) }
     }
 
     /// Asks another daemon and waits for its answer.
@@ -58,7 +58,7 @@
                 Some(sender) => sender.clone(),
                 None => {
                     let (sender, askings) = mpsc::channel(1024);
-                    tokio::spawn(keep_link(self.own_ip, place, askings));
+                    tokio::spawn(keep_link(self.connector.clone(), place, askings));
                     senders.insert(place, sender.clone());
                     sender
                 }
@@ -77,9 +77,21 @@
 
 type Pending = Arc<Mutex<HashMap<CorrelationId, oneshot::Sender<AskEnd>>>>;
 
-async fn keep_link(own_ip: Ipv4Addr, place: Place, mut askings: mpsc::Receiver<Asking>) {
-    let opened = dial(own_ip, place, Channel::Hop, CONNECT_PATIENCE).await.ok();
-    let Some(stream) = opened else {
+async fn open(connector: &dyn Connector, place: Place) -> Option<Box<dyn ByteStream>> {
+    let opening = async {
+        let mut stream = connector.to_daemon(place).await?;
+        write_channel(&mut stream, Channel::Hop).await?;
+        Ok::<_, FrameFault>(stream)
+    };
+    tokio::time::timeout(CONNECT_PATIENCE, opening).await.ok()?.ok()
+}
+
+async fn keep_link(
+    connector: Arc<dyn Connector>,
+    place: Place,
+    mut askings: mpsc::Receiver<Asking>,
+) {
+    let Some(stream) = open(connector.as_ref(), place).await else {
         askings.close();
         while let Some(asking) = askings.recv().await {
             let _ = asking.end.send(AskEnd::Unsent);
@@ -87,7 +99,7 @@
         return;
     };
     let pending: Pending = Arc::new(Mutex::new(HashMap::new()));
-    let (reading_half, mut writing_half) = stream.into_split();
+    let (reading_half, mut writing_half) = tokio::io::split(stream);
     let reading_pending = pending.clone();
     let reading = async move {
         let mut reader = BufReader::new(reading_half);
@@ -131,8 +143,8 @@
 }
 
 /// Serves another daemon's link.
-pub async fn serve(state: Arc<State>, stream: TcpStream) -> Result<(), FrameFault> {
-    let (reading_half, mut writing_half) = stream.into_split();
+pub async fn serve(state: Arc<State>, stream: impl ByteStream + 'static) -> Result<(), FrameFault> {
+    let (reading_half, mut writing_half) = tokio::io::split(stream);
     let mut reader = BufReader::new(reading_half);
     let (done_sender, mut done_frames) = mpsc::channel::<HopFrame>(1024);
     tokio::spawn(async move {
--- a/crates/dataplane/src/drivers/links.rs
+++ b/crates/dataplane/src/drivers/links.rs
@@ -1,10 +1,10 @@
+use super::connector::Connector;
 use crate::pool::{Draw, LinkNumber, Pool};
 use bytes::Bytes;
 use common::clock::Moment;
 use common::frames::Place;
 use common::http::{CallFault, Called};
 use common::identity::RunnerId;
-use common::sockets;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -12,7 +12,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
@@ -106,12 +105,17 @@
 }
 
 /// The connections to runners.
-#[derive(Default)]
 pub struct RunnerLinks {
+    connector: Arc<dyn Connector>,
     inner: Mutex<Inner>,
 }
 
 impl RunnerLinks {
+    /// No connections yet.
+    pub fn new(connector: Arc<dyn Connector>) -> Self {
+        Self { connector, inner: Mutex::default() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -167,8 +171,7 @@
         patience: Duration,
     ) -> Result<RunnerLink, LinkFault> {
         let connecting = async {
-            let stream = TcpStream::connect(place.address()).await.ok()?;
-            sockets::tune(&stream);
+            let stream = self.connector.to_runner(place).await.ok()?;
             handshake(TokioIo::new(stream)).await.ok()
         };
         let opened = tokio::time::timeout(patience.min(CONNECT_PATIENCE), connecting).await;
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -1,11 +1,12 @@
 //! Thin drivers: the shared state, the control task, hops between daemons, calls to runners.
 
+mod connector;
 mod control;
 mod daemon;
 mod door;
 mod gauges;
 pub mod holding;
-mod hops;
+pub mod hops;
 mod links;
 mod platform;
 mod runners;
@@ -13,6 +14,7 @@
 mod state;
 
 pub use crate::tongue::DaemonAdapters;
+pub use connector::{ByteStream, Connector, Opening, TcpConnector};
 pub use daemon::{Daemon, DaemonHandle};
 pub use door::serve_door;
 pub use gauges::Gauges;
--- a/crates/dataplane/src/drivers/state.rs
+++ b/crates/dataplane/src/drivers/state.rs
@@ -1,3 +1,4 @@
+use super::connector::Connector;
 use super::control::ControlInput;
 use super::links::RunnerLinks;
 use super::{Gauges, HopLinks};
@@ -42,16 +43,17 @@
         own_host: Host,
         rules: Rules,
         tongues: DaemonAdapters,
+        connector: Arc<dyn Connector>,
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
         let tuning = Tuning { settles: tongues.runner.running_path().is_some(), ..boot.tuning };
         let agent = Agent::new(own_host, rules).with_tuning(tuning);
         Self {
-            links: HopLinks::new(*boot.place.0.ip()),
+            links: HopLinks::new(connector.clone()),
             boot,
             tongues,
             agent,
-            runner_links: Arc::new(RunnerLinks::default()),
+            runner_links: Arc::new(RunnerLinks::new(connector)),
             gauges: Gauges::new(),
             rush: Notify::new(),
             control_due: SharedMoment::new(),
@@ -60,6 +62,18 @@
         }
     }
 
+    /// A daemon without a control task: it neither seeks a leader nor lets time pass for what it holds.
+    pub fn uncontrolled(
+        boot: DaemonBoot,
+        own_host: Host,
+        rules: Rules,
+        tongues: DaemonAdapters,
+        connector: Arc<dyn Connector>,
+    ) -> Self {
+        let (control, _) = mpsc::unbounded_channel();
+        Self::new(boot, own_host, rules, tongues, connector, control)
+    }
+
     /// Tells when something has changed that a transaction may wait for.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
