Believe no runner's answer whose owner or end is in doubt

A surplus answer that is cut within its head runs into the next one: its status line, or half a header, becomes part of the next head, which then bears the right identity, the wrong status or a wrong seal. Two identity or seal lines were read as the first of them. A failure without a marked end, and a body under a transfer coding other than chunked, looked whole when the connection was cut. The word that a request was not run was believed beside a success. A 204 without a length was rejected.

Changes: an answer with another one's beginning in its head is lost; a name or seal that stands twice counts as missing; the end must be marked for every status; only a failure can say that nothing ran; 1xx is no answer. The reading of heads stands once, in common::http.

--- a/crates/common/src/http/call.rs
+++ b/crates/common/src/http/call.rs
@@ -38,6 +38,8 @@
     Lost(hyper::Error),
     /// Something was sent, and no answer came in time.
     Timeout,
+    /// The beginning of another answer stands within the head.
+    Merged,
     /// The answer's body was cut short or larger than allowed.
     Body(String),
     /// The request itself could not be made.
@@ -58,6 +60,7 @@
             Self::ConnectTimeout => write!(out, "no connection in time"),
             Self::Lost(fault) => write!(out, "answer lost: {fault}"),
             Self::Timeout => write!(out, "no answer in time"),
+            Self::Merged => write!(out, "two answers ran into each other"),
             Self::Body(reason) => write!(out, "answer's body: {reason}"),
             Self::Request(fault) => write!(out, "request: {fault}"),
         }
--- /dev/null
+++ b/crates/common/src/http/head.rs
@@ -0,0 +1,43 @@
+use hyper::StatusCode;
+use hyper::ext::ReasonPhrase;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::http::Extensions;
+
+/// How every answer begins.
+const PROTOCOL: &[u8] = b"HTTP/1.";
+
+/// A header's text; empty when the header is missing, is no text, or stands more than once, so that
+/// nobody can tell which one is meant.
+pub fn single_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (Some(value), None) => value.to_str().unwrap_or(""),
+        _ => "",
+    }
+}
+
+/// Whether an answer says where its body ends. A body that ends with its connection may have been cut
+/// short, and nobody would see it.
+pub fn has_marked_end(status: StatusCode, headers: &HeaderMap) -> bool {
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    has_no_body || headers.contains_key(CONTENT_LENGTH) || is_chunked(headers)
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last_line = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last_coding =
+        last_line.and_then(|value| value.to_str().ok()).and_then(|text| text.rsplit(',').next());
+    last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// Whether the beginning of another answer stands within this head: a surplus answer was cut short on
+/// its connection, and the next one ran into it.
+pub fn is_merged(headers: &HeaderMap, extensions: &Extensions) -> bool {
+    let reason = extensions.get::<ReasonPhrase>();
+    reason.is_some_and(|reason| names_protocol(reason.as_bytes()))
+        || headers.values().any(|value| names_protocol(value.as_bytes()))
+}
+
+fn names_protocol(text: &[u8]) -> bool {
+    text.windows(PROTOCOL.len()).any(|window| window == PROTOCOL)
+}
--- a/crates/common/src/http/mod.rs
+++ b/crates/common/src/http/mod.rs
@@ -1,11 +1,13 @@
 //! The little that every program needs around hyper: serving, calling, JSON.
 
 mod call;
+mod head;
 mod keeping;
 mod lines;
 mod serve;
 
 pub use call::{CallFault, Called, call, call_json, connect, exchange};
+pub use head::{has_marked_end, is_merged, single_text};
 pub use keeping::{closes, kept_for};
 pub use lines::{LinesEnd, follow_lines};
 pub use serve::{
--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -19,6 +19,10 @@
     SealChecked,
     /// An answer's seal must name this transaction, function and runner.
     SealNamesAsked,
+    /// An answer whose body may have been cut short, or is not as the runner made it, is not believed.
+    BodyWhole,
+    /// An answer with another one's beginning in its head is not believed.
+    HeadUnmixed,
     /// A runner never has more transactions than slots.
     SlotsKept,
     /// A fresh runner begins with one transaction at a time.
@@ -71,6 +75,8 @@
         Rule::RunnerNamed,
         Rule::SealChecked,
         Rule::SealNamesAsked,
+        Rule::BodyWhole,
+        Rule::HeadUnmixed,
         Rule::SlotsKept,
         Rule::RampKept,
         Rule::LostKeepsSlot,
@@ -108,6 +114,8 @@
             Self::RunnerNamed => "runner-named",
             Self::SealChecked => "seal-checked",
             Self::SealNamesAsked => "seal-names-asked",
+            Self::BodyWhole => "body-whole",
+            Self::HeadUnmixed => "head-unmixed",
             Self::SlotsKept => "slots-kept",
             Self::RampKept => "ramp-kept",
             Self::LostKeepsSlot => "lost-keeps-slot",
--- a/crates/dataplane/src/agent/answer.rs
+++ b/crates/dataplane/src/agent/answer.rs
@@ -13,6 +13,11 @@
 /// never passed on.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
+/// The lowest status that ends a request.
+const FIRST_FINAL: u16 = 200;
+/// The lowest status of a failure; only with a failure can a runner say that it did not run.
+const FIRST_FAILURE: u16 = 400;
+
 /// Decides what an answer is worth: only one that names what was asked, whole and sealed, is believed.
 pub fn judge(
     rules: Rules,
@@ -72,14 +77,17 @@
     if names_another && rules.keep(Rule::SealNamesAsked) {
         return SendEnd::Lost;
     }
-    if said.did_not_run {
+    if said.did_not_run && said.status >= FIRST_FAILURE {
         return SendEnd::ShedByRunner;
     }
-    if PROMISES.contains(&said.status) {
+    if said.did_not_run || said.status < FIRST_FINAL || PROMISES.contains(&said.status) {
+        return SendEnd::Lost;
+    }
+    if said.is_doubtful && rules.keep(Rule::BodyWhole) {
         return SendEnd::Lost;
     }
     let is_good = (200..300).contains(&said.status);
-    if is_good && (said.seal.is_empty() || said.is_doubtful) && rules.keep(Rule::SealChecked) {
+    if is_good && said.seal.is_empty() && rules.keep(Rule::SealChecked) {
         return SendEnd::Lost;
     }
     if said.status >= 500 {
--- a/crates/dataplane/src/drivers/links.rs
+++ b/crates/dataplane/src/drivers/links.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use common::clock::Moment;
 use common::frames::Place;
-use common::http::{CallFault, Called};
+use common::http::{CallFault, Called, is_merged};
 use common::identity::RunnerId;
+use common::rules::{Rule, Rules};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -38,6 +39,7 @@
 /// One connection; it is closed when it is dropped.
 pub struct RunnerLink {
     owner: Weak<RunnerLinks>,
+    rules: Rules,
     runner: RunnerId,
     number: LinkNumber,
     sender: SendRequest<Full<Bytes>>,
@@ -73,6 +75,7 @@
         patience: Duration,
         largest_body: usize,
     ) -> Exchanged {
+        let rules = self.rules;
         let asking = async {
             let response = match self.sender.try_send_request(request).await {
                 Ok(response) => response,
@@ -84,6 +87,9 @@
                 }
             };
             let (head, body) = response.into_parts();
+            if is_merged(&head.headers, &head.extensions) && rules.keep(Rule::HeadUnmixed) {
+                return Exchanged::Lost(CallFault::Merged);
+            }
             match Limited::new(body, largest_body).collect().await {
                 Ok(body) => Exchanged::Answered(Called {
                     status: head.status,
@@ -107,13 +113,14 @@
 /// The connections to runners.
 pub struct RunnerLinks {
     connector: Arc<dyn Connector>,
+    rules: Rules,
     inner: Mutex<Inner>,
 }
 
 impl RunnerLinks {
     /// No connections yet.
-    pub fn new(connector: Arc<dyn Connector>) -> Self {
-        Self { connector, inner: Mutex::default() }
+    pub fn new(connector: Arc<dyn Connector>, rules: Rules) -> Self {
+        Self { connector, rules, inner: Mutex::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -188,7 +195,8 @@
             }
         });
         let driving = driving.abort_handle();
-        Ok(RunnerLink { owner, runner, number, sender, driving, is_kept: false })
+        let rules = self.rules;
+        Ok(RunnerLink { owner, rules, runner, number, sender, driving, is_kept: false })
     }
 
     fn ended(&self, runner: RunnerId, number: LinkNumber) {
--- a/crates/dataplane/src/drivers/state.rs
+++ b/crates/dataplane/src/drivers/state.rs
@@ -53,7 +53,7 @@
             boot,
             tongues,
             agent,
-            runner_links: Arc::new(RunnerLinks::new(connector)),
+            runner_links: Arc::new(RunnerLinks::new(connector, rules)),
             gauges: Gauges::new(),
             rush: Notify::new(),
             control_due: SharedMoment::new(),
--- a/crates/dataplane/src/tongue/runner.rs
+++ b/crates/dataplane/src/tongue/runner.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use common::frames::Place;
+use common::http::{closes, single_text};
 use common::seal;
 use common::tongue::{ReadyBy, RunnerSaid, RunnerTongue, RunnerWords, SealKind};
 use http_body_util::Full;
@@ -9,10 +10,6 @@
 /// Runners' HTTP as the product itself speaks it.
 pub struct OwnRunner;
 
-fn text(headers: &HeaderMap, name: &str) -> String {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
-}
-
 impl RunnerTongue for OwnRunner {
     fn request(
         &self,
@@ -39,15 +36,15 @@
     fn read(&self, status: StatusCode, headers: &HeaderMap, body: Bytes) -> RunnerSaid {
         RunnerSaid {
             status: status.as_u16(),
-            transaction: text(headers, seal::TRANSACTION),
-            function: Some(text(headers, seal::FUNCTION)),
-            runner: Some(text(headers, seal::RUNNER)),
-            seal: text(headers, seal::SEAL),
+            transaction: single_text(headers, seal::TRANSACTION).to_owned(),
+            function: Some(single_text(headers, seal::FUNCTION).to_owned()),
+            runner: Some(single_text(headers, seal::RUNNER).to_owned()),
+            seal: single_text(headers, seal::SEAL).to_owned(),
             seal_kind: SealKind::Digest,
             did_not_run: headers.contains_key(seal::SHED),
             is_other: false,
             is_doubtful: false,
-            closes: common::http::closes(headers),
+            closes: closes(headers),
             lines: Vec::new(),
             body,
         }
