Ask lease, grant and runner right before a request's first byte

The last look came when a request was handed to its connection; a process that stood still after it, or a function given up while a connection was being opened, wrote the request all the same. A runner that had vanished between the order and the send was sent a request without its name, which whoever has its address now would run. A reset noticed at the first write counted as a lost answer, though nothing had left. An opening that was given up kept its place in the pool for good.

Changes: a metered stream counts what it took and asks a permit (member lease runs, function held under this grant) before the first byte. No byte taken means not sent, any byte means sent, once the connection's task has ended. A runner that is gone gets nothing. The pool's place is freed when its opening is dropped. The holder is looked at once for a send, not three times. A test of the last look's spec held its function outside the daemon's table; it stands there now, and checks the same.

--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -13,6 +13,11 @@
     SerialOnlyUp,
     /// Route and function are looked up in the newest spec right before a send.
     SpecBeforeSend,
+    /// The member grant runs and the function is held under its grant right before the first byte of a
+    /// send is written.
+    HeldBeforeSend,
+    /// What a byte was written of counts as sent.
+    WrittenIsSent,
     /// A send names the runner that is meant, and another one refuses.
     RunnerNamed,
     /// An answer's seal is checked.
@@ -72,6 +77,8 @@
         Rule::RenewalNeedsSpec,
         Rule::SerialOnlyUp,
         Rule::SpecBeforeSend,
+        Rule::HeldBeforeSend,
+        Rule::WrittenIsSent,
         Rule::RunnerNamed,
         Rule::SealChecked,
         Rule::SealNamesAsked,
@@ -111,6 +118,8 @@
             Self::RenewalNeedsSpec => "renewal-needs-spec",
             Self::SerialOnlyUp => "serial-only-up",
             Self::SpecBeforeSend => "spec-before-send",
+            Self::HeldBeforeSend => "held-before-send",
+            Self::WrittenIsSent => "written-is-sent",
             Self::RunnerNamed => "runner-named",
             Self::SealChecked => "seal-checked",
             Self::SealNamesAsked => "seal-names-asked",
--- a/crates/dataplane/src/agent/answer.rs
+++ b/crates/dataplane/src/agent/answer.rs
@@ -124,8 +124,15 @@
 }
 
 impl<W> Agent<W> {
-    /// The last look before a transaction is sent to a runner: the member grant runs, and the newest
-    /// spec still leads its route to this function. Nothing comes between it and the send.
+    /// Whether anything may be sent for a held function: the member grant runs, and the function was not
+    /// given up.
+    pub fn may_send(&self, now: Moment, held: &Held<W>) -> bool {
+        let is_held = self.held(&held.function, held.grant).is_some();
+        (self.is_serving(now) && is_held) || !self.rules.keep(Rule::HeldBeforeSend)
+    }
+
+    /// The last look before a transaction is handed to a connection: the member grant runs, the function
+    /// is held, and the newest spec still leads its route to this function.
     pub fn runner_call(
         &self,
         now: Moment,
@@ -139,7 +146,7 @@
         if !is_allowed && self.rules.keep(Rule::SpecBeforeSend) {
             return Err(HopReason::NotAllowed);
         }
-        if !self.is_serving(now) {
+        if !self.is_serving(now) || !self.may_send(now, held) {
             return Err(HopReason::NotServing);
         }
         Ok(RunnerCall {
--- a/crates/dataplane/src/agent/held.rs
+++ b/crates/dataplane/src/agent/held.rs
@@ -1,7 +1,7 @@
 use crate::holder::{Entry, Holder, HolderOutput};
 use common::clock::Moment;
-use common::frames::{HopOutcome, Life, Parcel};
-use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
+use common::frames::{HopOutcome, Parcel};
+use common::identity::{FunctionKey, GrantSerial, LifeName, RunnerId, Ticket, TransactionId};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -33,6 +33,17 @@
     pub parcel: Arc<Parcel>,
 }
 
+/// The runner that a send is meant for.
+#[derive(Clone, Debug)]
+pub struct SendTarget {
+    /// The most connections that it takes.
+    pub connections: u32,
+    /// Its life, as the platform names it.
+    pub life: LifeName,
+    /// The name that it goes by itself.
+    pub face: RunnerId,
+}
+
 struct Waiting<W> {
     task: Task,
     waiter: W,
@@ -64,14 +75,18 @@
         look(&mut self.holder.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// A runner's life, once the platform has told it.
-    pub fn life_of(&self, runner: RunnerId) -> Option<Life> {
-        self.with(|holder| holder.life_of(runner))
-    }
-
     /// The name that a runner itself goes by.
     pub fn face_of(&self, runner: RunnerId) -> RunnerId {
-        runner.face(self.life_of(runner).as_ref().map(|life| &life.name))
+        runner.face(self.with(|holder| holder.life_of(runner)).as_ref().map(|life| &life.name))
+    }
+
+    /// What a send to a runner has to know; none when the runner is gone.
+    pub fn send_target(&self, runner: RunnerId) -> Option<SendTarget> {
+        let (connections, life) =
+            self.with(|holder| (holder.connections(), holder.life_of(runner)));
+        let life = life?;
+        let face = runner.face(Some(&life.name));
+        Some(SendTarget { connections, life: life.name, face })
     }
 
     /// What a ticket stands for, while somebody waits for it.
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -9,7 +9,7 @@
 
 pub use answer::{RunnerCall, judge};
 pub use controller::{Controller, DaemonOrder};
-pub use held::{Held, Task};
+pub use held::{Held, SendTarget, Task};
 pub use stewards::{Question, Topic};
 pub use way::{Ask, PassEnd, Way, WayStep};
 
--- a/crates/dataplane/src/drivers/links.rs
+++ b/crates/dataplane/src/drivers/links.rs
@@ -1,4 +1,5 @@
 use super::connector::Connector;
+use super::metered::{Meter, MeteredStream, SendPermit};
 use crate::pool::{Draw, LinkNumber, Pool};
 use bytes::Bytes;
 use common::clock::Moment;
@@ -13,7 +14,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -30,29 +31,40 @@
 pub enum Exchanged {
     /// With a whole answer.
     Answered(Called),
-    /// The connection was gone before any of the request was written.
+    /// No byte of the request was written, and none will be.
     Untaken,
     /// Something may have been written, and no whole answer came.
     Lost(CallFault),
 }
 
-/// One connection; it is closed when it is dropped.
-pub struct RunnerLink {
+/// A connection's place in the pool, from before it is opened; it is given up when this is dropped.
+struct PoolSlot {
     owner: Weak<RunnerLinks>,
-    rules: Rules,
     runner: RunnerId,
     number: LinkNumber,
+}
+
+impl Drop for PoolSlot {
+    fn drop(&mut self) {
+        if let Some(owner) = self.owner.upgrade() {
+            owner.lock().pool.drop_link(self.runner, self.number);
+        }
+    }
+}
+
+/// One connection; it is closed when it is dropped.
+pub struct RunnerLink {
+    slot: PoolSlot,
+    rules: Rules,
     sender: SendRequest<Full<Bytes>>,
-    driving: AbortHandle,
+    meter: Arc<Meter>,
+    driving: JoinHandle<()>,
     is_kept: bool,
 }
 
 impl Drop for RunnerLink {
     fn drop(&mut self) {
         self.driving.abort();
-        if let Some(owner) = self.owner.upgrade() {
-            owner.lock().pool.drop_link(self.runner, self.number);
-        }
     }
 }
 
@@ -68,39 +80,51 @@
         matches!(waiting.await, Ok(Ok(())))
     }
 
-    /// Sends a request and takes the whole answer.
+    /// Sends a request and takes the whole answer. The permit is asked right before the first byte is
+    /// written: the process may have stood still since the request was handed over.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        permit: SendPermit,
         patience: Duration,
         largest_body: usize,
     ) -> Exchanged {
-        let rules = self.rules;
-        let asking = async {
-            let response = match self.sender.try_send_request(request).await {
-                Ok(response) => response,
-                Err(mut fault) => {
-                    return match fault.take_message() {
-                        Some(_) => Exchanged::Untaken,
-                        None => Exchanged::Lost(CallFault::Lost(fault.into_error())),
-                    };
+        let written_before = self.meter.written();
+        self.meter.require(permit);
+        let asked = tokio::time::timeout(patience, self.ask(request, largest_body)).await;
+        match asked.unwrap_or(Err(CallFault::Timeout)) {
+            Ok(called) => Exchanged::Answered(called),
+            Err(fault) => {
+                self.close().await;
+                let is_untouched = self.meter.written() == written_before;
+                if is_untouched || !self.rules.keep(Rule::WrittenIsSent) {
+                    Exchanged::Untaken
+                } else {
+                    Exchanged::Lost(fault)
                 }
-            };
-            let (head, body) = response.into_parts();
-            if is_merged(&head.headers, &head.extensions) && rules.keep(Rule::HeadUnmixed) {
-                return Exchanged::Lost(CallFault::Merged);
             }
-            match Limited::new(body, largest_body).collect().await {
-                Ok(body) => Exchanged::Answered(Called {
-                    status: head.status,
-                    headers: head.headers,
-                    body: body.to_bytes(),
-                }),
-                Err(fault) => Exchanged::Lost(CallFault::Body(fault.to_string())),
-            }
-        };
-        let asked = tokio::time::timeout(patience, asking).await;
-        asked.unwrap_or(Exchanged::Lost(CallFault::Timeout))
+        }
+    }
+
+    async fn ask(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        largest_body: usize,
+    ) -> Result<Called, CallFault> {
+        let response = self.sender.send_request(request).await.map_err(CallFault::Lost)?;
+        let (head, body) = response.into_parts();
+        if is_merged(&head.headers, &head.extensions) && self.rules.keep(Rule::HeadUnmixed) {
+            return Err(CallFault::Merged);
+        }
+        let collected_body = Limited::new(body, largest_body).collect().await;
+        let body = collected_body.map_err(|fault| CallFault::Body(fault.to_string()))?;
+        Ok(Called { status: head.status, headers: head.headers, body: body.to_bytes() })
+    }
+
+    /// Ends the connection; nothing is written on it any more when this has come back.
+    async fn close(&mut self) {
+        self.driving.abort();
+        let _ = (&mut self.driving).await;
     }
 }
 
@@ -145,12 +169,7 @@
             }
             draw
         };
-        match draw {
-            Draw::Open(number) | Draw::Kept(number) => {
-                self.open(runner, place, number, patience).await
-            }
-            Draw::Full => Err(LinkFault::Full),
-        }
+        self.open(runner, place, draw, patience).await
     }
 
     /// A new connection, whatever is kept.
@@ -162,41 +181,38 @@
         patience: Duration,
     ) -> Result<RunnerLink, LinkFault> {
         let draw = self.lock().pool.draw_new(runner, most);
-        match draw {
-            Draw::Open(number) | Draw::Kept(number) => {
-                self.open(runner, place, number, patience).await
-            }
-            Draw::Full => Err(LinkFault::Full),
-        }
+        self.open(runner, place, draw, patience).await
     }
 
     async fn open(
         self: &Arc<Self>,
         runner: RunnerId,
         place: Place,
-        number: LinkNumber,
+        draw: Draw,
         patience: Duration,
     ) -> Result<RunnerLink, LinkFault> {
+        let number = match draw {
+            Draw::Open(number) | Draw::Kept(number) => number,
+            Draw::Full => return Err(LinkFault::Full),
+        };
+        let slot = PoolSlot { owner: Arc::downgrade(self), runner, number };
         let connecting = async {
-            let stream = self.connector.to_runner(place).await.ok()?;
-            handshake(TokioIo::new(stream)).await.ok()
+            let (stream, meter) = MeteredStream::new(self.connector.to_runner(place).await.ok()?);
+            let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+            Some((sender, connection, meter))
         };
         let opened = tokio::time::timeout(patience.min(CONNECT_PATIENCE), connecting).await;
-        let Some((sender, connection)) = opened.ok().flatten() else {
-            self.lock().pool.drop_link(runner, number);
-            return Err(LinkFault::Unreachable);
-        };
-        let owner = Arc::downgrade(self);
-        let ending_owner = owner.clone();
+        let opened = opened.ok().flatten();
+        let (sender, connection, meter) = opened.ok_or(LinkFault::Unreachable)?;
+        let owner = slot.owner.clone();
         let driving = tokio::spawn(async move {
             let _ = connection.await;
-            if let Some(owner) = ending_owner.upgrade() {
+            if let Some(owner) = owner.upgrade() {
                 owner.ended(runner, number);
             }
         });
-        let driving = driving.abort_handle();
         let rules = self.rules;
-        Ok(RunnerLink { owner, rules, runner, number, sender, driving, is_kept: false })
+        Ok(RunnerLink { slot, rules, sender, meter, driving, is_kept: false })
     }
 
     fn ended(&self, runner: RunnerId, number: LinkNumber) {
@@ -216,9 +232,10 @@
         let refused_link = {
             let mut inner = self.lock();
             let now = Moment::now();
-            if inner.pool.give_back(now, link.runner, link.number, kept_for) {
+            let (runner, number) = (link.slot.runner, link.slot.number);
+            if inner.pool.give_back(now, runner, number, kept_for) {
                 link.is_kept = true;
-                inner.idle.insert(link.number, link);
+                inner.idle.insert(number, link);
                 None
             } else {
                 Some(link)
--- /dev/null
+++ b/crates/dataplane/src/drivers/metered.rs
@@ -0,0 +1,117 @@
+//! A byte stream that counts what was handed to it, and asks for permission before a request's first byte.
+
+use super::connector::ByteStream;
+use std::fmt;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Whether a request may still be sent; asked right before its first byte is written.
+pub type SendPermit = Box<dyn Fn() -> bool + Send>;
+
+/// The permission to send has ended before the first byte was written.
+#[derive(Debug)]
+pub struct NotPermitted;
+
+impl fmt::Display for NotPermitted {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("the permission to send has ended")
+    }
+}
+
+impl std::error::Error for NotPermitted {}
+
+/// What is known of a stream's writes.
+#[derive(Default)]
+pub struct Meter {
+    written: AtomicU64,
+    permit: Mutex<Option<SendPermit>>,
+}
+
+impl Meter {
+    /// The bytes that the stream has taken so far. What it has taken may have left.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Acquire)
+    }
+
+    /// Has the next byte written only if this permits it.
+    pub fn require(&self, permit: SendPermit) {
+        *self.permit.lock().unwrap_or_else(PoisonError::into_inner) = Some(permit);
+    }
+
+    fn write(&self, writing: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let mut permit = self.permit.lock().unwrap_or_else(PoisonError::into_inner);
+        if permit.as_ref().is_some_and(|is_permitted| !is_permitted()) {
+            return Poll::Ready(Err(io::Error::other(NotPermitted)));
+        }
+        let polled = writing();
+        if let Poll::Ready(Ok(count)) = polled
+            && count > 0
+        {
+            self.written.fetch_add(count as u64, Ordering::AcqRel);
+            *permit = None;
+        }
+        polled
+    }
+}
+
+/// A stream with its meter.
+pub struct MeteredStream {
+    inner: Box<dyn ByteStream>,
+    meter: Arc<Meter>,
+}
+
+impl MeteredStream {
+    /// Counts what is written from now on.
+    pub fn new(inner: Box<dyn ByteStream>) -> (Self, Arc<Meter>) {
+        let meter = Arc::new(Meter::default());
+        (Self { inner, meter: meter.clone() }, meter)
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let stream = self.get_mut();
+        let inner = &mut stream.inner;
+        stream.meter.write(|| Pin::new(inner).poll_write(context, bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let stream = self.get_mut();
+        let inner = &mut stream.inner;
+        stream.meter.write(|| Pin::new(inner).poll_write_vectored(context, slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -8,6 +8,7 @@
 pub mod holding;
 pub mod hops;
 mod links;
+mod metered;
 mod platform;
 mod runners;
 mod runtime;
--- a/crates/dataplane/src/drivers/runners.rs
+++ b/crates/dataplane/src/drivers/runners.rs
@@ -1,25 +1,26 @@
 use super::links::{Exchanged, LinkFault};
+use super::metered::SendPermit;
 use super::{HeldHere, State};
 use crate::agent::judge;
 use crate::holder::SendEnd;
 use common::clock::Moment;
 use common::events;
 use common::frames::{HopReason, Place};
-use common::http::{call_json, closes, kept_for};
+use common::http::{call_json, closes, kept_for, single_text};
 use common::identity::{RunnerId, Ticket, TransactionId};
 use common::note;
 use common::seal;
 use common::tongue::{ReadyBy, RunnerWords};
-use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 
 const USABLE_WITHIN: Duration = Duration::from_millis(100);
 
-/// Sends one transaction to a runner, on a kept connection if there is one. The last look at the member
-/// grant and the newest spec comes when the connection is open, so that nothing is left between it and
-/// the send. A kept connection that turns out to be gone before anything was written is no fault of the
+/// Sends one transaction to a runner, on a kept connection if there is one. The last look at the newest
+/// spec comes when the connection is open, that at the member grant and the function's grant right before
+/// the first byte is written. A runner that is gone gets nothing: its address may be another one's. A kept
+/// connection that turns out to be gone before anything was written is no fault of the
 /// runner's, and a new one is opened at once.
 pub async fn send(
     state: &Arc<State>,
@@ -30,9 +31,8 @@
     attempt: u32,
 ) -> SendEnd {
     let Some(task) = held.task(ticket) else { return SendEnd::Barred(HopReason::NotServing) };
-    let most = held.with(|holder| holder.connections());
-    let life = held.life_of(runner);
-    let face = held.face_of(runner);
+    let Some(target) = held.send_target(runner) else { return SendEnd::Unsent };
+    let most = target.connections;
     let mut is_counted = false;
     let mut must_be_new = false;
     loop {
@@ -65,7 +65,7 @@
             transaction: &call.transaction,
             function: &call.function,
             runner: call.runner,
-            life: call.runner.and(life.as_ref().map(|life| &life.name)),
+            life: call.runner.map(|_| &target.life),
             attempt,
             budget_left: call.budget_left,
             parcel: &call.parcel,
@@ -80,13 +80,16 @@
                 state.gauges.extra_sends.inc();
             }
         }
-        match link.exchange(request, call.budget_left, state.boot.largest_body).await {
+        let permit = send_permit(state.clone(), held.clone());
+        let largest_body = state.boot.largest_body;
+        match link.exchange(request, permit, call.budget_left, largest_body).await {
             Exchanged::Answered(called) => {
                 let kept_for = kept_for(&called.headers);
                 let is_last = closes(&called.headers);
                 let said = state.tongues.runner.read(called.status, &called.headers, called.body);
                 let is_last = is_last || said.closes;
-                let end = judge(state.agent.rules, &task.transaction, &held.function, face, said);
+                let end =
+                    judge(state.agent.rules, &task.transaction, &held.function, target.face, said);
                 if matches!(end, SendEnd::Lost) {
                     state.gauges.rejected_answers.inc();
                     note!(Debug, events::ANSWER_REJECTED, "{} on {runner}: seal", task.transaction);
@@ -95,6 +98,9 @@
                 }
                 return end;
             }
+            Exchanged::Untaken if !state.agent.may_send(Moment::now(), held) => {
+                return SendEnd::Barred(HopReason::NotServing);
+            }
             Exchanged::Untaken if link.is_kept() => {}
             Exchanged::Untaken => return SendEnd::Unsent,
             Exchanged::Lost(fault) => {
@@ -105,8 +111,8 @@
     }
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+fn send_permit(state: Arc<State>, held: HeldHere) -> SendPermit {
+    Box::new(move || state.agent.may_send(Moment::now(), &held))
 }
 
 /// Whether a booting runner is ready, and is the one it should be. A connection that was opened to find
@@ -118,7 +124,7 @@
             let called = call_json(place, Method::GET, path, None, patience).await;
             called.is_ok_and(|called| {
                 called.status == StatusCode::OK
-                    && header(&called.headers, name_header) == held.face_of(runner).to_string()
+                    && single_text(&called.headers, name_header) == held.face_of(runner).to_string()
             })
         }
         ReadyBy::Connecting => {
@@ -140,7 +146,7 @@
     let path = state.tongues.runner.running_path()?;
     match call_json(place, Method::GET, path, None, patience).await {
         Ok(called) => {
-            if header(&called.headers, seal::RUNNER) != runner.to_string() {
+            if single_text(&called.headers, seal::RUNNER) != runner.to_string() {
                 return None;
             }
             let body = called.json();
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -166,7 +166,8 @@
     let adopted = Vec::new();
     let terms =
         GrantTerms { function, grant, spec, once_wait, steward: None, prior: None, adopted };
-    let held: Held<u64> = Held::new(Holder::new(bench.now, terms));
+    let held: Arc<Held<u64>> = Arc::new(Held::new(Holder::new(bench.now, terms)));
+    bench.agent.holdings.store(Arc::new([(held.function.clone(), held.clone())].into()));
     let task = Task {
         transaction: "t".into(),
         route: "r".to_owned(),
