--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -1,17 +1,17 @@
-//! One daemon without I/O: its snapshots, the way of a transaction, the obeying of keeper and holders,
-//! the talk with stewards. The drivers and the simulator both feed it.
+//! One daemon without I/O: its snapshots, the forwarding of a transaction, the carrying out of what keeper
+//! and holders order, the questions to stewards. The drivers and the simulator both feed it.
 
 mod answer;
-mod controller;
+mod daemon_control;
+mod forwarding;
 mod held;
 mod stewards;
-mod way;
 
 pub use answer::{RunnerCall, judge};
-pub use controller::{Controller, DaemonOrder};
+pub use daemon_control::{DaemonControl, DaemonOrder};
+pub use forwarding::{Ask, Forwarding, ForwardingStep, PassEnd};
 pub use held::{Held, Task};
 pub use stewards::{Question, Topic};
-pub use way::{Ask, PassEnd, Way, WayStep};
 
 use crate::holder::Tuning;
 use crate::ledger::LedgerReplica;
--- a/crates/dataplane/src/chain/resolve.rs
+++ b/crates/dataplane/src/chain/resolve.rs
@@ -1,4 +1,4 @@
-use crate::agent::{Ask, PassEnd, Way, WayStep};
+use crate::agent::{Ask, Forwarding, ForwardingStep, PassEnd};
 use crate::drivers::{AskEnd, State, holding};
 use crate::owners::is_valid;
 use common::clock::Moment;
@@ -47,39 +47,39 @@
     let agent = &state.agent;
     let _in_hand = agent.take_in_hand();
     let mut changes = state.changes();
-    let mut way = Way::new(Moment::now(), ask);
-    let mut step = way.look(agent, Moment::now());
+    let mut forwarding = Forwarding::new(Moment::now(), ask);
+    let mut step = forwarding.look(agent, Moment::now());
     loop {
         step = match step {
-            WayStep::Serve(held, task) => {
+            ForwardingStep::Serve(held, task) => {
                 state.gauges.lookups.with_label_values(&["held"]).inc();
                 let outcome = holding::serve(state, &held, task).await;
-                way.served(agent, Moment::now(), outcome)
+                forwarding.served(agent, Moment::now(), outcome)
             }
-            WayStep::Pass { host, body, wait_until } => {
+            ForwardingStep::Pass { host, body, wait_until } => {
                 state.gauges.lookups.with_label_values(&["passed"]).inc();
                 let end = tokio::select! {
                     ask_end = state.links.ask(host.place, body, wait_until) => pass_end(ask_end, &host),
                     () = gone(state, &host) => PassEnd::Lost,
                 };
-                way.passed(agent, Moment::now(), end)
+                forwarding.passed(agent, Moment::now(), end)
             }
-            WayStep::Acquire { wait_until } => {
+            ForwardingStep::Acquire { wait_until } => {
                 state.gauges.lookups.with_label_values(&["acquired"]).inc();
                 let wait_span = wait_until.since(Moment::now());
-                let asking = state.acquire(&way.ask().function);
+                let asking = state.acquire(&forwarding.ask().function);
                 match timeout(wait_span, asking).await {
-                    Ok(result) => way.acquired(agent, Moment::now(), result),
-                    Err(_) => way.look(agent, Moment::now()),
+                    Ok(result) => forwarding.acquired(agent, Moment::now(), result),
+                    Err(_) => forwarding.look(agent, Moment::now()),
                 }
             }
-            WayStep::Wait { wait_until } => {
+            ForwardingStep::Wait { wait_until } => {
                 let wait_span = wait_until.since(Moment::now());
                 let _ = timeout(wait_span, changes.changed()).await;
-                way.look(agent, Moment::now())
+                forwarding.look(agent, Moment::now())
             }
-            WayStep::End(outcome, holder) => {
-                let function = way.ask().function.clone();
+            ForwardingStep::End(outcome, holder) => {
+                let function = forwarding.ask().function.clone();
                 return Resolved { function, outcome, holder };
             }
         }
--- a/crates/dataplane/src/drivers/control.rs
+++ b/crates/dataplane/src/drivers/control.rs
@@ -1,6 +1,6 @@
 use super::{State, holding};
-use crate::agent::{Controller, DaemonOrder};
-use crate::holder::HolderWord;
+use crate::agent::{DaemonControl, DaemonOrder};
+use crate::holder::HolderMessage;
 use crate::liaison::LiaisonTiming;
 use common::chance::Chance;
 use common::clock::Moment;
@@ -36,7 +36,7 @@
     /// A transaction needs a function's owner.
     Acquire(FunctionKey, oneshot::Sender<AcquireResult>),
     /// A holder has something for the leader.
-    Word(FunctionKey, GrantSerial, HolderWord),
+    Word(FunctionKey, GrantSerial, HolderMessage),
     /// The seeds have changed.
     Seeds(Vec<Place>),
     /// The daemon is leaving.
@@ -48,7 +48,7 @@
 /// Feeds the controller, and does what it orders.
 pub struct Control {
     state: Arc<State>,
-    controller: Controller<oneshot::Sender<HopOutcome>>,
+    controller: DaemonControl<oneshot::Sender<HopOutcome>>,
     acquires: HashMap<FunctionKey, Vec<oneshot::Sender<AcquireResult>>>,
     stream_number: u64,
     stream: Option<mpsc::Sender<StreamUp>>,
@@ -59,7 +59,7 @@
 impl Control {
     /// A control task's state.
     pub fn new(state: Arc<State>, beats: Arc<UdpSocket>) -> Self {
-        let controller = Controller::new(
+        let controller = DaemonControl::new(
             Moment::now(),
             &state.agent,
             LiaisonTiming::builder().build(),
--- a/crates/dataplane/src/holder/demand.rs
+++ b/crates/dataplane/src/holder/demand.rs
@@ -1,3 +1,5 @@
+//! The measured demand for a function.
+
 use super::Tuning;
 use common::clock::Moment;
 use std::time::Duration;
--- a/crates/dataplane/src/holder/inbox.rs
+++ b/crates/dataplane/src/holder/inbox.rs
@@ -1,3 +1,5 @@
+//! The inbox of a holder: how long it may grow, who goes first, who is refused, what is sent next.
+
 use super::runners::Phase;
 use super::{Entry, Holder, HolderOutput, Sent, Waiting, not_run};
 use common::clock::Moment;
@@ -69,7 +71,8 @@
     /// Which one goes next: of the first rank that may be sent, the oldest whose target can still be met,
     /// else the oldest.
     fn next_place(&self, now: Moment) -> Option<usize> {
-        let may_go = |waiting: &Waiting| !waiting.entry.is_noted_once() || self.custody.is_able();
+        let may_go =
+            |waiting: &Waiting| !waiting.entry.is_noted_once() || self.replication.is_able();
         let first_place = self.inbox.iter().position(may_go)?;
         let rank = self.inbox[first_place].entry.rank;
         let of_rank = self.inbox.iter().enumerate().skip(first_place);
@@ -93,7 +96,7 @@
         now: Moment,
         entry: &Entry,
     ) -> Option<(HopReason, Duration)> {
-        if entry.is_noted_once() && !self.custody.is_collecting() && now < self.once_from {
+        if entry.is_noted_once() && !self.replication.is_collecting() && now < self.once_from {
             return Some((HopReason::OnceWait, self.once_from.since(now)));
         }
         if entry.repeat && !self.may_spend(now) {
--- a/crates/dataplane/src/holder/output.rs
+++ b/crates/dataplane/src/holder/output.rs
@@ -1,3 +1,5 @@
+//! What a holder orders, and the ends of its sends.
+
 use common::frames::{
     ClaimRunner, HopOutcome, HopReason, Host, LedgerNote, Place, Prior, RunnerNews,
 };
@@ -79,12 +81,12 @@
         digests: Vec<u64>,
     },
     /// Tell the leader.
-    Tell(HolderWord),
+    Tell(HolderMessage),
 }
 
 /// What a holder has for the leader.
 #[derive(Clone, Debug)]
-pub enum HolderWord {
+pub enum HolderMessage {
     /// It wants one more runner.
     Reserve,
     /// What became of a runner.
--- a/crates/dataplane/src/holder/custody.rs
+++ b/crates/dataplane/src/holder/replication.rs
@@ -1,5 +1,7 @@
+//! The copy of the ledger that another daemon, the steward, keeps; and the ledger of an earlier holder.
+
 use super::runners::RunnerRecord;
-use super::{Holder, HolderOutput, HolderWord};
+use super::{Holder, HolderMessage, HolderOutput};
 use common::clock::Moment;
 use common::frames::{HopOutcome, HopReason, Host, LedgerNote, Prior};
 use common::identity::Ticket;
@@ -16,7 +18,7 @@
 }
 
 /// Who keeps the copy of a holder's ledger, and how far it is.
-pub struct Custody {
+pub struct Replication {
     pub(super) steward: Option<Host>,
     pub(super) whole: bool,
     prior: Option<Prior>,
@@ -28,8 +30,8 @@
     compare_at: Moment,
 }
 
-impl Custody {
-    /// A custody as the leader granted it; whole at once when there is nothing to be copied.
+impl Replication {
+    /// The replication as the leader granted it; whole at once when there is nothing to be copied.
     pub fn new(now: Moment, steward: Option<Host>, prior: Option<Prior>, whole: bool) -> Self {
         Self {
             steward,
@@ -71,7 +73,7 @@
 impl Holder {
     /// What is due as soon as the function is granted.
     pub fn begin(&mut self, now: Moment) -> Vec<HolderOutput> {
-        if let Some(prior) = self.custody.prior.clone() {
+        if let Some(prior) = self.replication.prior.clone() {
             self.outputs.push(HolderOutput::Collect { prior });
         }
         self.scale(now);
@@ -80,20 +82,20 @@
 
     /// Notes a once-transaction with the steward; without one it may be sent at once.
     pub(super) fn note_first(&mut self, now: Moment, ticket: Ticket) -> bool {
-        let Some(steward) = self.custody.steward.clone() else { return false };
+        let Some(steward) = self.replication.steward.clone() else { return false };
         let Some(sent) = self.sent.get(&ticket) else { return false };
         let Some(note) = self.book.line(now, &sent.waiting.entry.transaction) else { return false };
-        let round = self.custody.open_round(steward.clone(), vec![ticket], false);
+        let round = self.replication.open_round(steward.clone(), vec![ticket], false);
         self.outputs.push(HolderOutput::Note { round, steward, notes: vec![note] });
         true
     }
 
     /// The steward has noted a round, or has not.
     pub fn noted(&mut self, now: Moment, round: u64, is_kept: bool) -> Vec<HolderOutput> {
-        let Some(ended) = self.custody.rounds.remove(&round) else { return Vec::new() };
-        let is_present = self.custody.steward.as_ref() == Some(&ended.steward);
+        let Some(ended) = self.replication.rounds.remove(&round) else { return Vec::new() };
+        let is_present = self.replication.steward.as_ref() == Some(&ended.steward);
         if ended.is_copy {
-            self.custody.is_copying = false;
+            self.replication.is_copying = false;
         }
         if is_kept && is_present {
             if ended.is_copy {
@@ -103,11 +105,11 @@
                 self.send_noted(now, ticket);
             }
         } else {
-            if is_present && self.custody.asking_since.is_none() {
-                self.custody.asking_since = Some(now);
-                self.custody.whole = false;
+            if is_present && self.replication.asking_since.is_none() {
+                self.replication.asking_since = Some(now);
+                self.replication.whole = false;
                 let lost = ended.steward.member.clone();
-                self.outputs.push(HolderOutput::Tell(HolderWord::StewardLost { lost }));
+                self.outputs.push(HolderOutput::Tell(HolderMessage::StewardLost { lost }));
             }
             for ticket in ended.tickets {
                 self.take_back(now, ticket);
@@ -119,9 +121,10 @@
     }
 
     fn say_whole(&mut self, steward: &Host) {
-        self.custody.whole = true;
-        self.outputs
-            .push(HolderOutput::Tell(HolderWord::StewardWhole { steward: steward.member.clone() }));
+        self.replication.whole = true;
+        self.outputs.push(HolderOutput::Tell(HolderMessage::StewardWhole {
+            steward: steward.member.clone(),
+        }));
     }
 
     fn send_noted(&mut self, now: Moment, ticket: Ticket) {
@@ -147,7 +150,7 @@
 
     /// An earlier holder's ledger has been collected, or could not be.
     pub fn collected(&mut self, now: Moment, notes: Option<Vec<LedgerNote>>) -> Vec<HolderOutput> {
-        if !std::mem::take(&mut self.custody.collecting) {
+        if !std::mem::take(&mut self.replication.collecting) {
             return Vec::new();
         }
         if let Some(notes) = notes {
@@ -196,53 +199,54 @@
 
     /// The leader has named another steward, or nobody.
     pub fn steward_named(&mut self, now: Moment, steward: Option<Host>) -> Vec<HolderOutput> {
-        self.custody.asking_since = None;
-        self.custody.whole = false;
-        self.custody.is_copying = false;
-        self.custody.steward = steward;
-        self.keep_custody(now);
+        self.replication.asking_since = None;
+        self.replication.whole = false;
+        self.replication.is_copying = false;
+        self.replication.steward = steward;
+        self.keep_replica(now);
         self.dispatch(now);
         std::mem::take(&mut self.outputs)
     }
 
     /// The ranges in which the steward's copy differs.
     pub fn compared(&mut self, now: Moment, ranges: &[u8]) -> Vec<HolderOutput> {
-        if let Some(steward) = self.custody.steward.clone().filter(|_| !ranges.is_empty()) {
+        if let Some(steward) = self.replication.steward.clone().filter(|_| !ranges.is_empty()) {
             let notes = self.book.lines_in(now, ranges);
-            let round = self.custody.open_round(steward.clone(), Vec::new(), false);
+            let round = self.replication.open_round(steward.clone(), Vec::new(), false);
             self.outputs.push(HolderOutput::Note { round, steward, notes });
         }
         std::mem::take(&mut self.outputs)
     }
 
     /// Brings the steward's copy level, and keeps it so.
-    pub(super) fn keep_custody(&mut self, now: Moment) {
+    pub(super) fn keep_replica(&mut self, now: Moment) {
         if self.closed || self.released {
             return;
         }
-        if let Some(asking_since) = self.custody.asking_since
+        if let Some(asking_since) = self.replication.asking_since
             && now.since(asking_since) > ASK_AGAIN_AFTER
-            && let Some(steward) = &self.custody.steward
+            && let Some(steward) = &self.replication.steward
         {
-            self.custody.asking_since = Some(now);
+            self.replication.asking_since = Some(now);
             let lost = steward.member.clone();
-            self.outputs.push(HolderOutput::Tell(HolderWord::StewardLost { lost }));
+            self.outputs.push(HolderOutput::Tell(HolderMessage::StewardLost { lost }));
         }
-        let Some(steward) = self.custody.steward.clone().filter(|_| self.custody.is_able()) else {
+        let Some(steward) = self.replication.steward.clone().filter(|_| self.replication.is_able())
+        else {
             return;
         };
-        if !self.custody.whole && !self.custody.is_copying && now >= self.once_from {
+        if !self.replication.whole && !self.replication.is_copying && now >= self.once_from {
             let notes = self.book.once_lines(now);
             if notes.is_empty() {
                 self.say_whole(&steward);
             } else {
-                self.custody.is_copying = true;
-                let round = self.custody.open_round(steward.clone(), Vec::new(), true);
+                self.replication.is_copying = true;
+                let round = self.replication.open_round(steward.clone(), Vec::new(), true);
                 self.outputs.push(HolderOutput::Note { round, steward: steward.clone(), notes });
             }
         }
-        if now >= self.custody.compare_at && self.custody.whole && self.book.has_once() {
-            self.custody.compare_at = now + COMPARE_EVERY;
+        if now >= self.replication.compare_at && self.replication.whole && self.book.has_once() {
+            self.replication.compare_at = now + COMPARE_EVERY;
             let digests = self.book.digests(now);
             self.outputs.push(HolderOutput::Compare { steward, digests });
         }
--- a/crates/dataplane/src/holder/runners.rs
+++ b/crates/dataplane/src/holder/runners.rs
@@ -1,3 +1,5 @@
+//! The runners of a holder: their phases, slots and due looks.
+
 use super::{Holder, HolderOutput};
 use common::clock::Moment;
 use common::frames::{ClaimRunner, Flag, Life, Many, Place};
--- a/crates/dataplane/src/holder/scaling.rs
+++ b/crates/dataplane/src/holder/scaling.rs
@@ -1,5 +1,7 @@
+//! How many runners a holder wants: asks for more, drains or stops those it does not need.
+
 use super::runners::Phase;
-use super::{Holder, HolderOutput, HolderWord};
+use super::{Holder, HolderMessage, HolderOutput};
 use common::clock::Moment;
 use common::identity::RunnerId;
 use std::time::Duration;
@@ -149,7 +151,7 @@
         let missing_count = wanted_count.saturating_sub(coming_count);
         for _ in 0..missing_count.min(MOST_RESERVING.saturating_sub(asked_count)) {
             self.scaling.reserving_since.push(now);
-            self.outputs.push(HolderOutput::Tell(HolderWord::Reserve));
+            self.outputs.push(HolderOutput::Tell(HolderMessage::Reserve));
         }
     }
 
--- a/crates/dataplane/src/holder/tries.rs
+++ b/crates/dataplane/src/holder/tries.rs
@@ -1,3 +1,5 @@
+//! The retry budget of a holder.
+
 use super::Tuning;
 use common::clock::Moment;
 use std::collections::VecDeque;
--- a/crates/dataplane/src/holder/tuning.rs
+++ b/crates/dataplane/src/holder/tuning.rs
@@ -1,3 +1,5 @@
+//! Settings of a holder that operators may change.
+
 use std::time::Duration;
 use typed_builder::TypedBuilder;
 
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -12,7 +12,7 @@
 use common::spec::{Document, FunctionSpec, Table, read_spec};
 use common::tongue::{RunnerSaid, SealKind};
 use dataplane::agent::{
-    Agent, Ask, Controller, DaemonOrder, Held, PassEnd, Task, Way, WayStep, judge,
+    Agent, Ask, DaemonControl, DaemonOrder, Forwarding, ForwardingStep, Held, PassEnd, Task, judge,
 };
 use dataplane::holder::{GrantTerms, Holder, SendEnd};
 use dataplane::liaison::LiaisonTiming;
@@ -82,7 +82,7 @@
 
 struct Bench {
     agent: Agent<u64>,
-    controller: Controller<u64>,
+    controller: DaemonControl<u64>,
     now: Moment,
 }
 
@@ -93,7 +93,8 @@
         let timing = LiaisonTiming::builder().build();
         let seeds = vec![Place::NOWHERE; 3];
         let chance = Chance::seeded(3);
-        let mut controller = Controller::new(START, &agent, timing, Place::NOWHERE, seeds, chance);
+        let mut controller =
+            DaemonControl::new(START, &agent, timing, Place::NOWHERE, seeds, chance);
         controller.tick(&agent, START);
         controller.connected(&agent, START);
         controller.heard(&agent, START, StreamDown::Welcome { term: Term(2) });
@@ -141,9 +142,11 @@
     }
 }
 
-fn refusal(step: &WayStep<u64>) -> Option<(HopReason, u32)> {
+fn refusal(step: &ForwardingStep<u64>) -> Option<(HopReason, u32)> {
     match step {
-        WayStep::End(HopOutcome::NotRun { reason, retry_ms }, _) => Some((*reason, *retry_ms)),
+        ForwardingStep::End(HopOutcome::NotRun { reason, retry_ms }, _) => {
+            Some((*reason, *retry_ms))
+        }
         _ => None,
     }
 }
@@ -221,15 +224,15 @@
 fn a_daemon_serves_nothing_before_its_first_grant_nor_after_its_last() -> Result<()> {
     let mut bench = Bench::new(Rules::KEPT);
     bench.hear(spec_frame(3, "f"));
-    let mut way = Way::new(bench.now, bench.ask());
-    let early = way.look(&bench.agent, bench.now);
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    let early = forwarding.look(&bench.agent, bench.now);
     verify_that!(refusal(&early), some(eq((HopReason::NotServing, 400))))?;
     bench.renew(3);
     bench.list_itself();
-    let mut way = Way::new(bench.now, bench.ask());
-    let asking = way.look(&bench.agent, bench.now);
-    verify_that!(matches!(asking, WayStep::Acquire { .. }), eq(true))?;
-    let late = way.look(&bench.agent, bench.now + ms(2400));
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    let asking = forwarding.look(&bench.agent, bench.now);
+    verify_that!(matches!(asking, ForwardingStep::Acquire { .. }), eq(true))?;
+    let late = forwarding.look(&bench.agent, bench.now + ms(2400));
     verify_that!(refusal(&late).map(|(reason, _)| reason), some(eq(HopReason::NotServing)))
 }
 
@@ -239,16 +242,16 @@
     bench.hear(spec_frame(3, "f"));
     bench.renew(3);
     bench.list_itself();
-    let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.agent, bench.now);
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    forwarding.look(&bench.agent, bench.now);
     let told = Some(AcquireResult::Later { wait_ms: 2300 });
-    let step = way.acquired(&bench.agent, bench.now, told);
+    let step = forwarding.acquired(&bench.agent, bench.now, told);
     verify_that!(refusal(&step), some(eq((HopReason::NoOwner, 2500))))?;
-    let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.agent, bench.now);
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    forwarding.look(&bench.agent, bench.now);
     let told = Some(AcquireResult::Later { wait_ms: 300 });
-    let step = way.acquired(&bench.agent, bench.now, told);
-    verify_that!(matches!(step, WayStep::Wait { .. }), eq(true))
+    let step = forwarding.acquired(&bench.agent, bench.now, told);
+    verify_that!(matches!(step, ForwardingStep::Wait { .. }), eq(true))
 }
 
 #[gtest]
@@ -257,17 +260,18 @@
     bench.hear(spec_frame(3, "f"));
     bench.renew(3);
     bench.list_itself();
-    let mut way = Way::new(bench.now, bench.ask());
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
     let turned = HopOutcome::NotRun { reason: HopReason::NotHolder, retry_ms: 50 };
-    way.look(&bench.agent, bench.now);
-    let WayStep::Wait { wait_until } = way.served(&bench.agent, bench.now, turned) else {
+    forwarding.look(&bench.agent, bench.now);
+    let ForwardingStep::Wait { wait_until } = forwarding.served(&bench.agent, bench.now, turned)
+    else {
         return fail!("a transaction that was turned away is not looked at again");
     };
     verify_that!(wait_until, gt(bench.now))?;
-    let sooner = way.look(&bench.agent, bench.now + ms(1));
-    verify_that!(matches!(sooner, WayStep::Wait { .. }), eq(true))?;
-    let again = way.look(&bench.agent, wait_until);
-    verify_that!(matches!(again, WayStep::Acquire { .. }), eq(true))
+    let sooner = forwarding.look(&bench.agent, bench.now + ms(1));
+    verify_that!(matches!(sooner, ForwardingStep::Wait { .. }), eq(true))?;
+    let again = forwarding.look(&bench.agent, wait_until);
+    verify_that!(matches!(again, ForwardingStep::Acquire { .. }), eq(true))
 }
 
 #[gtest]
@@ -394,36 +398,36 @@
 }
 
 /// A daemon that has passed a transaction on, and whose holder refused it by another spec.
-fn disputed() -> (Bench, Way, WayStep<u64>) {
+fn disputed() -> (Bench, Forwarding, ForwardingStep<u64>) {
     let mut bench = Bench::new(Rules::KEPT);
     bench.hear(spec_frame(3, "f"));
     bench.renew(3);
     bench.list_itself();
-    let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.agent, bench.now);
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    forwarding.look(&bench.agent, bench.now);
     let refused = HopOutcome::NotRun { reason: HopReason::NotAllowed, retry_ms: 500 };
-    let step = way.passed(&bench.agent, bench.now, PassEnd::Done(refused, None));
-    (bench, way, step)
+    let step = forwarding.passed(&bench.agent, bench.now, PassEnd::Done(refused, None));
+    (bench, forwarding, step)
 }
 
 #[gtest]
 fn a_holder_with_a_newer_spec_has_the_door_look_again_when_its_own_comes() -> Result<()> {
-    let (mut bench, mut way, step) = disputed();
-    let WayStep::Wait { wait_until } = step else { return fail!("the door does not wait") };
+    let (mut bench, mut forwarding, step) = disputed();
+    let ForwardingStep::Wait { wait_until } = step else { return fail!("the door does not wait") };
     verify_that!(wait_until, eq(bench.now + ms(300)))?;
-    let unchanged = way.look(&bench.agent, bench.now + ms(100));
-    verify_that!(matches!(unchanged, WayStep::Wait { .. }), eq(true))?;
+    let unchanged = forwarding.look(&bench.agent, bench.now + ms(100));
+    verify_that!(matches!(unchanged, ForwardingStep::Wait { .. }), eq(true))?;
     bench.hear(spec_frame(4, "g"));
-    let changed = way.look(&bench.agent, bench.now + ms(110));
-    verify_that!(matches!(changed, WayStep::Acquire { .. }), eq(true))?;
-    verify_that!(way.ask().function.clone(), eq(&bench.key("g")))?;
-    verify_that!(way.ask().serial, eq(Serial(4)))
+    let changed = forwarding.look(&bench.agent, bench.now + ms(110));
+    verify_that!(matches!(changed, ForwardingStep::Acquire { .. }), eq(true))?;
+    verify_that!(forwarding.ask().function.clone(), eq(&bench.key("g")))?;
+    verify_that!(forwarding.ask().serial, eq(Serial(4)))
 }
 
 #[gtest]
 fn a_disagreement_that_stays_is_a_reason_to_come_back_soon_and_no_more() -> Result<()> {
-    let (bench, mut way, _) = disputed();
-    let late = way.look(&bench.agent, bench.now + ms(300));
+    let (bench, mut forwarding, _) = disputed();
+    let late = forwarding.look(&bench.agent, bench.now + ms(300));
     verify_that!(refusal(&late), some(eq((HopReason::NotAllowed, 200))))
 }
 
@@ -498,14 +502,14 @@
     let asked = |refer: bool, body: usize, budget: u64| {
         let parcel = Arc::new(Parcel::of_body(vec![0; body].into()));
         let budget_end = bench.now + ms(budget);
-        let mut way =
-            Way::new(bench.now, Ask { hops: 1, refer, parcel, budget_end, ..bench.ask() });
-        way.look(&bench.agent, bench.now)
+        let mut forwarding =
+            Forwarding::new(bench.now, Ask { hops: 1, refer, parcel, budget_end, ..bench.ask() });
+        forwarding.look(&bench.agent, bench.now)
     };
     let named = asked(true, 100, 2000);
     verify_that!(refusal(&named).map(|(reason, _)| reason), some(eq(HopReason::NotHolder)))?;
-    verify_that!(matches!(named, WayStep::End(_, Some(host)) if host == holder), eq(true))?;
-    let is_passed = |step: WayStep<u64>| matches!(step, WayStep::Pass { .. });
+    verify_that!(matches!(named, ForwardingStep::End(_, Some(host)) if host == holder), eq(true))?;
+    let is_passed = |step: ForwardingStep<u64>| matches!(step, ForwardingStep::Pass { .. });
     verify_that!(is_passed(asked(false, 100, 2000)), eq(true))?;
     verify_that!(is_passed(asked(true, 1 << 20, 2000)), eq(true))?;
     verify_that!(is_passed(asked(true, 100, 200)), eq(true))
@@ -515,26 +519,27 @@
 fn a_door_goes_itself_to_the_holder_it_is_told_and_takes_no_second_such_word() -> Result<()> {
     let holder = far_host("daemon-2", 4);
     let bench = Bench::among(vec![holder.clone(), far_host("daemon-3", 5)]);
-    let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.agent, bench.now);
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    forwarding.look(&bench.agent, bench.now);
     let named = || HopOutcome::NotRun { reason: HopReason::NotHolder, retry_ms: 50 };
     let end = PassEnd::Done(named(), Some(holder.clone()));
-    let WayStep::Pass { host, body, .. } = way.passed(&bench.agent, bench.now, end) else {
+    let ForwardingStep::Pass { host, body, .. } = forwarding.passed(&bench.agent, bench.now, end)
+    else {
         return fail!("the door does not go there");
     };
     verify_that!(host, eq(&holder))?;
     verify_that!(matches!(body, HopBody::Ask { refer: Flag(false), .. }), eq(true))?;
-    let again = way.passed(&bench.agent, bench.now, PassEnd::Done(named(), Some(holder)));
-    verify_that!(matches!(again, WayStep::Wait { .. }), eq(true))
+    let again = forwarding.passed(&bench.agent, bench.now, PassEnd::Done(named(), Some(holder)));
+    verify_that!(matches!(again, ForwardingStep::Wait { .. }), eq(true))
 }
 
 #[gtest]
 fn a_wait_foreseen_by_the_hash_owner_reaches_the_door_as_it_is() -> Result<()> {
     let bench = Bench::among(vec![far_host("daemon-2", 4)]);
-    let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.agent, bench.now);
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    forwarding.look(&bench.agent, bench.now);
     let told = HopOutcome::NotRun { reason: HopReason::NoOwner, retry_ms: 1733 };
-    let step = way.passed(&bench.agent, bench.now, PassEnd::Done(told, None));
+    let step = forwarding.passed(&bench.agent, bench.now, PassEnd::Done(told, None));
     verify_that!(refusal(&step), some(eq((HopReason::NoOwner, 1733))))
 }
 
@@ -543,20 +548,22 @@
     let holder = far_host("daemon-2", 4);
     let mut bench = Bench::among(vec![holder.clone()]);
     bench.agent.learn_owner(&bench.key("f"), &holder);
-    let mut way = Way::new(bench.now, bench.ask());
-    let first = way.look(&bench.agent, bench.now);
-    verify_that!(matches!(first, WayStep::Pass { .. }), eq(true))?;
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    let first = forwarding.look(&bench.agent, bench.now);
+    verify_that!(matches!(first, ForwardingStep::Pass { .. }), eq(true))?;
     bench.mark_silent(&holder);
     verify_that!(is_valid(&holder, &bench.agent.hosts.load()), eq(false))?;
-    let step = way.passed(&bench.agent, bench.now, PassEnd::Lost);
-    let WayStep::Wait { wait_until } = step else { return fail!("it does not go on") };
-    verify_that!(way.ask().repeat, eq(true))?;
-    let asking = way.look(&bench.agent, wait_until);
-    verify_that!(matches!(asking, WayStep::Acquire { .. }), eq(true))?;
+    let step = forwarding.passed(&bench.agent, bench.now, PassEnd::Lost);
+    let ForwardingStep::Wait { wait_until } = step else { return fail!("it does not go on") };
+    verify_that!(forwarding.ask().repeat, eq(true))?;
+    let asking = forwarding.look(&bench.agent, wait_until);
+    verify_that!(matches!(asking, ForwardingStep::Acquire { .. }), eq(true))?;
     let told = Some(AcquireResult::Later { wait_ms: 2300 });
-    let step = way.acquired(&bench.agent, wait_until, told);
-    let is_unknown =
-        matches!(step, WayStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, _));
+    let step = forwarding.acquired(&bench.agent, wait_until, told);
+    let is_unknown = matches!(
+        step,
+        ForwardingStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, _)
+    );
     verify_that!(is_unknown, eq(true))
 }
 
@@ -567,10 +574,10 @@
     bench.hear(once_frame(4));
     bench.renew(4);
     bench.agent.learn_owner(&bench.key("f"), &holder);
-    let mut way = Way::new(bench.now, bench.ask());
-    way.look(&bench.agent, bench.now);
-    let step = way.passed(&bench.agent, bench.now, PassEnd::Lost);
-    verify_that!(matches!(step, WayStep::End(HopOutcome::Unknown { .. }, _)), eq(true))
+    let mut forwarding = Forwarding::new(bench.now, bench.ask());
+    forwarding.look(&bench.agent, bench.now);
+    let step = forwarding.passed(&bench.agent, bench.now, PassEnd::Lost);
+    verify_that!(matches!(step, ForwardingStep::End(HopOutcome::Unknown { .. }, _)), eq(true))
 }
 
 #[gtest]
--- a/crates/dataplane/tests/costs/mod.rs
+++ b/crates/dataplane/tests/costs/mod.rs
@@ -6,7 +6,7 @@
 use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
 use common::spec::FunctionSpec;
 use common::tongue::BeginEnd;
-use dataplane::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd, Tuning};
+use dataplane::holder::{Entry, GrantTerms, Holder, HolderMessage, HolderOutput, SendEnd, Tuning};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::time::Duration;
@@ -393,7 +393,7 @@
             match output {
                 HolderOutput::Send { ticket, runner, .. } => self.send(number, ticket, runner),
                 HolderOutput::End { ticket, outcome } => self.over(number, ticket, &outcome),
-                HolderOutput::Tell(HolderWord::Reserve) => {
+                HolderOutput::Tell(HolderMessage::Reserve) => {
                     self.plan(number, LEADER_SPAN, Happening::Reserved);
                 }
                 HolderOutput::Start { runner, .. } => self.start(number, runner),
--- a/crates/dataplane/tests/holder.rs
+++ b/crates/dataplane/tests/holder.rs
@@ -9,7 +9,7 @@
 use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
 use common::spec::FunctionSpec;
 use common::tongue::BeginEnd;
-use dataplane::holder::{Entry, GrantTerms, Holder, HolderOutput, HolderWord, SendEnd, Tuning};
+use dataplane::holder::{Entry, GrantTerms, Holder, HolderMessage, HolderOutput, SendEnd, Tuning};
 use googletest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -119,7 +119,7 @@
                 HolderOutput::End { ticket, outcome } => {
                     self.ended.insert(ticket, outcome);
                 }
-                HolderOutput::Tell(HolderWord::Reserve) => {
+                HolderOutput::Tell(HolderMessage::Reserve) => {
                     self.next_runner += 1;
                     let runner = RunnerId { grant: GrantSerial(1), ordinal: self.next_runner };
                     let result =
@@ -331,7 +331,7 @@
     let life = Life { name: "l1".into(), place: Place::NOWHERE };
     let outputs = bench.holder.started(bench.now, runner, BeginEnd::Begun(life.clone()));
     let told = outputs.iter().any(|output| {
-        matches!(output, HolderOutput::Tell(HolderWord::News { news: RunnerNews::Begun { life: told }, .. })
+        matches!(output, HolderOutput::Tell(HolderMessage::News { news: RunnerNews::Begun { life: told }, .. })
             if *told == life)
     });
     verify_that!(told, eq(true))
@@ -345,13 +345,13 @@
     bench.holder.reserved(bench.now, &result);
     let outputs = bench.holder.started(bench.now, runner, BeginEnd::NoRoom);
     let gone = outputs.iter().any(|output| {
-        matches!(output, HolderOutput::Tell(HolderWord::News { news: RunnerNews::Gone, .. }))
+        matches!(output, HolderOutput::Tell(HolderMessage::News { news: RunnerNews::Gone, .. }))
     });
     verify_that!(gone, eq(true))?;
     bench.now = bench.now + ms(500);
     let outputs = bench.holder.tick(bench.now);
     let asks =
-        outputs.iter().any(|output| matches!(output, HolderOutput::Tell(HolderWord::Reserve)));
+        outputs.iter().any(|output| matches!(output, HolderOutput::Tell(HolderMessage::Reserve)));
     verify_that!(asks, eq(true))
 }
 
@@ -563,7 +563,7 @@
     let outputs = bench.holder.noted(bench.now, round, false);
     let asks_for_another = outputs
         .iter()
-        .any(|output| matches!(output, HolderOutput::Tell(HolderWord::StewardLost { .. })));
+        .any(|output| matches!(output, HolderOutput::Tell(HolderMessage::StewardLost { .. })));
     bench.take(outputs);
     verify_that!(asks_for_another, eq(true))?;
     bench.pass(ms(40));
@@ -581,7 +581,7 @@
     let said_whole = bench
         .orders
         .iter()
-        .any(|output| matches!(output, HolderOutput::Tell(HolderWord::StewardWhole { .. })));
+        .any(|output| matches!(output, HolderOutput::Tell(HolderMessage::StewardWhole { .. })));
     verify_that!(said_whole, eq(true))
 }
 
--- a/testing/fleet/src/hollow/calls.rs
+++ b/testing/fleet/src/hollow/calls.rs
@@ -13,7 +13,8 @@
 use common::seal;
 use common::tongue::{BeginEnd, RunnerSaid, SealKind};
 use dataplane::agent::{
-    Agent, Ask, Held, InHand, PassEnd, Question, RunnerCall, Task, Topic, Way, WayStep, judge,
+    Agent, Ask, Forwarding, ForwardingStep, Held, InHand, PassEnd, Question, RunnerCall, Task,
+    Topic, judge,
 };
 use dataplane::holder::{Holder, HolderOutput, SendEnd};
 use serde_json::json;
@@ -42,7 +43,7 @@
 
 /// A transaction in a daemon's hands.
 pub(super) struct Pending {
-    way: Way,
+    forwarding: Forwarding,
     back: Back,
     awaits: Awaits,
     wakes: u64,
@@ -60,7 +61,9 @@
             Event::Call => self.call_some(),
             Event::Look { daemon, number, wake } => self.look(daemon, number, wake),
             Event::AcquireTimedOut(daemon, number) => {
-                self.step(daemon, number, Awaits::Acquired, |way, agent, now| way.look(agent, now));
+                self.step(daemon, number, Awaits::Acquired, |forwarding, agent, now| {
+                    forwarding.look(agent, now)
+                });
             }
             Event::Hop { daemon, back, frame } => self.hear_hop(daemon, back, &frame),
             Event::HopDone { daemon, number, frame } => {
@@ -168,16 +171,21 @@
         let now = self.now;
         let Some(begun) = &mut self.daemons[daemon] else { return };
         let in_hand = begun.agent.take_in_hand();
-        let way = Way::new(now, ask);
-        let pending = Pending { way, back, awaits: Awaits::Look, wakes: 0, _in_hand: in_hand };
+        let forwarding = Forwarding::new(now, ask);
+        let pending =
+            Pending { forwarding, back, awaits: Awaits::Look, wakes: 0, _in_hand: in_hand };
         begun.pendings.insert(number, pending);
-        self.step(daemon, number, Awaits::Look, |way, agent, now| way.look(agent, now));
+        self.step(daemon, number, Awaits::Look, |forwarding, agent, now| {
+            forwarding.look(agent, now)
+        });
     }
 
     /// The time of a wait is up, unless something else has come since.
     fn look(&mut self, daemon: usize, number: u64, wake: u64) {
         if self.pending(daemon, number).is_some_and(|pending| pending.wakes == wake) {
-            self.step(daemon, number, Awaits::Look, |way, agent, now| way.look(agent, now));
+            self.step(daemon, number, Awaits::Look, |forwarding, agent, now| {
+                forwarding.look(agent, now)
+            });
         }
     }
 
@@ -204,7 +212,7 @@
         daemon: usize,
         number: u64,
         awaited: Awaits,
-        change: impl FnOnce(&mut Way, &Agent<u64>, Moment) -> WayStep<u64>,
+        change: impl FnOnce(&mut Forwarding, &Agent<u64>, Moment) -> ForwardingStep<u64>,
     ) {
         let now = self.now;
         let Some(begun) = &mut self.daemons[daemon] else { return };
@@ -213,28 +221,29 @@
         if pending.awaits != awaited {
             return;
         }
-        let way = &mut pending.way;
-        let (next_step, _) = self.meter.think(Role::Door, Work::Calls, || change(way, &agent, now));
+        let forwarding = &mut pending.forwarding;
+        let (next_step, _) =
+            self.meter.think(Role::Door, Work::Calls, || change(forwarding, &agent, now));
         pending.awaits = match &next_step {
-            WayStep::Serve(..) => Awaits::Outcome,
-            WayStep::Pass { .. } => Awaits::Passed,
-            WayStep::Acquire { .. } => Awaits::Acquired,
-            WayStep::Wait { .. } | WayStep::End(..) => Awaits::Look,
+            ForwardingStep::Serve(..) => Awaits::Outcome,
+            ForwardingStep::Pass { .. } => Awaits::Passed,
+            ForwardingStep::Acquire { .. } => Awaits::Acquired,
+            ForwardingStep::Wait { .. } | ForwardingStep::End(..) => Awaits::Look,
         };
         match next_step {
-            WayStep::Serve(held, task) => self.serve(daemon, number, &held, task),
-            WayStep::Pass { host, body, wait_until } => {
+            ForwardingStep::Serve(held, task) => self.serve(daemon, number, &held, task),
+            ForwardingStep::Pass { host, body, wait_until } => {
                 self.pass(daemon, number, &host, body, wait_until);
             }
-            WayStep::Acquire { wait_until } => self.acquire(daemon, number, wait_until),
-            WayStep::Wait { wait_until } => {
+            ForwardingStep::Acquire { wait_until } => self.acquire(daemon, number, wait_until),
+            ForwardingStep::Wait { wait_until } => {
                 let Some(pending) = self.pending(daemon, number) else { return };
                 pending.wakes += 1;
                 let wake = pending.wakes;
                 let wait_span = wait_until.since(now);
                 self.push(wait_span, Event::Look { daemon, number, wake });
             }
-            WayStep::End(outcome, holder) => self.end(daemon, number, outcome, holder),
+            ForwardingStep::End(outcome, holder) => self.end(daemon, number, outcome, holder),
         }
     }
 
@@ -252,8 +261,8 @@
     }
 
     fn served(&mut self, daemon: usize, number: u64, outcome: HopOutcome) {
-        self.step(daemon, number, Awaits::Outcome, |way, agent, now| {
-            way.served(agent, now, outcome)
+        self.step(daemon, number, Awaits::Outcome, |forwarding, agent, now| {
+            forwarding.served(agent, now, outcome)
         });
     }
 
@@ -290,7 +299,9 @@
     }
 
     fn passed(&mut self, daemon: usize, number: u64, end: PassEnd) {
-        self.step(daemon, number, Awaits::Passed, |way, agent, now| way.passed(agent, now, end));
+        self.step(daemon, number, Awaits::Passed, |forwarding, agent, now| {
+            forwarding.passed(agent, now, end)
+        });
     }
 
     fn end(&mut self, daemon: usize, number: u64, outcome: HopOutcome, holder: Option<Host>) {
@@ -320,7 +331,7 @@
         self.push(wait_span, Event::AcquireTimedOut(daemon, number));
         let Some(begun) = &mut self.daemons[daemon] else { return };
         let Some(pending) = begun.pendings.get(&number) else { return };
-        let function = pending.way.ask().function.clone();
+        let function = pending.forwarding.ask().function.clone();
         let waiting = begun.acquires.entry(function.clone()).or_default();
         waiting.push(number);
         if waiting.len() == 1 {
@@ -338,8 +349,8 @@
     ) {
         let Some(begun) = &mut self.daemons[daemon] else { return };
         for number in begun.acquires.remove(function).unwrap_or_default() {
-            self.step(daemon, number, Awaits::Acquired, |way, agent, now| {
-                way.acquired(agent, now, result.clone())
+            self.step(daemon, number, Awaits::Acquired, |forwarding, agent, now| {
+                forwarding.acquired(agent, now, result.clone())
             });
         }
     }
--- a/testing/fleet/src/hollow/daemons.rs
+++ b/testing/fleet/src/hollow/daemons.rs
@@ -16,8 +16,8 @@
 use common::identity::FunctionKey;
 use common::rules::Rules;
 use controlplane::controller_state::ControllerInput;
-use dataplane::agent::{Agent, Controller, DaemonOrder, Held};
-use dataplane::holder::HolderWord;
+use dataplane::agent::{Agent, DaemonControl, DaemonOrder, Held};
+use dataplane::holder::HolderMessage;
 use dataplane::liaison::LiaisonTiming;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -32,7 +32,7 @@
 /// One hollow daemon.
 pub(super) struct Daemon {
     pub agent: Arc<Agent<u64>>,
-    pub controller: Controller<u64>,
+    pub controller: DaemonControl<u64>,
     pub pendings: HashMap<u64, Pending>,
     pub acquires: BTreeMap<FunctionKey, Vec<u64>>,
     pub link: Option<usize>,
@@ -55,7 +55,7 @@
             eligible: Flag(true),
         };
         let agent = Arc::new(Agent::new(host, Rules::KEPT));
-        let controller = Controller::new(
+        let controller = DaemonControl::new(
             self.now,
             &agent,
             LiaisonTiming::builder().build(),
@@ -114,7 +114,7 @@
         &mut self,
         daemon: usize,
         work: Work,
-        step: impl FnOnce(&mut Controller<u64>, &Agent<u64>, Moment) -> Vec<DaemonOrder<u64>>,
+        step: impl FnOnce(&mut DaemonControl<u64>, &Agent<u64>, Moment) -> Vec<DaemonOrder<u64>>,
     ) {
         let now = self.now;
         let Some(begun) = &mut self.daemons[daemon] else { return };
@@ -258,7 +258,7 @@
         self.meter.think(Role::Door, Work::Beats, || controller.beat(now, &beat.heartbeat));
     }
 
-    pub(super) fn hear_word(&mut self, spot: Spot, word: HolderWord) {
+    pub(super) fn hear_word(&mut self, spot: Spot, word: HolderMessage) {
         let Spot { daemon, function, grant } = spot;
         self.control(daemon, Work::Runners, |controller, agent, now| {
             controller.told(agent, now, function, grant, word)
--- a/testing/fleet/src/hollow/events.rs
+++ b/testing/fleet/src/hollow/events.rs
@@ -3,7 +3,7 @@
 use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use controlplane::controller_state::{Operation, OperationTicket};
 use dataplane::agent::{PassEnd, RunnerCall, Topic};
-use dataplane::holder::{HolderWord, SendEnd};
+use dataplane::holder::{HolderMessage, SendEnd};
 use std::rc::Rc;
 
 /// A heartbeat on its way, with its bytes.
@@ -45,7 +45,7 @@
     Hop { daemon: usize, back: Back, frame: Bytes },
     HopDone { daemon: usize, number: u64, frame: Bytes },
     Passed(usize, u64, PassEnd),
-    Word(Spot, HolderWord),
+    Word(Spot, HolderMessage),
     Started(Spot, RunnerId, Life),
     Stopped(Spot, RunnerId),
     LeaderStopped(usize, RunnerId),
--- a/testing/fleet/src/sim/daemon.rs
+++ b/testing/fleet/src/sim/daemon.rs
@@ -7,7 +7,8 @@
 use common::identity::{FunctionKey, GrantSerial, Serial, TransactionId, Zone};
 use common::tongue::BeginEnd;
 use dataplane::agent::{
-    Agent, Ask, Controller, DaemonOrder, Held, InHand, PassEnd, Question, Task, Topic, Way, WayStep,
+    Agent, Ask, DaemonControl, DaemonOrder, Forwarding, ForwardingStep, Held, InHand, PassEnd,
+    Question, Task, Topic,
 };
 use dataplane::holder::{Holder, HolderOutput};
 use dataplane::liaison::LiaisonTiming;
@@ -27,7 +28,7 @@
 }
 
 struct Pending {
-    way: Way,
+    way: Forwarding,
     back: Back,
     awaits: Awaits,
     wakes: u64,
@@ -61,7 +62,7 @@
 /// What dies with a daemon's process.
 pub struct Body {
     pub(super) agent: Arc<Agent<u64>>,
-    controller: Controller<u64>,
+    controller: DaemonControl<u64>,
     pendings: BTreeMap<u64, Pending>,
     acquires: BTreeMap<FunctionKey, Vec<u64>>,
     link: Option<u64>,
@@ -119,7 +120,7 @@
             eligible: Flag(true),
         };
         let agent = Arc::new(Agent::new(host, self.plan.rules()).with_tuning(self.plan.tuning));
-        let controller = Controller::new(
+        let controller = DaemonControl::new(
             local_now,
             &agent,
             LiaisonTiming::builder().build(),
@@ -209,7 +210,7 @@
     pub(super) fn with_controller(
         &mut self,
         place: usize,
-        change: impl FnOnce(&mut Controller<u64>, &Agent<u64>, Moment) -> Vec<DaemonOrder<u64>>,
+        change: impl FnOnce(&mut DaemonControl<u64>, &Agent<u64>, Moment) -> Vec<DaemonOrder<u64>>,
     ) {
         let local_now = self.daemon_now(place);
         let Some(body) = &mut self.daemons[place].body else { return };
@@ -602,7 +603,7 @@
         let number = self.next_number;
         let Some(body) = &mut self.daemons[place].body else { return };
         let in_hand = body.agent.take_in_hand();
-        let way = Way::new(local_now, ask);
+        let way = Forwarding::new(local_now, ask);
         let pending = Pending {
             way,
             back,
@@ -686,7 +687,7 @@
         place: usize,
         number: u64,
         awaited: Awaits,
-        change: impl FnOnce(&mut Way, &Agent<u64>, Moment) -> WayStep<u64>,
+        change: impl FnOnce(&mut Forwarding, &Agent<u64>, Moment) -> ForwardingStep<u64>,
     ) {
         let local_now = self.daemon_now(place);
         let Some(body) = &mut self.daemons[place].body else { return };
@@ -700,23 +701,23 @@
         let function = pending.way.ask().function.clone();
         let is_first = !pending.way.ask().repeat;
         pending.awaits = match &next_step {
-            WayStep::Serve(..) => Awaits::Outcome,
-            WayStep::Pass { .. } => Awaits::Passed,
-            WayStep::Acquire { .. } => Awaits::Acquired,
-            WayStep::Wait { .. } | WayStep::End(..) => Awaits::Look,
+            ForwardingStep::Serve(..) => Awaits::Outcome,
+            ForwardingStep::Pass { .. } => Awaits::Passed,
+            ForwardingStep::Acquire { .. } => Awaits::Acquired,
+            ForwardingStep::Wait { .. } | ForwardingStep::End(..) => Awaits::Look,
         };
         if function != function_before && is_first {
             self.checks.turned(self.now, &function_before, &function);
         }
         match next_step {
-            WayStep::Serve(held, task) => self.serve(place, number, &held, task),
-            WayStep::Pass { host, body, wait_until } => {
+            ForwardingStep::Serve(held, task) => self.serve(place, number, &held, task),
+            ForwardingStep::Pass { host, body, wait_until } => {
                 pending.passed_to = Some(host.clone());
                 self.pass(place, number, &host, body, wait_until);
             }
-            WayStep::Acquire { wait_until } => self.acquire(place, number, wait_until),
-            WayStep::Wait { wait_until } => self.wake_at(place, wait_until, number),
-            WayStep::End(outcome, holder) => self.end(place, number, outcome, holder),
+            ForwardingStep::Acquire { wait_until } => self.acquire(place, number, wait_until),
+            ForwardingStep::Wait { wait_until } => self.wake_at(place, wait_until, number),
+            ForwardingStep::End(outcome, holder) => self.end(place, number, outcome, holder),
         }
     }
 
--- a/testing/fleet/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -24,7 +24,7 @@
 use controlplane::leader_state::StreamId;
 use dataplane::agent::{Ask, PassEnd, Topic};
 use dataplane::holder::Tuning;
-use dataplane::holder::{HolderWord, SendEnd};
+use dataplane::holder::{HolderMessage, SendEnd};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -140,7 +140,7 @@
     AcquireTimedOut(Node, u64, u64),
     Hop(Node, u64, Back, HopBody),
     Passed(Node, u64, u64, PassEnd),
-    Word(Node, u64, FunctionKey, GrantSerial, HolderWord),
+    Word(Node, u64, FunctionKey, GrantSerial, HolderMessage),
     Gone(Node, u64),
     Start(Asker, FunctionKey, RunnerId, WorkerName, FunctionSpec),
     Started(Asker, FunctionKey, RunnerId, BeginEnd),
