Split the simulated world by job; any number of controllers

world.rs held the plan, the events, their dispatch, the streams, the callers and the founding; each is a module now. Nodes of daemons and controllers are told apart by methods in place of literals.

--- a/testing/fleet/src/sim/controller.rs
+++ b/testing/fleet/src/sim/controller.rs
@@ -1,8 +1,9 @@
 use super::daemon::local_moment;
+use super::event::Event;
 use super::flaw::Flaw;
 use super::network::{Node, PLATFORM};
 use super::platform::Asker;
-use super::world::{Event, World};
+use super::world::World;
 use common::chance::Chance;
 use common::clock::Moment;
 use common::events;
--- a/testing/fleet/src/sim/daemon.rs
+++ b/testing/fleet/src/sim/daemon.rs
@@ -1,6 +1,7 @@
+use super::event::Event;
 use super::network::{Node, PLATFORM};
 use super::platform::Asker;
-use super::world::{Event, World};
+use super::world::World;
 use common::chance::Chance;
 use common::clock::Moment;
 use common::frames::{AcquireResult, Flag, HopBody, HopOutcome, Host, Many, Parcel, StreamUp};
@@ -759,7 +760,7 @@
         let wait_span = wait_until.since(self.daemon_now(place));
         let wait_span = virtual_span(wait_span, self.daemons[place].clock_drift);
         let Some(to_node) = self.node_at(host.place) else { return };
-        let is_dead = self.daemons[to_node.0 - 3].body.is_none();
+        let is_dead = self.daemons[to_node.daemon_place()].body.is_none();
         let delay = self.network.delay(&mut self.chance);
         if is_dead {
             self.push(delay, Event::Passed(node, life, number, PassEnd::Unsent));
@@ -777,7 +778,7 @@
         }
         self.push(wait_span, Event::Passed(node, life, number, PassEnd::Lost));
         let back = Back::Hop { node, life, number };
-        let to_life = self.daemons[to_node.0 - 3].life;
+        let to_life = self.daemons[to_node.daemon_place()].life;
         self.push(delay, Event::Hop(to_node, to_life, back, body));
     }
 
--- /dev/null
+++ b/testing/fleet/src/sim/event.rs
@@ -0,0 +1,99 @@
+//! What happens in a simulated fleet.
+
+use super::daemon::Back;
+use super::network::Node;
+use super::platform::Asker;
+use super::runners::SimRun;
+use common::clock::Moment;
+use common::frames::{CoreFrame, Heartbeat, HopBody, Place, StreamDown, StreamUp};
+use common::identity::{
+    FunctionKey, GrantSerial, LifeName, RunnerId, Ticket, TransactionId, WorkerName, Zone,
+};
+use common::spec::FunctionSpec;
+use common::tongue::{BeginEnd, ListedRunner, ListedWorker, StopOrder};
+use controlplane::controller_state::{Operation, OperationReply, OperationTicket};
+use controlplane::core::{WriteJob, WriteResult};
+use dataplane::agent::{PassEnd, Topic};
+use dataplane::holder::{HolderWord, SendEnd};
+
+pub(super) enum Event {
+    Tick(Node, u64),
+    Poll(Node, u64),
+    CoreFrame(Node, CoreFrame),
+    ControllerGone(Node, Place),
+    Durable(Node, u64, WriteJob),
+    Written(Node, u64, Ticket, WriteResult),
+    Lists(Node, u64, Vec<ListedWorker>, Moment, Vec<ListedRunner>),
+    Dialed(u64),
+    LinkUp(u64, StreamUp),
+    LinkDown(u64, StreamDown),
+    LinkLost(u64, Node),
+    Beat(Node, Heartbeat),
+    Look(Node, u64, u64, u64),
+    AcquireTimedOut(Node, u64, u64),
+    Hop(Node, u64, Back, HopBody),
+    Passed(Node, u64, u64, PassEnd),
+    Word(Node, u64, FunctionKey, GrantSerial, HolderWord),
+    Gone(Node, u64),
+    Start(Asker, FunctionKey, RunnerId, WorkerName, FunctionSpec),
+    Started(Asker, FunctionKey, RunnerId, BeginEnd),
+    Stop(Asker, FunctionKey, RunnerId, Option<LifeName>),
+    Stopped(Asker, FunctionKey, RunnerId),
+    LeaderStop(Asker, StopOrder),
+    LeaderStopped(Asker, RunnerId),
+    Probed(Asker, FunctionKey, RunnerId, bool),
+    Settled(Asker, FunctionKey, RunnerId, Option<Vec<TransactionId>>),
+    Run(Place, SimRun),
+    RunDone(RunnerId, SimRun, u8),
+    SendEnded(Asker, FunctionKey, Ticket, GrantSerial, SendEnd),
+    StewardAsked(Node, Asker, u64, FunctionKey, GrantSerial, Topic, HopBody),
+    StewardSaid(Asker, u64, FunctionKey, GrantSerial, Topic, Option<HopBody>),
+    Operate(Node, OperationTicket, Operation),
+    Operated(OperationTicket, OperationReply),
+    ListTick,
+    Call,
+    CallAgain(TransactionId, &'static str),
+    Repeat(String),
+    Change,
+    Fault,
+    Return(Node),
+    Mend,
+    Wake(Node),
+    Behave,
+    RestoreWorkers,
+    RunnerLeft(RunnerId),
+    WorkersReturn(Vec<ListedWorker>),
+    Restore(Zone),
+    Heal,
+}
+
+impl Event {
+    /// The node whose process must be awake for it, and in which life if that matters.
+    pub(super) fn target(&self) -> Option<(Node, Option<u64>)> {
+        match self {
+            Self::Tick(node, life)
+            | Self::Poll(node, life)
+            | Self::Written(node, life, ..)
+            | Self::Lists(node, life, ..)
+            | Self::Look(node, life, ..)
+            | Self::AcquireTimedOut(node, life, _)
+            | Self::Hop(node, life, ..)
+            | Self::Word(node, life, ..)
+            | Self::Gone(node, life)
+            | Self::Passed(node, life, ..) => Some((*node, Some(*life))),
+            Self::Started(asker, ..)
+            | Self::Stopped(asker, ..)
+            | Self::LeaderStopped(asker, _)
+            | Self::Probed(asker, ..)
+            | Self::Settled(asker, ..)
+            | Self::StewardSaid(asker, ..)
+            | Self::SendEnded(asker, ..) => Some((asker.node, Some(asker.life))),
+            Self::CoreFrame(node, _)
+            | Self::ControllerGone(node, _)
+            | Self::Beat(node, _)
+            | Self::StewardAsked(node, ..)
+            | Self::Operate(node, ..) => Some((*node, None)),
+            _ => None,
+        }
+    }
+}
--- a/testing/fleet/src/sim/faults.rs
+++ b/testing/fleet/src/sim/faults.rs
@@ -1,5 +1,6 @@
+use super::event::Event;
 use super::network::{Node, PLATFORM};
-use super::world::{Event, World};
+use super::world::World;
 use controlplane::controller_state::ChangeKind;
 use std::fmt;
 use std::time::Duration;
@@ -165,7 +166,7 @@
 
 impl World {
     fn some_controller(&mut self) -> usize {
-        self.chance.below(3) as usize
+        self.chance.below(self.controllers.len() as u64) as usize
     }
 
     fn some_daemon(&mut self) -> usize {
@@ -173,8 +174,12 @@
     }
 
     fn some_node(&mut self) -> Node {
-        let place = self.chance.below(3 + self.daemons.len() as u64) as usize;
-        Node(place)
+        let count = self.controllers.len() + self.daemons.len();
+        let place = self.chance.below(count as u64) as usize;
+        match place.checked_sub(self.controllers.len()) {
+            Some(daemon) => Node::of_daemon(daemon),
+            None => Node(place),
+        }
     }
 
     /// Some daemons, at least one and not all.
@@ -231,12 +236,12 @@
                 }
             }
             SimFault::KillCore => {
-                for place in 0..3 {
+                for place in 0..self.controllers.len() {
                     self.lose_controller(place, lasts);
                 }
             }
             SimFault::RestartAll => {
-                for place in 0..3 {
+                for place in 0..self.controllers.len() {
                     self.lose_controller(place, lasts);
                 }
                 for place in 0..self.daemons.len() {
@@ -421,8 +426,9 @@
         let frozen_until = self.frozen.entry(node).or_insert(until);
         *frozen_until = (*frozen_until).max(until);
         let wakes_at = *frozen_until;
-        if (3..3 + self.daemons.len()).contains(&node.0)
-            && let Some(body) = &mut self.daemons[node.0 - 3].body
+        if !node.is_controller()
+            && let Some(daemon) = self.daemons.get_mut(node.daemon_place())
+            && let Some(body) = &mut daemon.body
         {
             body.is_disturbed = true;
         }
@@ -461,7 +467,7 @@
         let with_daemons = self.chance.below(self.daemons.len() as u64 + 1) as usize;
         let left: Vec<Node> = [Node(lonely)]
             .into_iter()
-            .chain((0..with_daemons).map(|place| Node(3 + place)))
+            .chain((0..with_daemons).map(|place| Node::of_daemon(place)))
             .collect();
         let right: Vec<Node> = self
             .all_nodes()
@@ -505,17 +511,19 @@
     }
 
     pub(super) fn all_nodes(&self) -> Vec<Node> {
-        (0..3 + self.daemons.len()).map(Node).chain([PLATFORM]).collect()
+        let controllers = (0..self.controllers.len()).map(Node);
+        let daemons = (0..self.daemons.len()).map(Node::of_daemon);
+        controllers.chain(daemons).chain([PLATFORM]).collect()
     }
 
     /// A killed machine returns.
     pub(super) fn bring_back(&mut self, node: Node) {
-        if node.0 < 3 {
+        if node.is_controller() {
             if self.controllers[node.0].controller_state.is_none() {
                 self.start_controller(node.0);
             }
-        } else if self.daemons[node.0 - 3].body.is_none() {
-            self.start_daemon(node.0 - 3);
+        } else if self.daemons[node.daemon_place()].body.is_none() {
+            self.start_daemon(node.daemon_place());
         }
     }
 
--- /dev/null
+++ b/testing/fleet/src/sim/links.rs
@@ -0,0 +1,72 @@
+//! The streams between daemons and controllers.
+
+use super::event::Event;
+use super::network::{Node, PLATFORM};
+use super::world::World;
+use common::frames::Place;
+use std::time::Duration;
+
+pub(super) struct Link {
+    pub daemon: Node,
+    pub daemon_life: u64,
+    pub controller: Node,
+    pub controller_life: u64,
+    pub doomed: bool,
+}
+
+impl World {
+    pub(super) fn dial(&mut self, daemon: Node, daemon_life: u64, to: Place) -> u64 {
+        self.next_number += 1;
+        let number = self.next_number;
+        let controller = self.node_at(to).unwrap_or(PLATFORM);
+        let is_alive =
+            controller.is_controller() && self.controllers[controller.0].controller_state.is_some();
+        let controller_life = if is_alive { self.controllers[controller.0].life } else { 0 };
+        let reaches =
+            self.network.reaches(daemon, controller) && self.network.reaches(controller, daemon);
+        let link = Link { daemon, daemon_life, controller, controller_life, doomed: !reaches };
+        self.links.insert(number, link);
+        let delay = self.network.delay(&mut self.chance);
+        if is_alive && reaches {
+            self.push(delay, Event::Dialed(number));
+        } else {
+            let failed_after = if reaches { delay } else { Duration::from_millis(600) };
+            self.push(failed_after, Event::LinkLost(number, daemon));
+        }
+        number
+    }
+
+    pub(super) fn doom_link(&mut self, number: u64) {
+        let Some(link) = self.links.get_mut(&number) else { return };
+        if !link.doomed {
+            link.doomed = true;
+            let (daemon, controller) = (link.daemon, link.controller);
+            let daemon_after = self.chance.within(Duration::from_secs(1), Duration::from_secs(4));
+            let controller_after =
+                self.chance.within(Duration::from_secs(1), Duration::from_secs(4));
+            self.push(daemon_after, Event::LinkLost(number, daemon));
+            self.push(controller_after, Event::LinkLost(number, controller));
+        }
+    }
+
+    pub(super) fn close_link(&mut self, number: u64) {
+        let Some(link) = self.links.get(&number) else { return };
+        let (daemon, controller) = (link.daemon, link.controller);
+        let delay = Duration::from_millis(4);
+        self.push(delay, Event::LinkLost(number, daemon));
+        self.push(delay, Event::LinkLost(number, controller));
+    }
+
+    pub(super) fn break_links(&mut self, node: Node) {
+        let mut broken: Vec<u64> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.daemon == node || link.controller == node)
+            .map(|(number, _)| *number)
+            .collect();
+        broken.sort_unstable();
+        for number in broken {
+            self.close_link(number);
+        }
+    }
+}
--- a/testing/fleet/src/sim/mod.rs
+++ b/testing/fleet/src/sim/mod.rs
@@ -1,12 +1,18 @@
 //! The real state machines of both planes under virtual time, with a virtual network, disk and platform.
 
+mod calls;
 mod checks;
 mod controller;
 mod daemon;
+mod dispatch;
+mod event;
 mod faults;
 mod flaw;
+mod founding;
+mod links;
 mod network;
 mod operator;
+mod plan;
 mod platform;
 mod proofs;
 mod runners;
@@ -15,5 +21,6 @@
 pub use checks::{Breach, Checks};
 pub use faults::SimFault;
 pub use flaw::Flaw;
+pub use plan::{SimEnd, SimPlan};
 pub use proofs::{PROOFS, Proof, ProofEnd};
-pub use world::{SimEnd, SimPlan, World};
+pub use world::World;
--- a/testing/fleet/src/sim/network.rs
+++ b/testing/fleet/src/sim/network.rs
@@ -6,6 +6,26 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct Node(pub usize);
 
+/// The node of the first daemon: there are fewer controllers than this.
+const FIRST_DAEMON: usize = 30;
+
+impl Node {
+    /// The node of a daemon.
+    pub fn of_daemon(place: usize) -> Self {
+        Self(FIRST_DAEMON + place)
+    }
+
+    /// Whether it is a controller's.
+    pub fn is_controller(self) -> bool {
+        self.0 < FIRST_DAEMON
+    }
+
+    /// Which daemon's it is.
+    pub fn daemon_place(self) -> usize {
+        self.0 - FIRST_DAEMON
+    }
+}
+
 /// The platform's node.
 pub const PLATFORM: Node = Node(1000);
 
--- a/testing/fleet/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -1,4 +1,5 @@
-use super::world::{Event, World};
+use super::event::Event;
+use super::world::World;
 use common::identity::{ChangeId, Serial};
 use controlplane::controller_state::{
     ChangeKind, Operation, OperationReply, OperationTicket, Wait,
--- /dev/null
+++ b/testing/fleet/src/sim/plan.rs
@@ -0,0 +1,98 @@
+//! What a simulated day is made of, and how it ended.
+
+use super::checks::Breach;
+use super::faults::SimFault;
+use super::flaw::Flaw;
+use common::rules::Rules;
+use dataplane::holder::Tuning;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// What a simulated day is made of.
+#[derive(Clone, Debug)]
+pub struct SimPlan {
+    /// The seed; it decides everything.
+    pub seed: u64,
+    /// How long faults are caused.
+    pub lasts: Duration,
+    /// How many controllers.
+    pub controllers: usize,
+    /// How many daemons.
+    pub daemons: usize,
+    /// Transactions a second.
+    pub rate: f64,
+    /// Whether faults are caused at all.
+    pub has_faults: bool,
+    /// The rule broken on purpose.
+    pub flaw: Flaw,
+    /// The share of transactions whose identity is sent twice.
+    pub twins: f64,
+    /// The only faults of the day; all of them if none is named.
+    pub focus: Vec<SimFault>,
+    /// The longest time from one fault to the next.
+    pub gap: Duration,
+    /// How daemons run what they hold.
+    pub tuning: Tuning,
+    /// Whether functions that boot long are sought before they are called.
+    pub seeks_warm: bool,
+}
+
+impl SimPlan {
+    /// A day of half a minute with faults.
+    pub fn seeded(seed: u64) -> Self {
+        Self {
+            seed,
+            controllers: 3,
+            lasts: Duration::from_secs(30),
+            daemons: 5,
+            rate: 40.0,
+            has_faults: true,
+            flaw: Flaw::None,
+            twins: 0.2,
+            focus: Vec::new(),
+            gap: Duration::from_millis(3500),
+            tuning: Tuning::default(),
+            seeks_warm: false,
+        }
+    }
+
+    /// The rules that the programs keep.
+    pub fn rules(&self) -> Rules {
+        self.flaw.rules()
+    }
+}
+
+/// How a simulated day ended.
+pub struct SimEnd {
+    /// What must never happen, and did.
+    pub breaches: Vec<Breach>,
+    /// Transactions and changes by how they ended.
+    pub counts: BTreeMap<String, u64>,
+    /// How often each check was made.
+    pub looked: BTreeMap<&'static str, u64>,
+    /// Of the transactions called from 12 s after everything was mended, the share answered.
+    pub share_after: f64,
+    /// How long after everything was mended at least half of all calls were answered for good.
+    pub back_after: Duration,
+    /// What happened, if it was traced.
+    pub trace: Vec<String>,
+}
+
+impl fmt::Display for SimEnd {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let counts: Vec<String> =
+            self.counts.iter().map(|(label, count)| format!("{label} {count}")).collect();
+        let looked: Vec<String> =
+            self.looked.iter().map(|(label, count)| format!("{label} {count}")).collect();
+        write!(
+            out,
+            "{} breaches; after mending {:.0}% answered, back in {} ms; {}; checks: {}",
+            self.breaches.len(),
+            self.share_after * 100.0,
+            self.back_after.as_millis(),
+            counts.join(", "),
+            looked.join(", ")
+        )
+    }
+}
--- a/testing/fleet/src/sim/platform.rs
+++ b/testing/fleet/src/sim/platform.rs
@@ -1,9 +1,12 @@
+use super::event::Event;
 use super::network::Node;
+use super::world::World;
 use common::clock::Moment;
 use common::frames::{Life, Place};
 use common::identity::{
     FunctionKey, GrantSerial, LifeName, RunnerId, TransactionId, WorkerName, Zone,
 };
+use common::spec::FunctionSpec;
 use common::tongue::{BeginEnd, ListedRunner, ListedWorker};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -201,3 +204,46 @@
     /// Its life.
     pub life: u64,
 }
+
+impl World {
+    /// An order to start reaches the platform; its answer may be lost, or the platform busy.
+    pub(super) fn start_runner(
+        &mut self,
+        asker: Asker,
+        function: FunctionKey,
+        runner: RunnerId,
+        worker: WorkerName,
+        spec: &FunctionSpec,
+    ) {
+        let is_busy = self.chance.happens(0.02);
+        let is_answer_lost = self.chance.happens(0.02);
+        let is_known =
+            self.platform.ended.contains(&runner) || self.platform.runners.contains_key(&runner);
+        let end = if is_busy {
+            BeginEnd::Busy
+        } else {
+            if !is_known {
+                let alive = self
+                    .platform
+                    .runners
+                    .iter()
+                    .map(|(key, held)| (key, &held.function, &held.life));
+                self.checks.starts_alone(self.now, &function, runner.grant, alive);
+            }
+            let started = SimRunner {
+                function: function.clone(),
+                worker,
+                life: Life { name: "".into(), place: Place::NOWHERE },
+                ready_at: self.now + spec.boot,
+                running: Default::default(),
+                slots: spec.slots,
+                answered: 0,
+                last_sealed: None,
+            };
+            self.platform.start(runner, started)
+        };
+        let end = if is_answer_lost { BeginEnd::Lost } else { end };
+        let delay = self.network.delay(&mut self.chance);
+        self.push(delay, Event::Started(asker, function, runner, end));
+    }
+}
--- a/testing/fleet/src/sim/proofs.rs
+++ b/testing/fleet/src/sim/proofs.rs
@@ -1,6 +1,7 @@
 use super::faults::SimFault;
 use super::flaw::Flaw;
-use super::world::{SimPlan, World};
+use super::plan::SimPlan;
+use super::world::World;
 use common::rules::Rule;
 use std::fmt;
 use std::time::Duration;
--- a/testing/fleet/src/sim/runners.rs
+++ b/testing/fleet/src/sim/runners.rs
@@ -1,5 +1,6 @@
+use super::event::Event;
 use super::platform::Asker;
-use super::world::{Event, World};
+use super::world::World;
 use common::frames::Place;
 use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use common::seal;
@@ -109,7 +110,7 @@
         let is_adopted = runner.grant != run.grant;
         let answered = if is_adopted { answered.max((slots / 2).max(1) - 1) } else { answered };
         self.traced(|now| {
-            let daemon = run.asker.node.0 - 3;
+            let daemon = run.asker.node.daemon_place();
             format!("{now} run {transaction} on {runner} for daemon {daemon}")
         });
         self.checks.bears(self.now, runner, running_count, slots, answered, ready_at);
@@ -118,7 +119,7 @@
         let leaves_since = self.platform.leaving_since.get(&runner).copied();
         self.checks.not_leaving(self.now, runner, leaves_since);
         let worker_zone = self.platform.zone_of(&worker).cloned();
-        let daemon_zone = World::zone(run.asker.node.0 - 3);
+        let daemon_zone = World::zone(run.asker.node.daemon_place());
         for zone in worker_zone.into_iter().chain([daemon_zone]) {
             self.checks.not_evacuated(self.now, &zone);
         }
