--- a/testing/fleet/src/sim/calls.rs
+++ b/testing/fleet/src/sim/calls.rs
@@ -9,7 +9,7 @@
 
 impl World {
     fn heal_moment(&self) -> Moment {
-        Moment(1_000_000_000) + self.plan.lasts
+        self.started_at() + self.plan.lasts
     }
 
     /// Notes a call made after everything was mended, in its half second.
--- a/testing/fleet/src/sim/checks.rs
+++ b/testing/fleet/src/sim/checks.rs
@@ -100,7 +100,8 @@
         self.breaches.push(Breach { at, what });
     }
 
-    fn look(&mut self, kind: &'static str) {
+    /// Counts that something was looked at.
+    pub fn look(&mut self, kind: &'static str) {
         *self.looked.entry(kind).or_default() += 1;
     }
 
@@ -548,6 +549,11 @@
         }
     }
 
+    /// Whether a serial that daemons see was committed.
+    pub fn is_committed(&self, serial: Serial) -> bool {
+        self.committed.contains_key(&serial)
+    }
+
     /// The newest committed serial.
     pub fn newest_serial(&self) -> Serial {
         self.committed.last_key_value().map(|(serial, _)| *serial).unwrap_or_default()
--- a/testing/fleet/src/sim/controller.rs
+++ b/testing/fleet/src/sim/controller.rs
@@ -75,6 +75,7 @@
         let seed = self.chance.number();
         let seeds = self.seeds();
         let rules = self.plan.rules();
+        let voters = self.plan.voters;
         let controller = &mut self.controllers[place];
         controller.life += 1;
         let own_place = controller.place;
@@ -88,7 +89,8 @@
             seeds,
             Chance::seeded(seed),
         )
-        .with_rules(rules);
+        .with_rules(rules)
+        .with_size(voters);
         let controller_state =
             ControllerState::new(core, leader_state_timing(), timing().election_shortest);
         controller.controller_state = Some(controller_state.with_rules(rules));
@@ -97,13 +99,24 @@
         self.push(Duration::from_millis(50), Event::Poll(node, self.controllers[place].life));
     }
 
-    /// Kills a controller; a write under way may or may not have reached the disk.
+    /// Kills a controller; the others find its address closed.
     pub(super) fn kill_controller(&mut self, place: usize) {
-        self.controllers[place].controller_state = None;
-        self.controllers[place].life += 1;
         let node = self.controllers[place].node;
-        self.break_links(node);
         self.notice_gone(node, self.controllers[place].place);
+        self.break_links(node);
+        self.end_controller(place);
+    }
+
+    /// A controller's machine loses power: nobody is told.
+    pub(super) fn power_off_controller(&mut self, place: usize) {
+        self.doom_links(self.controllers[place].node);
+        self.end_controller(place);
+    }
+
+    /// A controller's process ends; a write under way may or may not have reached the disk.
+    fn end_controller(&mut self, place: usize) {
+        self.controllers[place].controller_state = None;
+        self.controllers[place].life += 1;
         let unsynced = std::mem::take(&mut self.unsynced);
         for (owner, job) in unsynced {
             let is_lucky = self.chance.happens(0.5) && self.plan.flaw != Flaw::SyncSkipped;
@@ -186,7 +199,7 @@
                     self.push(delay, Event::LeaderStop(asker, order));
                 }
             }
-            ControllerOutput::Operated(ticket, reply) => self.operated(ticket, reply),
+            ControllerOutput::Operated(ticket, reply) => self.operated(place, ticket, reply),
             ControllerOutput::Told(numbered) => {
                 if numbered.told.event == events::COMMITTED {
                     self.check_commit(place);
@@ -286,6 +299,7 @@
         }
         self.counted("frames down");
         match &frame {
+            StreamDown::Renewed { .. } => self.recovery.renewed(self.now, to.daemon_place()),
             StreamDown::Hosts { hosts, .. } => self.counted_by("hosts told", hosts.0.len()),
             StreamDown::HostsChanged { put, .. } => {
                 self.counted_by("hosts told", put.0.len());
@@ -325,7 +339,8 @@
         self.push(delay, Event::Lists(node, life, workers, sent_at - age, listed_runners));
     }
 
-    fn operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
+    fn operated(&mut self, place: usize, ticket: OperationTicket, reply: OperationReply) {
+        self.judge_reply(place, ticket, &reply);
         let delay = self.network.delay(&mut self.chance);
         self.push(delay, Event::Operated(ticket, reply));
     }
--- a/testing/fleet/src/sim/dispatch.rs
+++ b/testing/fleet/src/sim/dispatch.rs
@@ -178,6 +178,7 @@
             }
             Event::Call => self.call_some(),
             Event::CallAgain(transaction, route_name) => self.call_again(transaction, route_name),
+            Event::Act(action) => self.act(action),
             Event::Change => {
                 self.send_change();
                 if !self.is_healed {
--- a/testing/fleet/src/sim/event.rs
+++ b/testing/fleet/src/sim/event.rs
@@ -4,6 +4,7 @@
 use super::network::Node;
 use super::platform::Asker;
 use super::runners::SimRun;
+use super::script::Action;
 use common::clock::Moment;
 use common::frames::{CoreFrame, Heartbeat, HopBody, Place, StreamDown, StreamUp};
 use common::identity::{
@@ -56,6 +57,7 @@
     Repeat(String),
     Change,
     Fault,
+    Act(Action),
     Return(Node),
     Mend,
     Wake(Node),
--- a/testing/fleet/src/sim/faults.rs
+++ b/testing/fleet/src/sim/faults.rs
@@ -189,7 +189,7 @@
         (0..count).map(|step| (first + step) % self.daemons.len()).collect()
     }
 
-    fn leading_controller(&self) -> Option<usize> {
+    pub(super) fn leading_controller(&self) -> Option<usize> {
         self.controllers.iter().position(|controller| {
             controller
                 .controller_state
@@ -421,7 +421,7 @@
         self.push(lasts, Event::Return(self.daemons[place].node));
     }
 
-    fn freeze(&mut self, node: Node, lasts: Duration) {
+    pub(super) fn freeze(&mut self, node: Node, lasts: Duration) {
         let until = self.now + lasts;
         let frozen_until = self.frozen.entry(node).or_insert(until);
         *frozen_until = (*frozen_until).max(until);
@@ -465,10 +465,8 @@
         let by_chance = self.some_controller();
         let lonely = self.leading_controller().unwrap_or(by_chance);
         let with_daemons = self.chance.below(self.daemons.len() as u64 + 1) as usize;
-        let left: Vec<Node> = [Node(lonely)]
-            .into_iter()
-            .chain((0..with_daemons).map(|place| Node::of_daemon(place)))
-            .collect();
+        let left: Vec<Node> =
+            [Node(lonely)].into_iter().chain((0..with_daemons).map(Node::of_daemon)).collect();
         let right: Vec<Node> = self
             .all_nodes()
             .into_iter()
--- a/testing/fleet/src/sim/founding.rs
+++ b/testing/fleet/src/sim/founding.rs
@@ -14,12 +14,15 @@
 
 impl World {
     pub(super) fn found(&mut self, ids: &[ControllerId]) {
-        let places = self.seeds();
+        let places: Vec<Place> =
+            (1..=ids.len()).map(|last| Self::controller_place(last as u8)).collect();
+        let founders = self.plan.founders;
         for (number, id) in ids.iter().enumerate() {
             let core = ids
                 .iter()
                 .zip(&places)
                 .enumerate()
+                .take(founders)
                 .map(|(other_number, (other, place))| CoreMember {
                     id: *other,
                     place: *place,
@@ -37,7 +40,7 @@
             let durable = Recalled {
                 id: *id,
                 voted: None,
-                accepted: Some(document),
+                accepted: (number < founders).then_some(document),
                 distrusted: Stamp::default(),
             };
             let clock_ahead = Duration::from_secs(self.chance.below(100_000));
--- a/testing/fleet/src/sim/links.rs
+++ b/testing/fleet/src/sim/links.rs
@@ -58,15 +58,23 @@
     }
 
     pub(super) fn break_links(&mut self, node: Node) {
-        let mut broken: Vec<u64> = self
-            .links
-            .iter()
-            .filter(|(_, link)| link.daemon == node || link.controller == node)
-            .map(|(number, _)| *number)
-            .collect();
-        broken.sort_unstable();
-        for number in broken {
+        for number in self.links_of(node) {
             self.close_link(number);
         }
     }
+
+    /// The other ends of a machine's links find out only by silence.
+    pub(super) fn doom_links(&mut self, node: Node) {
+        for number in self.links_of(node) {
+            self.doom_link(number);
+        }
+    }
+
+    fn links_of(&self, node: Node) -> Vec<u64> {
+        let is_end = |link: &Link| link.daemon == node || link.controller == node;
+        let own_links = self.links.iter().filter(|(_, link)| is_end(link));
+        let mut numbers: Vec<u64> = own_links.map(|(number, _)| *number).collect();
+        numbers.sort_unstable();
+        numbers
+    }
 }
--- a/testing/fleet/src/sim/plan.rs
+++ b/testing/fleet/src/sim/plan.rs
@@ -3,6 +3,8 @@
 use super::checks::Breach;
 use super::faults::SimFault;
 use super::flaw::Flaw;
+use super::recovery::RecoveryTimes;
+use super::script::{Action, SecondLoss};
 use common::rules::Rules;
 use dataplane::holder::Tuning;
 use std::collections::BTreeMap;
@@ -16,8 +18,22 @@
     pub seed: u64,
     /// How long faults are caused.
     pub lasts: Duration,
-    /// How many controllers.
+    /// How many controllers, each with a disk.
     pub controllers: usize,
+    /// How many of them are to vote.
+    pub voters: usize,
+    /// How many of them found the core.
+    pub founders: usize,
+    /// What is done to the control side, and when.
+    pub script: Vec<(Duration, Action)>,
+    /// A loss at one step of the control side's work, counted from where the script says.
+    pub second_loss: Option<SecondLoss>,
+    /// Whether the end of the script is judged.
+    pub judges_script: bool,
+    /// Whether operators send changes by chance.
+    pub has_changes: bool,
+    /// How long the day goes on after everything is mended.
+    pub closing: Duration,
     /// How many daemons.
     pub daemons: usize,
     /// Transactions a second.
@@ -44,6 +60,13 @@
         Self {
             seed,
             controllers: 3,
+            voters: 3,
+            founders: 3,
+            script: Vec::new(),
+            second_loss: None,
+            judges_script: false,
+            has_changes: true,
+            closing: Duration::from_secs(20),
             lasts: Duration::from_secs(30),
             daemons: 5,
             rate: 40.0,
@@ -75,6 +98,10 @@
     pub share_after: f64,
     /// How long after everything was mended at least half of all calls were answered for good.
     pub back_after: Duration,
+    /// How many steps of the control side were counted.
+    pub steps: u64,
+    /// What the plan's single loss cost in time, if everything came back.
+    pub recovery: Option<RecoveryTimes>,
     /// What happened, if it was traced.
     pub trace: Vec<String>,
 }
--- /dev/null
+++ b/testing/fleet/src/sim/recovery.rs
@@ -0,0 +1,137 @@
+//! The time from a loss in the control quorum to the next acknowledged order and the next renewed
+//! session leases.
+
+use super::plan::SimPlan;
+use super::script::{Action, Loss, Target};
+use super::world::World;
+use common::clock::Moment;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// When the loss happened, and what has come back since.
+#[derive(Default)]
+pub(super) struct RecoveryClock {
+    started_at: Option<Moment>,
+    acknowledged_after: Option<Duration>,
+    renewed_after: BTreeMap<usize, Duration>,
+}
+
+impl RecoveryClock {
+    /// The loss happens now.
+    pub fn start(&mut self, now: Moment) {
+        self.started_at = Some(now);
+    }
+
+    /// An order was acknowledged.
+    pub fn acknowledged(&mut self, now: Moment) {
+        if let Some(started_at) = self.started_at {
+            self.acknowledged_after.get_or_insert(now.since(started_at));
+        }
+    }
+
+    /// A daemon's session lease was renewed.
+    pub fn renewed(&mut self, now: Moment, daemon: usize) {
+        if let Some(started_at) = self.started_at {
+            self.renewed_after.entry(daemon).or_insert(now.since(started_at));
+        }
+    }
+
+    /// What was measured, if everything came back.
+    pub fn measured(&self, daemons: usize) -> Option<RecoveryTimes> {
+        let first_lease = self.renewed_after.values().min().copied()?;
+        let last_lease = self.renewed_after.values().max().copied()?;
+        let is_whole = self.renewed_after.len() == daemons;
+        is_whole.then_some(RecoveryTimes {
+            order: self.acknowledged_after?,
+            first_lease,
+            last_lease,
+        })
+    }
+}
+
+/// How long the control side was out of order after one loss.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct RecoveryTimes {
+    /// To the next acknowledged order.
+    pub order: Duration,
+    /// To the next renewed session lease.
+    pub first_lease: Duration,
+    /// Until the session lease of every daemon was renewed.
+    pub last_lease: Duration,
+}
+
+/// A single loss in the control quorum.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct SingleLoss {
+    /// Whom it hits.
+    pub target: Target,
+    /// What it is.
+    pub loss: Loss,
+    /// What it is called in tables.
+    pub name: &'static str,
+}
+
+/// The single losses that are measured.
+pub const SINGLE_LOSSES: &[SingleLoss] = &[
+    SingleLoss { target: Target::Leader, loss: Loss::Killed, name: "leader killed" },
+    SingleLoss { target: Target::Leader, loss: Loss::PowerLost, name: "leader without power" },
+    SingleLoss { target: Target::Leader, loss: Loss::Frozen, name: "leader frozen" },
+    SingleLoss { target: Target::Leader, loss: Loss::CutOff, name: "leader cut off" },
+    SingleLoss { target: Target::Leader, loss: Loss::Replaced, name: "leader replaced" },
+    SingleLoss { target: Target::Follower, loss: Loss::Killed, name: "follower killed" },
+    SingleLoss { target: Target::Follower, loss: Loss::CutOff, name: "follower cut off" },
+    SingleLoss { target: Target::Follower, loss: Loss::Replaced, name: "follower replaced" },
+];
+
+const LOSS_AT: Duration = Duration::from_secs(5);
+const MEASURED_FOR: Duration = Duration::from_secs(10);
+const ORDER_EVERY: Duration = Duration::from_millis(25);
+
+impl SingleLoss {
+    /// The day of a seed: the loss, and orders in quick succession after it.
+    pub fn plan(&self, seed: u64, controllers: usize, voters: usize) -> SimPlan {
+        let jitter = Duration::from_millis(seed.wrapping_mul(7919) % 1000);
+        let loss_at = LOSS_AT + jitter;
+        let mut script =
+            vec![(loss_at, Action::Lose(self.target, self.loss)), (loss_at, Action::StartClock)];
+        let order_count = (MEASURED_FOR.as_millis() / ORDER_EVERY.as_millis()) as u32;
+        let orders = (0..order_count).map(|turn| (loss_at + ORDER_EVERY * turn, Action::Change));
+        script.extend(orders);
+        SimPlan {
+            script,
+            controllers,
+            voters,
+            has_faults: false,
+            has_changes: false,
+            rate: 2.0,
+            lasts: loss_at + MEASURED_FOR,
+            closing: Duration::ZERO,
+            ..SimPlan::seeded(seed)
+        }
+    }
+
+    /// What one seed shows; nothing if something did not come back.
+    pub fn measure(&self, seed: u64, controllers: usize, voters: usize) -> Option<RecoveryTimes> {
+        World::new(self.plan(seed, controllers, voters), false).run().recovery
+    }
+}
+
+/// The median and the worst of some times.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Spread {
+    /// The median.
+    pub median: Duration,
+    /// The worst.
+    pub worst: Duration,
+}
+
+impl Spread {
+    /// The spread of times in any order.
+    pub fn of(times: impl Iterator<Item = Duration>) -> Self {
+        let mut sorted_times: Vec<Duration> = times.collect();
+        sorted_times.sort_unstable();
+        let median = sorted_times.get(sorted_times.len() / 2).copied().unwrap_or_default();
+        let worst = sorted_times.last().copied().unwrap_or_default();
+        Self { median, worst }
+    }
+}
--- /dev/null
+++ b/testing/fleet/src/sim/scenario/many_changes.rs
@@ -0,0 +1,58 @@
+//! Hundreds of changes of a large configuration, with members away for many of them.
+
+use super::{QuorumSize, ScriptBuilder};
+use crate::sim::plan::SimPlan;
+use crate::sim::script::{Action, Loss, Target};
+use std::time::Duration;
+
+/// How many changes a day has: more than the notes of orders and numbers that are kept.
+const CHANGES: u32 = 600;
+const CHANGE_EVERY: Duration = Duration::from_millis(50);
+const FIRST_CHANGE_AT: Duration = Duration::from_secs(3);
+const READ_EVERY: Duration = Duration::from_millis(300);
+/// Functions beyond the usual ones, so that the configuration is large.
+const FUNCTIONS: u64 = 60;
+
+/// How a member misses changes.
+#[derive(Clone, Copy)]
+enum Absence {
+    /// It is away for all of them.
+    Whole,
+    /// It is back in the middle.
+    Half,
+    /// It is back in the middle with an empty disk.
+    Wiped,
+    /// It is back after all of them, and the leader goes right then.
+    ElectedOnReturn,
+}
+
+/// The day of a seed.
+pub fn plan(seed: u64) -> SimPlan {
+    let mut script = ScriptBuilder::seeded(seed);
+    let size = QuorumSize::of_seed(seed);
+    let changes_end = FIRST_CHANGE_AT + CHANGE_EVERY * CHANGES;
+    let middle = FIRST_CHANGE_AT + CHANGE_EVERY * CHANGES / 2;
+    for turn in 0..CHANGES {
+        script.at(FIRST_CHANGE_AT + CHANGE_EVERY * turn, Action::LargeChange(FUNCTIONS));
+    }
+    let absence =
+        script.one_of(&[Absence::Whole, Absence::Half, Absence::Wiped, Absence::ElectedOnReturn]);
+    let (loss, back_at) = match absence {
+        Absence::Whole | Absence::ElectedOnReturn => (Loss::PowerLost, changes_end),
+        Absence::Half => (Loss::PowerLost, middle),
+        Absence::Wiped => (Loss::Wiped, middle),
+    };
+    script.at(FIRST_CHANGE_AT, Action::Lose(Target::Follower, loss));
+    script.at(back_at, Action::Restart);
+    let lasts = changes_end + Duration::from_secs(2);
+    if matches!(absence, Absence::ElectedOnReturn) {
+        let gone_after = script.chance.within(Duration::ZERO, Duration::from_millis(400));
+        script.at(back_at + gone_after, Action::Lose(Target::Leader, Loss::Killed));
+    }
+    script.repeat(FIRST_CHANGE_AT, changes_end, READ_EVERY, |_| Action::Read(Target::Any));
+    for turn in 0..4 {
+        script.at(changes_end + Duration::from_millis(500) * turn, Action::ResendFirst);
+        script.at(lasts + Duration::from_secs(5) + CHANGE_EVERY * turn, Action::ResendFirst);
+    }
+    script.plan(seed, size, lasts)
+}
--- /dev/null
+++ b/testing/fleet/src/sim/scenario/mod.rs
@@ -0,0 +1,149 @@
+//! The control side's worst days: each a script of timed losses, cuts, orders and readings.
+
+mod cut_off;
+mod many_changes;
+mod power_loss;
+mod second_loss;
+
+pub use second_loss::{Repair, SecondLossCase};
+
+use super::plan::SimPlan;
+use super::script::{Action, Target};
+use common::chance::Chance;
+use std::fmt;
+use std::time::Duration;
+
+/// A kind of day for the control side.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Scenario {
+    /// A controller is cut off for twenty seconds, while orders and readings go on on either side.
+    CutOff,
+    /// Another loss falls on some step of a repair, a replacement or a growth of the quorum.
+    SecondLoss,
+    /// Hundreds of changes, with members away for many of them.
+    ManyChanges,
+    /// Everything loses power right after an acknowledgement, and again soon after.
+    PowerLoss,
+}
+
+/// How many machines with a disk a deployment has, and how many of them vote.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct QuorumSize {
+    /// Machines with a disk.
+    pub machines: usize,
+    /// Voters.
+    pub voters: usize,
+}
+
+impl QuorumSize {
+    /// The sizes of the deployments: three machines bear the loss of one, the others that of two.
+    pub const ALL: &[QuorumSize] = &[
+        QuorumSize { machines: 3, voters: 3 },
+        QuorumSize { machines: 5, voters: 5 },
+        QuorumSize { machines: 6, voters: 5 },
+        QuorumSize { machines: 8, voters: 5 },
+    ];
+
+    /// The size that a seed plays.
+    pub fn of_seed(seed: u64) -> Self {
+        Self::ALL[(seed % Self::ALL.len() as u64) as usize]
+    }
+
+    /// How many machines may be lost at once.
+    pub fn tolerance(self) -> usize {
+        (self.voters - 1) / 2
+    }
+}
+
+/// How long a scripted day goes on after its faults are over.
+const CLOSING: Duration = Duration::from_secs(14);
+/// How often an operator reads and sends changes while the day closes.
+const CLOSING_EVERY: Duration = Duration::from_millis(700);
+
+impl Scenario {
+    /// Every scenario.
+    pub const ALL: &[Scenario] =
+        &[Scenario::CutOff, Scenario::SecondLoss, Scenario::ManyChanges, Scenario::PowerLoss];
+
+    /// The scenario of a name.
+    pub fn named(name: &str) -> Option<Scenario> {
+        Self::ALL.iter().copied().find(|scenario| scenario.to_string() == name)
+    }
+
+    /// The day of a seed.
+    pub fn plan(self, seed: u64) -> SimPlan {
+        match self {
+            Self::CutOff => cut_off::plan(seed),
+            Self::SecondLoss => SecondLossCase::seeded(seed).plan(seed),
+            Self::ManyChanges => many_changes::plan(seed),
+            Self::PowerLoss => power_loss::plan(seed),
+        }
+    }
+}
+
+impl fmt::Display for Scenario {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::CutOff => "cut-off",
+            Self::SecondLoss => "second-loss",
+            Self::ManyChanges => "many-changes",
+            Self::PowerLoss => "power-loss",
+        })
+    }
+}
+
+/// A script in the making, with its own chance.
+struct ScriptBuilder {
+    chance: Chance,
+    actions: Vec<(Duration, Action)>,
+}
+
+impl ScriptBuilder {
+    fn seeded(seed: u64) -> Self {
+        Self { chance: Chance::seeded(seed ^ 0x5c71), actions: Vec::new() }
+    }
+
+    fn at(&mut self, due_after: Duration, action: Action) {
+        self.actions.push((due_after, action));
+    }
+
+    /// An action again and again, with random gaps of this length on average.
+    fn repeat(
+        &mut self,
+        from: Duration,
+        until: Duration,
+        every: Duration,
+        mut action: impl FnMut(&mut Chance) -> Action,
+    ) {
+        let mut due_after = from;
+        while due_after < until {
+            let next_action = action(&mut self.chance);
+            self.at(due_after, next_action);
+            due_after += self.chance.within(every / 2, every * 3 / 2);
+        }
+    }
+
+    fn one_of<T: Copy>(&mut self, choices: &[T]) -> T {
+        choices[self.chance.below(choices.len() as u64) as usize]
+    }
+
+    /// The day that this script makes; while it closes, orders and readings go on.
+    fn plan(mut self, seed: u64, size: QuorumSize, lasts: Duration) -> SimPlan {
+        let until = lasts + CLOSING;
+        self.repeat(lasts, until, CLOSING_EVERY, |_| Action::Change);
+        self.repeat(lasts, until, CLOSING_EVERY, |_| Action::Read(Target::Any));
+        SimPlan {
+            script: self.actions,
+            controllers: size.machines,
+            voters: size.voters,
+            daemons: 2,
+            rate: 2.0,
+            has_faults: false,
+            has_changes: false,
+            judges_script: true,
+            lasts,
+            closing: CLOSING,
+            ..SimPlan::seeded(seed)
+        }
+    }
+}
--- a/testing/fleet/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -9,6 +9,9 @@
 use super::operator::SimChange;
 use super::plan::{SimEnd, SimPlan};
 use super::platform::SimPlatform;
+use super::recovery::RecoveryClock;
+use super::script::ScriptState;
+use super::statements::Statements;
 use common::chance::Chance;
 use common::clock::Moment;
 use common::identity::{ChangeId, ControllerId, TransactionId};
@@ -17,6 +20,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+/// When every simulated day begins.
+const STARTED_AT: Moment = Moment(1_000_000_000);
+
 /// A whole virtual fleet.
 pub struct World {
     pub(super) plan: SimPlan,
@@ -30,6 +36,9 @@
     pub(super) frozen: BTreeMap<Node, Moment>,
     deferred: BTreeMap<Node, Vec<Event>>,
     pub(super) checks: Checks,
+    pub(super) script: ScriptState,
+    pub(super) statements: Statements,
+    pub(super) recovery: RecoveryClock,
     pub(super) unsynced: Vec<(usize, WriteJob)>,
     pub(super) changes: HashMap<OperationTicket, SimChange>,
     pub(super) refused_changes: Vec<ChangeId>,
@@ -56,7 +65,7 @@
         let ids: Vec<ControllerId> =
             (0..plan.controllers).map(|_| ControllerId(chance.number() | 1)).collect();
         let mut world = Self {
-            now: Moment(1_000_000_000),
+            now: STARTED_AT,
             chance,
             controllers: Vec::new(),
             daemons: Vec::new(),
@@ -66,6 +75,9 @@
             frozen: BTreeMap::new(),
             deferred: BTreeMap::new(),
             checks: Checks::default(),
+            script: ScriptState::default(),
+            statements: Statements::default(),
+            recovery: RecoveryClock::default(),
             unsynced: Vec::new(),
             changes: HashMap::new(),
             refused_changes: Vec::new(),
@@ -95,7 +107,10 @@
         }
         world.push(Duration::ZERO, Event::ListTick);
         world.push(Duration::from_secs(3), Event::Call);
-        world.schedule_change();
+        if world.plan.has_changes {
+            world.schedule_change();
+        }
+        world.schedule_script();
         if world.plan.has_faults {
             world.push(Duration::from_secs(6), Event::Fault);
         }
@@ -104,6 +119,11 @@
         world
     }
 
+    /// When the day began.
+    pub(super) fn started_at(&self) -> Moment {
+        STARTED_AT
+    }
+
     pub(super) fn push(&mut self, delay: Duration, event: Event) {
         self.next_event += 1;
         self.queue.insert((self.now + delay, self.next_event), event);
@@ -126,7 +146,7 @@
 
     /// Runs the day to its end.
     pub fn run(mut self) -> SimEnd {
-        let end_at = self.now + self.plan.lasts + Duration::from_secs(20);
+        let end_at = self.now + self.plan.lasts + self.plan.closing;
         while let Some(((due_at, _), event)) = self.queue.pop_first() {
             if due_at > end_at || self.checks.breaches.len() > 20 {
                 break;
@@ -142,8 +162,13 @@
                     continue;
                 }
             }
+            self.count_step(&event);
+            self.note_statement(&event);
             self.happen(event);
         }
+        if self.plan.judges_script {
+            self.check_script_end();
+        }
         self.check_refused();
         let (share_after, back_after) = self.return_to_service();
         self.check_return();
@@ -153,6 +178,8 @@
             looked: self.checks.looked,
             share_after,
             back_after,
+            steps: self.script.steps,
+            recovery: self.recovery.measured(self.plan.daemons),
             trace: self.trace,
         }
     }
