Add a checker that judges operators' histories against a sequential register

Versions carry numbers that only rise and name their base, so the order of versions follows from the records and times become bounds: polynomial.

--- /dev/null
+++ b/testing/fleet/src/history/chain.rs
@@ -0,0 +1,161 @@
+use super::{Anomaly, Answer, History, OrderId};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One version on the way from the first to the newest.
+#[derive(Clone, Debug)]
+pub struct Version {
+    /// Its number; zero for the state before the first order.
+    pub number: u64,
+    /// The order that made it; none for the first.
+    pub order: Option<OrderId>,
+    /// The configuration.
+    pub content: Value,
+}
+
+/// What must be on the way: numbers that were acknowledged or read.
+struct Needed<'a> {
+    acknowledged: BTreeMap<u64, OrderId>,
+    read: BTreeMap<u64, Vec<&'a Value>>,
+    /// Bases on which orders were refused as stale: something followed them.
+    followed: BTreeSet<u64>,
+    refused: BTreeSet<OrderId>,
+}
+
+impl<'a> Needed<'a> {
+    fn of(history: &'a History) -> Self {
+        let mut needed = Self {
+            acknowledged: BTreeMap::new(),
+            read: BTreeMap::new(),
+            followed: BTreeSet::new(),
+            refused: BTreeSet::new(),
+        };
+        for (place, order) in history.orders.iter().enumerate() {
+            let id = OrderId(place);
+            if history.acknowledged_at(id).is_some() {
+                needed.acknowledged.insert(order.number, id);
+            }
+            let answers = history.sendings_of(id).filter_map(|sending| sending.answer);
+            for (_, answer) in answers {
+                match answer {
+                    Answer::Acknowledged => continue,
+                    Answer::Stale => drop(needed.followed.insert(order.base)),
+                    Answer::Invalid => {}
+                }
+                needed.refused.insert(id);
+            }
+        }
+        for reading in &history.readings {
+            needed.read.entry(reading.number).or_default().push(&reading.content);
+        }
+        needed
+    }
+
+    /// The next number after this one that must be on the way.
+    fn next_after(&self, number: u64) -> Option<u64> {
+        let after = number + 1..;
+        let acknowledged = self.acknowledged.range(after.clone()).next().map(|(next, _)| *next);
+        let read = self.read.range(after).next().map(|(next, _)| *next);
+        acknowledged.into_iter().chain(read).min()
+    }
+
+    fn was_refused(&self, version: &Version) -> bool {
+        version.order.is_some_and(|order| self.refused.contains(&order))
+    }
+
+    fn fits(&self, version: &Version) -> bool {
+        let is_acknowledged = self
+            .acknowledged
+            .get(&version.number)
+            .is_none_or(|acknowledged| version.order == Some(*acknowledged));
+        let readings = self.read.get(&version.number);
+        is_acknowledged && readings.is_none_or(|read| read.iter().all(|it| **it == version.content))
+    }
+}
+
+/// Walks the ways from the first version to the newest that was acknowledged, read, or shown by a
+/// refusal. Mostly there is one; orders of one number and base, none of them read or acknowledged,
+/// make more.
+pub struct ChainSearch<'a> {
+    history: &'a History,
+    needed: Needed<'a>,
+    orders_on: BTreeMap<u64, Vec<OrderId>>,
+    chain: Vec<Version>,
+    /// For each version of the way the versions that may follow it and were not tried.
+    untried: Vec<Vec<Version>>,
+    furthest: u64,
+}
+
+impl<'a> ChainSearch<'a> {
+    /// A search from the configuration before the first order.
+    pub fn new(history: &'a History, first_content: &Value) -> Self {
+        let mut orders_on: BTreeMap<u64, Vec<OrderId>> = BTreeMap::new();
+        for (place, order) in history.orders.iter().enumerate() {
+            let was_sent = history.first_sent_at(OrderId(place)).is_some();
+            if order.is_valid && order.number > order.base && was_sent {
+                orders_on.entry(order.base).or_default().push(OrderId(place));
+            }
+        }
+        let needed = Needed::of(history);
+        let first_version = Version { number: 0, order: None, content: first_content.clone() };
+        let chain = if needed.fits(&first_version) { vec![first_version] } else { Vec::new() };
+        Self { history, needed, orders_on, chain, untried: Vec::new(), furthest: 0 }
+    }
+
+    /// Where the search came to an end for want of orders.
+    pub fn dead_end(&self) -> Anomaly {
+        let to = self.needed.next_after(self.furthest).unwrap_or(self.furthest);
+        Anomaly::NoWay { from: self.furthest, to }
+    }
+
+    /// The next way, if there is another one.
+    pub fn next_chain(&mut self) -> Option<Vec<Version>> {
+        if self.untried.len() == self.chain.len() {
+            self.step()?;
+        }
+        loop {
+            let newest = self.chain.last()?;
+            self.furthest = self.furthest.max(newest.number);
+            let is_reached = self.needed.next_after(newest.number).is_none();
+            let candidates = self.candidates(newest);
+            let is_followed = self.needed.followed.contains(&newest.number);
+            let is_whole = is_reached && (!is_followed || candidates.is_empty());
+            let chain = is_whole.then(|| self.chain.clone());
+            self.untried.push(if is_whole { Vec::new() } else { candidates });
+            if chain.is_some() {
+                return chain;
+            }
+            self.step()?;
+        }
+    }
+
+    /// Goes on to the next version that was not tried, from the newest that has one.
+    fn step(&mut self) -> Option<()> {
+        while self.untried.last()?.is_empty() {
+            self.untried.pop();
+            self.chain.pop();
+        }
+        let version = self.untried.last_mut()?.pop()?;
+        self.chain.push(version);
+        Some(())
+    }
+
+    /// The versions that may follow, the likeliest last: those that were sent early and not refused.
+    fn candidates(&self, newest: &Version) -> Vec<Version> {
+        let target = self.needed.next_after(newest.number);
+        let orders = self.orders_on.get(&newest.number).into_iter().flatten();
+        let mut candidates: Vec<Version> = orders
+            .map(|id| Version {
+                number: self.history.orders[id.0].number,
+                order: Some(*id),
+                content: self.history.orders[id.0].effect.applied_to(&newest.content),
+            })
+            .filter(|version| target.is_none_or(|target| version.number <= target))
+            .filter(|version| self.needed.fits(version))
+            .filter(|version| target.is_some() || !self.needed.was_refused(version))
+            .collect();
+        candidates.reverse();
+        candidates.sort_by_key(|version| !self.needed.was_refused(version));
+        candidates
+    }
+}
--- a/testing/fleet/src/lib.rs
+++ b/testing/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod days;
 pub mod fleet;
+pub mod history;
 pub mod hollow;
 pub mod judge;
 pub mod sim;
