Let rounds, votes and disk completions pass daemons and operators in the queue; measure it

Cause: one queue of 16,384 took other controllers' frames, disk completions, daemons' frames, the platform's lists and operators' orders, so that a round waited behind all of them. Change: two lanes; time that is due goes between them, and every second input is an ordinary one if there is any while ticks are overdue. Queue wait and handling time are histograms by kind of input (rudder_controller_queue_seconds, rudder_controller_step_seconds); a step over 20 ms is event E2011.

--- a/crates/common/src/events/mod.rs
+++ b/crates/common/src/events/mod.rs
@@ -56,6 +56,8 @@
     FILE_SET_ASIDE = 2007, "file set aside";
     /// The core was founded.
     FOUNDED = 2008, "founded";
+    /// The controller took long over one input, so that rounds and votes waited.
+    SLOW_STEP = 2011, "slow step";
     /// The members of the core are changing.
     SUCCESSION = 2010, "succession";
     /// A disk write takes longer than an election timeout.
--- a/crates/common/src/metrics.rs
+++ b/crates/common/src/metrics.rs
@@ -1,12 +1,20 @@
 //! A page of metrics in Prometheus text format; all names are constants of the program.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 const VALID: &str = "a constant name is valid and registered once";
 
+/// The upper bounds of histograms of seconds.
+const SECONDS_BUCKETS: [f64; 11] =
+    [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 3.0];
+
+fn seconds_options(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).buckets(SECONDS_BUCKETS.to_vec())
+}
+
 /// The metrics of one process.
 pub struct Page {
     registry: Registry,
@@ -41,9 +49,14 @@
 
     /// A new histogram of seconds.
     pub fn seconds(&self, name: &str, help: &str) -> Histogram {
-        let buckets = vec![0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 3.0];
-        let made =
-            Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets)).expect(VALID);
+        let made = Histogram::with_opts(seconds_options(name, help)).expect(VALID);
+        self.registry.register(Box::new(made.clone())).expect(VALID);
+        made
+    }
+
+    /// New histograms of seconds, one for each value of the labels.
+    pub fn seconds_by(&self, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+        let made = HistogramVec::new(seconds_options(name, help), labels).expect(VALID);
         self.registry.register(Box::new(made.clone())).expect(VALID);
         made
     }
--- a/crates/controlplane/src/drivers/disk.rs
+++ b/crates/controlplane/src/drivers/disk.rs
@@ -1,3 +1,4 @@
+use super::queue::InputSender;
 use crate::controller_state::ControllerInput;
 use crate::core::{WriteJob, WriteResult};
 use crate::disk::Shelf;
@@ -5,7 +6,6 @@
 use common::identity::Ticket;
 use common::note;
 use std::sync::mpsc as blocking;
-use tokio::sync::mpsc;
 
 /// Writes in a thread of its own, in order.
 pub struct DiskDriver {
@@ -14,7 +14,7 @@
 
 impl DiskDriver {
     /// Starts the thread.
-    pub fn start(shelf: Shelf, inputs: mpsc::Sender<ControllerInput>) -> Self {
+    pub fn start(shelf: Shelf, inputs: InputSender) -> Self {
         let (jobs, job_inbox) = blocking::channel::<(Ticket, WriteJob)>();
         std::thread::spawn(move || {
             for (ticket, job) in job_inbox {
--- a/crates/controlplane/src/drivers/engine.rs
+++ b/crates/controlplane/src/drivers/engine.rs
@@ -1,6 +1,7 @@
 use super::disk::DiskDriver;
 use super::gauges::Gauges;
 use super::links::Links;
+use super::queue::{InputKind, InputQueue, InputSender, QueuedInput, input_queue};
 use super::{OperatorsTongue, OwnOperators, operators, platform, streams};
 use crate::boot::ControllerBoot;
 use crate::controller_state::{
@@ -26,6 +27,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
+/// A step that takes longer keeps rounds and votes waiting, and is noted.
+const SLOW_STEP: Duration = Duration::from_millis(20);
+
 /// Why a controller could not start.
 #[derive(Debug)]
 pub enum ControllerFault {
@@ -76,7 +80,7 @@
 
 /// What the controller's tasks share.
 pub struct Shared {
-    pub(super) inputs: mpsc::Sender<ControllerInput>,
+    pub(super) inputs: InputSender,
     pub(super) operations: Mutex<HashMap<OperationTicket, oneshot::Sender<OperationReply>>>,
     pub(super) streams: Mutex<HashMap<StreamId, mpsc::Sender<StreamDown>>>,
     pub(super) leads: watch::Sender<bool>,
@@ -108,7 +112,7 @@
 /// A running controller.
 pub struct Controller {
     controller_state: ControllerState,
-    inbox: mpsc::Receiver<ControllerInput>,
+    queue: InputQueue,
     shared: Arc<Shared>,
     links: Links,
     disk: Option<DiskDriver>,
@@ -156,7 +160,7 @@
 /// Tells a running controller of other seeds.
 #[derive(Clone)]
 pub struct Reseeder {
-    inputs: mpsc::Sender<ControllerInput>,
+    inputs: InputSender,
 }
 
 impl Reseeder {
@@ -192,7 +196,7 @@
         let listen_key = if boot.listen == boot.place { "place" } else { "listen" };
         let process_listener = listen(boot, listen_key, boot.listen).await?;
         let operators_listener = listen(boot, "operators", boot.operators).await?;
-        let (input_sender, inbox) = mpsc::channel(16_384);
+        let (input_sender, queue) = input_queue();
         let address = Address { place: boot.place, operators: boot.operators };
         let recalled = kept
             .as_ref()
@@ -229,7 +233,7 @@
                 boot.leader_state_timing.clone(),
                 boot.core_timing.election_shortest,
             ),
-            inbox,
+            queue,
             shared,
             links: Links::new(*boot.place.0.ip()),
             disk: kept.map(|(shelf, _, _)| DiskDriver::start(shelf, input_sender)),
@@ -243,7 +247,7 @@
     pub async fn run(self, stop: watch::Receiver<bool>) {
         let Self {
             mut controller_state,
-            mut inbox,
+            mut queue,
             shared,
             mut links,
             disk,
@@ -259,27 +263,39 @@
         loop {
             let now = Moment::now();
             let idle_span = controller_state.next_due(now).since(now);
-            let input = tokio::select! {
-                () = tokio::time::sleep(idle_span) => ControllerInput::Tick,
-                Some(input) = inbox.recv() => input,
+            let QueuedInput { input, queued_at } = tokio::select! {
+                biased;
                 _ = stopping.wait_for(|stopping| *stopping) => break,
+                queued = queue.next(idle_span) => queued,
             };
             if matches!(input, ControllerInput::Operate(_, Operation::Metrics)) {
                 shared.gauges.set(&controller_state);
             }
-            for order in controller_state.take(Moment::now(), input) {
+            let kind = InputKind::of(&input);
+            let begun_at = Moment::now();
+            for order in controller_state.take(begun_at, input) {
                 obey(&shared, &mut links, disk.as_ref(), order);
             }
+            note_step(&shared, kind, begun_at.since(queued_at), Moment::now().since(begun_at));
             let is_leader = controller_state.core().is_leader();
             shared.leads.send_if_modified(|leads| std::mem::replace(leads, is_leader) != is_leader);
             shared.has_leader.store(controller_state.core().leader().is_some(), Ordering::Relaxed);
         }
         shared.newest_event.send_replace(u64::MAX);
-        drop(inbox);
+        drop(queue);
         let _ = tokio::time::timeout(Duration::from_secs(3), operators_task).await;
     }
 }
 
+/// Measures a step, and notes one that kept leadership waiting.
+fn note_step(shared: &Shared, kind: InputKind, waited: Duration, handled: Duration) {
+    shared.gauges.observe_step(kind, waited, handled);
+    if handled > SLOW_STEP {
+        let (waited_ms, handled_ms) = (waited.as_millis(), handled.as_millis());
+        note!(Warn, events::SLOW_STEP, "{kind}: waited {waited_ms} ms, took {handled_ms} ms");
+    }
+}
+
 fn obey(
     shared: &Arc<Shared>,
     links: &mut Links,
--- a/crates/controlplane/src/drivers/gauges.rs
+++ b/crates/controlplane/src/drivers/gauges.rs
@@ -1,6 +1,8 @@
+use super::queue::InputKind;
 use crate::controller_state::ControllerState;
 use common::metrics::Page;
-use prometheus::{IntCounter, IntGauge};
+use prometheus::{HistogramVec, IntCounter, IntGauge};
+use std::time::Duration;
 
 /// The controller's metrics.
 pub struct Gauges {
@@ -11,6 +13,8 @@
     in_force: IntGauge,
     leader_state: Vec<(&'static str, IntGauge)>,
     rejected: IntCounter,
+    queue_seconds: HistogramVec,
+    step_seconds: HistogramVec,
     /// Frames from daemons.
     pub frames_up: IntCounter,
     /// Frames to daemons.
@@ -41,10 +45,27 @@
             ],
             rejected: page
                 .counter("rudder_frames_rejected_total", "connections closed for what they sent"),
+            queue_seconds: page.seconds_by(
+                "rudder_controller_queue_seconds",
+                "how long an input waited in the controller's queue",
+                &["input"],
+            ),
+            step_seconds: page.seconds_by(
+                "rudder_controller_step_seconds",
+                "how long the controller took to handle an input",
+                &["input"],
+            ),
             page,
         }
     }
 
+    /// Takes how long an input waited, and how long it took to handle.
+    pub fn observe_step(&self, kind: InputKind, waited: Duration, handled: Duration) {
+        let label = [kind.label()];
+        self.queue_seconds.with_label_values(&label).observe(waited.as_secs_f64());
+        self.step_seconds.with_label_values(&label).observe(handled.as_secs_f64());
+    }
+
     /// Takes the controller state's present state.
     pub fn set(&self, controller_state: &ControllerState) {
         let core = controller_state.core();
--- a/crates/controlplane/src/drivers/mod.rs
+++ b/crates/controlplane/src/drivers/mod.rs
@@ -1,4 +1,4 @@
-//! Thin drivers that feed the plane and do what it orders.
+//! Thin drivers that feed the controller and do what it orders.
 
 mod disk;
 mod engine;
@@ -6,6 +6,7 @@
 mod links;
 mod operators;
 mod platform;
+pub mod queue;
 mod streams;
 mod tongue;
 
--- /dev/null
+++ b/crates/controlplane/src/drivers/queue.rs
@@ -0,0 +1,178 @@
+//! The controller's input queue. It has two lanes: what leadership depends on never waits behind
+//! daemons' frames, the platform's lists and operators' orders.
+
+use crate::controller_state::ControllerInput;
+use common::clock::Moment;
+use std::fmt;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+const LEADERSHIP_CAPACITY: usize = 4_096;
+const ORDINARY_CAPACITY: usize = 16_384;
+
+/// The kinds of input that are measured apart.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum InputKind {
+    /// Time passes.
+    Tick,
+    /// Another controller's frame, or the end of its process.
+    Quorum,
+    /// A disk write has ended.
+    Disk,
+    /// A daemon's frame, or the end of its stream.
+    Daemon,
+    /// Something of the platform.
+    Platform,
+    /// An operator's order or question.
+    Operator,
+    /// Other seeds.
+    Settings,
+}
+
+impl InputKind {
+    /// All kinds.
+    pub const ALL: [Self; 7] = [
+        Self::Tick,
+        Self::Quorum,
+        Self::Disk,
+        Self::Daemon,
+        Self::Platform,
+        Self::Operator,
+        Self::Settings,
+    ];
+
+    /// The kind of an input.
+    pub fn of(input: &ControllerInput) -> Self {
+        match input {
+            ControllerInput::Tick => Self::Tick,
+            ControllerInput::Core(_) | ControllerInput::Gone(_) => Self::Quorum,
+            ControllerInput::Written(..) => Self::Disk,
+            ControllerInput::Stream(..) | ControllerInput::StreamLost(_) => Self::Daemon,
+            ControllerInput::Workers(_)
+            | ControllerInput::Runners(..)
+            | ControllerInput::RunnerStopped(_) => Self::Platform,
+            ControllerInput::Operate(..) => Self::Operator,
+            ControllerInput::Seeds(_) => Self::Settings,
+        }
+    }
+
+    /// The kind as a metric's label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Tick => "tick",
+            Self::Quorum => "quorum",
+            Self::Disk => "disk",
+            Self::Daemon => "daemon",
+            Self::Platform => "platform",
+            Self::Operator => "operator",
+            Self::Settings => "settings",
+        }
+    }
+
+    /// Whether leadership depends on it.
+    fn is_leadership(self) -> bool {
+        matches!(self, Self::Quorum | Self::Disk)
+    }
+}
+
+impl fmt::Display for InputKind {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(self.label())
+    }
+}
+
+/// The controller has stopped and takes no input any more.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct QueueClosed;
+
+impl fmt::Display for QueueClosed {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("the controller has stopped")
+    }
+}
+
+impl std::error::Error for QueueClosed {}
+
+/// An input and when it was queued.
+#[derive(Debug)]
+pub struct QueuedInput {
+    /// The input.
+    pub input: ControllerInput,
+    /// When it was queued.
+    pub queued_at: Moment,
+}
+
+impl QueuedInput {
+    fn now(input: ControllerInput) -> Self {
+        Self { input, queued_at: Moment::now() }
+    }
+}
+
+/// Queues inputs.
+#[derive(Clone)]
+pub struct InputSender {
+    leadership: mpsc::Sender<QueuedInput>,
+    ordinary: mpsc::Sender<QueuedInput>,
+}
+
+impl InputSender {
+    fn lane(&self, input: &ControllerInput) -> &mpsc::Sender<QueuedInput> {
+        if InputKind::of(input).is_leadership() { &self.leadership } else { &self.ordinary }
+    }
+
+    /// Queues an input; waits while its lane is full.
+    pub async fn send(&self, input: ControllerInput) -> Result<(), QueueClosed> {
+        let lane = self.lane(&input);
+        lane.send(QueuedInput::now(input)).await.map_err(|_| QueueClosed)
+    }
+
+    /// The same from a thread that may block.
+    pub fn blocking_send(&self, input: ControllerInput) -> Result<(), QueueClosed> {
+        let lane = self.lane(&input);
+        lane.blocking_send(QueuedInput::now(input)).map_err(|_| QueueClosed)
+    }
+
+    /// Whether the controller has stopped.
+    pub fn is_closed(&self) -> bool {
+        self.ordinary.is_closed()
+    }
+}
+
+/// Rests so long; a timer would make even no rest a millisecond.
+async fn rest(span: Duration) {
+    if !span.is_zero() {
+        tokio::time::sleep(span).await;
+    }
+}
+
+/// The queue's end at the controller.
+pub struct InputQueue {
+    leadership: mpsc::Receiver<QueuedInput>,
+    ordinary: mpsc::Receiver<QueuedInput>,
+    ticked_last: bool,
+}
+
+/// A new queue and its sender.
+pub fn input_queue() -> (InputSender, InputQueue) {
+    let (leadership_sender, leadership) = mpsc::channel(LEADERSHIP_CAPACITY);
+    let (ordinary_sender, ordinary) = mpsc::channel(ORDINARY_CAPACITY);
+    let sender = InputSender { leadership: leadership_sender, ordinary: ordinary_sender };
+    (sender, InputQueue { leadership, ordinary, ticked_last: false })
+}
+
+impl InputQueue {
+    /// The next input: first what leadership depends on, then time if it is due, then all else. Between
+    /// two ticks one ordinary input is taken if there is any, so that ticks keep nothing waiting.
+    pub async fn next(&mut self, idle_span: Duration) -> QueuedInput {
+        let tick = || QueuedInput::now(ControllerInput::Tick);
+        let next_input = tokio::select! {
+            biased;
+            Some(queued) = self.leadership.recv() => queued,
+            () = rest(idle_span), if !self.ticked_last => tick(),
+            Some(queued) = self.ordinary.recv() => queued,
+            () = rest(idle_span), if self.ticked_last => tick(),
+        };
+        self.ticked_last = matches!(next_input.input, ControllerInput::Tick);
+        next_input
+    }
+}
--- /dev/null
+++ b/crates/controlplane/tests/queue.rs
@@ -0,0 +1,52 @@
+//! The controller's input queue lets leadership pass, and keeps nothing else waiting for ever.
+
+use common::frames::Place;
+use common::identity::Ticket;
+use controlplane::controller_state::ControllerInput;
+use controlplane::core::WriteResult;
+use controlplane::drivers::queue::{InputKind, InputQueue, input_queue};
+use controlplane::leader_state::StreamId;
+use googletest::prelude::*;
+use std::time::Duration;
+
+async fn next_kind(queue: &mut InputQueue, idle_span: Duration) -> InputKind {
+    InputKind::of(&queue.next(idle_span).await.input)
+}
+
+#[tokio::test]
+async fn leadership_does_not_wait_behind_daemons() {
+    let (sender, mut queue) = input_queue();
+    for stream in 0..1_000 {
+        sender.send(ControllerInput::StreamLost(StreamId(stream))).await.expect("queued");
+    }
+    sender.send(ControllerInput::Gone(Place::NOWHERE)).await.expect("queued");
+    let written = ControllerInput::Written(Ticket(1), WriteResult::Synced);
+    sender.send(written).await.expect("queued");
+    let hour = Duration::from_secs(3600);
+    assert_that!(next_kind(&mut queue, hour).await, eq(InputKind::Quorum));
+    assert_that!(next_kind(&mut queue, hour).await, eq(InputKind::Disk));
+    assert_that!(next_kind(&mut queue, hour).await, eq(InputKind::Daemon));
+}
+
+#[tokio::test]
+async fn a_tick_that_is_due_comes_before_daemons_and_not_twice() {
+    let (sender, mut queue) = input_queue();
+    for stream in 0..3 {
+        sender.send(ControllerInput::StreamLost(StreamId(stream))).await.expect("queued");
+    }
+    let mut kinds = Vec::new();
+    for _ in 0..6 {
+        kinds.push(next_kind(&mut queue, Duration::ZERO).await);
+    }
+    let expected = [InputKind::Tick, InputKind::Daemon].repeat(3);
+    assert_that!(kinds, eq(&expected));
+}
+
+#[tokio::test]
+async fn a_stopped_controller_takes_nothing() {
+    let (sender, queue) = input_queue();
+    drop(queue);
+    let sent = sender.send(ControllerInput::Gone(Place::NOWHERE)).await;
+    assert_that!(sent.is_err(), eq(true));
+    assert_that!(sender.is_closed(), eq(true));
+}
