--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -1,5 +1,7 @@
 //! What both planes of rudderstream share: newtypes, frames, clock, readers, the member ring and the spec.
 
+#![deny(missing_docs)]
+
 pub mod chance;
 pub mod clock;
 pub mod command_line;
--- a/crates/dataplane/src/drivers/holding.rs
+++ b/crates/dataplane/src/drivers/holding.rs
@@ -1,3 +1,5 @@
+//! Held functions: transactions taken in, and the orders of their holders carried out.
+
 use super::control::ControlInput;
 use super::{AskEnd, HeldHere, State, platform, runners};
 use crate::agent::{Question, Task, Topic};
--- a/crates/dataplane/src/drivers/hops.rs
+++ b/crates/dataplane/src/drivers/hops.rs
@@ -1,3 +1,5 @@
+//! Transactions between daemons, over one connection to each.
+
 use super::State;
 use super::connector::{ByteStream, Connector};
 use crate::agent::Ask;
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -1,5 +1,7 @@
 //! rudderstream's data plane: routes transactions, finds holders, runs functions it holds.
 
+#![deny(missing_docs)]
+
 pub mod agent;
 pub mod boot;
 pub mod chain;
--- a/testing/fleet/src/lib.rs
+++ b/testing/fleet/src/lib.rs
@@ -1,5 +1,7 @@
 //! The whole fleet on one machine: settings, processes, load, faults, and the judge.
 
+#![deny(missing_docs)]
+
 pub mod days;
 pub mod fleet;
 pub mod history;
--- a/testing/loadgen/src/lib.rs
+++ b/testing/loadgen/src/lib.rs
@@ -1,5 +1,7 @@
 //! Seeded stand-in callers: load generators' phones, club editors, and counters that retry at once.
 
+#![deny(missing_docs)]
+
 mod caller;
 mod plan;
 
