--- a/testing/fleet/src/sim/script.rs
+++ b/testing/fleet/src/sim/script.rs
@@ -242,7 +242,7 @@
         let base = self.checks.newest_serial();
         let turn = self.chance.below(6);
         let new_spec = large_spec(turn, functions);
-        self.send(Some(base), ChangeKind::Whole(new_spec));
+        self.send(Some(base), ChangeKind::Whole(new_spec.into()));
     }
 
     fn read_configuration(&mut self, target: Target) {
