--- a/testing/fleet/src/sim/runners.rs
+++ b/testing/fleet/src/sim/runners.rs
@@ -47,6 +47,11 @@
         let local_now = self.daemon_now(place);
         let Some(agent) = self.agent(place) else { return };
         let (function, grant) = (held.function.clone(), held.grant);
+        let Some(target) = held.send_target(runner) else {
+            let ended = Event::SendEnded(asker, function, ticket, grant, SendEnd::Unsent);
+            self.push(Duration::from_micros(1), ended);
+            return;
+        };
         let call = held
             .task(ticket)
             .ok_or(common::frames::HopReason::NotServing)
@@ -59,8 +64,7 @@
                         format!("daemon {place} sends {transaction} outside its member grant");
                     self.checks.breach(self.now, what);
                 }
-                let life = held.life_of(runner).map(|life| life.name);
-                let before = life.and_then(|life| self.checks.sends(&life, place, grant));
+                let before = self.checks.sends(&target.life, place, grant);
                 if let Some((other, other_grant)) = before
                     && self.is_live_holder(other, &function, other_grant)
                 {
@@ -70,7 +74,7 @@
                     );
                     self.checks.breach(self.now, what);
                 }
-                let asked_runner = held.face_of(runner);
+                let asked_runner = target.face;
                 let run = SimRun { asker, function, grant, ticket, asked_runner, call };
                 let delay = self.long_delay();
                 self.push(delay, Event::Run(runner_place, run));
