Size the control quorum from the tolerated losses and replace lost voters promptly

Cause: three voters everywhere, `tolerance` never read, one controller a zone, and a lost voter replaced only after 8 s of silence. Two losses at once, or a second one right after a replacement, left no majority.

Change: `QuorumPlan` decides the next voters without I/O. 2n+1 voters bear n machines; no zone holds more than a majority can spare. Lost voters are replaced (same address, zone, then the emptiest other zone), all of them in one joint configuration, by any controller that follows this term's versions; a quorum of three grows to five in one joint step and never to four, which bears no more machines and fewer zones. A zone with too many voters gives one up. A voter whose disk takes nothing for 4 s is replaced too. The next step follows a commit at once, so a stream of orders cannot starve it. A leader that a settled change leaves out steps down.

Safety mended on the way: an answer to a round of an earlier term no longer counts for the same number in a later one; after standing still a controller forgets a leader it has not heard within the election time before it says anything; controllers without a vote hear the leader within that time.

`succession.rs`: names only.

--- a/crates/common/src/chance.rs
+++ b/crates/common/src/chance.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 /// A source of chance that only its seed decides.
+#[derive(Clone, Debug)]
 pub struct Chance {
     source_rng: SmallRng,
 }
--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -59,6 +59,14 @@
     InvalidRefused,
     /// A core member is replaced in two committed steps.
     CoreInTwoSteps,
+    /// A vote is on disk before it is given.
+    VoteOnDisk,
+    /// A version is on disk before it is acknowledged.
+    AcceptOnDisk,
+    /// Nobody votes for a candidate whose version is older than the voter's.
+    NewestElected,
+    /// An answer to a round counts in the round's own term only.
+    RoundOfItsTerm,
 }
 
 impl Rule {
@@ -90,6 +98,10 @@
         Rule::StaleBaseRefused,
         Rule::InvalidRefused,
         Rule::CoreInTwoSteps,
+        Rule::VoteOnDisk,
+        Rule::AcceptOnDisk,
+        Rule::NewestElected,
+        Rule::RoundOfItsTerm,
     ];
 
     /// The rule of a name.
@@ -127,6 +139,10 @@
             Self::StaleBaseRefused => "stale-base-refused",
             Self::InvalidRefused => "invalid-refused",
             Self::CoreInTwoSteps => "core-in-two-steps",
+            Self::VoteOnDisk => "vote-on-disk",
+            Self::AcceptOnDisk => "accept-on-disk",
+            Self::NewestElected => "newest-elected",
+            Self::RoundOfItsTerm => "round-of-its-term",
         })
     }
 }
--- a/crates/controlplane/src/boot.rs
+++ b/crates/controlplane/src/boot.rs
@@ -1,6 +1,6 @@
 //! The controller's boot settings.
 
-use crate::core::{CoreTiming, FULL_CORE};
+use crate::core::{CoreTiming, QuorumShape};
 use crate::leader_state::LeaderTiming;
 use common::frames::Place;
 use common::identity::Zone;
@@ -29,8 +29,8 @@
     pub data: Option<PathBuf>,
     /// Whether the whole system starts for the first time, so that the seeds found the core.
     pub found_first: bool,
-    /// How many members the core is to have.
-    pub core_size: usize,
+    /// The voters that the control quorum is to have.
+    pub quorum_shape: QuorumShape,
     /// How many threads it runs on.
     pub threads: usize,
     /// The platform.
@@ -47,6 +47,15 @@
     Duration::from_millis(reader.number_or(1..=60_000, default_span.as_millis() as u64))
 }
 
+/// How many voters there are, said outright or by what may be lost at once.
+fn read_quorum_shape(root: &PathReader<'_>) -> QuorumShape {
+    let losses = root.field("core_losses").number_or(0..=4, 1) as usize;
+    let zone_losses = root.field("core_zone_losses").number_or(0..=4, 1) as usize;
+    let bearing = QuorumShape::bearing(losses, zone_losses);
+    let size = root.field("core_size").number_or(1..=9, bearing.voters() as u64) as usize;
+    QuorumShape::new(size, zone_losses)
+}
+
 impl ControllerBoot {
     /// Reads and checks the settings.
     pub fn read(boot_source: &BootSource) -> Result<Self, BootFault> {
@@ -60,6 +69,8 @@
                 "data",
                 "found_first",
                 "core_size",
+                "core_losses",
+                "core_zone_losses",
                 "threads",
                 "platform",
                 "placing",
@@ -95,7 +106,7 @@
             let data =
                 if data_reader.is_there() { Some(data_reader.text()?.to_owned()) } else { None };
             let found_first = root.field("found_first").flag_or(false);
-            let core_size = root.field("core_size").number_or(1..=9, FULL_CORE as u64) as usize;
+            let quorum_shape = read_quorum_shape(root);
             let threads = root.field("threads").number_or(1..=64, 2) as usize;
             let platform = read_place(&root.field("platform"));
             let shortest =
@@ -115,7 +126,7 @@
                 seeds: seeds?,
                 data: data.map(PathBuf::from),
                 found_first,
-                core_size,
+                quorum_shape,
                 threads,
                 platform: platform?,
                 list_every: read_millis(&timing.field("list_every_ms"), LIST_EVERY),
--- a/crates/controlplane/src/controller_state/mod.rs
+++ b/crates/controlplane/src/controller_state/mod.rs
@@ -146,6 +146,8 @@
 
     /// Takes one input and returns what is ordered.
     pub fn take(&mut self, now: Moment, input: ControllerInput) -> Vec<ControllerOutput> {
+        let orders = self.core.expire(now);
+        self.obey(now, orders);
         match input {
             ControllerInput::Tick => {
                 let orders = self.core.tick(now);
@@ -308,7 +310,7 @@
                     }
                     self.change_committed(stamp.serial);
                 }
-                CoreOutput::Succession { places, settled } => {
+                CoreOutput::MembershipChange { places, settled } => {
                     let places: Vec<String> = places.iter().map(Place::to_string).collect();
                     let detail = json!({"core": places, "settled": settled});
                     self.tell(Told { event: events::SUCCESSION, detail });
--- a/crates/controlplane/src/core/election.rs
+++ b/crates/controlplane/src/core/election.rs
@@ -2,6 +2,7 @@
 use common::clock::Moment;
 use common::frames::{CoreBody, Flag, Many, Place};
 use common::identity::{ControllerId, Stamp, Term};
+use common::rules::Rule;
 use common::spec::Document;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -9,6 +10,13 @@
 const GONE_SHORTEST: Duration = Duration::from_millis(50);
 const GONE_LONGEST: Duration = Duration::from_millis(200);
 
+/// How many rounds pass between two that reach controllers that do not vote: few enough for them to
+/// know the leader, who else is forgotten at the end of the election time.
+const OUTSIDERS_EVERY: u32 = 2;
+
+/// The number of no round; the first one is 1.
+const NO_ROUND: u64 = 0;
+
 impl Core {
     /// A voter that has just started and heard no leader does not wait a whole timeout: whoever
     /// hears a live one refuses its trial.
@@ -153,7 +161,8 @@
         accepted: Stamp,
         trial: bool,
     ) {
-        let is_fit = accepted >= self.newest_stamp() && self.may_vote() && !self.passes_on;
+        let is_newest = accepted >= self.newest_stamp() || !self.rules.keep(Rule::NewestElected);
+        let is_fit = is_newest && self.may_vote() && !self.passes_on;
         if self.is_leader_live(now) || term < self.term || (trial && term == self.term) {
             self.reply_vote(address.place, term, trial, false);
             return;
@@ -182,6 +191,9 @@
                 self.early_trials = 0;
                 self.arm_election(now);
                 self.order_write(now, Writing::Vote { term, candidate: from });
+                if !self.rules.keep(Rule::VoteOnDisk) {
+                    self.vote_written(now, term, from);
+                }
             }
         }
     }
@@ -265,24 +277,33 @@
         true
     }
 
-    pub(super) fn reply_round(&mut self, to: Place, round: u64) {
+    /// Answers a round. One of an earlier term gets this member's term and no number: numbers begin
+    /// anew in each term, and the answer must prove nothing in a later one.
+    pub(super) fn reply_round(&mut self, to: Place, term: Term, round: u64) {
+        let is_present = term == self.term || !self.rules.keep(Rule::RoundOfItsTerm);
+        let round = if is_present { round } else { NO_ROUND };
         let reply =
             CoreBody::RoundReply { term: self.term, round, accepted: self.accepted_stamp() };
         self.send(to, reply);
     }
 
+    /// A leader that no majority answered within the election time leads no longer.
+    pub(super) fn step_down_if_unproven(&mut self, now: Moment) {
+        let Role::Leader(rounds) = &self.role else { return };
+        let proven_at = rounds.quorum_moment().max(self.leader_heard_at);
+        if now.since(proven_at) > self.timing.election_longest {
+            self.step_down(now, self.term);
+        }
+    }
+
     pub(super) fn lead(&mut self, now: Moment) {
         if self.is_disk_stalled(now) {
             self.outputs.push(CoreOutput::DiskStalled);
             self.step_down(now, self.term);
             return;
         }
+        self.step_down_if_unproven(now);
         let Role::Leader(rounds) = &mut self.role else { return };
-        let proven_at = rounds.quorum_moment().max(self.leader_heard_at);
-        if now.since(proven_at) > self.timing.election_longest {
-            self.step_down(now, self.term);
-            return;
-        }
         if now < rounds.next_at() {
             return;
         }
@@ -304,7 +325,7 @@
             self.send(*voter_place, body.clone());
         }
         if now >= self.outsiders_round_at {
-            self.outsiders_round_at = now + self.timing.hello_every;
+            self.outsiders_round_at = now + self.timing.round_every * OUTSIDERS_EVERY;
             let short_body = CoreBody::Round {
                 term: self.term,
                 round,
--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -1,15 +1,17 @@
 //! The core: election, and the one replicated document. No I/O; time and frames come in, orders go out.
 
 mod election;
+mod membership;
 mod output;
+mod quorum_plan;
 mod register;
 mod rounds;
-mod succession;
 mod timing;
 
+pub use membership::{MembershipFault, left_alone};
 pub use output::{CoreOutput, Recalled, WriteJob, WriteResult};
+pub use quorum_plan::{DEFAULT_VOTERS, QuorumPlan, QuorumShape};
 pub use register::{FoundFault, ProposeFault};
-pub use succession::{FULL_CORE, SuccessionFault, left_alone};
 pub use timing::CoreTiming;
 
 use common::chance::Chance;
@@ -22,6 +24,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const EARLY_TRIALS: u32 = 4;
+const MOST_HEARD: usize = 64;
 
 /// Where other controllers and operators reach one.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -33,11 +36,13 @@
 }
 
 /// Another controller as this one knows it.
+#[derive(Clone, Debug)]
 struct Other {
     id: ControllerId,
     address: Address,
     zone: Zone,
     accepted: Stamp,
+    behind_since: Option<Moment>,
     heard_at: Moment,
     document_sent_at: Moment,
     since: Moment,
@@ -45,12 +50,14 @@
 }
 
 /// What another controller last said in greeting.
+#[derive(Clone, Debug)]
 struct Greeting {
     heard_at: Moment,
     term: Term,
     passes_on: bool,
 }
 
+#[derive(Clone, Debug)]
 enum Role {
     Follower,
     Trial { given: BTreeSet<ControllerId> },
@@ -58,18 +65,21 @@
     Leader(Box<Rounds>),
 }
 
+#[derive(Clone, Debug)]
 enum Writing {
     Scrub,
     Vote { term: Term, candidate: ControllerId },
     Version(Document),
 }
 
+#[derive(Clone, Debug)]
 struct WritingSince {
     started_at: Moment,
     writing: Writing,
 }
 
 /// One controller's part in the core.
+#[derive(Clone, Debug)]
 pub struct Core {
     timing: CoreTiming,
     id: ControllerId,
@@ -98,7 +108,7 @@
     last_ticket: Ticket,
     proposed: Option<Document>,
     rules: Rules,
-    size: usize,
+    shape: QuorumShape,
     may_found: bool,
     passes_on: bool,
     hinted: BTreeSet<Place>,
@@ -151,7 +161,7 @@
             last_ticket: Ticket(0),
             proposed: None,
             rules: Rules::KEPT,
-            size: FULL_CORE,
+            shape: QuorumShape::default(),
             may_found: false,
             passes_on: false,
             hinted: BTreeSet::new(),
@@ -170,9 +180,9 @@
         self
     }
 
-    /// The same, with another number of members that the core is to have.
-    pub fn with_size(mut self, size: usize) -> Self {
-        self.size = size;
+    /// The same, with other voters that the quorum is to have.
+    pub fn with_shape(mut self, shape: QuorumShape) -> Self {
+        self.shape = shape;
         self
     }
 
@@ -280,6 +290,18 @@
             .collect()
     }
 
+    /// Gives up what this moment has made too old to be said: a leader that was not heard within the
+    /// election time, and the lead without a majority that answered within it. To be called before
+    /// anything is said, since a process that stood still hears others before its timers fire.
+    pub fn expire(&mut self, now: Moment) -> Vec<CoreOutput> {
+        if self.is_leader() {
+            self.step_down_if_unproven(now);
+        } else if now >= self.election_at {
+            self.leader = None;
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Moment) -> Vec<CoreOutput> {
         if now >= self.scrub_at && self.writings.is_empty() && !self.passes_on {
@@ -294,7 +316,7 @@
         self.found_if_first(now);
         if matches!(self.role, Role::Leader(_)) {
             self.lead(now);
-            self.progress_succession(now);
+            self.progress_membership(now);
         } else if now >= self.election_at {
             self.start_trial(now);
         }
@@ -335,7 +357,7 @@
                     self.committed = self.committed.max(committed);
                 }
                 if !self.passes_on {
-                    self.reply_round(sender_address.place, round);
+                    self.reply_round(sender_address.place, term, round);
                 }
             }
             CoreBody::RoundReply { term, round, accepted } => {
@@ -383,14 +405,18 @@
 
     fn note_other(&mut self, now: Moment, id: ControllerId, address: Address, zone: Zone) {
         self.heard.insert(id, now);
-        while self.heard.len() > 64 {
-            self.heard.pop_first();
+        if self.heard.len() > MOST_HEARD
+            && let Some(silent_longest) =
+                self.heard.iter().min_by_key(|(_, heard_at)| **heard_at).map(|(id, _)| *id)
+        {
+            self.heard.remove(&silent_longest);
         }
         let other = self.others.entry(address.place).or_insert(Other {
             id,
             address,
             zone: zone.clone(),
             accepted: Stamp::default(),
+            behind_since: None,
             heard_at: now,
             document_sent_at: Moment::ZERO,
             since: now,
@@ -398,6 +424,7 @@
         });
         if other.id != id {
             other.accepted = Stamp::default();
+            other.behind_since = None;
             other.document_sent_at = Moment::ZERO;
             other.since = now;
             other.greeting = None;
@@ -419,7 +446,7 @@
         self.outputs.push(CoreOutput::Send { to, frame });
     }
 
-    /// Where those stand whose votes count, now or while a succession is not settled.
+    /// Where those stand whose votes count, now or while a membership change is not settled.
     fn voter_places(&self) -> BTreeSet<Place> {
         let documents = self.accepted.iter().chain(&self.proposed);
         let voters = documents.flat_map(|document| document.core.iter().chain(&document.former));
--- a/crates/controlplane/src/core/output.rs
+++ b/crates/controlplane/src/core/output.rs
@@ -95,8 +95,8 @@
     SteppedDown,
     /// A version is committed.
     Committed(Document),
-    /// The core's members are about to change.
-    Succession {
+    /// The voters of the control quorum are about to change.
+    MembershipChange {
         /// Where the members will stand.
         places: Vec<Place>,
         /// Whether this ends the change.
--- a/crates/controlplane/src/core/register.rs
+++ b/crates/controlplane/src/core/register.rs
@@ -2,6 +2,7 @@
 use common::clock::Moment;
 use common::frames::{Blob, CoreBody, Many, Place};
 use common::identity::{ControllerId, Serial, Stamp, Term};
+use common::rules::Rule;
 use common::spec::{CoreMember, Document};
 use std::collections::BTreeSet;
 use std::fmt;
@@ -172,9 +173,7 @@
         address: Address,
         accepted: Stamp,
     ) {
-        if let Some(other) = self.others.get_mut(&address.place) {
-            other.accepted = accepted;
-        }
+        self.note_accepted(now, address.place, accepted);
         let founding_document =
             self.accepted.as_ref().filter(|document| document.stamp == FOUNDING).cloned();
         if let Some(document) = founding_document
@@ -239,7 +238,10 @@
         match Document::from_bytes(document_bytes) {
             Ok(document) if document.stamp == stamp => {
                 self.written_out = Some((stamp, Blob::from(document_bytes.to_vec())));
-                self.order_write(now, Writing::Version(document));
+                self.order_write(now, Writing::Version(document.clone()));
+                if !self.rules.keep(Rule::AcceptOnDisk) {
+                    self.version_written(now, document);
+                }
             }
             _ => {}
         }
@@ -271,9 +273,7 @@
             self.step_down(now, term);
             return;
         }
-        if let Some(other) = self.others.get_mut(&from) {
-            other.accepted = stamp;
-        }
+        self.note_accepted(now, from, stamp);
         self.count_accepted(now);
     }
 
@@ -293,9 +293,7 @@
         if term < self.term || !self.is_leader() {
             return;
         }
-        if let Some(other) = self.others.get_mut(&place) {
-            other.accepted = accepted;
-        }
+        self.note_accepted(now, place, accepted);
         self.count_round(now, round, from);
         self.count_accepted(now);
         self.bring_level(now, place);
@@ -319,7 +317,19 @@
         }
     }
 
-    fn count_accepted(&mut self, _now: Moment) {
+    fn note_accepted(&mut self, now: Moment, place: Place, accepted: Stamp) {
+        let committed = self.committed;
+        let Some(other) = self.others.get_mut(&place) else { return };
+        let has_moved = accepted > other.accepted;
+        other.accepted = accepted;
+        if accepted >= committed {
+            other.behind_since = None;
+        } else if has_moved || other.behind_since.is_none() {
+            other.behind_since = Some(now);
+        }
+    }
+
+    fn count_accepted(&mut self, now: Moment) {
         if !matches!(self.role, Role::Leader(_)) {
             return;
         }
@@ -339,6 +349,8 @@
             let committed_document = document.clone();
             self.proposed = None;
             self.outputs.push(CoreOutput::Committed(committed_document));
+            self.leave_if_removed(now);
+            self.progress_membership(now);
         }
     }
 }
--- a/crates/controlplane/src/core/rounds.rs
+++ b/crates/controlplane/src/core/rounds.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
+#[derive(Clone, Debug)]
 struct Round {
     number: u64,
     sent_at: Moment,
@@ -12,6 +13,7 @@
 }
 
 /// A leader's rounds, and what a majority's answers prove.
+#[derive(Clone, Debug)]
 pub struct Rounds {
     open_rounds: VecDeque<Round>,
     last_number: u64,
--- a/crates/controlplane/src/core/timing.rs
+++ b/crates/controlplane/src/core/timing.rs
@@ -28,6 +28,9 @@
     /// How long a member is silent before another controller takes its place.
     #[builder(default = Duration::from_secs(8))]
     pub replace_after: Duration,
+    /// How long a voter takes no newer version, though it is heard, before another takes its place.
+    #[builder(default = Duration::from_secs(4))]
+    pub stuck_after: Duration,
     /// From one reading of all kept files to the next.
     #[builder(default = Duration::from_secs(20))]
     pub scrub_every: Duration,
--- a/crates/controlplane/src/drivers/engine.rs
+++ b/crates/controlplane/src/drivers/engine.rs
@@ -207,7 +207,7 @@
             boot.seeds.clone(),
             chance,
         )
-        .with_size(boot.core_size)
+        .with_shape(boot.quorum_shape)
         .founding_first(may_found);
         let core = if kept.is_some() { core } else { core.passing_on() };
         let shared = Arc::new(Shared {
--- a/crates/controlplane/tests/succession.rs
+++ b/crates/controlplane/tests/succession.rs
@@ -7,7 +7,7 @@
 use common::rules::{Rule, Rules};
 use common::spec::Document;
 use controlplane::core::{
-    Address, Core, CoreOutput, CoreTiming, Recalled, SuccessionFault, WriteJob, WriteResult,
+    Address, Core, CoreOutput, CoreTiming, MembershipFault, Recalled, WriteJob, WriteResult,
 };
 use googletest::prelude::*;
 use std::collections::{BTreeSet, VecDeque};
@@ -82,7 +82,7 @@
                     self.committed.push((number, document));
                     Vec::new()
                 }
-                CoreOutput::Succession { settled, .. } => {
+                CoreOutput::MembershipChange { settled, .. } => {
                     self.successions.push(settled);
                     Vec::new()
                 }
@@ -185,7 +185,7 @@
         for number in 0..4 {
             let outputs = bench.cores[number].tick(bench.now);
             let begins =
-                outputs.iter().any(|output| matches!(output, CoreOutput::Succession { .. }));
+                outputs.iter().any(|output| matches!(output, CoreOutput::MembershipChange { .. }));
             if begins {
                 bench.cuts.clear();
                 bench.separate(&[leader, 3], &[other, 2]);
@@ -234,9 +234,9 @@
     let others: Vec<usize> = (0..3).filter(|number| *number != leader).collect();
     let id = |number: usize| ControllerId(number as u64 + 1);
     let unknown = bench.cores[leader].replace(bench.now, ControllerId(99), id(3));
-    verify_that!(unknown.err(), some(eq(SuccessionFault::NoSuchMember)))?;
+    verify_that!(unknown.err(), some(eq(MembershipFault::NoSuchMember)))?;
     let stranger = bench.cores[leader].replace(bench.now, id(others[0]), ControllerId(99));
-    verify_that!(stranger.err(), some(eq(SuccessionFault::NoSuchCandidate)))?;
+    verify_that!(stranger.err(), some(eq(MembershipFault::NoSuchCandidate)))?;
     bench.dead.insert(others[0]);
     bench.pass(Duration::from_millis(2500));
     bench.separate(&[others[1]], &[leader]);
@@ -245,9 +245,9 @@
     verify_that!(
         breaking.err(),
         some(any![
-            eq(SuccessionFault::NoMajority),
-            eq(SuccessionFault::NoSuchCandidate),
-            eq(SuccessionFault::Busy)
+            eq(MembershipFault::NoMajority),
+            eq(MembershipFault::NoSuchCandidate),
+            eq(MembershipFault::Busy)
         ])
     )
 }
