--- a/crates/controlplane/src/core/register.rs
+++ b/crates/controlplane/src/core/register.rs
@@ -238,9 +238,10 @@
         match Document::from_bytes(document_bytes) {
             Ok(document) if document.stamp == stamp => {
                 self.written_out = Some((stamp, Blob::from(document_bytes.to_vec())));
-                self.order_write(now, Writing::Version(document.clone()));
-                if !self.rules.keep(Rule::AcceptOnDisk) {
-                    self.version_written(now, document);
+                let hasty = (!self.rules.keep(Rule::AcceptOnDisk)).then(|| document.clone());
+                self.order_write(now, Writing::Version(document));
+                if let Some(unwritten) = hasty {
+                    self.version_written(now, unwritten);
                 }
             }
             _ => {}
--- a/crates/dataplane/src/drivers/links.rs
+++ b/crates/dataplane/src/drivers/links.rs
@@ -1,10 +1,11 @@
+use super::connector::Connector;
 use crate::pool::{Draw, LinkNumber, Pool};
 use bytes::Bytes;
 use common::clock::Moment;
 use common::frames::Place;
-use common::http::{CallFault, Called};
+use common::http::{CallFault, Called, is_merged};
 use common::identity::RunnerId;
-use common::sockets;
+use common::rules::{Rule, Rules};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -12,7 +13,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
@@ -39,6 +39,7 @@
 /// One connection; it is closed when it is dropped.
 pub struct RunnerLink {
     owner: Weak<RunnerLinks>,
+    rules: Rules,
     runner: RunnerId,
     number: LinkNumber,
     sender: SendRequest<Full<Bytes>>,
@@ -74,6 +75,7 @@
         patience: Duration,
         largest_body: usize,
     ) -> Exchanged {
+        let rules = self.rules;
         let asking = async {
             let response = match self.sender.try_send_request(request).await {
                 Ok(response) => response,
@@ -85,6 +87,9 @@
                 }
             };
             let (head, body) = response.into_parts();
+            if is_merged(&head.headers, &head.extensions) && rules.keep(Rule::HeadUnmixed) {
+                return Exchanged::Lost(CallFault::Merged);
+            }
             match Limited::new(body, largest_body).collect().await {
                 Ok(body) => Exchanged::Answered(Called {
                     status: head.status,
@@ -106,12 +111,18 @@
 }
 
 /// The connections to runners.
-#[derive(Default)]
 pub struct RunnerLinks {
+    connector: Arc<dyn Connector>,
+    rules: Rules,
     inner: Mutex<Inner>,
 }
 
 impl RunnerLinks {
+    /// No connections yet.
+    pub fn new(connector: Arc<dyn Connector>, rules: Rules) -> Self {
+        Self { connector, rules, inner: Mutex::default() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -167,8 +178,7 @@
         patience: Duration,
     ) -> Result<RunnerLink, LinkFault> {
         let connecting = async {
-            let stream = TcpStream::connect(place.address()).await.ok()?;
-            sockets::tune(&stream);
+            let stream = self.connector.to_runner(place).await.ok()?;
             handshake(TokioIo::new(stream)).await.ok()
         };
         let opened = tokio::time::timeout(patience.min(CONNECT_PATIENCE), connecting).await;
@@ -185,7 +195,8 @@
             }
         });
         let driving = driving.abort_handle();
-        Ok(RunnerLink { owner, runner, number, sender, driving, is_kept: false })
+        let rules = self.rules;
+        Ok(RunnerLink { owner, rules, runner, number, sender, driving, is_kept: false })
     }
 
     fn ended(&self, runner: RunnerId, number: LinkNumber) {
--- a/testing/fleet/src/sim/mod.rs
+++ b/testing/fleet/src/sim/mod.rs
@@ -1,19 +1,33 @@
 //! The real state machines of both planes under virtual time, with a virtual network, disk and platform.
 
+mod calls;
 mod checks;
 mod controller;
 mod daemon;
+mod dispatch;
+mod event;
 mod faults;
 mod flaw;
+mod founding;
+mod links;
 mod network;
 mod operator;
+mod plan;
 mod platform;
 mod proofs;
+mod recovery;
 mod runners;
+mod scenario;
+mod script;
+mod statements;
 mod world;
 
 pub use checks::{Breach, Checks};
 pub use faults::SimFault;
 pub use flaw::Flaw;
+pub use plan::{SimEnd, SimPlan};
 pub use proofs::{PROOFS, Proof, ProofEnd};
-pub use world::{SimEnd, SimPlan, World};
+pub use recovery::{RecoveryTimes, SINGLE_LOSSES, SingleLoss, Spread};
+pub use scenario::{QuorumSize, Repair, Scenario, SecondLossCase};
+pub use script::{Action, Direction, Loss, SecondLoss, Target};
+pub use world::World;
--- a/testing/fleet/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -1,4 +1,5 @@
-use super::world::{Event, World};
+use super::event::Event;
+use super::world::World;
 use common::identity::{ChangeId, Serial};
 use controlplane::controller_state::{
     ChangeKind, Operation, OperationReply, OperationTicket, Wait,
@@ -71,7 +72,7 @@
             let kind = if self.chance.happens(0.2) {
                 ChangeKind::Patch(json!({"routes": {"canary": new_spec["routes"]["canary"]}}))
             } else {
-                ChangeKind::Whole(new_spec)
+                ChangeKind::Whole(new_spec.into())
             };
             self.send(Some(newest_serial), kind);
         }
