--- a/testing/fleet/src/sim/controller.rs
+++ b/testing/fleet/src/sim/controller.rs
@@ -13,7 +13,7 @@
 use controlplane::controller_state::{
     ControllerInput, ControllerOutput, ControllerState, OperationReply, OperationTicket,
 };
-use controlplane::core::{Address, Core, CoreTiming, Recalled, WriteJob, WriteResult};
+use controlplane::core::{Address, Core, CoreTiming, QuorumShape, Recalled, WriteJob, WriteResult};
 use controlplane::leader_state::{LeaderTiming, StreamId};
 use std::time::Duration;
 
@@ -90,7 +90,7 @@
             Chance::seeded(seed),
         )
         .with_rules(rules)
-        .with_size(voters);
+        .with_shape(QuorumShape::new(voters, 1));
         let controller_state =
             ControllerState::new(core, leader_state_timing(), timing().election_shortest);
         controller.controller_state = Some(controller_state.with_rules(rules));
