--- /dev/null
+++ b/testing/fleet/src/control_side.rs
@@ -0,0 +1,111 @@
+//! Losses in the control quorum: a second one at every step of a repair, and the time back to order.
+
+use fleet::sim::{
+    Flaw, QuorumSize, Repair, SINGLE_LOSSES, SecondLoss, SecondLossCase, SimPlan, Spread, Target,
+    World,
+};
+use gumdrop::Options;
+use std::process::ExitCode;
+
+/// Which second losses are played.
+#[derive(Options)]
+pub struct SecondLosses {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "seed", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "machines with a disk, if not every size")]
+    machines: Option<usize>,
+    #[options(no_short, help = "play each so manieth step", default = "1")]
+    stride: u64,
+    #[options(help = "a rule to break on purpose", default = "none")]
+    flaw: String,
+}
+
+/// What is measured after each single loss.
+#[derive(Options)]
+pub struct RecoveryOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", default = "500")]
+    count: u64,
+    #[options(no_short, help = "machines with a disk: 3, 5, 6 or 8", default = "3")]
+    machines: usize,
+}
+
+/// The places where a second loss may fall, for each quorum, repair, target and loss.
+fn cases(size: QuorumSize, seed: u64, stride: u64) -> Vec<SecondLossCase> {
+    let mut cases = Vec::new();
+    for repair in Repair::ALL {
+        let quiet_case = SecondLossCase { size, repair: *repair, second: None };
+        let steps = quiet_case.steps(seed);
+        for target in [Target::Leader, Target::Follower, Target::Victim] {
+            for loss in SecondLossCase::borne_losses(size, *repair) {
+                let places = (1..=steps).step_by(stride.max(1) as usize);
+                cases.extend(places.map(|step| {
+                    let second = Some(SecondLoss { step, target, loss: *loss });
+                    SecondLossCase { second, ..quiet_case }
+                }));
+            }
+        }
+    }
+    cases
+}
+
+/// Plays a second loss at each step, and prints the cases with breaches.
+pub fn lose_second_machines(chosen: &SecondLosses) -> ExitCode {
+    let Some(flaw) = Flaw::all().into_iter().find(|flaw| flaw.to_string() == chosen.flaw) else {
+        eprintln!("fleet: unknown flaw {:?}", chosen.flaw);
+        return ExitCode::from(2);
+    };
+    let mut breach_count = 0;
+    let sizes = QuorumSize::ALL
+        .iter()
+        .filter(|size| chosen.machines.is_none_or(|machines| machines == size.machines));
+    for size in sizes {
+        let mut case_count = 0;
+        let mut broken_count = 0;
+        for case in cases(*size, chosen.seed, chosen.stride) {
+            case_count += 1;
+            let plan = SimPlan { flaw, ..case.plan(chosen.seed) };
+            let breaches = World::new(plan, false).run().breaches;
+            if let Some(breach) = breaches.first() {
+                broken_count += 1;
+                println!("{} {:?}: {breach}", case.repair, case.second);
+            }
+        }
+        println!("{} machines: {case_count} cases, {broken_count} with breaches", size.machines);
+        breach_count += broken_count;
+    }
+    if breach_count == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
+/// Prints a table in Markdown: for each single loss the time to the next order and session leases.
+pub fn measure_recovery(chosen: &RecoveryOptions) -> ExitCode {
+    let Some(size) = QuorumSize::ALL.iter().find(|size| size.machines == chosen.machines) else {
+        eprintln!("fleet: there are quorums of 3, 5, 6 and 8 machines");
+        return ExitCode::from(2);
+    };
+    println!(
+        "| {} machines | seeds | not back in 10 s | order, median | order, worst | first lease, median | first lease, worst | all leases, median | all leases, worst |",
+        size.machines
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    for single in SINGLE_LOSSES {
+        let seeds = chosen.seed..chosen.seed + chosen.count;
+        let times: Vec<_> =
+            seeds.filter_map(|seed| single.measure(seed, size.machines, size.voters)).collect();
+        let order = Spread::of(times.iter().map(|time| time.order));
+        let first_lease = Spread::of(times.iter().map(|time| time.first_lease));
+        let last_lease = Spread::of(times.iter().map(|time| time.last_lease));
+        println!(
+            "| {} | {} | {} | {order} | {first_lease} | {last_lease} |",
+            single.name,
+            chosen.count,
+            chosen.count - times.len() as u64,
+        );
+    }
+    ExitCode::SUCCESS
+}
--- a/testing/fleet/src/main.rs
+++ b/testing/fleet/src/main.rs
@@ -1,12 +1,15 @@
 //! The proving tool: whole days of the fleet, judged.
 
+mod control_side;
+mod simulation;
+
 use common::rules::Rule;
 use eyre::{WrapErr, eyre};
 use fleet::days::{Day, Deployment, FaultName, run_day};
 use fleet::hollow::page::{PageFault, draw_plots, read_runs, renew};
 use fleet::hollow::{CountingAllocator, Fleet, HollowSize, RecordFault};
 use fleet::judge::{Evidence, EvidenceFault, Recovery, Verdict, judge};
-use fleet::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
+use fleet::sim::{PROOFS, SimFault};
 use gumdrop::Options;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -14,6 +17,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use control_side::{RecoveryOptions, SecondLosses, lose_second_machines, measure_recovery};
+use simulation::{Sim, simulate};
+
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
 
@@ -38,6 +44,10 @@
     Table(Table),
     #[options(help = "run simulated days over many seeds")]
     Sim(Sim),
+    #[options(help = "lose a second machine at each step of the control quorum's repairs")]
+    SecondLosses(SecondLosses),
+    #[options(help = "measure how soon the control side is back after each single loss")]
+    Recovery(RecoveryOptions),
     #[options(help = "take each safety rule away and see that it is found")]
     Proofs(Proofs),
     #[options(help = "measure a hollow fleet, all its state machines in this process")]
@@ -118,30 +128,6 @@
     folders: Vec<PathBuf>,
 }
 
-#[derive(Options)]
-struct Sim {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(help = "the first seed", default = "1")]
-    seed: u64,
-    #[options(help = "how many seeds", default = "1")]
-    count: u64,
-    #[options(help = "seconds of faults in each day", default = "30")]
-    lasts: u64,
-    #[options(no_short, help = "daemons in each day", default = "5")]
-    daemons: usize,
-    #[options(no_short, help = "cause no faults, only changes")]
-    calm: bool,
-    #[options(no_short, help = "the only faults of the day, with commas", default = "")]
-    faults: String,
-    #[options(no_short, help = "longest milliseconds between two faults", default = "3500")]
-    gap_ms: u64,
-    #[options(help = "a rule to break on purpose", default = "none")]
-    flaw: String,
-    #[options(no_short, help = "print what happens")]
-    trace: bool,
-}
-
 #[derive(Options)]
 struct Run {
     #[options(help = "print this help")]
@@ -257,6 +243,8 @@
             .map(|evidence| conclude(&judge(&evidence))),
         Some(Command::Table(table)) => tabulate(&table.folders).wrap_err("records"),
         Some(Command::Sim(sim)) => return simulate(&sim),
+        Some(Command::SecondLosses(chosen)) => return lose_second_machines(&chosen),
+        Some(Command::Recovery(chosen)) => return measure_recovery(&chosen),
         Some(Command::Capacity(capacity)) => renew_page(&capacity).wrap_err("page"),
         Some(Command::Hollow(hollow)) => measure(&hollow).wrap_err("record"),
         Some(Command::Proofs(proofs)) => return prove(&proofs),
@@ -381,58 +369,6 @@
     if is_whole { ExitCode::SUCCESS } else { ExitCode::from(1) }
 }
 
-fn simulate(sim: &Sim) -> ExitCode {
-    let Some(flaw) = Flaw::all().into_iter().find(|flaw| flaw.to_string() == sim.flaw) else {
-        let names: Vec<String> = Flaw::all().iter().map(Flaw::to_string).collect();
-        eprintln!("fleet: unknown flaw {:?}; there are: {}", sim.flaw, names.join(", "));
-        return ExitCode::from(2);
-    };
-    let mut focus = Vec::new();
-    for name in sim.faults.split(',').filter(|name| !name.is_empty()) {
-        let Some(fault) = SimFault::named(name) else {
-            let names: Vec<String> = SimFault::ALL.iter().map(SimFault::to_string).collect();
-            eprintln!("fleet: unknown fault {name:?}; there are: {}", names.join(", "));
-            return ExitCode::from(2);
-        };
-        focus.push(fault);
-    }
-    let mut bad_seeds = Vec::new();
-    let mut weak_seeds = Vec::new();
-    for seed in sim.seed..sim.seed + sim.count {
-        let plan = SimPlan {
-            flaw,
-            lasts: Duration::from_secs(sim.lasts),
-            daemons: sim.daemons,
-            has_faults: !sim.calm,
-            focus: focus.clone(),
-            gap: Duration::from_millis(sim.gap_ms.max(400)),
-            ..SimPlan::seeded(seed)
-        };
-        let sim_end = World::new(plan, sim.trace).run();
-        sim_end.trace.iter().for_each(|line| println!("{line}"));
-        println!("seed {seed}: {sim_end}");
-        for breach in sim_end.breaches.iter().take(5) {
-            println!("    {breach}");
-        }
-        if !sim_end.breaches.is_empty() {
-            bad_seeds.push(seed);
-        } else if sim_end.share_after < 0.5 {
-            weak_seeds.push(seed);
-        }
-    }
-    println!(
-        "{} seeds: {} with breaches {bad_seeds:?}, {} not back in service {weak_seeds:?}",
-        sim.count,
-        bad_seeds.len(),
-        weak_seeds.len()
-    );
-    if bad_seeds.is_empty() && weak_seeds.is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(1)
-    }
-}
-
 fn run_whole(day: &Day) -> eyre::Result<ExitCode> {
     if day.folder.join("journal.jsonl").exists() {
         std::fs::remove_dir_all(&day.folder).wrap_err("old folder")?;
--- a/testing/fleet/src/sim/recovery.rs
+++ b/testing/fleet/src/sim/recovery.rs
@@ -6,6 +6,7 @@
 use super::world::World;
 use common::clock::Moment;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 /// When the loss happened, and what has come back since.
@@ -101,6 +102,7 @@
             script,
             controllers,
             voters,
+            founders: voters,
             has_faults: false,
             has_changes: false,
             rate: 2.0,
@@ -135,3 +137,9 @@
         Self { median, worst }
     }
 }
+
+impl fmt::Display for Spread {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{} ms | {} ms", self.median.as_millis(), self.worst.as_millis())
+    }
+}
--- /dev/null
+++ b/testing/fleet/src/simulation.rs
@@ -0,0 +1,127 @@
+//! Simulated days over many seeds.
+
+use fleet::sim::{Flaw, Scenario, SimFault, SimPlan, World};
+use gumdrop::Options;
+use std::fmt;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Which days are simulated.
+#[derive(Options)]
+pub struct Sim {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", default = "1")]
+    count: u64,
+    #[options(help = "seconds of faults in each day", default = "30")]
+    lasts: u64,
+    #[options(no_short, help = "daemons in each day", default = "5")]
+    daemons: usize,
+    #[options(no_short, help = "cause no faults, only changes")]
+    calm: bool,
+    #[options(no_short, help = "the only faults of the day, with commas", default = "")]
+    faults: String,
+    #[options(no_short, help = "longest milliseconds between two faults", default = "3500")]
+    gap_ms: u64,
+    #[options(help = "a rule to break on purpose", default = "none")]
+    flaw: String,
+    #[options(
+        no_short,
+        help = "a scripted day for the control side: cut-off, second-loss, many-changes or power-loss",
+        default = ""
+    )]
+    scenario: String,
+    #[options(no_short, help = "print what happens")]
+    trace: bool,
+}
+
+/// Runs the days of the seeds and prints how each ended.
+pub fn simulate(sim: &Sim) -> ExitCode {
+    let plan_of = match plans(sim) {
+        Ok(plan_of) => plan_of,
+        Err(fault) => {
+            eprintln!("fleet: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    let mut bad_seeds = Vec::new();
+    let mut weak_seeds = Vec::new();
+    for seed in sim.seed..sim.seed + sim.count {
+        let plan = plan_of(seed);
+        let is_scripted = plan.judges_script;
+        let sim_end = World::new(plan, sim.trace).run();
+        sim_end.trace.iter().for_each(|line| println!("{line}"));
+        println!("seed {seed}: {sim_end}");
+        for breach in sim_end.breaches.iter().take(5) {
+            println!("    {breach}");
+        }
+        if !sim_end.breaches.is_empty() {
+            bad_seeds.push(seed);
+        } else if sim_end.share_after < 0.5 && !is_scripted {
+            weak_seeds.push(seed);
+        }
+    }
+    println!(
+        "{} seeds: {} with breaches {bad_seeds:?}, {} not back in service {weak_seeds:?}",
+        sim.count,
+        bad_seeds.len(),
+        weak_seeds.len()
+    );
+    if bad_seeds.is_empty() && weak_seeds.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    }
+}
+
+/// Why there are no days to run.
+enum PlanFault {
+    Flaw(String),
+    Fault(String),
+    Scenario(String),
+}
+
+impl fmt::Display for PlanFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (kind, given, known): (_, _, Vec<String>) = match self {
+            Self::Flaw(given) => ("flaw", given, Flaw::all().iter().map(Flaw::to_string).collect()),
+            Self::Fault(given) => {
+                ("fault", given, SimFault::ALL.iter().map(SimFault::to_string).collect())
+            }
+            Self::Scenario(given) => {
+                ("scenario", given, Scenario::ALL.iter().map(Scenario::to_string).collect())
+            }
+        };
+        write!(out, "unknown {kind} {given:?}; there are: {}", known.join(", "))
+    }
+}
+
+/// What makes the day of each seed.
+fn plans(sim: &Sim) -> Result<Box<dyn Fn(u64) -> SimPlan>, PlanFault> {
+    let flaw = Flaw::all()
+        .into_iter()
+        .find(|flaw| flaw.to_string() == sim.flaw)
+        .ok_or_else(|| PlanFault::Flaw(sim.flaw.clone()))?;
+    if !sim.scenario.is_empty() {
+        let scenario = Scenario::named(&sim.scenario)
+            .ok_or_else(|| PlanFault::Scenario(sim.scenario.clone()))?;
+        return Ok(Box::new(move |seed| SimPlan { flaw, ..scenario.plan(seed) }));
+    }
+    let names = sim.faults.split(',').filter(|name| !name.is_empty());
+    let focus = names
+        .map(|name| SimFault::named(name).ok_or_else(|| PlanFault::Fault(name.to_owned())))
+        .collect::<Result<Vec<SimFault>, PlanFault>>()?;
+    let (lasts, gap) = (Duration::from_secs(sim.lasts), Duration::from_millis(sim.gap_ms.max(400)));
+    let (daemons, has_faults) = (sim.daemons, !sim.calm);
+    Ok(Box::new(move |seed| SimPlan {
+        flaw,
+        lasts,
+        daemons,
+        has_faults,
+        focus: focus.clone(),
+        gap,
+        ..SimPlan::seeded(seed)
+    }))
+}
