--- a/testing/fleet/src/sim/event.rs
+++ b/testing/fleet/src/sim/event.rs
@@ -15,7 +15,7 @@
 use controlplane::controller_state::{Operation, OperationReply, OperationTicket};
 use controlplane::core::{WriteJob, WriteResult};
 use dataplane::agent::{PassEnd, Topic};
-use dataplane::holder::{HolderWord, SendEnd};
+use dataplane::holder::{HolderMessage, SendEnd};
 
 pub(super) enum Event {
     Tick(Node, u64),
@@ -34,7 +34,7 @@
     AcquireTimedOut(Node, u64, u64),
     Hop(Node, u64, Back, HopBody),
     Passed(Node, u64, u64, PassEnd),
-    Word(Node, u64, FunctionKey, GrantSerial, HolderWord),
+    Word(Node, u64, FunctionKey, GrantSerial, HolderMessage),
     Gone(Node, u64),
     Start(Asker, FunctionKey, RunnerId, WorkerName, FunctionSpec),
     Started(Asker, FunctionKey, RunnerId, BeginEnd),
