--- a/crates/controlplane/src/controller_state/operation.rs
+++ b/crates/controlplane/src/controller_state/operation.rs
@@ -5,7 +5,7 @@
 use common::identity::{ChangeId, ControllerId, Serial, Zone};
 use common::readers::PathFault;
 use common::rules::Rule;
-use common::spec::Document;
+use common::spec::{Document, SpecRecords};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug)]
 pub enum ChangeKind {
     /// A whole spec.
-    Whole(Value),
+    Whole(SpecRecords),
     /// A JSON merge patch.
     Patch(Value),
     /// Named items.
--- a/testing/fleet/src/control_side.rs
+++ b/testing/fleet/src/commands/control_side.rs
@@ -1,40 +1,12 @@
 //! Losses in the control quorum: a second one at every step of a repair, and the time back to order.
 
+use super::flags::{RecoveryOptions, SecondLosses};
 use fleet::sim::{
     Flaw, QuorumSize, Repair, SCENARIO_PROOFS, SINGLE_LOSSES, SecondLoss, SecondLossCase, SimPlan,
     Spread, Target, World,
 };
-use gumdrop::Options;
 use std::process::ExitCode;
 
-/// Which second losses are played.
-#[derive(Options)]
-pub struct SecondLosses {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(help = "seed", default = "1")]
-    seed: u64,
-    #[options(no_short, help = "machines with a disk, if not every size")]
-    machines: Option<usize>,
-    #[options(no_short, help = "play each so manieth step", default = "1")]
-    stride: u64,
-    #[options(help = "a rule to break on purpose", default = "none")]
-    flaw: String,
-}
-
-/// What is measured after each single loss.
-#[derive(Options)]
-pub struct RecoveryOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(help = "the first seed", default = "1")]
-    seed: u64,
-    #[options(help = "how many seeds", default = "500")]
-    count: u64,
-    #[options(no_short, help = "machines with a disk: 3, 5, 6 or 8", default = "3")]
-    machines: usize,
-}
-
 /// The places where a second loss may fall, for each quorum, repair, target and loss.
 fn cases(size: QuorumSize, seed: u64, stride: u64) -> Vec<SecondLossCase> {
     let mut cases = Vec::new();
--- a/testing/fleet/src/simulation.rs
+++ b/testing/fleet/src/commands/simulator.rs
@@ -1,40 +1,39 @@
-//! Simulated days over many seeds.
+//! Simulated days over many seeds, and the proofs that each safety rule is needed.
 
-use fleet::sim::{Flaw, Scenario, SimFault, SimPlan, World};
-use gumdrop::Options;
+use super::control_side::prove_scenarios;
+use super::flags::{Proofs, Sim};
+use fleet::sim::{Flaw, PROOFS, SEEDS_TO_FIND, Scenario, SimFault, SimPlan, World};
 use std::fmt;
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Which days are simulated.
-#[derive(Options)]
-pub struct Sim {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(help = "the first seed", default = "1")]
-    seed: u64,
-    #[options(help = "how many seeds", default = "1")]
-    count: u64,
-    #[options(help = "seconds of faults in each day", default = "30")]
-    lasts: u64,
-    #[options(no_short, help = "daemons in each day", default = "5")]
-    daemons: usize,
-    #[options(no_short, help = "cause no faults, only changes")]
-    calm: bool,
-    #[options(no_short, help = "the only faults of the day, with commas", default = "")]
-    faults: String,
-    #[options(no_short, help = "longest milliseconds between two faults", default = "3500")]
-    gap_ms: u64,
-    #[options(help = "a rule to break on purpose", default = "none")]
-    flaw: String,
-    #[options(
-        no_short,
-        help = "a scripted day for the control side: cut-off, second-loss, many-changes or power-loss",
-        default = ""
-    )]
-    scenario: String,
-    #[options(no_short, help = "print what happens")]
-    trace: bool,
+/// Prints a table in Markdown: for each rule what is seen without it, and how soon.
+pub fn prove(proofs: &Proofs) -> ExitCode {
+    let mut is_whole = true;
+    println!(
+        "| point | broken | faults | seeds to first finding | seen | checks with all rules kept | breaches |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for proof in PROOFS {
+        let end = proof.run(proofs.seeds.unwrap_or(proof.seeds));
+        let faults: Vec<String> = proof.faults.iter().map(SimFault::to_string).collect();
+        let (seed, seen) = match &end.found {
+            Some((seed, seen)) => (seed.to_string(), seen.clone()),
+            None => ("none".to_owned(), String::new()),
+        };
+        println!(
+            "| {} | `{}` | {} | {seed} | {seen} | {} | {} |",
+            proof.point,
+            proof.flaw,
+            faults.join(", "),
+            end.looked,
+            end.kept_breaches.len()
+        );
+        end.kept_breaches.iter().take(3).for_each(|breach| eprintln!("{breach}"));
+        is_whole &= end.found.is_some() && end.kept_breaches.is_empty();
+    }
+    is_whole &= prove_scenarios(proofs.seeds.unwrap_or(SEEDS_TO_FIND));
+    if is_whole { ExitCode::SUCCESS } else { ExitCode::from(1) }
 }
 
 /// Runs the days of the seeds and prints how each ended.
--- a/testing/fleet/src/lib.rs
+++ b/testing/fleet/src/lib.rs
@@ -1,8 +1,10 @@
 //! The whole fleet on one machine: settings, processes, load, faults, and the judge.
 
+#![deny(missing_docs)]
+
 pub mod days;
 pub mod fleet;
 pub mod history;
-pub mod hollow;
 pub mod judge;
 pub mod sim;
+pub mod synthetic;
