--- a/testing/fleet/src/commands/mod.rs
+++ b/testing/fleet/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! What each command of the proving tool does.
 
 pub mod capacity;
+pub mod control_side;
 pub mod days;
 pub mod flags;
 pub mod simulator;
