Share what every program does around its work

Eight mains read flags, printed the version, built a runtime and said faults in their own copy; common::command_line::Program, runtime and apply_on_reread do it once, BootSource lays text and list flags over the file, and the text of a header line is read in one place.

--- a/crates/common/src/command_line.rs
+++ b/crates/common/src/command_line.rs
@@ -1,25 +1,52 @@
-//! What every program does around its work: flags, the log, and the signal to stop.
+//! What every program does around its work: flags, faults, the log, the runtime, and signals.
 
 use crate::events;
 use crate::note;
 use gumdrop::{Options, ParsingStyle};
+use std::fmt;
+use std::process::ExitCode;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-/// Reads the flags, or ends the process with help or a fault.
-pub fn read<T: Options>(program: &str) -> T {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    match T::parse_args(&arguments, ParsingStyle::default()) {
-        Ok(flags) if flags.help_requested() => {
-            println!("{}", help(program, &flags));
-            std::process::exit(0)
-        }
-        Ok(flags) => flags,
-        Err(fault) => {
-            eprintln!("{program}: {fault}; try --help");
-            std::process::exit(2)
+/// A program, as it names itself to its user.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    name: &'static str,
+    version: &'static str,
+}
+
+impl Program {
+    /// A program of a name and a version.
+    pub const fn new(name: &'static str, version: &'static str) -> Self {
+        Self { name, version }
+    }
+
+    /// Reads the flags, or ends the process with help, the version or a fault.
+    pub fn flags<T: Options>(self, asks_version: impl FnOnce(&T) -> bool) -> T {
+        let arguments: Vec<String> = std::env::args().skip(1).collect();
+        match T::parse_args(&arguments, ParsingStyle::default()) {
+            Ok(flags) if flags.help_requested() => {
+                println!("{}", help(self.name, &flags));
+                std::process::exit(0)
+            }
+            Ok(flags) if asks_version(&flags) => {
+                println!("{} {}", self.name, self.version);
+                std::process::exit(0)
+            }
+            Ok(flags) => flags,
+            Err(fault) => {
+                eprintln!("{}: {fault}; try --help", self.name);
+                std::process::exit(2)
+            }
         }
     }
+
+    /// Says why the program ends, and gives its exit code.
+    pub fn fail(self, fault: impl fmt::Display, exit_code: u8) -> ExitCode {
+        eprintln!("{}: {fault}", self.name);
+        ExitCode::from(exit_code)
+    }
 }
 
 fn help(program: &str, flags: &dyn Options) -> String {
@@ -67,6 +94,32 @@
     Ok(reread)
 }
 
+/// Reads settings each time the process is told that they have changed, and applies those that could be
+/// read; goes on until the process ends.
+pub async fn apply_on_reread<T>(
+    mut reread: watch::Receiver<u64>,
+    read: impl Fn() -> Option<T>,
+    apply: impl AsyncFn(T),
+) {
+    while reread.changed().await.is_ok() {
+        if let Some(settings) = read() {
+            apply(settings).await;
+        }
+    }
+}
+
+/// The runtime for so many threads: zero lets the machine decide, and one thread does everything itself.
+pub fn runtime(thread_count: usize) -> std::io::Result<Runtime> {
+    if thread_count == 1 {
+        return Builder::new_current_thread().enable_all().build();
+    }
+    let mut builder = Builder::new_multi_thread();
+    if thread_count > 0 {
+        builder.worker_threads(thread_count);
+    }
+    builder.enable_all().build()
+}
+
 /// Starts the log at the level that `RUST_LOG` names, or `info`.
 pub fn start_log() {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
--- a/crates/common/src/http/mod.rs
+++ b/crates/common/src/http/mod.rs
@@ -1,11 +1,13 @@
 //! The little that every program needs around hyper: serving, calling, JSON.
 
 mod call;
+mod headers;
 mod keeping;
 mod lines;
 mod serve;
 
 pub use call::{CallFault, Called, call, call_json, connect, exchange};
+pub use headers::header_text;
 pub use keeping::{closes, kept_for};
 pub use lines::{LinesEnd, follow_lines};
 pub use serve::{
--- a/crates/common/src/readers/boot.rs
+++ b/crates/common/src/readers/boot.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Lays a flag with a text over the file's value.
+    pub fn set_text(&mut self, key: &str, flag_text: Option<&str>) {
+        self.set(key, flag_text.map(Value::from));
+    }
+
+    /// Lays a flag with a list, its items separated by commas, over the file's value.
+    pub fn set_list(&mut self, key: &str, flag_text: Option<&str>) {
+        self.set(key, flag_text.map(|text| text.split(',').collect()));
+    }
+
     /// The name that faults are reported under.
     pub fn name(&self) -> &str {
         &self.name
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -10,7 +10,6 @@
 mod links;
 mod platform;
 mod runners;
-mod runtime;
 mod state;
 
 pub use crate::tongue::DaemonAdapters;
@@ -19,5 +18,4 @@
 pub use door::serve_door;
 pub use gauges::Gauges;
 pub use hops::{AskEnd, HopLinks};
-pub use runtime::runtime;
 pub use state::{HeldHere, State};
--- a/crates/dataplane/src/tongue/runner.rs
+++ b/crates/dataplane/src/tongue/runner.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use common::frames::Place;
+use common::http::header_text;
 use common::seal;
 use common::tongue::{ReadyBy, RunnerSaid, RunnerTongue, RunnerWords, SealKind};
 use http_body_util::Full;
@@ -10,7 +11,7 @@
 pub struct OwnRunner;
 
 fn text(headers: &HeaderMap, name: &str) -> String {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
+    header_text(headers, name).to_owned()
 }
 
 impl RunnerTongue for OwnRunner {
--- a/programs/controller/src/main.rs
+++ b/programs/controller/src/main.rs
@@ -1,12 +1,13 @@
 //! A controller: one member of the core.
 
+use common::command_line::{self, Program};
 use common::events;
 use common::note;
 use common::readers::{BootFault, BootSource};
 use controlplane::boot::ControllerBoot;
 use controlplane::drivers::{Controller, ControllerFault, Reseeder};
 use gumdrop::Options;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::sync::watch;
@@ -50,84 +51,73 @@
 }
 
 fn read_boot(flags: &Flags) -> Result<ControllerBoot, BootFault> {
-    let text = |given: &Option<String>| given.clone().map(Value::String);
     let mut boot_source = BootSource::open(flags.boot.as_deref())?;
-    boot_source.set("place", text(&flags.place));
-    boot_source.set("operators", text(&flags.operators));
-    boot_source.set("locality", text(&flags.zone));
-    boot_source.set("data", text(&flags.data));
+    boot_source.set_text("place", flags.place.as_deref());
+    boot_source.set_text("operators", flags.operators.as_deref());
+    boot_source.set_text("locality", flags.zone.as_deref());
+    boot_source.set_text("data", flags.data.as_deref());
     boot_source.set("found_first", flags.found_first.then_some(Value::Bool(true)));
-    boot_source.set("platform", text(&flags.platform));
-    boot_source.set(
-        "seeds",
-        flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())),
-    );
+    boot_source.set_text("platform", flags.platform.as_deref());
+    boot_source.set_list("seeds", flags.seeds.as_deref());
     ControllerBoot::read(&boot_source)
 }
 
+const PROGRAM: Program = Program::new("rudder-controller", env!("CARGO_PKG_VERSION"));
+/// What an operator must say to have one disk lead alone.
+const RECOVER_PHRASE: &str = "i-accept-the-loss";
+
 fn main() -> ExitCode {
-    let flags = common::command_line::read::<Flags>("rudder-controller");
-    if flags.version {
-        println!("rudder-controller {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    common::command_line::start_log();
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
+    command_line::start_log();
     let boot = match read_boot(&flags) {
         Ok(boot) => boot,
-        Err(fault) => {
-            eprintln!("rudder-controller: {fault}");
-            return ExitCode::from(2);
-        }
+        Err(fault) => return PROGRAM.fail(fault, 2),
     };
-    if let Some(phrase) = &flags.recover {
-        if phrase != "i-accept-the-loss" {
-            eprintln!(
-                "rudder-controller: --recover needs the phrase i-accept-the-loss; see --help"
-            );
-            return ExitCode::from(2);
-        }
-        let Some(data) = &boot.data else {
-            eprintln!("rudder-controller: --recover needs a data folder");
-            return ExitCode::from(2);
-        };
-        if let Err(fault) = controlplane::disk::leave_alone(data) {
-            eprintln!("rudder-controller: --recover: {fault}");
-            return ExitCode::from(1);
-        }
+    if let Some(phrase) = &flags.recover
+        && let Err(exit_code) = recover(phrase, &boot)
+    {
+        return exit_code;
     }
     match run(flags, &boot) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("rudder-controller: {report}");
-            ExitCode::from(if report.is::<ControllerFault>() { 2 } else { 1 })
+            let exit_code = if report.is::<ControllerFault>() { 2 } else { 1 };
+            PROGRAM.fail(report, exit_code)
         }
     }
 }
 
-/// Takes the seeds anew each time the process is told that its settings have changed.
-async fn reread(flags: Flags, reseeder: Reseeder, mut told: watch::Receiver<u64>) {
-    while told.changed().await.is_ok() {
-        match read_boot(&flags) {
-            Ok(boot) => {
-                reseeder.reseed(boot.seeds).await;
-            }
-            Err(fault) => note!(Warn, events::SETTINGS_UNREADABLE, "{fault}"),
-        }
+/// Has this disk lead alone, if the operator has accepted what is lost by that.
+fn recover(phrase: &str, boot: &ControllerBoot) -> Result<(), ExitCode> {
+    if phrase != RECOVER_PHRASE {
+        let fault = format!("--recover needs the phrase {RECOVER_PHRASE}; see --help");
+        return Err(PROGRAM.fail(fault, 2));
     }
+    let Some(data) = &boot.data else {
+        return Err(PROGRAM.fail("--recover needs a data folder", 2));
+    };
+    controlplane::disk::leave_alone(data)
+        .map(|_| ())
+        .map_err(|fault| PROGRAM.fail(format!("--recover: {fault}"), 1))
 }
 
-fn run(flags: Flags, boot: &ControllerBoot) -> eyre::Result<()> {
-    let runtime = if boot.threads == 1 {
-        tokio::runtime::Builder::new_current_thread().enable_all().build()?
-    } else {
-        tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(boot.threads)
-            .enable_all()
-            .build()?
+/// Takes the seeds anew each time the process is told that its settings have changed.
+async fn reseed(flags: Flags, reseeder: Reseeder, reread: watch::Receiver<u64>) {
+    let read = || {
+        read_boot(&flags)
+            .inspect_err(|fault| note!(Warn, events::SETTINGS_UNREADABLE, "{fault}"))
+            .ok()
     };
-    runtime.block_on(async {
+    command_line::apply_on_reread(reread, read, async move |boot: ControllerBoot| {
+        reseeder.reseed(boot.seeds).await;
+    })
+    .await;
+}
+
+fn run(flags: Flags, boot: &ControllerBoot) -> eyre::Result<()> {
+    command_line::runtime(boot.threads)?.block_on(async {
         let controller = Controller::open(boot).await?;
-        tokio::spawn(reread(flags, controller.reseeder(), common::command_line::told_to_reread()?));
+        tokio::spawn(reseed(flags, controller.reseeder(), command_line::told_to_reread()?));
         note!(
             Info,
             events::STARTED,
@@ -135,7 +125,7 @@
             boot.place,
             boot.operators
         );
-        let stop = common::command_line::told_to_stop()?;
+        let stop = command_line::told_to_stop()?;
         controller.run(stop).await;
         note!(Info, events::STOPPED);
         Ok(())
--- a/programs/daemon/src/main.rs
+++ b/programs/daemon/src/main.rs
@@ -1,12 +1,12 @@
 //! A daemon: takes callers' transactions and runs the functions it holds.
 
+use common::command_line::{self, Program};
 use common::events;
 use common::note;
 use common::readers::{BootFault, BootSource};
 use dataplane::boot::DaemonBoot;
 use dataplane::drivers::{Daemon, DaemonHandle};
 use gumdrop::Options;
-use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::sync::watch;
@@ -35,66 +35,53 @@
 }
 
 fn read_boot(flags: &Flags) -> Result<DaemonBoot, BootFault> {
-    let text = |given: &Option<String>| given.clone().map(Value::String);
     let mut boot_source = BootSource::open(flags.boot.as_deref())?;
-    boot_source.set("member", text(&flags.member));
-    boot_source.set("locality", text(&flags.zone));
-    boot_source.set("place", text(&flags.place));
-    boot_source.set("door", text(&flags.door));
-    boot_source.set("platform", text(&flags.platform));
-    boot_source.set(
-        "seeds",
-        flags.seeds.as_ref().map(|seeds| json!(seeds.split(',').collect::<Vec<_>>())),
-    );
+    boot_source.set_text("member", flags.member.as_deref());
+    boot_source.set_text("locality", flags.zone.as_deref());
+    boot_source.set_text("place", flags.place.as_deref());
+    boot_source.set_text("door", flags.door.as_deref());
+    boot_source.set_text("platform", flags.platform.as_deref());
+    boot_source.set_list("seeds", flags.seeds.as_deref());
     DaemonBoot::read(&boot_source)
 }
 
+const PROGRAM: Program = Program::new("rudderd", env!("CARGO_PKG_VERSION"));
+
 fn main() -> ExitCode {
-    let flags = common::command_line::read::<Flags>("rudderd");
-    if flags.version {
-        println!("rudderd {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    common::command_line::start_log();
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
+    command_line::start_log();
     let boot = match read_boot(&flags) {
         Ok(boot) => boot,
-        Err(fault) => {
-            eprintln!("rudderd: {fault}");
-            return ExitCode::from(2);
-        }
+        Err(fault) => return PROGRAM.fail(fault, 2),
     };
-    match run(boot, flags.boot.as_ref()) {
+    match run(boot, flags.boot) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("rudderd: {report}");
-            ExitCode::from(if report.is::<BootFault>() { 2 } else { 1 })
+            let exit_code = if report.is::<BootFault>() { 2 } else { 1 };
+            PROGRAM.fail(report, exit_code)
         }
     }
 }
 
 /// Takes the file's seeds whenever the process is told that its settings have changed.
-async fn reseed(
-    daemon: DaemonHandle,
-    boot_file: Option<PathBuf>,
-    mut reread: watch::Receiver<u64>,
-) {
-    while reread.changed().await.is_ok() {
-        let read_boot = BootSource::open(boot_file.as_deref())
-            .and_then(|boot_source| DaemonBoot::read(&boot_source));
-        if let Ok(boot) = read_boot {
-            daemon.reseed(boot.seeds);
-        }
-    }
+async fn reseed(daemon: DaemonHandle, boot_file: Option<PathBuf>, reread: watch::Receiver<u64>) {
+    let read = || {
+        let boot_source = BootSource::open(boot_file.as_deref()).ok()?;
+        DaemonBoot::read(&boot_source).ok()
+    };
+    command_line::apply_on_reread(reread, read, async move |boot: DaemonBoot| {
+        daemon.reseed(boot.seeds)
+    })
+    .await;
 }
 
-fn run(boot: DaemonBoot, boot_file: Option<&PathBuf>) -> eyre::Result<()> {
-    let boot_file = boot_file.cloned();
-    dataplane::drivers::runtime(boot.threads)?.block_on(async {
+fn run(boot: DaemonBoot, boot_file: Option<PathBuf>) -> eyre::Result<()> {
+    command_line::runtime(boot.threads)?.block_on(async {
         let started_note = format!("{} at {}, door at {}", boot.member, boot.place, boot.door);
         let daemon = Daemon::open(boot).await?;
         note!(Info, events::STARTED, "{started_note}");
-        let stop = common::command_line::told_to_stop()?;
-        let reread = common::command_line::told_to_reread()?;
+        let stop = command_line::told_to_stop()?;
+        let reread = command_line::told_to_reread()?;
         tokio::spawn(reseed(daemon.handle(), boot_file, reread));
         daemon.run(stop).await;
         note!(Info, events::STOPPED);
--- a/programs/rudderctl/src/main.rs
+++ b/programs/rudderctl/src/main.rs
@@ -4,6 +4,7 @@
 mod trace;
 
 use client::{ClientFault, OperatorClient, Sent, Way};
+use common::command_line::{self, Program};
 use common::frames::Place;
 use gumdrop::Options;
 use std::path::PathBuf;
@@ -155,28 +156,22 @@
     serial: Option<u64>,
 }
 
+const PROGRAM: Program = Program::new("rudderctl", env!("CARGO_PKG_VERSION"));
+
 fn main() -> ExitCode {
-    let flags = common::command_line::read::<Flags>("rudderctl");
-    if flags.version {
-        println!("rudderctl {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
     let Some(command) = flags.command else {
-        eprintln!("rudderctl: no command; try --help");
-        return ExitCode::from(2);
+        return PROGRAM.fail("no command; try --help", 2);
     };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let runtime = match command_line::runtime(1) {
         Ok(runtime) => runtime,
-        Err(fault) => {
-            eprintln!("rudderctl: {fault}");
-            return ExitCode::FAILURE;
-        }
+        Err(fault) => return PROGRAM.fail(fault, 1),
     };
     match runtime.block_on(obey(&flags.at, command)) {
         Ok(exit_code) => exit_code,
         Err(fault) => {
-            eprintln!("rudderctl: {fault}");
-            ExitCode::from(fault.exit_code())
+            let exit_code = fault.exit_code();
+            PROGRAM.fail(fault, exit_code)
         }
     }
 }
@@ -214,8 +209,7 @@
 async fn run_trace(at: &str, asked: &Trace) -> ExitCode {
     let places: Result<Vec<Place>, _> = at.split(',').map(|text| text.parse().map(Place)).collect();
     let Ok(places) = places else {
-        eprintln!("rudderctl: --at: not IP numbers with ports: {at:?}");
-        return ExitCode::from(2);
+        return PROGRAM.fail(format_args!("--at: not IP numbers with ports: {at:?}"), 2);
     };
     match trace::follow(&places, asked.serial, asked.follow, asked.patience).await {
         Ok(version_trace) => {
@@ -227,8 +221,8 @@
             ExitCode::SUCCESS
         }
         Err(fault) => {
-            eprintln!("rudderctl: {fault}");
-            ExitCode::from(fault.exit_code())
+            let exit_code = fault.exit_code();
+            PROGRAM.fail(fault, exit_code)
         }
     }
 }
--- a/testing/fleet/src/ailing.rs
+++ b/testing/fleet/src/ailing.rs
@@ -1,5 +1,6 @@
 //! A controller whose disk does what a file beside its settings says: nothing, full, failing or stalled.
 
+use common::command_line::{self, Program};
 use common::readers::BootSource;
 use controlplane::boot::ControllerBoot;
 use controlplane::disk::Seam;
@@ -48,23 +49,19 @@
     }
 }
 
+const PROGRAM: Program = Program::new("ailing-controller", env!("CARGO_PKG_VERSION"));
+
 fn main() -> eyre::Result<()> {
-    let flags = common::command_line::read::<Flags>("ailing-controller");
-    if flags.version {
-        println!("ailing-controller {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
-    common::command_line::start_log();
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
+    command_line::start_log();
     let boot_source = BootSource::open(Some(&flags.boot)).map_err(|fault| eyre!("{fault}"))?;
     let boot = ControllerBoot::read(&boot_source).map_err(|fault| eyre!("{fault}"))?;
     let seam = Ailing { said_in: flags.boot.with_extension("json.disk") };
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-    runtime.block_on(async {
+    command_line::runtime(2)?.block_on(async {
         let tongues = ControllerAdapters::own(boot.platform);
         let controller =
             Controller::open_with(&boot, Box::new(seam), tongues).await.wrap_err("opening")?;
-        let stop = common::command_line::told_to_stop()?;
+        let stop = command_line::told_to_stop()?;
         controller.run(stop).await;
         Ok(())
     })
--- a/testing/fleet/src/commands/days.rs
+++ b/testing/fleet/src/commands/days.rs
@@ -120,8 +120,7 @@
     if day.folder.join("journal.jsonl").exists() {
         std::fs::remove_dir_all(&day.folder).wrap_err("old folder")?;
     }
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    let runtime = common::command_line::runtime(4)?;
     let day_end = runtime.block_on(run_day(day)).map_err(|fault| eyre!("{fault}"))?;
     Ok(conclude(&day_end.verdict))
 }
--- a/testing/fleet/src/flawed.rs
+++ b/testing/fleet/src/flawed.rs
@@ -1,5 +1,6 @@
 //! A daemon with one safety rule taken away, to see that the judge finds what is broken.
 
+use common::command_line::{self, Program};
 use common::readers::BootSource;
 use common::rules::{Rule, Rules};
 use dataplane::boot::DaemonBoot;
@@ -21,22 +22,19 @@
     without: String,
 }
 
+const PROGRAM: Program = Program::new("flawed-daemon", env!("CARGO_PKG_VERSION"));
+
 fn main() -> eyre::Result<()> {
-    let flags = common::command_line::read::<Flags>("flawed-daemon");
-    if flags.version {
-        println!("flawed-daemon {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
-    common::command_line::start_log();
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
+    command_line::start_log();
     let rule = Rule::named(&flags.without)
         .ok_or_else(|| eyre!("--without: no such rule: {:?}", flags.without))?;
     let boot_source = BootSource::open(Some(&flags.boot)).map_err(|fault| eyre!("{fault}"))?;
     let boot = DaemonBoot::read(&boot_source).map_err(|fault| eyre!("{fault}"))?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    runtime.block_on(async {
+    command_line::runtime(0)?.block_on(async {
         let opened = Daemon::open_under(boot, Rules::without(rule)).await;
         let daemon = opened.map_err(|fault| eyre!("{fault}")).wrap_err("opening")?;
-        let stop = common::command_line::told_to_stop()?;
+        let stop = command_line::told_to_stop()?;
         daemon.run(stop).await;
         Ok(())
     })
--- a/testing/fleet/src/main.rs
+++ b/testing/fleet/src/main.rs
@@ -6,6 +6,7 @@
 use commands::days::{conclude, read_day, run_whole, tabulate};
 use commands::flags::{Command, Flags};
 use commands::simulator::{prove, simulate};
+use common::command_line::Program;
 use eyre::WrapErr;
 use fleet::days::FaultName;
 use fleet::judge::{Evidence, judge};
@@ -15,17 +16,12 @@
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
 
+const PROGRAM: Program = Program::new("fleet", env!("CARGO_PKG_VERSION"));
+
 fn main() -> ExitCode {
-    let flags = common::command_line::read::<Flags>("fleet");
-    if flags.version {
-        println!("fleet {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
     let ended = match flags.command {
-        None => {
-            eprintln!("fleet: no command; try --help");
-            return ExitCode::from(2);
-        }
+        None => return PROGRAM.fail("no command; try --help", 2),
         Some(Command::List(_)) => {
             println!("deployments: stezka, tintwell, small");
             FaultName::ALL.iter().for_each(|fault| println!("{fault}"));
@@ -41,14 +37,8 @@
         Some(Command::Proofs(proofs)) => return prove(&proofs),
         Some(Command::Run(run)) => match read_day(&run) {
             Ok(day) => run_whole(&day),
-            Err(fault) => {
-                eprintln!("fleet: {fault}");
-                return ExitCode::from(2);
-            }
+            Err(fault) => return PROGRAM.fail(fault, 2),
         },
     };
-    ended.unwrap_or_else(|report| {
-        eprintln!("fleet: {report:#}");
-        ExitCode::from(4)
-    })
+    ended.unwrap_or_else(|report| PROGRAM.fail(format_args!("{report:#}"), 4))
 }
--- a/testing/loadgen/src/caller.rs
+++ b/testing/loadgen/src/caller.rs
@@ -3,11 +3,11 @@
 use common::chance::Chance;
 use common::clock::Moment;
 use common::frames::Place;
-use common::http::{Called, call, call_json};
+use common::http::{Called, call, call_json, header_text};
 use common::identity::{FunctionKey, TransactionId};
 use common::seal;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
+use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request};
 use platform_stub::records::Records;
 use serde_json::{Value, json};
@@ -196,22 +196,18 @@
     outcome == "answer"
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
-}
-
 fn read_end(route: &PlannedRoute, identity: &str, sent_body: &[u8], called: &Called) -> Value {
     let body = called.json();
-    let outcome = header(&called.headers, seal::OUTCOME);
+    let outcome = header_text(&called.headers, seal::OUTCOME);
     let mut end = json!({"outcome": outcome, "status": called.status.as_u16()});
     if outcome == "answer" {
-        let function_text = header(&called.headers, seal::FUNCTION);
-        let runner_text = header(&called.headers, seal::RUNNER);
+        let function_text = header_text(&called.headers, seal::FUNCTION);
+        let runner_text = header_text(&called.headers, seal::RUNNER);
         let is_sealed = match (function_text.parse::<FunctionKey>(), runner_text.parse()) {
             (Ok(key), Ok(runner)) => {
                 let transaction = TransactionId::from(identity);
                 let right_seal = seal::seal(&transaction, &key, runner, false, &called.body);
-                right_seal == header(&called.headers, seal::SEAL)
+                right_seal == header_text(&called.headers, seal::SEAL)
                     && key.name.as_str().starts_with(&route.function)
             }
             _ => false,
--- a/testing/loadgen/src/main.rs
+++ b/testing/loadgen/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-in callers as a process.
 
+use common::command_line::{self, Program};
 use common::readers::BootSource;
 use eyre::WrapErr;
 use gumdrop::Options;
@@ -18,26 +19,18 @@
     plan: Option<PathBuf>,
 }
 
+const PROGRAM: Program = Program::new("loadgen", env!("CARGO_PKG_VERSION"));
+
 fn main() -> ExitCode {
-    let flags = common::command_line::read::<Flags>("loadgen");
-    if flags.version {
-        println!("loadgen {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
     let read_plan = BootSource::open(flags.plan.as_deref())
         .map_err(loadgen::PlanFault::from)
         .and_then(|source| Plan::read(&source));
     let plan = match read_plan {
         Ok(plan) => plan,
-        Err(fault) => {
-            eprintln!("loadgen: {fault}");
-            return ExitCode::from(2);
-        }
+        Err(fault) => return PROGRAM.fail(fault, 2),
     };
-    let ended = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(4)
-        .enable_all()
-        .build()
+    let ended = command_line::runtime(4)
         .and_then(|runtime| runtime.block_on(walk(plan)))
         .wrap_err("calling");
     match ended {
@@ -45,9 +38,6 @@
             println!("{}", summary.to_value());
             ExitCode::SUCCESS
         }
-        Err(report) => {
-            eprintln!("loadgen: {report:#}");
-            ExitCode::FAILURE
-        }
+        Err(report) => PROGRAM.fail(format_args!("{report:#}"), 1),
     }
 }
--- a/testing/platform-stub/src/main.rs
+++ b/testing/platform-stub/src/main.rs
@@ -1,6 +1,7 @@
 //! The stand-in platform as a process.
 
 use common::chance::Chance;
+use common::command_line::{self, Program};
 use common::frames::Place;
 use eyre::WrapErr;
 use gumdrop::Options;
@@ -48,13 +49,11 @@
     records: PathBuf,
 }
 
+const PROGRAM: Program = Program::new("platform-stub", env!("CARGO_PKG_VERSION"));
+
 fn main() -> eyre::Result<()> {
-    let flags = common::command_line::read::<Flags>("platform-stub");
-    if flags.version {
-        println!("platform-stub {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
-    common::command_line::start_log();
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
+    command_line::start_log();
     let doors = flags
         .doors
         .split(',')
@@ -80,11 +79,9 @@
     });
     let platform =
         Platform::new(yard, workers, Duration::from_millis(flags.lag), doors, flags.reuse);
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
-    runtime.block_on(async {
+    command_line::runtime(4)?.block_on(async {
         let listener = TcpListener::bind(&flags.place).await.wrap_err("--place")?;
-        let stop = common::command_line::told_to_stop()?;
+        let stop = command_line::told_to_stop()?;
         platform.serve(listener, stop).await;
         Ok(())
     })
--- a/testing/platform-stub/src/runner/mod.rs
+++ b/testing/platform-stub/src/runner/mod.rs
@@ -4,11 +4,11 @@
 use bytes::Bytes;
 use common::chance::Chance;
 use common::clock::Moment;
+use common::http::header_text;
 use common::identity::{FunctionKey, GrantSerial, RunnerId, TransactionId};
 use common::seal;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -142,10 +142,6 @@
     }
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
-}
-
 impl Runner {
     /// Starts a runner behind a listener.
     pub fn start(
@@ -254,16 +250,16 @@
             return self.respond(StatusCode::BAD_REQUEST, "{}");
         };
         let body_bytes = collected_body.to_bytes();
-        let transaction = TransactionId::from(header(&head.headers, seal::TRANSACTION));
-        let attempt = header(&head.headers, seal::ATTEMPT).to_owned();
-        let grant = header(&head.headers, seal::GRANT).parse::<u64>().map(GrantSerial::from);
+        let transaction = TransactionId::from(header_text(&head.headers, seal::TRANSACTION));
+        let attempt = header_text(&head.headers, seal::ATTEMPT).to_owned();
+        let grant = header_text(&head.headers, seal::GRANT).parse::<u64>().map(GrantSerial::from);
         let grant = grant.unwrap_or(self.runner.grant);
-        let is_meant = header(&head.headers, seal::RUNNER) == self.runner.to_string()
-            && header(&head.headers, seal::FUNCTION) == self.function.to_string();
+        let is_meant = header_text(&head.headers, seal::RUNNER) == self.runner.to_string()
+            && header_text(&head.headers, seal::FUNCTION) == self.function.to_string();
         if !is_meant {
             let detail = json!({
                 "runner": self.runner.to_string(),
-                "meant": header(&head.headers, seal::RUNNER),
+                "meant": header_text(&head.headers, seal::RUNNER),
                 "transaction": transaction.as_str(),
             });
             self.yard.records.add("misdirected", detail);
