--- a/crates/common/src/http/mod.rs
+++ b/crates/common/src/http/mod.rs
@@ -7,7 +7,7 @@
 mod serve;
 
 pub use call::{CallFault, Called, call, call_json, connect, exchange};
-pub use head::{has_marked_end, is_merged, single_text};
+pub use head::{has_marked_end, header_text, is_merged, single_text};
 pub use keeping::{closes, kept_for};
 pub use lines::{LinesEnd, follow_lines};
 pub use serve::{
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -12,7 +12,6 @@
 mod metered;
 mod platform;
 mod runners;
-mod runtime;
 mod state;
 
 pub use crate::tongue::DaemonAdapters;
@@ -21,5 +20,4 @@
 pub use door::serve_door;
 pub use gauges::Gauges;
 pub use hop_links::{AskEnd, HopLinks};
-pub use runtime::runtime;
 pub use state::{HeldHere, State};
