Keep functions on wide links; count parts of a long frame as hearing the leader

Cause: all answers of a function pass through its holder's link. Functions go to the hosts on links at least a quarter as wide as the widest, while three or more of them stand in two zones or more; else to all, as before. A daemon counts each part of a frame as hearing the leader (the lease is not touched); the leader cuts a daemon off when 8 KB, not a whole frame, take 3 s. A whole spec's records are shared with the newest one and checked in the operator's task. Ruled out: more runners (they had free slots), the daemon's processor (0.03 of 0.12 of a core). Tests: ring.rs, liaison.rs.

--- a/crates/common/src/frames/mod.rs
+++ b/crates/common/src/frames/mod.rs
@@ -21,5 +21,5 @@
 };
 pub use wire::{
     Channel, FrameFault, append_frame, decode, decode_heartbeat, encode, encode_heartbeat,
-    read_channel, read_frame, write_channel, write_frame,
+    read_channel, read_frame, read_frame_in_parts, write_channel, write_frame,
 };
--- a/crates/common/src/frames/stream.rs
+++ b/crates/common/src/frames/stream.rs
@@ -20,6 +20,8 @@
     pub place: Place,
     /// Whether it may be given functions.
     pub eligible: Flag,
+    /// Its link in megabits a second; zero when it is not known.
+    pub link_mbps: u32,
 }
 
 /// One life of a runner, as the platform names it.
--- a/crates/common/src/frames/wire.rs
+++ b/crates/common/src/frames/wire.rs
@@ -10,6 +10,8 @@
 /// The serial of the frames' format; it goes up whenever a frame changes.
 const WIRE_SERIAL: u8 = 5;
 const LARGEST_FRAME: u32 = 16 << 20;
+/// Of a frame so many bytes are asked for at once, so that memory follows what has come in.
+const LARGEST_PART: usize = 64 << 10;
 
 /// What a connection is for; its first four bytes say so.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -165,6 +167,18 @@
 
 /// Reads one frame.
 pub async fn read_frame<R, T>(reader: &mut R) -> Result<T, FrameFault>
+where
+    R: AsyncRead + Unpin,
+    T: for<'a> BinRead<Args<'a> = ()> + ReadEndian,
+{
+    read_frame_in_parts(reader, || {}).await
+}
+
+/// Reads one frame, and notes each part of it that has come in while others are still under way.
+pub async fn read_frame_in_parts<R, T>(
+    reader: &mut R,
+    mut note_part: impl FnMut(),
+) -> Result<T, FrameFault>
 where
     R: AsyncRead + Unpin,
     T: for<'a> BinRead<Args<'a> = ()> + ReadEndian,
@@ -174,9 +188,18 @@
         return Err(FrameFault::Oversized(frame_length));
     }
     let mut frame_bytes = Vec::new();
-    let taken_length = reader.take(u64::from(frame_length)).read_to_end(&mut frame_bytes).await?;
-    if taken_length != frame_length as usize {
-        return Err(FrameFault::Connection(std::io::ErrorKind::UnexpectedEof.into()));
+    let mut left_length = frame_length as usize;
+    while left_length > 0 {
+        let part_length = left_length.min(LARGEST_PART);
+        let mut part = reader.take(part_length as u64);
+        let taken_length = part.read_buf(&mut frame_bytes).await?;
+        if taken_length == 0 {
+            return Err(FrameFault::Connection(std::io::ErrorKind::UnexpectedEof.into()));
+        }
+        left_length -= taken_length;
+        if left_length > 0 {
+            note_part();
+        }
     }
     decode(&frame_bytes)
 }
--- a/crates/common/src/ring/mod.rs
+++ b/crates/common/src/ring/mod.rs
@@ -1,8 +1,9 @@
 //! The member ring: rendezvous hashing names a function's hash owner, and a daemon's watchers.
 
 use crate::frames::Host;
-use crate::identity::{FunctionKey, MemberName};
+use crate::identity::{FunctionKey, MemberName, Zone};
 use sha2::{Digest, Sha256};
+use std::collections::BTreeSet;
 
 fn weight(first_part: &str, second_part: &str) -> u64 {
     let mut running_digest = Sha256::new();
@@ -22,14 +23,32 @@
     ])
 }
 
+/// A link counts as wide that is at least so large a part of the widest.
+const WIDE_PART: u32 = 4;
+
+/// Functions stay with the hosts on wide links while there are so many of them.
+const FEWEST_WIDE: usize = 3;
+
+/// The hosts that functions go to: all that are eligible, or those on wide links where others have much
+/// narrower ones, while enough of them stand in more than one zone. All answers of a function pass
+/// through the link of its holder.
+fn fitting_hosts<'a>(hosts: impl Iterator<Item = &'a Host>) -> Vec<&'a Host> {
+    let eligible_hosts: Vec<&Host> = hosts.filter(|host| host.eligible.0).collect();
+    let widest = eligible_hosts.iter().map(|host| host.link_mbps).max().unwrap_or_default();
+    let is_wide = |host: &&&Host| host.link_mbps.saturating_mul(WIDE_PART) >= widest;
+    let wide_hosts: Vec<&Host> = eligible_hosts.iter().filter(is_wide).copied().collect();
+    let zones: BTreeSet<&Zone> = wide_hosts.iter().map(|host| &host.zone).collect();
+    if wide_hosts.len() >= FEWEST_WIDE && zones.len() > 1 { wide_hosts } else { eligible_hosts }
+}
+
 /// The daemon whose turn it is to ask for a function; `None` when no host is eligible.
 pub fn hash_owner<'a>(
     function: &FunctionKey,
     hosts: impl Iterator<Item = &'a Host>,
 ) -> Option<&'a Host> {
     let function_text = function.to_string();
-    hosts
-        .filter(|host| host.eligible.0)
+    fitting_hosts(hosts)
+        .into_iter()
         .map(|host| (weight(&function_text, host.member.as_str()), host))
         .max_by(|(left_weight, left_host), (right_weight, right_host)| {
             left_weight.cmp(right_weight).then_with(|| left_host.member.cmp(&right_host.member))
--- a/crates/common/tests/frames.rs
+++ b/crates/common/tests/frames.rs
@@ -59,6 +59,7 @@
         zone: "l".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
+        link_mbps: 0,
     };
     let function = FunctionKey::new("f", Serial(2));
     let note = LedgerNote { transaction: "t-1".into(), state: NoteState::Noted, left_ms: 900 };
--- a/crates/common/tests/ring.rs
+++ b/crates/common/tests/ring.rs
@@ -13,10 +13,32 @@
             zone: format!("locality-{}", number % 3).into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
+            link_mbps: 0,
         })
         .collect()
 }
 
+#[gtest]
+fn functions_go_to_wide_links_while_enough_of_them_stand_in_more_than_one_zone() -> Result<()> {
+    let mut all_hosts = hosts(40);
+    for (number, host) in all_hosts.iter_mut().enumerate() {
+        host.link_mbps = if number < 6 { 100 } else { 2 };
+    }
+    let owners_on_wide_links = |hosts: &[Host]| {
+        let owners = (0..300).filter_map(|number| {
+            hash_owner(&FunctionKey::new(format!("f{number}"), Serial(1)), hosts.iter())
+        });
+        owners.filter(|owner| owner.link_mbps == 100).count()
+    };
+    verify_that!(owners_on_wide_links(&all_hosts), eq(300))?;
+    verify_that!(owners_on_wide_links(&all_hosts[3..]), eq(300))?;
+    verify_that!(owners_on_wide_links(&all_hosts[4..]), lt(40))?;
+    for host in &mut all_hosts[..6] {
+        host.zone = "one".into();
+    }
+    verify_that!(owners_on_wide_links(&all_hosts), lt(100))
+}
+
 #[gtest]
 fn only_the_functions_of_a_daemon_that_goes_move() -> Result<()> {
     let all_hosts = hosts(10);
--- a/crates/controlplane/src/drivers/engine.rs
+++ b/crates/controlplane/src/drivers/engine.rs
@@ -10,13 +10,15 @@
 use crate::core::{Address, Core, Recalled};
 use crate::disk::{Seam, Shelf, ShelfFault, Sound};
 use crate::leader_state::StreamId;
+use arc_swap::ArcSwapOption;
 use common::chance::Chance;
 use common::clock::Moment;
 use common::events;
 use common::frames::{Place, StreamDown};
-use common::identity::ControllerId;
+use common::identity::{ControllerId, Stamp};
 use common::note;
 use common::readers::BootFault;
+use common::spec::SpecRecords;
 use common::tongue::{OwnPlatform, PlatformTongue};
 use std::collections::HashMap;
 use std::fmt;
@@ -90,6 +92,7 @@
     pub(super) operators: Arc<dyn OperatorsTongue>,
     pub(super) platform: Arc<dyn PlatformTongue>,
     pub(super) lists_wanted: Notify,
+    pub(super) newest_spec: ArcSwapOption<SpecRecords>,
     next_number: AtomicU64,
 }
 
@@ -225,6 +228,7 @@
             operators: tongues.operators,
             platform: tongues.platform,
             lists_wanted: Notify::new(),
+            newest_spec: ArcSwapOption::empty(),
             next_number: AtomicU64::new(1),
         });
         Ok(Self {
@@ -260,6 +264,7 @@
         let operators_task =
             tokio::spawn(operators::serve(operators_listener, shared.clone(), stop.clone()));
         let mut stopping = stop.clone();
+        let mut shared_stamp = Stamp::default();
         loop {
             let now = Moment::now();
             let idle_span = controller_state.next_due(now).since(now);
@@ -277,6 +282,7 @@
                 obey(&shared, &mut links, disk.as_ref(), order);
             }
             note_step(&shared, kind, begun_at.since(queued_at), Moment::now().since(begun_at));
+            share_spec(&shared, &controller_state, &mut shared_stamp);
             let is_leader = controller_state.core().is_leader();
             shared.leads.send_if_modified(|leads| std::mem::replace(leads, is_leader) != is_leader);
             shared.has_leader.store(controller_state.core().leader().is_some(), Ordering::Relaxed);
@@ -287,6 +293,16 @@
     }
 }
 
+/// Lets the tasks that read operators' orders share records with the newest spec.
+fn share_spec(shared: &Shared, controller_state: &ControllerState, shared_stamp: &mut Stamp) {
+    if let Some(document) = controller_state.core().accepted()
+        && document.stamp != *shared_stamp
+    {
+        *shared_stamp = document.stamp;
+        shared.newest_spec.store(Some(Arc::new(document.spec.clone())));
+    }
+}
+
 /// Measures a step, and notes one that kept leadership waiting.
 fn note_step(shared: &Shared, kind: InputKind, waited: Duration, handled: Duration) {
     shared.gauges.observe_step(kind, waited, handled);
--- a/crates/controlplane/src/drivers/operators.rs
+++ b/crates/controlplane/src/drivers/operators.rs
@@ -1,5 +1,5 @@
 use super::engine::Shared;
-use crate::controller_state::{Operation, OperationReply};
+use crate::controller_state::{ChangeKind, Operation, OperationReply};
 use bytes::Bytes;
 use common::clock::Moment;
 use common::frames::Place;
@@ -52,7 +52,7 @@
         }
     };
     let operation = match tongue.read(&head, &body) {
-        Ok(operation) => operation,
+        Ok(operation) => prepared(&shared, operation),
         Err(served) => return *served,
     };
     match operation {
@@ -86,6 +86,21 @@
     tongue.say(&operation, reply)
 }
 
+/// An operation with what takes long about a whole spec done here, in the operator's task: its records are
+/// shared with the newest spec, and those that are new are checked.
+fn prepared(shared: &Shared, operation: Operation) -> Operation {
+    match operation {
+        Operation::Change { base, numbering, change, kind: ChangeKind::Whole(spec), wait } => {
+            let newest_spec = shared.newest_spec.load();
+            let spec = newest_spec.as_ref().map_or(spec.clone(), |newest| spec.succeeding(newest));
+            // The loop asks again, and finds every record checked.
+            let _ = spec.check();
+            Operation::Change { base, numbering, change, kind: ChangeKind::Whole(spec), wait }
+        }
+        other => other,
+    }
+}
+
 async fn pass_on(
     leader: Place,
     head: &hyper::http::request::Parts,
--- a/crates/controlplane/src/drivers/streams.rs
+++ b/crates/controlplane/src/drivers/streams.rs
@@ -3,17 +3,20 @@
 use crate::leader_state::StreamId;
 use common::events;
 use common::frames::{
-    Channel, CoreFrame, FrameFault, Place, StreamDown, StreamUp, read_channel, read_frame,
-    write_frame,
+    Channel, CoreFrame, FrameFault, Place, StreamDown, StreamUp, append_frame, read_channel,
+    read_frame,
 };
 use common::note;
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::BufReader;
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+/// A daemon on a slow link is cut off only when so few bytes of a frame take longer than this.
+const WRITTEN_PART: usize = 8 << 10;
+const PART_PATIENCE: Duration = Duration::from_secs(3);
 const GONE_TRIES: usize = 4;
 const GONE_AGAIN_AFTER: Duration = Duration::from_millis(20);
 const GONE_PATIENCE: Duration = Duration::from_millis(300);
@@ -106,6 +109,7 @@
         }
     };
     let writing = async {
+        let mut sent_bytes = Vec::new();
         while let Some(frame) = frames.recv().await {
             shared.gauges.frames_down.inc();
             if let StreamDown::Spec { document: blob, .. }
@@ -113,9 +117,13 @@
             {
                 shared.gauges.pushed_bytes.inc_by(blob.0.len() as u64);
             }
-            tokio::time::timeout(Duration::from_secs(3), write_frame(&mut writing_half, &frame))
-                .await
-                .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
+            sent_bytes.clear();
+            append_frame(&mut sent_bytes, &frame)?;
+            for part in sent_bytes.chunks(WRITTEN_PART) {
+                tokio::time::timeout(PART_PATIENCE, writing_half.write_all(part))
+                    .await
+                    .map_err(|_| FrameFault::Connection(std::io::ErrorKind::TimedOut.into()))??;
+            }
         }
         Ok::<(), FrameFault>(())
     };
--- a/crates/controlplane/tests/leader_state.rs
+++ b/crates/controlplane/tests/leader_state.rs
@@ -80,6 +80,7 @@
             zone: format!("l{stream}").as_str().into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
+            link_mbps: 0,
         };
         let hello = hello(host, 700, true);
         self.say(stream, hello);
@@ -466,6 +467,7 @@
         zone: "l1".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
+        link_mbps: 0,
     };
     bench.say(3, hello(host, 0, false));
     bench.acquire(2);
@@ -584,6 +586,7 @@
         zone: "l".into(),
         place: place(at.1),
         eligible: Flag(true),
+        link_mbps: 0,
     };
     bench.say(stream, hello(host, age_ms, granted));
     bench.say(stream, StreamUp::Claims { claims: Many(vec![]) });
--- a/crates/dataplane/src/agent/daemon_control/mod.rs
+++ b/crates/dataplane/src/agent/daemon_control/mod.rs
@@ -165,6 +165,11 @@
         self.done()
     }
 
+    /// A part of a long frame of the leader has come in.
+    pub fn receiving(&mut self, now: Moment) {
+        self.keeper.receiving(now);
+    }
+
     /// The stream failed or ended.
     pub fn disconnected(&mut self, agent: &Agent<W>, now: Moment) -> Vec<DaemonOrder<W>> {
         let keeper_orders = self.keeper.disconnected(now);
--- a/crates/dataplane/src/boot/mod.rs
+++ b/crates/dataplane/src/boot/mod.rs
@@ -35,6 +35,8 @@
     pub ready: Option<Place>,
     /// From one heartbeat to the next.
     pub beat_every: Duration,
+    /// The machine's link in megabits a second; zero when it is not known.
+    pub link_mbps: u32,
     /// Whether functions that boot longer than their callers gladly wait are acquired before a call.
     pub warm: bool,
     /// How the held functions are run.
@@ -58,6 +60,7 @@
                 "threads",
                 "ready",
                 "beat_ms",
+                "link_mbps",
                 "warm",
                 "tries_percent",
                 "tries_allowance",
@@ -83,6 +86,7 @@
             let ready =
                 if ready_reader.is_there() { Some(read_place(&ready_reader)?) } else { None };
             let beat_ms = root.field("beat_ms").number_or(20..=10_000, 250);
+            let link_mbps = root.field("link_mbps").number_or(0..=1_000_000, 0) as u32;
             let warm = root.field("warm").flag_or(false);
             let tuning = read_tuning(root);
             Some(Self {
@@ -99,6 +103,7 @@
                 threads: threads as usize,
                 ready,
                 beat_every: Duration::from_millis(beat_ms),
+                link_mbps,
                 warm,
                 tuning,
             })
--- a/crates/dataplane/src/drivers/control.rs
+++ b/crates/dataplane/src/drivers/control.rs
@@ -7,7 +7,7 @@
 use common::events::{self, Event};
 use common::frames::{
     AcquireResult, Channel, FrameFault, Heartbeat, HopOutcome, Place, StreamDown, StreamUp,
-    append_frame, dial, encode_heartbeat, read_frame,
+    append_frame, dial, encode_heartbeat, read_frame_in_parts,
 };
 use common::identity::{FunctionKey, GrantSerial};
 use common::note;
@@ -31,6 +31,8 @@
     Disconnected(u64),
     /// The leader says something.
     Down(u64, StreamDown),
+    /// A part of what the leader says has come in; the rest is under way.
+    Receiving(u64),
     /// A heartbeat came in.
     Beat(Heartbeat),
     /// A transaction needs a function's owner.
@@ -130,8 +132,13 @@
             ControlInput::Down(number, frame) if number == self.stream_number => {
                 self.controller.heard(agent, now, frame)
             }
+            ControlInput::Receiving(number) if number == self.stream_number => {
+                self.controller.receiving(now);
+                return;
+            }
             ControlInput::Connected(..)
             | ControlInput::Disconnected(_)
+            | ControlInput::Receiving(_)
             | ControlInput::Down(..) => return,
             ControlInput::Beat(heartbeat) => {
                 if !self.controller.beat(now, &heartbeat) {
@@ -252,7 +259,10 @@
     let mut reader = BufReader::new(reading_half);
     let reading = async {
         loop {
-            let frame: StreamDown = read_frame(&mut reader).await?;
+            let note_part = || {
+                let _ = state.control.send(ControlInput::Receiving(number));
+            };
+            let frame: StreamDown = read_frame_in_parts(&mut reader, note_part).await?;
             let _ = state.control.send(ControlInput::Down(number, frame));
         }
     };
--- a/crates/dataplane/src/drivers/daemon.rs
+++ b/crates/dataplane/src/drivers/daemon.rs
@@ -84,6 +84,7 @@
             zone: boot.zone.clone(),
             place: boot.place,
             eligible: Flag(true),
+            link_mbps: boot.link_mbps,
         };
         let connector = Arc::new(TcpConnector::new(*boot.place.0.ip()));
         let state = Arc::new(State::new(boot, host, rules, tongues, connector, control));
--- a/crates/dataplane/src/keeper/mod.rs
+++ b/crates/dataplane/src/keeper/mod.rs
@@ -211,6 +211,11 @@
         self.done()
     }
 
+    /// A part of a long frame of the leader has come in.
+    pub fn receiving(&mut self, now: Moment) {
+        self.liaison.receiving(now);
+    }
+
     /// The stream failed or ended.
     pub fn disconnected(&mut self, now: Moment) -> Vec<KeeperOrder> {
         let outputs = self.liaison.disconnected(now);
--- a/crates/dataplane/src/liaison/mod.rs
+++ b/crates/dataplane/src/liaison/mod.rs
@@ -330,6 +330,14 @@
         if was_welcomed { vec![LiaisonOutput::Lost] } else { Vec::new() }
     }
 
+    /// A part of a long frame has come in: the leader is not silent, however slow the link is. It says
+    /// nothing of the member grant.
+    pub fn receiving(&mut self, now: Moment) {
+        if let StreamState::Welcomed { heard_at, .. } = &mut self.state {
+            *heard_at = now;
+        }
+    }
+
     /// The claims to send once welcomed.
     pub fn claims(&self, claims: Vec<Claim>) -> StreamUp {
         StreamUp::Claims { claims: Many(claims) }
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -36,6 +36,7 @@
         zone: "here".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
+        link_mbps: 0,
     }
 }
 
@@ -468,6 +469,7 @@
         zone: "elsewhere".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
+        link_mbps: 0,
     }
 }
 
--- a/crates/dataplane/tests/holder.rs
+++ b/crates/dataplane/tests/holder.rs
@@ -526,6 +526,7 @@
         zone: "elsewhere".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
+        link_mbps: 0,
     }
 }
 
--- a/crates/dataplane/tests/liaison.rs
+++ b/crates/dataplane/tests/liaison.rs
@@ -25,6 +25,7 @@
         zone: "here".into(),
         place: place(9),
         eligible: Flag(true),
+        link_mbps: 0,
     }
 }
 
@@ -181,3 +182,20 @@
         elements_are![eq(&place(21)), eq(&place(22))]
     )
 }
+
+#[gtest]
+fn a_leader_whose_frame_is_coming_in_is_not_silent() -> Result<()> {
+    let mut liaison = liaison();
+    welcomed(&mut liaison);
+    let is_given_up = |liaison: &mut Liaison, at: Moment| {
+        liaison.tick(at).iter().any(|output| matches!(output, LiaisonOutput::Hangup))
+    };
+    let mut now = START;
+    for _ in 0..10 {
+        now = now + ms(500);
+        verify_that!(is_given_up(&mut liaison, now), eq(false))?;
+        liaison.receiving(now);
+    }
+    verify_that!(liaison.grant_end() <= START, eq(true))?;
+    verify_that!(is_given_up(&mut liaison, now + ms(600)), eq(true))
+}
--- a/crates/dataplane/tests/owners.rs
+++ b/crates/dataplane/tests/owners.rs
@@ -14,6 +14,7 @@
             zone: "here".into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
+            link_mbps: 0,
         })
         .collect()
 }
--- a/crates/dataplane/tests/warm.rs
+++ b/crates/dataplane/tests/warm.rs
@@ -25,6 +25,7 @@
             zone: "here".into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
+            link_mbps: 0,
         })
         .collect()
 }
--- a/crates/dataplane/tests/watch.rs
+++ b/crates/dataplane/tests/watch.rs
@@ -25,6 +25,7 @@
         zone: format!("locality-{}", number % 3).into(),
         place: place(number),
         eligible: Flag(true),
+        link_mbps: 0,
     }
 }
 
--- a/testing/fleet/src/hollow/daemons.rs
+++ b/testing/fleet/src/hollow/daemons.rs
@@ -53,6 +53,7 @@
             zone: ZoneNumber::of(daemon).zone(),
             place: own_place,
             eligible: Flag(true),
+            link_mbps: 0,
         };
         let agent = Arc::new(Agent::new(host, Rules::KEPT));
         let controller = DaemonControl::new(
--- a/testing/fleet/src/sim/daemon.rs
+++ b/testing/fleet/src/sim/daemon.rs
@@ -119,6 +119,7 @@
             zone: Self::zone(place),
             place: own_place,
             eligible: Flag(true),
+            link_mbps: 0,
         };
         let agent = Arc::new(Agent::new(host, self.plan.rules()).with_tuning(self.plan.tuning));
         let controller = DaemonControl::new(
