--- a/crates/common/src/frames/wire.rs
+++ b/crates/common/src/frames/wire.rs
@@ -191,7 +191,8 @@
     let mut left_length = frame_length as usize;
     while left_length > 0 {
         let part_length = left_length.min(LARGEST_PART);
-        let mut part = reader.take(part_length as u64);
+        frame_bytes.reserve(part_length);
+        let mut part = (&mut *reader).take(part_length as u64);
         let taken_length = part.read_buf(&mut frame_bytes).await?;
         if taken_length == 0 {
             return Err(FrameFault::Connection(std::io::ErrorKind::UnexpectedEof.into()));
--- a/crates/common/src/spec/document.rs
+++ b/crates/common/src/spec/document.rs
@@ -9,6 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+/// About the length of a record's text, with its function's generation.
+const RECORD_LENGTH: usize = 256;
 const KEPT_CHANGES: usize = 64;
 
 /// A member of the core as the document names it.
@@ -198,7 +200,9 @@
 
 /// An object as JSON text, with a spec among its fields.
 fn text_with_spec(spec: &SpecRecords, other_fields: &Value) -> Vec<u8> {
-    let mut text = b"{\"spec\":".to_vec();
+    let (function_count, route_count) = spec.counts();
+    let mut text = Vec::with_capacity(RECORD_LENGTH * (2 + function_count + route_count));
+    text.extend_from_slice(b"{\"spec\":");
     spec.write_to(&mut text);
     text.push(b',');
     let opening_brace = text.len();
