Keep distrust and votes of damaged files over every later start

Cause: a start that found a damaged version renamed it before it noted the distrust; a full disk or a loss of power between the two forgot it. An older damage found later lowered the distrust on disk. A damaged vote was renamed and forgotten at the second start, so the member could vote twice in its term.

Change: distrust is written before the file is renamed and never lowered; a damaged vote is copied aside and written anew as given to nobody.

--- a/crates/controlplane/src/disk/mod.rs
+++ b/crates/controlplane/src/disk/mod.rs
@@ -260,17 +260,13 @@
                 None => {}
             }
         }
-        for damaged_name in &set_aside {
-            let damaged_path = self.folder.join(damaged_name);
-            let aside_path = self.folder.join(format!("damaged-{damaged_name}"));
-            fs::rename(&damaged_path, &aside_path)
-                .map_err(|fault| ShelfFault::File(damaged_path, fault))?;
-        }
+        recalled.distrusted = recalled.distrusted.max(self.kept_distrust().unwrap_or_default());
         let accepted_stamp = recalled.accepted.as_ref().map_or(Stamp::default(), |held| held.stamp);
         if recalled.distrusted > accepted_stamp {
             self.write_file("distrusted", recalled.distrusted.to_string().as_bytes())?;
-        } else if let Some(kept_stamp) = self.kept_distrust() {
-            recalled.distrusted = recalled.distrusted.max(kept_stamp);
+        }
+        for damaged_name in &set_aside {
+            self.set_aside(damaged_name)?;
         }
         if kept_id.is_none() {
             if recalled.accepted.is_some() || recalled.voted.is_some() {
@@ -284,6 +280,20 @@
         Ok((recalled, set_aside))
     }
 
+    /// Keeps a damaged file under another name. What its loss forbids must be on disk before: a version
+    /// is distrusted, and a vote counts as given to nobody.
+    fn set_aside(&self, damaged_name: &str) -> Result<(), ShelfFault> {
+        let damaged_path = self.folder.join(damaged_name);
+        let aside_path = self.folder.join(format!("damaged-{damaged_name}"));
+        let at = |fault| ShelfFault::File(damaged_path.clone(), fault);
+        if matches!(kept_of(damaged_name), Some(Kept::Vote(_))) {
+            fs::copy(&damaged_path, &aside_path).map_err(at)?;
+            self.write_file(damaged_name, b"0")
+        } else {
+            fs::rename(&damaged_path, &aside_path).map_err(at)
+        }
+    }
+
     /// Notes on a disk without an identity that the whole system starts for the first time. On a disk
     /// that has one nothing is noted.
     pub fn note_first_start(&self) -> Result<(), ShelfFault> {
--- a/crates/controlplane/tests/disk.rs
+++ b/crates/controlplane/tests/disk.rs
@@ -4,10 +4,12 @@
 use common::identity::{ChangeId, ControllerId, Stamp, Term, Zone};
 use common::spec::{CoreMember, Document};
 use controlplane::core::WriteJob;
-use controlplane::disk::Shelf;
+use controlplane::disk::{Seam, Shelf};
 use googletest::prelude::*;
 use std::fs;
+use std::io;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 struct Folder(PathBuf);
 
@@ -175,3 +177,53 @@
     verify_that!(recalled.is_nothing(), eq(true))?;
     verify_that!(shelf.is_first_start(), eq(false))
 }
+
+/// A disk that takes some more files and then no other one.
+struct FullAfter(AtomicUsize);
+
+impl Seam for FullAfter {
+    fn before_write(&self) -> io::Result<()> {
+        let left =
+            self.0.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1));
+        left.map(drop).map_err(|_| io::Error::from(io::ErrorKind::StorageFull))
+    }
+}
+
+/// The disk fills, or power is lost, at each write of the start that finds the damage.
+#[gtest]
+fn a_damaged_version_is_distrusted_at_whatever_write_the_start_ends() -> Result<()> {
+    for writes in 1..4 {
+        let folder = Folder::new("distrust-full");
+        let kept = fill(&folder, 4);
+        fs::write(folder.newest("spec-"), "rot")?;
+        let full = Box::new(FullAfter(AtomicUsize::new(writes)));
+        let _ = Shelf::open_with(&folder.0, full)?.recall(ControllerId(1));
+        let (recalled, _) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
+        verify_that!(recalled.distrusted, eq(kept[3].stamp))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn an_older_damage_found_later_does_not_lower_the_distrust() -> Result<()> {
+    let folder = Folder::new("distrust-older");
+    let kept = fill(&folder, 4);
+    for _ in 0..2 {
+        fs::write(folder.newest("spec-"), "rot")?;
+        let (recalled, _) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
+        verify_that!(recalled.distrusted, eq(kept[3].stamp))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_damaged_vote_counts_as_one_given_at_every_later_start() -> Result<()> {
+    let folder = Folder::new("vote-later");
+    fill(&folder, 2);
+    fs::write(folder.newest("vote-"), "")?;
+    for _ in 0..3 {
+        let (recalled, _) = Shelf::open(&folder.0)?.recall(ControllerId(1))?;
+        verify_that!(recalled.voted, some(eq((Term(4), ControllerId(0)))))?;
+    }
+    Ok(())
+}
