--- a/crates/controlplane/tests/quorum_model/main.rs
+++ b/crates/controlplane/tests/quorum_model/main.rs
@@ -4,6 +4,7 @@
 mod explore;
 mod history;
 mod model;
+mod recovery;
 mod walk;
 
 use common::rules::{Rule, Rules};
--- a/crates/controlplane/tests/quorum_model/model.rs
+++ b/crates/controlplane/tests/quorum_model/model.rs
@@ -550,6 +550,22 @@
         self.events.extend(std::mem::take(&mut self.held_up));
     }
 
+    /// The time on the clock of the machine that is ahead.
+    pub fn now(&self) -> Moment {
+        self.machines.iter().map(|machine| machine.now).max().unwrap_or_default()
+    }
+
+    /// Where the voters stand by the leader's newest version.
+    pub fn voters(&self) -> Vec<usize> {
+        let Some(leader) = self.leader() else { return Vec::new() };
+        let document = self.machines[leader].core.accepted();
+        let members = document.map_or(&[][..], |document| &document.core);
+        let stands_at = |member: &CoreMember| {
+            self.machines.iter().position(|machine| machine.core.id() == member.id)
+        };
+        members.iter().filter_map(stands_at).collect()
+    }
+
     /// Machines that are up, whether cut off or not.
     pub fn running(&self) -> Vec<usize> {
         (0..self.machines.len()).filter(|number| !self.machines[*number].lost).collect()
