--- a/crates/common/src/http/head.rs
+++ b/crates/common/src/http/head.rs
@@ -1,3 +1,5 @@
+//! Reading the heads of answers.
+
 use hyper::StatusCode;
 use hyper::ext::ReasonPhrase;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
@@ -6,6 +8,11 @@
 /// How every answer begins.
 const PROTOCOL: &[u8] = b"HTTP/1.";
 
+/// The first text of a header; empty when the header is missing, or is no text.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
 /// A header's text; empty when the header is missing, is no text, or stands more than once, so that
 /// nobody can tell which one is meant.
 pub fn single_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -36,6 +36,7 @@
         zone: "here".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
+        link_mbps: 0,
     }
 }
 
@@ -166,7 +167,8 @@
     let adopted = Vec::new();
     let terms =
         GrantTerms { function, grant, spec, once_wait, steward: None, prior: None, adopted };
-    let held: Held<u64> = Held::new(Holder::new(bench.now, terms));
+    let held: Arc<Held<u64>> = Arc::new(Held::new(Holder::new(bench.now, terms)));
+    bench.agent.holdings.store(Arc::new([(held.function.clone(), held.clone())].into()));
     let task = Task {
         transaction: "t".into(),
         route: "r".to_owned(),
@@ -468,6 +470,7 @@
         zone: "elsewhere".into(),
         place: Place::NOWHERE,
         eligible: Flag(true),
+        link_mbps: 0,
     }
 }
 
--- a/testing/fleet/src/commands/flags.rs
+++ b/testing/fleet/src/commands/flags.rs
@@ -24,6 +24,10 @@
     Table(Table),
     #[options(help = "run simulated days over many seeds")]
     Sim(Sim),
+    #[options(help = "lose a second machine at each step of the control quorum's repairs")]
+    SecondLosses(SecondLosses),
+    #[options(help = "measure how soon the control side is back after each single loss")]
+    Recovery(RecoveryOptions),
     #[options(help = "take each safety rule away and see that it is found")]
     Proofs(Proofs),
     #[options(
@@ -127,10 +131,44 @@
     pub gap_ms: u64,
     #[options(help = "a rule to break on purpose", default = "none")]
     pub flaw: String,
+    #[options(
+        no_short,
+        help = "a scripted day for the control side: cut-off, second-loss, many-changes or power-loss",
+        default = ""
+    )]
+    pub scenario: String,
     #[options(no_short, help = "print what happens")]
     pub trace: bool,
 }
 
+/// Which second losses are played.
+#[derive(Options)]
+pub struct SecondLosses {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "seed", default = "1")]
+    pub seed: u64,
+    #[options(no_short, help = "machines with a disk, if not every size")]
+    pub machines: Option<usize>,
+    #[options(no_short, help = "play each so manieth step", default = "1")]
+    pub stride: u64,
+    #[options(help = "a rule to break on purpose", default = "none")]
+    pub flaw: String,
+}
+
+/// What is measured after each single loss.
+#[derive(Options)]
+pub struct RecoveryOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "the first seed", default = "1")]
+    pub seed: u64,
+    #[options(help = "how many seeds", default = "500")]
+    pub count: u64,
+    #[options(no_short, help = "machines with a disk: 3, 5, 6 or 8", default = "3")]
+    pub machines: usize,
+}
+
 #[derive(Options)]
 pub struct Run {
     #[options(help = "print this help")]
