--- a/crates/common/src/command_line.rs
+++ b/crates/common/src/command_line.rs
@@ -9,17 +9,33 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+/// A line that a user may type, shown in the help.
+#[derive(Clone, Copy, Debug)]
+pub struct Example {
+    /// The command whose help shows it; none for the program's own.
+    pub command: Option<&'static str>,
+    /// What is typed.
+    pub line: &'static str,
+}
+
 /// A program, as it names itself to its user.
 #[derive(Clone, Copy, Debug)]
 pub struct Program {
     name: &'static str,
     version: &'static str,
+    examples: &'static [Example],
 }
 
 impl Program {
     /// A program of a name and a version.
     pub const fn new(name: &'static str, version: &'static str) -> Self {
-        Self { name, version }
+        Self { name, version, examples: &[] }
+    }
+
+    /// The same with examples in its help.
+    pub const fn with_examples(mut self, examples: &'static [Example]) -> Self {
+        self.examples = examples;
+        self
     }
 
     /// Reads the flags, or ends the process with help, the version or a fault.
@@ -27,7 +43,7 @@
         let arguments: Vec<String> = std::env::args().skip(1).collect();
         match T::parse_args(&arguments, ParsingStyle::default()) {
             Ok(flags) if flags.help_requested() => {
-                println!("{}", help(self.name, &flags));
+                println!("{}", self.help(&flags));
                 std::process::exit(0)
             }
             Ok(flags) if asks_version(&flags) => {
@@ -42,6 +58,36 @@
         }
     }
 
+    fn help(self, flags: &dyn Options) -> String {
+        let mut innermost = flags;
+        let mut line = format!("Usage: {}", self.name);
+        let mut command = None;
+        while let Some(chosen) = innermost.command() {
+            innermost = chosen;
+            if let Some(command_name) = chosen.command_name() {
+                command = Some(command_name);
+                line.push(' ');
+                line.push_str(command_name);
+            }
+        }
+        let mut text = format!("{line} [OPTIONS]\n\n{}", innermost.self_usage());
+        if let Some(commands) = innermost.self_command_list() {
+            text.push_str("\n\nCommands:\n");
+            text.push_str(commands);
+        }
+        let examples: Vec<&str> = self
+            .examples
+            .iter()
+            .filter(|example| example.command == command)
+            .map(|example| example.line)
+            .collect();
+        if !examples.is_empty() {
+            text.push_str("\n\nExamples:\n  ");
+            text.push_str(&examples.join("\n  "));
+        }
+        text
+    }
+
     /// Says why the program ends, and gives its exit code.
     pub fn fail(self, fault: impl fmt::Display, exit_code: u8) -> ExitCode {
         eprintln!("{}: {fault}", self.name);
@@ -49,24 +95,6 @@
     }
 }
 
-fn help(program: &str, flags: &dyn Options) -> String {
-    let mut innermost = flags;
-    let mut line = format!("Usage: {program}");
-    while let Some(command) = innermost.command() {
-        innermost = command;
-        if let Some(command_name) = command.command_name() {
-            line.push(' ');
-            line.push_str(command_name);
-        }
-    }
-    let mut text = format!("{line} [OPTIONS]\n\n{}", innermost.self_usage());
-    if let Some(commands) = innermost.self_command_list() {
-        text.push_str("\n\nCommands:\n");
-        text.push_str(commands);
-    }
-    text
-}
-
 /// Becomes true when the process is told to stop, by SIGTERM or from the terminal.
 pub fn told_to_stop() -> std::io::Result<watch::Receiver<bool>> {
     let (stop_sender, stop) = watch::channel(false);
--- /dev/null
+++ b/programs/rudderctl/src/arguments.rs
@@ -0,0 +1,231 @@
+//! The operators' command line: its commands, their flags, and examples for the help.
+
+use crate::client::Sent;
+use common::command_line::Example;
+use gumdrop::Options;
+use std::fmt;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+/// How an answer is printed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum OutputFormat {
+    /// As JSON, for programs.
+    Json,
+    /// As a table, for people.
+    Table,
+}
+
+/// The text names no format.
+#[derive(Debug)]
+pub struct UnknownFormat(String);
+
+impl fmt::Display for UnknownFormat {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "unknown format {:?}; there are: json, table", self.0)
+    }
+}
+
+impl std::error::Error for UnknownFormat {}
+
+impl FromStr for OutputFormat {
+    type Err = UnknownFormat;
+    fn from_str(given_text: &str) -> Result<Self, UnknownFormat> {
+        match given_text {
+            "json" => Ok(Self::Json),
+            "table" => Ok(Self::Table),
+            other => Err(UnknownFormat(other.to_owned())),
+        }
+    }
+}
+
+/// What the help shows beside the flags.
+pub const EXAMPLES: &[Example] = &[
+    Example {
+        command: None,
+        line: "rudderctl --at 10.0.0.1:7111,10.0.0.2:7111 members --output table",
+    },
+    Example { command: None, line: "rudderctl spec > spec.json" },
+    Example { command: Some("found"), line: "rudderctl found" },
+    Example { command: Some("spec"), line: "rudderctl spec > spec.json" },
+    Example { command: Some("core"), line: "rudderctl core --output table" },
+    Example { command: Some("replace"), line: "rudderctl replace 5f3a91c2 77b0e41d" },
+    Example { command: Some("put"), line: "rudderctl put spec.json --wait" },
+    Example { command: Some("put"), line: "rudderctl put spec.json --number 42 --base-number 41" },
+    Example { command: Some("patch"), line: "rudderctl patch patch.json --base 17 --wait" },
+    Example { command: Some("items"), line: "rudderctl items items.json --change-id release-42" },
+    Example { command: Some("change"), line: "rudderctl change release-42" },
+    Example { command: Some("evacuate"), line: "rudderctl evacuate north --wait" },
+    Example { command: Some("restore"), line: "rudderctl restore north" },
+    Example { command: Some("members"), line: "rudderctl members --output table" },
+    Example { command: Some("holders"), line: "rudderctl holders --output table" },
+    Example { command: Some("workers"), line: "rudderctl workers --output table" },
+    Example { command: Some("runners"), line: "rudderctl runners --output table" },
+    Example { command: Some("events"), line: "rudderctl events --from 120 --follow" },
+    Example { command: Some("trace"), line: "rudderctl trace 17 --follow --output json" },
+];
+
+/// Drives rudderstream over the operators' API.
+///
+/// Exit codes: 0 done; 1 it could not start; 2 wrong flags, places or files; 3 refused, or not known;
+/// 4 no controller answered, there is no quorum, or the answer was lost: a change's outcome is unknown.
+#[derive(Options)]
+pub struct Flags {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+    #[options(
+        help = "operators' places of controllers, with commas; the first that answers is used",
+        default = "127.0.0.1:7111",
+        meta = "PLACES"
+    )]
+    pub at: String,
+    #[options(
+        help = "how answers are printed: json, or table for lists; each command has its own default",
+        meta = "FORMAT"
+    )]
+    pub output: Option<OutputFormat>,
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+#[derive(Options)]
+pub enum Command {
+    #[options(help = "found the core on three empty controllers, once")]
+    Found(Plain),
+    #[options(help = "show the core as one controller sees it")]
+    Core(Listing),
+    #[options(help = "have another controller take a core member's place at once")]
+    Replace(Replace),
+    #[options(help = "read the spec with its serial")]
+    Spec(Plain),
+    #[options(help = "send a whole spec from a file")]
+    Put(Change),
+    #[options(help = "send a JSON merge patch from a file")]
+    Patch(Change),
+    #[options(help = "put and remove named functions and routes, from a file with put and remove")]
+    Items(Change),
+    #[options(help = "ask what became of a change")]
+    Change(Named),
+    #[options(help = "empty a locality")]
+    Evacuate(Turn),
+    #[options(help = "bring a locality back")]
+    Restore(Turn),
+    #[options(help = "list the daemons")]
+    Members(Listing),
+    #[options(help = "list the functions held, and by whom")]
+    Holders(Listing),
+    #[options(help = "list the workers")]
+    Workers(Listing),
+    #[options(help = "list the runners")]
+    Runners(Listing),
+    #[options(help = "print events, a line of JSON each")]
+    Events(Events),
+    #[options(help = "trace one version of the spec from its acceptance to every daemon")]
+    Trace(Trace),
+}
+
+#[derive(Options)]
+pub struct Plain {
+    #[options(help = "print this help")]
+    pub help: bool,
+}
+
+#[derive(Options)]
+pub struct Listing {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "how it is printed: json or table", meta = "FORMAT")]
+    pub output: Option<OutputFormat>,
+}
+
+#[derive(Options)]
+pub struct Replace {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "the member's identity, from `rudderctl core`")]
+    pub missing: String,
+    #[options(free, required, help = "the identity of the one to take its place")]
+    pub successor: String,
+}
+
+#[derive(Options)]
+pub struct Named {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "the change's id")]
+    pub id: String,
+}
+
+#[derive(Options)]
+pub struct Change {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "file with the JSON")]
+    pub file: PathBuf,
+    #[options(help = "serial it is built on; read beforehand if not given", meta = "SERIAL")]
+    pub base: Option<u64>,
+    #[options(no_short, help = "your own number for it", meta = "NUMBER")]
+    pub number: Option<u64>,
+    #[options(no_short, help = "your own number of the spec it is built on", meta = "NUMBER")]
+    pub base_number: Option<u64>,
+    #[options(no_short, help = "the change's id; made up if not given", meta = "ID")]
+    pub change_id: Option<String>,
+    #[options(help = "wait until it is in force everywhere")]
+    pub wait: bool,
+}
+
+impl Change {
+    /// The change as the client takes it.
+    pub fn sent(&self) -> Sent<'_> {
+        Sent {
+            file: &self.file,
+            base: self.base,
+            number: self.number,
+            base_number: self.base_number,
+            change_id: self.change_id.clone(),
+            wait: self.wait,
+        }
+    }
+}
+
+#[derive(Options)]
+pub struct Turn {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "the locality")]
+    pub zone: String,
+    #[options(no_short, help = "the change's id; made up if not given", meta = "ID")]
+    pub change_id: Option<String>,
+    #[options(help = "wait until it is in force everywhere")]
+    pub wait: bool,
+    #[options(help = "even if no locality is left")]
+    pub force: bool,
+}
+
+#[derive(Options)]
+pub struct Events {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(no_short, help = "the first number wanted; 0 for all that are kept", default = "0")]
+    pub from: u64,
+    #[options(help = "go on as events happen, over changes of leader")]
+    pub follow: bool,
+}
+
+#[derive(Options)]
+pub struct Trace {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "print JSON instead of a table, as --output json does")]
+    pub json: bool,
+    #[options(help = "how it is printed: json or table", meta = "FORMAT")]
+    pub output: Option<OutputFormat>,
+    #[options(help = "ask again until the version is in force")]
+    pub follow: bool,
+    #[options(no_short, help = "how long to follow, in seconds", default = "30")]
+    pub patience: u64,
+    #[options(free, help = "the serial; the newest if not given")]
+    pub serial: Option<u64>,
+}
--- a/programs/rudderctl/src/client.rs
+++ b/programs/rudderctl/src/client.rs
@@ -1,3 +1,7 @@
+//! A client of the operators' API.
+
+use crate::arguments::OutputFormat;
+use crate::table::Table;
 use common::chance::Chance;
 use common::frames::Place;
 use common::http::{CallFault, Called, LinesEnd, call_json, follow_lines};
@@ -58,7 +62,7 @@
 
 /// How a change is said.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Way {
+pub enum ChangeForm {
     /// As a whole spec.
     Whole,
     /// As a merge patch.
@@ -108,7 +112,7 @@
 }
 
 impl OperatorClient {
-    /// A leader state for these controllers.
+    /// A client of these controllers.
     pub fn new(at: &str) -> Result<Self, ClientFault> {
         let places = at
             .split(',')
@@ -144,6 +148,20 @@
         self.call(Method::GET, path, None).await.map(|called| print(&called))
     }
 
+    /// Reads a list and prints it, as JSON if nothing else is asked for. A refusal is printed as JSON.
+    pub async fn list(
+        &self,
+        table: &Table,
+        output: Option<OutputFormat>,
+    ) -> Result<ExitCode, ClientFault> {
+        let called = self.call(Method::GET, table.path, None).await?;
+        if output != Some(OutputFormat::Table) || !called.status.is_success() {
+            return Ok(print(&called));
+        }
+        let _ = write!(std::io::stdout(), "{}", table.render(&called.json()));
+        Ok(exit_code(called.status))
+    }
+
     /// Asks for something without a body.
     pub async fn post(&self, path: &str) -> Result<ExitCode, ClientFault> {
         self.call(Method::POST, path, Some(&json!({}))).await.map(|called| print(&called))
@@ -189,15 +207,15 @@
     }
 
     /// Sends a change of the spec. Numbers of the operators' own stand in for the serial it is built on.
-    pub async fn change(&self, way: Way, sent: Sent<'_>) -> Result<ExitCode, ClientFault> {
+    pub async fn change(&self, form: ChangeForm, sent: Sent<'_>) -> Result<ExitCode, ClientFault> {
         let file_text = std::fs::read_to_string(sent.file)
             .map_err(|fault| ClientFault::File(sent.file.to_owned(), fault))?;
         let value: Value = serde_json::from_str(&file_text)
             .map_err(|fault| ClientFault::NotJson(sent.file.to_owned(), fault))?;
-        let mut body = match way {
-            Way::Whole => json!({"spec": value}),
-            Way::Patch => json!({"patch": value}),
-            Way::Items => json!({"put": value["put"], "remove": value["remove"]}),
+        let mut body = match form {
+            ChangeForm::Whole => json!({"spec": value}),
+            ChangeForm::Patch => json!({"patch": value}),
+            ChangeForm::Items => json!({"put": value["put"], "remove": value["remove"]}),
         };
         body["change_id"] = json!(sent.change_id.unwrap_or_else(made_up_id));
         body["wait"] = json!(if sent.wait { "in_force" } else { "accepted" });
@@ -212,7 +230,7 @@
                 }
             }
         }
-        let method = if way == Way::Whole { Method::PUT } else { Method::PATCH };
+        let method = if form == ChangeForm::Whole { Method::PUT } else { Method::PATCH };
         self.call(method, "/v1/spec", Some(&body)).await.map(|called| print(&called))
     }
 
