--- a/crates/controlplane/src/core/election.rs
+++ b/crates/controlplane/src/core/election.rs
@@ -52,7 +52,9 @@
     pub(super) fn start_trial(&mut self, now: Moment) {
         self.early_trials = self.early_trials.saturating_sub(1);
         self.arm_election(now);
-        self.leader = None;
+        if self.rules.keep(Rule::LeaderHeard) {
+            self.leader = None;
+        }
         if !self.is_voter(self.id) || !self.may_vote() || self.has_vital_writing() {
             return;
         }
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -10,7 +10,7 @@
 pub use answer::{RunnerCall, judge};
 pub use daemon_control::{DaemonControl, DaemonOrder};
 pub use forwarding::{Ask, Forwarding, ForwardingStep, PassEnd};
-pub use held::{Held, Task};
+pub use held::{Held, SendTarget, Task};
 pub use stewards::{Question, Topic};
 
 use crate::holder::Tuning;
--- a/testing/fleet/src/main.rs
+++ b/testing/fleet/src/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 
 use commands::capacity::{measure, renew_page};
+use commands::control_side::{lose_second_machines, measure_recovery};
 use commands::days::{conclude, read_day, run_whole, tabulate};
 use commands::flags::{Command, Flags};
 use commands::simulator::{prove, simulate};
@@ -32,6 +33,8 @@
             .map(|evidence| conclude(&judge(&evidence))),
         Some(Command::Table(table)) => tabulate(&table.folders).wrap_err("records"),
         Some(Command::Sim(sim)) => return simulate(&sim),
+        Some(Command::SecondLosses(chosen)) => return lose_second_machines(&chosen),
+        Some(Command::Recovery(chosen)) => return measure_recovery(&chosen),
         Some(Command::Capacity(capacity)) => renew_page(&capacity).wrap_err("page"),
         Some(Command::Synthetic(synthetic)) => measure(&synthetic).wrap_err("record"),
         Some(Command::Proofs(proofs)) => return prove(&proofs),
