--- a/crates/controlplane/tests/quorum_model/model.rs
+++ b/crates/controlplane/tests/quorum_model/model.rs
@@ -50,6 +50,15 @@
     }
 }
 
+/// What is wrong with a disk.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum DiskTrouble {
+    /// Writes never end.
+    Hung,
+    /// Writes fail.
+    Full,
+}
+
 /// One controller on its machine.
 #[derive(Clone)]
 struct Machine {
@@ -59,6 +68,7 @@
     life: u64,
     isolated: bool,
     lost: bool,
+    disk_trouble: Option<DiskTrouble>,
     /// What was committed when somebody asked this leader, by the moment of asking.
     asked: Vec<(Moment, Changes)>,
     fingerprint: u64,
@@ -182,6 +192,7 @@
             life: 0,
             isolated: false,
             lost: false,
+            disk_trouble: None,
             asked: Vec::new(),
             fingerprint: 0,
         }));
@@ -222,6 +233,7 @@
         let mut writer = HashWriter(DefaultHasher::new());
         let _ = write!(writer, "{:?}{:?}{:?}", machine.core, machine.disk, machine.asked);
         (machine.now, machine.isolated, machine.lost).hash(&mut writer.0);
+        machine.disk_trouble.hash(&mut writer.0);
         machine.fingerprint = writer.0.finish();
     }
 
@@ -359,6 +371,15 @@
                 if *life != self.machines[owner].life {
                     return Ok(());
                 }
+                let ticket = *ticket;
+                match self.machines[owner].disk_trouble {
+                    Some(DiskTrouble::Hung) => return Ok(()),
+                    Some(DiskTrouble::Full) => {
+                        let failed = WriteResult::Failed;
+                        return self.feed(owner, |core, now| core.written(now, ticket, failed));
+                    }
+                    None => {}
+                }
                 let disk = &mut self.machine(owner).disk;
                 match job {
                     WriteJob::Vote { term, candidate } => disk.voted = Some((*term, *candidate)),
@@ -370,7 +391,6 @@
                     }
                     WriteJob::Scrub(_) => {}
                 }
-                let ticket = *ticket;
                 self.feed(owner, |core, now| core.written(now, ticket, WriteResult::Synced))
             }
         }
@@ -524,9 +544,16 @@
         self.renew_fingerprint(number);
     }
 
-    /// A machine comes back with its disk.
+    /// A machine runs on with a disk that takes nothing.
+    pub fn trouble_disk(&mut self, number: usize, trouble: DiskTrouble) {
+        self.machine(number).disk_trouble = Some(trouble);
+        self.renew_fingerprint(number);
+    }
+
+    /// A machine comes back with its disk, which is well again.
     pub fn bring_back(&mut self, number: usize) {
         self.machine(number).lost = false;
+        self.machine(number).disk_trouble = None;
         self.restart(number);
     }
 
--- a/crates/controlplane/tests/quorum_model/walk.rs
+++ b/crates/controlplane/tests/quorum_model/walk.rs
@@ -1,7 +1,7 @@
 //! Long random runs: losses up to what is tolerated, cuts, repairs and replacements.
 
 use super::history::Breach;
-use super::model::{Deviation, Model, Setup};
+use super::model::{Deviation, DiskTrouble, Model, Setup};
 use common::chance::Chance;
 
 const ROUNDS: usize = 4;
@@ -91,7 +91,11 @@
             let next = losses.iter().find(|number| !lost.contains(number));
             if let Some(number) = next.filter(|_| lost.len() < setup.machines) {
                 lost.push(*number);
-                model.lose(*number);
+                match chance.below(4) {
+                    0 => model.trouble_disk(*number, DiskTrouble::Hung),
+                    1 => model.trouble_disk(*number, DiskTrouble::Full),
+                    _ => model.lose(*number),
+                }
             }
             Ok(())
         }
@@ -106,7 +110,10 @@
             model.bring_back(number);
             model.deviate(Deviation::Wipe(number))?;
         }
-        _ => model.add_successor(number),
+        _ => {
+            model.lose(number);
+            model.add_successor(number);
+        }
     }
     Ok(())
 }
