--- a/crates/common/src/frames/core.rs
+++ b/crates/common/src/frames/core.rs
@@ -1,3 +1,5 @@
+//! Frames between controllers: election, rounds, versions of the document.
+
 use super::{Blob, Flag, Many, Place};
 use crate::identity::{ControllerId, Incarnation, MemberName, Stamp, Term, Zone};
 use binrw::binrw;
--- a/crates/common/src/frames/dial.rs
+++ b/crates/common/src/frames/dial.rs
@@ -1,3 +1,5 @@
+//! Opening connections to other processes.
+
 use super::{Channel, FrameFault, Place, write_channel};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
--- a/crates/common/src/frames/heartbeat.rs
+++ b/crates/common/src/frames/heartbeat.rs
@@ -1,3 +1,5 @@
+//! Heartbeats between daemons, and the suspicions they carry.
+
 use super::Many;
 use crate::identity::{Incarnation, MemberName};
 use binrw::binrw;
--- a/crates/common/src/frames/hop.rs
+++ b/crates/common/src/frames/hop.rs
@@ -1,3 +1,5 @@
+//! Frames between daemons: transactions passed on, their outcomes, and ledger copies.
+
 use super::{Blob, Flag, Host, Many};
 use crate::identity::{
     CorrelationId, FunctionKey, GrantSerial, Incarnation, Serial, TransactionId, Wording,
--- a/crates/common/src/frames/pack.rs
+++ b/crates/common/src/frames/pack.rs
@@ -1,3 +1,5 @@
+//! Compression of long texts in frames.
+
 use super::{Blob, FrameFault};
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
--- a/crates/common/src/frames/parts.rs
+++ b/crates/common/src/frames/parts.rs
@@ -1,3 +1,5 @@
+//! The building blocks of frames: texts, lists, bytes, flags, places.
+
 use binrw::{BinRead, BinResult, BinWrite, Endian, binrw};
 use bytes::Bytes;
 use std::fmt;
--- a/crates/common/src/frames/stream.rs
+++ b/crates/common/src/frames/stream.rs
@@ -1,3 +1,5 @@
+//! Frames on the stream between a daemon and the leader.
+
 use super::{Blob, Flag, Many, MemberLife, Place};
 use crate::identity::{
     CorrelationId, FunctionKey, GrantSerial, Incarnation, LifeName, MemberName, RunnerId, Serial,
--- a/crates/common/src/frames/wire.rs
+++ b/crates/common/src/frames/wire.rs
@@ -1,3 +1,5 @@
+//! Framing on the wire: channels, lengths, and the limits that are read.
+
 use super::Heartbeat;
 use binrw::meta::{ReadEndian, WriteEndian};
 use binrw::{BinRead, BinWrite};
--- a/crates/common/src/http/call.rs
+++ b/crates/common/src/http/call.rs
@@ -1,3 +1,5 @@
+//! Calling over HTTP, so that what was sent, and what surely not, is known.
+
 use crate::clock::Moment;
 use crate::frames::Place;
 use bytes::Bytes;
--- a/crates/common/src/http/keeping.rs
+++ b/crates/common/src/http/keeping.rs
@@ -1,3 +1,5 @@
+//! Whether and how long the other side keeps a connection.
+
 use hyper::header::{CONNECTION, HeaderMap};
 use std::time::Duration;
 
--- a/crates/common/src/http/lines.rs
+++ b/crates/common/src/http/lines.rs
@@ -1,3 +1,5 @@
+//! Following a body of lines as they come.
+
 use super::CallFault;
 use crate::frames::Place;
 use bytes::Bytes;
--- a/crates/common/src/http/serve.rs
+++ b/crates/common/src/http/serve.rs
@@ -1,3 +1,5 @@
+//! Serving over HTTP: answers, bodies within limits, connections that end in order.
+
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
--- a/crates/common/src/identity/function.rs
+++ b/crates/common/src/identity/function.rs
@@ -1,3 +1,5 @@
+//! Functions by name and generation.
+
 use super::{FunctionName, Serial};
 use binrw::binrw;
 use std::fmt;
--- a/crates/common/src/identity/names.rs
+++ b/crates/common/src/identity/names.rs
@@ -1,3 +1,5 @@
+//! Identities that are short texts.
+
 use binrw::{BinRead, BinResult, BinWrite, Endian};
 use std::fmt;
 use std::io::{Read, Seek, Write};
--- a/crates/common/src/identity/numbers.rs
+++ b/crates/common/src/identity/numbers.rs
@@ -1,3 +1,5 @@
+//! Identities and counts that are numbers.
+
 use binrw::{BinRead, BinResult, BinWrite, Endian, binrw};
 use std::fmt;
 use std::io::{Read, Seek, Write};
--- a/crates/common/src/identity/runner.rs
+++ b/crates/common/src/identity/runner.rs
@@ -1,3 +1,5 @@
+//! Runners by grant and ordinal.
+
 use super::{GrantSerial, LifeName};
 use binrw::binrw;
 use std::fmt;
--- a/crates/common/src/readers/boot.rs
+++ b/crates/common/src/readers/boot.rs
@@ -1,3 +1,5 @@
+//! Settings that a process starts with: a file, with flags laid over it.
+
 use super::{FaultList, FaultReason, PathFault, PathReader};
 use crate::frames::Place;
 use serde_json::{Map, Value};
--- a/crates/common/src/readers/path.rs
+++ b/crates/common/src/readers/path.rs
@@ -1,3 +1,5 @@
+//! A reader of one JSON value that knows its path and collects faults.
+
 use serde_json::Value;
 use std::fmt;
 use std::ops::RangeInclusive;
--- a/crates/common/src/tongue/door.rs
+++ b/crates/common/src/tongue/door.rs
@@ -1,3 +1,5 @@
+//! What is read from callers and said to them.
+
 use crate::frames::{HeadLine, HopReason};
 use crate::http::Served;
 use crate::identity::{FunctionKey, RunnerId, TransactionId};
--- a/crates/common/src/tongue/own.rs
+++ b/crates/common/src/tongue/own.rs
@@ -1,3 +1,5 @@
+//! The platform's calls in the product's own dialect.
+
 use super::{
     BeginEnd, BeginOrder, Calling, ListedRunner, ListedWorker, PlatformTongue, RunnerList,
     StopOrder,
--- a/crates/common/src/tongue/platform.rs
+++ b/crates/common/src/tongue/platform.rs
@@ -1,3 +1,5 @@
+//! What is asked of the platform: starts, stops and lists.
+
 use crate::frames::Life;
 use crate::identity::{
     FunctionKey, FunctionName, LifeName, MemberName, RunnerId, WorkerName, Zone,
--- a/crates/common/src/tongue/runner.rs
+++ b/crates/common/src/tongue/runner.rs
@@ -1,3 +1,5 @@
+//! What is said to runners and read from them.
+
 use crate::frames::{HeadLine, Parcel, Place};
 use crate::identity::{FunctionKey, LifeName, RunnerId, TransactionId};
 use bytes::Bytes;
--- a/crates/dataplane/src/agent/answer.rs
+++ b/crates/dataplane/src/agent/answer.rs
@@ -1,3 +1,5 @@
+//! What a runner's answer is worth, and the last look before a send.
+
 use super::{Agent, Held, Task};
 use crate::holder::SendEnd;
 use common::clock::Moment;
--- a/crates/dataplane/src/agent/held.rs
+++ b/crates/dataplane/src/agent/held.rs
@@ -1,3 +1,5 @@
+//! A held function together with those who wait for its outcomes.
+
 use crate::holder::{Entry, Holder, HolderOutput};
 use common::clock::Moment;
 use common::frames::{HopOutcome, Parcel};
--- a/crates/dataplane/src/agent/stewards.rs
+++ b/crates/dataplane/src/agent/stewards.rs
@@ -1,3 +1,5 @@
+//! Questions to stewards, the daemons that keep copies of others' ledgers, and answers as one.
+
 use super::{Agent, Held};
 use crate::holder::{Holder, HolderOutput};
 use common::clock::Moment;
--- a/crates/dataplane/src/chain/answer.rs
+++ b/crates/dataplane/src/chain/answer.rs
@@ -1,3 +1,5 @@
+//! What a caller is told of an outcome or a refusal.
+
 use crate::drivers::State;
 use common::frames::{HopOutcome, HopReason};
 use common::http::{BodyFault, Served};
--- a/crates/dataplane/src/chain/filters.rs
+++ b/crates/dataplane/src/chain/filters.rs
@@ -1,3 +1,5 @@
+//! Checks of a caller's request before anything is done with it.
+
 use common::identity::TransactionId;
 use common::tongue::{DoorTongue, NotRunKind, Said};
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
--- a/crates/dataplane/src/chain/resolve.rs
+++ b/crates/dataplane/src/chain/resolve.rs
@@ -1,3 +1,5 @@
+//! Carries out the steps of a transaction's forwarding.
+
 use crate::agent::{Ask, Forwarding, ForwardingStep, PassEnd};
 use crate::drivers::{AskEnd, State, holding};
 use crate::owners::is_valid;
--- a/crates/dataplane/src/ledger/book.rs
+++ b/crates/dataplane/src/ledger/book.rs
@@ -1,3 +1,5 @@
+//! A holder's own ledger of transaction identities.
+
 use super::ranges::{digests, range_of};
 use common::clock::Moment;
 use common::frames::{HopOutcome, HopReason, LedgerNote, NoteState};
--- a/crates/dataplane/src/ledger/ranges.rs
+++ b/crates/dataplane/src/ledger/ranges.rs
@@ -1,3 +1,5 @@
+//! Digests over ranges of identities, by which two ledgers are compared.
+
 use common::frames::{LedgerNote, NoteState};
 use common::identity::TransactionId;
 use sha2::{Digest, Sha256};
--- a/crates/dataplane/src/ledger/replica.rs
+++ b/crates/dataplane/src/ledger/replica.rs
@@ -1,3 +1,5 @@
+//! The copies that a daemon keeps of other holders' ledgers.
+
 use super::ranges::digests;
 use common::clock::Moment;
 use common::frames::{LedgerNote, NoteState};
--- a/crates/dataplane/src/owners/warm.rs
+++ b/crates/dataplane/src/owners/warm.rs
@@ -1,3 +1,5 @@
+//! Which functions are asked for before they are called.
+
 use super::is_valid;
 use common::clock::Moment;
 use common::frames::Host;
--- a/crates/dataplane/src/tongue/door.rs
+++ b/crates/dataplane/src/tongue/door.rs
@@ -1,3 +1,5 @@
+//! Callers' HTTP in the product's own dialect.
+
 use common::frames::HeadLine;
 use common::http::{Served, full, json_response};
 use common::identity::TransactionId;
--- a/crates/dataplane/src/tongue/runner.rs
+++ b/crates/dataplane/src/tongue/runner.rs
@@ -1,3 +1,5 @@
+//! Runners' HTTP in the product's own dialect.
+
 use bytes::Bytes;
 use common::frames::Place;
 use common::http::{closes, single_text};
--- a/crates/dataplane/src/watch/suspicion.rs
+++ b/crates/dataplane/src/watch/suspicion.rs
@@ -1,3 +1,5 @@
+//! Suspicions: daemons that have fallen silent, what others say of it, and how it is refuted.
+
 use common::clock::Moment;
 use common::frames::{Heartbeat, MemberLife, Place, Suspicion};
 use std::collections::BTreeMap;
--- a/testing/fleet/src/days/deployment.rs
+++ b/testing/fleet/src/days/deployment.rs
@@ -1,3 +1,5 @@
+//! The deployments that a day may run: their sizes, functions and callers.
+
 use crate::fleet::Sizes;
 use serde_json::{Map, Value, json};
 use std::fmt;
--- a/testing/fleet/src/days/run.rs
+++ b/testing/fleet/src/days/run.rs
@@ -1,3 +1,5 @@
+//! Runs one day: starts the fleet, calls, causes the faults, and has it judged.
+
 use super::{Deployment, Fault, FaultName};
 use crate::fleet::{Fleet, FleetFault, Layout};
 use crate::judge::{Evidence, Verdict, judge};
--- a/testing/fleet/src/fleet/layout.rs
+++ b/testing/fleet/src/fleet/layout.rs
@@ -1,3 +1,5 @@
+//! The machines of a fleet: names, places, settings and files.
+
 use super::FleetFault;
 use common::frames::Place;
 use common::rules::Rule;
--- a/testing/fleet/src/fleet/process.rs
+++ b/testing/fleet/src/fleet/process.rs
@@ -1,3 +1,5 @@
+//! One process of the fleet: started, stopped, frozen, killed.
+
 use super::{FleetFault, Machine};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::OpenOptions;
--- a/testing/fleet/src/fleet/relay.rs
+++ b/testing/fleet/src/fleet/relay.rs
@@ -1,3 +1,5 @@
+//! A relay between all processes that cuts and delays what they send.
+
 use common::frames::Place;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr};
--- a/testing/fleet/src/judge/evidence.rs
+++ b/testing/fleet/src/judge/evidence.rs
@@ -1,3 +1,5 @@
+//! What callers, runners and the platform recorded of a day.
+
 use common::identity::{GrantSerial, RunnerId};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/testing/fleet/src/judge/figures.rs
+++ b/testing/fleet/src/judge/figures.rs
@@ -1,3 +1,5 @@
+//! A day's figures: shares of outcomes, and the recovery from each fault.
+
 use super::Evidence;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
--- a/testing/fleet/src/judge/verdict.rs
+++ b/testing/fleet/src/judge/verdict.rs
@@ -1,3 +1,5 @@
+//! What the judge found, line by line.
+
 use super::Figures;
 use std::fmt;
 
--- a/testing/fleet/src/synthetic/catalogue.rs
+++ b/testing/fleet/src/synthetic/catalogue.rs
@@ -1,3 +1,5 @@
+//! The spec of a synthetic fleet, and its changes.
+
 use common::chance::Chance;
 use serde_json::{Map, Value, json};
 
--- a/testing/fleet/src/synthetic/controllers.rs
+++ b/testing/fleet/src/synthetic/controllers.rs
@@ -1,3 +1,5 @@
+//! The controllers of a synthetic fleet, and the messages to and from them.
+
 use super::catalogue;
 use super::events::Event;
 use super::fleet::{ChangeUnderWay, Fleet};
--- a/testing/fleet/src/synthetic/daemons.rs
+++ b/testing/fleet/src/synthetic/daemons.rs
@@ -1,3 +1,5 @@
+//! The daemons of a synthetic fleet, and the messages to and from them.
+
 use super::calls::Pending;
 use super::events::{Beat, Event, Spot};
 use super::fleet::{Fleet, Link};
--- a/testing/fleet/src/synthetic/events.rs
+++ b/testing/fleet/src/synthetic/events.rs
@@ -1,3 +1,5 @@
+//! What happens in a synthetic fleet at a moment of virtual time.
+
 use bytes::Bytes;
 use common::frames::{Heartbeat, Life};
 use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
--- a/testing/fleet/src/synthetic/fleet.rs
+++ b/testing/fleet/src/synthetic/fleet.rs
@@ -1,3 +1,5 @@
+//! A synthetic fleet: its roles, its queue of events, and a run from start to record.
+
 use super::calls::Pending;
 use super::catalogue;
 use super::controllers::Controller;
--- a/testing/fleet/src/synthetic/memory.rs
+++ b/testing/fleet/src/synthetic/memory.rs
@@ -1,3 +1,5 @@
+//! An allocator that counts what is kept, and the most at once.
+
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicBool, AtomicIsize, Ordering};
 
--- a/testing/fleet/src/synthetic/meter.rs
+++ b/testing/fleet/src/synthetic/meter.rs
@@ -1,3 +1,5 @@
+//! Counts what each role sends, hears and computes, by kind of work.
+
 use super::memory;
 use rustix::time::{ClockId, clock_gettime};
 use std::collections::BTreeMap;
--- a/testing/fleet/src/synthetic/page/figure.rs
+++ b/testing/fleet/src/synthetic/page/figure.rs
@@ -1,3 +1,5 @@
+//! One figure of the page: a fitted line at the size asked for, with its budget.
+
 use super::fit::{Fit, Term};
 use std::fmt;
 
--- a/testing/fleet/src/synthetic/page/fit.rs
+++ b/testing/fleet/src/synthetic/page/fit.rs
@@ -1,3 +1,5 @@
+//! Lines fitted to measured runs by least squares.
+
 use super::Run;
 use std::fmt;
 
--- a/testing/fleet/src/synthetic/page/plots.rs
+++ b/testing/fleet/src/synthetic/page/plots.rs
@@ -1,3 +1,5 @@
+//! The page's plots.
+
 use super::fit::Term;
 use super::scope::Scope;
 use super::{PageFault, Run};
--- a/testing/fleet/src/synthetic/page/runs.rs
+++ b/testing/fleet/src/synthetic/page/runs.rs
@@ -1,3 +1,5 @@
+//! The records of measured runs.
+
 use super::PageFault;
 use crate::synthetic::record::RecordFault;
 use serde_json::Value;
--- a/testing/fleet/src/synthetic/page/tables.rs
+++ b/testing/fleet/src/synthetic/page/tables.rs
@@ -1,3 +1,5 @@
+//! The page's tables.
+
 use super::figure::{Figure, written};
 use super::fit::Term;
 use super::scope::Scope;
--- a/testing/fleet/src/synthetic/platform.rs
+++ b/testing/fleet/src/synthetic/platform.rs
@@ -1,3 +1,5 @@
+//! A stand-in platform in memory.
+
 use common::clock::Moment;
 use common::frames::{Life, Place};
 use common::identity::{FunctionKey, RunnerId, WorkerName};
--- a/testing/fleet/src/synthetic/record.rs
+++ b/testing/fleet/src/synthetic/record.rs
@@ -1,3 +1,5 @@
+//! What one run of a synthetic fleet came to, as it is printed and written.
+
 use super::meter::{Role, Tally, Work};
 use super::size::SyntheticSize;
 use common::clock::Moment;
--- a/testing/fleet/src/synthetic/size.rs
+++ b/testing/fleet/src/synthetic/size.rs
@@ -1,3 +1,5 @@
+//! The size of a synthetic fleet, checked against the memory of the machine.
+
 use std::fmt;
 use std::path::PathBuf;
 use std::time::Duration;
--- a/testing/fleet/src/synthetic/wire.rs
+++ b/testing/fleet/src/synthetic/wire.rs
@@ -1,3 +1,5 @@
+//! What a message weighs on the wire, and which kind of work it is.
+
 use super::meter::{Role, Work};
 use common::frames::{StreamDown, StreamUp};
 
--- a/testing/fleet/src/synthetic/zones.rs
+++ b/testing/fleet/src/synthetic/zones.rs
@@ -1,3 +1,5 @@
+//! The zones of a synthetic fleet, and the delays between them.
+
 use common::identity::Zone;
 use std::time::Duration;
 
--- a/testing/loadgen/src/caller.rs
+++ b/testing/loadgen/src/caller.rs
@@ -1,3 +1,5 @@
+//! The callers: when each calls, what it sends, and the record of what it was told.
+
 use crate::plan::{Plan, PlannedRoute};
 use bytes::Bytes;
 use common::chance::Chance;
--- a/testing/loadgen/src/plan.rs
+++ b/testing/loadgen/src/plan.rs
@@ -1,3 +1,5 @@
+//! The plan of a load: routes, rates, bursts and impatience.
+
 use common::frames::Place;
 use common::readers::{BootFault, BootSource, FaultReason, PathReader, read_place};
 use hyper::Method;
--- a/testing/platform-stub/src/platform/lists.rs
+++ b/testing/platform-stub/src/platform/lists.rs
@@ -1,3 +1,5 @@
+//! Lists that are as late as a real platform's.
+
 use common::clock::Moment;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
