--- /dev/null
+++ b/crates/dataplane/src/keeper/questions.rs
@@ -0,0 +1,143 @@
+//! Questions to the leader, for functions and for runners, and its answers.
+
+use super::{Keeper, KeeperOrder};
+use crate::holder::GrantTerms;
+use common::clock::Moment;
+use common::frames::{AcquireResult, ReserveResult, RunnerNews, StreamUp};
+use common::identity::{CorrelationId, FunctionKey, GrantSerial};
+use std::time::Duration;
+
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(2);
+
+pub(super) struct Asked {
+    function: FunctionKey,
+    asked_at: Moment,
+    due_at: Option<Moment>,
+}
+
+impl Keeper {
+    /// Asks the leader for a function. While a question for it is open whose answer is known to take
+    /// its time, no other is asked.
+    pub fn acquire(&mut self, now: Moment, function: FunctionKey) -> Vec<KeeperOrder> {
+        let open_due_at = self
+            .acquires
+            .values()
+            .find(|asked| asked.function == function)
+            .and_then(|asked| asked.due_at);
+        if let Some(due_at) = open_due_at {
+            let wait_ms = due_at.since(now).as_millis() as u32;
+            let result = Some(AcquireResult::Later { wait_ms });
+            let round_trip = Duration::ZERO;
+            self.orders.push(KeeperOrder::Acquired { function, result, round_trip });
+        } else if self.liaison.is_welcomed() {
+            let correlation = self.liaison.correlation();
+            let asked = Asked { function: function.clone(), asked_at: now, due_at: None };
+            self.acquires.insert(correlation, asked);
+            self.orders.push(KeeperOrder::Say(StreamUp::Acquire { correlation, function }));
+        } else {
+            let round_trip = Duration::ZERO;
+            self.orders.push(KeeperOrder::Acquired { function, result: None, round_trip });
+        }
+        self.done()
+    }
+
+    /// Asks the leader for one more runner.
+    pub fn reserve(&mut self, function: FunctionKey, grant: GrantSerial) -> Vec<KeeperOrder> {
+        if self.liaison.is_welcomed() {
+            let correlation = self.liaison.correlation();
+            self.reserves.insert(correlation, (function.clone(), grant));
+            let frame = StreamUp::Reserve { correlation, function, grant };
+            self.orders.push(KeeperOrder::Say(frame));
+        } else {
+            let result = ReserveResult::Shed;
+            self.orders.push(KeeperOrder::Reserved { function, grant, result });
+        }
+        self.done()
+    }
+
+    pub(super) fn acquired(
+        &mut self,
+        now: Moment,
+        correlation: CorrelationId,
+        function: FunctionKey,
+        result: AcquireResult,
+    ) {
+        if let AcquireResult::Later { wait_ms } = &result
+            && let Some(asked) = self.acquires.get_mut(&correlation)
+        {
+            asked.due_at = Some(now + Duration::from_millis(u64::from(*wait_ms)));
+            let round_trip = now.since(asked.asked_at);
+            let result = Some(result);
+            self.orders.push(KeeperOrder::Acquired { function, result, round_trip });
+            return;
+        }
+        let round_trip = self
+            .acquires
+            .remove(&correlation)
+            .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
+        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior, adopted } = &result {
+            let spec = self.table.function_of(&function).map(|entry| (*entry.spec).clone());
+            let may_hold = now < self.liaison.grant_end() && !self.leaving;
+            match spec.filter(|_| may_hold) {
+                Some(spec) => self.orders.push(KeeperOrder::Grant(GrantTerms {
+                    function: function.clone(),
+                    grant: *grant,
+                    spec,
+                    once_wait: Duration::from_millis(u64::from(*once_wait_ms)),
+                    steward: steward.0.first().cloned(),
+                    prior: prior.0.first().cloned(),
+                    adopted: adopted.0.clone(),
+                })),
+                None => {
+                    let frame = StreamUp::Release {
+                        function: function.clone(),
+                        grant: *grant,
+                        runners: adopted.clone(),
+                    };
+                    self.orders.push(KeeperOrder::Say(frame));
+                }
+            }
+        }
+        self.orders.push(KeeperOrder::Acquired { function, result: Some(result), round_trip });
+    }
+
+    pub(super) fn reserved(
+        &mut self,
+        correlation: CorrelationId,
+        function: FunctionKey,
+        result: ReserveResult,
+    ) {
+        match (self.reserves.remove(&correlation), &result) {
+            (Some((_, grant)), _) => {
+                self.orders.push(KeeperOrder::Reserved { function, grant, result });
+            }
+            (None, ReserveResult::Reserved { runner, .. }) => {
+                let news = RunnerNews::Gone;
+                let frame = StreamUp::Runner { function, runner: *runner, news };
+                self.orders.push(KeeperOrder::Say(frame));
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives up the questions whose answers are late.
+    pub(super) fn give_up_late_acquires(&mut self, now: Moment) {
+        let late_correlations: Vec<CorrelationId> = self
+            .acquires
+            .iter()
+            .filter(|(_, asked)| {
+                now.since(asked.due_at.unwrap_or(asked.asked_at)) > ASK_AGAIN_AFTER
+            })
+            .map(|(correlation, _)| *correlation)
+            .collect();
+        for late_correlation in late_correlations {
+            if let Some(asked) = self.acquires.remove(&late_correlation) {
+                self.orders.push(KeeperOrder::Acquired {
+                    function: asked.function,
+                    result: None,
+                    round_trip: now.since(asked.asked_at),
+                });
+            }
+        }
+    }
+}
