--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -13,6 +13,13 @@
     SerialOnlyUp,
     /// Route and function are looked up in the newest spec right before a send.
     SpecBeforeSend,
+    /// The member grant runs and the function is held under its grant right before the first byte of a
+    /// send is written.
+    HeldBeforeSend,
+    /// What a byte was written of counts as sent.
+    WrittenIsSent,
+    /// Another daemon's answer goes to the question that it names.
+    ReplyMatched,
     /// A send names the runner that is meant, and another one refuses.
     RunnerNamed,
     /// An answer's seal is checked.
@@ -57,12 +64,24 @@
     ClaimsWait,
     /// A new leader waits for each daemon of the roster that has not claimed.
     RosterAwaited,
+    /// A configuration is read only when a majority has confirmed the leader since it was asked for.
+    ReadingProven,
+    /// A controller names only a leader that it heard within the election time.
+    LeaderHeard,
     /// A change built on another serial than the newest is refused.
     StaleBaseRefused,
     /// An invalid change is never written.
     InvalidRefused,
     /// A core member is replaced in two committed steps.
     CoreInTwoSteps,
+    /// A vote is on disk before it is given.
+    VoteOnDisk,
+    /// A version is on disk before it is acknowledged.
+    AcceptOnDisk,
+    /// Nobody votes for a candidate whose version is older than the voter's.
+    NewestElected,
+    /// An answer to a round counts in the round's own term only.
+    RoundOfItsTerm,
 }
 
 impl Rule {
@@ -72,6 +91,9 @@
         Rule::RenewalNeedsSpec,
         Rule::SerialOnlyUp,
         Rule::SpecBeforeSend,
+        Rule::HeldBeforeSend,
+        Rule::WrittenIsSent,
+        Rule::ReplyMatched,
         Rule::RunnerNamed,
         Rule::SealChecked,
         Rule::SealNamesAsked,
@@ -93,9 +115,15 @@
         Rule::LifeAdoptedOnce,
         Rule::ClaimsWait,
         Rule::RosterAwaited,
+        Rule::ReadingProven,
+        Rule::LeaderHeard,
         Rule::StaleBaseRefused,
         Rule::InvalidRefused,
         Rule::CoreInTwoSteps,
+        Rule::VoteOnDisk,
+        Rule::AcceptOnDisk,
+        Rule::NewestElected,
+        Rule::RoundOfItsTerm,
     ];
 
     /// The rule of a name.
@@ -111,6 +139,9 @@
             Self::RenewalNeedsSpec => "renewal-needs-spec",
             Self::SerialOnlyUp => "serial-only-up",
             Self::SpecBeforeSend => "spec-before-send",
+            Self::HeldBeforeSend => "held-before-send",
+            Self::WrittenIsSent => "written-is-sent",
+            Self::ReplyMatched => "reply-matched",
             Self::RunnerNamed => "runner-named",
             Self::SealChecked => "seal-checked",
             Self::SealNamesAsked => "seal-names-asked",
@@ -132,9 +163,15 @@
             Self::LifeAdoptedOnce => "life-adopted-once",
             Self::ClaimsWait => "claims-wait",
             Self::RosterAwaited => "roster-awaited",
+            Self::ReadingProven => "reading-proven",
+            Self::LeaderHeard => "leader-heard",
             Self::StaleBaseRefused => "stale-base-refused",
             Self::InvalidRefused => "invalid-refused",
             Self::CoreInTwoSteps => "core-in-two-steps",
+            Self::VoteOnDisk => "vote-on-disk",
+            Self::AcceptOnDisk => "accept-on-disk",
+            Self::NewestElected => "newest-elected",
+            Self::RoundOfItsTerm => "round-of-its-term",
         })
     }
 }
