--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -18,7 +18,7 @@
 use common::clock::Moment;
 use common::frames::{Blob, CoreBody, CoreFrame, Flag, KnownMember, Place};
 use common::identity::{ControllerId, Stamp, Term, Ticket, Zone};
-use common::rules::Rules;
+use common::rules::{Rule, Rules};
 use common::spec::Document;
 use rounds::Rounds;
 use std::collections::{BTreeMap, BTreeSet};
@@ -296,7 +296,7 @@
     pub fn expire(&mut self, now: Moment) -> Vec<CoreOutput> {
         if self.is_leader() {
             self.step_down_if_unproven(now);
-        } else if now >= self.election_at {
+        } else if now >= self.election_at && self.rules.keep(Rule::LeaderHeard) {
             self.leader = None;
         }
         std::mem::take(&mut self.outputs)
--- a/crates/controlplane/tests/quorum_proofs.rs
+++ b/crates/controlplane/tests/quorum_proofs.rs
@@ -142,7 +142,11 @@
     voter.expire(START + Duration::from_millis(100));
     verify_that!(voter.leader().is_some(), eq(true))?;
     voter.expire(START + Duration::from_secs(20));
-    verify_that!(voter.leader().is_none(), eq(true))
+    verify_that!(voter.leader().is_none(), eq(true))?;
+    let mut forgetful = self::voter(Rules::without(Rule::LeaderHeard));
+    forgetful.heard(START, frame(2, round(2, 1)));
+    forgetful.expire(START + Duration::from_secs(20));
+    verify_that!(forgetful.leader().is_some(), eq(true))
 }
 
 /// Controller 1, elected by 2 and with its first version committed.
