--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -470,6 +470,11 @@
         known_places
     }
 
+    fn keeps_nothing(&self, place: Place) -> bool {
+        let greeting = self.others.get(&place).and_then(|other| other.greeting.as_ref());
+        greeting.is_some_and(|greeting| greeting.passes_on)
+    }
+
     fn forget_others(&mut self, now: Moment) {
         let kept_places = self.greeted_places();
         let kept_span = self.timing.replace_after * 4;
--- a/crates/controlplane/src/core/register.rs
+++ b/crates/controlplane/src/core/register.rs
@@ -146,14 +146,15 @@
         Ok(std::mem::take(&mut self.outputs))
     }
 
-    /// Sends a version to all whose disks count. A standby gets the newest one when it next answers a
-    /// round: while orders follow each other closely, each whole version would hold up the rounds.
     pub(super) fn put_forward(&mut self, now: Moment, document: Document) {
         self.proposed = Some(document.clone());
         self.order_write(now, Writing::Version(document.clone()));
         let document_bytes = self.bytes_of(&document);
-        for voter_place in self.voter_places() {
-            if let Some(other) = self.others.get_mut(&voter_place) {
+        for known_place in self.known_places() {
+            if self.keeps_nothing(known_place) {
+                continue;
+            }
+            if let Some(other) = self.others.get_mut(&known_place) {
                 other.document_sent_at = now;
             }
             let body = CoreBody::Accept {
@@ -161,7 +162,7 @@
                 stamp: document.stamp,
                 document: document_bytes.clone(),
             };
-            self.send(voter_place, body);
+            self.send(known_place, body);
         }
     }
 
