--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -18,7 +18,7 @@
 use common::clock::Moment;
 use common::frames::{Blob, CoreBody, CoreFrame, Flag, KnownMember, Place};
 use common::identity::{ControllerId, Stamp, Term, Ticket, Zone};
-use common::rules::Rules;
+use common::rules::{Rule, Rules};
 use common::spec::Document;
 use rounds::Rounds;
 use std::collections::{BTreeMap, BTreeSet};
@@ -296,7 +296,7 @@
     pub fn expire(&mut self, now: Moment) -> Vec<CoreOutput> {
         if self.is_leader() {
             self.step_down_if_unproven(now);
-        } else if now >= self.election_at {
+        } else if now >= self.election_at && self.rules.keep(Rule::LeaderHeard) {
             self.leader = None;
         }
         std::mem::take(&mut self.outputs)
@@ -470,6 +470,11 @@
         known_places
     }
 
+    fn keeps_nothing(&self, place: Place) -> bool {
+        let greeting = self.others.get(&place).and_then(|other| other.greeting.as_ref());
+        greeting.is_some_and(|greeting| greeting.passes_on)
+    }
+
     fn forget_others(&mut self, now: Moment) {
         let kept_places = self.greeted_places();
         let kept_span = self.timing.replace_after * 4;
