--- a/crates/controlplane/src/controller_state/mod.rs
+++ b/crates/controlplane/src/controller_state/mod.rs
@@ -334,8 +334,8 @@
         }
     }
 
-    fn leader_elsewhere(&self) -> Option<Address> {
-        if self.core.is_leader() { None } else { self.core.leader() }
+    fn leader_elsewhere(&self, now: Moment) -> Option<Address> {
+        if self.core.is_leader() { None } else { self.core.live_leader(now) }
     }
 
     fn is_fresh(&self, now: Moment) -> bool {
--- a/crates/controlplane/src/controller_state/operation.rs
+++ b/crates/controlplane/src/controller_state/operation.rs
@@ -215,12 +215,12 @@
             | Operation::Metrics
             | Operation::Events(_) => false,
             Operation::Change { .. } => {
-                self.leader_state.is_none() && self.leader_elsewhere().is_none()
+                self.leader_state.is_none() && self.leader_elsewhere(now).is_none()
             }
             _ => {
                 let is_proven = self.is_fresh(now) && self.core.quorum_moment() >= asked_at;
                 let must_be_proven = self.rules.keep(Rule::ReadingProven);
-                self.leader_elsewhere().is_none() && must_be_proven && !is_proven
+                self.leader_elsewhere(now).is_none() && must_be_proven && !is_proven
             }
         }
     }
@@ -247,7 +247,7 @@
                 OperationReply::Said(200, Value::Array(listed_events))
             }
             other => {
-                if let Some(address) = self.leader_elsewhere() {
+                if let Some(address) = self.leader_elsewhere(now) {
                     OperationReply::Elsewhere(address.operators)
                 } else if let Operation::Replace(missing, successor) = other {
                     self.replace(now, missing, successor)
--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -18,7 +18,7 @@
 use common::clock::Moment;
 use common::frames::{Blob, CoreBody, CoreFrame, Flag, KnownMember, Place};
 use common::identity::{ControllerId, Stamp, Term, Ticket, Zone};
-use common::rules::Rules;
+use common::rules::{Rule, Rules};
 use common::spec::Document;
 use rounds::Rounds;
 use std::collections::{BTreeMap, BTreeSet};
@@ -228,6 +228,13 @@
         self.leader.map(|(_, address)| address)
     }
 
+    /// The leader, if it was heard within the longest election timeout.
+    pub fn live_leader(&self, now: Moment) -> Option<Address> {
+        let is_live = now.since(self.leader_heard_at) <= self.timing.election_longest
+            || !self.rules.keep(Rule::LeaderHeard);
+        self.leader().filter(|_| is_live)
+    }
+
     /// The newest version on this disk.
     pub fn accepted(&self) -> Option<&Document> {
         self.accepted.as_ref()
--- a/testing/fleet/src/sim/plan.rs
+++ b/testing/fleet/src/sim/plan.rs
@@ -30,6 +30,8 @@
     pub second_loss: Option<SecondLoss>,
     /// Whether the end of the script is judged.
     pub judges_script: bool,
+    /// Whether the day ends as soon as the control side is back after its single loss.
+    pub ends_when_back: bool,
     /// Whether operators send changes by chance.
     pub has_changes: bool,
     /// How long the day goes on after everything is mended.
@@ -65,6 +67,7 @@
             script: Vec::new(),
             second_loss: None,
             judges_script: false,
+            ends_when_back: false,
             has_changes: true,
             closing: Duration::from_secs(20),
             lasts: Duration::from_secs(30),
--- a/testing/fleet/src/sim/recovery.rs
+++ b/testing/fleet/src/sim/recovery.rs
@@ -104,6 +104,7 @@
             voters,
             founders: voters,
             has_faults: false,
+            ends_when_back: true,
             has_changes: false,
             rate: 2.0,
             lasts: loss_at + MEASURED_FOR,
--- a/testing/fleet/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -165,6 +165,9 @@
             self.count_step(&event);
             self.note_statement(&event);
             self.happen(event);
+            if self.plan.ends_when_back && self.recovery.measured(self.plan.daemons).is_some() {
+                break;
+            }
         }
         if self.plan.judges_script {
             self.check_script_end();
--- a/testing/fleet/tests/control_side.rs
+++ b/testing/fleet/tests/control_side.rs
@@ -24,6 +24,15 @@
     clean_days(Scenario::CutOff, 1..=12)
 }
 
+/// Each of these named a leader that it had last heard twenty seconds ago.
+#[gtest]
+fn a_controller_that_wakes_names_no_leader_of_before() -> Result<()> {
+    for seed in [92, 237, 314] {
+        clean_days(Scenario::CutOff, seed..=seed)?;
+    }
+    Ok(())
+}
+
 #[gtest]
 fn a_second_loss_at_a_seeded_step_loses_nothing() -> Result<()> {
     clean_days(Scenario::SecondLoss, 1..=24)
