--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -59,6 +59,16 @@
     InvalidRefused,
     /// A core member is replaced in two committed steps.
     CoreInTwoSteps,
+    /// An operator's order is refused only by state that a majority confirmed after it was asked.
+    RefusalProven,
+    /// An order that was taken is known when it is sent again.
+    TakenKnown,
+    /// Two orders with one number are told apart by their content.
+    NumberTakenOnce,
+    /// An order is acknowledged when a majority has written it.
+    AcknowledgedByMajority,
+    /// An order whose caller hung up before it was put forward is dropped.
+    HungUpDropped,
 }
 
 impl Rule {
@@ -90,6 +100,11 @@
         Rule::StaleBaseRefused,
         Rule::InvalidRefused,
         Rule::CoreInTwoSteps,
+        Rule::RefusalProven,
+        Rule::TakenKnown,
+        Rule::NumberTakenOnce,
+        Rule::AcknowledgedByMajority,
+        Rule::HungUpDropped,
     ];
 
     /// The rule of a name.
@@ -127,6 +142,11 @@
             Self::StaleBaseRefused => "stale-base-refused",
             Self::InvalidRefused => "invalid-refused",
             Self::CoreInTwoSteps => "core-in-two-steps",
+            Self::RefusalProven => "refusal-proven",
+            Self::TakenKnown => "taken-known",
+            Self::NumberTakenOnce => "number-taken-once",
+            Self::AcknowledgedByMajority => "acknowledged-by-majority",
+            Self::HungUpDropped => "hung-up-dropped",
         })
     }
 }
--- a/crates/common/src/spec/document.rs
+++ b/crates/common/src/spec/document.rs
@@ -1,4 +1,4 @@
-use super::{Spec, read_spec};
+use super::{ChangeFate, Spec, TakenChanges, read_spec};
 use crate::frames::Place;
 use crate::identity::{
     ChangeId, ControllerId, FunctionName, MemberName, Serial, Stamp, Term, Zone,
@@ -60,6 +60,8 @@
     pub former: Vec<CoreMember>,
     /// The last changes, oldest first.
     pub changes: Vec<ChangeNote>,
+    /// Which numbered changes were taken, much further back.
+    pub taken: TakenChanges,
     /// The daemons that may hold member grants; nobody in documents that were written without it.
     pub roster: BTreeSet<RosterMember>,
     /// How many of the last versions changed nothing that daemons see.
@@ -137,6 +139,50 @@
     Value::Array(evacuated.iter().map(|zone| json!(zone.as_str())).collect())
 }
 
+fn read_changes(reader: &PathReader<'_>) -> Vec<ChangeNote> {
+    let change_items = reader.items();
+    change_items
+        .iter()
+        .filter_map(|item| {
+            Some(ChangeNote {
+                id: item.field("id").text()?.into(),
+                serial: Serial(item.field("serial").number(0..=u64::MAX)?),
+                number: item.field("number").number_or(0..=u64::MAX, 0),
+            })
+        })
+        .collect()
+}
+
+/// Documents that were written without this memory know their last changes, and no earlier ones.
+fn read_taken(
+    reader: &PathReader<'_>,
+    changes: &[ChangeNote],
+    newest_number: u64,
+) -> Option<TakenChanges> {
+    if reader.is_there() {
+        let forgotten_up_to = reader.field("forgotten").number(0..=u64::MAX)?;
+        let kept_field = reader.field("kept");
+        let kept_text = kept_field.value().and_then(Value::as_str).unwrap_or_default();
+        let taken = TakenChanges::from_text(forgotten_up_to, kept_text);
+        if taken.is_none() {
+            kept_field.fault(FaultReason::Form("is no list of taken changes".to_owned()));
+        }
+        return taken;
+    }
+    let numbered_changes = || changes.iter().filter(|change| change.number > 0);
+    let oldest_number = numbered_changes().next().map(|change| change.number);
+    let forgotten_up_to = match oldest_number {
+        _ if changes.len() < KEPT_CHANGES => 0,
+        Some(oldest_number) => oldest_number - 1,
+        None => newest_number,
+    };
+    let mut taken = TakenChanges::without(forgotten_up_to);
+    for change in numbered_changes() {
+        taken.note(change.number, change.serial, &change.id);
+    }
+    Some(taken)
+}
+
 fn read_core(reader: &PathReader<'_>) -> Vec<CoreMember> {
     let member_items = reader.items();
     member_items
@@ -197,6 +243,7 @@
             core,
             former: Vec::new(),
             changes: Vec::new(),
+            taken: TakenChanges::default(),
             roster: BTreeSet::new(),
             unseen: 0,
         }
@@ -206,28 +253,21 @@
     pub fn from_bytes(document_bytes: &[u8]) -> Result<Self, DocumentFault> {
         let value: Value = serde_json::from_slice(document_bytes)?;
         read_all(&value, |root| {
-            let noted_changes = root.field("changes").items();
+            let changes = read_changes(&root.field("changes"));
+            let number = root.field("number").number_or(0..=u64::MAX, 0);
             Some(Self {
                 stamp: Stamp {
                     term: Term(root.field("term").number(0..=u64::MAX)?),
                     serial: Serial(root.field("serial").number(0..=u64::MAX)?),
                 },
-                number: root.field("number").number_or(0..=u64::MAX, 0),
+                number,
                 spec: root.field("spec").value()?.clone(),
                 generations: read_generations(&root.field("generations")),
                 evacuated: read_evacuated(&root.field("evacuated")),
                 core: read_core(&root.field("core")),
                 former: read_core(&root.field("former")),
-                changes: noted_changes
-                    .iter()
-                    .filter_map(|item| {
-                        Some(ChangeNote {
-                            id: item.field("id").text()?.into(),
-                            serial: Serial(item.field("serial").number(0..=u64::MAX)?),
-                            number: item.field("number").number_or(0..=u64::MAX, 0),
-                        })
-                    })
-                    .collect(),
+                taken: read_taken(&root.field("taken"), &changes, number)?,
+                changes,
                 roster: read_roster(&root.field("roster")),
                 unseen: root.field("unseen").number_or(0..=u64::MAX, 0),
             })
@@ -257,6 +297,10 @@
             "core": core_json(&self.core),
             "former": core_json(&self.former),
             "changes": noted_changes,
+            "taken": {
+                "forgotten": self.taken.forgotten_up_to(),
+                "kept": self.taken.to_text(),
+            },
             "roster": roster_json(&self.roster),
             "unseen": self.unseen,
         })
@@ -280,6 +324,7 @@
         self.number = number;
         if let Some(newest_change) = self.changes.last_mut() {
             newest_change.number = number;
+            self.taken.note(number, newest_change.serial, &newest_change.id);
         }
         self
     }
@@ -312,6 +357,23 @@
         Serial(self.stamp.serial.0.saturating_sub(self.unseen))
     }
 
+    /// Whether changes were dropped from the last ones.
+    pub fn has_forgotten_changes(&self) -> bool {
+        self.changes.len() >= KEPT_CHANGES
+    }
+
+    /// What became of a change without a number, by its name. A change that was taken is the first
+    /// one after its base, so it is forgotten only if that one is.
+    pub fn fate_of_named(&self, base: Option<Serial>, change: &ChangeId) -> ChangeFate {
+        if let Some(noted) = self.changes.iter().find(|noted| noted.id == *change) {
+            return ChangeFate::Taken(noted.serial);
+        }
+        let oldest_serial = self.changes.first().map(|noted| noted.serial);
+        let is_successor_known = !self.has_forgotten_changes()
+            || base.is_none_or(|base| oldest_serial.is_some_and(|oldest| base >= oldest));
+        if is_successor_known { ChangeFate::NotTaken } else { ChangeFate::Forgotten }
+    }
+
     fn noting(&self, change: ChangeId) -> Self {
         let mut next_document = self.clone();
         next_document.unseen = 0;
--- a/crates/common/src/spec/mod.rs
+++ b/crates/common/src/spec/mod.rs
@@ -3,7 +3,9 @@
 mod document;
 mod reader;
 mod table;
+mod taken;
 
 pub use document::{ChangeNote, CoreMember, Document, DocumentFault, RosterMember, View};
 pub use reader::{CallerLimits, FunctionSpec, RouteMatch, RouteSpec, Spec, read_spec};
 pub use table::{Found, FunctionEntry, RouteEntry, Table};
+pub use taken::{ChangeFate, TakenChanges};
--- a/crates/controlplane/src/controller_state/changes.rs
+++ b/crates/controlplane/src/controller_state/changes.rs
@@ -1,17 +1,22 @@
+//! Operators' changes on their way: queued, put forward, acknowledged, or given up.
+
+use super::content::change_name;
+use super::judgement::Judgement;
 use super::{
-    ChangeKind, ControllerOutput, ControllerState, ItemChange, Numbering, Operation,
-    OperationReply, OperationTicket, Wait,
+    ChangeKind, ControllerOutput, ControllerState, Numbering, Operation, OperationReply,
+    OperationTicket, Unavailable, Wait,
 };
+use crate::leader_state::LeaderState;
 use common::clock::Moment;
-use common::identity::{ChangeId, Serial, Zone};
-use common::readers::{FaultReason, PathFault};
+use common::identity::{ChangeId, Serial};
 use common::rules::Rule;
-use common::seal::{digest, hex};
-use common::spec::{Document, Spec, read_spec};
-use serde_json::{Map, Value, json};
+use common::spec::Document;
+use serde_json::json;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
+/// How soon after a request its caller's hanging up is heard, if it came late over the network.
+const HANG_UP_SPAN: Duration = Duration::from_millis(25);
 const CHANGE_PATIENCE: Duration = Duration::from_secs(3);
 const START_PATIENCE: Duration = Duration::from_millis(800);
 const FORCE_PATIENCE: Duration = Duration::from_secs(10);
@@ -30,15 +35,37 @@
     pub wait: Wait,
 }
 
-struct QueuedChange {
-    ticket: OperationTicket,
-    base: Option<Serial>,
-    numbering: Option<Numbering>,
-    change: ChangeId,
-    is_named: bool,
-    kind: ChangeKind,
-    wait: Wait,
-    asked_at: Moment,
+/// A change that waits to be put forward.
+pub(super) struct QueuedChange {
+    /// Whom to answer.
+    pub ticket: OperationTicket,
+    /// The version it is built on.
+    pub base: Option<Serial>,
+    /// The operators' own numbers.
+    pub numbering: Option<Numbering>,
+    /// Its name.
+    pub change: ChangeId,
+    /// Whether the operator named it.
+    pub is_named: bool,
+    /// What it does.
+    pub kind: ChangeKind,
+    /// What its operator waits for.
+    pub wait: Wait,
+    /// When it was asked for.
+    pub asked_at: Moment,
+}
+
+impl QueuedChange {
+    fn into_waiter(self, serial: Serial, number: u64) -> Waiter {
+        Waiter {
+            ticket: self.ticket,
+            change: self.change,
+            serial,
+            number,
+            wait: self.wait,
+            asked_at: self.asked_at,
+        }
+    }
 }
 
 struct Waiter {
@@ -54,41 +81,18 @@
 #[derive(Default)]
 pub struct Changes {
     inbox: VecDeque<QueuedChange>,
+    /// Those whose answer needs a majority's word.
+    unproven: VecDeque<QueuedChange>,
     in_flight: Vec<Waiter>,
     accepted: Vec<Waiter>,
 }
 
-fn content_value(kind: &ChangeKind) -> Value {
-    match kind {
-        ChangeKind::Whole(spec) => json!({"spec": spec}),
-        ChangeKind::Patch(patch) => json!({"patch": patch}),
-        ChangeKind::Items(items) => json!({
-            "put_functions": items.put_functions,
-            "remove_functions": items.remove_functions,
-            "put_routes": items.put_routes,
-            "remove_routes": items.remove_routes,
-            "limits": items.limits,
-            "labels": items.labels,
-        }),
-        ChangeKind::Evacuate { zone, .. } => json!({"evacuate": zone.as_str()}),
-        ChangeKind::Restore { zone } => json!({"restore": zone.as_str()}),
-    }
-}
-
-/// The name of a change that its operator gave none: a digest of its numbers, its base and its
-/// content, so that the same change sent again has the same name.
-pub fn change_name(
-    base: Option<Serial>,
-    numbering: Option<Numbering>,
-    kind: &ChangeKind,
-) -> ChangeId {
-    let named = json!({
-        "base_serial": base.map(|base| base.0),
-        "number": numbering.map(|numbering| numbering.number),
-        "base_number": numbering.map(|numbering| numbering.base_number),
-        "content": content_value(kind),
-    });
-    ChangeId::from(hex(&digest(named.to_string().as_bytes())))
+fn take_late(now: Moment, queue: &mut VecDeque<QueuedChange>) -> Vec<QueuedChange> {
+    let (late, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(queue)
+        .into_iter()
+        .partition(|queued| now.since(queued.asked_at) > START_PATIENCE);
+    *queue = kept;
+    late.into()
 }
 
 fn said_accepted(waiter: &Waiter, in_force: Serial) -> OperationReply {
@@ -100,42 +104,22 @@
     }
 }
 
-fn with_items(spec: &Value, items: &ItemChange) -> Value {
-    let mut changed_spec = spec.clone();
-    let Some(root) = changed_spec.as_object_mut() else { return changed_spec };
-    let parts = [
-        ("functions", &items.put_functions, &items.remove_functions),
-        ("routes", &items.put_routes, &items.remove_routes),
-    ];
-    for (part_name, put_items, removed_names) in parts {
-        let part = root.entry(part_name).or_insert_with(|| Value::Object(Map::new()));
-        let Some(part_items) = part.as_object_mut() else { continue };
-        for removed_name in removed_names {
-            part_items.remove(removed_name);
-        }
-        for (put_name, put_item) in put_items {
-            part_items.insert(put_name.clone(), put_item.clone());
-        }
-    }
-    for (key, replaced) in [("limits", &items.limits), ("labels", &items.labels)] {
-        if let Some(replaced) = replaced {
-            root.insert(key.to_owned(), replaced.clone());
-        }
-    }
-    changed_spec
-}
-
 impl Changes {
     /// Whether no change waits to be put forward.
     pub fn is_idle(&self) -> bool {
         self.inbox.is_empty()
     }
+
+    /// Whether an answer waits for a majority's word.
+    pub fn wants_proof(&self) -> bool {
+        !self.unproven.is_empty()
+    }
 }
 
 impl ControllerState {
     pub(super) fn queue_change(
         &mut self,
-        now: Moment,
+        asked_at: Moment,
         ticket: OperationTicket,
         asked: AskedChange,
     ) {
@@ -155,12 +139,14 @@
             is_named,
             kind,
             wait,
-            asked_at: now,
+            asked_at,
         });
     }
 
     pub(super) fn progress_changes(&mut self, now: Moment) {
-        while self.core.is_ready() && !self.core.is_proposing() && self.is_fresh(now) {
+        let unproven = std::mem::take(&mut self.changes.unproven);
+        self.changes.inbox.extend(unproven);
+        while self.may_judge_changes(now) {
             let Some(queued) = self.changes.inbox.pop_front() else { break };
             self.put_forward(now, queued);
         }
@@ -193,14 +179,18 @@
         self.expire_changes(now);
     }
 
+    fn may_judge_changes(&self, now: Moment) -> bool {
+        let is_free = self.core.is_ready() && !self.core.is_proposing();
+        is_free && (self.is_fresh(now) || !self.rules.keep(Rule::RefusalProven))
+    }
+
     fn expire_changes(&mut self, now: Moment) {
-        let (late, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.changes.inbox)
-            .into_iter()
-            .partition(|queued| now.since(queued.asked_at) > START_PATIENCE);
-        self.changes.inbox = kept;
+        let mut late = take_late(now, &mut self.changes.inbox);
+        late.extend(take_late(now, &mut self.changes.unproven));
         for queued in late {
             let change = Some(queued.change);
-            let reply = OperationReply::NotAccepted { reason: "no_quorum", change };
+            let reason = Unavailable::NoQuorum;
+            let reply = OperationReply::NotAccepted { reason, change };
             self.answer(queued.ticket, reply);
         }
         let (late, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.changes.in_flight)
@@ -225,158 +215,90 @@
 
     fn say_unknown(&mut self, waiter: &Waiter) {
         let change = Some(waiter.change.clone());
-        self.answer(waiter.ticket, OperationReply::Unknown { reason: "no_quorum", change });
+        self.answer(
+            waiter.ticket,
+            OperationReply::Unknown { reason: Unavailable::NoQuorum, change },
+        );
     }
 
     fn put_forward(&mut self, now: Moment, queued: QueuedChange) {
         let Some(current_document) = self.core.accepted().cloned() else { return };
-        let known_change =
-            current_document.changes.iter().find(|noted| noted.id == queued.change).cloned();
-        if let Some(noted) = known_change {
-            self.changes.accepted.push(Waiter {
-                ticket: queued.ticket,
-                change: queued.change,
-                serial: noted.serial,
-                number: noted.number,
-                wait: queued.wait,
-                asked_at: queued.asked_at,
-            });
+        let judgement = self.judge_change(&current_document, &queued);
+        if !self.may_act_on(now, &judgement, &queued) {
+            self.changes.unproven.push_back(queued);
             return;
         }
-        let current_serial = current_document.view_serial();
-        let current_number = current_document.number;
-        let is_stale = queued.base.is_some_and(|base| base != current_serial)
-            || queued.numbering.is_some_and(|given| given.base_number != current_number);
-        if is_stale && self.rules.keep(Rule::StaleBaseRefused) {
-            let reply = OperationReply::Stale {
-                change: queued.change,
-                serial: current_serial,
-                number: current_number,
-            };
-            self.answer(queued.ticket, reply);
-            return;
+        match judgement {
+            Judgement::Taken { serial, number } => {
+                self.changes.accepted.push(queued.into_waiter(serial, number));
+            }
+            Judgement::SoAlready => {
+                let serial = current_document.view_serial();
+                self.changes.accepted.push(queued.into_waiter(serial, 0));
+            }
+            Judgement::Answered(reply) => self.answer(queued.ticket, reply),
+            Judgement::Next(next_document) => self.propose_change(now, queued, *next_document),
         }
-        if !queued.is_named && self.is_so_already(&current_document, &queued.kind) {
-            self.changes.accepted.push(Waiter {
-                ticket: queued.ticket,
-                change: queued.change,
-                serial: current_serial,
-                number: 0,
-                wait: queued.wait,
-                asked_at: queued.asked_at,
-            });
-            return;
+    }
+
+    /// What is said from the state of the moment needs a majority's word from after it was asked for.
+    /// An evacuation, which is built on no version that could be overtaken, waits besides until its
+    /// caller would have been heard hanging up.
+    fn may_act_on(&self, now: Moment, judgement: &Judgement, queued: &QueuedChange) -> bool {
+        let is_proven = self.is_proven_since(now, queued.asked_at);
+        match judgement {
+            Judgement::Taken { .. } => true,
+            Judgement::SoAlready => is_proven,
+            Judgement::Answered(reply) => {
+                let knows_zones = self.leader_state.as_ref().is_some_and(LeaderState::is_open);
+                let is_about_zones =
+                    matches!(reply, OperationReply::NoZone { .. } | OperationReply::LastZone);
+                let is_overtaken_harmless = !self.rules.keep(Rule::RefusalProven);
+                (is_proven && (knows_zones || !is_about_zones)) || is_overtaken_harmless
+            }
+            Judgement::Next(_) if queued.kind.is_about_zone() => {
+                let is_held = now.since(queued.asked_at) < HANG_UP_SPAN;
+                is_proven && !(is_held && self.rules.keep(Rule::HungUpDropped))
+            }
+            Judgement::Next(_) => true,
         }
+    }
+
+    fn propose_change(&mut self, now: Moment, queued: QueuedChange, mut next_document: Document) {
         let wanted_roster =
             self.leader_state.as_ref().and_then(|leader_state| leader_state.wanted_roster(now));
-        let next_document = match self.next_document(&current_document, &queued) {
-            Ok(mut next_document) => {
-                next_document.roster = wanted_roster.unwrap_or(next_document.roster);
-                next_document
-            }
-            Err(reply) => {
-                self.answer(queued.ticket, reply);
-                return;
-            }
-        };
+        if let Some(wanted_roster) = wanted_roster {
+            next_document.roster = wanted_roster;
+        }
         let number = queued.numbering.map_or(0, |given| given.number);
         let serial = next_document.stamp.serial;
         self.traces.put_forward(now, self.core.term(), serial);
         match self.core.propose(now, next_document) {
             Ok(orders) => {
-                self.changes.in_flight.push(Waiter {
-                    ticket: queued.ticket,
-                    change: queued.change,
-                    serial,
-                    number,
-                    wait: queued.wait,
-                    asked_at: queued.asked_at,
-                });
+                let waiter = queued.into_waiter(serial, number);
+                if self.rules.keep(Rule::AcknowledgedByMajority) {
+                    self.changes.in_flight.push(waiter);
+                } else {
+                    self.changes.accepted.push(waiter);
+                }
                 self.obey(now, orders);
             }
             Err(fault) => {
-                let reply = OperationReply::NotAccepted { reason: fault.reason(), change: None };
-                self.answer(queued.ticket, reply);
+                let reason = fault.into();
+                self.answer(queued.ticket, OperationReply::NotAccepted { reason, change: None });
             }
         }
     }
 
-    fn is_so_already(&self, current_document: &Document, kind: &ChangeKind) -> bool {
-        match kind {
-            ChangeKind::Evacuate { zone, .. } => current_document.evacuated.contains(zone),
-            ChangeKind::Restore { zone } => !current_document.evacuated.contains(zone),
-            _ => false,
-        }
-    }
-
-    fn next_document(
-        &self,
-        current_document: &Document,
-        queued: &QueuedChange,
-    ) -> Result<Document, OperationReply> {
-        let is_number_low =
-            queued.numbering.is_some_and(|given| given.number <= current_document.number);
-        if is_number_low && self.rules.keep(Rule::InvalidRefused) {
-            let reason = FaultReason::Form(format!("is not above {}", current_document.number));
-            let fault = PathFault { path: "number".to_owned(), reason };
-            return Err(OperationReply::Invalid(vec![fault]));
-        }
-        let number = queued.numbering.map_or(current_document.number, |given| given.number);
-        let with_spec = |new_spec: Value| {
-            let checked_spec = match read_spec(&new_spec) {
-                Ok(checked_spec) => checked_spec,
-                Err(faults) if self.rules.keep(Rule::InvalidRefused) => {
-                    return Err(OperationReply::Invalid(faults));
-                }
-                Err(_) => Spec::default(),
-            };
-            let change = queued.change.clone();
-            let next_document = current_document.with_spec(new_spec, &checked_spec, change);
-            Ok(if queued.numbering.is_some() {
-                next_document.numbered(number)
-            } else {
-                next_document
-            })
-        };
-        match &queued.kind {
-            ChangeKind::Whole(new_spec) => with_spec(new_spec.clone()),
-            ChangeKind::Patch(merge_patch) => {
-                let mut new_spec = current_document.spec.clone();
-                json_patch::merge(&mut new_spec, merge_patch);
-                with_spec(new_spec)
-            }
-            ChangeKind::Items(items) => with_spec(with_items(&current_document.spec, items)),
-            ChangeKind::Evacuate { zone, force } => {
-                let known_zones = self.known_zones();
-                if !known_zones.contains(zone) && !force {
-                    return Err(OperationReply::NoZone { zone: zone.clone(), known: known_zones });
-                }
-                let left_count = known_zones
-                    .iter()
-                    .filter(|known| *known != zone && !current_document.evacuated.contains(*known))
-                    .count();
-                if left_count == 0 && !force {
-                    return Err(OperationReply::LastZone);
-                }
-                Ok(current_document.with_zone(zone.clone(), true, queued.change.clone()))
-            }
-            ChangeKind::Restore { zone } => {
-                let known_zones = self.known_zones();
-                if !known_zones.contains(zone) && !current_document.evacuated.contains(zone) {
-                    return Err(OperationReply::NoZone { zone: zone.clone(), known: known_zones });
-                }
-                Ok(current_document.with_zone(zone.clone(), false, queued.change.clone()))
-            }
+    /// An operator hung up: what it asked for and was not put forward is dropped.
+    pub(super) fn withdraw(&mut self, ticket: OperationTicket) {
+        if self.rules.keep(Rule::HungUpDropped) {
+            self.waiting.retain(|waiting| waiting.ticket != ticket);
+            self.changes.inbox.retain(|queued| queued.ticket != ticket);
+            self.changes.unproven.retain(|queued| queued.ticket != ticket);
         }
     }
 
-    fn known_zones(&self) -> BTreeSet<Zone> {
-        self.leader_state
-            .as_ref()
-            .map(|leader_state| leader_state.known_zones())
-            .unwrap_or_default()
-    }
-
     pub(super) fn change_committed(&mut self, serial: Serial) {
         let (done, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.changes.in_flight)
             .into_iter()
@@ -407,11 +329,12 @@
         for waiter in std::mem::take(&mut self.changes.accepted) {
             self.answer(waiter.ticket, said_accepted(&waiter, Serial(0)));
         }
-        for queued in std::mem::take(&mut self.changes.inbox) {
+        let unproven = std::mem::take(&mut self.changes.unproven);
+        for queued in std::mem::take(&mut self.changes.inbox).into_iter().chain(unproven) {
             let operation = Operation::Change {
                 base: queued.base,
                 numbering: queued.numbering,
-                change: Some(queued.change),
+                change: queued.is_named.then_some(queued.change),
                 kind: queued.kind,
                 wait: queued.wait,
             };
@@ -438,9 +361,11 @@
                 in_force: in_force >= noted.serial,
             };
         }
+        let queued_changes = self.changes.inbox.iter().chain(&self.changes.unproven);
         let is_pending = self.core.is_proposing()
-            || self.changes.inbox.iter().any(|queued| queued.change == *change);
-        let state = if is_pending { "unknown" } else { "not_accepted" };
+            || queued_changes.into_iter().any(|queued| queued.change == *change);
+        let is_forgotten = self.core.accepted().is_some_and(Document::has_forgotten_changes);
+        let state = if is_pending || is_forgotten { "unknown" } else { "not_accepted" };
         OperationReply::Said(200, json!({"state": state, "change_id": change.as_str()}))
     }
 }
--- a/crates/controlplane/src/controller_state/mod.rs
+++ b/crates/controlplane/src/controller_state/mod.rs
@@ -1,14 +1,17 @@
 //! A whole controller without I/O: the core, the leader state while it leads, and operators' changes.
 
 mod changes;
+mod content;
 mod history;
+mod judgement;
 mod operation;
 mod traces;
 
-pub use changes::change_name;
+pub use content::change_name;
 pub use history::{History, Numbered};
 pub use operation::{
-    ChangeKind, ItemChange, Numbering, Operation, OperationReply, OperationTicket, Wait,
+    ChangeKind, ItemChange, Numbering, Operation, OperationReply, OperationTicket, Unavailable,
+    Wait,
 };
 
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
@@ -52,6 +55,8 @@
     RunnerStopped(RunnerId),
     /// An operator's wish.
     Operate(OperationTicket, Operation),
+    /// An operator hung up and hears no answer any more.
+    Withdrawn(OperationTicket),
     /// Connections to this place are refused: the process there is gone.
     Gone(Place),
     /// Other seeds.
@@ -185,6 +190,7 @@
                 }
             }
             ControllerInput::Operate(ticket, operation) => self.operate(now, ticket, operation),
+            ControllerInput::Withdrawn(ticket) => self.withdraw(ticket),
             ControllerInput::Gone(place) => self.core.leader_gone(now, place),
             ControllerInput::Seeds(seeds) => self.core.reseed(seeds),
         }
@@ -244,7 +250,8 @@
         self.progress_waits();
         self.put_roster_forward(now);
         let wants_round = self.leader_state.as_ref().is_some_and(LeaderState::wants_round)
-            || (self.leader_state.is_some() && !self.waiting.is_empty());
+            || (self.leader_state.is_some() && !self.waiting.is_empty())
+            || self.changes.wants_proof();
         if wants_round {
             let orders = self.core.hasten_round(now);
             self.obey(now, orders);
@@ -332,11 +339,16 @@
         }
     }
 
-    fn leader_elsewhere(&self) -> Option<Address> {
-        if self.core.is_leader() { None } else { self.core.leader() }
+    fn leader_elsewhere(&self, now: Moment) -> Option<Address> {
+        if self.core.is_leader() { None } else { self.core.live_leader(now) }
     }
 
     fn is_fresh(&self, now: Moment) -> bool {
         self.core.is_ready() && now.since(self.core.quorum_moment()) < self.fresh_span
     }
+
+    /// Whether a majority still followed this leader in a round that began after this moment.
+    fn is_proven_since(&self, now: Moment, asked_at: Moment) -> bool {
+        self.is_fresh(now) && self.core.quorum_moment() >= asked_at
+    }
 }
--- a/crates/controlplane/src/controller_state/operation.rs
+++ b/crates/controlplane/src/controller_state/operation.rs
@@ -1,5 +1,6 @@
 use super::changes::AskedChange;
 use super::{ControllerOutput, ControllerState};
+use crate::core::ProposeFault;
 use common::clock::Moment;
 use common::frames::Place;
 use common::identity::{ChangeId, ControllerId, Serial, Zone};
@@ -63,6 +64,13 @@
     },
 }
 
+impl ChangeKind {
+    /// Whether it evacuates a zone or brings one back.
+    pub fn is_about_zone(&self) -> bool {
+        matches!(self, Self::Evacuate { .. } | Self::Restore { .. })
+    }
+}
+
 /// What an operator waits for.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Wait {
@@ -114,6 +122,58 @@
     Metrics,
 }
 
+/// Why an operator gets no clear answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Unavailable {
+    /// Nobody is known to lead.
+    NoLeader,
+    /// The leader is not sure of a majority.
+    NoQuorum,
+    /// There is no document yet.
+    NoDocument,
+    /// This controller does not lead, or has not yet committed under its term.
+    NotReady,
+    /// Another change is in flight.
+    Busy,
+    /// The order may have been taken so long ago that nobody remembers.
+    Forgotten,
+    /// The leader cannot be reached; nothing was sent to it.
+    LeaderUnreachable,
+    /// The leader was asked and did not answer.
+    LeaderLost,
+    /// The request cannot be passed on.
+    BadRequest,
+    /// This process is stopping.
+    Stopping,
+}
+
+impl Unavailable {
+    /// The reason as operators read it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoLeader => "no_leader",
+            Self::NoQuorum => "no_quorum",
+            Self::NoDocument => "no_document",
+            Self::NotReady => "no ready leader here",
+            Self::Busy => "another change is in flight",
+            Self::Forgotten => "forgotten",
+            Self::LeaderUnreachable => "leader_unreachable",
+            Self::LeaderLost => "leader_lost",
+            Self::BadRequest => "bad_request",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+impl From<ProposeFault> for Unavailable {
+    fn from(fault: ProposeFault) -> Self {
+        match fault {
+            ProposeFault::NotReady => Self::NotReady,
+            ProposeFault::Busy => Self::Busy,
+        }
+    }
+}
+
 /// The answer to an operator.
 #[derive(Clone, Debug)]
 pub enum OperationReply {
@@ -160,19 +220,19 @@
     /// A change surely did not happen and will not.
     NotAccepted {
         /// Why.
-        reason: &'static str,
+        reason: Unavailable,
         /// Its name, if it is known here.
         change: Option<ChangeId>,
     },
     /// A change may have happened, or may yet.
     Unknown {
         /// Why.
-        reason: &'static str,
+        reason: Unavailable,
         /// Its name, if it is known here.
         change: Option<ChangeId>,
     },
     /// Nothing can be told now.
-    NotNow(&'static str),
+    NotNow(Unavailable),
     /// The leader answers, reached by operators at this place.
     Elsewhere(Place),
 }
@@ -181,7 +241,7 @@
 
 /// An operator's wish that waits for a leader.
 pub struct WaitingOperation {
-    ticket: OperationTicket,
+    pub(super) ticket: OperationTicket,
     operation: Operation,
     asked_at: Moment,
 }
@@ -191,7 +251,7 @@
         if self.must_wait(now, now, &operation) {
             self.wait_for_leader(now, ticket, operation);
         } else {
-            self.operate_now(now, ticket, operation);
+            self.operate_now(now, now, ticket, operation);
         }
     }
 
@@ -214,12 +274,9 @@
             | Operation::Metrics
             | Operation::Events(_) => false,
             Operation::Change { .. } => {
-                self.leader_state.is_none() && self.leader_elsewhere().is_none()
-            }
-            _ => {
-                let is_proven = self.is_fresh(now) && self.core.quorum_moment() >= asked_at;
-                self.leader_elsewhere().is_none() && !is_proven
+                self.leader_state.is_none() && self.leader_elsewhere(now).is_none()
             }
+            _ => self.leader_elsewhere(now).is_none() && !self.is_proven_since(now, asked_at),
         }
     }
 
@@ -227,14 +284,20 @@
         for waiting in std::mem::take(&mut self.waiting) {
             let is_late = now.since(waiting.asked_at) > LEADER_PATIENCE;
             if is_late || !self.must_wait(now, waiting.asked_at, &waiting.operation) {
-                self.operate_now(now, waiting.ticket, waiting.operation);
+                self.operate_now(now, waiting.asked_at, waiting.ticket, waiting.operation);
             } else {
                 self.waiting.push_back(waiting);
             }
         }
     }
 
-    fn operate_now(&mut self, now: Moment, ticket: OperationTicket, operation: Operation) {
+    fn operate_now(
+        &mut self,
+        now: Moment,
+        asked_at: Moment,
+        ticket: OperationTicket,
+        operation: Operation,
+    ) {
         let reply = match operation {
             Operation::Found => self.found(now),
             Operation::Metrics => OperationReply::Said(200, Value::Null),
@@ -245,28 +308,29 @@
                 OperationReply::Said(200, Value::Array(listed_events))
             }
             other => {
-                if let Some(address) = self.leader_elsewhere() {
+                if let Some(address) = self.leader_elsewhere(now) {
                     OperationReply::Elsewhere(address.operators)
                 } else if let Operation::Replace(missing, successor) = other {
                     self.replace(now, missing, successor)
                 } else if let Operation::Change { base, numbering, change, kind, wait } = other {
                     if self.leader_state.is_some() {
                         let asked = AskedChange { base, numbering, change, kind, wait };
-                        self.queue_change(now, ticket, asked);
+                        self.queue_change(asked_at, ticket, asked);
                         return;
                     }
-                    OperationReply::NotAccepted { reason: "no_leader", change }
+                    OperationReply::NotAccepted { reason: Unavailable::NoLeader, change }
                 } else {
-                    self.report(now, other)
+                    self.report(now, asked_at, other)
                 }
             }
         };
         self.outputs.push(ControllerOutput::Operated(ticket, reply));
     }
 
-    fn report(&self, now: Moment, operation: Operation) -> OperationReply {
-        let (Some(leader_state), true) = (&self.leader_state, self.is_fresh(now)) else {
-            return OperationReply::NotNow("no_leader");
+    fn report(&self, now: Moment, asked_at: Moment, operation: Operation) -> OperationReply {
+        let is_proven = self.is_proven_since(now, asked_at);
+        let (Some(leader_state), true) = (&self.leader_state, is_proven) else {
+            return OperationReply::NotNow(Unavailable::NoLeader);
         };
         let body = match operation {
             Operation::Members => leader_state.report_members(now),
@@ -276,7 +340,7 @@
             Operation::AskChange(change) => return self.ask_change(&change),
             _ => {
                 let Some(document) = leader_state.document() else {
-                    return OperationReply::NotNow("no_document");
+                    return OperationReply::NotNow(Unavailable::NoDocument);
                 };
                 return OperationReply::Spec {
                     document: Box::new(document.clone()),
--- a/crates/controlplane/src/core/register.rs
+++ b/crates/controlplane/src/core/register.rs
@@ -17,19 +17,12 @@
     Busy,
 }
 
-impl ProposeFault {
-    /// The reason as operators are told.
-    pub fn reason(self) -> &'static str {
-        match self {
-            Self::NotReady => "no ready leader here",
-            Self::Busy => "another change is in flight",
-        }
-    }
-}
-
 impl fmt::Display for ProposeFault {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        out.write_str(self.reason())
+        out.write_str(match self {
+            Self::NotReady => "no ready leader here",
+            Self::Busy => "another change is in flight",
+        })
     }
 }
 
--- a/crates/controlplane/src/drivers/engine.rs
+++ b/crates/controlplane/src/drivers/engine.rs
@@ -96,12 +96,34 @@
 
     pub(super) async fn operate(&self, operation: Operation) -> Option<OperationReply> {
         let ticket = OperationTicket(self.number());
+        let mut asking = Asking { shared: self, ticket, is_answered: false };
         let (reply_sender, reply_receiver) = oneshot::channel();
         if let Ok(mut operations) = self.operations.lock() {
             operations.insert(ticket, reply_sender);
         }
         self.inputs.send(ControllerInput::Operate(ticket, operation)).await.ok()?;
-        reply_receiver.await.ok()
+        let reply = reply_receiver.await.ok();
+        asking.is_answered = true;
+        reply
+    }
+}
+
+/// An operator's order while its answer is awaited; dropped before that, its caller hung up.
+struct Asking<'a> {
+    shared: &'a Shared,
+    ticket: OperationTicket,
+    is_answered: bool,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        if let Ok(mut operations) = self.shared.operations.lock() {
+            operations.remove(&self.ticket);
+        }
+        let _ = self.shared.inputs.try_send(ControllerInput::Withdrawn(self.ticket));
     }
 }
 
--- a/crates/controlplane/src/drivers/operators.rs
+++ b/crates/controlplane/src/drivers/operators.rs
@@ -1,5 +1,5 @@
 use super::engine::Shared;
-use crate::controller_state::{Operation, OperationReply};
+use crate::controller_state::{Operation, OperationReply, Unavailable};
 use bytes::Bytes;
 use common::clock::Moment;
 use common::frames::Place;
@@ -20,7 +20,6 @@
 
 const PASSED_ON: &str = "rudder-passed-on";
 const LARGEST_BODY: usize = 8 << 20;
-const LEADER_UNREACHABLE: &str = "leader_unreachable";
 const PASS_AGAIN_FOR: Duration = Duration::from_millis(600);
 const PASS_AGAIN_AFTER: Duration = Duration::from_millis(100);
 const PASS_CONNECT: Duration = Duration::from_millis(600);
@@ -69,15 +68,14 @@
     let asked_at = Moment::now();
     let reply = loop {
         let Some(reply) = shared.operate(operation.clone()).await else {
-            break OperationReply::Unknown { reason: "stopping", change: None };
+            break OperationReply::Unknown { reason: Unavailable::Stopping, change: None };
         };
         let OperationReply::Elsewhere(leader) = reply else { break reply };
         let unreachable = match pass_on(leader, &head, body.clone()).await {
             Ok(served) => return served,
             Err(reply) => reply,
         };
-        let is_unsent =
-            matches!(unreachable, OperationReply::NotAccepted { reason: LEADER_UNREACHABLE, .. });
+        let is_unsent = matches!(unreachable, OperationReply::NotAccepted { reason, .. } if reason == Unavailable::LeaderUnreachable);
         if !is_unsent || Moment::now().since(asked_at) > PASS_AGAIN_FOR {
             break unreachable;
         }
@@ -93,22 +91,23 @@
 ) -> Result<Served, OperationReply> {
     let not_accepted = |reason| OperationReply::NotAccepted { reason, change: None };
     if head.headers.contains_key(PASSED_ON) {
-        return Err(not_accepted("no_leader"));
+        return Err(not_accepted(Unavailable::NoLeader));
     }
     let target = head.uri.path_and_query().map_or("/", |whole| whole.as_str());
     let mut passed_request = Request::new(Full::new(body));
     *passed_request.method_mut() = head.method.clone();
-    *passed_request.uri_mut() = target.parse().map_err(|_| not_accepted("bad_request"))?;
+    *passed_request.uri_mut() =
+        target.parse().map_err(|_| not_accepted(Unavailable::BadRequest))?;
     let headers = passed_request.headers_mut();
     *headers = head.headers.clone();
     for hop_header in [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH, EXPECT] {
         headers.remove(hop_header);
     }
     let host = HeaderValue::from_str(&leader.to_string());
-    headers.insert(HOST, host.map_err(|_| not_accepted("bad_request"))?);
+    headers.insert(HOST, host.map_err(|_| not_accepted(Unavailable::BadRequest))?);
     headers.insert(PASSED_ON, HeaderValue::from_static("1"));
     let connecting = http::connect(leader, PASS_CONNECT).await;
-    let unreachable = |_| not_accepted(LEADER_UNREACHABLE);
+    let unreachable = |_| not_accepted(Unavailable::LeaderUnreachable);
     let opened_stream = connecting.map_err(unreachable)?;
     match http::exchange(opened_stream, passed_request, PASS_PATIENCE, 64 << 20).await {
         Ok(called) => {
@@ -120,8 +119,8 @@
             }
             Ok(response)
         }
-        Err(fault) if fault.is_surely_unsent() => Err(not_accepted(LEADER_UNREACHABLE)),
-        Err(_) => Err(OperationReply::Unknown { reason: "leader_lost", change: None }),
+        Err(fault) if fault.is_surely_unsent() => Err(not_accepted(Unavailable::LeaderUnreachable)),
+        Err(_) => Err(OperationReply::Unknown { reason: Unavailable::LeaderLost, change: None }),
     }
 }
 
--- a/crates/controlplane/src/drivers/tongue.rs
+++ b/crates/controlplane/src/drivers/tongue.rs
@@ -98,13 +98,14 @@
                 });
                 (422, body)
             }
-            Self::NotAccepted { reason, change } => {
-                (503, with_change(json!({"error": reason, "state": "not_accepted"}), change))
-            }
+            Self::NotAccepted { reason, change } => (
+                503,
+                with_change(json!({"error": reason.as_str(), "state": "not_accepted"}), change),
+            ),
             Self::Unknown { reason, change } => {
-                (503, with_change(json!({"error": reason, "state": "unknown"}), change))
+                (503, with_change(json!({"error": reason.as_str(), "state": "unknown"}), change))
             }
-            Self::NotNow(reason) => (503, json!({"error": reason})),
+            Self::NotNow(reason) => (503, json!({"error": reason.as_str()})),
             Self::Elsewhere(leader) => (307, json!({"leader": leader.to_string()})),
         }
     }
--- a/crates/controlplane/tests/controller_state/founding.rs
+++ b/crates/controlplane/tests/controller_state/founding.rs
@@ -3,7 +3,7 @@
 use super::fleet::{Fleet, operators, place};
 use common::frames::{StreamDown, StreamUp};
 use common::identity::{ControllerId, Serial};
-use controlplane::controller_state::{Operation, OperationReply};
+use controlplane::controller_state::{Operation, OperationReply, Unavailable};
 use googletest::prelude::*;
 use std::collections::BTreeSet;
 
@@ -166,7 +166,7 @@
     fleet.pass(1500);
     let asked_at = fleet.now;
     let reply = fleet.asked(other, Operation::ReadSpec);
-    verify_that!(matches!(reply, Some(OperationReply::NotNow("no_leader"))), eq(true))?;
+    verify_that!(matches!(reply, Some(OperationReply::NotNow(Unavailable::NoLeader))), eq(true))?;
     verify_that!(fleet.now.since(asked_at).as_millis(), le(800))
 }
 
--- a/crates/controlplane/tests/controller_state/main.rs
+++ b/crates/controlplane/tests/controller_state/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod founding;
 mod numbers;
+mod orders;
 mod tongue;
--- a/crates/controlplane/tests/controller_state/tongue.rs
+++ b/crates/controlplane/tests/controller_state/tongue.rs
@@ -3,7 +3,9 @@
 use common::http::Served;
 use common::identity::{ChangeId, Serial};
 use common::spec::Document;
-use controlplane::controller_state::{ChangeKind, Numbering, Operation, OperationReply, Wait};
+use controlplane::controller_state::{
+    ChangeKind, Numbering, Operation, OperationReply, Unavailable, Wait,
+};
 use controlplane::drivers::{OperatorsTongue, OwnOperators};
 use googletest::prelude::*;
 use http_body_util::BodyExt;
@@ -99,21 +101,21 @@
             json!({"error": "stale_base", "state": "not_accepted", "serial": 6, "change_id": "c"}),
         ),
         (
-            OperationReply::NotAccepted { reason: "no_quorum", change: named.clone() },
+            OperationReply::NotAccepted { reason: Unavailable::NoQuorum, change: named.clone() },
             503,
             json!({"error": "no_quorum", "state": "not_accepted", "change_id": "c"}),
         ),
         (
-            OperationReply::Unknown { reason: "no_quorum", change: named },
+            OperationReply::Unknown { reason: Unavailable::NoQuorum, change: named },
             503,
             json!({"error": "no_quorum", "state": "unknown", "change_id": "c"}),
         ),
         (
-            OperationReply::Unknown { reason: "leader_lost", change: None },
+            OperationReply::Unknown { reason: Unavailable::LeaderLost, change: None },
             503,
             json!({"error": "leader_lost", "state": "unknown"}),
         ),
-        (OperationReply::NotNow("no_leader"), 503, json!({"error": "no_leader"})),
+        (OperationReply::NotNow(Unavailable::NoLeader), 503, json!({"error": "no_leader"})),
     ];
     for (reply, status, body) in cases {
         assert_that!(told(said(reply)).await, eq(&(status, body)));
--- a/testing/fleet/src/history/anomaly.rs
+++ b/testing/fleet/src/history/anomaly.rs
@@ -55,10 +55,10 @@
                 write!(out, "order {} is invalid and was acknowledged", order.0)
             }
             Self::NumberTwice { number, orders: (left, right) } => {
-                write!(out, "orders {} and {} were both acknowledged as {number}", left.0, right.0)
+                write!(out, "orders {} and {} were both accepted as {number}", left.0, right.0)
             }
             Self::BaseTwice { base, orders: (left, right) } => {
-                write!(out, "orders {} and {} were both acknowledged on {base}", left.0, right.0)
+                write!(out, "orders {} and {} were both accepted on {base}", left.0, right.0)
             }
             Self::NoWay { from, to } => {
                 write!(
--- a/testing/fleet/src/main.rs
+++ b/testing/fleet/src/main.rs
@@ -136,6 +136,8 @@
     faults: String,
     #[options(no_short, help = "longest milliseconds between two faults", default = "3500")]
     gap_ms: u64,
+    #[options(no_short, help = "longest milliseconds between two orders", default = "3000")]
+    order_gap_ms: u64,
     #[options(help = "a rule to break on purpose", default = "none")]
     flaw: String,
     #[options(no_short, help = "print what happens")]
@@ -406,6 +408,7 @@
             has_faults: !sim.calm,
             focus: focus.clone(),
             gap: Duration::from_millis(sim.gap_ms.max(400)),
+            order_gap: Duration::from_millis(sim.order_gap_ms),
             ..SimPlan::seeded(seed)
         };
         let sim_end = World::new(plan, sim.trace).run();
--- a/testing/fleet/src/sim/checks.rs
+++ b/testing/fleet/src/sim/checks.rs
@@ -74,7 +74,6 @@
     written: BTreeMap<Serial, Value>,
     committed: BTreeMap<Serial, CommittedVersion>,
     reigns: BTreeMap<Term, (Serial, Serial)>,
-    accepted_on: BTreeMap<Serial, ChangeId>,
     seen: HashMap<TransactionId, Seen>,
     tries: BTreeMap<FunctionKey, Tries>,
     installed: HashMap<(usize, u64), Serial>,
@@ -172,7 +171,7 @@
     }
 
     /// An operator was told that a change is accepted.
-    pub fn accepts(&mut self, at: Moment, change: &ChangeId, base: Option<Serial>, serial: Serial) {
+    pub fn accepts(&mut self, at: Moment, change: &ChangeId, serial: Serial) {
         self.look("accepted change");
         let is_there = self.committed.get(&serial).is_some_and(|known| {
             let noted = known.content["changes"].as_array().into_iter().flatten();
@@ -181,12 +180,11 @@
         if !is_there {
             self.breach(at, format!("{change} was accepted as {serial}, which does not hold it"));
         }
-        if let Some(base) = base
-            && let Some(other) = self.accepted_on.insert(base, change.clone())
-            && other != *change
-        {
-            self.breach(at, format!("{other} and {change} were both accepted on {base}"));
-        }
+    }
+
+    /// So many answers to operators were judged by their history.
+    pub fn judges_operators(&mut self, judged_count: usize) {
+        *self.looked.entry("operator's answer").or_default() += judged_count as u64;
     }
 
     /// An operator was told that a change is not accepted.
--- a/testing/fleet/src/sim/faults.rs
+++ b/testing/fleet/src/sim/faults.rs
@@ -1,6 +1,5 @@
 use super::network::{Node, PLATFORM};
 use super::world::{Event, World};
-use controlplane::controller_state::ChangeKind;
 use std::fmt;
 use std::time::Duration;
 
@@ -477,7 +476,7 @@
             return;
         }
         let zone = World::zone(self.chance.below(3) as usize);
-        self.send(None, ChangeKind::Evacuate { zone: zone.clone(), force: false });
+        self.turn_zone(zone.clone(), true);
         self.push(Duration::from_secs(6) + lasts, Event::Restore(zone));
     }
 
--- a/testing/fleet/src/sim/mod.rs
+++ b/testing/fleet/src/sim/mod.rs
@@ -7,6 +7,7 @@
 mod flaw;
 mod network;
 mod operator;
+mod orders;
 mod platform;
 mod proofs;
 mod runners;
--- a/testing/fleet/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -1,17 +1,40 @@
-use super::world::{Event, World};
-use common::identity::{ChangeId, Serial};
-use controlplane::controller_state::{
-    ChangeKind, Operation, OperationReply, OperationTicket, Wait,
-};
+//! What operators ask for: configurations with their own uneven numbers, some of them invalid.
+
+use crate::history::{Effect, Order};
+use common::chance::Chance;
+use controlplane::controller_state::{ChangeKind, ItemChange};
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::collections::BTreeMap;
+
+/// The share of orders that are invalid.
+const INVALID_SHARE: f64 = 0.12;
+/// The share of orders that change named items.
+const ITEMS_SHARE: f64 = 0.3;
+/// The share of orders built on an older version than the newest that the operator knows.
+const OLD_BASE_SHARE: f64 = 0.08;
+/// By how much a number is above the one it is built on, at most.
+const LONGEST_STEP: u64 = 5;
+
+/// The ways in which an order can be invalid, whatever it is built on.
+#[derive(Clone, Copy)]
+enum Mistake {
+    UnknownFunction,
+    SamePath,
+    NoTime,
+    LowNumber,
+}
 
-/// One operator's change that is on its way.
-pub struct SimChange {
-    change: ChangeId,
-    base: Option<Serial>,
-    kind: ChangeKind,
-    tries: u32,
+const MISTAKES: [Mistake; 4] =
+    [Mistake::UnknownFunction, Mistake::SamePath, Mistake::NoTime, Mistake::LowNumber];
+
+fn canary_route(function: &str) -> Value {
+    json!({
+        "method": "POST",
+        "path": "/canary",
+        "function": function,
+        "budget_ms": 3000,
+        "kind": "repeatable",
+    })
 }
 
 /// The routes and functions of the virtual deployment; one function comes and goes.
@@ -36,97 +59,67 @@
             }),
         );
     }
-    routes.insert(
-        "canary".to_owned(),
-        json!({
-            "method": "POST",
-            "path": "/canary",
-            "function": format!("f{}", turn % function_count),
-            "budget_ms": 3000,
-            "kind": "repeatable",
-        }),
-    );
+    let canary_function = format!("f{}", turn % function_count);
+    routes.insert("canary".to_owned(), canary_route(&canary_function));
     json!({"functions": functions, "routes": routes})
 }
 
-impl World {
-    /// An operator sends one change.
-    pub(super) fn send(&mut self, base: Option<Serial>, kind: ChangeKind) {
-        self.next_number += 1;
-        let change = ChangeId::from(format!("change-{}", self.next_number));
-        let target = self.chance.below(3) as usize;
-        self.operate(target, SimChange { change, base, kind, tries: 0 });
-    }
+/// An order as an operator draws it, and what it asks of a controller.
+pub struct DrawnOrder {
+    /// For the history.
+    pub order: Order,
+    /// For the controller.
+    pub kind: ChangeKind,
+}
 
-    /// An operator sends a change, built on the newest serial or on one just before.
-    pub(super) fn send_change(&mut self) {
-        let newest_serial = self.checks.newest_serial();
-        let count = if self.chance.happens(0.3) { 2 } else { 1 };
-        for _ in 0..count {
-            let is_valid = !self.chance.happens(0.1);
-            let mut new_spec = spec(self.chance.below(6));
-            if !is_valid {
-                new_spec["routes"]["canary"]["function"] = json!("nowhere");
-            }
-            let kind = if self.chance.happens(0.2) {
-                ChangeKind::Patch(json!({"routes": {"canary": new_spec["routes"]["canary"]}}))
-            } else {
-                ChangeKind::Whole(new_spec)
-            };
-            self.send(Some(newest_serial), kind);
-        }
-    }
+/// A number above the one it is built on, by an uneven step.
+pub fn draw_number(chance: &mut Chance, base: u64) -> u64 {
+    base + 1 + chance.below(LONGEST_STEP)
+}
 
-    fn operate(&mut self, target: usize, mut change: SimChange) {
-        change.tries += 1;
-        self.next_number += 1;
-        let ticket = OperationTicket(self.next_number);
-        let operation = Operation::Change {
-            base: change.base,
-            numbering: None,
-            change: Some(change.change.clone()),
-            kind: change.kind.clone(),
-            wait: Wait::Accepted,
-        };
-        self.changes.insert(ticket, change);
-        let node = self.controllers[target].node;
-        let delay = self.network.delay(&mut self.chance);
-        self.push(delay, Event::Operate(node, ticket, operation));
+/// What an order is built on: the newest version that is known, or now and then an older one.
+pub fn draw_base(chance: &mut Chance, known_numbers: &[u64]) -> u64 {
+    let newest = known_numbers.last().copied().unwrap_or(0);
+    if chance.happens(OLD_BASE_SHARE) && known_numbers.len() > 1 {
+        known_numbers[known_numbers.len() - 2]
+    } else {
+        newest
     }
+}
 
-    pub(super) fn hear_operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
-        let Some(change) = self.changes.remove(&ticket) else { return };
-        match reply {
-            OperationReply::Elsewhere(leader) => {
-                let target = self.node_at(leader).map(|node| node.0);
-                if let Some(target) = target.filter(|_| change.tries < 3) {
-                    self.operate(target, change);
-                }
-            }
-            reply => {
-                let (status, body) = reply.into_own();
-                let state = body["state"].as_str().unwrap_or("");
-                if status == 200 && matches!(state, "accepted" | "in_force") {
-                    let serial = Serial(body["serial"].as_u64().unwrap_or(0));
-                    self.checks.accepts(self.now, &change.change, change.base, serial);
-                } else if state == "not_accepted" && change.tries == 1 {
-                    self.refused_changes.push(change.change.clone());
-                    self.checks.refuses(self.now, &change.change);
-                }
-                self.counted(if status == 200 { "change accepted" } else { "change refused" });
-            }
-        }
+/// An order with this number on this base; its label makes its content unlike any other.
+pub fn draw_order(chance: &mut Chance, number: u64, base: u64, label: u64) -> DrawnOrder {
+    let mistake = chance
+        .happens(INVALID_SHARE)
+        .then(|| MISTAKES[chance.below(MISTAKES.len() as u64) as usize]);
+    let number = if matches!(mistake, Some(Mistake::LowNumber)) { base } else { number };
+    if mistake.is_none() && chance.happens(ITEMS_SHARE) {
+        return draw_items(chance, number, base, label);
     }
-
-    /// Refused changes must not be committed later either.
-    pub(super) fn check_refused(&mut self) {
-        for change in std::mem::take(&mut self.refused_changes) {
-            self.checks.refuses(self.now, &change);
+    let mut content = spec(chance.below(6));
+    content["labels"] = json!({"order": label});
+    match mistake {
+        Some(Mistake::UnknownFunction) => {
+            content["routes"]["canary"]["function"] = json!("nowhere");
         }
+        Some(Mistake::SamePath) => content["routes"]["again"] = canary_route("f0"),
+        Some(Mistake::NoTime) => content["routes"]["canary"]["budget_ms"] = json!(0),
+        Some(Mistake::LowNumber) | None => {}
     }
+    let effect = Effect::Replace(content.clone());
+    let is_valid = mistake.is_none();
+    let order = Order { number, base, effect, is_valid };
+    DrawnOrder { order, kind: ChangeKind::Whole(content) }
+}
 
-    pub(super) fn schedule_change(&mut self) {
-        let wait_span = self.chance.within(Duration::from_millis(300), Duration::from_millis(3000));
-        self.push(wait_span, Event::Change);
-    }
+/// The canary goes to another function.
+fn draw_items(chance: &mut Chance, number: u64, base: u64, label: u64) -> DrawnOrder {
+    let mut route = canary_route(&format!("f{}", chance.below(5)));
+    route["labels"] = json!({"order": label});
+    let item_name = ("routes".to_owned(), "canary".to_owned());
+    let effect = Effect::Amend(BTreeMap::from([(item_name, Some(route.clone()))]));
+    let put_routes = BTreeMap::from([("canary".to_owned(), route)]);
+    let items = ItemChange { put_routes, ..ItemChange::default() };
+    let order = Order { number, base, effect, is_valid: true };
+    DrawnOrder { order, kind: ChangeKind::Items(Box::new(items)) }
 }
--- a/testing/fleet/src/sim/proofs.rs
+++ b/testing/fleet/src/sim/proofs.rs
@@ -20,6 +20,8 @@
     pub says: &'static str,
     /// How many seeds find it with certainty.
     pub seeds: u64,
+    /// The longest time from one order of operators to the next.
+    pub order_gap: Duration,
 }
 
 /// What a proof showed.
@@ -32,7 +34,18 @@
     pub looked: u64,
 }
 
+/// The longest time between two orders where they are not what is proved.
+const ORDER_GAP: Duration = Duration::from_millis(3000);
+/// The same where they are: hundreds in a day, as many under way as operators have at once.
+const HURRIED_ORDER_GAP: Duration = Duration::from_millis(150);
+
 impl Proof {
+    /// The same with hundreds of orders.
+    const fn hurried(mut self) -> Self {
+        self.order_gap = HURRIED_ORDER_GAP;
+        self
+    }
+
     /// The day of a seed, with the flaw or without.
     pub fn plan(&self, seed: u64, flaw: Flaw) -> SimPlan {
         SimPlan {
@@ -41,6 +54,7 @@
             gap: self.gap,
             rate: 60.0,
             twins: 0.5,
+            order_gap: self.order_gap,
             ..SimPlan::seeded(seed)
         }
     }
@@ -79,8 +93,7 @@
     says: &'static str,
     seeds: u64,
 ) -> Proof {
-    let gap = Duration::from_millis(gap_ms);
-    Proof { point, flaw: Flaw::Without(rule), faults, gap, says, seeds }
+    around(point, Flaw::Without(rule), faults, gap_ms, says, seeds)
 }
 
 const fn around(
@@ -91,7 +104,8 @@
     says: &'static str,
     seeds: u64,
 ) -> Proof {
-    Proof { point, flaw, faults, gap: Duration::from_millis(gap_ms), says, seeds }
+    let gap = Duration::from_millis(gap_ms);
+    Proof { point, flaw, faults, gap, says, seeds, order_gap: ORDER_GAP }
 }
 
 use SimFault as F;
@@ -194,5 +208,22 @@
         "is alive",
         6,
     ),
+    proof(
+        "orders",
+        Rule::RefusalProven,
+        &[F::CutCore, F::FreezeLeader],
+        1500,
+        "refused as stale on the current",
+        50,
+    )
+    .hurried(),
+    proof("orders", Rule::TakenKnown, &[F::KillLeader], 1500, "was taken, then refused", 50)
+        .hurried(),
+    proof("orders", Rule::NumberTakenOnce, &[F::KillLeader], 1500, "both accepted as", 50)
+        .hurried(),
+    proof("orders", Rule::AcknowledgedByMajority, &[F::KillLeader, F::CutCore], 1500, "", 50)
+        .hurried(),
+    proof("orders", Rule::HungUpDropped, &[F::Evacuate], 500, "which no order explains", 50)
+        .hurried(),
     around("down", Flaw::StopsUnheard, &[F::KillHerd, F::DrainWorker], 3000, "mostly down", 6),
 ];
--- a/testing/fleet/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -4,7 +4,8 @@
 use super::faults::SimFault;
 use super::flaw::Flaw;
 use super::network::{Network, Node, PLATFORM};
-use super::operator::{SimChange, spec};
+use super::operator::spec;
+use super::orders::Operators;
 use super::platform::{Asker, SimPlatform, SimRunner};
 use super::runners::SimRun;
 use common::chance::Chance;
@@ -17,9 +18,7 @@
 use common::rules::Rules;
 use common::spec::{CoreMember, Document, FunctionSpec, read_spec};
 use common::tongue::{BeginEnd, ListedRunner, ListedWorker, StopOrder};
-use controlplane::controller_state::{
-    ChangeKind, ControllerInput, Operation, OperationReply, OperationTicket,
-};
+use controlplane::controller_state::{ControllerInput, Operation, OperationReply, OperationTicket};
 use controlplane::core::{Recalled, WriteJob, WriteResult};
 use controlplane::leader_state::StreamId;
 use dataplane::agent::{Ask, PassEnd, Topic};
@@ -55,6 +54,8 @@
     pub tuning: Tuning,
     /// Whether functions that boot long are sought before they are called.
     pub seeks_warm: bool,
+    /// The longest time from one order of operators to the next.
+    pub order_gap: Duration,
 }
 
 impl SimPlan {
@@ -72,6 +73,7 @@
             gap: Duration::from_millis(3500),
             tuning: Tuning::default(),
             seeks_warm: false,
+            order_gap: Duration::from_millis(3000),
         }
     }
 
@@ -156,6 +158,10 @@
     StewardAsked(Node, Asker, u64, FunctionKey, GrantSerial, Topic, HopBody),
     StewardSaid(Asker, u64, FunctionKey, GrantSerial, Topic, Option<HopBody>),
     Operate(Node, OperationTicket, Operation),
+    Withdraw(Node, OperationTicket),
+    HangUp(OperationTicket),
+    SendAgain(u64),
+    ReadBack,
     Operated(OperationTicket, OperationReply),
     ListTick,
     Call,
@@ -199,7 +205,8 @@
             | Self::ControllerGone(node, _)
             | Self::Beat(node, _)
             | Self::StewardAsked(node, ..)
-            | Self::Operate(node, ..) => Some((*node, None)),
+            | Self::Operate(node, ..)
+            | Self::Withdraw(node, _) => Some((*node, None)),
             _ => None,
         }
     }
@@ -219,8 +226,7 @@
     deferred: BTreeMap<Node, Vec<Event>>,
     pub(super) checks: Checks,
     pub(super) unsynced: Vec<(usize, WriteJob)>,
-    pub(super) changes: HashMap<OperationTicket, SimChange>,
-    pub(super) refused_changes: Vec<ChangeId>,
+    pub(super) operators: Operators,
     pub(super) next_number: u64,
     pub(super) mischief: f64,
     pub(super) impatient_until: Moment,
@@ -254,8 +260,7 @@
             deferred: BTreeMap::new(),
             checks: Checks::default(),
             unsynced: Vec::new(),
-            changes: HashMap::new(),
-            refused_changes: Vec::new(),
+            operators: Operators::default(),
             next_number: 0,
             mischief: 0.0,
             impatient_until: Moment::ZERO,
@@ -283,6 +288,7 @@
         world.push(Duration::ZERO, Event::ListTick);
         world.push(Duration::from_secs(3), Event::Call);
         world.schedule_change();
+        world.schedule_reading();
         if world.plan.has_faults {
             world.push(Duration::from_secs(6), Event::Fault);
         }
@@ -468,7 +474,7 @@
             }
             self.happen(event);
         }
-        self.check_refused();
+        self.judge_operators();
         let (share_after, back_after) = self.return_to_service();
         self.check_return();
         SimEnd {
@@ -700,6 +706,15 @@
             Event::Operate(node, ticket, operation) => {
                 self.feed_controller(node.0, ControllerInput::Operate(ticket, operation));
             }
+            Event::Withdraw(node, ticket) => {
+                self.feed_controller(node.0, ControllerInput::Withdrawn(ticket));
+            }
+            Event::HangUp(ticket) => self.hang_up(ticket),
+            Event::SendAgain(wish) => self.send_wish(wish),
+            Event::ReadBack => {
+                self.read_back();
+                self.schedule_reading();
+            }
             Event::Operated(ticket, reply) => self.hear_operated(ticket, reply),
             Event::ListTick => {
                 self.platform.take_list(self.now);
@@ -735,7 +750,7 @@
                 self.platform.workers.extend(workers);
                 self.platform.workers.sort_by(|left, right| left.worker.cmp(&right.worker));
             }
-            Event::Restore(zone) => self.send(None, ChangeKind::Restore { zone }),
+            Event::Restore(zone) => self.turn_zone(zone, false),
             Event::Repeat(route_name) => self.repeat(&route_name),
             Event::Heal => {
                 self.heal();
