--- a/testing/fleet/src/history/anomaly.rs
+++ b/testing/fleet/src/history/anomaly.rs
@@ -67,7 +67,10 @@
                 )
             }
             Self::OutOfTime { number } => {
-                write!(out, "version {number} was read or acknowledged when it was not current")
+                write!(
+                    out,
+                    "version {number} was read, acknowledged or named when it was not current"
+                )
             }
             Self::TakenRefused(order) => write!(out, "order {} was taken, then refused", order.0),
             Self::CurrentRefused(order) => {
--- a/testing/fleet/src/history/chain.rs
+++ b/testing/fleet/src/history/chain.rs
@@ -13,7 +13,7 @@
     pub content: Value,
 }
 
-/// What must be on the way: numbers that were acknowledged or read.
+/// What must be on the way: numbers that were acknowledged, read, or said to be current.
 struct Needed<'a> {
     acknowledged: BTreeMap<u64, OrderId>,
     read: BTreeMap<u64, Vec<&'a Value>>,
@@ -39,7 +39,12 @@
             for (_, answer) in answers {
                 match answer {
                     Answer::Acknowledged => continue,
-                    Answer::Stale => drop(needed.followed.insert(order.base)),
+                    Answer::Stale { current } => {
+                        needed.followed.insert(order.base);
+                        if let Some(current) = current {
+                            needed.read.entry(current).or_default();
+                        }
+                    }
                     Answer::Invalid => {}
                 }
                 needed.refused.insert(id);
--- a/testing/fleet/src/history/mod.rs
+++ b/testing/fleet/src/history/mod.rs
@@ -85,7 +85,10 @@
     /// It is taken.
     Acknowledged,
     /// Another version is current than the one it is built on.
-    Stale,
+    Stale {
+        /// The number that was said to be current, if it was said.
+        current: Option<u64>,
+    },
     /// It is invalid, or its number is not above the current one.
     Invalid,
 }
--- a/testing/fleet/src/history/register.rs
+++ b/testing/fleet/src/history/register.rs
@@ -107,7 +107,9 @@
         });
         for (sending, heard_at, answer) in refusals {
             let anomaly = match answer {
-                Answer::Stale => self.bound_by_stale(sending.order, sending.asked_at, heard_at),
+                Answer::Stale { .. } => {
+                    self.bound_by_stale(sending.order, sending.asked_at, heard_at)
+                }
                 _ => self.bound_by_invalid(sending.order, heard_at),
             };
             if let Some(anomaly) = anomaly.filter(|anomaly| !anomalies.contains(anomaly)) {
@@ -135,14 +137,23 @@
     fn bound_by_readings(&mut self) {
         let history = self.history;
         for reading in &history.readings {
-            let Some(place) = self.place_of_number(reading.number) else { continue };
-            self.spans[place].not_after(reading.heard_at);
-            if let Some(next) = self.spans.get_mut(place + 1) {
-                next.not_before(reading.asked_at);
+            self.bound_by_current(reading.number, reading.asked_at, reading.heard_at);
+        }
+        for sending in &history.sendings {
+            if let Some((heard_at, Answer::Stale { current: Some(current) })) = sending.answer {
+                self.bound_by_current(current, sending.asked_at, heard_at);
             }
         }
     }
 
+    fn bound_by_current(&mut self, number: u64, asked_at: Moment, heard_at: Moment) {
+        let Some(place) = self.place_of_number(number) else { return };
+        self.spans[place].not_after(heard_at);
+        if let Some(next) = self.spans.get_mut(place + 1) {
+            next.not_before(asked_at);
+        }
+    }
+
     /// Each version becomes current after the one before.
     fn order_earliest(&mut self) {
         let mut earliest = Moment::ZERO;
--- a/testing/fleet/src/sim/orders.rs
+++ b/testing/fleet/src/sim/orders.rs
@@ -191,6 +191,10 @@
             arrives_at: self.now + delay,
         };
         self.operators.sent.insert(ticket, sent);
+        self.traced(|now| {
+            let number = node.0;
+            format!("{now} operator sends wish {wish_number} to {number} as {ticket:?}, there in {delay:?}")
+        });
         if !self.chance.happens(LOST_REQUEST_SHARE) {
             self.push(delay, Event::Operate(node, ticket, operation));
         }
@@ -297,7 +301,7 @@
                 }
                 Answer::Acknowledged
             }
-            OperationReply::Stale { .. } => Answer::Stale,
+            OperationReply::Stale { number, .. } => Answer::Stale { current: Some(number) },
             OperationReply::Invalid(_) => Answer::Invalid,
             _ => {
                 self.counted("order without a clear answer");
@@ -305,6 +309,10 @@
                 return;
             }
         };
+        let (node, waited) = (sent.node.0, self.now.since(sent.sent_at));
+        self.traced(|now| {
+            format!("{now} operator hears {answer:?} on {change} from {node} after {waited:?}")
+        });
         if let Some(sending) = sent.sending {
             self.operators.history.hears(self.now, sending, answer);
         }
--- a/testing/fleet/src/sim/proofs.rs
+++ b/testing/fleet/src/sim/proofs.rs
@@ -211,9 +211,9 @@
     proof(
         "orders",
         Rule::RefusalProven,
-        &[F::CutCore, F::FreezeLeader],
-        1500,
-        "refused as stale on the current",
+        &[F::FreezeLeader, F::CutCore],
+        4000,
+        "named when it was not current",
         50,
     )
     .hurried(),
--- a/testing/fleet/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -181,6 +181,10 @@
 }
 
 impl Event {
+    fn is_from_operator(&self) -> bool {
+        matches!(self, Self::Operate(..) | Self::Withdraw(..))
+    }
+
     /// The node whose process must be awake for it, and in which life if that matters.
     fn target(&self) -> Option<(Node, Option<u64>)> {
         match self {
@@ -515,11 +519,16 @@
         self.frozen.get(&node).is_some_and(|until| *until > self.now)
     }
 
-    /// A frozen machine wakes: what came meanwhile is taken in the order in which it came.
+    /// A frozen machine wakes: what came meanwhile is taken in the order in which it came, but for
+    /// operators' connections, which may be read before all others.
     fn wake_machine(&mut self, node: Node) {
         if !self.is_frozen(node) {
             self.frozen.remove(&node);
-            for event in self.deferred.remove(&node).unwrap_or_default() {
+            let deferred = self.deferred.remove(&node).unwrap_or_default();
+            let is_read_first = self.chance.happens(0.8);
+            let (first, others): (Vec<Event>, Vec<Event>) =
+                deferred.into_iter().partition(|event| is_read_first && event.is_from_operator());
+            for event in first.into_iter().chain(others) {
                 self.push(Duration::ZERO, event);
             }
         }
--- a/testing/fleet/tests/history.rs
+++ b/testing/fleet/tests/history.rs
@@ -57,7 +57,9 @@
     }
 }
 
-use Answer::{Acknowledged, Invalid, Stale};
+use Answer::{Acknowledged, Invalid};
+
+const STALE: Answer = Answer::Stale { current: None };
 
 #[gtest]
 fn a_plain_day_is_explained() -> Result<()> {
@@ -69,7 +71,7 @@
     let second = told.order(7, 5, 2);
     let rival = told.order(7, 5, 3);
     told.sent(12, 20, second, Acknowledged);
-    told.sent(12, 21, rival, Stale);
+    told.sent(12, 21, rival, STALE);
     let low = told.order(7, 7, 4);
     told.sent(22, 24, low, Invalid);
     told.read(25, 26, 7, 2);
@@ -114,7 +116,7 @@
     let unclear = told.order(2, 0, 1);
     told.lost(1, unclear);
     let refused = told.order(3, 0, 2);
-    told.sent(10, 20, refused, Stale);
+    told.sent(10, 20, refused, STALE);
     verify_that!(told.anomalies(), is_empty())?;
     told.read(30, 40, 0, 0);
     verify_that!(told.anomalies(), not(is_empty()))
@@ -196,7 +198,7 @@
 
 #[gtest]
 fn a_refusal_of_what_was_taken_is_found() -> Result<()> {
-    for answer in [Stale, Invalid] {
+    for answer in [STALE, Invalid] {
         let mut told = Told::default();
         let first = told.order(2, 0, 1);
         told.sent(1, 5, first, Acknowledged);
@@ -206,7 +208,7 @@
     let mut told = Told::default();
     let unclear = told.order(2, 0, 1);
     told.lost(1, unclear);
-    told.sent(10, 15, unclear, Stale);
+    told.sent(10, 15, unclear, STALE);
     told.read(20, 21, 2, 1);
     verify_that!(told.anomalies(), elements_are![eq(&Anomaly::TakenRefused(unclear))])
 }
@@ -217,13 +219,30 @@
     let first = told.order(2, 0, 1);
     told.sent(1, 5, first, Acknowledged);
     let second = told.order(3, 2, 2);
-    told.sent(10, 15, second, Stale);
+    told.sent(10, 15, second, STALE);
     verify_that!(told.anomalies(), elements_are![eq(&Anomaly::CurrentRefused(second))])?;
     let third = told.order(4, 2, 3);
     told.sent(20, 25, third, Acknowledged);
     verify_that!(told.anomalies(), elements_are![eq(&Anomaly::CurrentRefused(second))])
 }
 
+#[gtest]
+fn a_refusal_that_names_an_overtaken_version_as_current_is_found() -> Result<()> {
+    let mut told = Told::default();
+    let first = told.order(2, 0, 1);
+    told.sent(1, 5, first, Acknowledged);
+    let second = told.order(3, 2, 2);
+    told.sent(10, 15, second, Acknowledged);
+    let rival = told.order(4, 2, 3);
+    told.sent(14, 18, rival, Answer::Stale { current: Some(3) });
+    verify_that!(told.anomalies(), is_empty())?;
+    let late = told.order(5, 3, 4);
+    told.sent(20, 25, late, Answer::Stale { current: Some(2) });
+    let next = told.order(6, 3, 5);
+    told.sent(21, 40, next, Acknowledged);
+    verify_that!(told.anomalies(), elements_are![eq(&Anomaly::OutOfTime { number: 3 })])
+}
+
 #[gtest]
 fn a_refusal_as_invalid_without_cause_is_found() -> Result<()> {
     let mut told = Told::default();
@@ -341,10 +360,10 @@
         if is_lost {
             told.lost(now, order);
         } else if may_falsify {
-            told.sent(now, now + 5, order, if is_taken { Stale } else { Acknowledged });
+            told.sent(now, now + 5, order, if is_taken { STALE } else { Acknowledged });
             was_falsified = true;
         } else {
-            told.sent(now, now + 5, order, if is_taken { Acknowledged } else { Stale });
+            told.sent(now, now + 5, order, if is_taken { Acknowledged } else { STALE });
         }
         if is_taken {
             previous_number = std::mem::replace(&mut number, next_number);
