--- a/crates/common/src/frames/mod.rs
+++ b/crates/common/src/frames/mod.rs
@@ -10,7 +10,7 @@
 mod wire;
 
 pub use self::core::{CoreBody, CoreFrame, KnownMember};
-pub use dial::dial;
+pub use dial::{connect_from, dial};
 pub use heartbeat::{Heartbeat, MemberLife, Suspicion};
 pub use hop::{HeadLine, HopBody, HopFrame, HopOutcome, HopReason, LedgerNote, NoteState, Parcel};
 pub use pack::{pack, unpack};
@@ -21,5 +21,5 @@
 };
 pub use wire::{
     Channel, FrameFault, append_frame, decode, decode_heartbeat, encode, encode_heartbeat,
-    read_channel, read_frame, write_channel, write_frame,
+    read_channel, read_frame, read_frame_in_parts, write_channel, write_frame,
 };
--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -13,12 +13,23 @@
     SerialOnlyUp,
     /// Route and function are looked up in the newest spec right before a send.
     SpecBeforeSend,
+    /// The member grant runs and the function is held under its grant right before the first byte of a
+    /// send is written.
+    HeldBeforeSend,
+    /// What a byte was written of counts as sent.
+    WrittenIsSent,
+    /// Another daemon's answer goes to the question that it names.
+    ReplyMatched,
     /// A send names the runner that is meant, and another one refuses.
     RunnerNamed,
     /// An answer's seal is checked.
     SealChecked,
     /// An answer's seal must name this transaction, function and runner.
     SealNamesAsked,
+    /// An answer whose body may have been cut short, or is not as the runner made it, is not believed.
+    BodyWhole,
+    /// An answer with another one's beginning in its head is not believed.
+    HeadUnmixed,
     /// A runner never has more transactions than slots.
     SlotsKept,
     /// A fresh runner begins with one transaction at a time.
@@ -53,6 +64,10 @@
     ClaimsWait,
     /// A new leader waits for each daemon of the roster that has not claimed.
     RosterAwaited,
+    /// A configuration is read only when a majority has confirmed the leader since it was asked for.
+    ReadingProven,
+    /// A controller names only a leader that it heard within the election time.
+    LeaderHeard,
     /// A change built on another serial than the newest is refused.
     StaleBaseRefused,
     /// An invalid change is never written.
@@ -69,6 +84,14 @@
     AcknowledgedByMajority,
     /// An order whose caller hung up before it was put forward is dropped.
     HungUpDropped,
+    /// A vote is on disk before it is given.
+    VoteOnDisk,
+    /// A version is on disk before it is acknowledged.
+    AcceptOnDisk,
+    /// Nobody votes for a candidate whose version is older than the voter's.
+    NewestElected,
+    /// An answer to a round counts in the round's own term only.
+    RoundOfItsTerm,
 }
 
 impl Rule {
@@ -78,9 +101,14 @@
         Rule::RenewalNeedsSpec,
         Rule::SerialOnlyUp,
         Rule::SpecBeforeSend,
+        Rule::HeldBeforeSend,
+        Rule::WrittenIsSent,
+        Rule::ReplyMatched,
         Rule::RunnerNamed,
         Rule::SealChecked,
         Rule::SealNamesAsked,
+        Rule::BodyWhole,
+        Rule::HeadUnmixed,
         Rule::SlotsKept,
         Rule::RampKept,
         Rule::LostKeepsSlot,
@@ -97,6 +125,8 @@
         Rule::LifeAdoptedOnce,
         Rule::ClaimsWait,
         Rule::RosterAwaited,
+        Rule::ReadingProven,
+        Rule::LeaderHeard,
         Rule::StaleBaseRefused,
         Rule::InvalidRefused,
         Rule::CoreInTwoSteps,
@@ -105,6 +135,10 @@
         Rule::NumberTakenOnce,
         Rule::AcknowledgedByMajority,
         Rule::HungUpDropped,
+        Rule::VoteOnDisk,
+        Rule::AcceptOnDisk,
+        Rule::NewestElected,
+        Rule::RoundOfItsTerm,
     ];
 
     /// The rule of a name.
@@ -120,9 +154,14 @@
             Self::RenewalNeedsSpec => "renewal-needs-spec",
             Self::SerialOnlyUp => "serial-only-up",
             Self::SpecBeforeSend => "spec-before-send",
+            Self::HeldBeforeSend => "held-before-send",
+            Self::WrittenIsSent => "written-is-sent",
+            Self::ReplyMatched => "reply-matched",
             Self::RunnerNamed => "runner-named",
             Self::SealChecked => "seal-checked",
             Self::SealNamesAsked => "seal-names-asked",
+            Self::BodyWhole => "body-whole",
+            Self::HeadUnmixed => "head-unmixed",
             Self::SlotsKept => "slots-kept",
             Self::RampKept => "ramp-kept",
             Self::LostKeepsSlot => "lost-keeps-slot",
@@ -139,6 +178,8 @@
             Self::LifeAdoptedOnce => "life-adopted-once",
             Self::ClaimsWait => "claims-wait",
             Self::RosterAwaited => "roster-awaited",
+            Self::ReadingProven => "reading-proven",
+            Self::LeaderHeard => "leader-heard",
             Self::StaleBaseRefused => "stale-base-refused",
             Self::InvalidRefused => "invalid-refused",
             Self::CoreInTwoSteps => "core-in-two-steps",
@@ -147,6 +188,10 @@
             Self::NumberTakenOnce => "number-taken-once",
             Self::AcknowledgedByMajority => "acknowledged-by-majority",
             Self::HungUpDropped => "hung-up-dropped",
+            Self::VoteOnDisk => "vote-on-disk",
+            Self::AcceptOnDisk => "accept-on-disk",
+            Self::NewestElected => "newest-elected",
+            Self::RoundOfItsTerm => "round-of-its-term",
         })
     }
 }
--- a/crates/controlplane/src/controller_state/content.rs
+++ b/crates/controlplane/src/controller_state/content.rs
@@ -3,11 +3,12 @@
 use super::{ChangeKind, ItemChange, Numbering};
 use common::identity::{ChangeId, Serial};
 use common::seal::{digest, hex};
-use serde_json::{Map, Value, json};
+use common::spec::SpecRecords;
+use serde_json::{Value, json};
 
 fn content_value(kind: &ChangeKind) -> Value {
     match kind {
-        ChangeKind::Whole(spec) => json!({"spec": spec}),
+        ChangeKind::Whole(spec) => json!({"spec": spec.to_value()}),
         ChangeKind::Patch(patch) => json!({"patch": patch}),
         ChangeKind::Items(items) => json!({
             "put_functions": items.put_functions,
@@ -39,26 +40,23 @@
 }
 
 /// A specification with named items put and removed.
-pub(super) fn with_items(spec: &Value, items: &ItemChange) -> Value {
+pub(super) fn with_items(spec: &SpecRecords, items: &ItemChange) -> SpecRecords {
     let mut changed_spec = spec.clone();
-    let Some(root) = changed_spec.as_object_mut() else { return changed_spec };
-    let parts = [
-        ("functions", &items.put_functions, &items.remove_functions),
-        ("routes", &items.put_routes, &items.remove_routes),
-    ];
-    for (part_name, put_items, removed_names) in parts {
-        let part = root.entry(part_name).or_insert_with(|| Value::Object(Map::new()));
-        let Some(part_items) = part.as_object_mut() else { continue };
-        for removed_name in removed_names {
-            part_items.remove(removed_name);
-        }
-        for (put_name, put_item) in put_items {
-            part_items.insert(put_name.clone(), put_item.clone());
-        }
+    for removed_name in &items.remove_functions {
+        changed_spec.remove_function(removed_name);
+    }
+    for (put_name, put_function) in &items.put_functions {
+        changed_spec.put_function(put_name, put_function.clone());
+    }
+    for removed_name in &items.remove_routes {
+        changed_spec.remove_route(removed_name);
+    }
+    for (put_name, put_route) in &items.put_routes {
+        changed_spec.put_route(put_name, put_route.clone());
     }
-    for (key, replaced) in [("limits", &items.limits), ("labels", &items.labels)] {
+    for (name, replaced) in [("limits", &items.limits), ("labels", &items.labels)] {
         if let Some(replaced) = replaced {
-            root.insert(key.to_owned(), replaced.clone());
+            changed_spec.put_field(name, replaced.clone());
         }
     }
     changed_spec
--- a/crates/controlplane/src/controller_state/judgement.rs
+++ b/crates/controlplane/src/controller_state/judgement.rs
@@ -6,8 +6,7 @@
 use common::identity::{Serial, Zone};
 use common::readers::{FaultReason, PathFault};
 use common::rules::Rule;
-use common::spec::{ChangeFate, Document, Spec, read_spec};
-use serde_json::Value;
+use common::spec::{ChangeFate, Document, Spec, SpecRecords};
 use std::collections::BTreeSet;
 
 /// What an order comes to.
@@ -105,8 +104,8 @@
             return Err(OperationReply::Invalid(vec![fault]));
         }
         let number = asked.numbering.map_or(current_document.number, |given| given.number);
-        let with_spec = |new_spec: Value| {
-            let checked_spec = match read_spec(&new_spec) {
+        let with_spec = |new_spec: SpecRecords| {
+            let checked_spec = match new_spec.check() {
                 Ok(checked_spec) => checked_spec,
                 Err(faults) if self.rules.keep(Rule::InvalidRefused) => {
                     return Err(OperationReply::Invalid(faults));
@@ -122,11 +121,11 @@
             })
         };
         match &asked.kind {
-            ChangeKind::Whole(new_spec) => with_spec(new_spec.clone()),
+            ChangeKind::Whole(new_spec) => with_spec(new_spec.succeeding(&current_document.spec)),
             ChangeKind::Patch(merge_patch) => {
-                let mut new_spec = current_document.spec.clone();
+                let mut new_spec = current_document.spec.to_value();
                 json_patch::merge(&mut new_spec, merge_patch);
-                with_spec(new_spec)
+                with_spec(SpecRecords::new(new_spec).succeeding(&current_document.spec))
             }
             ChangeKind::Items(items) => with_spec(with_items(&current_document.spec, items)),
             ChangeKind::Evacuate { zone, force } => {
--- a/crates/controlplane/src/controller_state/operation.rs
+++ b/crates/controlplane/src/controller_state/operation.rs
@@ -5,7 +5,8 @@
 use common::frames::Place;
 use common::identity::{ChangeId, ControllerId, Serial, Zone};
 use common::readers::PathFault;
-use common::spec::Document;
+use common::rules::Rule;
+use common::spec::{Document, SpecRecords};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -45,7 +46,7 @@
 #[derive(Clone, Debug)]
 pub enum ChangeKind {
     /// A whole spec.
-    Whole(Value),
+    Whole(SpecRecords),
     /// A JSON merge patch.
     Patch(Value),
     /// Named items.
@@ -276,7 +277,11 @@
             Operation::Change { .. } => {
                 self.leader_state.is_none() && self.leader_elsewhere(now).is_none()
             }
-            _ => self.leader_elsewhere(now).is_none() && !self.is_proven_since(now, asked_at),
+            _ => {
+                let must_be_proven = self.rules.keep(Rule::ReadingProven);
+                let is_proven = self.is_proven_since(now, asked_at);
+                self.leader_elsewhere(now).is_none() && must_be_proven && !is_proven
+            }
         }
     }
 
@@ -328,8 +333,8 @@
     }
 
     fn report(&self, now: Moment, asked_at: Moment, operation: Operation) -> OperationReply {
-        let is_proven = self.is_proven_since(now, asked_at);
-        let (Some(leader_state), true) = (&self.leader_state, is_proven) else {
+        let is_sure = self.is_proven_since(now, asked_at) || !self.rules.keep(Rule::ReadingProven);
+        let (Some(leader_state), true) = (&self.leader_state, is_sure) else {
             return OperationReply::NotNow(Unavailable::NoLeader);
         };
         let body = match operation {
--- a/crates/controlplane/src/core/election.rs
+++ b/crates/controlplane/src/core/election.rs
@@ -2,13 +2,20 @@
 use common::clock::Moment;
 use common::frames::{CoreBody, Flag, Many, Place};
 use common::identity::{ControllerId, Stamp, Term};
-use common::spec::Document;
+use common::rules::Rule;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 const GONE_SHORTEST: Duration = Duration::from_millis(50);
 const GONE_LONGEST: Duration = Duration::from_millis(200);
 
+/// How many rounds pass between two that reach controllers that do not vote: few enough for them to
+/// know the leader, who else is forgotten at the end of the election time.
+const OUTSIDERS_EVERY: u32 = 2;
+
+/// The number of no round; the first one is 1.
+const NO_ROUND: u64 = 0;
+
 impl Core {
     /// A voter that has just started and heard no leader does not wait a whole timeout: whoever
     /// hears a live one refuses its trial.
@@ -45,7 +52,9 @@
     pub(super) fn start_trial(&mut self, now: Moment) {
         self.early_trials = self.early_trials.saturating_sub(1);
         self.arm_election(now);
-        self.leader = None;
+        if self.rules.keep(Rule::LeaderHeard) {
+            self.leader = None;
+        }
         if !self.is_voter(self.id) || !self.may_vote() || self.has_vital_writing() {
             return;
         }
@@ -153,7 +162,8 @@
         accepted: Stamp,
         trial: bool,
     ) {
-        let is_fit = accepted >= self.newest_stamp() && self.may_vote() && !self.passes_on;
+        let is_newest = accepted >= self.newest_stamp() || !self.rules.keep(Rule::NewestElected);
+        let is_fit = is_newest && self.may_vote() && !self.passes_on;
         if self.is_leader_live(now) || term < self.term || (trial && term == self.term) {
             self.reply_vote(address.place, term, trial, false);
             return;
@@ -182,6 +192,9 @@
                 self.early_trials = 0;
                 self.arm_election(now);
                 self.order_write(now, Writing::Vote { term, candidate: from });
+                if !self.rules.keep(Rule::VoteOnDisk) {
+                    self.vote_written(now, term, from);
+                }
             }
         }
     }
@@ -265,24 +278,33 @@
         true
     }
 
-    pub(super) fn reply_round(&mut self, to: Place, round: u64) {
+    /// Answers a round. One of an earlier term gets this member's term and no number: numbers begin
+    /// anew in each term, and the answer must prove nothing in a later one.
+    pub(super) fn reply_round(&mut self, to: Place, term: Term, round: u64) {
+        let is_present = term == self.term || !self.rules.keep(Rule::RoundOfItsTerm);
+        let round = if is_present { round } else { NO_ROUND };
         let reply =
             CoreBody::RoundReply { term: self.term, round, accepted: self.accepted_stamp() };
         self.send(to, reply);
     }
 
+    /// A leader that no majority answered within the election time leads no longer.
+    pub(super) fn step_down_if_unproven(&mut self, now: Moment) {
+        let Role::Leader(rounds) = &self.role else { return };
+        let proven_at = rounds.quorum_moment().max(self.leader_heard_at);
+        if now.since(proven_at) > self.timing.election_longest {
+            self.step_down(now, self.term);
+        }
+    }
+
     pub(super) fn lead(&mut self, now: Moment) {
         if self.is_disk_stalled(now) {
             self.outputs.push(CoreOutput::DiskStalled);
             self.step_down(now, self.term);
             return;
         }
+        self.step_down_if_unproven(now);
         let Role::Leader(rounds) = &mut self.role else { return };
-        let proven_at = rounds.quorum_moment().max(self.leader_heard_at);
-        if now.since(proven_at) > self.timing.election_longest {
-            self.step_down(now, self.term);
-            return;
-        }
         if now < rounds.next_at() {
             return;
         }
@@ -304,7 +326,7 @@
             self.send(*voter_place, body.clone());
         }
         if now >= self.outsiders_round_at {
-            self.outsiders_round_at = now + self.timing.hello_every;
+            self.outsiders_round_at = now + self.timing.round_every * OUTSIDERS_EVERY;
             let short_body = CoreBody::Round {
                 term: self.term,
                 round,
@@ -321,17 +343,14 @@
     }
 
     pub(super) fn count_round(&mut self, _now: Moment, round: u64, from: ControllerId) {
-        let present_document = self.accepted.clone();
-        let coming_document = self.proposed.clone();
-        if let Role::Leader(rounds) = &mut self.role {
-            rounds.answered(round, from, |answered| {
-                let is_fine = |held: &Option<Document>| {
-                    held.as_ref().is_none_or(|document| Self::is_majority_of(document, answered))
-                };
-                present_document.is_some()
-                    && is_fine(&present_document)
-                    && is_fine(&coming_document)
-            });
-        }
+        let Self { role, accepted, proposed, .. } = self;
+        let Role::Leader(rounds) = role else { return };
+        let Some(present_document) = accepted else { return };
+        rounds.answered(round, from, |answered| {
+            Self::is_majority_of(present_document, answered)
+                && proposed
+                    .as_ref()
+                    .is_none_or(|coming_document| Self::is_majority_of(coming_document, answered))
+        });
     }
 }
--- a/crates/controlplane/src/drivers/engine.rs
+++ b/crates/controlplane/src/drivers/engine.rs
@@ -1,6 +1,7 @@
 use super::disk::DiskDriver;
 use super::gauges::Gauges;
 use super::links::Links;
+use super::queue::{InputKind, InputQueue, InputSender, QueuedInput, input_queue};
 use super::{OperatorsTongue, OwnOperators, operators, platform, streams};
 use crate::boot::ControllerBoot;
 use crate::controller_state::{
@@ -9,13 +10,15 @@
 use crate::core::{Address, Core, Recalled};
 use crate::disk::{Seam, Shelf, ShelfFault, Sound};
 use crate::leader_state::StreamId;
+use arc_swap::ArcSwapOption;
 use common::chance::Chance;
 use common::clock::Moment;
 use common::events;
 use common::frames::{Place, StreamDown};
-use common::identity::ControllerId;
+use common::identity::{ControllerId, Stamp};
 use common::note;
 use common::readers::BootFault;
+use common::spec::SpecRecords;
 use common::tongue::{OwnPlatform, PlatformTongue};
 use std::collections::HashMap;
 use std::fmt;
@@ -26,6 +29,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
+/// A step that takes longer keeps rounds and votes waiting, and is noted.
+const SLOW_STEP: Duration = Duration::from_millis(20);
+
 /// Why a controller could not start.
 #[derive(Debug)]
 pub enum ControllerFault {
@@ -76,7 +82,7 @@
 
 /// What the controller's tasks share.
 pub struct Shared {
-    pub(super) inputs: mpsc::Sender<ControllerInput>,
+    pub(super) inputs: InputSender,
     pub(super) operations: Mutex<HashMap<OperationTicket, oneshot::Sender<OperationReply>>>,
     pub(super) streams: Mutex<HashMap<StreamId, mpsc::Sender<StreamDown>>>,
     pub(super) leads: watch::Sender<bool>,
@@ -86,6 +92,7 @@
     pub(super) operators: Arc<dyn OperatorsTongue>,
     pub(super) platform: Arc<dyn PlatformTongue>,
     pub(super) lists_wanted: Notify,
+    pub(super) newest_spec: ArcSwapOption<SpecRecords>,
     next_number: AtomicU64,
 }
 
@@ -123,14 +130,14 @@
         if let Ok(mut operations) = self.shared.operations.lock() {
             operations.remove(&self.ticket);
         }
-        let _ = self.shared.inputs.try_send(ControllerInput::Withdrawn(self.ticket));
+        self.shared.inputs.try_send(ControllerInput::Withdrawn(self.ticket));
     }
 }
 
 /// A running controller.
 pub struct Controller {
     controller_state: ControllerState,
-    inbox: mpsc::Receiver<ControllerInput>,
+    queue: InputQueue,
     shared: Arc<Shared>,
     links: Links,
     disk: Option<DiskDriver>,
@@ -178,7 +185,7 @@
 /// Tells a running controller of other seeds.
 #[derive(Clone)]
 pub struct Reseeder {
-    inputs: mpsc::Sender<ControllerInput>,
+    inputs: InputSender,
 }
 
 impl Reseeder {
@@ -214,7 +221,7 @@
         let listen_key = if boot.listen == boot.place { "place" } else { "listen" };
         let process_listener = listen(boot, listen_key, boot.listen).await?;
         let operators_listener = listen(boot, "operators", boot.operators).await?;
-        let (input_sender, inbox) = mpsc::channel(16_384);
+        let (input_sender, queue) = input_queue();
         let address = Address { place: boot.place, operators: boot.operators };
         let recalled = kept
             .as_ref()
@@ -229,7 +236,7 @@
             boot.seeds.clone(),
             chance,
         )
-        .with_size(boot.core_size)
+        .with_shape(boot.quorum_shape)
         .founding_first(may_found);
         let core = if kept.is_some() { core } else { core.passing_on() };
         let shared = Arc::new(Shared {
@@ -243,6 +250,7 @@
             operators: tongues.operators,
             platform: tongues.platform,
             lists_wanted: Notify::new(),
+            newest_spec: ArcSwapOption::empty(),
             next_number: AtomicU64::new(1),
         });
         Ok(Self {
@@ -251,7 +259,7 @@
                 boot.leader_state_timing.clone(),
                 boot.core_timing.election_shortest,
             ),
-            inbox,
+            queue,
             shared,
             links: Links::new(*boot.place.0.ip()),
             disk: kept.map(|(shelf, _, _)| DiskDriver::start(shelf, input_sender)),
@@ -265,7 +273,7 @@
     pub async fn run(self, stop: watch::Receiver<bool>) {
         let Self {
             mut controller_state,
-            mut inbox,
+            mut queue,
             shared,
             mut links,
             disk,
@@ -278,30 +286,54 @@
         let operators_task =
             tokio::spawn(operators::serve(operators_listener, shared.clone(), stop.clone()));
         let mut stopping = stop.clone();
+        let mut shared_stamp = Stamp::default();
         loop {
             let now = Moment::now();
             let idle_span = controller_state.next_due(now).since(now);
-            let input = tokio::select! {
-                () = tokio::time::sleep(idle_span) => ControllerInput::Tick,
-                Some(input) = inbox.recv() => input,
+            let QueuedInput { input, queued_at } = tokio::select! {
+                biased;
                 _ = stopping.wait_for(|stopping| *stopping) => break,
+                queued = queue.next(idle_span) => queued,
             };
             if matches!(input, ControllerInput::Operate(_, Operation::Metrics)) {
                 shared.gauges.set(&controller_state);
             }
-            for order in controller_state.take(Moment::now(), input) {
+            let kind = InputKind::of(&input);
+            let begun_at = Moment::now();
+            for order in controller_state.take(begun_at, input) {
                 obey(&shared, &mut links, disk.as_ref(), order);
             }
+            note_step(&shared, kind, begun_at.since(queued_at), Moment::now().since(begun_at));
+            share_spec(&shared, &controller_state, &mut shared_stamp);
             let is_leader = controller_state.core().is_leader();
             shared.leads.send_if_modified(|leads| std::mem::replace(leads, is_leader) != is_leader);
             shared.has_leader.store(controller_state.core().leader().is_some(), Ordering::Relaxed);
         }
         shared.newest_event.send_replace(u64::MAX);
-        drop(inbox);
+        drop(queue);
         let _ = tokio::time::timeout(Duration::from_secs(3), operators_task).await;
     }
 }
 
+/// Lets the tasks that read operators' orders share records with the newest spec.
+fn share_spec(shared: &Shared, controller_state: &ControllerState, shared_stamp: &mut Stamp) {
+    if let Some(document) = controller_state.core().accepted()
+        && document.stamp != *shared_stamp
+    {
+        *shared_stamp = document.stamp;
+        shared.newest_spec.store(Some(Arc::new(document.spec.clone())));
+    }
+}
+
+/// Measures a step, and notes one that kept leadership waiting.
+fn note_step(shared: &Shared, kind: InputKind, waited: Duration, handled: Duration) {
+    shared.gauges.observe_step(kind, waited, handled);
+    if handled > SLOW_STEP {
+        let (waited_ms, handled_ms) = (waited.as_millis(), handled.as_millis());
+        note!(Warn, events::SLOW_STEP, "{kind}: waited {waited_ms} ms, took {handled_ms} ms");
+    }
+}
+
 fn obey(
     shared: &Arc<Shared>,
     links: &mut Links,
--- a/crates/controlplane/tests/controller_state/orders.rs
+++ b/crates/controlplane/tests/controller_state/orders.rs
@@ -24,7 +24,7 @@
         base: None,
         numbering: Some(Numbering { number, base_number }),
         change: None,
-        kind: ChangeKind::Whole(spec),
+        kind: ChangeKind::Whole(spec.into()),
         wait: Wait::Accepted,
     }
 }
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -1,21 +1,23 @@
 //! Thin drivers: the shared state, the control task, hops between daemons, calls to runners.
 
+mod connector;
 mod control;
 mod daemon;
 mod door;
 mod gauges;
 pub mod holding;
-mod hops;
+mod hop_links;
+pub mod hops;
 mod links;
+mod metered;
 mod platform;
 mod runners;
-mod runtime;
 mod state;
 
 pub use crate::tongue::DaemonAdapters;
+pub use connector::{ByteStream, Connector, Opening, TcpConnector};
 pub use daemon::{Daemon, DaemonHandle};
 pub use door::serve_door;
 pub use gauges::Gauges;
-pub use hops::{AskEnd, HopLinks};
-pub use runtime::runtime;
+pub use hop_links::{AskEnd, HopLinks};
 pub use state::{HeldHere, State};
--- a/testing/fleet/src/sim/checks.rs
+++ b/testing/fleet/src/sim/checks.rs
@@ -5,7 +5,7 @@
     TransactionId, WorkerName, Zone,
 };
 use common::seal;
-use common::spec::{Document, Table, read_spec};
+use common::spec::{Document, SpecRecords, Table};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::fmt;
@@ -74,6 +74,7 @@
     written: BTreeMap<Serial, Value>,
     committed: BTreeMap<Serial, CommittedVersion>,
     reigns: BTreeMap<Term, (Serial, Serial)>,
+    accepted_on: BTreeMap<Serial, ChangeId>,
     seen: HashMap<TransactionId, Seen>,
     tries: BTreeMap<FunctionKey, Tries>,
     installed: HashMap<(usize, u64), Serial>,
@@ -99,7 +100,8 @@
         self.breaches.push(Breach { at, what });
     }
 
-    fn look(&mut self, kind: &'static str) {
+    /// Counts that something was looked at.
+    pub fn look(&mut self, kind: &'static str) {
         *self.looked.entry(kind).or_default() += 1;
     }
 
@@ -109,7 +111,7 @@
         let serial = document.stamp.serial;
         let content = content_of(document);
         let term = document.stamp.term;
-        if let Err(faults) = read_spec(&document.spec) {
+        if let Err(faults) = document.spec.check() {
             let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
             self.breach(at, format!("serial {serial} is committed and invalid at {paths:?}"));
         }
@@ -145,7 +147,8 @@
         }
         let routes = Table::build(&document.view())
             .map(|table| {
-                let named = document.spec["routes"].as_object().into_iter().flatten();
+                let spec = document.spec.to_value();
+                let named = spec["routes"].as_object().into_iter().flatten();
                 named
                     .filter_map(|(name, _)| {
                         let route = table.route_named(name)?;
@@ -162,7 +165,8 @@
         let seen_serial = document.view_serial();
         let newest = self.committed.last_key_value();
         let is_same = newest.is_some_and(|(newest_serial, known)| {
-            *newest_serial == seen_serial && known.content["spec"] == document.spec
+            *newest_serial == seen_serial
+                && document.spec == SpecRecords::from(known.content["spec"].clone())
         });
         if !is_same {
             let serial = document.stamp.serial;
@@ -171,7 +175,7 @@
     }
 
     /// An operator was told that a change is accepted.
-    pub fn accepts(&mut self, at: Moment, change: &ChangeId, serial: Serial) {
+    pub fn accepts(&mut self, at: Moment, change: &ChangeId, base: Option<Serial>, serial: Serial) {
         self.look("accepted change");
         let is_there = self.committed.get(&serial).is_some_and(|known| {
             let noted = known.content["changes"].as_array().into_iter().flatten();
@@ -180,6 +184,12 @@
         if !is_there {
             self.breach(at, format!("{change} was accepted as {serial}, which does not hold it"));
         }
+        if let Some(base) = base
+            && let Some(other) = self.accepted_on.insert(base, change.clone())
+            && other != *change
+        {
+            self.breach(at, format!("{other} and {change} were both accepted on {base}"));
+        }
     }
 
     /// So many answers to operators were judged by their history.
@@ -546,6 +556,11 @@
         }
     }
 
+    /// Whether a serial that daemons see was committed.
+    pub fn is_committed(&self, serial: Serial) -> bool {
+        self.committed.contains_key(&serial)
+    }
+
     /// The newest committed serial.
     pub fn newest_serial(&self) -> Serial {
         self.committed.last_key_value().map(|(serial, _)| *serial).unwrap_or_default()
--- a/testing/fleet/src/sim/orders.rs
+++ b/testing/fleet/src/sim/orders.rs
@@ -1,8 +1,10 @@
 //! How operators send: to any controller, again after silence or a failure, and read back.
 
+use super::drawn_orders::{draw_base, draw_number, draw_order};
+use super::event::Event;
 use super::network::Node;
-use super::operator::{draw_base, draw_number, draw_order, spec};
-use super::world::{Event, World};
+use super::operator::spec;
+use super::world::World;
 use crate::history::{Answer, History, OrderId, Reading, SendingId, ZoneOrderId};
 use common::clock::Moment;
 use common::identity::{ChangeId, Zone};
@@ -93,7 +95,7 @@
 
 impl World {
     /// Operators send a change, or two at once on top of the same version.
-    pub(super) fn send_change(&mut self) {
+    pub(super) fn send_orders(&mut self) {
         let base = draw_base(&mut self.chance, &self.operators.known_numbers);
         let number = draw_number(&mut self.chance, base);
         let rival_count = if self.chance.happens(0.4) { 2 } else { 1 };
@@ -246,7 +248,7 @@
     }
 
     /// A controller's answer has reached its operator.
-    pub(super) fn hear_operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
+    pub(super) fn hear_answer(&mut self, ticket: OperationTicket, reply: OperationReply) {
         if self.chance.happens(LOST_ANSWER_SHARE) {
             return;
         }
@@ -278,7 +280,7 @@
                     asked_at: sent.sent_at,
                     heard_at: self.now,
                     number: document.number,
-                    content: document.spec.clone(),
+                    content: document.spec.to_value(),
                     evacuated: evacuated.collect(),
                 });
                 self.end_wish(sent.wish, "configuration read");
@@ -295,7 +297,7 @@
         let (change, numbering) = (change.clone(), *numbering);
         let answer = match reply {
             OperationReply::Accepted { serial, .. } => {
-                self.checks.accepts(self.now, &change, serial);
+                self.checks.accepts(self.now, &change, None, serial);
                 if let Some(numbering) = numbering {
                     self.operators.learn(numbering.number);
                 }
@@ -343,12 +345,6 @@
         }
     }
 
-    pub(super) fn schedule_change(&mut self) {
-        let longest_span = self.plan.order_gap;
-        let wait_span = self.chance.within(longest_span / 10, longest_span);
-        self.push(wait_span, Event::Change);
-    }
-
     pub(super) fn schedule_reading(&mut self) {
         let wait_span = self.chance.within(Duration::from_millis(100), Duration::from_millis(1500));
         self.push(wait_span, Event::ReadBack);
--- a/testing/fleet/src/sim/proofs.rs
+++ b/testing/fleet/src/sim/proofs.rs
@@ -1,6 +1,7 @@
 use super::faults::SimFault;
 use super::flaw::Flaw;
-use super::world::{SimPlan, World};
+use super::plan::SimPlan;
+use super::world::World;
 use common::rules::Rule;
 use std::fmt;
 use std::time::Duration;
@@ -20,8 +21,8 @@
     pub says: &'static str,
     /// How many seeds find it with certainty.
     pub seeds: u64,
-    /// The longest time from one order of operators to the next.
-    pub order_gap: Duration,
+    /// Whether operators send hundreds of numbered orders.
+    pub numbers_orders: bool,
 }
 
 /// What a proof showed.
@@ -40,9 +41,9 @@
 const HURRIED_ORDER_GAP: Duration = Duration::from_millis(150);
 
 impl Proof {
-    /// The same with hundreds of orders.
-    const fn hurried(mut self) -> Self {
-        self.order_gap = HURRIED_ORDER_GAP;
+    /// The same with hundreds of numbered orders.
+    const fn with_orders(mut self) -> Self {
+        self.numbers_orders = true;
         self
     }
 
@@ -54,7 +55,8 @@
             gap: self.gap,
             rate: 60.0,
             twins: 0.5,
-            order_gap: self.order_gap,
+            numbers_orders: self.numbers_orders,
+            order_gap: if self.numbers_orders { HURRIED_ORDER_GAP } else { ORDER_GAP },
             ..SimPlan::seeded(seed)
         }
     }
@@ -105,7 +107,7 @@
     seeds: u64,
 ) -> Proof {
     let gap = Duration::from_millis(gap_ms);
-    Proof { point, flaw, faults, gap, says, seeds, order_gap: ORDER_GAP }
+    Proof { point, flaw, faults, gap, says, seeds, numbers_orders: false }
 }
 
 use SimFault as F;
@@ -213,17 +215,17 @@
         Rule::RefusalProven,
         &[F::FreezeLeader, F::CutCore],
         4000,
-        "named when it was not current",
+        "was acknowledged before",
         50,
     )
-    .hurried(),
+    .with_orders(),
     proof("orders", Rule::TakenKnown, &[F::KillLeader], 1500, "was taken, then refused", 50)
-        .hurried(),
+        .with_orders(),
     proof("orders", Rule::NumberTakenOnce, &[F::KillLeader], 1500, "both accepted as", 50)
-        .hurried(),
+        .with_orders(),
     proof("orders", Rule::AcknowledgedByMajority, &[F::KillLeader, F::CutCore], 1500, "", 50)
-        .hurried(),
+        .with_orders(),
     proof("orders", Rule::HungUpDropped, &[F::Evacuate], 500, "which no order explains", 50)
-        .hurried(),
+        .with_orders(),
     around("down", Flaw::StopsUnheard, &[F::KillHerd, F::DrainWorker], 3000, "mostly down", 6),
 ];
--- a/testing/fleet/src/sim/runners.rs
+++ b/testing/fleet/src/sim/runners.rs
@@ -1,5 +1,6 @@
+use super::event::Event;
 use super::platform::Asker;
-use super::world::{Event, World};
+use super::world::World;
 use common::frames::Place;
 use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
 use common::seal;
@@ -46,6 +47,11 @@
         let local_now = self.daemon_now(place);
         let Some(agent) = self.agent(place) else { return };
         let (function, grant) = (held.function.clone(), held.grant);
+        let Some(target) = held.send_target(runner) else {
+            let ended = Event::SendEnded(asker, function, ticket, grant, SendEnd::Unsent);
+            self.push(Duration::from_micros(1), ended);
+            return;
+        };
         let call = held
             .task(ticket)
             .ok_or(common::frames::HopReason::NotServing)
@@ -58,8 +64,7 @@
                         format!("daemon {place} sends {transaction} outside its member grant");
                     self.checks.breach(self.now, what);
                 }
-                let life = held.life_of(runner).map(|life| life.name);
-                let before = life.and_then(|life| self.checks.sends(&life, place, grant));
+                let before = self.checks.sends(&target.life, place, grant);
                 if let Some((other, other_grant)) = before
                     && self.is_live_holder(other, &function, other_grant)
                 {
@@ -69,7 +74,7 @@
                     );
                     self.checks.breach(self.now, what);
                 }
-                let asked_runner = held.face_of(runner);
+                let asked_runner = target.face;
                 let run = SimRun { asker, function, grant, ticket, asked_runner, call };
                 let delay = self.long_delay();
                 self.push(delay, Event::Run(runner_place, run));
@@ -109,7 +114,7 @@
         let is_adopted = runner.grant != run.grant;
         let answered = if is_adopted { answered.max((slots / 2).max(1) - 1) } else { answered };
         self.traced(|now| {
-            let daemon = run.asker.node.0 - 3;
+            let daemon = run.asker.node.daemon_place();
             format!("{now} run {transaction} on {runner} for daemon {daemon}")
         });
         self.checks.bears(self.now, runner, running_count, slots, answered, ready_at);
@@ -118,7 +123,7 @@
         let leaves_since = self.platform.leaving_since.get(&runner).copied();
         self.checks.not_leaving(self.now, runner, leaves_since);
         let worker_zone = self.platform.zone_of(&worker).cloned();
-        let daemon_zone = World::zone(run.asker.node.0 - 3);
+        let daemon_zone = World::zone(run.asker.node.daemon_place());
         for zone in worker_zone.into_iter().chain([daemon_zone]) {
             self.checks.not_evacuated(self.now, &zone);
         }
--- a/testing/platform-stub/src/main.rs
+++ b/testing/platform-stub/src/main.rs
@@ -1,12 +1,13 @@
 //! The stand-in platform as a process.
 
 use common::chance::Chance;
+use common::command_line::{self, Program};
 use common::frames::Place;
 use eyre::WrapErr;
 use gumdrop::Options;
 use platform_stub::platform::{Platform, Worker};
 use platform_stub::records::Records;
-use platform_stub::runner::{Mischief, Yard};
+use platform_stub::runner::{RunnerFaults, Yard};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -48,13 +49,11 @@
     records: PathBuf,
 }
 
+const PROGRAM: Program = Program::new("platform-stub", env!("CARGO_PKG_VERSION"));
+
 fn main() -> eyre::Result<()> {
-    let flags = common::command_line::read::<Flags>("platform-stub");
-    if flags.version {
-        println!("platform-stub {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
-    common::command_line::start_log();
+    let flags = PROGRAM.flags(|flags: &Flags| flags.version);
+    command_line::start_log();
     let doors = flags
         .doors
         .split(',')
@@ -74,17 +73,15 @@
         (Duration::from_millis(flags.work_shortest), Duration::from_millis(flags.work_longest));
     let yard = Arc::new(Yard {
         records: Records::create(&flags.records).wrap_err("--records")?,
-        mischief: Mutex::new(Mischief::default()),
+        runner_faults: Mutex::new(RunnerFaults::default()),
         chance: Mutex::new(Chance::seeded(flags.seed)),
         work,
     });
     let platform =
         Platform::new(yard, workers, Duration::from_millis(flags.lag), doors, flags.reuse);
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
-    runtime.block_on(async {
+    command_line::runtime(4)?.block_on(async {
         let listener = TcpListener::bind(&flags.place).await.wrap_err("--place")?;
-        let stop = common::command_line::told_to_stop()?;
+        let stop = command_line::told_to_stop()?;
         platform.serve(listener, stop).await;
         Ok(())
     })
