--- a/testing/fleet/src/commands/flags.rs
+++ b/testing/fleet/src/commands/flags.rs
@@ -129,6 +129,10 @@
     pub faults: String,
     #[options(no_short, help = "longest milliseconds between two faults", default = "3500")]
     pub gap_ms: u64,
+    #[options(no_short, help = "operators number their orders, and their history is judged")]
+    pub orders: bool,
+    #[options(no_short, help = "longest milliseconds between two orders", default = "3000")]
+    pub order_gap_ms: u64,
     #[options(help = "a rule to break on purpose", default = "none")]
     pub flaw: String,
     #[options(
--- a/testing/fleet/src/sim/checks.rs
+++ b/testing/fleet/src/sim/checks.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// So many answers to operators were judged by their history.
+    pub fn judges_operators(&mut self, judged_count: usize) {
+        *self.looked.entry("operator's answer").or_default() += judged_count as u64;
+    }
+
     /// An operator was told that a change is not accepted.
     pub fn refuses(&mut self, at: Moment, change: &ChangeId) {
         self.look("refused change");
--- /dev/null
+++ b/testing/fleet/src/sim/drawn_orders.rs
@@ -0,0 +1,99 @@
+//! What operators ask for: configurations with their own uneven numbers, some of them invalid.
+
+use super::operator::spec;
+use crate::history::{Effect, Order};
+use common::chance::Chance;
+use controlplane::controller_state::{ChangeKind, ItemChange};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// The share of orders that are invalid.
+const INVALID_SHARE: f64 = 0.12;
+/// The share of orders that change named items.
+const ITEMS_SHARE: f64 = 0.3;
+/// The share of orders built on an older version than the newest that the operator knows.
+const OLD_BASE_SHARE: f64 = 0.08;
+/// By how much a number is above the one it is built on, at most.
+const LONGEST_STEP: u64 = 5;
+
+/// The ways in which an order can be invalid, whatever it is built on.
+#[derive(Clone, Copy)]
+enum Mistake {
+    UnknownFunction,
+    SamePath,
+    NoTime,
+    LowNumber,
+}
+
+const MISTAKES: [Mistake; 4] =
+    [Mistake::UnknownFunction, Mistake::SamePath, Mistake::NoTime, Mistake::LowNumber];
+
+fn canary_route(function: &str) -> Value {
+    json!({
+        "method": "POST",
+        "path": "/canary",
+        "function": function,
+        "budget_ms": 3000,
+        "kind": "repeatable",
+    })
+}
+
+/// An order as an operator draws it, and what it asks of a controller.
+pub struct DrawnOrder {
+    /// For the history.
+    pub order: Order,
+    /// For the controller.
+    pub kind: ChangeKind,
+}
+
+/// A number above the one it is built on, by an uneven step.
+pub fn draw_number(chance: &mut Chance, base: u64) -> u64 {
+    base + 1 + chance.below(LONGEST_STEP)
+}
+
+/// What an order is built on: the newest version that is known, or now and then an older one.
+pub fn draw_base(chance: &mut Chance, known_numbers: &[u64]) -> u64 {
+    let newest = known_numbers.last().copied().unwrap_or(0);
+    if chance.happens(OLD_BASE_SHARE) && known_numbers.len() > 1 {
+        known_numbers[known_numbers.len() - 2]
+    } else {
+        newest
+    }
+}
+
+/// An order with this number on this base; its label makes its content unlike any other.
+pub fn draw_order(chance: &mut Chance, number: u64, base: u64, label: u64) -> DrawnOrder {
+    let mistake = chance
+        .happens(INVALID_SHARE)
+        .then(|| MISTAKES[chance.below(MISTAKES.len() as u64) as usize]);
+    let number = if matches!(mistake, Some(Mistake::LowNumber)) { base } else { number };
+    if mistake.is_none() && chance.happens(ITEMS_SHARE) {
+        return draw_items(chance, number, base, label);
+    }
+    let mut content = spec(chance.below(6));
+    content["labels"] = json!({"order": label});
+    match mistake {
+        Some(Mistake::UnknownFunction) => {
+            content["routes"]["canary"]["function"] = json!("nowhere");
+        }
+        Some(Mistake::SamePath) => content["routes"]["again"] = canary_route("f0"),
+        Some(Mistake::NoTime) => content["routes"]["canary"]["budget_ms"] = json!(0),
+        Some(Mistake::LowNumber) | None => {}
+    }
+    let effect = Effect::Replace(content.clone());
+    let is_valid = mistake.is_none();
+    let order = Order { number, base, effect, is_valid };
+    DrawnOrder { order, kind: ChangeKind::Whole(content.into()) }
+}
+
+/// The canary goes to another function.
+fn draw_items(chance: &mut Chance, number: u64, base: u64, label: u64) -> DrawnOrder {
+    let mut route = canary_route(&format!("f{}", chance.below(5)));
+    route["labels"] = json!({"order": label});
+    let item_name = ("routes".to_owned(), "canary".to_owned());
+    let effect = Effect::Amend(BTreeMap::from([(item_name, Some(route.clone()))]));
+    let put_routes = BTreeMap::from([("canary".to_owned(), route)]);
+    let items = ItemChange { put_routes, ..ItemChange::default() };
+    let order = Order { number, base, effect, is_valid: true };
+    DrawnOrder { order, kind: ChangeKind::Items(Box::new(items)) }
+}
