Let only the caller's daemon pass a lost request on again

Passed once by the caller's daemon and repeated by every daemon on the way that lost its link, a request reached the holder up to tries times for each hop.

Change: a daemon on the way says that it fell silent, and the caller's daemon alone decides on another pass, by one count. A test of the forwarding was first seen failing.

--- a/crates/dataplane/src/agent/forwarding/step_end.rs
+++ b/crates/dataplane/src/agent/forwarding/step_end.rs
@@ -79,6 +79,9 @@
             PassEnd::Done(outcome, _) if is_not_allowed(&outcome) && self.ask.hops == 0 => {
                 self.dispute(agent, now)
             }
+            PassEnd::Done(HopOutcome::Unknown { reason: HopReason::HolderSilent }, _) => {
+                self.after_loss(agent, now)
+            }
             PassEnd::Done(outcome, holder) => {
                 if let Some(holder) = &holder {
                     agent.learn_owner(&self.ask.function, holder);
@@ -89,20 +92,24 @@
                 agent.forget_owner(&self.ask.function);
                 self.pause(now)
             }
-            PassEnd::Lost => {
-                agent.forget_owner(&self.ask.function);
-                if self.may_pass_again(agent, now) {
-                    self.lost_count += 1;
-                    self.ask.repeat = true;
-                    self.give_up_at = None;
-                    return self.pause(now);
-                }
-                ForwardingStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, None)
-            }
+            PassEnd::Lost => self.after_loss(agent, now),
+        }
+    }
+
+    /// A daemon fell silent with it: the next one, or one behind that.
+    fn after_loss<W>(&mut self, agent: &Agent<W>, now: Moment) -> ForwardingStep<W> {
+        agent.forget_owner(&self.ask.function);
+        if self.may_pass_again(agent, now) {
+            self.lost_count += 1;
+            self.ask.repeat = true;
+            self.give_up_at = None;
+            return self.pause(now);
         }
+        ForwardingStep::End(HopOutcome::Unknown { reason: HopReason::HolderSilent }, None)
     }
 
-    /// A repeatable transaction whose holder fell silent goes to the next one, as an extra try.
+    /// A repeatable transaction whose holder fell silent goes to the next one, as an extra try. Only the
+    /// caller's daemon does so: were those on the way to repeat it too, each pass would be multiplied.
     fn may_pass_again<W>(&self, agent: &Agent<W>, now: Moment) -> bool {
         let table = agent.table.load();
         let has_time = now + HOP_COST + ASK_PAUSE < self.ask.budget_end;
@@ -110,6 +117,7 @@
         table
             .route_named(&self.ask.route)
             .is_some_and(|route| !route.spec.once && has_tries(route.spec.tries) && has_time)
+            && self.ask.hops == 0
     }
 
     /// The leader has answered, or the question was lost. A wait that it foresees and that the caller
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -587,3 +587,34 @@
     bench.controller.disconnected(&bench.agent, bench.now);
     verify_that!(bench.agent.serves_again_after(), eq(ms(1000)))
 }
+
+fn is_silent<W>(step: &ForwardingStep<W>) -> bool {
+    let silent = HopOutcome::Unknown { reason: HopReason::HolderSilent };
+    matches!(step, ForwardingStep::End(outcome, _) if *outcome == silent)
+}
+
+/// Were daemons on the way to repeat what was lost behind them, a transaction would reach more runners
+/// than its route allows: each of them would do so for each pass of the one before.
+#[gtest]
+fn only_the_callers_daemon_passes_a_lost_transaction_again() -> Result<()> {
+    let holder = far_host("daemon-2", 4);
+    let bench = Bench::among(vec![holder.clone()]);
+    bench.agent.learn_owner(&bench.key("f"), &holder);
+    let mut on_the_way = Forwarding::new(bench.now, Ask { hops: 1, refer: false, ..bench.ask() });
+    let passing = on_the_way.look(&bench.agent, bench.now);
+    verify_that!(matches!(passing, ForwardingStep::Pass { .. }), eq(true))?;
+    let step = on_the_way.passed(&bench.agent, bench.now, PassEnd::Lost);
+    verify_that!(is_silent(&step), eq(true))?;
+
+    bench.agent.learn_owner(&bench.key("f"), &holder);
+    let mut at_the_door = Forwarding::new(bench.now, bench.ask());
+    at_the_door.look(&bench.agent, bench.now);
+    let told = || PassEnd::Done(HopOutcome::Unknown { reason: HopReason::HolderSilent }, None);
+    for _ in 1..3 {
+        let step = at_the_door.passed(&bench.agent, bench.now, told());
+        verify_that!(matches!(step, ForwardingStep::Wait { .. }), eq(true))?;
+        verify_that!(at_the_door.ask().repeat, eq(true))?;
+    }
+    let step = at_the_door.passed(&bench.agent, bench.now, told());
+    verify_that!(is_silent(&step), eq(true))
+}
