--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -18,7 +18,7 @@
 use common::clock::Moment;
 use common::frames::{Blob, CoreBody, CoreFrame, Flag, KnownMember, Place};
 use common::identity::{ControllerId, Stamp, Term, Ticket, Zone};
-use common::rules::Rules;
+use common::rules::{Rule, Rules};
 use common::spec::Document;
 use rounds::Rounds;
 use std::collections::{BTreeMap, BTreeSet};
@@ -228,6 +228,13 @@
         self.leader.map(|(_, address)| address)
     }
 
+    /// The leader, if it was heard within the longest election timeout.
+    pub fn live_leader(&self, now: Moment) -> Option<Address> {
+        let is_live = now.since(self.leader_heard_at) <= self.timing.election_longest
+            || !self.rules.keep(Rule::LeaderHeard);
+        self.leader().filter(|_| is_live)
+    }
+
     /// The newest version on this disk.
     pub fn accepted(&self) -> Option<&Document> {
         self.accepted.as_ref()
@@ -296,7 +303,7 @@
     pub fn expire(&mut self, now: Moment) -> Vec<CoreOutput> {
         if self.is_leader() {
             self.step_down_if_unproven(now);
-        } else if now >= self.election_at {
+        } else if now >= self.election_at && self.rules.keep(Rule::LeaderHeard) {
             self.leader = None;
         }
         std::mem::take(&mut self.outputs)
--- a/crates/controlplane/src/drivers/queue.rs
+++ b/crates/controlplane/src/drivers/queue.rs
@@ -51,7 +51,7 @@
             ControllerInput::Workers(_)
             | ControllerInput::Runners(..)
             | ControllerInput::RunnerStopped(_) => Self::Platform,
-            ControllerInput::Operate(..) => Self::Operator,
+            ControllerInput::Operate(..) | ControllerInput::Withdrawn(_) => Self::Operator,
             ControllerInput::Seeds(_) => Self::Settings,
         }
     }
@@ -132,6 +132,12 @@
         lane.blocking_send(QueuedInput::now(input)).map_err(|_| QueueClosed)
     }
 
+    /// Queues an input if its lane has room; whether it had.
+    pub fn try_send(&self, input: ControllerInput) -> bool {
+        let lane = self.lane(&input);
+        lane.try_send(QueuedInput::now(input)).is_ok()
+    }
+
     /// Whether the controller has stopped.
     pub fn is_closed(&self) -> bool {
         self.ordinary.is_closed()
--- a/testing/fleet/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -5,7 +5,6 @@
     ChangeKind, Operation, OperationReply, OperationTicket, Wait,
 };
 use serde_json::{Value, json};
-use std::time::Duration;
 
 /// One operator's change that is on its way.
 pub struct SimChange {
@@ -53,6 +52,14 @@
 impl World {
     /// An operator sends one change.
     pub(super) fn send(&mut self, base: Option<Serial>, kind: ChangeKind) {
+        if self.plan.numbers_orders {
+            match kind {
+                ChangeKind::Evacuate { zone, .. } => self.turn_zone(zone, true),
+                ChangeKind::Restore { zone } => self.turn_zone(zone, false),
+                _ => {}
+            }
+            return;
+        }
         self.next_number += 1;
         let change = ChangeId::from(format!("change-{}", self.next_number));
         let target = self.chance.below(3) as usize;
@@ -61,6 +68,10 @@
 
     /// An operator sends a change, built on the newest serial or on one just before.
     pub(super) fn send_change(&mut self) {
+        if self.plan.numbers_orders {
+            self.send_orders();
+            return;
+        }
         let newest_serial = self.checks.newest_serial();
         let count = if self.chance.happens(0.3) { 2 } else { 1 };
         for _ in 0..count {
@@ -96,6 +107,10 @@
     }
 
     pub(super) fn hear_operated(&mut self, ticket: OperationTicket, reply: OperationReply) {
+        if self.plan.numbers_orders {
+            self.hear_answer(ticket, reply);
+            return;
+        }
         let Some(change) = self.changes.remove(&ticket) else { return };
         match reply {
             OperationReply::Elsewhere(leader) => {
@@ -127,7 +142,8 @@
     }
 
     pub(super) fn schedule_change(&mut self) {
-        let wait_span = self.chance.within(Duration::from_millis(300), Duration::from_millis(3000));
+        let longest_span = self.plan.order_gap;
+        let wait_span = self.chance.within(longest_span / 10, longest_span);
         self.push(wait_span, Event::Change);
     }
 }
--- a/testing/fleet/src/sim/plan.rs
+++ b/testing/fleet/src/sim/plan.rs
@@ -30,6 +30,8 @@
     pub second_loss: Option<SecondLoss>,
     /// Whether the end of the script is judged.
     pub judges_script: bool,
+    /// Whether the day ends as soon as the control side is back after its single loss.
+    pub ends_when_back: bool,
     /// Whether operators send changes by chance.
     pub has_changes: bool,
     /// How long the day goes on after everything is mended.
@@ -52,6 +54,10 @@
     pub tuning: Tuning,
     /// Whether functions that boot long are sought before they are called.
     pub seeks_warm: bool,
+    /// Whether operators number their orders, send them again, and read back, as the history judges.
+    pub numbers_orders: bool,
+    /// The longest time from one order of operators to the next.
+    pub order_gap: Duration,
 }
 
 impl SimPlan {
@@ -65,6 +71,7 @@
             script: Vec::new(),
             second_loss: None,
             judges_script: false,
+            ends_when_back: false,
             has_changes: true,
             closing: Duration::from_secs(20),
             lasts: Duration::from_secs(30),
@@ -77,6 +84,8 @@
             gap: Duration::from_millis(3500),
             tuning: Tuning::default(),
             seeks_warm: false,
+            numbers_orders: false,
+            order_gap: Duration::from_millis(3000),
         }
     }
 
--- a/testing/fleet/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -7,6 +7,7 @@
 use super::links::Link;
 use super::network::{Network, Node, PLATFORM};
 use super::operator::SimChange;
+use super::orders::Operators;
 use super::plan::{SimEnd, SimPlan};
 use super::platform::SimPlatform;
 use super::recovery::RecoveryClock;
@@ -42,6 +43,7 @@
     pub(super) unsynced: Vec<(usize, WriteJob)>,
     pub(super) changes: HashMap<OperationTicket, SimChange>,
     pub(super) refused_changes: Vec<ChangeId>,
+    pub(super) operators: Operators,
     pub(super) next_number: u64,
     pub(super) mischief: f64,
     pub(super) impatient_until: Moment,
@@ -81,6 +83,7 @@
             unsynced: Vec::new(),
             changes: HashMap::new(),
             refused_changes: Vec::new(),
+            operators: Operators::default(),
             next_number: 0,
             mischief: 0.0,
             impatient_until: Moment::ZERO,
@@ -110,6 +113,9 @@
         if world.plan.has_changes {
             world.schedule_change();
         }
+        if world.plan.numbers_orders {
+            world.schedule_reading();
+        }
         world.schedule_script();
         if world.plan.has_faults {
             world.push(Duration::from_secs(6), Event::Fault);
@@ -165,11 +171,15 @@
             self.count_step(&event);
             self.note_statement(&event);
             self.happen(event);
+            if self.plan.ends_when_back && self.recovery.measured(self.plan.daemons).is_some() {
+                break;
+            }
         }
         if self.plan.judges_script {
             self.check_script_end();
         }
         self.check_refused();
+        self.judge_operators();
         let (share_after, back_after) = self.return_to_service();
         self.check_return();
         SimEnd {
@@ -188,11 +198,16 @@
         self.frozen.get(&node).is_some_and(|until| *until > self.now)
     }
 
-    /// A frozen machine wakes: what came meanwhile is taken in the order in which it came.
+    /// A frozen machine wakes: what came meanwhile is taken in the order in which it came, but for
+    /// operators' connections, which may be read before all others.
     pub(super) fn wake_machine(&mut self, node: Node) {
         if !self.is_frozen(node) {
             self.frozen.remove(&node);
-            for event in self.deferred.remove(&node).unwrap_or_default() {
+            let deferred = self.deferred.remove(&node).unwrap_or_default();
+            let is_read_first = self.plan.numbers_orders && self.chance.happens(0.8);
+            let (first, others): (Vec<Event>, Vec<Event>) =
+                deferred.into_iter().partition(|event| is_read_first && event.is_from_operator());
+            for event in first.into_iter().chain(others) {
                 self.push(Duration::ZERO, event);
             }
         }
