--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -304,7 +304,9 @@
         if self.is_leader() {
             self.step_down_if_unproven(now);
         } else if now >= self.election_at {
-            self.leader = None;
+            if self.rules.keep(Rule::LeaderHeard) {
+                self.leader = None;
+            }
         }
         std::mem::take(&mut self.outputs)
     }
--- a/testing/fleet/src/sim/script.rs
+++ b/testing/fleet/src/sim/script.rs
@@ -290,14 +290,15 @@
         }
     }
 
-    /// Counts a step of the control side; the plan's second loss falls before the step it names.
+    /// Counts a step of the control side until everything is mended; the plan's second loss falls
+    /// before the step it names.
     pub(super) fn count_step(&mut self, event: &Event) {
         let is_step = match event {
             Event::CoreFrame(..) | Event::Durable(..) => true,
             Event::Written(node, ..) => node.is_controller(),
             _ => false,
         };
-        if !is_step || !self.script.is_counting {
+        if !is_step || !self.script.is_counting || self.now >= self.script_end() {
             return;
         }
         self.script.steps += 1;
