--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -303,10 +303,8 @@
     pub fn expire(&mut self, now: Moment) -> Vec<CoreOutput> {
         if self.is_leader() {
             self.step_down_if_unproven(now);
-        } else if now >= self.election_at {
-            if self.rules.keep(Rule::LeaderHeard) {
-                self.leader = None;
-            }
+        } else if now >= self.election_at && self.rules.keep(Rule::LeaderHeard) {
+            self.leader = None;
         }
         std::mem::take(&mut self.outputs)
     }
@@ -479,6 +477,11 @@
         known_places
     }
 
+    fn keeps_nothing(&self, place: Place) -> bool {
+        let greeting = self.others.get(&place).and_then(|other| other.greeting.as_ref());
+        greeting.is_some_and(|greeting| greeting.passes_on)
+    }
+
     fn forget_others(&mut self, now: Moment) {
         let kept_places = self.greeted_places();
         let kept_span = self.timing.replace_after * 4;
--- a/testing/fleet/src/commands/simulator.rs
+++ b/testing/fleet/src/commands/simulator.rs
@@ -114,6 +114,7 @@
         .collect::<Result<Vec<SimFault>, PlanFault>>()?;
     let (lasts, gap) = (Duration::from_secs(sim.lasts), Duration::from_millis(sim.gap_ms.max(400)));
     let (daemons, has_faults) = (sim.daemons, !sim.calm);
+    let (numbers_orders, order_gap) = (sim.orders, Duration::from_millis(sim.order_gap_ms));
     Ok(Box::new(move |seed| SimPlan {
         flaw,
         lasts,
@@ -121,6 +122,8 @@
         has_faults,
         focus: focus.clone(),
         gap,
+        numbers_orders,
+        order_gap,
         ..SimPlan::seeded(seed)
     }))
 }
--- a/testing/fleet/src/sim/dispatch.rs
+++ b/testing/fleet/src/sim/dispatch.rs
@@ -166,6 +166,15 @@
             Event::Operate(node, ticket, operation) => {
                 self.feed_controller(node.0, ControllerInput::Operate(ticket, operation));
             }
+            Event::Withdraw(node, ticket) => {
+                self.feed_controller(node.0, ControllerInput::Withdrawn(ticket));
+            }
+            Event::HangUp(ticket) => self.hang_up(ticket),
+            Event::SendAgain(wish) => self.send_wish(wish),
+            Event::ReadBack => {
+                self.read_back();
+                self.schedule_reading();
+            }
             Event::Operated(ticket, reply) => self.hear_operated(ticket, reply),
             Event::ListTick => {
                 self.platform.take_list(self.now);
--- a/testing/fleet/src/sim/event.rs
+++ b/testing/fleet/src/sim/event.rs
@@ -50,6 +50,10 @@
     StewardAsked(Node, Asker, u64, FunctionKey, GrantSerial, Topic, HopBody),
     StewardSaid(Asker, u64, FunctionKey, GrantSerial, Topic, Option<HopBody>),
     Operate(Node, OperationTicket, Operation),
+    Withdraw(Node, OperationTicket),
+    HangUp(OperationTicket),
+    SendAgain(u64),
+    ReadBack,
     Operated(OperationTicket, OperationReply),
     ListTick,
     Call,
@@ -70,6 +74,11 @@
 }
 
 impl Event {
+    /// Whether it comes on an operator's connection.
+    pub(super) fn is_from_operator(&self) -> bool {
+        matches!(self, Self::Operate(..) | Self::Withdraw(..))
+    }
+
     /// The node whose process must be awake for it, and in which life if that matters.
     pub(super) fn target(&self) -> Option<(Node, Option<u64>)> {
         match self {
@@ -94,7 +103,8 @@
             | Self::ControllerGone(node, _)
             | Self::Beat(node, _)
             | Self::StewardAsked(node, ..)
-            | Self::Operate(node, ..) => Some((*node, None)),
+            | Self::Operate(node, ..)
+            | Self::Withdraw(node, _) => Some((*node, None)),
             _ => None,
         }
     }
--- a/testing/fleet/src/sim/proofs.rs
+++ b/testing/fleet/src/sim/proofs.rs
@@ -21,6 +21,8 @@
     pub says: &'static str,
     /// How many seeds find it with certainty.
     pub seeds: u64,
+    /// Whether operators send hundreds of numbered orders.
+    pub numbers_orders: bool,
 }
 
 /// What a proof showed.
@@ -33,7 +35,18 @@
     pub looked: u64,
 }
 
+/// The longest time between two orders where they are not what is proved.
+const ORDER_GAP: Duration = Duration::from_millis(3000);
+/// The same where they are: hundreds in a day, as many under way as operators have at once.
+const HURRIED_ORDER_GAP: Duration = Duration::from_millis(150);
+
 impl Proof {
+    /// The same with hundreds of numbered orders.
+    const fn with_orders(mut self) -> Self {
+        self.numbers_orders = true;
+        self
+    }
+
     /// The day of a seed, with the flaw or without.
     pub fn plan(&self, seed: u64, flaw: Flaw) -> SimPlan {
         SimPlan {
@@ -42,6 +55,8 @@
             gap: self.gap,
             rate: 60.0,
             twins: 0.5,
+            numbers_orders: self.numbers_orders,
+            order_gap: if self.numbers_orders { HURRIED_ORDER_GAP } else { ORDER_GAP },
             ..SimPlan::seeded(seed)
         }
     }
@@ -80,8 +95,7 @@
     says: &'static str,
     seeds: u64,
 ) -> Proof {
-    let gap = Duration::from_millis(gap_ms);
-    Proof { point, flaw: Flaw::Without(rule), faults, gap, says, seeds }
+    around(point, Flaw::Without(rule), faults, gap_ms, says, seeds)
 }
 
 const fn around(
@@ -92,7 +106,8 @@
     says: &'static str,
     seeds: u64,
 ) -> Proof {
-    Proof { point, flaw, faults, gap: Duration::from_millis(gap_ms), says, seeds }
+    let gap = Duration::from_millis(gap_ms);
+    Proof { point, flaw, faults, gap, says, seeds, numbers_orders: false }
 }
 
 use SimFault as F;
@@ -195,5 +210,22 @@
         "is alive",
         6,
     ),
+    proof(
+        "orders",
+        Rule::RefusalProven,
+        &[F::FreezeLeader, F::CutCore],
+        4000,
+        "was acknowledged before",
+        50,
+    )
+    .with_orders(),
+    proof("orders", Rule::TakenKnown, &[F::KillLeader], 1500, "was taken, then refused", 50)
+        .with_orders(),
+    proof("orders", Rule::NumberTakenOnce, &[F::KillLeader], 1500, "both accepted as", 50)
+        .with_orders(),
+    proof("orders", Rule::AcknowledgedByMajority, &[F::KillLeader, F::CutCore], 1500, "", 50)
+        .with_orders(),
+    proof("orders", Rule::HungUpDropped, &[F::Evacuate], 500, "which no order explains", 50)
+        .with_orders(),
     around("down", Flaw::StopsUnheard, &[F::KillHerd, F::DrainWorker], 3000, "mostly down", 6),
 ];
--- a/testing/fleet/tests/simulator.rs
+++ b/testing/fleet/tests/simulator.rs
@@ -110,3 +110,28 @@
     verify_that!(sim_end.breaches.len(), eq(0))?;
     verify_that!(sim_end.back_after, le(Duration::from_secs(6)))
 }
+
+/// What operators send and hear under faults of the control side is explained by one order of events.
+#[gtest]
+fn all_that_operators_hear_is_explained_by_one_order_of_events() -> Result<()> {
+    use SimFault::{CutCore, Evacuate, Freeze, FreezeLeader, KillLeader, RestartAll, Storm};
+    let hurried = Duration::from_millis(150);
+    let cases = [
+        (vec![], 3500, Duration::from_millis(3000)),
+        (vec![], 3500, hurried),
+        (vec![Evacuate, FreezeLeader, CutCore, Freeze], 1500, Duration::from_millis(3000)),
+        (vec![Storm, FreezeLeader, CutCore, KillLeader, RestartAll], 1500, hurried),
+    ];
+    for (focus, gap_ms, order_gap) in cases {
+        for seed in [11, 32, 112, 155, 221, 234] {
+            let (focus, gap) = (focus.clone(), Duration::from_millis(gap_ms));
+            let numbers_orders = true;
+            let plan = SimPlan { focus, gap, numbers_orders, order_gap, ..SimPlan::seeded(seed) };
+            let sim_end = World::new(plan, false).run();
+            let broken: Vec<String> = sim_end.breaches.iter().map(ToString::to_string).collect();
+            verify_that!(broken, is_empty())?;
+            verify_that!(sim_end.looked.get("operator's answer"), some(ge(&40)))?;
+        }
+    }
+    Ok(())
+}
