Box the document that a controller writes, for clippy's sake

The document grew past two hundred bytes and made every pending write of the core as large; clippy refuses the enum. Behaviour is unchanged.

--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -69,7 +69,7 @@
 enum Writing {
     Scrub,
     Vote { term: Term, candidate: ControllerId },
-    Version(Document),
+    Version(Box<Document>),
 }
 
 #[derive(Clone, Debug)]
@@ -388,7 +388,7 @@
                     self.vote_written(now, term, candidate);
                 }
                 (Writing::Version(document), WriteResult::Synced) => {
-                    self.version_written(now, document);
+                    self.version_written(now, *document);
                 }
                 (Writing::Scrub, WriteResult::Synced) => {}
                 (_, WriteResult::Failed) => {
@@ -519,7 +519,7 @@
                 WriteJob::Vote { term: *term, candidate: *candidate }
             }
             Writing::Version(document) => {
-                WriteJob::Version(document.clone(), self.bytes_of(document))
+                WriteJob::Version(Document::clone(document), self.bytes_of(document))
             }
             Writing::Scrub => WriteJob::Scrub(self.accepted.clone()),
         };
--- a/crates/controlplane/src/core/register.rs
+++ b/crates/controlplane/src/core/register.rs
@@ -56,7 +56,7 @@
     /// Founds the core with the controllers at the seed addresses that keep something, all of them empty.
     pub fn found(&mut self, now: Moment) -> Result<Vec<CoreOutput>, FoundFault> {
         let (founders, _) = self.founders(now)?;
-        self.order_write(now, Writing::Version(Document::founding(founders)));
+        self.order_write(now, Writing::Version(Box::new(Document::founding(founders))));
         Ok(std::mem::take(&mut self.outputs))
     }
 
@@ -110,7 +110,7 @@
         let Ok((founders, true)) = self.founders(now) else { return };
         let smallest_place = founders.iter().map(|founder| founder.place).min();
         if smallest_place == Some(self.address.place) {
-            self.order_write(now, Writing::Version(Document::founding(founders)));
+            self.order_write(now, Writing::Version(Box::new(Document::founding(founders))));
         }
     }
 
@@ -141,7 +141,7 @@
 
     pub(super) fn put_forward(&mut self, now: Moment, document: Document) {
         self.proposed = Some(document.clone());
-        self.order_write(now, Writing::Version(document.clone()));
+        self.order_write(now, Writing::Version(Box::new(document.clone())));
         let document_bytes = self.bytes_of(&document);
         for known_place in self.known_places() {
             if self.keeps_nothing(known_place) {
@@ -198,7 +198,7 @@
         let Ok(document) = Document::from_bytes(document_bytes) else { return };
         if document.core.iter().any(|voter| voter.id == self.id) {
             self.written_out = Some((document.stamp, Blob::from(document_bytes.to_vec())));
-            self.order_write(now, Writing::Version(document));
+            self.order_write(now, Writing::Version(Box::new(document)));
         }
     }
 
@@ -232,7 +232,7 @@
             Ok(document) if document.stamp == stamp => {
                 self.written_out = Some((stamp, Blob::from(document_bytes.to_vec())));
                 let hasty = (!self.rules.keep(Rule::AcceptOnDisk)).then(|| document.clone());
-                self.order_write(now, Writing::Version(document));
+                self.order_write(now, Writing::Version(Box::new(document)));
                 if let Some(unwritten) = hasty {
                     self.version_written(now, unwritten);
                 }
