Send a repeat to one runner only; give up questions whose link has ended

The holder had sent one, its link to the caller's daemon was reset, and that passed the request on again; the holder then went on with the first pass's tries beside the second pass's. Change: a repeat goes to one runner (rule repeat-sent-once); questions under way on a link that ends are given up; what nobody waits for any more is not sent to a runner.

--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -20,6 +20,8 @@
     WrittenIsSent,
     /// Another daemon's answer goes to the question that it names.
     ReplyMatched,
+    /// A repeat of a transaction goes to one runner only.
+    RepeatSentOnce,
     /// A send names the runner that is meant, and another one refuses.
     RunnerNamed,
     /// An answer's seal is checked.
@@ -104,6 +106,7 @@
         Rule::HeldBeforeSend,
         Rule::WrittenIsSent,
         Rule::ReplyMatched,
+        Rule::RepeatSentOnce,
         Rule::RunnerNamed,
         Rule::SealChecked,
         Rule::SealNamesAsked,
@@ -157,6 +160,7 @@
             Self::HeldBeforeSend => "held-before-send",
             Self::WrittenIsSent => "written-is-sent",
             Self::ReplyMatched => "reply-matched",
+            Self::RepeatSentOnce => "repeat-sent-once",
             Self::RunnerNamed => "runner-named",
             Self::SealChecked => "seal-checked",
             Self::SealNamesAsked => "seal-names-asked",
--- a/crates/dataplane/src/drivers/holding.rs
+++ b/crates/dataplane/src/drivers/holding.rs
@@ -6,13 +6,27 @@
 use crate::holder::{Holder, HolderOutput};
 use common::clock::Moment;
 use common::frames::{HopOutcome, HopReason};
+use common::identity::Ticket;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
+/// Takes a transaction back when nobody waits for it any more, so that it is not sent to a runner from then on.
+struct Withdrawal<'a> {
+    held: &'a HeldHere,
+    ticket: Ticket,
+}
+
+impl Drop for Withdrawal<'_> {
+    fn drop(&mut self) {
+        self.held.leave(self.ticket);
+    }
+}
+
 /// Takes a transaction in and waits for its outcome.
 pub async fn serve(state: &Arc<State>, held: &HeldHere, task: Task) -> HopOutcome {
     let ticket = state.agent.ticket();
     let (outcome_sender, outcome) = oneshot::channel();
+    let _withdrawal = Withdrawal { held, ticket };
     let (at_once, outputs) = held.enter(Moment::now(), ticket, task, outcome_sender);
     drive(held, state, outputs);
     match at_once {
--- a/crates/dataplane/src/drivers/hops.rs
+++ b/crates/dataplane/src/drivers/hops.rs
@@ -11,22 +11,29 @@
 };
 use std::sync::Arc;
 use tokio::io::{AsyncWrite, AsyncWriteExt, BufReader};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 const MOST_QUEUED: usize = 1024;
 
-/// Serves another daemon's link.
+/// Serves another daemon's link. Questions that are under way when it ends are given up: their daemon counts
+/// them as lost, and may ask again.
 pub async fn serve(state: Arc<State>, stream: impl ByteStream + 'static) -> Result<(), FrameFault> {
     let (reading_half, writing_half) = tokio::io::split(stream);
     let mut reader = BufReader::new(reading_half);
     let (done_sender, done_frames) = mpsc::channel::<HopFrame>(MOST_QUEUED);
     tokio::spawn(write_replies(writing_half, done_frames));
+    let (_link_guard, link_end) = watch::channel(());
     loop {
         let HopFrame { correlation, body } = read_frame(&mut reader).await?;
         let ask_state = state.clone();
         let ask_done = done_sender.clone();
+        let mut ask_link_end = link_end.clone();
         tokio::spawn(async move {
-            if let Some(body) = answer(&ask_state, body).await {
+            let answered = tokio::select! {
+                answered = answer(&ask_state, body) => answered,
+                _ = ask_link_end.changed() => None,
+            };
+            if let Some(body) = answered {
                 let _ = ask_done.send(HopFrame { correlation, body }).await;
             }
         });
--- a/crates/dataplane/src/holder/send_end.rs
+++ b/crates/dataplane/src/holder/send_end.rs
@@ -94,9 +94,12 @@
         }
     }
 
+    /// Whether a repeatable transaction may go to one more runner. A repeat has had its tries elsewhere, or is
+    /// still having them there, and goes to one runner only.
     fn may_repeat(&mut self, now: Moment, waiting: &Waiting) -> bool {
         let has_time = now + self.service * 2 < waiting.entry.budget_end;
-        let has_tries = waiting.attempt < waiting.entry.tries;
+        let is_spent = waiting.entry.repeat && self.rules.keep(Rule::RepeatSentOnce);
+        let has_tries = waiting.attempt < waiting.entry.tries && !is_spent;
         !waiting.entry.once && has_time && has_tries && !self.closed && self.may_spend(now)
     }
 
--- a/crates/dataplane/tests/holder.rs
+++ b/crates/dataplane/tests/holder.rs
@@ -7,6 +7,7 @@
     Prior, ReserveResult, RunnerNews,
 };
 use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
+use common::rules::{Rule, Rules};
 use common::spec::FunctionSpec;
 use common::tongue::BeginEnd;
 use dataplane::holder::{Entry, GrantTerms, Holder, HolderMessage, HolderOutput, SendEnd, Tuning};
@@ -714,6 +715,28 @@
     verify_that!(bench.ended.get(&once), some(eq(&failed_at(runner))))
 }
 
+/// Its caller's daemon passed it on again after a silence: the first pass may still be having its tries.
+#[gtest]
+fn a_repeat_goes_to_one_runner_whatever_its_route_allows() -> Result<()> {
+    let ends = [SendEnd::Lost, SendEnd::ShedByRunner];
+    for end in ends {
+        let mut bench = Bench::new(2, 1, Duration::ZERO).tuned(generous());
+        bench.warm();
+        bench.tries = 3;
+        let (ticket, _) = bench.enter("passed again", false, true);
+        bench.end(ticket, end);
+        verify_that!(bench.sends_of(ticket), eq(1))?;
+        verify_that!(bench.ended.contains_key(&ticket), eq(true))?;
+    }
+    let mut flawed = Bench::new(2, 1, Duration::ZERO).tuned(generous());
+    flawed.holder = flawed.holder.with_rules(Rules::without(Rule::RepeatSentOnce));
+    flawed.warm();
+    flawed.tries = 3;
+    let (ticket, _) = flawed.enter("passed again", false, true);
+    flawed.end(ticket, SendEnd::Lost);
+    verify_that!(flawed.sends_of(ticket), eq(2))
+}
+
 #[gtest]
 fn a_once_transaction_of_a_fresh_identity_is_sent_once_and_nothing_of_it_is_kept() -> Result<()> {
     let mut bench = Bench::new(2, 4, ms(60_000));
