--- a/crates/controlplane/tests/leader_state.rs
+++ b/crates/controlplane/tests/leader_state.rs
@@ -74,13 +74,17 @@
     }
 
     fn join(&mut self, stream: u64, name: &str, claims: Vec<Claim>) {
+        self.join_on(stream, name, 0, claims);
+    }
+
+    fn join_on(&mut self, stream: u64, name: &str, link_mbps: u32, claims: Vec<Claim>) {
         let host = Host {
             member: name.into(),
             incarnation: 1.into(),
             zone: format!("l{stream}").as_str().into(),
             place: Place::NOWHERE,
             eligible: Flag(true),
-            link_mbps: 0,
+            link_mbps,
         };
         let hello = hello(host, 700, true);
         self.say(stream, hello);
@@ -727,3 +731,29 @@
     bench.pass(ms(40));
     verify_that!(bench.leader_state.due_roster(bench.now), some(eq(&roster(&[("a", 1)]))))
 }
+
+/// A leader that daemons are still joining may know too few hosts on wide links, and grants to one on a narrow
+/// link. The busiest function of a deployment must not stay there once the others have joined.
+#[gtest]
+fn a_function_leaves_a_narrow_link_once_enough_wide_ones_have_joined() -> Result<()> {
+    const NARROW_MBPS: u32 = 2;
+    const WIDE_MBPS: u32 = 100;
+    let mut bench = Bench::new(&["a"]);
+    bench.join_on(1, "a", NARROW_MBPS, vec![]);
+    bench.pass(ms(100));
+    bench.listed(&[]);
+    bench.acquire(1);
+    bench.pass(ms(100));
+    verify_that!(matches!(bench.acquired(), Some(AcquireResult::Granted { .. })), eq(true))?;
+    for (stream, name) in [(2, "b"), (3, "c"), (4, "d")] {
+        bench.join_on(stream, name, WIDE_MBPS, vec![]);
+    }
+    let mut is_handed_over = false;
+    for _ in 0..50 {
+        bench.pass(ms(100));
+        is_handed_over |= bench.outputs.iter().any(|output| {
+            matches!(output, LeaderOutput::Down { frame: StreamDown::HandOver { .. }, .. })
+        });
+    }
+    verify_that!(is_handed_over, eq(true))
+}
