Hand functions on narrow links over once enough wide hosts have joined

Ruled out: granting nothing to narrow hosts until the roster has joined (a lost wide host would hold every function up for its whole lease).

Before: a_function_leaves_a_narrow_link_once_enough_wide_ones_have_joined red (KNOWN-RED). After: green, and asked to be exactly one hand-over in five seconds; a second test that nothing moves while two wide hosts stand.

--- a/crates/common/src/ring/mod.rs
+++ b/crates/common/src/ring/mod.rs
@@ -32,7 +32,7 @@
 /// The hosts that functions go to: all that are eligible, or those on wide links where others have much
 /// narrower ones, while enough of them stand in more than one zone. All answers of a function pass
 /// through the link of its holder.
-fn fitting_hosts<'a>(hosts: impl Iterator<Item = &'a Host>) -> Vec<&'a Host> {
+pub fn fitting_hosts<'a>(hosts: impl Iterator<Item = &'a Host>) -> Vec<&'a Host> {
     let eligible_hosts: Vec<&Host> = hosts.filter(|host| host.eligible.0).collect();
     let widest = eligible_hosts.iter().map(|host| host.link_mbps).max().unwrap_or_default();
     let is_wide = |host: &&&Host| host.link_mbps.saturating_mul(WIDE_PART) >= widest;
--- a/crates/controlplane/src/leader_state/members.rs
+++ b/crates/controlplane/src/leader_state/members.rs
@@ -50,6 +50,19 @@
     silent: BTreeSet<MemberLife>,
 }
 
+impl PushedHosts {
+    /// A daemon as everybody was told of it.
+    pub(super) fn host(&self, member: &MemberName) -> Option<&Host> {
+        self.hosts.get(member)
+    }
+
+    /// The daemons that everybody was told of and that nobody misses.
+    pub(super) fn heard(&self) -> impl Iterator<Item = &Host> {
+        let is_silent = |host: &&Host| self.silent.iter().any(|life| life.member == host.member);
+        self.hosts.values().filter(move |host| !is_silent(host))
+    }
+}
+
 pub(super) struct WaitingRenewal {
     pub stream: StreamId,
     pub correlation: CorrelationId,
--- a/crates/controlplane/src/leader_state/mod.rs
+++ b/crates/controlplane/src/leader_state/mod.rs
@@ -5,6 +5,7 @@
 mod emptying;
 mod fence;
 mod functions;
+mod link_moves;
 mod listing;
 mod members;
 mod output;
@@ -121,6 +122,8 @@
     hosts_changed: bool,
     hosts_pushed_at: Moment,
     pushed_hosts: PushedHosts,
+    links_looked_at: Moment,
+    moved_off_at: BTreeMap<FunctionKey, Moment>,
     missed: BTreeSet<MemberLife>,
     silent: BTreeSet<MemberLife>,
     rules: Rules,
@@ -193,6 +196,8 @@
             hosts_changed: false,
             hosts_pushed_at: Moment::ZERO,
             pushed_hosts: PushedHosts::default(),
+            links_looked_at: elected_at,
+            moved_off_at: BTreeMap::new(),
             missed: BTreeSet::new(),
             silent: BTreeSet::new(),
             rules: Rules::KEPT,
@@ -315,6 +320,7 @@
         self.note_in_force(now);
         self.empty_workers(now);
         self.push_hosts(now);
+        self.leave_narrow_links(now);
         std::mem::take(&mut self.outputs)
     }
 
--- a/crates/controlplane/tests/leader_state.rs
+++ b/crates/controlplane/tests/leader_state.rs
@@ -89,7 +89,12 @@
         let hello = hello(host, 700, true);
         self.say(stream, hello);
         self.say(stream, StreamUp::Claims { claims: Many(claims) });
-        self.say(stream, StreamUp::Renew { correlation: CorrelationId(1), serial: Serial(2) });
+        self.renew(stream);
+    }
+
+    fn renew(&mut self, stream: u64) {
+        let frame = StreamUp::Renew { correlation: CorrelationId(1), serial: Serial(2) };
+        self.say(stream, frame);
     }
 
     fn listed(&mut self, listed_runners: &[ListedRunner]) {
@@ -732,28 +737,51 @@
     verify_that!(bench.leader_state.due_roster(bench.now), some(eq(&roster(&[("a", 1)]))))
 }
 
-/// A leader that daemons are still joining may know too few hosts on wide links, and grants to one on a narrow
-/// link. The busiest function of a deployment must not stay there once the others have joined.
-#[gtest]
-fn a_function_leaves_a_narrow_link_once_enough_wide_ones_have_joined() -> Result<()> {
-    const NARROW_MBPS: u32 = 2;
-    const WIDE_MBPS: u32 = 100;
+const NARROW_MBPS: u32 = 2;
+const WIDE_MBPS: u32 = 100;
+
+/// A leader that knows one host, on a narrow link, and has granted the function to it.
+fn granted_on_a_narrow_link() -> Bench {
     let mut bench = Bench::new(&["a"]);
     bench.join_on(1, "a", NARROW_MBPS, vec![]);
     bench.pass(ms(100));
     bench.listed(&[]);
     bench.acquire(1);
     bench.pass(ms(100));
+    bench
+}
+
+/// How often the function is asked back in five seconds.
+fn hand_overs(bench: &mut Bench) -> usize {
+    let mut seen = 0;
+    for _ in 0..50 {
+        bench.pass(ms(100));
+        let is_hand_over = |output: &&LeaderOutput| {
+            matches!(output, LeaderOutput::Down { frame: StreamDown::HandOver { .. }, .. })
+        };
+        seen += bench.outputs.iter().filter(is_hand_over).count();
+        bench.renew(1);
+    }
+    seen
+}
+
+/// A leader that daemons are still joining may know too few hosts on wide links, and grants to one on a narrow
+/// link. The busiest function of a deployment must not stay there once the others have joined.
+#[gtest]
+fn a_function_leaves_a_narrow_link_once_enough_wide_ones_have_joined() -> Result<()> {
+    let mut bench = granted_on_a_narrow_link();
     verify_that!(matches!(bench.acquired(), Some(AcquireResult::Granted { .. })), eq(true))?;
     for (stream, name) in [(2, "b"), (3, "c"), (4, "d")] {
         bench.join_on(stream, name, WIDE_MBPS, vec![]);
     }
-    let mut is_handed_over = false;
-    for _ in 0..50 {
-        bench.pass(ms(100));
-        is_handed_over |= bench.outputs.iter().any(|output| {
-            matches!(output, LeaderOutput::Down { frame: StreamDown::HandOver { .. }, .. })
-        });
+    verify_that!(hand_overs(&mut bench), eq(1))
+}
+
+#[gtest]
+fn a_function_stays_on_a_narrow_link_while_too_few_wide_ones_have_joined() -> Result<()> {
+    let mut bench = granted_on_a_narrow_link();
+    for (stream, name) in [(2, "b"), (3, "c")] {
+        bench.join_on(stream, name, WIDE_MBPS, vec![]);
     }
-    verify_that!(is_handed_over, eq(true))
+    verify_that!(hand_overs(&mut bench), eq(0))
 }
