Let a question from a narrow link wait for one from a wide link

Ruled out: dropping what is in hand at a hand-over (requests that may run once would end unknown).

Change: the leader keeps a question from a host that functions pass over for up to a second after it opened, and answers with the owner once a host on a wide link was granted. The set of hosts passed over is worked out once for each pushed list.

--- a/crates/controlplane/src/leader_state/functions.rs
+++ b/crates/controlplane/src/leader_state/functions.rs
@@ -127,7 +127,7 @@
         if !self.members.get(&asker).is_some_and(|record| record.host.eligible.0) {
             return Some(AcquireResult::Shed);
         }
-        if !self.is_serving(&asker, now) {
+        if !self.is_serving(&asker, now) || self.awaits_wide_asker(now, acquire) {
             return None;
         }
         if !self.check_left(&acquire.function) {
--- a/crates/controlplane/src/leader_state/link_moves.rs
+++ b/crates/controlplane/src/leader_state/link_moves.rs
@@ -1,14 +1,12 @@
-//! Moves functions off narrow links. A leader that daemons are still joining may know too few hosts on
-//! wide links, and then grants to hosts on narrow ones. Once enough wide ones stand in the list that every
-//! daemon was told, what the others hold is handed over to them.
+//! Keeps functions off narrow links. While daemons join a new leader, the host list that they are told may hold
+//! too few hosts on wide links, and hosts on narrow ones ask for functions. Once enough wide ones stand in it,
+//! such a question waits for one of theirs, and what hosts on narrow links hold is handed over.
 
-use super::LeaderState;
+use super::{LeaderState, WaitingAcquire};
 use common::clock::Moment;
 use common::frames::StreamDown;
-use common::identity::{FunctionKey, GrantSerial, MemberName};
-use common::ring::fitting_hosts;
+use common::identity::{FunctionKey, GrantSerial};
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Holders on narrow links are looked for so often.
@@ -21,6 +19,10 @@
 /// asks sees other hosts than the leader does.
 const MOVE_AGAIN_AFTER: Duration = Duration::from_secs(10);
 
+/// A question from a host on a narrow link waits so long for one from a wide link; a daemon that still asks
+/// sees other hosts than the leader does.
+const WIDE_ASKER_PATIENCE: Duration = Duration::from_millis(1000);
+
 struct Move {
     function: FunctionKey,
     grant: GrantSerial,
@@ -28,6 +30,13 @@
 }
 
 impl LeaderState {
+    /// Whether a question waits for one from a host on a wide link.
+    pub(super) fn awaits_wide_asker(&self, now: Moment, acquire: &WaitingAcquire) -> bool {
+        let Some(asker) = self.streams.get(&acquire.stream) else { return false };
+        let waits_since = acquire.asked_at.max(self.opened_at);
+        self.pushed_hosts.passes_over(&asker.member) && now.since(waits_since) < WIDE_ASKER_PATIENCE
+    }
+
     /// Asks holders on narrow links for some of their functions while others should hold them.
     pub(super) fn leave_narrow_links(&mut self, now: Moment) {
         if !self.opened || now.since(self.links_looked_at) < LOOK_EVERY {
@@ -47,17 +56,11 @@
     }
 
     fn due_moves(&self, now: Moment) -> Vec<Move> {
-        let fitting: BTreeSet<&MemberName> =
-            fitting_hosts(self.pushed_hosts.heard()).into_iter().map(|host| &host.member).collect();
-        let is_narrow = |host_name: &MemberName| {
-            let host = self.pushed_hosts.host(host_name);
-            host.is_some_and(|host| host.eligible.0) && !fitting.contains(host_name)
-        };
         let mut due_moves: Vec<Move> = self
             .entries
             .iter()
             .filter(|(_, entry)| !entry.handing_over && entry.fencing_since.is_none())
-            .filter(|(_, entry)| is_narrow(&entry.holder.member))
+            .filter(|(_, entry)| self.pushed_hosts.passes_over(&entry.holder.member))
             .filter(|(_, entry)| self.is_serving(&entry.holder, now))
             .filter(|(function, _)| !self.moved_off_at.contains_key(*function))
             .map(|(function, entry)| Move {
--- a/crates/controlplane/src/leader_state/members.rs
+++ b/crates/controlplane/src/leader_state/members.rs
@@ -3,6 +3,7 @@
 use common::events;
 use common::frames::{Flag, Host, KnownMember, Many, MemberLife, Place, StreamDown};
 use common::identity::{CorrelationId, FunctionKey, MemberName, Serial};
+use common::ring::fitting_hosts;
 use common::rules::Rule;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -42,24 +43,32 @@
     pub was_granted: bool,
 }
 
-/// The host list as it was last pushed: its number, the daemons, and those that watchers miss.
+/// The host list as it was last pushed: its number, the daemons, those that watchers miss, and those that
+/// functions pass over for others on wider links.
 #[derive(Default)]
 pub(super) struct PushedHosts {
     number: u64,
     hosts: BTreeMap<MemberName, Host>,
     silent: BTreeSet<MemberLife>,
+    passed_over: BTreeSet<MemberName>,
 }
 
 impl PushedHosts {
-    /// A daemon as everybody was told of it.
-    pub(super) fn host(&self, member: &MemberName) -> Option<&Host> {
-        self.hosts.get(member)
+    fn new(number: u64, hosts: BTreeMap<MemberName, Host>, silent: BTreeSet<MemberLife>) -> Self {
+        let silent_names: BTreeSet<&MemberName> = silent.iter().map(|life| &life.member).collect();
+        let heard_hosts = || hosts.values().filter(|host| !silent_names.contains(&host.member));
+        let fitting: BTreeSet<&MemberName> =
+            fitting_hosts(heard_hosts()).into_iter().map(|host| &host.member).collect();
+        let passed_over = heard_hosts()
+            .filter(|host| host.eligible.0 && !fitting.contains(&host.member))
+            .map(|host| host.member.clone())
+            .collect();
+        Self { number, hosts, silent, passed_over }
     }
 
-    /// The daemons that everybody was told of and that nobody misses.
-    pub(super) fn heard(&self) -> impl Iterator<Item = &Host> {
-        let is_silent = |host: &&Host| self.silent.iter().any(|life| life.member == host.member);
-        self.hosts.values().filter(move |host| !is_silent(host))
+    /// Whether functions go to others than this daemon because its link is so much narrower.
+    pub(super) fn passes_over(&self, member: &MemberName) -> bool {
+        self.passed_over.contains(member)
     }
 }
 
@@ -468,7 +477,7 @@
             .filter_map(|known_member| self.members.get(known_member))
             .map(|record| (record.host.member.clone(), record.host.clone()))
             .collect();
-        let pushed = std::mem::take(&mut self.pushed_hosts);
+        let pushed = &self.pushed_hosts;
         let put: Vec<Host> = hosts
             .values()
             .filter(|host| pushed.hosts.get(&host.member) != Some(host))
@@ -487,7 +496,11 @@
         };
         let whole =
             StreamDown::Hosts { number, hosts: Many(hosts.values().cloned().collect()), silent };
-        self.pushed_hosts = PushedHosts { number, hosts, silent: self.silent.clone() };
+        let pushed_number = std::mem::replace(
+            &mut self.pushed_hosts,
+            PushedHosts::new(number, hosts, self.silent.clone()),
+        )
+        .number;
         let open_streams: Vec<(StreamId, KnownMember)> =
             self.streams.iter().map(|(stream, known)| (*stream, known.clone())).collect();
         for (open_stream, known_member) in open_streams {
@@ -496,7 +509,7 @@
             if told_number == number {
                 continue;
             }
-            let is_next = told_number > 0 && told_number == pushed.number;
+            let is_next = told_number > 0 && told_number == pushed_number;
             self.down(open_stream, if is_next { change.clone() } else { whole.clone() });
         }
     }
--- a/crates/controlplane/tests/leader_state.rs
+++ b/crates/controlplane/tests/leader_state.rs
@@ -785,3 +785,44 @@
     }
     verify_that!(hand_overs(&mut bench), eq(0))
 }
+
+/// The first to ask may be a host on a narrow link, from when it knew no others. One on a wide link that asks
+/// meanwhile goes first, and the other is told of it.
+#[gtest]
+fn a_question_from_a_narrow_link_waits_for_one_from_a_wide_link() -> Result<()> {
+    let mut bench = Bench::new(&["a"]);
+    bench.join_on(1, "a", NARROW_MBPS, vec![]);
+    for (stream, name) in [(2, "b"), (3, "c"), (4, "d")] {
+        bench.join_on(stream, name, WIDE_MBPS, vec![]);
+    }
+    bench.pass(ms(100));
+    bench.listed(&[]);
+    bench.acquire(1);
+    bench.pass(ms(100));
+    verify_that!(bench.leader_state.is_open(), eq(true))?;
+    verify_that!(bench.acquired(), none())?;
+    bench.acquire(3);
+    bench.pass(ms(100));
+    verify_that!(matches!(bench.acquired(), Some(AcquireResult::Granted { .. })), eq(true))?;
+    bench.pass(ms(100));
+    verify_that!(matches!(bench.acquired(), Some(AcquireResult::Owner { .. })), eq(true))
+}
+
+#[gtest]
+fn a_question_from_a_narrow_link_that_no_wide_one_joins_is_granted_after_a_second() -> Result<()> {
+    let mut bench = Bench::new(&["a"]);
+    bench.join_on(1, "a", NARROW_MBPS, vec![]);
+    for (stream, name) in [(2, "b"), (3, "c"), (4, "d")] {
+        bench.join_on(stream, name, WIDE_MBPS, vec![]);
+    }
+    bench.pass(ms(100));
+    bench.listed(&[]);
+    bench.acquire(1);
+    bench.pass(ms(100));
+    verify_that!(bench.leader_state.is_open(), eq(true))?;
+    bench.pass(ms(900));
+    verify_that!(bench.acquired(), none())?;
+    bench.renew(1);
+    bench.pass(ms(200));
+    verify_that!(matches!(bench.acquired(), Some(AcquireResult::Granted { .. })), eq(true))
+}
