--- a/crates/common/tests/document_changes.rs
+++ b/crates/common/tests/document_changes.rs
@@ -112,7 +112,7 @@
     let change_length = |function_count: u64| {
         let founded = Document::founding(members(5)).with_roster(roster(90));
         let mut held = with_spec(&founded, spec(function_count, 0), 1);
-        for number in 2..1_200 {
+        for number in 2..1_200u64 {
             held = held
                 .with_zone("z".into(), number.is_multiple_of(2), ChangeId::from("z"))
                 .numbered(number);
