Drop daemons that left in order from the roster after 2 s, lost ones after 4 s

Cause: a new leader waits for claims from a majority of the names in the roster, and strikes off whom nobody heard of only 10 s after its election; a daemon that was taken away in order stayed in the roster for 15 s.

Ruled out: opening without a majority (the paper's claims quorum stays; whoever is struck off has outlived every grant: the full wait is 2.2 s, the strike 4 s).

Change: a leader notes who said that it was leaving; such a name leaves the roster when it is not back within 2 s (restart_span, longer than a restart), others 4 s (strike_after, was 10 s) after their record is forgotten.

--- a/crates/controlplane/src/leader_state/members.rs
+++ b/crates/controlplane/src/leader_state/members.rs
@@ -35,6 +35,7 @@
     pub was_granted: bool,
     pub spoke_at: Moment,
     pub hosts_number: u64,
+    pub has_left: bool,
 }
 
 /// What a daemon says of its present life.
@@ -124,6 +125,7 @@
             was_granted: history.was_granted,
             spoke_at: now,
             hosts_number: 0,
+            has_left: false,
         });
         self.known_changed = true;
         self.roster_changed = true;
@@ -135,6 +137,7 @@
         record.pushed = serial;
         record.heard_at = now;
         record.hosts_number = 0;
+        record.has_left = false;
         record.spoke_at = now;
         self.missed.retain(|life| life.member != host.member);
         self.hosts_changed = true;
@@ -209,6 +212,7 @@
             record.grant_end = now;
             record.grant_bound = now;
             record.swept = false;
+            record.has_left = true;
             self.hosts_changed = true;
         }
         self.renewals.retain(|renewal| renewal.stream != stream);
@@ -260,13 +264,13 @@
             .filter(|(_, record)| {
                 record.stream.is_none()
                     && now >= record.grant_bound
-                    && now.since(record.heard_at) > forget_after
+                    && (record.has_left || now.since(record.heard_at) > forget_after)
             })
             .map(|(known_member, _)| known_member.clone())
             .filter(|known_member| self.entries.values().all(|entry| entry.holder != *known_member))
             .collect();
         for gone_member in gone_members {
-            self.members.remove(&gone_member);
+            self.forget_member(now, &gone_member);
             if self.current.get(&gone_member.member) == Some(&gone_member) {
                 self.current.remove(&gone_member.member);
             }
@@ -276,6 +280,13 @@
         }
     }
 
+    fn forget_member(&mut self, now: Moment, gone_member: &KnownMember) {
+        let Some(record) = self.members.remove(gone_member) else { return };
+        if record.has_left {
+            self.note_left(now, gone_member);
+        }
+    }
+
     pub(super) fn open_if_due(&mut self, now: Moment, proof: &Proof<'_>) {
         if self.opened || !proof.ready || self.document.is_none() {
             return;
--- a/crates/controlplane/src/leader_state/mod.rs
+++ b/crates/controlplane/src/leader_state/mod.rs
@@ -31,6 +31,7 @@
 use emptying::Emptying;
 use members::{LifeHistory, MemberRecord, PushedHosts, WaitingRenewal};
 use reservations::Reservations;
+use roster::Absence;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use workers::WorkerRecord;
@@ -72,7 +73,7 @@
     last_known: BTreeSet<KnownMember>,
     last_known_whole: bool,
     awaited: BTreeSet<RosterMember>,
-    gone_since: BTreeMap<RosterMember, Moment>,
+    absences: BTreeMap<RosterMember, Absence>,
     roster_changed: bool,
     roster_look_at: Moment,
     roster_wanted_since: Option<Moment>,
@@ -146,7 +147,7 @@
             last_known,
             last_known_whole,
             awaited: BTreeSet::new(),
-            gone_since: BTreeMap::new(),
+            absences: BTreeMap::new(),
             roster_changed: true,
             roster_look_at: elected_at,
             roster_wanted_since: None,
--- a/crates/controlplane/src/leader_state/roster.rs
+++ b/crates/controlplane/src/leader_state/roster.rs
@@ -13,6 +13,13 @@
 /// A clock may run so many tenths slower than another.
 const SLOWEST_TENTHS: u32 = 9;
 
+/// A daemon that the roster names and that has no record here.
+pub(super) struct Absence {
+    since: Moment,
+    /// Whether it said that it was leaving.
+    is_in_order: bool,
+}
+
 /// Whether a life proves that whatever else stood at a listed place is gone: it holds the port.
 fn proves(known: &KnownMember, listed: &RosterMember) -> bool {
     known.place == listed.place && (known.member == listed.member || known.place != Place::NOWHERE)
@@ -118,12 +125,18 @@
     fn note_gone(&mut self, now: Moment) {
         let present: BTreeSet<RosterMember> = self.members.keys().map(listed_as).collect();
         let roster = self.roster().cloned().unwrap_or_default();
-        self.gone_since.retain(|gone, _| roster.contains(gone) && !present.contains(gone));
+        self.absences.retain(|gone, _| roster.contains(gone) && !present.contains(gone));
         for gone in roster.difference(&present) {
-            self.gone_since.entry(gone.clone()).or_insert(now);
+            let is_in_order = false;
+            self.absences.entry(gone.clone()).or_insert(Absence { since: now, is_in_order });
         }
     }
 
+    /// A daemon that said it was leaving is gone: it holds nothing any more.
+    pub(super) fn note_left(&mut self, now: Moment, left: &KnownMember) {
+        self.absences.insert(listed_as(left), Absence { since: now, is_in_order: true });
+    }
+
     /// The roster as it should be: with whoever joined, without those that have been gone long and
     /// whose grants have surely ended. None while it is not known who may hold grants.
     pub fn wanted_roster(&self, now: Moment) -> Option<BTreeSet<RosterMember>> {
@@ -132,9 +145,12 @@
         if roster.is_empty() && !(self.opened && is_past_doubt) {
             return None;
         }
-        let gone_after = self.timing.strike_after.max(self.timing.full_wait());
+        let lost_after = self.timing.strike_after.max(self.timing.full_wait());
         let is_gone = |listed: &&RosterMember| {
-            self.gone_since.get(*listed).is_some_and(|since| now.since(*since) > gone_after)
+            self.absences.get(*listed).is_some_and(|absence| {
+                let span = if absence.is_in_order { self.timing.restart_span } else { lost_after };
+                now.since(absence.since) > span
+            })
         };
         let kept = roster.iter().filter(|listed| !is_gone(listed)).cloned();
         Some(kept.chain(self.members.keys().map(listed_as)).collect())
--- a/crates/controlplane/src/leader_state/timing.rs
+++ b/crates/controlplane/src/leader_state/timing.rs
@@ -18,8 +18,12 @@
     #[builder(default = Duration::from_millis(400))]
     pub start_settle: Duration,
     /// When a last-known daemon that never came back stops counting for the quorum.
-    #[builder(default = Duration::from_secs(10))]
+    #[builder(default = Duration::from_secs(4))]
     pub strike_after: Duration,
+    /// How long a daemon that left in order may be away before the roster no longer names it: longer than
+    /// a restart takes, as a rule.
+    #[builder(default = Duration::from_secs(2))]
+    pub restart_span: Duration,
     /// Before a runner that did not stop is told again.
     #[builder(default = Duration::from_millis(700))]
     pub stop_again_after: Duration,
