--- a/crates/common/src/spec/table.rs
+++ b/crates/common/src/spec/table.rs
@@ -262,6 +262,11 @@
         self.routes.iter().map(|route| route.spec.budget).max().unwrap_or_default()
     }
 
+    /// Whether any zone is evacuated.
+    pub fn has_evacuated(&self) -> bool {
+        !self.evacuated.is_empty()
+    }
+
     /// Whether a zone is evacuated.
     pub fn is_evacuated(&self, zone: &Zone) -> bool {
         self.evacuated.contains(zone)
--- a/crates/controlplane/src/leader_state/claims.rs
+++ b/crates/controlplane/src/leader_state/claims.rs
@@ -26,11 +26,9 @@
         }
         let dropped_functions: Vec<FunctionKey> = self
             .entries
-            .iter()
-            .filter(|(function, entry)| {
-                entry.holder == claimant && !claimed_functions.contains(*function)
-            })
-            .map(|(function, _)| function.clone())
+            .functions_of(&claimant)
+            .into_iter()
+            .filter(|function| !claimed_functions.contains(function))
             .collect();
         for dropped_function in dropped_functions {
             self.begin_fencing(now, &dropped_function);
@@ -52,20 +50,25 @@
     /// What a holder was told on an earlier stream may be lost with it: drains and hand-overs that
     /// stand are told again.
     fn tell_again(&mut self, claimant: &KnownMember) {
-        for entry in self.entries.values_mut().filter(|entry| entry.holder == *claimant) {
-            entry.handing_over = false;
+        let held_functions = self.entries.functions_of(claimant);
+        for function in &held_functions {
+            if let Some(entry) = self.entries.get_mut(function) {
+                entry.handing_over = false;
+            }
         }
-        for runner in self.runners_of(claimant) {
-            self.reservations.note(runner, |held| held.draining = false);
+        let held_runners = self.runners_of(claimant);
+        for runner in &held_runners {
+            self.reservations.note(*runner, |held| held.draining = false);
         }
-        self.hand_over_evacuated();
+        self.hand_over_if_evacuated(held_functions);
+        self.drain_if_unfit(held_runners);
     }
 
     /// The runners under the grants that a daemon holds.
     fn runners_of(&self, holder: &KnownMember) -> Vec<RunnerId> {
         self.entries
-            .iter()
-            .filter(|(_, entry)| entry.holder == *holder && entry.fencing_since.is_none())
+            .of(holder)
+            .filter(|(_, entry)| entry.fencing_since.is_none())
             .flat_map(|(function, entry)| {
                 let runners = self.reservations.of(function).map(|(runner, _)| runner);
                 runners.filter(|runner| runner.grant == entry.grant)
@@ -161,6 +164,7 @@
             record.swept = false;
             record.heard_at = now;
         }
+        self.sweep_anew();
         for listed in claim.runners.0 {
             let is_new = self.reservations.get(listed.runner).is_none();
             if is_new && self.reservations.has_ended(listed.runner, None) {
--- a/crates/controlplane/src/leader_state/delivery.rs
+++ b/crates/controlplane/src/leader_state/delivery.rs
@@ -2,13 +2,17 @@
 use common::clock::Moment;
 use common::events;
 use common::frames::{Flag, StreamDown, pack};
-use common::identity::{FunctionKey, GrantSerial, MemberName, RunnerId, Serial};
+use common::identity::{FunctionKey, MemberName, RunnerId, Serial};
 use common::rules::Rule;
 use common::spec::{Document, Table, View};
 use serde_json::json;
+use std::time::Duration;
 
 const KEPT_VIEWS: usize = 8;
 
+/// Whether a version is in force everywhere is looked at so often, not at each daemon's word.
+const IN_FORCE_EVERY: Duration = Duration::from_millis(5);
+
 impl LeaderState {
     /// Takes a committed document and pushes it to every daemon.
     pub fn committed(&mut self, document: Document) {
@@ -113,9 +117,10 @@
         let Some(serial) = self.document.as_ref().map(Document::view_serial) else {
             return;
         };
-        if self.in_force >= serial {
+        if self.in_force >= serial || now.since(self.in_force_looked_at) < IN_FORCE_EVERY {
             return;
         }
+        self.in_force_looked_at = now;
         let is_past_doubt = self.all_claimed || now >= self.elected_at + self.timing.full_wait();
         let is_everywhere = self
             .members
@@ -129,43 +134,49 @@
 
     /// Asks holders in evacuated zones for their functions, and drains runners there.
     pub(super) fn hand_over_evacuated(&mut self) {
-        let table = &self.table;
-        let heeds_evacuation = self.rules.keep(Rule::EvacuationObeyed);
-        let evacuated_entries: Vec<(FunctionKey, StreamId, GrantSerial)> = self
-            .entries
-            .iter_mut()
-            .filter(|(_, entry)| !entry.handing_over && entry.fencing_since.is_none())
-            .filter_map(|(function, entry)| {
-                let record = self.members.get(&entry.holder)?;
-                let stream = record.stream?;
-                let is_evacuated = table.is_evacuated(&record.host.zone);
-                (is_evacuated && heeds_evacuation).then(|| {
-                    entry.handing_over = true;
-                    (function.clone(), stream, entry.grant)
-                })
-            })
-            .collect();
-        for (function, stream, grant) in evacuated_entries {
+        let held_functions = self.entries.iter().map(|(function, _)| function.clone()).collect();
+        self.hand_over_if_evacuated(held_functions);
+        self.drain_unfit();
+    }
+
+    /// Asks for those of these functions back whose holders stand in evacuated zones.
+    pub(super) fn hand_over_if_evacuated(&mut self, functions: Vec<FunctionKey>) {
+        if !self.rules.keep(Rule::EvacuationObeyed) || !self.table.has_evacuated() {
+            return;
+        }
+        for function in functions {
+            let Some(entry) = self.entries.get_mut(&function) else { continue };
+            if entry.handing_over || entry.fencing_since.is_some() {
+                continue;
+            }
+            let Some(record) = self.members.get(&entry.holder) else { continue };
+            let Some(stream) = record.stream else { continue };
+            if !self.table.is_evacuated(&record.host.zone) {
+                continue;
+            }
+            entry.handing_over = true;
+            let grant = entry.grant;
             self.down(stream, StreamDown::HandOver { function, grant });
         }
-        self.drain_unfit();
     }
 
     /// Tells holders to drain runners whose worker is draining, gone or evacuated.
     pub(super) fn drain_unfit(&mut self) {
+        let runners = self.reservations.iter().map(|(runner, _)| *runner).collect();
+        self.drain_if_unfit(runners);
+    }
+
+    /// The same for these runners.
+    pub(super) fn drain_if_unfit(&mut self, runners: Vec<RunnerId>) {
         if !self.workers_listed {
             return;
         }
-        let unfit_runners: Vec<(FunctionKey, RunnerId)> = self
-            .reservations
-            .iter()
-            .filter(|(_, reservation)| {
-                !reservation.draining && !self.is_worker_fit(&reservation.worker)
-            })
-            .map(|(runner, reservation)| (reservation.function.clone(), *runner))
-            .collect();
-        for (function, runner) in unfit_runners {
-            self.drain(function, runner);
+        for runner in runners {
+            let Some(held) = self.reservations.get(runner) else { continue };
+            if !held.draining && !self.is_worker_fit(&held.worker) {
+                let function = held.function.clone();
+                self.drain(function, runner);
+            }
         }
     }
 
--- a/crates/controlplane/src/leader_state/fence.rs
+++ b/crates/controlplane/src/leader_state/fence.rs
@@ -10,6 +10,9 @@
 /// Without the rule that a grant is outwaited, a holder counts as lost so soon after it was heard.
 const TOO_SOON: std::time::Duration = std::time::Duration::from_millis(400);
 
+/// When nobody is there to be swept, the next look is due after so long; whoever joins asks for one.
+const SWEEP_SPAN: std::time::Duration = std::time::Duration::from_secs(1);
+
 /// What waits for its time is looked at so often.
 const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(40);
 
@@ -33,8 +36,13 @@
         }
     }
 
+    /// Fences what daemons hold whose grants have ended. They are looked through only when one can have
+    /// ended since: an input must not cost with the number of daemons.
     fn sweep_lost(&mut self, now: Moment) {
         let outwaits = self.rules.keep(Rule::GrantOutwaited);
+        if outwaits && now < self.sweep_due {
+            return;
+        }
         let lost_members: Vec<KnownMember> = self
             .members
             .iter()
@@ -50,14 +58,22 @@
             }
             self.fence_all_of(now, &lost_member);
         }
+        let unswept = self.members.values().filter(|record| !record.swept);
+        let next_end = unswept.map(|record| record.grant_bound).min();
+        self.sweep_due = next_end.unwrap_or(now + SWEEP_SPAN);
+    }
+
+    /// A daemon's grant may end earlier than was known, or has begun: the next sweep is due.
+    pub(super) fn sweep_anew(&mut self) {
+        self.sweep_due = Moment::ZERO;
     }
 
     /// Fences every function of a daemon whose grant is over.
     pub(super) fn fence_all_of(&mut self, now: Moment, holder: &KnownMember) {
         let held_functions: Vec<FunctionKey> = self
             .entries
-            .iter()
-            .filter(|(_, entry)| entry.holder == *holder && entry.fencing_since.is_none())
+            .of(holder)
+            .filter(|(_, entry)| entry.fencing_since.is_none())
             .map(|(function, _)| function.clone())
             .collect();
         for held_function in held_functions {
--- a/crates/controlplane/src/leader_state/functions.rs
+++ b/crates/controlplane/src/leader_state/functions.rs
@@ -74,7 +74,7 @@
             }
             holder_record.grant_bound + FENCE_SPAN
         } else if now.since(self.elected_at) > CLAIMS_SPAN
-            && !self.entries.contains_key(&acquire.function)
+            && !self.entries.contains(&acquire.function)
         {
             self.elected_at + self.timing.claims_wait + self.timing.start_settle + FENCE_SPAN
         } else {
--- a/crates/controlplane/src/leader_state/members.rs
+++ b/crates/controlplane/src/leader_state/members.rs
@@ -10,6 +10,8 @@
 
 /// A daemon that its watchers miss counts as silent when its stream has brought nothing for so long.
 const SILENT_AFTER: std::time::Duration = std::time::Duration::from_millis(700);
+/// Daemons that are gone are looked for so often.
+const EXPIRE_EVERY: std::time::Duration = std::time::Duration::from_millis(50);
 const HOSTS_EVERY: std::time::Duration = std::time::Duration::from_millis(100);
 /// A renewal waits for a proof that is no older than so, beside its own age.
 const PROOF_SPAN: std::time::Duration = std::time::Duration::from_millis(20);
@@ -95,6 +97,7 @@
             incarnation: host.incarnation,
             place: host.place,
         };
+        self.sweep_anew();
         self.end_earlier_lives(now, &known_member);
         let is_reborn = self.last_known.iter().any(|known| known.is_reborn_as(&known_member));
         if is_reborn && !self.members.contains_key(&known_member) {
@@ -215,6 +218,7 @@
             record.has_left = true;
             self.hosts_changed = true;
         }
+        self.sweep_anew();
         self.renewals.retain(|renewal| renewal.stream != stream);
     }
 
@@ -257,6 +261,10 @@
     }
 
     pub(super) fn expire_members(&mut self, now: Moment) {
+        if now < self.expiry_due {
+            return;
+        }
+        self.expiry_due = now + EXPIRE_EVERY;
         let forget_after = self.timing.forget_after;
         let gone_members: Vec<KnownMember> = self
             .members
@@ -267,7 +275,7 @@
                     && (record.has_left || now.since(record.heard_at) > forget_after)
             })
             .map(|(known_member, _)| known_member.clone())
-            .filter(|known_member| self.entries.values().all(|entry| entry.holder != *known_member))
+            .filter(|known_member| !self.entries.has_any(known_member))
             .collect();
         for gone_member in gone_members {
             self.forget_member(now, &gone_member);
@@ -282,6 +290,7 @@
 
     fn forget_member(&mut self, now: Moment, gone_member: &KnownMember) {
         let Some(record) = self.members.remove(gone_member) else { return };
+        self.idle_since.remove(gone_member);
         if record.has_left {
             self.note_left(now, gone_member);
         }
--- a/crates/controlplane/src/leader_state/mod.rs
+++ b/crates/controlplane/src/leader_state/mod.rs
@@ -5,6 +5,7 @@
 mod emptying;
 mod fence;
 mod functions;
+mod grants;
 mod link_moves;
 mod listing;
 mod members;
@@ -21,7 +22,7 @@
 pub use timing::LeaderTiming;
 
 use common::clock::Moment;
-use common::frames::{Host, KnownMember, MemberLife, Prior, StreamDown, StreamUp};
+use common::frames::{KnownMember, MemberLife, Prior, StreamDown, StreamUp};
 use common::identity::{
     CorrelationId, FunctionKey, GrantSerial, MemberName, Serial, Term, WorkerName, Zone,
 };
@@ -29,6 +30,7 @@
 use common::spec::{Document, RosterMember, Table, View};
 use common::tongue::ListedRunner;
 use emptying::Emptying;
+use grants::{FunctionGrants, GrantEntry};
 use members::{LifeHistory, MemberRecord, PushedHosts, WaitingRenewal};
 use reservations::Reservations;
 use roster::Absence;
@@ -48,15 +50,6 @@
     pub in_flight: Option<&'a BTreeSet<RosterMember>>,
 }
 
-struct GrantEntry {
-    holder: KnownMember,
-    grant: GrantSerial,
-    fencing_since: Option<Moment>,
-    handing_over: bool,
-    steward: Option<Host>,
-    whole: bool,
-}
-
 struct WaitingAcquire {
     stream: StreamId,
     correlation: CorrelationId,
@@ -85,10 +78,11 @@
     made_frames: BTreeMap<Serial, StreamDown>,
     longest_budget: Duration,
     in_force: Serial,
+    in_force_looked_at: Moment,
     streams: BTreeMap<StreamId, KnownMember>,
     members: BTreeMap<KnownMember, MemberRecord>,
     current: BTreeMap<MemberName, KnownMember>,
-    entries: BTreeMap<FunctionKey, GrantEntry>,
+    entries: FunctionGrants,
     fencing: BTreeSet<FunctionKey>,
     reservations: Reservations,
     workers: BTreeMap<WorkerName, WorkerRecord>,
@@ -99,11 +93,14 @@
     reborn_at: Moment,
     stewards_due: bool,
     fences_changed: bool,
+    /// Before this no unswept daemon's grant ends.
+    sweep_due: Moment,
+    expiry_due: Moment,
     fences_looked_at: Moment,
     acquires_changed: bool,
     acquires_looked_at: Moment,
     known_changed: bool,
-    idle_since: BTreeMap<FunctionKey, Moment>,
+    idle_since: BTreeMap<KnownMember, BTreeMap<FunctionKey, Moment>>,
     gave_way_at: BTreeMap<FunctionKey, Moment>,
     starving: BTreeMap<FunctionKey, Moment>,
     took_back_at: Moment,
@@ -159,10 +156,11 @@
             made_frames: BTreeMap::new(),
             longest_budget: Duration::ZERO,
             in_force: Serial(0),
+            in_force_looked_at: Moment::ZERO,
             streams: BTreeMap::new(),
             members: BTreeMap::new(),
             current: BTreeMap::new(),
-            entries: BTreeMap::new(),
+            entries: FunctionGrants::default(),
             fencing: BTreeSet::new(),
             reservations: Reservations::default(),
             workers: BTreeMap::new(),
@@ -173,6 +171,8 @@
             reborn_at: Moment::ZERO,
             stewards_due: false,
             fences_changed: true,
+            sweep_due: Moment::ZERO,
+            expiry_due: Moment::ZERO,
             fences_looked_at: Moment::ZERO,
             acquires_changed: true,
             acquires_looked_at: Moment::ZERO,
--- a/crates/controlplane/src/leader_state/pressure.rs
+++ b/crates/controlplane/src/leader_state/pressure.rs
@@ -59,30 +59,44 @@
         self.drain(function, runner);
     }
 
+    /// A daemon says which of its functions are idle: all of them, in place of what it said before.
     pub(super) fn hear_idle(
         &mut self,
         now: Moment,
         stream: StreamId,
         functions: Vec<IdleFunction>,
     ) {
-        let Some(holder) = self.streams.get(&stream).cloned() else { return };
-        let entries = &self.entries;
-        self.idle_since.retain(|function, _| {
-            entries.get(function).is_some_and(|entry| entry.holder != holder)
-        });
-        for idle in functions {
-            let is_held =
-                self.entries.get(&idle.function).is_some_and(|entry| entry.holder == holder);
-            if is_held {
-                let since = now - Duration::from_millis(u64::from(idle.idle_ms));
-                self.idle_since.insert(idle.function, since);
-            }
-        }
-        self.gave_way_at.retain(|_, at| now.since(*at) < LEFT_ALONE);
+        let Some(holder) = self.streams.get(&stream) else { return };
+        let idle_since = functions
+            .into_iter()
+            .map(|idle| {
+                let idle_span = Duration::from_millis(u64::from(idle.idle_ms));
+                (idle.function, now - idle_span)
+            })
+            .collect();
+        self.idle_since.insert(holder.clone(), idle_since);
+    }
+
+    /// The functions that their present holders called idle, those not called for longest first.
+    fn idle_functions(&self) -> Vec<(Moment, FunctionKey)> {
+        let mut idle_functions: Vec<(Moment, FunctionKey)> = self
+            .idle_since
+            .iter()
+            .flat_map(|(holder, functions)| {
+                let is_held = move |function: &FunctionKey| {
+                    self.entries.get(function).is_some_and(|entry| entry.holder == *holder)
+                };
+                functions.iter().filter(move |(function, _)| is_held(function))
+            })
+            .map(|(function, since)| (*since, function.clone()))
+            .collect();
+        idle_functions.sort();
+        idle_functions
     }
 
     /// No worker has room: the least recently called function that is idle gives up its runners.
     pub(super) fn make_room(&mut self, now: Moment, asker: &FunctionKey, needed_mb: u32) {
+        self.gave_way_at.retain(|_, at| now.since(*at) < LEFT_ALONE);
         let is_fitting = |function: &FunctionKey| {
             function != asker
                 && !self.gave_way_at.contains_key(function)
@@ -92,13 +106,8 @@
                     .is_some_and(|entry| entry.fencing_since.is_none() && !entry.handing_over)
                 && self.reservations.of(function).next().is_some()
         };
-        let mut idle_functions: Vec<(Moment, FunctionKey)> = self
-            .idle_since
-            .iter()
-            .filter(|(function, _)| is_fitting(function))
-            .map(|(function, since)| (*since, function.clone()))
-            .collect();
-        idle_functions.sort();
+        let mut idle_functions = self.idle_functions();
+        idle_functions.retain(|(_, function)| is_fitting(function));
         let mut freed_mb = 0;
         for (_, function) in idle_functions {
             if freed_mb >= needed_mb * 2 {
@@ -111,7 +120,9 @@
             freed_mb +=
                 self.reservations.of(&function).map(|(_, held)| held.memory_mb).sum::<u32>();
             self.gave_way_at.insert(function.clone(), now);
-            self.idle_since.remove(&function);
+            if let Some(idle_since) = self.idle_since.get_mut(&entry.holder) {
+                idle_since.remove(&function);
+            }
             self.tell(events::GAVE_WAY, json!({"function": function.to_string()}));
             self.down(stream, StreamDown::GiveWay { function, grant });
         }
