--- a/crates/controlplane/src/leader_state/claims.rs
+++ b/crates/controlplane/src/leader_state/claims.rs
@@ -44,6 +44,7 @@
         if let Some(record) = self.members.get_mut(&claimant) {
             record.claimed = true;
         }
+        self.renewals.look_again();
         self.tell_again(&claimant);
     }
 
--- a/crates/controlplane/src/leader_state/delivery.rs
+++ b/crates/controlplane/src/leader_state/delivery.rs
@@ -25,6 +25,7 @@
             self.awaited = document.roster.clone();
         }
         self.roster_changed = true;
+        self.renewals.look_again();
         let is_unseen = self.document.as_ref().is_some_and(|held| {
             document.unseen > 0 && held.view_serial() == document.view_serial()
         });
--- a/crates/controlplane/src/leader_state/members.rs
+++ b/crates/controlplane/src/leader_state/members.rs
@@ -2,7 +2,7 @@
 use common::clock::Moment;
 use common::events;
 use common::frames::{Flag, Host, KnownMember, Many, MemberLife, Place, StreamDown};
-use common::identity::{CorrelationId, FunctionKey, MemberName, Serial};
+use common::identity::{FunctionKey, MemberName, Serial};
 use common::ring::fitting_hosts;
 use common::rules::Rule;
 use serde_json::json;
@@ -13,10 +13,6 @@
 /// Daemons that are gone are looked for so often.
 const EXPIRE_EVERY: std::time::Duration = std::time::Duration::from_millis(50);
 const HOSTS_EVERY: std::time::Duration = std::time::Duration::from_millis(100);
-/// A renewal waits for a proof that is no older than so, beside its own age.
-const PROOF_SPAN: std::time::Duration = std::time::Duration::from_millis(20);
-/// A renewal that waited so long takes the proof there is.
-const PROOF_PATIENCE: std::time::Duration = std::time::Duration::from_millis(60);
 /// From one asking for the lists to the next, while something may run that is not known.
 const LISTS_EVERY: std::time::Duration = std::time::Duration::from_millis(150);
 
@@ -75,13 +71,6 @@
     }
 }
 
-pub(super) struct WaitingRenewal {
-    pub stream: StreamId,
-    pub correlation: CorrelationId,
-    pub asked_at: Moment,
-    pub wants_proof: bool,
-}
-
 impl LeaderState {
     pub(super) fn hear_hello(
         &mut self,
@@ -171,25 +160,12 @@
             if let Some(earlier_stream) = record.stream.take() {
                 self.streams.remove(&earlier_stream);
                 self.acquires.retain(|acquire| acquire.stream != earlier_stream);
-                self.renewals.retain(|renewal| renewal.stream != earlier_stream);
+                self.renewals.forget(earlier_stream);
             }
             self.fence_all_of(now, &earlier_life);
         }
     }
 
-    pub(super) fn hear_renew(
-        &mut self,
-        now: Moment,
-        stream: StreamId,
-        correlation: CorrelationId,
-        serial: Serial,
-    ) {
-        self.hear_installed(stream, serial);
-        self.renewals.retain(|renewal| renewal.stream != stream);
-        let asked = WaitingRenewal { stream, correlation, asked_at: now, wants_proof: true };
-        self.renewals.push(asked);
-    }
-
     pub(super) fn hear_installed(&mut self, stream: StreamId, serial: Serial) {
         if let Some(known_member) = self.streams.get(&stream)
             && let Some(record) = self.members.get_mut(known_member)
@@ -197,6 +173,7 @@
             let is_news = record.installed < serial;
             record.installed = record.installed.max(serial);
             if is_news {
+                self.renewals.look_again();
                 let member = known_member.member.clone();
                 self.outputs.push(LeaderOutput::Step {
                     serial,
@@ -219,45 +196,7 @@
             self.hosts_changed = true;
         }
         self.sweep_anew();
-        self.renewals.retain(|renewal| renewal.stream != stream);
-    }
-
-    pub(super) fn answer_renewals(&mut self, now: Moment, proof: &Proof<'_>) {
-        let Some(committed_serial) = self.document.as_ref().map(|held| held.view_serial()) else {
-            return;
-        };
-        let grant_end = proof.quorum_moment + self.timing.grant_length;
-        let grant_bound = proof.quorum_moment + self.timing.full_wait();
-        if !proof.ready || grant_end <= now {
-            return;
-        }
-        for mut renewal in std::mem::take(&mut self.renewals) {
-            let Some(known_member) = self.streams.get(&renewal.stream).cloned() else { continue };
-            let Some(record) = self.members.get(&known_member) else { continue };
-            let is_ready = record.claimed
-                && (record.installed >= committed_serial
-                    || !self.rules.keep(Rule::RenewalNeedsSpec));
-            let is_proof_old = proof.quorum_moment + PROOF_SPAN < renewal.asked_at
-                && now.since(renewal.asked_at) < PROOF_PATIENCE;
-            let is_proof_early = proof.quorum_moment < record.joined_at;
-            renewal.wants_proof = is_ready && (is_proof_old || is_proof_early);
-            let may_renew = is_ready && !is_proof_old && self.may_be_granted(&known_member, proof);
-            let Some(record) = self.members.get_mut(&known_member).filter(|_| may_renew) else {
-                self.renewals.push(renewal);
-                continue;
-            };
-            record.was_granted = true;
-            record.grant_end = record.grant_end.max(grant_end);
-            record.grant_bound = record.grant_bound.max(grant_bound);
-            record.heard_at = now;
-            record.swept = false;
-            let length_ms = grant_end.since(renewal.asked_at).as_millis() as u32;
-            let correlation = renewal.correlation;
-            self.down(
-                renewal.stream,
-                StreamDown::Renewed { correlation, length_ms, serial: committed_serial },
-            );
-        }
+        self.renewals.forget(stream);
     }
 
     pub(super) fn expire_members(&mut self, now: Moment) {
--- a/crates/controlplane/src/leader_state/mod.rs
+++ b/crates/controlplane/src/leader_state/mod.rs
@@ -11,6 +11,7 @@
 mod members;
 mod output;
 mod pressure;
+mod renewals;
 mod report;
 mod reservations;
 mod roster;
@@ -31,7 +32,8 @@
 use common::tongue::ListedRunner;
 use emptying::Emptying;
 use grants::{FunctionGrants, GrantEntry};
-use members::{LifeHistory, MemberRecord, PushedHosts, WaitingRenewal};
+use members::{LifeHistory, MemberRecord, PushedHosts};
+use renewals::Renewals;
 use reservations::Reservations;
 use roster::Absence;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -108,7 +110,7 @@
     next_emptying_at: Moment,
     no_room_told_at: Moment,
     acquires: Vec<WaitingAcquire>,
-    renewals: Vec<WaitingRenewal>,
+    renewals: Renewals,
     runners_listed_at: Moment,
     newest_list: Vec<ListedRunner>,
     all_claimed: bool,
@@ -185,7 +187,7 @@
             no_room_told_at: Moment::ZERO,
             next_emptying_at: elected_at + Duration::from_secs(15),
             acquires: Vec::new(),
-            renewals: Vec::new(),
+            renewals: Renewals::default(),
             runners_listed_at: Moment::ZERO,
             newest_list: Vec::new(),
             all_claimed: false,
@@ -297,7 +299,7 @@
         let Some(known_member) = self.streams.remove(&stream) else { return };
         self.acquires_changed = true;
         self.acquires.retain(|acquire| acquire.stream != stream);
-        self.renewals.retain(|renewal| renewal.stream != stream);
+        self.renewals.forget(stream);
         if let Some(record) = self.members.get_mut(&known_member)
             && record.stream == Some(stream)
         {
--- a/crates/controlplane/src/leader_state/roster.rs
+++ b/crates/controlplane/src/leader_state/roster.rs
@@ -177,7 +177,7 @@
 
     /// Whether a daemon waits for a newer proof of the majority.
     pub fn wants_round(&self) -> bool {
-        self.renewals.iter().any(|renewal| renewal.wants_proof)
+        self.renewals.wants_proof()
     }
 
     /// Whether something here is waited for that comes about within milliseconds.
