Give back a grant that answers a question from before everything was given up

A grant that the leader had given it meanwhile was on its way; the leader dropped it as unclaimed and granted the function to another, while the daemon, renewed by an answer that was also waiting in its socket, took it: two holders of one function, both sending to the same runner.

Ruled out: revoking it from the leader (the daemon holds it until the word arrives, and the regrant does not wait).

Change: a daemon that gives everything up voids its open questions; a grant that answers one of them goes back.

Test: a_grant_asked_for_before_everything_was_given_up_is_given_back, seen failing; without rule old-answer-void the daemon holds the function.

--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -96,6 +96,8 @@
     RoundOfItsTerm,
     /// A change of the document is applied to the version that it leads from, and to no other.
     ChangeOnItsBase,
+    /// A grant that answers a question from before its asker gave everything up is given back.
+    OldAnswerVoid,
 }
 
 impl Rule {
@@ -145,6 +147,7 @@
         Rule::NewestElected,
         Rule::RoundOfItsTerm,
         Rule::ChangeOnItsBase,
+        Rule::OldAnswerVoid,
     ];
 
     /// The rule of a name.
@@ -200,6 +203,7 @@
             Self::NewestElected => "newest-elected",
             Self::RoundOfItsTerm => "round-of-its-term",
             Self::ChangeOnItsBase => "change-on-its-base",
+            Self::OldAnswerVoid => "old-answer-void",
         })
     }
 }
--- a/crates/dataplane/src/keeper/mod.rs
+++ b/crates/dataplane/src/keeper/mod.rs
@@ -27,6 +27,8 @@
     alive_hosts: Vec<Host>,
     acquires: BTreeMap<CorrelationId, Asked>,
     reserves: BTreeMap<CorrelationId, (FunctionKey, GrantSerial)>,
+    /// Answers to questions up to this one come from before everything was given up.
+    void_up_to: CorrelationId,
     leaving: bool,
     rules: Rules,
     orders: Vec<KeeperOrder>,
@@ -43,6 +45,7 @@
             alive_hosts: Vec::new(),
             acquires: BTreeMap::new(),
             reserves: BTreeMap::new(),
+            void_up_to: CorrelationId(0),
             leaving: false,
             rules: Rules::KEPT,
             orders: Vec::new(),
@@ -193,7 +196,10 @@
                 LiaisonOutput::GrantedUntil(grant_end) => {
                     self.orders.push(KeeperOrder::ServeUntil(grant_end));
                 }
-                LiaisonOutput::GrantEnded => self.orders.push(KeeperOrder::GiveUpAll),
+                LiaisonOutput::GrantEnded => {
+                    self.void_open_acquires(now);
+                    self.orders.push(KeeperOrder::GiveUpAll);
+                }
                 LiaisonOutput::Pass(frame) => self.hear(now, frame),
             }
         }
--- a/crates/dataplane/src/keeper/questions.rs
+++ b/crates/dataplane/src/keeper/questions.rs
@@ -5,6 +5,7 @@
 use common::clock::Moment;
 use common::frames::{AcquireResult, ReserveResult, RunnerNews, StreamUp};
 use common::identity::{CorrelationId, FunctionKey, GrantSerial};
+use common::rules::Rule;
 use std::time::Duration;
 
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(2);
@@ -77,7 +78,8 @@
             .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
         if let AcquireResult::Granted { grant, once_wait_ms, steward, prior, adopted } = &result {
             let spec = self.table.function_of(&function).map(|entry| (*entry.spec).clone());
-            let may_hold = now < self.liaison.grant_end() && !self.leaving;
+            let is_void = correlation <= self.void_up_to && self.rules.keep(Rule::OldAnswerVoid);
+            let may_hold = now < self.liaison.grant_end() && !self.leaving && !is_void;
             match spec.filter(|_| may_hold) {
                 Some(spec) => self.orders.push(KeeperOrder::Grant(GrantTerms {
                     function: function.clone(),
@@ -120,6 +122,19 @@
         }
     }
 
+    /// The daemon is about to tell the leader that it holds nothing. A grant that is on its way to it then is
+    /// dropped by the leader as one that it does not claim, so it must not be taken.
+    pub(super) fn void_open_acquires(&mut self, now: Moment) {
+        self.void_up_to = self.liaison.correlation();
+        for asked in std::mem::take(&mut self.acquires).into_values() {
+            self.orders.push(KeeperOrder::Acquired {
+                function: asked.function,
+                result: None,
+                round_trip: now.since(asked.asked_at),
+            });
+        }
+    }
+
     /// Gives up the questions whose answers are late.
     pub(super) fn give_up_late_acquires(&mut self, now: Moment) {
         let late_correlations: Vec<CorrelationId> = self
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -104,6 +104,10 @@
     }
 
     fn renew(&mut self, serial: u64) {
+        self.renew_for(serial, 2400);
+    }
+
+    fn renew_for(&mut self, serial: u64, length_ms: u32) {
         self.now = self.now + ms(400);
         let orders = self.controller.tick(&self.agent, self.now);
         let correlation = orders.iter().find_map(|order| match order {
@@ -111,7 +115,7 @@
             _ => None,
         });
         let correlation = correlation.expect("a renewal");
-        self.hear(StreamDown::Renewed { correlation, length_ms: 2400, serial: Serial(serial) });
+        self.hear(StreamDown::Renewed { correlation, length_ms, serial: Serial(serial) });
     }
 
     fn list_itself(&mut self) {
@@ -618,3 +622,58 @@
     let step = at_the_door.passed(&bench.agent, bench.now, told());
     verify_that!(is_silent(&step), eq(true))
 }
+
+/// What a daemon makes of a grant that answers a question from before its lease ended, after which it had told the
+/// leader that it holds nothing: whether it holds the function, and whether it gives it back.
+fn granted_after_giving_up(rules: Rules) -> (bool, bool) {
+    let mut bench = Bench::new(rules);
+    bench.hear(spec_frame(2, "f"));
+    bench.renew_for(2, 600);
+    bench.now = bench.now + ms(400);
+    let orders = bench.controller.tick(&bench.agent, bench.now);
+    let late_renewal = orders.iter().find_map(|order| match order {
+        DaemonOrder::Say(StreamUp::Renew { correlation, .. }) => Some(*correlation),
+        _ => None,
+    });
+    bench.list_itself();
+    let function = bench.key("f");
+    let orders = bench.controller.acquire(&bench.agent, bench.now, function.clone());
+    let question = orders.iter().find_map(|order| match order {
+        DaemonOrder::Say(StreamUp::Acquire { correlation, .. }) => Some(*correlation),
+        _ => None,
+    });
+    bench.now = bench.now + ms(300);
+    let orders = bench.controller.tick(&bench.agent, bench.now);
+    let has_claimed_nothing = orders.iter().any(|order| {
+        matches!(order, DaemonOrder::Say(StreamUp::Claims { claims }) if claims.0.is_empty())
+    });
+    assert!(has_claimed_nothing);
+    bench.hear(StreamDown::Renewed {
+        correlation: late_renewal.expect("a renewal"),
+        length_ms: 2400,
+        serial: Serial(2),
+    });
+    assert!(bench.agent.is_serving(bench.now));
+    let grant = GrantSerial::of(Term(2), 1);
+    let orders = bench.hear(StreamDown::Acquired {
+        correlation: question.expect("a question"),
+        function: function.clone(),
+        result: AcquireResult::Granted {
+            grant,
+            once_wait_ms: 0,
+            steward: Many(Vec::new()),
+            prior: Many(Vec::new()),
+            adopted: Many(Vec::new()),
+        },
+    });
+    let is_given_back = orders.iter().any(|order| {
+        matches!(order, DaemonOrder::Say(StreamUp::Release { grant: given, .. }) if *given == grant)
+    });
+    (bench.agent.held(&function, grant).is_some(), is_given_back)
+}
+
+#[gtest]
+fn a_grant_asked_for_before_everything_was_given_up_is_given_back() -> Result<()> {
+    verify_that!(granted_after_giving_up(Rules::KEPT), eq((false, true)))?;
+    verify_that!(granted_after_giving_up(Rules::without(Rule::OldAnswerVoid)), eq((true, false)))
+}
