Take no grant that was given back from a later answer

Change: a daemon remembers on each stream which grants it gave back, and takes none of them.

Test: a_grant_that_was_given_back_is_not_taken_from_a_later_answer, seen failing without the memory.

--- a/crates/dataplane/src/keeper/mod.rs
+++ b/crates/dataplane/src/keeper/mod.rs
@@ -29,6 +29,8 @@
     reserves: BTreeMap<CorrelationId, (FunctionKey, GrantSerial)>,
     /// Answers to questions up to this one come from before everything was given up.
     void_up_to: CorrelationId,
+    /// Grants that were given back on this stream: the leader may name them once more before it hears so.
+    given_back: BTreeMap<FunctionKey, GrantSerial>,
     leaving: bool,
     rules: Rules,
     orders: Vec<KeeperOrder>,
@@ -46,6 +48,7 @@
             acquires: BTreeMap::new(),
             reserves: BTreeMap::new(),
             void_up_to: CorrelationId(0),
+            given_back: BTreeMap::new(),
             leaving: false,
             rules: Rules::KEPT,
             orders: Vec::new(),
@@ -190,6 +193,7 @@
                 }
                 LiaisonOutput::Lost => {
                     self.acquires.clear();
+                    self.given_back.clear();
                     let lost_reserves = std::mem::take(&mut self.reserves).into_values().collect();
                     self.orders.push(KeeperOrder::StreamLost(lost_reserves));
                 }
--- a/crates/dataplane/src/keeper/questions.rs
+++ b/crates/dataplane/src/keeper/questions.rs
@@ -76,31 +76,58 @@
             .acquires
             .remove(&correlation)
             .map_or(Duration::ZERO, |asked| now.since(asked.asked_at));
-        if let AcquireResult::Granted { grant, once_wait_ms, steward, prior, adopted } = &result {
-            let spec = self.table.function_of(&function).map(|entry| (*entry.spec).clone());
-            let is_void = correlation <= self.void_up_to && self.rules.keep(Rule::OldAnswerVoid);
-            let may_hold = now < self.liaison.grant_end() && !self.leaving && !is_void;
-            match spec.filter(|_| may_hold) {
-                Some(spec) => self.orders.push(KeeperOrder::Grant(GrantTerms {
+        let result = match result {
+            AcquireResult::Granted { .. } if self.is_given_back(&function, &result) => None,
+            AcquireResult::Granted { .. } => {
+                self.take_grant(now, correlation, &function, &result);
+                Some(result)
+            }
+            _ => Some(result),
+        };
+        self.orders.push(KeeperOrder::Acquired { function, result, round_trip });
+    }
+
+    /// Whether a grant is one that was given back already, named again to a question that crossed the word of
+    /// it.
+    fn is_given_back(&self, function: &FunctionKey, result: &AcquireResult) -> bool {
+        let AcquireResult::Granted { grant, .. } = result else { return false };
+        self.given_back.get(function).is_some_and(|given_back| grant <= given_back)
+    }
+
+    /// Takes a grant, or gives it back.
+    fn take_grant(
+        &mut self,
+        now: Moment,
+        correlation: CorrelationId,
+        function: &FunctionKey,
+        result: &AcquireResult,
+    ) {
+        let AcquireResult::Granted { grant, once_wait_ms, steward, prior, adopted } = result else {
+            return;
+        };
+        let spec = self.table.function_of(function).map(|entry| (*entry.spec).clone());
+        let is_void = correlation <= self.void_up_to && self.rules.keep(Rule::OldAnswerVoid);
+        let may_hold = now < self.liaison.grant_end() && !self.leaving && !is_void;
+        let order = match spec.filter(|_| may_hold) {
+            Some(spec) => KeeperOrder::Grant(GrantTerms {
+                function: function.clone(),
+                grant: *grant,
+                spec,
+                once_wait: Duration::from_millis(u64::from(*once_wait_ms)),
+                steward: steward.0.first().cloned(),
+                prior: prior.0.first().cloned(),
+                adopted: adopted.0.clone(),
+            }),
+            None => {
+                self.given_back.insert(function.clone(), *grant);
+                KeeperOrder::Say(StreamUp::Release {
                     function: function.clone(),
                     grant: *grant,
-                    spec,
-                    once_wait: Duration::from_millis(u64::from(*once_wait_ms)),
-                    steward: steward.0.first().cloned(),
-                    prior: prior.0.first().cloned(),
-                    adopted: adopted.0.clone(),
-                })),
-                None => {
-                    let frame = StreamUp::Release {
-                        function: function.clone(),
-                        grant: *grant,
-                        runners: adopted.clone(),
-                    };
-                    self.orders.push(KeeperOrder::Say(frame));
-                }
+                    runners: adopted.clone(),
+                })
             }
-        }
-        self.orders.push(KeeperOrder::Acquired { function, result: Some(result), round_trip });
+        };
+        self.orders.push(order);
     }
 
     pub(super) fn reserved(
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -6,7 +6,9 @@
     AcquireResult, Flag, HopBody, HopOutcome, HopReason, Host, Many, MemberLife, Parcel, Place,
     StreamDown, StreamUp,
 };
-use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId};
+use common::identity::{
+    CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId,
+};
 use common::rules::{Rule, Rules};
 use common::seal;
 use common::spec::{Document, FunctionSpec, Table, read_spec};
@@ -623,9 +625,38 @@
     verify_that!(is_silent(&step), eq(true))
 }
 
-/// What a daemon makes of a grant that answers a question from before its lease ended, after which it had told the
-/// leader that it holds nothing: whether it holds the function, and whether it gives it back.
-fn granted_after_giving_up(rules: Rules) -> (bool, bool) {
+fn granted_frame(correlation: CorrelationId, function: &FunctionKey) -> StreamDown {
+    StreamDown::Acquired {
+        correlation,
+        function: function.clone(),
+        result: AcquireResult::Granted {
+            grant: LATE_GRANT,
+            once_wait_ms: 0,
+            steward: Many(Vec::new()),
+            prior: Many(Vec::new()),
+            adopted: Many(Vec::new()),
+        },
+    }
+}
+
+fn asked_for(orders: &[DaemonOrder<u64>]) -> Option<CorrelationId> {
+    orders.iter().find_map(|order| match order {
+        DaemonOrder::Say(StreamUp::Acquire { correlation, .. }) => Some(*correlation),
+        _ => None,
+    })
+}
+
+fn gives_back(orders: &[DaemonOrder<u64>]) -> bool {
+    orders.iter().any(|order| {
+        matches!(order, DaemonOrder::Say(StreamUp::Release { grant, .. }) if *grant == LATE_GRANT)
+    })
+}
+
+const LATE_GRANT: GrantSerial = GrantSerial(2 << 32 | 1);
+
+/// A daemon that asked for a function, gave everything up as its lease ended, and was renewed after it; with the
+/// number of its question.
+fn renewed_after_giving_up(rules: Rules) -> (Bench, CorrelationId) {
     let mut bench = Bench::new(rules);
     bench.hear(spec_frame(2, "f"));
     bench.renew_for(2, 600);
@@ -637,39 +668,27 @@
     });
     bench.list_itself();
     let function = bench.key("f");
-    let orders = bench.controller.acquire(&bench.agent, bench.now, function.clone());
-    let question = orders.iter().find_map(|order| match order {
-        DaemonOrder::Say(StreamUp::Acquire { correlation, .. }) => Some(*correlation),
-        _ => None,
-    });
+    let orders = bench.controller.acquire(&bench.agent, bench.now, function);
+    let question = asked_for(&orders).expect("a question");
     bench.now = bench.now + ms(300);
     let orders = bench.controller.tick(&bench.agent, bench.now);
     let has_claimed_nothing = orders.iter().any(|order| {
         matches!(order, DaemonOrder::Say(StreamUp::Claims { claims }) if claims.0.is_empty())
     });
     assert!(has_claimed_nothing);
-    bench.hear(StreamDown::Renewed {
-        correlation: late_renewal.expect("a renewal"),
-        length_ms: 2400,
-        serial: Serial(2),
-    });
+    let correlation = late_renewal.expect("a renewal");
+    bench.hear(StreamDown::Renewed { correlation, length_ms: 2400, serial: Serial(2) });
     assert!(bench.agent.is_serving(bench.now));
-    let grant = GrantSerial::of(Term(2), 1);
-    let orders = bench.hear(StreamDown::Acquired {
-        correlation: question.expect("a question"),
-        function: function.clone(),
-        result: AcquireResult::Granted {
-            grant,
-            once_wait_ms: 0,
-            steward: Many(Vec::new()),
-            prior: Many(Vec::new()),
-            adopted: Many(Vec::new()),
-        },
-    });
-    let is_given_back = orders.iter().any(|order| {
-        matches!(order, DaemonOrder::Say(StreamUp::Release { grant: given, .. }) if *given == grant)
-    });
-    (bench.agent.held(&function, grant).is_some(), is_given_back)
+    (bench, question)
+}
+
+/// What a daemon makes of a grant that answers a question from before its lease ended, after which it had told the
+/// leader that it holds nothing: whether it holds the function, and whether it gives it back.
+fn granted_after_giving_up(rules: Rules) -> (bool, bool) {
+    let (mut bench, question) = renewed_after_giving_up(rules);
+    let function = bench.key("f");
+    let orders = bench.hear(granted_frame(question, &function));
+    (bench.agent.held(&function, LATE_GRANT).is_some(), gives_back(&orders))
 }
 
 #[gtest]
@@ -677,3 +696,15 @@
     verify_that!(granted_after_giving_up(Rules::KEPT), eq((false, true)))?;
     verify_that!(granted_after_giving_up(Rules::without(Rule::OldAnswerVoid)), eq((true, false)))
 }
+
+/// The leader names a standing grant again to a question that crossed the word that it was given back.
+#[gtest]
+fn a_grant_that_was_given_back_is_not_taken_from_a_later_answer() -> Result<()> {
+    let (mut bench, question) = renewed_after_giving_up(Rules::KEPT);
+    let function = bench.key("f");
+    let orders = bench.controller.acquire(&bench.agent, bench.now, function.clone());
+    let later_question = asked_for(&orders).expect("a question");
+    verify_that!(gives_back(&bench.hear(granted_frame(question, &function))), eq(true))?;
+    bench.hear(granted_frame(later_question, &function));
+    verify_that!(bench.agent.held(&function, LATE_GRANT).is_none(), eq(true))
+}
