--- a/programs/controller/tests/command_line.rs
+++ b/programs/controller/tests/command_line.rs
@@ -1,64 +1,33 @@
 //! What the command line says to a user.
 
-use std::path::PathBuf;
-use std::process::{Command, Output};
+#[path = "../../../testing/support/settings_file.rs"]
+mod settings_file;
 
-fn run(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_rudder-controller")).args(arguments).output().expect("it runs")
-}
-
-fn boot_file(name: &str, text: &str) -> PathBuf {
-    let path =
-        std::env::temp_dir().join(format!("rudder-controller-{name}-{}.json", std::process::id()));
-    std::fs::write(&path, text).expect("a file");
-    path
-}
+use settings_file::Binary;
 
-fn refused(name: &str, text: &str, more: &[&str]) -> String {
-    let path = boot_file(name, text);
-    let mut arguments = vec!["--boot", path.to_str().expect("a path")];
-    arguments.extend(more);
-    let output = run(&arguments);
-    let said = String::from_utf8_lossy(&output.stderr).trim().to_owned();
-    assert_eq!(output.status.code(), Some(2), "{said}");
-    assert_eq!(said.lines().count(), 1, "{said}");
-    assert!(said.contains(path.to_str().expect("a path")), "{said}");
-    let _ = std::fs::remove_file(path);
-    said
-}
+const CONTROLLER: Binary =
+    Binary { name: "rudder-controller", path: env!("CARGO_BIN_EXE_rudder-controller") };
 
 #[test]
 fn version_and_help_are_there() {
-    let version = run(&["--version"]);
-    assert!(String::from_utf8_lossy(&version.stdout).starts_with("rudder-controller "));
-    assert_eq!(version.status.code(), Some(0));
-    assert!(String::from_utf8_lossy(&run(&["--help"]).stdout).contains("--boot"));
+    CONTROLLER.check_version_and_help();
 }
 
 #[test]
 fn bad_settings_are_named_by_file_key_and_reason() {
-    assert!(refused("unknown", r#"{"colour": "red"}"#, &[]).contains("colour is not a known key"));
-    assert!(refused("missing", "{}", &[]).contains("is missing"));
-    assert!(refused("json", "{", &[]).contains("not JSON"));
-    let bad_place = refused("place", r#"{"place": "localhost:1"}"#, &[]);
-    assert!(bad_place.contains("place is not an IP number with port"), "{bad_place}");
-    let overridden = refused("flag", r#"{"place": "127.0.0.1:1"}"#, &["--place", "nowhere"]);
-    assert!(overridden.contains("place is not an IP number with port"), "{overridden}");
-    let seeds = r#"{"seeds": ["127.0.0.1:1", "127.0.0.1:2"]}"#;
-    assert_eq!(run(&["--boot", "/no/such/file.json"]).status.code(), Some(2));
-    let _ = refused("seeds", seeds, &[]);
+    CONTROLLER.check_bad_settings();
 }
 
 #[test]
 fn an_unwritable_data_folder_is_named() {
-    let file = boot_file("notafolder", "x");
+    let file = CONTROLLER.file("notafolder", "x");
     let text = format!(
         r#"{{"place": "127.0.0.1:0", "operators": "127.0.0.1:0", "locality": "north",
             "seeds": ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"], "platform": "127.0.0.1:4",
             "data": "{}/inside"}}"#,
         file.display()
     );
-    let said = refused("folder", &text, &[]);
+    let said = CONTROLLER.refused("folder", &text, &[]);
     assert!(said.contains("data cannot be written"), "{said}");
     let _ = std::fs::remove_file(file);
 }
--- /dev/null
+++ b/testing/support/settings_file.rs
@@ -0,0 +1,67 @@
+//! What each program that reads a settings file must say to its user: version, help, and every fault of the file by
+//! its key. Included by the programs' own tests, since only those know where the binary is.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+/// A program under test.
+pub struct Binary {
+    /// Its name, as it says it.
+    pub name: &'static str,
+    /// Where cargo has put it.
+    pub path: &'static str,
+}
+
+impl Binary {
+    /// Runs it to its end.
+    pub fn run(&self, arguments: &[&str]) -> Output {
+        Command::new(self.path).args(arguments).output().expect("it runs")
+    }
+
+    /// A file of its own.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let file_name = format!("{}-{name}-{}.json", self.name, std::process::id());
+        let path = std::env::temp_dir().join(file_name);
+        std::fs::write(&path, text).expect("a file");
+        path
+    }
+
+    /// What it says, in one line that names the file, to settings that it refuses.
+    pub fn refused(&self, name: &str, text: &str, more: &[&str]) -> String {
+        let path = self.file(name, text);
+        let mut arguments = vec!["--boot", path.to_str().expect("a path")];
+        arguments.extend(more);
+        let output = self.run(&arguments);
+        let said = String::from_utf8_lossy(&output.stderr).trim().to_owned();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(said.contains(path.to_str().expect("a path")), "{said}");
+        let _ = std::fs::remove_file(path);
+        said
+    }
+
+    /// Version and help are there.
+    pub fn check_version_and_help(&self) {
+        let version = self.run(&["--version"]);
+        let version_text = String::from_utf8_lossy(&version.stdout).into_owned();
+        assert!(version_text.starts_with(&format!("{} ", self.name)), "{version_text}");
+        assert_eq!(version.status.code(), Some(0));
+        assert!(String::from_utf8_lossy(&self.run(&["--help"]).stdout).contains("--boot"));
+    }
+
+    /// Bad settings are named by file, key and reason.
+    pub fn check_bad_settings(&self) {
+        let unknown = self.refused("unknown", r#"{"colour": "red"}"#, &[]);
+        assert!(unknown.contains("colour is not a known key"), "{unknown}");
+        assert!(self.refused("missing", "{}", &[]).contains("is missing"));
+        assert!(self.refused("json", "{", &[]).contains("not JSON"));
+        let bad_place = self.refused("place", r#"{"place": "localhost:1"}"#, &[]);
+        assert!(bad_place.contains("place is not an IP number with port"), "{bad_place}");
+        let overridden =
+            self.refused("flag", r#"{"place": "127.0.0.1:1"}"#, &["--place", "nowhere"]);
+        assert!(overridden.contains("place is not an IP number with port"), "{overridden}");
+        let seeds = r#"{"seeds": ["127.0.0.1:1", "127.0.0.1:2"]}"#;
+        assert_eq!(self.run(&["--boot", "/no/such/file.json"]).status.code(), Some(2));
+        let _ = self.refused("seeds", seeds, &[]);
+    }
+}
