--- a/testing/fleet/src/sim/checks/mod.rs
+++ b/testing/fleet/src/sim/checks/mod.rs
@@ -1,3 +1,5 @@
+//! What the simulator checks of each day, from what every process did.
+
 mod control;
 
 use common::clock::Moment;
