--- a/crates/controlplane/tests/leader_state.rs
+++ b/crates/controlplane/tests/leader_state.rs
@@ -839,10 +839,8 @@
     verify_that!(hand_overs(&mut bench), eq(0))
 }
 
-/// The first to ask may be a host on a narrow link, from when it knew no others. One on a wide link that asks
-/// meanwhile goes first, and the other is told of it.
-#[gtest]
-fn a_question_from_a_narrow_link_waits_for_one_from_a_wide_link() -> Result<()> {
+/// A leader that has just opened, with hosts on wide links, and a question from the one on a narrow link.
+fn asked_from_a_narrow_link() -> Bench {
     let mut bench = Bench::new(&["a"]);
     bench.join_on(1, "a", NARROW_MBPS, vec![]);
     for (stream, name) in [(2, "b"), (3, "c"), (4, "d")] {
@@ -852,6 +850,14 @@
     bench.listed(&[]);
     bench.acquire(1);
     bench.pass(ms(100));
+    bench
+}
+
+/// The first to ask may be a host on a narrow link, from when it knew no others. One on a wide link that asks
+/// meanwhile goes first, and the other is told of it.
+#[gtest]
+fn a_question_from_a_narrow_link_waits_for_one_from_a_wide_link() -> Result<()> {
+    let mut bench = asked_from_a_narrow_link();
     verify_that!(bench.leader_state.is_open(), eq(true))?;
     verify_that!(bench.acquired(), none())?;
     bench.acquire(3);
@@ -863,15 +869,7 @@
 
 #[gtest]
 fn a_question_from_a_narrow_link_that_no_wide_one_joins_is_granted_after_a_second() -> Result<()> {
-    let mut bench = Bench::new(&["a"]);
-    bench.join_on(1, "a", NARROW_MBPS, vec![]);
-    for (stream, name) in [(2, "b"), (3, "c"), (4, "d")] {
-        bench.join_on(stream, name, WIDE_MBPS, vec![]);
-    }
-    bench.pass(ms(100));
-    bench.listed(&[]);
-    bench.acquire(1);
-    bench.pass(ms(100));
+    let mut bench = asked_from_a_narrow_link();
     verify_that!(bench.leader_state.is_open(), eq(true))?;
     bench.pass(ms(900));
     verify_that!(bench.acquired(), none())?;
