--- a/crates/common/src/command_line.rs
+++ b/crates/common/src/command_line.rs
@@ -1,6 +1,7 @@
 //! What every program does around its work: flags, faults, the log, the runtime, and signals.
 
 use crate::events;
+use crate::invariants;
 use crate::note;
 use gumdrop::{Options, ParsingStyle};
 use std::fmt;
@@ -148,7 +149,9 @@
     builder.enable_all().build()
 }
 
-/// Starts the log at the level that `RUST_LOG` names, or `info`.
+/// Starts the log at the level that `RUST_LOG` names, or `info`. A program with a log goes on when it finds one of
+/// its invariants violated, and counts it.
 pub fn start_log() {
+    invariants::count_only();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
 }
--- a/crates/common/src/events/mod.rs
+++ b/crates/common/src/events/mod.rs
@@ -40,6 +40,8 @@
     HEARTBEAT_IGNORED = 1102, "heartbeat ignored";
     /// A link to another process was lost.
     LINK_LOST = 1103, "link lost";
+    /// The process found one of its own promises broken.
+    INVARIANT_VIOLATED = 1201, "invariant violated";
     /// A controller asks for votes.
     CAMPAIGN = 2001, "campaign";
     /// A controller leads.
--- /dev/null
+++ b/crates/common/src/invariants.rs
@@ -0,0 +1,169 @@
+//! Promises that the running code checks about itself.
+//!
+//! A check stands behind the rule that keeps its promise, and does not repeat it: it looks at what was done.
+//! Each violation is counted on the metrics page, logged as an event, and handed to the proving tools. Debug
+//! builds stop at the first one, unless a rule was taken away on purpose or the process counts only.
+
+use crate::events;
+use crate::note;
+use crate::rules::Rules;
+use prometheus::{IntCounterVec, Opts};
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// A promise that the code checks while it runs.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Invariant {
+    /// A daemon never installs an older spec than the one it has.
+    SpecNeverOlder,
+    /// A runner never has more requests than slots.
+    SlotsRespected,
+    /// A request that may run only once is never sent after it may have run.
+    OnceSentOnce,
+    /// What is refused as not run is with no runner.
+    RefusedNotSent,
+    /// Extra tries stay within the retry budget.
+    RetryBudgetKept,
+    /// A request's first byte leaves while the session lease runs.
+    SentUnderLease,
+    /// A term has one leader.
+    OneLeaderPerTerm,
+    /// No committed version is replaced by one with a lower serial.
+    CommitNeverLost,
+    /// A change is put forward on the version that its operator named.
+    ChangeOnNamedBase,
+    /// A version that is put forward has a spec that checks.
+    ProposedSpecValid,
+    /// A function is granted only when every earlier lease on it has ended.
+    GrantedAfterLease,
+    /// A function is granted only after a claims quorum.
+    GrantedAfterClaims,
+}
+
+impl Invariant {
+    /// Every invariant.
+    pub const ALL: &[Invariant] = &[
+        Invariant::SpecNeverOlder,
+        Invariant::SlotsRespected,
+        Invariant::OnceSentOnce,
+        Invariant::RefusedNotSent,
+        Invariant::RetryBudgetKept,
+        Invariant::SentUnderLease,
+        Invariant::OneLeaderPerTerm,
+        Invariant::CommitNeverLost,
+        Invariant::ChangeOnNamedBase,
+        Invariant::ProposedSpecValid,
+        Invariant::GrantedAfterLease,
+        Invariant::GrantedAfterClaims,
+    ];
+
+    /// Its name on the metrics page and in the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::SpecNeverOlder => "spec-never-older",
+            Self::SlotsRespected => "slots-respected",
+            Self::OnceSentOnce => "once-sent-once",
+            Self::RefusedNotSent => "refused-not-sent",
+            Self::RetryBudgetKept => "retry-budget-kept",
+            Self::SentUnderLease => "sent-under-lease",
+            Self::OneLeaderPerTerm => "one-leader-per-term",
+            Self::CommitNeverLost => "commit-never-lost",
+            Self::ChangeOnNamedBase => "change-on-named-base",
+            Self::ProposedSpecValid => "proposed-spec-valid",
+            Self::GrantedAfterLease => "granted-after-lease",
+            Self::GrantedAfterClaims => "granted-after-claims",
+        }
+    }
+}
+
+impl fmt::Display for Invariant {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(self.as_str())
+    }
+}
+
+/// An invariant that did not hold.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Violation {
+    /// Which one.
+    pub invariant: Invariant,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "invariant {}: {}", self.invariant, self.detail)
+    }
+}
+
+/// The name of the counters on the metrics page.
+pub const COUNTER_NAME: &str = "rudder_invariant_violations_total";
+
+/// How many violations a thread keeps for the proving tools.
+const KEPT_PER_THREAD: usize = 64;
+
+static COUNTS_ONLY: AtomicBool = AtomicBool::new(false);
+
+static COUNTERS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    let options = Opts::new(COUNTER_NAME, "promises that the process found broken, by invariant");
+    let counters = IntCounterVec::new(options, &["invariant"]).expect("a constant name is valid");
+    for invariant in Invariant::ALL {
+        counters.with_label_values(&[invariant.as_str()]);
+    }
+    counters
+});
+
+thread_local! {
+    static SEEN: RefCell<Vec<Violation>> = const { RefCell::new(Vec::new()) };
+    static IS_COLLECTING: Cell<bool> = const { Cell::new(false) };
+}
+
+/// The counters of this process, one for each invariant.
+pub fn counters() -> IntCounterVec {
+    COUNTERS.clone()
+}
+
+/// From now on violations never stop this process: a deployed program counts them and goes on.
+pub fn count_only() {
+    COUNTS_ONLY.store(true, Ordering::Relaxed);
+}
+
+/// From now on violations on this thread are kept for [`take_seen`] and do not stop it.
+pub fn collect_on_this_thread() {
+    IS_COLLECTING.set(true);
+    SEEN.take();
+}
+
+/// What this thread has seen since it was last asked.
+pub fn take_seen() -> Vec<Violation> {
+    SEEN.take()
+}
+
+/// Notes a violation if the condition does not hold.
+pub fn require(
+    rules: Rules,
+    invariant: Invariant,
+    holds: bool,
+    detail: impl FnOnce() -> String,
+) {
+    if !holds {
+        violated(rules, Violation { invariant, detail: detail() });
+    }
+}
+
+#[cold]
+fn violated(rules: Rules, violation: Violation) {
+    COUNTERS.with_label_values(&[violation.invariant.as_str()]).inc();
+    note!(Error, events::INVARIANT_VIOLATED, "{violation}");
+    let is_tolerated =
+        IS_COLLECTING.get() || !rules.are_all_kept() || COUNTS_ONLY.load(Ordering::Relaxed);
+    assert!(!cfg!(debug_assertions) || is_tolerated, "{violation}");
+    SEEN.with_borrow_mut(|seen| {
+        if seen.len() < KEPT_PER_THREAD {
+            seen.push(violation);
+        }
+    });
+}
--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod frames;
 pub mod http;
 pub mod identity;
+pub mod invariants;
 pub mod metrics;
 pub mod readers;
 pub mod ring;
--- a/crates/common/src/metrics.rs
+++ b/crates/common/src/metrics.rs
@@ -1,5 +1,6 @@
 //! A page of metrics in Prometheus text format; all names are constants of the program.
 
+use crate::invariants;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -21,9 +22,11 @@
 }
 
 impl Page {
-    /// An empty page.
+    /// A page with the counts of violated invariants, which every process has.
     pub fn new() -> Self {
-        Self { registry: Registry::new() }
+        let registry = Registry::new();
+        registry.register(Box::new(invariants::counters())).expect(VALID);
+        Self { registry }
     }
 
     /// A new counter.
--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -38,6 +38,8 @@
     RampKept,
     /// A lost answer keeps its slot until the runner is known to be done.
     LostKeepsSlot,
+    /// A request that may run only once is not sent again when its answer is lost.
+    OnceNotRepeated,
     /// Extra tries and repeats draw on one count.
     TriesCounted,
     /// A refusal is said only of what has left the inbox, and no runner was given.
@@ -119,6 +121,7 @@
         Rule::SlotsKept,
         Rule::RampKept,
         Rule::LostKeepsSlot,
+        Rule::OnceNotRepeated,
         Rule::TriesCounted,
         Rule::RefusedIsGone,
         Rule::IdentityKnown,
@@ -175,6 +178,7 @@
             Self::SlotsKept => "slots-kept",
             Self::RampKept => "ramp-kept",
             Self::LostKeepsSlot => "lost-keeps-slot",
+            Self::OnceNotRepeated => "once-not-repeated",
             Self::TriesCounted => "tries-counted",
             Self::RefusedIsGone => "refused-is-gone",
             Self::IdentityKnown => "identity-known",
@@ -222,6 +226,11 @@
         Self(Some(broken_rule))
     }
 
+    /// Whether no rule was taken away.
+    pub fn are_all_kept(self) -> bool {
+        self.0.is_none()
+    }
+
     /// Whether a rule is kept.
     pub fn keep(self, asked_rule: Rule) -> bool {
         self.0 != Some(asked_rule)
--- a/crates/controlplane/src/controller_state/changes.rs
+++ b/crates/controlplane/src/controller_state/changes.rs
@@ -9,6 +9,7 @@
 use crate::leader_state::LeaderState;
 use common::clock::Moment;
 use common::identity::{ChangeId, Serial};
+use common::invariants::{Invariant, require};
 use common::rules::Rule;
 use common::spec::Document;
 use serde_json::json;
@@ -270,6 +271,7 @@
         if let Some(wanted_roster) = wanted_roster {
             next_document.roster = wanted_roster;
         }
+        self.check_proposal(&queued, &next_document);
         let number = queued.numbering.map_or(0, |given| given.number);
         let serial = next_document.stamp.serial;
         self.traces.put_forward(now, self.core.term(), serial);
@@ -290,6 +292,21 @@
         }
     }
 
+    fn check_proposal(&self, queued: &QueuedChange, next_document: &Document) {
+        let Some(current) = self.core.accepted() else { return };
+        let (serial, number) = (current.view_serial(), current.number);
+        let is_on_base = queued.base.is_none_or(|base| base == serial)
+            && queued.numbering.is_none_or(|given| given.base_number == number);
+        require(self.rules, Invariant::ChangeOnNamedBase, is_on_base, || {
+            format!("{} goes on version {serial}, number {number}", queued.change)
+        });
+        // A second check of a whole spec is dear on a small share of a core: debug builds only.
+        let is_valid = !cfg!(debug_assertions) || next_document.spec.check().is_ok();
+        require(self.rules, Invariant::ProposedSpecValid, is_valid, || {
+            format!("{} is invalid and put forward", queued.change)
+        });
+    }
+
     /// An operator hung up: what it asked for and was not put forward is dropped.
     pub(super) fn withdraw(&mut self, ticket: OperationTicket) {
         if self.rules.keep(Rule::HungUpDropped) {
--- a/crates/controlplane/src/core/election.rs
+++ b/crates/controlplane/src/core/election.rs
@@ -2,6 +2,7 @@
 use common::clock::Moment;
 use common::frames::{CoreBody, Flag, Many, Place};
 use common::identity::{ControllerId, Stamp, Term};
+use common::invariants::{Invariant, require};
 use common::rules::Rule;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -232,6 +233,7 @@
         }
         self.role = Role::Leader(Box::new(Rounds::new(now)));
         self.leader = Some((self.id, self.address));
+        self.note_term_leader(self.term, self.id);
         self.leader_heard_at = now;
         self.members = self.inherited_members.clone();
         self.members_whole = self.inherited_whole;
@@ -269,6 +271,7 @@
             return false;
         }
         self.early_trials = 0;
+        self.note_term_leader(term, from);
         if term > self.term || !matches!(self.role, Role::Follower) {
             self.step_down(now, term);
         }
@@ -278,6 +281,17 @@
         true
     }
 
+    fn note_term_leader(&mut self, term: Term, leader: ControllerId) {
+        let known = self.term_leader.filter(|(known_term, _)| *known_term == term);
+        let is_sole = known.is_none_or(|(_, known_leader)| known_leader == leader);
+        require(self.rules, Invariant::OneLeaderPerTerm, is_sole, || {
+            format!("{leader:?} leads term {term}, and {known:?}")
+        });
+        if self.term_leader.is_none_or(|(known_term, _)| known_term < term) {
+            self.term_leader = Some((term, leader));
+        }
+    }
+
     /// Answers a round. One of an earlier term gets this member's term and no number: numbers begin
     /// anew in each term, and the answer must prove nothing in a later one.
     pub(super) fn reply_round(&mut self, to: Place, term: Term, round: u64) {
--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -76,6 +76,8 @@
     committed: Stamp,
     role: Role,
     leader: Option<(ControllerId, Address)>,
+    /// Who leads or has led the newest term of which that is known.
+    term_leader: Option<(Term, ControllerId)>,
     leader_heard_at: Moment,
     election_at: Moment,
     hello_at: Moment,
@@ -129,6 +131,7 @@
             committed: Stamp::default(),
             role: Role::Follower,
             leader: None,
+            term_leader: None,
             leader_heard_at: unheard_since,
             election_at: now,
             hello_at: now,
--- a/crates/controlplane/src/core/register.rs
+++ b/crates/controlplane/src/core/register.rs
@@ -6,6 +6,7 @@
 use common::clock::Moment;
 use common::frames::{Blob, CoreBody, Many, Place, pack, unpack};
 use common::identity::{ControllerId, Stamp, Term};
+use common::invariants::{Invariant, require};
 use common::rules::Rule;
 use common::spec::Document;
 use std::collections::BTreeSet;
@@ -289,6 +290,12 @@
         let written_stamp = document.stamp;
         self.term = self.term.max(written_stamp.term);
         if written_stamp > self.accepted_stamp() {
+            let committed = self.committed;
+            let holds_commit = self.accepted_stamp() >= committed;
+            let keeps_commit = !holds_commit || written_stamp.serial >= committed.serial;
+            require(self.rules, Invariant::CommitNeverLost, keeps_commit, || {
+                format!("{written_stamp} takes the place of {committed}, which is committed")
+            });
             self.accepted = Some(document);
         }
         if written_stamp == FOUNDING {
--- a/crates/controlplane/src/leader_state/claims.rs
+++ b/crates/controlplane/src/leader_state/claims.rs
@@ -153,6 +153,7 @@
                 holder: claimant.clone(),
                 grant: claim.grant,
                 fencing_since: None,
+                lost_lease_end: None,
                 handing_over: false,
                 steward: claim.steward.0.first().cloned(),
                 whole: claim.whole.0,
--- a/crates/controlplane/src/leader_state/fence.rs
+++ b/crates/controlplane/src/leader_state/fence.rs
@@ -55,6 +55,8 @@
         for lost_member in lost_members {
             if let Some(record) = self.members.get_mut(&lost_member) {
                 record.swept = true;
+                let lease_end = record.grant_bound;
+                self.entries.note_lost(&lost_member, lease_end);
             }
             self.fence_all_of(now, &lost_member);
         }
--- a/crates/controlplane/src/leader_state/functions.rs
+++ b/crates/controlplane/src/leader_state/functions.rs
@@ -5,6 +5,7 @@
     AcquireResult, ClaimRunner, HopReason, KnownMember, Many, Prior, RunnerNews, StreamDown,
 };
 use common::identity::{FunctionKey, GrantSerial, RunnerId};
+use common::invariants::{Invariant, require};
 use common::rules::Rule;
 use serde_json::json;
 use std::time::Duration;
@@ -136,6 +137,7 @@
         if self.may_have_unlisted(&acquire.function) {
             return None;
         }
+        self.check_claims_quorum(now, &acquire.function);
         let grant = self.next_number();
         let is_noted = self.is_noted(&acquire.function);
         let once_from = self.once_from.get(&acquire.function).copied().unwrap_or_default();
@@ -159,6 +161,7 @@
             holder: asker,
             grant,
             fencing_since: None,
+            lost_lease_end: None,
             handing_over: false,
             steward: steward.clone(),
             whole: once_wait.is_zero(),
@@ -173,6 +176,16 @@
         })
     }
 
+    /// Nobody who may hold the function under an earlier leader is left out: the old leases have all ended, or all
+    /// that were waited for have claimed.
+    fn check_claims_quorum(&self, now: Moment, function: &FunctionKey) {
+        let has_waited = now >= self.elected_at + self.timing.claims_wait;
+        let is_awaited = self.all_claimed || has_waited || self.inherited_nothing;
+        require(self.rules, Invariant::GrantedAfterClaims, is_awaited, || {
+            format!("{function} is granted before the claims quorum stands")
+        });
+    }
+
     /// Whether a function's once-transactions are noted elsewhere and waited for.
     fn is_noted(&self, function: &FunctionKey) -> bool {
         self.table.index_of(function).is_none_or(|index| self.table.is_noted(index))
@@ -279,6 +292,11 @@
         self.fencing.remove(function);
         self.acquires_changed = true;
         let ended_entry = self.entries.remove(function);
+        let lease_end = ended_entry.as_ref().and_then(|entry| entry.lost_lease_end);
+        let has_lease_ended = lease_end.is_none_or(|lease_end| now >= lease_end);
+        require(self.rules, Invariant::GrantedAfterLease, has_lease_ended, || {
+            format!("{function} is free for the next grant before its holder's lease has ended")
+        });
         let prior = ended_entry.filter(|entry| entry.whole).and_then(|entry| {
             let grant = entry.grant;
             entry.steward.map(|steward| Prior { steward, grant })
--- a/crates/controlplane/src/leader_state/grants.rs
+++ b/crates/controlplane/src/leader_state/grants.rs
@@ -11,6 +11,8 @@
     pub holder: KnownMember,
     pub grant: GrantSerial,
     pub fencing_since: Option<Moment>,
+    /// When the lease of a holder that was lost has surely ended.
+    pub lost_lease_end: Option<Moment>,
     pub handing_over: bool,
     pub steward: Option<Host>,
     pub whole: bool,
@@ -73,6 +75,15 @@
         self.by_holder.get(holder).into_iter().flatten().cloned().collect()
     }
 
+    /// A holder was lost; its lease has surely ended at that moment.
+    pub fn note_lost(&mut self, holder: &KnownMember, lease_end: Moment) {
+        for function in self.functions_of(holder) {
+            if let Some(entry) = self.by_function.get_mut(&function) {
+                entry.lost_lease_end = Some(lease_end);
+            }
+        }
+    }
+
     /// Whether a daemon holds anything.
     pub fn has_any(&self, holder: &KnownMember) -> bool {
         self.by_holder.contains_key(holder)
--- a/crates/dataplane/src/agent/answer.rs
+++ b/crates/dataplane/src/agent/answer.rs
@@ -5,6 +5,7 @@
 use common::clock::Moment;
 use common::frames::{HopOutcome, HopReason, Many, Parcel};
 use common::identity::{FunctionKey, RunnerId, TransactionId};
+use common::invariants::{Invariant, require};
 use common::rules::{Rule, Rules};
 use common::seal;
 use common::tongue::{RunnerSaid, SealKind};
@@ -125,6 +126,10 @@
     pub parcel: Arc<Parcel>,
 }
 
+/// The leader waits for more than that beyond the end of a lease before it grants anew; whoever sends later than
+/// that stood still between its look at the lease and its write.
+const LEASE_SLACK: Duration = Duration::from_millis(100);
+
 impl<W> Agent<W> {
     /// Whether anything may be sent for a held function: the member grant runs, and the function was not
     /// given up.
@@ -133,6 +138,15 @@
         (self.is_serving(now) && is_held) || !self.rules.keep(Rule::HeldBeforeSend)
     }
 
+    /// Checks that what has just left did so while the session lease ran.
+    pub fn check_sent(&self, now: Moment) {
+        let lease_end = self.serving_until.get();
+        let is_under_lease = now < lease_end + LEASE_SLACK;
+        require(self.rules, Invariant::SentUnderLease, is_under_lease, || {
+            format!("a request left {} ms after the lease", now.since(lease_end).as_millis())
+        });
+    }
+
     /// The last look before a transaction is handed to a connection: the member grant runs, the function
     /// is held, and the newest spec still leads its route to this function.
     pub fn runner_call(
--- a/crates/dataplane/src/drivers/metered.rs
+++ b/crates/dataplane/src/drivers/metered.rs
@@ -9,8 +9,20 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Whether a request may still be sent; asked right before its first byte is written.
-pub type SendPermit = Box<dyn Fn() -> bool + Send>;
+/// What a request needs to be sent.
+pub struct SendPermit {
+    /// Whether it may still be sent; asked right before its first byte is written.
+    pub is_given: Box<dyn Fn() -> bool + Send>,
+    /// Hears that the first byte was written.
+    pub begun: Box<dyn Fn() + Send>,
+}
+
+impl SendPermit {
+    /// A permission that never ends.
+    pub fn always() -> Self {
+        Self { is_given: Box::new(|| true), begun: Box::new(|| {}) }
+    }
+}
 
 /// The permission to send has ended before the first byte was written.
 #[derive(Debug)]
@@ -44,7 +56,7 @@
 
     fn write(&self, writing: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let mut permit = self.permit.lock().unwrap_or_else(PoisonError::into_inner);
-        if permit.as_ref().is_some_and(|is_permitted| !is_permitted()) {
+        if permit.as_ref().is_some_and(|permit| !(permit.is_given)()) {
             return Poll::Ready(Err(io::Error::other(NotPermitted)));
         }
         let polled = writing();
@@ -52,7 +64,9 @@
             && count > 0
         {
             self.written.fetch_add(count as u64, Ordering::AcqRel);
-            *permit = None;
+            if let Some(permit) = permit.take() {
+                (permit.begun)();
+            }
         }
         polled
     }
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -20,4 +20,5 @@
 pub use door::serve_door;
 pub use gauges::Gauges;
 pub use hop_links::{AskEnd, HopLinks};
+pub use metered::SendPermit;
 pub use state::{HeldHere, State};
--- a/crates/dataplane/src/drivers/runners.rs
+++ b/crates/dataplane/src/drivers/runners.rs
@@ -112,7 +112,11 @@
 }
 
 fn send_permit(state: Arc<State>, held: HeldHere) -> SendPermit {
-    Box::new(move || state.agent.may_send(Moment::now(), &held))
+    let asked_state = state.clone();
+    SendPermit {
+        is_given: Box::new(move || asked_state.agent.may_send(Moment::now(), &held)),
+        begun: Box::new(move || state.agent.check_sent(Moment::now())),
+    }
 }
 
 /// Whether a booting runner is ready, and is the one it should be. A connection that was opened to find
--- a/crates/dataplane/src/holder/admission.rs
+++ b/crates/dataplane/src/holder/admission.rs
@@ -33,7 +33,7 @@
             return (Some(outcome), std::mem::take(&mut self.outputs));
         }
         if entry.repeat {
-            self.tries.spend(now);
+            self.spend_try(now);
         }
         if entry.noted {
             self.book.begin(entry.transaction.clone(), entry.once, entry.budget_end);
--- a/crates/dataplane/src/holder/inbox.rs
+++ b/crates/dataplane/src/holder/inbox.rs
@@ -3,8 +3,9 @@
 use super::runners::Phase;
 use super::{Entry, Holder, HolderOutput, Sent, Waiting, not_run};
 use common::clock::Moment;
-use common::frames::{HopOutcome, HopReason};
+use common::frames::{HopOutcome, HopReason, Place};
 use common::identity::{RunnerId, Ticket};
+use common::invariants::{Invariant, require};
 use common::rules::Rule;
 use std::time::Duration;
 
@@ -181,15 +182,34 @@
             let Some(record) = self.runners.get_mut(&runner) else { return };
             let Some(place) = record.place() else { return };
             record.begin_send(now, waiting.entry.transaction.clone());
+            let (busy_count, slots) = (record.busy_count(), record.slots.max(1) as usize);
+            require(self.rules, Invariant::SlotsRespected, busy_count <= slots, || {
+                format!("{busy_count} at once on {runner} of {slots} slots")
+            });
             let ticket = waiting.entry.ticket;
             let attempt = waiting.attempt;
+            let may_go = !(waiting.entry.once && waiting.may_have_run);
+            require(self.rules, Invariant::OnceSentOnce, may_go, || {
+                format!("{} is sent again to {runner}", waiting.entry.transaction)
+            });
             self.sent.insert(ticket, Sent { waiting, runner, sent_at: now });
             if !is_once || !self.note_first(now, ticket) {
-                self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
+                self.order_send(ticket, runner, place, attempt);
             }
         }
     }
 
+    pub(super) fn order_send(
+        &mut self,
+        ticket: Ticket,
+        runner: RunnerId,
+        place: Place,
+        attempt: u32,
+    ) {
+        self.on_runners.insert(ticket);
+        self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
+    }
+
     fn free_runner(&self, now: Moment) -> Option<RunnerId> {
         self.runners
             .iter()
--- a/crates/dataplane/src/holder/mod.rs
+++ b/crates/dataplane/src/holder/mod.rs
@@ -32,7 +32,7 @@
 use replication::Replication;
 use runners::{Phase, RunnerRecord};
 use scaling::Scaling;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use tries::TryWindow;
 
@@ -48,6 +48,8 @@
     runners: BTreeMap<RunnerId, RunnerRecord>,
     inbox: VecDeque<Waiting>,
     sent: BTreeMap<Ticket, Sent>,
+    /// What was given to a connection, and has not come back with an end.
+    on_runners: BTreeSet<Ticket>,
     book: Book,
     replication: Replication,
     tries: TryWindow,
@@ -91,6 +93,7 @@
             runners,
             inbox: VecDeque::new(),
             sent: BTreeMap::new(),
+            on_runners: BTreeSet::new(),
             book: Book::default(),
             tries: TryWindow::new(now, &Tuning::default()),
             scaling: Scaling::new(now),
--- a/crates/dataplane/src/holder/replication.rs
+++ b/crates/dataplane/src/holder/replication.rs
@@ -133,7 +133,7 @@
         let place = self.runners.get(&runner).and_then(RunnerRecord::place);
         match place.filter(|_| !self.closed) {
             Some(place) => {
-                self.outputs.push(HolderOutput::Send { ticket, runner, place, attempt });
+                self.order_send(ticket, runner, place, attempt);
             }
             None => self.take_back(now, ticket),
         }
--- a/crates/dataplane/src/holder/send_end.rs
+++ b/crates/dataplane/src/holder/send_end.rs
@@ -4,12 +4,14 @@
 use common::clock::Moment;
 use common::frames::{HopOutcome, HopReason};
 use common::identity::Ticket;
+use common::invariants::{Invariant, require};
 use common::rules::Rule;
 use std::time::Duration;
 
 impl Holder {
     /// A send to a runner has ended.
     pub fn sent_ended(&mut self, now: Moment, ticket: Ticket, end: SendEnd) -> Vec<HolderOutput> {
+        self.on_runners.remove(&ticket);
         let Some(sent) = self.sent.remove(&ticket) else { return Vec::new() };
         let is_settled = !matches!(end, SendEnd::Lost) || !self.rules.keep(Rule::LostKeepsSlot);
         if let Some(record) = self.runners.get_mut(&sent.runner) {
@@ -100,11 +102,12 @@
         let has_time = now + self.service * 2 < waiting.entry.budget_end;
         let is_spent = waiting.entry.repeat && self.rules.keep(Rule::RepeatSentOnce);
         let has_tries = waiting.attempt < waiting.entry.tries && !is_spent;
-        !waiting.entry.once && has_time && has_tries && !self.closed && self.may_spend(now)
+        let may_run_again = !waiting.entry.once || !self.rules.keep(Rule::OnceNotRepeated);
+        may_run_again && has_time && has_tries && !self.closed && self.may_spend(now)
     }
 
     fn repeat(&mut self, now: Moment, mut waiting: Waiting) {
-        self.tries.spend(now);
+        self.spend_try(now);
         waiting.attempt += 1;
         waiting.give_up_at = waiting.entry.budget_end;
         self.inbox.push_front(waiting);
@@ -114,6 +117,15 @@
         !self.rules.keep(Rule::TriesCounted) || self.tries.may_spend(now)
     }
 
+    /// Takes an extra try out of the retry budget.
+    pub(super) fn spend_try(&mut self, now: Moment) {
+        let is_within = self.tries.may_spend(now);
+        require(self.rules, Invariant::RetryBudgetKept, is_within, || {
+            format!("an extra try of {} beyond the budget", self.function)
+        });
+        self.tries.spend(now);
+    }
+
     pub(super) fn put_back(&mut self, now: Moment, waiting: Waiting) {
         if self.closed {
             self.give_up(now, waiting, HopReason::NotServing, Duration::from_millis(500));
@@ -125,6 +137,10 @@
     pub(super) fn end(&mut self, now: Moment, entry: Entry, outcome: HopOutcome) {
         if matches!(outcome, HopOutcome::NotRun { .. }) {
             self.shed_count += 1;
+            let is_with_runner = self.on_runners.contains(&entry.ticket);
+            require(self.rules, Invariant::RefusedNotSent, !is_with_runner, || {
+                format!("{} is refused while a runner has it", entry.transaction)
+            });
         }
         if entry.noted {
             let kept_outcome = match &outcome {
--- a/crates/dataplane/src/keeper/leader_frames.rs
+++ b/crates/dataplane/src/keeper/leader_frames.rs
@@ -4,6 +4,7 @@
 use common::clock::Moment;
 use common::frames::{StreamDown, StreamUp, unpack};
 use common::identity::Serial;
+use common::invariants::{Invariant, require};
 use common::rules::Rule;
 use common::spec::{DocumentFault, Table, View};
 use std::sync::Arc;
@@ -73,6 +74,11 @@
         if is_older && self.rules.keep(Rule::SerialOnlyUp) {
             return;
         }
+        let installed = self.view.as_ref().map(|view| view.serial);
+        let is_newer = installed.is_none_or(|installed| installed <= serial);
+        require(self.rules, Invariant::SpecNeverOlder, is_newer, || {
+            format!("{serial} is installed over {installed:?}")
+        });
         match read_view.and_then(|view| Table::build(&view).map(|table| (view, table))) {
             Ok((view, table)) => {
                 self.table = Arc::new(table);
--- a/testing/fleet/src/sim/world.rs
+++ b/testing/fleet/src/sim/world.rs
@@ -16,6 +16,7 @@
 use common::chance::Chance;
 use common::clock::Moment;
 use common::identity::{ChangeId, ControllerId, TransactionId};
+use common::invariants;
 use controlplane::controller_state::OperationTicket;
 use controlplane::core::WriteJob;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -150,8 +151,16 @@
         *self.counts.entry(label.to_owned()).or_default() += count as u64;
     }
 
+    /// What the code found broken by itself is a breach like any other.
+    fn take_violations(&mut self) {
+        for violation in invariants::take_seen() {
+            self.checks.breach(self.now, violation.to_string());
+        }
+    }
+
     /// Runs the day to its end.
     pub fn run(mut self) -> SimEnd {
+        invariants::collect_on_this_thread();
         let end_at = self.now + self.plan.lasts + self.plan.closing;
         while let Some(((due_at, _), event)) = self.queue.pop_first() {
             if due_at > end_at || self.checks.breaches.len() > 20 {
@@ -171,6 +180,7 @@
             self.count_step(&event);
             self.note_statement(&event);
             self.happen(event);
+            self.take_violations();
             if self.plan.ends_when_back && self.recovery.measured(self.plan.daemons).is_some() {
                 break;
             }
