Write changes without copying records; take over a table's index while names stay

Natively, 1,380 to 5,380 routes with 1,030 functions: 14 ms to write the change, twice for each version; 7 ms for a table at the leader, 11 at a daemon; for a change of one route 5.7 ms for the table. Change: the text of a change is written from the records, which are no longer copied into a value first (merge of two sorted lists; parts that are shared are not looked through); a receiver takes the records out of what it read; a table whose functions and routes keep keys, names and matches shares the index of the one before. Ruled out: the disk (its own thread, 3 ms), digests (kept with each record). Test: a table made from an earlier one answers as one made anew (3,000 drawn versions).

--- a/crates/common/src/identity/names.rs
+++ b/crates/common/src/identity/names.rs
@@ -30,6 +30,12 @@
             }
         }
 
+        impl From<Arc<str>> for $name {
+            fn from(given_text: Arc<str>) -> Self {
+                Self(given_text)
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
                 out.write_str(&self.0)
--- a/crates/common/src/spec/catalogue_change.rs
+++ b/crates/common/src/spec/catalogue_change.rs
@@ -2,12 +2,15 @@
 //! different, and the names of those that are gone.
 
 use super::SpecRecords;
-use super::fields::{generations_json, read_generations};
+use super::fields::{append_fields, generations_json, read_generations};
 use crate::identity::{FunctionName, Serial};
 use crate::readers::PathReader;
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 
+const PUT_FUNCTIONS: &str = "put_functions";
+const PUT_ROUTES: &str = "put_routes";
+
 /// The functions and routes of a document or view.
 #[derive(Clone, Copy)]
 pub(super) struct Catalogue<'a> {
@@ -17,8 +20,12 @@
     pub generations: &'a BTreeMap<FunctionName, Serial>,
 }
 
-/// The change as the fields of a JSON object.
-pub(super) fn catalogue_change(base: Catalogue<'_>, newer: Catalogue<'_>) -> Map<String, Value> {
+/// The change as JSON text, with other fields of the same object: its length and its cost grow with what differs.
+pub(super) fn catalogue_change(
+    base: Catalogue<'_>,
+    newer: Catalogue<'_>,
+    mut other_fields: Map<String, Value>,
+) -> Vec<u8> {
     let functions = base.spec.function_change(newer.spec);
     let routes = base.spec.route_change(newer.spec);
     let new_generations: BTreeMap<FunctionName, Serial> = newer
@@ -33,36 +40,60 @@
     let is_rest_same = base.spec.rest() == newer.spec.rest();
     let rest = (!is_rest_same).then(|| newer.spec.rest().clone());
     let (has_functions, has_routes) = newer.spec.has_parts();
-    [
+    let catalogue_fields = [
         ("has_functions", json!(has_functions)),
         ("has_routes", json!(has_routes)),
-        ("put_functions", Value::Object(functions.put)),
         ("removed_functions", json!(functions.removed)),
-        ("put_routes", Value::Object(routes.put)),
         ("removed_routes", json!(routes.removed)),
         ("rest", json!(rest)),
         ("put_generations", generations_json(&new_generations)),
         ("removed_generations", json!(gone_generations)),
-    ]
-    .into_iter()
-    .map(|(field, value)| (field.to_owned(), value))
-    .collect()
+    ];
+    other_fields.extend(catalogue_fields.map(|(field, value)| (field.to_owned(), value)));
+    let mut text = Vec::new();
+    text.extend_from_slice(b"{\"put_functions\":");
+    functions.write_put(&mut text);
+    text.extend_from_slice(b",\"put_routes\":");
+    routes.write_put(&mut text);
+    text.push(b',');
+    append_fields(&mut text, &Value::Object(other_fields));
+    text
+}
+
+/// The records that a change puts, taken out of it without copying them.
+pub(super) struct PutRecords {
+    functions: Map<String, Value>,
+    routes: Map<String, Value>,
+}
+
+impl PutRecords {
+    /// Takes them out; what is no object stays, for its reader to find fault with.
+    pub fn take(change: &mut Value) -> Self {
+        let mut take_field = |field: &str| {
+            let items = change.get_mut(field).and_then(Value::as_object_mut);
+            items.map(std::mem::take).unwrap_or_default()
+        };
+        Self { functions: take_field(PUT_FUNCTIONS), routes: take_field(PUT_ROUTES) }
+    }
 }
 
 /// Applies such a change.
 pub(super) fn read_catalogue_change(
     root: &PathReader<'_>,
+    put: PutRecords,
     base: Catalogue<'_>,
 ) -> Option<(SpecRecords, BTreeMap<FunctionName, Serial>)> {
     let mut spec = base.spec.clone();
-    for (name, reader) in root.field("put_functions").fields() {
-        spec.put_function(name, reader.value()?.clone());
+    root.field(PUT_FUNCTIONS).fields();
+    for (name, function) in put.functions {
+        spec.put_function(&name, function);
     }
     for removed_name in root.field("removed_functions").items() {
         spec.remove_function(removed_name.text()?);
     }
-    for (name, reader) in root.field("put_routes").fields() {
-        spec.put_route(name, reader.value()?.clone());
+    root.field(PUT_ROUTES).fields();
+    for (name, route) in put.routes {
+        spec.put_route(&name, route);
     }
     for removed_name in root.field("removed_routes").items() {
         spec.remove_route(removed_name.text()?);
--- a/crates/common/src/spec/document.rs
+++ b/crates/common/src/spec/document.rs
@@ -1,6 +1,6 @@
 //! The one document that the control quorum replicates.
 
-use super::catalogue_change::{Catalogue, catalogue_change, read_catalogue_change};
+use super::catalogue_change::{Catalogue, PutRecords, catalogue_change, read_catalogue_change};
 use super::fields::{
     changes_json, core_json, evacuated_json, generations_json, read_all, read_changes, read_core,
     read_evacuated, read_generations, read_roster, roster_json, take_spec, text_with_spec,
@@ -12,7 +12,7 @@
     ChangeId, ControllerId, FunctionName, MemberName, Serial, Stamp, Term, Zone,
 };
 use crate::readers::{FaultReason, PathReader};
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -185,7 +185,6 @@
     /// The change that leads from this version to a newer one, as JSON text: it grows with what differs,
     /// not with the document.
     pub fn change_to(&self, newer: &Document) -> Vec<u8> {
-        let mut change = catalogue_change(self.catalogue(), newer.catalogue());
         let newest_noted = self.changes.last().map(|noted| noted.serial).unwrap_or_default();
         let is_new = |noted: &&ChangeNote| noted.serial > newest_noted;
         let noted: Vec<ChangeNote> = newer.changes.iter().filter(is_new).cloned().collect();
@@ -203,8 +202,9 @@
             ("left", roster_json(&left)),
             ("unseen", json!(newer.unseen)),
         ];
-        change.extend(fields.into_iter().map(|(field, value)| (field.to_owned(), value)));
-        Value::Object(change).to_string().into_bytes()
+        let other_fields = fields.map(|(field, value)| (field.to_owned(), value));
+        let other_fields = Map::from_iter(other_fields);
+        catalogue_change(self.catalogue(), newer.catalogue(), other_fields)
     }
 
     /// Applies a change that leads from this version, and believes the result only if its digest is the
@@ -219,12 +219,13 @@
 
     /// Applies a change without a look at the result's digest.
     pub fn changed_unproven(&self, change_bytes: &[u8]) -> Result<Document, DocumentFault> {
-        let change: Value = serde_json::from_slice(change_bytes)?;
-        read_all(&change, |root| self.read_change(root))
+        let mut change: Value = serde_json::from_slice(change_bytes)?;
+        let put = PutRecords::take(&mut change);
+        read_all(&change, |root| self.read_change(root, put))
     }
 
-    fn read_change(&self, root: &PathReader<'_>) -> Option<Document> {
-        let (spec, generations) = read_catalogue_change(root, self.catalogue())?;
+    fn read_change(&self, root: &PathReader<'_>, put: PutRecords) -> Option<Document> {
+        let (spec, generations) = read_catalogue_change(root, put, self.catalogue())?;
         let mut changed_document = Self {
             stamp: Stamp {
                 term: Term(root.field("term").number(0..=u64::MAX)?),
--- a/crates/common/src/spec/fields.rs
+++ b/crates/common/src/spec/fields.rs
@@ -140,8 +140,13 @@
     text.extend_from_slice(b"{\"spec\":");
     spec.write_to(&mut text);
     text.push(b',');
-    let opening_brace = text.len();
-    write_json(&mut text, other_fields);
-    text.remove(opening_brace);
+    append_fields(&mut text, other_fields);
     text
 }
+
+/// Appends the fields of an object, and the brace that closes it, to an object that is being written.
+pub(super) fn append_fields(text: &mut Vec<u8>, fields: &Value) {
+    let mut fields_text = Vec::new();
+    write_json(&mut fields_text, fields);
+    text.extend_from_slice(&fields_text[1..]);
+}
--- a/crates/common/src/spec/records.rs
+++ b/crates/common/src/spec/records.rs
@@ -99,26 +99,38 @@
 }
 
 /// What leads from one part to another.
-pub(super) struct PartChange {
+pub(super) struct PartChange<'a> {
     /// The records that are new or different.
-    pub put: Map<String, Value>,
+    put: Vec<(&'a str, &'a Value)>,
     /// The names that are gone.
-    pub removed: Vec<String>,
+    pub removed: Vec<&'a str>,
 }
 
-fn part_change<T>(base: &Option<Part<T>>, newer: &Option<Part<T>>) -> PartChange {
-    let mut change = PartChange { put: Map::new(), removed: Vec::new() };
+impl PartChange<'_> {
+    /// Appends the records that are new or different as JSON text.
+    pub fn write_put(&self, text: &mut Vec<u8>) {
+        write_items(text, self.put.iter().copied());
+    }
+}
+
+fn part_change<'a, T>(base: &'a Option<Part<T>>, newer: &'a Option<Part<T>>) -> PartChange<'a> {
+    let mut change = PartChange { put: Vec::new(), removed: Vec::new() };
+    if let (Some(base), Some(newer)) = (base, newer)
+        && Arc::ptr_eq(base, newer)
+    {
+        return change;
+    }
+    let mut held_records = base.iter().flat_map(|part| part.iter()).peekable();
     for (name, record) in newer.iter().flat_map(|part| part.iter()) {
-        let held = base.as_ref().and_then(|part| part.get(name));
-        if !held.is_some_and(|held| is_same(held, record)) {
-            change.put.insert(name.to_string(), record.value.clone());
+        while let Some((gone, _)) = held_records.next_if(|(held_name, _)| *held_name < name) {
+            change.removed.push(gone);
         }
-    }
-    for name in base.iter().flat_map(|part| part.keys()) {
-        if !newer.as_ref().is_some_and(|part| part.contains_key(name)) {
-            change.removed.push(name.to_string());
+        let held = held_records.next_if(|(held_name, _)| *held_name == name);
+        if !held.is_some_and(|(_, held)| is_same(held, record)) {
+            change.put.push((name, &record.value));
         }
     }
+    change.removed.extend(held_records.map(|(gone, _)| &**gone));
     change
 }
 
@@ -171,14 +183,18 @@
 }
 
 fn write_part<T>(text: &mut Vec<u8>, part: &Part<T>) {
+    write_items(text, part.iter().map(|(name, record)| (&**name, &record.value)));
+}
+
+fn write_items<'a>(text: &mut Vec<u8>, items: impl Iterator<Item = (&'a str, &'a Value)>) {
     text.push(b'{');
-    for (place, (name, record)) in part.iter().enumerate() {
+    for (place, (name, value)) in items.enumerate() {
         if place > 0 {
             text.push(b',');
         }
-        let _ = serde_json::to_writer(&mut *text, &**name);
+        let _ = serde_json::to_writer(&mut *text, name);
         text.push(b':');
-        write_json(text, &record.value);
+        write_json(text, value);
     }
     text.push(b'}');
 }
@@ -303,11 +319,11 @@
         self.routes = has_routes.then(|| self.routes.take().unwrap_or_default());
     }
 
-    pub(super) fn function_change(&self, newer: &SpecRecords) -> PartChange {
+    pub(super) fn function_change<'a>(&'a self, newer: &'a SpecRecords) -> PartChange<'a> {
         part_change(&self.functions, &newer.functions)
     }
 
-    pub(super) fn route_change(&self, newer: &SpecRecords) -> PartChange {
+    pub(super) fn route_change<'a>(&'a self, newer: &'a SpecRecords) -> PartChange<'a> {
         part_change(&self.routes, &newer.routes)
     }
 
@@ -332,6 +348,22 @@
         combined
     }
 
+    /// What each function says, by name; nothing where it has a fault of its own.
+    pub(super) fn checked_function_records(
+        &self,
+    ) -> impl Iterator<Item = (&Arc<str>, Option<&Arc<FunctionSpec>>)> {
+        let records = self.functions.iter().flat_map(|part| part.iter());
+        records.map(|(name, record)| (name, record.checked(name)))
+    }
+
+    /// What each route says, by name; nothing where it has a fault of its own.
+    pub(super) fn checked_route_records(
+        &self,
+    ) -> impl Iterator<Item = (&Arc<str>, Option<&Arc<RouteSpec>>)> {
+        let records = self.routes.iter().flat_map(|part| part.iter());
+        records.map(|(name, record)| (name, record.checked(name)))
+    }
+
     /// Checks the spec; on failure every fault with its path. Records that were checked with an earlier
     /// spec are not read again.
     pub fn check(&self) -> Result<Spec, Vec<PathFault>> {
@@ -353,7 +385,7 @@
         let records = self.functions.iter().flat_map(|part| part.iter());
         records
             .map(|(name, record)| {
-                Some((FunctionName::from(&**name), record.checked(name)?.clone()))
+                Some((FunctionName::from(name.clone()), record.checked(name)?.clone()))
             })
             .collect()
     }
--- a/crates/common/src/spec/table.rs
+++ b/crates/common/src/spec/table.rs
@@ -1,5 +1,5 @@
-use super::{CallerLimits, DocumentFault, FunctionSpec, RouteMatch, RouteSpec, View};
-use crate::identity::{FunctionIndex, FunctionKey, Serial, TransactionId, Zone};
+use super::{CallerLimits, DocumentFault, FunctionSpec, RouteMatch, RouteSpec, View, read_spec};
+use crate::identity::{FunctionIndex, FunctionKey, FunctionName, Serial, TransactionId, Zone};
 use hyper::Method;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap};
@@ -16,6 +16,7 @@
 }
 
 /// One route of a snapshot.
+#[derive(Clone)]
 pub struct RouteEntry {
     /// The route.
     pub spec: Arc<RouteSpec>,
@@ -61,16 +62,23 @@
     pub function: &'a FunctionEntry,
 }
 
-/// An immutable snapshot of a spec, made for look-ups.
+/// Where functions and routes stand, by their keys, names and matches.
+#[derive(Default)]
+struct Index {
+    matchers: HashMap<Method, matchit::Router<usize>>,
+    prefixes: HashMap<String, HashMap<String, usize>>,
+    by_route: HashMap<String, usize>,
+    by_key: HashMap<FunctionKey, FunctionIndex>,
+}
+
+/// An immutable snapshot of a spec, made for look-ups; those that differ in neither keys, names nor matches share
+/// their index.
 pub struct Table {
     serial: Serial,
     functions: Vec<FunctionEntry>,
     routes: Vec<RouteEntry>,
-    matchers: HashMap<Method, matchit::Router<usize>>,
-    prefixes: HashMap<String, HashMap<String, usize>>,
+    index: Arc<Index>,
     limits: CallerLimits,
-    by_route: HashMap<String, usize>,
-    by_key: HashMap<FunctionKey, FunctionIndex>,
     evacuated: BTreeSet<Zone>,
     warm: BTreeSet<FunctionIndex>,
 }
@@ -82,11 +90,8 @@
             serial: Serial(0),
             functions: Vec::new(),
             routes: Vec::new(),
-            matchers: HashMap::new(),
-            prefixes: HashMap::new(),
+            index: Arc::default(),
             limits: CallerLimits::default(),
-            by_route: HashMap::new(),
-            by_key: HashMap::new(),
             evacuated: BTreeSet::new(),
             warm: BTreeSet::new(),
         }
@@ -97,10 +102,11 @@
         let checked_spec = view.checked()?;
         let mut table =
             Table { serial: view.serial, evacuated: view.evacuated.clone(), ..Self::empty() };
+        let mut index = Index::default();
         for (function_name, function_spec) in checked_spec.functions {
             let generation = view.generations.get(&function_name).copied().unwrap_or(view.serial);
             let key = FunctionKey { name: function_name, generation };
-            table.by_key.insert(key.clone(), FunctionIndex(table.functions.len()));
+            index.by_key.insert(key.clone(), FunctionIndex(table.functions.len()));
             table.functions.push(FunctionEntry { key, spec: function_spec });
         }
         table.limits = checked_spec.limits;
@@ -115,13 +121,13 @@
             let route_place = table.routes.len();
             match &route_spec.matching {
                 RouteMatch::Pattern(method, path) => {
-                    let matcher = table.matchers.entry(method.clone()).or_default();
+                    let matcher = index.matchers.entry(method.clone()).or_default();
                     if matcher.insert(path.clone(), route_place).is_err() {
                         continue;
                     }
                 }
                 RouteMatch::Prefix(host, prefix) => {
-                    let host_prefixes = table.prefixes.entry(host.clone()).or_default();
+                    let host_prefixes = index.prefixes.entry(host.clone()).or_default();
                     host_prefixes.insert(prefix.clone(), route_place);
                 }
             }
@@ -130,13 +136,81 @@
                 .iter()
                 .filter_map(|(name, weight)| Some((*by_name.get(name)?, *weight)))
                 .collect();
-            table.by_route.insert(route_spec.name.clone(), route_place);
+            index.by_route.insert(route_spec.name.clone(), route_place);
             table.routes.push(RouteEntry { spec: route_spec, function, shares });
         }
+        table.index = Arc::new(index);
         table.warm = table.find_warm();
         Ok(table)
     }
 
+    /// A table from a view, as [`Table::build`] makes it; what concerns neither the names of functions nor where
+    /// routes lead from is taken over from an earlier one.
+    pub fn build_after(earlier: &Table, view: &View) -> Result<Self, DocumentFault> {
+        match earlier.with_shape_of(view) {
+            Some(table) => Ok(table),
+            None => Self::build(view),
+        }
+    }
+
+    /// The table of a view that has the same functions, and the same routes by name and match; none if it has
+    /// others, or any fault.
+    fn with_shape_of(&self, view: &View) -> Option<Self> {
+        let function_specs = view.spec.checked_function_records();
+        let mut functions = Vec::with_capacity(self.functions.len());
+        for (place, (name, spec)) in function_specs.enumerate() {
+            let key = &self.functions.get(place)?.key;
+            let is_same = *key.name.as_str() == **name
+                && view.generations.get(&**name) == Some(&key.generation);
+            let spec = spec.filter(|_| is_same)?.clone();
+            functions.push(FunctionEntry { key: key.clone(), spec });
+        }
+        let mut routes = Vec::with_capacity(self.routes.len());
+        for (place, (_, spec)) in view.spec.checked_route_records().enumerate() {
+            routes.push(self.route_in_place(place, spec?, view)?);
+        }
+        if functions.len() != self.functions.len() || routes.len() != self.routes.len() {
+            return None;
+        }
+        let mut table = Self {
+            serial: view.serial,
+            functions,
+            routes,
+            index: self.index.clone(),
+            limits: read_spec(view.spec.rest()).ok()?.limits,
+            evacuated: view.evacuated.clone(),
+            warm: BTreeSet::new(),
+        };
+        table.warm = table.find_warm();
+        Some(table)
+    }
+
+    /// A route that stands where one with its name and match stood.
+    fn route_in_place(
+        &self,
+        place: usize,
+        spec: &Arc<RouteSpec>,
+        view: &View,
+    ) -> Option<RouteEntry> {
+        let earlier = self.routes.get(place)?;
+        if Arc::ptr_eq(&earlier.spec, spec) {
+            return Some(earlier.clone());
+        }
+        if earlier.spec.name != spec.name || earlier.spec.matching != spec.matching {
+            return None;
+        }
+        let index_of = |name: &FunctionName| {
+            let generation = *view.generations.get(name)?;
+            self.index_of(&FunctionKey { name: name.clone(), generation })
+        };
+        let shares = spec.shares.iter().map(|(name, weight)| Some((index_of(name)?, *weight)));
+        Some(RouteEntry {
+            function: index_of(&spec.function)?,
+            shares: shares.collect::<Option<_>>()?,
+            spec: spec.clone(),
+        })
+    }
+
     fn find_warm(&self) -> BTreeSet<FunctionIndex> {
         let mut warm_functions = BTreeSet::new();
         for route in &self.routes {
@@ -175,7 +249,7 @@
         transaction: &TransactionId,
     ) -> Option<Found<'_>> {
         let place = self.prefixed(host, path).or_else(|| {
-            let found_match = self.matchers.get(method)?.at(path).ok()?;
+            let found_match = self.index.matchers.get(method)?.at(path).ok()?;
             Some(*found_match.value)
         })?;
         let route = self.routes.get(place)?;
@@ -191,7 +265,7 @@
         } else {
             plain_host
         };
-        let host_prefixes = self.prefixes.get(asked_host)?;
+        let host_prefixes = self.index.prefixes.get(asked_host)?;
         let mut rest = path;
         while let Some(slash) = rest.rfind('/') {
             if let Some(place) = host_prefixes.get(&rest[..=slash]) {
@@ -204,7 +278,7 @@
 
     /// Whether a route, by its name, may lead to a function.
     pub fn allows(&self, route_name: &str, key: &FunctionKey) -> bool {
-        let function = self.by_key.get(key);
+        let function = self.index.by_key.get(key);
         let route = self.route_named(route_name);
         route.zip(function).is_some_and(|(route, function)| route.leads_to(*function))
     }
@@ -221,7 +295,7 @@
 
     /// The route of a name.
     pub fn route_named(&self, route_name: &str) -> Option<&RouteEntry> {
-        self.routes.get(*self.by_route.get(route_name)?)
+        self.routes.get(*self.index.by_route.get(route_name)?)
     }
 
     /// The function of a dense number.
@@ -231,12 +305,12 @@
 
     /// The function of a key.
     pub fn function_of(&self, key: &FunctionKey) -> Option<&FunctionEntry> {
-        self.by_key.get(key).map(|index| &self.functions[index.0])
+        self.index.by_key.get(key).map(|index| &self.functions[index.0])
     }
 
     /// The dense number of a key.
     pub fn index_of(&self, key: &FunctionKey) -> Option<FunctionIndex> {
-        self.by_key.get(key).copied()
+        self.index.by_key.get(key).copied()
     }
 
     /// All functions in dense order.
--- a/crates/common/src/spec/view.rs
+++ b/crates/common/src/spec/view.rs
@@ -1,6 +1,6 @@
 //! The part of the document that daemons need, and the changes by which they are told of a newer one.
 
-use super::catalogue_change::{Catalogue, catalogue_change, read_catalogue_change};
+use super::catalogue_change::{Catalogue, PutRecords, catalogue_change, read_catalogue_change};
 use super::fields::{
     core_places_json, evacuated_json, generations_json, read_all, read_core_places, read_evacuated,
     read_generations, take_spec, text_with_spec,
@@ -10,7 +10,7 @@
 use crate::frames::Place;
 use crate::identity::{FunctionName, Serial, Zone};
 use crate::readers::{FaultReason, PathFault, PathReader};
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The part of the document that daemons need.
@@ -68,12 +68,15 @@
     /// The change that leads from this view to a newer one, as JSON text: the records that are new or
     /// different, the names of those that are gone, and what else a view says.
     pub fn change_to(&self, newer_view: &View) -> Vec<u8> {
-        let mut change = catalogue_change(self.catalogue(), newer_view.catalogue());
-        change.insert("base".to_owned(), json!(self.serial.0));
-        change.insert("serial".to_owned(), json!(newer_view.serial.0));
-        change.insert("evacuated".to_owned(), evacuated_json(&newer_view.evacuated));
-        change.insert("core".to_owned(), core_places_json(&newer_view.core));
-        Value::Object(change).to_string().into_bytes()
+        let fields = [
+            ("base", json!(self.serial.0)),
+            ("serial", json!(newer_view.serial.0)),
+            ("evacuated", evacuated_json(&newer_view.evacuated)),
+            ("core", core_places_json(&newer_view.core)),
+        ];
+        let other_fields = fields.map(|(field, value)| (field.to_owned(), value));
+        let other_fields = Map::from_iter(other_fields);
+        catalogue_change(self.catalogue(), newer_view.catalogue(), other_fields)
     }
 
     fn catalogue(&self) -> Catalogue<'_> {
@@ -82,19 +85,20 @@
 
     /// Applies a change, and believes the result only if its digest is the sender's.
     pub fn changed(&self, change_bytes: &[u8], digest: &[u8]) -> Result<View, DocumentFault> {
-        let change: Value = serde_json::from_slice(change_bytes)?;
+        let mut change: Value = serde_json::from_slice(change_bytes)?;
         if change["base"] != json!(self.serial.0) {
             return Err(DocumentFault::Base);
         }
-        let changed_view = read_all(&change, |root| self.read_change(root))?;
+        let put = PutRecords::take(&mut change);
+        let changed_view = read_all(&change, |root| self.read_change(root, put))?;
         if changed_view.digest() != digest {
             return Err(DocumentFault::Digest);
         }
         Ok(changed_view)
     }
 
-    fn read_change(&self, root: &PathReader<'_>) -> Option<View> {
-        let (spec, generations) = read_catalogue_change(root, self.catalogue())?;
+    fn read_change(&self, root: &PathReader<'_>, put: PutRecords) -> Option<View> {
+        let (spec, generations) = read_catalogue_change(root, put, self.catalogue())?;
         Some(Self {
             serial: Serial(root.field("serial").number(0..=u64::MAX)?),
             spec,
--- a/crates/common/tests/records.rs
+++ b/crates/common/tests/records.rs
@@ -1,9 +1,10 @@
 //! A spec in records says what the whole text says: checked, written, changed and digested alike.
 
 use common::chance::Chance;
-use common::identity::{ChangeId, Serial};
+use common::identity::{ChangeId, FunctionIndex, Serial, TransactionId};
 use common::spec::{Document, SpecRecords, Table, View, read_spec};
 use googletest::prelude::*;
+use hyper::Method;
 use serde_json::{Value, json};
 
 const FUNCTIONS: u64 = 12;
@@ -149,3 +150,58 @@
     let shared = pairs.filter(|(held, newer)| std::sync::Arc::ptr_eq(&held.spec, &newer.spec));
     verify_that!(shared.count(), eq(19))
 }
+
+/// What a table answers, as text: every function, route and look-up.
+fn told_by(table: &Table) -> String {
+    let functions = table.functions().iter().enumerate().map(|(place, entry)| {
+        let index = FunctionIndex(place);
+        let is_found = table.index_of(&entry.key) == Some(index);
+        format!("{} {:?} {is_found} {}", entry.key, entry.spec, table.is_warm(index))
+    });
+    let routes = table.routes().iter().map(|route| {
+        let is_found = table
+            .route_named(&route.spec.name)
+            .is_some_and(|found| found.spec == route.spec && found.function == route.function);
+        format!("{:?} {:?} {:?} {is_found}", route.spec, route.function, route.shares)
+    });
+    let transaction = TransactionId::from("t");
+    let lookups = (0..40).flat_map(|number| {
+        [("h.example", format!("/p{number}/x")), ("", format!("/q{number}/x"))].map(
+            |(host, path)| {
+                let found = table.route(&Method::POST, host, &path, &transaction);
+                format!("{path}: {:?}", found.map(|found| &found.route.spec.name))
+            },
+        )
+    });
+    let all: Vec<String> = functions.chain(routes).chain(lookups).collect();
+    format!("{} {:?} {}", table.serial(), table.limits(), all.join("\n"))
+}
+
+#[gtest]
+fn a_table_made_from_an_earlier_one_answers_as_one_made_anew() -> Result<()> {
+    let mut chance = Chance::seeded(17);
+    let mut earlier = Table::empty();
+    let mut plain_spec = drawn_spec(&mut chance);
+    let mut good_count = 0;
+    for serial in 2..3_000 {
+        if chance.happens(0.2) {
+            plain_spec = drawn_spec(&mut chance);
+        } else if let Some((_, route)) =
+            plain_spec["routes"].as_object_mut().and_then(|routes| routes.iter_mut().next())
+        {
+            route["function"] = json!(format!("f{}", chance.below(FUNCTIONS + 1)));
+            route["budget_ms"] = json!(900 + chance.below(3));
+        }
+        let view = view_of(&SpecRecords::new(plain_spec.clone()), serial);
+        let anew = Table::build(&view);
+        let after = Table::build_after(&earlier, &view);
+        verify_that!(after.is_ok(), eq(anew.is_ok()))?;
+        if let (Ok(anew), Ok(after)) = (anew, after) {
+            good_count += 1;
+            verify_that!(told_by(&after), eq(&told_by(&anew)))?;
+            earlier = after;
+        }
+    }
+    println!("{good_count} tables");
+    verify_that!(good_count, gt(500))
+}
--- a/crates/dataplane/src/keeper/leader_frames.rs
+++ b/crates/dataplane/src/keeper/leader_frames.rs
@@ -79,7 +79,9 @@
         require(self.rules, Invariant::SpecNeverOlder, is_newer, || {
             format!("{serial} is installed over {installed:?}")
         });
-        match read_view.and_then(|view| Table::build(&view).map(|table| (view, table))) {
+        match read_view
+            .and_then(|view| Table::build_after(&self.table, &view).map(|table| (view, table)))
+        {
             Ok((view, table)) => {
                 self.table = Arc::new(table);
                 let core = view.core.clone();
