Read long orders and write whole specs on a thread of their own

Cause: with one thread, parsing, checking, digesting and naming an order of 1.1 MB (some 45 ms natively, over 300 ms on a tenth of a core) and writing a whole configuration back ran between two rounds of the leader, which the followers' election timeout of 350 ms does not outlast when two come at once. Change: orders of 32 KB and more are read, and whole specs written, by spawn_blocking; the digests of new records and the change's name are made there too, and only at the leader.

--- a/crates/controlplane/src/drivers/operators.rs
+++ b/crates/controlplane/src/drivers/operators.rs
@@ -1,15 +1,18 @@
 use super::engine::Shared;
-use crate::controller_state::{ChangeKind, Operation, OperationReply, Unavailable};
+use super::tongue::OperatorsTongue;
+use crate::controller_state::{ChangeKind, Operation, OperationReply, Unavailable, change_name};
 use bytes::Bytes;
 use common::clock::Moment;
 use common::frames::Place;
 use common::http::{self, BodyFault, Served, json_response, read_body, stream_body, text_response};
+use common::spec::SpecRecords;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, HeaderValue, LOCATION,
     TRANSFER_ENCODING,
 };
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use std::sync::Arc;
@@ -20,6 +23,8 @@
 
 const PASSED_ON: &str = "rudder-passed-on";
 const LARGEST_BODY: usize = 8 << 20;
+/// A longer order is read on a thread of its own.
+const LONG_ORDER: usize = 32 << 10;
 const PASS_AGAIN_FOR: Duration = Duration::from_millis(600);
 const PASS_AGAIN_AFTER: Duration = Duration::from_millis(100);
 const PASS_CONNECT: Duration = Duration::from_millis(600);
@@ -50,8 +55,8 @@
             return said(status, &body);
         }
     };
-    let operation = match tongue.read(&head, &body) {
-        Ok(operation) => prepared(&shared, operation),
+    let operation = match read_order(&shared, &head, &body).await {
+        Ok(operation) => operation,
         Err(served) => return *served,
     };
     match operation {
@@ -81,29 +86,71 @@
         }
         tokio::time::sleep(PASS_AGAIN_AFTER).await;
     };
-    tongue.say(&operation, reply)
+    say(tongue, operation, reply).await
 }
 
-/// An operation with what takes long about a whole spec done here, in the operator's task: its records are
-/// shared with the newest spec, and those that are new are checked.
+/// Writes an answer. A whole spec takes its time on a thread of its own: rounds and votes must not wait for it.
+async fn say(
+    tongue: Arc<dyn OperatorsTongue>,
+    operation: Operation,
+    reply: OperationReply,
+) -> Served {
+    if !matches!(reply, OperationReply::Spec { .. }) {
+        return tongue.say(&operation, reply);
+    }
+    let writing = tokio::task::spawn_blocking(move || tongue.say(&operation, reply));
+    writing.await.unwrap_or_else(|_| said(503, &json!({"error": "stopping"})))
+}
+
+/// Reads an order. A long one takes its time on a thread of its own: rounds and votes must not wait for it.
+async fn read_order(
+    shared: &Arc<Shared>,
+    head: &Parts,
+    body: &Bytes,
+) -> Result<Operation, Box<Served>> {
+    if body.len() < LONG_ORDER {
+        return shared.operators.read(head, body).map(|operation| prepared(shared, operation));
+    }
+    let (reader, head, body) = (shared.clone(), head.clone(), body.clone());
+    let reading = tokio::task::spawn_blocking(move || {
+        let read = reader.operators.read(&head, &body);
+        read.map(|operation| prepared(&reader, operation))
+    });
+    let stopping = || json!({"error": "stopping", "state": "not_accepted"});
+    reading.await.unwrap_or_else(|_| Err(Box::new(said(503, &stopping()))))
+}
+
+/// An operation, at a leader with what takes long about its content done before it reaches the controller's loop: the
+/// change has its name, and a whole spec shares its records with the newest one; those that are new are
+/// checked and digested.
 fn prepared(shared: &Shared, operation: Operation) -> Operation {
-    match operation {
-        Operation::Change { base, numbering, change, kind: ChangeKind::Whole(spec), wait } => {
-            let newest_spec = shared.newest_spec.load();
-            let spec = newest_spec.as_ref().map_or(spec.clone(), |newest| spec.succeeding(newest));
-            // The loop asks again, and finds every record checked.
-            let _ = spec.check();
-            Operation::Change { base, numbering, change, kind: ChangeKind::Whole(spec), wait }
-        }
-        other => other,
+    if !*shared.leads.borrow() {
+        return operation;
     }
+    let Operation::Change { base, numbering, change, kind, wait } = operation else {
+        return operation;
+    };
+    if kind.is_about_zone() {
+        return Operation::Change { base, numbering, change, kind, wait };
+    }
+    let change = change.unwrap_or_else(|| change_name(base, numbering, &kind));
+    let kind = match kind {
+        ChangeKind::Whole(spec) => ChangeKind::Whole(prepared_spec(shared, spec)),
+        other => other,
+    };
+    Operation::Change { base, numbering, change: Some(change), kind, wait }
+}
+
+fn prepared_spec(shared: &Shared, spec: SpecRecords) -> SpecRecords {
+    let newest_spec = shared.newest_spec.load();
+    let spec = newest_spec.as_ref().map_or(spec.clone(), |newest| spec.succeeding(newest));
+    // The loop asks again, and finds every record checked and digested.
+    let _ = spec.check();
+    let _ = spec.digest();
+    spec
 }
 
-async fn pass_on(
-    leader: Place,
-    head: &hyper::http::request::Parts,
-    body: Bytes,
-) -> Result<Served, OperationReply> {
+async fn pass_on(leader: Place, head: &Parts, body: Bytes) -> Result<Served, OperationReply> {
     let not_accepted = |reason| OperationReply::NotAccepted { reason, change: None };
     if head.headers.contains_key(PASSED_ON) {
         return Err(not_accepted(Unavailable::NoLeader));
@@ -139,12 +186,7 @@
     }
 }
 
-async fn events(
-    shared: Arc<Shared>,
-    head: &hyper::http::request::Parts,
-    first_number: u64,
-    following: bool,
-) -> Served {
+async fn events(shared: Arc<Shared>, head: &Parts, first_number: u64, following: bool) -> Served {
     let first_batch = match shared.operate(Operation::Events(first_number)).await {
         None => return said(503, &json!({"error": "stopping"})),
         Some(OperationReply::Elsewhere(leader)) => {
