--- a/crates/controlplane/src/controller_state/mod.rs
+++ b/crates/controlplane/src/controller_state/mod.rs
@@ -15,13 +15,16 @@
 };
 
 use crate::core::{Address, Core, CoreOutput, WriteJob, WriteResult};
-use crate::leader_state::{LeaderOutput, LeaderState, LeaderTiming, Proof, StreamId, Told};
+use crate::leader_state::{
+    KEPT_VIEWS, LeaderOutput, LeaderState, LeaderTiming, Proof, StreamId, Told,
+};
 use changes::Changes;
 use common::clock::Moment;
 use common::events;
 use common::frames::{CoreFrame, Place, StreamDown, StreamUp};
 use common::identity::{RunnerId, Serial, Stamp, Ticket};
 use common::rules::Rules;
+use common::spec::View;
 use common::tongue::{ListedRunner, ListedWorker, StopOrder};
 use operation::WaitingOperation;
 use serde_json::json;
@@ -95,6 +98,10 @@
     changes: Changes,
     waiting: VecDeque<WaitingOperation>,
     traces: Traces,
+    /// The last versions on this disk, committed or not; a leader's daemons that have one of them are told the
+    /// difference.
+    recent_views: VecDeque<View>,
+    recent_stamp: Stamp,
     rules: Rules,
     outputs: Vec<ControllerOutput>,
 }
@@ -112,6 +119,8 @@
             changes: Changes::default(),
             waiting: VecDeque::new(),
             traces: Traces::default(),
+            recent_views: VecDeque::new(),
+            recent_stamp: Stamp::default(),
             rules: Rules::KEPT,
             outputs: Vec::new(),
         }
@@ -196,10 +205,30 @@
             ControllerInput::Gone(place) => self.core.leader_gone(now, place),
             ControllerInput::Seeds(seeds) => self.core.reseed(seeds),
         }
+        self.note_accepted();
         self.progress(now);
         std::mem::take(&mut self.outputs)
     }
 
+    /// Keeps the newest version on this disk among the recent ones; a version that lost to another with its serial
+    /// makes room.
+    fn note_accepted(&mut self) {
+        let Some(document) = self.core.accepted() else { return };
+        if document.stamp == self.recent_stamp {
+            return;
+        }
+        self.recent_stamp = document.stamp;
+        let serial = document.view_serial();
+        let is_seen = self.recent_views.back().is_some_and(|newest| newest.serial == serial);
+        if is_seen && document.unseen > 0 {
+            return;
+        }
+        self.recent_views.retain(|earlier| earlier.serial < serial);
+        self.recent_views.push_back(document.view());
+        let extra_count = self.recent_views.len().saturating_sub(KEPT_VIEWS);
+        self.recent_views.drain(..extra_count);
+    }
+
     fn hear_stream(&mut self, now: Moment, stream: StreamId, frame: StreamUp) {
         self.streams.insert(stream);
         match &mut self.leader_state {
@@ -303,6 +332,7 @@
                     let leader_state_timing = self.leader_state_timing.clone();
                     let leader_state =
                         LeaderState::new(leader_state_timing, term, now, members, whole);
+                    let leader_state = leader_state.with_earlier_views(self.recent_views.clone());
                     self.leader_state = Some(leader_state.with_rules(self.rules));
                 }
                 CoreOutput::SteppedDown => self.stepped_down(),
--- a/crates/controlplane/src/leader_state/delivery.rs
+++ b/crates/controlplane/src/leader_state/delivery.rs
@@ -8,7 +8,8 @@
 use serde_json::json;
 use std::time::Duration;
 
-const KEPT_VIEWS: usize = 8;
+/// How many versions daemons may be behind and still be told the difference.
+pub const KEPT_VIEWS: usize = 8;
 
 /// Whether a version is in force everywhere is looked at so often, not at each daemon's word.
 const IN_FORCE_EVERY: Duration = Duration::from_millis(5);
@@ -34,7 +35,7 @@
             return;
         }
         let view = document.view();
-        match Table::build(&view) {
+        match Table::build_after(&self.table, &view) {
             Ok(table) => self.table = table,
             Err(fault) => {
                 let detail = json!({"serial": view.serial.0, "fault": fault.to_string()});
@@ -45,13 +46,16 @@
         self.acquires_changed = true;
         self.longest_budget = self.longest_budget.max(self.table.longest_budget());
         self.document = Some(document);
+        let mut earlier_views = std::mem::take(&mut self.earlier_views);
+        earlier_views.retain(|earlier| earlier.serial < view.serial);
+        self.views.extend(earlier_views);
         if self.views.back().is_none_or(|newest_view| newest_view.serial < view.serial) {
             self.views.push_back(view);
             self.made_frames.clear();
+            self.made_whole = None;
         }
-        if self.views.len() > KEPT_VIEWS {
-            self.views.pop_front();
-        }
+        let extra_count = self.views.len().saturating_sub(KEPT_VIEWS);
+        self.views.drain(..extra_count);
         let heeds_evacuation = self.rules.keep(Rule::EvacuationObeyed);
         for record in self.members.values_mut() {
             let is_evacuated = self.table.is_evacuated(&record.host.zone) && heeds_evacuation;
@@ -94,11 +98,14 @@
             return;
         }
         let base_serial = record.pushed;
-        let frame = self.made_frames.entry(base_serial).or_insert_with(|| {
-            let base_view = self.views.iter().find(|view| view.serial == base_serial);
-            base_view
-                .map_or_else(|| whole_frame(newest_view), |base| change_frame(base, newest_view))
-        });
+        let base_view = self.views.iter().find(|view| view.serial == base_serial);
+        let frame = match base_view {
+            Some(base) => {
+                let made = self.made_frames.entry(base_serial);
+                made.or_insert_with(|| change_frame(base, newest_view))
+            }
+            None => self.made_whole.get_or_insert_with(|| whole_frame(newest_view)),
+        };
         let frame = frame.clone();
         record.pushed = newest_view.serial;
         let serial = newest_view.serial;
@@ -109,7 +116,7 @@
 
     pub(super) fn push_whole(&mut self, stream: StreamId) {
         if let Some(newest_view) = self.views.back() {
-            let frame = whole_frame(newest_view);
+            let frame = self.made_whole.get_or_insert_with(|| whole_frame(newest_view)).clone();
             self.down(stream, frame);
         }
     }
--- a/crates/controlplane/src/leader_state/mod.rs
+++ b/crates/controlplane/src/leader_state/mod.rs
@@ -19,6 +19,7 @@
 mod timing;
 mod workers;
 
+pub use delivery::KEPT_VIEWS;
 pub use output::{LeaderOutput, StreamId, Told, TraceStep};
 pub use timing::LeaderTiming;
 
@@ -77,7 +78,10 @@
     document: Option<Document>,
     table: Table,
     views: VecDeque<View>,
+    /// Versions from before this reign; nothing is told to daemons before the first commit under it.
+    earlier_views: VecDeque<View>,
     made_frames: BTreeMap<Serial, StreamDown>,
+    made_whole: Option<StreamDown>,
     longest_budget: Duration,
     in_force: Serial,
     in_force_looked_at: Moment,
@@ -155,7 +159,9 @@
             document: None,
             table: Table::empty(),
             views: VecDeque::new(),
+            earlier_views: VecDeque::new(),
             made_frames: BTreeMap::new(),
+            made_whole: None,
             longest_budget: Duration::ZERO,
             in_force: Serial(0),
             in_force_looked_at: Moment::ZERO,
@@ -214,6 +220,13 @@
         self
     }
 
+    /// The same with the versions that this controller has seen lately: daemons that are a little behind are told
+    /// what changed, and not the whole.
+    pub fn with_earlier_views(mut self, views: VecDeque<View>) -> Self {
+        self.earlier_views = views;
+        self
+    }
+
     fn is_evacuated(&self, zone: &Zone) -> bool {
         self.rules.keep(Rule::EvacuationObeyed) && self.table.is_evacuated(zone)
     }
