--- a/crates/common/src/invariants.rs
+++ b/crates/common/src/invariants.rs
@@ -143,12 +143,7 @@
 }
 
 /// Notes a violation if the condition does not hold.
-pub fn require(
-    rules: Rules,
-    invariant: Invariant,
-    holds: bool,
-    detail: impl FnOnce() -> String,
-) {
+pub fn require(rules: Rules, invariant: Invariant, holds: bool, detail: impl FnOnce() -> String) {
     if !holds {
         violated(rules, Violation { invariant, detail: detail() });
     }
--- a/crates/controlplane/tests/quorum_proofs.rs
+++ b/crates/controlplane/tests/quorum_proofs.rs
@@ -3,8 +3,9 @@
 
 use common::chance::Chance;
 use common::clock::Moment;
-use common::frames::{CoreBody, CoreFrame, Flag, Many, Place};
-use common::identity::{ControllerId, Stamp, Term, Ticket, Zone};
+use common::frames::{CoreBody, CoreFrame, Flag, Many, Place, pack};
+use common::identity::{ControllerId, Serial, Stamp, Term, Ticket, Zone};
+use common::invariants::{self, Invariant};
 use common::rules::{Rule, Rules};
 use common::spec::{CoreMember, Document};
 use controlplane::core::{Address, Core, CoreOutput, CoreTiming, Recalled, WriteResult};
@@ -222,3 +223,38 @@
     leader.heard(later, frame(3, late));
     verify_that!(leader.quorum_moment(), eq(proven_at))
 }
+
+/// A voter that holds a committed version is given an older one by a leader that was elected without it.
+#[gtest]
+fn a_committed_version_that_gives_way_to_an_older_one_is_a_violation() -> Result<()> {
+    invariants::collect_on_this_thread();
+    let mut voter = voter(Rules::KEPT);
+    let founding = voter.accepted().expect("a version").clone();
+    let mut given = |term: u64, serial: u64| {
+        let mut document = founding.clone();
+        document.stamp = Stamp { term: Term(term), serial: Serial(serial) };
+        let body = CoreBody::Accept {
+            term: Term(term),
+            stamp: document.stamp,
+            document: pack(&document.to_bytes()),
+        };
+        let asked = voter.heard(START, frame(term, body));
+        let ticket = asked.iter().find_map(|output| match output {
+            CoreOutput::Write { ticket, .. } => Some(*ticket),
+            _ => None,
+        });
+        voter.written(START, ticket.unwrap_or(Ticket(0)), WriteResult::Synced);
+        let committed = CoreBody::Round {
+            term: Term(term),
+            round: 1,
+            accepted: document.stamp,
+            committed: document.stamp,
+            members: Many(Vec::new()),
+            whole: Flag(false),
+        };
+        voter.heard(START, frame(term, committed));
+        invariants::take_seen().into_iter().map(|seen| seen.invariant).collect::<Vec<_>>()
+    };
+    verify_that!(given(2, 7), is_empty())?;
+    verify_that!(given(3, 6), elements_are![eq(&Invariant::CommitNeverLost)])
+}
--- a/crates/dataplane/src/holder/inbox.rs
+++ b/crates/dataplane/src/holder/inbox.rs
@@ -182,7 +182,7 @@
             let Some(record) = self.runners.get_mut(&runner) else { return };
             let Some(place) = record.place() else { return };
             record.begin_send(now, waiting.entry.transaction.clone());
-            let (busy_count, slots) = (record.busy_count(), record.slots.max(1) as usize);
+            let (busy_count, slots) = (record.busy_count(), self.most_slots.max(1) as usize);
             require(self.rules, Invariant::SlotsRespected, busy_count <= slots, || {
                 format!("{busy_count} at once on {runner} of {slots} slots")
             });
--- a/crates/dataplane/src/holder/mod.rs
+++ b/crates/dataplane/src/holder/mod.rs
@@ -44,6 +44,8 @@
     function: FunctionKey,
     grant: GrantSerial,
     spec: FunctionSpec,
+    /// The most slots that any spec of this grant gave a runner.
+    most_slots: u32,
     once_from: Moment,
     runners: BTreeMap<RunnerId, RunnerRecord>,
     inbox: VecDeque<Waiting>,
@@ -87,6 +89,7 @@
         Self {
             function: terms.function,
             grant: terms.grant,
+            most_slots: slots,
             spec: terms.spec,
             once_from: now + terms.once_wait,
             replication: Replication::new(now, terms.steward, terms.prior, is_whole),
@@ -228,6 +231,7 @@
 
     /// A newer spec of the same function.
     pub fn respec(&mut self, spec: FunctionSpec) {
+        self.most_slots = self.most_slots.max(spec.slots);
         self.spec = spec;
     }
 }
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -9,6 +9,7 @@
 use common::identity::{
     CorrelationId, FunctionKey, GrantSerial, RunnerId, Serial, Term, TransactionId,
 };
+use common::invariants::{self, Invariant};
 use common::rules::{Rule, Rules};
 use common::seal;
 use common::spec::{Document, FunctionSpec, Table, read_spec};
@@ -210,7 +211,11 @@
         bench.agent.table.load().serial()
     };
     verify_that!(serial_after(Rules::KEPT), eq(Serial(5)))?;
-    verify_that!(serial_after(Rules::without(Rule::SerialOnlyUp)), eq(Serial(4)))
+    invariants::collect_on_this_thread();
+    verify_that!(serial_after(Rules::without(Rule::SerialOnlyUp)), eq(Serial(4)))?;
+    let seen: Vec<Invariant> =
+        invariants::take_seen().into_iter().map(|violation| violation.invariant).collect();
+    verify_that!(seen, elements_are![eq(&Invariant::SpecNeverOlder)])
 }
 
 #[gtest]
--- a/testing/fleet/src/sim/runners.rs
+++ b/testing/fleet/src/sim/runners.rs
@@ -58,6 +58,7 @@
             .and_then(|task| agent.runner_call(local_now, held, &task, runner, attempt));
         match call {
             Ok(call) => {
+                agent.check_sent(local_now);
                 if !self.is_daemon_serving(place) {
                     let transaction = &call.transaction;
                     let what =
