--- a/crates/common/src/spec/records.rs
+++ b/crates/common/src/spec/records.rs
@@ -395,8 +395,9 @@
         functions: &BTreeMap<FunctionName, Arc<FunctionSpec>>,
     ) -> Option<Vec<Arc<RouteSpec>>> {
         let mut matchers: HashMap<&str, matchit::Router<()>> = HashMap::new();
-        let mut prefixes: HashSet<(&str, &str)> = HashSet::new();
-        let mut routes = Vec::new();
+        let (_, route_count) = self.counts();
+        let mut prefixes: HashSet<(&str, &str)> = HashSet::with_capacity(route_count);
+        let mut routes = Vec::with_capacity(route_count);
         for (name, record) in self.routes.iter().flat_map(|part| part.iter()) {
             let route = record.checked(name)?;
             let mut led_to = route.shares.iter().map(|(name, _)| name).chain([&route.function]);
--- a/crates/common/src/spec/table.rs
+++ b/crates/common/src/spec/table.rs
@@ -71,6 +71,17 @@
     by_key: HashMap<FunctionKey, FunctionIndex>,
 }
 
+impl Index {
+    fn add_prefix(&mut self, host: &str, prefix: &str, route_place: usize) {
+        if let Some(host_prefixes) = self.prefixes.get_mut(host) {
+            host_prefixes.insert(prefix.to_owned(), route_place);
+        } else {
+            let host_prefixes = HashMap::from([(prefix.to_owned(), route_place)]);
+            self.prefixes.insert(host.to_owned(), host_prefixes);
+        }
+    }
+}
+
 /// An immutable snapshot of a spec, made for look-ups; those that differ in neither keys, names nor matches share
 /// their index.
 pub struct Table {
@@ -102,7 +113,14 @@
         let checked_spec = view.checked()?;
         let mut table =
             Table { serial: view.serial, evacuated: view.evacuated.clone(), ..Self::empty() };
-        let mut index = Index::default();
+        let (function_count, route_count) = view.spec.counts();
+        let mut index = Index {
+            by_route: HashMap::with_capacity(route_count),
+            by_key: HashMap::with_capacity(function_count),
+            ..Index::default()
+        };
+        table.functions.reserve(function_count);
+        table.routes.reserve(route_count);
         for (function_name, function_spec) in checked_spec.functions {
             let generation = view.generations.get(&function_name).copied().unwrap_or(view.serial);
             let key = FunctionKey { name: function_name, generation };
@@ -127,8 +145,7 @@
                     }
                 }
                 RouteMatch::Prefix(host, prefix) => {
-                    let host_prefixes = index.prefixes.entry(host.clone()).or_default();
-                    host_prefixes.insert(prefix.clone(), route_place);
+                    index.add_prefix(host, prefix, route_place);
                 }
             }
             let shares = route_spec
