Soak real processes in troubles that overlap, two or three at a time

fleet soak: nineteen kinds of trouble drawn from a seed (kills, stops in order, freezes, cuts both ways and one way, reloads, changes, lost acknowledgements, invalid changes, lost, broken and wrong answers, callers that hang up, garbage), begun and undone at their own times; judged by callers, runners and platform, by processes that end by themselves, and by violated invariants in their logs.

--- a/testing/fleet/src/commands/flags.rs
+++ b/testing/fleet/src/commands/flags.rs
@@ -18,6 +18,8 @@
 pub enum Command {
     #[options(help = "run a day and judge it")]
     Run(Run),
+    #[options(help = "soak real processes in troubles that overlap, over many seeds")]
+    Soak(SoakOptions),
     #[options(help = "judge a folder of records again")]
     Judge(Judge),
     #[options(help = "a table of every fault over several days' folders")]
@@ -81,6 +83,26 @@
     pub page: PathBuf,
 }
 
+#[derive(Options)]
+pub struct SoakOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "the first seed", default = "1")]
+    pub seed: u64,
+    #[options(help = "how many seeds", default = "1")]
+    pub count: u64,
+    #[options(help = "seconds of troubles in each", default = "30")]
+    pub lasts: u64,
+    #[options(no_short, help = "troubles at a time", default = "3")]
+    pub lanes: usize,
+    #[options(no_short, help = "how many soaks at a time", default = "1")]
+    pub at_once: usize,
+    #[options(no_short, help = "a rule that the daemons lack", meta = "RULE")]
+    pub without: Option<String>,
+    #[options(required, help = "the folder of settings, logs and records", meta = "FOLDER")]
+    pub folder: PathBuf,
+}
+
 #[derive(Options)]
 pub struct Plain {
     #[options(help = "print this help")]
--- a/testing/fleet/src/commands/mod.rs
+++ b/testing/fleet/src/commands/mod.rs
@@ -5,3 +5,4 @@
 pub mod days;
 pub mod flags;
 pub mod simulator;
+pub mod soak;
--- a/testing/fleet/src/fleet/mod.rs
+++ b/testing/fleet/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 use hyper::Method;
 use platform_stub::records::Records;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -71,6 +71,8 @@
     /// The network between the processes.
     pub relay: Relay,
     processes: BTreeMap<String, Process>,
+    /// Processes that were told to stop or stand still.
+    troubled: BTreeSet<String>,
     next_change: u64,
 }
 
@@ -82,7 +84,8 @@
             .map_err(|fault| FleetFault::Machine(journal_path, fault))?;
         let processes = BTreeMap::new();
         let relay = Relay::new();
-        let mut fleet = Self { layout, journal, relay, processes, next_change: 1 };
+        let troubled = BTreeSet::new();
+        let mut fleet = Self { layout, journal, relay, processes, troubled, next_change: 1 };
 
         let names: Vec<String> = fleet.layout.machines.keys().cloned().collect();
         fleet.launch("platform-stub").await?;
@@ -120,6 +123,7 @@
         self.relay_for(name).await?;
         let machine = &self.layout.machines[name];
         let process = Process::start(machine, &self.layout.folder)?;
+        self.troubled.remove(name);
         self.processes.insert(name.to_owned(), process);
         self.note("launch", json!({"machine": name, "door": self.door(name)}));
         Ok(())
@@ -185,9 +189,39 @@
         started_at.elapsed()
     }
 
+    /// Warns a process, and leaves it to stop; [`Fleet::stop`] waits for it.
+    pub fn begin_stop(&mut self, name: &str) {
+        self.note("stop", json!({"machine": name, "door": self.door(name)}));
+        self.troubled.insert(name.to_owned());
+        if let Some(process) = self.processes.get(name) {
+            process.warn();
+        }
+    }
+
+    /// Tells all daemons and controllers to read their settings again.
+    pub fn hang_up_all(&self) {
+        self.note("hang_up", json!({}));
+        let told = self.processes.iter().filter(|(name, _)| *name != "platform-stub");
+        told.for_each(|(_, process)| process.hang_up());
+    }
+
+    /// The running processes of one program that nothing was done to that is not undone.
+    pub fn untroubled(&self, program: &str) -> Vec<String> {
+        let mut names = self.running(program);
+        names.retain(|name| !self.troubled.contains(name));
+        names
+    }
+
+    /// Processes that were started and not stopped, and have ended all the same.
+    pub fn ended_by_themselves(&mut self) -> Vec<String> {
+        let processes = self.processes.iter_mut();
+        processes.filter_map(|(name, process)| process.has_ended().then(|| name.clone())).collect()
+    }
+
     /// Freezes a process.
     pub fn freeze(&mut self, name: &str) {
         self.note("freeze", json!({"machine": name, "door": self.door(name)}));
+        self.troubled.insert(name.to_owned());
         if let Some(process) = self.processes.get(name) {
             process.freeze();
         }
@@ -195,6 +229,7 @@
 
     /// Wakes a frozen process.
     pub fn wake(&mut self, name: &str) {
+        self.troubled.remove(name);
         if let Some(process) = self.processes.get(name) {
             process.wake();
         }
--- a/testing/fleet/src/fleet/process.rs
+++ b/testing/fleet/src/fleet/process.rs
@@ -43,6 +43,16 @@
         self.signal(Signal::TERM);
     }
 
+    /// SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/testing/fleet/src/fleet/relay.rs
+++ b/testing/fleet/src/fleet/relay.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Joins again what was cut; other cuts stay.
+    pub fn join(&self, ways: &[(Ipv4Addr, Ipv4Addr)]) {
+        self.weather.send_modify(|weather| {
+            ways.iter().for_each(|way| {
+                weather.cuts.remove(way);
+            });
+        });
+    }
+
     /// Delays everything.
     pub fn slow_down(&self, span: Duration) {
         self.weather.send_modify(|weather| weather.slow = span);
--- a/testing/fleet/src/lib.rs
+++ b/testing/fleet/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod history;
 pub mod judge;
 pub mod sim;
+pub mod soak;
 pub mod synthetic;
--- a/testing/fleet/src/main.rs
+++ b/testing/fleet/src/main.rs
@@ -7,6 +7,7 @@
 use commands::days::{conclude, read_day, run_whole, tabulate};
 use commands::flags::{Command, Flags};
 use commands::simulator::{prove, simulate};
+use commands::soak;
 use common::command_line::Program;
 use eyre::WrapErr;
 use fleet::days::FaultName;
@@ -31,6 +32,7 @@
         Some(Command::Judge(chosen)) => Evidence::read(&chosen.folder)
             .wrap_err("records")
             .map(|evidence| conclude(&judge(&evidence))),
+        Some(Command::Soak(options)) => soak::run(&options),
         Some(Command::Table(table)) => tabulate(&table.folders).wrap_err("records"),
         Some(Command::Sim(sim)) => return simulate(&sim),
         Some(Command::SecondLosses(chosen)) => return lose_second_machines(&chosen),
--- /dev/null
+++ b/testing/fleet/tests/soak.rs
@@ -0,0 +1,125 @@
+//! Real processes under troubles that overlap, in short; and that a failed request can be followed in their logs.
+
+use common::frames::Place;
+use fleet::days::Deployment;
+use fleet::fleet::{Fleet, FleetFault, Layout};
+use fleet::soak::{Soak, drawn, most_at_once, run_soak};
+use googletest::prelude::*;
+use hyper::Method;
+use serde_json::json;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+fn programs() -> PathBuf {
+    let own_path = std::env::current_exe().expect("a path");
+    let folder = own_path.parent().and_then(Path::parent).expect("a folder").to_owned();
+    assert!(folder.join("rudderd").exists(), "build the workspace first: cargo build --workspace");
+    folder
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("rudderstream-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+#[gtest]
+fn a_seed_draws_the_same_troubles_and_three_of_them_overlap() -> Result<()> {
+    let lasts = Duration::from_secs(30);
+    for seed in 1..=50 {
+        let planned = drawn(seed, 3, lasts);
+        verify_that!(drawn(seed, 3, lasts) == planned, eq(true))?;
+        verify_that!(most_at_once(&planned), eq(3))?;
+        verify_that!(planned.iter().all(|held| held.until <= lasts), eq(true))?;
+    }
+    Ok(())
+}
+
+/// The short form of the soak. Whole ones, over many seeds: `fleet soak --count 50 --folder FOLDER`.
+#[gtest]
+fn a_short_soak_finds_nothing() -> Result<()> {
+    let soak = Soak {
+        seed: 4,
+        lasts: Duration::from_secs(8),
+        lanes: 2,
+        folder: folder("soak"),
+        programs: programs(),
+        without: None,
+    };
+    let runtime = common::command_line::runtime(2)?;
+    let end = runtime.block_on(run_soak(&soak))?;
+    verify_that!(end.findings(), is_empty())?;
+    verify_that!(most_at_once(&end.planned), eq(2))?;
+    verify_that!(end.verdict.figures.calls, ge(500))?;
+    std::fs::remove_dir_all(&soak.folder)?;
+    Ok(())
+}
+
+async fn call(door: Place, identity: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(door.address()).await?;
+    let head = format!(
+        "POST /canary HTTP/1.1\r\nhost: x\r\nconnection: close\r\nrudder-transaction: {identity}\r\n\
+         rudder-budget-ms: 3000\r\ncontent-length: 2\r\n\r\n{{}}"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+/// The events that bear an identity, with the machines whose logs have them.
+fn logged(folder: &Path, machines: &[String], identity: &str) -> Vec<(String, String)> {
+    let mut found = Vec::new();
+    for machine in machines {
+        let log_text = std::fs::read_to_string(folder.join(format!("{machine}.log")));
+        let log_text = log_text.unwrap_or_default();
+        let lines = log_text.lines().filter(|line| line.contains(identity));
+        let numbers = lines.filter_map(|line| Some(line.split_once("[E")?.1.get(..4)?.to_owned()));
+        found.extend(numbers.map(|number| (machine.clone(), number)));
+    }
+    found
+}
+
+async fn failed_request(
+    fleet: &mut Fleet,
+) -> std::result::Result<Vec<(String, String)>, FleetFault> {
+    fleet.found().await?;
+    let spec = Deployment::Small.spec("canary-a");
+    fleet.put_spec(1, "first", &spec, "in_force").await?;
+    fleet.await_ready(4).await?;
+    fleet.platform("/v1/runner-faults", &json!({"lose": 1.0})).await?;
+    let (_, body) = fleet.ask(Method::GET, "/v1/holders", None).await?;
+    let daemons = fleet.running("daemon");
+    let identity = "followed-by-its-identity";
+    let door = fleet.door_of(&daemons[0]).expect("a door");
+    let answer = call(door, identity).await.expect("an answer");
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer} {body}");
+    let folder = fleet.folder().to_owned();
+    fleet.end().await;
+    Ok(logged(&folder, &daemons, identity))
+}
+
+#[gtest]
+fn a_failed_request_is_followed_by_its_identity_from_door_to_runner() -> Result<()> {
+    let folder = folder("followed");
+    let sizes = Deployment::Small.sizes();
+    let layout = Layout::new(&folder, &programs(), &sizes, 1, false)?;
+    let runtime = common::command_line::runtime(2)?;
+    let found = runtime.block_on(async {
+        let mut fleet = Fleet::start(layout).await?;
+        failed_request(&mut fleet).await
+    })?;
+    let numbers: Vec<&str> = found.iter().map(|(_, number)| number.as_str()).collect();
+    verify_that!(numbers, contains(eq(&"3201")))?;
+    verify_that!(numbers, contains(eq(&"3202")))?;
+    verify_that!(numbers, contains(eq(&"3203")))?;
+    let at_door = found.iter().filter(|(_, number)| number == "3201");
+    verify_that!(
+        at_door.map(|(machine, _)| machine.as_str()).collect::<Vec<_>>(),
+        elements_are![eq(&"daemon-01")]
+    )?;
+    std::fs::remove_dir_all(&folder)?;
+    Ok(())
+}
