Log failed requests by identity from door to runner; measure requests and orders

Cause: of a request that failed, counters and histograms told how many, and nothing which; an order's time to its answer stood nowhere.

--- a/crates/common/src/events/mod.rs
+++ b/crates/common/src/events/mod.rs
@@ -60,6 +60,8 @@
     FOUNDED = 2008, "founded";
     /// The controller took long over one input, so that rounds and votes waited.
     SLOW_STEP = 2011, "slow step";
+    /// An operator's order was answered.
+    ORDER_ANSWERED = 2012, "order answered";
     /// The members of the core are changing.
     SUCCESSION = 2010, "succession";
     /// A disk write takes longer than an election timeout.
@@ -128,6 +130,14 @@
     RUNNER_STOPPED = 3104, "runner stopped";
     /// A function is being handed over.
     HANDING_OVER = 3105, "handing over";
+    /// A request that a caller brought here ended without an answer.
+    REQUEST_FAILED = 3201, "request failed";
+    /// A request ended without an answer at the daemon that holds its function.
+    REQUEST_NOT_SERVED = 3202, "request not served";
+    /// A request was sent to a runner, and no good answer came.
+    SEND_FAILED = 3203, "send failed";
+    /// So many requests without an answer were not logged, to keep the log small.
+    REQUESTS_NOT_LOGGED = 3204, "requests not logged";
 }
 
 /// Writes a numbered event to the log.
--- a/crates/controlplane/src/drivers/gauges.rs
+++ b/crates/controlplane/src/drivers/gauges.rs
@@ -15,6 +15,7 @@
     rejected: IntCounter,
     queue_seconds: HistogramVec,
     step_seconds: HistogramVec,
+    order_seconds: HistogramVec,
     /// Frames from daemons.
     pub frames_up: IntCounter,
     /// Frames to daemons.
@@ -50,6 +51,11 @@
                 "how long an input waited in the controller's queue",
                 &["input"],
             ),
+            order_seconds: page.seconds_by(
+                "rudder_order_seconds",
+                "from an operator's order to its answer, by status; at the controller that was asked",
+                &["status"],
+            ),
             step_seconds: page.seconds_by(
                 "rudder_controller_step_seconds",
                 "how long the controller took to handle an input",
@@ -66,6 +72,12 @@
         self.step_seconds.with_label_values(&label).observe(handled.as_secs_f64());
     }
 
+    /// Takes how long an operator's order took to be answered.
+    pub fn observe_order(&self, status: u16, taken: Duration) {
+        let label = [status.to_string()];
+        self.order_seconds.with_label_values(&label).observe(taken.as_secs_f64());
+    }
+
     /// Takes the controller state's present state.
     pub fn set(&self, controller_state: &ControllerState) {
         let core = controller_state.core();
--- a/crates/controlplane/src/drivers/operators.rs
+++ b/crates/controlplane/src/drivers/operators.rs
@@ -3,8 +3,10 @@
 use crate::controller_state::{ChangeKind, Operation, OperationReply, Unavailable, change_name};
 use bytes::Bytes;
 use common::clock::Moment;
+use common::events;
 use common::frames::Place;
 use common::http::{self, BodyFault, Served, json_response, read_body, stream_body, text_response};
+use common::note;
 use common::spec::SpecRecords;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -40,7 +42,22 @@
     json_response(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), body)
 }
 
+/// Answers one request, and measures how long an order took.
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Served {
+    let asked_at = Moment::now();
+    let is_order = request.method() != Method::GET;
+    let path = request.uri().path().to_owned();
+    let served = answer_to(shared.clone(), request).await;
+    if is_order {
+        let (status, taken) = (served.status().as_u16(), Moment::now().since(asked_at));
+        shared.gauges.observe_order(status, taken);
+        let taken_ms = taken.as_millis();
+        note!(Info, events::ORDER_ANSWERED, "{path}: {status} after {taken_ms} ms");
+    }
+    served
+}
+
+async fn answer_to(shared: Arc<Shared>, request: Request<Incoming>) -> Served {
     let (head, incoming_body) = request.into_parts();
     let tongue = shared.operators.clone();
     if head.method == Method::GET && head.uri.path() == tongue.ready_path() {
--- a/crates/dataplane/src/chain/answer.rs
+++ b/crates/dataplane/src/chain/answer.rs
@@ -1,9 +1,8 @@
 //! What a caller is told of an outcome or a refusal.
 
-use crate::drivers::State;
 use common::frames::{HopOutcome, HopReason};
-use common::http::{BodyFault, Served};
-use common::identity::{FunctionKey, TransactionId};
+use common::http::BodyFault;
+use common::identity::FunctionKey;
 use common::tongue::{NotRunKind, Said};
 use std::time::Duration;
 
@@ -66,14 +65,3 @@
         _ => NotRunKind::Unavailable,
     }
 }
-
-/// Has the response made, and counts it.
-pub fn say(state: &State, transaction: Option<&TransactionId>, said: Said) -> Served {
-    let (outcome, reason) = match &said {
-        Said::Answer { .. } => ("answer", ""),
-        Said::NotRun { reason, .. } => ("not_run", *reason),
-        Said::Unknown { reason, .. } => ("unknown", reason.as_str()),
-    };
-    state.gauges.outcomes.with_label_values(&[outcome, reason]).inc();
-    state.tongues.door.say(transaction, said)
-}
--- a/crates/dataplane/src/drivers/gauges.rs
+++ b/crates/dataplane/src/drivers/gauges.rs
@@ -1,11 +1,15 @@
 use common::metrics::Page;
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
 /// The daemon's metrics.
 pub struct Gauges {
     page: Page,
     /// Transactions of callers by outcome and reason.
     pub outcomes: IntCounterVec,
+    /// How long callers' requests took, by outcome.
+    pub request_seconds: HistogramVec,
+    /// Requests that ended long after their deadline.
+    pub overdue: IntCounter,
     /// Look-ups of owners by where they were found.
     pub lookups: IntCounterVec,
     /// Acquisitions asked of the leader.
@@ -52,6 +56,15 @@
                 "callers' transactions by outcome and reason",
                 &["outcome", "reason"],
             ),
+            request_seconds: page.seconds_by(
+                "rudder_request_seconds",
+                "from a caller's first byte to the answer, by outcome",
+                &["outcome"],
+            ),
+            overdue: page.counter(
+                "rudder_requests_overdue_total",
+                "callers' requests that ended over a quarter of a second after their deadline",
+            ),
             lookups: page.counters(
                 "rudder_owner_lookups_total",
                 "owner look-ups by where the owner was found",
--- a/crates/dataplane/src/drivers/holding.rs
+++ b/crates/dataplane/src/drivers/holding.rs
@@ -3,10 +3,11 @@
 use super::control::ControlInput;
 use super::{AskEnd, HeldHere, State, platform, runners};
 use crate::agent::{Question, Task, Topic};
-use crate::holder::{Holder, HolderOutput};
+use crate::holder::{Holder, HolderOutput, SendEnd};
 use common::clock::Moment;
+use common::events;
 use common::frames::{HopOutcome, HopReason};
-use common::identity::Ticket;
+use common::identity::{RunnerId, Ticket};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -54,11 +55,14 @@
     match order {
         HolderOutput::Send { ticket, runner, place, attempt } => {
             tokio::spawn(async move {
+                let sent_at = Moment::now();
                 let end = runners::send(&state, &held, ticket, runner, place, attempt).await;
+                log_failed_send(&state, &held, (ticket, runner), &end, sent_at);
                 apply(&held, &state, |holder, now| holder.sent_ended(now, ticket, end));
             });
         }
         HolderOutput::End { ticket, outcome } => {
+            log_not_served(&state, &held, ticket, &outcome);
             if let Some(waiter) = held.leave(ticket) {
                 let _ = waiter.send(outcome);
             }
@@ -98,6 +102,35 @@
     }
 }
 
+fn log_failed_send(
+    state: &State,
+    held: &HeldHere,
+    (ticket, runner): (Ticket, RunnerId),
+    end: &SendEnd,
+    sent_at: Moment,
+) {
+    if let (Some(how), Some(task)) = (end.failure(), held.task(ticket)) {
+        let (transaction, function) = (&task.transaction, &held.function);
+        let taken_ms = Moment::now().since(sent_at).as_millis();
+        let detail = format_args!("{transaction} {function} on {runner} {how} after {taken_ms} ms");
+        state.request_log.write(events::SEND_FAILED, detail);
+    }
+}
+
+fn log_not_served(state: &State, held: &HeldHere, ticket: Ticket, outcome: &HopOutcome) {
+    let (outcome, reason) = match outcome {
+        HopOutcome::Answer { .. } => return,
+        HopOutcome::NotRun { reason, .. } => ("not_run", reason.as_str()),
+        HopOutcome::Unknown { reason } => ("unknown", reason.as_str()),
+    };
+    if let Some(task) = held.task(ticket) {
+        let (function, grant) = (&held.function, held.grant);
+        let detail =
+            format_args!("{} {function} grant {grant} {outcome} {reason}", task.transaction);
+        state.request_log.write(events::REQUEST_NOT_SERVED, detail);
+    }
+}
+
 /// Changes a holder and does what it orders.
 fn apply(
     held: &HeldHere,
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -11,6 +11,7 @@
 mod links;
 mod metered;
 mod platform;
+mod request_log;
 mod runners;
 mod state;
 
@@ -21,4 +22,5 @@
 pub use gauges::Gauges;
 pub use hop_links::{AskEnd, HopLinks};
 pub use metered::SendPermit;
+pub use request_log::RequestLog;
 pub use state::{HeldHere, State};
--- a/crates/dataplane/src/drivers/state.rs
+++ b/crates/dataplane/src/drivers/state.rs
@@ -1,7 +1,7 @@
 use super::connector::Connector;
 use super::control::ControlInput;
 use super::links::RunnerLinks;
-use super::{Gauges, HopLinks};
+use super::{Gauges, HopLinks, RequestLog};
 use crate::agent::{Agent, Held};
 use crate::boot::DaemonBoot;
 use crate::holder::Tuning;
@@ -31,6 +31,8 @@
     pub runner_links: Arc<RunnerLinks>,
     /// The metrics.
     pub gauges: Gauges,
+    /// The log of requests without an answer.
+    pub request_log: RequestLog,
     pub(super) rush: Notify,
     pub(super) control_due: SharedMoment,
     pub(super) changes: watch::Sender<u64>,
@@ -55,6 +57,7 @@
             agent,
             runner_links: Arc::new(RunnerLinks::new(connector, rules)),
             gauges: Gauges::new(),
+            request_log: RequestLog::default(),
             rush: Notify::new(),
             control_due: SharedMoment::new(),
             changes: watch::Sender::new(0),
--- a/crates/dataplane/src/holder/output.rs
+++ b/crates/dataplane/src/holder/output.rs
@@ -131,3 +131,18 @@
     /// Something was sent, and no good answer came.
     Lost,
 }
+
+impl SendEnd {
+    /// How a send failed, in a word; nothing if it brought an answer.
+    pub fn failure(&self) -> Option<&'static str> {
+        match self {
+            Self::Answered(_) => None,
+            Self::Failed(_) => Some("failed at its runner"),
+            Self::ShedByRunner => Some("refused by its runner"),
+            Self::OtherRunner => Some("met another runner"),
+            Self::Barred(reason) => Some(reason.as_str()),
+            Self::Unsent => Some("reached no runner"),
+            Self::Lost => Some("lost its answer"),
+        }
+    }
+}
