Dial a named leader soon although it was not reached a moment before

Change: a controller to which no connection came about is left alone for 300 ms, not 1.5 s, where others name it as the leader; one whose open stream fell silent as before. Test, seen failing with the rule taken away: a_leader_that_was_not_reached_before_it_started_is_dialed_once_others_name_it (rule named-leader-dialed).

--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -100,6 +100,8 @@
     ChangeOnItsBase,
     /// A grant that answers a question from before its asker gave everything up is given back.
     OldAnswerVoid,
+    /// A leader that others name is dialed although no connection to it came about a moment before.
+    NamedLeaderDialed,
 }
 
 impl Rule {
@@ -151,6 +153,7 @@
         Rule::RoundOfItsTerm,
         Rule::ChangeOnItsBase,
         Rule::OldAnswerVoid,
+        Rule::NamedLeaderDialed,
     ];
 
     /// The rule of a name.
@@ -208,6 +211,7 @@
             Self::RoundOfItsTerm => "round-of-its-term",
             Self::ChangeOnItsBase => "change-on-its-base",
             Self::OldAnswerVoid => "old-answer-void",
+            Self::NamedLeaderDialed => "named-leader-dialed",
         })
     }
 }
--- a/crates/dataplane/src/liaison/mod.rs
+++ b/crates/dataplane/src/liaison/mod.rs
@@ -24,6 +24,10 @@
     /// How long a controller that fell silent is left alone.
     #[builder(default = Duration::from_millis(1500))]
     pub shun_for: Duration,
+    /// How long one to which no connection came about is left alone although others name it as the leader: it may
+    /// have started since.
+    #[builder(default = Duration::from_millis(300))]
+    pub shun_unreached_for: Duration,
     /// The shortest wait before the next seed is tried.
     #[builder(default = Duration::from_millis(30))]
     pub retry_shortest: Duration,
@@ -67,6 +71,14 @@
     Welcomed { heard_at: Moment, renew_at: Moment },
 }
 
+/// A controller that did not answer.
+#[derive(Clone, Copy)]
+struct Shunned {
+    place: Place,
+    since: Moment,
+    was_reached: bool,
+}
+
 /// A daemon's side of the stream.
 pub struct Liaison {
     timing: LiaisonTiming,
@@ -77,7 +89,7 @@
     next_seed: usize,
     hinted_leader: Option<Place>,
     dialed: Place,
-    shunned: Option<(Place, Moment)>,
+    shunned: Option<Shunned>,
     hinted_at: Moment,
     born_at: Moment,
     was_granted: bool,
@@ -228,9 +240,7 @@
     /// A leader that was named is dialed at once; without one, or when names come too fast, a little
     /// later.
     fn follow_hint(&mut self, now: Moment) {
-        let shunned_place =
-            self.shunned.filter(|(_, until)| *until > now).map(|(shunned_place, _)| shunned_place);
-        let is_useful = self.hinted_leader.is_some() && self.hinted_leader != shunned_place;
+        let is_useful = self.hinted_leader.is_some_and(|named| self.may_dial_named(now, named));
         let is_first = now.since(self.hinted_at) >= self.timing.retry_shortest;
         let dial_at = if is_useful && is_first {
             self.hinted_at = now;
@@ -264,13 +274,13 @@
             StreamState::Dialing { give_up_at } | StreamState::Open { give_up_at }
                 if now >= give_up_at =>
             {
-                self.shunned = Some((self.dialed, now + self.timing.shun_for));
+                self.shun_dialed(now);
                 self.hang_up(now, &mut outputs);
             }
             StreamState::Welcomed { heard_at, .. }
                 if now.since(heard_at) > self.timing.silence_within =>
             {
-                self.shunned = Some((self.dialed, now + self.timing.shun_for));
+                self.shun_dialed(now);
                 self.hang_up(now, &mut outputs);
             }
             StreamState::Welcomed { heard_at, renew_at } if now >= renew_at && !self.leaving => {
@@ -291,13 +301,15 @@
 
     /// A hinted leader first, else the controllers in turn; one that fell silent is left alone for a while.
     fn next_place(&mut self, now: Moment) -> Place {
-        let shunned_place =
-            self.shunned.filter(|(_, until)| *until > now).map(|(shunned_place, _)| shunned_place);
-        if let Some(hinted_place) = self.hinted_leader.take()
-            && Some(hinted_place) != shunned_place
+        if let Some(named_place) = self.hinted_leader.take()
+            && self.may_dial_named(now, named_place)
         {
-            return hinted_place;
+            return named_place;
         }
+        let shunned_place = self
+            .shunned
+            .filter(|shunned| now < shunned.since + self.timing.shun_for)
+            .map(|shunned| shunned.place);
         for _ in 0..self.places.len() {
             self.next_seed = (self.next_seed + 1) % self.places.len();
             if Some(self.places[self.next_seed]) != shunned_place {
@@ -307,6 +319,23 @@
         self.places[self.next_seed]
     }
 
+    /// The controller that was dialed last is left alone for a while.
+    fn shun_dialed(&mut self, now: Moment) {
+        let was_reached = !matches!(self.state, StreamState::Dialing { .. });
+        self.shunned = Some(Shunned { place: self.dialed, since: now, was_reached });
+    }
+
+    /// Whether a controller that another one names as the leader may be dialed.
+    fn may_dial_named(&self, now: Moment, named: Place) -> bool {
+        let Some(shunned) = self.shunned.filter(|shunned| shunned.place == named) else {
+            return true;
+        };
+        let is_patient = shunned.was_reached || !self.rules.keep(Rule::NamedLeaderDialed);
+        let shun_for =
+            if is_patient { self.timing.shun_for } else { self.timing.shun_unreached_for };
+        now >= shunned.since + shun_for
+    }
+
     fn end_grant_if_due(&mut self, now: Moment, outputs: &mut Vec<LiaisonOutput>) {
         if self.granted && now >= self.grant_end {
             self.granted = false;
@@ -357,7 +386,7 @@
                 let is_deposed =
                     term < self.term && now.since(self.led_at) < self.timing.refuse_earlier_for;
                 if is_deposed {
-                    self.shunned = Some((self.dialed, now + self.timing.shun_for));
+                    self.shun_dialed(now);
                     self.hang_up(now, &mut outputs);
                 } else if !self.is_welcomed() {
                     self.term = term;
--- a/crates/dataplane/tests/liaison.rs
+++ b/crates/dataplane/tests/liaison.rs
@@ -4,6 +4,7 @@
 use common::clock::Moment;
 use common::frames::{Flag, Host, Place, StreamDown, StreamUp};
 use common::identity::{CorrelationId, Serial, Term};
+use common::rules::{Rule, Rules};
 use dataplane::liaison::{Liaison, LiaisonOutput, LiaisonTiming};
 use googletest::prelude::*;
 use std::time::Duration;
@@ -115,6 +116,33 @@
     verify_that!(later_places.contains(&first_place), eq(false))
 }
 
+/// How long after the first dial a controller is dialed again that was without power then, and that the others name
+/// as the leader as soon as it is back.
+fn leader_dialed_again_after(rules: Rules) -> Duration {
+    let mut liaison = liaison().with_rules(rules);
+    let first_place = dialed(&liaison.tick(START)).expect("dialed");
+    let mut now = START;
+    while now < START + ms(3000) {
+        now = now + ms(10);
+        match dialed(&liaison.tick(now)) {
+            Some(dialed_place) if dialed_place == first_place => break,
+            Some(_) => {
+                liaison.connected(now);
+                liaison.heard(now, StreamDown::Elsewhere { leader: first_place });
+            }
+            None => {}
+        }
+    }
+    now.since(START)
+}
+
+#[gtest]
+fn a_leader_that_was_not_reached_before_it_started_is_dialed_once_others_name_it() -> Result<()> {
+    verify_that!(leader_dialed_again_after(Rules::KEPT), le(ms(650)))?;
+    let without = Rules::without(Rule::NamedLeaderDialed);
+    verify_that!(leader_dialed_again_after(without), ge(ms(1700)))
+}
+
 #[gtest]
 fn a_named_leader_is_dialed_at_once_and_names_that_go_round_are_not_chased() -> Result<()> {
     let mut liaison = liaison();
