Soak with ailing disks, slow networks and workers that crash or drain

The proving daemon and controller, which the soak starts, ended at SIGHUP (found by a soak with a rule taken away: two daemons ended by themselves); they take it now as the deployed programs do.

--- a/testing/fleet/src/ailing.rs
+++ b/testing/fleet/src/ailing.rs
@@ -62,6 +62,7 @@
         let controller =
             Controller::open_with(&boot, Box::new(seam), tongues).await.wrap_err("opening")?;
         let stop = command_line::told_to_stop()?;
+        let _reread = command_line::told_to_reread()?;
         controller.run(stop).await;
         Ok(())
     })
--- a/testing/fleet/src/flawed.rs
+++ b/testing/fleet/src/flawed.rs
@@ -35,6 +35,7 @@
         let opened = Daemon::open_under(boot, Rules::without(rule)).await;
         let daemon = opened.map_err(|fault| eyre!("{fault}")).wrap_err("opening")?;
         let stop = command_line::told_to_stop()?;
+        let _reread = command_line::told_to_reread()?;
         daemon.run(stop).await;
         Ok(())
     })
--- a/testing/fleet/src/soak/mod.rs
+++ b/testing/fleet/src/soak/mod.rs
@@ -101,7 +101,7 @@
 /// Runs a soak and has it judged.
 pub async fn run_soak(soak: &Soak) -> Result<SoakEnd, FleetFault> {
     let deployment = Deployment::Small;
-    let sizes = Sizes { without: soak.without, ..deployment.sizes() };
+    let sizes = Sizes { without: soak.without, disks_ail: true, ..deployment.sizes() };
     let layout = Layout::new(&soak.folder, &soak.programs, &sizes, soak.seed, true)?;
     let doors = layout.doors();
     let mut fleet = Fleet::start(layout).await?;
--- a/testing/fleet/src/soak/trouble.rs
+++ b/testing/fleet/src/soak/trouble.rs
@@ -7,10 +7,13 @@
 use serde_json::json;
 use std::fmt;
 use std::net::Ipv4Addr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// How long a process may take to stop in order.
 const STOP_GRACE: Duration = Duration::from_secs(7);
+/// How much longer everything takes on a slow network.
+const SLOWED_BY: Duration = Duration::from_millis(200);
 
 macro_rules! troubles {
     ($($(#[$doc:meta])* $variant:ident = $name:literal,)+) => {
@@ -55,6 +58,18 @@
     CutLeader = "cut-leader",
     /// What one daemon sends is lost.
     MuteDaemon = "mute-daemon",
+    /// Everything between the processes takes a fifth of a second longer.
+    SlowNetwork = "slow-network",
+    /// A controller's disk takes no more bytes.
+    FillDisk = "fill-disk",
+    /// A controller's disk answers nothing.
+    StallDisk = "stall-disk",
+    /// A controller's disk fails every write.
+    FailDisk = "fail-disk",
+    /// A worker crashes with its runners.
+    CrashWorker = "crash-worker",
+    /// A worker is emptied.
+    DrainWorker = "drain-worker",
     /// Runners lose answers.
     LoseAnswers = "lose-answers",
     /// Runners refuse, and break answers off.
@@ -89,6 +104,9 @@
     Wake(String),
     Join(Vec<(Ipv4Addr, Ipv4Addr)>),
     RunnersAreSound,
+    SpeedUp,
+    HealDisk(PathBuf),
+    RestoreWorker(String),
 }
 
 /// Begins and ends troubles on a fleet.
@@ -122,6 +140,15 @@
                 let leader = self.leader().await;
                 Ok(self.cut(leader, true))
             }
+            Trouble::SlowNetwork => {
+                self.fleet.relay.slow_down(SLOWED_BY);
+                Ok(Undo::SpeedUp)
+            }
+            Trouble::FillDisk => self.ail("full"),
+            Trouble::StallDisk => self.ail("stalled"),
+            Trouble::FailDisk => self.ail("failing"),
+            Trouble::CrashWorker => self.hurt_worker("crash").await,
+            Trouble::DrainWorker => self.hurt_worker("drain").await,
             Trouble::LoseAnswers => self.hurt_runners(json!({"lose": 0.05})).await,
             Trouble::BreakAnswers => {
                 self.hurt_runners(json!({"refuse": 0.05, "break_off": 0.05})).await
@@ -168,6 +195,18 @@
                 self.fleet.relay.join(&ways);
                 Ok(())
             }
+            Undo::SpeedUp => {
+                self.fleet.relay.slow_down(Duration::ZERO);
+                Ok(())
+            }
+            Undo::HealDisk(said_in) => {
+                let _ = std::fs::remove_file(said_in);
+                Ok(())
+            }
+            Undo::RestoreWorker(worker) => {
+                let path = format!("/v1/workers/{worker}/restore");
+                self.fleet.platform(&path, &json!({})).await
+            }
             Undo::RunnersAreSound => self.fleet.platform("/v1/runner-faults", &json!({})).await,
         }
     }
@@ -228,6 +267,26 @@
         Undo::Join(ways)
     }
 
+    /// A controller's disk ails; which one, chance says: the leader's or another's.
+    fn ail(&mut self, how: &str) -> Result<Undo, FleetFault> {
+        let Some(name) = self.some_controller() else { return Ok(Undo::Nothing) };
+        self.chance.number();
+        let said_in = self.fleet.layout.disk_file(&name);
+        self.fleet.note("disk", json!({"machine": name, "how": how}));
+        std::fs::write(&said_in, how)
+            .map_err(|fault| FleetFault::Machine(said_in.clone(), fault))?;
+        Ok(Undo::HealDisk(said_in))
+    }
+
+    async fn hurt_worker(&mut self, deed: &str) -> Result<Undo, FleetFault> {
+        let zone = format!("locality-{}", 1 + self.chance.below(3));
+        let Some(worker) = self.one_of(self.fleet.workers_of(&zone).await) else {
+            return Ok(Undo::Nothing);
+        };
+        self.fleet.platform(&format!("/v1/workers/{worker}/{deed}"), &json!({})).await?;
+        Ok(Undo::RestoreWorker(worker))
+    }
+
     async fn hurt_runners(&mut self, shares: serde_json::Value) -> Result<Undo, FleetFault> {
         self.fleet.platform("/v1/runner-faults", &shares).await?;
         Ok(Undo::RunnersAreSound)
