Write a change whose sender gives up down as unknown

The tool's mistake, not the product's. Change: a change that is sent writes itself down as unknown when its sender is dropped.

--- a/testing/fleet/src/fleet/mod.rs
+++ b/testing/fleet/src/fleet/mod.rs
@@ -3,13 +3,14 @@
 mod layout;
 mod process;
 mod relay;
+mod sent_change;
 
 pub use layout::{Layout, Machine, Sizes};
 pub use process::Process;
 pub use relay::Relay;
+pub use sent_change::SentChange;
 
 use crate::judge::EvidenceFault;
-use common::clock::Moment;
 use common::frames::Place;
 use common::http::{CallFault, call_json};
 use hyper::Method;
@@ -348,33 +349,12 @@
         wait: &str,
     ) -> Result<(u16, Value), FleetFault> {
         let body = json!({"base_serial": base, "change_id": change_id, "spec": spec, "wait": wait});
-        let sent_at = Moment::now();
-        let paths: BTreeMap<String, String> = spec["routes"]
-            .as_object()
-            .into_iter()
-            .flatten()
-            .map(|(_, route)| {
-                let text = |name: &str| route[name].as_str().unwrap_or("").to_owned();
-                (text("path"), text("function"))
-            })
-            .collect();
+        let sent_change = SentChange::new(&self.journal, base, change_id, spec);
         let said = self.ask(Method::PUT, "/v1/spec", Some(&body)).await;
-        let (status, reply) = match &said {
-            Ok((status, reply)) => (*status, reply.clone()),
-            Err(_) => (0, json!({"state": "unknown"})),
-        };
-        self.note(
-            "change",
-            json!({
-                "change_id": change_id,
-                "base": base,
-                "sent_at": sent_at.0,
-                "status": status,
-                "state": reply["state"],
-                "serial": reply["serial"],
-                "paths": paths,
-            }),
-        );
+        match &said {
+            Ok((status, reply)) => sent_change.told(*status, reply),
+            Err(_) => drop(sent_change),
+        }
         said
     }
 
--- /dev/null
+++ b/testing/fleet/src/fleet/sent_change.rs
@@ -0,0 +1,54 @@
+//! A change that was sent, until it is written down what became of it.
+
+use common::clock::Moment;
+use platform_stub::records::Records;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// A change of the spec on its way. Whoever gives up waiting for the answer does not know whether it was taken, and
+/// that is written down too: the judge would take its effect for an old spec in use.
+pub struct SentChange<'a> {
+    journal: &'a Records,
+    detail: Value,
+    is_told: bool,
+}
+
+impl<'a> SentChange<'a> {
+    /// A change that is about to be sent.
+    pub fn new(journal: &'a Records, base: u64, change_id: &str, spec: &Value) -> Self {
+        let text = |route: &Value, name: &str| route[name].as_str().unwrap_or("").to_owned();
+        let routes = spec["routes"].as_object().into_iter().flatten();
+        let paths: BTreeMap<String, String> =
+            routes.map(|(_, route)| (text(route, "path"), text(route, "function"))).collect();
+        let detail = json!({
+            "change_id": change_id,
+            "base": base,
+            "sent_at": Moment::now().0,
+            "paths": paths,
+        });
+        Self { journal, detail, is_told: false }
+    }
+
+    /// Writes down what its operator was told.
+    pub fn told(mut self, status: u16, reply: &Value) {
+        self.write(status, &reply["state"], &reply["serial"]);
+        self.is_told = true;
+    }
+
+    fn write(&mut self, status: u16, state: &Value, serial: &Value) {
+        let mut detail = self.detail.take();
+        detail["status"] = json!(status);
+        detail["state"] = state.clone();
+        detail["serial"] = serial.clone();
+        self.journal.add("change", detail);
+        self.journal.flush();
+    }
+}
+
+impl Drop for SentChange<'_> {
+    fn drop(&mut self) {
+        if !self.is_told {
+            self.write(0, &json!("unknown"), &Value::Null);
+        }
+    }
+}
--- a/testing/fleet/tests/soak.rs
+++ b/testing/fleet/tests/soak.rs
@@ -2,10 +2,11 @@
 
 use common::frames::Place;
 use fleet::days::Deployment;
-use fleet::fleet::{Fleet, FleetFault, Layout};
+use fleet::fleet::{Fleet, FleetFault, Layout, SentChange};
 use fleet::soak::{Soak, drawn, most_at_once, run_soak};
 use googletest::prelude::*;
 use hyper::Method;
+use platform_stub::records::Records;
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -123,3 +124,23 @@
     std::fs::remove_dir_all(&folder)?;
     Ok(())
 }
+
+/// Found by the soak of seed 208: a change whose operator gave up was taken, and nothing was written down of it.
+#[gtest]
+fn a_change_whose_sender_gives_up_is_written_down_as_unknown() -> Result<()> {
+    let folder = folder("given-up");
+    std::fs::create_dir_all(&folder)?;
+    let journal = Records::create(&folder.join("journal.jsonl"))?;
+    let spec = Deployment::Small.spec("canary-b");
+    drop(SentChange::new(&journal, 7, "change-24", &spec));
+    SentChange::new(&journal, 7, "change-25", &spec)
+        .told(200, &json!({"state": "accepted", "serial": 8}));
+    let text = std::fs::read_to_string(folder.join("journal.jsonl"))?;
+    let written: Vec<serde_json::Value> =
+        text.lines().map(serde_json::from_str).collect::<std::result::Result<_, _>>()?;
+    let states: Vec<&str> = written.iter().filter_map(|note| note["state"].as_str()).collect();
+    verify_that!(states, elements_are![eq(&"unknown"), eq(&"accepted")])?;
+    verify_that!(written[0]["paths"]["/canary"], eq(&json!("canary-b")))?;
+    std::fs::remove_dir_all(&folder)?;
+    Ok(())
+}
