Survive hang-ups from the first moment on

Change: the handler is set first of all. Test on the real programs with settings from a pipe, seen failing with signal 1.

--- a/crates/common/src/command_line.rs
+++ b/crates/common/src/command_line.rs
@@ -149,9 +149,19 @@
     builder.enable_all().build()
 }
 
-/// Starts the log at the level that `RUST_LOG` names, or `info`. A program with a log goes on when it finds one of
-/// its invariants violated, and counts it.
+/// A SIGHUP that comes before [`told_to_reread`] ends no process: the settings are read after it anyway. Once a
+/// handler was there, the system's own way with the signal does not come back.
+fn survive_early_hang_ups() {
+    if let Ok(handling) = runtime(1) {
+        let _inside = handling.enter();
+        let _ = signal(SignalKind::hangup());
+    }
+}
+
+/// Starts the log at the level that `RUST_LOG` names, or `info`; the first thing that a deployed program does. From
+/// then on it survives hang-ups, and goes on when it finds one of its invariants violated, and counts it.
 pub fn start_log() {
+    survive_early_hang_ups();
     invariants::count_only();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
 }
--- a/programs/controller/tests/command_line.rs
+++ b/programs/controller/tests/command_line.rs
@@ -31,3 +31,8 @@
     assert!(said.contains("data cannot be written"), "{said}");
     let _ = std::fs::remove_file(file);
 }
+
+#[test]
+fn a_hang_up_while_it_starts_ends_no_process() {
+    CONTROLLER.check_early_hang_up();
+}
--- a/programs/daemon/tests/command_line.rs
+++ b/programs/daemon/tests/command_line.rs
@@ -16,3 +16,8 @@
 fn bad_settings_are_named_by_file_key_and_reason() {
     DAEMON.check_bad_settings();
 }
+
+#[test]
+fn a_hang_up_while_it_starts_ends_no_process() {
+    DAEMON.check_early_hang_up();
+}
--- a/testing/support/settings_file.rs
+++ b/testing/support/settings_file.rs
@@ -1,6 +1,9 @@
 //! What each program that reads a settings file must say to its user: version, help, and every fault of the file by
 //! its key. Included by the programs' own tests, since only those know where the binary is.
 
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -64,4 +67,36 @@
         assert_eq!(self.run(&["--boot", "/no/such/file.json"]).status.code(), Some(2));
         let _ = self.refused("seeds", seeds, &[]);
     }
+
+    /// A hang-up that comes while the settings are still being read ends no process. The settings come through a
+    /// pipe: who can open it for writing knows that the process waits for them.
+    #[allow(dead_code)]
+    pub fn check_early_hang_up(&self) {
+        let pipe = std::env::temp_dir().join(format!("{}-{}.pipe", self.name, std::process::id()));
+        let _ = std::fs::remove_file(&pipe);
+        assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo").success());
+        let mut child = Command::new(self.path)
+            .arg("--boot")
+            .arg(&pipe)
+            .stderr(std::process::Stdio::null())
+            .spawn()
+            .expect("it starts");
+        let mut writer = loop {
+            let opened = OpenOptions::new().write(true).custom_flags(NONBLOCKING).open(&pipe);
+            if let Ok(writer) = opened {
+                break writer;
+            }
+            assert!(child.try_wait().expect("a status").is_none(), "it ended before it read");
+        };
+        let told = Command::new("kill").args(["-HUP", &child.id().to_string()]).status();
+        assert!(told.expect("kill").success());
+        writer.write_all(b"{}").expect("it reads");
+        drop(writer);
+        let status = child.wait().expect("a status");
+        let _ = std::fs::remove_file(&pipe);
+        assert_eq!(status.code(), Some(2), "{status}");
+    }
 }
+
+/// The flag by which a pipe is opened only if somebody reads from it.
+const NONBLOCKING: i32 = 0o4000;
