--- a/crates/controlplane/src/core/mod.rs
+++ b/crates/controlplane/src/core/mod.rs
@@ -270,12 +270,18 @@
     pub fn expire(&mut self, now: Moment) -> Vec<CoreOutput> {
         if self.is_leader() {
             self.step_down_if_unproven(now);
-        } else if now >= self.election_at && self.rules.keep(Rule::LeaderHeard) {
+        } else if self.rules.keep(Rule::LeaderHeard) && self.has_lost_leader(now) {
             self.leader = None;
         }
         std::mem::take(&mut self.outputs)
     }
 
+    /// Whether the leader was not heard within the election time. The next trial may be later than that: after a
+    /// failed write others are let go first.
+    fn has_lost_leader(&self, now: Moment) -> bool {
+        now >= self.election_at || now.since(self.leader_heard_at) > self.timing.election_longest
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Moment) -> Vec<CoreOutput> {
         if now >= self.scrub_at && self.writings.is_empty() && !self.passes_on {
--- a/crates/controlplane/tests/quorum_proofs.rs
+++ b/crates/controlplane/tests/quorum_proofs.rs
@@ -258,3 +258,25 @@
     verify_that!(given(2, 7), is_empty())?;
     verify_that!(given(3, 6), elements_are![eq(&Invariant::CommitNeverLost)])
 }
+
+/// Whether a voter still names the leader that it heard once, so long after; a write of it fails in between.
+fn names_leader_after_a_failed_write(silent_for: Duration) -> bool {
+    let mut voter = voter(Rules::KEPT);
+    let accepted = voter.accepted().expect("a version").stamp;
+    let later = START + Duration::from_secs(5);
+    let asked = voter.heard(later, frame(2, vote_asked(2, accepted)));
+    let ticket = asked.iter().find_map(|output| match output {
+        CoreOutput::Write { ticket, .. } => Some(*ticket),
+        _ => None,
+    });
+    voter.heard(later, frame(2, round(2, 1)));
+    voter.written(later, ticket.expect("a write"), WriteResult::Failed);
+    voter.expire(later + silent_for);
+    voter.leader().is_some()
+}
+
+#[gtest]
+fn after_a_failed_write_no_leader_is_named_that_was_not_heard_lately() -> Result<()> {
+    verify_that!(names_leader_after_a_failed_write(Duration::from_millis(100)), eq(true))?;
+    verify_that!(names_leader_after_a_failed_write(Duration::from_millis(950)), eq(false))
+}
