--- a/crates/controlplane/tests/quorum_proofs.rs
+++ b/crates/controlplane/tests/quorum_proofs.rs
@@ -72,6 +72,13 @@
         .collect()
 }
 
+fn write_ordered(outputs: &[CoreOutput]) -> Option<Ticket> {
+    outputs.iter().find_map(|output| match output {
+        CoreOutput::Write { ticket, .. } => Some(*ticket),
+        _ => None,
+    })
+}
+
 fn answered_rounds(outputs: &[CoreOutput]) -> Vec<(u64, u64)> {
     sent(outputs)
         .into_iter()
@@ -107,10 +114,7 @@
     let accepted = voter.accepted().expect("a version").stamp;
     let later = START + Duration::from_secs(5);
     let asked = voter.heard(later, frame(2, vote_asked(2, accepted)));
-    let ticket = asked.iter().find_map(|output| match output {
-        CoreOutput::Write { ticket, .. } => Some(*ticket),
-        _ => None,
-    });
+    let ticket = write_ordered(&asked);
     let written = voter.written(later, ticket.unwrap_or(Ticket(0)), WriteResult::Synced);
     (votes_given(&asked), votes_given(&written))
 }
@@ -127,10 +131,7 @@
     let accepted = voter.accepted().expect("a version").stamp;
     let later = START + Duration::from_secs(5);
     let asked = voter.heard(later, frame(2, vote_asked(2, accepted)));
-    let ticket = asked.iter().find_map(|output| match output {
-        CoreOutput::Write { ticket, .. } => Some(*ticket),
-        _ => None,
-    });
+    let ticket = write_ordered(&asked);
     let failed = voter.written(later, ticket.expect("a write"), WriteResult::Failed);
     verify_that!(votes_given(&failed), eq(0))
 }
@@ -239,10 +240,7 @@
             document: pack(&document.to_bytes()),
         };
         let asked = voter.heard(START, frame(term, body));
-        let ticket = asked.iter().find_map(|output| match output {
-            CoreOutput::Write { ticket, .. } => Some(*ticket),
-            _ => None,
-        });
+        let ticket = write_ordered(&asked);
         voter.written(START, ticket.unwrap_or(Ticket(0)), WriteResult::Synced);
         let committed = CoreBody::Round {
             term: Term(term),
@@ -265,10 +263,7 @@
     let accepted = voter.accepted().expect("a version").stamp;
     let later = START + Duration::from_secs(5);
     let asked = voter.heard(later, frame(2, vote_asked(2, accepted)));
-    let ticket = asked.iter().find_map(|output| match output {
-        CoreOutput::Write { ticket, .. } => Some(*ticket),
-        _ => None,
-    });
+    let ticket = write_ordered(&asked);
     voter.heard(later, frame(2, round(2, 1)));
     voter.written(later, ticket.expect("a write"), WriteResult::Failed);
     voter.expire(later + silent_for);
