--- a/crates/common/src/ring/mod.rs
+++ b/crates/common/src/ring/mod.rs
@@ -26,6 +26,10 @@
 /// A link counts as wide that is at least so large a part of the widest.
 const WIDE_PART: u32 = 4;
 
+/// A link of so many Mbit/s counts as wide beside any other: it carries the largest body that callers may send by
+/// default (256 KiB) in a fifth of a second.
+const AMPLE_MBPS: u32 = 10;
+
 /// Functions stay with the hosts on wide links while there are so many of them.
 const FEWEST_WIDE: usize = 3;
 
@@ -35,7 +39,9 @@
 pub fn fitting_hosts<'a>(hosts: impl Iterator<Item = &'a Host>) -> Vec<&'a Host> {
     let eligible_hosts: Vec<&Host> = hosts.filter(|host| host.eligible.0).collect();
     let widest = eligible_hosts.iter().map(|host| host.link_mbps).max().unwrap_or_default();
-    let is_wide = |host: &&&Host| host.link_mbps.saturating_mul(WIDE_PART) >= widest;
+    let is_wide = |host: &&&Host| {
+        host.link_mbps >= AMPLE_MBPS || host.link_mbps.saturating_mul(WIDE_PART) >= widest
+    };
     let wide_hosts: Vec<&Host> = eligible_hosts.iter().filter(is_wide).copied().collect();
     let zones: BTreeSet<&Zone> = wide_hosts.iter().map(|host| &host.zone).collect();
     if wide_hosts.len() >= FEWEST_WIDE && zones.len() > 1 { wide_hosts } else { eligible_hosts }
--- a/crates/common/tests/ring.rs
+++ b/crates/common/tests/ring.rs
@@ -39,6 +39,19 @@
     verify_that!(owners_on_wide_links(&all_hosts), lt(100))
 }
 
+#[gtest]
+fn functions_go_to_every_link_that_is_wide_enough_for_them() -> Result<()> {
+    let mut all_hosts = hosts(40);
+    for (number, host) in all_hosts.iter_mut().enumerate() {
+        host.link_mbps = if number < 6 { 100 } else { 14 };
+    }
+    let owners = (0..300).filter_map(|number| {
+        hash_owner(&FunctionKey::new(format!("f{number}"), Serial(1)), all_hosts.iter())
+    });
+    let count_on_widest = owners.filter(|owner| owner.link_mbps == 100).count();
+    verify_that!(count_on_widest, all![ge(20), le(80)])
+}
+
 #[gtest]
 fn only_the_functions_of_a_daemon_that_goes_move() -> Result<()> {
     let all_hosts = hosts(10);
