--- a/crates/common/src/frames/hop.rs
+++ b/crates/common/src/frames/hop.rs
@@ -2,7 +2,7 @@
 
 use super::{Blob, Flag, Host, Many};
 use crate::identity::{
-    CorrelationId, FunctionKey, GrantSerial, Incarnation, Serial, TransactionId, Wording,
+    CorrelationId, FunctionKey, GrantSerial, Incarnation, Region, Serial, TransactionId, Wording,
 };
 use binrw::binrw;
 use std::fmt;
@@ -214,6 +214,8 @@
         repeat: Flag,
         /// Whether the sender would rather be told the holder than have it passed on.
         refer: Flag,
+        /// The region of the daemon that took it from its caller; empty when it lies in none.
+        region: Region,
         /// What the caller sent.
         parcel: Parcel,
     },
@@ -225,6 +227,9 @@
         /// The function's holder, when the answering daemon knows it; with an answer, nobody is named
         /// when it is that daemon itself.
         holder: Many<Host>,
+        /// In how many tenths of a second the callers of the asking region are served under a key of their own; zero
+        /// when they are not.
+        regional_tenths: u8,
     },
     /// A holder has its steward note once-transactions.
     #[brw(magic = 3u8)]
--- a/crates/common/src/identity/function.rs
+++ b/crates/common/src/identity/function.rs
@@ -1,11 +1,12 @@
-//! Functions by name and generation.
+//! Functions by name and generation, and the part of the callers that a holder serves.
 
-use super::{FunctionName, Serial};
+use super::{FunctionName, Region, Serial};
 use binrw::binrw;
 use std::fmt;
 use std::str::FromStr;
 
-/// What a grant is for: a function's name with the serial at which it entered the catalogue.
+/// What a grant is for: a function's name with the serial at which it entered the catalogue, and the region whose
+/// callers are served under it.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -14,18 +15,41 @@
     pub name: FunctionName,
     /// The serial that created it; a function deleted and made again is another one.
     pub generation: Serial,
+    /// The only region whose callers are served under this key; empty when all others are.
+    pub region: Region,
 }
 
 impl FunctionKey {
-    /// A key from its parts.
+    /// The key for the callers of all regions.
     pub fn new(name: impl Into<FunctionName>, generation: Serial) -> Self {
-        Self { name: name.into(), generation }
+        Self { name: name.into(), generation, region: Region::from("") }
+    }
+
+    /// The same function's key for the callers of one region alone.
+    pub fn in_region(&self, region: &Region) -> Self {
+        Self { name: self.name.clone(), generation: self.generation, region: region.clone() }
+    }
+
+    /// The same function's key for the callers of all regions.
+    pub fn whole(&self) -> Self {
+        Self::new(self.name.clone(), self.generation)
+    }
+
+    /// Whether it is for the callers of one region alone.
+    pub fn is_regional(&self) -> bool {
+        !self.region.as_str().is_empty()
+    }
+
+    /// Whether two keys are of the same function, for whichever callers.
+    pub fn is_same_function(&self, other: &Self) -> bool {
+        self.name == other.name && self.generation == other.generation
     }
 }
 
 impl fmt::Display for FunctionKey {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{}@{}", self.name, self.generation)
+        write!(out, "{}@{}", self.name, self.generation)?;
+        if self.is_regional() { write!(out, "~{}", self.region) } else { Ok(()) }
     }
 }
 
@@ -50,10 +74,13 @@
 impl FromStr for FunctionKey {
     type Err = FunctionKeyFault;
     fn from_str(given_text: &str) -> Result<Self, FunctionKeyFault> {
-        given_text
-            .rsplit_once('@')
-            .and_then(|(name, generation)| Some(Self::new(name, Serial(generation.parse().ok()?))))
-            .ok_or_else(|| FunctionKeyFault(given_text.to_owned()))
+        let read = || {
+            let (name, rest) = given_text.rsplit_once('@')?;
+            let (generation, region) = rest.split_once('~').unwrap_or((rest, ""));
+            let whole = Self::new(name, Serial(generation.parse().ok()?));
+            Some(whole.in_region(&Region::from(region)))
+        };
+        read().ok_or_else(|| FunctionKeyFault(given_text.to_owned()))
     }
 }
 
--- a/crates/common/src/identity/mod.rs
+++ b/crates/common/src/identity/mod.rs
@@ -7,7 +7,7 @@
 
 pub use function::{FunctionIndex, FunctionKey, FunctionKeyFault};
 pub use names::{
-    ChangeId, FunctionName, LifeName, MemberName, TransactionId, Wording, WorkerName, Zone,
+    ChangeId, FunctionName, LifeName, MemberName, Region, TransactionId, Wording, WorkerName, Zone,
 };
 pub use numbers::{
     ControllerId, CorrelationId, GrantSerial, Incarnation, Serial, Stamp, Term, Ticket,
--- a/crates/common/src/identity/names.rs
+++ b/crates/common/src/identity/names.rs
@@ -84,6 +84,8 @@
     FunctionName,
     /// A group of machines that may be lost together.
     Zone,
+    /// Zones that lie close together, as the settings group them.
+    Region,
     /// A daemon's name.
     MemberName,
     /// A worker's name.
--- a/crates/common/src/ring/mod.rs
+++ b/crates/common/src/ring/mod.rs
@@ -1,9 +1,25 @@
 //! The member ring: rendezvous hashing names a function's hash owner, and a daemon's watchers.
 
 use crate::frames::Host;
-use crate::identity::{FunctionKey, MemberName, Zone};
+use crate::identity::{FunctionKey, MemberName, Region, Zone};
 use sha2::{Digest, Sha256};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Which region each zone lies in, as the settings say; zones that they do not name lie in none.
+#[derive(Clone, Default, PartialEq, Eq, Debug)]
+pub struct Regions(BTreeMap<Zone, Region>);
+
+impl Regions {
+    /// The regions of the zones named.
+    pub fn new(region_by_zone: BTreeMap<Zone, Region>) -> Self {
+        Self(region_by_zone)
+    }
+
+    /// The region of a zone.
+    pub fn of(&self, zone: &Zone) -> Option<&Region> {
+        self.0.get(zone)
+    }
+}
 
 fn weight(first_part: &str, second_part: &str) -> u64 {
     let mut running_digest = Sha256::new();
@@ -62,6 +78,18 @@
         .map(|(_, host)| host)
 }
 
+/// The same for any key: one that is for the callers of a region alone is held there.
+pub fn hash_owner_in<'a>(
+    function: &FunctionKey,
+    hosts: impl Iterator<Item = &'a Host>,
+    regions: &Regions,
+) -> Option<&'a Host> {
+    if !function.is_regional() {
+        return hash_owner(function, hosts);
+    }
+    hash_owner(function, hosts.filter(|host| regions.of(&host.zone) == Some(&function.region)))
+}
+
 /// How many watchers of each daemon stand in other zones than its own.
 pub const FAR_WATCHERS: usize = 2;
 
--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -102,6 +102,8 @@
     OldAnswerVoid,
     /// A leader that others name is dialed although no connection to it came about a moment before.
     NamedLeaderDialed,
+    /// A function whose identities may come again has one holder, that remembers them, for all regions.
+    RememberedByOne,
 }
 
 impl Rule {
@@ -154,6 +156,7 @@
         Rule::ChangeOnItsBase,
         Rule::OldAnswerVoid,
         Rule::NamedLeaderDialed,
+        Rule::RememberedByOne,
     ];
 
     /// The rule of a name.
@@ -212,6 +215,7 @@
             Self::ChangeOnItsBase => "change-on-its-base",
             Self::OldAnswerVoid => "old-answer-void",
             Self::NamedLeaderDialed => "named-leader-dialed",
+            Self::RememberedByOne => "remembered-by-one",
         })
     }
 }
--- a/crates/common/src/spec/table.rs
+++ b/crates/common/src/spec/table.rs
@@ -123,7 +123,7 @@
         table.routes.reserve(route_count);
         for (function_name, function_spec) in checked_spec.functions {
             let generation = view.generations.get(&function_name).copied().unwrap_or(view.serial);
-            let key = FunctionKey { name: function_name, generation };
+            let key = FunctionKey::new(function_name, generation);
             index.by_key.insert(key.clone(), FunctionIndex(table.functions.len()));
             table.functions.push(FunctionEntry { key, spec: function_spec });
         }
@@ -218,7 +218,7 @@
         }
         let index_of = |name: &FunctionName| {
             let generation = *view.generations.get(name)?;
-            self.index_of(&FunctionKey { name: name.clone(), generation })
+            self.index_of(&FunctionKey::new(name.clone(), generation))
         };
         let shares = spec.shares.iter().map(|(name, weight)| Some((index_of(name)?, *weight)));
         Some(RouteEntry {
@@ -295,9 +295,9 @@
 
     /// Whether a route, by its name, may lead to a function.
     pub fn allows(&self, route_name: &str, key: &FunctionKey) -> bool {
-        let function = self.index.by_key.get(key);
+        let function = self.index_of(key);
         let route = self.route_named(route_name);
-        route.zip(function).is_some_and(|(route, function)| route.leads_to(*function))
+        route.zip(function).is_some_and(|(route, function)| route.leads_to(function))
     }
 
     /// The callers' limits.
@@ -320,14 +320,19 @@
         &self.functions[index.0]
     }
 
-    /// The function of a key.
+    /// The function of a key, for whichever callers the key is.
     pub fn function_of(&self, key: &FunctionKey) -> Option<&FunctionEntry> {
-        self.index.by_key.get(key).map(|index| &self.functions[index.0])
+        self.index_of(key).map(|index| &self.functions[index.0])
     }
 
-    /// The dense number of a key.
+    /// The dense number of a key's function.
     pub fn index_of(&self, key: &FunctionKey) -> Option<FunctionIndex> {
-        self.index.by_key.get(key).copied()
+        let found = if key.is_regional() {
+            self.index.by_key.get(&key.whole())
+        } else {
+            self.index.by_key.get(key)
+        };
+        found.copied()
     }
 
     /// All functions in dense order.
--- a/crates/common/tests/frames.rs
+++ b/crates/common/tests/frames.rs
@@ -73,6 +73,7 @@
             hops: 1,
             repeat: Flag(false),
             refer: Flag(true),
+            region: "east".into(),
             parcel: Parcel::of_body(b"{}".to_vec().into()),
         },
         HopBody::Note {
@@ -182,7 +183,8 @@
 #[gtest]
 fn outcomes_survive_the_way() -> Result<()> {
     let outcome = HopOutcome::NotRun { reason: HopReason::TriesSpent, retry_ms: 2000 };
-    let body = HopBody::Done { outcome: outcome.clone(), holder: Many(Vec::new()) };
+    let body =
+        HopBody::Done { outcome: outcome.clone(), holder: Many(Vec::new()), regional_tenths: 0 };
     let frame = HopFrame { correlation: CorrelationId(5), body };
     let read = decode::<HopFrame>(&encode(&frame)?)?;
     verify_that!(read.correlation, eq(CorrelationId(5)))?;
@@ -263,6 +265,7 @@
         hops: 1,
         repeat: Flag(false),
         refer: Flag(true),
+        region: "east".into(),
         parcel,
     };
     let outcome = HopOutcome::Answer {
@@ -272,7 +275,7 @@
         lines: Many(lines.clone()),
         body: vec![7; 1700].into(),
     };
-    let done = HopBody::Done { outcome, holder: Many(Vec::new()) };
+    let done = HopBody::Done { outcome, holder: Many(Vec::new()), regional_tenths: 0 };
     let framed = |body: HopBody| {
         encode(&HopFrame { correlation: CorrelationId(8), body }).map(|bytes| bytes.len() + 4)
     };
--- a/crates/common/tests/ring.rs
+++ b/crates/common/tests/ring.rs
@@ -1,8 +1,8 @@
 //! The ring moves little when a daemon goes, and watchers stand in other zones.
 
 use common::frames::{Flag, Host, Place};
-use common::identity::{FunctionKey, Serial};
-use common::ring::{hash_owner, place_of, watchers};
+use common::identity::{FunctionKey, Region, Serial};
+use common::ring::{Regions, hash_owner, hash_owner_in, place_of, watchers};
 use googletest::prelude::*;
 
 fn hosts(count: usize) -> Vec<Host> {
@@ -52,6 +52,38 @@
     verify_that!(count_on_widest, all![ge(20), le(80)])
 }
 
+#[gtest]
+fn a_region_s_own_key_is_held_in_that_region_or_nowhere() -> Result<()> {
+    let all_hosts = hosts(12);
+    let regions = Regions::new(
+        [("locality-0", "east"), ("locality-1", "east"), ("locality-2", "west")]
+            .map(|(zone, region)| (zone.into(), region.into()))
+            .into(),
+    );
+    for number in 0..50 {
+        let whole = FunctionKey::new(format!("f{number}"), Serial(2));
+        let west = whole.in_region(&Region::from("west"));
+        let owner = hash_owner_in(&west, all_hosts.iter(), &regions).expect("an owner");
+        verify_that!(owner.zone.as_str(), eq("locality-2"))?;
+        let north = whole.in_region(&Region::from("north"));
+        verify_that!(hash_owner_in(&north, all_hosts.iter(), &regions).is_none(), eq(true))?;
+        let of_all = hash_owner_in(&whole, all_hosts.iter(), &regions).expect("an owner");
+        verify_that!(of_all, eq(hash_owner(&whole, all_hosts.iter()).expect("an owner")))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_function_s_key_reads_back_from_its_text() -> Result<()> {
+    let whole = FunctionKey::new("a@b", Serial(7));
+    for key in [whole.clone(), whole.in_region(&Region::from("cz-west"))] {
+        verify_that!(key.to_string().parse::<FunctionKey>().ok(), some(eq(&key)))?;
+        verify_that!(key.is_same_function(&whole), eq(true))?;
+        verify_that!(key.whole(), eq(&whole))?;
+    }
+    Ok(())
+}
+
 #[gtest]
 fn only_the_functions_of_a_daemon_that_goes_move() -> Result<()> {
     let all_hosts = hosts(10);
--- a/crates/controlplane/src/leader_state/listing.rs
+++ b/crates/controlplane/src/leader_state/listing.rs
@@ -86,7 +86,7 @@
         let known = in_spec.filter(|(key, _)| is_same(key));
         let is_wanted = known.is_some() && !listed.leaving;
         let (function, memory_mb) = known.unwrap_or_else(|| {
-            let unknown_key = FunctionKey { name: listed.function.clone(), generation: Serial(0) };
+            let unknown_key = FunctionKey::new(listed.function.clone(), Serial(0));
             (listed.key.clone().unwrap_or(unknown_key), 0)
         });
         let runner = RunnerId { grant: self.next_number(), ordinal: self.next_number().0 };
--- a/crates/controlplane/src/leader_state/reservations.rs
+++ b/crates/controlplane/src/leader_state/reservations.rs
@@ -42,6 +42,11 @@
         self.ready && !self.draining && !self.stop_wanted && self.life.is_some()
     }
 
+    /// Whether it is there to stay.
+    pub fn is_staying(&self) -> bool {
+        !self.draining && !self.stop_wanted && self.left_since.is_none()
+    }
+
     /// Whether nobody holds it, and the next holder may take it over.
     pub fn is_left(&self) -> bool {
         self.left_since.is_some() && !self.stop_wanted
@@ -108,6 +113,14 @@
         runners.filter_map(|runner| Some((*runner, self.all.get(runner)?)))
     }
 
+    /// How many runners a function has that stay, under all its keys.
+    pub fn staying_count(&self, function: &FunctionKey) -> usize {
+        let keys = self.by_function.range(function.whole()..);
+        let own_keys = keys.take_while(|(key, _)| key.is_same_function(function));
+        let runners = own_keys.flat_map(|(_, runners)| runners);
+        runners.filter_map(|runner| self.all.get(runner)).filter(|held| held.is_staying()).count()
+    }
+
     /// Who has a life.
     pub fn with_life(&self, life: &LifeName) -> Option<RunnerId> {
         self.by_life.get(life).copied()
--- a/crates/controlplane/src/leader_state/workers.rs
+++ b/crates/controlplane/src/leader_state/workers.rs
@@ -14,11 +14,6 @@
     pub listed: ListedWorker,
 }
 
-/// Whether a runner is there to stay.
-fn is_staying(held: &Reservation) -> bool {
-    !held.draining && !held.stop_wanted && held.left_since.is_none()
-}
-
 impl LeaderState {
     /// Takes the platform's list of workers.
     pub fn workers_listed(&mut self, listed_workers: Vec<ListedWorker>) {
@@ -69,12 +64,15 @@
         if !is_holder || !self.opened || !self.is_granted(asker, now) {
             return ReserveResult::Shed;
         }
-        let Some(needed_mb) = self.table.function_of(function).map(|entry| entry.spec.memory_mb)
-        else {
+        let Some(spec) = self.table.function_of(function).map(|entry| entry.spec.clone()) else {
             return ReserveResult::Shed;
         };
+        let needed_mb = spec.memory_mb;
+        if !self.is_below_most(function, spec.max_runners as usize) {
+            return ReserveResult::Shed;
+        }
         let holder_zone = self.members.get(asker).map(|record| record.host.zone.clone());
-        let has_runner = self.reservations.of(function).any(|(_, held)| is_staying(held));
+        let has_runner = self.reservations.of(function).any(|(_, held)| held.is_staying());
         if has_runner && self.must_wait(now, function) {
             return ReserveResult::Shed;
         }
@@ -100,6 +98,14 @@
         ReserveResult::Reserved { runner, worker, memory_mb: needed_mb }
     }
 
+    /// Whether one more runner stays within the most that a function may have under all its keys together. A
+    /// holder that has them all under one key counts them itself.
+    fn is_below_most(&self, function: &FunctionKey, most: usize) -> bool {
+        let staying = self.reservations.of(function).filter(|(_, held)| held.is_staying());
+        let of_all = self.reservations.staying_count(function);
+        of_all < most || of_all == staying.count()
+    }
+
     /// Spread: a worker in use before an empty one, then the zone where the function has fewest
     /// runners that stay, then the fullest that fits. Not spread: the holder's zone before others,
     /// since bytes between zones are dear and the holder's loss takes the service with it anyhow;
--- a/crates/controlplane/tests/leader_state.rs
+++ b/crates/controlplane/tests/leader_state.rs
@@ -315,6 +315,53 @@
     }
 }
 
+#[gtest]
+fn what_a_function_may_have_at_most_stands_for_its_keys_of_all_regions_together() -> Result<()> {
+    let mut bench = Bench::new(&["daemon-1", "daemon-2"]);
+    bench.join(1, "daemon-1", Vec::new());
+    bench.join(2, "daemon-2", Vec::new());
+    bench.listed(&[]);
+    bench.pass(ms(10));
+    bench.leader_state.workers_listed(vec![ListedWorker {
+        worker: "w-1".into(),
+        zone: "l1".into(),
+        memory_mb: 100_000,
+        draining: false,
+    }]);
+    let whole = FunctionKey::new("f", Serial(2));
+    let west = whole.in_region(&"west".into());
+    let mut grants = Vec::new();
+    for (stream, function) in [(1, &whole), (2, &west)] {
+        let function = function.clone();
+        bench.say(stream, StreamUp::Acquire { correlation: CorrelationId(9), function });
+        bench.pass(ms(10));
+        let Some(AcquireResult::Granted { grant, .. }) = bench.acquired() else {
+            return fail!("not granted to {stream}");
+        };
+        grants.push(grant);
+    }
+    let mut reserve = |stream: u64, function: &FunctionKey| {
+        let (function, grant) = (function.clone(), grants[stream as usize - 1]);
+        let correlation = CorrelationId(4);
+        bench.say(stream, StreamUp::Reserve { correlation, function, grant });
+        bench.pass(ms(10));
+        bench.outputs.iter().any(|output| {
+            matches!(
+                output,
+                LeaderOutput::Down {
+                    frame: StreamDown::Reserved { result: ReserveResult::Reserved { .. }, .. },
+                    ..
+                }
+            )
+        })
+    };
+    let is_given: Vec<bool> = (0..4).map(|_| reserve(1, &whole)).collect();
+    verify_that!(is_given, each(eq(&true)))?;
+    let is_given: Vec<bool> = (0..5).map(|_| reserve(2, &west)).collect();
+    verify_that!(is_given, eq(&vec![true, true, true, true, false]))?;
+    verify_that!(reserve(1, &whole), eq(false))
+}
+
 #[gtest]
 fn hosts_are_told_whole_to_a_fresh_stream_and_by_difference_to_the_others() -> Result<()> {
     let mut bench = Bench::new(&[]);
--- a/crates/dataplane/src/agent/daemon_control/holdings.rs
+++ b/crates/dataplane/src/agent/daemon_control/holdings.rs
@@ -79,7 +79,8 @@
                 Some(entry) => {
                     let newest_spec = (*entry.spec).clone();
                     let index = table.index_of(&held.function);
-                    let is_warm = index.is_some_and(|index| table.is_warm(index));
+                    let is_warm = !held.function.is_regional()
+                        && index.is_some_and(|index| table.is_warm(index));
                     held.with(|holder| {
                         holder.respec(newest_spec);
                         holder.set_warm(is_warm);
@@ -100,7 +101,8 @@
         let mut holder =
             Holder::new(now, terms).with_rules(agent.rules).with_tuning(now, agent.tuning);
         let table = agent.table.load();
-        holder.set_warm(table.index_of(&function).is_some_and(|index| table.is_warm(index)));
+        let index = table.index_of(&function).filter(|_| !function.is_regional());
+        holder.set_warm(index.is_some_and(|index| table.is_warm(index)));
         let held = Arc::new(Held::new(holder));
         let displaced = agent.holdings.load().get(&function).cloned();
         agent.holdings.rcu(|holdings| {
--- a/crates/dataplane/src/agent/daemon_control/mod.rs
+++ b/crates/dataplane/src/agent/daemon_control/mod.rs
@@ -87,12 +87,15 @@
         let Some(warm) = &mut self.warm else { return };
         let (table, hosts) = (agent.table.load(), agent.hosts.load());
         let (owners, holdings) = (agent.owners.load(), agent.holdings.load());
+        let regional = agent.regional_wishes(now);
         let wish = warm.next(
             now,
             &WarmSight {
                 table: &table,
                 own_member: &agent.own_host.member,
                 hosts: &hosts,
+                regions: &agent.regions,
+                regional: &regional,
                 owners: &owners,
                 holds: &|function| holdings.contains_key(function),
             },
@@ -103,7 +106,8 @@
         }
     }
 
-    fn warm_changed(&mut self, now: Moment) {
+    /// Something has changed that functions may want an owner for.
+    pub fn warm_changed(&mut self, now: Moment) {
         if let Some(warm) = &mut self.warm {
             warm.changed(now);
         }
--- a/crates/dataplane/src/agent/forwarding/ask.rs
+++ b/crates/dataplane/src/agent/forwarding/ask.rs
@@ -2,7 +2,7 @@
 
 use common::clock::Moment;
 use common::frames::{HopBody, Parcel};
-use common::identity::{FunctionKey, Serial, TransactionId};
+use common::identity::{FunctionKey, Region, Serial, TransactionId};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +25,8 @@
     pub repeat: bool,
     /// Whether whoever passed it on would rather be told the holder.
     pub refer: bool,
+    /// The region of the daemon that took it from its caller; empty when it lies in none.
+    pub region: Region,
     /// What the caller sent.
     pub parcel: Arc<Parcel>,
 }
@@ -42,6 +44,7 @@
                 hops,
                 repeat,
                 refer,
+                region,
                 parcel,
             } => Ok(Self {
                 transaction,
@@ -52,6 +55,7 @@
                 hops,
                 repeat: repeat.0,
                 refer: refer.0,
+                region,
                 parcel: Arc::new(parcel),
             }),
             other => Err(Box::new(other)),
--- a/crates/dataplane/src/agent/forwarding/mod.rs
+++ b/crates/dataplane/src/agent/forwarding/mod.rs
@@ -16,7 +16,8 @@
 use crate::owners::{Sight, Step, next_step};
 use common::clock::Moment;
 use common::frames::{Flag, HopBody, HopOutcome, HopReason, Host, Parcel};
-use common::identity::TransactionId;
+use common::identity::{Region, TransactionId};
+use common::rules::Rule;
 use common::spec::Table;
 use std::time::Duration;
 use step::ended;
@@ -32,6 +33,9 @@
 const MOST_DISPUTES: u32 = 3;
 /// The pause before the leader is asked, or another daemon tried, again.
 const ASK_PAUSE: Duration = Duration::from_millis(40);
+/// So long a region's own key is left alone after its holder was lost, and after it had no runner ready.
+const REGION_LOST_PAUSE: Duration = Duration::from_secs(3);
+const REGION_UNREADY_PAUSE: Duration = Duration::from_millis(300);
 /// A body no larger than this is rather sent twice than its answer brought by a detour.
 const LARGEST_REFERRED: usize = 64 << 10;
 /// What must be left of a budget so that a detour can be spared.
@@ -103,6 +107,7 @@
         }
         if self.ask.hops == 0 {
             self.aim(&table);
+            self.turn_to_own_region(agent, now, &table);
         }
         let Some(route) = table
             .route_named(&self.ask.route)
@@ -131,6 +136,7 @@
                 holds: held.is_some(),
                 cached_owner: owners.get(&self.ask.function),
                 hosts: &hosts,
+                regions: &agent.regions,
                 hops: self.ask.hops,
             })
         };
@@ -148,6 +154,7 @@
                         patience,
                         target: route.spec.target,
                         rank: route.spec.rank,
+                        region: self.foreign_region(agent),
                         parcel: self.ask.parcel.clone(),
                     };
                     ForwardingStep::Serve(held, task)
@@ -167,6 +174,9 @@
             }
             Step::Acquire => ForwardingStep::Acquire { wait_until: give_up_at },
             Step::NotHolder => ended(HopReason::NotHolder, Duration::from_millis(50)),
+            Step::Nobody if self.leave_own_region(agent, now, REGION_LOST_PAUSE) => {
+                self.next_step(agent, now)
+            }
             Step::Nobody => ForwardingStep::Wait { wait_until: give_up_at },
         }
     }
@@ -201,6 +211,7 @@
             hops: self.ask.hops + 1,
             repeat: Flag(self.ask.repeat),
             refer: Flag(self.ask.hops == 0 && self.ask.refer),
+            region: self.ask.region.clone(),
             parcel: Parcel::clone(&self.ask.parcel),
         }
     }
@@ -215,4 +226,31 @@
             self.ask.serial = table.serial();
         }
     }
+
+    /// At the caller's daemon: where this region's callers have a key of their own, it is asked for under that
+    /// one. Identities that may come again are remembered by one holder, and stay with it.
+    fn turn_to_own_region<W>(&mut self, agent: &Agent<W>, now: Moment, table: &Table) {
+        let is_noted = table.route_named(&self.ask.route).is_none_or(|route| route.spec.noted)
+            && agent.rules.keep(Rule::RememberedByOne);
+        let whole = self.ask.function.whole();
+        self.ask.function = agent.regional_key(now, &whole).filter(|_| !is_noted).unwrap_or(whole);
+    }
+
+    /// At the caller's daemon: the region's own key does not serve, and the holder for all regions does. Says
+    /// whether it was under such a key.
+    fn leave_own_region<W>(&mut self, agent: &Agent<W>, now: Moment, pause: Duration) -> bool {
+        let is_left = self.ask.hops == 0 && self.ask.function.is_regional();
+        if is_left {
+            agent.suspend_regional(now, &self.ask.function, pause);
+            self.ask.function = self.ask.function.whole();
+        }
+        is_left
+    }
+
+    /// The region of the caller's daemon, if it is another than this one's.
+    fn foreign_region<W>(&self, agent: &Agent<W>) -> Option<Region> {
+        let is_foreign =
+            agent.own_region().is_some_and(|own_region| *own_region != self.ask.region);
+        (is_foreign && !self.ask.region.as_str().is_empty()).then(|| self.ask.region.clone())
+    }
 }
--- a/crates/dataplane/src/agent/forwarding/step_end.rs
+++ b/crates/dataplane/src/agent/forwarding/step_end.rs
@@ -3,7 +3,7 @@
 use super::step::ended;
 use super::{
     ASK_PAUSE, Agent, DISPUTE_PATIENCE, Forwarding, ForwardingStep, HOP_COST, MOST_DISPUTES,
-    PassEnd,
+    PassEnd, REGION_LOST_PAUSE, REGION_UNREADY_PAUSE,
 };
 use crate::holder::not_run;
 use crate::owners::{MOST_HOPS, is_valid};
@@ -51,6 +51,9 @@
         if is_not_allowed(&outcome) && self.ask.hops == 0 {
             return self.dispute(agent, now);
         }
+        if self.is_turned_back(agent, now, &outcome) {
+            return self.look(agent, now);
+        }
         ForwardingStep::End(outcome, (!is_turned_away).then(|| agent.own_host.clone()))
     }
 
@@ -82,6 +85,9 @@
             PassEnd::Done(HopOutcome::Unknown { reason: HopReason::HolderSilent }, _) => {
                 self.after_loss(agent, now)
             }
+            PassEnd::Done(outcome, _) if self.is_turned_back(agent, now, &outcome) => {
+                self.look(agent, now)
+            }
             PassEnd::Done(outcome, holder) => {
                 if let Some(holder) = &holder {
                     agent.learn_owner(&self.ask.function, holder);
@@ -90,15 +96,30 @@
             }
             PassEnd::Unsent => {
                 agent.forget_owner(&self.ask.function);
+                self.leave_own_region(agent, now, REGION_LOST_PAUSE);
                 self.pause(now)
             }
             PassEnd::Lost => self.after_loss(agent, now),
         }
     }
 
+    /// Surely not run under the region's own key, for nobody holds it or its holder has no runner ready: the holder
+    /// for all regions is next.
+    fn is_turned_back<W>(&mut self, agent: &Agent<W>, now: Moment, outcome: &HopOutcome) -> bool {
+        let HopOutcome::NotRun { reason, .. } = outcome else { return false };
+        match reason {
+            HopReason::NoRunner => self.leave_own_region(agent, now, REGION_UNREADY_PAUSE),
+            HopReason::NoOwner | HopReason::NotServing => {
+                self.leave_own_region(agent, now, REGION_LOST_PAUSE)
+            }
+            _ => false,
+        }
+    }
+
     /// A daemon fell silent with it: the next one, or one behind that.
     fn after_loss<W>(&mut self, agent: &Agent<W>, now: Moment) -> ForwardingStep<W> {
         agent.forget_owner(&self.ask.function);
+        self.leave_own_region(agent, now, REGION_LOST_PAUSE);
         if self.may_pass_again(agent, now) {
             self.lost_count += 1;
             self.ask.repeat = true;
@@ -151,6 +172,11 @@
                 }
                 self.pause(now)
             }
+            Some(AcquireResult::Later { .. })
+                if self.leave_own_region(agent, now, REGION_LOST_PAUSE) =>
+            {
+                self.look(agent, now)
+            }
             Some(AcquireResult::Later { wait_ms }) => {
                 let wait_span = Duration::from_millis(u64::from(wait_ms));
                 let table = agent.table.load();
--- a/crates/dataplane/src/agent/held.rs
+++ b/crates/dataplane/src/agent/held.rs
@@ -3,7 +3,9 @@
 use crate::holder::{Entry, Holder, HolderOutput};
 use common::clock::Moment;
 use common::frames::{HopOutcome, Parcel};
-use common::identity::{FunctionKey, GrantSerial, LifeName, RunnerId, Ticket, TransactionId};
+use common::identity::{
+    FunctionKey, GrantSerial, LifeName, Region, RunnerId, Ticket, TransactionId,
+};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -31,6 +33,8 @@
     pub target: Duration,
     /// Which goes first; the lowest before all others.
     pub rank: u8,
+    /// The region of its caller's daemon, if that is another than the holder's.
+    pub region: Option<Region>,
     /// What the caller sent.
     pub parcel: Arc<Parcel>,
 }
@@ -116,6 +120,7 @@
             patience: task.patience,
             target: task.target,
             rank: task.rank,
+            region: task.region.clone(),
         };
         let kept = Waiting { task, waiter };
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner).insert(ticket, kept);
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -5,12 +5,14 @@
 mod daemon_control;
 mod forwarding;
 mod held;
+mod regional;
 mod stewards;
 
 pub use answer::{RunnerCall, judge};
 pub use daemon_control::{DaemonControl, DaemonOrder};
 pub use forwarding::{Ask, Forwarding, ForwardingStep, PassEnd};
 pub use held::{Held, SendTarget, Task};
+pub use regional::{RegionalUse, RegionalUses};
 pub use stewards::{Question, Topic};
 
 use crate::holder::Tuning;
@@ -19,6 +21,7 @@
 use common::clock::{Moment, SharedMoment};
 use common::frames::Host;
 use common::identity::{FunctionKey, GrantSerial, Ticket};
+use common::ring::Regions;
 use common::rules::{Rule, Rules};
 use common::spec::Table;
 use std::collections::BTreeMap;
@@ -55,6 +58,10 @@
     pub owners: ArcSwap<BTreeMap<FunctionKey, Host>>,
     /// The functions held.
     pub holdings: ArcSwap<BTreeMap<FunctionKey, Arc<Held<W>>>>,
+    /// Which regions the zones lie in.
+    pub regions: Regions,
+    /// The functions that this region's callers have a key of their own for.
+    pub regional_uses: ArcSwap<RegionalUses>,
     /// The functions given up whose runners are not all stopped yet.
     pub closing: Mutex<Vec<Arc<Held<W>>>>,
     /// When the member grant ends.
@@ -79,6 +86,8 @@
             hosts: ArcSwap::from_pointee(Vec::new()),
             owners: ArcSwap::from_pointee(BTreeMap::new()),
             holdings: ArcSwap::from_pointee(BTreeMap::new()),
+            regions: Regions::default(),
+            regional_uses: ArcSwap::from_pointee(RegionalUses::new()),
             closing: Mutex::new(Vec::new()),
             serving_until: SharedMoment::new(),
             replica: Mutex::new(LedgerReplica::new(own_incarnation)),
@@ -95,6 +104,12 @@
         self
     }
 
+    /// The same in zones that lie in these regions.
+    pub fn with_regions(mut self, regions: Regions) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// A number for a transaction in this process.
     pub fn ticket(&self) -> Ticket {
         Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
--- a/crates/dataplane/src/boot/mod.rs
+++ b/crates/dataplane/src/boot/mod.rs
@@ -2,8 +2,9 @@
 
 use crate::holder::Tuning;
 use common::frames::Place;
-use common::identity::{MemberName, Zone};
+use common::identity::{MemberName, Region, Zone};
 use common::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
+use common::ring::Regions;
 use std::time::Duration;
 
 /// What a daemon needs to know before it starts.
@@ -39,6 +40,8 @@
     pub link_mbps: u32,
     /// Whether functions that boot longer than their callers gladly wait are acquired before a call.
     pub warm: bool,
+    /// Which regions the zones lie in.
+    pub regions: Regions,
     /// How the held functions are run.
     pub tuning: Tuning,
 }
@@ -62,6 +65,7 @@
                 "beat_ms",
                 "link_mbps",
                 "warm",
+                "regions",
                 "tries_percent",
                 "tries_allowance",
                 "tries_allowance_at_once",
@@ -88,6 +92,7 @@
             let beat_ms = root.field("beat_ms").number_or(20..=10_000, 250);
             let link_mbps = root.field("link_mbps").number_or(0..=1_000_000, 0) as u32;
             let warm = root.field("warm").flag_or(false);
+            let regions = read_regions(&root.field("regions"));
             let tuning = read_tuning(root);
             Some(Self {
                 source: boot_source.name().to_owned(),
@@ -105,12 +110,21 @@
                 beat_every: Duration::from_millis(beat_ms),
                 link_mbps,
                 warm,
+                regions,
                 tuning,
             })
         })
     }
 }
 
+/// Reads which regions the zones lie in, as an object of texts by zone.
+fn read_regions(reader: &PathReader<'_>) -> Regions {
+    let zones = reader.fields().into_iter();
+    let named =
+        zones.filter_map(|(zone, region)| Some((Zone::from(zone), Region::from(region.text()?))));
+    Regions::new(named.collect())
+}
+
 fn read_tuning(root: &PathReader<'_>) -> Tuning {
     let default = Tuning::default();
     let span = |key: &str, default_span: Duration| {
--- a/crates/dataplane/src/chain/mod.rs
+++ b/crates/dataplane/src/chain/mod.rs
@@ -14,7 +14,7 @@
 use common::clock::Moment;
 use common::frames::{HopReason, Many, Parcel};
 use common::http::{Served, read_body};
-use common::identity::Wording;
+use common::identity::{Region, Wording};
 use common::tongue::{DoorTongue, NotRunKind, Said};
 use filters::{budget, identity, largest};
 use hyper::Request;
@@ -86,6 +86,7 @@
         hops: 0,
         repeat: door.is_repeat(&head.headers),
         refer: true,
+        region: state.agent.own_region().cloned().unwrap_or_else(|| Region::from("")),
         parcel: Arc::new(parcel(door, &head, body)),
     };
     let resolved = resolve(state, ask).await;
--- a/crates/dataplane/src/chain/resolve.rs
+++ b/crates/dataplane/src/chain/resolve.rs
@@ -17,15 +17,21 @@
     pub outcome: HopOutcome,
     /// The holder, if it is known.
     pub holder: Option<Host>,
+    /// In how many tenths of a second the callers of the asking region are served under a key of their own.
+    pub regional_tenths: u8,
 }
 
 fn pass_end(ask_end: AskEnd, host: &Host) -> PassEnd {
     match ask_end {
-        AskEnd::Reply(HopBody::Done { outcome: outcome @ HopOutcome::Answer { .. }, holder }) => {
+        AskEnd::Reply(HopBody::Done {
+            outcome: outcome @ HopOutcome::Answer { .. },
+            holder,
+            ..
+        }) => {
             let holder = holder.0.into_iter().next().unwrap_or_else(|| host.clone());
             PassEnd::Done(outcome, Some(holder))
         }
-        AskEnd::Reply(HopBody::Done { outcome, holder }) => {
+        AskEnd::Reply(HopBody::Done { outcome, holder, .. }) => {
             PassEnd::Done(outcome, holder.0.into_iter().next())
         }
         AskEnd::Unsent => PassEnd::Unsent,
@@ -44,6 +50,26 @@
     }
 }
 
+/// What an answer of another daemon says of the asking region's own key.
+fn regional_word(ask_end: &AskEnd) -> Option<u8> {
+    match ask_end {
+        AskEnd::Reply(HopBody::Done {
+            outcome: HopOutcome::Answer { .. },
+            regional_tenths,
+            ..
+        }) => Some(*regional_tenths),
+        _ => None,
+    }
+}
+
+/// Hears what an answer says of this region's own key, if this is the caller's daemon.
+fn hear_regional(state: &State, ask: &Ask, regional_tenths: u8) {
+    let is_callers = ask.hops == 0;
+    if is_callers && state.agent.hear_regional(Moment::now(), &ask.function, regional_tenths) {
+        state.wishes_changed();
+    }
+}
+
 /// Brings a transaction to its holder, and comes back with its outcome.
 pub async fn resolve(state: &Arc<State>, ask: Ask) -> Resolved {
     let agent = &state.agent;
@@ -51,17 +77,27 @@
     let mut changes = state.changes();
     let mut forwarding = Forwarding::new(Moment::now(), ask);
     let mut step = forwarding.look(agent, Moment::now());
+    let mut regional_tenths = 0;
     loop {
         step = match step {
             ForwardingStep::Serve(held, task) => {
                 state.gauges.lookups.with_label_values(&["held"]).inc();
                 let outcome = holding::serve(state, &held, task).await;
+                let ask = forwarding.ask();
+                regional_tenths = agent.regional_word(Moment::now(), &held.function, &ask.region);
+                hear_regional(state, ask, regional_tenths);
                 forwarding.served(agent, Moment::now(), outcome)
             }
             ForwardingStep::Pass { host, body, wait_until } => {
                 state.gauges.lookups.with_label_values(&["passed"]).inc();
                 let end = tokio::select! {
-                    ask_end = state.links.ask(host.place, body, wait_until) => pass_end(ask_end, &host),
+                    ask_end = state.links.ask(host.place, body, wait_until) => {
+                        if let Some(word) = regional_word(&ask_end) {
+                            regional_tenths = word;
+                            hear_regional(state, forwarding.ask(), word);
+                        }
+                        pass_end(ask_end, &host)
+                    }
                     () = gone(state, &host) => PassEnd::Lost,
                 };
                 forwarding.passed(agent, Moment::now(), end)
@@ -82,7 +118,7 @@
             }
             ForwardingStep::End(outcome, holder) => {
                 let function = forwarding.ask().function.clone();
-                return Resolved { function, outcome, holder };
+                return Resolved { function, outcome, holder, regional_tenths };
             }
         }
     }
--- a/crates/dataplane/src/drivers/control.rs
+++ b/crates/dataplane/src/drivers/control.rs
@@ -39,6 +39,8 @@
     Acquire(FunctionKey, oneshot::Sender<AcquireResult>),
     /// A holder has something for the leader.
     Word(FunctionKey, GrantSerial, HolderMessage),
+    /// Functions may want an owner that did not before.
+    WishesChanged,
     /// The seeds have changed.
     Seeds(Vec<Place>),
     /// The daemon is leaving.
@@ -162,6 +164,10 @@
                 self.controller.set_seeds(seeds);
                 return;
             }
+            ControlInput::WishesChanged => {
+                self.controller.warm_changed(now);
+                return;
+            }
             ControlInput::Leave => self.controller.leave(agent, now),
             ControlInput::Left => self.controller.left(agent),
         };
--- a/crates/dataplane/src/drivers/hops.rs
+++ b/crates/dataplane/src/drivers/hops.rs
@@ -4,7 +4,7 @@
 use super::connector::ByteStream;
 use super::hop_links::SENT_AT_ONCE;
 use crate::agent::Ask;
-use crate::chain::resolve;
+use crate::chain::{Resolved, resolve};
 use common::clock::Moment;
 use common::frames::{
     FrameFault, HopBody, HopFrame, HopOutcome, HopReason, Many, append_frame, read_frame,
@@ -63,7 +63,7 @@
 fn append_reply(sent_bytes: &mut Vec<u8>, frame: &HopFrame) {
     if append_frame(sent_bytes, frame).is_err() {
         let outcome = HopOutcome::Unknown { reason: HopReason::AnswerLost };
-        let body = HopBody::Done { outcome, holder: Many(Vec::new()) };
+        let body = HopBody::Done { outcome, holder: Many(Vec::new()), regional_tenths: 0 };
         let _ = append_frame(sent_bytes, &HopFrame { correlation: frame.correlation, body });
     }
 }
@@ -76,7 +76,8 @@
             let named_holder =
                 resolved.holder.filter(|holder| !is_answer || *holder != state.agent.own_host);
             let holder = Many(named_holder.into_iter().collect());
-            Some(HopBody::Done { outcome: resolved.outcome, holder })
+            let Resolved { outcome, regional_tenths, .. } = resolved;
+            Some(HopBody::Done { outcome, holder, regional_tenths })
         }
         Err(question) => state.agent.answer_as_steward(Moment::now(), *question),
     }
--- a/crates/dataplane/src/drivers/state.rs
+++ b/crates/dataplane/src/drivers/state.rs
@@ -49,7 +49,8 @@
         control: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
         let tuning = Tuning { settles: tongues.runner.running_path().is_some(), ..boot.tuning };
-        let agent = Agent::new(own_host, rules).with_tuning(tuning);
+        let agent =
+            Agent::new(own_host, rules).with_tuning(tuning).with_regions(boot.regions.clone());
         Self {
             links: HopLinks::new(connector.clone(), rules),
             boot,
@@ -98,6 +99,11 @@
         result.await.ok()
     }
 
+    /// Functions may want an owner that did not before.
+    pub fn wishes_changed(&self) {
+        let _ = self.control.send(ControlInput::WishesChanged);
+    }
+
     /// Has the control task look earlier than it meant to, if a holder needs that.
     pub(super) fn hurry(&self, held: &HeldHere) {
         let holder_due = held.with(|holder| holder.next_due());
--- a/crates/dataplane/src/holder/admission.rs
+++ b/crates/dataplane/src/holder/admission.rs
@@ -19,12 +19,18 @@
         self.last_called_at = now;
         self.resting = false;
         self.demand.called(now);
+        self.regional.called(now, entry.region.as_ref(), entry.noted);
         self.tries.first_or_repeat(now, entry.repeat);
         if entry.noted
             && let Some(known_outcome) = self.known_outcome(&entry.transaction)
         {
             return (Some(known_outcome), Vec::new());
         }
+        if self.is_unready_regional() {
+            self.scale(now);
+            let outcome = not_run(HopReason::NoRunner, 100);
+            return (Some(outcome), std::mem::take(&mut self.outputs));
+        }
         if let Some((reason, retry_span)) = self.reason_to_shed(now, &entry) {
             let retry_ms = retry_span.as_millis().max(100) as u32;
             self.note_shed(now, &entry, reason, retry_ms);
--- a/crates/dataplane/src/holder/demand.rs
+++ b/crates/dataplane/src/holder/demand.rs
@@ -11,30 +11,30 @@
 const GAPS_KEPT: f64 = 8.0;
 
 /// A count that fades.
-struct Fading {
+pub(super) struct Fading {
     span: f64,
     count: f64,
     counted_at: Option<Moment>,
 }
 
 impl Fading {
-    fn new(span: f64) -> Self {
+    pub(super) fn new(span: f64) -> Self {
         Self { span, count: 0.0, counted_at: None }
     }
 
-    fn at(&self, now: Moment) -> f64 {
+    pub(super) fn at(&self, now: Moment) -> f64 {
         self.counted_at.map_or(0.0, |counted_at| {
             self.count * (-now.since(counted_at).as_secs_f64() / self.span).exp()
         })
     }
 
-    fn add(&mut self, now: Moment) {
+    pub(super) fn add(&mut self, now: Moment) {
         self.count = self.at(now) + 1.0;
         self.counted_at = Some(now);
     }
 
     /// The time that the count stands for, when it began so long ago.
-    fn sight(&self, age: f64) -> f64 {
+    pub(super) fn sight(&self, age: f64) -> f64 {
         self.span * (1.0 - (-age / self.span).exp())
     }
 }
--- a/crates/dataplane/src/holder/entry.rs
+++ b/crates/dataplane/src/holder/entry.rs
@@ -2,7 +2,7 @@
 
 use common::clock::Moment;
 use common::frames::{ClaimRunner, HopOutcome, Host, Prior};
-use common::identity::{FunctionKey, GrantSerial, RunnerId, Ticket, TransactionId};
+use common::identity::{FunctionKey, GrantSerial, Region, RunnerId, Ticket, TransactionId};
 use common::spec::FunctionSpec;
 use std::time::Duration;
 
@@ -48,6 +48,8 @@
     pub target: Duration,
     /// Which goes first; the lowest before all others.
     pub rank: u8,
+    /// The region of its caller's daemon, if that is another than the holder's.
+    pub region: Option<Region>,
 }
 
 impl Entry {
--- a/crates/dataplane/src/holder/mod.rs
+++ b/crates/dataplane/src/holder/mod.rs
@@ -9,6 +9,7 @@
 mod inbox;
 mod leaving;
 mod output;
+mod regional;
 mod replication;
 mod runner_events;
 mod runners;
@@ -29,6 +30,7 @@
 use common::spec::FunctionSpec;
 use demand::Demand;
 use entry::{Sent, Waiting};
+use regional::RegionalDemand;
 use replication::Replication;
 use runners::{Phase, RunnerRecord};
 use scaling::Scaling;
@@ -57,6 +59,8 @@
     tries: TryWindow,
     scaling: Scaling,
     demand: Demand,
+    regional: RegionalDemand,
+    held_since: Moment,
     has_adopted: bool,
     service: Duration,
     last_called_at: Moment,
@@ -101,6 +105,8 @@
             tries: TryWindow::new(now, &Tuning::default()),
             scaling: Scaling::new(now),
             demand,
+            regional: RegionalDemand::default(),
+            held_since: now,
             has_adopted,
             service: ASSUMED_SERVICE,
             last_called_at: now,
--- a/crates/dataplane/src/owners/mod.rs
+++ b/crates/dataplane/src/owners/mod.rs
@@ -6,7 +6,7 @@
 
 use common::frames::Host;
 use common::identity::{FunctionKey, MemberName};
-use common::ring;
+use common::ring::{self, Regions};
 
 /// The most daemons a transaction passes through after its caller's.
 pub const MOST_HOPS: u8 = 2;
@@ -38,6 +38,8 @@
     pub cached_owner: Option<&'a Host>,
     /// The daemons alive.
     pub hosts: &'a [Host],
+    /// Which regions their zones lie in.
+    pub regions: &'a Regions,
     /// How many hops the transaction has made.
     pub hops: u8,
 }
@@ -62,7 +64,7 @@
     {
         return Step::Forward(owner.clone());
     }
-    match ring::hash_owner(sight.function, sight.hosts.iter()) {
+    match ring::hash_owner_in(sight.function, sight.hosts.iter(), sight.regions) {
         None => Step::Nobody,
         Some(hash_owner) if hash_owner.member == *sight.own_member => Step::Acquire,
         Some(hash_owner) if sight.hops == 0 => Step::Forward(hash_owner.clone()),
--- a/crates/dataplane/src/owners/warm.rs
+++ b/crates/dataplane/src/owners/warm.rs
@@ -4,7 +4,7 @@
 use common::clock::Moment;
 use common::frames::Host;
 use common::identity::{FunctionKey, MemberName};
-use common::ring;
+use common::ring::{self, Regions};
 use common::spec::Table;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -21,6 +21,10 @@
     pub own_member: &'a MemberName,
     /// The daemons alive.
     pub hosts: &'a [Host],
+    /// Which regions their zones lie in.
+    pub regions: &'a Regions,
+    /// The keys that the callers of this daemon's region have to themselves.
+    pub regional: &'a [FunctionKey],
     /// The owners learned so far.
     pub owners: &'a BTreeMap<FunctionKey, Host>,
     /// Whether this daemon holds a function.
@@ -30,7 +34,7 @@
 impl WarmSight<'_> {
     /// Whether this daemon, as the hash owner, has to ask for a function: it is the only one that does.
     fn wants(&self, function: &FunctionKey) -> bool {
-        let hash_owner = ring::hash_owner(function, self.hosts.iter());
+        let hash_owner = ring::hash_owner_in(function, self.hosts.iter(), self.regions);
         let has_owner = self
             .owners
             .get(function)
@@ -71,8 +75,8 @@
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
             self.asked.retain(|_, asked_at| now.since(*asked_at) < ASK_AGAIN_AFTER);
-            let warm_functions = sight.table.warm_functions();
-            self.wishes = warm_functions.filter(|wish| sight.wants(wish)).cloned().collect();
+            let wished = sight.regional.iter().chain(sight.table.warm_functions());
+            self.wishes = wished.filter(|wish| sight.wants(wish)).cloned().collect();
         }
         if now < self.ask_at {
             return None;
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -142,6 +142,7 @@
             hops: 0,
             repeat: false,
             refer: true,
+            region: "".into(),
             parcel: Arc::new(Parcel::of_body(Vec::new().into())),
         }
     }
@@ -187,6 +188,7 @@
         patience: ms(1000),
         target: ms(1000),
         rank: 0,
+        region: None,
         parcel: Arc::new(Parcel::of_body(Vec::new().into())),
     };
     let runner = RunnerId { grant: GrantSerial(4), ordinal: 5 };
--- a/crates/dataplane/tests/costs/mod.rs
+++ b/crates/dataplane/tests/costs/mod.rs
@@ -352,6 +352,7 @@
             patience: kind.budget,
             target: kind.target,
             rank: 0,
+            region: None,
         };
         played.calls.insert(ticket, call);
         let (at_once, outputs) = played.holder.grant_entry(self.now, entry);
--- a/crates/dataplane/tests/holder.rs
+++ b/crates/dataplane/tests/holder.rs
@@ -157,6 +157,7 @@
             patience: ms(3000),
             target: ms(3000),
             rank: self.rank,
+            region: None,
         };
         let (at_once, outputs) = self.holder.grant_entry(self.now, entry);
         self.take(outputs);
--- a/crates/dataplane/tests/owners.rs
+++ b/crates/dataplane/tests/owners.rs
@@ -2,7 +2,7 @@
 
 use common::frames::{Flag, Host, Place};
 use common::identity::{FunctionKey, MemberName, Serial};
-use common::ring::hash_owner;
+use common::ring::{Regions, hash_owner};
 use dataplane::owners::{Sight, Step, next_step};
 use googletest::prelude::*;
 
@@ -27,6 +27,7 @@
         holds,
         cached_owner: cached,
         hosts,
+        regions: &Regions::default(),
         hops,
     })
 }
--- a/crates/dataplane/tests/warm.rs
+++ b/crates/dataplane/tests/warm.rs
@@ -3,7 +3,7 @@
 use common::clock::Moment;
 use common::frames::{Flag, Host, Place};
 use common::identity::{FunctionKey, MemberName, Serial};
-use common::ring::hash_owner;
+use common::ring::{Regions, hash_owner};
 use common::spec::{Document, Table, read_spec};
 use dataplane::owners::{WarmSeeker, WarmSight};
 use googletest::prelude::*;
@@ -62,7 +62,15 @@
     span: Duration,
 ) -> Vec<(Moment, FunctionKey)> {
     let table = table();
-    let sight = WarmSight { table: &table, own_member, hosts, owners, holds: &|_| false };
+    let sight = WarmSight {
+        table: &table,
+        own_member,
+        hosts,
+        regions: &Regions::default(),
+        regional: &[],
+        owners,
+        holds: &|_| false,
+    };
     (0..span.as_millis() as u64)
         .filter_map(|passed_ms| {
             let now = from + ms(passed_ms);
--- a/testing/fleet/src/sim/daemon/mod.rs
+++ b/testing/fleet/src/sim/daemon/mod.rs
@@ -10,7 +10,8 @@
 use common::chance::Chance;
 use common::clock::Moment;
 use common::frames::{Flag, Host};
-use common::identity::{FunctionKey, TransactionId, Zone};
+use common::identity::{FunctionKey, Region, TransactionId, Zone};
+use common::ring::Regions;
 use dataplane::agent::{Agent, DaemonControl, DaemonOrder, Forwarding, InHand};
 use dataplane::liaison::LiaisonTiming;
 use std::collections::BTreeMap;
@@ -33,6 +34,7 @@
     awaits: Awaits,
     wakes: u64,
     passed_to: Option<Host>,
+    regional_tenths: u8,
     _in_hand: InHand,
 }
 
@@ -92,6 +94,14 @@
         format!("locality-{}", number % 3 + 1).into()
     }
 
+    /// The first two zones lie in one region and the third in another, if the day has regions.
+    fn regions(&self) -> Regions {
+        let zones =
+            (0..3).map(|number| (Self::zone(number), if number < 2 { "east" } else { "west" }));
+        let named = zones.filter(|_| self.plan.regional);
+        Regions::new(named.map(|(zone, region)| (zone, Region::from(region))).collect())
+    }
+
     pub(in crate::sim) fn agent(&self, place: usize) -> Option<Arc<Agent<u64>>> {
         self.daemons[place].body.as_ref().map(|body| body.agent.clone())
     }
@@ -120,7 +130,10 @@
             eligible: Flag(true),
             link_mbps: 0,
         };
-        let agent = Arc::new(Agent::new(host, self.plan.rules()).with_tuning(self.plan.tuning));
+        let agent = Agent::new(host, self.plan.rules())
+            .with_tuning(self.plan.tuning)
+            .with_regions(self.regions());
+        let agent = Arc::new(agent);
         let controller = DaemonControl::new(
             local_now,
             &agent,
--- a/testing/fleet/src/sim/daemon/requests.rs
+++ b/testing/fleet/src/sim/daemon/requests.rs
@@ -4,8 +4,8 @@
 use crate::sim::event::Event;
 use crate::sim::world::World;
 use common::clock::Moment;
-use common::frames::{HopBody, HopOutcome, Host, Many, Parcel};
-use common::identity::TransactionId;
+use common::frames::{HopBody, HopOutcome, Host, Parcel};
+use common::identity::{Region, TransactionId};
 use dataplane::agent::{Agent, Ask, Forwarding, ForwardingStep, Held, PassEnd, Task};
 use dataplane::owners::is_valid;
 use std::sync::Arc;
@@ -51,6 +51,7 @@
             hops: 0,
             repeat,
             refer: true,
+            region: agent.own_region().cloned().unwrap_or_else(|| Region::from("")),
             parcel: Arc::new(Parcel::of_body(Vec::new().into())),
         };
         self.take_ask(place, ask, Back::Caller);
@@ -76,6 +77,7 @@
             awaits: Awaits::Look,
             wakes: 0,
             passed_to: None,
+            regional_tenths: 0,
             _in_hand: in_hand,
         };
         body.pendings.insert(number, pending);
@@ -242,7 +244,7 @@
         let is_dead = self.daemons[to_node.daemon_place()].body.is_none();
         let delay = self.network.delay(&mut self.chance);
         if is_dead {
-            self.push(delay, Event::Passed(node, life, number, PassEnd::Unsent));
+            self.push(delay, Event::Passed(node, life, number, PassEnd::Unsent, 0));
             return;
         }
         if !self.network.reaches(node, to_node) {
@@ -252,15 +254,30 @@
             } else {
                 (PassEnd::Unsent, Duration::from_millis(400))
             };
-            self.push(failed_after, Event::Passed(node, life, number, end));
+            self.push(failed_after, Event::Passed(node, life, number, end, 0));
             return;
         }
-        self.push(wait_span, Event::Passed(node, life, number, PassEnd::Lost));
+        self.push(wait_span, Event::Passed(node, life, number, PassEnd::Lost, 0));
         let back = Back::Hop { node, life, number };
         let to_life = self.daemons[to_node.daemon_place()].life;
         self.push(delay, Event::Hop(to_node, to_life, back, body));
     }
 
+    /// The daemon that a request was passed to has answered, or will not.
+    pub(in crate::sim) fn passed_back(
+        &mut self,
+        place: usize,
+        number: u64,
+        end: PassEnd,
+        regional_tenths: u8,
+    ) {
+        let body = self.daemons[place].body.as_mut();
+        if let Some(pending) = body.and_then(|body| body.pendings.get_mut(&number)) {
+            pending.regional_tenths = regional_tenths;
+        }
+        self.passed(place, number, end);
+    }
+
     pub(in crate::sim) fn passed(&mut self, place: usize, number: u64, end: PassEnd) {
         self.step(place, number, Awaits::Passed, |way, agent, now| way.passed(agent, now, end));
     }
@@ -275,21 +292,55 @@
         let node = self.daemons[place].node;
         let Some(body) = &mut self.daemons[place].body else { return };
         let Some(pending) = body.pendings.remove(&number) else { return };
+        let regional_tenths = self.regional_word(place, &pending);
         match pending.back {
-            Back::Caller => self.tell_caller(pending.way.ask(), &outcome),
+            Back::Caller => {
+                self.hear_regional(place, pending.way.ask(), &outcome, regional_tenths);
+                self.tell_caller(pending.way.ask(), &outcome);
+            }
             Back::Hop { node: back_node, life, number } => {
-                let done = HopBody::Done { outcome, holder: Many(holder.into_iter().collect()) };
-                if let HopBody::Done { outcome, holder } = done
-                    && self.network.reaches(node, back_node)
-                {
+                if self.network.reaches(node, back_node) {
                     let delay = self.network.delay(&mut self.chance);
-                    let end = PassEnd::Done(outcome, holder.0.into_iter().next());
-                    self.push(delay, Event::Passed(back_node, life, number, end));
+                    let end = PassEnd::Done(outcome, holder);
+                    self.push(delay, Event::Passed(back_node, life, number, end, regional_tenths));
                 }
             }
         }
     }
 
+    /// What is said with an outcome of the asking region's own key: by the holder, or by whoever is nearer to it.
+    fn regional_word(&self, place: usize, pending: &Pending) -> u8 {
+        let ask = pending.way.ask();
+        let local_now = self.daemon_now(place);
+        let agent = self.agent(place);
+        let own_word =
+            agent.map_or(0, |agent| agent.regional_word(local_now, &ask.function, &ask.region));
+        if own_word > 0 { own_word } else { pending.regional_tenths }
+    }
+
+    /// A caller's daemon hears with an answer of its region's own key.
+    fn hear_regional(
+        &mut self,
+        place: usize,
+        ask: &Ask,
+        outcome: &HopOutcome,
+        regional_tenths: u8,
+    ) {
+        let local_now = self.daemon_now(place);
+        let Some(agent) = self.agent(place) else { return };
+        if ask.function.is_regional() {
+            self.counted("served under a region's key");
+        }
+        let is_answer = matches!(outcome, HopOutcome::Answer { .. });
+        if is_answer && agent.hear_regional(local_now, &ask.function, regional_tenths) {
+            self.counted("regional keys heard of");
+            self.with_controller(place, |controller, _, now| {
+                controller.warm_changed(now);
+                Vec::new()
+            });
+        }
+    }
+
     pub(in crate::sim) fn tell_caller(&mut self, ask: &Ask, outcome: &HopOutcome) {
         let transaction = &ask.transaction;
         match outcome {
--- a/testing/fleet/src/sim/dispatch.rs
+++ b/testing/fleet/src/sim/dispatch.rs
@@ -79,7 +79,9 @@
                 self.acquire_timed_out(node.daemon_place(), number)
             }
             Event::Hop(node, _, back, body) => self.hear_hop(node.daemon_place(), back, body),
-            Event::Passed(node, _, number, end) => self.passed(node.daemon_place(), number, end),
+            Event::Passed(node, _, number, end, regional_tenths) => {
+                self.passed_back(node.daemon_place(), number, end, regional_tenths);
+            }
             Event::Word(node, _, function, grant, word) => {
                 self.with_controller(node.daemon_place(), |controller, agent, now| {
                     controller.told(agent, now, function, grant, word)
--- a/testing/fleet/src/sim/event.rs
+++ b/testing/fleet/src/sim/event.rs
@@ -33,7 +33,7 @@
     Look(Node, u64, u64, u64),
     AcquireTimedOut(Node, u64, u64),
     Hop(Node, u64, Back, HopBody),
-    Passed(Node, u64, u64, PassEnd),
+    Passed(Node, u64, u64, PassEnd, u8),
     Word(Node, u64, FunctionKey, GrantSerial, HolderMessage),
     Gone(Node, u64),
     Start(Asker, FunctionKey, RunnerId, WorkerName, FunctionSpec),
--- a/testing/fleet/src/sim/founding.rs
+++ b/testing/fleet/src/sim/founding.rs
@@ -2,7 +2,7 @@
 
 use super::controller::{SimController, SimDisk};
 use super::network::Node;
-use super::operator::spec;
+use super::operator::{spec, with_fresh_identities};
 use super::world::World;
 use common::clock::Moment;
 use common::frames::Place;
@@ -29,7 +29,8 @@
                     zone: Self::zone(other_number),
                 })
                 .collect();
-            let first_spec = spec(0);
+            let first_spec =
+                if self.plan.fresh_identities { with_fresh_identities(spec(0)) } else { spec(0) };
             let checked_spec = read_spec(&first_spec).unwrap_or_default();
             let mut document = Document::founding(core).with_spec(
                 first_spec,
--- a/testing/fleet/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -14,6 +14,15 @@
     tries: u32,
 }
 
+/// The same spec for callers who give every try an identity of its own.
+pub fn with_fresh_identities(mut spec: Value) -> Value {
+    let routes = spec["routes"].as_object_mut().into_iter().flatten();
+    for (_, route) in routes {
+        route["identities"] = json!("fresh");
+    }
+    spec
+}
+
 /// The routes and functions of the virtual deployment; one function comes and goes.
 pub fn spec(turn: u64) -> Value {
     let mut functions = serde_json::Map::new();
@@ -77,6 +86,9 @@
         for _ in 0..count {
             let is_valid = !self.chance.happens(0.1);
             let mut new_spec = spec(self.chance.below(6));
+            if self.plan.fresh_identities {
+                new_spec = with_fresh_identities(new_spec);
+            }
             if !is_valid {
                 new_spec["routes"]["canary"]["function"] = json!("nowhere");
             }
--- a/testing/fleet/src/sim/plan.rs
+++ b/testing/fleet/src/sim/plan.rs
@@ -54,6 +54,10 @@
     pub tuning: Tuning,
     /// Whether functions that boot long are sought before they are called.
     pub seeks_warm: bool,
+    /// Whether the zones lie in two regions, so that busy functions come to have holders in both.
+    pub regional: bool,
+    /// Whether callers give every try an identity of its own.
+    pub fresh_identities: bool,
     /// Whether operators number their orders, send them again, and read back, as the history judges.
     pub numbers_orders: bool,
     /// The longest time from one order of operators to the next.
@@ -84,6 +88,8 @@
             gap: Duration::from_millis(3500),
             tuning: Tuning::default(),
             seeks_warm: false,
+            regional: false,
+            fresh_identities: false,
             numbers_orders: false,
             order_gap: Duration::from_millis(3000),
         }
--- a/testing/fleet/src/synthetic/calls/forwarding.rs
+++ b/testing/fleet/src/synthetic/calls/forwarding.rs
@@ -158,7 +158,7 @@
     pub(super) fn hear_done(&mut self, daemon: usize, number: u64, bytes: &Bytes) {
         self.meter.heard(Role::Door, Work::Calls, 1, wire::frame_bytes(bytes.len()));
         let read = self.meter.wire(Role::Door, Work::Calls, 1, || decode::<HopFrame>(bytes));
-        if let Ok(HopFrame { body: HopBody::Done { outcome, holder }, .. }) = read {
+        if let Ok(HopFrame { body: HopBody::Done { outcome, holder, .. }, .. }) = read {
             let end = PassEnd::Done(outcome, holder.0.into_iter().next());
             self.passed(daemon, number, end);
         }
@@ -181,7 +181,8 @@
             },
             Back::Hop { daemon: asker, number } => {
                 let holder = Many(holder.into_iter().collect());
-                let frame = hop_frame(number, HopBody::Done { outcome, holder });
+                let frame =
+                    hop_frame(number, HopBody::Done { outcome, holder, regional_tenths: 0 });
                 let encoded = self.meter.wire(Role::Door, Work::Calls, 1, || encode(&frame));
                 let Ok(bytes) = encoded else { return };
                 self.meter.sent(Role::Door, Work::Calls, 1, wire::frame_bytes(bytes.len()));
--- a/testing/fleet/src/synthetic/calls/mod.rs
+++ b/testing/fleet/src/synthetic/calls/mod.rs
@@ -140,6 +140,7 @@
             budget_end: now + BUDGET,
             hops: 0,
             refer: true,
+            region: "".into(),
             repeat: false,
             parcel: Arc::new(Parcel::of_body(Bytes::from_static(REQUEST))),
         };
--- a/testing/fleet/tests/simulator.rs
+++ b/testing/fleet/tests/simulator.rs
@@ -1,5 +1,6 @@
 //! Both planes under seeded faults, and the flaws that the checks must find.
 
+use common::rules::Rule;
 use dataplane::holder::Tuning;
 use fleet::sim::{Flaw, PROOFS, SimFault, SimPlan, World};
 use googletest::prelude::*;
@@ -36,6 +37,41 @@
     Ok(())
 }
 
+fn regional_plan(seed: u64) -> SimPlan {
+    SimPlan { regional: true, rate: 240.0, twins: 0.0, ..SimPlan::seeded(seed) }
+}
+
+/// Functions that come to be held in two regions at once break no rule, and callers are served under both keys.
+#[gtest]
+fn regional_keys_break_no_rule_and_serve() -> Result<()> {
+    let mut served_count = 0;
+    for seed in 1..=8 {
+        let plan = SimPlan { fresh_identities: true, ..regional_plan(seed) };
+        let sim_end = World::new(plan, false).run();
+        let broken: Vec<String> = sim_end.breaches.iter().map(ToString::to_string).collect();
+        verify_that!(broken, is_empty())?;
+        verify_that!(sim_end.share_after, ge(0.5))?;
+        served_count += sim_end.counts.get("served under a region's key").copied().unwrap_or(0);
+    }
+    verify_that!(served_count, ge(1000))
+}
+
+/// An identity that may come again, by another door in another region, must find the holder that remembers it.
+#[gtest]
+fn what_is_remembered_is_remembered_by_one_holder() -> Result<()> {
+    let breaches_of = |flaw: Flaw, seed: u64| {
+        let plan = SimPlan { flaw, twins: 0.5, has_faults: false, ..regional_plan(seed) };
+        World::new(plan, false).run().breaches
+    };
+    let is_found =
+        (1..=6).any(|seed| !breaches_of(Flaw::Without(Rule::RememberedByOne), seed).is_empty());
+    verify_that!(is_found, eq(true))?;
+    for seed in 1..=6 {
+        verify_that!(breaches_of(Flaw::None, seed).len(), eq(0))?;
+    }
+    Ok(())
+}
+
 #[gtest]
 fn the_same_seed_is_the_same_day() -> Result<()> {
     let counts = || World::new(SimPlan::seeded(7), true).run().trace;
