--- a/crates/dataplane/src/agent/daemon_control/keeper_orders.rs
+++ b/crates/dataplane/src/agent/daemon_control/keeper_orders.rs
@@ -93,7 +93,7 @@
             self.tell(events::SERVING, format!("serial {}", self.keeper.serial()));
             self.orders.push(DaemonOrder::Changed);
         }
-        agent.serve_until(grant_end);
+        agent.serving_until.set(grant_end);
     }
 
     fn acquired(
--- a/crates/dataplane/src/agent/forwarding/mod.rs
+++ b/crates/dataplane/src/agent/forwarding/mod.rs
@@ -46,7 +46,6 @@
     ask: Ask,
     spec_by: Moment,
     give_up_at: Option<Moment>,
-    first_grant_by: Option<Moment>,
     ask_from: Moment,
     come_back: Option<Moment>,
     disputed_until: Option<Moment>,
@@ -61,7 +60,6 @@
             ask,
             spec_by: now + SPEC_PATIENCE,
             give_up_at: None,
-            first_grant_by: None,
             ask_from: now,
             come_back: None,
             disputed_until: None,
@@ -94,7 +92,7 @@
 
     fn next_step<W>(&mut self, agent: &Agent<W>, now: Moment) -> ForwardingStep<W> {
         if !agent.is_serving(now) {
-            return self.await_first_grant(agent, now);
+            return ended(HopReason::NotServing, agent.serves_again_after());
         }
         let table = agent.table.load();
         if let Some(disputed_until) = self.disputed_until {
@@ -183,20 +181,6 @@
         }
     }
 
-    /// A daemon that has just started waits with it for its first grant; any other refuses at once.
-    fn await_first_grant<W>(&mut self, agent: &Agent<W>, now: Moment) -> ForwardingStep<W> {
-        let budget_left = self.ask.budget_end.since(now);
-        let wait_until = match self.first_grant_by {
-            Some(wait_until) => agent.first_grant_by(now, Duration::ZERO).map(|_| wait_until),
-            None => agent.first_grant_by(now, budget_left),
-        };
-        self.first_grant_by = wait_until;
-        match wait_until {
-            Some(wait_until) if now < wait_until => ForwardingStep::Wait { wait_until },
-            _ => ended(HopReason::NotServing, agent.serves_again_after()),
-        }
-    }
-
     /// A hash owner that knows the holder names it rather than pass a transaction on, if that spares the
     /// answer a way between zones: the caller's daemon then goes there itself. Nothing was sent
     /// from here, so it is surely not run.
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -70,7 +70,6 @@
     pub replica: Mutex<LedgerReplica>,
     leaving: AtomicBool,
     led: AtomicBool,
-    has_served: AtomicBool,
     in_hand: Arc<AtomicUsize>,
     next_ticket: AtomicU64,
 }
@@ -94,7 +93,6 @@
             replica: Mutex::new(LedgerReplica::new(own_incarnation)),
             leaving: AtomicBool::new(false),
             led: AtomicBool::new(false),
-            has_served: AtomicBool::new(false),
             in_hand: Arc::new(AtomicUsize::new(0)),
             next_ticket: AtomicU64::new(1),
         }
@@ -123,20 +121,6 @@
             || (!self.rules.keep(Rule::MemberGrant) && self.serving_until.get() > Moment::ZERO)
     }
 
-    /// The member grant runs until then.
-    pub fn serve_until(&self, grant_end: Moment) {
-        self.has_served.store(true, Ordering::Release);
-        self.serving_until.set(grant_end);
-    }
-
-    /// Until when a request that has come before the first grant of this life waits for it; none once there was
-    /// one. Callers come to a daemon that never was ready only where too few others are, so that they would find
-    /// no better place with another try. Half of their time is left for that all the same.
-    pub fn first_grant_by(&self, now: Moment, budget: Duration) -> Option<Moment> {
-        let is_first = !self.has_served.load(Ordering::Acquire) && !self.is_leaving();
-        is_first.then(|| now + budget / 2)
-    }
-
     /// Whether a leader has welcomed this daemon's stream.
     pub fn set_led(&self, is_led: bool) {
         self.led.store(is_led, Ordering::Release);
--- a/crates/dataplane/src/chain/mod.rs
+++ b/crates/dataplane/src/chain/mod.rs
@@ -51,7 +51,6 @@
         Err(unfit) => return unfit.into(),
     };
 
-    await_first_grant(state, asked_budget).await;
     let table = state.agent.table.load_full();
     let host = head.headers.get(hyper::header::HOST).and_then(|value| value.to_str().ok());
     let found = table.route(&head.method, host.unwrap_or(""), head.uri.path(), &transaction);
@@ -96,21 +95,6 @@
     ended(resolved.function, resolved.outcome)
 }
 
-/// A daemon that has just started knows no spec and may serve nothing before the leader's first grant.
-async fn await_first_grant(state: &State, asked_budget: Duration) {
-    let now = Moment::now();
-    let Some(wait_until) = state.agent.first_grant_by(now, asked_budget) else { return };
-    let mut changes = state.changes();
-    let granted = async {
-        while !state.agent.is_serving(Moment::now()) {
-            if changes.changed().await.is_err() {
-                return;
-            }
-        }
-    };
-    let _ = tokio::time::timeout(wait_until.since(now), granted).await;
-}
-
 fn parcel(door: &dyn DoorTongue, head: &Parts, body: bytes::Bytes) -> Parcel {
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     Parcel {
--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -238,13 +238,7 @@
     bench.hear(spec_frame(3, "f"));
     let mut forwarding = Forwarding::new(bench.now, bench.ask());
     let early = forwarding.look(&bench.agent, bench.now);
-    let half_of_budget = bench.now + ms(1000);
-    verify_that!(
-        matches!(early, ForwardingStep::Wait { wait_until } if wait_until == half_of_budget),
-        eq(true)
-    )?;
-    let given_up = forwarding.look(&bench.agent, half_of_budget);
-    verify_that!(refusal(&given_up), some(eq((HopReason::NotServing, 400))))?;
+    verify_that!(refusal(&early), some(eq((HopReason::NotServing, 400))))?;
     bench.renew(3);
     bench.list_itself();
     let mut forwarding = Forwarding::new(bench.now, bench.ask());
--- a/crates/dataplane/tests/regional.rs
+++ b/crates/dataplane/tests/regional.rs
@@ -272,7 +272,7 @@
         control.heard(&agent, START, frame);
         let all_hosts = vec![own_host, host("daemon-2", "here", 4), host("daemon-3", "there", 5)];
         agent.hosts.store(Arc::new(all_hosts));
-        agent.serve_until(START + ms(60_000));
+        agent.serving_until.set(START + ms(60_000));
         Self { agent, now: START }
     }
 
@@ -408,33 +408,3 @@
     };
     verify_that!(region, eq(&west()))
 }
-
-#[gtest]
-fn requests_wait_for_the_first_grant_of_a_life_and_for_no_later_one() -> Result<()> {
-    let door = Door::new("fresh");
-    let fresh = Agent::<u64>::new(door.agent.own_host.clone(), Rules::KEPT);
-    fresh.table.store(door.agent.table.load_full());
-    fresh.hosts.store(door.agent.hosts.load_full());
-    verify_that!(fresh.first_grant_by(START, ms(2000)), some(eq(START + ms(1000))))?;
-    let mut forwarding = door.forwarding();
-    let waits_until = |step: ForwardingStep<u64>| match step {
-        ForwardingStep::Wait { wait_until } => Some(wait_until),
-        _ => None,
-    };
-    verify_that!(waits_until(forwarding.look(&fresh, START)), some(eq(START + ms(1000))))?;
-    verify_that!(
-        waits_until(forwarding.look(&fresh, START + ms(900))),
-        some(eq(START + ms(1000)))
-    )?;
-    let step = forwarding.look(&fresh, START + ms(1000));
-    let is_refused = matches!(
-        step,
-        ForwardingStep::End(HopOutcome::NotRun { reason: HopReason::NotServing, .. }, _)
-    );
-    verify_that!(is_refused, eq(true))?;
-    fresh.serve_until(START + ms(2000));
-    fresh.serving_until.set(Moment::ZERO);
-    verify_that!(fresh.first_grant_by(START + ms(3000), ms(2000)), none())?;
-    let step = door.forwarding().look(&fresh, START + ms(3000));
-    verify_that!(matches!(step, ForwardingStep::End(..)), eq(true))
-}
