--- a/crates/dataplane/src/holder/inbox.rs
+++ b/crates/dataplane/src/holder/inbox.rs
@@ -10,6 +10,9 @@
 use std::time::Duration;
 
 const SMALLEST_INBOX: usize = 32;
+/// The inbox takes what all the runners that a function may have would run in so many turns. It bounds the memory
+/// only: what would not be sent in time is refused by the time that it would have to wait.
+const INBOX_TURNS: usize = 16;
 
 impl Holder {
     fn ready_limit(&self, now: Moment) -> u32 {
@@ -23,7 +26,8 @@
     }
 
     fn inbox_bound(&self) -> usize {
-        SMALLEST_INBOX.max((self.spec.slots * self.spec.max_runners) as usize * 2)
+        let most_slots = self.spec.slots as usize * self.spec.max_runners as usize;
+        SMALLEST_INBOX.max(most_slots * INBOX_TURNS)
     }
 
     /// When a transaction behind so many others would be sent to a runner, by what runs and boots.
