--- a/crates/dataplane/src/boot/mod.rs
+++ b/crates/dataplane/src/boot/mod.rs
@@ -1,6 +1,6 @@
 //! The daemon's boot settings.
 
-use crate::holder::Tuning;
+use crate::holder::{IdleCost, Tuning};
 use common::frames::Place;
 use common::identity::{MemberName, Region, Zone};
 use common::readers::{BootFault, BootSource, PathReader, read_listen, read_place, read_places};
@@ -71,6 +71,9 @@
                 "tries_allowance_at_once",
                 "idle_boots",
                 "idle_rare_ms",
+                "idle_stop",
+                "start_mb_s",
+                "late_mb_s",
                 "rise_ms",
                 "margin_percent",
                 "fall_ms",
@@ -125,6 +128,19 @@
     Regions::new(named.collect())
 }
 
+/// What stands for a span whose setting is faulty; the fault ends the start all the same.
+const DEFAULT_IDLE_RARE: Duration = Duration::from_secs(1);
+
+fn read_idle_cost(root: &PathReader<'_>) -> IdleCost {
+    let default = IdleCost::default();
+    let mb_s =
+        |key: &str, or: u32| root.field(key).number_or(0..=100_000_000, u64::from(or)) as u32;
+    IdleCost {
+        start_mb_s: mb_s("start_mb_s", default.start_mb_s),
+        late_mb_s: mb_s("late_mb_s", default.late_mb_s),
+    }
+}
+
 fn read_tuning(root: &PathReader<'_>) -> Tuning {
     let default = Tuning::default();
     let span = |key: &str, default_span: Duration| {
@@ -143,10 +159,14 @@
         idle_rare: root
             .field("idle_rare_ms")
             .is_there()
-            .then(|| span("idle_rare_ms", default.fall)),
+            .then(|| span("idle_rare_ms", DEFAULT_IDLE_RARE)),
+        idle_cost: root.field("idle_stop").flag_or(false).then(|| read_idle_cost(root)),
         rise: span("rise_ms", default.rise),
         margin_percent: count("margin_percent", 10_000, u64::from(default.margin_percent)) as u32,
-        fall: span("fall_ms", default.fall),
-        drain_every: span("drain_every_ms", default.drain_every),
+        fall: root.field("fall_ms").is_there().then(|| span("fall_ms", Duration::ZERO)),
+        drain_every: root
+            .field("drain_every_ms")
+            .is_there()
+            .then(|| span("drain_every_ms", Duration::ZERO)),
     }
 }
--- a/crates/dataplane/src/holder/admission.rs
+++ b/crates/dataplane/src/holder/admission.rs
@@ -19,6 +19,8 @@
         self.last_called_at = now;
         self.resting = false;
         self.demand.called(now);
+        let shortest_target = self.shortest_target.unwrap_or(entry.target);
+        self.shortest_target = Some(shortest_target.min(entry.target));
         self.regional.called(now, entry.region.as_ref(), entry.noted);
         self.tries.first_or_repeat(now, entry.repeat);
         if entry.noted
--- a/crates/dataplane/src/holder/demand.rs
+++ b/crates/dataplane/src/holder/demand.rs
@@ -43,7 +43,6 @@
 pub struct Demand {
     recent: Fading,
     remembered: Fading,
-    break_even: f64,
     first_at: Option<Moment>,
     smoothed: f64,
     smoothed_at: Moment,
@@ -52,16 +51,15 @@
 
 impl Demand {
     /// Nothing was called yet.
-    pub fn new(now: Moment, tuning: &Tuning, boot: Duration) -> Self {
-        let break_even = (boot * tuning.idle_boots.max(1)).as_secs_f64().max(0.05);
+    pub fn new(now: Moment, tuning: &Tuning, boot: Duration, break_even: Duration) -> Self {
+        let break_even = break_even.max(boot).as_secs_f64().max(0.05);
         Self {
             recent: Fading::new(tuning.rise.as_secs_f64().max(0.05)),
             remembered: Fading::new(break_even * GAPS_KEPT),
-            break_even,
             first_at: None,
             smoothed: 0.0,
             smoothed_at: now,
-            fall: tuning.fall.as_secs_f64().max(0.05),
+            fall: tuning.fall_after(boot).as_secs_f64().max(0.05),
         }
     }
 
@@ -72,7 +70,13 @@
         self.remembered.add(now);
     }
 
-    fn age(&self, now: Moment) -> f64 {
+    /// Whether any call came.
+    pub fn was_called(&self) -> bool {
+        self.first_at.is_some()
+    }
+
+    /// How long ago the first call came, in seconds.
+    pub fn age(&self, now: Moment) -> f64 {
         self.first_at.map_or(0.0, |first_at| now.since(first_at).as_secs_f64())
     }
 
@@ -92,9 +96,10 @@
     }
 
     /// Whether the next call is to be expected sooner than a runner kept for it costs more than a start.
-    pub fn is_frequent(&self, now: Moment) -> bool {
+    pub fn is_frequent(&self, now: Moment, break_even: Duration) -> bool {
+        let break_even = break_even.as_secs_f64();
         let sight = self.remembered.sight(self.age(now));
         let count = self.remembered.at(now);
-        count > 0.0 && (sight + self.break_even) / count < self.break_even
+        count > 0.0 && (sight + break_even) / count < break_even
     }
 }
--- a/crates/dataplane/src/holder/mod.rs
+++ b/crates/dataplane/src/holder/mod.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod entry;
 mod inbox;
+mod keeping;
 mod leaving;
 mod output;
 mod regional;
@@ -20,7 +21,7 @@
 
 pub use entry::{Entry, GrantTerms};
 pub use output::{HolderMessage, HolderOutput, SendEnd};
-pub use tuning::Tuning;
+pub use tuning::{IdleCost, Tuning};
 
 use crate::ledger::Book;
 use common::clock::Moment;
@@ -30,6 +31,7 @@
 use common::spec::FunctionSpec;
 use demand::Demand;
 use entry::{Sent, Waiting};
+use keeping::Boots;
 use regional::RegionalDemand;
 use replication::Replication;
 use runners::{Phase, RunnerRecord};
@@ -60,6 +62,9 @@
     scaling: Scaling,
     demand: Demand,
     regional: RegionalDemand,
+    boots: Boots,
+    /// The shortest target of its calls.
+    shortest_target: Option<Duration>,
     held_since: Moment,
     has_adopted: bool,
     service: Duration,
@@ -84,7 +89,8 @@
         let is_whole = terms.once_wait.is_zero();
         let slots = terms.spec.slots;
         let has_adopted = !terms.adopted.is_empty();
-        let demand = Demand::new(now, &Tuning::default(), terms.spec.boot);
+        let (boot, boots) = (terms.spec.boot, Boots::new(terms.spec.boot));
+        let demand = Demand::new(now, &Tuning::default(), boot, boot);
         let runners = terms
             .adopted
             .into_iter()
@@ -106,6 +112,8 @@
             scaling: Scaling::new(now),
             demand,
             regional: RegionalDemand::default(),
+            boots,
+            shortest_target: None,
             held_since: now,
             has_adopted,
             service: ASSUMED_SERVICE,
@@ -141,8 +149,8 @@
     /// The same with other settings.
     pub fn with_tuning(mut self, now: Moment, tuning: Tuning) -> Self {
         self.tries = TryWindow::new(now, &tuning);
-        self.demand = Demand::new(now, &tuning, self.spec.boot);
         self.tuning = tuning;
+        self.demand = Demand::new(now, &tuning, self.spec.boot, self.break_even());
         self
     }
 
--- a/crates/dataplane/src/holder/runner_events.rs
+++ b/crates/dataplane/src/holder/runner_events.rs
@@ -74,6 +74,7 @@
                 record.phase = Phase::Ready;
                 record.since = now;
                 record.used_at = now;
+                self.boots.measured(now.since(record.started_at));
                 self.outputs.push(HolderOutput::Tell(HolderMessage::News {
                     runner,
                     news: RunnerNews::Ready,
--- a/crates/dataplane/src/holder/scaling.rs
+++ b/crates/dataplane/src/holder/scaling.rs
@@ -14,8 +14,9 @@
 const SETTLED_AFTER: Duration = Duration::from_secs(1);
 /// A runner that boots for nothing is stopped up to this share of its boot; later it may as well be used.
 const BOOT_GIVEN_UP: f64 = 0.5;
-/// A function called often keeps a runner through so many break-even spans without a call.
-const FREQUENT_KEPT: u32 = 2;
+/// A runner that boots is given up only when a load higher by this factor could do without it too: measured loads
+/// swing, and what is given up on one swing is started again on the next.
+const GIVEN_UP_LOAD: f64 = 1.25;
 
 /// The holder's view of what it has asked for.
 pub struct Scaling {
@@ -60,7 +61,8 @@
         let wanted_count = wanted_count.clamp(floor, most.max(floor));
         self.reserve(now, wanted_count, coming_count);
         if self.inbox.is_empty() {
-            self.give_up_booting(now, wanted_count);
+            let kept_count = wanted_count.max(self.runners_for(load * GIVEN_UP_LOAD)).min(most);
+            self.give_up_booting(now, kept_count);
         }
         self.drain_extra(now, wanted_count);
     }
@@ -105,44 +107,6 @@
         if unserved > 0.0 { (unserved / fresh_turns).ceil() as usize } else { 0 }
     }
 
-    /// Stops the runners of a function that nobody calls; it stays held. One whose calls come closer than a
-    /// start is worth keeps a runner for so many boot times, one whose calls are rare only for a short span.
-    /// A function that boots longer than its callers gladly wait keeps one always.
-    pub(super) fn rest_if_idle(&mut self, now: Moment) {
-        let is_to_rest = self.tuning.idle_boots > 0
-            && !self.warm
-            && !self.is_leaving()
-            && !self.resting
-            && self.spec.min_runners == 0;
-        if !is_to_rest {
-            return;
-        }
-        let break_even = self.spec.boot * self.tuning.idle_boots;
-        let longest_idle = match self.tuning.idle_rare {
-            Some(idle_rare) if !self.demand.is_frequent(now) => idle_rare.min(break_even),
-            Some(_) => break_even * FREQUENT_KEPT,
-            None => break_even,
-        };
-        let used_at = self.runners.values().map(|record| record.used_at).max();
-        let has_ready = self.runners.values().any(|record| record.phase == Phase::Ready);
-        let is_settled =
-            self.runners.values().all(|record| now.since(record.started_at) >= SETTLED_AFTER);
-        let is_long_idle = self.idle(now).is_some_and(|span| span > longest_idle)
-            && used_at.is_some_and(|used_at| now.since(used_at) > longest_idle);
-        if has_ready && is_long_idle && (is_settled || !self.has_adopted) {
-            self.rest(now);
-        }
-    }
-
-    /// Stops every runner until the next call.
-    pub(super) fn rest(&mut self, now: Moment) {
-        self.resting = true;
-        let all_runners: Vec<RunnerId> = self.runners.keys().copied().collect();
-        for runner in all_runners {
-            self.stop_runner(now, runner);
-        }
-    }
-
     fn reserve(&mut self, now: Moment, wanted_count: usize, coming_count: usize) {
         if now < self.scaling.next_reserve_at {
             return;
@@ -196,7 +160,7 @@
             && ready_runners.len() > wanted_count.max(1)
             && now >= self.scaling.next_drain_at
         {
-            self.scaling.next_drain_at = now + self.tuning.drain_every;
+            self.scaling.next_drain_at = now + self.tuning.drain_pause(self.spec.boot);
             let least_busy = ready_runners
                 .into_iter()
                 .filter(|runner| now.since(self.runners[runner].since) >= SETTLED_AFTER)
--- a/crates/dataplane/src/holder/tuning.rs
+++ b/crates/dataplane/src/holder/tuning.rs
@@ -22,6 +22,9 @@
     /// Where it is set, the last runner of a rarely called function is stopped after this span already.
     #[builder(default = None)]
     pub idle_rare: Option<Duration>,
+    /// Where it is set, it goes before the two above: what a start and a late answer are worth, in memory kept.
+    #[builder(default = None)]
+    pub idle_cost: Option<IdleCost>,
     /// Whether runners can be asked what they are running.
     #[builder(default = true)]
     pub settles: bool,
@@ -31,12 +34,46 @@
     /// The margin of slots over the load, in hundredths of the load's root.
     #[builder(default = 100)]
     pub margin_percent: u32,
-    /// How slowly the wish for runners falls after a crowd.
-    #[builder(default = Duration::from_secs(10))]
-    pub fall: Duration,
+    /// How slowly the wish for runners falls after a crowd; as long as four boots where it is not set, since a
+    /// runner given up too early costs a boot.
+    #[builder(default, setter(strip_option))]
+    pub fall: Option<Duration>,
+    /// From one extra runner's drain to the next; two fifths of a boot where it is not set.
+    #[builder(default, setter(strip_option))]
+    pub drain_every: Option<Duration>,
+}
+
+const FALL_BOOTS: f64 = 4.0;
+const SHORTEST_FALL: Duration = Duration::from_millis(500);
+const DRAIN_BOOTS: f64 = 0.4;
+const SHORTEST_DRAIN_PAUSE: Duration = Duration::from_millis(100);
+
+impl Tuning {
+    /// How slowly the wish for runners that boot for so long falls after a crowd.
+    pub fn fall_after(&self, boot: Duration) -> Duration {
+        self.fall.unwrap_or_else(|| boot.mul_f64(FALL_BOOTS).max(SHORTEST_FALL))
+    }
+
     /// From one extra runner's drain to the next.
-    #[builder(default = Duration::from_secs(1))]
-    pub drain_every: Duration,
+    pub fn drain_pause(&self, boot: Duration) -> Duration {
+        self.drain_every.unwrap_or_else(|| boot.mul_f64(DRAIN_BOOTS).max(SHORTEST_DRAIN_PAUSE))
+    }
+}
+
+/// What is weighed against the memory of a runner that nobody calls, in megabyte seconds: whoever pays for these says
+/// so by the settings.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct IdleCost {
+    /// A start, beside the memory that it takes while it boots.
+    pub start_mb_s: u32,
+    /// An answer that comes late.
+    pub late_mb_s: u32,
+}
+
+impl Default for IdleCost {
+    fn default() -> Self {
+        Self { start_mb_s: 300, late_mb_s: 700 }
+    }
 }
 
 impl Default for Tuning {
--- /dev/null
+++ b/crates/dataplane/tests/keeping.rs
@@ -0,0 +1,215 @@
+//! When the last runner of a function is stopped: by what a start, a late answer and its memory cost, and by how often
+//! it is called and how long it boots.
+
+use common::clock::Moment;
+use common::frames::{HopOutcome, Life, Many, Place, ReserveResult};
+use common::identity::{FunctionKey, GrantSerial, RunnerId, Serial, Ticket};
+use common::spec::FunctionSpec;
+use common::tongue::BeginEnd;
+use dataplane::holder::{
+    Entry, GrantTerms, Holder, HolderMessage, HolderOutput, IdleCost, SendEnd, Tuning,
+};
+use googletest::prelude::*;
+use std::time::Duration;
+
+const START: Moment = Moment(10_000_000_000);
+const STEP: Duration = Duration::from_millis(10);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A held function whose runners boot as long as their spec says and answer at once.
+struct Bench {
+    holder: Holder,
+    now: Moment,
+    boot: Duration,
+    target: Duration,
+    booting: Vec<(Moment, RunnerId)>,
+    next_number: u64,
+    starts: usize,
+    stops: usize,
+}
+
+impl Bench {
+    fn new(memory_mb: u32, boot: Duration, target: Duration, is_warm: bool) -> Self {
+        let spec = FunctionSpec {
+            connections: 100,
+            memory_mb,
+            boot,
+            slots: 8,
+            min_runners: 0,
+            max_runners: 8,
+        };
+        let terms = GrantTerms {
+            function: FunctionKey::new("f", Serial(2)),
+            grant: GrantSerial(1),
+            spec,
+            once_wait: Duration::ZERO,
+            steward: None,
+            prior: None,
+            adopted: Vec::new(),
+        };
+        let tuning = Tuning::builder().idle_cost(Some(IdleCost::default())).build();
+        let mut holder = Holder::new(START, terms).with_tuning(START, tuning);
+        holder.set_warm(is_warm);
+        let (now, booting) = (START, Vec::new());
+        let mut bench =
+            Self { holder, now, boot, target, booting, next_number: 0, starts: 0, stops: 0 };
+        let outputs = bench.holder.begin(START);
+        bench.take(outputs);
+        bench
+    }
+
+    fn take(&mut self, outputs: Vec<HolderOutput>) {
+        for output in outputs {
+            match output {
+                HolderOutput::Tell(HolderMessage::Reserve) => {
+                    self.next_number += 1;
+                    let runner = RunnerId { grant: GrantSerial(1), ordinal: self.next_number };
+                    let result =
+                        ReserveResult::Reserved { runner, worker: "w".into(), memory_mb: 1 };
+                    let outputs = self.holder.reserved(self.now, &result);
+                    self.take(outputs);
+                }
+                HolderOutput::Start { runner, .. } => {
+                    self.starts += 1;
+                    self.booting.push((self.now + self.boot, runner));
+                    let life = Life { name: format!("{runner}").into(), place: Place::NOWHERE };
+                    let outputs = self.holder.started(self.now, runner, BeginEnd::Begun(life));
+                    self.take(outputs);
+                }
+                HolderOutput::Probe { runner, .. } => {
+                    let is_ready =
+                        self.booting.iter().any(|(at, one)| *one == runner && *at <= self.now);
+                    let outputs = self.holder.probed(self.now, runner, is_ready);
+                    self.take(outputs);
+                }
+                HolderOutput::Stop { runner, .. } => {
+                    self.stops += 1;
+                    let outputs = self.holder.stopped(self.now, runner);
+                    self.take(outputs);
+                }
+                HolderOutput::Send { ticket, runner, .. } => {
+                    let outcome = HopOutcome::Answer {
+                        lines: Many(Vec::new()),
+                        status: 200,
+                        seal: Vec::new().into(),
+                        runner,
+                        body: Vec::new().into(),
+                    };
+                    let outputs =
+                        self.holder.sent_ended(self.now, ticket, SendEnd::Answered(outcome));
+                    self.take(outputs);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + STEP;
+            let outputs = self.holder.tick(self.now);
+            self.take(outputs);
+        }
+    }
+
+    fn call(&mut self) {
+        self.next_number += 1;
+        let entry = Entry {
+            ticket: Ticket(self.next_number),
+            transaction: format!("t{}", self.next_number).as_str().into(),
+            once: false,
+            noted: false,
+            tries: 2,
+            repeat: false,
+            budget_end: self.now + ms(5000),
+            patience: ms(5000),
+            target: self.target,
+            rank: 0,
+            region: None,
+        };
+        let (_, outputs) = self.holder.grant_entry(self.now, entry);
+        self.take(outputs);
+    }
+
+    /// Calls with such gaps between them; says how many runners were started for them.
+    fn starts_of_calls(&mut self, gap: Duration, count: usize) -> usize {
+        let before = self.starts;
+        for _ in 0..count {
+            self.call();
+            self.pass(gap);
+        }
+        self.starts - before
+    }
+}
+
+#[gtest]
+fn a_runner_is_kept_while_the_next_call_is_to_be_expected_before_its_memory_costs_a_start()
+-> Result<()> {
+    for (memory_mb, gap_ms, is_kept) in
+        [(128, 1000, true), (128, 8000, false), (1024, 200, true), (1024, 3000, false)]
+    {
+        let mut bench = Bench::new(memory_mb, ms(500), ms(3000), false);
+        bench.starts_of_calls(ms(gap_ms), 12);
+        let starts = bench.starts_of_calls(ms(gap_ms), 10);
+        verify_that!(starts, eq(if is_kept { 0 } else { 10 }))
+            .with_failure_message(|| format!("{memory_mb} MB, a call each {gap_ms} ms"))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_start_that_makes_the_answer_late_is_worth_more_memory() -> Result<()> {
+    for (target_ms, is_kept) in [(3000, false), (400, true)] {
+        let mut bench = Bench::new(128, ms(500), ms(target_ms), false);
+        bench.starts_of_calls(ms(4000), 12);
+        let starts = bench.starts_of_calls(ms(4000), 10);
+        verify_that!(starts, eq(if is_kept { 0 } else { 10 }))
+            .with_failure_message(|| format!("a target of {target_ms} ms"))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn measured_boots_go_before_what_the_spec_says() -> Result<()> {
+    let mut bench = Bench::new(128, ms(500), ms(900), false);
+    bench.starts_of_calls(ms(4000), 12);
+    verify_that!(bench.starts_of_calls(ms(4000), 5), eq(5))?;
+    bench.boot = ms(1500);
+    bench.starts_of_calls(ms(4000), 20);
+    verify_that!(bench.starts_of_calls(ms(4000), 5), eq(0))
+}
+
+#[gtest]
+fn a_rarely_called_function_keeps_its_runner_for_a_part_of_a_boot() -> Result<()> {
+    let mut bench = Bench::new(128, ms(500), ms(3000), false);
+    bench.starts_of_calls(ms(20_000), 6);
+    bench.call();
+    bench.pass(ms(510));
+    let stops = bench.stops;
+    bench.pass(ms(100));
+    verify_that!(bench.stops, eq(stops))?;
+    bench.pass(ms(100));
+    verify_that!(bench.stops, eq(stops + 1))
+}
+
+#[gtest]
+fn a_runner_started_before_the_first_call_waits_a_minute_for_it() -> Result<()> {
+    let mut bench = Bench::new(1024, ms(750), ms(300), true);
+    bench.pass(ms(59_000));
+    verify_that!((bench.starts, bench.stops), eq((1, 0)))?;
+    bench.pass(ms(3000));
+    verify_that!((bench.starts, bench.stops), eq((1, 1)))
+}
+
+#[gtest]
+fn a_new_holder_of_a_warm_function_does_not_stop_it_in_a_short_pause() -> Result<()> {
+    let mut bench = Bench::new(1024, ms(750), ms(300), true);
+    bench.pass(ms(1000));
+    bench.call();
+    bench.pass(ms(2500));
+    verify_that!(bench.stops, eq(0))
+}
