--- a/crates/dataplane/src/holder/scaling.rs
+++ b/crates/dataplane/src/holder/scaling.rs
@@ -60,11 +60,11 @@
         let wanted_count = load_count.max(coming_count * usize::from(late_count > 0) + late_count);
         let wanted_count = wanted_count.clamp(floor, most.max(floor));
         self.reserve(now, wanted_count, coming_count);
-        let kept_count = wanted_count.max(self.runners_for(load * GIVEN_UP_LOAD)).min(most);
         if self.inbox.is_empty() {
+            let kept_count = wanted_count.max(self.runners_for(load * GIVEN_UP_LOAD)).min(most);
             self.give_up_booting(now, kept_count);
         }
-        self.drain_extra(now, kept_count);
+        self.drain_extra(now, wanted_count);
     }
 
     /// The runners for a load, in slots, with a margin for its swings that grows as its root.
