--- a/crates/dataplane/src/holder/scaling.rs
+++ b/crates/dataplane/src/holder/scaling.rs
@@ -14,8 +14,8 @@
 const SETTLED_AFTER: Duration = Duration::from_secs(1);
 /// A runner that boots for nothing is stopped up to this share of its boot; later it may as well be used.
 const BOOT_GIVEN_UP: f64 = 0.5;
-/// A runner that boots is given up only when a load higher by this factor could do without it too: measured loads
-/// swing, and what is given up on one swing is started again on the next.
+/// A runner is given up only when a load higher by this factor could do without it too: measured loads swing, and
+/// what is given up on one swing is started again on the next.
 const GIVEN_UP_LOAD: f64 = 1.25;
 
 /// The holder's view of what it has asked for.
@@ -60,11 +60,11 @@
         let wanted_count = load_count.max(coming_count * usize::from(late_count > 0) + late_count);
         let wanted_count = wanted_count.clamp(floor, most.max(floor));
         self.reserve(now, wanted_count, coming_count);
+        let kept_count = wanted_count.max(self.runners_for(load * GIVEN_UP_LOAD)).min(most);
         if self.inbox.is_empty() {
-            let kept_count = wanted_count.max(self.runners_for(load * GIVEN_UP_LOAD)).min(most);
             self.give_up_booting(now, kept_count);
         }
-        self.drain_extra(now, wanted_count);
+        self.drain_extra(now, kept_count);
     }
 
     /// The runners for a load, in slots, with a margin for its swings that grows as its root.
