--- a/crates/controlplane/src/leader_state/functions.rs
+++ b/crates/controlplane/src/leader_state/functions.rs
@@ -137,6 +137,9 @@
         if self.may_have_unlisted(&acquire.function) {
             return None;
         }
+        if acquire.function.is_regional() && !self.check_unknown_keys(&acquire.function) {
+            return None;
+        }
         self.check_claims_quorum(now, &acquire.function);
         let grant = self.next_number();
         let is_noted = self.is_noted(&acquire.function);
@@ -234,6 +237,20 @@
         unfit_runners.is_empty() || !self.rules.keep(Rule::FenceBeforeRegrant)
     }
 
+    /// Whether no runner is left of a function that may be an earlier one of this key. Under which key a runner was
+    /// started the platform may not tell, so it stands among those for all regions; before a region's key is
+    /// granted such runners are stopped.
+    fn check_unknown_keys(&mut self, function: &FunctionKey) -> bool {
+        let unknown_runners = self.reservations.of_unknown_key(function);
+        let left_runners = unknown_runners.iter().filter(|runner| {
+            self.reservations.get(**runner).is_some_and(|held| held.is_left())
+        });
+        for left_runner in left_runners.copied().collect::<Vec<RunnerId>>() {
+            self.reservations.want_stop(left_runner);
+        }
+        unknown_runners.is_empty() || !self.rules.keep(Rule::FenceBeforeRegrant)
+    }
+
     /// The runners left of a function go to its next holder, under new names.
     fn adopt_left(&mut self, function: &FunctionKey, grant: GrantSerial) -> Vec<ClaimRunner> {
         let left_runners: Vec<RunnerId> = self
--- a/crates/controlplane/src/leader_state/listing.rs
+++ b/crates/controlplane/src/leader_state/listing.rs
@@ -95,6 +95,7 @@
         reservation.begun_at = content_moment;
         reservation.ready = is_wanted;
         reservation.draining = !is_wanted;
+        reservation.key_unknown = listed.key.is_none();
         self.reservations.insert(runner, reservation);
         let detail = json!({
             "runner": runner.to_string(),
--- a/crates/controlplane/src/leader_state/reservations.rs
+++ b/crates/controlplane/src/leader_state/reservations.rs
@@ -18,6 +18,8 @@
     pub stop_wanted: bool,
     pub stop_asked_at: Option<Moment>,
     pub left_since: Option<Moment>,
+    /// The platform did not tell under which of the function's keys it was started.
+    pub key_unknown: bool,
 }
 
 impl Reservation {
@@ -34,6 +36,7 @@
             stop_wanted: false,
             stop_asked_at: None,
             left_since: None,
+            key_unknown: false,
         }
     }
 
@@ -113,6 +116,13 @@
         runners.filter_map(|runner| Some((*runner, self.all.get(runner)?)))
     }
 
+    /// The runners of a function that may have been started under any of its keys.
+    pub fn of_unknown_key(&self, function: &FunctionKey) -> Vec<RunnerId> {
+        let whole = function.whole();
+        let of_whole = self.of(&whole).filter(|(_, held)| held.key_unknown);
+        of_whole.map(|(runner, _)| runner).collect()
+    }
+
     /// How many runners a function has that stay, under all its keys.
     pub fn staying_count(&self, function: &FunctionKey) -> usize {
         let keys = self.by_function.range(function.whole()..);
@@ -237,6 +247,7 @@
     pub fn adopt(&mut self, left_runner: RunnerId, runner: RunnerId) {
         let Some(mut reservation) = self.take(left_runner) else { return };
         reservation.left_since = None;
+        reservation.key_unknown = false;
         self.insert(runner, reservation);
         self.rename(left_runner, runner);
     }
