--- a/crates/controlplane/src/leader_state/functions.rs
+++ b/crates/controlplane/src/leader_state/functions.rs
@@ -242,9 +242,9 @@
     /// granted such runners are stopped.
     fn check_unknown_keys(&mut self, function: &FunctionKey) -> bool {
         let unknown_runners = self.reservations.of_unknown_key(function);
-        let left_runners = unknown_runners.iter().filter(|runner| {
-            self.reservations.get(**runner).is_some_and(|held| held.is_left())
-        });
+        let left_runners = unknown_runners
+            .iter()
+            .filter(|runner| self.reservations.get(**runner).is_some_and(|held| held.is_left()));
         for left_runner in left_runners.copied().collect::<Vec<RunnerId>>() {
             self.reservations.want_stop(left_runner);
         }
