--- a/review/rig/src/client.rs
+++ b/review/rig/src/client.rs
@@ -24,6 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct Outcome {
     pub tried: Try,
+    pub sent_at: u64,
     pub ended_at: u64,
     pub status: u16,
     pub seal: String,
@@ -99,6 +100,7 @@
         ));
         Outcome {
             tried,
+            sent_at,
             ended_at,
             status,
             seal,
--- a/review/rig/src/scenarios.rs
+++ b/review/rig/src/scenarios.rs
@@ -562,7 +562,14 @@
 
 /// A machine is stopped in order while requests that came through it wait for a runner at another machine.
 fn grace(record: Record, root: &Path, folder: &Path, trouble: bool) -> Found {
+    // The workers have room for four runners.
+    let worker = |name: &str, zone: usize| Worker {
+        name: name.to_owned(),
+        zone: ZONES[zone].to_owned(),
+        mem_mb: 256,
+    };
     let plan = Plan {
+        workers: vec![worker("w-1", 0), worker("w-2", 1)],
         services: vec![("arrivals-1", ARRIVALS)],
         start_ms: Box::new(|_, _| 500),
         ..Plan::default()
@@ -578,13 +585,12 @@
     let stopped = (0..7)
         .find(|machine| *machine != holder && !rig.fleet.machines[*machine].has_disk)
         .ok_or("no machine")?;
-    // Fifty-four requests of a second's work each, eight at a time.
-    for number in 0..54 {
+    // Requests of 350 ms of work each, four at a time: at first as many as the runners take, then more than twice as many.
+    for number in 0..190 {
         let word = if number % 2 == 0 { "get" } else { "post" };
-        rig.clients.spawn(rig.tried(stopped, "arrivals-1", word, 1000, 8000));
-        sleep(10);
+        rig.clients.spawn(rig.tried(stopped, "arrivals-1", word, 350, 8000));
+        sleep(if number < 30 { 90 } else { 35 });
     }
-    sleep(300);
     let stopped_at = rig.record.now();
     if trouble {
         rig.fleet.signal(stopped, "daemon", "TERM");
@@ -604,6 +610,7 @@
         .all()
         .into_iter()
         .filter(|outcome| outcome.end == "closed" || outcome.end == "cut short")
+        .filter(|outcome| outcome.ended_at < outcome.sent_at + outcome.tried.deadline_ms)
         .filter(|outcome| {
             let mut runs = arrivals
                 .iter()
