--- a/crates/common/src/events/mod.rs
+++ b/crates/common/src/events/mod.rs
@@ -134,6 +134,8 @@
     RUNNER_STOPPED = 3104, "runner stopped";
     /// A function is being handed over to another daemon.
     HANDOVER_STARTED = 3105, "handover started";
+    /// A daemon that stops withdraws, or ends as unknown, the requests that it still has.
+    REQUESTS_LEFT_AT_SHUTDOWN = 3106, "requests left at shutdown";
     /// A request that a caller sent to this daemon ended without a response.
     REQUEST_FAILED = 3201, "request failed";
     /// A request ended without a response at the daemon that holds its function.
--- a/crates/common/src/frames/daemons.rs
+++ b/crates/common/src/frames/daemons.rs
@@ -291,3 +291,51 @@
         ranges: LengthPrefixed<u8>,
     },
 }
+
+/// What a daemon tells another about a request that it has forwarded there.
+///
+/// A notice travels as a [`DaemonMessage::Completed`] in the direction of the request, under the request's correlation:
+/// a daemon of earlier sources, which expects `Completed` only as an answer, passes over it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RequesterNotice {
+    /// The requester can wait no longer for a runner: if none has the request, it is to end as not run. Its outcome is
+    /// still awaited.
+    Withdrawn,
+    /// The requester has given the request up, and reads no outcome of it.
+    Abandoned,
+}
+
+impl RequesterNotice {
+    /// The message that carries this notice.
+    pub fn into_message(self) -> DaemonMessage {
+        let outcome = match self {
+            Self::Withdrawn => RequestOutcome::NotRun {
+                reason: RequestFailureReason::NotServing,
+                retry_after_ms: 0,
+            },
+            Self::Abandoned => RequestOutcome::Unknown {
+                reason: RequestFailureReason::HolderUnreachable,
+            },
+        };
+        DaemonMessage::Completed {
+            outcome,
+            holder: LengthPrefixed(Vec::new()),
+            regional_tenths: 0,
+        }
+    }
+
+    /// The notice that a message from a requester carries; none if it carries none.
+    pub fn from_message(message: &DaemonMessage) -> Option<Self> {
+        match message {
+            DaemonMessage::Completed {
+                outcome: RequestOutcome::NotRun { .. },
+                ..
+            } => Some(Self::Withdrawn),
+            DaemonMessage::Completed {
+                outcome: RequestOutcome::Unknown { .. },
+                ..
+            } => Some(Self::Abandoned),
+            _ => None,
+        }
+    }
+}
--- a/crates/common/src/frames/mod.rs
+++ b/crates/common/src/frames/mod.rs
@@ -21,7 +21,7 @@
 pub use compress::{compress, decompress};
 pub use daemons::{
     DaemonFrame, DaemonMessage, HeaderField, LedgerRecord, LedgerRecordState, RequestFailureReason,
-    RequestOutcome, RequestPayload,
+    RequestOutcome, RequestPayload, RequesterNotice,
 };
 pub use dial::{connect_from, dial};
 pub use heartbeat::{Heartbeat, MemberIncarnation, Suspicion};
--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -91,6 +91,9 @@
     /// A daemon that is stopped in an orderly way delivers the responses of the requests it has. Found by `fleet
     /// proofs`.
     ResponsesDeliveredAtShutdown = "answers-handed-out",
+    /// A daemon that is stopped in an orderly way withdraws the requests that no runner has before its grace period ends.
+    /// Found by `fleet proofs`.
+    QueuedRequestsWithdrawnAtShutdown = "queued-withdrawn",
     /// A function is granted again only when each runner of its lost holder is kept for the next holder, or stopped by
     /// the platform. Found by `fleet proofs`.
     FenceBeforeRegrant = "fence-before-regrant",
--- a/crates/dataplane/src/agent/forwarding/mod.rs
+++ b/crates/dataplane/src/agent/forwarding/mod.rs
@@ -25,7 +25,7 @@
 use common::rules::Rule;
 use common::spec::{RouteSpec, RoutingTable};
 use std::time::Duration;
-use step::{not_holder_outcome, rejected_step};
+use step::{not_holder_outcome, rejected_step, unknown_outcome, unknown_step};
 
 /// How much of the time to the deadline is reserved for each hop, there and back, so that a rejection at the last moment
 /// still arrives.
@@ -73,6 +73,8 @@
     spec_mismatch_count: u32,
     /// How many holders were lost while they had the request.
     lost_holder_count: u32,
+    /// Whether no holder is sought any more, as this daemon or the one that forwarded the request stops.
+    is_withdrawn: bool,
 }
 
 impl Forwarding {
@@ -87,6 +89,7 @@
             spec_mismatch_until: None,
             spec_mismatch_count: 0,
             lost_holder_count: 0,
+            is_withdrawn: false,
         }
     }
 
@@ -95,28 +98,61 @@
         &self.request
     }
 
-    /// After a holder was lost with the request, nobody knows that it was not run: such an outcome becomes unknown.
-    fn unknown_after_loss<W>(&self, step: ForwardingStep<W>) -> ForwardingStep<W> {
+    /// Seeks no holder any more: this daemon stops, or the one that forwarded the request does. A request that waits here
+    /// for a holder ends with the next [`advance`](Self::advance); one that a holder has is to be withdrawn there, and ends
+    /// with that holder's outcome. False if nothing is to be done.
+    pub fn withdraw<W>(&mut self, agent: &Agent<W>) -> bool {
+        self.is_withdrawn = agent
+            .rules
+            .enforces(Rule::QueuedRequestsWithdrawnAtShutdown);
+        self.is_withdrawn
+    }
+
+    /// The last step of a request that a holder still has when this daemon exits: a runner may have it.
+    pub fn end_unfinished<W>(&self) -> ForwardingStep<W> {
+        unknown_step()
+    }
+
+    /// Settles a step: a withdrawn request does not go on, and after a holder was lost with a request, nobody knows that
+    /// it was not run, so that such an outcome becomes unknown.
+    fn settle<W>(&self, agent: &Agent<W>, step: ForwardingStep<W>) -> ForwardingStep<W> {
+        let is_end = matches!(step, ForwardingStep::End(..));
+        let step = if self.is_withdrawn && !is_end {
+            self.withdrawn_step(agent)
+        } else {
+            step
+        };
         match step {
             ForwardingStep::End(RequestOutcome::NotRun { .. }, holder)
                 if self.lost_holder_count > 0 =>
             {
-                ForwardingStep::End(
-                    RequestOutcome::Unknown {
-                        reason: RequestFailureReason::HolderUnreachable,
-                    },
-                    holder,
-                )
+                ForwardingStep::End(unknown_outcome(), holder)
             }
             step => step,
         }
     }
 
+    /// The end of a withdrawn request that nobody has. The daemon that forwarded it here, if one did, looks for another
+    /// holder.
+    fn withdrawn_step<W>(&self, agent: &Agent<W>) -> ForwardingStep<W> {
+        if self.request.hops == 0 {
+            rejected_step(
+                RequestFailureReason::NotServing,
+                agent.not_serving_retry_after(),
+            )
+        } else {
+            rejected_step(RequestFailureReason::NotHolder, NOT_HOLDER_RETRY_AFTER)
+        }
+    }
+
     /// Decides the next step by the current state of the daemon. A daemon without a session lease rejects the request at
     /// once, so that what was buffered in its sockets while it was suspended goes no further.
     pub fn advance<W>(&mut self, agent: &Agent<W>, now: MonotonicTime) -> ForwardingStep<W> {
+        if self.is_withdrawn {
+            return self.settle(agent, self.withdrawn_step(agent));
+        }
         let step = self.next_step(agent, now);
-        self.unknown_after_loss(step)
+        self.settle(agent, step)
     }
 
     fn next_step<W>(&mut self, agent: &Agent<W>, now: MonotonicTime) -> ForwardingStep<W> {
--- a/crates/dataplane/src/agent/forwarding/step.rs
+++ b/crates/dataplane/src/agent/forwarding/step.rs
@@ -61,3 +61,15 @@
         NOT_HOLDER_RETRY_AFTER.as_millis() as u32,
     )
 }
+
+/// The outcome of a request that a holder had, and of which nothing more will be heard.
+pub(super) fn unknown_outcome() -> RequestOutcome {
+    RequestOutcome::Unknown {
+        reason: RequestFailureReason::HolderUnreachable,
+    }
+}
+
+/// The end of such a request.
+pub(super) fn unknown_step<W>() -> ForwardingStep<W> {
+    ForwardingStep::End(unknown_outcome(), None)
+}
--- a/crates/dataplane/src/agent/forwarding/step_results.rs
+++ b/crates/dataplane/src/agent/forwarding/step_results.rs
@@ -1,6 +1,6 @@
 //! What follows from the result of a step: of the holder here, of another daemon, or of the leader.
 
-use super::step::{not_holder_outcome, rejected_step};
+use super::step::{not_holder_outcome, rejected_step, unknown_step};
 use super::{
     Agent, ForwardResult, Forwarding, ForwardingStep, HOP_TIME_RESERVE, MAX_SPEC_MISMATCHES,
     NOT_HOLDER_RETRY_AFTER, REGIONAL_LOST_BACKOFF, REGIONAL_UNREADY_BACKOFF, RETRY_BACKOFF,
@@ -42,7 +42,7 @@
         outcome: RequestOutcome,
     ) -> ForwardingStep<W> {
         let step = self.after_serve(agent, now, outcome);
-        self.unknown_after_loss(step)
+        self.settle(agent, step)
     }
 
     fn after_serve<W>(
@@ -72,7 +72,7 @@
         end: ForwardResult,
     ) -> ForwardingStep<W> {
         let step = self.after_forward(agent, now, end);
-        self.unknown_after_loss(step)
+        self.settle(agent, step)
     }
 
     fn after_forward<W>(
@@ -176,12 +176,7 @@
             self.give_up_at = None;
             return self.back_off(now);
         }
-        ForwardingStep::End(
-            RequestOutcome::Unknown {
-                reason: RequestFailureReason::HolderUnreachable,
-            },
-            None,
-        )
+        unknown_step()
     }
 
     /// Whether a request whose holder was lost is sent to the next holder, as a further attempt. Only the caller's daemon
@@ -204,7 +199,7 @@
         result: Option<AcquireResult>,
     ) -> ForwardingStep<W> {
         let step = self.after_acquire(agent, now, result);
-        self.unknown_after_loss(step)
+        self.settle(agent, step)
     }
 
     fn after_acquire<W>(
--- a/crates/dataplane/src/agent/held.rs
+++ b/crates/dataplane/src/agent/held.rs
@@ -150,6 +150,17 @@
         (immediate_end, outputs)
     }
 
+    /// Reads what waits for a request's outcome, while that does.
+    pub fn with_waiter<T>(&self, ticket: Ticket, read: impl FnOnce(&W) -> T) -> Option<T> {
+        let waiting_requests = self
+            .waiting_requests
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        waiting_requests
+            .get(&ticket)
+            .map(|waiting| read(&waiting.waiter))
+    }
+
     /// A request has ended: returns what waits for its outcome, if that still does.
     pub fn remove_waiter(&self, ticket: Ticket) -> Option<W> {
         let mut waiting_requests = self
--- a/crates/dataplane/src/agent/in_flight.rs
+++ b/crates/dataplane/src/agent/in_flight.rs
@@ -30,9 +30,9 @@
         InFlightGuard(self.count.clone())
     }
 
-    /// Whether no request is in flight.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.count.load(Ordering::Acquire) == 0
+    /// The number of requests in flight.
+    pub(crate) fn count(&self) -> usize {
+        self.count.load(Ordering::Acquire)
     }
 }
 
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -12,6 +12,7 @@
 //! * `regional`: keys under which one region's callers have a function of their own.
 //! * `replica_requests`: requests to ledger replicas, and the answers as one.
 //! * `runner_response`: the checks before a send to a runner, and of its response.
+//! * `shutdown`: the phases of an orderly shutdown.
 //! * `snapshots`: what all tasks read: the routing table, the live daemons, the held functions, the session lease's end.
 
 mod daemon_control;
@@ -22,6 +23,7 @@
 mod regional;
 mod replica_requests;
 mod runner_response;
+mod shutdown;
 mod snapshots;
 
 pub use daemon_control::{DaemonControl, DaemonControlOutput};
@@ -30,6 +32,7 @@
 pub use in_flight::InFlightGuard;
 pub use replica_requests::{ReplicaRequest, ReplicaRequestKind};
 pub use runner_response::{RunnerAttempt, verify_response};
+pub use shutdown::{ShutdownPhase, ShutdownSchedule};
 pub use snapshots::HeldFunctions;
 
 use crate::holder::Tuning;
@@ -171,7 +174,12 @@
     /// Whether the daemon can stop without losing anything: no request is in flight, and no function is held.
     pub fn is_drained(&self) -> bool {
         !self.rules.enforces(Rule::ResponsesDeliveredAtShutdown)
-            || (self.in_flight.is_empty() && self.held_functions.load().is_empty())
+            || (self.in_flight_count() == 0 && self.held_functions.load().is_empty())
+    }
+
+    /// The number of requests that pass through this daemon.
+    pub fn in_flight_count(&self) -> usize {
+        self.in_flight.count()
     }
 
     /// A function held under the lease with this fencing token.
--- a/crates/dataplane/src/drivers/control.rs
+++ b/crates/dataplane/src/drivers/control.rs
@@ -3,14 +3,15 @@
 use super::control_input::{ControlInput, StreamEvent};
 use super::frame_batch::WRITE_BATCH_BYTES;
 use super::holder_driver;
+use super::outcome_waiter::OutcomeWaiter;
 use super::state::State;
 use crate::agent::{DaemonControl, DaemonControlOutput};
 use crate::control_session::ControlSessionTiming;
 use common::clock::MonotonicTime;
 use common::events::{self, Event};
 use common::frames::{
-    AcquireResult, Channel, DaemonToLeader, FrameError, Heartbeat, LeaderToDaemon, RequestOutcome,
-    SocketAddress, append_frame, dial, encode_heartbeat, read_frame_in_parts,
+    AcquireResult, Channel, DaemonToLeader, FrameError, Heartbeat, LeaderToDaemon, SocketAddress,
+    append_frame, dial, encode_heartbeat, read_frame_in_parts,
 };
 use common::identity::FunctionKey;
 use common::log_event;
@@ -34,7 +35,7 @@
 /// The state of the control task.
 pub(crate) struct Control {
     state: Arc<State>,
-    controller: DaemonControl<oneshot::Sender<RequestOutcome>>,
+    controller: DaemonControl<OutcomeWaiter>,
     /// The requests that wait for an acquisition.
     acquires: HashMap<FunctionKey, Vec<oneshot::Sender<AcquireResult>>>,
     current_stream_id: u64,
@@ -202,7 +203,7 @@
         self.execute(outputs);
     }
 
-    fn execute(&mut self, outputs: Vec<DaemonControlOutput<oneshot::Sender<RequestOutcome>>>) {
+    fn execute(&mut self, outputs: Vec<DaemonControlOutput<OutcomeWaiter>>) {
         for output in outputs {
             match output {
                 DaemonControlOutput::Dial(address) => {
--- a/crates/dataplane/src/drivers/holder_driver.rs
+++ b/crates/dataplane/src/drivers/holder_driver.rs
@@ -5,6 +5,7 @@
 
 use super::control_input::ControlInput;
 use super::hop_client::HopCallResult;
+use super::outcome_waiter::{AwaitedOutcome, outcome_channel};
 use super::state::{LocalHeldFunction, State};
 use super::{platform, runners};
 use crate::agent::{HolderRequest, ReplicaRequest, ReplicaRequestKind};
@@ -15,17 +16,69 @@
 use common::identity::{InstanceId, RunnerId, Ticket, WorkerName};
 use common::spec::FunctionSpec;
 use std::sync::Arc;
-use tokio::sync::oneshot;
 
-/// Removes a request's waiter when the waiting ends, so that the request is not sent to a runner after that.
-struct WaiterGuard<'a> {
+/// A request that a holder in this process was given. Dropped before its outcome is there, it is abandoned: it is not
+/// sent to a runner any more.
+pub struct HeldRequest<'a> {
+    state: &'a Arc<State>,
     held: &'a LocalHeldFunction,
     ticket: Ticket,
+    immediate_outcome: Option<RequestOutcome>,
+    awaited_outcome: AwaitedOutcome,
+    has_ended: bool,
 }
 
-impl Drop for WaiterGuard<'_> {
+impl<'a> HeldRequest<'a> {
+    /// Gives a request to a holder.
+    pub fn admit(
+        state: &'a Arc<State>,
+        held: &'a LocalHeldFunction,
+        holder_request: HolderRequest,
+    ) -> Self {
+        let ticket = state.agent.ticket();
+        let (waiter, awaited_outcome) = outcome_channel();
+        let (immediate_end, outputs) =
+            held.admit(MonotonicTime::now(), ticket, holder_request, waiter);
+        drive(held, state, outputs);
+        Self {
+            state,
+            held,
+            ticket,
+            immediate_outcome: immediate_end.map(|(_, outcome)| outcome),
+            awaited_outcome,
+            has_ended: false,
+        }
+    }
+
+    /// Waits for the outcome.
+    pub async fn outcome(&mut self) -> RequestOutcome {
+        let outcome = match self.immediate_outcome.take() {
+            Some(outcome) => outcome,
+            None => {
+                let received = self.awaited_outcome.receive().await;
+                received.unwrap_or(RequestOutcome::Unknown {
+                    reason: RequestFailureReason::ResponseLost,
+                })
+            }
+        };
+        self.has_ended = true;
+        outcome
+    }
+
+    /// Has the request end as not run if no runner has it.
+    pub fn withdraw(&self) {
+        let outputs = self
+            .held
+            .with(|holder| holder.withdraw(MonotonicTime::now(), self.ticket));
+        drive(self.held, self.state, outputs);
+    }
+}
+
+impl Drop for HeldRequest<'_> {
     fn drop(&mut self) {
-        self.held.remove_waiter(self.ticket);
+        if !self.has_ended {
+            self.held.remove_waiter(self.ticket);
+        }
     }
 }
 
@@ -35,18 +88,9 @@
     held: &LocalHeldFunction,
     holder_request: HolderRequest,
 ) -> RequestOutcome {
-    let ticket = state.agent.ticket();
-    let (outcome_sender, outcome) = oneshot::channel();
-    let _waiter_guard = WaiterGuard { held, ticket };
-    let (immediate_outcome, outputs) =
-        held.admit(MonotonicTime::now(), ticket, holder_request, outcome_sender);
-    drive(held, state, outputs);
-    match immediate_outcome {
-        Some((_, outcome)) => outcome,
-        None => outcome.await.unwrap_or(RequestOutcome::Unknown {
-            reason: RequestFailureReason::ResponseLost,
-        }),
-    }
+    HeldRequest::admit(state, held, holder_request)
+        .outcome()
+        .await
 }
 
 /// Carries out the outputs of a holder.
@@ -119,7 +163,7 @@
 fn end(held: &LocalHeldFunction, state: &State, ticket: Ticket, outcome: RequestOutcome) {
     log_unserved_request(state, held, ticket, &outcome);
     if let Some(waiter) = held.remove_waiter(ticket) {
-        let _ = waiter.send(outcome);
+        waiter.send(outcome);
     }
 }
 
@@ -171,6 +215,7 @@
             .state
             .hop_client
             .request(replica.address, body, requested_at + timeout)
+            .reply()
             .await
         {
             HopCallResult::Reply(reply) => Some(reply),
--- a/crates/dataplane/src/drivers/hop_client.rs
+++ b/crates/dataplane/src/drivers/hop_client.rs
@@ -6,8 +6,8 @@
 use common::clock::MonotonicTime;
 use common::events;
 use common::frames::{
-    Channel, DaemonFrame, DaemonMessage, FrameError, SocketAddress, append_frame, read_frame,
-    write_channel,
+    Channel, DaemonFrame, DaemonMessage, FrameError, RequesterNotice, SocketAddress, append_frame,
+    read_frame, write_channel,
 };
 use common::identity::CorrelationId;
 use common::log_event;
@@ -39,11 +39,54 @@
     end: oneshot::Sender<HopCallResult>,
 }
 
+/// What waits to be written to a connection.
+enum HopWrite {
+    Call(HopCall),
+    /// Word of a request that was written before.
+    Notice(CorrelationId, RequesterNotice),
+}
+
+/// A request to another daemon whose reply is awaited.
+pub struct PendingHopCall {
+    correlation: CorrelationId,
+    wait_until: MonotonicTime,
+    end: oneshot::Receiver<HopCallResult>,
+    /// None once the call has ended, or if it could not be queued.
+    sender: Option<mpsc::Sender<HopWrite>>,
+}
+
+impl PendingHopCall {
+    /// Waits for the reply, at most until the time given with the request.
+    pub async fn reply(&mut self) -> HopCallResult {
+        if self.sender.is_none() {
+            return HopCallResult::Unsent;
+        }
+        let wait_span = self.wait_until.since(MonotonicTime::now());
+        let Ok(ended) = tokio::time::timeout(wait_span, &mut self.end).await else {
+            return HopCallResult::Lost;
+        };
+        self.sender = None;
+        ended.unwrap_or(HopCallResult::Lost)
+    }
+
+    /// Has the other daemon end the request as not run if no runner has it.
+    pub fn withdraw(&self) {
+        self.notify(RequesterNotice::Withdrawn);
+    }
+
+    /// A notice that finds no room is left out: the request then ends by its deadline.
+    fn notify(&self, notice: RequesterNotice) {
+        if let Some(sender) = &self.sender {
+            let _ = sender.try_send(HopWrite::Notice(self.correlation, notice));
+        }
+    }
+}
+
 /// The persistent connections to the other daemons, one to each.
 pub struct HopClient {
     connector: Arc<dyn Connector>,
     rules: Rules,
-    senders: Mutex<HashMap<SocketAddress, mpsc::Sender<HopCall>>>,
+    senders: Mutex<HashMap<SocketAddress, mpsc::Sender<HopWrite>>>,
     next_correlation: AtomicU64,
 }
 
@@ -58,30 +101,30 @@
         }
     }
 
-    /// Sends a request to another daemon and waits for its reply, at most until `wait_until`.
-    pub async fn request(
+    /// Sends a request to another daemon, whose reply is waited for until `wait_until`.
+    pub fn request(
         &self,
         address: SocketAddress,
         body: DaemonMessage,
         wait_until: MonotonicTime,
-    ) -> HopCallResult {
+    ) -> PendingHopCall {
         let correlation = CorrelationId(self.next_correlation.fetch_add(1, Ordering::Relaxed));
         let (end_sender, end) = oneshot::channel();
         let call = HopCall {
             frame: DaemonFrame { correlation, body },
             end: end_sender,
         };
-        if self.sender_to(address).try_send(call).is_err() {
-            return HopCallResult::Unsent;
-        }
-        let wait_span = wait_until.since(MonotonicTime::now());
-        match tokio::time::timeout(wait_span, end).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(_)) | Err(_) => HopCallResult::Lost,
+        let sender = self.sender_to(address);
+        let is_queued = sender.try_send(HopWrite::Call(call)).is_ok();
+        PendingHopCall {
+            correlation,
+            wait_until,
+            end,
+            sender: is_queued.then_some(sender),
         }
     }
 
-    fn sender_to(&self, address: SocketAddress) -> mpsc::Sender<HopCall> {
+    fn sender_to(&self, address: SocketAddress) -> mpsc::Sender<HopWrite> {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
         let open_sender = senders.get(&address).filter(|sender| !sender.is_closed());
         if let Some(sender) = open_sender {
@@ -161,23 +204,25 @@
     connector: Arc<dyn Connector>,
     rules: Rules,
     address: SocketAddress,
-    mut calls: mpsc::Receiver<HopCall>,
+    mut writes: mpsc::Receiver<HopWrite>,
 ) {
     if let Ok((stream, meter)) = open_connection(connector.as_ref(), address).await {
         let pending = PendingReplies::default();
         let (reading_half, writing_half) = tokio::io::split(stream);
         let error = tokio::select! {
             error = read_replies(reading_half, rules, &pending) => error,
-            error = write_calls(writing_half, &meter, &pending, &mut calls) => error,
+            error = write_calls(writing_half, &meter, &pending, &mut writes) => error,
         };
         if let Some(error) = error.filter(|error| !matches!(error, FrameError::Connection(_))) {
             log_event!(Warn, events::FRAME_REJECTED, "from {address}: {error}");
         }
         pending.fail_all(rules, meter.written());
     }
-    calls.close();
-    while let Some(call) = calls.recv().await {
-        let _ = call.end.send(HopCallResult::Unsent);
+    writes.close();
+    while let Some(unwritten) = writes.recv().await {
+        if let HopWrite::Call(call) = unwritten {
+            let _ = call.end.send(HopCallResult::Unsent);
+        }
     }
 }
 
@@ -199,24 +244,22 @@
     mut writing_half: impl AsyncWrite + Unpin,
     meter: &WriteMeter,
     pending: &PendingReplies,
-    calls: &mut mpsc::Receiver<HopCall>,
+    writes: &mut mpsc::Receiver<HopWrite>,
 ) -> Option<FrameError> {
     let mut sent_bytes = Vec::new();
-    while let Some(first_call) = calls.recv().await {
+    while let Some(first_write) = writes.recv().await {
         let written = meter.written();
-        let mut next_call = Some(first_call);
-        while let Some(HopCall { frame, end }) = next_call {
-            let first_byte = written + sent_bytes.len() as u64;
-            if append_frame(&mut sent_bytes, &frame).is_err() {
-                let _ = end.send(HopCallResult::Unsent);
-            } else {
-                pending
-                    .lock()
-                    .insert(frame.correlation, AwaitedReply { end, first_byte });
+        let mut next_write = Some(first_write);
+        while let Some(write) = next_write {
+            match write {
+                HopWrite::Call(call) => append_call(&mut sent_bytes, written, pending, call),
+                HopWrite::Notice(correlation, notice) => {
+                    append_notice(&mut sent_bytes, pending, correlation, notice);
+                }
             }
             let has_room = sent_bytes.len() < WRITE_BATCH_BYTES;
-            next_call = if has_room {
-                calls.try_recv().ok()
+            next_write = if has_room {
+                writes.try_recv().ok()
             } else {
                 None
             };
@@ -228,3 +271,41 @@
     }
     None
 }
+
+/// Appends a request, unless its requester has given it up already.
+fn append_call(
+    sent_bytes: &mut Vec<u8>,
+    written: u64,
+    pending: &PendingReplies,
+    HopCall { frame, end }: HopCall,
+) {
+    let first_byte = written + sent_bytes.len() as u64;
+    if end.is_closed() {
+        return;
+    }
+    if append_frame(sent_bytes, &frame).is_err() {
+        let _ = end.send(HopCallResult::Unsent);
+    } else {
+        pending
+            .lock()
+            .insert(frame.correlation, AwaitedReply { end, first_byte });
+    }
+}
+
+/// Appends a notice of a request that still has no reply.
+fn append_notice(
+    sent_bytes: &mut Vec<u8>,
+    pending: &PendingReplies,
+    correlation: CorrelationId,
+    notice: RequesterNotice,
+) {
+    let mut awaited = pending.lock();
+    let is_awaited = match notice {
+        RequesterNotice::Withdrawn => awaited.contains_key(&correlation),
+        RequesterNotice::Abandoned => awaited.remove(&correlation).is_some(),
+    };
+    if is_awaited {
+        let body = notice.into_message();
+        let _ = append_frame(sent_bytes, &DaemonFrame { correlation, body });
+    }
+}
--- a/crates/dataplane/src/drivers/mod.rs
+++ b/crates/dataplane/src/drivers/mod.rs
@@ -19,6 +19,7 @@
 pub mod holder_driver;
 mod hop_client;
 mod metered_stream;
+mod outcome_waiter;
 mod platform;
 mod request_log;
 mod runner_connections;
@@ -33,7 +34,8 @@
 pub use gauges::{
     CallerGauges, Gauges, HeldGauges, OwnerGauges, ReplicationGauges, RunnerGauges, SessionGauges,
 };
-pub use hop_client::{HopCallResult, HopClient};
+pub use hop_client::{HopCallResult, HopClient, PendingHopCall};
 pub use metered_stream::WritePermit;
+pub use outcome_waiter::OutcomeWaiter;
 pub use request_log::RequestLog;
 pub use state::{LocalHeldFunction, State};
--- a/crates/dataplane/src/drivers/state.rs
+++ b/crates/dataplane/src/drivers/state.rs
@@ -4,14 +4,15 @@
 use super::control_input::ControlInput;
 use super::gauges::Gauges;
 use super::hop_client::HopClient;
+use super::outcome_waiter::OutcomeWaiter;
 use super::request_log::RequestLog;
 use super::runner_connections::RunnerConnections;
 use crate::adapter::DaemonAdapters;
-use crate::agent::{Agent, HeldFunction};
+use crate::agent::{Agent, HeldFunction, ShutdownPhase};
 use crate::holder::Tuning;
 use crate::settings::DaemonSettings;
 use common::clock::{MonotonicTime, SharedMonotonicTime};
-use common::frames::{AcquireResult, Host, RequestOutcome};
+use common::frames::{AcquireResult, Host};
 use common::identity::FunctionKey;
 use common::rules::Rules;
 use common::spec::CallerLimits;
@@ -19,7 +20,7 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 /// A held function whose requests are awaited by tasks of this process.
-pub type LocalHeldFunction = Arc<HeldFunction<oneshot::Sender<RequestOutcome>>>;
+pub type LocalHeldFunction = Arc<HeldFunction<OutcomeWaiter>>;
 
 /// The state that a daemon's tasks share.
 pub struct State {
@@ -28,7 +29,7 @@
     /// The adapters to callers, runners and platform.
     pub adapters: DaemonAdapters,
     /// The daemon's agent: its leases and held functions.
-    pub agent: Agent<oneshot::Sender<RequestOutcome>>,
+    pub agent: Agent<OutcomeWaiter>,
     /// The connections to the other daemons.
     pub hop_client: HopClient,
     /// The connections to runners.
@@ -43,6 +44,8 @@
     pub(super) control_due_at: SharedMonotonicTime,
     /// Counts the changes that a waiting request may depend on.
     pub(super) changes: watch::Sender<u64>,
+    /// The phase of the daemon's shutdown.
+    shutdown_phase: watch::Sender<ShutdownPhase>,
     /// The inputs of the control task.
     pub(crate) control: mpsc::UnboundedSender<ControlInput>,
 }
@@ -74,6 +77,7 @@
             control_wakeup: Notify::new(),
             control_due_at: SharedMonotonicTime::new(),
             changes: watch::Sender::new(0),
+            shutdown_phase: watch::Sender::new(ShutdownPhase::Finishing),
             control,
         }
     }
@@ -95,6 +99,16 @@
         self.changes.subscribe()
     }
 
+    /// Enters a phase of the shutdown; every request in flight acts on it.
+    pub fn enter_shutdown_phase(&self, phase: ShutdownPhase) {
+        self.shutdown_phase.send_replace(phase);
+    }
+
+    /// Notifies of the phases of the shutdown.
+    pub(crate) fn shutdown_phase(&self) -> watch::Receiver<ShutdownPhase> {
+        self.shutdown_phase.subscribe()
+    }
+
     /// The maximum size of a caller's request body in bytes: the spec's if it sets one, else that of the settings.
     pub fn body_limit(&self, limits: CallerLimits) -> usize {
         if limits.body_bytes == CallerLimits::default().body_bytes {
--- a/crates/dataplane/src/holder/mod.rs
+++ b/crates/dataplane/src/holder/mod.rs
@@ -21,6 +21,7 @@
 mod scaling;
 mod send_result;
 mod tuning;
+mod withdrawal;
 
 pub use output::{HolderMessage, HolderOutput, SendResult};
 pub use request::{AdmissionRequest, LeaseTerms};
--- a/crates/dataplane/src/holder/request.rs
+++ b/crates/dataplane/src/holder/request.rs
@@ -121,6 +121,15 @@
             .partition_point(|queued| queued.request.rank <= rank)
     }
 
+    /// Takes a request out of the queue, if it is there.
+    pub(super) fn remove_queued(&mut self, ticket: Ticket) -> Option<QueuedRequest> {
+        let index = self
+            .queue
+            .iter()
+            .position(|queued| queued.request.ticket == ticket)?;
+        self.queue.remove(index)
+    }
+
     /// A send was answered after this time.
     pub(super) fn record_service_time(&mut self, elapsed: Duration) {
         self.service_time = (self.service_time * 9 + elapsed) / 10;
--- a/crates/dataplane/src/request_pipeline/forward_to_holder.rs
+++ b/crates/dataplane/src/request_pipeline/forward_to_holder.rs
@@ -1,13 +1,17 @@
 //! Carries out the steps of a request's forwarding.
 
-use crate::agent::{ForwardResult, Forwarding, ForwardingStep, FunctionRequest, HolderRequest};
-use crate::drivers::{HopCallResult, LocalHeldFunction, State, holder_driver};
+use super::interrupts::Interrupts;
+use crate::agent::{
+    ForwardResult, Forwarding, ForwardingStep, FunctionRequest, HolderRequest, ShutdownPhase,
+};
+use crate::drivers::holder_driver::HeldRequest;
+use crate::drivers::{HopCallResult, LocalHeldFunction, OutcomeWaiter, State};
 use crate::owners::is_current_owner;
 use common::clock::MonotonicTime;
 use common::frames::{DaemonMessage, Host, RequestOutcome};
 use common::identity::FunctionKey;
 use std::sync::Arc;
-use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// How a request ended.
@@ -67,10 +71,11 @@
 struct ForwardingRun<'a> {
     state: &'a Arc<State>,
     forwarding: Forwarding,
+    interrupts: Interrupts,
     regional_tenths: u8,
 }
 
-type LocalForwardingStep = ForwardingStep<oneshot::Sender<RequestOutcome>>;
+type LocalForwardingStep = ForwardingStep<OutcomeWaiter>;
 
 impl ForwardingRun<'_> {
     fn advance(&mut self) -> LocalForwardingStep {
@@ -110,8 +115,23 @@
         holder_request: HolderRequest,
     ) -> LocalForwardingStep {
         self.count_lookup("held");
+        let mut held_request = HeldRequest::admit(self.state, &held, holder_request);
+        let outcome = loop {
+            tokio::select! {
+                biased;
+                outcome = held_request.outcome() => break outcome,
+                phase = self.interrupts.next() => match phase {
+                    ShutdownPhase::Finishing => {}
+                    ShutdownPhase::Withdrawing => {
+                        if self.forwarding.withdraw(&self.state.agent) {
+                            held_request.withdraw();
+                        }
+                    }
+                    ShutdownPhase::Ending => return self.forwarding.end_unfinished(),
+                },
+            }
+        };
         let agent = &self.state.agent;
-        let outcome = holder_driver::serve(self.state, &held, holder_request).await;
         let region = &self.forwarding.request().region;
         let hint = agent.regional_hint(MonotonicTime::now(), &held.function, region);
         self.handle_regional_hint(hint);
@@ -125,14 +145,30 @@
         wait_until: MonotonicTime,
     ) -> LocalForwardingStep {
         self.count_lookup("passed");
-        let end = tokio::select! {
-            hop_result = self.state.hop_client.request(host.address, body, wait_until) => {
-                if let Some(hint) = regional_hint(&hop_result) {
-                    self.handle_regional_hint(hint);
+        let mut hop_call = self
+            .state
+            .hop_client
+            .request(host.address, body, wait_until);
+        let end = loop {
+            tokio::select! {
+                biased;
+                hop_result = hop_call.reply() => {
+                    if let Some(hint) = regional_hint(&hop_result) {
+                        self.handle_regional_hint(hint);
+                    }
+                    break forward_result(hop_result, &host);
                 }
-                forward_result(hop_result, &host)
+                () = host_gone(self.state, &host) => break ForwardResult::Lost,
+                phase = self.interrupts.next() => match phase {
+                    ShutdownPhase::Finishing => {}
+                    ShutdownPhase::Withdrawing => {
+                        if self.forwarding.withdraw(&self.state.agent) {
+                            hop_call.withdraw();
+                        }
+                    }
+                    ShutdownPhase::Ending => return self.forwarding.end_unfinished(),
+                },
             }
-            () = host_gone(self.state, &host) => ForwardResult::Lost,
         };
         self.forwarding
             .forwarded(&self.state.agent, MonotonicTime::now(), end)
@@ -141,23 +177,68 @@
     async fn acquire(&mut self, wait_until: MonotonicTime) -> LocalForwardingStep {
         self.count_lookup("acquired");
         let wait = wait_until.since(MonotonicTime::now());
-        let acquiring = self.state.acquire(&self.forwarding.request().function);
-        match timeout(wait, acquiring).await {
-            Ok(result) => self
-                .forwarding
-                .acquired(&self.state.agent, MonotonicTime::now(), result),
-            Err(_) => self.advance(),
+        let function = self.forwarding.request().function.clone();
+        let acquiring = timeout(wait, self.state.acquire(&function));
+        tokio::select! {
+            biased;
+            acquired = acquiring => match acquired {
+                Ok(result) => {
+                    let now = MonotonicTime::now();
+                    self.forwarding.acquired(&self.state.agent, now, result)
+                }
+                Err(_) => self.advance(),
+            },
+            _ = self.interrupts.next() => self.withdraw(),
         }
     }
+
+    /// Waits for a change of this daemon's state.
+    async fn wait(
+        &mut self,
+        changes: &mut watch::Receiver<u64>,
+        wait_until: MonotonicTime,
+    ) -> LocalForwardingStep {
+        let wait = wait_until.since(MonotonicTime::now());
+        tokio::select! {
+            biased;
+            // Advanced on a change and on the time-out alike.
+            _ = timeout(wait, changes.changed()) => self.advance(),
+            _ = self.interrupts.next() => self.withdraw(),
+        }
+    }
+
+    /// Withdraws a request that nobody has.
+    fn withdraw(&mut self) -> LocalForwardingStep {
+        self.forwarding.withdraw(&self.state.agent);
+        self.advance()
+    }
 }
 
-/// Brings a request to the holder of its function, and returns its outcome.
+/// Brings a caller's request to the holder of its function, and returns its outcome.
 pub async fn forward_to_holder(state: &Arc<State>, request: FunctionRequest) -> ForwardedOutcome {
+    forward(state, request, None).await
+}
+
+/// The same for a request that another daemon has forwarded; `requester` tells how far that one's shutdown has come.
+pub async fn forward_for_daemon(
+    state: &Arc<State>,
+    request: FunctionRequest,
+    requester: watch::Receiver<ShutdownPhase>,
+) -> ForwardedOutcome {
+    forward(state, request, Some(requester)).await
+}
+
+async fn forward(
+    state: &Arc<State>,
+    request: FunctionRequest,
+    requester: Option<watch::Receiver<ShutdownPhase>>,
+) -> ForwardedOutcome {
     let _in_flight = state.agent.track_in_flight();
     let mut changes = state.changes();
     let mut run = ForwardingRun {
         state,
         forwarding: Forwarding::new(MonotonicTime::now(), request),
+        interrupts: Interrupts::new(state.shutdown_phase(), requester),
         regional_tenths: 0,
     };
     let mut step = run.advance();
@@ -170,12 +251,7 @@
                 wait_until,
             } => run.forward(host, body, wait_until).await,
             ForwardingStep::Acquire { wait_until } => run.acquire(wait_until).await,
-            ForwardingStep::Wait { wait_until } => {
-                let wait = wait_until.since(MonotonicTime::now());
-                // Advanced on a change and on the time-out alike.
-                let _ = timeout(wait, changes.changed()).await;
-                run.advance()
-            }
+            ForwardingStep::Wait { wait_until } => run.wait(&mut changes, wait_until).await,
             ForwardingStep::End(outcome, holder) => {
                 return ForwardedOutcome {
                     function: run.forwarding.request().function.clone(),
--- a/crates/dataplane/src/request_pipeline/mod.rs
+++ b/crates/dataplane/src/request_pipeline/mod.rs
@@ -5,16 +5,18 @@
 //! [`server`](crate::server), which accepts the requests, uses it.
 //!
 //! * `forward_to_holder`: carries out the steps of the forwarding; also used for requests from other daemons.
+//! * `interrupts`: the shutdowns that a waiting request has to act on.
 //! * `ingress_request`: what is counted and logged of a request when it ends.
 //! * `request_checks`: the checks before a request is forwarded, and their rejections.
 //! * `responses`: the responses to callers by outcome.
 
 mod forward_to_holder;
 mod ingress_request;
+mod interrupts;
 mod request_checks;
 mod responses;
 
-pub use forward_to_holder::{ForwardedOutcome, forward_to_holder};
+pub use forward_to_holder::{ForwardedOutcome, forward_for_daemon, forward_to_holder};
 
 use crate::agent::FunctionRequest;
 use crate::drivers::State;
--- a/crates/dataplane/src/server/daemon.rs
+++ b/crates/dataplane/src/server/daemon.rs
@@ -3,6 +3,7 @@
 use super::hops;
 use super::ingress::{serve_ingress, serve_ready};
 use crate::adapter::DaemonAdapters;
+use crate::agent::{ShutdownPhase, ShutdownSchedule};
 use crate::drivers::{Control, ControlInput, State, TcpConnector};
 use crate::settings::DaemonSettings;
 use common::clock::MonotonicTime;
@@ -124,22 +125,44 @@
             ingress_stop,
         ));
         let _ = stop.wait_for(|stopping| *stopping).await;
-        let shutdown_deadline = MonotonicTime::now() + state.settings.grace;
+        let schedule = ShutdownSchedule::new(MonotonicTime::now(), state.settings.grace);
         state.agent.begin_leaving();
         let _ = state.control.send(ControlInput::BeginShutdown);
         ingress_stop_sender.send_replace(true);
+        let phases = tokio::spawn(enter_shutdown_phases(state.clone(), schedule));
         let draining = async {
             let _ = ingress.await;
             while !state.agent.is_drained() {
                 tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
             }
         };
-        let _ = tokio::time::timeout(shutdown_deadline.since(MonotonicTime::now()), draining).await;
+        let _ = tokio::time::timeout(time_until(schedule.exit_at), draining).await;
+        phases.abort();
         let _ = state.control.send(ControlInput::ShutdownFinished);
         tokio::time::sleep(LAST_FRAMES_TIME).await;
     }
 }
 
+fn time_until(at: MonotonicTime) -> Duration {
+    at.since(MonotonicTime::now())
+}
+
+/// Has the requests in flight end in time before the process exits.
+async fn enter_shutdown_phases(state: Arc<State>, schedule: ShutdownSchedule) {
+    for (at, phase) in [
+        (schedule.withdraw_at, ShutdownPhase::Withdrawing),
+        (schedule.end_at, ShutdownPhase::Ending),
+    ] {
+        tokio::time::sleep(time_until(at)).await;
+        let left_count = state.agent.in_flight_count();
+        if left_count > 0 {
+            let event = events::REQUESTS_LEFT_AT_SHUTDOWN;
+            log_event!(Warn, event, "{phase} {left_count}");
+        }
+        state.enter_shutdown_phase(phase);
+    }
+}
+
 /// The open listeners of a daemon.
 struct Listeners {
     /// For connections of other daemons.
--- a/crates/dataplane/src/server/hops.rs
+++ b/crates/dataplane/src/server/hops.rs
@@ -1,14 +1,16 @@
 //! Requests from other daemons, served on their connections.
 
-use crate::agent::FunctionRequest;
+use crate::agent::{FunctionRequest, ShutdownPhase};
 use crate::drivers::{ByteStream, State, WRITE_BATCH_BYTES};
-use crate::request_pipeline::{ForwardedOutcome, forward_to_holder};
+use crate::request_pipeline::{ForwardedOutcome, forward_for_daemon};
 use common::clock::MonotonicTime;
 use common::frames::{
     DaemonFrame, DaemonMessage, FrameError, LengthPrefixed, RequestFailureReason, RequestOutcome,
-    append_frame, read_frame,
+    RequesterNotice, append_frame, read_frame,
 };
-use std::sync::Arc;
+use common::identity::CorrelationId;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::io::{AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::sync::{mpsc, watch};
 
@@ -25,17 +27,24 @@
     let (reply_sender, replies) = mpsc::channel::<DaemonFrame>(MAX_QUEUED_REPLIES);
     // Detached: it ends when the last reply sender is dropped or the connection fails.
     tokio::spawn(write_replies(writing_half, replies));
-    let (_connection_guard, connection_end) = watch::channel(());
+    let open_calls = OpenCalls::default();
+    // Dropped with the connection, by which all calls are cancelled.
+    let _connection_guard = ConnectionGuard(open_calls.clone());
     loop {
         let DaemonFrame { correlation, body } = read_frame(&mut reader).await?;
+        if let Some(notice) = RequesterNotice::from_message(&body) {
+            open_calls.notify(correlation, notice);
+            continue;
+        }
         let call_state = state.clone();
         let call_reply_sender = reply_sender.clone();
-        let mut call_connection_end = connection_end.clone();
-        // Detached, and cancelled by the drop of the connection guard.
+        let mut open_call = open_calls.open(correlation);
+        // Detached, and cancelled by the requester's notice or the end of the connection.
         tokio::spawn(async move {
+            let requester_phase = open_call.requester_phase.clone();
             let reply = tokio::select! {
-                reply = handle_call(&call_state, body) => reply,
-                _ = call_connection_end.changed() => None,
+                reply = handle_call(&call_state, body, requester_phase) => reply,
+                () = open_call.abandoned() => None,
             };
             if let Some(body) = reply {
                 let _ = call_reply_sender
@@ -46,6 +55,69 @@
     }
 }
 
+/// The calls of a connection that have no reply yet. Dropping a call's sender abandons the call.
+#[derive(Clone, Default)]
+struct OpenCalls(Arc<Mutex<HashMap<CorrelationId, watch::Sender<ShutdownPhase>>>>);
+
+impl OpenCalls {
+    fn lock(&self) -> MutexGuard<'_, HashMap<CorrelationId, watch::Sender<ShutdownPhase>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn open(&self, correlation: CorrelationId) -> OpenCall {
+        let (sender, requester_phase) = watch::channel(ShutdownPhase::Finishing);
+        self.lock().insert(correlation, sender);
+        OpenCall {
+            correlation,
+            open_calls: self.clone(),
+            requester_phase,
+        }
+    }
+
+    fn notify(&self, correlation: CorrelationId, notice: RequesterNotice) {
+        match notice {
+            RequesterNotice::Withdrawn => {
+                if let Some(sender) = self.lock().get(&correlation) {
+                    sender.send_replace(ShutdownPhase::Withdrawing);
+                }
+            }
+            RequesterNotice::Abandoned => {
+                self.lock().remove(&correlation);
+            }
+        }
+    }
+}
+
+/// Abandons all calls of a connection when it is dropped.
+struct ConnectionGuard(OpenCalls);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.lock().clear();
+    }
+}
+
+/// One call that has no reply yet.
+struct OpenCall {
+    correlation: CorrelationId,
+    open_calls: OpenCalls,
+    /// How far the shutdown of the daemon that called has come, as far as it has said.
+    requester_phase: watch::Receiver<ShutdownPhase>,
+}
+
+impl OpenCall {
+    /// Waits until the requester has given the call up, or the connection has ended.
+    async fn abandoned(&mut self) {
+        while self.requester_phase.changed().await.is_ok() {}
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.open_calls.lock().remove(&self.correlation);
+    }
+}
+
 async fn write_replies(
     mut writing_half: impl AsyncWrite + Unpin,
     mut replies: mpsc::Receiver<DaemonFrame>,
@@ -91,10 +163,14 @@
     }
 }
 
-async fn handle_call(state: &Arc<State>, body: DaemonMessage) -> Option<DaemonMessage> {
+async fn handle_call(
+    state: &Arc<State>,
+    body: DaemonMessage,
+    requester_phase: watch::Receiver<ShutdownPhase>,
+) -> Option<DaemonMessage> {
     match FunctionRequest::from_frame(MonotonicTime::now(), body) {
         Ok(request) => {
-            let forwarded_outcome = forward_to_holder(state, request).await;
+            let forwarded_outcome = forward_for_daemon(state, request, requester_phase).await;
             let is_answer = matches!(forwarded_outcome.outcome, RequestOutcome::Response { .. });
             let reported_holder = forwarded_outcome
                 .holder
--- a/crates/dataplane/tests/agent/main.rs
+++ b/crates/dataplane/tests/agent/main.rs
@@ -12,4 +12,5 @@
 mod lost_requests;
 mod runner_responses;
 mod serving;
+mod shutdown;
 mod spec_versions;
--- a/crates/dataplane/tests/holder/main.rs
+++ b/crates/dataplane/tests/holder/main.rs
@@ -14,3 +14,4 @@
 mod retries;
 mod runners;
 mod sends;
+mod withdrawal;
--- a/testing/fleet/src/sim/bootstrap.rs
+++ b/testing/fleet/src/sim/bootstrap.rs
@@ -5,7 +5,7 @@
 use super::daemon::SimDaemon;
 use super::disk::SimDisk;
 use super::network::Node;
-use super::operator::{spec, with_fresh_identities};
+use super::operator::planned_spec;
 use super::simulation::Simulation;
 use common::frames::SocketAddress;
 use common::identity::{ChangeId, ControllerId, DocumentVersion, Term, Version};
@@ -67,11 +67,7 @@
                 zone: zone_of_machine(index),
             })
             .collect();
-        let first_spec = if self.plan.fresh_identities {
-            with_fresh_identities(spec(0))
-        } else {
-            spec(0)
-        };
+        let first_spec = planned_spec(&self.plan, 0);
         let checked_spec = read_spec(&first_spec).unwrap_or_default();
         let mut document = Document::founding(voters).with_spec(
             first_spec,
--- a/testing/fleet/src/sim/calls.rs
+++ b/testing/fleet/src/sim/calls.rs
@@ -6,6 +6,11 @@
 use dataplane::agent::FunctionRequest;
 use std::time::Duration;
 
+/// The longest time that a caller waits.
+const LONGEST_TIMEOUT: Duration = Duration::from_millis(3000);
+/// How much longer patient callers wait: with it, longer than the grace period of an orderly stop.
+const PATIENCE: Duration = Duration::from_millis(6000);
+
 impl Simulation {
     /// Counts a call made after all faults were undone, to tell when the fleet serves again.
     pub(super) fn count_late_call(&mut self, idempotency_key: &IdempotencyKey) {
@@ -47,11 +52,19 @@
         }
     }
 
+    /// How long a caller waits, at least as long as given.
+    fn drawn_timeout(&mut self, shortest: Duration) -> Duration {
+        let timeout = self.rng.within(shortest, LONGEST_TIMEOUT);
+        if self.plan.patient_callers {
+            timeout + PATIENCE
+        } else {
+            timeout
+        }
+    }
+
     pub(super) fn send_call(&mut self, route_name: &'static str) {
         let idempotency_key = IdempotencyKey::from(format!("t{}", self.numbers.next()));
-        let timeout = self
-            .rng
-            .within(Duration::from_millis(1000), Duration::from_millis(3000));
+        let timeout = self.drawn_timeout(Duration::from_millis(1000));
         if let Some(index) = self.random_ingress() {
             self.call(index, idempotency_key, route_name, timeout, false);
         }
@@ -65,9 +78,7 @@
             "f0", "f0", "f1", "f1", "f2", "f3", "f4", "f5", "canary", "canary",
         ];
         let route_name = routes[self.rng.below(routes.len() as u64) as usize];
-        let timeout = self
-            .rng
-            .within(Duration::from_millis(500), Duration::from_millis(3000));
+        let timeout = self.drawn_timeout(Duration::from_millis(500));
         let is_duplicate = self.rng.random_bool(self.plan.duplicate_share);
         let duplicate_after = self.rng.within(Duration::ZERO, Duration::from_millis(2900));
         let Some(index) = self.random_ingress() else {
--- a/testing/fleet/src/sim/checks/mod.rs
+++ b/testing/fleet/src/sim/checks/mod.rs
@@ -468,6 +468,24 @@
         }
     }
 
+    /// Checks a request that a stopping daemon ends as unknown at the last moment: a runner has had it.
+    pub fn check_not_left_waiting(
+        &mut self,
+        at: MonotonicTime,
+        daemon: usize,
+        idempotency_key: &IdempotencyKey,
+    ) {
+        self.count_check("left at a stop");
+        let has_run = self
+            .seen
+            .get(idempotency_key)
+            .is_some_and(|seen| seen.runs > 0);
+        if !has_run {
+            let what = format!("daemon {daemon} stops and leaves {idempotency_key} waiting");
+            self.report_violation(at, what);
+        }
+    }
+
     /// Records the outcome of a request at its lease holder. What it refused must never run under its lease, even if the
     /// idempotency key is sent again through another ingress.
     pub fn record_holder_outcome(
--- a/testing/fleet/src/sim/daemon/mod.rs
+++ b/testing/fleet/src/sim/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod orders;
 mod replicas;
 mod requests;
+mod shutdown;
 
 pub(super) use replicas::{PendingReplicaRequests, ReplicaExchange};
 
@@ -13,20 +14,20 @@
 use crate::sim::simulation::Simulation;
 use common::clock::MonotonicTime;
 use common::frames::{Flag, Host};
-use common::identity::{FunctionKey, IdempotencyKey, Region};
+use common::identity::{FunctionKey, Region, Ticket};
 use common::ring::Regions;
 use common::rng::SeededRng;
-use dataplane::agent::{Agent, DaemonControl, DaemonControlOutput, Forwarding, InFlightGuard};
+use dataplane::agent::{
+    Agent, DaemonControl, DaemonControlOutput, Forwarding, HeldFunction, InFlightGuard,
+};
 use dataplane::control_session::ControlSessionTiming;
+use shutdown::OrderlyStop;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The grace period of a graceful stop, after which the platform kills the process.
-pub(in crate::sim) const GRACE: Duration = Duration::from_millis(5600);
-
 /// Where an outcome is returned to.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(in crate::sim) enum ReplyTarget {
     Caller,
     Hop {
@@ -42,6 +43,8 @@
     awaited_step: AwaitedStep,
     wakes: u64,
     forwarded_to: Option<Host>,
+    /// The holder in this daemon that has it, and the ticket under which.
+    held_under: Option<(Arc<HeldFunction<u64>>, Ticket)>,
     regional_tenths: u8,
     _in_flight: InFlightGuard,
 }
@@ -76,7 +79,7 @@
     pending_requests: BTreeMap<u64, PendingRequest>,
     acquires: BTreeMap<FunctionKey, Vec<u64>>,
     link: Option<u64>,
-    stop_deadline: Option<MonotonicTime>,
+    stop: Option<OrderlyStop>,
     pub(in crate::sim) is_disturbed: bool,
 }
 
@@ -110,9 +113,7 @@
 
     /// Whether its process runs and is not stopping.
     pub(in crate::sim) fn is_accepting(&self) -> bool {
-        self.body
-            .as_ref()
-            .is_some_and(|body| body.stop_deadline.is_none())
+        self.body.as_ref().is_some_and(|body| body.stop.is_none())
     }
 
     /// Whether its process runs under a session lease.
@@ -216,7 +217,7 @@
             pending_requests: BTreeMap::new(),
             acquires: BTreeMap::new(),
             link: None,
-            stop_deadline: None,
+            stop: None,
             is_disturbed: false,
         }));
         let tick = Event::Tick(
@@ -233,56 +234,6 @@
         self.close_links(self.nodes.daemon(index).node);
     }
 
-    /// Begins the graceful stop of a daemon.
-    pub(in crate::sim) fn begin_orderly_stop(&mut self, index: usize) {
-        let local_now = self.daemon_now(index);
-        let is_frozen = self
-            .frozen
-            .contains(self.nodes.daemon(index).node, self.queue.now());
-        let Some(body) = &mut self.nodes.daemon_mut(index).body else {
-            return;
-        };
-        if body.stop_deadline.is_some() {
-            return;
-        }
-        body.stop_deadline = Some(local_now + GRACE);
-        body.is_disturbed = is_frozen;
-        self.with_controller(index, |controller, agent, now| controller.leave(agent, now));
-    }
-
-    /// Ends a stopping daemon when no requests are left, or when its grace period is over.
-    pub(in crate::sim) fn finish_stop_if_due(&mut self, index: usize) {
-        let local_now = self.daemon_now(index);
-        let Some(body) = &self.nodes.daemon(index).body else {
-            return;
-        };
-        let Some(stop_deadline) = body.stop_deadline else {
-            return;
-        };
-        if local_now < stop_deadline && !body.agent.is_drained() {
-            return;
-        }
-        let in_flight: Vec<IdempotencyKey> = body
-            .pending_requests
-            .values()
-            .map(|pending| pending.forwarding.request().idempotency_key.clone())
-            .collect();
-        if !body.is_disturbed {
-            self.checks
-                .check_orderly_stop(self.queue.now(), index, &in_flight);
-        }
-        self.with_controller(index, |controller, agent, _| controller.departed(agent));
-        let node = self.nodes.daemon(index).node;
-        let incarnation = self.nodes.daemon(index).incarnation;
-        if let Some(body) = &mut self.nodes.daemon_mut(index).body {
-            body.stop_deadline = Some(MonotonicTime(u64::MAX));
-        }
-        self.queue.push(
-            Duration::from_millis(60),
-            DaemonEvent::ProcessGone(node, incarnation),
-        );
-    }
-
     pub(in crate::sim) fn tick_daemon(&mut self, index: usize) {
         self.with_controller(index, |controller, agent, now| controller.tick(agent, now));
         if let Some(agent) = self.nodes.agent(index)
@@ -294,7 +245,7 @@
                 agent.routing_table().version(),
             );
         }
-        self.finish_stop_if_due(index);
+        self.continue_stop(index);
     }
 
     pub(in crate::sim) fn with_controller(
--- a/testing/fleet/src/sim/daemon/requests.rs
+++ b/testing/fleet/src/sim/daemon/requests.rs
@@ -4,7 +4,7 @@
 use crate::sim::event::DaemonEvent;
 use crate::sim::simulation::Simulation;
 use common::clock::MonotonicTime;
-use common::frames::{DaemonMessage, Host, RequestOutcome, RequestPayload};
+use common::frames::{DaemonMessage, Host, RequestOutcome, RequestPayload, RequesterNotice};
 use common::identity::{IdempotencyKey, Region};
 use dataplane::agent::{
     Agent, ForwardResult, Forwarding, ForwardingStep, FunctionRequest, HeldFunction, HolderRequest,
@@ -80,7 +80,9 @@
         reply_target: ReplyTarget,
         body: DaemonMessage,
     ) {
-        if let Ok(request) = FunctionRequest::from_frame(self.daemon_now(index), body) {
+        if RequesterNotice::from_message(&body).is_some() {
+            self.handle_requester_notice(index, reply_target);
+        } else if let Ok(request) = FunctionRequest::from_frame(self.daemon_now(index), body) {
             self.accept_request(index, request, reply_target);
         }
     }
@@ -104,6 +106,7 @@
             awaited_step: AwaitedStep::Lookup,
             wakes: 0,
             forwarded_to: None,
+            held_under: None,
             regional_tenths: 0,
             _in_flight: in_flight,
         };
@@ -265,7 +268,13 @@
             return;
         };
         let idempotency_key = holder_request.idempotency_key.clone();
-        let (at_once, outputs) = held.admit(local_now, agent.ticket(), holder_request, number);
+        let ticket = agent.ticket();
+        let body = self.nodes.daemon_mut(index).body.as_mut();
+        if let Some(pending) = body.and_then(|body| body.pending_requests.get_mut(&number)) {
+            pending.held_under = Some((held.clone(), ticket));
+            pending.forwarded_to = None;
+        }
+        let (at_once, outputs) = held.admit(local_now, ticket, holder_request, number);
         if let Some((_, outcome)) = &at_once {
             self.checks
                 .record_holder_outcome(held.fencing_token, &idempotency_key, outcome);
--- a/testing/fleet/src/sim/detection_cases.rs
+++ b/testing/fleet/src/sim/detection_cases.rs
@@ -24,6 +24,8 @@
     pub seeds: u64,
     /// Whether operators send hundreds of numbered orders.
     pub numbers_orders: bool,
+    /// Whether callers wait longer than the grace period of an orderly stop.
+    pub patient_callers: bool,
 }
 
 /// The result of a detection case.
@@ -41,6 +43,11 @@
 /// The longest time between two orders where the case is about them: hundreds in a day.
 const HURRIED_ORDER_GAP: Duration = Duration::from_millis(150);
 
+/// The usual rate of calls, a second.
+const CALLER_RATE: f64 = 60.0;
+/// The rate of calls that wait long, for functions with a single slot each, a second.
+const PATIENT_CALLER_RATE: f64 = 8.0;
+
 impl DetectionCase {
     /// This case with hundreds of numbered orders.
     const fn with_orders(mut self) -> Self {
@@ -48,15 +55,26 @@
         self
     }
 
+    /// This case with callers that outlast an orderly stop.
+    const fn with_patient_callers(mut self) -> Self {
+        self.patient_callers = true;
+        self
+    }
+
     /// The plan of a day with this seed, with the flaw or without.
     pub fn plan(&self, seed: u64, flaw: Flaw) -> SimPlan {
         SimPlan {
             flaw,
             focus: self.faults.to_vec(),
             gap: self.gap,
-            rate: 60.0,
+            rate: if self.patient_callers {
+                PATIENT_CALLER_RATE
+            } else {
+                CALLER_RATE
+            },
             duplicate_share: 0.5,
             numbers_orders: self.numbers_orders,
+            patient_callers: self.patient_callers,
             order_gap: if self.numbers_orders {
                 HURRIED_ORDER_GAP
             } else {
@@ -124,6 +142,7 @@
         expected_violation,
         seeds,
         numbers_orders: false,
+        patient_callers: false,
     }
 }
 
@@ -259,6 +278,15 @@
         "stops in order",
         6,
     ),
+    case(
+        "orderly stop",
+        Flaw::Without(Rule::QueuedRequestsWithdrawnAtShutdown),
+        &[F::StopInOrder, F::CallBurst],
+        900,
+        "waiting",
+        12,
+    )
+    .with_patient_callers(),
     case(
         "extra tries",
         Flaw::Without(Rule::RetryBudgetCounted),
--- a/testing/fleet/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -1,6 +1,7 @@
 //! Operators with random changes of the spec.
 
 use super::event::{ControllerEvent, OperatorEvent};
+use super::plan::SimPlan;
 use super::simulation::Simulation;
 use common::identity::{ChangeId, Version};
 use controlplane::controller_state::{
@@ -47,7 +48,7 @@
 }
 
 /// The spec for callers that use a new idempotency key for each attempt.
-pub(crate) fn with_fresh_identities(mut spec: Value) -> Value {
+fn with_fresh_identities(mut spec: Value) -> Value {
     let routes = spec["routes"].as_object_mut().into_iter().flatten();
     for (_, route) in routes {
         route["identities"] = json!("fresh");
@@ -55,6 +56,31 @@
     spec
 }
 
+/// The spec for callers that wait longer than the grace period of an orderly stop, for functions with a single slot.
+fn with_patient_callers(mut spec: Value) -> Value {
+    for (_, function) in spec["functions"].as_object_mut().into_iter().flatten() {
+        function["slots"] = json!(1);
+        function["runners"] = json!({"max": 1});
+    }
+    for (_, route) in spec["routes"].as_object_mut().into_iter().flatten() {
+        route["budget_ms"] = json!(12_000);
+        route["patience_ms"] = json!(12_000);
+    }
+    spec
+}
+
+/// The spec of a day, as its plan has it.
+pub(crate) fn planned_spec(plan: &SimPlan, turn: u64) -> Value {
+    let mut planned_spec = spec(turn);
+    if plan.fresh_identities {
+        planned_spec = with_fresh_identities(planned_spec);
+    }
+    if plan.patient_callers {
+        planned_spec = with_patient_callers(planned_spec);
+    }
+    planned_spec
+}
+
 /// The routes and functions of the simulated deployment; one function is added and removed over time.
 pub(crate) fn spec(turn: u64) -> Value {
     let mut functions = serde_json::Map::new();
@@ -124,10 +150,8 @@
         let count = if self.rng.random_bool(0.3) { 2 } else { 1 };
         for _ in 0..count {
             let is_valid = !self.rng.random_bool(0.1);
-            let mut new_spec = spec(self.rng.below(6));
-            if self.plan.fresh_identities {
-                new_spec = with_fresh_identities(new_spec);
-            }
+            let turn = self.rng.below(6);
+            let mut new_spec = planned_spec(&self.plan, turn);
             if !is_valid {
                 new_spec["routes"]["canary"]["function"] = json!("nowhere");
             }
--- a/testing/fleet/src/sim/plan.rs
+++ b/testing/fleet/src/sim/plan.rs
@@ -58,6 +58,8 @@
     pub regional: bool,
     /// Whether callers use a new idempotency key for each attempt.
     pub fresh_identities: bool,
+    /// Whether callers wait longer than the grace period of an orderly stop, for functions with a single slot and long work.
+    pub patient_callers: bool,
     /// Whether operators number their orders, retry them and read them back, so that the history can be checked for
     /// linearizability.
     pub numbers_orders: bool,
@@ -91,6 +93,7 @@
             keeps_warm_functions: false,
             regional: false,
             fresh_identities: false,
+            patient_callers: false,
             numbers_orders: false,
             order_gap: Duration::from_millis(3000),
         }
--- a/testing/fleet/src/sim/runners.rs
+++ b/testing/fleet/src/sim/runners.rs
@@ -253,7 +253,13 @@
             self.end_send(&run, SendResult::Lost);
         }
         let is_long = drawn_fault == RunnerFault::BrokenEarly;
-        let (shortest, longest) = if is_long { (200, 700) } else { (5, 60) };
+        let (shortest, longest) = if is_long {
+            (200, 700)
+        } else if self.plan.patient_callers {
+            (200, 350)
+        } else {
+            (5, 60)
+        };
         let work = self.rng.within(
             Duration::from_millis(shortest),
             Duration::from_millis(longest),
--- a/testing/fleet/tests/simulator.rs
+++ b/testing/fleet/tests/simulator.rs
@@ -44,6 +44,26 @@
     Ok(())
 }
 
+/// Callers that outlast the grace period of an orderly stop: a stopping daemon withdraws what still waits, and none of it
+/// runs after that. Before, every simulated caller gave up sooner than a daemon exits.
+#[gtest]
+fn stops_leave_no_patient_caller_waiting() -> Result<()> {
+    let mut withdrawn_count = 0;
+    for seed in 1..=12 {
+        let plan = SimPlan {
+            patient_callers: true,
+            rate: 8.0,
+            duplicate_share: 0.5,
+            focus: vec![SimFault::StopInOrder, SimFault::CallBurst],
+            gap: Duration::from_millis(900),
+            ..SimPlan::seeded(seed)
+        };
+        let sim_result = verify_clean(plan)?;
+        withdrawn_count += count_of(&sim_result, "requests withdrawn");
+    }
+    verify_that!(withdrawn_count, ge(20))
+}
+
 fn regional_plan(seed: u64) -> SimPlan {
     SimPlan {
         regional: true,
