Take requests back from holder and runner when their callers have left

What callers saw: nothing; runners did.

Cause: a daemon dropped the request of a caller that left, but had no message for the daemon to which it had forwarded it, and a send to a runner was a task that nothing ended.

Change: whoever stops waiting for a forwarded request notifies the other daemon, which drops it as at the end of the connection. A holder takes a request that nobody waits for out of its queue at once, and breaks off its send if it may be repeated; the slot stays taken as after a lost answer. A request that may run only once is finished.

--- a/crates/dataplane/src/drivers/holder_driver.rs
+++ b/crates/dataplane/src/drivers/holder_driver.rs
@@ -5,7 +5,7 @@
 
 use super::control_input::ControlInput;
 use super::hop_client::HopCallResult;
-use super::outcome_waiter::{AwaitedOutcome, outcome_channel};
+use super::outcome_waiter::{AwaitedOutcome, OutcomeWaiter, outcome_channel};
 use super::state::{LocalHeldFunction, State};
 use super::{platform, runners};
 use crate::agent::{HolderRequest, ReplicaRequest, ReplicaRequestKind};
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 
 /// A request that a holder in this process was given. Dropped before its outcome is there, it is abandoned: it is not
-/// sent to a runner any more.
+/// sent to a runner any more, and one that may be repeated is broken off at its runner.
 pub struct HeldRequest<'a> {
     state: &'a Arc<State>,
     held: &'a LocalHeldFunction,
@@ -78,6 +78,7 @@
     fn drop(&mut self) {
         if !self.has_ended {
             self.held.remove_waiter(self.ticket);
+            self.withdraw();
         }
     }
 }
@@ -176,11 +177,29 @@
 impl HolderTask {
     async fn send(self, ticket: Ticket, runner: RunnerId, address: SocketAddress, attempt: u32) {
         let sent_at = MonotonicTime::now();
-        let result = runners::send(&self.state, &self.held, ticket, runner, address, attempt).await;
+        let result = tokio::select! {
+            biased;
+            result = runners::send(&self.state, &self.held, ticket, runner, address, attempt) => result,
+            () = self.abandoned(ticket) => SendResult::BrokenOff,
+        };
         self.log_failed_send(ticket, runner, &result, sent_at);
         self.apply(|holder, now| holder.handle_send_result(now, ticket, result));
     }
 
+    /// Waits until nobody waits for the outcome of a request that may be repeated. One that may run only once is never
+    /// broken off, so that its outcome is known.
+    async fn abandoned(&self, ticket: Ticket) {
+        let is_once = self
+            .held
+            .holder_request(ticket)
+            .is_none_or(|holder_request| holder_request.once);
+        let interest = self.held.with_waiter(ticket, OutcomeWaiter::interest);
+        match interest {
+            Some(mut interest) if !is_once => while interest.changed().await.is_ok() {},
+            _ => std::future::pending().await,
+        }
+    }
+
     async fn start(self, runner: RunnerId, worker: WorkerName, spec: FunctionSpec) {
         let outcome = platform::start(&self.state, &self.held, runner, &worker, &spec).await;
         self.apply(|holder, now| holder.started(now, runner, outcome));
--- a/crates/dataplane/src/drivers/hop_client.rs
+++ b/crates/dataplane/src/drivers/hop_client.rs
@@ -46,7 +46,8 @@
     Notice(CorrelationId, RequesterNotice),
 }
 
-/// A request to another daemon whose reply is awaited.
+/// A request to another daemon whose reply is awaited. Dropped before that, it is abandoned, and the other daemon is
+/// told so.
 pub struct PendingHopCall {
     correlation: CorrelationId,
     wait_until: MonotonicTime,
@@ -82,6 +83,12 @@
     }
 }
 
+impl Drop for PendingHopCall {
+    fn drop(&mut self) {
+        self.notify(RequesterNotice::Abandoned);
+    }
+}
+
 /// The persistent connections to the other daemons, one to each.
 pub struct HopClient {
     connector: Arc<dyn Connector>,
--- a/crates/dataplane/src/drivers/outcome_waiter.rs
+++ b/crates/dataplane/src/drivers/outcome_waiter.rs
@@ -1,25 +1,32 @@
 //! What waits for the outcome of a request at a holder in this process.
 
 use common::frames::RequestOutcome;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
-/// Receives the outcome of a request.
+/// Receives the outcome of a request, and lets its sends to runners know when nobody waits for it any more.
 pub struct OutcomeWaiter {
     outcome: oneshot::Sender<RequestOutcome>,
+    interest: watch::Receiver<()>,
 }
 
-/// The side that waits.
+/// The side that waits. Dropped, it lets the sends know.
 pub(super) struct AwaitedOutcome {
     outcome: oneshot::Receiver<RequestOutcome>,
+    _interest: watch::Sender<()>,
 }
 
 /// A waiter and the side that waits.
 pub(super) fn outcome_channel() -> (OutcomeWaiter, AwaitedOutcome) {
     let (outcome_sender, outcome) = oneshot::channel();
+    let (interest_sender, interest) = watch::channel(());
     let waiter = OutcomeWaiter {
         outcome: outcome_sender,
+        interest,
+    };
+    let awaited_outcome = AwaitedOutcome {
+        outcome,
+        _interest: interest_sender,
     };
-    let awaited_outcome = AwaitedOutcome { outcome };
     (waiter, awaited_outcome)
 }
 
@@ -28,6 +35,11 @@
     pub(super) fn send(self, outcome: RequestOutcome) {
         let _ = self.outcome.send(outcome);
     }
+
+    /// A receiver whose sender is dropped when nobody waits for the outcome any more.
+    pub(super) fn interest(&self) -> watch::Receiver<()> {
+        self.interest.clone()
+    }
 }
 
 impl AwaitedOutcome {
--- a/crates/dataplane/src/holder/output.rs
+++ b/crates/dataplane/src/holder/output.rs
@@ -131,6 +131,8 @@
     Unsent,
     /// Something may have been sent, and no valid response came.
     Lost,
+    /// The caller left, and the send was broken off; something may have been sent.
+    BrokenOff,
 }
 
 impl SendResult {
@@ -144,6 +146,7 @@
             Self::Forbidden(reason) => Some(reason.as_str()),
             Self::Unsent => Some("reached no runner"),
             Self::Lost => Some("lost its answer"),
+            Self::BrokenOff => Some("was left by its caller"),
         }
     }
 }
--- a/crates/dataplane/src/holder/send_result.rs
+++ b/crates/dataplane/src/holder/send_result.rs
@@ -47,6 +47,7 @@
                 self.requeue(now, in_flight.queued);
             }
             SendResult::Lost => self.handle_lost_response(now, in_flight.queued),
+            SendResult::BrokenOff => self.handle_broken_off(now, in_flight.queued),
         }
         self.dispatch(now);
         self.scale(now);
@@ -55,8 +56,8 @@
     }
 
     fn release_runner_slot(&mut self, now: MonotonicTime, in_flight: &InFlight, end: &SendResult) {
-        let is_resolved =
-            !matches!(end, SendResult::Lost) || !self.rules.enforces(Rule::LostResponseKeepsSlot);
+        let is_resolved = !matches!(end, SendResult::Lost | SendResult::BrokenOff)
+            || !self.rules.enforces(Rule::LostResponseKeepsSlot);
         if let Some(record) = self.runners.get_mut(in_flight.runner) {
             let request = &in_flight.queued.request;
             record.release_slot(now, &request.idempotency_key, request.deadline, is_resolved);
@@ -109,6 +110,17 @@
         }
     }
 
+    /// Nobody waits for the request any more, so it is not retried.
+    fn handle_broken_off(&mut self, now: MonotonicTime, mut queued: QueuedRequest) {
+        queued.may_have_run = true;
+        self.fail_request(
+            now,
+            queued,
+            RequestFailureReason::ResponseLost,
+            Duration::ZERO,
+        );
+    }
+
     /// A runner rejected the request: it did not run there, yet it arrived, and counts as an attempt.
     fn handle_rejection(&mut self, now: MonotonicTime, queued: QueuedRequest) {
         if self.may_retry(now, &queued) {
--- a/crates/dataplane/tests/holder/withdrawal.rs
+++ b/crates/dataplane/tests/holder/withdrawal.rs
@@ -82,6 +82,20 @@
     verify_that!(ended == Some(&response_lost()), eq(is_first))
 }
 
+/// Nobody waits for a request whose send was broken off, so it is not retried; its runner may still be at it.
+#[gtest]
+fn a_send_that_is_broken_off_is_not_retried_and_keeps_its_slot() -> Result<()> {
+    let (mut bench, running) = busy_bench();
+    let (waiting, _) = bench.submit("waiting", false, false);
+    let sent_before = bench.sent.len();
+    bench.end(running, SendResult::BrokenOff);
+    verify_that!(bench.sent.len(), eq(sent_before))?;
+    verify_that!(bench.ended.get(&running), some(eq(&response_lost())))?;
+    let runner = bench.last_sent().runner;
+    bench.drive(|holder, now| holder.running_listed(now + ms(300), runner, Some(Vec::new())));
+    verify_that!(bench.last_sent().ticket, eq(waiting))
+}
+
 /// A release waits for the queue; when the last of it is withdrawn, the lease is given back.
 #[gtest]
 fn a_release_ends_when_the_last_queued_request_is_withdrawn() -> Result<()> {
