Refuse changes and settings that cannot be read in full

Cause: a field that is looked up in a value that is no object counts as missing, and a missing one has a default. The platform's reader of amendments did so, and so did PathReader, by which the product's own API, the spec and all settings are read.

Why it works: no reader can pass over a value of another type by looking for something in it.

Nothing that was read in full before is refused.

--- a/crates/common/src/readers/path.rs
+++ b/crates/common/src/readers/path.rs
@@ -48,13 +48,16 @@
 }
 
 impl PathErrorList {
-    /// Adds an error.
+    /// Adds an error, once however often it is found.
     pub fn add(&self, path: impl Into<String>, reason: PathErrorReason) {
-        let mut errors = self.errors.lock().unwrap_or_else(PoisonError::into_inner);
-        errors.push(PathError {
+        let error = PathError {
             path: path.into(),
             reason,
-        });
+        };
+        let mut errors = self.errors.lock().unwrap_or_else(PoisonError::into_inner);
+        if !errors.contains(&error) {
+            errors.push(error);
+        }
     }
 
     /// Returns all errors, in the order in which they were found.
@@ -108,8 +111,16 @@
         }
     }
 
-    /// Returns a reader for a field, which need not exist.
+    /// Adds an error if there is a value here that is no object: its fields would all count as missing.
+    pub fn check_object(&self) {
+        if self.is_present() && !self.value.is_some_and(Value::is_object) {
+            self.add_error(PathErrorReason::WrongType("an object"));
+        }
+    }
+
+    /// Returns a reader for a field, which need not exist. A value here that is no object is an error.
     pub fn field(&self, field_name: &str) -> PathReader<'a> {
+        self.check_object();
         PathReader {
             value: self.value.and_then(|value| value.get(field_name)),
             path: self.child_path(field_name),
@@ -117,8 +128,9 @@
         }
     }
 
-    /// Adds an error for each field that is not among the known ones.
+    /// Adds an error for each field that is not among the known ones, and for a value that has no fields.
     pub fn allow_only(&self, known_fields: &[&str]) {
+        self.check_object();
         for (field_name, _) in self.object_entries() {
             if !known_fields.contains(&field_name) {
                 self.errors
@@ -137,9 +149,7 @@
 
     /// Returns the fields of an object, each with a reader; empty if the value is missing. Another type is an error.
     pub fn fields(&self) -> Vec<(&'a str, PathReader<'a>)> {
-        if self.is_present() && !self.value.is_some_and(Value::is_object) {
-            self.add_error(PathErrorReason::WrongType("an object"));
-        }
+        self.check_object();
         self.object_entries()
             .map(|(field_name, value)| {
                 let path = self.child_path(field_name);
@@ -226,6 +236,19 @@
         }
     }
 
+    /// Reads an optional number that is not negative, with or without a fraction; the default also stands in for an
+    /// invalid one, which is an error.
+    pub fn decimal_or(&self, default_number: f64) -> f64 {
+        if !self.is_present() {
+            return default_number;
+        }
+        let is_valid = |number: &f64| number.is_finite() && *number >= 0.0;
+        let read_number = self.required("a number from 0 up", |value| {
+            value.as_f64().filter(is_valid)
+        });
+        read_number.unwrap_or(default_number)
+    }
+
     /// Returns the value other than null, without an error if there is none.
     pub fn value(&self) -> Option<&'a Value> {
         self.value.filter(|value| !value.is_null())
--- a/crates/common/src/spec/reader.rs
+++ b/crates/common/src/spec/reader.rs
@@ -23,6 +23,7 @@
         root_reader.add_error(PathErrorReason::WrongType("an object"));
     }
     root_reader.allow_only(&["functions", "routes", "limits", "labels"]);
+    root_reader.field("labels").check_object();
     let spec = Spec {
         limits: read_limits(&root_reader.field("limits")),
         functions: read_functions(&root_reader.field("functions")),
@@ -83,6 +84,7 @@
         "idle_ms",
         "labels",
     ]);
+    reader.field("labels").check_object();
     let default = CallerLimits::default();
     let span = |key: &str, default_span: Duration| {
         let millis = reader
@@ -114,6 +116,7 @@
         "connections",
         "labels",
     ]);
+    reader.field("labels").check_object();
     let runners_reader = reader.field("runners");
     runners_reader.allow_only(&["min", "max"]);
     let min_runners = runners_reader.field("min").number_or(0..=1000, 0) as u32;
--- a/crates/common/src/spec/route_reader.rs
+++ b/crates/common/src/spec/route_reader.rs
@@ -31,6 +31,7 @@
 pub(super) fn read_route(route_name: &str, reader: &PathReader<'_>) -> Option<RouteSpec> {
     check_name(route_name, reader);
     reader.allow_only(&KNOWN_KEYS);
+    reader.field("labels").check_object();
     let by_prefix = reader.field("prefix").is_present() || reader.field("host").is_present();
     let matching = if by_prefix {
         read_prefix(reader)
--- a/crates/controlplane/src/drivers/operator_api/requests.rs
+++ b/crates/controlplane/src/drivers/operator_api/requests.rs
@@ -65,10 +65,12 @@
     let path_parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match *method {
         Method::GET => read_question(&path_parts, query),
-        Method::PUT if path_parts == ["v1", "spec"] => read_change(body, |root| {
+        Method::PUT if path_parts == ["v1", "spec"] => read_change(body, &["spec"], |root| {
             Some(ChangeKind::FullSpec(required_value(root, "spec")?.into()))
         }),
-        Method::PATCH if path_parts == ["v1", "spec"] => read_change(body, read_partial_change),
+        Method::PATCH if path_parts == ["v1", "spec"] => {
+            read_change(body, &["patch", "put", "remove"], read_partial_change)
+        }
         Method::POST => read_command(&path_parts, body),
         _ => Err(RequestError::NoSuchPath),
     }
@@ -107,12 +109,12 @@
 
 fn read_command(path_parts: &[&str], body: &[u8]) -> Result<Operation, RequestError> {
     match path_parts {
-        ["v1", "localities", zone, "evacuate"] => read_change(body, |root| {
+        ["v1", "localities", zone, "evacuate"] => read_change(body, &["force"], |root| {
             let force = root.field("force").bool_or(false);
             let zone = Zone::from(*zone);
             Some(ChangeKind::Evacuate { zone, force })
         }),
-        ["v1", "localities", zone, "restore"] => read_change(body, |_| {
+        ["v1", "localities", zone, "restore"] => read_change(body, &["force"], |_| {
             let zone = Zone::from(*zone);
             Some(ChangeKind::Restore { zone })
         }),
@@ -139,6 +141,15 @@
     reader.value().cloned()
 }
 
+/// An item to put; null is none.
+fn required_item<'a>(reader: &PathReader<'a>) -> Option<&'a Value> {
+    if !reader.is_present() {
+        reader.add_error(PathErrorReason::WrongType("an object"));
+    }
+    reader.check_object();
+    reader.value()
+}
+
 /// A change of a part of the spec: a merge patch, or named items put and removed.
 fn read_partial_change(root: &PathReader<'_>) -> Option<ChangeKind> {
     let (put, remove) = (root.field("put"), root.field("remove"));
@@ -155,9 +166,11 @@
     let put_items = |part_name: &str| {
         let fields = put.field(part_name).fields().into_iter();
         fields
-            .filter_map(|(name, reader)| Some((name.to_owned(), reader.value()?.clone())))
+            .filter_map(|(name, reader)| Some((name.to_owned(), required_item(&reader)?.clone())))
             .collect()
     };
+    put.field("limits").check_object();
+    put.field("labels").check_object();
     let removed_names = |part_name: &str| {
         let items = remove.field(part_name).items();
         items
@@ -175,28 +188,34 @@
     })))
 }
 
-const CHANGE_FIELDS: [&str; 10] = [
-    "base_serial",
-    "number",
-    "base_number",
-    "change_id",
-    "spec",
-    "patch",
-    "put",
-    "remove",
-    "wait",
-    "force",
-];
-
-/// Reads the body of a change. All that is wrong with it is reported at once, in the order of reading.
+/// The fields of a change that say what it is to alter.
+const CONTENT_FIELDS: [&str; 5] = ["spec", "patch", "put", "remove", "force"];
+/// The fields that every change may have.
+const COMMON_FIELDS: [&str; 5] = ["base_serial", "number", "base_number", "change_id", "wait"];
+
+/// Reports the fields that no change has, and those that say what another call is to alter: they would be passed over.
+fn check_fields(root: &PathReader<'_>, own_fields: &[&str]) {
+    root.allow_only(&[&COMMON_FIELDS[..], &CONTENT_FIELDS[..]].concat());
+    for name in CONTENT_FIELDS {
+        let field = root.field(name);
+        if field.is_present() && !own_fields.contains(&name) {
+            let reason = "does not go with this call".to_owned();
+            field.add_error(PathErrorReason::Malformed(reason));
+        }
+    }
+}
+
+/// Reads the body of a change, of whose content the call takes the given fields. All that is wrong with it is reported
+/// at once, in the order of reading.
 fn read_change(
     body: &[u8],
+    own_fields: &[&str],
     read_kind: impl FnOnce(&PathReader<'_>) -> Option<ChangeKind>,
 ) -> Result<Operation, RequestError> {
     let parsed_body: Value = serde_json::from_slice(body).map_err(RequestError::NotJson)?;
     let errors = PathErrorList::default();
     let root = PathReader::new(&parsed_body, &errors);
-    root.allow_only(&CHANGE_FIELDS);
+    check_fields(&root, own_fields);
     let kind = read_kind(&root);
     let is_zone_change = kind.as_ref().is_some_and(ChangeKind::is_zone_change);
     let is_numbered = ["number", "base_number"]
--- a/programs/rudderctl/src/change.rs
+++ b/programs/rudderctl/src/change.rs
@@ -1,5 +1,6 @@
 //! Changes of the spec as they are sent to the operators' API.
 
+use common::readers::{PathError, PathErrorList, PathReader};
 use common::rng::SeededRng;
 use hyper::Method;
 use serde::Serialize;
@@ -15,6 +16,9 @@
     /// The file is not JSON.
     #[error("{}: not JSON: {_1}", _0.display())]
     NotJson(PathBuf, #[source] serde_json::Error),
+    /// The file does not describe items to put and to remove: what is wrong with it.
+    #[error("{}: {_1}", _0.display())]
+    NotItems(PathBuf, PathError),
 }
 
 /// How a file describes a change of the spec.
@@ -37,18 +41,29 @@
         }
     }
 
-    fn content_of(self, file: Value) -> ChangeContent {
-        match self {
+    /// Fails if the file has parts that the change would leave out.
+    fn content_of(self, file: Value) -> Result<ChangeContent, PathError> {
+        Ok(match self {
             Self::Full => ChangeContent::Full { spec: file },
             Self::Patch => ChangeContent::Patch { patch: file },
-            Self::Items => ChangeContent::Items {
-                put: file["put"].clone(),
-                remove: file["remove"].clone(),
-            },
-        }
+            Self::Items => {
+                check_items(&file)?;
+                ChangeContent::Items {
+                    put: file["put"].clone(),
+                    remove: file["remove"].clone(),
+                }
+            }
+        })
     }
 }
 
+/// Checks that a file has nothing but items to put and to remove, which controllers check.
+fn check_items(file: &Value) -> Result<(), PathError> {
+    let errors = PathErrorList::default();
+    PathReader::new(file, &errors).allow_only(&["put", "remove"]);
+    errors.into_inner().into_iter().next().map_or(Ok(()), Err)
+}
+
 /// What a change is to alter. The parts of the spec are the operators' own JSON, which controllers check.
 #[derive(Serialize)]
 #[serde(untagged)]
@@ -181,13 +196,18 @@
 }
 
 impl SpecChange<'_> {
-    /// Reads the file and builds the request. Fails if the file cannot be read or is not JSON.
+    /// Reads the file and builds the request. Fails if the file cannot be read or is not JSON, or if it has parts that the change
+    /// would leave out.
     pub(crate) fn into_request(self) -> Result<ChangeRequest, ChangeFileError> {
         let file_text = std::fs::read_to_string(self.file)
             .map_err(|error| ChangeFileError::Unreadable(self.file.to_owned(), error))?;
         let file: Value = serde_json::from_str(&file_text)
             .map_err(|error| ChangeFileError::NotJson(self.file.to_owned(), error))?;
-        let mut request = ChangeRequest::new(self.kind.content_of(file), self.options);
+        let content = self
+            .kind
+            .content_of(file)
+            .map_err(|error| ChangeFileError::NotItems(self.file.to_owned(), error))?;
+        let mut request = ChangeRequest::new(content, self.options);
         self.base.add_to(&mut request);
         Ok(request)
     }
--- a/programs/rudderctl/tests/command_forms.rs
+++ b/programs/rudderctl/tests/command_forms.rs
@@ -177,6 +177,18 @@
     check("wrong_arguments.txt", &text);
 }
 
+/// A part of a file that is sent to nobody would be left out, and its operator would not notice.
+#[test]
+fn a_file_of_items_with_an_unknown_part_is_refused() {
+    for text in [r#"{"put": {}, "remve": {"routes": ["r"]}}"#, r#"["put"]"#] {
+        let file = TemporaryFile::new("unknown-part", text);
+        let output = output_of(&["--at", "127.0.0.1:9", "items", file.name(), "--base", "3"]);
+        let is_refused =
+            output.contains("is not a known key") || output.contains("is not an object");
+        assert!(is_refused, "{output}");
+    }
+}
+
 #[test]
 fn a_core_that_nobody_reaches_has_its_exit_code() {
     let mut text = String::new();
--- /dev/null
+++ b/testing/support/json_mutations.rs
@@ -0,0 +1,76 @@
+//! Copies of a JSON document in each of which one value has another type.
+
+use serde_json::{Value, json};
+
+/// A copy with one value of another type.
+pub(crate) struct Mutation {
+    /// Where the value is, with dots between the names; empty for the document itself.
+    pub(crate) path: String,
+    /// The copy.
+    pub(crate) document: Value,
+}
+
+/// All copies in which one value, at any depth, has another JSON type. Null stands for a missing value and is left out.
+pub(crate) fn wrong_types(document: &Value) -> Vec<Mutation> {
+    let mut pointers = Vec::new();
+    collect_pointers(document, String::new(), &mut pointers);
+    pointers
+        .iter()
+        .flat_map(|pointer| wrong_types_at(document, pointer))
+        .collect()
+}
+
+fn collect_pointers(value: &Value, pointer: String, pointers: &mut Vec<String>) {
+    match value {
+        Value::Object(fields) => {
+            for (name, field) in fields {
+                collect_pointers(field, format!("{pointer}/{name}"), pointers);
+            }
+        }
+        Value::Array(items) => {
+            for (index, item) in items.iter().enumerate() {
+                collect_pointers(item, format!("{pointer}/{index}"), pointers);
+            }
+        }
+        _ => {}
+    }
+    pointers.push(pointer);
+}
+
+fn wrong_types_at(document: &Value, pointer: &str) -> Vec<Mutation> {
+    let values = [
+        json!(true),
+        json!(17),
+        json!("all of them"),
+        json!([]),
+        json!([{"name": "r"}]),
+        json!({}),
+        json!({"name": "r"}),
+    ];
+    let original = document.pointer(pointer).map(type_number);
+    values
+        .into_iter()
+        .filter(|value| original != Some(type_number(value)))
+        .map(|value| {
+            let mut copy = document.clone();
+            if let Some(target) = copy.pointer_mut(pointer) {
+                *target = value;
+            }
+            Mutation {
+                path: pointer.trim_start_matches('/').replace('/', "."),
+                document: copy,
+            }
+        })
+        .collect()
+}
+
+fn type_number(value: &Value) -> u8 {
+    match value {
+        Value::Null => 0,
+        Value::Bool(_) => 1,
+        Value::Number(_) => 2,
+        Value::String(_) => 3,
+        Value::Array(_) => 4,
+        Value::Object(_) => 5,
+    }
+}
