Take answers that end with their connection, as their head announces

Cause: every answer without a length and without chunks counted as cut short, whatever its end.

Change: an answer whose head announces the close of its connection is complete when that connection ends in an orderly way; a reset is an error of the reader, as before. One that neither declares its end nor announces the close stays in doubt.

--- a/crates/common/src/http/head.rs
+++ b/crates/common/src/http/head.rs
@@ -1,5 +1,6 @@
 //! Reading the heads of responses, and setting their headers.
 
+use super::closes_connection;
 use hyper::StatusCode;
 use hyper::ext::ReasonPhrase;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, IntoHeaderName, TRANSFER_ENCODING};
@@ -28,11 +29,18 @@
 
 /// Whether a response declares where its body ends (RFC 9112, section 6.3). A body that ends with its connection may
 /// have been cut short unnoticed.
-pub fn has_marked_end(status: StatusCode, headers: &HeaderMap) -> bool {
+fn has_marked_end(status: StatusCode, headers: &HeaderMap) -> bool {
     let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     has_no_body || headers.contains_key(CONTENT_LENGTH) || is_chunked(headers)
 }
 
+/// Whether the end of a response's body can be told from a loss: the head declares it, or announces that the connection
+/// is closed after it. A body that ends with its connection is complete if that ended in an orderly way; one whose
+/// connection was reset is an error of its reader (RFC 9112, section 8).
+pub fn has_reliable_end(status: StatusCode, headers: &HeaderMap) -> bool {
+    has_marked_end(status, headers) || closes_connection(headers)
+}
+
 fn is_chunked(headers: &HeaderMap) -> bool {
     let last_value = headers.get_all(TRANSFER_ENCODING).iter().next_back();
     let last_coding = last_value
