Have the leader stop runners under the function's lease, not under the runner's name

Cause: a stop took its token from the runner's name and its holder from the lease that stood by then; a runner that was found in the list, or that outlived its lease, has a token of its own.

Change: a stop goes out under the function's lease, else under its last one, else under a new token of the leader's.

The three new tests in leader_state/orphans.rs fail with the old choice.

--- a/crates/common/src/adapter/platform.rs
+++ b/crates/common/src/adapter/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::frames::Instance;
 use crate::identity::{
-    FunctionKey, FunctionName, InstanceId, MemberName, RunnerId, WorkerName, Zone,
+    FencingToken, FunctionKey, FunctionName, InstanceId, MemberName, RunnerId, WorkerName, Zone,
 };
 use std::future::Future;
 use std::pin::Pin;
@@ -56,8 +56,10 @@
     pub worker: WorkerName,
     /// Its instance. Without one, an adapter repeats the start to learn it, and then stops that.
     pub instance: Option<InstanceId>,
-    /// The daemon that gives the order.
+    /// The daemon that gives the order, or in whose name the leader gives it.
     pub member: MemberName,
+    /// The fencing token of the lease under which that daemon holds the function, or held it last.
+    pub fencing_token: FencingToken,
 }
 
 /// A worker as the platform lists it.
--- a/crates/controlplane/src/leader_state/fence.rs
+++ b/crates/controlplane/src/leader_state/fence.rs
@@ -1,5 +1,6 @@
 //! Fencing: what a lost holder's lease covers is orphaned or stopped before the function is leased again.
 
+use super::function_leases::OrderAuthority;
 use super::reservations::Reservation;
 use super::{EventDetail, LeaderOutput, LeaderState};
 use common::adapter::StopOrder;
@@ -18,6 +19,9 @@
 /// Without a member to sweep, the next sweep is due after this; a member that joins schedules one.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The name under which the leader stops a runner of a function that no daemon is known to have held.
+const LEADER_AS_HOLDER: &str = "leader";
+
 /// Orphans and stops that wait for their time are checked this often.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -222,13 +226,17 @@
     fn order_stops(&mut self, now: MonotonicTime) {
         for due_runner in self.reservations.take_due_stops() {
             self.reservations.note_stop_ordered(due_runner, now);
+            let Some(function) = self
+                .reservations
+                .get(due_runner)
+                .map(|reservation| reservation.function.clone())
+            else {
+                continue;
+            };
+            let authority = self.stop_authority(&function);
             let Some(reservation) = self.reservations.get(due_runner) else {
                 continue;
             };
-            let member = self.lease_records.get(&reservation.function).map_or_else(
-                || MemberName::from("leader"),
-                |entry| entry.holder.member.clone(),
-            );
             self.outputs.push(LeaderOutput::StopRunner(StopOrder {
                 runner: due_runner,
                 function: reservation.function.clone(),
@@ -237,11 +245,24 @@
                     .instance
                     .as_ref()
                     .map(|instance| instance.name.clone()),
-                member,
+                member: authority.member,
+                fencing_token: authority.fencing_token,
             }));
         }
     }
 
+    /// In whose name a runner of a function is stopped. The platform must neither see two holders under one fencing token
+    /// nor a token below one that it has seen: a stop goes out under the function's own lease, else under its last one,
+    /// and only where none is known under a new token of the leader's.
+    fn stop_authority(&mut self, function: &FunctionKey) -> OrderAuthority {
+        self.lease_records
+            .order_authority(function)
+            .unwrap_or_else(|| OrderAuthority {
+                member: MemberName::from(LEADER_AS_HOLDER),
+                fencing_token: self.next_fencing_token(),
+            })
+    }
+
     /// Ends each fenced lease whose runners are all orphaned or have surely stopped.
     fn clear_fenced(&mut self, now: MonotonicTime) {
         if self.fencing.functions.is_empty() {
--- a/crates/controlplane/src/leader_state/function_leases.rs
+++ b/crates/controlplane/src/leader_state/function_leases.rs
@@ -3,7 +3,7 @@
 
 use common::clock::MonotonicTime;
 use common::frames::{Host, KnownMember};
-use common::identity::{FencingToken, FunctionKey};
+use common::identity::{FencingToken, FunctionKey, MemberName};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The lease of a function to one member.
@@ -23,6 +23,13 @@
 }
 
 impl LeaseRecord {
+    fn authority(&self) -> OrderAuthority {
+        OrderAuthority {
+            member: self.holder.member.clone(),
+            fencing_token: self.fencing_token,
+        }
+    }
+
     /// A lease that was just issued or claimed.
     pub(super) fn new(
         holder: KnownMember,
@@ -42,11 +49,23 @@
     }
 }
 
+/// In whose name, and with which fencing token, an order about a function is given.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub(super) struct OrderAuthority {
+    pub member: MemberName,
+    pub fencing_token: FencingToken,
+}
+
+/// How many functions without a lease have their last holder remembered.
+const MAX_LAST_HOLDERS: usize = 16_384;
+
 /// All function leases. The holder of a record never changes: another holder has another lease.
 #[derive(Default)]
 pub(super) struct FunctionLeases {
     by_function: BTreeMap<FunctionKey, LeaseRecord>,
     by_holder: BTreeMap<KnownMember, BTreeSet<FunctionKey>>,
+    /// The last holders of functions that are not leased.
+    last_holders: BTreeMap<FunctionKey, OrderAuthority>,
 }
 
 impl FunctionLeases {
@@ -78,6 +97,7 @@
     /// Records a lease, instead of the one that its function had.
     pub(super) fn insert(&mut self, function: FunctionKey, entry: LeaseRecord) {
         self.remove(&function);
+        self.last_holders.remove(&function);
         self.by_holder
             .entry(entry.holder.clone())
             .or_default()
@@ -94,9 +114,21 @@
                 self.by_holder.remove(&removed_lease.holder);
             }
         }
+        if self.last_holders.len() >= MAX_LAST_HOLDERS {
+            self.last_holders.pop_first();
+        }
+        let last_holder = removed_lease.authority();
+        self.last_holders.insert(function.clone(), last_holder);
         Some(removed_lease)
     }
 
+    /// Under whose lease orders about a function are given: its holder's, or else that of its last holder. None if this
+    /// leader knows of neither.
+    pub(super) fn order_authority(&self, function: &FunctionKey) -> Option<OrderAuthority> {
+        let holder = self.get(function).map(LeaseRecord::authority);
+        holder.or_else(|| self.last_holders.get(function).cloned())
+    }
+
     /// The leases of one holder.
     pub(super) fn all_of(
         &self,
--- a/crates/controlplane/tests/leader_state/harness.rs
+++ b/crates/controlplane/tests/leader_state/harness.rs
@@ -1,7 +1,7 @@
 //! A leader's state with daemons that join it, on virtual time.
 
 use super::samples::{document, function, function_named, hello, known};
-use common::adapter::{ListedRunner, ListedWorker};
+use common::adapter::{ListedRunner, ListedWorker, StopOrder};
 use common::clock::MonotonicTime;
 use common::frames::{
     AcquireResult, Claim, ClaimedRunner, DaemonToLeader, Flag, Host, KnownMember, LeaderToDaemon,
@@ -261,14 +261,20 @@
             .any(|output| matches!(output, LeaderOutput::RequestLists))
     }
 
-    /// The runners that the platform is to stop.
-    pub fn stops(&self) -> Vec<RunnerId> {
+    /// The orders to the platform to stop runners.
+    pub fn stop_orders(&self) -> Vec<&StopOrder> {
         self.outputs
             .iter()
             .filter_map(|output| match output {
-                LeaderOutput::StopRunner(order) => Some(order.runner),
+                LeaderOutput::StopRunner(order) => Some(order),
                 _ => None,
             })
             .collect()
     }
+
+    /// The runners that the platform is to stop.
+    pub fn stops(&self) -> Vec<RunnerId> {
+        let orders = self.stop_orders().into_iter();
+        orders.map(|order| order.runner).collect()
+    }
 }
--- a/crates/controlplane/tests/leader_state/orphans.rs
+++ b/crates/controlplane/tests/leader_state/orphans.rs
@@ -115,3 +115,79 @@
     verify_that!(known_runner_count(&harness), eq(1))?;
     verify_that!(harness.stops(), is_empty())
 }
+
+/// The platform saw one fencing token from two holders, the dead daemon and "leader": review case 4, ONE.
+#[gtest]
+fn a_dead_holders_runner_is_stopped_in_its_holders_name() -> Result<()> {
+    let mut harness = Harness::with_two_daemons(vec![adoptable_claim(false)]);
+    harness.advance(ms(2250));
+    harness.renew(2);
+    let mut order = None;
+    for _ in 0..60 {
+        harness.advance(ms(100));
+        harness.renew(2);
+        if let Some(ordered) = harness.stop_orders().first() {
+            order = Some((*ordered).clone());
+            break;
+        }
+    }
+    let Some(order) = order else {
+        return fail!("no stop was ordered");
+    };
+    verify_that!(order.runner, eq(old_runner()))?;
+    verify_that!(order.member.as_str(), eq("a"))?;
+    verify_that!(order.fencing_token, eq(old_runner().fencing_token))
+}
+
+/// A runner that the platform's list shows late, while another daemon holds its function: the leader stopped it in the
+/// holder's name with a token above that holder's own, so that each later call of the holder was below it. Review case 3,
+/// ONE.
+#[gtest]
+fn a_found_runner_is_stopped_under_the_lease_that_stands() -> Result<()> {
+    let mut harness = Harness::with_two_daemons(vec![]);
+    harness.workers_listed(&[worker("w", "l", 300)]);
+    let fencing_token = harness.granted(2, "f");
+    harness.advance(ms(10));
+    let mut order = None;
+    for _ in 0..80 {
+        harness.listed(&[listed_instance(false)]);
+        harness.advance(ms(100));
+        harness.renew(2);
+        if let Some(ordered) = harness.stop_orders().first() {
+            order = Some((*ordered).clone());
+            break;
+        }
+    }
+    let Some(order) = order else {
+        return fail!("no stop was ordered");
+    };
+    verify_that!(order.member.as_str(), eq("b"))?;
+    verify_that!(order.fencing_token, eq(fencing_token))
+}
+
+/// A runner of a function that no daemon is known to have held: each stop has a token of its own, above all before it.
+#[gtest]
+fn a_runner_without_a_known_holder_is_stopped_under_new_tokens() -> Result<()> {
+    let mut harness = Harness::with_two_daemons(vec![]);
+    harness.workers_listed(&[worker("w", "l", 300)]);
+    let mut tokens = Vec::new();
+    let mut stopped = None;
+    for _ in 0..120 {
+        harness.listed(&[listed_instance(false)]);
+        harness.advance(ms(100));
+        harness.renew(2);
+        for order in harness.stop_orders() {
+            verify_that!(order.member.as_str(), eq("leader"))?;
+            tokens.push(order.fencing_token);
+            stopped = Some(order.runner);
+        }
+    }
+    verify_that!(tokens.len(), ge(2))?;
+    verify_that!(tokens.is_sorted_by(|one, next| one < next), eq(true))?;
+    let Some(runner) = stopped else {
+        return fail!("no stop was ordered");
+    };
+    harness.leader_state.runner_stopped(runner);
+    let granted = harness.granted(2, "f");
+    verify_that!(Some(&granted), gt(tokens.last()))
+}
--- a/crates/dataplane/src/drivers/platform.rs
+++ b/crates/dataplane/src/drivers/platform.rs
@@ -44,6 +44,7 @@
         worker,
         instance,
         member: state.settings.member.clone(),
+        fencing_token: held.fencing_token,
     };
     state.adapters.platform.stop_runner(order).await
 }
--- a/testing/support/platform_orders.rs
+++ b/testing/support/platform_orders.rs
@@ -31,6 +31,7 @@
         worker: worker.into(),
         instance: instance.map(InstanceId::from),
         member: "daemon-1".into(),
+        fencing_token: RUNNER.fencing_token,
     }
 }
 
