Log settings that cannot be read on SIGHUP in every program

Operators of the daemon and of the platform's programs saw nothing when a changed settings file could not be read; only the controller logged it. The reading function returned no reason. It returns its error now, and apply_on_reload logs it (E1004). Test: crates/common/tests/reload.rs, which does not compile against the earlier form.

--- a/crates/common/src/command_line.rs
+++ b/crates/common/src/command_line.rs
@@ -150,16 +150,17 @@
     Ok(reload)
 }
 
-/// Reads the settings again on each reload signal, and applies them if they could be read. Ends only with the
-/// sender of the signal, which lives as long as the runtime.
-pub async fn apply_on_reload<T>(
+/// Reads the settings again on each reload signal, and applies them; those that cannot be read are logged and passed over.
+/// Ends only with the sender of the signal, which lives as long as the runtime.
+pub async fn apply_on_reload<T, E: fmt::Display>(
     mut reload: watch::Receiver<u64>,
-    read: impl Fn() -> Option<T>,
+    read: impl Fn() -> Result<T, E>,
     apply: impl AsyncFn(T),
 ) {
     while reload.changed().await.is_ok() {
-        if let Some(settings) = read() {
-            apply(settings).await;
+        match read() {
+            Ok(settings) => apply(settings).await,
+            Err(error) => log_event!(Warn, events::SETTINGS_UNREADABLE, "{error}"),
         }
     }
 }
--- /dev/null
+++ b/crates/common/tests/reload.rs
@@ -0,0 +1,40 @@
+//! Settings that are read again while a process runs.
+
+use common::command_line::apply_on_reload;
+use googletest::prelude::*;
+use std::cell::{Cell, RefCell};
+use tokio::sync::watch;
+
+/// Settings that cannot be read are passed over, and the next that can are applied.
+#[gtest]
+fn unreadable_settings_change_nothing_and_the_next_ones_are_applied() -> Result<()> {
+    let runtime = common::command_line::runtime(1)?;
+    let (reload_sender, reload) = watch::channel(0_u64);
+    let reads = Cell::new(0);
+    let applied = RefCell::new(Vec::new());
+    runtime.block_on(async {
+        let read = || {
+            reads.set(reads.get() + 1);
+            if reads.get() == 1 {
+                Err("not readable")
+            } else {
+                Ok(reads.get())
+            }
+        };
+        let applying = apply_on_reload(reload, read, async |settings| {
+            applied.borrow_mut().push(settings);
+        });
+        let reads = &reads;
+        let reloading = async move {
+            for read_count in 1..=2 {
+                reload_sender.send_modify(|count| *count += 1);
+                while reads.get() < read_count {
+                    tokio::task::yield_now().await;
+                }
+            }
+        };
+        tokio::join!(applying, reloading);
+    });
+    verify_that!(reads.get(), eq(2))?;
+    verify_that!(*applied.borrow(), elements_are![eq(&2)])
+}
--- a/programs/controller/src/main.rs
+++ b/programs/controller/src/main.rs
@@ -5,8 +5,6 @@
 #![deny(unreachable_pub)]
 
 use common::command_line::{self, Program};
-use common::events;
-use common::log_event;
 use common::readers::{SettingsError, SettingsSource};
 use controlplane::drivers::{Controller, ControllerError, SeedUpdater};
 use controlplane::settings::ControllerSettings;
@@ -117,11 +115,7 @@
 
 /// Applies the seeds on each reload signal; settings that cannot be read are logged and change nothing.
 async fn update_seeds(flags: Flags, seed_updater: SeedUpdater, reload: watch::Receiver<u64>) {
-    let read = || {
-        read_settings(&flags)
-            .inspect_err(|error| log_event!(Warn, events::SETTINGS_UNREADABLE, "{error}"))
-            .ok()
-    };
+    let read = || read_settings(&flags);
     command_line::apply_on_reload(reload, read, async move |settings: ControllerSettings| {
         seed_updater.update_seeds(settings.seeds).await;
     })
--- a/programs/daemon/src/main.rs
+++ b/programs/daemon/src/main.rs
@@ -76,15 +76,16 @@
 }
 
 /// Applies the file's seeds on each reload signal. Flags are not laid over them, so that a process that was
-/// started with `--seeds` can take others; a file that cannot be read changes nothing.
+/// started with `--seeds` can take others; a file that cannot be read is logged and changes
+/// nothing.
 async fn update_seeds(
     daemon: DaemonHandle,
     settings_file: Option<PathBuf>,
     reload: watch::Receiver<u64>,
 ) {
     let read = || {
-        let settings_source = SettingsSource::open(settings_file.as_deref()).ok()?;
-        DaemonSettings::read(&settings_source).ok()
+        let settings_source = SettingsSource::open(settings_file.as_deref())?;
+        DaemonSettings::read(&settings_source)
     };
     command_line::apply_on_reload(reload, read, async move |settings: DaemonSettings| {
         daemon.update_seeds(settings.seeds)
