Soak with kept connections, patient callers, series of stops and signals, and unreadable changes

Change: callers keep connections and use them until they are closed, ready or not; some wait longer than a stop may take, for a function with one slot. Stops no longer hold up the other faults, so that they overlap, and come in groups; signals come in series; changes with a value of another type are sent, and one that is accepted is a finding. A new check judges that a daemon that stops in order leaves no request that it had read without a word. The first lane is of planned work alone. `--daemons` sets the size of the fleet.

Mended in the tool on the way: soaks one after the other were refused their addresses, as the proxies of the one before still listened; and a process that was just forked may hold a closed address for a moment.

--- a/testing/fleet/src/commands/flags.rs
+++ b/testing/fleet/src/commands/flags.rs
@@ -117,6 +117,8 @@
     pub lanes: usize,
     #[options(no_short, help = "how many soaks at a time", default = "1")]
     pub at_once: usize,
+    #[options(no_short, help = "daemons in each", default = "6")]
+    pub daemons: usize,
     #[options(no_short, help = "a rule that the daemons lack", meta = "RULE")]
     pub without: Option<String>,
     #[options(
--- a/testing/fleet/src/commands/soak.rs
+++ b/testing/fleet/src/commands/soak.rs
@@ -25,6 +25,7 @@
         folder: folder.join(format!("seed-{seed}")),
         programs: programs.clone(),
         without,
+        daemons: options.daemons,
     };
     let runtime = common::command_line::runtime(4)?;
     let found_count = runtime.block_on(async {
--- a/testing/fleet/src/fleet/mod.rs
+++ b/testing/fleet/src/fleet/mod.rs
@@ -54,6 +54,8 @@
     pub network_proxy: NetworkProxy,
     /// Processes that are stopping or frozen.
     disturbed: BTreeSet<String>,
+    /// When each stop began that is under way.
+    stops: BTreeMap<String, Instant>,
     /// The number in the latest change id.
     latest_change: u64,
 }
@@ -73,6 +75,7 @@
             network_proxy,
             processes,
             disturbed,
+            stops: BTreeMap::new(),
             latest_change: 1,
         };
 
@@ -193,15 +196,54 @@
         started_at.elapsed()
     }
 
-    /// Sends SIGTERM to a process without waiting for its end; a later [`Fleet::stop`] waits.
+    /// Sends SIGTERM to a process without waiting for its end; a later [`Fleet::finish_stop`] ends it.
     pub fn begin_stop(&mut self, name: &str) {
         self.record_event("stop", json!({"machine": name, "door": self.ingress(name)}));
         self.disturbed.insert(name.to_owned());
+        self.stops.insert(name.to_owned(), Instant::now());
         if let Some(process) = self.processes.get(name) {
             process.terminate();
         }
     }
 
+    /// Ends a stop that was begun, if the process has ended, or kills it if its grace period is over. False while it may
+    /// go on.
+    pub async fn finish_stop(&mut self, name: &str, grace: Duration) -> bool {
+        let Some(process) = self.processes.get_mut(name) else {
+            return true;
+        };
+        let taken = self
+            .stops
+            .get(name)
+            .map_or(grace, |begun_at| begun_at.elapsed());
+        let has_ended = process.has_exited();
+        if !has_ended && taken < grace {
+            return false;
+        }
+        if !has_ended {
+            process.kill();
+        }
+        self.processes.remove(name);
+        self.stops.remove(name);
+        self.stop_proxy(name).await;
+        let taken_ms = taken.as_millis() as u64;
+        self.record_event(
+            "stopped",
+            json!({"machine": name, "in_time": has_ended, "taken_ms": taken_ms}),
+        );
+        true
+    }
+
+    /// Sends SIGTERM and SIGHUP once more to every process that is stopping.
+    pub fn signal_stopping(&self) {
+        for name in self.stops.keys() {
+            if let Some(process) = self.processes.get(name) {
+                process.terminate();
+                process.reload();
+            }
+        }
+    }
+
     /// Sends SIGHUP to all daemons and controllers, so that they reload their settings.
     pub fn reload_all(&self) {
         self.record_event("hang_up", json!({}));
@@ -278,6 +320,7 @@
                 platform_stub.kill();
             }
         }
+        self.network_proxy.stop_all().await;
     }
 
     /// Sends a request to the operator API of the controllers in turn, until one is reached. Returns the status and
--- a/testing/fleet/src/fleet/network_proxy.rs
+++ b/testing/fleet/src/fleet/network_proxy.rs
@@ -2,6 +2,7 @@
 
 use common::frames::SocketAddress;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -11,6 +12,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// How often an address that is in use is tried.
+const BIND_ATTEMPTS: usize = 20;
+/// The delay before it is tried again.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(25);
+
 /// The current condition of the network. Machines are identified by their loopback addresses.
 #[derive(Clone, Default)]
 struct NetworkConditions {
@@ -45,8 +51,7 @@
         address: SocketAddress,
         listen: SocketAddress,
     ) -> std::io::Result<()> {
-        let listener = TcpListener::bind(address.to_std()).await?;
-        let datagrams = UdpSocket::bind(address.to_std()).await?;
+        let (listener, datagrams) = bind_sockets(address).await?;
         let proxy_tasks = vec![
             tokio::spawn(accept(listener, listen, self.network_conditions.clone())),
             tokio::spawn(proxy_datagrams(
@@ -79,6 +84,20 @@
         }
     }
 
+    /// Stops the proxies of all processes, so that their addresses are free for another fleet.
+    pub async fn stop_all(&self) {
+        let addresses: Vec<SocketAddress> = {
+            let running_proxies = self
+                .running_proxies
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            running_proxies.keys().copied().collect()
+        };
+        for address in addresses {
+            self.stop_proxy(address).await;
+        }
+    }
+
     /// Blocks the direction from one machine to another.
     pub fn block(&self, from: Ipv4Addr, to: Ipv4Addr) {
         self.network_conditions.send_modify(|network_conditions| {
@@ -124,6 +143,26 @@
     }
 }
 
+/// Opens the sockets of a proxy. A process that was just forked holds copies of all sockets until it runs its program, so
+/// that an address may be in use for a moment after its sockets were closed.
+async fn bind_sockets(address: SocketAddress) -> std::io::Result<(TcpListener, UdpSocket)> {
+    for _ in 0..BIND_ATTEMPTS {
+        match try_bind_sockets(address).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {
+                tokio::time::sleep(BIND_RETRY_DELAY).await;
+            }
+            bound => return bound,
+        }
+    }
+    try_bind_sockets(address).await
+}
+
+async fn try_bind_sockets(address: SocketAddress) -> std::io::Result<(TcpListener, UdpSocket)> {
+    let listener = TcpListener::bind(address.to_std()).await?;
+    let datagrams = UdpSocket::bind(address.to_std()).await?;
+    Ok((listener, datagrams))
+}
+
 fn ip_of(address: IpAddr) -> Ipv4Addr {
     match address {
         IpAddr::V4(ip) => ip,
--- a/testing/fleet/src/judge/checks/mod.rs
+++ b/testing/fleet/src/judge/checks/mod.rs
@@ -10,7 +10,7 @@
 use forbidden::{draining_used, evacuated_used};
 use outcomes::{once_runs_twice, refused_runs, unsealed_answer};
 use runners::{extra_tries, runner_overloaded};
-use service::{answers_dropped, service_down, two_holders};
+use service::{answers_dropped, service_down, two_holders, unanswered_at_stop};
 use spec::{
     conflicting_changes, ingress_behind, refused_change_in_force, spec_not_in_force,
     unconfigured_function,
@@ -47,6 +47,8 @@
 pub const EVACUATED_USED: &str = "an evacuated locality used after 5 s";
 /// A graceful stop lost answers to requests in flight, or took too long.
 pub const ANSWERS_DROPPED: &str = "an orderly stop drops answers in hand";
+/// A daemon that was stopped gracefully closed a connection on a request that it had read, without a word.
+pub const UNANSWERED_AT_STOP: &str = "an orderly stop leaves a request without a word";
 /// Retries exceeded the retry budget.
 pub const EXTRA_TRIES: &str = "extra tries above a fifth in 10 s";
 /// A runner got requests before it was ready, too many while it was fresh, or more than its slots.
@@ -70,6 +72,7 @@
         draining_used(evidence),
         evacuated_used(evidence),
         answers_dropped(evidence),
+        unanswered_at_stop(evidence),
         extra_tries(evidence),
         runner_overloaded(evidence),
         two_holders(evidence),
--- a/testing/fleet/src/judge/checks/service.rs
+++ b/testing/fleet/src/judge/checks/service.rs
@@ -1,10 +1,13 @@
 //! Lease holders and recovery: one holder at a time, graceful stops that drop nothing, service after a fault.
 
-use super::{ANSWERS_DROPPED, DELIVERY_SLACK, SECOND, SERVICE_DOWN, TWO_HOLDERS};
+use super::{
+    ANSWERS_DROPPED, DELIVERY_SLACK, SECOND, SERVICE_DOWN, SLACK, TWO_HOLDERS, UNANSWERED_AT_STOP,
+};
 use crate::judge::{Call, Check, Evidence, JournalEntry};
+use common::http::CallError;
 use common::identity::FencingToken;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
 /// A request in flight at a graceful stop keeps its answer: at the stopping ingress it has a definite outcome, and
@@ -49,6 +52,71 @@
     }
 }
 
+/// A graceful stop of a daemon, until its process was gone.
+struct OrderlyStop<'a> {
+    ingress: &'a str,
+    from: u64,
+    until: u64,
+}
+
+/// The graceful stops of daemons that ended by themselves, were not killed, and were not frozen meanwhile.
+fn orderly_stops(evidence: &Evidence) -> Vec<OrderlyStop<'_>> {
+    let stop_of = |entry: &'_ JournalEntry| {
+        let machine = entry.detail["machine"].clone();
+        let is_same =
+            move |other: &&JournalEntry| other.at >= entry.at && other.detail["machine"] == machine;
+        let stopped = evidence.entries_of("stopped").find(&is_same)?;
+        let is_disturbed = ["kill", "freeze"].iter().any(|kind| {
+            let mut disturbances = evidence.entries_of(kind).filter(&is_same);
+            disturbances.any(|other| other.at <= stopped.at)
+        });
+        (!is_disturbed && stopped.detail["in_time"] == json!(true)).then_some(stopped.at)
+    };
+    evidence
+        .entries_of("stop")
+        .filter_map(|entry| {
+            Some(OrderlyStop {
+                ingress: entry.detail["door"].as_str()?,
+                from: entry.at,
+                until: stop_of(entry)?,
+            })
+        })
+        .collect()
+}
+
+/// Whatever else goes wrong, a daemon that stops gracefully answers every request that it has read, if only with the
+/// word that its outcome is unknown. A request that crosses the close of its connection was not read.
+pub(super) fn unanswered_at_stop(evidence: &Evidence) -> Check {
+    let mut check = Check::new(UNANSWERED_AT_STOP);
+    let run_ids: BTreeSet<&str> = evidence
+        .runs
+        .iter()
+        .map(|run| run.idempotency_key.as_str())
+        .collect();
+    let stops = orderly_stops(evidence);
+    for call in &evidence.calls {
+        let is_in_hand = |stop: &&OrderlyStop<'_>| {
+            call.ingress == stop.ingress && call.at < stop.until && call.end > stop.from
+        };
+        let Some(stop) = stops.iter().find(is_in_hand) else {
+            continue;
+        };
+        check.checked += 1;
+        let was_read = run_ids.contains(call.id.as_str()) || call.end - call.at > SLACK;
+        let has_timed_out = call.reason == CallError::Timeout.to_string();
+        if call.outcome == "lost" && was_read && !has_timed_out {
+            check.violations.push(format!(
+                "{} was cut off after {} ms at {}: {}",
+                call.id,
+                (call.end - call.at) / 1_000_000,
+                stop.ingress,
+                call.reason
+            ));
+        }
+    }
+    check
+}
+
 /// A lease holder shows itself by the runners it starts and the requests it sends. Once one with a later fencing
 /// token did so, nothing may be sent under an earlier token. The later holder may keep the earlier one's runners.
 pub(super) fn two_holders(evidence: &Evidence) -> Check {
--- a/testing/fleet/src/soak/clients.rs
+++ b/testing/fleet/src/soak/clients.rs
@@ -5,11 +5,14 @@
 use crate::fleet::{Fleet, FleetError};
 use common::frames::SocketAddress;
 use common::rng::SeededRng;
+use hyper::Method;
 use serde_json::{Value, json};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// The journal's entry of a change that was accepted although it cannot be read.
+pub(super) const UNREADABLE_CHANGE_ACCEPTED: &str = "unreadable_change_accepted";
 /// The time limit for all changes of one fault.
 pub(super) const OPERATOR_TIMEOUT: Duration = Duration::from_millis(2500);
 /// When an operator that loses the response closes its connection.
@@ -27,6 +30,9 @@
         let (version, spec) = fleet.spec().await?;
         let change_id = fleet.change_id();
         match fault {
+            SoakFault::UnreadableSpecs => {
+                send_unreadable(fleet, version, &spec, &change_id).await?
+            }
             SoakFault::InvalidSpecs => send_invalid(fleet, version, &spec, &change_id).await?,
             SoakFault::LoseAcknowledgements => {
                 let switched = switched(spec);
@@ -78,6 +84,47 @@
     Ok(())
 }
 
+/// Sends changes in which one value has another type; each that is accepted is noted in the journal.
+async fn send_unreadable(
+    fleet: &Fleet,
+    version: u64,
+    spec: &Value,
+    change_id: &str,
+) -> Result<(), FleetError> {
+    let route = &spec["routes"]["canary"];
+    let changes = [
+        (Method::PATCH, json!({"put": "all routes", "remove": {}})),
+        (
+            Method::PATCH,
+            json!({"put": {"routes": {"canary": route}}, "remove": 17}),
+        ),
+        (
+            Method::PATCH,
+            json!({"put": {"functions": {"canary-a": null}}}),
+        ),
+        (Method::PATCH, json!({"put": {"limits": ["none"]}})),
+        (
+            Method::PUT,
+            json!({"spec": {"functions": spec["functions"], "routes": [route]}}),
+        ),
+        (
+            Method::PUT,
+            json!({"spec": spec, "patch": {"routes": {"canary": null}}}),
+        ),
+    ];
+    for (number, (method, mut body)) in changes.into_iter().enumerate() {
+        body["base_serial"] = json!(version);
+        body["change_id"] = json!(format!("{change_id}-unreadable-{number}"));
+        let (status, _) = fleet
+            .call_operators(method, "/v1/spec", Some(&body))
+            .await?;
+        if status == 200 {
+            fleet.record_event(UNREADABLE_CHANGE_ACCEPTED, body);
+        }
+    }
+    Ok(())
+}
+
 /// Closes callers' connections before their requests are complete, or before the response.
 pub(super) async fn disconnect_mid_request(
     fleet: &Fleet,
--- a/testing/fleet/src/soak/fault.rs
+++ b/testing/fleet/src/soak/fault.rs
@@ -15,6 +15,11 @@
 /// The delay of connections on a slow network.
 const ADDED_DELAY: Duration = Duration::from_millis(200);
 
+/// How many signals a series has.
+const SIGNALS_IN_SERIES: usize = 8;
+/// The longest pause between two signals.
+const LONGEST_SIGNAL_PAUSE: Duration = Duration::from_millis(150);
+
 macro_rules! soak_faults {
     ($($(#[$doc:meta])* $variant:ident = $name:literal,)+) => {
         /// A kind of fault in a soak.
@@ -78,12 +83,18 @@
     WrongAnswers = "wrong-answers",
     /// All daemons and controllers get SIGHUP and reload their settings.
     Reload = "reload",
+    /// Processes that are stopping get SIGTERM and SIGHUP again, and all others SIGHUP, several times.
+    SignalSeries = "signal-series",
+    /// Several daemons are stopped gracefully, one shortly after the other, and restarted.
+    StopDaemons = "stop-daemons",
     /// Operators send several changes of the spec.
     ChangeSpec = "change-spec",
     /// Operators close the connection before the response to a change, and retry it.
     LoseAcknowledgements = "lose-acknowledgements",
     /// Operators send invalid changes and ones with a stale base version.
     InvalidSpecs = "invalid-specs",
+    /// Operators send changes in which some value has another type.
+    UnreadableSpecs = "unreadable-specs",
     /// Callers close their connections within a request or before the response.
     HangUps = "hang-ups",
     /// Random bytes are sent to ingresses and to the addresses between processes.
@@ -122,6 +133,8 @@
     /// The shares of requests with which runners misbehave.
     RunnerFaults(Value),
     Reload,
+    SignalSeries,
+    StopDaemons,
     ChangeSpec,
     HangUps,
     Garbage,
@@ -163,9 +176,12 @@
                 FaultAction::RunnerFaults(json!({"wrong": 0.02, "short": 0.02, "foreign": 0.02}))
             }
             Self::Reload => FaultAction::Reload,
-            Self::ChangeSpec | Self::LoseAcknowledgements | Self::InvalidSpecs => {
-                FaultAction::ChangeSpec
-            }
+            Self::SignalSeries => FaultAction::SignalSeries,
+            Self::StopDaemons => FaultAction::StopDaemons,
+            Self::ChangeSpec
+            | Self::LoseAcknowledgements
+            | Self::InvalidSpecs
+            | Self::UnreadableSpecs => FaultAction::ChangeSpec,
             Self::HangUps => FaultAction::HangUps,
             Self::Garbage => FaultAction::Garbage,
         }
@@ -176,7 +192,7 @@
 pub(super) enum FaultUndo {
     Nothing,
     Launch(String),
-    AwaitStopAndLaunch(String),
+    AwaitStopsAndLaunch(Vec<String>),
     Resume(String),
     Unblock(Vec<(Ipv4Addr, Ipv4Addr)>),
     ClearRunnerFaults,
@@ -225,6 +241,11 @@
                 self.fleet.reload_all();
                 Ok(FaultUndo::Nothing)
             }
+            FaultAction::SignalSeries => {
+                self.send_signal_series().await;
+                Ok(FaultUndo::Nothing)
+            }
+            FaultAction::StopDaemons => Ok(self.stop_daemons().await),
             FaultAction::ChangeSpec => {
                 self.change_spec(fault).await;
                 Ok(FaultUndo::Nothing)
@@ -247,15 +268,60 @@
         let _ = tokio::time::timeout(clients::OPERATOR_TIMEOUT, change).await;
     }
 
-    /// Undoes a fault.
-    pub(crate) async fn end(&mut self, undo: FaultUndo) -> Result<(), FleetError> {
+    /// Sends a series of signals, as an impatient supervisor does.
+    async fn send_signal_series(&mut self) {
+        for _ in 0..SIGNALS_IN_SERIES {
+            self.fleet.signal_stopping();
+            self.fleet.reload_all();
+            let pause = self.rng.within(Duration::ZERO, LONGEST_SIGNAL_PAUSE);
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Begins to stop up to half of the daemons, one shortly after the other.
+    async fn stop_daemons(&mut self) -> FaultUndo {
+        let most_count = self.fleet.undisturbed("daemon").len().div_ceil(2);
+        let mut stopping = Vec::new();
+        for _ in 0..most_count {
+            if let Some(name) = self.some_daemon() {
+                self.rng.number();
+                self.fleet.begin_stop(&name);
+                stopping.push(name);
+            }
+            let pause = self.rng.within(Duration::ZERO, LONGEST_SIGNAL_PAUSE);
+            tokio::time::sleep(pause).await;
+        }
+        FaultUndo::AwaitStopsAndLaunch(stopping)
+    }
+
+    /// Starts those of the stopping processes that have ended; the others are left.
+    async fn launch_stopped(&mut self, names: Vec<String>) -> Result<Vec<String>, FleetError> {
+        let mut still_stopping = Vec::new();
+        for name in names {
+            if self.fleet.finish_stop(&name, STOP_GRACE).await {
+                self.fleet.launch(&name).await?;
+            } else {
+                still_stopping.push(name);
+            }
+        }
+        Ok(still_stopping)
+    }
+
+    /// Undoes a fault. What cannot be undone yet is returned, to be tried again.
+    pub(crate) async fn end(&mut self, undo: FaultUndo) -> Result<Option<FaultUndo>, FleetError> {
+        if let FaultUndo::AwaitStopsAndLaunch(names) = undo {
+            let still_stopping = self.launch_stopped(names).await?;
+            let is_done = still_stopping.is_empty();
+            return Ok((!is_done).then_some(FaultUndo::AwaitStopsAndLaunch(still_stopping)));
+        }
+        self.undo_at_once(undo).await?;
+        Ok(None)
+    }
+
+    async fn undo_at_once(&mut self, undo: FaultUndo) -> Result<(), FleetError> {
         match undo {
-            FaultUndo::Nothing => Ok(()),
+            FaultUndo::Nothing | FaultUndo::AwaitStopsAndLaunch(_) => Ok(()),
             FaultUndo::Launch(name) => self.fleet.launch(&name).await,
-            FaultUndo::AwaitStopAndLaunch(name) => {
-                self.fleet.stop(&name, STOP_GRACE).await;
-                self.fleet.launch(&name).await
-            }
             FaultUndo::Resume(name) => {
                 self.fleet.resume(&name);
                 Ok(())
@@ -332,7 +398,7 @@
         };
         self.rng.number();
         self.fleet.begin_stop(&name);
-        FaultUndo::AwaitStopAndLaunch(name)
+        FaultUndo::AwaitStopsAndLaunch(vec![name])
     }
 
     fn freeze(&mut self, name: Option<String>) -> FaultUndo {
--- a/testing/fleet/src/soak/mod.rs
+++ b/testing/fleet/src/soak/mod.rs
@@ -17,7 +17,7 @@
 use common::rules::Rule;
 use fault::{FaultUndo, SoakInjector};
 use loadgen::{Plan, run_plan};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -30,7 +30,7 @@
 
 /// The checks that are valid under overlapping faults. Others are left to days with one fault at a time: during a
 /// graceful stop the lease holder may be killed, for instance, and a drain may not become known because of another fault.
-const JUDGED_CHECKS: [&str; 11] = [
+const JUDGED_CHECKS: [&str; 12] = [
     checks::ONCE_RUNS_TWICE,
     checks::REFUSED_RUNS,
     checks::UNSEALED_ANSWER,
@@ -42,8 +42,25 @@
     checks::RUNNER_OVERLOADED,
     checks::TWO_HOLDERS,
     checks::SERVICE_DOWN,
+    checks::UNANSWERED_AT_STOP,
 ];
 
+/// The function and the route of callers that wait longer than a stopping daemon may take: one slot, one runner, and
+/// long work, so that its queue is long.
+const PATIENT_ROUTE: &str = "patient";
+/// The time limit of their requests in milliseconds.
+const PATIENT_TIMEOUT_MS: u64 = 11_000;
+/// How long a runner works on each of them, in milliseconds.
+const PATIENT_WORK_MS: u64 = 350;
+/// The number of kept connections for each daemon.
+const CONNECTIONS_PER_DAEMON: usize = 8;
+/// The number of kept connections with patient callers.
+const PATIENT_CONNECTIONS: usize = 24;
+/// The longest pause between two requests of a kept connection, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 200;
+/// How often a stop that is under way is looked at.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The settings of one soak.
 #[derive(Clone, Debug)]
 pub struct Soak {
@@ -59,6 +76,8 @@
     pub programs: PathBuf,
     /// The rule that the daemons run without, if any.
     pub without: Option<Rule>,
+    /// The number of daemons.
+    pub daemons: usize,
 }
 
 /// The result of a soak.
@@ -115,6 +134,7 @@
     let deployment = Deployment::Small;
     let sizes = Sizes {
         without: soak.without,
+        daemons: soak.daemons,
         has_faulty_disks: true,
         ..deployment.sizes()
     };
@@ -124,7 +144,7 @@
     fleet.bootstrap().await?;
     let change_id = fleet.change_id();
     fleet
-        .put_spec(1, &change_id, &deployment.spec("canary-a"), "in_force")
+        .put_spec(1, &change_id, &soak_spec(deployment), "in_force")
         .await?;
     fleet.await_ready(ingresses.len()).await?;
     let load_task = tokio::spawn(run_plan(load_plan(soak, deployment, &fleet)?));
@@ -135,6 +155,7 @@
     fleet.end().await;
     let verdict = judge(&Evidence::read(&soak.folder)?);
     let mut violations = violations_in(&soak.folder)?;
+    violations.extend(unreadable_changes_in(&soak.folder)?);
     violations.extend(
         exited
             .into_iter()
@@ -147,6 +168,36 @@
     })
 }
 
+/// The spec of a soak: the deployment's, and a function with a long queue.
+fn soak_spec(deployment: Deployment) -> Value {
+    let mut spec = deployment.spec("canary-a");
+    spec["functions"][PATIENT_ROUTE] = json!({
+        "memory_mb": 128, "boot_ms": 300, "slots": 1, "runners": {"min": 0, "max": 1},
+    });
+    spec["routes"][PATIENT_ROUTE] = json!({
+        "method": "POST",
+        "path": format!("/{PATIENT_ROUTE}"),
+        "function": PATIENT_ROUTE,
+        "budget_ms": PATIENT_TIMEOUT_MS,
+        "patience_ms": PATIENT_TIMEOUT_MS,
+        "kind": "once",
+    });
+    spec
+}
+
+/// The route of the patient callers, in the form of a load generator's plan; no other caller uses it.
+fn patient_route() -> Value {
+    json!({
+        "method": "POST",
+        "path": format!("/{PATIENT_ROUTE}"),
+        "function": PATIENT_ROUTE,
+        "once": true,
+        "weight": 0,
+        "budget_ms": [PATIENT_TIMEOUT_MS - 1000, PATIENT_TIMEOUT_MS],
+        "work_ms": PATIENT_WORK_MS,
+    })
+}
+
 fn load_plan(soak: &Soak, deployment: Deployment, fleet: &Fleet) -> Result<Plan, FleetError> {
     let (share, max_retries) = deployment.retry_behaviour();
     let ingresses: Vec<String> = fleet
@@ -155,13 +206,21 @@
         .iter()
         .map(ToString::to_string)
         .collect();
+    let mut routes = deployment.caller_routes();
+    routes.push(patient_route());
     let plan = json!({
         "seed": soak.seed,
         "lasts_ms": (WARM_UP + soak.lasts + COOL_DOWN).as_millis() as u64,
         "rate": deployment.rate(),
         "doors": ingresses,
         "platform": fleet.layout.platform.to_string(),
-        "routes": deployment.caller_routes(),
+        "kept": {
+            "count": ingresses.len() * CONNECTIONS_PER_DAEMON,
+            "longest_pause_ms": LONGEST_PAUSE_MS,
+            "patient_route": routes.len() - 1,
+            "patient_count": PATIENT_CONNECTIONS,
+        },
+        "routes": routes,
         "impatience": {"share": share, "most": max_retries},
         "records": soak.folder.join("callers.jsonl").display().to_string(),
     });
@@ -201,7 +260,9 @@
             active_faults.extend(begin_fault(&mut injector, next).await);
         } else if let Some(active) = active_faults.pop() {
             sleep_until(started_at + active.until).await;
-            injector.end(active.undo).await?;
+            let until = (Instant::now() + RETRY_INTERVAL).duration_since(started_at);
+            let remaining = injector.end(active.undo).await?;
+            active_faults.extend(remaining.map(|undo| ActiveFault { until, undo }));
         } else {
             break;
         }
@@ -234,6 +295,15 @@
     }
 }
 
+/// The changes that were accepted although they cannot be read.
+fn unreadable_changes_in(folder: &Path) -> Result<Vec<String>, FleetError> {
+    let evidence = Evidence::read(folder)?;
+    let accepted = evidence.entries_of(clients::UNREADABLE_CHANGE_ACCEPTED);
+    Ok(accepted
+        .map(|entry| format!("an unreadable change was accepted: {}", entry.detail))
+        .collect())
+}
+
 /// The invariant violations and panics in the logs of processes.
 fn violations_in(folder: &Path) -> Result<Vec<String>, FleetError> {
     let at = |error| FleetError::Machine(folder.to_owned(), error);
--- a/testing/fleet/src/soak/schedule.rs
+++ b/testing/fleet/src/soak/schedule.rs
@@ -22,26 +22,54 @@
     pub until: Duration,
 }
 
-/// Draws the faults of a soak in `lanes` concurrent sequences, sorted by when they begin.
+/// What the first sequence consists of alone: planned work, in series and without a pause.
+const PLANNED_WORK: &[SoakFault] = &[
+    SoakFault::StopDaemon,
+    SoakFault::StopDaemons,
+    SoakFault::StopController,
+    SoakFault::SignalSeries,
+    SoakFault::Reload,
+    SoakFault::ChangeSpec,
+    SoakFault::UnreadableSpecs,
+];
+
+/// Draws the faults of a soak in `lanes` concurrent sequences, sorted by when they begin. The first sequence is of planned
+/// work alone: stops, restarts, signals and changes, each soon after the one before.
 pub fn draw_schedule(seed: u64, lanes: usize, lasts: Duration) -> Vec<PlannedFault> {
     let mut rng = SeededRng::seeded(seed ^ 0x50a1);
     let mut planned_faults = Vec::new();
-    for _ in 0..lanes {
-        let mut from = rng.within(Duration::ZERO, LONGEST_GAP);
-        loop {
-            let until = from + rng.within(SHORTEST_FAULT, LONGEST_FAULT);
-            if until > lasts {
-                break;
-            }
-            let fault = SoakFault::ALL[rng.below(SoakFault::ALL.len() as u64) as usize];
-            planned_faults.push(PlannedFault { fault, from, until });
-            from = until + rng.within(Duration::ZERO, LONGEST_GAP);
-        }
+    for lane in 0..lanes {
+        let (faults, longest) = if lane == 0 {
+            (PLANNED_WORK, SHORTEST_FAULT)
+        } else {
+            (SoakFault::ALL, LONGEST_FAULT)
+        };
+        draw_lane(&mut rng, faults, longest, lasts, &mut planned_faults);
     }
     planned_faults.sort_by_key(|planned| (planned.from, planned.until));
     planned_faults
 }
 
+fn draw_lane(
+    rng: &mut SeededRng,
+    faults: &[SoakFault],
+    longest: Duration,
+    lasts: Duration,
+    planned_faults: &mut Vec<PlannedFault>,
+) {
+    let shortest = SHORTEST_FAULT.min(longest / 2);
+    let mut from = rng.within(Duration::ZERO, LONGEST_GAP);
+    loop {
+        let until = from + rng.within(shortest, longest);
+        if until > lasts {
+            return;
+        }
+        let fault = faults[rng.below(faults.len() as u64) as usize];
+        planned_faults.push(PlannedFault { fault, from, until });
+        from = until + rng.within(Duration::ZERO, LONGEST_GAP);
+    }
+}
+
 /// The largest number of faults at the same time.
 pub fn max_concurrent(planned_faults: &[PlannedFault]) -> usize {
     let at_once = |offset: Duration| {
--- a/testing/fleet/tests/soak.rs
+++ b/testing/fleet/tests/soak.rs
@@ -48,6 +48,7 @@
         folder: folder("soak"),
         programs: programs(),
         without: None,
+        daemons: 6,
     };
     let runtime = common::command_line::runtime(2)?;
     let end = runtime.block_on(run_soak(&soak))?;
--- a/testing/loadgen/src/attempt.rs
+++ b/testing/loadgen/src/attempt.rs
@@ -6,6 +6,7 @@
 use common::frames::SocketAddress;
 use common::http::{CallResponse, header_text};
 use common::identity::{FunctionKey, IdempotencyKey};
+use common::rng::SeededRng;
 use common::seal;
 use http_body_util::Full;
 use hyper::Request;
@@ -23,6 +24,17 @@
     pub(super) body: Bytes,
 }
 
+impl PlannedRoute {
+    /// The body of a request; no two are alike.
+    pub(super) fn body(&self, identity: &str, rng: &mut SeededRng) -> Bytes {
+        let mut body = json!({"of": identity, "salt": rng.number()});
+        if let Some(work) = self.work {
+            body["work_ms"] = json!(work.as_millis() as u64);
+        }
+        Bytes::from(body.to_string())
+    }
+}
+
 impl Attempt<'_> {
     /// The HTTP request; none if the plan's path is no valid URI.
     pub(super) fn request(&self, ingress: SocketAddress) -> Option<Request<Full<Bytes>>> {
--- a/testing/loadgen/src/client_pool.rs
+++ b/testing/loadgen/src/client_pool.rs
@@ -1,9 +1,9 @@
 //! The callers: they send the requests of a plan, retry them, and record and count the outcomes.
 
 use crate::attempt::{Attempt, read_outcome};
+use crate::kept_connections::open_connections;
 use crate::plan::{Plan, PlannedRoute};
 use crate::schedule::{ScheduledRequest, schedule};
-use bytes::Bytes;
 use common::clock::MonotonicTime;
 use common::frames::SocketAddress;
 use common::http::{call, call_json};
@@ -34,16 +34,16 @@
 /// How many ingresses an attempt tries to connect to.
 const MAX_INGRESSES: usize = 4;
 /// How much longer than its timeout a request waits for the response.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
+pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 /// The largest accepted body of a response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// How often the ready ingresses are read from the platform.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// What all requests of a load share.
-struct ClientPool {
-    plan: Plan,
-    records: Records,
+pub(super) struct ClientPool {
+    pub(super) plan: Plan,
+    pub(super) records: Records,
     ready_ingresses: Mutex<Vec<SocketAddress>>,
     summary: Mutex<Summary>,
 }
@@ -65,6 +65,7 @@
     let polling_task = tokio::spawn(poll_ready_ingresses(client_pool.clone()));
     let mut open_requests = JoinSet::new();
     let started_at = Instant::now();
+    let kept_connections = open_connections(&client_pool, started_at);
     for (due_at, scheduled_request) in schedule(&client_pool.plan) {
         tokio::time::sleep_until(started_at + due_at).await;
         open_requests.spawn(run_scheduled_request(
@@ -74,6 +75,7 @@
         while open_requests.try_join_next().is_some() {}
     }
     while open_requests.join_next().await.is_some() {}
+    kept_connections.join_all().await;
     polling_task.abort();
     client_pool.records.flush();
     let summary = client_pool
@@ -150,7 +152,7 @@
         ingresses[rng.below(ingresses.len() as u64) as usize]
     }
 
-    fn count_outcome(&self, record: &Value) {
+    pub(super) fn count_outcome(&self, record: &Value) {
         let outcome = record["outcome"].as_str().unwrap_or("");
         let label = match record["reason"].as_str().unwrap_or("") {
             "" => outcome.to_owned(),
@@ -174,7 +176,7 @@
         identity,
         repeat_of,
         timeout: rng.within(route.timeout.0, route.timeout.1),
-        body: Bytes::from(json!({"of": identity, "salt": rng.number()}).to_string()),
+        body: route.body(identity, rng),
     };
     let sent_at = MonotonicTime::now();
     let mut record = json!({"outcome": "no_door"});
--- a/testing/loadgen/src/lib.rs
+++ b/testing/loadgen/src/lib.rs
@@ -4,8 +4,9 @@
 
 mod attempt;
 mod client_pool;
+mod kept_connections;
 mod plan;
 mod schedule;
 
 pub use client_pool::{Summary, run_plan};
-pub use plan::{Burst, Plan, PlanError, PlannedRoute, RetryBehaviour};
+pub use plan::{Burst, KeptConnections, Plan, PlanError, PlannedRoute, RetryBehaviour};
--- a/testing/loadgen/src/plan.rs
+++ b/testing/loadgen/src/plan.rs
@@ -2,6 +2,7 @@
 
 use common::frames::SocketAddress;
 use common::readers::{PathErrorReason, PathReader, SettingsError, SettingsSource, read_address};
+use common::rng::SeededRng;
 use hyper::Method;
 use serde_json::Value;
 use std::path::PathBuf;
@@ -22,6 +23,8 @@
     pub weight: u64,
     /// The shortest and the longest timeout of its requests.
     pub timeout: (Duration, Duration),
+    /// How long a runner is to work on each; it draws that itself if this is not given.
+    pub work: Option<Duration>,
 }
 
 /// How callers retry requests without an answer.
@@ -33,6 +36,19 @@
     pub max_retries: u32,
 }
 
+/// Callers that keep a connection each, and use it until its daemon closes it or is gone.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptConnections {
+    /// The number of connections, spread evenly over all ingresses, ready or not.
+    pub count: usize,
+    /// The longest pause between two requests of a connection.
+    pub longest_pause: Duration,
+    /// The index of the route that the patient connections use alone.
+    pub patient_route: usize,
+    /// The number of patient connections: every second one, from the first, until there are so many.
+    pub patient_count: usize,
+}
+
 /// Many requests within a short time.
 #[derive(Clone, Debug)]
 pub struct Burst {
@@ -67,6 +83,8 @@
     pub retry_behaviour: RetryBehaviour,
     /// The bursts.
     pub bursts: Vec<Burst>,
+    /// The callers with kept connections, if there are any.
+    pub kept_connections: Option<KeptConnections>,
     /// The path of the record file.
     pub records: PathBuf,
 }
@@ -92,6 +110,22 @@
     reader.number(0..=86_400_000).map(Duration::from_millis)
 }
 
+fn optional_millis(reader: &PathReader<'_>) -> Option<Duration> {
+    reader.is_present().then(|| millis(reader)).flatten()
+}
+
+fn read_kept_connections(reader: &PathReader<'_>) -> Option<KeptConnections> {
+    if !reader.is_present() {
+        return None;
+    }
+    Some(KeptConnections {
+        count: reader.field("count").number(1..=10_000)? as usize,
+        longest_pause: millis(&reader.field("longest_pause_ms"))?,
+        patient_route: reader.field("patient_route").number(0..=100_000)? as usize,
+        patient_count: reader.field("patient_count").number(0..=10_000)? as usize,
+    })
+}
+
 fn read_route(reader: &PathReader<'_>) -> Option<PlannedRoute> {
     let timeouts = reader.field("budget_ms").items();
     let method = Method::from_bytes(reader.field("method").text()?.as_bytes()).ok()?;
@@ -102,6 +136,7 @@
         once: reader.field("once").bool_or(false),
         weight: reader.field("weight").number_or(0..=1_000_000, 1),
         timeout: (millis(timeouts.first()?)?, millis(timeouts.last()?)?),
+        work: optional_millis(&reader.field("work_ms")),
     })
 }
 
@@ -122,7 +157,7 @@
     reader.items().iter().filter_map(read_item).collect()
 }
 
-const FIELDS: [&str; 9] = [
+const FIELDS: [&str; 10] = [
     "seed",
     "lasts_ms",
     "rate",
@@ -131,10 +166,23 @@
     "routes",
     "impatience",
     "bursts",
+    "kept",
     "records",
 ];
 
 impl Plan {
+    /// Draws a route by weight.
+    pub(super) fn random_route(&self, rng: &mut SeededRng) -> usize {
+        let weight_sum: u64 = self.routes.iter().map(|route| route.weight).sum();
+        let mut point = rng.below(weight_sum.max(1));
+        let chosen_index = self.routes.iter().position(|route| {
+            let is_chosen = point < route.weight;
+            point = point.saturating_sub(route.weight);
+            is_chosen
+        });
+        chosen_index.unwrap_or(0)
+    }
+
     /// Reads a plan.
     ///
     /// # Errors
@@ -171,6 +219,7 @@
                 max_retries: retry_reader.field("most").number_or(0..=100, 0) as u32,
             },
             bursts,
+            kept_connections: read_kept_connections(&root.field("kept")),
             records: PathBuf::from(root.field("records").text()?),
         })
     }
--- a/testing/loadgen/src/schedule.rs
+++ b/testing/loadgen/src/schedule.rs
@@ -24,24 +24,18 @@
 
 /// Requests at the plan's rate, as a Poisson process; each for a random route by weight.
 fn schedule_rate(plan: &Plan, rng: &mut SeededRng) -> Vec<(Duration, ScheduledRequest)> {
-    let weight_sum: u64 = plan.routes.iter().map(|route| route.weight).sum();
     let mut scheduled_requests = Vec::new();
     let mut due_at = Duration::ZERO;
     let mut number = 0;
     while plan.rate > 0.0 && due_at < plan.lasts {
         let gap_seconds = -(1.0 - rng.fraction()).ln() / plan.rate;
         due_at += Duration::from_secs_f64(gap_seconds);
-        let mut point = rng.below(weight_sum.max(1));
-        let chosen_index = plan.routes.iter().position(|route| {
-            let is_chosen = point < route.weight;
-            point = point.saturating_sub(route.weight);
-            is_chosen
-        });
+        let route_index = plan.random_route(rng);
         number += 1;
         scheduled_requests.push((
             due_at,
             ScheduledRequest {
-                route_index: chosen_index.unwrap_or(0),
+                route_index,
                 seed: rng.number(),
                 name: format!("{}-{number}", plan.seed),
             },
--- a/testing/platform-stub/src/runner/mod.rs
+++ b/testing/platform-stub/src/runner/mod.rs
@@ -65,6 +65,12 @@
     BreakOff,
 }
 
+/// How long a request asks to be worked on; none if it leaves that to the runner.
+fn requested_work(body: &[u8]) -> Option<Duration> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    body["work_ms"].as_u64().map(Duration::from_millis)
+}
+
 /// The state that all runners of a platform share.
 pub struct SharedRunnerState {
     /// The platform's records.
@@ -283,7 +289,8 @@
             self.shared_state.records.add("misdirected", detail);
             return self.plain_response(StatusCode::MISDIRECTED_REQUEST, "{}");
         }
-        let (drawn, work_span) = self.shared_state.draw_behaviour();
+        let (drawn, drawn_span) = self.shared_state.draw_behaviour();
+        let work_span = requested_work(&body_bytes).unwrap_or(drawn_span);
         let behaviour = if self.is_full_of_other_leases(request.fencing_token) {
             RunBehaviour::Refuse
         } else {
