Give each operation at a stopping controller its reply

What callers saw: an operator's change that waited at a controller which was stopped got no word; its connection was closed when the process exited.

Cause: the loop that owns the controller's state ended at once on SIGTERM, and nothing ended what waited for its replies, nor a wait for the leader's response to a forwarded request (15 s); the process exited after three seconds. What had never been taken was told unknown.

Change: the loop goes on for a second at most while an operation has no reply; ControllerInput::Stop then ends the others by what is certain: not accepted, unknown, or accepted. What arrives later is answered as not handled. A forwarded request is unknown two seconds after SIGTERM.

--- a/crates/controlplane/src/controller_state/changes.rs
+++ b/crates/controlplane/src/controller_state/changes.rs
@@ -84,7 +84,7 @@
             );
         }
         for proposed_change in expired.uncommitted {
-            self.reply_unknown(&proposed_change);
+            self.reply_unknown(&proposed_change, Unavailable::NoQuorum);
         }
         for proposed_change in expired.not_in_force {
             let reply = proposed_change.accepted_reply(Version(0));
@@ -98,14 +98,12 @@
             .push(ControllerOutput::OperatorReply(ticket, reply));
     }
 
-    fn reply_unknown(&mut self, proposed_change: &ProposedChange) {
+    /// Tells an operator that a proposed change may or may not be committed.
+    pub(super) fn reply_unknown(&mut self, proposed_change: &ProposedChange, reason: Unavailable) {
         let change = Some(proposed_change.change.clone());
         self.answer(
             proposed_change.ticket,
-            OperationReply::Unknown {
-                reason: Unavailable::NoQuorum,
-                change,
-            },
+            OperationReply::Unknown { reason, change },
         );
     }
 
@@ -255,7 +253,7 @@
     pub(super) fn drop_changes(&mut self) {
         let pending = std::mem::take(&mut self.changes);
         for proposed_change in pending.in_flight {
-            self.reply_unknown(&proposed_change);
+            self.reply_unknown(&proposed_change, Unavailable::NoQuorum);
         }
         for proposed_change in pending.accepted {
             let reply = proposed_change.accepted_reply(Version(0));
--- a/crates/controlplane/src/controller_state/io.rs
+++ b/crates/controlplane/src/controller_state/io.rs
@@ -35,6 +35,8 @@
     ProcessGone(SocketAddress),
     /// The seed addresses have changed.
     Seeds(Vec<SocketAddress>),
+    /// The process is about to end.
+    Stop,
 }
 
 /// An output of the controller, to be carried out by its driver.
--- a/crates/controlplane/src/controller_state/mod.rs
+++ b/crates/controlplane/src/controller_state/mod.rs
@@ -12,6 +12,7 @@
 mod pending_changes;
 mod proposal_outcome;
 mod reply;
+mod shutdown;
 mod traces;
 
 pub use content::derive_change_id;
@@ -61,6 +62,8 @@
     /// difference only.
     recent_views: VecDeque<DaemonView>,
     recent_document_version: DocumentVersion,
+    /// The process is about to end: operations are not handled any more.
+    is_stopping: bool,
     rules: Rules,
     outputs: Vec<ControllerOutput>,
 }
@@ -85,6 +88,7 @@
             traces: Traces::default(),
             recent_views: VecDeque::new(),
             recent_document_version: DocumentVersion::default(),
+            is_stopping: false,
             rules: Rules::ALL_ENFORCED,
             outputs: Vec::new(),
         }
@@ -154,6 +158,7 @@
                 self.consensus.leader_process_ended(now, address);
             }
             ControllerInput::Seeds(seeds) => self.consensus.update_seeds(seeds),
+            ControllerInput::Stop => self.stop(),
             ControllerInput::StreamLost(stream) => {
                 self.streams.remove(&stream);
                 if let Some(leader_state) = &mut self.leader_state {
--- a/crates/controlplane/src/controller_state/operation.rs
+++ b/crates/controlplane/src/controller_state/operation.rs
@@ -1,5 +1,6 @@
 //! What operators can request of a controller.
 
+use super::{OperationReply, Unavailable};
 use common::identity::{ChangeId, ControllerId, Version, Zone};
 use common::spec::SpecRecords;
 use serde_json::Value;
@@ -117,3 +118,29 @@
     /// Update the metrics.
     Metrics,
 }
+
+impl Operation {
+    /// The reply to an operation of which nothing has been carried out.
+    pub fn not_handled(&self, reason: Unavailable) -> OperationReply {
+        match self {
+            Self::Change { change, .. } => OperationReply::NotAccepted {
+                reason,
+                change: change.clone(),
+            },
+            Self::Bootstrap | Self::Replace(..) => OperationReply::NotAccepted {
+                reason,
+                change: None,
+            },
+            Self::ReadSpec
+            | Self::ChangeStatus(_)
+            | Self::Members
+            | Self::Holders
+            | Self::Workers
+            | Self::Runners
+            | Self::ShowQuorum
+            | Self::Events(_)
+            | Self::Trace(_)
+            | Self::Metrics => OperationReply::TemporarilyUnavailable(reason),
+        }
+    }
+}
--- a/crates/controlplane/src/controller_state/operations.rs
+++ b/crates/controlplane/src/controller_state/operations.rs
@@ -20,7 +20,8 @@
 pub(super) struct WaitingOperation {
     /// The operation that the reply belongs to.
     pub ticket: OperationTicket,
-    operation: Operation,
+    /// What is asked.
+    pub operation: Operation,
     requested_at: MonotonicTime,
 }
 
@@ -32,7 +33,9 @@
         ticket: OperationTicket,
         operation: Operation,
     ) {
-        if self.must_wait_for_leader(now, now, &operation) {
+        if self.is_stopping {
+            self.answer(ticket, operation.not_handled(Unavailable::Stopping));
+        } else if self.must_wait_for_leader(now, now, &operation) {
             self.wait_for_leader(now, ticket, operation);
         } else {
             self.operate_now(now, now, ticket, operation);
--- a/crates/controlplane/src/controller_state/pending_changes.rs
+++ b/crates/controlplane/src/controller_state/pending_changes.rs
@@ -113,6 +113,14 @@
 }
 
 impl PendingChanges {
+    /// Whether every change has its reply.
+    pub(super) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+            && self.awaiting_proof.is_empty()
+            && self.in_flight.is_empty()
+            && self.accepted.is_empty()
+    }
+
     /// Whether no change waits to be proposed.
     pub(super) fn is_idle(&self) -> bool {
         self.queue.is_empty()
--- a/crates/controlplane/src/drivers/controller.rs
+++ b/crates/controlplane/src/drivers/controller.rs
@@ -25,7 +25,9 @@
 
 /// Handling an input longer than this delays heartbeats and votes, and is logged.
 const SLOW_INPUT: Duration = Duration::from_millis(20);
-/// How long a stopping controller waits for the responses that operators are due.
+/// How long a stopping controller goes on with the operations that it has.
+const OPERATIONS_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long after the request to stop a controller waits for its responses to be read by operators.
 const STOP_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Why a controller could not start.
@@ -145,11 +147,12 @@
         }
     }
 
-    /// Runs until `stop` is true.
+    /// Runs until `stop` is true, then goes on for at most a second with the operations that it has. Those that are left
+    /// are answered as not carried out, or as unknown if they may be.
     ///
-    /// The task that serves operators is joined, for at most three seconds. Those that accept connections of
-    /// other processes and that poll the platform are detached; they end with the process or when they find
-    /// the queue closed.
+    /// The task that serves operators is joined, until three seconds after the request to stop. Those that accept
+    /// connections of other processes and that poll the platform are detached; they end with the process or when they
+    /// find the queue closed.
     pub async fn run(self, stop: watch::Receiver<bool>) {
         let shared = self.shared;
         tokio::spawn(streams::accept(self.process_listener, shared.clone()));
@@ -168,9 +171,13 @@
             published_spec_version: DocumentVersion::default(),
         };
         input_loop.run(&mut queue, stop).await;
+        let stopped_at = MonotonicTime::now();
+        input_loop
+            .finish_operations(&mut queue, stopped_at + OPERATIONS_TIMEOUT)
+            .await;
         shared.published.stopped();
         drop(queue);
-        let _ = tokio::time::timeout(STOP_TIMEOUT, operators_task).await;
+        let _ = tokio::time::timeout(time_until(stopped_at + STOP_TIMEOUT), operators_task).await;
     }
 }
 
@@ -271,6 +278,10 @@
     }
 }
 
+fn time_until(instant: MonotonicTime) -> Duration {
+    instant.since(MonotonicTime::now())
+}
+
 /// The loop that owns the controller's state: all inputs pass it, one after another.
 struct InputLoop {
     controller_state: ControllerState,
@@ -284,17 +295,40 @@
     /// Handles inputs until `stop` is true.
     async fn run(&mut self, queue: &mut InputQueue, mut stop: watch::Receiver<bool>) {
         loop {
-            let now = MonotonicTime::now();
-            let idle_timeout = self.controller_state.next_due(now).since(now);
             let queued = tokio::select! {
                 biased;
                 _ = stop.wait_for(|stopping| *stopping) => return,
-                queued = queue.next(idle_timeout) => queued,
+                queued = self.next_input(queue) => queued,
             };
             self.handle(queued);
         }
     }
 
+    async fn next_input(&self, queue: &mut InputQueue) -> QueuedInput {
+        let now = MonotonicTime::now();
+        let idle_timeout = self.controller_state.next_due(now).since(now);
+        queue.next(idle_timeout).await
+    }
+
+    /// Handles inputs until every operation has its reply or the time is over, then ends those that are left, and those
+    /// that are still queued.
+    async fn finish_operations(&mut self, queue: &mut InputQueue, until: MonotonicTime) {
+        while self.controller_state.has_pending_operations() {
+            let next_input = self.next_input(queue);
+            let Ok(queued) = tokio::time::timeout(time_until(until), next_input).await else {
+                break;
+            };
+            self.handle(queued);
+        }
+        self.handle(QueuedInput::now(ControllerInput::Stop));
+        for queued in queue.close() {
+            if matches!(queued.input, ControllerInput::Operate(..)) {
+                self.handle(queued);
+            }
+        }
+        self.shared.end_operations();
+    }
+
     fn handle(&mut self, QueuedInput { input, queued_at }: QueuedInput) {
         if matches!(input, ControllerInput::Operate(_, Operation::Metrics)) {
             self.shared.metrics.set(&self.controller_state);
--- a/crates/controlplane/src/drivers/event_stream.rs
+++ b/crates/controlplane/src/drivers/event_stream.rs
@@ -30,14 +30,13 @@
         .submit_operation(Operation::Events(first_number))
         .await
     {
-        Some(OperationReply::Events(entries)) => entries,
-        Some(OperationReply::Redirect(leader)) => return redirect(head, leader),
-        Some(reply) => {
+        OperationReply::Events(entries) => entries,
+        OperationReply::Redirect(leader) => return redirect(head, leader),
+        reply => {
             return shared
                 .operators
                 .write_response(&Operation::Events(first_number), reply);
         }
-        None => return error_response(503, "stopping"),
     };
     let (line_sender, lines) = mpsc::channel::<Bytes>(QUEUED_LINES);
     let event_stream = EventStream {
@@ -89,7 +88,7 @@
             }
             let operation = Operation::Events(self.next_number.max(1));
             match self.shared.submit_operation(operation).await {
-                Some(OperationReply::Events(next_entries)) => entries = next_entries,
+                OperationReply::Events(next_entries) => entries = next_entries,
                 _ => return,
             }
         }
--- a/crates/controlplane/src/drivers/operators.rs
+++ b/crates/controlplane/src/drivers/operators.rs
@@ -28,19 +28,26 @@
 const LARGE_COMMAND_BYTES: usize = 32 << 10;
 const FORWARD_RETRY_WINDOW: Duration = Duration::from_millis(600);
 const FORWARD_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How long a stopping controller waits for the leader's response to a forwarded request.
+const FORWARD_STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves operators until `stop` is true.
 pub(super) async fn serve(listener: TcpListener, shared: Arc<Shared>, stop: watch::Receiver<bool>) {
-    let handler = move |request| handle_request(shared.clone(), request);
+    let handler_stop = stop.clone();
+    let handler = move |request| handle_request(shared.clone(), request, handler_stop.clone());
     http::serve(listener, handler, stop).await;
 }
 
 /// Responds to one request, and measures how long a command took.
-async fn handle_request(shared: Arc<Shared>, request: Request<Incoming>) -> HttpResponse {
+async fn handle_request(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    stop: watch::Receiver<bool>,
+) -> HttpResponse {
     let received_at = MonotonicTime::now();
     let is_command = request.method() != Method::GET;
     let path = request.uri().path().to_owned();
-    let response = dispatch_request(shared.clone(), request).await;
+    let response = dispatch_request(shared.clone(), request, stop).await;
     if is_command {
         let status = response.status().as_u16();
         let elapsed = MonotonicTime::now().since(received_at);
@@ -55,7 +62,11 @@
     response
 }
 
-async fn dispatch_request(shared: Arc<Shared>, request: Request<Incoming>) -> HttpResponse {
+async fn dispatch_request(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    stop: watch::Receiver<bool>,
+) -> HttpResponse {
     let (head, incoming_body) = request.into_parts();
     if head.method == Method::GET && head.uri.path() == shared.operators.readiness_path() {
         let is_ready = shared.published.has_leader();
@@ -77,7 +88,7 @@
             let _ = shared.submit_operation(Operation::Metrics).await;
             text_response(StatusCode::OK, shared.metrics.page())
         }
-        operation => submit_or_forward(&shared, &head, body, operation).await,
+        operation => submit_or_forward(&shared, &head, body, operation, stop).await,
     }
 }
 
@@ -88,19 +99,16 @@
     head: &Parts,
     body: Bytes,
     operation: Operation,
+    stop: watch::Receiver<bool>,
 ) -> HttpResponse {
     let received_at = MonotonicTime::now();
     let reply = loop {
-        let Some(reply) = shared.submit_operation(operation.clone()).await else {
-            break OperationReply::Unknown {
-                reason: Unavailable::Stopping,
-                change: None,
-            };
-        };
+        let reply = shared.submit_operation(operation.clone()).await;
         let OperationReply::Redirect(leader) = reply else {
             break reply;
         };
-        let unreachable = match forward_to_leader(leader, head, body.clone()).await {
+        let forwarding = forward_to_leader(leader, head, body.clone());
+        let unreachable = match until_stopped(forwarding, stop.clone()).await {
             Ok(response) => return response,
             Err(reply) => reply,
         };
@@ -119,6 +127,25 @@
     write_response(shared, operation, reply).await
 }
 
+/// Waits for the leader's response to a forwarded request, after a request to stop only for a while: the leader may
+/// carry the operation out all the same.
+async fn until_stopped(
+    forwarding: impl Future<Output = Result<HttpResponse, OperationReply>>,
+    mut stop: watch::Receiver<bool>,
+) -> Result<HttpResponse, OperationReply> {
+    let stop_timeout = async {
+        let _ = stop.wait_for(|stopping| *stopping).await;
+        tokio::time::sleep(FORWARD_STOP_TIMEOUT).await;
+    };
+    tokio::select! {
+        forwarded = forwarding => forwarded,
+        () = stop_timeout => Err(OperationReply::Unknown {
+            reason: Unavailable::Stopping,
+            change: None,
+        }),
+    }
+}
+
 /// Writes a response. A complete spec is written on a thread of its own: heartbeats and votes must not wait
 /// for it.
 async fn write_response(
--- a/crates/controlplane/src/drivers/queue.rs
+++ b/crates/controlplane/src/drivers/queue.rs
@@ -25,7 +25,7 @@
     Platform,
     /// An operator's request, or the end of its connection.
     Operator,
-    /// Changed seed addresses.
+    /// Changed seed addresses, or the end of this process.
     Settings,
 }
 
@@ -52,7 +52,7 @@
             | ControllerInput::Runners(..)
             | ControllerInput::RunnerStopped(_) => Self::Platform,
             ControllerInput::Operate(..) | ControllerInput::CallerDisconnected(_) => Self::Operator,
-            ControllerInput::Seeds(_) => Self::Settings,
+            ControllerInput::Seeds(_) | ControllerInput::Stop => Self::Settings,
         }
     }
 
@@ -96,7 +96,8 @@
 }
 
 impl QueuedInput {
-    fn now(input: ControllerInput) -> Self {
+    /// An input that is queued now.
+    pub fn now(input: ControllerInput) -> Self {
         Self {
             input,
             queued_at: MonotonicTime::now(),
@@ -200,4 +201,18 @@
         self.last_was_tick = matches!(next_input.input, ControllerInput::Tick);
         next_input
     }
+
+    /// Refuses further inputs, and returns those that were queued and not handled.
+    pub fn close(&mut self) -> Vec<QueuedInput> {
+        self.leadership.close();
+        self.ordinary.close();
+        let mut left_over = Vec::new();
+        while let Ok(queued) = self.leadership.try_recv() {
+            left_over.push(queued);
+        }
+        while let Ok(queued) = self.ordinary.try_recv() {
+            left_over.push(queued);
+        }
+        left_over
+    }
 }
--- a/crates/controlplane/src/drivers/shared.rs
+++ b/crates/controlplane/src/drivers/shared.rs
@@ -4,7 +4,7 @@
 use super::metrics::ControllerMetrics;
 use super::queue::InputSender;
 use crate::controller_state::{
-    ControllerInput, ControllerState, Operation, OperationReply, OperationTicket,
+    ControllerInput, ControllerState, Operation, OperationReply, OperationTicket, Unavailable,
 };
 use crate::leader_state::StreamId;
 use arc_swap::ArcSwapOption;
@@ -183,9 +183,10 @@
         self.id_counter.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Hands an operation to the controller and waits for its reply; none if the controller has stopped.
+    /// Hands an operation to the controller and waits for its reply. A controller that has stopped has not handled it.
     /// Dropping the future tells the controller that the caller's connection has ended.
-    pub(super) async fn submit_operation(&self, operation: Operation) -> Option<OperationReply> {
+    pub(super) async fn submit_operation(&self, operation: Operation) -> OperationReply {
+        let not_handled = operation.not_handled(Unavailable::Stopping);
         let ticket = OperationTicket(self.next_id());
         let mut pending = PendingOperation {
             shared: self,
@@ -196,15 +197,28 @@
         if let Ok(mut operations) = self.operations.lock() {
             operations.insert(ticket, reply_sender);
         }
-        self.inputs
+        let submitted = self
+            .inputs
             .send(ControllerInput::Operate(ticket, operation))
-            .await
-            .ok()?;
-        let reply = reply_receiver.await.ok();
+            .await;
+        if submitted.is_err() {
+            return not_handled;
+        }
+        let reply = reply_receiver.await.unwrap_or(OperationReply::Unknown {
+            reason: Unavailable::Stopping,
+            change: None,
+        });
         pending.is_answered = true;
         reply
     }
 
+    /// The controller has stopped: nothing waits for a reply any longer.
+    pub(super) fn end_operations(&self) {
+        if let Ok(mut operations) = self.operations.lock() {
+            operations.clear();
+        }
+    }
+
     /// Hands a reply to the task that waits for it.
     pub(super) fn operation_answered(&self, ticket: OperationTicket, reply: OperationReply) {
         if let Ok(mut operations) = self.operations.lock()
--- a/crates/controlplane/tests/controller_forms.rs
+++ b/crates/controlplane/tests/controller_forms.rs
@@ -3,20 +3,19 @@
 
 #[path = "../../../testing/support/forms.rs"]
 mod forms;
+#[path = "../../../testing/support/running_controller.rs"]
+mod running_controller;
 
-use common::readers::SettingsSource;
-use controlplane::drivers::Controller;
 use controlplane::drivers::queue::InputKind;
-use controlplane::settings::ControllerSettings;
+use running_controller::{Running, folder, started};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -24,42 +23,6 @@
     forms::check(env!("CARGO_MANIFEST_DIR"), name, seen);
 }
 
-/// A controller that runs within the test.
-struct Running {
-    operators: SocketAddr,
-    address: SocketAddr,
-    _stop: watch::Sender<bool>,
-}
-
-fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
-/// Starts a controller on ports that were just free; if another program has taken one since, it tries others.
-async fn started(seed: Option<SocketAddr>, data: Option<&Path>) -> Running {
-    for _ in 0..20 {
-        let (address, operators) = (free_port(), free_port());
-        let settings = json!({
-            "place": address.to_string(), "operators": operators.to_string(), "locality": "north",
-            "seeds": [seed.unwrap_or(address).to_string()], "platform": "127.0.0.1:9",
-            "found_first": data.is_some(), "data": data.map(|folder| folder.display().to_string()),
-        });
-        let settings = ControllerSettings::read(&SettingsSource::from_value("FILE", settings))
-            .expect("settings");
-        if let Ok(controller) = Controller::open(&settings).await {
-            let (stop_sender, stop) = watch::channel(false);
-            tokio::spawn(controller.run(stop));
-            return Running {
-                operators,
-                address,
-                _stop: stop_sender,
-            };
-        }
-    }
-    panic!("no port is free");
-}
-
 /// The response to a request, without what differs between runs.
 async fn answered(operators: SocketAddr, line: &str, more: &str, body: &str) -> (String, String) {
     let mut stream = TcpStream::connect(operators).await.expect("a connection");
@@ -100,13 +63,6 @@
     let _ = writeln!(text, "## {line} {body}\n{head}\n\n{answer}\n");
 }
 
-fn folder(name: &str) -> PathBuf {
-    let folder =
-        std::env::temp_dir().join(format!("controller-forms-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    folder
-}
-
 /// A controller that has bootstrapped the quorum alone, and leads.
 async fn leading(data: &Path) -> Running {
     let running = started(None, Some(data)).await;
--- a/crates/controlplane/tests/controller_state/main.rs
+++ b/crates/controlplane/tests/controller_state/main.rs
@@ -9,3 +9,4 @@
 mod operator_changes;
 #[path = "../../../../testing/support/operator_requests.rs"]
 mod operator_requests;
+mod shutdown;
