Refuse JSON in which an object has a name twice

What callers saw: a change in which a name stands twice was acknowledged, and the first of its values was in force nowhere.

Cause: serde_json keeps the last value of a repeated name, before any reader sees the document.

--- a/crates/common/src/readers/mod.rs
+++ b/crates/common/src/readers/mod.rs
@@ -1,7 +1,9 @@
 //! Readers of JSON that report each error with its path.
 
+mod json;
 mod path;
 mod settings;
 
+pub use json::parse_json;
 pub use path::{PathError, PathErrorList, PathErrorReason, PathReader};
 pub use settings::{SettingsError, SettingsSource, read_address, read_addresses, read_listen};
--- a/crates/common/src/readers/settings.rs
+++ b/crates/common/src/readers/settings.rs
@@ -1,6 +1,6 @@
 //! The settings that a process starts with: a JSON file, overridden by command-line flags.
 
-use super::{PathError, PathErrorList, PathErrorReason, PathReader};
+use super::{PathError, PathErrorList, PathErrorReason, PathReader, parse_json};
 use crate::frames::SocketAddress;
 use serde_json::{Map, Value};
 use std::net::SocketAddrV4;
@@ -52,7 +52,7 @@
         };
         let file_text = std::fs::read_to_string(settings_file)
             .map_err(|error| SettingsError::Unreadable(settings_file.to_owned(), error))?;
-        let value = serde_json::from_str(&file_text)
+        let value = parse_json(file_text.as_bytes())
             .map_err(|error| SettingsError::NotJson(settings_file.to_owned(), error))?;
         Ok(Self {
             name: settings_file.display().to_string(),
--- a/crates/controlplane/src/drivers/operator_api/requests.rs
+++ b/crates/controlplane/src/drivers/operator_api/requests.rs
@@ -3,7 +3,7 @@
 use super::responses::invalid_body;
 use crate::controller_state::{ChangeKind, ItemChange, Numbering, Operation, Wait};
 use common::identity::{ChangeId, ControllerId, Version, Zone};
-use common::readers::{PathError, PathErrorList, PathErrorReason, PathReader};
+use common::readers::{PathError, PathErrorList, PathErrorReason, PathReader, parse_json};
 use hyper::Method;
 use serde_json::{Value, json};
 
@@ -212,7 +212,7 @@
     own_fields: &[&str],
     read_kind: impl FnOnce(&PathReader<'_>) -> Option<ChangeKind>,
 ) -> Result<Operation, RequestError> {
-    let parsed_body: Value = serde_json::from_slice(body).map_err(RequestError::NotJson)?;
+    let parsed_body = parse_json(body).map_err(RequestError::NotJson)?;
     let errors = PathErrorList::default();
     let root = PathReader::new(&parsed_body, &errors);
     check_fields(&root, own_fields);
--- a/crates/controlplane/tests/unreadable_changes.rs
+++ b/crates/controlplane/tests/unreadable_changes.rs
@@ -9,13 +9,17 @@
 use controlplane::controller_state::{ChangeKind, ItemChange, Operation};
 use controlplane::drivers::{NativeOperatorApi, OperatorApiAdapter};
 use googletest::prelude::*;
-use json_mutations::wrong_types;
+use json_mutations::{repeated_names, wrong_types};
 use operator_requests::request_head;
 use serde_json::{Map, Value, json};
 
 fn read(method: &str, target: &str, body: &Value) -> Option<ChangeKind> {
+    read_text(method, target, &body.to_string())
+}
+
+fn read_text(method: &str, target: &str, body: &str) -> Option<ChangeKind> {
     let head = request_head(method, target, &[]);
-    match NativeOperatorApi.read(&head, body.to_string().as_bytes()) {
+    match NativeOperatorApi.read(&head, body.as_bytes()) {
         Ok(Operation::Change { kind, .. }) => Some(kind),
         _ => None,
     }
@@ -178,3 +182,21 @@
     }
     Ok(())
 }
+
+/// Of a name that stood twice only the last value was taken, and the change was acknowledged without the first.
+#[gtest]
+fn a_change_with_a_name_that_stands_twice_is_refused() -> Result<()> {
+    let evacuation = json!({"change_id": "c", "force": true});
+    for (method, target, body) in [
+        ("PUT", "/v1/spec", whole_spec()),
+        ("PATCH", "/v1/spec", named_items()),
+        ("POST", "/v1/localities/north/evacuate", evacuation),
+    ] {
+        for repeated in repeated_names(&body) {
+            let is_read = read_text(method, target, &repeated.text).is_some();
+            verify_that!(is_read, eq(false))
+                .with_failure_message(|| format!("{}: {}", repeated.path, repeated.text))?;
+        }
+    }
+    Ok(())
+}
--- a/programs/rudderctl/src/change.rs
+++ b/programs/rudderctl/src/change.rs
@@ -1,6 +1,6 @@
 //! Changes of the spec as they are sent to the operators' API.
 
-use common::readers::{PathError, PathErrorList, PathReader};
+use common::readers::{PathError, PathErrorList, PathReader, parse_json};
 use common::rng::SeededRng;
 use hyper::Method;
 use serde::Serialize;
@@ -201,7 +201,7 @@
     pub(crate) fn into_request(self) -> Result<ChangeRequest, ChangeFileError> {
         let file_text = std::fs::read_to_string(self.file)
             .map_err(|error| ChangeFileError::Unreadable(self.file.to_owned(), error))?;
-        let file: Value = serde_json::from_str(&file_text)
+        let file = parse_json(file_text.as_bytes())
             .map_err(|error| ChangeFileError::NotJson(self.file.to_owned(), error))?;
         let content = self
             .kind
--- a/programs/rudderctl/tests/command_forms.rs
+++ b/programs/rudderctl/tests/command_forms.rs
@@ -189,6 +189,17 @@
     }
 }
 
+/// Guards against a file of which only the last value of a repeated name is sent.
+#[test]
+fn a_file_with_a_name_that_stands_twice_is_refused() {
+    let text = r#"{"put": {"routes": {}, "routes": {"r": {}}}}"#;
+    let file = TemporaryFile::new("name-twice", text);
+    for command in ["put", "patch", "items"] {
+        let output = output_of(&["--at", "127.0.0.1:9", command, file.name(), "--base", "3"]);
+        assert!(output.contains("\"routes\" stands twice"), "{output}");
+    }
+}
+
 #[test]
 fn a_core_that_nobody_reaches_has_its_exit_code() {
     let mut text = String::new();
--- a/testing/support/json_mutations.rs
+++ b/testing/support/json_mutations.rs
@@ -1,4 +1,4 @@
-//! Copies of a JSON document in each of which one value has another type.
+//! Copies of a JSON document in each of which one value has another type, or one name stands twice.
 
 use serde_json::{Value, json};
 
@@ -74,3 +74,60 @@
         Value::Object(_) => 5,
     }
 }
+
+/// A copy in which one name stands twice, as text: a parsed value cannot hold it.
+pub(crate) struct RepeatedName {
+    /// Where the name is, with dots between the names.
+    pub(crate) path: String,
+    /// The copy.
+    pub(crate) text: String,
+}
+
+/// All copies in which one name of one object, at any depth, stands twice with two values.
+pub(crate) fn repeated_names(document: &Value) -> Vec<RepeatedName> {
+    let mut pointers = Vec::new();
+    collect_pointers(document, String::new(), &mut pointers);
+    pointers
+        .iter()
+        .filter(|pointer| is_field(document, pointer))
+        .map(|pointer| RepeatedName {
+            path: pointer.trim_start_matches('/').replace('/', "."),
+            text: text_with_repeated(document, String::new(), pointer),
+        })
+        .collect()
+}
+
+/// Whether a pointer leads to a field of an object.
+fn is_field(document: &Value, pointer: &str) -> bool {
+    let parent = pointer.rsplit_once('/').map(|(parent, _)| parent);
+    parent
+        .and_then(|parent| document.pointer(parent))
+        .is_some_and(Value::is_object)
+}
+
+/// The value as text, with the field at the pointer twice.
+fn text_with_repeated(value: &Value, pointer: String, repeated: &str) -> String {
+    let inner = |name: &str, inner: &Value| {
+        text_with_repeated(inner, format!("{pointer}/{name}"), repeated)
+    };
+    match value {
+        Value::Object(fields) => {
+            let mut entries = Vec::new();
+            for (name, field) in fields {
+                if format!("{pointer}/{name}") == repeated {
+                    entries.push(format!("{}:null", json!(name)));
+                }
+                entries.push(format!("{}:{}", json!(name), inner(name, field)));
+            }
+            format!("{{{}}}", entries.join(","))
+        }
+        Value::Array(items) => {
+            let items = items.iter().enumerate();
+            let texts: Vec<String> = items
+                .map(|(index, item)| inner(&index.to_string(), item))
+                .collect();
+            format!("[{}]", texts.join(","))
+        }
+        other => other.to_string(),
+    }
+}
