Refuse restorations of a zone whose force cannot be read

What callers saw: a restoration with a force of any type was acknowledged. Change: the field is read as a truth value and has no effect, as before.

--- a/crates/controlplane/src/drivers/operator_api/requests.rs
+++ b/crates/controlplane/src/drivers/operator_api/requests.rs
@@ -114,7 +114,9 @@
             let zone = Zone::from(*zone);
             Some(ChangeKind::Evacuate { zone, force })
         }),
-        ["v1", "localities", zone, "restore"] => read_change(body, &["force"], |_| {
+        ["v1", "localities", zone, "restore"] => read_change(body, &["force"], |root| {
+            // It has no effect here, but must be readable.
+            root.field("force").bool_or(false);
             let zone = Zone::from(*zone);
             Some(ChangeKind::Restore { zone })
         }),
--- a/crates/controlplane/tests/unreadable_changes.rs
+++ b/crates/controlplane/tests/unreadable_changes.rs
@@ -183,6 +183,13 @@
     Ok(())
 }
 
+/// A restoration with a value of a wrong type was acknowledged: its reader passed `force` over.
+#[gtest]
+fn a_restoration_with_a_value_of_a_wrong_type_is_refused() -> Result<()> {
+    let body = json!({"base_serial": 5, "change_id": "c", "force": true, "wait": "accepted"});
+    verify_refused("POST", "/v1/localities/north/restore", &body)
+}
+
 /// Of a name that stood twice only the last value was taken, and the change was acknowledged without the first.
 #[gtest]
 fn a_change_with_a_name_that_stands_twice_is_refused() -> Result<()> {
