Count hang-ups from before main, and soak with them from a program's first code on

Cause, by traces: of 420 daemons that got SIGHUP 0 to 4 ms after their start, 347 ended, and /proc showed each of them without any handler, so still in the system's loader. Behind that a second window: a test that sends the signal once a process handles any signal ended rudderd and rudder-controller of the sources before. And a signal between the reading of the settings and the first wait for reloads was lost.

Change: the programs count SIGHUPs from a constructor before main; reload_signal reports those that came before. The soak sends SIGHUP to a process in the loader as soon as it runs its own code. The check itself stays as it was.

Tests: a_hang_up_at_its_first_code_ends_no_process (both programs, seen failing before), a_hang_up_during_the_start_is_reported_once_reloads_are_awaited. New libraries: ctor (the constructor), libc (named; it was there below tokio).

--- a/crates/common/src/command_line.rs
+++ b/crates/common/src/command_line.rs
@@ -2,6 +2,7 @@
 //! and signals.
 
 use crate::events;
+use crate::hangups;
 use crate::invariants;
 use crate::log_event;
 use gumdrop::{Options, ParsingStyle};
@@ -135,15 +136,19 @@
     Ok(stop)
 }
 
-/// Counts the SIGHUPs, by which the process is notified that its settings have changed; they never end it.
+/// Counts the SIGHUPs, by which the process is notified that its settings have changed; they never end it. The receiver
+/// has changed at once if one came while the process started (see [`hangups`]): the settings may have been read before.
 ///
 /// The task that counts them is detached and runs as long as the runtime. Fails if the runtime cannot register
 /// a handler.
 pub fn reload_signal() -> std::io::Result<watch::Receiver<u64>> {
     let (reload_sender, reload) = watch::channel(0);
-    let mut hangups = signal(SignalKind::hangup())?;
+    let mut hangup_signals = signal(SignalKind::hangup())?;
+    if hangups::has_come() {
+        reload_sender.send_modify(|count| *count += 1);
+    }
     tokio::spawn(async move {
-        while hangups.recv().await.is_some() {
+        while hangup_signals.recv().await.is_some() {
             reload_sender.send_modify(|count| *count += 1);
         }
     });
@@ -195,19 +200,9 @@
     builder.enable_all().build()
 }
 
-/// Makes sure that a SIGHUP that comes before [`reload_signal`] does not end the process; the settings are read
-/// after it anyway. Tokio never unregisters a handler, so that the system's default action does not come back.
-fn ignore_early_hangups() {
-    if let Ok(hangup_runtime) = runtime(1) {
-        let _runtime_guard = hangup_runtime.enter();
-        let _ = signal(SignalKind::hangup());
-    }
-}
-
-/// Starts the log at the level that `RUST_LOG` names, or `info`; the first thing that a deployed program does.
-/// From then on SIGHUP does not end the process, and a violated invariant is counted instead of ending it.
+/// Starts the log at the level that `RUST_LOG` names, or `info`. From then on a violated invariant is counted instead of
+/// ending the process.
 pub fn start_log() {
-    ignore_early_hangups();
     invariants::count_only();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
 }
--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod command_line;
 pub mod events;
 pub mod frames;
+pub mod hangups;
 pub mod http;
 pub mod identity;
 pub mod invariants;
--- a/crates/common/tests/reload.rs
+++ b/crates/common/tests/reload.rs
@@ -38,3 +38,17 @@
     verify_that!(reads.get(), eq(2))?;
     verify_that!(*applied.borrow(), elements_are![eq(&2)])
 }
+
+/// Guards against settings that changed while a process started, and are not read again: the signal came before anyone
+/// waited for it.
+#[gtest]
+fn a_hang_up_during_the_start_is_reported_once_reloads_are_awaited() -> Result<()> {
+    let runtime = common::command_line::runtime(1)?;
+    runtime.block_on(async {
+        common::hangups::count_from_now_on();
+        // SAFETY: the signal has a handler, which runs in this thread before the call returns.
+        unsafe { libc::raise(libc::SIGHUP) };
+        let reload = common::command_line::reload_signal()?;
+        verify_that!(reload.has_changed()?, eq(true))
+    })
+}
--- a/programs/controller/src/main.rs
+++ b/programs/controller/src/main.rs
@@ -81,6 +81,12 @@
 /// The phrase with which an operator accepts what `--recover` loses.
 const RECOVER_PHRASE: &str = "i-accept-the-loss";
 
+/// Runs before `main`: the settings may be reloaded as soon as the process exists.
+#[ctor::ctor(unsafe)]
+fn count_early_hangups() {
+    common::hangups::count_from_now_on();
+}
+
 fn main() -> ExitCode {
     let flags = PROGRAM.flags(|flags: &Flags| flags.version);
     command_line::start_log();
--- a/programs/controller/tests/command_line.rs
+++ b/programs/controller/tests/command_line.rs
@@ -46,6 +46,12 @@
     CONTROLLER.check_early_hang_up();
 }
 
+/// Guards against a program that ends when its settings are reloaded right after its start.
+#[test]
+fn a_hang_up_at_its_first_code_ends_no_process() {
+    CONTROLLER.check_hang_up_at_first_code();
+}
+
 #[test]
 fn help_and_refusals_of_arguments_are_as_they_were() {
     let command_lines = [
--- a/programs/daemon/src/main.rs
+++ b/programs/daemon/src/main.rs
@@ -63,6 +63,12 @@
 
 const PROGRAM: Program = Program::new("rudderd", env!("CARGO_PKG_VERSION"));
 
+/// Runs before `main`: the settings may be reloaded as soon as the process exists.
+#[ctor::ctor(unsafe)]
+fn count_early_hangups() {
+    common::hangups::count_from_now_on();
+}
+
 fn main() -> ExitCode {
     let flags = PROGRAM.flags(|flags: &Flags| flags.version);
     command_line::start_log();
--- a/testing/fleet/src/daemon_without_rule.rs
+++ b/testing/fleet/src/daemon_without_rule.rs
@@ -24,6 +24,12 @@
 
 const PROGRAM: Program = Program::new("flawed-daemon", env!("CARGO_PKG_VERSION"));
 
+/// Runs before `main`: the settings may be reloaded as soon as the process exists.
+#[ctor::ctor(unsafe)]
+fn count_early_hangups() {
+    common::hangups::count_from_now_on();
+}
+
 fn main() -> eyre::Result<()> {
     let flags = PROGRAM.flags(|flags: &Flags| flags.version);
     command_line::start_log();
--- a/testing/fleet/src/fleet/mod.rs
+++ b/testing/fleet/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 mod layout;
 mod network_proxy;
 mod process;
+#[path = "../../../support/program_start.rs"]
+mod program_start;
 mod sent_change;
 
 pub use layout::{Endpoints, Layout, Machine, Sizes};
--- a/testing/fleet/src/fleet/process.rs
+++ b/testing/fleet/src/fleet/process.rs
@@ -1,5 +1,6 @@
 //! One process of the fleet and the signals that it is sent.
 
+use super::program_start::await_program_start;
 use super::{FleetError, Machine};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::OpenOptions;
@@ -50,8 +51,9 @@
         self.signal(Signal::TERM);
     }
 
-    /// Sends SIGHUP.
+    /// Sends SIGHUP; to a process that was just started as soon as it runs its program.
     pub fn reload(&self) {
+        await_program_start(self.child.id());
         self.signal(Signal::HUP);
     }
 
--- a/testing/support/settings_file.rs
+++ b/testing/support/settings_file.rs
@@ -1,11 +1,16 @@
 //! What each program that reads a settings file must print: version, help, and every error of the file by its key.
 //! Included by the programs' own tests, since only those know the path of the binary.
 
-use std::fs::OpenOptions;
+#[path = "program_start.rs"]
+mod program_start;
+
+use program_start::await_program_start;
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output};
 
 /// A program under test.
 pub(crate) struct Binary {
@@ -93,45 +98,88 @@
     /// through a named pipe: once it can be opened for writing, the process is waiting for them.
     #[allow(dead_code)]
     pub(crate) fn check_early_hang_up(&self) {
-        let pipe = std::env::temp_dir().join(format!("{}-{}.pipe", self.name, std::process::id()));
-        let _ = std::fs::remove_file(&pipe);
-        assert!(
-            Command::new("mkfifo")
-                .arg(&pipe)
-                .status()
-                .expect("mkfifo")
-                .success()
-        );
-        let mut child = Command::new(self.path)
+        let pipe = SettingsPipe::create(self.name);
+        let mut child = self.start_with(&pipe);
+        let writer = pipe.writer_to(&mut child);
+        send_hangup(&child);
+        verify_refuses_settings(child, writer);
+    }
+
+    /// Checks that a SIGHUP that comes when the process runs its first code does not end it, at many starts.
+    #[allow(dead_code)]
+    pub(crate) fn check_hang_up_at_first_code(&self) {
+        let pipe = SettingsPipe::create(&format!("{}-first-code", self.name));
+        for _ in 0..STARTS {
+            let mut child = self.start_with(&pipe);
+            await_program_start(child.id());
+            send_hangup(&child);
+            let writer = pipe.writer_to(&mut child);
+            verify_refuses_settings(child, writer);
+        }
+    }
+
+    /// Starts it with settings that it waits for.
+    fn start_with(&self, pipe: &SettingsPipe) -> Child {
+        Command::new(self.path)
             .arg("--boot")
-            .arg(&pipe)
+            .arg(&pipe.path)
             .stderr(std::process::Stdio::null())
             .spawn()
-            .expect("it starts");
-        let mut writer = loop {
+            .expect("it starts")
+    }
+}
+
+/// How often a program is started to be hung up at its first code.
+const STARTS: usize = 40;
+
+/// A named pipe through which a process gets its settings; removed when this is dropped.
+struct SettingsPipe {
+    path: PathBuf,
+}
+
+impl SettingsPipe {
+    fn create(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("{name}-{}.pipe", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        let made = Command::new("mkfifo").arg(&path).status();
+        assert!(made.expect("mkfifo").success());
+        Self { path }
+    }
+
+    /// Opens the pipe for writing once the process waits for its settings.
+    fn writer_to(&self, child: &mut Child) -> File {
+        loop {
             let opened = OpenOptions::new()
                 .write(true)
                 .custom_flags(NONBLOCKING)
-                .open(&pipe);
+                .open(&self.path);
             if let Ok(writer) = opened {
-                break writer;
+                return writer;
             }
-            assert!(
-                child.try_wait().expect("a status").is_none(),
-                "it ended before it read"
-            );
-        };
-        let signalled = Command::new("kill")
-            .args(["-HUP", &child.id().to_string()])
-            .status();
-        assert!(signalled.expect("kill").success());
-        writer.write_all(b"{}").expect("it reads");
-        drop(writer);
-        let status = child.wait().expect("a status");
-        let _ = std::fs::remove_file(&pipe);
-        assert_eq!(status.code(), Some(2), "{status}");
+            let status = child.try_wait().expect("a status");
+            assert!(status.is_none(), "it ended before it read: {status:?}");
+        }
+    }
+}
+
+impl Drop for SettingsPipe {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
+/// Gives the process settings that it refuses, and checks that it ends for that reason.
+fn verify_refuses_settings(mut child: Child, mut writer: File) {
+    writer.write_all(b"{}").expect("it reads");
+    drop(writer);
+    let status = child.wait().expect("a status");
+    assert_eq!(status.code(), Some(2), "{status}");
+}
+
+fn send_hangup(child: &Child) {
+    let process = Pid::from_raw(child.id() as i32).expect("a process");
+    kill_process(process, Signal::HUP).expect("a signal");
+}
+
 /// `O_NONBLOCK`: opening a pipe for writing fails unless it is open for reading.
 const NONBLOCKING: i32 = 0o4000;
