Start a controller that is known on a disk that refuses writes

Cause: the probe that names a folder which cannot be written failed, and ended the start; a controller that runs goes on with the same disk. Evidence: a_disk_that_refuses_writes_keeps_no_known_controller_from_starting failed on the sources before. Change: the failed probe is logged if the identity can be read and the cause is none of the folder's set-up. A new identity and damage still need their write, so that nothing is forgotten: a_start_that_needs_a_write_fails_on_a_disk_that_refuses_it.

--- a/crates/controlplane/src/storage/directory.rs
+++ b/crates/controlplane/src/storage/directory.rs
@@ -21,7 +21,8 @@
 }
 
 impl DataDirectory {
-    /// Opens the directory, creates it if it does not exist, and checks that it can be written.
+    /// Opens the directory, creates it if it does not exist, and checks that it can be written. A disk that refuses
+    /// writes for a while, as a full one does, does not keep a controller from starting whose identity it holds.
     ///
     /// # Errors
     ///
@@ -44,8 +45,19 @@
             path: path.to_owned(),
             fault_hook,
         };
-        data_directory.write_file(file_names::WRITE_PROBE, b"yes")?;
-        Ok(data_directory)
+        match data_directory.write_file(file_names::WRITE_PROBE, b"yes") {
+            Err(error) if error.is_lasting() || !data_directory.has_identity() => Err(error),
+            Err(error) => {
+                common::log_event!(Error, common::events::DISK_WRITE_FAILED, "{error}");
+                Ok(data_directory)
+            }
+            Ok(()) => Ok(data_directory),
+        }
+    }
+
+    /// Whether the directory has a readable identity.
+    fn has_identity(&self) -> bool {
+        self.read_file(file_names::IDENTITY).is_some()
     }
 
     /// Carries out one write; once it returns without an error, the job is on disk.
--- a/crates/controlplane/src/storage/error.rs
+++ b/crates/controlplane/src/storage/error.rs
@@ -1,7 +1,7 @@
 //! The errors of the data directory.
 
 use common::spec::DocumentError;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 
 /// Why the data directory could not be used.
@@ -19,6 +19,20 @@
 }
 
 impl DataDirectoryError {
+    /// Whether the cause is how the directory is set up, and does not go by itself.
+    pub(super) fn is_lasting(&self) -> bool {
+        let Self::File(_, error) = self else {
+            return true;
+        };
+        matches!(
+            error.kind(),
+            ErrorKind::PermissionDenied
+                | ErrorKind::ReadOnlyFilesystem
+                | ErrorKind::NotADirectory
+                | ErrorKind::IsADirectory
+        )
+    }
+
     /// Returns what turns an I/O error into one that names this path.
     pub(super) fn at(path: &Path) -> impl FnOnce(io::Error) -> Self {
         |error| Self::File(path.to_owned(), error)
--- a/crates/controlplane/tests/storage.rs
+++ b/crates/controlplane/tests/storage.rs
@@ -290,3 +290,51 @@
     }
     Ok(())
 }
+
+/// A disk that refuses every write for this reason.
+struct Refusing(io::ErrorKind);
+
+impl DiskFaultHook for Refusing {
+    fn before_write(&self) -> io::Result<()> {
+        Err(self.0.into())
+    }
+}
+
+/// Guards against a controller that ends when it is restarted while its disk is full, although it needs no write to start.
+#[gtest]
+fn a_disk_that_refuses_writes_keeps_no_known_controller_from_starting() -> Result<()> {
+    for reason in [io::ErrorKind::StorageFull, io::ErrorKind::Other] {
+        let (directory, stored_versions) = filled_directory("start-full", 3);
+        let data_directory = DataDirectory::open_with(&directory.0, Box::new(Refusing(reason)))?;
+        let persisted = data_directory.load(ControllerId(1))?.persisted;
+        verify_that!(persisted.id, eq(ControllerId(7)))?;
+        verify_that!(persisted.voted_for, some(eq((Term(4), ControllerId(9)))))?;
+        verify_that!(
+            persisted.accepted.as_ref() == stored_versions.last(),
+            eq(true)
+        )?;
+    }
+    Ok(())
+}
+
+/// A new identity, and damage, must be recorded before the controller takes part; and settings that are wrong are named.
+#[gtest]
+fn a_start_that_needs_a_write_fails_on_a_disk_that_refuses_it() -> Result<()> {
+    let refusing = |reason| Box::new(Refusing(reason));
+    let empty = TempDirectory::new("start-full-empty");
+    let opened = DataDirectory::open_with(&empty.0, refusing(io::ErrorKind::StorageFull));
+    verify_that!(opened.is_err(), eq(true))?;
+    let (directory, _) = filled_directory("start-full-damaged", 3);
+    fs::write(directory.newest("spec-"), "rot")?;
+    let data_directory =
+        DataDirectory::open_with(&directory.0, refusing(io::ErrorKind::StorageFull))?;
+    verify_that!(data_directory.load(ControllerId(1)).is_err(), eq(true))?;
+    for reason in [
+        io::ErrorKind::PermissionDenied,
+        io::ErrorKind::ReadOnlyFilesystem,
+    ] {
+        let opened = DataDirectory::open_with(&directory.0, refusing(reason));
+        verify_that!(opened.is_err(), eq(true))?;
+    }
+    Ok(())
+}
