Soak: send an operator's change to each controller that is stopped

Closes the hole by which no soak saw that a stopping controller leaves operators without a word: they try elsewhere, and an order without a clear answer is allowed. Now a change is under way at each controller when it gets SIGTERM, and a connection that ends without a response is a finding, whatever else goes wrong.

--- a/testing/fleet/src/soak/fault.rs
+++ b/testing/fleet/src/soak/fault.rs
@@ -1,6 +1,7 @@
 //! The faults of a soak: how each is injected and undone.
 
 use super::clients;
+use super::order_at_stop::OrderAtStop;
 use crate::days::Deployment;
 use crate::fleet::{Fleet, FleetError};
 use common::rng::SeededRng;
@@ -9,12 +10,16 @@
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::time::Duration;
+use tokio::task::JoinSet;
 
 /// The grace period of a process that is stopped gracefully.
 const STOP_GRACE: Duration = Duration::from_secs(7);
 /// The delay of connections on a slow network.
 const ADDED_DELAY: Duration = Duration::from_millis(200);
 
+/// How long the version may take to be read on which an operator's change at a stop is built.
+const VERSION_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How many signals a series has.
 const SIGNALS_IN_SERIES: usize = 8;
 /// The longest pause between two signals.
@@ -204,11 +209,45 @@
 /// Injects faults into a fleet and undoes them.
 pub(super) struct SoakInjector<'a> {
     pub fleet: &'a mut Fleet,
-    pub deployment: Deployment,
-    pub rng: SeededRng,
+    deployment: Deployment,
+    rng: SeededRng,
+    /// Operators' changes at controllers that are stopping.
+    orders_at_stops: JoinSet<Option<String>>,
+}
+
+impl<'a> SoakInjector<'a> {
+    /// An injector that has not done anything yet.
+    pub(super) fn new(fleet: &'a mut Fleet, deployment: Deployment, rng: SeededRng) -> Self {
+        Self {
+            fleet,
+            deployment,
+            rng,
+            orders_at_stops: JoinSet::new(),
+        }
+    }
 }
 
 impl SoakInjector<'_> {
+    /// The violations of controllers that stopped without a response to an operator's change.
+    pub(super) async fn unanswered_orders(mut self) -> Vec<String> {
+        let orders = std::mem::take(&mut self.orders_at_stops);
+        orders.join_all().await.into_iter().flatten().collect()
+    }
+
+    /// Sends an operator's change to a controller that is about to be stopped.
+    async fn send_order(&mut self, controller: &str) {
+        let Some(operators) = self.fleet.layout.machines[controller].operators else {
+            return;
+        };
+        let change_id = self.fleet.change_id();
+        let reading = tokio::time::timeout(VERSION_TIMEOUT, self.fleet.spec()).await;
+        let version = reading.map_or(0, |read| read.map_or(0, |(version, _)| version));
+        let order = OrderAtStop::send(controller, operators, version, &change_id).await;
+        if let Some(order) = order {
+            self.orders_at_stops.spawn(order.violation());
+        }
+    }
+
     /// Injects a fault. It does nothing if no target is left that is not affected by another fault.
     pub(crate) async fn begin(&mut self, fault: SoakFault) -> Result<FaultUndo, FleetError> {
         self.fleet
@@ -220,7 +259,7 @@
             }
             FaultAction::Stop(target) => {
                 let name = self.choose(target).await;
-                Ok(self.stop(name))
+                Ok(self.stop(name).await)
             }
             FaultAction::Freeze(target) => {
                 let name = self.choose(target).await;
@@ -392,11 +431,12 @@
         FaultUndo::Launch(name)
     }
 
-    fn stop(&mut self, name: Option<String>) -> FaultUndo {
+    async fn stop(&mut self, name: Option<String>) -> FaultUndo {
         let Some(name) = name else {
             return FaultUndo::Nothing;
         };
         self.rng.number();
+        self.send_order(&name).await;
         self.fleet.begin_stop(&name);
         FaultUndo::AwaitStopsAndLaunch(vec![name])
     }
--- a/testing/fleet/src/soak/mod.rs
+++ b/testing/fleet/src/soak/mod.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod fault;
+mod order_at_stop;
 mod schedule;
 
 pub use fault::SoakFault;
@@ -149,13 +150,14 @@
     fleet.await_ready(ingresses.len()).await?;
     let load_task = tokio::spawn(run_plan(load_plan(soak, deployment, &fleet)?));
     let planned_faults = draw_schedule(soak.seed, soak.lanes, soak.lasts);
-    inject_all(&mut fleet, soak, deployment, &planned_faults).await?;
+    let unanswered_orders = inject_all(&mut fleet, soak, deployment, &planned_faults).await?;
     let _ = load_task.await;
     let exited = fleet.exited_processes();
     fleet.end().await;
     let verdict = judge(&Evidence::read(&soak.folder)?);
     let mut violations = violations_in(&soak.folder)?;
     violations.extend(unreadable_changes_in(&soak.folder)?);
+    violations.extend(unanswered_orders);
     violations.extend(
         exited
             .into_iter()
@@ -235,19 +237,17 @@
     undo: FaultUndo,
 }
 
-/// Injects and undoes the planned faults at their times. One that cannot be injected is noted in the journal.
+/// Injects and undoes the planned faults at their times. One that cannot be injected is noted in the journal. Returns the
+/// violations of stopping controllers that left an operator's change without a response.
 async fn inject_all(
     fleet: &mut Fleet,
     soak: &Soak,
     deployment: Deployment,
     planned_faults: &[PlannedFault],
-) -> Result<(), FleetError> {
+) -> Result<Vec<String>, FleetError> {
     let started_at = Instant::now() + WARM_UP;
-    let mut injector = SoakInjector {
-        fleet,
-        deployment,
-        rng: SeededRng::seeded(soak.seed ^ 0x7a0b),
-    };
+    let rng = SeededRng::seeded(soak.seed ^ 0x7a0b);
+    let mut injector = SoakInjector::new(fleet, deployment, rng);
     let mut upcoming = planned_faults.iter().peekable();
     let mut active_faults: Vec<ActiveFault> = Vec::new();
     loop {
@@ -273,7 +273,7 @@
             .fleet
             .record_event(kind, json!({"fault": "soak", "heavy": true}));
     }
-    Ok(())
+    Ok(injector.unanswered_orders().await)
 }
 
 /// Injects a fault; none is active if it could not be injected.
