Probe the silent other side of a followed stream of events

Keep-alive probes after 2 s, each second, besides the options of the other calls. the_idle_other_side_of_a_stream_is_probed was seen failing with the change taken out.

--- a/crates/common/src/http/line_stream.rs
+++ b/crates/common/src/http/line_stream.rs
@@ -2,6 +2,7 @@
 
 use super::CallError;
 use crate::frames::SocketAddress;
+use crate::sockets::probe_when_idle;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -43,6 +44,8 @@
         .await
         .map_err(|_| CallError::ConnectTimeout)?
         .map_err(CallError::NotSent)?;
+    // After the request only the other side sends, so that its silence is noticed by probes alone.
+    probe_when_idle(&stream);
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(CallError::Lost)?;
