Report a damaged vote once

The scrub does now what the next start does: it keeps a copy and replaces the vote by one for nobody, so that the node does not vote again in its term. a_vote_that_is_damaged_while_running_is_reported_once_and_counts_as_granted was seen failing with the change taken out.

--- a/crates/controlplane/src/storage/directory.rs
+++ b/crates/controlplane/src/storage/directory.rs
@@ -83,9 +83,9 @@
         self.prune()
     }
 
-    /// Reads every stored file again and returns the names of the damaged ones. A copy of a damaged
-    /// version is kept, and the newest version is written again from memory. A damaged vote is
-    /// left as it is, since its name alone records that this node has voted in the term.
+    /// Reads every stored file again and returns the names of the damaged ones. A copy of each is
+    /// kept, the newest version is written again from memory, and a vote is replaced by one for
+    /// nobody, as at the start.
     ///
     /// # Errors
     ///
@@ -117,11 +117,14 @@
     ) -> Result<(), DataDirectoryError> {
         let stored_path = self.path_of(file_name);
         let quarantine_path = self.path_of(&file_names::damaged_name(file_name));
+        if stored_file.is_vote() {
+            return self.quarantine(file_name);
+        }
         if let Some(document) = newest_document {
             fs::copy(&stored_path, &quarantine_path)
                 .map_err(DataDirectoryError::at(&quarantine_path))?;
             self.write_file(file_name, &document.to_bytes())?;
-        } else if !stored_file.is_vote() {
+        } else {
             fs::rename(&stored_path, &quarantine_path)
                 .map_err(DataDirectoryError::at(&quarantine_path))?;
         }
--- a/crates/controlplane/src/storage/recovery.rs
+++ b/crates/controlplane/src/storage/recovery.rs
@@ -151,7 +151,7 @@
 
     /// Keeps a damaged file under another name. A vote is replaced by one for nobody, so that this node
     /// does not vote again in its term.
-    fn quarantine(&self, damaged_name: &str) -> Result<(), DataDirectoryError> {
+    pub(super) fn quarantine(&self, damaged_name: &str) -> Result<(), DataDirectoryError> {
         let damaged_path = self.path_of(damaged_name);
         let quarantine_path = self.path_of(&file_names::damaged_name(damaged_name));
         if StoredFile::parse(damaged_name).is_some_and(StoredFile::is_vote) {
--- a/crates/controlplane/tests/storage.rs
+++ b/crates/controlplane/tests/storage.rs
@@ -195,6 +195,18 @@
     verify_that!(quarantined, is_empty())
 }
 
+/// Guards against a damaged vote that is reported at every scrub until the next start.
+#[gtest]
+fn a_vote_that_is_damaged_while_running_is_reported_once_and_counts_as_granted() -> Result<()> {
+    let (directory, stored_versions) = filled_directory("scrub-vote", 2);
+    let data_directory = DataDirectory::open(&directory.0)?;
+    fs::write(directory.newest("vote-"), "rot")?;
+    verify_that!(data_directory.scrub(stored_versions.last())?.len(), eq(1))?;
+    verify_that!(data_directory.scrub(stored_versions.last())?, is_empty())?;
+    let (persisted, _) = start(&directory)?;
+    verify_that!(persisted.voted_for, some(eq((Term(4), ControllerId(0)))))
+}
+
 #[gtest]
 fn single_voter_recovery_needs_a_disk_that_was_a_member() -> Result<()> {
     let empty = TempDirectory::new("recover-empty");
