Have an operation of a change hold its request, which stood twice

Operation::Change and ChangeRequest had the same five fields, and a queued change three of them again with a flag for the fourth; a change that goes back to wait for a leader was put together anew.

--- a/crates/controlplane/src/controller_state/changes.rs
+++ b/crates/controlplane/src/controller_state/changes.rs
@@ -1,11 +1,11 @@
 //! Operators' changes: queued, evaluated, proposed and answered, or given up.
 
 use super::content::derive_change_id;
-use super::pending_changes::{ChangeRequest, ProposedChange, QueuedChange};
+use super::pending_changes::{ProposedChange, QueuedChange};
 use super::proposal_outcome::{ChangeEvaluator, ProposalOutcome};
 use super::{
-    ChangeKind, ControllerOutput, ControllerState, Operation, OperationReply, OperationTicket,
-    Unavailable, UnrecordedChange,
+    ChangeKind, ChangeRequest, ControllerOutput, ControllerState, Operation, OperationReply,
+    OperationTicket, Unavailable, UnrecordedChange,
 };
 use crate::leader_state::LeaderState;
 use common::clock::MonotonicTime;
@@ -24,31 +24,20 @@
         &mut self,
         requested_at: MonotonicTime,
         ticket: OperationTicket,
-        requested: ChangeRequest,
+        request: ChangeRequest,
     ) {
-        let ChangeRequest {
-            base,
-            numbering,
-            change,
-            kind,
-            wait,
-        } = requested;
-        let is_named = change.is_some();
-        let change = change.unwrap_or_else(|| match &kind {
+        let change = match (&request.change, &request.kind) {
+            (Some(given_name), _) => given_name.clone(),
             // Evacuating the same zone again later is another change, so its content cannot name it.
-            ChangeKind::Evacuate { .. } | ChangeKind::Restore { .. } => {
+            (None, ChangeKind::Evacuate { .. } | ChangeKind::Restore { .. }) => {
                 ChangeId::from(format!("turn-{}-{}", self.consensus.term(), ticket.0))
             }
-            _ => derive_change_id(base, numbering, &kind),
-        });
+            (None, kind) => derive_change_id(request.base, request.numbering, kind),
+        };
         self.changes.queue.push_back(QueuedChange {
             ticket,
-            base,
-            numbering,
+            request,
             change,
-            is_named,
-            kind,
-            wait,
             requested_at,
         });
     }
@@ -160,7 +149,7 @@
                 let skips_proof = !self.rules.enforces(Rule::RejectionConfirmedByMajority);
                 (is_proven && (knows_zones || !concerns_zones)) || skips_proof
             }
-            ProposalOutcome::NewDocument(_) if queued.kind.is_zone_change() => {
+            ProposalOutcome::NewDocument(_) if queued.request.kind.is_zone_change() => {
                 let is_delayed = now.since(queued.requested_at) < DISCONNECT_NOTICE_DELAY;
                 is_proven && !(is_delayed && self.rules.enforces(Rule::AbandonedChangeDropped))
             }
@@ -182,7 +171,7 @@
             next_document.membership = target_membership;
         }
         self.check_proposal(&queued, &next_document);
-        let number = queued.numbering.map_or(0, |given| given.number);
+        let number = queued.request.numbering.map_or(0, |given| given.number);
         let version = next_document.document_version.version;
         self.traces
             .begin_proposal(now, self.consensus.term(), version);
@@ -215,8 +204,9 @@
             return;
         };
         let (version, number) = (current.view_version(), current.number);
-        let is_on_base = queued.base.is_none_or(|base| base == version)
+        let is_on_base = queued.request.base.is_none_or(|base| base == version)
             && queued
+                .request
                 .numbering
                 .is_none_or(|given| given.base_number == number);
         require(self.rules, Invariant::ChangeOnNamedBase, is_on_base, || {
@@ -260,13 +250,7 @@
             self.answer(proposed_change.ticket, reply);
         }
         for queued in pending.queue.into_iter().chain(pending.awaiting_proof) {
-            let operation = Operation::Change {
-                base: queued.base,
-                numbering: queued.numbering,
-                change: queued.is_named.then_some(queued.change),
-                kind: queued.kind,
-                wait: queued.wait,
-            };
+            let operation = Operation::Change(queued.request);
             self.wait_for_leader(queued.requested_at, queued.ticket, operation);
         }
     }
--- a/crates/controlplane/src/controller_state/mod.rs
+++ b/crates/controlplane/src/controller_state/mod.rs
@@ -18,7 +18,9 @@
 pub use content::derive_change_id;
 pub use history::{EventEntry, NumberedEvent};
 pub use io::{ControllerInput, ControllerOutput};
-pub use operation::{ChangeKind, ItemChange, Numbering, Operation, OperationTicket, Wait};
+pub use operation::{
+    ChangeKind, ChangeRequest, ItemChange, Numbering, Operation, OperationTicket, Wait,
+};
 pub use reply::{
     MemberProgress, MemberTraceReport, OperationReply, QuorumChangeError, QuorumStatus,
     TraceReport, Unavailable, UnrecordedChange, VersionTraceReport,
--- a/crates/controlplane/src/controller_state/operation.rs
+++ b/crates/controlplane/src/controller_state/operation.rs
@@ -77,24 +77,28 @@
     InForce,
 }
 
+/// A change as an operator requests it.
+#[derive(Clone, Debug)]
+pub struct ChangeRequest {
+    /// The version it is built on.
+    pub base: Option<Version>,
+    /// The operators' own numbers, if they number it.
+    pub numbering: Option<Numbering>,
+    /// The operator's name for it; without one its content identifies it.
+    pub change: Option<ChangeId>,
+    /// What it does.
+    pub kind: ChangeKind,
+    /// What to wait for.
+    pub wait: Wait,
+}
+
 /// What an operator requests.
 #[derive(Clone, Debug)]
 pub enum Operation {
     /// Read the spec.
     ReadSpec,
     /// Change it.
-    Change {
-        /// The version it is built on.
-        base: Option<Version>,
-        /// The operators' own numbers, if they number it.
-        numbering: Option<Numbering>,
-        /// The operator's name for it; without one its content identifies it.
-        change: Option<ChangeId>,
-        /// What it does.
-        kind: ChangeKind,
-        /// What to wait for.
-        wait: Wait,
-    },
+    Change(ChangeRequest),
     /// Report what is known of a change.
     ChangeStatus(ChangeId),
     /// List the daemons.
@@ -123,9 +127,9 @@
     /// The reply to an operation of which nothing has been carried out.
     pub fn not_handled(&self, reason: Unavailable) -> OperationReply {
         match self {
-            Self::Change { change, .. } => OperationReply::NotAccepted {
+            Self::Change(request) => OperationReply::NotAccepted {
                 reason,
-                change: change.clone(),
+                change: request.change.clone(),
             },
             Self::Bootstrap | Self::Replace(..) => OperationReply::NotAccepted {
                 reason,
--- a/crates/controlplane/src/controller_state/operations.rs
+++ b/crates/controlplane/src/controller_state/operations.rs
@@ -1,6 +1,5 @@
 //! Operators' requests: which are answered here, which are redirected, and which wait for a leader.
 
-use super::pending_changes::ChangeRequest;
 use super::{
     ControllerOutput, ControllerState, Operation, OperationReply, OperationTicket,
     QuorumChangeError, QuorumStatus, Unavailable,
@@ -70,9 +69,7 @@
             | Operation::Trace(_)
             | Operation::Metrics
             | Operation::Events(_) => false,
-            Operation::Change { .. } => {
-                self.leader_state.is_none() && self.other_leader().is_none()
-            }
+            Operation::Change(_) => self.leader_state.is_none() && self.other_leader().is_none(),
             _ => {
                 let must_be_proven = self.rules.enforces(Rule::ReadConfirmedByMajority);
                 let is_proven = self.is_proven_since(now, requested_at);
@@ -136,27 +133,14 @@
         }
         match operation {
             Operation::Replace(missing, successor) => Some(self.replace(now, missing, successor)),
-            Operation::Change { change, .. } if self.leader_state.is_none() => {
+            Operation::Change(request) if self.leader_state.is_none() => {
                 Some(OperationReply::NotAccepted {
                     reason: Unavailable::NoLeader,
-                    change,
+                    change: request.change,
                 })
             }
-            Operation::Change {
-                base,
-                numbering,
-                change,
-                kind,
-                wait,
-            } => {
-                let requested = ChangeRequest {
-                    base,
-                    numbering,
-                    change,
-                    kind,
-                    wait,
-                };
-                self.queue_change(requested_at, ticket, requested);
+            Operation::Change(request) => {
+                self.queue_change(requested_at, ticket, request);
                 None
             }
             other => Some(self.report(now, requested_at, other)),
--- a/crates/controlplane/src/controller_state/pending_changes.rs
+++ b/crates/controlplane/src/controller_state/pending_changes.rs
@@ -1,6 +1,6 @@
 //! The operators' changes that have no reply yet, by how far each has come.
 
-use super::{ChangeKind, Numbering, OperationReply, OperationTicket, Wait};
+use super::{ChangeRequest, OperationReply, OperationTicket, Wait};
 use common::clock::MonotonicTime;
 use common::identity::{ChangeId, Version};
 use std::collections::{BTreeSet, VecDeque};
@@ -13,36 +13,14 @@
 /// How long the reply to a committed change may wait for the version to be in force everywhere.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A change as an operator requested it.
-pub(super) struct ChangeRequest {
-    /// The version it is built on.
-    pub base: Option<Version>,
-    /// The operators' own numbers.
-    pub numbering: Option<Numbering>,
-    /// The operator's name for it.
-    pub change: Option<ChangeId>,
-    /// What it does.
-    pub kind: ChangeKind,
-    /// What its operator waits for.
-    pub wait: Wait,
-}
-
 /// A change that waits to be proposed.
 pub(super) struct QueuedChange {
     /// The operation that the reply belongs to.
     pub ticket: OperationTicket,
-    /// The version it is built on.
-    pub base: Option<Version>,
-    /// The operators' own numbers.
-    pub numbering: Option<Numbering>,
-    /// Its name.
+    /// What its operator requested.
+    pub request: ChangeRequest,
+    /// Its name: the operator's, or one by its content.
     pub change: ChangeId,
-    /// Whether the operator named it.
-    pub is_named: bool,
-    /// What it does.
-    pub kind: ChangeKind,
-    /// What its operator waits for.
-    pub wait: Wait,
     /// When the controller received it.
     pub requested_at: MonotonicTime,
 }
@@ -55,7 +33,7 @@
             change: self.change,
             version,
             number,
-            wait: self.wait,
+            wait: self.request.wait,
             requested_at: self.requested_at,
         }
     }
--- a/crates/controlplane/src/controller_state/proposal_outcome.rs
+++ b/crates/controlplane/src/controller_state/proposal_outcome.rs
@@ -39,30 +39,30 @@
 
 impl ChangeEvaluator<'_> {
     /// What a change comes to.
-    pub(super) fn evaluate(&self, requested: &QueuedChange) -> ProposalOutcome {
-        match self.status_of(requested) {
+    pub(super) fn evaluate(&self, queued: &QueuedChange) -> ProposalOutcome {
+        match self.status_of(queued) {
             ChangeStatus::Applied(version) => {
-                let number = requested.numbering.map_or(0, |given| given.number);
+                let number = queued.request.numbering.map_or(0, |given| given.number);
                 return ProposalOutcome::Applied { version, number };
             }
             ChangeStatus::Forgotten => {
-                let change = Some(requested.change.clone());
+                let change = Some(queued.change.clone());
                 let reason = Unavailable::Forgotten;
                 return ProposalOutcome::Answered(OperationReply::Unknown { reason, change });
             }
             ChangeStatus::NotApplied => {}
         }
-        if self.is_stale(requested) && self.rules.enforces(Rule::StaleBaseRejected) {
+        if self.is_stale(queued) && self.rules.enforces(Rule::StaleBaseRejected) {
             return ProposalOutcome::Answered(OperationReply::Stale {
-                change: requested.change.clone(),
+                change: queued.change.clone(),
                 version: self.current_document.view_version(),
                 number: self.current_document.number,
             });
         }
-        if !requested.is_named && self.is_already_in_state(&requested.kind) {
+        if queued.request.change.is_none() && self.is_already_in_state(&queued.request.kind) {
             return ProposalOutcome::AlreadyInState;
         }
-        match self.next_document(requested) {
+        match self.next_document(queued) {
             Ok(next_document) => ProposalOutcome::NewDocument(Box::new(next_document)),
             Err(reply) => ProposalOutcome::Answered(reply),
         }
@@ -70,14 +70,14 @@
 
     /// Whether a change has been applied already. A numbered change is known by number and content, any
     /// other by its name; a bounded count of each is remembered.
-    fn status_of(&self, requested: &QueuedChange) -> ChangeStatus {
+    fn status_of(&self, queued: &QueuedChange) -> ChangeStatus {
         if !self.rules.enforces(Rule::ResentChangeRecognized) {
             return ChangeStatus::NotApplied;
         }
-        let Some(numbering) = requested.numbering else {
+        let Some(numbering) = queued.request.numbering else {
             return self
                 .current_document
-                .status_of_named(requested.base, &requested.change);
+                .status_of_named(queued.request.base, &queued.change);
         };
         let applied_changes = &self.current_document.applied_changes;
         if !self.rules.enforces(Rule::ChangeNumberBoundToContent)
@@ -85,14 +85,18 @@
         {
             return ChangeStatus::Applied(version);
         }
-        applied_changes.status_of(numbering.number, &requested.change)
+        applied_changes.status_of(numbering.number, &queued.change)
     }
 
-    fn is_stale(&self, requested: &QueuedChange) -> bool {
+    fn is_stale(&self, queued: &QueuedChange) -> bool {
         let current_version = self.current_document.view_version();
         let current_number = self.current_document.number;
-        requested.base.is_some_and(|base| base != current_version)
-            || requested
+        queued
+            .request
+            .base
+            .is_some_and(|base| base != current_version)
+            || queued
+                .request
                 .numbering
                 .is_some_and(|given| given.base_number != current_number)
     }
@@ -105,31 +109,30 @@
         }
     }
 
-    fn next_document(&self, requested: &QueuedChange) -> Result<Document, OperationReply> {
-        self.check_number(requested)?;
+    fn next_document(&self, queued: &QueuedChange) -> Result<Document, OperationReply> {
+        self.check_number(queued)?;
         let current_spec = &self.current_document.spec;
-        match &requested.kind {
+        match &queued.request.kind {
             ChangeKind::FullSpec(new_spec) => {
-                self.with_spec(requested, new_spec.sharing_records_with(current_spec))
+                self.with_spec(queued, new_spec.sharing_records_with(current_spec))
             }
             ChangeKind::Patch(merge_patch) => {
                 let mut new_spec = current_spec.to_value();
                 json_patch::merge(&mut new_spec, merge_patch);
                 let new_spec = SpecRecords::new(new_spec).sharing_records_with(current_spec);
-                self.with_spec(requested, new_spec)
+                self.with_spec(queued, new_spec)
             }
-            ChangeKind::Items(items) => self.with_spec(requested, with_items(current_spec, items)),
-            ChangeKind::Evacuate { zone, force } => {
-                self.with_zone_evacuated(requested, zone, *force)
-            }
-            ChangeKind::Restore { zone } => self.with_zone_restored(requested, zone),
+            ChangeKind::Items(items) => self.with_spec(queued, with_items(current_spec, items)),
+            ChangeKind::Evacuate { zone, force } => self.with_zone_evacuated(queued, zone, *force),
+            ChangeKind::Restore { zone } => self.with_zone_restored(queued, zone),
         }
     }
 
     /// An operator's number must be above the current one.
-    fn check_number(&self, requested: &QueuedChange) -> Result<(), OperationReply> {
+    fn check_number(&self, queued: &QueuedChange) -> Result<(), OperationReply> {
         let current_number = self.current_document.number;
-        let is_number_low = requested
+        let is_number_low = queued
+            .request
             .numbering
             .is_some_and(|given| given.number <= current_number);
         if is_number_low && self.rules.enforces(Rule::InvalidChangeRejected) {
@@ -145,7 +148,7 @@
 
     fn with_spec(
         &self,
-        requested: &QueuedChange,
+        queued: &QueuedChange,
         new_spec: SpecRecords,
     ) -> Result<Document, OperationReply> {
         let checked_spec = match new_spec.check() {
@@ -155,11 +158,11 @@
             }
             Err(_) => Spec::default(),
         };
-        let change = requested.change.clone();
+        let change = queued.change.clone();
         let next_document = self
             .current_document
             .with_spec(new_spec, &checked_spec, change);
-        Ok(match requested.numbering {
+        Ok(match queued.request.numbering {
             Some(numbering) => next_document.numbered(numbering.number),
             None => next_document,
         })
@@ -167,7 +170,7 @@
 
     fn with_zone_evacuated(
         &self,
-        requested: &QueuedChange,
+        queued: &QueuedChange,
         zone: &Zone,
         force: bool,
     ) -> Result<Document, OperationReply> {
@@ -186,13 +189,13 @@
         if remaining_count == 0 && !force {
             return Err(OperationReply::LastZone);
         }
-        let change = requested.change.clone();
+        let change = queued.change.clone();
         Ok(self.current_document.with_zone(zone.clone(), true, change))
     }
 
     fn with_zone_restored(
         &self,
-        requested: &QueuedChange,
+        queued: &QueuedChange,
         zone: &Zone,
     ) -> Result<Document, OperationReply> {
         let known_zones = self.known_zones();
@@ -202,7 +205,7 @@
                 known: known_zones,
             });
         }
-        let change = requested.change.clone();
+        let change = queued.change.clone();
         Ok(self.current_document.with_zone(zone.clone(), false, change))
     }
 
--- a/crates/controlplane/src/drivers/operator_api/requests.rs
+++ b/crates/controlplane/src/drivers/operator_api/requests.rs
@@ -1,7 +1,7 @@
 //! The requests of the product's own API: paths, queries and the bodies of changes.
 
 use super::responses::invalid_body;
-use crate::controller_state::{ChangeKind, ItemChange, Numbering, Operation, Wait};
+use crate::controller_state::{ChangeKind, ChangeRequest, ItemChange, Numbering, Operation, Wait};
 use common::identity::{ChangeId, ControllerId, Version, Zone};
 use common::readers::{PathError, PathErrorList, PathErrorReason, PathReader, parse_json};
 use hyper::Method;
@@ -229,13 +229,15 @@
     let wait = read_wait(&root);
     let found_errors = errors.into_inner();
     match (kind, change) {
-        (Some(kind), Some(change)) if found_errors.is_empty() => Ok(Operation::Change {
-            base,
-            numbering,
-            change: Some(change),
-            kind,
-            wait,
-        }),
+        (Some(kind), Some(change)) if found_errors.is_empty() => {
+            Ok(Operation::Change(ChangeRequest {
+                base,
+                numbering,
+                change: Some(change),
+                kind,
+                wait,
+            }))
+        }
         _ => Err(RequestError::Invalid(found_errors)),
     }
 }
--- a/crates/controlplane/src/drivers/operators.rs
+++ b/crates/controlplane/src/drivers/operators.rs
@@ -5,7 +5,7 @@
 use super::operator_forwarding::forward_to_leader;
 use super::shared::Shared;
 use crate::controller_state::{
-    ChangeKind, Operation, OperationReply, Unavailable, derive_change_id,
+    ChangeKind, ChangeRequest, Operation, OperationReply, Unavailable, derive_change_id,
 };
 use bytes::Bytes;
 use common::clock::MonotonicTime;
@@ -193,13 +193,13 @@
     if !*shared.published.leadership.borrow() {
         return operation;
     }
-    if let Operation::Change {
+    if let Operation::Change(ChangeRequest {
         base,
         numbering,
         change,
         kind,
         ..
-    } = &mut operation
+    }) = &mut operation
         && !kind.is_zone_change()
     {
         change.get_or_insert_with(|| derive_change_id(*base, *numbering, kind));
--- a/crates/controlplane/tests/controller_state/operations.rs
+++ b/crates/controlplane/tests/controller_state/operations.rs
@@ -1,6 +1,6 @@
 //! Changes as operators submit them who name neither the change nor the version that it is based on.
 
-use controlplane::controller_state::{ChangeKind, Numbering, Operation, Wait};
+use controlplane::controller_state::{ChangeKind, ChangeRequest, Numbering, Operation, Wait};
 
 /// A change with the operator's own numbers.
 pub fn numbered_change(numbering: Numbering, kind: ChangeKind) -> Operation {
@@ -13,11 +13,11 @@
 }
 
 fn unnamed_change(numbering: Option<Numbering>, kind: ChangeKind) -> Operation {
-    Operation::Change {
+    Operation::Change(ChangeRequest {
         base: None,
         numbering,
         change: None,
         kind,
         wait: Wait::Accepted,
-    }
+    })
 }
--- a/crates/controlplane/tests/controller_state/operator_api.rs
+++ b/crates/controlplane/tests/controller_state/operator_api.rs
@@ -5,7 +5,7 @@
 use common::identity::{ChangeId, Version};
 use common::spec::Document;
 use controlplane::controller_state::{
-    ChangeKind, Numbering, Operation, OperationReply, Unavailable, Wait,
+    ChangeKind, ChangeRequest, Numbering, Operation, OperationReply, Unavailable, Wait,
 };
 use controlplane::drivers::{NativeOperatorApi, OperatorApiAdapter};
 use googletest::prelude::*;
@@ -45,13 +45,13 @@
         "put": {"routes": {"r": {"kind": "once"}}, "limits": {"idle_ms": 5}},
         "remove": {"functions": ["f"]},
     });
-    let Ok(Operation::Change {
+    let Ok(Operation::Change(ChangeRequest {
         base,
         numbering,
         change,
         kind,
         wait,
-    }) = read("PATCH", "/v1/spec", &body)
+    })) = read("PATCH", "/v1/spec", &body)
     else {
         panic!("a change");
     };
--- a/crates/controlplane/tests/controller_state/shutdown.rs
+++ b/crates/controlplane/tests/controller_state/shutdown.rs
@@ -6,8 +6,8 @@
 use common::frames::{DaemonToLeader, Flag, Host, LengthPrefixed, SocketAddress};
 use common::identity::{ControllerId, CorrelationId, Incarnation, MemberName, Version, Zone};
 use controlplane::controller_state::{
-    ChangeKind, ControllerInput, Numbering, Operation, OperationReply, OperationTicket,
-    Unavailable, Wait,
+    ChangeKind, ChangeRequest, ControllerInput, Numbering, Operation, OperationReply,
+    OperationTicket, Unavailable, Wait,
 };
 use googletest::prelude::*;
 use serde_json::json;
@@ -23,19 +23,10 @@
 
 fn until_in_force(operation: Operation) -> Operation {
     match operation {
-        Operation::Change {
-            base,
-            numbering,
-            change,
-            kind,
-            ..
-        } => Operation::Change {
-            base,
-            numbering,
-            change,
-            kind,
+        Operation::Change(request) => Operation::Change(ChangeRequest {
             wait: Wait::InForce,
-        },
+            ..request
+        }),
         other => other,
     }
 }
--- a/crates/controlplane/tests/operators_forms.rs
+++ b/crates/controlplane/tests/operators_forms.rs
@@ -16,9 +16,9 @@
 use common::spec::Document;
 use controlplane::consensus::{BootstrapError, ControllerAddress, MembershipError, PeerStatus};
 use controlplane::controller_state::{
-    ChangeKind, EventEntry, MemberProgress, MemberTraceReport, NumberedEvent, Operation,
-    OperationReply, QuorumStatus, TraceReport, Unavailable, UnrecordedChange, VersionTraceReport,
-    Wait, derive_change_id,
+    ChangeKind, ChangeRequest, EventEntry, MemberProgress, MemberTraceReport, NumberedEvent,
+    Operation, OperationReply, QuorumStatus, TraceReport, Unavailable, UnrecordedChange,
+    VersionTraceReport, Wait, derive_change_id,
 };
 use controlplane::drivers::{NativeOperatorApi, OperatorApiAdapter};
 use controlplane::leader_state::{EventDetail, EventRecord, LeaderReport, MembersReport};
@@ -35,13 +35,13 @@
 fn shown(operation: &Operation) -> Value {
     match operation {
         Operation::ReadSpec => json!("read the spec"),
-        Operation::Change {
+        Operation::Change(ChangeRequest {
             base,
             numbering,
             change,
             kind,
             wait,
-        } => json!({
+        }) => json!({
             "base_serial": base.map(|base| base.0),
             "numbers": numbering.map(|given| [given.number, given.base_number]),
             "change_id": change.as_ref().map(ChangeId::as_str),
--- a/crates/controlplane/tests/step_costs.rs
+++ b/crates/controlplane/tests/step_costs.rs
@@ -8,7 +8,9 @@
 use cluster::TestCluster;
 use common::identity::ChangeId;
 use common::spec::{Document, Spec, SpecRecords};
-use controlplane::controller_state::{ChangeKind, ItemChange, Operation, OperationReply, Wait};
+use controlplane::controller_state::{
+    ChangeKind, ChangeRequest, ItemChange, Operation, OperationReply, Wait,
+};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use std::alloc::{GlobalAlloc, Layout, System};
@@ -76,13 +78,13 @@
         .accepted(leader)
         .map(|document| document.view_version());
     let change = Some(ChangeId::from(name));
-    let operation = Operation::Change {
+    let operation = Operation::Change(ChangeRequest {
         base,
         numbering: None,
         change,
         kind,
         wait: Wait::Accepted,
-    };
+    });
     matches!(
         cluster.reply_to(leader, operation),
         Some(OperationReply::Accepted { .. })
--- a/crates/controlplane/tests/unreadable_changes.rs
+++ b/crates/controlplane/tests/unreadable_changes.rs
@@ -20,7 +20,7 @@
 fn read_text(method: &str, target: &str, body: &str) -> Option<ChangeKind> {
     let head = request_head(method, target, &[]);
     match NativeOperatorApi.read(&head, body.as_bytes()) {
-        Ok(Operation::Change { kind, .. }) => Some(kind),
+        Ok(Operation::Change(request)) => Some(request.kind),
         _ => None,
     }
 }
--- a/testing/fleet/src/sim/operator.rs
+++ b/testing/fleet/src/sim/operator.rs
@@ -5,7 +5,7 @@
 use super::simulation::Simulation;
 use common::identity::{ChangeId, Version};
 use controlplane::controller_state::{
-    ChangeKind, Operation, OperationReply, OperationTicket, Wait,
+    ChangeKind, ChangeRequest, Operation, OperationReply, OperationTicket, Wait,
 };
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -167,13 +167,13 @@
     fn send_pending_change(&mut self, target: usize, mut change: PendingChange) {
         change.attempts += 1;
         let ticket = OperationTicket(self.numbers.next());
-        let operation = Operation::Change {
+        let operation = Operation::Change(ChangeRequest {
             base: change.base,
             numbering: None,
             change: Some(change.change.clone()),
             kind: change.kind.clone(),
             wait: Wait::Accepted,
-        };
+        });
         self.changes.begin(ticket, change);
         let node = self.nodes.controller(target).node;
         let delay = self.network.delay(&mut self.rng);
--- a/testing/fleet/src/sim/orders.rs
+++ b/testing/fleet/src/sim/orders.rs
@@ -11,7 +11,7 @@
 use common::identity::{ChangeId, Zone};
 use common::spec::Document;
 use controlplane::controller_state::{
-    ChangeKind, Numbering, Operation, OperationReply, OperationTicket, Wait,
+    ChangeKind, ChangeRequest, Numbering, Operation, OperationReply, OperationTicket, Wait,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -122,13 +122,13 @@
             number: generated_order.order.number,
             base_number: base,
         };
-        let operation = Operation::Change {
+        let operation = Operation::Change(ChangeRequest {
             base: None,
             numbering: Some(numbering),
             change: Some(ChangeId::from(format!("{number}-{label}"))),
             kind: generated_order.kind,
             wait: Wait::Accepted,
-        };
+        });
         let order = self.operators.history.record_order(generated_order.order);
         self.begin_command(CommandKind::Change(order), operation);
     }
@@ -144,13 +144,13 @@
         } else {
             ChangeKind::Restore { zone }
         };
-        let operation = Operation::Change {
+        let operation = Operation::Change(ChangeRequest {
             base: None,
             numbering: None,
             change: None,
             kind,
             wait: Wait::Accepted,
-        };
+        });
         self.begin_command(CommandKind::Zone(order), operation);
     }
 
@@ -347,11 +347,11 @@
         let Some(command) = self.operators.commands.get(&sent.command) else {
             return;
         };
-        let Operation::Change {
+        let Operation::Change(ChangeRequest {
             change: Some(change),
             numbering,
             ..
-        } = &command.operation
+        }) = &command.operation
         else {
             return;
         };
--- a/testing/fleet/src/sim/reply_checks.rs
+++ b/testing/fleet/src/sim/reply_checks.rs
@@ -88,7 +88,7 @@
 
 fn change_of(operation: &Operation) -> Option<&ChangeId> {
     match operation {
-        Operation::Change { change, .. } => change.as_ref(),
+        Operation::Change(request) => request.change.as_ref(),
         _ => None,
     }
 }
--- a/testing/fleet/src/synthetic/controllers.rs
+++ b/testing/fleet/src/synthetic/controllers.rs
@@ -18,8 +18,8 @@
     ConsensusNode, ConsensusTiming, ControllerAddress, PersistedState, WriteJob, WriteResult,
 };
 use controlplane::controller_state::{
-    ChangeKind, ControllerInput, ControllerOutput, ControllerState, NumberedEvent, Operation,
-    OperationReply, OperationTicket, Wait,
+    ChangeKind, ChangeRequest, ControllerInput, ControllerOutput, ControllerState, NumberedEvent,
+    Operation, OperationReply, OperationTicket, Wait,
 };
 use controlplane::leader_state::{EventDetail, LeaderTiming, StreamId};
 use serde_json::Value;
@@ -284,13 +284,13 @@
             version: None,
         };
         self.changes.insert(ticket, open_change);
-        let operation = Operation::Change {
+        let operation = Operation::Change(ChangeRequest {
             base: None,
             numbering: None,
             change: Some(ChangeId::from(format!("change-{}", self.change_turn))),
             kind: ChangeKind::Patch(patch),
             wait: Wait::Accepted,
-        };
+        });
         let operate = ControllerEvent::Operate(ticket, Box::new(operation));
         self.push(Duration::ZERO, Event::Controller(leader, operate));
     }
