Read what has arrived before a stop closes its connection

What callers saw: a connection closed without a word by a daemon that stopped in order, on a request sent before the stop.

Cause: the connection and the stop were ready at once, and the stop was taken: the bytes were received by the system, and the process had had no time to look at them. Change: the connection goes first, and once more after the runtime has noticed what arrived.

--- a/crates/common/src/http/call.rs
+++ b/crates/common/src/http/call.rs
@@ -82,10 +82,12 @@
 impl CallError {
     /// Whether the other side has certainly received nothing.
     pub fn is_certainly_unsent(&self) -> bool {
-        matches!(
-            self,
-            Self::NotSent(_) | Self::ConnectTimeout | Self::Request(_)
-        )
+        match self {
+            Self::NotSent(_) | Self::ConnectTimeout | Self::Request(_) => true,
+            // The connection was closed before the request was taken up to be written.
+            Self::Lost(error) => error.is_canceled(),
+            _ => false,
+        }
     }
 }
 
--- a/crates/common/src/http/serve.rs
+++ b/crates/common/src/http/serve.rs
@@ -168,7 +168,8 @@
     let _ = all_closed.recv().await;
 }
 
-/// Serves one connection until it ends. When `stop` becomes true it is closed after the request in progress.
+/// Serves one connection until it ends. When `stop` becomes true it is closed after the request in progress, or after one
+/// that had arrived by then.
 pub async fn serve_connection<S, H, F>(
     stream: S,
     handler: H,
@@ -189,11 +190,19 @@
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let ended = tokio::select! {
+    let has_ended = tokio::select! {
+        biased;
         _ = connection.as_mut() => true,
         _ = stop.wait_for(|stopping| *stopping) => false,
     };
-    if !ended {
+    // The runtime notices what has arrived only once the task has yielded.
+    let has_ended = has_ended
+        || tokio::select! {
+            biased;
+            _ = connection.as_mut() => true,
+            () = tokio::task::yield_now() => false,
+        };
+    if !has_ended {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
--- a/crates/controlplane/tests/controller_state/operator_changes.rs
+++ b/crates/controlplane/tests/controller_state/operator_changes.rs
@@ -2,24 +2,14 @@
 //! evacuation whose caller has disconnected is not carried out.
 
 use super::cluster::TestCluster;
-use super::operations::{numbered_change, zone_change};
+use super::operations::{numbered, zone_change};
 use common::identity::Zone;
 use controlplane::controller_state::{
-    ChangeKind, ControllerInput, Numbering, Operation, OperationReply, Unavailable,
+    ChangeKind, ControllerInput, Operation, OperationReply, Unavailable,
 };
 use googletest::prelude::*;
-use serde_json::json;
 use std::time::Duration;
 
-fn numbered(number: u64, base_number: u64) -> Operation {
-    let spec = json!({"functions": {}, "routes": {}, "labels": {"made": number}});
-    let numbering = Numbering {
-        number,
-        base_number,
-    };
-    numbered_change(numbering, ChangeKind::FullSpec(spec.into()))
-}
-
 fn evacuate(zone: &str) -> Operation {
     zone_change(ChangeKind::Evacuate {
         zone: Zone::from(zone),
--- a/crates/controlplane/tests/controller_state/shutdown.rs
+++ b/crates/controlplane/tests/controller_state/shutdown.rs
@@ -2,24 +2,13 @@
 //! accepted is carried out.
 
 use super::cluster::{TestCluster, address};
-use super::operations::numbered_change;
+use super::operations::numbered;
 use common::frames::{DaemonToLeader, Flag, Host, LengthPrefixed, SocketAddress};
 use common::identity::{ControllerId, CorrelationId, Incarnation, MemberName, Version, Zone};
 use controlplane::controller_state::{
-    ChangeKind, ChangeRequest, ControllerInput, Numbering, Operation, OperationReply,
-    OperationTicket, Unavailable, Wait,
+    ChangeRequest, ControllerInput, Operation, OperationReply, OperationTicket, Unavailable, Wait,
 };
 use googletest::prelude::*;
-use serde_json::json;
-
-fn numbered(number: u64, base_number: u64) -> Operation {
-    let spec = json!({"functions": {}, "routes": {}, "labels": {"made": number}});
-    let numbering = Numbering {
-        number,
-        base_number,
-    };
-    numbered_change(numbering, ChangeKind::FullSpec(spec.into()))
-}
 
 fn until_in_force(operation: Operation) -> Operation {
     match operation {
--- a/crates/controlplane/tests/stopping_controller.rs
+++ b/crates/controlplane/tests/stopping_controller.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
@@ -135,18 +136,24 @@
     }
 }
 
-/// Guards against a change that is being written when its leader stops, and whose operator is told nothing.
-#[tokio::test]
-async fn a_change_in_flight_at_a_stopping_leader_ends_as_unknown() {
-    let data = folder("in-flight");
+/// A leader that was told to stop while the write of a change waits at its disk, and the change's operator.
+async fn stop_with_change_in_flight(data: &Path) -> (Arc<Gate>, KeptConnection) {
     let gate = Arc::new(Gate::default());
-    let running = started_with(None, Some(&data), || Box::new(GatedDisk(gate.clone()))).await;
+    let running = started_with(None, Some(data), || Box::new(GatedDisk(gate.clone()))).await;
     await_leadership(&running).await;
     gate.set(true);
     let mut operator = KeptConnection::open(running.operators).await;
     operator.send_change("c").await;
     gate.await_write().await;
     running.stop.send_replace(true);
+    (gate, operator)
+}
+
+/// Guards against a change that is being written when its leader stops, and whose operator is told nothing.
+#[tokio::test]
+async fn a_change_in_flight_at_a_stopping_leader_ends_as_unknown() {
+    let data = folder("in-flight");
+    let (gate, mut operator) = stop_with_change_in_flight(&data).await;
     let response = operator.rest().await;
     gate.set(false);
     let _ = std::fs::remove_dir_all(&data);
@@ -157,14 +164,7 @@
 #[tokio::test]
 async fn a_change_that_can_still_be_committed_is_finished_by_a_stopping_leader() {
     let data = folder("finished");
-    let gate = Arc::new(Gate::default());
-    let running = started_with(None, Some(&data), || Box::new(GatedDisk(gate.clone()))).await;
-    await_leadership(&running).await;
-    gate.set(true);
-    let mut operator = KeptConnection::open(running.operators).await;
-    operator.send_change("c").await;
-    gate.await_write().await;
-    running.stop.send_replace(true);
+    let (gate, mut operator) = stop_with_change_in_flight(&data).await;
     gate.set(false);
     let response = operator.rest().await;
     let _ = std::fs::remove_dir_all(&data);
