Let the stand-in runners fail and send surplus answers

The processes of a script end with it, also when it is stopped, and the pause before the bodies of case 6 is 900 ms, so that a slow machine has time for the change.

--- a/review/rig-2/src/cases.rs
+++ b/review/rig-2/src/cases.rs
@@ -38,6 +38,7 @@
         "renamed-kinds" => renamed_kinds(is_troubled, record),
         "renamed-routes" => renamed_routes(is_troubled, record),
         "service-put-back" => service_put_back(is_troubled, record),
+        "surplus-answers" => surplus_answers(is_troubled, record),
         "read-back" => read_back(is_troubled, record),
         "leaving-runner" => leaving_runner(is_troubled, record),
         "starting-runner" => starting_runner(is_troubled, record),
@@ -157,6 +158,8 @@
         work_ms: 60,
         cold_rate_s: 0.0,
         loses_each: Some(20),
+        fails_each: None,
+        surplus_each: None,
     };
     let svcs = [&shop];
     let route =
@@ -168,7 +171,7 @@
     let sends = (0..120).map(|number| {
         let (client, door) = (stage.client.clone(), stage.door(number));
         let path = format!("/order/{number}");
-        thread::spawn(move || client.send_slowly(door, "POST", &path, ms(2500), b"an order", ms(500)))
+        thread::spawn(move || client.send_slowly(door, "POST", &path, ms(2500), b"an order", ms(900)))
     });
     let sends: Vec<_> = sends.collect();
     thread::sleep(ms(200));
@@ -201,6 +204,8 @@
         work_ms: 60,
         cold_rate_s: 0.0,
         loses_each: None,
+        fails_each: None,
+        surplus_each: None,
     };
     let gallery = Service { name: "gallery", ..formula.clone() };
     let svcs = [&formula, &gallery];
@@ -242,6 +247,8 @@
         work_ms: 300,
         cold_rate_s: 0.0,
         loses_each: None,
+        fails_each: None,
+        surplus_each: None,
     };
     let other = Service {
         name: "other",
@@ -251,6 +258,8 @@
         work_ms: 60,
         cold_rate_s: 0.0,
         loses_each: None,
+        fails_each: None,
+        surplus_each: None,
     };
     let route =
         |name, prefix, svc| Route { name, prefix, kind: "mutating", svc, timeout_ms: 4000, target_ms: 1500, tries: 1 };
@@ -311,6 +320,8 @@
         work_ms: 300,
         cold_rate_s: 0.0,
         loses_each: None,
+        fails_each: None,
+        surplus_each: None,
     };
     let routes = [Route {
         name: "r-1",
@@ -371,6 +382,8 @@
         work_ms: 300,
         cold_rate_s: 0.0,
         loses_each: None,
+        fails_each: None,
+        surplus_each: None,
     };
     let routes = [Route {
         name: "r-1",
@@ -436,6 +449,8 @@
         work_ms: 60,
         cold_rate_s: rate(index + 1),
         loses_each: None,
+        fails_each: None,
+        surplus_each: None,
     };
     let services: Vec<Service> = NAMES.into_iter().enumerate().map(service).collect();
     let svcs: Vec<&Service> = services.iter().collect();
@@ -477,3 +492,55 @@
     let end = after.find([',', '}', ']'])?;
     after[..end].trim().parse().ok()
 }
+
+/// Runners send a surplus answer now and then, some of them after a failure of their own.
+fn surplus_answers(is_troubled: bool, record: &Arc<Record>) -> CaseResult {
+    // One answer in 17 is a 500 of the runner's own; at half of the runners a surplus answer follows one in 34.
+    let tile = Service {
+        name: "tile",
+        mem_mb: 192,
+        concurrency: 4,
+        boot_ms: 500,
+        work_ms: 40,
+        cold_rate_s: 0.0,
+        loses_each: None,
+        fails_each: Some(17),
+        surplus_each: is_troubled.then_some(34),
+    };
+    let routes = [Route {
+        name: "r-1",
+        prefix: "/tile/",
+        kind: "idempotent",
+        svc: "tile",
+        timeout_ms: 2500,
+        target_ms: 1000,
+        tries: 2,
+    }];
+    let svcs = [&tile];
+    let stage = Stage::start(record, &svcs, workers(8974), &config(3, HOST, &routes, &svcs))?;
+    stage.warm_up("/tile/warm")?;
+    let until = Instant::now() + ms(5000);
+    let clients = (0..16).map(|number| {
+        let (client, door) = (stage.client.clone(), stage.door(number));
+        thread::spawn(move || {
+            let mut outcomes = Vec::new();
+            while Instant::now() < until {
+                outcomes.push(client.send(door, "GET", &format!("/tile/{number}/{}", outcomes.len()), ms(2500)));
+                thread::sleep(ms(60));
+            }
+            outcomes
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let outcomes = clients.into_iter().filter_map(|client| client.join().ok()).flatten();
+    // A runner answers with its service, the id of the try and the path.
+    let foreign: Vec<String> = outcomes
+        .filter(|outcome| outcome.status() == 200)
+        .filter_map(|outcome| {
+            let text = outcome.answer.as_ref()?.text();
+            let is_own = text == format!("tile {} {}", outcome.attempt, outcome.path);
+            (!is_own).then(|| format!("{} of {} got the body {text:?} with 200", outcome.attempt, outcome.path))
+        })
+        .collect();
+    verdict("MIXED", &foreign)
+}
--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -12,8 +13,13 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize, ...) -> i32;
 }
 
+/// Has a process end with the thread that started it, so that none is left if a script is stopped.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
 const SIGTERM: i32 = 15;
 
 pub const ZONES: [&str; 3] = ["brno-a", "brno-b", "zlin-c"];
@@ -120,6 +126,13 @@
                 for name in ["PATH", "HOME", "LANG"] {
                     command.envs(std::env::var_os(name).map(|value| (name, value)));
                 }
+                // The call is safe between fork and exec.
+                unsafe {
+                    command.pre_exec(|| {
+                        prctl(PR_SET_PDEATHSIG, SIGKILL);
+                        Ok(())
+                    })
+                };
                 let child = command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
                 let process = Process { child };
                 match role {
--- a/review/rig-2/src/http.rs
+++ b/review/rig-2/src/http.rs
@@ -99,17 +99,38 @@
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub close: bool,
+    /// A surplus answer that follows this one on its connection, and how much later.
+    pub surplus: Option<(Duration, Box<Answer>)>,
 }
 
 impl Answer {
     pub fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
-        Self { status, headers: Vec::new(), body: body.into(), close: false }
+        Self { status, headers: Vec::new(), body: body.into(), close: false, surplus: None }
     }
 
     pub fn json(status: u16, text: String) -> Self {
         Self::new(status, text).with("Content-Type", "application/json")
     }
 
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    fn to_bytes(&self) -> Vec<u8> {
+        let mut text = format!("HTTP/1.1 {} Status\r\nContent-Length: {}\r\n", self.status, self.body.len());
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if self.close {
+            text.push_str("Connection: close\r\n");
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
     pub fn with(mut self, name: &str, value: &str) -> Self {
         self.headers.push((name.to_owned(), value.to_owned()));
         self
@@ -129,22 +150,19 @@
         let Some(answer) = handle(request) else {
             return;
         };
-        let mut text = format!("HTTP/1.1 {} Status\r\nContent-Length: {}\r\n", answer.status, answer.body.len());
-        for (name, value) in &answer.headers {
-            text.push_str(&format!("{name}: {value}\r\n"));
-        }
-        if answer.close {
-            text.push_str("Connection: close\r\n");
-        }
-        text.push_str("\r\n");
-        let mut bytes = text.into_bytes();
-        bytes.extend_from_slice(&answer.body);
-        if writing.write_all(&bytes).is_err() || answer.close || closes {
+        if writing.write_all(&answer.to_bytes()).is_err() || answer.close || closes {
             return;
         }
+        if let Some((delay, surplus)) = answer.surplus
+            && let Ok(mut late_writing) = writing.try_clone()
+        {
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                late_writing.write_all(&surplus.to_bytes())
+            });
+        }
     }
 }
-
 /// Writes a request on an open connection, its body after a pause, and reads the whole answer.
 fn exchange(stream: TcpStream, request: &Message, timeout: Duration, body_after: Duration) -> io::Result<Message> {
     let _ = stream.set_nodelay(true);
--- a/review/rig-2/src/platform.rs
+++ b/review/rig-2/src/platform.rs
@@ -25,6 +25,10 @@
     /// Every second runner loses each answer whose number is a multiple of this: it has run the request, and closes the
     /// connection.
     pub loses_each: Option<usize>,
+    /// A runner answers each request whose number is a multiple of this with a 500 of its own.
+    pub fails_each: Option<usize>,
+    /// Every second runner sends a surplus answer after each answer whose number is a multiple of this.
+    pub surplus_each: Option<usize>,
 }
 
 pub struct Worker {
@@ -53,6 +57,8 @@
     concurrency: usize,
     work: Duration,
     loses_each: Option<usize>,
+    fails_each: Option<usize>,
+    surplus_each: Option<usize>,
     answers: AtomicUsize,
     /// When its start is complete.
     pub ready_at: Instant,
@@ -69,6 +75,14 @@
 }
 
 impl Runner {
+    fn sealed_answer(&self, status: u16, attempt: &str, body: String) -> Answer {
+        let seal = format!("{}.{:x}", self.id, body.len());
+        Answer::new(status, body)
+            .with("Rudderstream-Reply-Seal", &seal)
+            .with("Rudderstream-Attempt-Id", attempt)
+            .with("Rudderstream-Instance", &self.id)
+    }
+
     pub fn times(&self) -> RunnerTimes {
         *self.times.lock().unwrap()
     }
@@ -331,6 +345,8 @@
             concurrency: service.concurrency,
             work: Duration::from_millis(service.work_ms),
             loses_each: service.loses_each.filter(|_| earlier.is_multiple_of(2)),
+            fails_each: service.fails_each,
+            surplus_each: service.surplus_each.filter(|_| !earlier.is_multiple_of(2)),
             answers: AtomicUsize::new(0),
             ready_at: Instant::now() + boot,
             busy: AtomicUsize::new(0),
@@ -437,12 +453,23 @@
                     runner.busy.fetch_sub(1, Ordering::SeqCst);
                     return None;
                 }
-                let body = format!("{} {} {}", runner.svc, attempt, request.target());
-                let seal = format!("{}.{:x}", runner.id, body.len());
-                Answer::new(200, body).with("Rudderstream-Reply-Seal", &seal)
+                let is_due = |each: Option<usize>| each.is_some_and(|each| number.is_multiple_of(each));
+                let status = if is_due(runner.fails_each) { 500 } else { 200 };
+                let mut answer =
+                    runner.sealed_answer(status, &attempt, format!("{} {} {}", runner.svc, attempt, request.target()));
+                if is_due(runner.surplus_each) {
+                    self.record
+                        .line(&format!("runner {}: a surplus answer to {attempt} follows a {status}", runner.id));
+                    let surplus = runner.sealed_answer(200, &attempt, format!("surplus {attempt}"));
+                    answer.surplus = Some((Duration::from_millis(10), Box::new(surplus)));
+                }
+                answer
             };
             runner.busy.fetch_sub(1, Ordering::SeqCst);
-            let mut answer = answer.with("Rudderstream-Attempt-Id", &attempt).with("Rudderstream-Instance", &runner.id);
+            let mut answer = match answer.header("rudderstream-attempt-id") {
+                Some(_) => answer,
+                None => answer.with("Rudderstream-Attempt-Id", &attempt).with("Rudderstream-Instance", &runner.id),
+            };
             answer.close = runner.times().draining_since.is_some() || runner.stopping.load(Ordering::SeqCst);
             Some(answer)
         });
