--- a/crates/common/src/frames/daemons.rs
+++ b/crates/common/src/frames/daemons.rs
@@ -83,6 +83,9 @@
     }
 }
 
+/// The name of the header field that names the host that a request is for.
+const HOST_HEADER: &str = "host";
+
 /// A header field that is forwarded unchanged.
 #[binrw]
 #[brw(big)]
@@ -119,6 +122,24 @@
             body: ByteString(body),
         }
     }
+
+    /// Returns the value of the `host` header field; empty if there is none or it is not UTF-8.
+    pub fn host(&self) -> &str {
+        let host_field = self
+            .header_fields
+            .0
+            .iter()
+            .find(|field| field.name.as_str().eq_ignore_ascii_case(HOST_HEADER));
+        host_field
+            .and_then(|field| std::str::from_utf8(&field.value.0).ok())
+            .unwrap_or("")
+    }
+
+    /// Returns the path of the target, without the query.
+    pub fn path(&self) -> &str {
+        let target = self.target.as_str();
+        target.split_once('?').map_or(target, |(path, _)| path)
+    }
 }
 
 /// The outcome of a request.
--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -40,6 +40,9 @@
     /// A request is sent to a runner only if the newest spec, looked up right before the send, still allows it. Found
     /// by `crates/dataplane/tests/agent/spec_versions.rs`.
     SpecCheckedBeforeSend = "spec-before-send",
+    /// A daemon finds a request's route in each spec by the request itself, and not by the name of the route that matched
+    /// it in an earlier spec. Found by `crates/dataplane/tests/agent/renamed_routes.rs`.
+    RouteFoundByRequest = "route-by-request",
     /// The first byte of a request is written only during the session lease, and while the function is still held under
     /// the same function lease. Found by `platform/tests/connections/pre_send_check.rs`.
     LeaseCheckedBeforeSend = "held-before-send",
--- a/crates/common/src/spec/routing_table.rs
+++ b/crates/common/src/spec/routing_table.rs
@@ -3,6 +3,7 @@
 use super::{
     CallerLimits, DaemonView, DocumentError, FunctionSpec, RouteMatcher, RouteSpec, read_spec,
 };
+use crate::frames::RequestPayload;
 use crate::identity::{FunctionIndex, FunctionKey, FunctionName, IdempotencyKey, Version, Zone};
 use hyper::Method;
 use std::collections::hash_map::DefaultHasher;
@@ -72,18 +73,16 @@
     pub function: &'a FunctionEntry,
 }
 
-/// The positions of a table's functions by key, and of its routes by name, pattern and prefix.
+/// The positions of a table's functions by key, and of its routes by pattern and prefix.
 #[derive(Default)]
 struct Index {
     matchers: HashMap<Method, matchit::Router<usize>>,
     prefixes: HashMap<String, HashMap<String, usize>>,
-    by_route: HashMap<String, usize>,
     by_key: HashMap<FunctionKey, FunctionIndex>,
 }
 
 impl Index {
-    /// Adds a route by name and by pattern or prefix. Returns false if its pattern is invalid or conflicts with
-    /// another.
+    /// Adds a route by its pattern or prefix. Returns false if its pattern is invalid or conflicts with another.
     fn add_route(&mut self, spec: &RouteSpec, route_position: usize) -> bool {
         match &spec.matching {
             RouteMatcher::Pattern(method, path) => {
@@ -94,7 +93,6 @@
             }
             RouteMatcher::Prefix(host, prefix) => self.add_prefix(host, prefix, route_position),
         }
-        self.by_route.insert(spec.name.clone(), route_position);
         true
     }
 
@@ -108,8 +106,8 @@
     }
 }
 
-/// An immutable table for looking up requests in one version of a spec. Tables with the same function keys, route
-/// names, patterns and prefixes share their index.
+/// An immutable table for looking up requests in one version of a spec. Tables with the same function keys, and the same
+/// patterns and prefixes of routes, share their index.
 pub struct RoutingTable {
     version: Version,
     functions: Vec<FunctionEntry>,
@@ -148,7 +146,6 @@
         };
         let (function_count, route_count) = view.spec.counts();
         let mut index = Index {
-            by_route: HashMap::with_capacity(route_count),
             by_key: HashMap::with_capacity(function_count),
             ..Index::default()
         };
@@ -209,7 +206,7 @@
     }
 
     /// Builds a table as [`RoutingTable::build`] does, but reuses the index of an earlier table if the function keys
-    /// and the names, patterns and prefixes of the routes are unchanged.
+    /// and the patterns and prefixes of the routes are unchanged.
     ///
     /// # Errors
     /// As [`RoutingTable::build`].
@@ -221,7 +218,7 @@
     }
 
     /// Builds the table of a view that needs the same index as this table: the same function keys, and routes with the
-    /// same names, patterns and prefixes. Returns `None` if these differ, or if the view has any error.
+    /// same patterns and prefixes. Returns `None` if these differ, or if the view has any error.
     fn build_with_same_index(&self, view: &DaemonView) -> Option<Self> {
         let function_specs = view.spec.checked_function_records();
         let mut functions = Vec::with_capacity(self.functions.len());
@@ -255,8 +252,7 @@
         Some(table)
     }
 
-    /// Builds the entry of a route if this table's route at the position has the same name and the same pattern or
-    /// prefix.
+    /// Builds the entry of a route if this table's route at the position has the same pattern or prefix.
     fn route_at_position(
         &self,
         position: usize,
@@ -267,7 +263,7 @@
         if Arc::ptr_eq(&earlier.spec, spec) {
             return Some(earlier.clone());
         }
-        if earlier.spec.name != spec.name || earlier.spec.matching != spec.matching {
+        if earlier.spec.matching != spec.matching {
             return None;
         }
         let index_of = |name: &FunctionName| {
@@ -327,17 +323,28 @@
         path: &str,
         idempotency_key: &IdempotencyKey,
     ) -> Option<RouteMatch<'_>> {
-        let position = self.find_by_prefix(host, path).or_else(|| {
-            let matched = self.index.matchers.get(method)?.at(path).ok()?;
-            Some(*matched.value)
-        })?;
-        let route = self.routes.get(position)?;
+        let route = self.matching_route(method, host, path)?;
         Some(RouteMatch {
             route,
             function: self.function(route.choose_function(idempotency_key)),
         })
     }
 
+    /// Returns the route that matches a request. Tables of different versions are asked for a request's route in this
+    /// way, and never by the route's name: a later version may give the name to another route.
+    pub fn route_of(&self, payload: &RequestPayload) -> Option<&RouteEntry> {
+        let method = Method::from_bytes(payload.method.as_str().as_bytes()).ok()?;
+        self.matching_route(&method, payload.host(), payload.path())
+    }
+
+    fn matching_route(&self, method: &Method, host: &str, path: &str) -> Option<&RouteEntry> {
+        let position = self.find_by_prefix(host, path).or_else(|| {
+            let matched = self.index.matchers.get(method)?.at(path).ok()?;
+            Some(*matched.value)
+        })?;
+        self.routes.get(position)
+    }
+
     /// Returns the position of the route with the longest matching path prefix for a host, ignoring the host's port.
     fn find_by_prefix(&self, host: &str, path: &str) -> Option<usize> {
         let host_without_port = host.rsplit_once(':').map_or(host, |(name, _)| name);
@@ -362,13 +369,10 @@
         None
     }
 
-    /// Whether the function with the given key may serve requests of the route with the given name.
-    pub fn allows(&self, route_name: &str, key: &FunctionKey) -> bool {
-        let function = self.index_of(key);
-        let route = self.route_named(route_name);
-        route
-            .zip(function)
-            .is_some_and(|(route, function)| route.may_lead_to(function))
+    /// Whether a route of this table may lead to the function with the given key.
+    pub fn leads_to(&self, route: &RouteEntry, key: &FunctionKey) -> bool {
+        self.index_of(key)
+            .is_some_and(|function| route.may_lead_to(function))
     }
 
     /// Returns the limits for callers.
@@ -381,9 +385,12 @@
         &self.routes
     }
 
-    /// Returns the route with the given name.
+    /// Returns the route with the given name, after a search through all routes. A name means nothing beyond one version
+    /// of a spec; see [`route_of`](Self::route_of).
     pub fn route_named(&self, route_name: &str) -> Option<&RouteEntry> {
-        self.routes.get(*self.index.by_route.get(route_name)?)
+        self.routes
+            .iter()
+            .find(|route| route.spec.name == route_name)
     }
 
     /// Returns the function at the given index of this table.
--- a/crates/common/tests/spec.rs
+++ b/crates/common/tests/spec.rs
@@ -1,7 +1,7 @@
 //! Reading a spec reports every error, look-ups in a routing table agree with a linear search, and deltas between views
 //! either reproduce the newer view or are rejected.
 
-use common::frames::SocketAddress;
+use common::frames::{HeaderField, LengthPrefixed, RequestPayload, SocketAddress};
 use common::identity::{ChangeId, ControllerId, Version, Zone};
 use common::readers::{SettingsSource, read_addresses};
 use common::rng::SeededRng;
@@ -129,6 +129,51 @@
     )
 }
 
+/// Guards against daemons that find different routes for one request (review/7): the payload that travels between them
+/// leads to the route that the ingress found by the caller's header and URI.
+#[gtest]
+fn a_forwarded_request_matches_the_route_that_the_ingress_matched() -> Result<()> {
+    let prefix = |host: &str, prefix: &str| {
+        json!({
+            "host": host, "prefix": prefix, "function": "a", "budget_ms": 1000, "kind": "once",
+        })
+    };
+    let spec = json!({
+        "functions": {"a": function()},
+        "routes": {
+            "short": prefix("h.example", "/x/"),
+            "long": prefix("h.example", "/x/y/"),
+            "other-host": prefix("other.example", "/x/y/"),
+            "pattern": route("/x/{id}", "a"),
+        },
+    });
+    let table = RoutingTable::build(&changed(&document(), spec, "c").view())?;
+    for (host, target, expected) in [
+        ("h.example", "/x/1", Some("short")),
+        ("H.Example:8080", "/x/y/1?to=/z/", Some("long")),
+        ("other.example", "/x/y/", Some("other-host")),
+        ("", "/x/1?y", Some("pattern")),
+        ("unknown.example", "/x/1", Some("pattern")),
+        ("unknown.example", "/x/1/2", None),
+    ] {
+        let payload = RequestPayload {
+            target: target.into(),
+            header_fields: LengthPrefixed(vec![HeaderField {
+                name: "Host".into(),
+                value: host.as_bytes().to_vec().into(),
+            }]),
+            ..RequestPayload::from_body(Vec::new().into())
+        };
+        let path = target.split('?').next().unwrap_or("");
+        let matched = table.route(&Method::POST, host, path, &"t".into());
+        let matched = matched.map(|found| found.route.spec.name.as_str());
+        let found = table.route_of(&payload);
+        let found = found.map(|route| route.spec.name.as_str());
+        verify_that!((matched, found), eq((expected, expected)))?;
+    }
+    Ok(())
+}
+
 #[gtest]
 fn a_recreated_function_has_a_new_generation() -> Result<()> {
     let with_a = json!({"functions": {"a": function()}, "routes": {}});
--- a/crates/dataplane/src/agent/forwarding/mod.rs
+++ b/crates/dataplane/src/agent/forwarding/mod.rs
@@ -23,7 +23,7 @@
 };
 use common::identity::{Region, ShortString, Version};
 use common::rules::Rule;
-use common::spec::{RouteSpec, RoutingTable};
+use common::spec::{RouteEntry, RouteSpec, RoutingTable};
 use std::time::Duration;
 use step::{not_holder_outcome, rejected_step, unknown_outcome, unknown_step};
 
@@ -169,12 +169,12 @@
             return step;
         }
         if self.request.hops == 0 {
-            self.apply_newer_spec(&table);
+            self.apply_newer_spec(agent, &table);
             self.use_regional_key(agent, now, &table);
         }
-        let Some(route) = table
-            .route_named(&self.request.route)
-            .filter(|_| table.allows(&self.request.route, &self.request.function))
+        let Some(route) = self
+            .matching_route(agent, &table)
+            .filter(|route| table.leads_to(route, &self.request.function))
         else {
             return self.unknown_route_step(now, table.version());
         };
@@ -346,26 +346,37 @@
         }
     }
 
+    /// Returns the route of the request in this table.
+    fn matching_route<'a, W>(
+        &self,
+        agent: &Agent<W>,
+        table: &'a RoutingTable,
+    ) -> Option<&'a RouteEntry> {
+        agent.route_of_request(table, &self.request.payload, &self.request.route)
+    }
+
     /// At the ingress daemon: routes the request again if a newer spec is installed, which may lead to another
     /// function. This is safe for a request that was not run yet.
-    fn apply_newer_spec(&mut self, table: &RoutingTable) {
+    fn apply_newer_spec<W>(&mut self, agent: &Agent<W>, table: &RoutingTable) {
         if table.version() <= self.request.version {
             return;
         }
-        if let Some(route) = table.route_named(&self.request.route) {
-            self.request.function = table
-                .function(route.choose_function(&self.request.idempotency_key))
-                .key
-                .clone();
-            self.request.version = table.version();
-        }
+        let Some(route) = self.matching_route(agent, table) else {
+            return;
+        };
+        self.request.function = table
+            .function(route.choose_function(&self.request.idempotency_key))
+            .key
+            .clone();
+        self.request.route = route.spec.name.clone();
+        self.request.version = table.version();
     }
 
     /// At the ingress daemon: uses the regional key if there is one. Requests whose idempotency keys are recorded stay
     /// with the one holder that records them.
     fn use_regional_key<W>(&mut self, agent: &Agent<W>, now: MonotonicTime, table: &RoutingTable) {
-        let is_recorded = table
-            .route_named(&self.request.route)
+        let is_recorded = self
+            .matching_route(agent, table)
             .is_none_or(|route| route.spec.recorded)
             && agent.rules.enforces(Rule::OneHolderRemembersKeys);
         let all_regions_key = self.request.function.all_regions();
--- a/crates/dataplane/src/agent/forwarding/request.rs
+++ b/crates/dataplane/src/agent/forwarding/request.rs
@@ -13,7 +13,7 @@
     pub idempotency_key: IdempotencyKey,
     /// The key of its function.
     pub function: FunctionKey,
-    /// The name of the route that matched it.
+    /// The name of the route that matched it, in the spec of `version` only.
     pub route: String,
     /// The version of the spec with which it was matched.
     pub version: Version,
--- a/crates/dataplane/src/agent/forwarding/step_results.rs
+++ b/crates/dataplane/src/agent/forwarding/step_results.rs
@@ -187,7 +187,7 @@
         let table = agent.routing_table();
         let has_time = now + HOP_TIME_RESERVE + RETRY_BACKOFF < self.request.deadline;
         let has_attempts_left = |max_attempts: u32| self.lost_holder_count + 1 < max_attempts;
-        table.route_named(&self.request.route).is_some_and(|route| {
+        self.matching_route(agent, &table).is_some_and(|route| {
             !route.spec.once && has_attempts_left(route.spec.max_attempts) && has_time
         }) && self.request.hops == 0
     }
--- a/crates/dataplane/src/agent/held.rs
+++ b/crates/dataplane/src/agent/held.rs
@@ -15,7 +15,7 @@
 pub struct HolderRequest {
     /// Its idempotency key.
     pub idempotency_key: IdempotencyKey,
-    /// The name of the route that matched it.
+    /// The name of the route that matched it in the spec with which it was admitted.
     pub route: String,
     /// When its caller stops waiting for it.
     pub deadline: MonotonicTime,
--- a/crates/dataplane/src/agent/runner_response.rs
+++ b/crates/dataplane/src/agent/runner_response.rs
@@ -205,7 +205,9 @@
         attempt: u32,
     ) -> Result<RunnerAttempt, RequestFailureReason> {
         let table = self.routing_table();
-        let is_allowed = table.allows(&holder_request.route, &held.function);
+        let is_allowed = self
+            .route_of_request(&table, &holder_request.payload, &holder_request.route)
+            .is_some_and(|route| table.leads_to(route, &held.function));
         if !is_allowed && self.rules.enforces(Rule::SpecCheckedBeforeSend) {
             return Err(RequestFailureReason::NotAllowed);
         }
--- a/crates/dataplane/src/agent/snapshots.rs
+++ b/crates/dataplane/src/agent/snapshots.rs
@@ -8,8 +8,10 @@
 use arc_swap::Guard;
 use common::clock::MonotonicTime;
 use common::frames::Host;
+use common::frames::RequestPayload;
 use common::identity::FunctionKey;
-use common::spec::RoutingTable;
+use common::rules::Rule;
+use common::spec::{RouteEntry, RoutingTable};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -27,6 +29,21 @@
         self.routing_table.load_full()
     }
 
+    /// Returns the route of a request in a spec, which may be newer than the one with which the request was matched.
+    /// `earlier_name` is the name of the route that matched it then.
+    pub fn route_of_request<'a>(
+        &self,
+        table: &'a RoutingTable,
+        payload: &RequestPayload,
+        earlier_name: &str,
+    ) -> Option<&'a RouteEntry> {
+        if self.rules.enforces(Rule::RouteFoundByRequest) {
+            table.route_of(payload)
+        } else {
+            table.route_named(earlier_name)
+        }
+    }
+
     /// Replaces the routing table.
     pub fn set_routing_table(&self, table: Arc<RoutingTable>) {
         self.routing_table.store(table);
--- a/crates/dataplane/src/request_pipeline/mod.rs
+++ b/crates/dataplane/src/request_pipeline/mod.rs
@@ -22,12 +22,13 @@
 use crate::drivers::State;
 use common::adapter::{CallerResponse, IngressCodec};
 use common::clock::MonotonicTime;
-use common::frames::{LengthPrefixed, RequestPayload};
+use common::frames::{HeaderField, LengthPrefixed, RequestPayload};
 use common::http::{HttpResponse, read_body};
 use common::identity::{IdempotencyKey, Region, ShortString};
 use common::spec::{RouteMatch, RoutingTable};
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::HOST;
 use hyper::http::request::Parts;
 use ingress_request::IngressRequest;
 use request_checks::{
@@ -108,10 +109,7 @@
     head: &Parts,
     idempotency_key: &IdempotencyKey,
 ) -> Option<RouteMatch<'a>> {
-    let host = head
-        .headers
-        .get(hyper::header::HOST)
-        .and_then(|value| value.to_str().ok());
+    let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     table.route(
         &head.method,
         host.unwrap_or(""),
@@ -152,7 +150,25 @@
     RequestPayload {
         method: ShortString::from(head.method.as_str()),
         target: ShortString::from(target),
-        header_fields: LengthPrefixed(ingress.forwarded_header_fields(&head.headers)),
+        header_fields: LengthPrefixed(header_fields_with_host(ingress, head)),
         body: body.into(),
     }
 }
+
+/// Returns the header fields to forward, with the host also if the codec does not forward it: the daemons on the way
+/// find the request's route by it.
+fn header_fields_with_host(ingress: &dyn IngressCodec, head: &Parts) -> Vec<HeaderField> {
+    let mut header_fields = ingress.forwarded_header_fields(&head.headers);
+    let has_host = header_fields
+        .iter()
+        .any(|field| field.name.as_str() == HOST.as_str());
+    if let Some(host) = head.headers.get(HOST)
+        && !has_host
+    {
+        header_fields.push(HeaderField {
+            name: HOST.as_str().into(),
+            value: host.as_bytes().to_vec().into(),
+        });
+    }
+    header_fields
+}
--- a/crates/dataplane/tests/agent/forwarding.rs
+++ b/crates/dataplane/tests/agent/forwarding.rs
@@ -83,7 +83,10 @@
     let bench = DaemonBench::serving_with(vec![holder.clone()]);
     bench.agent.cache_owner(&bench.key("f"), &holder);
     let step_for = |wants_referral: bool, body: usize, time_limit_ms: u64| {
-        let payload = Arc::new(RequestPayload::from_body(vec![0; body].into()));
+        let payload = Arc::new(RequestPayload {
+            target: "/r".into(),
+            ..RequestPayload::from_body(vec![0; body].into())
+        });
         let deadline = bench.now + ms(time_limit_ms);
         let mut forwarding = Forwarding::new(
             bench.now,
--- a/crates/dataplane/tests/agent/main.rs
+++ b/crates/dataplane/tests/agent/main.rs
@@ -11,6 +11,7 @@
 #[path = "../support/lease.rs"]
 mod lease;
 mod lost_requests;
+mod renamed_routes;
 mod runner_responses;
 mod serving;
 mod shutdown;
--- a/crates/dataplane/tests/agent/spec_versions.rs
+++ b/crates/dataplane/tests/agent/spec_versions.rs
@@ -1,9 +1,10 @@
 //! How a daemon installs specs, and checks requests against the newest one.
 
 use crate::bench::{DaemonBench, ms, spec_frame};
+use crate::daemon_control::payload_to;
 use crate::lease::{function_spec, lease_terms};
 use common::clock::MonotonicTime;
-use common::frames::{RequestFailureReason, RequestPayload};
+use common::frames::RequestFailureReason;
 use common::identity::{FencingToken, RunnerId, Version};
 use common::invariants;
 use common::invariants::Invariant;
@@ -47,7 +48,7 @@
         target: ms(1000),
         rank: 0,
         region: None,
-        payload: Arc::new(RequestPayload::from_body(Vec::new().into())),
+        payload: payload_to("/r"),
     }
 }
 
--- a/crates/dataplane/tests/http_forms/ingress.rs
+++ b/crates/dataplane/tests/http_forms/ingress.rs
@@ -6,7 +6,7 @@
 use common::clock::MonotonicTime;
 use common::frames::{
     DaemonFrame, DaemonMessage, Flag, Host, LengthPrefixed, RequestFailureReason, RequestOutcome,
-    SocketAddress, append_frame, read_channel, read_frame,
+    RequestPayload, SocketAddress, append_frame, read_channel, read_frame,
 };
 use common::identity::Version;
 use common::rules::Rules;
@@ -16,7 +16,7 @@
 use dataplane::server::serve_ingress;
 use dataplane::settings::DaemonSettings;
 use serde_json::json;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 
@@ -34,8 +34,46 @@
 }
 
 /// A connector to another daemon, which replies to every request with the same outcome. Runners are unreachable.
+#[derive(Clone)]
 struct FixedOutcomeConnector {
     outcome: RequestOutcome,
+    /// The payloads of the requests that the other daemon has received.
+    received: Arc<Mutex<Vec<RequestPayload>>>,
+}
+
+impl FixedOutcomeConnector {
+    fn new(outcome: RequestOutcome) -> Self {
+        Self {
+            outcome,
+            received: Arc::default(),
+        }
+    }
+
+    async fn reply_to_each(self, mut stream: DuplexStream) {
+        if read_channel(&mut stream).await.is_err() {
+            return;
+        }
+        while let Ok(frame) = read_frame::<_, DaemonFrame>(&mut stream).await {
+            if let DaemonMessage::FunctionRequest { payload, .. } = frame.body {
+                let mut received = self.received.lock().expect("lock should not be poisoned");
+                received.push(payload);
+            }
+            let body = DaemonMessage::Completed {
+                outcome: self.outcome.clone(),
+                holder: LengthPrefixed(Vec::new()),
+                regional_delay_deciseconds: 0,
+            };
+            let reply = DaemonFrame {
+                correlation: frame.correlation,
+                body,
+            };
+            let mut sent = Vec::new();
+            append_frame(&mut sent, &reply).expect("frame should encode");
+            if stream.write_all(&sent).await.is_err() {
+                return;
+            }
+        }
+    }
 }
 
 impl Connector for FixedOutcomeConnector {
@@ -44,35 +82,15 @@
     }
 
     fn connect_to_daemon(&self, _: SocketAddress) -> ConnectFuture<'_> {
-        let outcome = self.outcome.clone();
+        let daemon = self.clone();
         Box::pin(async move {
             let (near, far) = duplex(64 << 10);
-            tokio::spawn(reply_to_each(far, outcome));
+            tokio::spawn(daemon.reply_to_each(far));
             Ok(Box::new(near) as Box<dyn ByteStream>)
         })
     }
 }
 
-async fn reply_to_each(mut stream: DuplexStream, outcome: RequestOutcome) {
-    if read_channel(&mut stream).await.is_err() {
-        return;
-    }
-    while let Ok(DaemonFrame { correlation, .. }) = read_frame::<_, DaemonFrame>(&mut stream).await
-    {
-        let (outcome, holder) = (outcome.clone(), LengthPrefixed(Vec::new()));
-        let body = DaemonMessage::Completed {
-            outcome,
-            holder,
-            regional_delay_deciseconds: 0,
-        };
-        let mut sent = Vec::new();
-        append_frame(&mut sent, &DaemonFrame { correlation, body }).expect("frame should encode");
-        if stream.write_all(&sent).await.is_err() {
-            return;
-        }
-    }
-}
-
 fn host(name: &str, own_address: &str) -> Host {
     Host {
         member: name.into(),
@@ -99,6 +117,10 @@
 
 /// Returns the state of an ingress daemon. Another daemon, the only live host, replies to every request with `outcome`.
 fn daemon(outcome: RequestOutcome, is_serving: bool) -> Arc<State> {
+    daemon_with(FixedOutcomeConnector::new(outcome), is_serving)
+}
+
+fn daemon_with(connector: FixedOutcomeConnector, is_serving: bool) -> Arc<State> {
     let settings = json!({
         "member": "daemon-2", "locality": "here", "place": "10.0.0.2:7000", "door": "10.0.0.2:8080",
         "seeds": ["10.0.0.1:7100"], "platform": "10.0.9.9:80", "largest_body": 64,
@@ -106,14 +128,13 @@
     let source = common::readers::SettingsSource::from_value("FILE", settings);
     let daemon_settings = DaemonSettings::read(&source).expect("settings should be valid");
     let adapters = DaemonAdapters::native(daemon_settings.platform);
-    let connector = Arc::new(FixedOutcomeConnector { outcome });
     let own_host = host("daemon-2", "10.0.0.2:7000");
     let state = State::without_control(
         daemon_settings,
         own_host,
         Rules::ALL_ENFORCED,
         adapters,
-        connector,
+        Arc::new(connector),
     );
     state.agent.set_routing_table(Arc::new(table()));
     state
@@ -175,6 +196,22 @@
     check("caller_outcomes.txt", &text);
 }
 
+/// Guards against a holder that cannot find the route of a forwarded request (review/7): the message has to carry all
+/// that routes match by, also the host, which the product's own callers' headers do not pass on to runners.
+#[tokio::test]
+async fn a_forwarded_request_carries_what_routes_match_by() {
+    let connector = FixedOutcomeConnector::new(response(200, "5ea1"));
+    let state = daemon_with(connector.clone(), true);
+    response_to(&state, &changed("/pay", "/pay?host=other")).await;
+    let received = connector
+        .received
+        .lock()
+        .expect("lock should not be poisoned");
+    let payload = received.first().expect("request should be forwarded");
+    assert_eq!((payload.host(), payload.path()), ("h", "/pay"));
+    assert!(table().route_of(payload).is_some());
+}
+
 /// Guards against a change in the request metrics and their labels, on which operators' dashboards rely.
 #[tokio::test]
 async fn request_metrics_match_the_fixture() {
--- a/crates/dataplane/tests/support/daemon_control.rs
+++ b/crates/dataplane/tests/support/daemon_control.rs
@@ -42,7 +42,15 @@
     }
 }
 
-/// Returns a caller's request on the route `r`, with a deadline two seconds from now.
+/// Returns a caller's POST request to this path.
+pub fn payload_to(path: &str) -> Arc<RequestPayload> {
+    Arc::new(RequestPayload {
+        target: path.into(),
+        ..RequestPayload::from_body(Vec::new().into())
+    })
+}
+
+/// Returns a caller's request to `/r`, on the route `r`, with a deadline two seconds from now.
 pub fn function_request(
     agent: &Agent<u64>,
     now: MonotonicTime,
@@ -58,6 +66,6 @@
         is_retry: false,
         wants_referral: true,
         region: "".into(),
-        payload: Arc::new(RequestPayload::from_body(Vec::new().into())),
+        payload: payload_to("/r"),
     }
 }
--- a/testing/fleet/src/sim/daemon/requests.rs
+++ b/testing/fleet/src/sim/daemon/requests.rs
@@ -69,7 +69,10 @@
                 .own_region()
                 .cloned()
                 .unwrap_or_else(|| Region::from("")),
-            payload: Arc::new(RequestPayload::from_body(Vec::new().into())),
+            payload: Arc::new(RequestPayload {
+                target: format!("/{route_name}").as_str().into(),
+                ..RequestPayload::from_body(Vec::new().into())
+            }),
         };
         self.accept_request(index, request, ReplyTarget::Caller);
     }
--- a/testing/fleet/src/synthetic/daemons/callers.rs
+++ b/testing/fleet/src/synthetic/daemons/callers.rs
@@ -6,7 +6,7 @@
 use crate::synthetic::meter::{Role, Work};
 use crate::synthetic::size::SyntheticSize;
 use bytes::Bytes;
-use common::frames::RequestPayload;
+use common::frames::{HeaderField, LengthPrefixed, RequestPayload};
 use common::identity::IdempotencyKey;
 use dataplane::agent::FunctionRequest;
 use std::sync::Arc;
@@ -17,6 +17,8 @@
 const MIN_FIRST_CALLS_SPAN: Duration = Duration::from_millis(500);
 const FIRST_CALLS_INTERVAL: Duration = Duration::from_millis(10);
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(3000);
+/// The host of all requests; the routes match them by their paths alone.
+const CALLERS_HOST: &str = "callers";
 const REQUEST_BODY: &[u8] = &[b'q'; 256];
 /// The share of calls that are restricted to the busiest twentieth of the functions.
 const BUSY_SHARE: f64 = 0.9;
@@ -28,6 +30,18 @@
     ))
 }
 
+/// Returns a caller's POST request to a path.
+fn payload(path: &str) -> RequestPayload {
+    RequestPayload {
+        target: path.into(),
+        header_fields: LengthPrefixed(vec![HeaderField {
+            name: "host".into(),
+            value: CALLERS_HOST.as_bytes().to_vec().into(),
+        }]),
+        ..RequestPayload::from_body(Bytes::from_static(REQUEST_BODY))
+    }
+}
+
 impl SyntheticFleet {
     /// Calls the next functions for the first time, each through a random ingress, until all have been called.
     pub(in crate::synthetic) fn send_first_calls(&mut self) {
@@ -79,7 +93,7 @@
         self.record.called += 1;
         let (matched, _) = self.meter.measure_step(Role::Ingress, Work::Calls, || {
             let table = agent.routing_table_snapshot();
-            let found = table.route(&hyper::Method::POST, "callers", &path, &idempotency_key)?;
+            let found = table.route(&hyper::Method::POST, CALLERS_HOST, &path, &idempotency_key)?;
             Some((found.function.key.clone(), table.version()))
         });
         let Some((key, version)) = matched.filter(|_| agent.is_serving(now)) else {
@@ -96,7 +110,7 @@
             wants_referral: true,
             region: "".into(),
             is_retry: false,
-            payload: Arc::new(RequestPayload::from_body(Bytes::from_static(REQUEST_BODY))),
+            payload: Arc::new(payload(&path)),
         };
         self.accept_request(daemon, request, ReplyTarget::Caller);
     }
