Send a request only as often as every spec allows that has matched it

One path whose route becomes idempotent, or gets more tries, while a mutating request on it waits, sends its body or is retried, was handled by the newest table alone, or by the holder's, whose version may differ from the ingress daemon's. After a lost answer it could run twice, although it was accepted as once-only; the other way round, a request whose first run was allowed to be repeated could be repeated after its route had become once-only.

Cause: `once` and `max_attempts` were read anew from whichever table a step had at hand, and a message carries neither.

Change: AttemptLimits keeps the strictest limits at the ingress daemon. A holder whose spec has another version than the message sends the request to one runner only, and refuses a daemon's retry that its own spec doesn't allow; a request with stricter limits than its newest spec is forwarded under a version that no holder has. A further attempt from a holder's queue has to be allowed by the newest spec. The form of the frames is unchanged.

Ruled out: a kind in the message (a new form, which older daemons could not read). The price: a request on its way between two daemons of different versions isn't retried at its holder; that lasts as long as a version takes to reach all daemons.

--- a/crates/common/src/rules.rs
+++ b/crates/common/src/rules.rs
@@ -43,6 +43,9 @@
     /// A daemon finds a request's route in each spec by the request itself, and not by the name of the route that matched
     /// it in an earlier spec. Found by `crates/dataplane/tests/agent/renamed_routes.rs`.
     RouteFoundByRequest = "route-by-request",
+    /// A request is sent only as often as every spec allows that has matched it. Found by
+    /// `crates/dataplane/tests/agent/changed_limits.rs`.
+    StrictestLimitsKept = "strictest-limits",
     /// The first byte of a request is written only during the session lease, and while the function is still held under
     /// the same function lease. Found by `platform/tests/connections/pre_send_check.rs`.
     LeaseCheckedBeforeSend = "held-before-send",
--- a/crates/dataplane/src/agent/forwarding/mod.rs
+++ b/crates/dataplane/src/agent/forwarding/mod.rs
@@ -4,19 +4,23 @@
 //! [`Forwarding`] is a state machine without I/O. Each of its methods returns the next [`ForwardingStep`]; the caller
 //! carries it out, and calls the method that matches its result.
 //!
+//! * `attempt_limits`: how often a request may be sent, by all specs that have matched it.
 //! * `request`: the request as this daemon received it.
 //! * `step`: the steps, and the result of sending a request to another daemon.
 //! * `step_results`: handling of the result of a step.
 
+mod attempt_limits;
 mod request;
 mod step;
 mod step_results;
 
+pub use attempt_limits::AttemptLimits;
 pub use request::FunctionRequest;
 pub use step::{ForwardResult, ForwardingStep};
 
 use super::{Agent, HeldFunction, HolderRequest};
 use crate::owners::{LookupContext, LookupStep, next_step};
+use attempt_limits::NO_COMMON_VERSION;
 use common::clock::MonotonicTime;
 use common::frames::{
     DaemonMessage, Flag, Host, RequestFailureReason, RequestOutcome, RequestPayload,
@@ -74,6 +78,8 @@
     spec_mismatch_count: u32,
     /// The number of holders that were lost while they had the request.
     lost_holder_count: u32,
+    /// Whether an earlier spec set stricter limits than the spec of the request's version.
+    has_stricter_limits: bool,
     /// Whether to stop looking for a holder, as this daemon or the one that forwarded the request is shutting down.
     is_withdrawn: bool,
 }
@@ -90,6 +96,7 @@
             spec_mismatch_until: None,
             spec_mismatch_count: 0,
             lost_holder_count: 0,
+            has_stricter_limits: false,
             is_withdrawn: false,
         }
     }
@@ -168,9 +175,12 @@
         if let Some(step) = self.after_spec_mismatch(now, table.version()) {
             return step;
         }
+        self.apply_newer_spec(agent, &table);
         if self.request.hops == 0 {
-            self.apply_newer_spec(agent, &table);
             self.use_regional_key(agent, now, &table);
+            if self.lost_holder_count >= self.request.limits.max_runs() {
+                return unknown_step();
+            }
         }
         let Some(route) = self
             .matching_route(agent, &table)
@@ -184,8 +194,12 @@
         }
         let held = agent.held_function(&self.request.function);
         match (self.look_up(agent, held.is_some()), held) {
+            (LookupStep::Serve, Some(_)) if self.may_have_run_once(&table, &route.spec) => {
+                rejected_step(RequestFailureReason::NotAllowed, SPEC_MISMATCH_RETRY_AFTER)
+            }
             (LookupStep::Serve, Some(held)) => {
-                ForwardingStep::Serve(held, self.holder_request(agent, &route.spec))
+                let limits = self.limits_at_holder(agent, &table, &route.spec);
+                ForwardingStep::Serve(held, self.holder_request(agent, &route.spec, limits))
             }
             (LookupStep::Serve, None) => ForwardingStep::Wait { wait_until: now },
             (LookupStep::Forward(host), _) => self.forward_step(agent, now, host),
@@ -260,14 +274,50 @@
         })
     }
 
-    fn holder_request<W>(&self, agent: &Agent<W>, route: &RouteSpec) -> HolderRequest {
+    /// Whether another daemon retries a request that this daemon's spec allows to run only once, while the spec by which
+    /// that daemon has matched it may differ.
+    fn may_have_run_once(&self, table: &RoutingTable, route: &RouteSpec) -> bool {
+        let is_same_spec = self.request.version == table.version();
+        let is_forwarded_retry = self.request.hops > 0 && self.request.is_retry;
+        is_forwarded_retry && !is_same_spec && route.once && !route.recorded
+    }
+
+    /// Returns how often the holder in this daemon may send the request. What another spec allows is not known here, so
+    /// a request that was matched by another one is sent to one runner only.
+    fn limits_at_holder<W>(
+        &self,
+        agent: &Agent<W>,
+        table: &RoutingTable,
+        route: &RouteSpec,
+    ) -> AttemptLimits {
+        let limits = AttemptLimits::of_route(route);
+        if !agent.rules.enforces(Rule::StrictestLimitsKept) {
+            return limits;
+        }
+        let limits = limits.restricted_by(self.request.limits);
+        if self.request.version == table.version() {
+            limits
+        } else {
+            AttemptLimits {
+                max_attempts: 1,
+                ..limits
+            }
+        }
+    }
+
+    fn holder_request<W>(
+        &self,
+        agent: &Agent<W>,
+        route: &RouteSpec,
+        limits: AttemptLimits,
+    ) -> HolderRequest {
         HolderRequest {
             idempotency_key: self.request.idempotency_key.clone(),
             route: self.request.route.clone(),
             deadline: self.request.deadline,
-            once: route.once,
+            once: limits.once,
             recorded: route.recorded,
-            max_attempts: route.max_attempts,
+            max_attempts: limits.max_attempts,
             is_retry: self.request.is_retry,
             queue_timeout: route.queue_timeout,
             target: route.target,
@@ -326,6 +376,15 @@
         )
     }
 
+    /// Returns the version of the spec whose limits are those of the request.
+    fn common_version(&self) -> Version {
+        if self.has_stricter_limits {
+            NO_COMMON_VERSION
+        } else {
+            self.request.version
+        }
+    }
+
     fn forward_message(&self, now: MonotonicTime) -> DaemonMessage {
         let remaining_time = self
             .request
@@ -336,7 +395,7 @@
             idempotency_key: self.request.idempotency_key.clone(),
             function: self.request.function.clone(),
             route: ShortString::from(self.request.route.as_str()),
-            version: self.request.version,
+            version: self.common_version(),
             time_limit_ms: remaining_time.as_millis() as u32,
             hops: self.request.hops + 1,
             repeat: Flag(self.request.is_retry),
@@ -355,10 +414,10 @@
         agent.route_of_request(table, &self.request.payload, &self.request.route)
     }
 
-    /// At the ingress daemon: routes the request again if a newer spec is installed, which may lead to another
-    /// function. This is safe for a request that was not run yet.
+    /// Routes the request again if a newer spec is installed, which may lead to another function. This is safe for a
+    /// request that was not run yet. Only the ingress daemon does so.
     fn apply_newer_spec<W>(&mut self, agent: &Agent<W>, table: &RoutingTable) {
-        if table.version() <= self.request.version {
+        if self.request.hops > 0 || table.version() <= self.request.version {
             return;
         }
         let Some(route) = self.matching_route(agent, table) else {
@@ -370,6 +429,17 @@
             .clone();
         self.request.route = route.spec.name.clone();
         self.request.version = table.version();
+        self.apply_limits(agent, AttemptLimits::of_route(&route.spec));
+    }
+
+    /// Restricts how often the request may be sent by the limits of a newer spec.
+    fn apply_limits<W>(&mut self, agent: &Agent<W>, newer_limits: AttemptLimits) {
+        self.request.limits = if agent.rules.enforces(Rule::StrictestLimitsKept) {
+            self.request.limits.restricted_by(newer_limits)
+        } else {
+            newer_limits
+        };
+        self.has_stricter_limits = self.request.limits != newer_limits;
     }
 
     /// At the ingress daemon: uses the regional key if there is one. Requests whose idempotency keys are recorded stay
--- a/crates/dataplane/src/agent/forwarding/request.rs
+++ b/crates/dataplane/src/agent/forwarding/request.rs
@@ -1,5 +1,6 @@
 //! A request as a daemon receives it, from a caller or from another daemon.
 
+use super::AttemptLimits;
 use common::clock::MonotonicTime;
 use common::frames::{DaemonMessage, RequestPayload};
 use common::identity::{FunctionKey, IdempotencyKey, Region, Version};
@@ -17,6 +18,8 @@
     pub route: String,
     /// The version of the spec with which it was matched.
     pub version: Version,
+    /// How often it may be sent, by the specs that have matched it; unlimited if another daemon has forwarded it.
+    pub limits: AttemptLimits,
     /// When its caller stops waiting for it.
     pub deadline: MonotonicTime,
     /// How many times it was forwarded.
@@ -55,6 +58,7 @@
                 function,
                 route: route.to_string(),
                 version,
+                limits: AttemptLimits::UNLIMITED,
                 deadline: now + Duration::from_millis(u64::from(time_limit_ms)),
                 hops,
                 is_retry: repeat.0,
--- a/crates/dataplane/src/agent/forwarding/step_results.rs
+++ b/crates/dataplane/src/agent/forwarding/step_results.rs
@@ -172,7 +172,8 @@
     fn after_loss<W>(&mut self, agent: &Agent<W>, now: MonotonicTime) -> ForwardingStep<W> {
         agent.evict_owner(&self.request.function);
         self.leave_regional_key(agent, now, REGIONAL_LOST_BACKOFF);
-        if self.may_retry_forward(agent, now) {
+        self.apply_newer_spec(agent, &agent.routing_table());
+        if self.may_retry_forward(now) {
             self.lost_holder_count += 1;
             self.request.is_retry = true;
             self.give_up_at = None;
@@ -183,13 +184,10 @@
 
     /// Whether a request whose holder was lost is sent to the next holder, as a further attempt. Only the ingress
     /// daemon does so: if the daemons on the way retried it as well, the attempts would multiply.
-    fn may_retry_forward<W>(&self, agent: &Agent<W>, now: MonotonicTime) -> bool {
-        let table = agent.routing_table();
+    fn may_retry_forward(&self, now: MonotonicTime) -> bool {
         let has_time = now + HOP_TIME_RESERVE + RETRY_BACKOFF < self.request.deadline;
-        let has_attempts_left = |max_attempts: u32| self.lost_holder_count + 1 < max_attempts;
-        self.matching_route(agent, &table).is_some_and(|route| {
-            !route.spec.once && has_attempts_left(route.spec.max_attempts) && has_time
-        }) && self.request.hops == 0
+        let has_attempts_left = self.lost_holder_count + 1 < self.request.limits.max_runs();
+        self.request.hops == 0 && has_attempts_left && has_time
     }
 
     /// Handles the leader's response to the acquisition; `None` if the acquisition was lost. If the leader announces a
--- a/crates/dataplane/src/agent/held.rs
+++ b/crates/dataplane/src/agent/held.rs
@@ -1,5 +1,6 @@
 //! A held function: its holder's state machine, and the requests waiting for their outcomes.
 
+use super::AttemptLimits;
 use crate::holder::{AdmissionRequest, Holder, HolderOutput};
 use common::clock::MonotonicTime;
 use common::frames::{RequestOutcome, RequestPayload};
@@ -39,6 +40,16 @@
     pub payload: Arc<RequestPayload>,
 }
 
+impl HolderRequest {
+    /// Returns how often it may be sent.
+    pub fn limits(&self) -> AttemptLimits {
+        AttemptLimits {
+            once: self.once,
+            max_attempts: self.max_attempts,
+        }
+    }
+}
+
 /// The runner to which a request is sent.
 #[derive(Clone, Debug)]
 pub struct RunnerTarget {
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -29,7 +29,7 @@
 mod snapshots;
 
 pub use daemon_control::{DaemonControl, DaemonControlOutput};
-pub use forwarding::{ForwardResult, Forwarding, ForwardingStep, FunctionRequest};
+pub use forwarding::{AttemptLimits, ForwardResult, Forwarding, ForwardingStep, FunctionRequest};
 pub use held::{HeldFunction, HolderRequest, RunnerTarget};
 pub use in_flight::InFlightGuard;
 pub use replica_requests::{ReplicaRequest, ReplicaRequestKind};
--- a/crates/dataplane/src/agent/runner_response.rs
+++ b/crates/dataplane/src/agent/runner_response.rs
@@ -1,6 +1,6 @@
 //! Checks before a request is sent to a runner, and verification of the runner's response.
 
-use super::{Agent, HeldFunction, HolderRequest};
+use super::{Agent, AttemptLimits, HeldFunction, HolderRequest};
 use crate::holder::SendResult;
 use common::adapter::{RunnerResponse, SealKind};
 use common::clock::MonotonicTime;
@@ -9,6 +9,7 @@
 use common::invariants::{Invariant, require};
 use common::rules::{Rule, Rules};
 use common::seal;
+use common::spec::RouteSpec;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -161,6 +162,14 @@
     pub payload: Arc<RequestPayload>,
 }
 
+/// Whether the newest spec still allows an attempt of a request that its holder admitted with the limits of an earlier
+/// one. Unless the limits have become stricter, the holder itself counts the attempts: it alone knows which of them were
+/// refused by a runner other than the intended one.
+fn has_attempts_left(holder_request: &HolderRequest, route: &RouteSpec, attempt: u32) -> bool {
+    let max_runs = AttemptLimits::of_route(route).max_runs();
+    max_runs >= holder_request.limits().max_runs() || attempt <= max_runs
+}
+
 /// How long after the end of the session lease a request may still be sent. The leader waits longer than this before it
 /// grants a lease to another daemon. A daemon that sends later was suspended between its check of the lease and its
 /// write.
@@ -194,8 +203,8 @@
     }
 
     /// Performs the last checks before a request is written to a connection: the session lease is valid, the function
-    /// is held, and the newest spec still routes the request to this function. The error is the reason why the request
-    /// may not be sent.
+    /// is held, and the newest spec still routes the request to this function and allows this attempt. The error is the
+    /// reason why the request may not be sent.
     pub fn runner_attempt(
         &self,
         now: MonotonicTime,
@@ -205,12 +214,17 @@
         attempt: u32,
     ) -> Result<RunnerAttempt, RequestFailureReason> {
         let table = self.routing_table();
-        let is_allowed = self
+        let route = self
             .route_of_request(&table, &holder_request.payload, &holder_request.route)
-            .is_some_and(|route| table.leads_to(route, &held.function));
-        if !is_allowed && self.rules.enforces(Rule::SpecCheckedBeforeSend) {
+            .filter(|route| table.leads_to(route, &held.function));
+        if route.is_none() && self.rules.enforces(Rule::SpecCheckedBeforeSend) {
             return Err(RequestFailureReason::NotAllowed);
         }
+        let has_attempts_left =
+            route.is_none_or(|route| has_attempts_left(holder_request, &route.spec, attempt));
+        if !has_attempts_left && self.rules.enforces(Rule::StrictestLimitsKept) {
+            return Err(RequestFailureReason::RejectedByRunner);
+        }
         if !self.is_serving(now) || !self.may_send(now, held) {
             return Err(RequestFailureReason::NotServing);
         }
--- a/crates/dataplane/src/request_pipeline/mod.rs
+++ b/crates/dataplane/src/request_pipeline/mod.rs
@@ -18,7 +18,7 @@
 
 pub use forward_to_holder::{ForwardedOutcome, forward_for_daemon, forward_to_holder};
 
-use crate::agent::FunctionRequest;
+use crate::agent::{AttemptLimits, FunctionRequest};
 use crate::drivers::State;
 use common::adapter::{CallerResponse, IngressCodec};
 use common::clock::MonotonicTime;
@@ -95,6 +95,7 @@
         function: route_match.function.key.clone(),
         route: route.name.clone(),
         version: table.version(),
+        limits: AttemptLimits::of_route(route),
         deadline,
         hops: 0,
         is_retry: ingress.is_repeat(&head.headers),
--- a/crates/dataplane/tests/agent/main.rs
+++ b/crates/dataplane/tests/agent/main.rs
@@ -2,6 +2,7 @@
 //! rejections.
 
 mod bench;
+mod changed_limits;
 #[path = "../support/daemon_control.rs"]
 mod daemon_control;
 mod forwarding;
--- a/testing/fleet/src/sim/daemon/requests.rs
+++ b/testing/fleet/src/sim/daemon/requests.rs
@@ -7,7 +7,8 @@
 use common::frames::{DaemonMessage, Host, RequestOutcome, RequestPayload, RequesterNotice};
 use common::identity::{IdempotencyKey, Region};
 use dataplane::agent::{
-    Agent, ForwardResult, Forwarding, ForwardingStep, FunctionRequest, HeldFunction, HolderRequest,
+    Agent, AttemptLimits, ForwardResult, Forwarding, ForwardingStep, FunctionRequest, HeldFunction,
+    HolderRequest,
 };
 use dataplane::owners::is_current_owner;
 use std::sync::Arc;
@@ -61,6 +62,7 @@
             function,
             route: route_name.to_owned(),
             version: table.version(),
+            limits: AttemptLimits::of_route(&route.spec),
             deadline: local_now + timeout.min(route.spec.timeout),
             hops: 0,
             is_retry: is_caller_retry,
--- a/testing/fleet/src/synthetic/daemons/callers.rs
+++ b/testing/fleet/src/synthetic/daemons/callers.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use common::frames::{HeaderField, LengthPrefixed, RequestPayload};
 use common::identity::IdempotencyKey;
-use dataplane::agent::FunctionRequest;
+use dataplane::agent::{AttemptLimits, FunctionRequest};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -94,9 +94,10 @@
         let (matched, _) = self.meter.measure_step(Role::Ingress, Work::Calls, || {
             let table = agent.routing_table_snapshot();
             let found = table.route(&hyper::Method::POST, CALLERS_HOST, &path, &idempotency_key)?;
-            Some((found.function.key.clone(), table.version()))
+            let limits = AttemptLimits::of_route(&found.route.spec);
+            Some((found.function.key.clone(), table.version(), limits))
         });
-        let Some((key, version)) = matched.filter(|_| agent.is_serving(now)) else {
+        let Some((key, version, limits)) = matched.filter(|_| agent.is_serving(now)) else {
             self.record.not_run += 1;
             return;
         };
@@ -105,6 +106,7 @@
             function: key,
             route: route_name,
             version,
+            limits,
             deadline: now + REQUEST_TIMEOUT,
             hops: 0,
             wants_referral: true,
